--- /dev/null
+++ b/cmd/marblepond/main.go
@@ -0,0 +1,78 @@
+// Command marblepond runs a node ("agent") and the operators' commands.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/marblepond/marblepond/internal/process/node"
+	"github.com/marblepond/marblepond/internal/process/settings"
+)
+
+// version is set by the linker for releases.
+var version = "dev"
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	app := &cli.Command{
+		Name:     "marblepond",
+		Usage:    "online and batch inference on one fleet",
+		Version:  version,
+		Commands: append([]*cli.Command{agentCommand(), checkCommand(), versionCommand()}, operatorCommands()...),
+	}
+	if err := app.Run(ctx, os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func settingsFlag() cli.Flag {
+	return &cli.StringFlag{Name: "settings", Aliases: []string{"s"}, Value: "marblepond.ini", Usage: "the node's settings `FILE`"}
+}
+
+func agentCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "agent",
+		Usage: "run a node until SIGTERM, then drain",
+		Flags: []cli.Flag{settingsFlag()},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			s, err := settings.Load(c.String("settings"))
+			if err != nil {
+				return err
+			}
+			return node.New(s).Run(ctx)
+		},
+	}
+}
+
+func checkCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "check",
+		Usage: "check a settings file and report every fault, one a line",
+		Flags: []cli.Flag{settingsFlag()},
+		Action: func(_ context.Context, c *cli.Command) error {
+			if _, err := settings.Load(c.String("settings")); err != nil {
+				return err
+			}
+			fmt.Println("settings are valid")
+			return nil
+		},
+	}
+}
+
+func versionCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "version",
+		Usage: "print the version",
+		Action: func(context.Context, *cli.Command) error {
+			fmt.Println("marblepond", version)
+			return nil
+		},
+	}
+}
--- /dev/null
+++ b/cmd/marblepond/operators.go
@@ -0,0 +1,226 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	v1 "github.com/marblepond/marblepond/api/marblepond/v1"
+	"github.com/marblepond/marblepond/api/marblepond/v1/marblepondv1connect"
+	"github.com/marblepond/marblepond/internal/connection/peer"
+	"github.com/marblepond/marblepond/internal/process/timeline"
+)
+
+// operatorTimeout bounds one operator's call.
+const operatorTimeout = 2 * time.Minute
+
+type operatorAction func(ctx context.Context, c *cli.Command, client marblepondv1connect.OperatorServiceClient) error
+
+// operator makes a command that calls a node.
+func operator(name, usage string, flags []cli.Flag, run operatorAction) *cli.Command {
+	common := []cli.Flag{
+		&cli.StringFlag{Name: "node", Value: "127.0.0.1:7071", Sources: cli.EnvVars("MARBLEPOND_NODE"), Usage: "peer address `IP:PORT` of any node"},
+		&cli.StringFlag{Name: "key", Sources: cli.EnvVars("MARBLEPOND_OPERATOR_KEY"), Usage: "operator `KEY`"},
+	}
+	return &cli.Command{
+		Name: name, Usage: usage, Flags: append(common, flags...),
+		Action: func(ctx context.Context, c *cli.Command) error {
+			ctx, cancel := context.WithTimeout(ctx, operatorTimeout)
+			defer cancel()
+			return run(ctx, c, peer.NewOperatorClient(http.DefaultClient, c.String("node"), c.String("key")))
+		},
+	}
+}
+
+func operatorCommands() []*cli.Command {
+	file := &cli.StringFlag{Name: "file", Aliases: []string{"f"}, Required: true, Usage: "the intent, an INI `FILE`"}
+	base := &cli.Uint64Flag{Name: "base", Required: true, Usage: "the base `VERSION` that plan printed"}
+	request := &cli.StringFlag{Name: "request", Usage: "only events of this request `ID`"}
+	limit := &cli.Uint32Flag{Name: "limit", Value: 200, Usage: "newest `N` events"}
+	return []*cli.Command{
+		operator("plan", "show what an intent would change", []cli.Flag{file}, plan),
+		operator("apply", "confirm a plan", []cli.Flag{file, base}, apply),
+		operator("status", "show nodes, data centres and the configuration in force", nil, status),
+		operator("targets", "show the targets of the node's data centre", nil, targets),
+		operator("timeline", "show what the fleet decided, in order of time", []cli.Flag{request, limit}, showTimeline),
+		batchCommand(),
+	}
+}
+
+func plan(ctx context.Context, c *cli.Command, client marblepondv1connect.OperatorServiceClient) error {
+	intent, err := os.ReadFile(c.String("file"))
+	if err != nil {
+		return err
+	}
+	resp, err := client.Plan(ctx, &v1.PlanRequest{Intent: string(intent)})
+	if err != nil {
+		return err
+	}
+	printPlan(resp)
+	if len(resp.Changes) > 0 {
+		fmt.Printf("\nTo confirm: marblepond apply -f %s --base %d\n", c.String("file"), resp.BaseVersion)
+	}
+	return nil
+}
+
+func printPlan(p *v1.PlanResponse) {
+	fmt.Printf("base version %d, %d changes\n", p.BaseVersion, len(p.Changes))
+	section := ""
+	for _, change := range p.Changes {
+		if change.Section != section {
+			section = change.Section
+			fmt.Printf("[%s]\n", section)
+		}
+		switch {
+		case change.Before == "":
+			fmt.Printf("  + %s = %s\n", change.Key, change.After)
+		case change.After == "":
+			fmt.Printf("  - %s = %s\n", change.Key, change.Before)
+		default:
+			fmt.Printf("  ~ %s = %s -> %s\n", change.Key, change.Before, change.After)
+		}
+	}
+}
+
+func apply(ctx context.Context, c *cli.Command, client marblepondv1connect.OperatorServiceClient) error {
+	intent, err := os.ReadFile(c.String("file"))
+	if err != nil {
+		return err
+	}
+	resp, err := client.Apply(ctx, &v1.ApplyRequest{Intent: string(intent), BaseVersion: c.Uint64("base")})
+	if err != nil {
+		return err
+	}
+	if resp.Stale {
+		printPlan(resp.Fresh)
+		return fmt.Errorf("stale plan: version %d is in force; the plan against it is above", resp.Fresh.BaseVersion)
+	}
+	fmt.Printf("version %d is accepted\n", resp.Version)
+	return nil
+}
+
+func table() *tabwriter.Writer { return tabwriter.NewWriter(os.Stdout, 0, 8, 2, ' ', 0) }
+
+func status(ctx context.Context, _ *cli.Command, client marblepondv1connect.OperatorServiceClient) error {
+	resp, err := client.Status(ctx, &v1.StatusRequest{})
+	if err != nil {
+		return err
+	}
+	out := table()
+	fmt.Fprintln(out, "NODE\tDATA CENTRE\tSTATE\tANSWERED\tLEAVING\tVERSION")
+	for _, s := range resp.Nodes {
+		fmt.Fprintf(out, "%s\t%s\t%s\t%t\t%t\t%d\n", s.Node.Id, s.Node.DataCentre, s.State, s.Answered, s.Node.Leaving, s.Node.ConfigVersion)
+	}
+	out.Flush()
+	for _, dc := range resp.DataCentres {
+		if !dc.Reachable {
+			fmt.Printf("data centre %s is cut off\n", dc.DataCentre)
+		}
+	}
+	if resp.InForceEverywhere {
+		fmt.Printf("version %d is in force at every node asked\n", resp.HeadVersion)
+	} else {
+		fmt.Printf("version %d is the newest; not every node is seen to have it in force\n", resp.HeadVersion)
+	}
+	return nil
+}
+
+func targets(ctx context.Context, _ *cli.Command, client marblepondv1connect.OperatorServiceClient) error {
+	resp, err := client.Targets(ctx, &v1.TargetsRequest{})
+	if err != nil {
+		return err
+	}
+	out := table()
+	fmt.Fprintln(out, "TARGET\tSERVICE\tOWNER\tRUNNING\tBATCH\tMAX\tLOADED\tOUT BECAUSE")
+	for _, t := range resp.Targets {
+		fmt.Fprintf(out, "%s\t%s\t%s\t%d\t%d\t%d\t%v\t%s\n", t.Target, t.Service, t.Owner, t.Load.Running, t.Load.Batch, t.Load.MaxRunning, t.Load.Loaded, t.Ejected)
+	}
+	return out.Flush()
+}
+
+func showTimeline(ctx context.Context, c *cli.Command, client marblepondv1connect.OperatorServiceClient) error {
+	resp, err := client.Timeline(ctx, &v1.TimelineRequest{RequestId: c.String("request"), Limit: c.Uint32("limit")})
+	if err != nil {
+		return err
+	}
+	out := table()
+	for _, e := range resp.Events {
+		at := timeline.HLC(e.Hlc).Time().Format("15:04:05.000")
+		fmt.Fprintf(out, "%s\t%s\t%d %s\t%s\t%s\t%s\n", at, e.Node, e.Code, e.Name, e.RequestId, e.Subject, e.Cause)
+	}
+	out.Flush()
+	for _, missing := range resp.Missing {
+		fmt.Printf("node %s did not answer; its events are missing\n", missing)
+	}
+	return nil
+}
+
+func batchCommand() *cli.Command {
+	id := &cli.StringFlag{Name: "id", Required: true, Usage: "the batch `ID`"}
+	submit := []cli.Flag{
+		&cli.StringFlag{Name: "file", Aliases: []string{"f"}, Required: true, Usage: "items, a JSONL `FILE`"},
+		&cli.StringFlag{Name: "workspace", Aliases: []string{"w"}, Required: true, Usage: "the `NAME` it runs for"},
+		&cli.StringFlag{Name: "idempotency-key", Usage: "a `KEY`: sent twice it is the same batch"},
+		&cli.DurationFlag{Name: "window", Value: 24 * time.Hour, Usage: "`TIME` until it is due"},
+	}
+	return &cli.Command{Name: "batch", Usage: "submit, show, cancel and read batches", Commands: []*cli.Command{
+		operator("submit", "submit a JSONL file as a batch", submit, submitBatch),
+		operator("show", "show a batch", []cli.Flag{id}, showBatch),
+		operator("cancel", "stop a batch", []cli.Flag{id}, cancelBatch),
+		operator("results", "print the results committed so far as JSONL", []cli.Flag{id}, batchResults),
+	}}
+}
+
+func submitBatch(ctx context.Context, c *cli.Command, client marblepondv1connect.OperatorServiceClient) error {
+	items, err := os.ReadFile(c.String("file"))
+	if err != nil {
+		return err
+	}
+	resp, err := client.SubmitBatch(ctx, &v1.SubmitBatchRequest{Workspace: c.String("workspace"), Jsonl: items,
+		IdempotencyKey: c.String("idempotency-key"), CompletionWindow: c.Duration("window").String()})
+	if err != nil {
+		return err
+	}
+	printBatch(resp)
+	return nil
+}
+
+func printBatch(b *v1.BatchResponse) {
+	fmt.Printf("%s %s: %d items, %d completed, %d failed\n", b.BatchId, b.State, b.Total, b.Completed, b.Failed)
+}
+
+func showBatch(ctx context.Context, c *cli.Command, client marblepondv1connect.OperatorServiceClient) error {
+	resp, err := client.ShowBatch(ctx, &v1.BatchRequest{BatchId: c.String("id")})
+	if err != nil {
+		return err
+	}
+	printBatch(resp)
+	return nil
+}
+
+func cancelBatch(ctx context.Context, c *cli.Command, client marblepondv1connect.OperatorServiceClient) error {
+	resp, err := client.CancelBatch(ctx, &v1.BatchRequest{BatchId: c.String("id")})
+	if err != nil {
+		return err
+	}
+	printBatch(resp)
+	return nil
+}
+
+func batchResults(ctx context.Context, c *cli.Command, client marblepondv1connect.OperatorServiceClient) error {
+	for chunk := uint32(0); ; chunk++ {
+		resp, err := client.BatchResults(ctx, &v1.BatchResultsRequest{BatchId: c.String("id"), Chunk: chunk})
+		if err != nil {
+			return err
+		}
+		os.Stdout.Write(resp.Jsonl)
+		if resp.Last {
+			return nil
+		}
+	}
+}
--- /dev/null
+++ b/internal/connection/engine/engine.go
@@ -0,0 +1,310 @@
+// Package engine is the client of model engines and plain services. One call
+// is one attempt; the decisions around it are the request's.
+package engine
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/marblepond/marblepond/internal/connection/openai"
+	"github.com/marblepond/marblepond/internal/request/assemble"
+)
+
+// The ways an attempt fails.
+var (
+	ErrNotSent  = errors.New("no connection to the target; nothing was sent")
+	ErrBusy     = errors.New("target refuses new work")
+	ErrRejected = errors.New("target rejects the request as malformed")
+	ErrLinkLost = errors.New("connection to the target was lost")
+	ErrFailed   = errors.New("target failed")
+	ErrStalled  = errors.New("target sent nothing for too long")
+	ErrFenced   = errors.New("target refuses an old fencing number")
+)
+
+// Client calls targets.
+type Client struct {
+	http *http.Client
+	// Stall is how long a stream may stay silent.
+	Stall time.Duration
+}
+
+// New returns a client.
+func New(client *http.Client, stall time.Duration) *Client {
+	return &Client{http: client, Stall: stall}
+}
+
+// Call is one attempt at a completion.
+type Call struct {
+	Addr      string
+	Path      string
+	RequestID string
+	Attempt   int
+	Body      []byte
+	Held      int         // tokens held; the stream starts there
+	Header    http.Header // extra headers; may be nil
+}
+
+// StreamID names the attempt towards the engine.
+func (c Call) StreamID() string { return c.RequestID + "." + strconv.Itoa(c.Attempt) }
+
+// Stream sends the call and hands each piece to sink until the stream ends.
+// It returns nil after a stream that the engine ended itself.
+func (c *Client) Stream(ctx context.Context, call Call, sink func(assemble.Piece)) error {
+	return c.stream(ctx, http.MethodPost, call.Path, call, sink)
+}
+
+// Resume goes on with a stream whose connection was lost, from call.Held on.
+func (c *Client) Resume(ctx context.Context, call Call, sink func(assemble.Piece)) error {
+	path := "/v1/streams/" + url.PathEscape(call.StreamID()) + "?offset=" + strconv.Itoa(call.Held)
+	return c.stream(ctx, http.MethodGet, path, call, sink)
+}
+
+func (c *Client) stream(ctx context.Context, method, path string, call Call, sink func(assemble.Piece)) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	watchdog := time.AfterFunc(c.Stall, func() { cancel(ErrStalled) })
+	defer watchdog.Stop()
+
+	resp, sent, err := c.send(ctx, method, call.Addr, path, call)
+	if err != nil {
+		return cause(ctx, err, sent)
+	}
+	defer resp.Body.Close()
+	if err := statusError(resp); err != nil {
+		return err
+	}
+	next := call.Held
+	scanner := bufio.NewScanner(resp.Body)
+	scanner.Buffer(make([]byte, 0, 4096), 1<<20)
+	for scanner.Scan() {
+		data, ok := bytes.CutPrefix(scanner.Bytes(), []byte(openai.DataPrefix))
+		if !ok {
+			continue
+		}
+		watchdog.Reset(c.Stall)
+		if string(data) == openai.DoneMark {
+			return nil
+		}
+		chunk, err := openai.DecodeChunk(data)
+		if err != nil {
+			return fmt.Errorf("%w: %v", ErrFailed, err)
+		}
+		piece := toPiece(call, chunk, next)
+		next = piece.Offset + piece.Tokens
+		sink(piece)
+	}
+	if err := cause(ctx, scanner.Err(), true); err != nil {
+		return err
+	}
+	return ErrLinkLost // ended without the closing mark
+}
+
+func toPiece(call Call, chunk *openai.Chunk, next int) assemble.Piece {
+	piece := assemble.Piece{RequestID: call.RequestID, Attempt: call.Attempt, Offset: next,
+		Tokens: chunk.Tokens, Text: chunk.Text(), Finish: chunk.Finish()}
+	if chunk.Offset != nil {
+		piece.Offset = *chunk.Offset
+	} else if piece.Tokens == 0 && piece.Text != "" {
+		piece.Tokens = 1
+	}
+	return piece
+}
+
+func (c *Client) send(ctx context.Context, method, addr, path string, call Call) (*http.Response, bool, error) {
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
+	var body io.Reader
+	if method == http.MethodPost {
+		body = bytes.NewReader(call.Body)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+addr+path, body)
+	if err != nil {
+		return nil, false, err
+	}
+	req.GetBody = nil // an attempt is sent once; the transport must not repeat it
+	for name, values := range call.Header {
+		req.Header[name] = values
+	}
+	if method == http.MethodPost && req.Header.Get("Content-Type") == "" {
+		req.Header.Set("Content-Type", "application/json")
+	}
+	req.Header.Set(openai.HeaderRequestID, call.RequestID)
+	req.Header.Set(openai.HeaderAttempt, strconv.Itoa(call.Attempt))
+	resp, err := c.http.Do(req)
+	return resp, connected.Load(), err
+}
+
+func cause(ctx context.Context, err error, sent bool) error {
+	switch {
+	case errors.Is(context.Cause(ctx), ErrStalled):
+		return ErrStalled
+	case ctx.Err() != nil:
+		return ctx.Err()
+	case err == nil:
+		return nil
+	case !sent:
+		return fmt.Errorf("%w: %v", ErrNotSent, err)
+	}
+	return fmt.Errorf("%w: %v", ErrLinkLost, err)
+}
+
+func statusError(resp *http.Response) error {
+	switch {
+	case resp.StatusCode < http.StatusMultipleChoices:
+		return nil
+	case resp.StatusCode == http.StatusTooManyRequests || resp.StatusCode == http.StatusServiceUnavailable:
+		return ErrBusy
+	case resp.StatusCode < http.StatusInternalServerError:
+		detail, _ := io.ReadAll(io.LimitReader(resp.Body, 1024))
+		return fmt.Errorf("%w: status %d: %s", ErrRejected, resp.StatusCode, detail)
+	}
+	return fmt.Errorf("%w: status %d", ErrFailed, resp.StatusCode)
+}
+
+// Cancel asks the engine to stop a stream. It is best effort: the engine
+// frees the sequence, nothing else depends on it.
+func (c *Client) Cancel(ctx context.Context, call Call) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodDelete,
+		"http://"+call.Addr+"/v1/streams/"+url.PathEscape(call.StreamID()), nil)
+	if err != nil {
+		return
+	}
+	if resp, err := c.http.Do(req); err == nil {
+		resp.Body.Close()
+	}
+}
+
+// Report is an engine's own load report; it lags.
+type Report struct {
+	Running    int      `json:"running"`
+	Waiting    int      `json:"waiting"`
+	MaxRunning int      `json:"max_running"`
+	Loaded     []string `json:"loaded"`
+	Loading    []string `json:"loading"`
+	Fence      int64    `json:"fence"` // highest fencing number of an order taken
+	Role       string   `json:"role"`
+}
+
+// Load reads an engine's load report.
+func (c *Client) Load(ctx context.Context, addr string) (Report, error) {
+	var report Report
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+"/load", nil)
+	if err != nil {
+		return report, err
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return report, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return report, ErrFailed
+	}
+	return report, json.NewDecoder(resp.Body).Decode(&report)
+}
+
+// Order is an instruction to an engine. Orders are idempotent.
+type Order struct {
+	Fence int64  `json:"fence"`
+	Op    string `json:"op"` // OpLoad or OpUnload
+	Name  string `json:"name"`
+}
+
+// Operations of an order.
+const (
+	OpLoad   = "load"
+	OpUnload = "unload"
+)
+
+// Order sends an order. ErrFenced: the engine has taken a newer one.
+func (c *Client) Order(ctx context.Context, addr string, order Order) error {
+	body, _ := json.Marshal(order)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/orders", bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	switch {
+	case resp.StatusCode == http.StatusConflict:
+		return ErrFenced
+	case resp.StatusCode >= http.StatusMultipleChoices:
+		return fmt.Errorf("%w: order answered %d", ErrFailed, resp.StatusCode)
+	}
+	return nil
+}
+
+// PlainCall is one attempt at a plain service.
+type PlainCall struct {
+	Addr      string
+	Method    string
+	Path      string // with query
+	RequestID string
+	Header    http.Header
+	Body      []byte
+	// NonIdempotent: every answer is the service's final one, and the
+	// transport must not repeat the call.
+	NonIdempotent bool
+}
+
+// PlainAnswer is a plain service's answer.
+type PlainAnswer struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// maxPlainAnswer bounds the answer of a plain service, in bytes.
+const maxPlainAnswer = 8 << 20
+
+// Plain sends a call to a plain service and reads the whole answer.
+func (c *Client) Plain(ctx context.Context, call PlainCall) (PlainAnswer, error) {
+	var connected atomic.Bool
+	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
+	req, err := http.NewRequestWithContext(traced, call.Method, "http://"+call.Addr+call.Path, bytes.NewReader(call.Body))
+	if err != nil {
+		return PlainAnswer{}, fmt.Errorf("%w: %v", ErrNotSent, err)
+	}
+	req.GetBody = nil
+	req.Header = call.Header.Clone()
+	if call.NonIdempotent {
+		// net/http repeats a call with this header on a broken connection.
+		req.Header.Del(openai.HeaderIdempotencyKey)
+	}
+	req.Header.Set(openai.HeaderRequestID, call.RequestID)
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return PlainAnswer{}, cause(ctx, err, connected.Load())
+	}
+	defer resp.Body.Close()
+	busy := resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests
+	if busy && !call.NonIdempotent {
+		return PlainAnswer{}, ErrBusy
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxPlainAnswer+1))
+	if err != nil {
+		return PlainAnswer{}, cause(ctx, err, true)
+	}
+	if len(body) > maxPlainAnswer {
+		return PlainAnswer{}, fmt.Errorf("%w: answer over %d bytes", ErrFailed, maxPlainAnswer)
+	}
+	return PlainAnswer{resp.StatusCode, resp.Header, body}, nil
+}
--- /dev/null
+++ b/internal/connection/platform/client.go
@@ -0,0 +1,304 @@
+// Package platform is the client of the platform: its object API (versions,
+// conditional writes, watches) and its VM list. The protocol is HTTP with
+// conditional requests (RFC 9110, section 13): ETags carry object versions.
+//
+// Answers can be lost after a change took effect. Write therefore reports
+// Ambiguous and the caller decides by reading back its writer token.
+package platform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+)
+
+// MaxValue is the largest value the object API takes, in bytes.
+const MaxValue = 1 << 20
+
+// The errors of the object API.
+var (
+	ErrNotFound    = errors.New("object not found")
+	ErrConflict    = errors.New("object version does not match")
+	ErrAmbiguous   = errors.New("write may have taken effect")
+	ErrUnavailable = errors.New("platform unavailable")
+	ErrBudget      = errors.New("no platform calls left in the budget")
+)
+
+// Class orders calls when the budget is short.
+type Class int
+
+// The classes, most important first.
+const (
+	Lease Class = iota
+	Commit
+	Status
+)
+
+// Object is one stored value with its version.
+type Object struct {
+	Name    string
+	Version int64
+	Value   []byte
+}
+
+// VM is an entry of the VM list.
+type VM struct {
+	ID          string `json:"id"`
+	Incarnation uint64 `json:"incarnation"`
+	DataCentre  string `json:"data_centre"`
+	Role        string `json:"role"`    // RoleEntry or RoleTarget
+	Service     string `json:"service"` // targets only
+	Addr        string `json:"addr"`    // targets: engine address; entries: peer address
+	Leaving     bool   `json:"leaving"`
+}
+
+// Roles of VMs.
+const (
+	RoleEntry  = "entry"
+	RoleTarget = "target"
+)
+
+// Client calls the platform within this node's budget.
+type Client struct {
+	base    string
+	caller  string
+	http    *http.Client
+	timeout time.Duration
+	writes  *budget
+	reads   *budget
+	metrics tally.Scope
+	failed  atomic.Int64 // consecutive failures
+	notify  func(up bool)
+}
+
+// Options configures a client.
+type Options struct {
+	URL       string
+	Caller    string // sent with each call so that the platform can count by caller
+	Timeout   time.Duration
+	WriteRate int
+	ReadRate  int
+	Metrics   tally.Scope
+	HTTP      *http.Client
+	OnChange  func(up bool) // called when the platform goes away or comes back
+}
+
+// New returns a client.
+func New(o Options) *Client {
+	if o.OnChange == nil {
+		o.OnChange = func(bool) {}
+	}
+	return &Client{
+		base: o.URL, caller: o.Caller, http: o.HTTP, timeout: o.Timeout,
+		writes: newBudget(o.WriteRate), reads: newBudget(o.ReadRate),
+		metrics: o.Metrics, notify: o.OnChange,
+	}
+}
+
+// downAfter is the number of consecutive failures that count as an outage.
+const downAfter = 3
+
+// Up reports whether the newest calls succeeded.
+func (c *Client) Up() bool { return c.failed.Load() < downAfter }
+
+func (c *Client) note(ok bool) {
+	if ok {
+		if c.failed.Swap(0) >= downAfter {
+			c.notify(true)
+		}
+		return
+	}
+	if c.failed.Add(1) == downAfter {
+		c.notify(false)
+	}
+}
+
+// Get reads an object. Errors: ErrNotFound, ErrUnavailable, ErrBudget.
+func (c *Client) Get(ctx context.Context, class Class, name string) (Object, error) {
+	if err := c.reads.wait(ctx, class); err != nil {
+		return Object{}, err
+	}
+	resp, err := c.do(ctx, http.MethodGet, "/objects/"+name, nil, nil, c.timeout)
+	if err != nil {
+		return Object{}, err
+	}
+	defer resp.Body.Close()
+	switch resp.StatusCode {
+	case http.StatusOK:
+		value, err := io.ReadAll(resp.Body)
+		if err != nil {
+			return Object{}, ErrUnavailable
+		}
+		return Object{Name: name, Version: parseETag(resp), Value: value}, nil
+	case http.StatusNotFound:
+		return Object{}, ErrNotFound
+	default:
+		return Object{}, ErrUnavailable
+	}
+}
+
+// Create writes an object that must not exist. It returns the new version.
+// Errors: ErrConflict (it exists), ErrAmbiguous, ErrUnavailable, ErrBudget.
+func (c *Client) Create(ctx context.Context, class Class, name string, value []byte) (int64, error) {
+	return c.write(ctx, class, http.MethodPut, name, value, "If-None-Match", "*")
+}
+
+// Update replaces an object whose version must be the given one.
+func (c *Client) Update(ctx context.Context, class Class, name string, version int64, value []byte) (int64, error) {
+	return c.write(ctx, class, http.MethodPut, name, value, "If-Match", etag(version))
+}
+
+// Delete removes an object whose version must be the given one.
+func (c *Client) Delete(ctx context.Context, class Class, name string, version int64) error {
+	_, err := c.write(ctx, class, http.MethodDelete, name, nil, "If-Match", etag(version))
+	return err
+}
+
+func (c *Client) write(ctx context.Context, class Class, method, name string, value []byte, header, match string) (int64, error) {
+	if len(value) > MaxValue {
+		return 0, fmt.Errorf("value of %d bytes is over the platform's limit", len(value))
+	}
+	if err := c.writes.wait(ctx, class); err != nil {
+		return 0, err
+	}
+	resp, err := c.do(ctx, method, "/objects/"+name, value, func(h http.Header) { h.Set(header, match) }, c.timeout)
+	if err != nil {
+		return 0, ErrAmbiguous
+	}
+	defer resp.Body.Close()
+	io.Copy(io.Discard, resp.Body)
+	switch resp.StatusCode {
+	case http.StatusOK, http.StatusCreated, http.StatusNoContent:
+		return parseETag(resp), nil
+	case http.StatusPreconditionFailed:
+		return 0, ErrConflict
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return 0, ErrUnavailable // refused before any effect
+	default:
+		return 0, ErrAmbiguous
+	}
+}
+
+// List returns the objects whose names start with prefix, with values.
+func (c *Client) List(ctx context.Context, class Class, prefix string) ([]Object, error) {
+	if err := c.reads.wait(ctx, class); err != nil {
+		return nil, err
+	}
+	resp, err := c.do(ctx, http.MethodGet, "/objects/?prefix="+url.QueryEscape(prefix), nil, nil, 5*c.timeout)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return nil, ErrUnavailable
+	}
+	var objects []Object
+	if err := json.NewDecoder(resp.Body).Decode(&objects); err != nil {
+		return nil, ErrUnavailable
+	}
+	return objects, nil
+}
+
+// Change is what a watch returns: objects under the prefix with a version
+// above the one given, and the platform's newest version.
+type Change struct {
+	Objects []Object
+	Newest  int64
+}
+
+// Watch waits up to wait for objects under prefix newer than since. A waiting
+// watch counts as one read.
+func (c *Client) Watch(ctx context.Context, prefix string, since int64, wait time.Duration) (Change, error) {
+	if err := c.reads.wait(ctx, Commit); err != nil {
+		return Change{}, err
+	}
+	path := fmt.Sprintf("/objects/?prefix=%s&watch=%d&wait=%s", url.QueryEscape(prefix), since, wait)
+	resp, err := c.do(ctx, http.MethodGet, path, nil, nil, wait+c.timeout)
+	if err != nil {
+		return Change{}, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return Change{}, ErrUnavailable
+	}
+	var change Change
+	if err := json.NewDecoder(resp.Body).Decode(&change); err != nil {
+		return Change{}, ErrUnavailable
+	}
+	return change, nil
+}
+
+// VMs reads the VM list of one data centre. The answer may be stale.
+func (c *Client) VMs(ctx context.Context, dataCentre string) ([]VM, error) {
+	if err := c.reads.wait(ctx, Status); err != nil {
+		return nil, err
+	}
+	resp, err := c.do(ctx, http.MethodGet, "/vms?data_centre="+url.QueryEscape(dataCentre), nil, nil, c.timeout)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return nil, ErrUnavailable
+	}
+	var vms []VM
+	if err := json.NewDecoder(resp.Body).Decode(&vms); err != nil {
+		return nil, ErrUnavailable
+	}
+	return vms, nil
+}
+
+func (c *Client) do(ctx context.Context, method, path string, body []byte, header func(http.Header), timeout time.Duration) (*http.Response, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	req.Header.Set("User-Agent", c.caller)
+	if header != nil {
+		header(req.Header)
+	}
+	c.metrics.Tagged(map[string]string{"method": method}).Counter("platform_calls").Inc(1)
+	resp, err := c.http.Do(req)
+	if err != nil {
+		cancel()
+		c.note(false)
+		return nil, ErrUnavailable
+	}
+	c.note(resp.StatusCode < http.StatusInternalServerError)
+	resp.Body = &cancelBody{resp.Body, cancel}
+	return resp, nil
+}
+
+// cancelBody releases the call's context when the body is closed.
+type cancelBody struct {
+	io.ReadCloser
+	cancel context.CancelFunc
+}
+
+func (b *cancelBody) Close() error {
+	defer b.cancel()
+	return b.ReadCloser.Close()
+}
+
+func etag(version int64) string { return `"` + strconv.FormatInt(version, 10) + `"` }
+
+func parseETag(resp *http.Response) int64 {
+	tag := resp.Header.Get("ETag")
+	if len(tag) < 2 {
+		return 0
+	}
+	version, _ := strconv.ParseInt(tag[1:len(tag)-1], 10, 64)
+	return version
+}
--- /dev/null
+++ b/internal/process/invariant/invariant.go
@@ -0,0 +1,61 @@
+// Package invariant asserts at run time what must always hold. A violation is
+// an event with its evidence and a counter; in proof runs it stops the process.
+package invariant
+
+import (
+	"fmt"
+	"os"
+	"sync/atomic"
+
+	"github.com/marblepond/marblepond/internal/process/timeline"
+)
+
+// Name identifies one invariant; docs/PROOFS.md lists them.
+type Name string
+
+// The invariants, numbered by the point of the brief's "What must always hold".
+const (
+	AnswerWhole       Name = "1-answer-whole-once"
+	CommitFenced      Name = "1-commit-fenced"
+	NoWorkCancelled   Name = "2-no-dispatch-after-cancelled"
+	BatchWithinShare  Name = "3-batch-within-share"
+	PieceOwnAttempt   Name = "4-piece-of-own-attempt"
+	NotRunTrue        Name = "5-not-run-is-true"
+	AtMostOnce        Name = "6-dispatch-at-most-once"
+	NoWorkLeaving     Name = "7-no-work-to-leaving"
+	DrainCutsNothing  Name = "8-drain-cuts-nothing"
+	ConfigOnlyForward Name = "9-config-only-forward"
+)
+
+// Checker reports violations to the time line.
+type Checker struct {
+	recorder *timeline.Recorder
+	stop     bool
+	count    atomic.Int64
+}
+
+// stopExitCode is the exit status of a proof run stopped by a violation.
+const stopExitCode = 70
+
+// New returns a checker; with stop set a violation ends the process.
+func New(recorder *timeline.Recorder, stop bool) *Checker {
+	return &Checker{recorder: recorder, stop: stop}
+}
+
+// Assert records a violation when holds is false and returns holds.
+func (c *Checker) Assert(holds bool, name Name, requestID, subject, evidence string, args ...any) bool {
+	if holds {
+		return true
+	}
+	c.count.Add(1)
+	text := fmt.Sprintf(evidence, args...)
+	c.recorder.Record(timeline.InvariantViolated, requestID, subject, string(name)+": "+text)
+	if c.stop {
+		fmt.Fprintf(os.Stderr, "invariant %s violated: %s %s\n", name, subject, text)
+		os.Exit(stopExitCode)
+	}
+	return false
+}
+
+// Violations returns how many violations were seen.
+func (c *Checker) Violations() int64 { return c.count.Load() }
--- /dev/null
+++ b/internal/process/membership/membership.go
@@ -0,0 +1,211 @@
+// Package membership runs the membership machine of a node: it sends the
+// heartbeats, takes those of others, and publishes the view.
+package membership
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	v1 "github.com/marblepond/marblepond/api/marblepond/v1"
+	"github.com/marblepond/marblepond/internal/connection/peer"
+	"github.com/marblepond/marblepond/internal/process/member"
+	"github.com/marblepond/marblepond/internal/process/timeline"
+)
+
+// Passenger is state that travels with heartbeats.
+type Passenger interface {
+	// Pack adds the node's state for a receiver of the given data centre.
+	Pack(state *v1.HeartbeatRequest, sameDataCentre bool)
+	// Unpack takes what another node sent.
+	Unpack(from *v1.NodeInfo, state *v1.HeartbeatRequest)
+}
+
+// Manager owns the membership machine.
+type Manager struct {
+	pool       *peer.Pool
+	recorder   *timeline.Recorder
+	timing     member.Timing
+	seeds      []string
+	passengers []Passenger
+	onChange   []func(*member.View)
+
+	mu      sync.Mutex
+	machine *member.Machine
+	view    atomic.Pointer[member.View]
+}
+
+// New returns a manager; Run starts it.
+func New(self member.Info, timing member.Timing, seeds []string, pool *peer.Pool, recorder *timeline.Recorder) *Manager {
+	m := &Manager{pool: pool, recorder: recorder, timing: timing, seeds: seeds, machine: member.New(self, timing)}
+	m.view.Store(m.machine.View())
+	return m
+}
+
+// Carry adds a passenger; call it before Run.
+func (m *Manager) Carry(p Passenger) { m.passengers = append(m.passengers, p) }
+
+// OnChange adds a function called when a member's state changed; call it
+// before Run.
+func (m *Manager) OnChange(f func(*member.View)) { m.onChange = append(m.onChange, f) }
+
+// View returns the present picture.
+func (m *Manager) View() *member.View { return m.view.Load() }
+
+// SetLeaving tells the others, from the next heartbeat on, that this node leaves.
+func (m *Manager) SetLeaving() {
+	m.change(func(time.Time) []member.Transition { m.machine.SetLeaving(); return nil })
+	m.notify()
+}
+
+// SetConfigVersion sets the version the node has in force.
+func (m *Manager) SetConfigVersion(v uint64) {
+	m.change(func(time.Time) []member.Transition { m.machine.SetConfigVersion(v); return nil })
+}
+
+// Learn adds nodes known from elsewhere, such as the VM list.
+func (m *Manager) Learn(infos []member.Info) {
+	m.change(func(now time.Time) []member.Transition {
+		var changes []member.Transition
+		for _, info := range infos {
+			changes = append(changes, m.machine.Learned(now, info)...)
+		}
+		return changes
+	})
+}
+
+func (m *Manager) change(f func(now time.Time) []member.Transition) {
+	m.mu.Lock()
+	changes := f(time.Now())
+	m.view.Store(m.machine.View())
+	m.mu.Unlock()
+	for _, c := range changes {
+		m.record(c)
+	}
+	if len(changes) > 0 {
+		m.notify()
+	}
+}
+
+func (m *Manager) notify() {
+	view := m.View()
+	for _, f := range m.onChange {
+		f(view)
+	}
+}
+
+func (m *Manager) record(c member.Transition) {
+	switch {
+	case c.Member.Leaving && c.Member.State == member.Alive:
+		m.recorder.Record(timeline.MemberLeaving, "", c.Member.ID, "")
+	case c.Member.State == member.Alive:
+		m.recorder.Record(timeline.MemberJoined, "", c.Member.ID, "from "+string(c.From))
+	case c.Member.State == member.Dead:
+		m.recorder.Record(timeline.MemberDead, "", c.Member.ID, "silence")
+	case c.From != "":
+		m.recorder.Record(timeline.MemberSuspect, "", c.Member.ID, "silence")
+	}
+}
+
+// Run sends heartbeats until ctx ends.
+func (m *Manager) Run(ctx context.Context) {
+	ticker := time.NewTicker(m.timing.Heartbeat)
+	defer ticker.Stop()
+	for {
+		m.tick(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (m *Manager) tick(ctx context.Context) {
+	var send []member.Info
+	m.change(func(now time.Time) []member.Transition {
+		targets, changes := m.machine.Tick(now)
+		send = targets
+		return changes
+	})
+	for _, to := range send {
+		go m.beat(ctx, to.PeerAddr, to.DataCentre)
+	}
+	if len(m.View().Members) == 0 || len(m.View().Contacts) == 0 {
+		for _, seed := range m.seeds {
+			go m.beat(ctx, seed, "")
+		}
+	}
+}
+
+// Tell sends a heartbeat to every member at once, outside the usual rhythm.
+func (m *Manager) Tell(ctx context.Context) {
+	var wg sync.WaitGroup
+	for _, to := range m.View().Members {
+		if to.State != member.Dead {
+			wg.Go(func() { m.beat(ctx, to.PeerAddr, to.DataCentre) })
+		}
+	}
+	wg.Wait()
+}
+
+func (m *Manager) beat(ctx context.Context, addr, dataCentre string) {
+	ctx, cancel := context.WithTimeout(ctx, m.timing.SuspectAfter)
+	defer cancel()
+	resp, err := m.pool.Client(addr).Heartbeat(ctx, m.compose(dataCentre))
+	if err != nil {
+		return // silence is judged by the machine
+	}
+	m.absorb(&v1.HeartbeatRequest{From: resp.From, Hlc: resp.Hlc, Members: resp.Members,
+		Loads: resp.Loads, Leaving: resp.Leaving, HeadVersion: resp.HeadVersion})
+}
+
+func (m *Manager) compose(dataCentre string) *v1.HeartbeatRequest {
+	view := m.View()
+	same := dataCentre == view.Self.DataCentre
+	req := &v1.HeartbeatRequest{From: ToProto(view.Self), Hlc: int64(m.recorder.Clock.Now())}
+	for _, other := range view.Members {
+		if other.State == member.Alive {
+			req.Members = append(req.Members, ToProto(other.Info))
+		}
+	}
+	for _, p := range m.passengers {
+		p.Pack(req, same)
+	}
+	return req
+}
+
+func (m *Manager) absorb(req *v1.HeartbeatRequest) {
+	m.recorder.Clock.Observe(timeline.HLC(req.Hlc))
+	m.change(func(now time.Time) []member.Transition {
+		changes := m.machine.Heard(now, FromProto(req.From))
+		for _, other := range req.Members {
+			changes = append(changes, m.machine.Learned(now, FromProto(other))...)
+		}
+		return changes
+	})
+	for _, p := range m.passengers {
+		p.Unpack(req.From, req)
+	}
+}
+
+// Heartbeat answers another node's heartbeat.
+func (m *Manager) Heartbeat(_ context.Context, req *v1.HeartbeatRequest) (*v1.HeartbeatResponse, error) {
+	m.absorb(req)
+	own := m.compose(req.From.DataCentre)
+	return &v1.HeartbeatResponse{From: own.From, Hlc: own.Hlc, Members: own.Members,
+		Loads: own.Loads, Leaving: own.Leaving, HeadVersion: own.HeadVersion}, nil
+}
+
+// ToProto converts a node's info to its wire form.
+func ToProto(i member.Info) *v1.NodeInfo {
+	return &v1.NodeInfo{Id: i.ID, Incarnation: i.Incarnation, DataCentre: i.DataCentre, PeerAddr: i.PeerAddr,
+		CallerAddr: i.CallerAddr, Leaving: i.Leaving, ConfigVersion: i.ConfigVersion}
+}
+
+// FromProto converts a node's info from its wire form.
+func FromProto(i *v1.NodeInfo) member.Info {
+	return member.Info{ID: i.GetId(), Incarnation: i.GetIncarnation(), DataCentre: i.GetDataCentre(), PeerAddr: i.GetPeerAddr(),
+		CallerAddr: i.GetCallerAddr(), Leaving: i.GetLeaving(), ConfigVersion: i.GetConfigVersion()}
+}
--- /dev/null
+++ b/internal/process/node/metrics.go
@@ -0,0 +1,49 @@
+package node
+
+import (
+	"fmt"
+	"net/http"
+	"runtime"
+	"sort"
+	"strings"
+
+	"github.com/uber-go/tally/v4"
+)
+
+// metrics is the node's scope and the page that shows it as text, one metric
+// a line: name, tags and value.
+type metrics struct {
+	scope tally.TestScope
+}
+
+func newMetrics() *metrics { return &metrics{scope: tally.NewTestScope("", nil)} }
+
+// ServeHTTP implements http.Handler.
+func (m *metrics) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	snapshot := m.scope.Snapshot()
+	var lines []string
+	for _, c := range snapshot.Counters() {
+		lines = append(lines, fmt.Sprintf("%s%s %d", c.Name(), tags(c.Tags()), c.Value()))
+	}
+	for _, g := range snapshot.Gauges() {
+		lines = append(lines, fmt.Sprintf("%s%s %g", g.Name(), tags(g.Tags()), g.Value()))
+	}
+	var memory runtime.MemStats
+	runtime.ReadMemStats(&memory)
+	lines = append(lines, fmt.Sprintf("process_heap_bytes %d", memory.HeapAlloc), fmt.Sprintf("process_goroutines %d", runtime.NumGoroutine()))
+	sort.Strings(lines)
+	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+	fmt.Fprintln(w, strings.Join(lines, "\n"))
+}
+
+func tags(t map[string]string) string {
+	if len(t) == 0 {
+		return ""
+	}
+	var parts []string
+	for k, v := range t {
+		parts = append(parts, fmt.Sprintf("%s=%q", k, v))
+	}
+	sort.Strings(parts)
+	return "{" + strings.Join(parts, ",") + "}"
+}
--- /dev/null
+++ b/internal/process/node/remotes.go
@@ -0,0 +1,36 @@
+package node
+
+import (
+	"net/http"
+	"sync/atomic"
+
+	"github.com/marblepond/marblepond/internal/connection/openai"
+	"github.com/marblepond/marblepond/internal/process/member"
+	"github.com/marblepond/marblepond/internal/request/choose"
+)
+
+// remotes offers nodes of other data centres in place of targets when the own
+// data centre is empty or full.
+type remotes struct{ node *Node }
+
+var remoteTurn atomic.Uint64
+
+// Next implements run.Remote.
+func (r *remotes) Next(workspace string, exclude map[string]bool) (choose.Target, http.Header, bool) {
+	contacts := r.node.membership.View().Contacts
+	if len(contacts) == 0 {
+		return choose.Target{}, nil, false
+	}
+	turn := int(remoteTurn.Add(1))
+	for i := range contacts {
+		c := contacts[(turn+i)%len(contacts)]
+		if exclude[c.ID] || c.Leaving || c.State == member.Dead || c.CallerAddr == "" {
+			continue
+		}
+		header := http.Header{}
+		header.Set(openai.HeaderForwarded, r.node.settings.PeerKey)
+		header.Set(openai.HeaderWorkspace, workspace)
+		return choose.Target{ID: c.ID, Addr: c.CallerAddr, DataCentre: c.DataCentre, Remote: true}, header, true
+	}
+	return choose.Target{}, nil, false
+}
--- /dev/null
+++ b/internal/process/rendezvous/rendezvous.go
@@ -0,0 +1,41 @@
+// Package rendezvous ranks members for a key by highest random weight (Thaler
+// and Ravishankar, 1998): every node that knows the same members computes the
+// same ranking, and one member's loss moves only that member's keys.
+package rendezvous
+
+import (
+	"sort"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Weight returns the weight of member for key.
+func Weight(key, member string) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	d.WriteString(key)
+	d.Write([]byte{0})
+	d.WriteString(member)
+	return d.Sum64()
+}
+
+// First returns the member with the highest weight, "" when there is none.
+func First(key string, members []string) string {
+	best, top := "", uint64(0)
+	for _, m := range members {
+		if w := Weight(key, m); best == "" || w > top || (w == top && m < best) {
+			best, top = m, w
+		}
+	}
+	return best
+}
+
+// Rank returns the members by falling weight, at most n of them.
+func Rank(key string, members []string, n int) []string {
+	ranked := append([]string{}, members...)
+	sort.Slice(ranked, func(i, j int) bool {
+		a, b := Weight(key, ranked[i]), Weight(key, ranked[j])
+		return a > b || (a == b && ranked[i] < ranked[j])
+	})
+	return ranked[:min(n, len(ranked))]
+}
--- /dev/null
+++ b/internal/process/ring/ring.go
@@ -0,0 +1,70 @@
+// Package ring provides the bounded queue that joins the duties of a node.
+// Each ring states at its creation what a full ring does.
+package ring
+
+import "sync/atomic"
+
+// Policy says what Put does when the ring is full.
+type Policy int
+
+// The policies.
+const (
+	Refuse     Policy = iota // Put returns false; the producer decides
+	DropOldest               // the oldest entry makes room
+	Block                    // Put waits for room
+)
+
+// Ring is a bounded first-in first-out queue for any number of producers and
+// consumers.
+type Ring[T any] struct {
+	entries chan T
+	policy  Policy
+	refused atomic.Int64
+	dropped atomic.Int64
+}
+
+// New returns a ring that holds up to size entries.
+func New[T any](size int, policy Policy) *Ring[T] {
+	return &Ring[T]{entries: make(chan T, size), policy: policy}
+}
+
+// Put adds an entry. It returns false only under Refuse, when the ring is full.
+func (r *Ring[T]) Put(entry T) bool {
+	switch r.policy {
+	case Block:
+		r.entries <- entry
+		return true
+	case DropOldest:
+		for {
+			select {
+			case r.entries <- entry:
+				return true
+			default:
+			}
+			select {
+			case <-r.entries:
+				r.dropped.Add(1)
+			default:
+			}
+		}
+	default:
+		select {
+		case r.entries <- entry:
+			return true
+		default:
+			r.refused.Add(1)
+			return false
+		}
+	}
+}
+
+// Out returns the channel that consumers read from.
+func (r *Ring[T]) Out() <-chan T { return r.entries }
+
+// Len returns the number of waiting entries.
+func (r *Ring[T]) Len() int { return len(r.entries) }
+
+// Lost returns how many entries were refused and how many were dropped.
+func (r *Ring[T]) Lost() (refused, dropped int64) {
+	return r.refused.Load(), r.dropped.Load()
+}
--- /dev/null
+++ b/internal/process/settings/settings.go
@@ -0,0 +1,275 @@
+// Package settings reads a node's INI settings and checks them whole before
+// the node starts: every fault is reported with file, section, key, what was
+// found and what is allowed.
+package settings
+
+import (
+	"fmt"
+	"net"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+
+	"gopkg.in/ini.v1"
+)
+
+// Settings is everything a node learns at its start. Configuration that may
+// change while it runs is in package fleet instead.
+type Settings struct {
+	NodeID          string
+	DataCentre      string
+	CallerListen    string
+	PeerListen      string
+	CallerAdvertise string
+	PeerAdvertise   string
+	Seeds           []string
+
+	PlatformURL       string
+	PlatformTimeout   time.Duration
+	PlatformWriteRate int
+	PlatformReadRate  int
+	VMListInterval    time.Duration
+	WatchTimeout      time.Duration
+
+	PeerKey     string
+	OperatorKey string
+
+	MaxBody        int
+	MaxHeader      int
+	MaxInFlight    int
+	RequestTimeout time.Duration
+	DrainTimeout   time.Duration
+
+	Heartbeat    time.Duration
+	SuspectAfter time.Duration
+	DeadAfter    time.Duration
+
+	LoadInterval time.Duration
+	RetryShare   float64
+	EjectAfter   int
+	EjectTime    time.Duration
+
+	ChunkItems   int
+	LeaseTTL     time.Duration
+	OutageGrace  time.Duration
+	CommitEvery  time.Duration
+	ItemAttempts int
+	BatchFill    float64
+	BatchReserve int
+
+	ResultMemory  int
+	FlushInterval time.Duration
+
+	LogLevel       string
+	TimelineEvents int
+	StopOnViolated bool
+}
+
+// Key describes one setting: where it stands, its default, unit and meaning.
+type Key struct {
+	Section string
+	Name    string
+	Default string
+	Unit    string
+	Doc     string
+	set     func(*Settings, string) error
+}
+
+// Fault is one thing wrong with a settings file.
+type Fault struct {
+	File, Section, Key, Found, Allowed string
+}
+
+// String returns the fault in one line.
+func (f Fault) String() string {
+	return fmt.Sprintf("%s: [%s] %s: found %q, allowed: %s", f.File, f.Section, f.Key, f.Found, f.Allowed)
+}
+
+// Faults is the error Load returns: every fault of the file.
+type Faults []Fault
+
+// Error joins the faults, one a line.
+func (f Faults) Error() string {
+	lines := make([]string, len(f))
+	for i, fault := range f {
+		lines[i] = fault.String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Load reads and checks the file. The error is Faults when the content is wrong.
+func Load(path string) (*Settings, error) {
+	file, err := ini.LoadSources(ini.LoadOptions{}, path)
+	if err != nil {
+		return nil, Faults{{path, "-", "-", err.Error(), "a readable INI file"}}
+	}
+	return parse(path, file)
+}
+
+// Parse reads and checks INI text; name stands for the file in faults.
+func Parse(name string, text []byte) (*Settings, error) {
+	file, err := ini.LoadSources(ini.LoadOptions{}, text)
+	if err != nil {
+		return nil, Faults{{name, "-", "-", err.Error(), "INI text"}}
+	}
+	return parse(name, file)
+}
+
+func parse(name string, file *ini.File) (*Settings, error) {
+	s := &Settings{}
+	var faults Faults
+	known := map[string]bool{}
+	for _, key := range Keys {
+		known[key.Section+"."+key.Name] = true
+		value := key.Default
+		if section, err := file.GetSection(key.Section); err == nil && section.HasKey(key.Name) {
+			value = section.Key(key.Name).String()
+		}
+		if err := key.set(s, value); err != nil {
+			faults = append(faults, Fault{name, key.Section, key.Name, value, err.Error()})
+		}
+	}
+	faults = append(faults, unknownKeys(name, file, known)...)
+	if len(faults) == 0 {
+		faults = append(faults, crossChecks(name, s)...)
+	}
+	if len(faults) > 0 {
+		return nil, faults
+	}
+	return s, nil
+}
+
+func unknownKeys(name string, file *ini.File, known map[string]bool) Faults {
+	var faults Faults
+	for _, section := range file.Sections() {
+		for _, key := range section.Keys() {
+			if !known[section.Name()+"."+key.Name()] {
+				faults = append(faults, Fault{name, section.Name(), key.Name(), key.String(), "no such setting; see docs/SETTINGS.md"})
+			}
+		}
+	}
+	sort.Slice(faults, func(i, j int) bool { return faults[i].String() < faults[j].String() })
+	return faults
+}
+
+func crossChecks(name string, s *Settings) Faults {
+	var faults Faults
+	if s.SuspectAfter < 2*s.Heartbeat {
+		faults = append(faults, Fault{name, "membership", "suspect_after", s.SuspectAfter.String(), "at least twice [membership] heartbeat"})
+	}
+	if s.DeadAfter <= s.SuspectAfter {
+		faults = append(faults, Fault{name, "membership", "dead_after", s.DeadAfter.String(), "more than [membership] suspect_after"})
+	}
+	if s.CommitEvery*2 > s.LeaseTTL {
+		faults = append(faults, Fault{name, "batch", "commit_every", s.CommitEvery.String(), "at most half of [batch] lease_ttl"})
+	}
+	if s.CallerAdvertise == "" {
+		s.CallerAdvertise = s.CallerListen
+	}
+	if s.PeerAdvertise == "" {
+		s.PeerAdvertise = s.PeerListen
+	}
+	return faults
+}
+
+// setters
+
+func text(field func(*Settings) *string, required bool) func(*Settings, string) error {
+	return func(s *Settings, value string) error {
+		if required && value == "" {
+			return fmt.Errorf("a value (required)")
+		}
+		*field(s) = value
+		return nil
+	}
+}
+
+func address(field func(*Settings) *string, required bool) func(*Settings, string) error {
+	return func(s *Settings, value string) error {
+		if value == "" && !required {
+			return nil
+		}
+		host, port, err := net.SplitHostPort(value)
+		if err != nil || net.ParseIP(host) == nil {
+			return fmt.Errorf("IP:port")
+		}
+		if n, err := strconv.Atoi(port); err != nil || n < 1 || n > 65535 {
+			return fmt.Errorf("IP:port with a port from 1 to 65535")
+		}
+		*field(s) = value
+		return nil
+	}
+}
+
+func addresses(field func(*Settings) *[]string) func(*Settings, string) error {
+	return func(s *Settings, value string) error {
+		for _, part := range strings.Split(value, ",") {
+			part = strings.TrimSpace(part)
+			if part == "" {
+				continue
+			}
+			if _, _, err := net.SplitHostPort(part); err != nil {
+				return fmt.Errorf("IP:port, separated by commas")
+			}
+			*field(s) = append(*field(s), part)
+		}
+		return nil
+	}
+}
+
+func duration(field func(*Settings) *time.Duration, least, most time.Duration) func(*Settings, string) error {
+	return func(s *Settings, value string) error {
+		d, err := time.ParseDuration(value)
+		if err != nil || d < least || d > most {
+			return fmt.Errorf("a duration from %v to %v", least, most)
+		}
+		*field(s) = d
+		return nil
+	}
+}
+
+func count(field func(*Settings) *int, least, most int) func(*Settings, string) error {
+	return func(s *Settings, value string) error {
+		n, err := strconv.Atoi(value)
+		if err != nil || n < least || n > most {
+			return fmt.Errorf("a whole number from %d to %d", least, most)
+		}
+		*field(s) = n
+		return nil
+	}
+}
+
+func share(field func(*Settings) *float64) func(*Settings, string) error {
+	return func(s *Settings, value string) error {
+		x, err := strconv.ParseFloat(value, 64)
+		if err != nil || x < 0 || x > 1 {
+			return fmt.Errorf("a number from 0 to 1")
+		}
+		*field(s) = x
+		return nil
+	}
+}
+
+func choice(field func(*Settings) *string, allowed ...string) func(*Settings, string) error {
+	return func(s *Settings, value string) error {
+		for _, a := range allowed {
+			if a == value {
+				*field(s) = value
+				return nil
+			}
+		}
+		return fmt.Errorf("one of %s", strings.Join(allowed, ", "))
+	}
+}
+
+func boolean(field func(*Settings) *bool) func(*Settings, string) error {
+	return func(s *Settings, value string) error {
+		b, err := strconv.ParseBool(value)
+		if err != nil {
+			return fmt.Errorf("true or false")
+		}
+		*field(s) = b
+		return nil
+	}
+}
--- /dev/null
+++ b/internal/process/timeline/timeline.go
@@ -0,0 +1,144 @@
+// Package timeline records the decisions of a node as numbered events in a
+// bounded ring and orders them over all nodes by hybrid logical time
+// (Kulkarni et al., "Logical Physical Clocks", 2014).
+package timeline
+
+import (
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/uber-go/tally/v4"
+)
+
+// hlcLogicalBits is the width of the logical counter below the milliseconds.
+const hlcLogicalBits = 16
+
+// HLC is a hybrid logical time: Unix milliseconds above a 16-bit counter.
+type HLC int64
+
+// Time returns the physical part.
+func (h HLC) Time() time.Time { return time.UnixMilli(int64(h) >> hlcLogicalBits) }
+
+// Clock issues hybrid logical times that never go back.
+type Clock struct {
+	mu   sync.Mutex
+	last HLC
+	wall func() time.Time
+}
+
+// NewClock returns a clock over the given wall clock.
+func NewClock(wall func() time.Time) *Clock { return &Clock{wall: wall} }
+
+// Now returns a time later than every earlier one.
+func (c *Clock) Now() HLC {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	physical := HLC(c.wall().UnixMilli() << hlcLogicalBits)
+	c.last = max(c.last+1, physical)
+	return c.last
+}
+
+// Observe moves the clock past a time received from another node.
+func (c *Clock) Observe(remote HLC) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.last = max(c.last, remote)
+}
+
+// Event is one entry of the time line.
+type Event struct {
+	At        HLC
+	Node      string
+	Code      Code
+	RequestID string
+	Subject   string // target, job, node or section the event is about
+	Cause     string
+}
+
+// Recorder keeps the newest events of one node, logs them and counts them.
+type Recorder struct {
+	Clock *Clock
+
+	node    string
+	logger  log.Interface
+	metrics tally.Scope
+
+	mu   sync.Mutex
+	ring []Event
+	next int
+	full bool
+}
+
+// NewRecorder returns a recorder that keeps the last size events.
+func NewRecorder(node string, size int, logger log.Interface, metrics tally.Scope) *Recorder {
+	return &Recorder{
+		Clock:   NewClock(time.Now),
+		node:    node,
+		logger:  logger,
+		metrics: metrics,
+		ring:    make([]Event, size),
+	}
+}
+
+// Record adds an event. It never blocks; the oldest event is overwritten.
+func (r *Recorder) Record(code Code, requestID, subject, cause string) {
+	event := Event{At: r.Clock.Now(), Node: r.node, Code: code, RequestID: requestID, Subject: subject, Cause: cause}
+	r.mu.Lock()
+	r.ring[r.next] = event
+	r.next++
+	if r.next == len(r.ring) {
+		r.next, r.full = 0, true
+	}
+	r.mu.Unlock()
+	r.metrics.Counter("event_" + code.String()).Inc(1)
+	r.log(event)
+}
+
+func (r *Recorder) log(event Event) {
+	level := Catalogue[event.Code].Level
+	if level == log.DebugLevel {
+		return // in the ring only; the log stays readable under load
+	}
+	entry := r.logger.WithFields(log.Fields{
+		"event": uint32(event.Code), "request": event.RequestID, "subject": event.Subject, "cause": event.Cause,
+	})
+	switch level {
+	case log.ErrorLevel:
+		entry.Error(event.Code.String())
+	case log.WarnLevel:
+		entry.Warn(event.Code.String())
+	default:
+		entry.Info(event.Code.String())
+	}
+}
+
+// Events returns the newest events, oldest first, at most limit; an empty
+// requestID selects all.
+func (r *Recorder) Events(requestID string, limit int) []Event {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	ordered := r.ring[:r.next]
+	if r.full {
+		ordered = append(append([]Event{}, r.ring[r.next:]...), r.ring[:r.next]...)
+	}
+	var out []Event
+	for i := len(ordered) - 1; i >= 0 && len(out) < limit; i-- {
+		if requestID == "" || ordered[i].RequestID == requestID {
+			out = append(out, ordered[i])
+		}
+	}
+	Sort(out)
+	return out
+}
+
+// Sort orders events by time, then node.
+func Sort(events []Event) {
+	sort.SliceStable(events, func(i, j int) bool {
+		if events[i].At != events[j].At {
+			return events[i].At < events[j].At
+		}
+		return events[i].Node < events[j].Node
+	})
+}
--- /dev/null
+++ b/internal/request/batch/line.go
@@ -0,0 +1,207 @@
+package batch
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"io"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/marblepond/marblepond/internal/connection/openai"
+	"github.com/marblepond/marblepond/internal/errkind"
+	"github.com/marblepond/marblepond/internal/version/fleet"
+)
+
+// Line is one item of a JSONL file, in the OpenAI batch shape.
+type Line struct {
+	CustomID string          `json:"custom_id"`
+	Method   string          `json:"method"`
+	URL      string          `json:"url"`
+	Body     json.RawMessage `json:"body"`
+}
+
+// Result is one line of a results file.
+type Result struct {
+	ID       string       `json:"id"`
+	CustomID string       `json:"custom_id"`
+	Response *Response    `json:"response"`
+	Error    *ResultError `json:"error"`
+}
+
+// Response is the answer of an item.
+type Response struct {
+	StatusCode int             `json:"status_code"`
+	RequestID  string          `json:"request_id"`
+	Body       json.RawMessage `json:"body"`
+}
+
+// ResultError is the final error of an item.
+type ResultError struct {
+	Code    string `json:"code"`
+	Message string `json:"message"`
+	NotRun  string `json:"not_run"`
+}
+
+// servicesPrefix starts the URLs of plain services.
+const servicesPrefix = "/services/"
+
+// resolve finds the service of a line and the name its target must have loaded.
+func (l *Line) resolve(config *fleet.Config, w *fleet.Workspace) (*fleet.Service, string, error) {
+	if rest, ok := strings.CutPrefix(l.URL, servicesPrefix); ok {
+		name, _, _ := strings.Cut(rest, "/")
+		s := config.Services[name]
+		if s == nil || s.Kind != fleet.KindPlain || !w.May(name) {
+			return nil, "", errkind.NotFound.New("no service %q", name)
+		}
+		return s, "", nil
+	}
+	if l.URL != openai.ChatPath && l.URL != openai.CompletionPath {
+		return nil, "", errkind.Malformed.New(`"url" is %q; allowed: %s, %s, %s{name}/...`, l.URL, openai.ChatPath, openai.CompletionPath, servicesPrefix)
+	}
+	req, err := openai.Parse(l.URL, l.Body)
+	if err != nil {
+		return nil, "", err
+	}
+	s, loaded := config.ServiceFor(w, req.Model)
+	if s == nil {
+		return nil, "", errkind.UnknownModel.New("no model %q", req.Model)
+	}
+	return s, loaded, nil
+}
+
+// maxLine bounds one line of a file, in bytes.
+const maxLine = 512 << 10
+
+// splitter reads JSONL and cuts it into chunks of one service each.
+type splitter struct {
+	config    *fleet.Config
+	workspace *fleet.Workspace
+	maxItems  int
+	maxBytes  int
+	emit      func(n int, chunk []byte) error
+
+	seen     map[uint64]bool // hashes of the item IDs
+	growing  map[string]*growing
+	services []string
+	chunkOf  []byte
+	items    int
+	bytes    int64
+}
+
+// growing is the chunk being filled for one service.
+type growing struct {
+	index byte // into services
+	text  bytes.Buffer
+	items int
+}
+
+// maxServices bounds the services of one file.
+const maxServices = 200
+
+// split reads the file and emits its chunks. Errors name the line.
+func (s *splitter) split(r io.Reader) error {
+	scanner := bufio.NewScanner(r)
+	scanner.Buffer(make([]byte, 0, 64<<10), maxLine)
+	number := 0
+	for scanner.Scan() {
+		number++
+		text := bytes.TrimSpace(scanner.Bytes())
+		if len(text) == 0 {
+			continue
+		}
+		service, err := s.check(number, text)
+		if err != nil {
+			return err
+		}
+		if err := s.add(service, text); err != nil {
+			return err
+		}
+	}
+	if err := scanner.Err(); err != nil {
+		return errkind.Malformed.New("line %d: %v (a line may have %d bytes)", number+1, err, maxLine)
+	}
+	if s.items == 0 {
+		return errkind.Malformed.New("the file has no items")
+	}
+	for _, service := range s.services {
+		if err := s.flush(s.growing[service]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *splitter) add(service string, text []byte) error {
+	g := s.growing[service]
+	if g == nil {
+		if len(s.services) == maxServices {
+			return errkind.Malformed.New("the file names more than %d services", maxServices)
+		}
+		g = &growing{index: byte(len(s.services))}
+		s.growing[service] = g
+		s.services = append(s.services, service)
+	}
+	if g.items >= s.maxItems || (g.items > 0 && g.text.Len()+len(text) >= s.maxBytes) {
+		if err := s.flush(g); err != nil {
+			return err
+		}
+	}
+	g.text.Write(text)
+	g.text.WriteByte('\n')
+	g.items++
+	s.items++
+	s.bytes += int64(len(text)) + 1
+	return nil
+}
+
+func (s *splitter) flush(g *growing) error {
+	if g.items == 0 {
+		return nil
+	}
+	n := len(s.chunkOf)
+	s.chunkOf = append(s.chunkOf, g.index)
+	chunk := bytes.Clone(g.text.Bytes())
+	g.text.Reset()
+	g.items = 0
+	return s.emit(n, chunk)
+}
+
+// check returns the service of a line.
+func (s *splitter) check(number int, text []byte) (string, error) {
+	var line Line
+	if err := json.Unmarshal(text, &line); err != nil {
+		return "", errkind.Malformed.New("line %d: not a valid item: %v", number, err)
+	}
+	if line.CustomID == "" {
+		return "", errkind.Malformed.New(`line %d: "custom_id" is missing`, number)
+	}
+	hash := xxhash.Sum64String(line.CustomID)
+	if s.seen[hash] {
+		return "", errkind.Malformed.New("line %d: custom_id %q stands twice", number, line.CustomID)
+	}
+	s.seen[hash] = true
+	service, _, err := line.resolve(s.config, s.workspace)
+	if err != nil {
+		return "", errkind.ByName(errkind.Of(err).Name).New("line %d: %s", number, errkind.Message(err))
+	}
+	return service.Name, nil
+}
+
+// parseChunk reads the lines of a stored chunk.
+func parseChunk(data []byte) ([]Line, error) {
+	var lines []Line
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	for {
+		var line Line
+		err := decoder.Decode(&line)
+		if err == io.EOF {
+			return lines, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+		lines = append(lines, line)
+	}
+}
--- /dev/null
+++ b/internal/request/batch/store.go
@@ -0,0 +1,397 @@
+// Package batch keeps and runs batch jobs. Files are cut into chunks and kept
+// in the platform; a job is accepted when its object is there. Nodes lease
+// chunks, run their items in the room that online requests leave, and commit
+// results in segments; the first commit of an item stands.
+package batch
+
+import (
+	"bytes"
+	"context"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"io"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/marblepond/marblepond/internal/connection/platform"
+	"github.com/marblepond/marblepond/internal/errkind"
+	"github.com/marblepond/marblepond/internal/process/timeline"
+	"github.com/marblepond/marblepond/internal/record"
+	"github.com/marblepond/marblepond/internal/version/fleet"
+)
+
+// Store reads and writes files, jobs and results. Any node may do so.
+type Store struct {
+	platform   *platform.Client
+	recorder   *timeline.Recorder
+	chunkItems int
+}
+
+// NewStore returns a store whose chunks have at most chunkItems items.
+func NewStore(p *platform.Client, r *timeline.Recorder, chunkItems int) *Store {
+	return &Store{platform: p, recorder: r, chunkItems: chunkItems}
+}
+
+const (
+	// chunkBytes bounds a chunk, below the platform's limit.
+	chunkBytes = 768 << 10
+	// parallelWrites is how many chunks of one file are written at a time.
+	parallelWrites = 8
+	// writeAttempts bounds the tries at one object.
+	writeAttempts = 5
+	writePause    = 100 * time.Millisecond
+	// chunksWanted is how many chunks a file of known size is cut into at
+	// least, if its items allow, so that several nodes work on it.
+	chunksWanted  = 48
+	minChunkBytes = 4 << 10
+)
+
+// PutFile stores a JSONL file. size is its length in bytes if known, else 0.
+func (s *Store) PutFile(ctx context.Context, config *fleet.Config, w *fleet.Workspace, name string, body io.Reader, size int64) (record.File, error) {
+	file := record.File{ID: "file-" + rand.Text(), Workspace: w.Name, Name: name, Created: time.Now().Unix(), Token: rand.Text()}
+	limit := chunkBytes
+	if size > 0 {
+		limit = max(minChunkBytes, min(chunkBytes, int(size)/chunksWanted))
+	}
+	writer := newChunkWriter(ctx, s, file.ID)
+	split := &splitter{config: config, workspace: w, maxItems: s.chunkItems, maxBytes: limit, emit: writer.write,
+		seen: map[uint64]bool{}, growing: map[string]*growing{}}
+	err := split.split(body)
+	if writeErr := writer.wait(); err == nil {
+		err = writeErr
+	}
+	if err != nil {
+		return file, err
+	}
+	file.Items, file.Chunks, file.Bytes = split.items, len(split.chunkOf), split.bytes
+	file.Services, file.ChunkOf = split.services, split.chunkOf
+	return file, s.create(ctx, record.FileName(file.ID), record.Encode(file))
+}
+
+// chunkWriter writes chunks of one file, a few at a time.
+type chunkWriter struct {
+	ctx   context.Context
+	store *Store
+	file  string
+	slots chan struct{}
+	wg    sync.WaitGroup
+	mu    sync.Mutex
+	err   error
+}
+
+func newChunkWriter(ctx context.Context, s *Store, file string) *chunkWriter {
+	return &chunkWriter{ctx: ctx, store: s, file: file, slots: make(chan struct{}, parallelWrites)}
+}
+
+func (w *chunkWriter) write(n int, chunk []byte) error {
+	w.slots <- struct{}{}
+	w.wg.Go(func() {
+		defer func() { <-w.slots }()
+		if err := w.store.create(w.ctx, record.ChunkName(w.file, n), chunk); err != nil {
+			w.mu.Lock()
+			w.err = err
+			w.mu.Unlock()
+		}
+	})
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.err
+}
+
+func (w *chunkWriter) wait() error {
+	w.wg.Wait()
+	return w.err
+}
+
+// create stores an object whose name only this call uses, so that finding it
+// there already means an earlier try took effect.
+func (s *Store) create(ctx context.Context, name string, value []byte) error {
+	for range writeAttempts {
+		_, err := s.platform.Create(ctx, platform.Commit, name, value)
+		if err == nil || errors.Is(err, platform.ErrConflict) {
+			return nil
+		}
+		if !pause(ctx, writePause) {
+			break
+		}
+	}
+	return errkind.PlatformUnavailable.New("the platform does not take the data; nothing was accepted")
+}
+
+// File reads a file's record; files of other workspaces are not found.
+func (s *Store) File(ctx context.Context, workspace, id string) (record.File, error) {
+	file, err := get[record.File](ctx, s.platform, record.FileName(id))
+	if err == nil && file.Workspace != workspace {
+		err = platform.ErrNotFound
+	}
+	return file, answerError(err, "file", id)
+}
+
+// Submission describes a new job.
+type Submission struct {
+	Workspace     string
+	Key           string // idempotency key, may be empty
+	Endpoint      string
+	FileIDs       []string
+	Window        time.Duration
+	NonIdempotent bool
+}
+
+// Submit creates a job. The same submission with the same key gives the same
+// job; another one with that key is a KeyConflict.
+func (s *Store) Submit(ctx context.Context, sub Submission) (record.Job, error) {
+	job := record.Job{
+		ID: "batch_" + rand.Text(), Workspace: sub.Workspace, Key: sub.Key, Digest: sub.digest(), Endpoint: sub.Endpoint,
+		NonIdempotent: sub.NonIdempotent, State: record.JobOpen, Created: time.Now().Unix(), Token: rand.Text(),
+	}
+	job.Due = time.Now().Add(sub.Window).Unix()
+	if sub.Key != "" {
+		sum := sha256.Sum256([]byte(sub.Workspace + "\x00" + sub.Key))
+		job.ID = "batch_" + hex.EncodeToString(sum[:13])
+	}
+	if len(sub.FileIDs) == 0 {
+		return job, errkind.Malformed.New("no input file")
+	}
+	for _, id := range sub.FileIDs {
+		file, err := s.File(ctx, sub.Workspace, id)
+		if err != nil {
+			return job, err
+		}
+		job.Files = append(job.Files, record.FileRef{ID: id, Chunks: file.Chunks, Services: file.Services, ChunkOf: file.ChunkOf})
+		job.Total += file.Items
+	}
+	if len(sub.FileIDs) > 1 {
+		if err := s.checkUnique(ctx, &job); err != nil {
+			return job, err
+		}
+	}
+	return s.createJob(ctx, job)
+}
+
+func (sub Submission) digest() []byte {
+	sum := sha256.Sum256(record.Encode(sub))
+	return sum[:]
+}
+
+// checkUnique makes sure that no item ID stands in two files of a job.
+func (s *Store) checkUnique(ctx context.Context, job *record.Job) error {
+	seen := map[string]bool{}
+	for n := range job.Chunks() {
+		lines, err := s.chunk(ctx, job, n)
+		if err != nil {
+			return err
+		}
+		for _, line := range lines {
+			if seen[line.CustomID] {
+				return errkind.Malformed.New("custom_id %q stands in two files", line.CustomID)
+			}
+			seen[line.CustomID] = true
+		}
+	}
+	return nil
+}
+
+func (s *Store) chunk(ctx context.Context, job *record.Job, n int) ([]Line, error) {
+	o, err := s.platform.Get(ctx, platform.Commit, job.ChunkObject(n))
+	if err != nil {
+		return nil, answerError(err, "chunk", job.ChunkObject(n))
+	}
+	return parseChunk(o.Value)
+}
+
+func (s *Store) createJob(ctx context.Context, job record.Job) (record.Job, error) {
+	for range writeAttempts {
+		_, err := s.platform.Create(ctx, platform.Commit, record.JobName(job.ID), record.Encode(job))
+		if err == nil {
+			return s.accepted(job), nil
+		}
+		if errors.Is(err, platform.ErrConflict) || errors.Is(err, platform.ErrAmbiguous) {
+			existing, readErr := s.Job(ctx, job.ID)
+			switch {
+			case readErr == nil && existing.Token == job.Token:
+				return s.accepted(job), nil
+			case readErr == nil && !bytes.Equal(existing.Digest, job.Digest):
+				return job, errkind.KeyConflict.New("the key was used with another batch")
+			case readErr == nil:
+				return existing, nil // a resend
+			}
+		}
+		if !pause(ctx, writePause) {
+			break
+		}
+	}
+	return job, errkind.UnknownOutcome.New("the platform did not confirm the batch; send it again with the same %s", "Idempotency-Key")
+}
+
+func (s *Store) accepted(job record.Job) record.Job {
+	s.recorder.Record(timeline.JobAccepted, "", job.ID, "")
+	return job
+}
+
+// Job reads a job.
+func (s *Store) Job(ctx context.Context, id string) (record.Job, error) {
+	job, err := get[record.Job](ctx, s.platform, record.JobName(id))
+	return job, answerError(err, "batch", id)
+}
+
+// JobOf reads a job of a workspace; those of others are not found.
+func (s *Store) JobOf(ctx context.Context, workspace, id string) (record.Job, error) {
+	job, err := s.Job(ctx, id)
+	if err == nil && job.Workspace != workspace {
+		err = answerError(platform.ErrNotFound, "batch", id)
+	}
+	return job, err
+}
+
+// Jobs lists a workspace's jobs, newest first, at most limit.
+func (s *Store) Jobs(ctx context.Context, workspace string, limit int) ([]record.Job, error) {
+	objects, err := s.platform.List(ctx, platform.Status, record.JobPrefix)
+	if err != nil {
+		return nil, answerError(err, "batches", "")
+	}
+	var jobs []record.Job
+	for _, o := range objects {
+		if job, err := record.Decode[record.Job](o.Value); err == nil && job.Workspace == workspace {
+			jobs = append(jobs, job)
+		}
+	}
+	slices.SortFunc(jobs, func(a, b record.Job) int { return int(b.Created - a.Created) })
+	return jobs[:min(limit, len(jobs))], nil
+}
+
+// Cancel asks a job to stop. The job is "cancelled" later, when every holder
+// has stopped.
+func (s *Store) Cancel(ctx context.Context, id string) (record.Job, error) {
+	for range writeAttempts {
+		o, err := s.platform.Get(ctx, platform.Commit, record.JobName(id))
+		if err != nil {
+			return record.Job{}, answerError(err, "batch", id)
+		}
+		job, err := record.Decode[record.Job](o.Value)
+		if err != nil || job.State != record.JobOpen {
+			return job, err
+		}
+		job.State = record.JobCancelling
+		if _, err = s.platform.Update(ctx, platform.Lease, o.Name, o.Version, record.Encode(job)); err == nil {
+			s.recorder.Record(timeline.JobCancelling, "", id, "asked for")
+			return job, nil
+		}
+		pause(ctx, writePause)
+	}
+	return record.Job{}, errkind.PlatformUnavailable.New("the cancellation was not confirmed; ask again")
+}
+
+// Counts are a job's items.
+type Counts struct {
+	Total     int `json:"total"`
+	Completed int `json:"completed"`
+	Failed    int `json:"failed"`
+}
+
+// Count sums up the finished items of a job.
+func (s *Store) Count(ctx context.Context, job record.Job) (Counts, error) {
+	counts := Counts{Total: job.Total, Completed: job.Completed, Failed: job.Failed}
+	if job.State.Final() {
+		return counts, nil
+	}
+	objects, err := s.platform.List(ctx, platform.Status, record.StatesOf(job.ID))
+	if err != nil {
+		return counts, answerError(err, "batch", job.ID)
+	}
+	for _, o := range objects {
+		state, err := record.Decode[record.ChunkState](o.Value)
+		if err != nil {
+			return counts, err
+		}
+		counts.Completed += state.Completed
+		counts.Failed += state.Failed
+	}
+	return counts, nil
+}
+
+// WriteChunkResults writes the committed results of a job's n-th chunk.
+func (s *Store) WriteChunkResults(ctx context.Context, job record.Job, n int, w io.Writer) error {
+	state, err := get[record.ChunkState](ctx, s.platform, record.StateName(job.ID, n))
+	if errors.Is(err, platform.ErrNotFound) {
+		return nil // nothing has run yet
+	}
+	if err != nil {
+		return answerError(err, "results", job.ID)
+	}
+	for _, segment := range state.Segments {
+		o, err := s.getRetried(ctx, segment.Object)
+		if err != nil {
+			return answerError(err, "results", job.ID)
+		}
+		if _, err := w.Write(o.Value); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *Store) getRetried(ctx context.Context, name string) (o platform.Object, err error) {
+	for range writeAttempts {
+		if o, err = s.platform.Get(ctx, platform.Commit, name); err == nil || errors.Is(err, platform.ErrNotFound) {
+			return o, err
+		}
+		pause(ctx, writePause)
+	}
+	return o, err
+}
+
+func get[T any](ctx context.Context, p *platform.Client, name string) (T, error) {
+	o, err := p.Get(ctx, platform.Commit, name)
+	if err != nil {
+		var zero T
+		return zero, err
+	}
+	return record.Decode[T](o.Value)
+}
+
+func answerError(err error, what, id string) error {
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, platform.ErrNotFound):
+		return errkind.NotFound.New("no %s %q", what, id)
+	case errors.Is(err, platform.ErrUnavailable), errors.Is(err, platform.ErrBudget):
+		return errkind.PlatformUnavailable.New("the platform can't be read; ask again")
+	}
+	return err
+}
+
+// pause waits; false when ctx ended.
+func pause(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
+// encodeResult returns a result as a line of JSONL.
+func encodeResult(r Result) []byte {
+	data, err := json.Marshal(r)
+	if err != nil {
+		panic(err) // plain fields; bodies were checked when they came in
+	}
+	return append(data, '\n')
+}
+
+// outputPrefix starts the ID of a job's results file.
+const outputPrefix = "out-"
+
+// OutputFile returns the ID of a job's results file.
+func OutputFile(jobID string) string { return outputPrefix + jobID }
+
+// JobOfOutput returns the job a results file belongs to.
+func JobOfOutput(fileID string) (jobID string, ok bool) {
+	return strings.CutPrefix(fileID, outputPrefix)
+}
--- /dev/null
+++ b/internal/request/choose/choose.go
@@ -0,0 +1,382 @@
+// Package choose holds a node's table of targets and decides which of them
+// gets a request. It is pure: time and the tie-breaker come from outside.
+//
+// Load reports lag, so the table counts what this node has sent since the
+// report. A target that keeps failing is taken out for a growing time and let
+// back in by one request at a time.
+package choose
+
+import (
+	"fmt"
+	"sort"
+	"time"
+
+	"github.com/marblepond/marblepond/internal/process/rendezvous"
+)
+
+// Load is the newest report of a target.
+type Load struct {
+	Running    int
+	Waiting    int
+	MaxRunning int
+	Batch      int // batch sequences of its owner among Running and Waiting
+	Healthy    bool
+	Loaded     []string
+	At         time.Time // when this node received the report
+}
+
+// Target is one back end.
+type Target struct {
+	ID          string
+	Incarnation uint64
+	Service     string
+	Addr        string
+	DataCentre  string
+	Remote      bool // a node of another data centre that stands for its targets
+}
+
+// Outcome says how an attempt ended for the target.
+type Outcome int
+
+// The outcomes.
+const (
+	Success Outcome = iota
+	Failure         // the target's fault
+	Neutral         // given up or cancelled; says nothing of the target
+)
+
+type entry struct {
+	Target
+	load         Load
+	known        bool // a load report has arrived
+	online       int  // own online requests in flight
+	atReport     int  // own online in flight when load.At
+	leaving      bool
+	failures     int // in a row
+	ejectedUntil time.Time
+	ejections    int
+	trial        bool // one request is out to see whether it is back
+}
+
+// Policy names how a target is chosen; baselines are kept for measurements.
+type Policy string
+
+// The policies.
+const (
+	Affinity   Policy = "affinity"       // prefix affinity with bounded load
+	LeastLoad  Policy = "least_load"     // least corrected load
+	LeastOwn   Policy = "least_inflight" // least in-flight of this node only
+	RoundRobin Policy = "round_robin"
+)
+
+// Config of a table.
+type Config struct {
+	EjectAfter int
+	EjectTime  time.Duration
+	Policy     Policy
+}
+
+// loadBound is how far above the mean a target's load may be for a request to
+// follow its prefix there (consistent hashing with bounded loads, Mirrokni et
+// al., 2016).
+const loadBound = 1.25
+
+// maxEjectDoublings bounds the growth of the time a target is left out.
+const maxEjectDoublings = 5
+
+// Table holds the targets. It is not safe for concurrent use.
+type Table struct {
+	cfg     Config
+	entries map[string]*entry
+	order   []string            // sorted IDs
+	left    map[string]uint64   // newest leaving incarnation by VM, kept after the VM is gone
+	turn    int                 // for RoundRobin
+	rank    map[string][]string // per service: IDs
+}
+
+// New returns an empty table.
+func New(cfg Config) *Table {
+	return &Table{cfg: cfg, entries: map[string]*entry{}, left: map[string]uint64{}, rank: map[string][]string{}}
+}
+
+// Set replaces the list of targets. Counters of targets that stay are kept; a
+// target marked as leaving stays so for that incarnation.
+func (t *Table) Set(targets []Target) {
+	keep := map[string]bool{}
+	for _, target := range targets {
+		keep[target.ID] = true
+		old := t.entries[target.ID]
+		if old != nil && target.Incarnation < old.Incarnation {
+			continue // a stale list
+		}
+		if old == nil || old.Incarnation != target.Incarnation {
+			old = &entry{}
+			t.entries[target.ID] = old
+		}
+		old.Target = target
+		old.leaving = old.leaving || t.left[target.ID] >= target.Incarnation
+	}
+	for id, e := range t.entries {
+		if !keep[id] && e.online == 0 {
+			delete(t.entries, id)
+		} else if !keep[id] {
+			e.leaving = true
+		}
+	}
+	t.reindex()
+}
+
+func (t *Table) reindex() {
+	t.order = t.order[:0]
+	clear(t.rank)
+	for id := range t.entries {
+		t.order = append(t.order, id)
+	}
+	sort.Strings(t.order)
+	for _, id := range t.order {
+		service := t.entries[id].Service
+		t.rank[service] = append(t.rank[service], id)
+	}
+}
+
+// Leave marks one incarnation of a target as leaving, for good. It reports
+// whether that was news.
+func (t *Table) Leave(id string, incarnation uint64) bool {
+	if t.left[id] >= incarnation {
+		return false
+	}
+	t.left[id] = incarnation
+	if e := t.entries[id]; e != nil && e.Incarnation <= incarnation {
+		e.leaving = true
+	}
+	return true
+}
+
+// Left returns the leaving incarnations known, to be passed on.
+func (t *Table) Left() map[string]uint64 { return t.left }
+
+// Report takes a load report of the given incarnation.
+func (t *Table) Report(id string, incarnation uint64, load Load) {
+	e := t.entries[id]
+	if e == nil || e.Incarnation != incarnation || (e.known && load.At.Before(e.load.At)) {
+		return
+	}
+	e.load, e.known, e.atReport = load, true, e.online
+}
+
+// Need is what a request asks of a target.
+type Need struct {
+	Service string
+	Loaded  string          // name that must be loaded; empty: none
+	Prefix  string          // affinity key; empty: none
+	Exclude map[string]bool // targets already tried
+}
+
+// Choose returns the target for a request; ok is false when none can take it.
+func (t *Table) Choose(now time.Time, need Need) (Target, bool) {
+	usable := t.usable(now, need)
+	if len(usable) == 0 {
+		return Target{}, false
+	}
+	best := t.pick(usable, need)
+	if !best.ejectedUntil.IsZero() {
+		best.trial = true
+	}
+	return best.Target, true
+}
+
+func (t *Table) usable(now time.Time, need Need) []*entry {
+	var out, full []*entry
+	for _, id := range t.rank[need.Service] {
+		e := t.entries[id]
+		if need.Exclude[id] || e.why(now, need.Loaded) != "" {
+			continue
+		}
+		if e.known && e.load.MaxRunning > 0 && e.estimate() >= e.load.MaxRunning {
+			full = append(full, e)
+			continue
+		}
+		out = append(out, e)
+	}
+	if len(out) == 0 {
+		return full
+	}
+	return out
+}
+
+// why returns the reason a target can't be chosen, empty when it can.
+func (e *entry) why(now time.Time, loaded string) string {
+	switch {
+	case e.leaving:
+		return "leaving"
+	case e.known && !e.load.Healthy:
+		return "unhealthy"
+	case !e.ejectedUntil.IsZero() && now.Before(e.ejectedUntil):
+		return fmt.Sprintf("failed %d times in a row", e.failures)
+	case e.trial:
+		return "on trial"
+	case loaded != "" && !e.has(loaded):
+		return loaded + " not loaded"
+	}
+	return ""
+}
+
+func (e *entry) has(name string) bool {
+	if !e.known {
+		return false
+	}
+	for _, l := range e.load.Loaded {
+		if l == name {
+			return true
+		}
+	}
+	return false
+}
+
+// estimate is the online load now: own in flight plus what others had there at
+// the last report.
+func (e *entry) estimate() int {
+	others := max(0, e.load.Running+e.load.Waiting-e.load.Batch-e.atReport)
+	return e.online + others
+}
+
+func (t *Table) pick(usable []*entry, need Need) *entry {
+	switch t.cfg.Policy {
+	case RoundRobin:
+		t.turn++
+		return usable[t.turn%len(usable)]
+	case LeastOwn:
+		return least(usable, func(e *entry) int { return e.online })
+	case Affinity:
+		if need.Prefix != "" {
+			return affine(usable, need.Prefix)
+		}
+	}
+	return least(usable, (*entry).estimate)
+}
+
+func least(usable []*entry, cost func(*entry) int) *entry {
+	best, lowest := usable[0], cost(usable[0])
+	for _, e := range usable[1:] {
+		if c := cost(e); c < lowest {
+			best, lowest = e, c
+		}
+	}
+	return best
+}
+
+func affine(usable []*entry, prefix string) *entry {
+	total := 0
+	for _, e := range usable {
+		total += e.estimate()
+	}
+	bound := int(loadBound*float64(total)/float64(len(usable))) + 1
+	var best *entry
+	var top uint64
+	for _, e := range usable {
+		if w := rendezvous.Weight(prefix, e.ID); e.estimate() <= bound && (best == nil || w > top) {
+			best, top = e, w
+		}
+	}
+	if best == nil {
+		return least(usable, (*entry).estimate)
+	}
+	return best
+}
+
+// Begin counts an online request sent to a target.
+func (t *Table) Begin(id string) {
+	if e := t.entries[id]; e != nil {
+		e.online++
+	}
+}
+
+// End takes the result of an online request. ejected is true when the target
+// was taken out by it, readmitted when it was let back in.
+func (t *Table) End(now time.Time, id string, outcome Outcome) (ejected, readmitted bool) {
+	e := t.entries[id]
+	if e == nil {
+		return false, false
+	}
+	e.online = max(0, e.online-1)
+	return t.Judge(now, id, outcome)
+}
+
+// Judge counts an outcome for or against a target.
+func (t *Table) Judge(now time.Time, id string, outcome Outcome) (ejected, readmitted bool) {
+	e := t.entries[id]
+	if e == nil {
+		return false, false
+	}
+	wasTrial := e.trial
+	e.trial = false
+	switch outcome {
+	case Success:
+		readmitted = !e.ejectedUntil.IsZero()
+		e.failures, e.ejections, e.ejectedUntil = 0, 0, time.Time{}
+	case Failure:
+		e.failures++
+		if e.failures >= t.cfg.EjectAfter || wasTrial {
+			ejected = true
+			e.ejectedUntil = now.Add(t.cfg.EjectTime << min(e.ejections, maxEjectDoublings))
+			e.ejections++
+		}
+	}
+	return ejected, readmitted
+}
+
+// Supply sums up a service's usable targets.
+func (t *Table) Supply(now time.Time, service, loaded string) (usable, capacity, inFlight, waiting int) {
+	for _, id := range t.rank[service] {
+		e := t.entries[id]
+		if e.why(now, loaded) != "" {
+			continue
+		}
+		usable++
+		capacity += e.load.MaxRunning
+		inFlight += e.estimate()
+		waiting += e.load.Waiting
+	}
+	return usable, capacity, inFlight, waiting
+}
+
+// Online returns this node's online requests in flight per target; targets
+// with none are left out.
+func (t *Table) Online() map[string]int {
+	out := map[string]int{}
+	for id, e := range t.entries {
+		if e.online > 0 {
+			out[id] = e.online
+		}
+	}
+	return out
+}
+
+// Status describes a target for operators and duties.
+type Status struct {
+	Target
+	Load    Load
+	Known   bool
+	Online  int // own
+	Leaving bool
+	Why     string // why it gets no requests; empty: it gets them
+}
+
+// List returns all targets sorted by ID.
+func (t *Table) List(now time.Time) []Status {
+	var out []Status
+	for _, id := range t.order {
+		e := t.entries[id]
+		out = append(out, Status{e.Target, e.load, e.known, e.online, e.leaving, e.why(now, "")})
+	}
+	return out
+}
+
+// Get returns the status of one target.
+func (t *Table) Get(now time.Time, id string) (Status, bool) {
+	e := t.entries[id]
+	if e == nil {
+		return Status{}, false
+	}
+	return Status{e.Target, e.load, e.known, e.online, e.leaving, e.why(now, "")}, true
+}
--- /dev/null
+++ b/internal/request/run/answer.go
@@ -0,0 +1,87 @@
+package run
+
+import (
+	"sync"
+
+	"github.com/marblepond/marblepond/internal/request/assemble"
+)
+
+// Answer is the answer of one request while it grows. The run adds pieces;
+// any number of readers follow at their own speed.
+type Answer struct {
+	mu        sync.Mutex
+	assembler *assemble.Assembler
+	pieces    []assemble.Piece
+	done      bool
+	err       error
+	changed   chan struct{} // closed and replaced at each change
+}
+
+// NewAnswer returns the empty answer of a request.
+func NewAnswer(requestID string) *Answer {
+	return &Answer{assembler: assemble.New(requestID), changed: make(chan struct{})}
+}
+
+func (a *Answer) begin() (attempt, held int, text string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.assembler.Begin(), a.assembler.Held(), a.assembler.Text()
+}
+
+func (a *Answer) add(p assemble.Piece) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if ready := a.assembler.Add(p); len(ready) > 0 {
+		a.pieces = append(a.pieces, ready...)
+		a.wake()
+	}
+}
+
+func (a *Answer) wake() {
+	close(a.changed)
+	a.changed = make(chan struct{})
+}
+
+// finish ends the answer; err nil means it is whole.
+func (a *Answer) finish(err error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.done, a.err = true, err
+	a.wake()
+}
+
+// Held returns the number of tokens held without a gap.
+func (a *Answer) Held() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.assembler.Held()
+}
+
+// whole reports whether the answer has ended without a gap.
+func (a *Answer) whole() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.assembler.Whole()
+}
+
+// Text returns the text, the number of tokens and the finish reason.
+func (a *Answer) Text() (text string, tokens int, finish string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.assembler.Text(), a.assembler.Held(), a.assembler.Finish()
+}
+
+// State is what a reader sees at one moment.
+type State struct {
+	Pieces  []assemble.Piece // from the index asked for
+	Done    bool
+	Err     error
+	Changed <-chan struct{} // closed when there is more
+}
+
+// From returns the pieces from index n on and what else is known.
+func (a *Answer) From(n int) State {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return State{Pieces: a.pieces[n:], Done: a.done, Err: a.err, Changed: a.changed}
+}
--- /dev/null
+++ b/internal/request/serve/serve.go
@@ -0,0 +1,266 @@
+// Package serve answers callers over HTTP. A request passes through short
+// steps: key, body, admission, homes, claim, run, answer. Each step either
+// hands on or ends the request with an error of errkind.
+package serve
+
+import (
+	"context"
+	"crypto/subtle"
+	"encoding/json"
+	"errors"
+	"io"
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/marblepond/marblepond/internal/connection/openai"
+	"github.com/marblepond/marblepond/internal/errkind"
+	"github.com/marblepond/marblepond/internal/process/invariant"
+	"github.com/marblepond/marblepond/internal/process/member"
+	"github.com/marblepond/marblepond/internal/process/timeline"
+	"github.com/marblepond/marblepond/internal/request/admit"
+	"github.com/marblepond/marblepond/internal/request/batch"
+	"github.com/marblepond/marblepond/internal/request/claim"
+	"github.com/marblepond/marblepond/internal/request/homes"
+	"github.com/marblepond/marblepond/internal/request/run"
+	"github.com/marblepond/marblepond/internal/version/fleet"
+	"github.com/marblepond/marblepond/internal/version/targets"
+)
+
+// Limits of the server.
+type Limits struct {
+	MaxBody        int
+	MaxInFlight    int
+	RequestTimeout time.Duration
+}
+
+// Parts are what a server works with.
+type Parts struct {
+	Config   func() *fleet.Config
+	Ready    func() error // nil when the node can serve
+	Members  func() *member.View
+	Targets  *targets.Manager
+	Runner   *run.Runner
+	Keeper   *homes.Keeper
+	Claims   *claim.Claims
+	Store    *batch.Store
+	Recorder *timeline.Recorder
+	Checker  *invariant.Checker
+	Metrics  tally.Scope
+	PeerKey  string
+}
+
+// Server is the callers' API of a node.
+type Server struct {
+	Parts
+	limits   Limits
+	mux      *http.ServeMux
+	draining atomic.Bool
+	active   sync.WaitGroup // executions and calls in progress
+
+	mu      sync.Mutex
+	gate    *admit.Gate
+	meanSec float64 // moving mean of a request's time
+}
+
+// New returns a server.
+func New(limits Limits, parts Parts) *Server {
+	s := &Server{Parts: parts, limits: limits, mux: http.NewServeMux(), gate: admit.New(limits.MaxInFlight)}
+	s.route("POST "+openai.ChatPath, s.complete)
+	s.route("POST "+openai.CompletionPath, s.complete)
+	s.route("GET /v1/responses/{id}", s.response)
+	s.route("POST /v1/files", s.putFile)
+	s.route("GET /v1/files/{id}", s.showFile)
+	s.route("GET /v1/files/{id}/content", s.fileContent)
+	s.route("POST /v1/batches", s.submitBatch)
+	s.route("GET /v1/batches", s.listBatches)
+	s.route("GET /v1/batches/{id}", s.showBatch)
+	s.route("POST /v1/batches/{id}/cancel", s.cancelBatch)
+	s.route("/services/{name}/{path...}", s.plain)
+	s.mux.HandleFunc("GET /healthz", s.healthz)
+	s.mux.HandleFunc("GET /readyz", s.readyz)
+	s.mux.HandleFunc("/", s.noRoute)
+	return s
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
+
+// Handle adds a handler for nodes' own pages, such as metrics.
+func (s *Server) Handle(pattern string, h http.Handler) { s.mux.Handle(pattern, h) }
+
+// session is a caller's authenticated call.
+type session struct {
+	config    *fleet.Config // the version the request keeps to its end
+	workspace *fleet.Workspace
+	forwarded bool // by a node of another data centre
+}
+
+type handler func(w http.ResponseWriter, r *http.Request, c *session) error
+
+// route adds a handler behind the steps that all calls share.
+func (s *Server) route(pattern string, h handler) {
+	s.mux.HandleFunc(pattern, func(w http.ResponseWriter, r *http.Request) {
+		s.active.Add(1)
+		defer s.active.Done()
+		c, err := s.authenticate(r)
+		if err == nil {
+			err = h(w, r, c)
+		}
+		if err != nil {
+			s.refuse(w, r, err)
+		}
+	})
+}
+
+func (s *Server) authenticate(r *http.Request) (*session, error) {
+	if err := s.Ready(); err != nil {
+		return nil, err
+	}
+	if s.draining.Load() && r.Method != http.MethodGet {
+		return nil, errkind.Leaving.New("this node is leaving; other nodes serve on")
+	}
+	c := &session{config: s.Config()}
+	if key := r.Header.Get(openai.HeaderForwarded); key != "" {
+		if subtle.ConstantTimeCompare([]byte(key), []byte(s.PeerKey)) != 1 {
+			return nil, errkind.Unauthenticated.New("not a node of this fleet")
+		}
+		c.forwarded = true
+		c.workspace = c.config.Workspaces[r.Header.Get(openai.HeaderWorkspace)]
+	} else if key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer "); ok {
+		c.workspace = c.config.ByKey(key)
+	}
+	if c.workspace == nil {
+		return nil, errkind.Unauthenticated.New("unknown key; send Authorization: Bearer KEY")
+	}
+	return c, nil
+}
+
+// body reads the request body within the limit.
+func (s *Server) body(r *http.Request) ([]byte, error) {
+	data, err := io.ReadAll(io.LimitReader(r.Body, int64(s.limits.MaxBody)+1))
+	if err != nil {
+		return nil, errkind.Malformed.New("the body could not be read: %v", err)
+	}
+	if len(data) > s.limits.MaxBody {
+		return nil, errkind.TooLarge.New("the body is over %d bytes", s.limits.MaxBody)
+	}
+	return data, nil
+}
+
+// deadline returns when the caller's answer is due.
+func (s *Server) deadline(r *http.Request, service *fleet.Service, now time.Time) (time.Time, error) {
+	if text := r.Header.Get(openai.HeaderTimeoutMS); text != "" {
+		ms, err := strconv.Atoi(text)
+		if err != nil || ms < 1 {
+			return now, errkind.Malformed.New("%s is %q; allowed: milliseconds, 1 or more", openai.HeaderTimeoutMS, text)
+		}
+		return now.Add(time.Duration(ms) * time.Millisecond), nil
+	}
+	if service.Deadline > 0 {
+		return now.Add(service.Deadline), nil
+	}
+	return now.Add(s.limits.RequestTimeout), nil
+}
+
+// admit takes a request on; release ends it.
+func (s *Server) admit(c *session, service *fleet.Service, loaded string, deadline time.Time) (release func(), err error) {
+	now := time.Now()
+	usable, capacity, inFlight, waiting := s.Targets.Supply(service.Name, loaded)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	demand := admit.Demand{Workspace: c.workspace, Service: service, Remaining: deadline.Sub(now)}
+	supply := admit.Supply{Usable: usable, Capacity: capacity, InFlight: inFlight, Waiting: waiting, ServiceSec: s.meanSec}
+	if err := s.gate.Admit(now, demand, supply); err != nil {
+		return nil, err
+	}
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.gate.Done(demand)
+		s.observe(time.Since(now))
+	}, nil
+}
+
+// meanWeight is the weight of one request in the moving mean of their times.
+const meanWeight = 0.02
+
+func (s *Server) observe(d time.Duration) {
+	s.meanSec += meanWeight * (d.Seconds() - s.meanSec)
+}
+
+// refuse sends the answer of an error's kind.
+func (s *Server) refuse(w http.ResponseWriter, r *http.Request, err error) {
+	answer := errkind.Of(err)
+	requestID := w.Header().Get(openai.HeaderRequestID)
+	s.Recorder.Record(timeline.RequestRefused, requestID, r.URL.Path, answer.Name+": "+errkind.Message(err))
+	s.Metrics.Tagged(map[string]string{"kind": answer.Name}).Counter("requests_refused").Inc(1)
+	if answer.RetryAfter > 0 {
+		seconds := int(math.Ceil(answer.RetryAfter.Seconds()))
+		w.Header().Set("Retry-After", strconv.Itoa(seconds))
+	}
+	w.Header().Set(openai.HeaderNotRun, string(answer.NotRun))
+	writeJSON(w, answer.HTTPStatus, openai.NewErrorBody(err, requestID))
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	json.NewEncoder(w).Encode(v)
+}
+
+// noRoute answers what no route matches: a known path with another method, or
+// an unknown path.
+func (s *Server) noRoute(w http.ResponseWriter, r *http.Request) {
+	for _, method := range []string{http.MethodGet, http.MethodPost} {
+		probe := r.Clone(r.Context())
+		probe.Method = method
+		if _, pattern := s.mux.Handler(probe); pattern != "/" && pattern != "" {
+			w.Header().Set("Allow", method)
+			s.refuse(w, r, errkind.MethodNotAllowed.New("%s is not allowed here; %s is", r.Method, method))
+			return
+		}
+	}
+	s.refuse(w, r, errkind.NotFound.New("no such path: %s", r.URL.Path))
+}
+
+func (s *Server) healthz(w http.ResponseWriter, _ *http.Request) {
+	if s.draining.Load() {
+		http.Error(w, "leaving", http.StatusServiceUnavailable)
+		return
+	}
+	io.WriteString(w, "ok\n")
+}
+
+func (s *Server) readyz(w http.ResponseWriter, _ *http.Request) {
+	if err := s.Ready(); err != nil || s.draining.Load() {
+		http.Error(w, "not ready", http.StatusServiceUnavailable)
+		return
+	}
+	io.WriteString(w, "ready\n")
+}
+
+// AnnounceLeaving makes the health answer fail, so that the balancer sends
+// no more; calls that still come are served.
+func (s *Server) AnnounceLeaving() { s.draining.Store(true) }
+
+// Drain waits for calls and executions in progress.
+func (s *Server) Drain(ctx context.Context) error {
+	done := make(chan struct{})
+	go func() {
+		s.active.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return errors.New("requests are still in progress")
+	}
+}
--- /dev/null
+++ b/internal/version/fleet/fleet.go
@@ -0,0 +1,390 @@
+// Package fleet holds the configuration that operators change while nodes
+// run: services with their model versions and adapters, and workspaces with
+// their keys and limits. A Config is immutable; a new version replaces it
+// whole, and requests keep the version they started with.
+package fleet
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+
+	"gopkg.in/ini.v1"
+)
+
+// Kind says what stands behind a service.
+type Kind string
+
+// The kinds of services.
+const (
+	KindModel Kind = "model" // model engines
+	KindPlain Kind = "plain" // plain HTTP services
+)
+
+// Service is what callers name and targets run.
+type Service struct {
+	Name          string
+	Kind          Kind
+	Model         string
+	Version       string
+	Adapters      []string
+	ChecksFence   bool // its targets refuse orders with an old fencing number
+	NonIdempotent bool // its calls may not be repeated
+	Deadline      time.Duration
+	MaxInFlight   int // online requests per data centre; 0: no limit
+}
+
+// Wanted returns the names a target must have loaded to serve the service:
+// "model@version" and one "model@version+adapter" for each adapter.
+func (s *Service) Wanted() []string {
+	base := s.Model + "@" + s.Version
+	names := []string{base}
+	for _, a := range s.Adapters {
+		names = append(names, base+"+"+a)
+	}
+	return names
+}
+
+// Resolve returns the loaded name that a caller's model name asks for: the
+// service's name, its model, or service:adapter. ok is false when the service
+// has no such model.
+func (s *Service) Resolve(model string) (loaded string, ok bool) {
+	base := s.Model + "@" + s.Version
+	if model == s.Name || model == s.Model {
+		return base, true
+	}
+	for _, a := range s.Adapters {
+		if model == s.Name+":"+a || model == s.Model+":"+a {
+			return base + "+" + a, true
+		}
+	}
+	return "", false
+}
+
+// Workspace is one customer's account.
+type Workspace struct {
+	Name              string
+	KeyHashes         []string // SHA-256 of the keys, hex
+	Services          []string // empty: all
+	RequestsPerSecond float64  // per node; 0: no limit
+	MaxInFlight       int      // online requests per node; 0: no limit
+	BatchWeight       int      // share of batch capacity against other workspaces
+}
+
+// Config is one version of the fleet's configuration.
+type Config struct {
+	Version    uint64
+	Services   map[string]*Service
+	Workspaces map[string]*Workspace
+	byKey      map[string]*Workspace
+	sections   map[string]section // INI section name to its keys
+}
+
+type section map[string]string
+
+// Fault is one thing wrong with an intent.
+type Fault struct{ Section, Key, Found, Allowed string }
+
+// String returns the fault in one line.
+func (f Fault) String() string {
+	return fmt.Sprintf("[%s] %s: found %q, allowed: %s", f.Section, f.Key, f.Found, f.Allowed)
+}
+
+// Faults is every fault of an intent.
+type Faults []Fault
+
+// Error joins the faults, one a line.
+func (f Faults) Error() string {
+	lines := make([]string, len(f))
+	for i, fault := range f {
+		lines[i] = fault.String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Empty returns the configuration before the first intent.
+func Empty() *Config {
+	c, _ := Parse(nil)
+	return c
+}
+
+// Parse reads INI text whole; the error is Faults.
+func Parse(text []byte) (*Config, error) {
+	file, err := ini.LoadSources(ini.LoadOptions{}, text)
+	if err != nil {
+		return nil, Faults{{"-", "-", err.Error(), "INI text"}}
+	}
+	sections := map[string]section{}
+	for _, s := range file.Sections() {
+		if s.Name() == ini.DefaultSection && len(s.Keys()) == 0 {
+			continue
+		}
+		sections[s.Name()] = s.KeysHash()
+	}
+	return build(sections)
+}
+
+func build(sections map[string]section) (*Config, error) {
+	c := &Config{
+		Services:   map[string]*Service{},
+		Workspaces: map[string]*Workspace{},
+		byKey:      map[string]*Workspace{},
+		sections:   sections,
+	}
+	var faults Faults
+	for _, name := range sortedKeys(sections) {
+		kind, id, ok := splitSection(name)
+		r := &reader{section: name, values: sections[name]}
+		switch {
+		case ok && kind == "service":
+			c.Services[id] = readService(id, r)
+		case ok && kind == "workspace":
+			c.addWorkspace(readWorkspace(id, r), r)
+		default:
+			faults = append(faults, Fault{name, "-", name, `[service "name"] or [workspace "name"]`})
+			continue
+		}
+		r.refuseUnknown()
+		faults = append(faults, r.faults...)
+	}
+	faults = append(faults, c.crossChecks()...)
+	if len(faults) > 0 {
+		return nil, faults
+	}
+	return c, nil
+}
+
+func (c *Config) addWorkspace(w *Workspace, r *reader) {
+	c.Workspaces[w.Name] = w
+	for _, hash := range w.KeyHashes {
+		if other, taken := c.byKey[hash]; taken {
+			r.fault("key_sha256", hash, "a key that workspace "+other.Name+" does not have")
+		}
+		c.byKey[hash] = w
+	}
+}
+
+func (c *Config) crossChecks() Faults {
+	var faults Faults
+	for _, name := range sortedKeys(c.Workspaces) {
+		for _, service := range c.Workspaces[name].Services {
+			if c.Services[service] == nil {
+				faults = append(faults, Fault{SectionName("workspace", name), "services", service, "a service of this configuration"})
+			}
+		}
+	}
+	return faults
+}
+
+// ByKey returns the workspace that a bearer key belongs to, or nil.
+func (c *Config) ByKey(key string) *Workspace {
+	return c.byKey[HashKey(key)]
+}
+
+// HashKey returns the stored form of a bearer key.
+func HashKey(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+// ServiceFor returns the service that serves the model name for the workspace
+// and the loaded name it needs; nil when there is none.
+func (c *Config) ServiceFor(w *Workspace, model string) (*Service, string) {
+	if i := strings.IndexByte(model, ':'); i > 0 && c.Services[model[:i]] != nil {
+		return c.match(w, c.Services[model[:i]], model)
+	}
+	if s := c.Services[model]; s != nil {
+		return c.match(w, s, model)
+	}
+	for _, name := range sortedKeys(c.Services) {
+		if s, loaded := c.match(w, c.Services[name], model); s != nil {
+			return s, loaded
+		}
+	}
+	return nil, ""
+}
+
+func (c *Config) match(w *Workspace, s *Service, model string) (*Service, string) {
+	if s.Kind != KindModel || !w.May(s.Name) {
+		return nil, ""
+	}
+	if loaded, ok := s.Resolve(model); ok {
+		return s, loaded
+	}
+	return nil, ""
+}
+
+// May reports whether the workspace may use the service.
+func (w *Workspace) May(service string) bool {
+	if len(w.Services) == 0 {
+		return true
+	}
+	for _, s := range w.Services {
+		if s == service {
+			return true
+		}
+	}
+	return false
+}
+
+// Text returns the configuration as INI text with sorted sections and keys.
+func (c *Config) Text() string {
+	var b strings.Builder
+	for _, name := range sortedKeys(c.sections) {
+		fmt.Fprintf(&b, "[%s]\n", name)
+		for _, key := range sortedKeys(c.sections[name]) {
+			fmt.Fprintf(&b, "%s = %s\n", key, c.sections[name][key])
+		}
+		b.WriteByte('\n')
+	}
+	return b.String()
+}
+
+// SectionName returns the INI section of a service or workspace.
+func SectionName(kind, id string) string { return kind + ` "` + id + `"` }
+
+func splitSection(name string) (kind, id string, ok bool) {
+	kind, quoted, found := strings.Cut(name, " ")
+	if !found || len(quoted) < 3 || quoted[0] != '"' || quoted[len(quoted)-1] != '"' {
+		return "", "", false
+	}
+	return kind, quoted[1 : len(quoted)-1], true
+}
+
+func readService(name string, r *reader) *Service {
+	return &Service{
+		Name:          name,
+		Kind:          Kind(r.choice("kind", string(KindModel), string(KindModel), string(KindPlain))),
+		Model:         r.text("model", name),
+		Version:       r.text("version", "1"),
+		Adapters:      r.list("adapters"),
+		ChecksFence:   r.boolean("checks_fence", true),
+		NonIdempotent: r.boolean("non_idempotent", false),
+		Deadline:      r.duration("deadline", 0),
+		MaxInFlight:   r.count("max_in_flight", 0),
+	}
+}
+
+func readWorkspace(name string, r *reader) *Workspace {
+	w := &Workspace{
+		Name:              name,
+		KeyHashes:         r.list("key_sha256"),
+		Services:          r.list("services"),
+		RequestsPerSecond: float64(r.count("requests_per_second", 0)),
+		MaxInFlight:       r.count("max_in_flight", 0),
+		BatchWeight:       r.count("batch_weight", 1),
+	}
+	for _, hash := range w.KeyHashes {
+		if raw, err := hex.DecodeString(hash); err != nil || len(raw) != sha256.Size {
+			r.fault("key_sha256", hash, "SHA-256 in hex, 64 digits")
+		}
+	}
+	return w
+}
+
+// reader takes the keys of one section and collects faults.
+type reader struct {
+	section string
+	values  section
+	used    map[string]bool
+	faults  Faults
+}
+
+func (r *reader) fault(key, found, allowed string) {
+	r.faults = append(r.faults, Fault{r.section, key, found, allowed})
+}
+
+func (r *reader) value(key string) (string, bool) {
+	if r.used == nil {
+		r.used = map[string]bool{}
+	}
+	r.used[key] = true
+	v, ok := r.values[key]
+	return v, ok
+}
+
+func (r *reader) text(key, fallback string) string {
+	if v, ok := r.value(key); ok {
+		return v
+	}
+	return fallback
+}
+
+func (r *reader) list(key string) []string {
+	v, _ := r.value(key)
+	var out []string
+	for _, part := range strings.Split(v, ",") {
+		if part = strings.TrimSpace(part); part != "" {
+			out = append(out, part)
+		}
+	}
+	return out
+}
+
+func (r *reader) choice(key, fallback string, allowed ...string) string {
+	v := r.text(key, fallback)
+	for _, a := range allowed {
+		if a == v {
+			return v
+		}
+	}
+	r.fault(key, v, strings.Join(allowed, " or "))
+	return fallback
+}
+
+func (r *reader) boolean(key string, fallback bool) bool {
+	v, ok := r.value(key)
+	if !ok {
+		return fallback
+	}
+	b, err := strconv.ParseBool(v)
+	if err != nil {
+		r.fault(key, v, "true or false")
+	}
+	return b
+}
+
+func (r *reader) count(key string, fallback int) int {
+	v, ok := r.value(key)
+	if !ok {
+		return fallback
+	}
+	n, err := strconv.Atoi(v)
+	if err != nil || n < 0 {
+		r.fault(key, v, "a whole number from 0")
+	}
+	return n
+}
+
+func (r *reader) duration(key string, fallback time.Duration) time.Duration {
+	v, ok := r.value(key)
+	if !ok {
+		return fallback
+	}
+	d, err := time.ParseDuration(v)
+	if err != nil || d < 0 {
+		r.fault(key, v, "a duration, such as 30s")
+	}
+	return d
+}
+
+func (r *reader) refuseUnknown() {
+	for _, key := range sortedKeys(r.values) {
+		if !r.used[key] {
+			r.fault(key, r.values[key], "no such key in this section")
+		}
+	}
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	sort.Strings(keys)
+	return keys
+}
--- /dev/null
+++ b/internal/version/targets/gossip.go
@@ -0,0 +1,137 @@
+package targets
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	v1 "github.com/marblepond/marblepond/api/marblepond/v1"
+	"github.com/marblepond/marblepond/internal/connection/peer"
+	"github.com/marblepond/marblepond/internal/process/timeline"
+	"github.com/marblepond/marblepond/internal/request/choose"
+)
+
+// Pack implements membership.Passenger: owned targets' loads and leaving VMs
+// go to the nodes of the same data centre.
+func (m *Manager) Pack(state *v1.HeartbeatRequest, sameDataCentre bool) {
+	if !sameDataCentre {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := time.Now()
+	for id := range m.polls {
+		if s, ok := m.table.Get(now, id); ok && s.Known {
+			state.Loads = append(state.Loads, m.loadProto(s))
+		}
+	}
+	for vm, incarnation := range m.table.Left() {
+		state.Leaving = append(state.Leaving, &v1.LeavingVM{Vm: vm, Incarnation: incarnation})
+	}
+}
+
+func (m *Manager) loadProto(s choose.Status) *v1.TargetLoad {
+	return &v1.TargetLoad{
+		Target: s.ID, Incarnation: s.Incarnation,
+		Running: uint32(s.Load.Running), Waiting: uint32(s.Load.Waiting), MaxRunning: uint32(s.Load.MaxRunning),
+		Batch: uint32(s.Load.Batch), Healthy: s.Load.Healthy, Loaded: s.Load.Loaded,
+		AtHlc: int64(m.recorder.Clock.Now()),
+	}
+}
+
+// Unpack implements membership.Passenger.
+func (m *Manager) Unpack(from *v1.NodeInfo, state *v1.HeartbeatRequest) {
+	if from.DataCentre != m.membership.View().Self.DataCentre {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, l := range state.Loads {
+		if m.owners[l.Target] == m.membership.View().Self.ID {
+			continue // own readings are newer
+		}
+		m.table.Report(l.Target, l.Incarnation, choose.Load{
+			Running: int(l.Running), Waiting: int(l.Waiting), MaxRunning: int(l.MaxRunning),
+			Batch: int(l.Batch), Healthy: l.Healthy, Loaded: l.Loaded, At: time.Now(),
+		})
+	}
+	for _, vm := range state.Leaving {
+		m.leave(vm.Vm, vm.Incarnation, "node "+from.Id)
+	}
+}
+
+// pressurePause is the least time between two pressure reports to one owner.
+const pressurePause = 5 * time.Millisecond
+
+// SendPressure tells owners how many online requests this node has at their
+// targets, soon after a count changes, until ctx ends. local takes the counts
+// of targets this node owns itself.
+func (m *Manager) SendPressure(ctx context.Context, pool *peer.Pool, local func(*v1.PressureRequest)) {
+	for {
+		changed := map[string]bool{}
+		select {
+		case <-ctx.Done():
+			return
+		case id := <-m.touched.Out():
+			changed[id] = true
+		}
+		for len(changed) > 0 && m.touched.Len() > 0 {
+			changed[<-m.touched.Out()] = true
+		}
+		for owner, req := range m.pressure(changed) {
+			m.deliver(ctx, pool, owner, req, local)
+		}
+		sleep(ctx, pressurePause)
+	}
+}
+
+// pressure builds one report per owner of the changed targets.
+func (m *Manager) pressure(changed map[string]bool) map[string]*v1.PressureRequest {
+	self := m.membership.View().Self
+	seq := m.seq.Add(1)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	online := m.table.Online()
+	reports := map[string]*v1.PressureRequest{}
+	for id := range changed {
+		owner := m.owners[id]
+		if reports[owner] == nil {
+			reports[owner] = &v1.PressureRequest{Node: self.ID, Incarnation: self.Incarnation, Seq: seq}
+		}
+		reports[owner].Targets = append(reports[owner].Targets, &v1.TargetInFlight{Target: id, Online: uint32(online[id])})
+	}
+	return reports
+}
+
+func (m *Manager) deliver(ctx context.Context, pool *peer.Pool, owner string, req *v1.PressureRequest, local func(*v1.PressureRequest)) {
+	if owner == req.Node {
+		local(req)
+		return
+	}
+	to, ok := m.membership.View().Find(owner)
+	if !ok {
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(ctx, time.Second)
+		defer cancel()
+		if _, err := pool.Client(to.PeerAddr).Pressure(ctx, req); err != nil {
+			m.recorder.Record(timeline.RingOverflow, "", owner, "pressure report not delivered")
+			for _, t := range req.Targets {
+				m.touched.Put(t.Target) // counts are absolute: send again
+			}
+		}
+	}()
+}
+
+// Names returns the sorted IDs of owned targets.
+func (m *Manager) Names() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var ids []string
+	for id := range m.polls {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
--- /dev/null
+++ b/lab/cmd/marblelab/main.go
@@ -0,0 +1,88 @@
+// Command marblelab holds the stand-ins of the outside systems and the tools
+// that try the product out.
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/marblepond/marblepond/lab/demo"
+	"github.com/marblepond/marblepond/lab/engine"
+	"github.com/marblepond/marblepond/lab/platform"
+	"github.com/marblepond/marblepond/lab/service"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	app := &cli.Command{
+		Name:  "marblelab",
+		Usage: "stand-ins, demo and experiments",
+		Commands: []*cli.Command{
+			platformCommand(), engineCommand(), serviceCommand(),
+			{Name: "demo", Usage: "run a small fleet in this process and check it", Action: func(context.Context, *cli.Command) error { return demo.Run(os.Stdout) }},
+		},
+	}
+	if err := app.Run(ctx, os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func listenFlag() cli.Flag {
+	return &cli.StringFlag{Name: "listen", Required: true, Usage: "`IP:PORT`"}
+}
+
+// serve answers until ctx ends.
+func serve(ctx context.Context, addr string, h http.Handler) error {
+	server := &http.Server{Addr: addr, Handler: h}
+	go func() {
+		<-ctx.Done()
+		server.Close()
+	}()
+	if err := server.ListenAndServe(); err != http.ErrServerClosed {
+		return err
+	}
+	return nil
+}
+
+func platformCommand() *cli.Command {
+	return &cli.Command{Name: "platform", Usage: "stand-in of the platform", Flags: []cli.Flag{listenFlag()},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			return serve(ctx, c.String("listen"), platform.New())
+		}}
+}
+
+func engineCommand() *cli.Command {
+	return &cli.Command{Name: "engine", Usage: "stand-in of a model engine",
+		Flags: []cli.Flag{listenFlag(),
+			&cli.StringSliceFlag{Name: "loaded", Usage: "`NAMES` loaded from the start"},
+			&cli.IntFlag{Name: "max-running", Value: engine.DefaultModel().MaxRunning, Usage: "sequences run together"},
+			&cli.DurationFlag{Name: "step", Value: engine.DefaultModel().StepBase, Usage: "base time of a step"},
+			&cli.BoolFlag{Name: "instant", Usage: "no cost: to measure what is before the engine"},
+			&cli.BoolFlag{Name: "ignore-fence", Usage: "take orders with an old fencing number"}},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			model := engine.DefaultModel()
+			model.MaxRunning, model.StepBase = c.Int("max-running"), c.Duration("step")
+			model.Instant, model.ChecksFence = c.Bool("instant"), !c.Bool("ignore-fence")
+			e := engine.New(model, c.StringSlice("loaded")...)
+			go e.Run(ctx.Done())
+			return serve(ctx, c.String("listen"), e.Handler())
+		}}
+}
+
+func serviceCommand() *cli.Command {
+	return &cli.Command{Name: "service", Usage: "stand-in of a plain service",
+		Flags: []cli.Flag{listenFlag(), &cli.DurationFlag{Name: "delay", Value: 5 * time.Millisecond, Usage: "before a call is carried out"}},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			s := &service.Service{Delay: c.Duration("delay")}
+			return serve(ctx, c.String("listen"), s.Handler())
+		}}
+}
--- /dev/null
+++ b/lab/engine/cache.go
@@ -0,0 +1,93 @@
+package engine
+
+import (
+	"container/list"
+	"sync"
+	"time"
+)
+
+// prefixCache keeps the newest blocks of prompts, by the hash of the prompt
+// up to the block's end.
+type prefixCache struct {
+	limit  int
+	blocks map[uint64]*list.Element
+	order  *list.List // most recent first
+}
+
+func newPrefixCache(limit int) *prefixCache {
+	return &prefixCache{limit: limit, blocks: map[uint64]*list.Element{}, order: list.New()}
+}
+
+// miss returns the prompt tokens that are not cached and caches them.
+func (c *prefixCache) miss(prompt string) int {
+	blockChars := blockTokens * charsPerToken
+	hit := true
+	missed := 0
+	for end := blockChars; end <= len(prompt); end += blockChars {
+		key := Seed(prompt[:end])
+		place, ok := c.blocks[key]
+		hit = hit && ok
+		if ok {
+			c.order.MoveToFront(place)
+		} else {
+			c.blocks[key] = c.order.PushFront(key)
+		}
+		if !hit {
+			missed += blockTokens
+		}
+	}
+	for c.order.Len() > c.limit {
+		oldest := c.order.Back()
+		delete(c.blocks, oldest.Value.(uint64))
+		c.order.Remove(oldest)
+	}
+	return missed + len(prompt)%blockChars/charsPerToken + 1
+}
+
+// CacheEvent says that a prompt's blocks are cached.
+type CacheEvent struct {
+	Seq    int64  `json:"seq"`
+	Prefix uint64 `json:"prefix"`
+}
+
+// eventLog keeps the last cache events. They are shown late, and those that
+// were overwritten are missing.
+type eventLog struct {
+	mu     sync.Mutex
+	seq    int64
+	events []loggedEvent
+}
+
+type loggedEvent struct {
+	CacheEvent
+	at time.Time
+}
+
+const (
+	eventsKept = 200
+	eventDelay = 300 * time.Millisecond
+)
+
+func newEventLog() *eventLog { return &eventLog{} }
+
+func (l *eventLog) stored(prompt string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.seq++
+	l.events = append(l.events, loggedEvent{CacheEvent{l.seq, Seed(prompt)}, time.Now()})
+	if len(l.events) > eventsKept {
+		l.events = l.events[1:]
+	}
+}
+
+func (l *eventLog) since(seq int64) []CacheEvent {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := []CacheEvent{}
+	for _, e := range l.events {
+		if e.Seq > seq && time.Since(e.at) > eventDelay {
+			out = append(out, e.CacheEvent)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/lab/engine/http.go
@@ -0,0 +1,185 @@
+package engine
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/marblepond/marblepond/internal/connection/engine"
+	"github.com/marblepond/marblepond/internal/connection/openai"
+)
+
+// Handler returns the engine's HTTP interface.
+func (e *Engine) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+openai.ChatPath, e.complete)
+	mux.HandleFunc("POST "+openai.CompletionPath, e.complete)
+	mux.HandleFunc("GET /v1/streams/{id}", e.resume)
+	mux.HandleFunc("DELETE /v1/streams/{id}", func(_ http.ResponseWriter, r *http.Request) { e.cancel(r.PathValue("id")) })
+	mux.HandleFunc("GET /load", e.load)
+	mux.HandleFunc("POST /orders", e.takeOrder)
+	mux.HandleFunc("GET /events", e.showEvents)
+	mux.HandleFunc("GET /ledger", func(w http.ResponseWriter, _ *http.Request) { json.NewEncoder(w).Encode(e.Ledger()) })
+	mux.HandleFunc("PUT /control/faults", e.control)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if e.currentFaults().Down && !strings.HasPrefix(r.URL.Path, "/control") {
+			panic(http.ErrAbortHandler)
+		}
+		mux.ServeHTTP(w, r)
+	})
+}
+
+func (e *Engine) currentFaults() Faults {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.faults
+}
+
+// request is a completion request with this engine's continuation.
+type request struct {
+	openai.Request
+	Continuation openai.Continuation `json:"continuation"`
+}
+
+func (e *Engine) complete(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	var req request
+	if err := json.Unmarshal(body, &req); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if chance(e.currentFaults().FailShare) {
+		http.Error(w, "internal error", http.StatusInternalServerError)
+		return
+	}
+	if !e.has(req.Model) {
+		http.Error(w, "model not loaded: "+req.Model, http.StatusServiceUnavailable)
+		return
+	}
+	if strings.Contains(req.Text(), KillMark) {
+		e.Crash()
+		panic(http.ErrAbortHandler)
+	}
+	id := r.Header.Get(openai.HeaderRequestID)
+	s := e.submit(id+"."+r.Header.Get(openai.HeaderAttempt), id, r.URL.Path, &req.Request, req.Continuation)
+	e.send(w, r, s, s.first)
+}
+
+func (e *Engine) has(model string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.loaded) == 0 || slices.Contains(e.loaded, model)
+}
+
+func (e *Engine) resume(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	s := e.streams[r.PathValue("id")]
+	e.mu.Unlock()
+	if s == nil {
+		http.Error(w, "no such stream", http.StatusNotFound)
+		return
+	}
+	offset, _ := strconv.Atoi(r.URL.Query().Get("offset"))
+	e.send(w, r, s, max(offset, s.first))
+}
+
+// send streams a sequence's tokens from the given one on.
+func (e *Engine) send(w http.ResponseWriter, r *http.Request, s *sequence, from int) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	out := &writer{w: w, answer: openai.Answer{ID: s.id, Path: s.path}, faults: e.currentFaults()}
+	for next := from; ; {
+		e.mu.Lock()
+		made, cancelled, changed := s.made, s.cancelled, s.changed
+		e.mu.Unlock()
+		for ; next < made; next++ {
+			out.token(s, next)
+		}
+		out.flush()
+		switch {
+		case made >= s.total:
+			out.end()
+			return
+		case cancelled:
+			panic(http.ErrAbortHandler)
+		}
+		select {
+		case <-changed:
+		case <-r.Context().Done():
+			return // the sequence goes on and can be resumed
+		}
+	}
+}
+
+// writer sends tokens with the faults that concern them.
+type writer struct {
+	w      http.ResponseWriter
+	answer openai.Answer
+	faults Faults
+	late   []byte // a piece that is sent after the next
+}
+
+func (o *writer) token(s *sequence, i int) {
+	finish := ""
+	if i == s.total-1 {
+		finish = "length"
+	}
+	piece := o.answer.Chunk(Token(s.seed, i), finish, i, 1)
+	if chance(o.faults.CutShare) {
+		panic(http.ErrAbortHandler)
+	}
+	if chance(o.faults.ReorderShare) && o.late == nil && finish == "" {
+		o.late = piece
+		return
+	}
+	o.w.Write(piece)
+	if chance(o.faults.RepeatShare) {
+		o.w.Write(piece)
+	}
+	if o.late != nil {
+		o.w.Write(o.late)
+		o.late = nil
+	}
+}
+
+func (o *writer) flush() { http.NewResponseController(o.w).Flush() }
+
+func (o *writer) end() { o.w.Write(openai.DoneEvent()) }
+
+func (e *Engine) load(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	report := e.reported
+	e.mu.Unlock()
+	json.NewEncoder(w).Encode(report)
+}
+
+func (e *Engine) takeOrder(w http.ResponseWriter, r *http.Request) {
+	var o engine.Order
+	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if !e.order(o) {
+		http.Error(w, "old fencing number", http.StatusConflict)
+	}
+}
+
+func (e *Engine) showEvents(w http.ResponseWriter, r *http.Request) {
+	since, _ := strconv.ParseInt(r.URL.Query().Get("since"), 10, 64)
+	json.NewEncoder(w).Encode(e.events.since(since))
+}
+
+func (e *Engine) control(w http.ResponseWriter, r *http.Request) {
+	var f Faults
+	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	e.SetFaults(f)
+	e.kick()
+}
--- /dev/null
+++ b/lab/platform/server.go
@@ -0,0 +1,263 @@
+package platform
+
+import (
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	client "github.com/marblepond/marblepond/internal/connection/platform"
+)
+
+// Faults are the failures that can be switched on at /control/faults.
+type Faults struct {
+	Down         bool     `json:"down"`         // every call is refused
+	SlowMS       int      `json:"slow_ms"`      // added to every call
+	LostShare    float64  `json:"lost_share"`   // writes whose answer is lost after the effect
+	RefuseShare  float64  `json:"refuse_share"` // writes refused before any effect
+	StaleVMsMS   int      `json:"stale_vms_ms"` // age of the VM list that is shown
+	CutPrefixes  []string `json:"cut_prefixes"` // source address prefixes that get no answer
+	LatencyUS    int      `json:"latency_us"`   // of every call when nothing is wrong
+	WritesPerSec int      `json:"writes_per_s"` // 0: no limit
+	ReadsPerSec  int      `json:"reads_per_s"`  // 0: no limit
+}
+
+// Server is the stand-in.
+type Server struct {
+	store *store
+	mux   *http.ServeMux
+
+	mu     sync.Mutex
+	faults Faults
+	vms    []client.VM
+	past   []vmList
+	counts map[string]int // by caller and method
+	writes meter
+	reads  meter
+}
+
+type vmList struct {
+	at  time.Time
+	vms []client.VM
+}
+
+// meter counts calls within one second.
+type meter struct {
+	second int64
+	calls  int
+}
+
+func (m *meter) over(limit int, now time.Time) bool {
+	if m.second != now.Unix() {
+		m.second, m.calls = now.Unix(), 0
+	}
+	m.calls++
+	return limit > 0 && m.calls > limit
+}
+
+// New returns a server with no objects, VMs or faults.
+func New() *Server {
+	s := &Server{store: newStore(), mux: http.NewServeMux(), counts: map[string]int{}}
+	s.mux.HandleFunc("GET /objects/", s.guard(s.read))
+	s.mux.HandleFunc("PUT /objects/", s.guard(s.write))
+	s.mux.HandleFunc("DELETE /objects/", s.guard(s.remove))
+	s.mux.HandleFunc("GET /vms", s.guard(s.listVMs))
+	s.mux.HandleFunc("PUT /control/faults", s.setFaults)
+	s.mux.HandleFunc("PUT /control/vms", s.setVMs)
+	s.mux.HandleFunc("GET /control/counts", s.showCounts)
+	return s
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
+
+// SetFaults switches faults.
+func (s *Server) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+}
+
+// SetVMs replaces the VM list.
+func (s *Server) SetVMs(vms []client.VM) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.past = append(s.past, vmList{time.Now(), s.vms})
+	s.vms = vms
+}
+
+// Counts returns the number of calls by caller and method.
+func (s *Server) Counts() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := map[string]int{}
+	for k, v := range s.counts {
+		out[k] = v
+	}
+	return out
+}
+
+// guard counts the call and applies the faults around it.
+func (s *Server) guard(h http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		f := s.faults
+		s.counts[r.UserAgent()+" "+r.Method]++
+		meter, limit := &s.reads, f.ReadsPerSec
+		if r.Method != http.MethodGet {
+			meter, limit = &s.writes, f.WritesPerSec
+		}
+		over := meter.over(limit, time.Now())
+		s.mu.Unlock()
+		time.Sleep(time.Duration(f.SlowMS)*time.Millisecond + time.Duration(f.LatencyUS)*time.Microsecond)
+		switch {
+		case cut(f.CutPrefixes, r.RemoteAddr):
+			<-r.Context().Done() // no answer at all
+		case f.Down:
+			http.Error(w, "down", http.StatusServiceUnavailable)
+		case over:
+			http.Error(w, "too many calls", http.StatusTooManyRequests)
+		case r.Method != http.MethodGet && rand.Float64() < f.RefuseShare:
+			http.Error(w, "refused", http.StatusServiceUnavailable)
+		case r.Method != http.MethodGet && rand.Float64() < f.LostShare:
+			h(&lostAnswer{header: http.Header{}}, r)
+			panic(http.ErrAbortHandler)
+		default:
+			h(w, r)
+		}
+	}
+}
+
+func cut(prefixes []string, addr string) bool {
+	host, _, _ := net.SplitHostPort(addr)
+	for _, p := range prefixes {
+		if strings.HasPrefix(host, p) {
+			return true
+		}
+	}
+	return false
+}
+
+// lostAnswer swallows an answer.
+type lostAnswer struct{ header http.Header }
+
+func (l *lostAnswer) Header() http.Header         { return l.header }
+func (l *lostAnswer) Write(b []byte) (int, error) { return len(b), nil }
+func (l *lostAnswer) WriteHeader(int)             {}
+
+func name(r *http.Request) string { return strings.TrimPrefix(r.URL.Path, "/objects/") }
+
+func (s *Server) read(w http.ResponseWriter, r *http.Request) {
+	if name(r) == "" {
+		s.query(w, r)
+		return
+	}
+	o, ok := s.store.get(name(r))
+	if !ok {
+		http.Error(w, "no such object", http.StatusNotFound)
+		return
+	}
+	w.Header().Set("ETag", strconv.Quote(strconv.FormatInt(o.Version, 10)))
+	w.Write(o.Value)
+}
+
+func (s *Server) query(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	if !q.Has("watch") {
+		json.NewEncoder(w).Encode(s.store.list(q.Get("prefix"), 0).Objects)
+		return
+	}
+	since, _ := strconv.ParseInt(q.Get("watch"), 10, 64)
+	wait, _ := time.ParseDuration(q.Get("wait"))
+	json.NewEncoder(w).Encode(s.store.watch(r.Context().Done(), q.Get("prefix"), since, wait))
+}
+
+func (s *Server) write(w http.ResponseWriter, r *http.Request) {
+	value, err := io.ReadAll(io.LimitReader(r.Body, client.MaxValue+1))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if len(value) > client.MaxValue {
+		http.Error(w, "value too large", http.StatusRequestEntityTooLarge)
+		return
+	}
+	version, ok := s.store.put(name(r), value, condition(r))
+	if !ok {
+		http.Error(w, "version does not match", http.StatusPreconditionFailed)
+		return
+	}
+	w.Header().Set("ETag", strconv.Quote(strconv.FormatInt(version, 10)))
+	w.WriteHeader(http.StatusOK)
+}
+
+func (s *Server) remove(w http.ResponseWriter, r *http.Request) {
+	if !s.store.delete(name(r), condition(r)) {
+		http.Error(w, "version does not match", http.StatusPreconditionFailed)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// condition reads If-Match and If-None-Match (RFC 9110, section 13.1).
+func condition(r *http.Request) func(int64) bool {
+	if r.Header.Get("If-None-Match") == "*" {
+		return func(version int64) bool { return version == 0 }
+	}
+	tag, err := strconv.Unquote(r.Header.Get("If-Match"))
+	want, _ := strconv.ParseInt(tag, 10, 64)
+	return func(version int64) bool { return err == nil && version == want && version != 0 }
+}
+
+func (s *Server) listVMs(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	list := s.vms
+	if stale := time.Duration(s.faults.StaleVMsMS) * time.Millisecond; stale > 0 {
+		list = s.listAt(time.Now().Add(-stale))
+	}
+	s.mu.Unlock()
+	out := []client.VM{}
+	for _, vm := range list {
+		if dc := r.URL.Query().Get("data_centre"); dc == "" || vm.DataCentre == dc {
+			out = append(out, vm)
+		}
+	}
+	json.NewEncoder(w).Encode(out)
+}
+
+// listAt returns the VM list as it was at a time.
+func (s *Server) listAt(at time.Time) []client.VM {
+	for _, p := range s.past {
+		if p.at.After(at) {
+			return p.vms
+		}
+	}
+	return s.vms
+}
+
+func (s *Server) setFaults(w http.ResponseWriter, r *http.Request) {
+	var f Faults
+	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.SetFaults(f)
+}
+
+func (s *Server) setVMs(w http.ResponseWriter, r *http.Request) {
+	var vms []client.VM
+	if err := json.NewDecoder(r.Body).Decode(&vms); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.SetVMs(vms)
+}
+
+func (s *Server) showCounts(w http.ResponseWriter, _ *http.Request) {
+	json.NewEncoder(w).Encode(s.Counts())
+}
--- /dev/null
+++ b/lab/service/service.go
@@ -0,0 +1,70 @@
+// Package service is the stand-in of a plain service, some of whose calls
+// must not be repeated. It keeps a ledger of what it ran.
+package service
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/marblepond/marblepond/internal/connection/engine"
+)
+
+// Run is one call that the service carried out.
+type Run struct {
+	Operation string `json:"operation"` // from the body: what the caller wants done once
+	RequestID string `json:"request_id"`
+}
+
+// call is the body of a call.
+type call struct {
+	Operation string `json:"operation"`
+}
+
+// Service is the stand-in.
+type Service struct {
+	Delay time.Duration // before a call is carried out
+
+	mu     sync.Mutex
+	ledger []Run
+}
+
+// maxRunning is the capacity shown in load reports.
+const maxRunning = 64
+
+// Handler returns the service's HTTP interface.
+func (s *Service) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /load", func(w http.ResponseWriter, _ *http.Request) {
+		json.NewEncoder(w).Encode(engine.Report{MaxRunning: maxRunning})
+	})
+	mux.HandleFunc("GET /ledger", func(w http.ResponseWriter, _ *http.Request) { json.NewEncoder(w).Encode(s.Ledger()) })
+	mux.HandleFunc("/", s.run)
+	return mux
+}
+
+func (s *Service) run(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	var c call
+	json.Unmarshal(body, &c)
+	time.Sleep(s.Delay)
+	s.mu.Lock()
+	s.ledger = append(s.ledger, Run{c.Operation, r.Header.Get("X-Request-Id")})
+	n := len(s.ledger)
+	s.mu.Unlock()
+	w.Header().Set("Content-Type", "application/json")
+	fmt.Fprintf(w, `{"operation":%q,"entry":%d}`+"\n", c.Operation, n)
+}
+
+// Ledger returns the calls carried out, in order.
+func (s *Service) Ledger() []Run {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]Run{}, s.ledger...)
+}
