Soak the fleet under random faults; give back leases that can't be worked

The soak drives separate processes through seeded faults (kills, freezes, drains, cuts, platform down, slow, losing answers, stale lists, bad engines, operator races, leaving targets), writes down what callers saw, and checks it against the targets' ledgers and the stored results.

The holder of its last chunk had lost all targets of the service (both were leaving) and renewed its lease for ever. Ruled out: a lost commit (the state moved with every renewal). Change: a lease whose chunk this node can't work on, for want of a usable target or of room for a lease's time, is given back with what was finished.

--- a/internal/request/batch/item.go
+++ b/internal/request/batch/item.go
@@ -62,6 +62,7 @@
 	ctx, it.cancel = context.WithCancelCause(ctx)
 	it.target, it.started, it.parking = target.ID, time.Now(), false
 	l.running++
+	l.worked = it.started
 	w.running[target.ID] = append(w.running[target.ID], it)
 	w.pacer.Begin(target.ID)
 	go func() {
--- a/internal/request/batch/lease.go
+++ b/internal/request/batch/lease.go
@@ -29,6 +29,7 @@
 	renewed time.Time
 	pending []finished // results not yet committed
 	left    int        // items without a result
+	worked  time.Time  // when the last item was dispatched, or the lease began
 	running int        // items at targets
 	stopped bool       // fenced, cancelled or given back: nothing more is dispatched
 	kick    chan struct{}
@@ -90,7 +91,7 @@
 		return nil
 	}
 	v.put(state, version)
-	l := &lease{view: v, job: job, n: n, epoch: state.Epoch, state: state, version: version, renewed: sent, kick: make(chan struct{}, 1)}
+	l := &lease{view: v, job: job, n: n, epoch: state.Epoch, state: state, version: version, renewed: sent, worked: sent, kick: make(chan struct{}, 1)}
 	// The job is read after the lease was written: a cancellation either is
 	// seen here, or sees this lease and waits for it.
 	if err := w.checkJob(ctx, l); err != nil {
@@ -240,6 +241,7 @@
 // names it. Only the state makes results visible.
 func (w *Worker) commit(ctx context.Context, l *lease) error {
 	w.mu.Lock()
+	w.releaseIdle(l, time.Now())
 	batch := l.pending
 	ending := l.left == 0 && l.running == 0
 	giveBack := l.stopped && !ending && l.running == 0
@@ -274,6 +276,18 @@
 	return nil
 }
 
+// releaseIdle marks a lease to be given back when this node can't work on it:
+// it has no usable target for the chunk, or none had room for a lease's time.
+// The caller holds w.mu.
+func (w *Worker) releaseIdle(l *lease, now time.Time) {
+	if l.running > 0 || l.left == 0 || l.stopped {
+		return
+	}
+	if !w.serves(l.job.ChunkService(l.n)) || now.Sub(l.worked) > w.cfg.LeaseTTL {
+		l.stopped = true
+	}
+}
+
 func (w *Worker) committed(l *lease, state record.ChunkState, version int64, sent time.Time, results int, claim []int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -284,6 +298,7 @@
 	w.release(l, claim)
 	if state.Phase != record.ChunkLeased {
 		w.recorder.Record(timeline.ChunkCommitted, "", name(l), fmt.Sprintf("%s, %d completed, %d failed", state.Phase, state.Completed, state.Failed))
+		w.dropQueued(l)
 		delete(w.leases, name(l))
 	}
 	w.signal()
--- a/internal/request/batch/worker.go
+++ b/internal/request/batch/worker.go
@@ -225,6 +225,17 @@
 	return nil
 }
 
+// serves reports whether this node owns a usable target of the service. The
+// caller holds w.mu.
+func (w *Worker) serves(service string) bool {
+	for _, id := range w.pacer.Owned() {
+		if target, usable := w.targets.Usable(id); usable && target.Service == service {
+			return true
+		}
+	}
+	return false
+}
+
 func (w *Worker) requeue(it *item, front bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/request/pace/pace.go
+++ b/internal/request/pace/pace.go
@@ -63,8 +63,14 @@
 	}
 }
 
-// Owns reports whether the target is owned.
-func (p *Pacer) Owns(id string) bool { return p.targets[id] != nil }
+// Owned returns the owned targets and those still being left, in no order.
+func (p *Pacer) Owned() []string {
+	ids := make([]string, 0, len(p.targets))
+	for id := range p.targets {
+		ids = append(ids, id)
+	}
+	return ids
+}
 
 // Report takes the engine's own figures. usable is false for a target that is
 // leaving, unhealthy or out.
--- a/lab/client/client.go
+++ b/lab/client/client.go
@@ -175,11 +175,20 @@
 
 // Submit uploads a file and makes a batch of it.
 func (c *Caller) Submit(ctx context.Context, addr string, jsonl []byte, key string, options string) (Batch, error) {
-	var file struct{ ID string }
-	if err := c.json(ctx, http.MethodPost, addr, "/v1/files", jsonl, map[string]string{"Content-Type": "application/jsonl"}, &file); err != nil {
+	file, err := c.Upload(ctx, addr, jsonl)
+	if err != nil {
 		return Batch{}, err
 	}
-	return c.Create(ctx, addr, file.ID, key, options)
+	return c.Create(ctx, addr, file, key, options)
+}
+
+// Upload stores a file and returns its ID.
+func (c *Caller) Upload(ctx context.Context, addr string, jsonl []byte) (string, error) {
+	var file struct {
+		ID string `json:"id"`
+	}
+	err := c.json(ctx, http.MethodPost, addr, "/v1/files", jsonl, map[string]string{"Content-Type": "application/jsonl"}, &file)
+	return file.ID, err
 }
 
 // Create makes a batch of an uploaded file. options are further JSON fields.
--- a/lab/cmd/marblelab/main.go
+++ b/lab/cmd/marblelab/main.go
@@ -18,6 +18,7 @@
 	"github.com/marblepond/marblepond/lab/engine"
 	"github.com/marblepond/marblepond/lab/platform"
 	"github.com/marblepond/marblepond/lab/service"
+	"github.com/marblepond/marblepond/lab/soak"
 )
 
 func main() {
@@ -28,6 +29,7 @@
 		Usage: "stand-ins, demo and experiments",
 		Commands: []*cli.Command{
 			platformCommand(), engineCommand(), serviceCommand(),
+			soakCommand(),
 			{Name: "demo", Usage: "run a small fleet in this process and check it", Action: func(context.Context, *cli.Command) error { return demo.Run(os.Stdout) }},
 		},
 	}
@@ -37,6 +39,18 @@
 	}
 }
 
+func soakCommand() *cli.Command {
+	return &cli.Command{Name: "soak", Usage: "random faults over separate processes, checked",
+		Flags: []cli.Flag{
+			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "`N` that gives the plan of faults"},
+			&cli.DurationFlag{Name: "for", Value: time.Minute, Usage: "`TIME` under load and faults"},
+			&cli.StringFlag{Name: "dir", Usage: "`FOLDER` for logs and ledgers"},
+			&cli.IntFlag{Name: "net", Value: 40, Usage: "second byte of the addresses, 127.`N`.x.y"}},
+		Action: func(_ context.Context, c *cli.Command) error {
+			return soak.Main(soak.Options{Seed: c.Uint64("seed"), Length: c.Duration("for"), Dir: c.String("dir"), Net: c.Int("net"), Out: os.Stdout})
+		}}
+}
+
 func listenFlag() cli.Flag {
 	return &cli.StringFlag{Name: "listen", Required: true, Usage: "`IP:PORT`"}
 }
--- a/lab/deployment/deployment.go
+++ b/lab/deployment/deployment.go
@@ -251,7 +251,7 @@
 func (e *Embedded) apply(intent string) error {
 	var last error
 	for range 100 {
-		if last = Apply(e.PeerAddr(0, 0), intent); last == nil {
+		if _, last = Apply(e.PeerAddr(0, 0), intent); last == nil {
 			return nil
 		}
 		time.Sleep(50 * time.Millisecond)
@@ -259,23 +259,26 @@
 	return last
 }
 
-// Apply plans and confirms an intent at a node.
-func Apply(addr, intent string) error {
+// ErrStale says that another operator's plan was confirmed first.
+var ErrStale = errors.New("stale plan")
+
+// Apply plans and confirms an intent at a node; it returns the version.
+func Apply(addr, intent string) (uint64, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
 	operator := peer.NewOperatorClient(http.DefaultClient, addr, OperatorKey)
 	plan, err := operator.Plan(ctx, &v1.PlanRequest{Intent: intent})
 	if err != nil {
-		return err
+		return 0, err
 	}
 	resp, err := operator.Apply(ctx, &v1.ApplyRequest{Intent: intent, BaseVersion: plan.BaseVersion})
 	if err != nil {
-		return err
+		return 0, err
 	}
 	if resp.Stale {
-		return errors.New("stale plan")
+		return 0, ErrStale
 	}
-	return nil
+	return resp.Version, nil
 }
 
 // waitReady waits until every node knows its data centre's usable targets.
--- a/lab/procs/procs.go
+++ b/lab/procs/procs.go
@@ -100,12 +100,17 @@
 			}
 		}
 	}
-	if err := retry(func() error { return deployment.Apply(f.Layout.PeerAddr(0, 0), f.Layout.Fleet) }); err != nil {
+	if err := retry(f.applyFirst); err != nil {
 		return err
 	}
 	return f.WaitReady()
 }
 
+func (f *Fleet) applyFirst() error {
+	_, err := deployment.Apply(f.Layout.PeerAddr(0, 0), f.Layout.Fleet)
+	return err
+}
+
 func retry(try func() error) (err error) {
 	for range 100 {
 		if err = try(); err == nil {
@@ -197,7 +202,7 @@
 	return f.run(id, "marblepond", "agent", "--settings", path)
 }
 
-// EngineName returns the process name of an engine.
+// EngineProc returns the process name of an engine.
 func (f *Fleet) EngineProc(dc, n int) string { return fmt.Sprintf("%s-e%d", f.DataCentres[dc], n) }
 
 // StartEngine starts an engine's process, again after it ended.
--- /dev/null
+++ b/lab/soak/check.go
@@ -0,0 +1,411 @@
+package soak
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	v1 "github.com/marblepond/marblepond/api/marblepond/v1"
+	"github.com/marblepond/marblepond/internal/connection/engine"
+	"github.com/marblepond/marblepond/internal/connection/openai"
+	"github.com/marblepond/marblepond/internal/connection/peer"
+	"github.com/marblepond/marblepond/internal/version/fleet"
+	"github.com/marblepond/marblepond/lab/client"
+	"github.com/marblepond/marblepond/lab/deployment"
+	lab "github.com/marblepond/marblepond/lab/engine"
+	"github.com/marblepond/marblepond/lab/procs"
+)
+
+// checker compares the history with what must always hold, point by point.
+type checker struct {
+	fleet    *procs.Fleet
+	history  *history
+	caller   *client.Caller
+	injector *injector
+	report   *Report
+	log      func(format string, args ...any)
+}
+
+func (c *checker) check() {
+	c.log("settling")
+	c.processes()
+	for _, check := range []func(context.Context){c.jobs, c.online, c.configuration} {
+		ctx, cancel := context.WithTimeout(context.Background(), settleLimit)
+		check(ctx)
+		cancel()
+	}
+	c.operations()
+	c.leaving()
+	c.processes()
+}
+
+func (c *checker) violate(point int, format string, args ...any) {
+	c.history.violate(fmt.Sprintf("%d: ", point) + fmt.Sprintf(format, args...))
+}
+
+// processes finds nodes that stopped themselves over an invariant.
+func (c *checker) processes() {
+	for d := range c.fleet.DataCentres {
+		for n := range c.fleet.Nodes[d] {
+			p := c.fleet.Proc(c.fleet.NodeID(d, n))
+			if p.Ended() {
+				c.violate(0, "%s has ended: %v (see its log)", p.Name, p.Wait(0))
+				c.fleet.StartNode(d, n)
+			}
+		}
+	}
+}
+
+// online checks points 1, 4, 5 and 8.
+func (c *checker) online(ctx context.Context) {
+	for _, o := range c.history.online {
+		out := o.outcome
+		switch {
+		case out.Accepted:
+			c.report.Accepted++
+			c.accepted(ctx, o)
+		case out.Err != nil:
+			c.report.Lost++
+			c.lost(o)
+		default:
+			c.report.Refused++
+			if out.NotRun == "unknown" {
+				c.report.Unknown++
+			}
+			if out.NotRun == "" {
+				c.violate(5, "a refusal (%d %s) does not say whether anything ran", out.Status, out.Kind)
+			}
+		}
+	}
+}
+
+// accepted: the answer was whole, or is found whole by its ID.
+func (c *checker) accepted(ctx context.Context, o online) {
+	if o.outcome.Whole {
+		c.report.Answered++
+		return
+	}
+	id := o.outcome.RequestID
+	broken := o.outcome.Err != nil || c.history.during(o.start, o.end, c.hard(o.node))
+	if !broken {
+		c.violate(4, "%s at %s: the answer is not whole (%s)", id, o.node, o.outcome.Kind)
+		return
+	}
+	if !c.history.during(o.start, o.end, c.hard(o.node)) {
+		c.violate(8, "%s at %s: the connection was cut (%v)", id, o.node, o.outcome.Err)
+	}
+	if text, err := c.stored(ctx, id); err != nil {
+		c.violate(1, "%s at %s was accepted and can't be read: %v", id, o.node, err)
+	} else if text != lab.Answer(prompt(o.text), o.tokens) {
+		c.violate(4, "%s: the stored answer is not the right one: %q", id, text)
+	} else {
+		c.report.Answered++
+	}
+}
+
+func prompt(text string) string {
+	return (&openai.Request{Messages: []openai.Message{{Role: "user", Content: text}}}).Text()
+}
+
+// stored reads an answer by its ID until it is there.
+func (c *checker) stored(ctx context.Context, id string) (string, error) {
+	for {
+		status, _, body, err := c.caller.Call(ctx, http.MethodGet, c.fleet.CallerAddr(2, 1), "/v1/responses/"+id, nil, nil)
+		if err == nil && status == http.StatusOK {
+			var whole openai.Chunk
+			if err := json.Unmarshal(body, &whole); err != nil || len(whole.Choices) == 0 || whole.Choices[0].Message == nil {
+				return "", fmt.Errorf("not an answer: %s", body)
+			}
+			return whole.Choices[0].Message.Content, nil
+		}
+		if !sleep(ctx, 300*time.Millisecond) {
+			return "", fmt.Errorf("status %d, %s, %v", status, strings.TrimSpace(string(body)), err)
+		}
+	}
+}
+
+// lost: a connection may break only when its node was killed or frozen.
+func (c *checker) lost(o online) {
+	if errors.Is(o.outcome.Err, syscall.ECONNREFUSED) || c.history.during(o.start, o.end, c.hard(o.node)) {
+		return
+	}
+	c.violate(8, "a request at %s was cut without its node being killed: %v", o.node, o.outcome.Err)
+}
+
+// hard matches the faults that break connections to a node.
+func (c *checker) hard(addr string) func(Fault) bool {
+	return func(f Fault) bool {
+		return (f.Kind == KillNode || f.Kind == FreezeNode) && c.fleet.CallerAddr(f.DC, f.N) == addr
+	}
+}
+
+// jobs checks points 1 and 2: every accepted job ends with every item once.
+func (c *checker) jobs(ctx context.Context) {
+	starts := c.batchStarts()
+	for _, j := range c.history.jobs {
+		c.report.Jobs++
+		b, err := c.caller.WaitBatch(ctx, c.fleet.CallerAddr(0, 0), j.id)
+		if err != nil {
+			c.violate(1, "job %s does not end: %v", j.id, err)
+			continue
+		}
+		if j.cancelled {
+			c.cancelled(j, starts[j.id])
+		}
+		results, err := c.caller.Results(ctx, c.fleet.CallerAddr(1, 1), j.output)
+		if err != nil {
+			c.violate(1, "results of %s: %v", j.id, err)
+			continue
+		}
+		if b.Status == "completed" && len(results) != len(j.items) {
+			c.violate(1, "job %s has %d results for %d items", j.id, len(results), len(j.items))
+		}
+		for id, r := range results {
+			c.report.Items++
+			switch {
+			case r.Error != nil:
+				if j.plain || r.Error.Code == "target_failed" {
+					continue // an unknown outcome, or an item that was given up
+				}
+				c.violate(1, "item %s of %s ended with %s: %s", id, j.id, r.Error.Code, r.Error.Message)
+			case !j.plain && !client.ItemWhole(r, j.items[id], itemTokens):
+				c.violate(4, "item %s of %s has the wrong answer", id, j.id)
+			}
+		}
+	}
+}
+
+// cancelled: nothing of the job starts after "cancelled" was shown.
+func (c *checker) cancelled(j *job, starts []time.Time) {
+	if j.shownAt.IsZero() {
+		c.violate(2, "job %s was asked to stop and never shown as ended", j.id)
+		return
+	}
+	for _, at := range starts {
+		if at.After(j.shownAt) {
+			c.violate(2, "an item of %s started %v after it was shown as %s", j.id, at.Sub(j.shownAt), j.final)
+		}
+	}
+}
+
+// ledgerLine is one start at a target.
+type ledgerLine struct {
+	at time.Time
+	id string
+}
+
+func (c *checker) ledger(name string) []ledgerLine {
+	file, err := os.Open(c.fleet.Ledger(name))
+	if err != nil {
+		return nil
+	}
+	defer file.Close()
+	var lines []ledgerLine
+	scanner := bufio.NewScanner(file)
+	for scanner.Scan() {
+		ms, id, _ := strings.Cut(scanner.Text(), " ")
+		if n, err := strconv.ParseInt(ms, 10, 64); err == nil {
+			lines = append(lines, ledgerLine{time.UnixMilli(n), id})
+		}
+	}
+	return lines
+}
+
+// batchStarts returns when items of each job started at engines.
+func (c *checker) batchStarts() map[string][]time.Time {
+	starts := map[string][]time.Time{}
+	for d := range c.fleet.DataCentres {
+		for n := range c.fleet.Engines {
+			for _, line := range c.ledger(c.fleet.EngineProc(d, n)) {
+				if job, _, ok := strings.Cut(line.id, "."); ok {
+					starts[job] = append(starts[job], line.at)
+				}
+			}
+		}
+	}
+	return starts
+}
+
+// operations checks points 5 and 6 against the plain services' ledgers.
+func (c *checker) operations() {
+	ran := map[string]int{}
+	for _, dc := range c.fleet.DataCentres {
+		for n := range c.fleet.Services {
+			for _, line := range c.ledger(fmt.Sprintf("%s-s%d", dc, n)) {
+				ran[line.id]++
+			}
+		}
+	}
+	for id, n := range ran {
+		if n > 1 {
+			c.violate(6, "operation %s ran %d times", id, n)
+		}
+	}
+	for _, op := range c.history.operations {
+		c.report.Operations++
+		switch {
+		case op.answered > 0 && ran[op.id] != 1:
+			c.violate(6, "operation %s was answered and ran %d times", op.id, ran[op.id])
+		case op.answered == 0 && op.unknown == 0 && ran[op.id] != 0:
+			c.violate(5, "operation %s was refused as not run (%v) and ran", op.id, op.kinds)
+		}
+	}
+}
+
+// leaveLimit is how long a leaving target may still get new work.
+const leaveLimit = 3 * time.Second
+
+// leaving checks point 7. While the list is shown late or not at all, the
+// time counts from when the fault was over.
+func (c *checker) leaving() {
+	for name, s := range c.history.leaving {
+		shown := s.from
+		for _, o := range c.history.spans {
+			hides := o.fault.Kind == StaleVMs || o.fault.Kind == PlatformDown || o.fault.Kind == PlatformSlow ||
+				(o.fault.Kind == CutPlatform && o.fault.DC == s.fault.DC)
+			if hides && o.from.Before(shown.Add(leaveLimit)) && o.to.After(shown) {
+				shown = o.to
+			}
+		}
+		for _, line := range c.ledger(name) {
+			if late := line.at.Sub(shown); late > leaveLimit {
+				c.violate(7, "%s got new work (%s) %v after it was shown as leaving", name, line.id, late)
+				break
+			}
+		}
+	}
+}
+
+// configuration checks that the fleet ends equal to the last accepted intent.
+func (c *checker) configuration(ctx context.Context) {
+	in := c.injector
+	var newest uint64
+	for v := range in.accepted {
+		newest = max(newest, v)
+	}
+	candidates := append([]string{in.accepted[newest]}, in.unsure...)
+	var why string
+	for {
+		if why = c.settled(ctx, candidates, newest); why == "" {
+			return
+		}
+		if !sleep(ctx, 300*time.Millisecond) {
+			c.violate(9, "the fleet does not end as last accepted: %s", why)
+			return
+		}
+	}
+}
+
+// settled returns what is not yet as it should be, empty when all is.
+func (c *checker) settled(ctx context.Context, candidates []string, newest uint64) string {
+	operator := peer.NewOperatorClient(http.DefaultClient, c.fleet.PeerAddr(1, 0), deployment.OperatorKey)
+	status, err := operator.Status(ctx, &v1.StatusRequest{})
+	if err != nil {
+		return err.Error()
+	}
+	if !status.InForceEverywhere || status.HeadVersion < newest {
+		return fmt.Sprintf("version %d of %d is not in force everywhere", status.HeadVersion, newest)
+	}
+	inForce := ""
+	for _, intent := range candidates {
+		if plan, err := operator.Plan(ctx, &v1.PlanRequest{Intent: intent}); err == nil && len(plan.Changes) == 0 {
+			inForce = intent
+		}
+	}
+	if inForce == "" {
+		return "the configuration in force is none that was accepted last"
+	}
+	return c.targetsEqual(inForce)
+}
+
+func (c *checker) targetsEqual(intent string) string {
+	config, err := fleet.Parse([]byte(intent))
+	if err != nil {
+		return err.Error()
+	}
+	want := config.Services[modelName].Wanted()
+	slices.Sort(want)
+	for d := range c.fleet.DataCentres {
+		for n := range c.fleet.Engines {
+			report, err := engine.New(http.DefaultClient, time.Second).Load(context.Background(), c.fleet.EngineAddr(d, n))
+			if err != nil {
+				return err.Error()
+			}
+			slices.Sort(report.Loaded)
+			if !slices.Equal(report.Loaded, want) {
+				return fmt.Sprintf("%s has %v loaded, wanted %v", c.fleet.EngineProc(d, n), report.Loaded, want)
+			}
+		}
+	}
+	return ""
+}
+
+// versions watches that no node's configuration goes back, over restarts too.
+type versions struct {
+	fleet   *procs.Fleet
+	history *history
+	mu      sync.Mutex
+	seen    map[string]uint64
+}
+
+func (v *versions) run(ctx context.Context) {
+	for sleep(ctx, 200*time.Millisecond) {
+		for d := range v.fleet.DataCentres {
+			for n := range v.fleet.Nodes[d] {
+				go v.look(ctx, d, n)
+			}
+		}
+	}
+}
+
+func (v *versions) look(ctx context.Context, d, n int) {
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	id := v.fleet.NodeID(d, n)
+	v.mu.Lock()
+	before := v.seen[id]
+	v.mu.Unlock()
+	if !v.ready(ctx, d, n) {
+		return
+	}
+	operator := peer.NewOperatorClient(http.DefaultClient, v.fleet.PeerAddr(d, n), deployment.OperatorKey)
+	resp, err := operator.Status(ctx, &v1.StatusRequest{})
+	if err != nil {
+		return
+	}
+	for _, s := range resp.Nodes {
+		if s.Node.Id != id {
+			continue
+		}
+		v.mu.Lock()
+		if s.Node.ConfigVersion < before {
+			v.history.violate(fmt.Sprintf("9: %s went from version %d back to %d", id, before, s.Node.ConfigVersion))
+		}
+		v.seen[id] = max(v.seen[id], s.Node.ConfigVersion)
+		v.mu.Unlock()
+	}
+}
+
+// ready reports whether a node serves; one that does not may have no version.
+func (v *versions) ready(ctx context.Context, d, n int) bool {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+v.fleet.CallerAddr(d, n)+"/readyz", nil)
+	if err != nil {
+		return false
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return false
+	}
+	resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
--- /dev/null
+++ b/lab/soak/load.go
@@ -0,0 +1,284 @@
+package soak
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/marblepond/marblepond/internal/connection/openai"
+	"github.com/marblepond/marblepond/lab/client"
+	"github.com/marblepond/marblepond/lab/procs"
+)
+
+const (
+	callerKey = "soak-key"
+	modelName = "signdesk-llm"
+	plainName = "orders"
+)
+
+// load plays the callers.
+type load struct {
+	fleet   *procs.Fleet
+	history *history
+	caller  *client.Caller
+	rng     *lockedRand
+
+	mu      sync.Mutex
+	healthy map[string]bool // nodes, as the balancer sees them
+}
+
+// lockedRand is a seeded source for many goroutines.
+type lockedRand struct {
+	mu  sync.Mutex
+	rng *rand.Rand
+}
+
+func (l *lockedRand) intN(n int) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.rng.IntN(n)
+}
+
+const (
+	onlineEvery    = 25 * time.Millisecond
+	operationEvery = 150 * time.Millisecond
+	batchEvery     = 5 * time.Second
+	healthEvery    = 100 * time.Millisecond
+	batchItems     = 150
+)
+
+// run makes load until ctx ends, then waits for what is in progress.
+func (l *load) run(ctx context.Context) {
+	var wg sync.WaitGroup
+	wg.Go(func() { l.balance(ctx) })
+	wg.Go(func() { l.every(ctx, onlineEvery, l.online) })
+	wg.Go(func() { l.every(ctx, operationEvery, l.operation) })
+	wg.Go(func() { l.every(ctx, batchEvery, l.batch) })
+	wg.Wait()
+}
+
+// every calls f at a steady rate, each call in its own goroutine.
+func (l *load) every(ctx context.Context, pause time.Duration, f func(n int)) {
+	var wg sync.WaitGroup
+	for n := 0; sleep(ctx, pause); n++ {
+		wg.Go(func() { f(n) })
+	}
+	wg.Wait()
+}
+
+// balance is the platform's balancer: it keeps to nodes whose health answers.
+func (l *load) balance(ctx context.Context) {
+	prober := &http.Client{Timeout: 500 * time.Millisecond}
+	for sleep(ctx, healthEvery) {
+		for d := range l.fleet.DataCentres {
+			for n := range l.fleet.Nodes[d] {
+				go func() {
+					addr := l.fleet.CallerAddr(d, n)
+					resp, err := prober.Get("http://" + addr + "/readyz")
+					ok := err == nil && resp.StatusCode == http.StatusOK
+					if err == nil {
+						resp.Body.Close()
+					}
+					l.mu.Lock()
+					l.healthy[addr] = ok
+					l.mu.Unlock()
+				}()
+			}
+		}
+	}
+}
+
+// node returns a healthy node, of the data centre if that is not negative.
+func (l *load) node(dc int) string {
+	var addrs []string
+	l.mu.Lock()
+	for d := range l.fleet.DataCentres {
+		for n := range l.fleet.Nodes[d] {
+			if addr := l.fleet.CallerAddr(d, n); l.healthy[addr] && (dc < 0 || dc == d) {
+				addrs = append(addrs, addr)
+			}
+		}
+	}
+	l.mu.Unlock()
+	if len(addrs) == 0 {
+		return l.fleet.CallerAddr(max(dc, 0), 0)
+	}
+	return addrs[l.rng.intN(len(addrs))]
+}
+
+// callLimit bounds one call of a caller.
+const callLimit = 40 * time.Second
+
+// resends is how often a caller sends a keyed request again.
+const resends = 4
+
+func (l *load) online(n int) {
+	ctx, cancel := context.WithTimeout(context.Background(), callLimit)
+	defer cancel()
+	p := client.Prompt{Model: modelName, Text: fmt.Sprintf("explanation %d of %d", n, l.rng.intN(1000)), MaxTokens: 4 + l.rng.intN(30), Stream: n%3 != 0,
+		Header: map[string]string{openai.HeaderTimeoutMS: "20000"}}
+	dc := l.rng.intN(len(l.fleet.DataCentres))
+	if n%4 == 0 {
+		p.Header[openai.HeaderIdempotencyKey] = fmt.Sprintf("key-%d", n)
+	}
+	for range resends {
+		o := online{start: time.Now(), node: l.node(dc), text: p.Text, tokens: p.MaxTokens, stream: p.Stream}
+		o.outcome = l.caller.Complete(ctx, o.node, p)
+		o.end = time.Now()
+		l.history.addOnline(o)
+		if o.outcome.Whole || n%4 != 0 || ctx.Err() != nil {
+			return
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+}
+
+// operation plays a call that must run at most once: some are sent to several
+// nodes at once; a true refusal is tried again until it runs.
+func (l *load) operation(n int) {
+	op := &operation{id: fmt.Sprintf("cut-%d", n)}
+	defer l.history.addOperation(op)
+	for range resends {
+		senders := 1
+		if n%5 == 0 {
+			senders = 3
+		}
+		outcomes := make([]string, senders)
+		var wg sync.WaitGroup
+		for i := range senders {
+			wg.Go(func() { outcomes[i] = l.operate(op.id) })
+		}
+		wg.Wait()
+		op.kinds = append(op.kinds, outcomes...)
+		again := true
+		for _, o := range outcomes {
+			switch o {
+			case "answered":
+				op.answered++
+				again = false
+			case "not_run":
+				op.notRun++
+			default:
+				op.unknown++
+				again = false
+			}
+		}
+		if !again {
+			return
+		}
+		time.Sleep(time.Second)
+	}
+}
+
+func (l *load) operate(id string) string {
+	ctx, cancel := context.WithTimeout(context.Background(), callLimit)
+	defer cancel()
+	status, header, _, err := l.caller.Call(ctx, http.MethodPost, l.node(-1), "/services/"+plainName+"/cut",
+		[]byte(fmt.Sprintf(`{"operation":%q}`, id)),
+		map[string]string{openai.HeaderIdempotencyKey: id, openai.HeaderTimeoutMS: "15000"})
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return "not_run"
+	case err != nil:
+		return "lost"
+	case status == http.StatusOK:
+		return "answered"
+	case header.Get(openai.HeaderNotRun) == "true":
+		return "not_run"
+	}
+	return "unknown"
+}
+
+// batch submits a job; every third is cancelled, every fourth is made of
+// operations on the plain service.
+func (l *load) batch(n int) {
+	ctx, cancel := context.WithTimeout(context.Background(), callLimit)
+	defer cancel()
+	j := &job{items: map[string]string{}, plain: n%4 == 3}
+	var lines strings.Builder
+	for i := range batchItems {
+		id, text := fmt.Sprintf("item-%d", i), fmt.Sprintf("sheet %d line %d", n, i)
+		if j.plain {
+			text = fmt.Sprintf("batch-%d-%d", n, i)
+			fmt.Fprintf(&lines, `{"custom_id":%q,"method":"POST","url":"/services/%s/cut","body":{"operation":%q}}`+"\n", id, plainName, text)
+		} else {
+			lines.WriteString(client.Item(id, modelName, text, itemTokens))
+		}
+		j.items[id] = text
+	}
+	options := ""
+	if j.plain {
+		options = `,"non_idempotent":true`
+	}
+	b, ok := l.submit(ctx, []byte(lines.String()), fmt.Sprintf("job-%d", n), options)
+	if !ok {
+		return
+	}
+	j.id, j.output = b.ID, b.OutputFileID
+	l.history.addJob(j)
+	if n%3 == 1 {
+		l.cancel(j)
+	}
+}
+
+const itemTokens = 12
+
+// submit uploads and creates a batch, again with the same key and file until
+// it is accepted.
+func (l *load) submit(ctx context.Context, lines []byte, key, options string) (client.Batch, bool) {
+	fileID := ""
+	for ctx.Err() == nil {
+		if fileID == "" {
+			fileID = l.upload(ctx, lines)
+		}
+		if fileID != "" {
+			if b, err := l.caller.Create(ctx, l.node(-1), fileID, key, options); err == nil {
+				return b, true
+			}
+		}
+		time.Sleep(500 * time.Millisecond)
+	}
+	return client.Batch{}, false
+}
+
+func (l *load) upload(ctx context.Context, lines []byte) string {
+	id, err := l.caller.Upload(ctx, l.node(-1), lines)
+	if err != nil {
+		return ""
+	}
+	return id
+}
+
+// cancelAfter is how long a job that is to be cancelled runs.
+const cancelAfter = 700 * time.Millisecond
+
+func (l *load) cancel(j *job) {
+	time.Sleep(cancelAfter)
+	ctx, cancel := context.WithTimeout(context.Background(), settleLimit)
+	defer cancel()
+	for ctx.Err() == nil {
+		if _, err := l.caller.Cancel(ctx, l.node(-1), j.id); err == nil {
+			break
+		}
+		time.Sleep(300 * time.Millisecond)
+	}
+	l.history.mu.Lock()
+	j.cancelled = true
+	l.history.mu.Unlock()
+	for ctx.Err() == nil {
+		b, err := l.caller.Batch(ctx, l.node(-1), j.id)
+		if err == nil && (b.Status == "cancelled" || b.Status == "completed") {
+			l.history.mu.Lock()
+			j.shownAt, j.final = time.Now(), b.Status
+			l.history.mu.Unlock()
+			return
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
--- /dev/null
+++ b/lab/soak/soak.go
@@ -0,0 +1,156 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"os"
+	"time"
+
+	"github.com/marblepond/marblepond/internal/version/fleet"
+	"github.com/marblepond/marblepond/lab/client"
+	"github.com/marblepond/marblepond/lab/deployment"
+	"github.com/marblepond/marblepond/lab/engine"
+	"github.com/marblepond/marblepond/lab/platform"
+	"github.com/marblepond/marblepond/lab/procs"
+)
+
+// Options of a run.
+type Options struct {
+	Seed   uint64
+	Length time.Duration
+	Dir    string // for logs and ledgers; kept when something was violated
+	Bin    string // folder of the binaries; empty: build them
+	Net    int    // second byte of the loopback addresses
+	Out    io.Writer
+}
+
+// Report is what a run came to.
+type Report struct {
+	Seed       uint64
+	Faults     int
+	Accepted   int // online
+	Answered   int
+	Refused    int
+	Lost       int // connections lost before or after acceptance
+	Unknown    int // refusals with an unknown outcome
+	Operations int
+	Jobs       int
+	Items      int
+	Violations []string
+}
+
+// String returns the report as a row.
+func (r Report) String() string {
+	return fmt.Sprintf("seed %d: %d faults, online: %d accepted, %d answered, %d refused (%d unknown), %d lost; %d operations; %d jobs with %d items; %d violations",
+		r.Seed, r.Faults, r.Accepted, r.Answered, r.Refused, r.Unknown, r.Lost, r.Operations, r.Jobs, r.Items, len(r.Violations))
+}
+
+// nodeSettings are short times, so that leases and silences end within a run.
+const nodeSettings = `[membership]
+heartbeat = 200ms
+suspect_after = 700ms
+dead_after = 1500ms
+
+[platform]
+timeout = 1s
+write_rate = 100
+read_rate = 300
+vm_list_interval = 500ms
+
+[batch]
+lease_ttl = 4s
+outage_grace = 4s
+commit_every = 1s
+
+[limits]
+drain_timeout = 40s
+
+[log]
+stop_on_violation = true
+`
+
+func layout(net int) deployment.Layout {
+	model := engine.DefaultModel()
+	model.ChecksFence = net%2 == 0 // some deployments' engines ignore fencing numbers
+	return deployment.Layout{
+		Net: net, DataCentres: []string{"hall-a", "hall-b", "hall-c"}, Nodes: []int{2, 2, 2}, Engines: 2, Services: 1,
+		EngineName: modelName, PlainName: plainName, Model: model, Loaded: []string{modelName + "@1"}, Extra: nodeSettings,
+		Fleet: fmt.Sprintf("[service %q]\nversion = 1\n[service %q]\nkind = plain\nnon_idempotent = true\n[workspace \"keystel\"]\nkey_sha256 = %s\n",
+			modelName, plainName, fleet.HashKey(callerKey)),
+	}
+}
+
+// settleLimit is how long everything accepted may take after the last fault.
+const settleLimit = 90 * time.Second
+
+// Run soaks a fleet and checks what it did.
+func Run(o Options) (Report, error) {
+	report := Report{Seed: o.Seed}
+	if o.Bin == "" {
+		o.Bin = o.Dir
+		if err := procs.Build(o.Bin); err != nil {
+			return report, err
+		}
+	}
+	l := layout(o.Net)
+	f, err := procs.Start(l, o.Dir, o.Bin)
+	if err != nil {
+		return report, err
+	}
+	defer f.Stop()
+	h := &history{leaving: map[string]span{}}
+	logf := func(format string, args ...any) {
+		fmt.Fprintf(o.Out, "%s "+format+"\n", append([]any{time.Now().Format("15:04:05.000")}, args...)...)
+	}
+	in := &injector{fleet: f, history: h, log: logf, left: map[string]bool{}, accepted: map[uint64]string{1: l.Fleet}}
+	callers := &load{fleet: f, history: h, caller: client.New(callerKey), healthy: map[string]bool{},
+		rng: &lockedRand{rng: rand.New(rand.NewPCG(o.Seed, 1))}}
+	plan := NewPlan(o.Seed, o.Length, len(l.DataCentres), l.Nodes[0], l.Engines)
+	watch := &versions{fleet: f, history: h, seen: map[string]uint64{}}
+
+	ctx, cancel := context.WithTimeout(context.Background(), o.Length)
+	watching, stopWatching := context.WithCancel(context.Background())
+	go watch.run(watching)
+	loaded := make(chan struct{})
+	go func() {
+		callers.run(ctx)
+		close(loaded)
+	}()
+	in.run(ctx, plan)
+	<-ctx.Done()
+	cancel()
+	in.mu.Lock()
+	in.platform = platform.Faults{}
+	in.must(f.SetFaults(in.platform))
+	in.mu.Unlock()
+	<-loaded
+	c := &checker{fleet: f, history: h, caller: callers.caller, injector: in, report: &report, log: logf}
+	c.check()
+	stopWatching()
+	report.Faults = len(plan)
+	report.Violations = h.violations
+	return report, nil
+}
+
+// Main runs a soak for the command line.
+func Main(o Options) error {
+	dir, err := os.MkdirTemp(o.Dir, "soak")
+	if err != nil {
+		return err
+	}
+	o.Dir = dir
+	report, err := Run(o)
+	if err != nil {
+		return err
+	}
+	for _, v := range report.Violations {
+		fmt.Fprintln(o.Out, "VIOLATION", v)
+	}
+	fmt.Fprintln(o.Out, report)
+	if len(report.Violations) > 0 {
+		return fmt.Errorf("seed %d: %d violations; logs in %s", o.Seed, len(report.Violations), dir)
+	}
+	return os.RemoveAll(dir)
+}
