Keep accepted requests through the loss of both nodes of a data centre

Both homes of a request stood in one data centre; a result is written to the platform in groups, up to a second later. Ruled out: waiting for the platform before the first byte (a write for each request is far over its rate).

Change: the second home stands in another reachable data centre, named in the request's ID; it is told while the request runs, so the first token does not wait for it. It looks after requests whose data centre has lost them. Orphans that their first home does not know are taken over by whoever holds them.

--- a/api/marblepond/v1/marblepondv1connect/peer.connect.go
+++ b/api/marblepond/v1/marblepondv1connect/peer.connect.go
@@ -50,6 +50,8 @@
 	PeerServiceLookupProcedure = "/marblepond.v1.PeerService/Lookup"
 	// PeerServiceFetchConfigProcedure is the fully-qualified name of the PeerService's FetchConfig RPC.
 	PeerServiceFetchConfigProcedure = "/marblepond.v1.PeerService/FetchConfig"
+	// PeerServiceOfferConfigProcedure is the fully-qualified name of the PeerService's OfferConfig RPC.
+	PeerServiceOfferConfigProcedure = "/marblepond.v1.PeerService/OfferConfig"
 	// PeerServiceEventsProcedure is the fully-qualified name of the PeerService's Events RPC.
 	PeerServiceEventsProcedure = "/marblepond.v1.PeerService/Events"
 )
@@ -73,6 +75,8 @@
 	Lookup(context.Context, *v1.LookupRequest) (*v1.LookupResponse, error)
 	// FetchConfig returns a configuration head and the sections asked for.
 	FetchConfig(context.Context, *v1.FetchConfigRequest) (*v1.FetchConfigResponse, error)
+	// OfferConfig gives a peer a version before the sender serves with it.
+	OfferConfig(context.Context, *v1.OfferConfigRequest) (*v1.OfferConfigResponse, error)
 	// Events returns the events in the node's time line ring.
 	Events(context.Context, *v1.EventsRequest) (*v1.EventsResponse, error)
 }
@@ -136,6 +140,12 @@
 			connect.WithSchema(peerServiceMethods.ByName("FetchConfig")),
 			connect.WithClientOptions(opts...),
 		),
+		offerConfig: connect.NewClient[v1.OfferConfigRequest, v1.OfferConfigResponse](
+			httpClient,
+			baseURL+PeerServiceOfferConfigProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("OfferConfig")),
+			connect.WithClientOptions(opts...),
+		),
 		events: connect.NewClient[v1.EventsRequest, v1.EventsResponse](
 			httpClient,
 			baseURL+PeerServiceEventsProcedure,
@@ -155,6 +165,7 @@
 	drop        *connect.Client[v1.DropRequest, v1.DropResponse]
 	lookup      *connect.Client[v1.LookupRequest, v1.LookupResponse]
 	fetchConfig *connect.Client[v1.FetchConfigRequest, v1.FetchConfigResponse]
+	offerConfig *connect.Client[v1.OfferConfigRequest, v1.OfferConfigResponse]
 	events      *connect.Client[v1.EventsRequest, v1.EventsResponse]
 }
 
@@ -230,6 +241,15 @@
 	return nil, err
 }
 
+// OfferConfig calls marblepond.v1.PeerService.OfferConfig.
+func (c *peerServiceClient) OfferConfig(ctx context.Context, req *v1.OfferConfigRequest) (*v1.OfferConfigResponse, error) {
+	response, err := c.offerConfig.CallUnary(ctx, connect.NewRequest(req))
+	if response != nil {
+		return response.Msg, err
+	}
+	return nil, err
+}
+
 // Events calls marblepond.v1.PeerService.Events.
 func (c *peerServiceClient) Events(ctx context.Context, req *v1.EventsRequest) (*v1.EventsResponse, error) {
 	response, err := c.events.CallUnary(ctx, connect.NewRequest(req))
@@ -258,6 +278,8 @@
 	Lookup(context.Context, *v1.LookupRequest) (*v1.LookupResponse, error)
 	// FetchConfig returns a configuration head and the sections asked for.
 	FetchConfig(context.Context, *v1.FetchConfigRequest) (*v1.FetchConfigResponse, error)
+	// OfferConfig gives a peer a version before the sender serves with it.
+	OfferConfig(context.Context, *v1.OfferConfigRequest) (*v1.OfferConfigResponse, error)
 	// Events returns the events in the node's time line ring.
 	Events(context.Context, *v1.EventsRequest) (*v1.EventsResponse, error)
 }
@@ -317,6 +339,12 @@
 		connect.WithSchema(peerServiceMethods.ByName("FetchConfig")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerServiceOfferConfigHandler := connect.NewUnaryHandlerSimple(
+		PeerServiceOfferConfigProcedure,
+		svc.OfferConfig,
+		connect.WithSchema(peerServiceMethods.ByName("OfferConfig")),
+		connect.WithHandlerOptions(opts...),
+	)
 	peerServiceEventsHandler := connect.NewUnaryHandlerSimple(
 		PeerServiceEventsProcedure,
 		svc.Events,
@@ -341,6 +369,8 @@
 			peerServiceLookupHandler.ServeHTTP(w, r)
 		case PeerServiceFetchConfigProcedure:
 			peerServiceFetchConfigHandler.ServeHTTP(w, r)
+		case PeerServiceOfferConfigProcedure:
+			peerServiceOfferConfigHandler.ServeHTTP(w, r)
 		case PeerServiceEventsProcedure:
 			peerServiceEventsHandler.ServeHTTP(w, r)
 		default:
@@ -384,6 +414,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("marblepond.v1.PeerService.FetchConfig is not implemented"))
 }
 
+func (UnimplementedPeerServiceHandler) OfferConfig(context.Context, *v1.OfferConfigRequest) (*v1.OfferConfigResponse, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("marblepond.v1.PeerService.OfferConfig is not implemented"))
+}
+
 func (UnimplementedPeerServiceHandler) Events(context.Context, *v1.EventsRequest) (*v1.EventsResponse, error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("marblepond.v1.PeerService.Events is not implemented"))
 }
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -44,6 +44,7 @@
 // Node is one agent.
 type Node struct {
 	settings *settings.Settings
+	variant  Variant
 	self     member.Info
 
 	recorder   *timeline.Recorder
@@ -68,9 +69,22 @@
 // stallTimeout is how long a target's stream may stay silent.
 const stallTimeout = 10 * time.Second
 
+// Variant replaces decisions by baselines, for measurements only; no setting
+// leads to it.
+type Variant struct {
+	Policy      choose.Policy // empty: choose.Affinity
+	Unthrottled bool          // batch fills targets whatever online does
+}
+
 // New connects the parts of a node.
-func New(s *settings.Settings) *Node {
-	n := &Node{settings: s, metrics: newMetrics()}
+func New(s *settings.Settings) *Node { return NewVariant(s, Variant{}) }
+
+// NewVariant connects the parts of a node with baselines in place.
+func NewVariant(s *settings.Settings, v Variant) *Node {
+	n := &Node{settings: s, variant: v, metrics: newMetrics()}
+	if n.variant.Policy == "" {
+		n.variant.Policy = choose.Affinity
+	}
 	n.self = member.Info{ID: s.NodeID, Incarnation: uint64(time.Now().UnixNano()), DataCentre: s.DataCentre,
 		PeerAddr: s.PeerAdvertise, CallerAddr: s.CallerAdvertise}
 	n.recorder = timeline.NewRecorder(s.NodeID, s.TimelineEvents, newLogger(s), n.metrics.scope)
@@ -125,14 +139,14 @@
 	n.membership = membership.New(n.self, member.Timing{Heartbeat: s.Heartbeat, SuspectAfter: s.SuspectAfter, DeadAfter: s.DeadAfter}, s.Seeds, n.pool, n.recorder)
 	n.config = config.New(n.platform, n.pool, n.membership, n.recorder, n.checker, s.WatchTimeout)
 	n.targets = targets.New(targets.Config{VMListInterval: s.VMListInterval, LoadInterval: s.LoadInterval,
-		Choose: choose.Config{EjectAfter: s.EjectAfter, EjectTime: s.EjectTime, Policy: choose.Affinity}},
+		Choose: choose.Config{EjectAfter: s.EjectAfter, EjectTime: s.EjectTime, Policy: n.variant.Policy}},
 		n.platform, engines, n.membership, n.recorder, n.checker, n.config.Current)
 	n.runner = run.New(n.targets, engines, &remotes{n}, n.recorder, n.checker, s.RetryShare)
 	n.keeper = homes.New(s.ResultMemory, n.membership.View, n.pool, n.platform, n.recorder, func(r hold.Request) { n.server.Rerun(r) })
 	n.claims = claim.New(n.platform, n.recorder)
 	n.store = batch.NewStore(n.platform, n.recorder, s.ChunkItems)
 	n.worker = batch.NewWorker(batch.Config{LeaseTTL: s.LeaseTTL, OutageGrace: s.OutageGrace, CommitEvery: s.CommitEvery,
-		ItemAttempts: s.ItemAttempts, WatchTimeout: s.WatchTimeout, Pace: pace.Config{Fill: s.BatchFill, Reserve: s.BatchReserve, Quiet: quietTime}},
+		ItemAttempts: s.ItemAttempts, WatchTimeout: s.WatchTimeout, Pace: pace.Config{Fill: s.BatchFill, Reserve: s.BatchReserve, Quiet: quietTime, Unthrottled: n.variant.Unthrottled}},
 		record.Holder{Node: n.self.ID, Incarnation: n.self.Incarnation},
 		batch.Parts{Store: n.store, Platform: n.platform, Runner: n.runner, Targets: n.targets, Members: n.membership.View,
 			Config: n.config.Current, Recorder: n.recorder, Checker: n.checker, Metrics: n.metrics.scope})
@@ -207,6 +221,7 @@
 	wg.Go(func() { n.targets.Run(ctx) })
 	wg.Go(func() { n.targets.SendPressure(ctx, n.pool, n.worker.TakePressure) })
 	wg.Go(func() { n.keeper.Flush(ctx, n.settings.FlushInterval) })
+	wg.Go(func() { n.keeper.Watch(ctx) })
 	wg.Go(func() { n.claims.Run(ctx) })
 	wg.Go(func() { n.worker.Run(ctx) })
 }
--- a/internal/process/node/peers.go
+++ b/internal/process/node/peers.go
@@ -25,23 +25,36 @@
 }
 
 // Hold implements PeerService.
-func (p *peerService) Hold(_ context.Context, req *v1.HoldRequest) (*v1.HoldResponse, error) {
+func (p *peerService) Hold(ctx context.Context, req *v1.HoldRequest) (*v1.HoldResponse, error) {
+	if req.Relay {
+		answer, err := p.node.keeper.HoldHere(ctx, homes.RequestFromProto(req))
+		return homes.AnswerToProto(answer), err
+	}
 	return homes.AnswerToProto(p.node.keeper.HoldLocal(homes.RequestFromProto(req))), nil
 }
 
 // Finish implements PeerService.
-func (p *peerService) Finish(_ context.Context, req *v1.FinishRequest) (*v1.FinishResponse, error) {
+func (p *peerService) Finish(ctx context.Context, req *v1.FinishRequest) (*v1.FinishResponse, error) {
+	if req.Relay {
+		return &v1.FinishResponse{Stored: true}, p.node.keeper.FinishHere(ctx, homes.ResultFromProto(req.Result))
+	}
 	return &v1.FinishResponse{Stored: p.node.keeper.FinishLocal(homes.ResultFromProto(req.Result), req.Durable)}, nil
 }
 
 // Flushed implements PeerService.
-func (p *peerService) Flushed(_ context.Context, req *v1.FlushedRequest) (*v1.FlushedResponse, error) {
+func (p *peerService) Flushed(ctx context.Context, req *v1.FlushedRequest) (*v1.FlushedResponse, error) {
+	if req.Relay {
+		p.node.keeper.FlushedHere(ctx, req.RequestIds)
+	}
 	p.node.keeper.FlushedLocal(req.RequestIds)
 	return &v1.FlushedResponse{}, nil
 }
 
 // Drop implements PeerService.
-func (p *peerService) Drop(_ context.Context, req *v1.DropRequest) (*v1.DropResponse, error) {
+func (p *peerService) Drop(ctx context.Context, req *v1.DropRequest) (*v1.DropResponse, error) {
+	if req.Relay {
+		return &v1.DropResponse{}, p.node.keeper.DropHere(ctx, req.RequestId)
+	}
 	p.node.keeper.DropLocal(req.RequestId)
 	return &v1.DropResponse{}, nil
 }
@@ -67,6 +80,11 @@
 	return p.node.config.FetchConfig(ctx, req)
 }
 
+// OfferConfig implements PeerService.
+func (p *peerService) OfferConfig(ctx context.Context, req *v1.OfferConfigRequest) (*v1.OfferConfigResponse, error) {
+	return p.node.config.OfferConfig(ctx, req)
+}
+
 // Events implements PeerService.
 func (p *peerService) Events(_ context.Context, req *v1.EventsRequest) (*v1.EventsResponse, error) {
 	return &v1.EventsResponse{Events: eventsToProto(p.node.recorder.Events(req.RequestId, int(req.Limit)))}, nil
--- a/internal/process/settings/keys.go
+++ b/internal/process/settings/keys.go
@@ -10,8 +10,8 @@
 // Keys lists every setting. docs/SETTINGS.md is written from it and a test
 // compares the two.
 var Keys = []Key{
-	{"node", "id", "", "text", "Name of the node, unique in the fleet.", text(func(s *Settings) *string { return &s.NodeID }, true)},
-	{"node", "data_centre", "", "text", "Data centre the VM stands in.", text(func(s *Settings) *string { return &s.DataCentre }, true)},
+	{"node", "id", "", "name", "Name of the node, unique in the fleet.", name(func(s *Settings) *string { return &s.NodeID })},
+	{"node", "data_centre", "", "name", "Data centre the VM stands in.", name(func(s *Settings) *string { return &s.DataCentre })},
 	{"node", "caller_listen", "", "IP:port", "Where callers' HTTP requests are taken.", address(func(s *Settings) *string { return &s.CallerListen }, true)},
 	{"node", "peer_listen", "", "IP:port", "Where other nodes and operators are answered.", address(func(s *Settings) *string { return &s.PeerListen }, true)},
 	{"node", "caller_advertise", "", "IP:port", "Address other nodes use for caller_listen; empty: the same.", address(func(s *Settings) *string { return &s.CallerAdvertise }, false)},
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"net"
+	"regexp"
 	"sort"
 	"strconv"
 	"strings"
@@ -185,6 +186,19 @@
 	}
 }
 
+// nameForm is the form of names that become part of request IDs and objects.
+var nameForm = regexp.MustCompile(`^[a-zA-Z0-9][a-zA-Z0-9.-]*$`)
+
+func name(field func(*Settings) *string) func(*Settings, string) error {
+	return func(s *Settings, value string) error {
+		if !nameForm.MatchString(value) {
+			return fmt.Errorf("letters, digits, '-' and '.', at least one (required)")
+		}
+		*field(s) = value
+		return nil
+	}
+}
+
 func address(field func(*Settings) *string, required bool) func(*Settings, string) error {
 	return func(s *Settings, value string) error {
 		if value == "" && !required {
--- a/internal/request/homes/durable.go
+++ b/internal/request/homes/durable.go
@@ -32,11 +32,20 @@
 			return
 		case <-ticker.C:
 			view := k.membership()
-			k.flushOnce(ctx, func(id string) bool { return k.first(id, view) })
+			k.flushOnce(ctx, func(id string) bool { return k.first(id, view) && k.due(id, view.Self.DataCentre) })
 		}
 	}
 }
 
+// awayFlushAfter is the age in seconds from which the second home writes a
+// result of another data centre: its first home should have done so long ago.
+const awayFlushAfter = 15
+
+func (k *Keeper) due(requestID, dataCentre string) bool {
+	id, _ := ParseID(requestID)
+	return id.DataCentre == dataCentre || time.Now().Unix()-id.Created > awayFlushAfter
+}
+
 // FlushAll writes everything this node holds, for a node that leaves. It
 // returns the number of results that could not be written.
 func (k *Keeper) FlushAll(ctx context.Context) int {
@@ -63,36 +72,41 @@
 	return written
 }
 
-// groups splits results by the minute they were created in and by size.
+// groups splits results by their bucket and by size.
 func groups(results []*hold.Result) [][]*hold.Result {
-	byMinute := map[int64][][]*hold.Result{}
-	size := map[int64]int{}
+	lists := map[string][][]*hold.Result{}
+	size := map[string]int{}
 	for _, r := range results {
-		minute := r.Created / 60
-		bytes := len(r.Body) + overheadPerResult
-		list := byMinute[minute]
-		if len(list) == 0 || size[minute]+bytes > flushBytes {
-			list, size[minute] = append(list, nil), 0
+		key := bucketOf(r)
+		bytes := len(r.Body)*4/3 + overheadPerResult
+		list := lists[key]
+		if len(list) == 0 || size[key]+bytes > flushBytes {
+			list, size[key] = append(list, nil), 0
 		}
 		list[len(list)-1] = append(list[len(list)-1], r)
-		byMinute[minute] = list
-		size[minute] += bytes
+		lists[key] = list
+		size[key] += bytes
 	}
 	var out [][]*hold.Result
-	for _, list := range byMinute {
+	for _, list := range lists {
 		out = append(out, list...)
 	}
 	return out
 }
 
-// overheadPerResult is the stored size of a result besides a third more than
-// its body, which is stored in base64.
+func bucketOf(r *hold.Result) string {
+	id, _ := ParseID(r.RequestID)
+	return record.ResultBucket(id.DataCentre, id.Created/60)
+}
+
+// overheadPerResult is the stored size of a result besides its body, in bytes;
+// the body is stored in base64.
 const overheadPerResult = 400
 
 func (k *Keeper) writeGroup(ctx context.Context, group []*hold.Result) error {
 	k.mu.Lock()
 	k.seq++
-	name := fmt.Sprintf("%s%s-%d", record.ResultBucket(k.membership().Self.DataCentre, group[0].Created/60), k.name, k.seq)
+	name := fmt.Sprintf("%s%s-%d", bucketOf(group[0]), k.name, k.seq)
 	k.mu.Unlock()
 	var body bytes.Buffer
 	encoder := json.NewEncoder(&body)
@@ -127,20 +141,52 @@
 
 // markFlushed marks results as durable here and at their other homes.
 func (k *Keeper) markFlushed(ctx context.Context, group []*hold.Result) {
-	byNode := map[string][]string{}
+	self := k.membership().Self.ID
+	byNode, byCentre := map[string][]string{}, map[string][]string{}
 	var ids []string
 	for _, r := range group {
 		ids = append(ids, r.RequestID)
-		for _, node := range k.ranked(r.RequestID)[:min(homeCount, len(k.ranked(r.RequestID)))] {
+		ranked := k.ranked(r.RequestID)
+		for _, node := range ranked[:min(homeCount, len(ranked))] {
 			byNode[node] = append(byNode[node], r.RequestID)
 		}
+		if id, _ := ParseID(r.RequestID); id.Second != "" {
+			byCentre[id.Second] = append(byCentre[id.Second], r.RequestID)
+		}
 	}
 	k.FlushedLocal(ids)
+	for node, flushed := range byNode {
+		if client, _, err := k.client(node); err == nil && node != self {
+			k.tellFlushed(ctx, client, flushed, false)
+		}
+	}
+	for centre, flushed := range byCentre {
+		for _, addr := range k.contacts(centre) {
+			if k.tellFlushed(ctx, k.pool.Client(addr), flushed, true) == nil {
+				break
+			}
+		}
+	}
+}
+
+func (k *Keeper) tellFlushed(ctx context.Context, c peerClient, ids []string, relay bool) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	_, err := c.Flushed(ctx, &v1.FlushedRequest{RequestIds: ids, Relay: relay})
+	return err
+}
+
+// FlushedHere marks results of another data centre as durable at this one's
+// homes.
+func (k *Keeper) FlushedHere(ctx context.Context, ids []string) {
+	k.FlushedLocal(ids)
+	byNode := map[string][]string{}
+	for _, id := range ids {
+		byNode[k.ranked(id)[0]] = append(byNode[k.ranked(id)[0]], id)
+	}
 	for node, flushed := range byNode {
 		if client, local, err := k.client(node); err == nil && !local {
-			ctx, cancel := context.WithTimeout(ctx, callTimeout)
-			client.Flushed(ctx, &v1.FlushedRequest{RequestIds: flushed})
-			cancel()
+			k.tellFlushed(ctx, client, flushed, false)
 		}
 	}
 }
@@ -152,18 +198,22 @@
 	if !ok {
 		return hold.Answer{State: hold.Unknown}
 	}
-	var answer hold.Answer
-	if id.DataCentre == k.membership().Self.DataCentre {
-		answer = k.FindHere(ctx, requestID, workspace, wait)
-	} else {
-		answer = k.findThere(ctx, id.DataCentre, requestID, workspace, wait)
-	}
-	if answer.State != hold.Unknown {
-		return answer
+	for _, centre := range []string{id.DataCentre, id.Second} {
+		if answer := k.findIn(ctx, centre, requestID, workspace, wait); answer.State != hold.Unknown {
+			return answer
+		}
 	}
 	return k.findStored(ctx, id, requestID, workspace)
 }
 
+func (k *Keeper) findIn(ctx context.Context, centre, requestID, workspace string, wait time.Duration) hold.Answer {
+	if centre == k.membership().Self.DataCentre {
+		return k.FindHere(ctx, requestID, workspace, wait)
+	}
+	answer, _ := k.askThere(ctx, centre, requestID, workspace, wait)
+	return answer
+}
+
 // FindHere asks the homes of this data centre.
 func (k *Keeper) FindHere(ctx context.Context, requestID, workspace string, wait time.Duration) hold.Answer {
 	unknown := hold.Answer{State: hold.Unknown}
@@ -181,34 +231,35 @@
 			}
 			continue
 		}
-		if answer := lookupAt(ctx, client, requestID, workspace, wait, false); answer.State != hold.Unknown {
+		if answer, _ := lookupAt(ctx, client, requestID, workspace, wait, false); answer.State != hold.Unknown {
 			return answer
 		}
 	}
 	return unknown
 }
 
-func lookupAt(ctx context.Context, client peerClient, requestID, workspace string, wait time.Duration, relay bool) hold.Answer {
+func lookupAt(ctx context.Context, client peerClient, requestID, workspace string, wait time.Duration, relay bool) (hold.Answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
 	defer cancel()
 	resp, err := client.Lookup(ctx, &v1.LookupRequest{RequestId: requestID, Workspace: workspace, WaitMs: uint32(wait.Milliseconds()), Relay: relay})
 	if err != nil {
-		return hold.Answer{State: hold.Unknown}
+		return hold.Answer{State: hold.Unknown}, err
 	}
 	return hold.Answer{State: hold.State(resp.State), RequestID: requestID, Owner: resp.Owner,
-		OwnerIncarnation: resp.OwnerIncarnation, Result: resultFromProto(resp.Result)}
+		OwnerIncarnation: resp.OwnerIncarnation, Result: resultFromProto(resp.Result)}, nil
 }
 
-func (k *Keeper) findThere(ctx context.Context, dataCentre, requestID, workspace string, wait time.Duration) hold.Answer {
-	for _, contact := range k.membership().Contacts {
-		if contact.DataCentre != dataCentre {
-			continue
-		}
-		if answer := lookupAt(ctx, k.pool.Client(contact.PeerAddr), requestID, workspace, wait, true); answer.State != hold.Unknown {
-			return answer
+// askThere asks another data centre; answered is false when none of its
+// contacts did.
+func (k *Keeper) askThere(ctx context.Context, dataCentre, requestID, workspace string, wait time.Duration) (answer hold.Answer, answered bool) {
+	for _, addr := range k.contacts(dataCentre) {
+		answer, err := lookupAt(ctx, k.pool.Client(addr), requestID, workspace, wait, true)
+		if err == nil {
+			return answer, true
 		}
+		k.avoid(addr)
 	}
-	return hold.Answer{State: hold.Unknown}
+	return hold.Answer{State: hold.Unknown}, false
 }
 
 func (k *Keeper) findStored(ctx context.Context, id ID, requestID, workspace string) hold.Answer {
--- a/internal/request/homes/homes.go
+++ b/internal/request/homes/homes.go
@@ -1,14 +1,17 @@
-// Package homes keeps requests and results at their two home nodes. The homes
-// of a request are the first two live members of its data centre by
-// rendezvous hashing of its placement. The first home is where resends of one
-// key meet; the second has a copy. Both keep the answer until the first home
-// has written it to the platform in a group with others.
+// Package homes keeps requests and results at their two home nodes. The first
+// home is the first live member of the request's data centre by rendezvous
+// hashing of its placement: there resends of one key meet. The second home is
+// a node of the nearest other data centre that can be reached, else the next
+// member of the same one. Both keep the answer until the first home has
+// written it to the platform in a group with others, so that an accepted
+// request outlives any node and any data centre.
 package homes
 
 import (
 	"context"
 	"crypto/rand"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -41,16 +44,17 @@
 	rerun      func(hold.Request)
 	name       string // makes names of result objects unique
 
-	mu    sync.Mutex
-	table *hold.Table
-	seq   int
+	mu         sync.Mutex
+	table      *hold.Table
+	seq        int
+	avoidUntil map[string]time.Time // peers of other data centres that did not answer
 }
 
 // New returns a keeper bounded to limit bytes. rerun is called, once per
 // request, with requests whose owner died and that this node must now run.
 func New(limit int, view func() *member.View, pool *peer.Pool, p *platform.Client, r *timeline.Recorder, rerun func(hold.Request)) *Keeper {
 	return &Keeper{membership: view, pool: pool, platform: p, recorder: r, rerun: rerun,
-		name: view().Self.ID + "-" + rand.Text()[:8], table: hold.New(limit)}
+		name: view().Self.ID + "-" + rand.Text()[:8], table: hold.New(limit), avoidUntil: map[string]time.Time{}}
 }
 
 func (k *Keeper) ranked(requestID string) []string {
@@ -63,20 +67,116 @@
 	return rendezvous.Rank(id.Placement, members, candidates)
 }
 
+// seat is a place that may keep a request.
+type seat struct {
+	node  string // of this data centre; empty: another data centre
+	relay bool   // the receiver passes the call on to its first home
+	addrs []string
+}
+
+// seats returns where a request may be kept, in order of preference.
+func (k *Keeper) seats(requestID string) []seat {
+	var seats []seat
+	for _, node := range k.ranked(requestID) {
+		seats = append(seats, seat{node: node})
+	}
+	id, _ := ParseID(requestID)
+	if addrs := k.contacts(id.Second); len(addrs) > 0 && id.DataCentre == k.membership().Self.DataCentre {
+		away := seat{relay: true, addrs: addrs}
+		seats = append(seats[:1:1], append([]seat{away}, seats[1:]...)...)
+	}
+	return seats
+}
+
+// contacts returns the addresses of a data centre's reachable contacts.
+func (k *Keeper) contacts(dataCentre string) []string {
+	var addrs []string
+	for _, c := range k.membership().Contacts {
+		if c.DataCentre == dataCentre && c.State != member.Dead && !k.avoided(c.PeerAddr) {
+			addrs = append(addrs, c.PeerAddr)
+		}
+	}
+	return addrs
+}
+
+// avoidTime is how long an address that did not answer is not asked again.
+const avoidTime = 2 * time.Second
+
+func (k *Keeper) avoid(addr string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.avoidUntil[addr] = time.Now().Add(avoidTime)
+}
+
+func (k *Keeper) avoided(addr string) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return time.Now().Before(k.avoidUntil[addr])
+}
+
+// SecondCentre returns the data centre for the second home of a new request:
+// the one with a reachable contact that was named first; empty when there is
+// none.
+func (k *Keeper) SecondCentre() string {
+	for _, c := range k.membership().Contacts {
+		if c.State != member.Dead && !c.Leaving && !k.avoided(c.PeerAddr) {
+			return c.DataCentre
+		}
+	}
+	return ""
+}
+
+// each calls f for the seats in turn until enough have taken the call. f's
+// error means that the next seat stands in.
+func (k *Keeper) each(requestID string, enough int, f func(c peerClient, relay bool) error) (taken int) {
+	for _, s := range k.seats(requestID) {
+		if k.at(s, f) == nil {
+			taken++
+		}
+		if taken == enough {
+			break
+		}
+	}
+	return taken
+}
+
+// at calls f at one seat. A nil client means this node itself.
+func (k *Keeper) at(s seat, f func(c peerClient, relay bool) error) error {
+	if !s.relay {
+		client, local, err := k.client(s.node)
+		if err != nil {
+			return err
+		}
+		if local {
+			return f(nil, false)
+		}
+		return f(client, false)
+	}
+	err := errNotMember
+	for _, addr := range s.addrs {
+		if err = f(k.pool.Client(addr), true); err == nil {
+			return nil
+		}
+		k.avoid(addr)
+	}
+	return err
+}
+
 // Register holds a request at its homes. The answer's state is Fresh when the
 // sender is to run it. Errors: Overloaded when no home takes it.
 func (k *Keeper) Register(ctx context.Context, r hold.Request) (hold.Answer, error) {
 	held := 0
-	for _, node := range k.ranked(r.ID) {
-		answer, err := k.holdAt(ctx, node, r)
-		if err != nil {
-			continue // the next candidate stands in
-		}
-		switch answer.State {
-		case hold.Fresh:
+	for _, s := range k.seats(r.ID) {
+		var answer hold.Answer
+		err := k.at(s, func(c peerClient, relay bool) (err error) {
+			answer, err = k.holdAt(ctx, c, relay, r)
+			return err
+		})
+		switch {
+		case err != nil || answer.State == hold.Full:
+			continue // the next seat stands in
+		case answer.State == hold.Fresh:
 			held++
-		case hold.Full:
-			continue
 		default:
 			if held > 0 {
 				k.Drop(ctx, r.ID) // an earlier home had lost what this one knows
@@ -93,23 +193,30 @@
 	return hold.Answer{State: hold.Fresh, RequestID: r.ID}, nil
 }
 
-func (k *Keeper) holdAt(ctx context.Context, node string, r hold.Request) (hold.Answer, error) {
-	client, local, err := k.client(node)
-	if err != nil {
-		return hold.Answer{}, err
-	}
-	if local {
+func (k *Keeper) holdAt(ctx context.Context, c peerClient, relay bool, r hold.Request) (hold.Answer, error) {
+	if c == nil {
 		return k.HoldLocal(r), nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	resp, err := client.Hold(ctx, requestToProto(r))
+	req := requestToProto(r)
+	req.Relay = relay
+	resp, err := c.Hold(ctx, req)
 	if err != nil {
 		return hold.Answer{}, err
 	}
 	return answerFromProto(resp), nil
 }
 
+// HoldHere takes a request from another data centre to this one's first home.
+func (k *Keeper) HoldHere(ctx context.Context, r hold.Request) (hold.Answer, error) {
+	client, local, err := k.client(k.ranked(r.ID)[0])
+	if err != nil || local {
+		return k.HoldLocal(r), nil
+	}
+	return k.holdAt(ctx, client, false, r)
+}
+
 var errNotMember = errors.New("node is not a member")
 
 func (k *Keeper) client(node string) (c peerClient, local bool, err error) {
@@ -134,15 +241,7 @@
 
 // Finish stores a final answer at the homes; it returns how many have it.
 func (k *Keeper) Finish(ctx context.Context, r hold.Result) int {
-	stored := 0
-	for _, node := range k.ranked(r.RequestID) {
-		if err := k.finishAt(ctx, node, r); err == nil {
-			stored++
-		}
-		if stored == homeCount {
-			break
-		}
-	}
+	stored := k.each(r.RequestID, homeCount, func(c peerClient, relay bool) error { return k.finishAt(ctx, c, relay, r) })
 	if stored == 0 {
 		k.FinishLocal(r, false)
 		stored = 1
@@ -150,21 +249,28 @@
 	return stored
 }
 
-func (k *Keeper) finishAt(ctx context.Context, node string, r hold.Result) error {
-	client, local, err := k.client(node)
-	if err != nil {
-		return err
-	}
-	if local {
+func (k *Keeper) finishAt(ctx context.Context, c peerClient, relay bool, r hold.Result) error {
+	if c == nil {
 		k.FinishLocal(r, false)
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	_, err = client.Finish(ctx, &v1.FinishRequest{Result: ResultToProto(r)})
+	_, err := c.Finish(ctx, &v1.FinishRequest{Result: ResultToProto(r), Relay: relay})
 	return err
 }
 
+// FinishHere takes a final answer from another data centre to this one's
+// first home.
+func (k *Keeper) FinishHere(ctx context.Context, r hold.Result) error {
+	client, local, err := k.client(k.ranked(r.RequestID)[0])
+	if err != nil || local {
+		k.FinishLocal(r, false)
+		return nil
+	}
+	return k.finishAt(ctx, client, false, r)
+}
+
 // FinishLocal stores a final answer in this node's own table. The first
 // answer of a request stands.
 func (k *Keeper) FinishLocal(r hold.Result, durable bool) bool {
@@ -177,19 +283,28 @@
 // Drop forgets a request at its homes: it was refused before anything was
 // sent, and a resend is to start anew.
 func (k *Keeper) Drop(ctx context.Context, requestID string) {
-	for _, node := range k.ranked(requestID) {
-		client, local, err := k.client(node)
-		if err != nil {
-			continue
-		}
-		if local {
-			k.DropLocal(requestID)
-			continue
-		}
-		ctx, cancel := context.WithTimeout(ctx, callTimeout)
-		client.Drop(ctx, &v1.DropRequest{RequestId: requestID})
-		cancel()
+	k.each(requestID, candidates, func(c peerClient, relay bool) error { return k.dropAt(ctx, c, relay, requestID) })
+}
+
+func (k *Keeper) dropAt(ctx context.Context, c peerClient, relay bool, requestID string) error {
+	if c == nil {
+		k.DropLocal(requestID)
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	_, err := c.Drop(ctx, &v1.DropRequest{RequestId: requestID, Relay: relay})
+	return err
+}
+
+// DropHere forgets a request of another data centre at this one's first home.
+func (k *Keeper) DropHere(ctx context.Context, requestID string) error {
+	client, local, err := k.client(k.ranked(requestID)[0])
+	if err != nil || local {
+		k.DropLocal(requestID)
+		return nil
 	}
+	return k.dropAt(ctx, client, false, requestID)
 }
 
 // DropLocal forgets a request in this node's own table.
@@ -238,20 +353,134 @@
 // Takeover hands on, for rerun, the requests whose owner is gone and whose
 // first home is now this node.
 func (k *Keeper) Takeover(view *member.View) {
-	k.mu.Lock()
-	orphans := k.table.Orphans(view.Gone)
-	var mine []hold.Request
-	for _, r := range orphans {
+	for _, r := range k.orphans(view) {
 		if k.first(r.ID, view) {
-			k.table.Adopt(r.ID, view.Self.ID, view.Self.Incarnation)
-			r.Owner, r.OwnerIncarnation = view.Self.ID, view.Self.Incarnation
-			mine = append(mine, r)
+			k.takeOver(r, "owner is gone")
+		}
+	}
+}
+
+// orphans returns the running requests of this data centre whose owner is gone.
+func (k *Keeper) orphans(view *member.View) []hold.Request {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return slices.DeleteFunc(k.table.Orphans(view.Gone), func(r hold.Request) bool {
+		id, _ := ParseID(r.ID)
+		return id.DataCentre != view.Self.DataCentre
+	})
+}
+
+// sweep takes over orphans that were left for more than a round: their first
+// home restarted and knows nothing of them, or they came after their owner's
+// death was seen. It returns the orphans seen.
+func (k *Keeper) sweep(before map[string]bool) map[string]bool {
+	seen := map[string]bool{}
+	for _, r := range k.orphans(k.membership()) {
+		seen[r.ID] = true
+		if before[r.ID] {
+			k.takeOver(r, "owner is gone and the first home does not know it")
 		}
 	}
+	return seen
+}
+
+func (k *Keeper) takeOver(r hold.Request, cause string) {
+	self := k.membership().Self
+	k.mu.Lock()
+	k.table.Adopt(r.ID, self.ID, self.Incarnation)
 	k.mu.Unlock()
-	for _, r := range mine {
-		k.recorder.Record(timeline.RequestTakenOver, r.ID, "", "owner is gone")
-		go k.rerun(r)
+	r.Owner, r.OwnerIncarnation = self.ID, self.Incarnation
+	k.recorder.Record(timeline.RequestTakenOver, r.ID, "", cause)
+	go k.rerun(r)
+}
+
+// watchAway is the time between looks at requests kept for other data centres.
+const watchAway = time.Second
+
+// lostAfter is how long the data centre of a request must not answer before
+// its second home runs the request.
+const lostAfter = 20 * time.Second
+
+// Watch takes over requests that nobody runs any more, of this data centre
+// and of others, until ctx ends. A data centre that answers and does not know a request has
+// lost both its owner and its first home; one that does not answer for long
+// is taken for lost: a request that both then run gets one answer, for the
+// first one stands.
+func (k *Keeper) Watch(ctx context.Context) {
+	silent := map[string]time.Time{} // by data centre: since when
+	looked := map[string]time.Time{} // by request: the next look
+	left := map[string]bool{}        // orphans of this data centre seen in the last round
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(watchAway):
+		}
+		left = k.sweep(left)
+		due := k.away()
+		looked = nextLooks(due, looked, time.Now())
+		for _, r := range due {
+			if looked[r.ID].Before(time.Now()) {
+				k.lookAway(ctx, r, silent)
+			}
+		}
+	}
+}
+
+// nextLooks keeps the times of requests that still run and doubles the pause
+// of those that are due, so that a long request costs few looks.
+func nextLooks(running []hold.Request, looked map[string]time.Time, now time.Time) map[string]time.Time {
+	next := map[string]time.Time{}
+	for _, r := range running {
+		at, known := looked[r.ID]
+		switch age := now.Sub(time.Unix(r.Created, 0)); {
+		case !known:
+			at = now.Add(-time.Millisecond) // due now
+		case at.Before(now):
+			at = now.Add(age / 2)
+		}
+		next[r.ID] = at
+	}
+	return next
+}
+
+// away returns the running requests of other data centres that are due for a
+// look: older than a look's time, so that their owners have had time to end.
+func (k *Keeper) away() []hold.Request {
+	self := k.membership().Self
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	var out []hold.Request
+	for _, r := range k.table.Orphans(func(node string, incarnation uint64) bool { return node != self.ID || incarnation != self.Incarnation }) {
+		id, _ := ParseID(r.ID)
+		if id.DataCentre != self.DataCentre && time.Now().Unix()-r.Created >= lookAfter {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+// lookAfter is the age in seconds from which a kept request is looked after.
+const lookAfter = 4
+
+func (k *Keeper) lookAway(ctx context.Context, r hold.Request, silent map[string]time.Time) {
+	id, _ := ParseID(r.ID)
+	answer, answered := k.askThere(ctx, id.DataCentre, r.ID, r.Workspace, 0)
+	if !answered {
+		if silent[id.DataCentre].IsZero() {
+			silent[id.DataCentre] = time.Now()
+		}
+		if time.Since(silent[id.DataCentre]) > lostAfter {
+			k.takeOver(r, "data centre "+id.DataCentre+" is lost")
+		}
+		return
+	}
+	delete(silent, id.DataCentre)
+	switch answer.State {
+	case hold.Done:
+		k.FinishLocal(*answer.Result, true)
+	case hold.Unknown:
+		k.takeOver(r, "data centre "+id.DataCentre+" has lost it")
 	}
 }
 
--- a/internal/request/homes/id.go
+++ b/internal/request/homes/id.go
@@ -12,34 +12,35 @@
 // idPrefix starts every request ID.
 const idPrefix = "resp"
 
-// ID names a request: its data centre, creation time and placement are part
+// ID names a request: its data centres, creation time and placement are part
 // of it, so that any node finds its homes and, later, its stored result.
 type ID struct {
 	DataCentre string
+	Second     string // data centre of the second home; empty: the same
 	Created    int64  // Unix seconds
 	Placement  string // ranks the homes; derived from the key when there is one
 }
 
 // NewID returns a new request ID. Requests with the same workspace and key get
 // the same placement.
-func NewID(dataCentre string, created int64, workspace, key string) string {
+func NewID(dataCentre, second string, created int64, workspace, key string) string {
 	nonce := rand.Text()[:12]
 	placed := nonce
 	if key != "" {
 		placed = workspace + "\x00" + key
 	}
-	return fmt.Sprintf("%s_%s_%s_%08x_%s", idPrefix, dataCentre, strconv.FormatInt(created, 36), uint32(xxhash.Sum64String(placed)), nonce)
+	return fmt.Sprintf("%s_%s_%s_%s_%08x_%s", idPrefix, dataCentre, second, strconv.FormatInt(created, 36), uint32(xxhash.Sum64String(placed)), nonce)
 }
 
 // ParseID reads a request ID; ok is false when it is none.
 func ParseID(id string) (ID, bool) {
 	parts := strings.Split(id, "_")
-	if len(parts) != 5 || parts[0] != idPrefix {
+	if len(parts) != 6 || parts[0] != idPrefix {
 		return ID{}, false
 	}
-	created, err := strconv.ParseInt(parts[2], 36, 64)
+	created, err := strconv.ParseInt(parts[3], 36, 64)
 	if err != nil {
 		return ID{}, false
 	}
-	return ID{DataCentre: parts[1], Created: created, Placement: parts[3]}, true
+	return ID{DataCentre: parts[1], Second: parts[2], Created: created, Placement: parts[4]}, true
 }
--- a/internal/request/pace/pace.go
+++ b/internal/request/pace/pace.go
@@ -14,6 +14,9 @@
 	Reserve int     // sequences kept free for the next online request
 	// Quiet is how long after an online rise the freed sequences stay free.
 	Quiet time.Duration
+	// Unthrottled ignores online requests: the baseline that pacing is
+	// measured against.
+	Unthrottled bool
 }
 
 // Target is the pacer's view of one owned target.
@@ -118,6 +121,9 @@
 	if t == nil || !t.usable {
 		return 0
 	}
+	if p.cfg.Unthrottled {
+		return t.maxRunning
+	}
 	online := t.onlineTotal()
 	if now.Sub(t.peakAt) <= p.cfg.Quiet {
 		online = max(online, t.peak)
--- a/internal/request/serve/complete.go
+++ b/internal/request/serve/complete.go
@@ -112,7 +112,7 @@
 
 func (s *Server) newExecution(r *http.Request, c *session, service *fleet.Service, body []byte, now time.Time) *execution {
 	key := r.Header.Get(openai.HeaderIdempotencyKey)
-	id := homes.NewID(s.Members().Self.DataCentre, now.Unix(), c.workspace.Name, key)
+	id := homes.NewID(s.Members().Self.DataCentre, s.Keeper.SecondCentre(), now.Unix(), c.workspace.Name, key)
 	return &execution{
 		request: run.Request{
 			ID: id, Workspace: c.workspace.Name, Service: service.Name, Path: r.URL.Path, Method: r.Method, Body: body,
--- a/internal/version/config/config.go
+++ b/internal/version/config/config.go
@@ -48,8 +48,9 @@
 	checker    *invariant.Checker
 	wait       time.Duration
 
-	mu      sync.Mutex // serialises adoption
-	current atomic.Pointer[snapshot]
+	mu      sync.Mutex               // serialises adoption
+	current atomic.Pointer[snapshot] // in force
+	held    atomic.Pointer[snapshot] // newest known: in force or about to be; what peers are told
 	loaded  atomic.Bool
 	hints   chan hint
 	changed []func(*fleet.Config)
@@ -65,6 +66,7 @@
 func New(p *platform.Client, pool *peer.Pool, m Membership, r *timeline.Recorder, c *invariant.Checker, wait time.Duration) *Manager {
 	mgr := &Manager{platform: p, pool: pool, membership: m, recorder: r, checker: c, wait: wait, hints: make(chan hint, 16)}
 	mgr.current.Store(&snapshot{config: fleet.Empty(), bodies: map[string][]byte{}})
+	mgr.held.Store(mgr.current.Load())
 	return mgr
 }
 
@@ -79,9 +81,7 @@
 
 // Pack implements membership.Passenger.
 func (m *Manager) Pack(state *v1.HeartbeatRequest, _ bool) {
-	if m.Loaded() {
-		state.HeadVersion = m.Current().Version
-	}
+	state.HeadVersion = m.Current().Version
 }
 
 // Unpack implements membership.Passenger.
@@ -96,6 +96,7 @@
 
 // Run watches the platform and follows hints until ctx ends.
 func (m *Manager) Run(ctx context.Context) {
+	m.bootstrap(ctx)
 	var wg sync.WaitGroup
 	wg.Go(func() { m.followHints(ctx) })
 	wg.Go(func() { m.watch(ctx) })
@@ -125,11 +126,11 @@
 func (m *Manager) watch(ctx context.Context) {
 	var since int64
 	for ctx.Err() == nil {
-		if m.Loaded() && !m.watches() {
+		if !m.watches() {
 			sleep(ctx, time.Second)
 			continue
 		}
-		change, err := m.platform.Watch(ctx, record.ConfigHead, since, m.watchWait())
+		change, err := m.platform.Watch(ctx, record.ConfigHead, since, m.wait)
 		if err != nil {
 			sleep(ctx, retryWatch)
 			continue
@@ -141,24 +142,6 @@
 				sleep(ctx, retryWatch)
 			}
 		}
-		if len(change.Objects) == 0 && !m.Loaded() {
-			m.confirmAbsent(ctx)
-		}
-	}
-}
-
-// watchWait is short until something was loaded, so that a new fleet without
-// any configuration becomes ready soon.
-func (m *Manager) watchWait() time.Duration {
-	if m.Loaded() {
-		return m.wait
-	}
-	return time.Millisecond
-}
-
-func (m *Manager) confirmAbsent(ctx context.Context) {
-	if _, err := m.platform.Get(ctx, platform.Commit, record.ConfigHead); errors.Is(err, platform.ErrNotFound) {
-		m.loaded.Store(true)
 	}
 }
 
@@ -177,7 +160,7 @@
 	if err != nil {
 		return err
 	}
-	if head.Version <= m.Current().Version && m.Loaded() {
+	if head.Version <= m.Current().Version {
 		return nil // stale
 	}
 	bodies, missing := m.have(head)
@@ -230,32 +213,54 @@
 	m.adopt(head, bodies, "peer "+addr)
 }
 
+// adopt makes a version the one in force, after a peer holds it too.
 func (m *Manager) adopt(head fleet.Head, bodies map[string][]byte, source string) error {
-	config, err := fleet.Assemble(head, bodies)
+	s, err := m.hold(head, bodies)
 	if err != nil {
 		return err
 	}
+	if head.Version > m.Current().Version {
+		m.offer(head, bodies)
+	}
+	m.take(s, source)
+	return nil
+}
+
+// hold keeps a version for peers that ask, before it is in force here.
+func (m *Manager) hold(head fleet.Head, bodies map[string][]byte) (*snapshot, error) {
+	config, err := fleet.Assemble(head, bodies)
+	if err != nil {
+		return nil, err
+	}
+	s := &snapshot{config, head, bodies}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if head.Version > m.held.Load().head.Version {
+		m.held.Store(s)
+	}
+	return s, nil
+}
+
+// take makes a version the one in force, if it is newer.
+func (m *Manager) take(s *snapshot, source string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	old := m.Current().Version
-	if head.Version <= old {
-		m.loaded.Store(true)
-		return nil
-	}
-	m.checker.Assert(config.Version > old, invariant.ConfigOnlyForward, "", "config", "version %d after %d", config.Version, old)
-	m.current.Store(&snapshot{config, head, bodies})
-	m.loaded.Store(true)
-	m.membership.SetConfigVersion(config.Version)
-	m.recorder.Record(timeline.ConfigAdopted, "", fmt.Sprintf("version %d", config.Version), "from "+source)
+	if s.head.Version <= old {
+		return
+	}
+	m.checker.Assert(s.config.Version > old, invariant.ConfigOnlyForward, "", "config", "version %d after %d", s.config.Version, old)
+	m.current.Store(s)
+	m.membership.SetConfigVersion(s.config.Version)
+	m.recorder.Record(timeline.ConfigAdopted, "", fmt.Sprintf("version %d", s.config.Version), "from "+source)
 	for _, f := range m.changed {
-		f(config)
+		f(s.config)
 	}
-	return nil
 }
 
 // FetchConfig answers a peer.
 func (m *Manager) FetchConfig(_ context.Context, req *v1.FetchConfigRequest) (*v1.FetchConfigResponse, error) {
-	s := m.current.Load()
+	s := m.held.Load()
 	if s.head.Version == 0 {
 		return &v1.FetchConfigResponse{}, nil
 	}
--- a/lab/cmd/marblelab/main.go
+++ b/lab/cmd/marblelab/main.go
@@ -16,6 +16,7 @@
 
 	"github.com/marblepond/marblepond/lab/demo"
 	"github.com/marblepond/marblepond/lab/engine"
+	"github.com/marblepond/marblepond/lab/load"
 	"github.com/marblepond/marblepond/lab/platform"
 	"github.com/marblepond/marblepond/lab/service"
 	"github.com/marblepond/marblepond/lab/soak"
@@ -29,7 +30,7 @@
 		Usage: "stand-ins, demo and experiments",
 		Commands: []*cli.Command{
 			platformCommand(), engineCommand(), serviceCommand(),
-			soakCommand(),
+			soakCommand(), loadCommand(),
 			{Name: "demo", Usage: "run a small fleet in this process and check it", Action: func(context.Context, *cli.Command) error { return demo.Run(os.Stdout) }},
 		},
 	}
@@ -51,6 +52,24 @@
 		}}
 }
 
+func loadCommand() *cli.Command {
+	return &cli.Command{Name: "load", Usage: "run an experiment",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "file", Aliases: []string{"f"}, Required: true, Usage: "the experiment, an INI `FILE`"},
+			&cli.StringFlag{Name: "out", Usage: "write the result as JSON to `FILE`"}},
+		Action: func(_ context.Context, c *cli.Command) error {
+			e, err := load.Read(c.String("file"))
+			if err != nil {
+				return err
+			}
+			result, err := load.Run(e, os.Stdout)
+			if err != nil || c.String("out") == "" {
+				return err
+			}
+			return result.Save(c.String("out"))
+		}}
+}
+
 func listenFlag() cli.Flag {
 	return &cli.StringFlag{Name: "listen", Required: true, Usage: "`IP:PORT`"}
 }
--- a/lab/deployment/deployment.go
+++ b/lab/deployment/deployment.go
@@ -43,6 +43,7 @@
 	Loaded      []string // names the engines have loaded from the start
 	Extra       string   // settings of every node, INI text with whole sections
 	Fleet       string   // the first intent
+	Variant     node.Variant
 }
 
 // Ports used on every address.
@@ -205,7 +206,7 @@
 	if err != nil {
 		return err
 	}
-	nd := node.New(s)
+	nd := node.NewVariant(s, e.Variant)
 	ctx, stop := context.WithCancel(context.Background())
 	e.mu.Lock()
 	e.Nodes[dc][n] = nd
--- a/lab/soak/check.go
+++ b/lab/soak/check.go
@@ -40,7 +40,7 @@
 	c.log("settling")
 	c.processes()
 	for _, check := range []func(context.Context){c.jobs, c.online, c.configuration} {
-		ctx, cancel := context.WithTimeout(context.Background(), settleLimit)
+		ctx, cancel := context.WithTimeout(context.Background(), 2*settleLimit)
 		check(ctx)
 		cancel()
 	}
@@ -117,8 +117,13 @@
 	return (&openai.Request{Messages: []openai.Message{{Role: "user", Content: text}}}).Text()
 }
 
+// storedLimit is how long an accepted answer may take to be found.
+const storedLimit = 40 * time.Second
+
 // stored reads an answer by its ID until it is there.
 func (c *checker) stored(ctx context.Context, id string) (string, error) {
+	ctx, cancel := context.WithTimeout(ctx, storedLimit)
+	defer cancel()
 	for {
 		status, _, body, err := c.caller.Call(ctx, http.MethodGet, c.fleet.CallerAddr(2, 1), "/v1/responses/"+id, nil, nil)
 		if err == nil && status == http.StatusOK {
