--- /dev/null
+++ b/internal/errkind/errkind_test.go
@@ -0,0 +1,38 @@
+package errkind
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func TestTable(t *testing.T) {
+	is := is.New(t)
+	names := map[string]bool{}
+	for kind, row := range table {
+		err := kind.New("text")
+		is.Equal(Of(err), row)
+		is.True(Is(err, kind))
+		is.Equal(ByName(row.Name), kind)
+		is.True(!names[row.Name]) // each name once
+		names[row.Name] = true
+		is.True(row.HTTPStatus >= 400)
+		is.True(row.NotRun == NotRunTrue || row.NotRun == NotRunUnknown)
+		if row.HTTPStatus == 429 || row.HTTPStatus == 503 {
+			is.True(row.RetryAfter > 0) // says when to come back
+		}
+	}
+}
+
+func TestOtherErrorsAreInternal(t *testing.T) {
+	is := is.New(t)
+	is.Equal(Of(errors.New("secret detail")).Name, "internal")
+	is.Equal(Message(errors.New("secret detail")), "internal error")
+}
+
+func TestRetryAfter(t *testing.T) {
+	is := is.New(t)
+	is.Equal(Of(WithRetryAfter(Overloaded.New("x"), time.Minute)).RetryAfter, time.Minute)
+}
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -218,6 +218,7 @@
 func (n *Node) startDuties(ctx context.Context, wg *sync.WaitGroup) {
 	wg.Go(func() { n.membership.Run(ctx) })
 	wg.Go(func() { n.config.Run(ctx) })
+	wg.Go(func() { n.announceReady(ctx) })
 	wg.Go(func() { n.targets.Run(ctx) })
 	wg.Go(func() { n.targets.SendPressure(ctx, n.pool, n.worker.TakePressure) })
 	wg.Go(func() { n.keeper.Flush(ctx, n.settings.FlushInterval) })
@@ -226,6 +227,20 @@
 	wg.Go(func() { n.worker.Run(ctx) })
 }
 
+// readyPoll is the time between looks at whether a starting node is ready.
+const readyPoll = 20 * time.Millisecond
+
+func (n *Node) announceReady(ctx context.Context) {
+	for n.ready() != nil {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(readyPoll):
+		}
+	}
+	n.recorder.Record(timeline.NodeReady, "", n.self.ID, fmt.Sprintf("configuration version %d", n.config.Current().Version))
+}
+
 // settleTime is how long a leaving node still takes calls after its health
 // answer fails, so that the balancer has seen it.
 const settleTime = 500 * time.Millisecond
--- /dev/null
+++ b/internal/request/admit/admit_test.go
@@ -0,0 +1,64 @@
+package admit
+
+import (
+	"testing"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"github.com/matryer/is"
+
+	"github.com/marblepond/marblepond/internal/errkind"
+	"github.com/marblepond/marblepond/internal/version/fleet"
+)
+
+var now = time.Unix(1000, 0)
+
+func TestRefusals(t *testing.T) {
+	enough := Supply{Usable: 2, Capacity: 8, ServiceSec: 1}
+	for _, c := range []struct {
+		name      string
+		workspace fleet.Workspace
+		service   fleet.Service
+		supply    Supply
+		remaining time.Duration
+		admitted  int // before the refusal
+		kind      *errorx.Type
+	}{
+		{"no target", fleet.Workspace{}, fleet.Service{}, Supply{}, time.Minute, 0, errkind.NoTarget},
+		{"service full", fleet.Workspace{}, fleet.Service{}, Supply{Usable: 2, Capacity: 8, InFlight: 10}, time.Minute, 0, errkind.Overloaded},
+		{"too late", fleet.Workspace{}, fleet.Service{}, Supply{Usable: 2, Capacity: 8, InFlight: 9, ServiceSec: 100}, time.Second, 0, errkind.DeadlineUnmeetable},
+		{"workspace in flight", fleet.Workspace{MaxInFlight: 1}, fleet.Service{}, enough, time.Minute, 1, errkind.RateLimited},
+		{"workspace rate", fleet.Workspace{RequestsPerSecond: 2}, fleet.Service{}, enough, time.Minute, 2, errkind.RateLimited},
+		{"service limit", fleet.Workspace{}, fleet.Service{MaxInFlight: 3}, enough, time.Minute, 3, errkind.Overloaded},
+		{"node limit", fleet.Workspace{}, fleet.Service{}, enough, time.Minute, 5, errkind.Overloaded},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			g := New(5)
+			d := Demand{&c.workspace, &c.service, c.remaining}
+			for range c.admitted {
+				is.NoErr(g.Admit(now, d, c.supply))
+			}
+			err := g.Admit(now, d, c.supply)
+			is.True(errkind.Is(err, c.kind))
+			is.Equal(errkind.Of(err).NotRun, errkind.NotRunTrue)
+			is.True(errkind.Of(err).RetryAfter > 0) // says when to come back
+			is.Equal(g.InFlight(), c.admitted)      // a refusal takes no place
+			for range c.admitted {
+				g.Done(d)
+			}
+			is.Equal(g.InFlight(), 0)
+		})
+	}
+}
+
+func TestRateRefills(t *testing.T) {
+	is := is.New(t)
+	g := New(100)
+	d := Demand{&fleet.Workspace{Name: "w", RequestsPerSecond: 2}, &fleet.Service{}, time.Minute}
+	s := Supply{Usable: 1, Capacity: 50}
+	is.NoErr(g.Admit(now, d, s))
+	is.NoErr(g.Admit(now, d, s))
+	is.True(g.Admit(now, d, s) != nil)
+	is.NoErr(g.Admit(now.Add(500*time.Millisecond), d, s))
+}
--- /dev/null
+++ b/internal/version/fleet/fleet_test.go
@@ -0,0 +1,118 @@
+package fleet
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+const intent = `[service "akmens-llm"]
+model = akmens
+version = 3
+adapters = notes,stock
+
+[workspace "kurzeme"]
+key_sha256 = %s
+services = akmens-llm
+`
+
+func parse(t *testing.T, text string) *Config {
+	t.Helper()
+	c, err := Parse([]byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+func TestModelNames(t *testing.T) {
+	is := is.New(t)
+	c := parse(t, fmt.Sprintf(intent, HashKey("k")))
+	w := c.ByKey("k")
+	for name, loaded := range map[string]string{
+		"akmens-llm": "akmens@3", "akmens": "akmens@3", "akmens-llm:notes": "akmens@3+notes", "akmens:stock": "akmens@3+stock", "akmens:none": "", "other": "",
+	} {
+		_, got := c.ServiceFor(w, name)
+		is.Equal(got, loaded) // name
+	}
+	is.True(c.ByKey("other") == nil)
+}
+
+func TestFaults(t *testing.T) {
+	for _, c := range []struct{ name, text, want string }{
+		{"unknown key", "[service \"s\"]\ncolour = red\n", `[service "s"] colour: found "red", allowed: no such key in this section`},
+		{"unknown section", "[server \"s\"]\nmodel = m\n", `[server "s"] -: found "server \"s\"", allowed: [service "name"] or [workspace "name"]`},
+		{"bad kind", "[service \"s\"]\nkind = big\n", `[service "s"] kind: found "big", allowed: model or plain`},
+		{"bad key", "[workspace \"w\"]\nkey_sha256 = abc\n", `[workspace "w"] key_sha256: found "abc", allowed: SHA-256 in hex, 64 digits`},
+		{"no such service", "[workspace \"w\"]\nservices = s\n", `[workspace "w"] services: found "s", allowed: a service of this configuration`},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			_, err := Parse([]byte(c.text))
+			is.True(err != nil)
+			is.Equal(err.Error(), c.want)
+		})
+	}
+}
+
+// TestSectionsCarryTheWhole: a configuration cut into sections and put
+// together again is the same, and a change touches few sections.
+func TestSectionsCarryTheWhole(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var b strings.Builder
+		for n := range rapid.IntRange(1, 30).Draw(t, "workspaces") {
+			fmt.Fprintf(&b, "[workspace \"w%d\"]\nmax_in_flight = %d\n", n, rapid.IntRange(0, 9).Draw(t, "limit"))
+		}
+		c, err := Parse([]byte(b.String()))
+		if err != nil {
+			t.Fatal(err)
+		}
+		head := NewHead(c, Head{Version: 6}, "token")
+		bodies := map[string][]byte{}
+		for _, body := range c.Sections() {
+			bodies[HashSection(body)] = body
+		}
+		again, err := Assemble(head, bodies)
+		if err != nil || again.Version != 7 || again.Text() != c.Text() {
+			t.Fatalf("%v\n%s", err, again.Text())
+		}
+		changed, _ := Parse([]byte(b.String() + "[workspace \"w0\"]\nbatch_weight = 5\n"))
+		fresh := 0
+		for _, hash := range NewHead(changed, head, "t").Sections {
+			if bodies[hash] == nil {
+				fresh++
+			}
+		}
+		if diff := Diff(c, changed); fresh != 1 || len(diff) != 1 || diff[0].Key != "batch_weight" {
+			t.Fatalf("%d sections changed, diff %v", fresh, diff)
+		}
+	})
+}
+
+func TestWritersAreRemembered(t *testing.T) {
+	is := is.New(t)
+	head := Head{}
+	for n := range writersKept + 5 {
+		head = NewHead(Empty(), head, fmt.Sprint(n))
+	}
+	is.Equal(len(head.Writers), writersKept)
+	is.True(head.WrittenBy(head.Version-3, fmt.Sprint(writersKept+1)))  // under later versions
+	is.True(!head.WrittenBy(head.Version-3, fmt.Sprint(writersKept+2))) // another's
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(fmt.Sprintf(intent, HashKey("k"))))
+	f.Add([]byte(`[service ""]`))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		c, err := Parse(text)
+		if err != nil {
+			return
+		}
+		if again, err := Parse([]byte(c.Text())); err == nil && len(Diff(c, again)) != 0 && !strings.ContainsAny(string(text), "`\"\\;#=:%") {
+			t.Fatalf("text does not carry the configuration: %v", Diff(c, again))
+		}
+	})
+}
