--- a/lab/load/workload.go
+++ b/lab/load/workload.go
@@ -115,7 +115,7 @@
 	if p.BurstShare == 0 || t < p.BurstAt {
 		return p.Share
 	}
-	risen := min(1, (t - p.BurstAt).Seconds()/max(0.001, p.BurstRise.Seconds()))
+	risen := min(1, (t-p.BurstAt).Seconds()/max(0.001, p.BurstRise.Seconds()))
 	return p.Share + (p.BurstShare-p.Share)*risen
 }
 
