--- a/internal/request/homes/homes.go
+++ b/internal/request/homes/homes.go
@@ -11,6 +11,7 @@
 	"context"
 	"crypto/rand"
 	"errors"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -408,8 +409,8 @@
 // first one stands.
 func (k *Keeper) Watch(ctx context.Context) {
 	silent := map[string]time.Time{} // by data centre: since when
-	looked := map[string]time.Time{} // by request: the next look
-	left := map[string]bool{}        // orphans of this data centre seen in the last round
+	looked := looks{}
+	left := map[string]bool{} // orphans of this data centre seen in the last round
 	for ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
@@ -417,31 +418,31 @@
 		case <-time.After(watchAway):
 		}
 		left = k.sweep(left)
-		due := k.away()
-		looked = nextLooks(due, looked, time.Now())
-		for _, r := range due {
-			if looked[r.ID].Before(time.Now()) {
-				k.lookAway(ctx, r, silent)
-			}
+		for _, r := range looked.due(time.Now(), k.away()) {
+			k.lookAway(ctx, r, silent)
 		}
 	}
 }
 
-// nextLooks keeps the times of requests that still run and doubles the pause
-// of those that are due, so that a long request costs few looks.
-func nextLooks(running []hold.Request, looked map[string]time.Time, now time.Time) map[string]time.Time {
-	next := map[string]time.Time{}
+// looks holds, by request, when it is looked after next.
+type looks map[string]time.Time
+
+// due returns the requests to be looked after now. A request that goes on is
+// looked after again when it is half as old again, so that a long one costs
+// few looks; requests that no longer run are forgotten.
+func (l looks) due(now time.Time, running []hold.Request) []hold.Request {
+	var due []hold.Request
+	still := map[string]bool{}
 	for _, r := range running {
-		at, known := looked[r.ID]
-		switch age := now.Sub(time.Unix(r.Created, 0)); {
-		case !known:
-			at = now.Add(-time.Millisecond) // due now
-		case at.Before(now):
-			at = now.Add(age / 2)
+		still[r.ID] = true
+		if now.Before(l[r.ID]) {
+			continue
 		}
-		next[r.ID] = at
+		due = append(due, r)
+		l[r.ID] = now.Add(now.Sub(time.Unix(r.Created, 0)) / 2)
 	}
-	return next
+	maps.DeleteFunc(l, func(id string, _ time.Time) bool { return !still[id] })
+	return due
 }
 
 // away returns the running requests of other data centres that are due for a
--- a/lab/cmd/marblelab/main.go
+++ b/lab/cmd/marblelab/main.go
@@ -30,7 +30,7 @@
 		Usage: "stand-ins, demo and experiments",
 		Commands: []*cli.Command{
 			platformCommand(), engineCommand(), serviceCommand(),
-			soakCommand(), loadCommand(),
+			soakCommand(), loadCommand(), overheadCommand(),
 			{Name: "demo", Usage: "run a small fleet in this process and check it", Action: func(context.Context, *cli.Command) error { return demo.Run(os.Stdout) }},
 		},
 	}
@@ -70,6 +70,19 @@
 		}}
 }
 
+func overheadCommand() *cli.Command {
+	return &cli.Command{Name: "overhead", Usage: "measure what a node adds to calling an engine straight",
+		Flags: []cli.Flag{&cli.IntFlag{Name: "net", Value: 70, Usage: "second byte of the addresses, 127.`N`.x.y"}},
+		Action: func(_ context.Context, c *cli.Command) error {
+			dir, err := os.MkdirTemp("", "overhead")
+			if err != nil {
+				return err
+			}
+			defer os.RemoveAll(dir)
+			return load.Overhead(dir, c.Int("net"), os.Stdout)
+		}}
+}
+
 func listenFlag() cli.Flag {
 	return &cli.StringFlag{Name: "listen", Required: true, Usage: "`IP:PORT`"}
 }
