--- a/lab/cmd/marblelab/main.go
+++ b/lab/cmd/marblelab/main.go
@@ -30,7 +30,7 @@
 		Usage: "stand-ins, demo and experiments",
 		Commands: []*cli.Command{
 			platformCommand(), engineCommand(), serviceCommand(),
-			soakCommand(), loadCommand(), overheadCommand(),
+			soakCommand(), loadCommand(), overheadCommand(), reportCommand(),
 			{Name: "demo", Usage: "run a small fleet in this process and check it", Action: func(context.Context, *cli.Command) error { return demo.Run(os.Stdout) }},
 		},
 	}
@@ -83,6 +83,27 @@
 		}}
 }
 
+func reportCommand() *cli.Command {
+	return &cli.Command{Name: "report", Usage: "summarise and plot a result",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "file", Aliases: []string{"f"}, Required: true, Usage: "a result, a JSON `FILE`"},
+			&cli.StringFlag{Name: "plot", Usage: "draw into a PNG or SVG `FILE`"}},
+		Action: func(_ context.Context, c *cli.Command) error {
+			result, err := load.Load(c.String("file"))
+			if err != nil {
+				return err
+			}
+			fmt.Println(load.SummaryHead)
+			for _, s := range result.Summaries() {
+				fmt.Println(s)
+			}
+			if c.String("plot") == "" {
+				return nil
+			}
+			return result.Plot(c.String("plot"))
+		}}
+}
+
 func listenFlag() cli.Flag {
 	return &cli.StringFlag{Name: "listen", Required: true, Usage: "`IP:PORT`"}
 }
--- /dev/null
+++ b/lab/load/report.go
@@ -0,0 +1,131 @@
+package load
+
+import (
+	"encoding/json"
+	"fmt"
+	"image/color"
+	"os"
+	"path/filepath"
+	"slices"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+)
+
+// Load reads a result written by Save.
+func Load(path string) (Result, error) {
+	var r Result
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return r, err
+	}
+	return r, json.Unmarshal(data, &r)
+}
+
+// Summary is a mode's median over its rounds, with the spread.
+type Summary struct {
+	Mode                              string
+	FirstP99, FirstP99Lo, FirstP99Hi  float64 // ms
+	TotalP99                          float64 // ms
+	Harm, HarmLo, HarmHi              float64 // first-token p99 over that of the first mode, paired by round
+	WholeHarm                         float64 // the same of the whole answer
+	BatchShare, BatchShareLo, ShareHi float64
+}
+
+// Summaries compares each mode with the experiment's first, round by round.
+func (r Result) Summaries() []Summary {
+	var out []Summary
+	base := map[int]Leg{}
+	for _, l := range r.Legs {
+		if l.Mode == r.Experiment.Modes[0] {
+			base[l.Round] = l
+		}
+	}
+	for _, mode := range r.Experiment.Modes {
+		var first, total, harm, whole, share []float64
+		for _, l := range r.Legs {
+			if l.Mode != mode {
+				continue
+			}
+			first, total, share = append(first, l.FirstP99MS), append(total, l.TotalP99MS), append(share, l.BatchShare)
+			harm = append(harm, l.FirstP99MS/base[l.Round].FirstP99MS)
+			whole = append(whole, l.TotalP99MS/base[l.Round].TotalP99MS)
+		}
+		s := Summary{Mode: mode, TotalP99: median(total), WholeHarm: median(whole)}
+		s.FirstP99, s.FirstP99Lo, s.FirstP99Hi = spread(first)
+		s.Harm, s.HarmLo, s.HarmHi = spread(harm)
+		s.BatchShare, s.BatchShareLo, s.ShareHi = spread(share)
+		out = append(out, s)
+	}
+	return out
+}
+
+func median(v []float64) float64 {
+	m, _, _ := spread(v)
+	return m
+}
+
+func spread(v []float64) (mid, lo, hi float64) {
+	if len(v) == 0 {
+		return 0, 0, 0
+	}
+	s := slices.Sorted(slices.Values(v))
+	return s[len(s)/2], s[0], s[len(s)-1]
+}
+
+// String returns the summary as a row of a Markdown table.
+func (s Summary) String() string {
+	return fmt.Sprintf("| %s | %.1f (%.1f-%.1f) | %.0f | %.2f (%.2f-%.2f) | %.2f | %.0f %% (%.0f-%.0f) |", s.Mode, s.FirstP99, s.FirstP99Lo, s.FirstP99Hi,
+		s.TotalP99, s.Harm, s.HarmLo, s.HarmHi, s.WholeHarm, 100*s.BatchShare, 100*s.BatchShareLo, 100*s.ShareHi)
+}
+
+// SummaryHead is the head of the table of summaries.
+const SummaryHead = "| mode | first token p99 ms | whole p99 ms | first-token harm | whole harm | batch share of idle |\n| --- | --- | --- | --- | --- | --- |"
+
+var palette = []color.RGBA{{0x1f, 0x77, 0xb4, 0xff}, {0x2c, 0xa0, 0x2c, 0xff}, {0xd6, 0x27, 0x28, 0xff}, {0x94, 0x67, 0xbd, 0xff}, {0x8c, 0x56, 0x4b, 0xff}}
+
+const (
+	plotWidth  = 18 * vg.Centimeter
+	plotHeight = 11 * vg.Centimeter
+)
+
+// Plot draws the distribution of the time to the first token, a line a mode
+// (the median round), into a PNG or SVG file.
+func (r Result) Plot(path string) error {
+	p := plot.New()
+	p.Title.Text = fmt.Sprintf("%s: time to the first token", r.Experiment.Name)
+	p.X.Label.Text = "requests, of 100"
+	p.Y.Label.Text = "milliseconds"
+	p.Legend.Top, p.Legend.Left = true, true
+	p.Add(plotter.NewGrid())
+	for i, mode := range r.Experiment.Modes {
+		var points plotter.XYs
+		for _, q := range r.medianLeg(mode).FirstMS {
+			points = append(points, plotter.XY{X: q.Quantile, Y: q.Value})
+		}
+		line, err := plotter.NewLine(points)
+		if err != nil {
+			return err
+		}
+		line.Color, line.Width = palette[i%len(palette)], vg.Points(2)
+		p.Add(line)
+		p.Legend.Add(mode, line)
+	}
+	if err := os.MkdirAll(filepath.Dir(path), 0o755); err != nil {
+		return err
+	}
+	return p.Save(plotWidth, plotHeight, path)
+}
+
+// medianLeg returns the round of a mode with the median first-token p99.
+func (r Result) medianLeg(mode string) Leg {
+	var legs []Leg
+	for _, l := range r.Legs {
+		if l.Mode == mode {
+			legs = append(legs, l)
+		}
+	}
+	slices.SortFunc(legs, func(a, b Leg) int { return int(1000 * (a.FirstP99MS - b.FirstP99MS)) })
+	return legs[len(legs)/2]
+}
