Keep room freed for an online rise for 0.1 s in place of 0.5 s

Cause: at half load batch took 55 % of the idle capacity though fill and reserve allow 69 %: each rise held its room for 0.5 s, longer than it takes to park an item (about 10 ms). Ruled out: chunk leases (the local queue was never empty).

Tried and reverted: online packed onto the fewest targets that carry it at 75 %, to leave the others to batch whole.

--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -164,7 +164,7 @@
 }
 
 // quietTime is how long room freed for an online rise stays free.
-const quietTime = 500 * time.Millisecond
+const quietTime = 100 * time.Millisecond
 
 func (n *Node) listenHandlers() {
 	peerMux := http.NewServeMux()
