Pace batch by what senders tell alone

Cause: the lagging running count less the batch count at its arrival was taken as online when it was higher; items that ended in between made it so. Ruled out as needed: every online request passes a node of the data centre, which tells the owner. Change: the term is gone.

--- a/internal/request/batch/worker.go
+++ b/internal/request/batch/worker.go
@@ -93,7 +93,7 @@
 // TakeReport takes an owned target's load report.
 func (w *Worker) TakeReport(target string, load choose.Load, usable bool) {
 	w.mu.Lock()
-	w.pacer.Report(target, load.MaxRunning, load.Running+load.Waiting, usable)
+	w.pacer.Report(target, load.MaxRunning, usable)
 	w.mu.Unlock()
 	w.signal()
 }
--- a/internal/request/pace/pace.go
+++ b/internal/request/pace/pace.go
@@ -23,9 +23,7 @@
 type target struct {
 	maxRunning int
 	usable     bool
-	running    int // reported by the engine
 	batch      int // own batch items in flight
-	batchAt    int // the same when running was reported
 	online     map[string]reported
 	peak       int // highest online count of the quiet time
 	peakAt     time.Time
@@ -75,11 +73,12 @@
 	return ids
 }
 
-// Report takes the engine's own figures. usable is false for a target that is
-// leaving, unhealthy or out.
-func (p *Pacer) Report(id string, maxRunning, running int, usable bool) {
+// Report takes what the engine can run. usable is false for a target that is
+// leaving, unhealthy or out. What it does run is not taken: reports lag, and
+// every online request passes a node of the data centre, which tells.
+func (p *Pacer) Report(id string, maxRunning int, usable bool) {
 	if t := p.targets[id]; t != nil {
-		t.maxRunning, t.running, t.usable, t.batchAt = maxRunning, running, usable, t.batch
+		t.maxRunning, t.usable = maxRunning, usable
 	}
 }
 
@@ -128,8 +127,6 @@
 	if now.Sub(t.peakAt) <= p.cfg.Quiet {
 		online = max(online, t.peak)
 	}
-	// Others may reach the target past this data centre's nodes.
-	online = max(online, t.running-t.batchAt)
 	return max(0, int(p.cfg.Fill*float64(t.maxRunning))-online-p.cfg.Reserve)
 }
 
--- a/internal/request/pace/pace_test.go
+++ b/internal/request/pace/pace_test.go
@@ -16,7 +16,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		p := New(Config{Fill: 0.9, Reserve: 1, Quiet: time.Second})
 		p.Own([]string{"t"})
-		p.Report("t", 20, 0, true)
+		p.Report("t", 20, true)
 		now, batch := start, 0
 		for seq := range rapid.IntRange(1, 30).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "ms")) * time.Millisecond)
@@ -45,7 +45,7 @@
 	is := is.New(t)
 	p := New(Config{Fill: 1})
 	p.Own([]string{"t"})
-	p.Report("t", 10, 0, true)
+	p.Report("t", 10, true)
 	p.Online(start, "t", "n", 2, 5, 7)
 	p.Online(start, "t", "n", 2, 4, 0) // overtaken
 	p.Online(start, "t", "n", 1, 9, 0) // of a former run
@@ -58,7 +58,7 @@
 	is := is.New(t)
 	p := New(Config{Fill: 1, Quiet: time.Second})
 	p.Own([]string{"t"})
-	p.Report("t", 10, 0, true)
+	p.Report("t", 10, true)
 	p.Online(start, "t", "n", 1, 1, 6)
 	p.Online(start.Add(time.Millisecond), "t", "n", 1, 2, 0)
 	is.Equal(p.Allowed(start.Add(500*time.Millisecond), "t"), 4)
@@ -69,7 +69,7 @@
 	is := is.New(t)
 	p := New(Config{Fill: 1})
 	p.Own([]string{"t"})
-	p.Report("t", 10, 0, false)
+	p.Report("t", 10, false)
 	is.Equal(p.Allowed(start, "t"), 0)
 	is.Equal(len(p.Free(start)), 0)
 }
