--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # demo runs the main job on embedded stand-ins; test passes the tests of both
 # modules.
-.PHONY: demo test build lint generate spec soak capacity
+.PHONY: demo test build lint spec mutants soak capacity generate
 
 demo:
 	go run ./lab/cmd/marblelab demo
@@ -17,5 +17,19 @@
 	go vet ./... ./lab/...
 	go run honnef.co/go/tools/cmd/staticcheck@v0.8.2 ./... ./lab/...
 
+# check that what the models in spec/ say must hold, and that broken ones fail
+spec:
+	scripts/check-spec.sh
+
+# every mechanism broken once, in a scratch copy: its test has to notice
+mutants:
+	scripts/check-mutants.sh
+
+soak:
+	go run ./lab/cmd/marblelab soak --seed 1 --for 40s
+
+capacity:
+	go run ./lab/cmd/marblelab capacity
+
 generate:
 	scripts/generate.sh
--- a/internal/request/batch/item.go
+++ b/internal/request/batch/item.go
@@ -30,6 +30,7 @@
 	answer   *run.Answer // keeps what a parked attempt held
 	attempts int         // that failed by the target's fault
 	claimed  bool        // non-idempotent: its start is committed
+	suspect  bool        // a target was lost while it ran there
 
 	target  string
 	started time.Time
@@ -132,6 +133,8 @@
 		w.requeue(it, true)
 	case errors.Is(err, engine.ErrBusy):
 		w.requeue(it, false)
+	case w.excused(it, err):
+		w.requeue(it, false)
 	default:
 		it.attempts++
 		if it.attempts >= w.cfg.ItemAttempts {
@@ -144,6 +147,41 @@
 	}
 }
 
+// blameTime is how long after a suspect ran at a target the losses of others
+// there are put down to it.
+const blameTime = time.Second
+
+// excused reports whether a lost target is not to be held against the item.
+// The first loss makes every item that ran there a suspect; suspects run one
+// to a target, so that the next loss there is one suspect's fault and nobody
+// else's.
+func (w *Worker) excused(it *item, err error) bool {
+	if !errors.Is(err, engine.ErrLinkLost) {
+		return false
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if it.suspect {
+		w.suspects[it.target] = time.Now()
+		return false
+	}
+	if w.suspectAt(it.target) || time.Since(w.suspects[it.target]) < blameTime {
+		return true
+	}
+	it.suspect = true
+	return false
+}
+
+// suspectAt reports whether a suspect runs at a target. The caller holds w.mu.
+func (w *Worker) suspectAt(target string) bool {
+	for _, it := range w.running[target] {
+		if it.suspect {
+			return true
+		}
+	}
+	return false
+}
+
 // finish records the item's result, once.
 func (w *Worker) finish(it *item, f finished) {
 	w.mu.Lock()
--- a/internal/request/batch/worker.go
+++ b/internal/request/batch/worker.go
@@ -51,11 +51,12 @@
 
 	mu        sync.Mutex
 	pacer     *pace.Pacer
-	jobs      map[string]*view   // open and cancelling
-	leases    map[string]*lease  // by name
-	queues    map[string][]*item // by service, next first
-	running   map[string][]*item // by target
-	wanted    map[string]bool    // services with room and no items
+	jobs      map[string]*view     // open and cancelling
+	leases    map[string]*lease    // by name
+	queues    map[string][]*item   // by service, next first
+	running   map[string][]*item   // by target
+	suspects  map[string]time.Time // by target: when one was last lost there
+	wanted    map[string]bool      // services with room and no items
 	acquiring bool
 	draining  bool
 }
@@ -79,7 +80,7 @@
 		cfg: cfg, self: self, store: p.Store, platform: p.Platform, runner: p.Runner, targets: p.Targets, members: p.Members,
 		config: p.Config, recorder: p.Recorder, checker: p.Checker, metrics: p.Metrics, wake: make(chan struct{}, 1),
 		pacer: pace.New(cfg.Pace), jobs: map[string]*view{}, leases: map[string]*lease{}, queues: map[string][]*item{},
-		running: map[string][]*item{}, wanted: map[string]bool{},
+		running: map[string][]*item{}, suspects: map[string]time.Time{}, wanted: map[string]bool{},
 	}
 }
 
@@ -200,7 +201,7 @@
 			continue
 		}
 		for range slot.Count {
-			it := w.next(target.Service, now)
+			it := w.next(target.Service, now, !w.suspectAt(target.ID))
 			if it == nil {
 				w.wanted[target.Service] = true
 				break
@@ -210,11 +211,12 @@
 	}
 }
 
-// next takes the next item of a service that may be dispatched.
-func (w *Worker) next(service string, now time.Time) *item {
+// next takes the next item of a service that may be dispatched, a suspect only
+// where there is none.
+func (w *Worker) next(service string, now time.Time, suspects bool) *item {
 	queue := w.queues[service]
 	for i, it := range queue {
-		if it.lease.stopped {
+		if it.lease.stopped || (it.suspect && !suspects) {
 			continue
 		}
 		if w.valid(it.lease, now) && it.lease.open() {
--- a/internal/request/choose/choose.go
+++ b/internal/request/choose/choose.go
@@ -315,6 +315,9 @@
 		readmitted = !e.ejectedUntil.IsZero()
 		e.failures, e.ejections, e.ejectedUntil = 0, 0, time.Time{}
 	case Failure:
+		if now.Before(e.ejectedUntil) && !wasTrial {
+			return false, false // sent before it was taken out; the same trouble
+		}
 		e.failures++
 		if e.failures >= t.cfg.EjectAfter || wasTrial {
 			ejected = true
--- a/internal/request/choose/choose_test.go
+++ b/internal/request/choose/choose_test.go
@@ -72,6 +72,19 @@
 	is.True(ok)
 }
 
+// TestOneTroubleCountsOnce: many requests lost together take a target out for
+// the first time, not for the longest.
+func TestOneTroubleCountsOnce(t *testing.T) {
+	is := is.New(t)
+	tab := table(1, LeastLoad)
+	for range 30 {
+		tab.Begin("t0")
+		tab.End(start, "t0", Failure)
+	}
+	_, ok := tab.Choose(start.Add(time.Second), Need{Service: "s", Loaded: "m@1"})
+	is.True(ok) // a trial after the first eject time
+}
+
 // TestLoadIsCorrectedForLag: what was sent since the report counts at once.
 func TestLoadIsCorrectedForLag(t *testing.T) {
 	is := is.New(t)
--- a/internal/request/hold/hold.go
+++ b/internal/request/hold/hold.go
@@ -27,6 +27,7 @@
 // Request is what a home keeps so that another node can run the request.
 type Request struct {
 	ID               string
+	Centre           string // data centre it was taken in; keys are told apart by it
 	Workspace        string
 	Key              string
 	Digest           []byte
@@ -43,6 +44,7 @@
 // Result is the final answer of a request.
 type Result struct {
 	RequestID   string
+	Centre      string
 	Workspace   string
 	Key         string
 	Digest      []byte
@@ -81,7 +83,7 @@
 // overhead is the memory of an entry besides its contents, in bytes.
 const overhead = 400
 
-func keyOf(workspace, key string) string { return workspace + "\x00" + key }
+func keyOf(r Request) string { return r.Centre + "\x00" + r.Workspace + "\x00" + r.Key }
 
 // Answer is the outcome of Hold and Lookup.
 type Answer struct {
@@ -116,7 +118,7 @@
 
 func (t *Table) find(r Request) *entry {
 	if r.Key != "" {
-		if e := t.byKey[keyOf(r.Workspace, r.Key)]; e != nil {
+		if e := t.byKey[keyOf(r)]; e != nil {
 			return e
 		}
 	}
@@ -127,7 +129,7 @@
 	e.place = t.order.PushBack(e)
 	t.byID[e.request.ID] = e
 	if e.request.Key != "" {
-		t.byKey[keyOf(e.request.Workspace, e.request.Key)] = e
+		t.byKey[keyOf(e.request)] = e
 	}
 	t.used += size
 }
@@ -156,7 +158,7 @@
 	t.order.Remove(e.place)
 	t.settle(e)
 	delete(t.byID, e.request.ID)
-	if k := keyOf(e.request.Workspace, e.request.Key); t.byKey[k] == e {
+	if k := keyOf(e.request); t.byKey[k] == e {
 		delete(t.byKey, k)
 	}
 	t.used -= overhead + len(e.request.Body)
@@ -171,7 +173,7 @@
 func (t *Table) Finish(r Result, durable bool) (stored bool) {
 	e := t.byID[r.RequestID]
 	if e == nil {
-		e = &entry{request: Request{ID: r.RequestID, Workspace: r.Workspace, Key: r.Key, Digest: r.Digest, Created: r.Created}}
+		e = &entry{request: Request{ID: r.RequestID, Centre: r.Centre, Workspace: r.Workspace, Key: r.Key, Digest: r.Digest, Created: r.Created}}
 		t.makeRoom(overhead + len(r.Body))
 		t.add(e, overhead)
 	}
--- a/internal/request/hold/hold_test.go
+++ b/internal/request/hold/hold_test.go
@@ -27,6 +27,17 @@
 	is.Equal(string(done.Result.Body), "a")
 }
 
+// TestKeysOfCentresAreApart: two data centres that took the same key at the
+// same time must not wait for each other.
+func TestKeysOfCentresAreApart(t *testing.T) {
+	is := is.New(t)
+	tab := New(1 << 20)
+	here, there := request("r1", "k", "d"), request("r2", "k", "d")
+	here.Centre, there.Centre = "a", "b"
+	is.Equal(tab.Hold(here).State, Fresh)
+	is.Equal(tab.Hold(there).State, Fresh)
+}
+
 func TestDroppedKeyStartsAnew(t *testing.T) {
 	is := is.New(t)
 	tab := New(1 << 20)
--- a/internal/request/homes/homes.go
+++ b/internal/request/homes/homes.go
@@ -267,6 +267,8 @@
 // HoldLocal registers a request in this node's own table.
 func (k *Keeper) HoldLocal(r hold.Request) hold.Answer {
 	k.recorder.Record(timeline.RequestHeld, r.ID, r.Owner, "")
+	id, _ := ParseID(r.ID)
+	r.Centre = id.DataCentre
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	return k.table.Hold(r)
@@ -308,6 +310,8 @@
 // answer of a request stands.
 func (k *Keeper) FinishLocal(r hold.Result, durable bool) bool {
 	k.recorder.Record(timeline.ResultHeld, r.RequestID, r.ErrorKind, "")
+	id, _ := ParseID(r.RequestID)
+	r.Centre = id.DataCentre
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	return k.table.Finish(r, durable)
--- a/internal/request/run/run.go
+++ b/internal/request/run/run.go
@@ -206,6 +206,9 @@
 		call.Held = a.Held()
 		r.recorder.Record(timeline.RequestResumed, req.ID, target.ID, "link lost")
 		err = r.engines.Resume(ctx, call, a.add)
+		if errors.Is(err, engine.ErrRejected) {
+			err = engine.ErrLinkLost // the engine no longer has the stream; that is not the caller's fault
+		}
 	}
 	if a.whole() {
 		return nil
--- a/internal/request/serve/complete.go
+++ b/internal/request/serve/complete.go
@@ -5,6 +5,7 @@
 	"context"
 	"crypto/sha256"
 	"encoding/json"
+	"errors"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -42,31 +43,72 @@
 
 // complete serves a completion, streamed or whole.
 func (s *Server) complete(w http.ResponseWriter, r *http.Request, c *session) error {
-	e, service, err := s.prepare(r, c)
+	body, err := s.body(r)
 	if err != nil {
 		return err
 	}
+	return s.rejoining(func() error {
+		e, service, err := s.prepare(r, c, body)
+		if err != nil {
+			return err
+		}
+		return s.completeOnce(w, r, c, e, service)
+	})
+}
+
+func (s *Server) completeOnce(w http.ResponseWriter, r *http.Request, c *session, e *execution, service *fleet.Service) error {
 	w.Header().Set(openai.HeaderRequestID, e.request.ID)
 	release, err := s.admit(c, service, e.request.Loaded, e.request.Deadline)
 	if err != nil {
 		return err
 	}
-	if c.forwarded {
-		s.start(e, release)
-		return s.answer(w, r, e)
-	}
-	joined, err := s.reserve(r.Context(), e)
-	if err != nil || joined != nil {
-		release()
+	if !c.forwarded {
+		joined, err := s.reserve(r.Context(), e)
+		if err != nil || joined != nil {
+			release()
+		}
 		if err != nil {
 			return err
 		}
-		return s.join(w, r, c, e, *joined)
+		if joined != nil {
+			return s.join(w, r, c, e, *joined)
+		}
 	}
 	s.start(e, release)
 	return s.answer(w, r, e)
 }
 
+const (
+	// joinRounds is how often a caller joins a request that then comes to
+	// nothing, before it is told so.
+	joinRounds = 4
+	joinPause  = 50 * time.Millisecond
+)
+
+// rejoining tries a keyed request again when the one it had joined ended
+// without a result: that one was refused before anything was sent, or gave way
+// to the holder of the key's claim.
+func (s *Server) rejoining(try func() error) error {
+	var err error
+	for range joinRounds {
+		var dropped droppedError
+		if err = try(); !errors.As(err, &dropped) {
+			return err
+		}
+		err = dropped.final
+		time.Sleep(joinPause)
+	}
+	return err
+}
+
+// droppedError says that a joined request ended without a result.
+type droppedError struct {
+	final error // what the caller is told when no further try follows
+}
+
+// Error implements error.
+func (d droppedError) Error() string { return "the joined request ended without a result" }
+
 // reserve holds the request at its homes and, when it is non-idempotent,
 // claims it. joined is another request with the same key, whose answer is the
 // caller's too.
@@ -82,11 +124,7 @@
 	return joined, err
 }
 
-func (s *Server) prepare(r *http.Request, c *session) (*execution, *fleet.Service, error) {
-	body, err := s.body(r)
-	if err != nil {
-		return nil, nil, err
-	}
+func (s *Server) prepare(r *http.Request, c *session, body []byte) (*execution, *fleet.Service, error) {
 	parsed, err := openai.Parse(r.URL.Path, body)
 	if err != nil {
 		return nil, nil, err
@@ -377,10 +415,10 @@
 		answer = s.Keeper.Find(r.Context(), first.RequestID, c.workspace.Name, wait)
 	}
 	if answer.State != hold.Done && e.request.NonIdempotent {
-		return errkind.UnknownOutcome.New("request %s has this key; its outcome is not known here", first.RequestID)
+		return droppedError{errkind.UnknownOutcome.New("request %s has this key; its outcome is not known here", first.RequestID)}
 	}
 	if answer.State != hold.Done {
-		return errkind.TargetFailed.New("request %s ended without an answer; send it again", first.RequestID)
+		return droppedError{errkind.TargetFailed.New("request %s ended without an answer; send it again", first.RequestID)}
 	}
 	return writeResult(w, e.stream, *answer.Result)
 }
--- a/internal/request/serve/plain.go
+++ b/internal/request/serve/plain.go
@@ -28,6 +28,10 @@
 	if err != nil {
 		return err
 	}
+	return s.rejoining(func() error { return s.plainTry(w, r, c, service, body) })
+}
+
+func (s *Server) plainTry(w http.ResponseWriter, r *http.Request, c *session, service *fleet.Service, body []byte) error {
 	now := time.Now()
 	deadline, err := s.deadline(r, service, now)
 	if err != nil {
@@ -35,7 +39,7 @@
 	}
 	e := s.newExecution(r, c, service, body, now)
 	e.request.Deadline = deadline
-	e.request.Path = strings.TrimPrefix(r.URL.RequestURI(), "/services/"+name)
+	e.request.Path = strings.TrimPrefix(r.URL.RequestURI(), "/services/"+service.Name)
 	e.request.Header = passed(r.Header)
 	w.Header().Set(openai.HeaderRequestID, e.request.ID)
 	release, err := s.admit(c, service, "", deadline)
--- a/lab/cmd/marblelab/main.go
+++ b/lab/cmd/marblelab/main.go
@@ -14,6 +14,7 @@
 
 	"github.com/urfave/cli/v3"
 
+	"github.com/marblepond/marblepond/lab/capacity"
 	"github.com/marblepond/marblepond/lab/demo"
 	"github.com/marblepond/marblepond/lab/engine"
 	"github.com/marblepond/marblepond/lab/load"
@@ -31,6 +32,10 @@
 		Commands: []*cli.Command{
 			platformCommand(), engineCommand(), serviceCommand(),
 			soakCommand(), loadCommand(), overheadCommand(), reportCommand(),
+			{Name: "capacity", Usage: "measure the slopes of docs/CAPACITY.md", Action: func(context.Context, *cli.Command) error {
+				capacity.Run(os.Stdout)
+				return nil
+			}},
 			{Name: "demo", Usage: "run a small fleet in this process and check it", Action: func(context.Context, *cli.Command) error { return demo.Run(os.Stdout) }},
 		},
 	}
--- a/lab/deployment/deployment.go
+++ b/lab/deployment/deployment.go
@@ -132,7 +132,7 @@
 	Nodes    [][]*node.Node
 
 	servers []*http.Server
-	stops   map[string]context.CancelFunc // of nodes
+	stops   map[string]func() // of nodes: ask to stop and wait
 	done    chan struct{}
 	wg      sync.WaitGroup
 	mu      sync.Mutex
@@ -142,7 +142,7 @@
 // Start runs the deployment and applies its first intent. It returns when
 // every node is ready and every target can be chosen.
 func Start(l Layout) (*Embedded, error) {
-	e := &Embedded{Layout: l, Platform: platform.New(), stops: map[string]context.CancelFunc{}, done: make(chan struct{})}
+	e := &Embedded{Layout: l, Platform: platform.New(), stops: map[string]func(){}, done: make(chan struct{})}
 	if err := e.serve(l.PlatformAddr(), e.Platform); err != nil {
 		return nil, err
 	}
@@ -208,11 +208,13 @@
 	}
 	nd := node.NewVariant(s, e.Variant)
 	ctx, stop := context.WithCancel(context.Background())
+	stopped := make(chan struct{})
 	e.mu.Lock()
 	e.Nodes[dc][n] = nd
-	e.stops[s.NodeID] = stop
+	e.stops[s.NodeID] = func() { stop(); <-stopped }
 	e.mu.Unlock()
 	e.wg.Go(func() {
+		defer close(stopped)
 		if err := nd.Run(ctx); err != nil {
 			e.mu.Lock()
 			e.errs = append(e.errs, fmt.Errorf("%s: %w", s.NodeID, err))
@@ -222,14 +224,16 @@
 	return nil
 }
 
-// StopNode asks a node to drain and stop; it returns at once.
+// StopNode asks a node to drain and waits until it has ended.
 func (e *Embedded) StopNode(dc, n int) { e.stops[e.NodeID(dc, n)]() }
 
 // Stop ends the deployment and returns the errors of its nodes.
 func (e *Embedded) Stop() error {
+	var stopping sync.WaitGroup
 	for _, stop := range e.stops {
-		stop()
+		stopping.Go(stop)
 	}
+	stopping.Wait()
 	e.wg.Wait()
 	close(e.done)
 	for _, s := range e.servers {
--- a/lab/service/service.go
+++ b/lab/service/service.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/marblepond/marblepond/internal/connection/engine"
@@ -29,6 +30,9 @@
 	Delay time.Duration // before a call is carried out
 	Log   io.Writer     // gets a line for each call: Unix milliseconds, operation; may be nil
 
+	// BreakAfter breaks the connection after a call was carried out.
+	BreakAfter atomic.Bool
+
 	mu     sync.Mutex
 	ledger []Run
 }
@@ -62,6 +66,9 @@
 		fmt.Fprintf(s.Log, "%d %s\n", time.Now().UnixMilli(), c.Operation)
 	}
 	s.mu.Unlock()
+	if s.BreakAfter.Load() {
+		panic(http.ErrAbortHandler)
+	}
 	w.Header().Set("Content-Type", "application/json")
 	fmt.Fprintf(w, `{"operation":%q,"entry":%d}`+"\n", c.Operation, n)
 }
--- /dev/null
+++ b/scripts/check-mutants.sh
@@ -0,0 +1,35 @@
+#!/usr/bin/env bash
+# Breaks one mechanism at a time in a scratch copy and runs the test that is to
+# notice. A test that passes over a broken mechanism fails this check.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+copy=$(mktemp -d)
+trap 'rm -rf "$copy"' EXIT
+git ls-files -z | xargs -0 cp --parents -t "$copy"
+missed=0
+mutant() { # point, file, perl substitution, package, test
+  cp "$copy/$2" "$copy/saved"
+  perl -0pi -e "$3" "$copy/$2"
+  if cmp -s "$copy/$2" "$copy/saved"; then
+    echo "point $1: nothing to break any more in $2"; missed=1
+  elif (cd "$copy" && go vet "./$(dirname "$2")" >/dev/null 2>&1) && ! (cd "$copy" && timeout 120 go test "./$4" -run "^$5\$" -count=1 >"$copy/out" 2>&1); then
+    echo "point $1: $5 notices the broken $2"
+  else
+    echo "point $1: $5 does NOT notice the broken $2"; missed=1
+  fi
+  mv "$copy/saved" "$copy/$2"
+}
+mutant 1 internal/record/record.go 's/c\.Phase != ChunkLeased \|\| c\.Holder != h \|\| c\.Epoch != epoch/c.Epoch < 0 \&\& epoch < 0/' internal/record TestFormerHolderIsFenced
+mutant 1 internal/record/record.go 's/if finished\[item\] \{/if finished[item] \&\& item < 0 {/' internal/record TestItemsCommitOnce
+mutant 1 internal/request/hold/hold.go 's/(t\.add\(e, overhead\)\n\t\}\n\tif e\.result != nil) \{/$1 \&\& durable {/' internal/request/hold TestResendJoinsAndConflicts
+mutant 1 internal/request/homes/homes.go 's/if now\.Before\(l\[r\.ID\]\)/if !l[r.ID].IsZero()/' internal/request/homes TestRunningRequestsAreLookedAfterAgain
+mutant 3 internal/request/pace/pace.go 's/-online-p\.cfg\.Reserve/-p.cfg.Reserve-0*online/' internal/request/pace TestBatchStaysWithinItsShare
+mutant 4 internal/request/assemble/assemble.go 's/p\.Attempt != a\.attempt \|\| //' internal/request/assemble TestGivenUpAttemptIsDropped
+mutant 4 internal/request/assemble/assemble.go 's/p\.RequestID != a\.requestID/p.RequestID == ""/' internal/request/assemble TestAnswerIsWhole
+mutant 5 internal/request/serve/complete.go 's/joined != nil \|\| !e\.request\.NonIdempotent/joined != nil || e.created != 0/' lab/e2e TestNoClaimNoCall
+mutant 6 internal/request/run/run.go 's/case req\.NonIdempotent && !notSent:/case req.NonIdempotent \&\& !notSent \&\& a == nil:/' lab/e2e TestLostTargetAfterTheCall
+mutant 6 lab/platform/server.go 's/return func\(version int64\) bool \{ return version == 0 \}/return func(version int64) bool { return version >= 0 }/' lab/e2e TestResendsToAllNodesAtOnce
+mutant 7 internal/request/choose/choose.go 's/case e\.leaving:/case e.leaving \&\& e.failures < 0:/' internal/request/choose TestLeavingIsForGood
+mutant 8 internal/process/node/node.go 's/n\.callerHTTP\.Shutdown\(ctx\)/n.callerHTTP.Close()/' lab/e2e TestRollingDrain
+mutant 9 lab/platform/server.go 's/version == want && version != 0/version >= 0 \&\& want >= 0/' lab/e2e TestOperatorsRace
+exit $missed
