Send in heartbeats only what is new, once for each pair of nodes

Change: of a pair the node with the lower ID begins; all state is sent every 16th time and while a member's state is new; names and marks when they are new.

--- a/internal/process/member/member.go
+++ b/internal/process/member/member.go
@@ -2,8 +2,8 @@
 // centre, and whom to ask in the others. It is a pure state machine.
 //
 // State grows with the node's data centre: all of its members, and at most
-// contactsPerDC nodes of each other data centre. Messages: one heartbeat per
-// member and interval, whose answer informs the other side too, and one to a
+// contactsPerDC nodes of each other data centre. Messages: one exchange per
+// pair of members and interval, which informs both sides, and one with a
 // contact of one other data centre, in turn.
 package member
 
@@ -180,7 +180,8 @@
 		switch {
 		case member.State == Dead && silent > forgetAfter*m.timing.DeadAfter:
 			delete(m.members, id)
-		case member.State != Dead || m.ticks%deadAskEvery == 0:
+		case member.State == Dead && m.ticks%deadAskEvery != 0:
+		case m.begins(member, silent):
 			send = append(send, member.Info)
 		}
 	}
@@ -190,6 +191,12 @@
 	return send, changes
 }
 
+// begins reports whether this node starts the exchange with a member: of each
+// pair the node with the lower ID does, and the other one too after silence.
+func (m *Machine) begins(member *Member, silent time.Duration) bool {
+	return m.self.ID < member.ID || member.State != Alive || silent > m.timing.Heartbeat*3/2
+}
+
 func (m *Machine) judge(now time.Time, member *Member) []Transition {
 	silent := now.Sub(member.heard)
 	next := Alive
--- a/internal/process/membership/membership.go
+++ b/internal/process/membership/membership.go
@@ -16,8 +16,9 @@
 
 // Passenger is state that travels with heartbeats.
 type Passenger interface {
-	// Pack adds the node's state for a receiver of the given data centre.
-	Pack(state *v1.HeartbeatRequest, sameDataCentre bool)
+	// Pack adds the node's state for a receiver of the given data centre: what
+	// is new, or all of it when full.
+	Pack(state *v1.HeartbeatRequest, sameDataCentre, full bool)
 	// Unpack takes what another node sent.
 	Unpack(from *v1.NodeInfo, state *v1.HeartbeatRequest)
 }
@@ -34,8 +35,27 @@
 	mu      sync.Mutex
 	machine *member.Machine
 	view    atomic.Pointer[member.View]
+	ticks   atomic.Uint64
+	changed atomic.Int64 // Unix nanoseconds of the last change of a member
 }
 
+const (
+	// fullEvery is how many heartbeats apart all state is sent; in between only
+	// what is new, so that a node's control traffic stays small.
+	fullEvery = 16
+	// newFor is how many intervals something counts as new.
+	newFor = 4
+)
+
+// full reports whether the next message carries all state.
+func (m *Manager) full() bool {
+	quiet := time.Since(time.Unix(0, m.changed.Load()))
+	return m.ticks.Load()%fullEvery == 0 || quiet < newFor*m.timing.Heartbeat
+}
+
+// News is how long a passenger's change is to be sent along.
+func (m *Manager) News() time.Duration { return newFor * m.timing.Heartbeat }
+
 // New returns a manager; Run starts it.
 func New(self member.Info, timing member.Timing, seeds []string, pool *peer.Pool, recorder *timeline.Recorder) *Manager {
 	m := &Manager{pool: pool, recorder: recorder, timing: timing, seeds: seeds, machine: member.New(self, timing)}
@@ -84,6 +104,7 @@
 		m.record(c)
 	}
 	if len(changes) > 0 {
+		m.changed.Store(time.Now().UnixNano())
 		m.notify()
 	}
 }
@@ -123,6 +144,7 @@
 }
 
 func (m *Manager) tick(ctx context.Context) {
+	m.ticks.Add(1)
 	var send []member.Info
 	m.change(func(now time.Time) []member.Transition {
 		targets, changes := m.machine.Tick(now)
@@ -165,13 +187,14 @@
 	view := m.View()
 	same := dataCentre == view.Self.DataCentre
 	req := &v1.HeartbeatRequest{From: ToProto(view.Self), Hlc: int64(m.recorder.Clock.Now())}
+	full := m.full()
 	for _, other := range view.Members {
-		if other.State == member.Alive {
+		if full && other.State == member.Alive {
 			req.Members = append(req.Members, ToProto(other.Info))
 		}
 	}
 	for _, p := range m.passengers {
-		p.Pack(req, same)
+		p.Pack(req, same, full)
 	}
 	return req
 }
--- a/internal/version/config/config.go
+++ b/internal/version/config/config.go
@@ -80,7 +80,7 @@
 func (m *Manager) Loaded() bool { return m.loaded.Load() }
 
 // Pack implements membership.Passenger.
-func (m *Manager) Pack(state *v1.HeartbeatRequest, _ bool) {
+func (m *Manager) Pack(state *v1.HeartbeatRequest, _, _ bool) {
 	state.HeadVersion = m.Current().Version
 }
 
--- a/internal/version/targets/gossip.go
+++ b/internal/version/targets/gossip.go
@@ -12,31 +12,34 @@
 )
 
 // Pack implements membership.Passenger: owned targets' loads and leaving VMs
-// go to the nodes of the same data centre.
-func (m *Manager) Pack(state *v1.HeartbeatRequest, sameDataCentre bool) {
+// go to the nodes of the same data centre. Names and marks that are not new
+// are sent only when all state is.
+func (m *Manager) Pack(state *v1.HeartbeatRequest, sameDataCentre, full bool) {
 	if !sameDataCentre {
 		return
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := time.Now()
-	for id := range m.polls {
+	for id, p := range m.polls {
 		if s, ok := m.table.Get(now, id); ok && s.Known {
-			state.Loads = append(state.Loads, m.loadProto(s))
+			state.Loads = append(state.Loads, loadProto(s, full || now.Sub(p.renamed) < m.membership.News()))
 		}
 	}
 	for vm, incarnation := range m.table.Left() {
-		state.Leaving = append(state.Leaving, &v1.LeavingVM{Vm: vm, Incarnation: incarnation})
+		if full || now.Sub(m.marked[vm]) < m.membership.News() {
+			state.Leaving = append(state.Leaving, &v1.LeavingVM{Vm: vm, Incarnation: incarnation})
+		}
 	}
 }
 
-func (m *Manager) loadProto(s choose.Status) *v1.TargetLoad {
-	return &v1.TargetLoad{
-		Target: s.ID, Incarnation: s.Incarnation,
-		Running: uint32(s.Load.Running), Waiting: uint32(s.Load.Waiting), MaxRunning: uint32(s.Load.MaxRunning),
-		Batch: uint32(s.Load.Batch), Healthy: s.Load.Healthy, Loaded: s.Load.Loaded,
-		AtHlc: int64(m.recorder.Clock.Now()),
+func loadProto(s choose.Status, names bool) *v1.TargetLoad {
+	load := &v1.TargetLoad{Target: s.ID, Incarnation: s.Incarnation, Running: uint32(s.Load.Running), Waiting: uint32(s.Load.Waiting),
+		MaxRunning: uint32(s.Load.MaxRunning), Batch: uint32(s.Load.Batch), Healthy: s.Load.Healthy, Names: names}
+	if names {
+		load.Loaded = s.Load.Loaded
 	}
+	return load
 }
 
 // Unpack implements membership.Passenger.
@@ -50,16 +53,24 @@
 		if m.owners[l.Target] == m.membership.View().Self.ID {
 			continue // own readings are newer
 		}
-		m.table.Report(l.Target, l.Incarnation, choose.Load{
-			Running: int(l.Running), Waiting: int(l.Waiting), MaxRunning: int(l.MaxRunning),
-			Batch: int(l.Batch), Healthy: l.Healthy, Loaded: l.Loaded, At: time.Now(),
-		})
+		m.table.Report(l.Target, l.Incarnation, m.loadFromProto(l))
 	}
 	for _, vm := range state.Leaving {
 		m.leave(vm.Vm, vm.Incarnation, "node "+from.Id)
 	}
 }
 
+// loadFromProto completes a load that was sent without names.
+func (m *Manager) loadFromProto(l *v1.TargetLoad) choose.Load {
+	now := time.Now()
+	load := choose.Load{Running: int(l.Running), Waiting: int(l.Waiting), MaxRunning: int(l.MaxRunning),
+		Batch: int(l.Batch), Healthy: l.Healthy, Loaded: l.Loaded, At: now}
+	if before, ok := m.table.Get(now, l.Target); ok && !l.Names && before.Incarnation == l.Incarnation {
+		load.Loaded = before.Load.Loaded
+	}
+	return load
+}
+
 // pressurePause is the least time between two pressure reports to one owner.
 const pressurePause = 5 * time.Millisecond
 
--- a/internal/version/targets/targets.go
+++ b/internal/version/targets/targets.go
@@ -12,6 +12,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -48,7 +49,8 @@
 
 	mu     sync.Mutex
 	table  *choose.Table
-	owners map[string]string // target to node
+	owners map[string]string    // target to node
+	marked map[string]time.Time // when a VM was learned to be leaving
 	// touched carries targets whose online count changed to the pressure
 	// duty; dropping one is safe because counts sent are absolute.
 	touched  *ring.Ring[string]
@@ -62,6 +64,7 @@
 // poll is the state of reading one owned target.
 type poll struct {
 	misses  int
+	renamed time.Time // when what is loaded last changed
 	ordered time.Time
 	busy    bool
 }
@@ -73,7 +76,7 @@
 func New(cfg Config, p *platform.Client, e *engine.Client, m *membership.Manager, r *timeline.Recorder, c *invariant.Checker, config func() *fleet.Config) *Manager {
 	return &Manager{
 		cfg: cfg, platform: p, engines: e, membership: m, recorder: r, checker: c, config: config,
-		table: choose.New(cfg.Choose), owners: map[string]string{}, polls: map[string]*poll{},
+		table: choose.New(cfg.Choose), owners: map[string]string{}, marked: map[string]time.Time{}, polls: map[string]*poll{},
 		touched:  ring.New[string](touchedSize, ring.DropOldest),
 		batch:    func(string) int { return 0 },
 		onReport: func(string, choose.Load, bool) {},
@@ -150,6 +153,7 @@
 
 func (m *Manager) leave(vm string, incarnation uint64, source string) {
 	if m.table.Leave(vm, incarnation) {
+		m.marked[vm] = time.Now()
 		m.recorder.Record(timeline.VMLeaving, "", vm, source)
 	}
 }
@@ -237,6 +241,9 @@
 			m.recorder.Record(timeline.TargetLost, "", s.ID, err.Error())
 		}
 	}
+	if !slices.Equal(load.Loaded, s.Load.Loaded) {
+		p.renamed = time.Now()
+	}
 	m.table.Report(s.ID, s.Incarnation, load)
 	now, _ := m.table.Get(time.Now(), s.ID)
 	due := err == nil && time.Since(p.ordered) > orderPause
--- a/lab/capacity/capacity.go
+++ b/lab/capacity/capacity.go
@@ -30,6 +30,7 @@
 	workspaces     = 5700
 	leavingPerDC   = 10 // VMs marked as leaving at a time
 	heartbeat      = 500 * time.Millisecond
+	fullEvery      = 16 // heartbeats between two with all state
 	namesPerTarget = 2
 )
 
@@ -89,27 +90,33 @@
 
 var timing = member.Timing{Heartbeat: heartbeat, SuspectAfter: 3 * heartbeat, DeadAfter: 6 * heartbeat}
 
-// message returns the heartbeat of a node that owns its share of the targets.
-func message(n int) *v1.HeartbeatRequest {
+// message returns the heartbeat of a node that owns its share of the targets,
+// with what is new only or with all state.
+func message(n int, full bool) *v1.HeartbeatRequest {
 	req := &v1.HeartbeatRequest{From: membership.ToProto(nodeInfo(0, 0)), Hlc: time.Now().UnixMilli() << 16, HeadVersion: 7700}
-	for i := 1; i < n; i++ {
+	for i := 1; i < n && full; i++ {
 		req.Members = append(req.Members, membership.ToProto(nodeInfo(0, i)))
 	}
 	for i := range targetsPerDC / n {
-		load := &v1.TargetLoad{Target: fmt.Sprintf("dc00-target%03d", i), Incarnation: uint64(time.Now().UnixNano()), Running: 20, MaxRunning: 32, Batch: 5, Healthy: true, AtHlc: req.Hlc}
-		for k := range namesPerTarget {
+		load := &v1.TargetLoad{Target: fmt.Sprintf("dc00-target%03d", i), Incarnation: uint64(time.Now().UnixNano()), Running: 20, MaxRunning: 32, Batch: 5, Healthy: true, Names: full}
+		for k := 0; k < namesPerTarget && full; k++ {
 			load.Loaded = append(load.Loaded, fmt.Sprintf("model-%d@12", k))
 		}
 		req.Loads = append(req.Loads, load)
 	}
-	for i := range leavingPerDC {
+	for i := 0; i < leavingPerDC && full; i++ {
 		req.Leaving = append(req.Leaving, &v1.LeavingVM{Vm: fmt.Sprintf("dc00-target%03d", i), Incarnation: uint64(time.Now().UnixNano())})
 	}
 	return req
 }
 
+// framing is what HTTP/2 adds to a message, in bytes: frames and the headers
+// that are not in its table yet; an estimate, not measured.
+const framing = 120
+
 func heartbeats(out io.Writer, n int) {
-	size := proto.Size(message(n))
+	usual, full := proto.Size(message(n, false)), proto.Size(message(n, true))
+	size := float64(usual*(fullEvery-1)+full) / fullEvery
 	m := member.New(nodeInfo(0, 0), timing)
 	now := time.Now()
 	tick := perCall(2000, func(i int) {
@@ -120,9 +127,11 @@
 		}
 		m.View()
 	})
-	// Each pair exchanges two calls an interval, each with request and answer.
-	perSecond := float64(size) * float64(2*(n-1)) / heartbeat.Seconds()
-	fmt.Fprintf(out, "  %3d  %6d B  %8.1f KB/s  %v\n", n, size, perSecond/1000, tick)
+	// Of each pair one sends a request and the other an answer each interval.
+	for _, interval := range []time.Duration{heartbeat, 2 * heartbeat} {
+		perSecond := (size + framing) * float64(n-1) / interval.Seconds()
+		fmt.Fprintf(out, "  %3d  usual %d B, full %d B; every %v: %.1f KB/s; %v\n", n, usual, full, interval, perSecond/1000, tick)
+	}
 }
 
 // spread counts the heartbeat intervals until every node has heard of a
@@ -149,12 +158,14 @@
 	intervals := 0
 	for done := 0; done < len(machines); intervals++ {
 		now = now.Add(heartbeat)
+		var sent []pair
 		for _, m := range machines {
 			send, _ := m.Tick(now)
 			for _, to := range send {
-				exchange(now, m, byID[to.ID])
+				sent = append(sent, pair{m, byID[to.ID]})
 			}
 		}
+		deliver(now, sent)
 		done = 0
 		for _, m := range machines {
 			if m.Self().ConfigVersion == 1 {
@@ -165,13 +176,22 @@
 	fmt.Fprintf(out, "  %3d  %d\n", len(machines), intervals)
 }
 
-// exchange lets two machines hear of each other; the older version is replaced.
-func exchange(now time.Time, a, b *member.Machine) {
-	newest := max(a.Self().ConfigVersion, b.Self().ConfigVersion)
-	a.SetConfigVersion(newest)
-	b.SetConfigVersion(newest)
-	a.Heard(now, b.Self())
-	b.Heard(now, a.Self())
+// pair is one exchange of heartbeats.
+type pair struct{ a, b *member.Machine }
+
+// deliver carries out the exchanges of one interval. What a machine learns in
+// an interval it tells in the next.
+func deliver(now time.Time, pairs []pair) {
+	learned := map[*member.Machine]uint64{}
+	for _, p := range pairs {
+		newest := max(p.a.Self().ConfigVersion, p.b.Self().ConfigVersion)
+		learned[p.a], learned[p.b] = max(learned[p.a], newest), max(learned[p.b], newest)
+		p.a.Heard(now, p.b.Self())
+		p.b.Heard(now, p.a.Self())
+	}
+	for m, version := range learned {
+		m.SetConfigVersion(max(version, m.Self().ConfigVersion))
+	}
 }
 
 func choice(out io.Writer, n int) {
