--- a/internal/request/homes/homes.go
+++ b/internal/request/homes/homes.go
@@ -11,8 +11,6 @@
 	"context"
 	"crypto/rand"
 	"errors"
-	"maps"
-	"slices"
 	"sync"
 	"time"
 
@@ -21,7 +19,6 @@
 	"github.com/marblepond/marblepond/internal/connection/platform"
 	"github.com/marblepond/marblepond/internal/errkind"
 	"github.com/marblepond/marblepond/internal/process/member"
-	"github.com/marblepond/marblepond/internal/process/rendezvous"
 	"github.com/marblepond/marblepond/internal/process/timeline"
 	"github.com/marblepond/marblepond/internal/request/hold"
 )
@@ -58,122 +55,6 @@
 		name: view().Self.ID + "-" + rand.Text()[:8], table: hold.New(limit), avoidUntil: map[string]time.Time{}}
 }
 
-func (k *Keeper) ranked(requestID string) []string {
-	id, _ := ParseID(requestID)
-	view := k.membership()
-	members := view.Duty
-	if len(members) == 0 { // everyone is leaving, this node too
-		members = []string{view.Self.ID}
-	}
-	return rendezvous.Rank(id.Placement, members, candidates)
-}
-
-// seat is a place that may keep a request.
-type seat struct {
-	node  string // of this data centre; empty: another data centre
-	relay bool   // the receiver passes the call on to its first home
-	addrs []string
-}
-
-// seats returns where a request may be kept, in order of preference.
-func (k *Keeper) seats(requestID string) []seat {
-	var seats []seat
-	for _, node := range k.ranked(requestID) {
-		seats = append(seats, seat{node: node})
-	}
-	id, _ := ParseID(requestID)
-	if addrs := k.contacts(id.Second); len(addrs) > 0 && id.DataCentre == k.membership().Self.DataCentre {
-		away := seat{relay: true, addrs: addrs}
-		seats = append(seats[:1:1], append([]seat{away}, seats[1:]...)...)
-	}
-	return seats
-}
-
-// contacts returns the addresses of a data centre's reachable contacts.
-func (k *Keeper) contacts(dataCentre string) []string {
-	var addrs []string
-	for _, c := range k.membership().Contacts {
-		if c.DataCentre == dataCentre && c.State != member.Dead && !k.avoided(c.PeerAddr) {
-			addrs = append(addrs, c.PeerAddr)
-		}
-	}
-	return addrs
-}
-
-// avoidTime is how long an address that did not answer is not asked again.
-const avoidTime = 2 * time.Second
-
-func (k *Keeper) avoid(addr string) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.avoidUntil[addr] = time.Now().Add(avoidTime)
-}
-
-func (k *Keeper) avoided(addr string) bool {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	return time.Now().Before(k.avoidUntil[addr])
-}
-
-// SecondCentre returns the data centre for the second home of a new request:
-// the one with a reachable contact that was named first; empty when there is
-// none.
-func (k *Keeper) SecondCentre() string {
-	for _, c := range k.membership().Contacts {
-		if c.State != member.Dead && !c.Leaving && !k.avoided(c.PeerAddr) {
-			return c.DataCentre
-		}
-	}
-	return ""
-}
-
-// each calls f at the first seats at the same time, as many as are wanted, and
-// at the following ones in place of those that fail. It returns how many have
-// taken the call.
-func (k *Keeper) each(requestID string, wanted int, f func(c peerClient, relay bool) error) (taken int) {
-	seats := k.seats(requestID)
-	first := seats[:min(wanted, len(seats))]
-	failed := make([]bool, len(first))
-	var wg sync.WaitGroup
-	for i, s := range first {
-		wg.Go(func() { failed[i] = k.at(s, f) != nil })
-	}
-	wg.Wait()
-	for _, bad := range failed {
-		if !bad {
-			taken++
-		}
-	}
-	for _, s := range seats[len(first):] {
-		if taken < wanted && k.at(s, f) == nil {
-			taken++
-		}
-	}
-	return taken
-}
-
-// at calls f at one seat. A nil client means this node itself.
-func (k *Keeper) at(s seat, f func(c peerClient, relay bool) error) error {
-	if !s.relay {
-		client, local, err := k.client(s.node)
-		if err != nil {
-			return err
-		}
-		if local {
-			return f(nil, false)
-		}
-		return f(client, false)
-	}
-	err := errNotMember
-	for _, addr := range s.addrs {
-		if err = f(k.pool.Client(addr), true); err == nil {
-			return nil
-		}
-		k.avoid(addr)
-	}
-	return err
-}
-
 // Register holds a request at its homes. The answer's state is Fresh when the
 // sender is to run it. Errors: Overloaded when no home takes it.
 func (k *Keeper) Register(ctx context.Context, r hold.Request) (hold.Answer, error) {
@@ -250,20 +131,6 @@
 	return k.holdAt(ctx, client, false, r)
 }
 
-var errNotMember = errors.New("node is not a member")
-
-func (k *Keeper) client(node string) (c peerClient, local bool, err error) {
-	view := k.membership()
-	if node == view.Self.ID {
-		return nil, true, nil
-	}
-	m, ok := view.Find(node)
-	if !ok {
-		return nil, false, errNotMember
-	}
-	return k.pool.Client(m.PeerAddr), false, nil
-}
-
 // HoldLocal registers a request in this node's own table.
 func (k *Keeper) HoldLocal(r hold.Request) hold.Answer {
 	k.recorder.Record(timeline.RequestHeld, r.ID, r.Owner, "")
@@ -386,149 +253,3 @@
 	defer k.mu.Unlock()
 	return k.table.Workspace(requestID)
 }
-
-// Takeover hands on, for rerun, the requests whose owner is gone and whose
-// first home is now this node.
-func (k *Keeper) Takeover(view *member.View) {
-	for _, r := range k.orphans(view) {
-		if k.first(r.ID, view) {
-			k.takeOver(r, "owner is gone")
-		}
-	}
-}
-
-// orphans returns the running requests of this data centre whose owner is gone.
-func (k *Keeper) orphans(view *member.View) []hold.Request {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	return slices.DeleteFunc(k.table.Orphans(view.Gone), func(r hold.Request) bool {
-		id, _ := ParseID(r.ID)
-		return id.DataCentre != view.Self.DataCentre
-	})
-}
-
-// sweep takes over orphans that were left for more than a round: their first
-// home restarted and knows nothing of them, or they came after their owner's
-// death was seen. It returns the orphans seen.
-func (k *Keeper) sweep(before map[string]bool) map[string]bool {
-	seen := map[string]bool{}
-	for _, r := range k.orphans(k.membership()) {
-		seen[r.ID] = true
-		if before[r.ID] {
-			k.takeOver(r, "owner is gone and the first home does not know it")
-		}
-	}
-	return seen
-}
-
-func (k *Keeper) takeOver(r hold.Request, cause string) {
-	self := k.membership().Self
-	k.mu.Lock()
-	k.table.Adopt(r.ID, self.ID, self.Incarnation)
-	k.mu.Unlock()
-	r.Owner, r.OwnerIncarnation = self.ID, self.Incarnation
-	k.recorder.Record(timeline.RequestTakenOver, r.ID, "", cause)
-	go k.rerun(r)
-}
-
-// watchAway is the time between looks at requests kept for other data centres.
-const watchAway = time.Second
-
-// lostAfter is how long the data centre of a request must not answer before
-// its second home runs the request.
-const lostAfter = 20 * time.Second
-
-// Watch takes over requests that nobody runs any more, of this data centre
-// and of others, until ctx ends. A data centre that answers and does not know a request has
-// lost both its owner and its first home; one that does not answer for long
-// is taken for lost: a request that both then run gets one answer, for the
-// first one stands.
-func (k *Keeper) Watch(ctx context.Context) {
-	silent := map[string]time.Time{} // by data centre: since when
-	looked := looks{}
-	left := map[string]bool{} // orphans of this data centre seen in the last round
-	for ctx.Err() == nil {
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(watchAway):
-		}
-		left = k.sweep(left)
-		for _, r := range looked.due(time.Now(), k.away()) {
-			k.lookAway(ctx, r, silent)
-		}
-	}
-}
-
-// looks holds, by request, when it is looked after next.
-type looks map[string]time.Time
-
-// due returns the requests to be looked after now. A request that goes on is
-// looked after again when it is half as old again, so that a long one costs
-// few looks; requests that no longer run are forgotten.
-func (l looks) due(now time.Time, running []hold.Request) []hold.Request {
-	var due []hold.Request
-	still := map[string]bool{}
-	for _, r := range running {
-		still[r.ID] = true
-		if now.Before(l[r.ID]) {
-			continue
-		}
-		due = append(due, r)
-		l[r.ID] = now.Add(now.Sub(time.Unix(r.Created, 0)) / 2)
-	}
-	maps.DeleteFunc(l, func(id string, _ time.Time) bool { return !still[id] })
-	return due
-}
-
-// away returns the running requests of other data centres that are due for a
-// look: older than a look's time, so that their owners have had time to end.
-func (k *Keeper) away() []hold.Request {
-	self := k.membership().Self
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	var out []hold.Request
-	for _, r := range k.table.Orphans(func(node string, incarnation uint64) bool { return node != self.ID || incarnation != self.Incarnation }) {
-		id, _ := ParseID(r.ID)
-		if id.DataCentre != self.DataCentre && time.Now().Unix()-r.Created >= lookAfter {
-			out = append(out, r)
-		}
-	}
-	return out
-}
-
-// lookAfter is the age in seconds from which a kept request is looked after.
-const lookAfter = 4
-
-func (k *Keeper) lookAway(ctx context.Context, r hold.Request, silent map[string]time.Time) {
-	id, _ := ParseID(r.ID)
-	answer, answered := k.askThere(ctx, id.DataCentre, r.ID, r.Workspace, 0)
-	if !answered {
-		if silent[id.DataCentre].IsZero() {
-			silent[id.DataCentre] = time.Now()
-		}
-		if time.Since(silent[id.DataCentre]) > lostAfter {
-			k.takeOver(r, "data centre "+id.DataCentre+" is lost")
-		}
-		return
-	}
-	delete(silent, id.DataCentre)
-	switch answer.State {
-	case hold.Done:
-		k.FinishLocal(*answer.Result, true)
-	case hold.Unknown:
-		k.takeOver(r, "data centre "+id.DataCentre+" has lost it")
-	}
-}
-
-func (k *Keeper) first(requestID string, view *member.View) bool {
-	id, _ := ParseID(requestID)
-	return rendezvous.First(id.Placement, view.Duty) == view.Self.ID || len(view.Duty) == 0
-}
-
-// Size returns the number of entries held and their bytes.
-func (k *Keeper) Size() (entries, bytes int) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	return k.table.Size()
-}
--- a/internal/request/serve/complete.go
+++ b/internal/request/serve/complete.go
@@ -1,21 +1,16 @@
 package serve
 
 import (
-	"bytes"
 	"context"
 	"crypto/sha256"
 	"encoding/json"
-	"errors"
 	"net/http"
 	"sync/atomic"
 	"time"
 
 	"github.com/marblepond/marblepond/internal/connection/openai"
 	"github.com/marblepond/marblepond/internal/errkind"
-	"github.com/marblepond/marblepond/internal/process/invariant"
-	"github.com/marblepond/marblepond/internal/process/timeline"
 	"github.com/marblepond/marblepond/internal/record"
-	"github.com/marblepond/marblepond/internal/request/assemble"
 	"github.com/marblepond/marblepond/internal/request/hold"
 	"github.com/marblepond/marblepond/internal/request/homes"
 	"github.com/marblepond/marblepond/internal/request/run"
@@ -78,37 +73,6 @@
 	return s.answer(w, r, e)
 }
 
-const (
-	// joinRounds is how often a caller joins a request that then comes to
-	// nothing, before it is told so.
-	joinRounds = 4
-	joinPause  = 50 * time.Millisecond
-)
-
-// rejoining tries a keyed request again when the one it had joined ended
-// without a result: that one was refused before anything was sent, or gave way
-// to the holder of the key's claim.
-func (s *Server) rejoining(try func() error) error {
-	var err error
-	for range joinRounds {
-		var dropped droppedError
-		if err = try(); !errors.As(err, &dropped) {
-			return err
-		}
-		err = dropped.final
-		time.Sleep(joinPause)
-	}
-	return err
-}
-
-// droppedError says that a joined request ended without a result.
-type droppedError struct {
-	final error // what the caller is told when no further try follows
-}
-
-// Error implements error.
-func (d droppedError) Error() string { return "the joined request ended without a result" }
-
 // reserve holds the request at its homes and, when it is non-idempotent,
 // claims it. joined is another request with the same key, whose answer is the
 // caller's too.
@@ -280,204 +244,6 @@
 	return result
 }
 
-func (e *execution) shape() openai.Answer {
-	return openai.Answer{ID: e.request.ID, Path: e.request.Path, Model: e.model, Created: e.created}
-}
-
-// answer sends the answer as it grows, or whole.
-func (s *Server) answer(w http.ResponseWriter, r *http.Request, e *execution) error {
-	if !e.stream {
-		return s.answerWhole(w, r, e)
-	}
-	sent := 0
-	for {
-		state := e.answer.From(sent)
-		if len(state.Pieces) > 0 {
-			if err := s.writePieces(w, r, e, state.Pieces); err != nil {
-				return err
-			}
-			sent += len(state.Pieces)
-			continue
-		}
-		if state.Done {
-			return s.endStream(w, e, state.Err)
-		}
-		select {
-		case <-state.Changed:
-		case <-r.Context().Done():
-			s.callerGone(e)
-			return nil
-		}
-	}
-}
-
-// callerGone gives a request up that nobody was told of and nobody can ask for.
-func (s *Server) callerGone(e *execution) {
-	if !e.accepted.Load() && e.key == "" && !e.request.NonIdempotent {
-		e.cancel()
-	}
-}
-
-func (s *Server) writePieces(w http.ResponseWriter, r *http.Request, e *execution, pieces []assemble.Piece) error {
-	if !e.accepted.Load() {
-		if err := s.accept(w, e); err != nil {
-			return err
-		}
-	}
-	shape := e.shape()
-	for _, p := range pieces {
-		if p.Finish != "" {
-			<-e.finished // the whole answer is kept before its end is told
-		}
-		if _, err := w.Write(shape.Chunk(p.Text, p.Finish, p.Offset, p.Tokens)); err != nil {
-			return nil // the caller is gone; the execution goes on
-		}
-	}
-	return http.NewResponseController(w).Flush()
-}
-
-// accept tells the caller, with the header of a 200, that the request is owed
-// an answer; the homes must hold it by then.
-func (s *Server) accept(w http.ResponseWriter, e *execution) error {
-	if e.request.Hops == 0 {
-		<-e.registered
-		if e.refusal != nil {
-			e.cancel()
-			return errkind.Overloaded.New("no node can keep the request")
-		}
-	}
-	e.accepted.Store(true)
-	s.Recorder.Record(timeline.RequestAccepted, e.request.ID, e.request.Service, "")
-	w.Header().Set("Content-Type", "text/event-stream")
-	w.Header().Set("Cache-Control", "no-cache")
-	w.WriteHeader(http.StatusOK)
-	return nil
-}
-
-func (s *Server) endStream(w http.ResponseWriter, e *execution, err error) error {
-	if !e.accepted.Load() {
-		s.checkNotRun(e, err)
-		return err
-	}
-	<-e.finished
-	if err != nil {
-		w.Write(openai.ErrorEvent(err, e.request.ID))
-		return nil
-	}
-	s.Recorder.Record(timeline.RequestAnswered, e.request.ID, e.request.Service, "streamed")
-	w.Write(openai.DoneEvent())
-	return nil
-}
-
-// checkNotRun asserts that a refusal that says "not run" is true: no piece of
-// an answer has come.
-func (s *Server) checkNotRun(e *execution, err error) {
-	if err != nil && errkind.Of(err).NotRun == errkind.NotRunTrue {
-		s.Checker.Assert(e.answer.Held() == 0, invariant.NotRunTrue, e.request.ID, e.request.Service, "tokens arrived for a request refused as not run")
-	}
-}
-
-func (s *Server) answerWhole(w http.ResponseWriter, r *http.Request, e *execution) error {
-	select {
-	case <-e.finished:
-	case <-r.Context().Done():
-		s.callerGone(e)
-		return nil
-	}
-	if err := e.answer.From(0).Err; err != nil {
-		s.checkNotRun(e, err)
-		return err
-	}
-	if e.request.Hops == 0 && e.refusal != nil {
-		return e.refusal
-	}
-	e.accepted.Store(true)
-	s.Recorder.Record(timeline.RequestAnswered, e.request.ID, e.request.Service, "whole")
-	result := s.result(e, nil)
-	w.Header().Set("Content-Type", result.ContentType)
-	w.Write(result.Body)
-	return nil
-}
-
-// joinWait is the longest single wait for a joined request's answer.
-const joinWait = 5 * time.Second
-
-// join answers a resend with the running request's answer.
-func (s *Server) join(w http.ResponseWriter, r *http.Request, c *session, e *execution, first hold.Answer) error {
-	s.Recorder.Record(timeline.RequestJoined, first.RequestID, e.request.Service, "resend "+e.request.ID)
-	w.Header().Set(openai.HeaderRequestID, first.RequestID)
-	answer := first
-	for answer.State == hold.Running {
-		wait := min(joinWait, time.Until(e.request.Deadline))
-		if wait <= 0 || r.Context().Err() != nil {
-			return errkind.DeadlineExceeded.New("request %s is still running; ask again", first.RequestID)
-		}
-		answer = s.Keeper.Find(r.Context(), first.RequestID, c.workspace.Name, wait)
-	}
-	if answer.State != hold.Done && e.request.NonIdempotent {
-		return droppedError{errkind.UnknownOutcome.New("request %s has this key; its outcome is not known here", first.RequestID)}
-	}
-	if answer.State != hold.Done {
-		return droppedError{errkind.TargetFailed.New("request %s ended without an answer; send it again", first.RequestID)}
-	}
-	return writeResult(w, e.stream, *answer.Result)
-}
-
-// writeResult sends a kept result, as a stream of one piece when the caller
-// asked for a stream.
-func writeResult(w http.ResponseWriter, stream bool, result hold.Result) error {
-	if result.ErrorKind != "" {
-		return errkind.ByName(result.ErrorKind).New("the request ended with this error")
-	}
-	if !stream {
-		w.Header().Set("Content-Type", result.ContentType)
-		w.WriteHeader(result.Status)
-		w.Write(result.Body)
-		return nil
-	}
-	w.Header().Set("Content-Type", "text/event-stream")
-	shape, text, finish, tokens := unshape(result)
-	w.Write(shape.Chunk(text, finish, 0, tokens))
-	w.Write(openai.DoneEvent())
-	return nil
-}
-
-// unshape reads the parts of a whole answer.
-func unshape(result hold.Result) (shape openai.Answer, text, finish string, tokens int) {
-	var whole openai.Chunk
-	json.NewDecoder(bytes.NewReader(result.Body)).Decode(&whole)
-	shape = openai.Answer{ID: whole.ID, Path: openai.CompletionPath, Model: whole.Model, Created: whole.Created}
-	if len(whole.Choices) > 0 {
-		text = whole.Choices[0].Text
-		if m := whole.Choices[0].Message; m != nil {
-			shape.Path, text = openai.ChatPath, m.Content
-		}
-	}
-	if whole.Usage != nil {
-		tokens = whole.Usage.CompletionTokens
-	}
-	return shape, text, whole.Finish(), tokens
-}
-
-// response returns a kept result.
-func (s *Server) response(w http.ResponseWriter, r *http.Request, c *session) error {
-	id := r.PathValue("id")
-	answer := s.Keeper.Find(r.Context(), id, c.workspace.Name, 0)
-	switch answer.State {
-	case hold.Done:
-		return writeResult(w, false, *answer.Result)
-	case hold.Running:
-		writeJSON(w, http.StatusAccepted, runningBody{ID: id, Status: "in_progress"})
-		return nil
-	}
-	return errkind.NotFound.New("no response %q", id)
-}
-
-type runningBody struct {
-	ID     string `json:"id"`
-	Status string `json:"status"`
-}
-
 // rerunTime is the least time a request taken over from a dead node gets.
 const rerunTime = 30 * time.Second
 
--- /dev/null
+++ b/lab/e2e/big_test.go
@@ -0,0 +1,76 @@
+package e2e
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/marblepond/marblepond/internal/version/fleet"
+	"github.com/marblepond/marblepond/lab/client"
+	"github.com/marblepond/marblepond/lab/deployment"
+	"github.com/marblepond/marblepond/lab/engine"
+)
+
+var big = flag.Int("big", 0, "run a job of this many items")
+
+// TestBigJob accepts, runs and reads back a job of many items: none missing,
+// none twice. Run it with -big 250000.
+func TestBigJob(t *testing.T) {
+	if *big == 0 {
+		t.Skip("needs -big N")
+	}
+	is := is.New(t)
+	model := engine.DefaultModel()
+	model.Instant, model.MaxRunning = true, 64
+	f, err := deployment.Start(deployment.Layout{
+		Net: 120, DataCentres: []string{"hall-a", "hall-b", "hall-c"}, Nodes: []int{2, 2, 2}, Engines: 2, EngineName: "m", Model: model, Loaded: []string{"m@1"},
+		Extra: "[log]\nlevel = error\n[platform]\nwrite_rate = 100\nread_rate = 300\n",
+		Fleet: "[service \"m\"]\n[workspace \"w\"]\nkey_sha256 = " + fleet.HashKey("k") + "\n",
+	})
+	is.NoErr(err)
+	c := client.New("k")
+	ctx, cancel := context.WithTimeout(context.Background(), 8*time.Minute)
+	defer cancel()
+	var items strings.Builder
+	for n := range *big {
+		items.WriteString(client.Item(fmt.Sprint("i", n), "m", fmt.Sprint("attestation ", n), 2))
+	}
+	start := time.Now()
+	job, err := c.Submit(ctx, f.CallerAddr(0, 0), []byte(items.String()), "big", "")
+	is.NoErr(err)
+	accepted := time.Since(start)
+	var peak runtime.MemStats
+	done, err := c.WaitBatch(ctx, f.CallerAddr(1, 0), job.ID)
+	is.NoErr(err)
+	ran := time.Since(start)
+	runtime.ReadMemStats(&peak)
+	results, err := c.Results(ctx, f.CallerAddr(2, 0), done.OutputFileID)
+	is.NoErr(err) // an item that stands twice is an error
+	is.Equal(len(results), *big)
+	for n := range *big {
+		is.True(client.ItemWhole(results[fmt.Sprint("i", n)], fmt.Sprint("attestation ", n), 2))
+	}
+	writes, reads := calls(f)
+	t.Logf("%d items: accepted after %.1f s, done after %.1f s, read back and checked after %.1f s; %d writes and %d reads of the platform (%.4f and %.4f an item); heap of all nodes, stand-ins and the file %d MB",
+		*big, accepted.Seconds(), ran.Seconds(), time.Since(start).Seconds(), writes, reads, float64(writes)/float64(*big), float64(reads)/float64(*big), peak.HeapAlloc>>20)
+	is.NoErr(f.Stop())
+	is.Equal(f.Violations(), int64(0))
+}
+
+// calls counts the nodes' calls to the platform.
+func calls(f *deployment.Embedded) (writes, reads int) {
+	for key, n := range f.Platform.Counts() {
+		if strings.HasSuffix(key, " GET") {
+			reads += n
+		} else {
+			writes += n
+		}
+	}
+	return writes, reads
+}
--- a/lab/load/overhead.go
+++ b/lab/load/overhead.go
@@ -36,6 +36,11 @@
 	if err := procs.Build(dir); err != nil {
 		return err
 	}
+	for i, owned := range []int{3, 6, 12} {
+		if err := idle(dir, net+1+i, owned, out); err != nil {
+			return err
+		}
+	}
 	model := engine.DefaultModel()
 	model.Instant, model.MaxRunning = true, 4096
 	f, err := procs.Start(deployment.Layout{Net: net, DataCentres: []string{"a", "b"}, Nodes: []int{2, 1}, Engines: 2, EngineName: overheadModel,
@@ -65,6 +70,22 @@
 	return nil
 }
 
+// idle measures a node without requests that owns so many targets.
+func idle(dir string, net, owned int, out io.Writer) error {
+	f, err := procs.Start(deployment.Layout{Net: net, DataCentres: []string{"a"}, Nodes: []int{1}, Engines: owned, EngineName: overheadModel,
+		Model: engine.DefaultModel(), Loaded: []string{overheadModel + "@1"}, Extra: nodeSettings,
+		Fleet: fmt.Sprintf("[service %q]\n", overheadModel)}, dir, dir)
+	if err != nil {
+		return err
+	}
+	defer f.Stop()
+	node := []int{f.Proc(f.NodeID(0, 0)).PID()}
+	before := cpu(node)
+	time.Sleep(idleLength)
+	fmt.Fprintf(out, "idle node that owns %2d targets: %.2f %% of a core, %.1f MB resident\n", owned, 100*(cpu(node)-before)/idleLength.Seconds(), resident(node))
+	return nil
+}
+
 // drove is what a drive came to; times in milliseconds.
 type drove struct {
 	sent, whole  int
