--- a/internal/request/batch/item.go
+++ b/internal/request/batch/item.go
@@ -114,7 +114,7 @@
 			break
 		}
 	}
-	if l.running == 0 && (l.left == 0 || l.stopped) {
+	if l.running == 0 && (l.left == 0 || l.stopped) || w.wantsClaims(l) {
 		l.wake()
 	}
 	w.signal()
--- a/internal/request/batch/worker.go
+++ b/internal/request/batch/worker.go
@@ -270,7 +270,7 @@
 		}
 		return nil, returned
 	}
-	if l.stopped || w.queued(l) > 0 {
+	if !w.wantsClaims(l) {
 		return nil, nil
 	}
 	for _, it := range l.items[:min(claimGroup, len(l.items))] {
@@ -298,9 +298,12 @@
 		it.claimed = true
 		w.queues[it.service.Name] = append(w.queues[it.service.Name], it)
 	}
-	if l.job.NonIdempotent && len(l.items) > 0 && len(claim) > 0 {
-		l.wake() // the next group, once this one is under way
-	}
+}
+
+// wantsClaims reports whether the next group of a non-idempotent chunk is to
+// be marked as started. The caller holds w.mu.
+func (w *Worker) wantsClaims(l *lease) bool {
+	return l.job.NonIdempotent && !l.stopped && len(l.items) > 0 && w.queued(l) == 0
 }
 
 // acquireMore leases chunks of the most urgent jobs for the services wanted.
@@ -435,15 +438,14 @@
 	w.draining = true
 	for _, l := range w.leases {
 		l.stopped = true
-		l.wake()
+		if l.running == 0 {
+			l.wake() // the others are woken by their last item
+		}
 	}
 	w.mu.Unlock()
 	for {
 		w.mu.Lock()
 		held := len(w.leases)
-		for _, l := range w.leases {
-			l.wake()
-		}
 		w.mu.Unlock()
 		if held == 0 || !pause(ctx, idlePause) {
 			return held
