--- a/lab/load/report.go
+++ b/lab/load/report.go
@@ -96,7 +96,8 @@
 	p := plot.New()
 	p.Title.Text = fmt.Sprintf("%s: time to the first token", r.Experiment.Name)
 	p.X.Label.Text = "requests, of 100"
-	p.Y.Label.Text = "milliseconds"
+	p.Y.Label.Text = "milliseconds (log scale)"
+	p.Y.Scale, p.Y.Tick.Marker = plot.LogScale{}, plot.LogTicks{Prec: -1}
 	p.Legend.Top, p.Legend.Left = true, true
 	p.Add(plotter.NewGrid())
 	for i, mode := range r.Experiment.Modes {
