Commit large results in several segments

Cause (reading): results of a chunk that together are over the platform's 1 MB could never be committed, and their chunk would not end. Change: a commit takes what fits into one segment and asks for the next; an answer that no segment can hold ends its item with too_large, not_run false. The test failed first on the item counted as completed; mended with it.

--- a/internal/request/batch/item.go
+++ b/internal/request/batch/item.go
@@ -203,7 +203,7 @@
 		body, _ = json.Marshal(string(answer.Body))
 	}
 	f := it.result(&Response{answer.Status, it.id(), body}, nil)
-	f.failed = answer.Status >= http.StatusBadRequest
+	f.failed = f.failed || answer.Status >= http.StatusBadRequest
 	return f
 }
 
@@ -222,6 +222,9 @@
 
 func (it *item) result(response *Response, failure *ResultError) finished {
 	line := encodeResult(Result{ID: it.id(), CustomID: it.line.CustomID, Response: response, Error: failure})
+	if len(line) > segmentBytes {
+		return errorResult(it, "too_large", fmt.Sprintf("the answer has %d bytes, more than can be kept", len(line)), string(errkind.NotRunFalse))
+	}
 	return finished{it.index, line, failure != nil}
 }
 
--- a/internal/request/batch/lease.go
+++ b/internal/request/batch/lease.go
@@ -242,9 +242,10 @@
 func (w *Worker) commit(ctx context.Context, l *lease) error {
 	w.mu.Lock()
 	w.releaseIdle(l, time.Now())
-	batch := l.pending
-	ending := l.left == 0 && l.running == 0
-	giveBack := l.stopped && !ending && l.running == 0
+	batch := upTo(l.pending, segmentBytes)
+	more := len(batch) < len(l.pending)
+	ending := l.left == 0 && l.running == 0 && !more
+	giveBack := l.stopped && !ending && l.running == 0 && !more
 	claim, returned := w.claims(l, giveBack)
 	w.mu.Unlock()
 
@@ -293,6 +294,9 @@
 	defer w.mu.Unlock()
 	l.state, l.version, l.renewed = state, version, sent
 	l.pending = l.pending[results:]
+	if len(l.pending) > 0 && l.running == 0 {
+		l.wake() // the rest of what one segment could not hold
+	}
 	l.view.put(state, version)
 	w.metrics.Counter("batch_items_committed").Inc(int64(results))
 	w.release(l, claim)
@@ -315,6 +319,21 @@
 	return segment, err // after a lost answer the next try writes another object
 }
 
+// segmentBytes bounds a segment, below the platform's limit.
+const segmentBytes = 900 << 10
+
+// upTo returns the first results that fit into one segment, at least one.
+func upTo(results []finished, limit int) []finished {
+	size := 0
+	for i, f := range results {
+		size += len(f.line)
+		if i > 0 && size > limit {
+			return results[:i]
+		}
+	}
+	return results
+}
+
 func countResults(batch []finished) (completed, failed int) {
 	for _, f := range batch {
 		if f.failed {
--- a/internal/request/batch/line_test.go
+++ b/internal/request/batch/line_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/marblepond/marblepond/internal/connection/engine"
 	"github.com/marblepond/marblepond/internal/errkind"
 	"github.com/marblepond/marblepond/internal/version/fleet"
 )
@@ -65,6 +66,21 @@
 	}
 }
 
+// TestSegmentsFitThePlatform: results larger than one object are committed in
+// several, and one that no object can hold does not stop the rest.
+func TestSegmentsFitThePlatform(t *testing.T) {
+	is := is.New(t)
+	results := []finished{{line: make([]byte, 60)}, {line: make([]byte, 60)}, {line: make([]byte, 200)}}
+	is.Equal(len(upTo(results, 100)), 1)
+	is.Equal(len(upTo(results, 120)), 2)
+	is.Equal(len(upTo(results[2:], 100)), 1)
+	is.Equal(len(upTo(nil, 100)), 0)
+	it := &item{lease: &lease{}, line: Line{CustomID: "i"}}
+	f := plainResult(it, engine.PlainAnswer{Status: 200, Body: make([]byte, segmentBytes)})
+	is.True(f.failed)
+	is.True(len(f.line) < 1000)
+}
+
 func FuzzSplit(f *testing.F) {
 	f.Add([]byte(chat("1") + "\n" + plain("2")))
 	f.Add([]byte("{\"custom_id\":\"1\"}\n\x00"))
