Ask another data centre when the own one is empty or full

Change: an empty or full data centre admits when another one can be asked, and asks it first; a forwarded request is never forwarded again.

--- a/internal/process/node/remotes.go
+++ b/internal/process/node/remotes.go
@@ -15,6 +15,20 @@
 
 var remoteTurn atomic.Uint64
 
+// Reachable implements run.Remote.
+func (r *remotes) Reachable() bool {
+	for _, c := range r.node.membership.View().Contacts {
+		if usable(c) {
+			return true
+		}
+	}
+	return false
+}
+
+func usable(c member.Member) bool {
+	return !c.Leaving && c.State != member.Dead && c.CallerAddr != ""
+}
+
 // Next implements run.Remote.
 func (r *remotes) Next(workspace string, exclude map[string]bool) (choose.Target, http.Header, bool) {
 	contacts := r.node.membership.View().Contacts
@@ -24,7 +38,7 @@
 	turn := int(remoteTurn.Add(1))
 	for i := range contacts {
 		c := contacts[(turn+i)%len(contacts)]
-		if exclude[c.ID] || c.Leaving || c.State == member.Dead || c.CallerAddr == "" {
+		if exclude[c.ID] || !usable(c) {
 			continue
 		}
 		header := http.Header{}
--- a/internal/request/admit/admit.go
+++ b/internal/request/admit/admit.go
@@ -17,6 +17,14 @@
 	InFlight   int     // online sequences in flight at them, all nodes, as estimated
 	Waiting    int     // sequences queued inside the engines
 	ServiceSec float64 // mean time of a request at the service, seconds; 0: not known
+	Remote     bool    // another data centre can be asked
+}
+
+// Away reports whether a request is to go to another data centre: the own one
+// has no target, or its targets are full.
+func (s Supply) Away() bool {
+	full := s.Capacity > 0 && float64(s.InFlight) >= queueFactor*float64(s.Capacity)
+	return s.Remote && (s.Usable == 0 || full)
 }
 
 // Demand describes the request.
@@ -83,6 +91,9 @@
 }
 
 func (g *Gate) checkSupply(d Demand, s Supply) error {
+	if s.Away() {
+		return nil // the other data centre decides
+	}
 	if s.Usable == 0 {
 		return errkind.NoTarget.New("no target of service %s can take a request", d.Service.Name)
 	}
--- a/internal/request/admit/admit_test.go
+++ b/internal/request/admit/admit_test.go
@@ -52,6 +52,19 @@
 	}
 }
 
+// TestEmptyOrFullCentreAsksAnother: it refuses only when there is none to ask.
+func TestEmptyOrFullCentreAsksAnother(t *testing.T) {
+	is := is.New(t)
+	d := Demand{&fleet.Workspace{}, &fleet.Service{}, time.Minute}
+	for _, s := range []Supply{{}, {Usable: 2, Capacity: 8, InFlight: 10}} {
+		is.True(New(5).Admit(now, d, s) != nil)
+		s.Remote = true
+		is.NoErr(New(5).Admit(now, d, s))
+		is.True(s.Away())
+	}
+	is.True(!Supply{Usable: 2, Capacity: 8, InFlight: 9, Remote: true}.Away())
+}
+
 func TestRateRefills(t *testing.T) {
 	is := is.New(t)
 	g := New(100)
--- a/internal/request/run/run.go
+++ b/internal/request/run/run.go
@@ -34,11 +34,14 @@
 	Prefix        string
 	Deadline      time.Time
 	NonIdempotent bool
-	Hops          int // times it was forwarded between data centres
+	Hops          int  // times it was forwarded between data centres
+	Away          bool // the own data centre is empty or full: ask another
 }
 
 // Remote stands for the targets of other data centres.
 type Remote interface {
+	// Reachable reports whether any node of another data centre can be asked.
+	Reachable() bool
 	// Next returns a node of another data centre and the headers that admit the
 	// workspace's request there; ok is false when none is left.
 	Next(workspace string, exclude map[string]bool) (target choose.Target, header http.Header, ok bool)
@@ -61,6 +64,9 @@
 	return &Runner{targets: t, engines: e, remote: remote, recorder: r, checker: c, budget: budget.New(retryShare)}
 }
 
+// RemoteReachable reports whether another data centre can be asked.
+func (r *Runner) RemoteReachable() bool { return r.remote.Reachable() }
+
 // searchPause is the pause before targets are looked for again when an
 // accepted answer has none to continue on.
 const searchPause = 100 * time.Millisecond
@@ -108,6 +114,11 @@
 }
 
 func (r *Runner) choose(req Request, c *course) (choose.Target, http.Header, bool) {
+	if req.Away && !c.sent {
+		if target, header, ok := r.remote.Next(req.Workspace, c.exclude); ok {
+			return target, header, true
+		}
+	}
 	need := choose.Need{Service: req.Service, Loaded: req.Loaded, Prefix: req.Prefix, Exclude: c.exclude}
 	if target, ok := r.targets.Choose(need); ok {
 		return target, nil, true
--- a/internal/request/serve/complete.go
+++ b/internal/request/serve/complete.go
@@ -53,10 +53,11 @@
 
 func (s *Server) completeOnce(w http.ResponseWriter, r *http.Request, c *session, e *execution, service *fleet.Service) error {
 	w.Header().Set(openai.HeaderRequestID, e.request.ID)
-	release, err := s.admit(c, service, e.request.Loaded, e.request.Deadline)
+	release, away, err := s.admit(c, service, e.request.Loaded, e.request.Deadline)
 	if err != nil {
 		return err
 	}
+	e.request.Away = away
 	if !c.forwarded {
 		joined, err := s.reserve(r.Context(), e)
 		if err != nil || joined != nil {
--- a/internal/request/serve/plain.go
+++ b/internal/request/serve/plain.go
@@ -42,7 +42,7 @@
 	e.request.Path = strings.TrimPrefix(r.URL.RequestURI(), "/services/"+service.Name)
 	e.request.Header = passed(r.Header)
 	w.Header().Set(openai.HeaderRequestID, e.request.ID)
-	release, err := s.admit(c, service, "", deadline)
+	release, _, err := s.admit(c, service, "", deadline)
 	if err != nil {
 		return err
 	}
--- a/internal/request/serve/serve.go
+++ b/internal/request/serve/serve.go
@@ -173,23 +173,25 @@
 	return now.Add(s.limits.RequestTimeout), nil
 }
 
-// admit takes a request on; release ends it.
-func (s *Server) admit(c *session, service *fleet.Service, loaded string, deadline time.Time) (release func(), err error) {
+// admit takes a request on; release ends it. away says that another data
+// centre is to be asked.
+func (s *Server) admit(c *session, service *fleet.Service, loaded string, deadline time.Time) (release func(), away bool, err error) {
 	now := time.Now()
 	usable, capacity, inFlight, waiting := s.Targets.Supply(service.Name, loaded)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	demand := admit.Demand{Workspace: c.workspace, Service: service, Remaining: deadline.Sub(now)}
-	supply := admit.Supply{Usable: usable, Capacity: capacity, InFlight: inFlight, Waiting: waiting, ServiceSec: s.meanSec}
+	supply := admit.Supply{Usable: usable, Capacity: capacity, InFlight: inFlight, Waiting: waiting, ServiceSec: s.meanSec,
+		Remote: service.Kind == fleet.KindModel && !c.forwarded && s.Runner.RemoteReachable()}
 	if err := s.gate.Admit(now, demand, supply); err != nil {
-		return nil, err
+		return nil, false, err
 	}
 	return func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		s.gate.Done(demand)
 		s.observe(time.Since(now))
-	}, nil
+	}, supply.Away(), nil
 }
 
 // meanWeight is the weight of one request in the moving mean of their times.
--- a/lab/e2e/holds_test.go
+++ b/lab/e2e/holds_test.go
@@ -278,6 +278,21 @@
 	is.Equal(len(f.Engines[0][0].Ledger()), before)
 }
 
+// A data centre without targets has its requests answered by another one.
+func TestEmptyCentre(t *testing.T) {
+	is := is.New(t)
+	f, c := embedded(t, 111)
+	vms := f.VMs()
+	for i := range vms {
+		vms[i].Leaving = vms[i].DataCentre == "saldus-hall" && vms[i].Service == "akmens-llm"
+	}
+	f.Platform.SetVMs(vms)
+	time.Sleep(time.Second)
+	for n := range 6 {
+		is.True(c.Complete(context.Background(), f.CallerAddr(0, n%2), note(n, n%3 == 0)).Whole)
+	}
+}
+
 // Point 9: two operators race from one base many times: one wins each time,
 // and every node ends with the last version.
 func TestOperatorsRace(t *testing.T) {
