Go on with a forwarded request from the tokens that are held

The link between two data centres broke in mid-stream; the next node was given a continuation, began to count at 0, and waited for pieces that the engine sends from the continuation on. Change: a forwarded request's answer starts from what the sender holds; callers may not send a continuation. TestForwardedContinuation failed before and passes now.

--- a/internal/connection/openai/openai.go
+++ b/internal/connection/openai/openai.go
@@ -49,6 +49,8 @@
 	Prompt    string    `json:"prompt"`
 	MaxTokens int       `json:"max_tokens"`
 	Stream    bool      `json:"stream"`
+	// Continuation is set between nodes and towards engines only.
+	Continuation Continuation `json:"continuation"`
 }
 
 // Parse reads and checks a request body for the given path.
--- a/internal/request/assemble/assemble.go
+++ b/internal/request/assemble/assemble.go
@@ -29,6 +29,14 @@
 	return &Assembler{requestID: requestID, early: map[int]Piece{}}
 }
 
+// Continue returns an assembler for a request of which another node holds the
+// first tokens.
+func Continue(requestID string, held int, text string) *Assembler {
+	a := New(requestID)
+	a.next, a.text = held, []byte(text)
+	return a
+}
+
 // Begin starts the next attempt and returns its number. Pieces of earlier
 // attempts that were not yet in order are dropped: another target's
 // continuation starts at Held.
--- a/internal/request/run/answer.go
+++ b/internal/request/run/answer.go
@@ -22,6 +22,12 @@
 	return &Answer{assembler: assemble.New(requestID), changed: make(chan struct{})}
 }
 
+// ContinueAnswer returns the answer of a request of which the node that
+// forwarded it holds the first tokens.
+func ContinueAnswer(requestID string, held int, text string) *Answer {
+	return &Answer{assembler: assemble.Continue(requestID, held, text), changed: make(chan struct{})}
+}
+
 func (a *Answer) begin() (attempt, held int, text string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/internal/request/serve/complete.go
+++ b/internal/request/serve/complete.go
@@ -94,6 +94,9 @@
 	if err != nil {
 		return nil, nil, err
 	}
+	if parsed.Continuation.Tokens != 0 && !c.forwarded {
+		return nil, nil, errkind.Malformed.New(`"continuation" is not for callers`)
+	}
 	service, loaded := c.config.ServiceFor(c.workspace, parsed.Model)
 	if service == nil {
 		return nil, nil, errkind.UnknownModel.New("no model %q for workspace %s", parsed.Model, c.workspace.Name)
@@ -108,7 +111,7 @@
 	e.request.Loaded, e.request.Prefix, e.request.Deadline = loaded, parsed.Prefix(), deadline
 	if c.forwarded {
 		e.request.ID, e.request.Hops, e.request.NonIdempotent = r.Header.Get(openai.HeaderRequestID), 1, false
-		e.answer = run.NewAnswer(e.request.ID)
+		e.answer = run.ContinueAnswer(e.request.ID, parsed.Continuation.Tokens, parsed.Continuation.Text)
 	}
 	return e, service, nil
 }
--- a/lab/e2e/holds_test.go
+++ b/lab/e2e/holds_test.go
@@ -293,6 +293,30 @@
 	}
 }
 
+// Point 4: a request that another data centre goes on with, from the tokens
+// that the first one holds.
+func TestForwardedContinuation(t *testing.T) {
+	is := is.New(t)
+	f, c := embedded(t, 114)
+	whole := engine.Answer("user: x\n", 12)
+	held := engine.Answer("user: x\n", 5)
+	body := fmt.Sprintf(`{"model":"akmens-llm","stream":true,"max_tokens":12,"messages":[{"role":"user","content":"x"}],"continuation":{"tokens":5,"text":%q}}`, held)
+	status, _, out, err := c.Call(context.Background(), http.MethodPost, f.CallerAddr(1, 0), openai.ChatPath, []byte(body),
+		map[string]string{openai.HeaderForwarded: deployment.PeerKey, openai.HeaderWorkspace: "kurzeme", openai.HeaderRequestID: "r1"})
+	is.NoErr(err)
+	is.Equal(status, http.StatusOK)
+	rest := ""
+	for _, line := range strings.Split(string(out), "\n") {
+		if chunk, err := openai.DecodeChunk([]byte(strings.TrimPrefix(line, openai.DataPrefix))); err == nil {
+			rest += chunk.Text()
+		}
+	}
+	is.Equal(held+rest, whole)
+	status, _, _, err = c.Call(context.Background(), http.MethodPost, f.CallerAddr(1, 0), openai.ChatPath, []byte(body), nil)
+	is.NoErr(err)
+	is.Equal(status, http.StatusBadRequest) // not for callers
+}
+
 // Point 9: two operators race from one base many times: one wins each time,
 // and every node ends with the last version.
 func TestOperatorsRace(t *testing.T) {
--- a/lab/engine/http.go
+++ b/lab/engine/http.go
@@ -38,18 +38,12 @@
 	return e.faults
 }
 
-// request is a completion request with this engine's continuation.
-type request struct {
-	openai.Request
-	Continuation openai.Continuation `json:"continuation"`
-}
-
 func (e *Engine) complete(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
 	}
-	var req request
+	var req openai.Request
 	if err := json.Unmarshal(body, &req); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
@@ -67,7 +61,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	id := r.Header.Get(openai.HeaderRequestID)
-	s := e.submit(id+"."+r.Header.Get(openai.HeaderAttempt), id, r.URL.Path, &req.Request, req.Continuation)
+	s := e.submit(id+"."+r.Header.Get(openai.HeaderAttempt), id, r.URL.Path, &req, req.Continuation)
 	e.send(w, r, s, s.first)
 }
 
