--- a/internal/request/batch/closer.go
+++ b/internal/request/batch/closer.go
@@ -10,6 +10,7 @@
 	"github.com/marblepond/marblepond/internal/connection/platform"
 	"github.com/marblepond/marblepond/internal/process/rendezvous"
 	"github.com/marblepond/marblepond/internal/process/timeline"
+	"github.com/marblepond/marblepond/internal/process/wait"
 	"github.com/marblepond/marblepond/internal/record"
 )
 
@@ -29,7 +30,7 @@
 	for ctx.Err() == nil {
 		change, err := w.platform.Watch(ctx, record.JobPrefix, since, w.cfg.WatchTimeout)
 		if err != nil {
-			pause(ctx, watchPause)
+			wait.For(ctx, watchPause)
 			continue
 		}
 		since = change.Newest
@@ -68,7 +69,7 @@
 // closeJobs ends jobs whose chunks have all ended, or that were cancelled and
 // whose holders have all stopped.
 func (w *Worker) closeJobs(ctx context.Context) {
-	for pause(ctx, closeInterval) {
+	for wait.For(ctx, closeInterval) {
 		w.mu.Lock()
 		views := make([]*view, 0, len(w.jobs))
 		for _, v := range w.jobs {
--- a/internal/request/batch/store.go
+++ b/internal/request/batch/store.go
@@ -21,6 +21,7 @@
 	"github.com/marblepond/marblepond/internal/connection/platform"
 	"github.com/marblepond/marblepond/internal/errkind"
 	"github.com/marblepond/marblepond/internal/process/timeline"
+	"github.com/marblepond/marblepond/internal/process/wait"
 	"github.com/marblepond/marblepond/internal/record"
 	"github.com/marblepond/marblepond/internal/version/fleet"
 )
@@ -116,7 +117,7 @@
 		if err == nil || errors.Is(err, platform.ErrConflict) {
 			return nil
 		}
-		if !pause(ctx, writePause) {
+		if !wait.For(ctx, writePause) {
 			break
 		}
 	}
@@ -221,7 +222,7 @@
 				return existing, nil // a resend
 			}
 		}
-		if !pause(ctx, writePause) {
+		if !wait.For(ctx, writePause) {
 			break
 		}
 	}
@@ -281,7 +282,7 @@
 			s.recorder.Record(timeline.JobCancelling, "", id, "asked for")
 			return job, nil
 		}
-		pause(ctx, writePause)
+		wait.For(ctx, writePause)
 	}
 	return record.Job{}, errkind.PlatformUnavailable.New("the cancellation was not confirmed; ask again")
 }
@@ -340,7 +341,7 @@
 		if o, err = s.platform.Get(ctx, platform.Commit, name); err == nil || errors.Is(err, platform.ErrNotFound) {
 			return o, err
 		}
-		pause(ctx, writePause)
+		wait.For(ctx, writePause)
 	}
 	return o, err
 }
@@ -366,16 +367,6 @@
 	return err
 }
 
-// pause waits; false when ctx ended.
-func pause(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(d):
-		return true
-	}
-}
-
 // encodeResult returns a result as a line of JSONL.
 func encodeResult(r Result) []byte {
 	data, err := json.Marshal(r)
--- a/internal/request/batch/worker.go
+++ b/internal/request/batch/worker.go
@@ -14,6 +14,7 @@
 	"github.com/marblepond/marblepond/internal/process/member"
 	"github.com/marblepond/marblepond/internal/process/rendezvous"
 	"github.com/marblepond/marblepond/internal/process/timeline"
+	"github.com/marblepond/marblepond/internal/process/wait"
 	"github.com/marblepond/marblepond/internal/record"
 	"github.com/marblepond/marblepond/internal/request/choose"
 	"github.com/marblepond/marblepond/internal/request/pace"
@@ -326,7 +327,7 @@
 			return
 		}
 	}
-	pause(ctx, refreshPause)
+	wait.For(ctx, refreshPause)
 }
 
 // urgent returns the open jobs, earliest due first. The caller holds w.mu.
@@ -419,7 +420,7 @@
 		w.mu.Lock()
 		running := l.running
 		w.mu.Unlock()
-		if running == 0 || !pause(ctx, idlePause) {
+		if running == 0 || !wait.For(ctx, idlePause) {
 			return
 		}
 	}
@@ -447,7 +448,7 @@
 		w.mu.Lock()
 		held := len(w.leases)
 		w.mu.Unlock()
-		if held == 0 || !pause(ctx, idlePause) {
+		if held == 0 || !wait.For(ctx, idlePause) {
 			return held
 		}
 	}
--- a/internal/request/claim/claim.go
+++ b/internal/request/claim/claim.go
@@ -17,6 +17,7 @@
 	"github.com/marblepond/marblepond/internal/errkind"
 	"github.com/marblepond/marblepond/internal/process/ring"
 	"github.com/marblepond/marblepond/internal/process/timeline"
+	"github.com/marblepond/marblepond/internal/process/wait"
 	"github.com/marblepond/marblepond/internal/record"
 )
 
@@ -68,7 +69,7 @@
 				return other, won, err
 			}
 		}
-		pause(ctx) // unavailable or ambiguous: the create is conditional, so it may be repeated
+		wait.For(ctx, retryPause) // unavailable or ambiguous: the create is conditional, so it may be repeated
 	}
 	s.Abandon(c)
 	return c, false, errkind.PlatformUnavailable.New("the claim on this non-idempotent request can't be written; nothing was sent")
@@ -159,13 +160,6 @@
 			s.recorder.Record(timeline.ClaimAbandoned, c.RequestID, name, "nothing was sent")
 			return
 		}
-		pause(ctx)
-	}
-}
-
-func pause(ctx context.Context) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(retryPause):
+		wait.For(ctx, retryPause)
 	}
 }
--- a/internal/version/config/bootstrap.go
+++ b/internal/version/config/bootstrap.go
@@ -10,6 +10,7 @@
 	v1 "github.com/marblepond/marblepond/api/marblepond/v1"
 	"github.com/marblepond/marblepond/internal/connection/platform"
 	"github.com/marblepond/marblepond/internal/process/member"
+	"github.com/marblepond/marblepond/internal/process/wait"
 	"github.com/marblepond/marblepond/internal/record"
 	"github.com/marblepond/marblepond/internal/version/fleet"
 )
@@ -32,7 +33,7 @@
 			m.loaded.Store(true)
 			return
 		}
-		sleep(ctx, bootstrapPause)
+		wait.For(ctx, bootstrapPause)
 	}
 }
 
--- a/internal/version/config/config.go
+++ b/internal/version/config/config.go
@@ -22,6 +22,7 @@
 	"github.com/marblepond/marblepond/internal/process/member"
 	"github.com/marblepond/marblepond/internal/process/rendezvous"
 	"github.com/marblepond/marblepond/internal/process/timeline"
+	"github.com/marblepond/marblepond/internal/process/wait"
 	"github.com/marblepond/marblepond/internal/record"
 	"github.com/marblepond/marblepond/internal/version/fleet"
 )
@@ -127,19 +128,19 @@
 	var since int64
 	for ctx.Err() == nil {
 		if !m.watches() {
-			sleep(ctx, time.Second)
+			wait.For(ctx, time.Second)
 			continue
 		}
 		change, err := m.platform.Watch(ctx, record.ConfigHead, since, m.wait)
 		if err != nil {
-			sleep(ctx, retryWatch)
+			wait.For(ctx, retryWatch)
 			continue
 		}
 		since = change.Newest
 		for _, o := range change.Objects {
 			if err := m.adoptHead(ctx, o.Value); err != nil {
 				since = 0 // try again from the start
-				sleep(ctx, retryWatch)
+				wait.For(ctx, retryWatch)
 			}
 		}
 	}
@@ -382,7 +383,7 @@
 		if err == nil || errors.Is(err, platform.ErrConflict) {
 			return nil
 		}
-		sleep(ctx, retryWatch)
+		wait.For(ctx, retryWatch)
 	}
 	return err
 }
@@ -407,7 +408,7 @@
 				return m.stale(newest.head.Version, now.Version)
 			}
 		}
-		sleep(ctx, retryWatch)
+		wait.For(ctx, retryWatch)
 	}
 	return errkind.UnknownOutcome.New("the platform did not confirm version %d; see status", head.Version)
 }
@@ -420,10 +421,3 @@
 	_, err := m.platform.Update(ctx, platform.Commit, record.ConfigHead, newest.object, record.Encode(head))
 	return err
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/internal/version/targets/gossip.go
+++ b/internal/version/targets/gossip.go
@@ -8,6 +8,7 @@
 	v1 "github.com/marblepond/marblepond/api/marblepond/v1"
 	"github.com/marblepond/marblepond/internal/connection/peer"
 	"github.com/marblepond/marblepond/internal/process/timeline"
+	"github.com/marblepond/marblepond/internal/process/wait"
 	"github.com/marblepond/marblepond/internal/request/choose"
 )
 
@@ -92,7 +93,7 @@
 		for owner, req := range m.pressure(changed) {
 			m.deliver(ctx, pool, owner, req, local)
 		}
-		sleep(ctx, pressurePause)
+		wait.For(ctx, pressurePause)
 	}
 }
 
--- a/internal/version/targets/targets.go
+++ b/internal/version/targets/targets.go
@@ -25,6 +25,7 @@
 	"github.com/marblepond/marblepond/internal/process/rendezvous"
 	"github.com/marblepond/marblepond/internal/process/ring"
 	"github.com/marblepond/marblepond/internal/process/timeline"
+	"github.com/marblepond/marblepond/internal/process/wait"
 	"github.com/marblepond/marblepond/internal/request/choose"
 	"github.com/marblepond/marblepond/internal/version/fleet"
 	"github.com/marblepond/marblepond/internal/version/order"
@@ -113,7 +114,7 @@
 				m.takeVMs(vms, view.Self)
 			}
 		}
-		sleep(ctx, jitter(m.cfg.VMListInterval))
+		wait.For(ctx, jitter(m.cfg.VMListInterval))
 	}
 }
 
@@ -395,13 +396,6 @@
 	return m.table.List(time.Now()), owners
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 // jitter spreads a pause over 0.8 to 1.2 times d.
 func jitter(d time.Duration) time.Duration {
 	return time.Duration(float64(d) * (0.8 + 0.4*rand.Float64()))
