--- a/internal/request/homes/homes.go
+++ b/internal/request/homes/homes.go
@@ -1,7 +1,7 @@
 // Package homes keeps requests and results at their two home nodes. The first
 // home is the first live member of the request's data centre by rendezvous
 // hashing of its placement: there resends of one key meet. The second home is
-// a node of the nearest other data centre that can be reached, else the next
+// a node of the first other data centre (by name) that can be reached, else the next
 // member of the same one. Both keep the answer until the first home has
 // written it to the platform in a group with others, so that an accepted
 // request outlives any node and any data centre.
