--- a/cmd/marblepond/main.go
+++ b/cmd/marblepond/main.go
@@ -10,8 +10,10 @@
 
 	"github.com/urfave/cli/v3"
 
+	"github.com/marblepond/marblepond/internal/process/logwriter"
 	"github.com/marblepond/marblepond/internal/process/node"
 	"github.com/marblepond/marblepond/internal/process/settings"
+	"github.com/marblepond/marblepond/platform"
 )
 
 // version is set by the linker for releases.
@@ -46,11 +48,21 @@
 			if err != nil {
 				return err
 			}
-			return node.New(s).Run(ctx)
+			return run(ctx, s)
 		},
 	}
 }
 
+// run runs the node whose interface the settings choose.
+func run(ctx context.Context, s *settings.Settings) error {
+	log := logwriter.New(os.Stdout)
+	defer log.Close()
+	if s.Front == settings.FrontHosted {
+		return platform.Run(ctx, node.Parts(s, log))
+	}
+	return node.New(s, log).Run(ctx)
+}
+
 func checkCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "check",
--- a/internal/connection/peer/peer.go
+++ b/internal/connection/peer/peer.go
@@ -43,13 +43,17 @@
 	defer p.mu.Unlock()
 	c := p.clients[addr]
 	if c == nil {
-		c = marblepondv1connect.NewPeerServiceClient(p.http, "http://"+addr,
-			withoutCompression, connect.WithInterceptors(present(p.key)), connect.WithReadMaxBytes(maxMessage))
+		c = marblepondv1connect.NewPeerServiceClient(p.http, "http://"+addr, ClientOptions(p.key)...)
 		p.clients[addr] = c
 	}
 	return c
 }
 
+// ClientOptions returns the options of a client that presents the key.
+func ClientOptions(key string) []connect.ClientOption {
+	return []connect.ClientOption{withoutCompression, connect.WithInterceptors(present(key)), connect.WithReadMaxBytes(maxMessage)}
+}
+
 // NewOperatorClient returns a client for an operator's calls to a node.
 func NewOperatorClient(client *http.Client, addr, key string) marblepondv1connect.OperatorServiceClient {
 	return marblepondv1connect.NewOperatorServiceClient(client, "http://"+addr,
--- a/internal/connection/platform/client.go
+++ b/internal/connection/platform/client.go
@@ -20,6 +20,8 @@
 	"time"
 
 	"github.com/uber-go/tally/v4"
+
+	"github.com/marblepond/marblepond/internal/connection/callbudget"
 )
 
 // MaxValue is the largest value the object API takes, in bytes.
@@ -31,17 +33,17 @@
 	ErrConflict    = errors.New("object version does not match")
 	ErrAmbiguous   = errors.New("write may have taken effect")
 	ErrUnavailable = errors.New("platform unavailable")
-	ErrBudget      = errors.New("no platform calls left in the budget")
+	ErrBudget      = callbudget.ErrSpent
 )
 
 // Class orders calls when the budget is short.
-type Class int
+type Class = callbudget.Class
 
 // The classes, most important first.
 const (
-	Lease Class = iota
-	Commit
-	Status
+	Lease  = callbudget.Lease
+	Commit = callbudget.Commit
+	Status = callbudget.Status
 )
 
 // Object is one stored value with its version.
@@ -74,8 +76,8 @@
 	caller  string
 	http    *http.Client
 	timeout time.Duration
-	writes  *budget
-	reads   *budget
+	writes  *callbudget.Budget
+	reads   *callbudget.Budget
 	metrics tally.Scope
 	failed  atomic.Int64 // consecutive failures
 	notify  func(up bool)
@@ -100,7 +102,7 @@
 	}
 	return &Client{
 		base: o.URL, caller: o.Caller, http: o.HTTP, timeout: o.Timeout,
-		writes: newBudget(o.WriteRate), reads: newBudget(o.ReadRate),
+		writes: callbudget.New(o.WriteRate), reads: callbudget.New(o.ReadRate),
 		metrics: o.Metrics, notify: o.OnChange,
 	}
 }
@@ -125,7 +127,7 @@
 
 // Get reads an object. Errors: ErrNotFound, ErrUnavailable, ErrBudget.
 func (c *Client) Get(ctx context.Context, class Class, name string) (Object, error) {
-	if err := c.reads.wait(ctx, class); err != nil {
+	if err := c.reads.Wait(ctx, class); err != nil {
 		return Object{}, err
 	}
 	resp, err := c.do(ctx, http.MethodGet, "/objects/"+name, nil, nil, c.timeout)
@@ -168,7 +170,7 @@
 	if len(value) > MaxValue {
 		return 0, fmt.Errorf("value of %d bytes is over the platform's limit", len(value))
 	}
-	if err := c.writes.wait(ctx, class); err != nil {
+	if err := c.writes.Wait(ctx, class); err != nil {
 		return 0, err
 	}
 	resp, err := c.do(ctx, method, "/objects/"+name, value, func(h http.Header) { h.Set(header, match) }, c.timeout)
@@ -191,7 +193,7 @@
 
 // List returns the objects whose names start with prefix, with values.
 func (c *Client) List(ctx context.Context, class Class, prefix string) ([]Object, error) {
-	if err := c.reads.wait(ctx, class); err != nil {
+	if err := c.reads.Wait(ctx, class); err != nil {
 		return nil, err
 	}
 	resp, err := c.do(ctx, http.MethodGet, "/objects/?prefix="+url.QueryEscape(prefix), nil, nil, 5*c.timeout)
@@ -219,7 +221,7 @@
 // Watch waits up to wait for objects under prefix newer than since. A waiting
 // watch counts as one read.
 func (c *Client) Watch(ctx context.Context, prefix string, since int64, wait time.Duration) (Change, error) {
-	if err := c.reads.wait(ctx, Commit); err != nil {
+	if err := c.reads.Wait(ctx, Commit); err != nil {
 		return Change{}, err
 	}
 	path := fmt.Sprintf("/objects/?prefix=%s&watch=%d&wait=%s", url.QueryEscape(prefix), since, wait)
@@ -240,7 +242,7 @@
 
 // VMs reads the VM list of one data centre. The answer may be stale.
 func (c *Client) VMs(ctx context.Context, dataCentre string) ([]VM, error) {
-	if err := c.reads.wait(ctx, Status); err != nil {
+	if err := c.reads.Wait(ctx, Status); err != nil {
 		return nil, err
 	}
 	resp, err := c.do(ctx, http.MethodGet, "/vms?data_centre="+url.QueryEscape(dataCentre), nil, nil, c.timeout)
--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -42,6 +42,7 @@
 	MethodNotAllowed    = namespace.NewType("method_not_allowed")
 	KeyConflict         = namespace.NewType("key_conflict")
 	TooLarge            = namespace.NewType("too_large")
+	HeaderTooLarge      = namespace.NewType("header_too_large")
 	RateLimited         = namespace.NewType("rate_limited")
 	Overloaded          = namespace.NewType("overloaded")
 	DeadlineUnmeetable  = namespace.NewType("deadline_unmeetable")
@@ -64,6 +65,7 @@
 	MethodNotAllowed:    {"method_not_allowed", 405, connect.CodeUnimplemented, NotRunTrue, 0},
 	KeyConflict:         {"key_conflict", 409, connect.CodeAlreadyExists, NotRunTrue, 0},
 	TooLarge:            {"too_large", 413, connect.CodeInvalidArgument, NotRunTrue, 0},
+	HeaderTooLarge:      {"header_too_large", 431, connect.CodeInvalidArgument, NotRunTrue, 0},
 	RateLimited:         {"rate_limited", 429, connect.CodeResourceExhausted, NotRunTrue, time.Second},
 	Overloaded:          {"overloaded", 503, connect.CodeUnavailable, NotRunTrue, 2 * time.Second},
 	DeadlineUnmeetable:  {"deadline_unmeetable", 503, connect.CodeUnavailable, NotRunTrue, 2 * time.Second},
--- /dev/null
+++ b/internal/process/hosted/log.go
@@ -0,0 +1,55 @@
+package hosted
+
+import (
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/marblepond/marblepond/internal/connection/target"
+	"github.com/marblepond/marblepond/internal/errkind"
+	"github.com/marblepond/marblepond/internal/process/timeline"
+	"github.com/marblepond/marblepond/internal/request/choose"
+	"github.com/marblepond/marblepond/internal/request/forward"
+)
+
+// requestLog implements forward.Log: one line a decision, with its inputs.
+type requestLog struct{ n *Node }
+
+// requestBuckets cover answers from a few milliseconds to the longest usual
+// time limit.
+var requestBuckets = tally.DurationBuckets{
+	5 * time.Millisecond, 10 * time.Millisecond, 20 * time.Millisecond, 50 * time.Millisecond, 100 * time.Millisecond,
+	200 * time.Millisecond, 300 * time.Millisecond, 500 * time.Millisecond, time.Second, 2 * time.Second, 5 * time.Second, 15 * time.Second,
+}
+
+func field(name string, value any) timeline.Field { return timeline.Field{Name: name, Value: value} }
+
+func (l *requestLog) Sent(req *forward.Request, t choose.Target, resumeAfter int64) {
+	fields := []timeline.Field{field("route", req.Route.Name), field("config", req.Version), field("address", t.Addr),
+		field("after_ms", time.Since(req.Arrived).Milliseconds()), field("left_ms", time.Until(req.Deadline).Milliseconds())}
+	if resumeAfter > 0 {
+		fields = append(fields, field("resume_after", resumeAfter))
+	}
+	l.n.recorder.Record(timeline.RequestDispatched, req.ID, t.ID, "", fields...)
+	l.n.metrics.Counter("requests_sent").Inc(1)
+}
+
+func (l *requestLog) Failed(req *forward.Request, t choose.Target, err error) {
+	l.n.recorder.Record(timeline.RequestBroken, req.ID, t.ID, err.Error(),
+		field("may_have_run", target.EndOf(err).Ran()), field("after_ms", time.Since(req.Arrived).Milliseconds()))
+	l.n.metrics.Counter("attempts_failed").Inc(1)
+}
+
+func (l *requestLog) Answered(req *forward.Request, t choose.Target, status int, events int64) {
+	took := time.Since(req.Arrived)
+	l.n.recorder.Record(timeline.RequestAnswered, req.ID, t.ID, "", field("status", status), field("events", events), field("took_ms", took.Milliseconds()))
+	l.n.metrics.Counter("requests_answered").Inc(1)
+	l.n.metrics.Histogram("request_time", requestBuckets).RecordDuration(took)
+}
+
+func (l *requestLog) Refused(req *forward.Request, err error) {
+	answer := errkind.Of(err)
+	l.n.recorder.Record(timeline.RequestRefused, req.ID, req.Route.Name, errkind.Message(err), field("kind", answer.Name),
+		field("not_run", string(answer.NotRun)), field("config", req.Version), field("took_ms", time.Since(req.Arrived).Milliseconds()))
+	l.n.metrics.Counter("requests_refused").Inc(1)
+}
--- /dev/null
+++ b/internal/process/hosted/peers.go
@@ -0,0 +1,184 @@
+package hosted
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/marblepond/marblepond/api/marblepond/v1/marblepondv1connect"
+	"github.com/marblepond/marblepond/internal/connection/callbudget"
+	"github.com/marblepond/marblepond/internal/connection/objects"
+	"github.com/marblepond/marblepond/internal/connection/peer"
+	"github.com/marblepond/marblepond/internal/process/settings"
+	"github.com/marblepond/marblepond/internal/process/timeline"
+	"github.com/marblepond/marblepond/internal/process/wait"
+	"github.com/marblepond/marblepond/internal/request/choose"
+	"github.com/marblepond/marblepond/internal/request/job"
+)
+
+// kindNodes is the kind of objects under which nodes register themselves.
+const kindNodes = "marblepond-nodes"
+
+// nodeRecord is what a node registers.
+type nodeRecord struct {
+	Boot       int64  // Unix microseconds at process start
+	Address    string // IP:port of the services for other nodes
+	DataCentre string
+	Callers    bool // it serves callers and holds jobs
+}
+
+// peers hands out clients of other nodes.
+type peers struct {
+	http     *http.Client
+	options  []connect.ClientOption
+	recorder *timeline.Recorder
+
+	mu   sync.Mutex
+	syn  map[string]marblepondv1connect.SyncServiceClient
+	jobs map[string]marblepondv1connect.JobServiceClient
+}
+
+// peerConns is how many idle connections are kept to each node.
+const peerConns = 2
+
+// newPeers uses HTTP/1.1: a connection that a cut has left dead is dropped with
+// the call that met it, while one of HTTP/2 would fail every call until it is
+// found dead.
+func newPeers(s *settings.Settings, r *timeline.Recorder) *peers {
+	dialer := &net.Dialer{Timeout: s.DialTimeout}
+	transport := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: peerConns, IdleConnTimeout: time.Minute, DisableCompression: true}
+	return &peers{http: &http.Client{Transport: transport}, options: peer.ClientOptions(s.PeerKey), recorder: r,
+		syn: map[string]marblepondv1connect.SyncServiceClient{}, jobs: map[string]marblepondv1connect.JobServiceClient{}}
+}
+
+func (p *peers) sync(address string) marblepondv1connect.SyncServiceClient {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c := p.syn[address]
+	if c == nil {
+		c = marblepondv1connect.NewSyncServiceClient(p.http, "http://"+address, p.options...)
+		p.syn[address] = c
+	}
+	return c
+}
+
+func (p *peers) job(address string) marblepondv1connect.JobServiceClient {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c := p.jobs[address]
+	if c == nil {
+		c = marblepondv1connect.NewJobServiceClient(p.http, "http://"+address, p.options...)
+		p.jobs[address] = c
+	}
+	return c
+}
+
+// Job implements job.Peers.
+func (n *Node) Job(address string) marblepondv1connect.JobServiceClient { return n.peers.job(address) }
+
+// registered returns the nodes that registered themselves, by name.
+func (n *Node) registered() map[string]nodeRecord {
+	if known := n.nodes.Load(); known != nil {
+		return *known
+	}
+	return nil
+}
+
+// nodesChanged reads the registrations again.
+func (n *Node) nodesChanged() {
+	out := map[string]nodeRecord{}
+	for _, o := range n.cache.List(kindNodes) {
+		var r nodeRecord
+		if err := json.Unmarshal(o.Value, &r); err != nil {
+			n.recorder.Record(timeline.ObjectRejected, "", o.Name, err.Error())
+			continue
+		}
+		out[o.Name] = r
+	}
+	n.nodes.Store(&out)
+}
+
+// peerAddresses returns the addresses of the other nodes: those registered,
+// and the seeds until the first registration is known.
+func (n *Node) peerAddresses() []string {
+	seen := map[string]bool{"": true, n.settings.PeerListen: true}
+	var out []string
+	for _, r := range n.registered() {
+		if !seen[r.Address] {
+			seen[r.Address] = true
+			out = append(out, r.Address)
+		}
+	}
+	if len(out) > 0 {
+		return out
+	}
+	return slices.DeleteFunc(slices.Clone(n.settings.Seeds), func(a string) bool { return a == n.settings.PeerListen })
+}
+
+// Holders implements job.Peers.
+func (n *Node) Holders() []string {
+	var out []string
+	for name, r := range n.registered() {
+		if r.Callers && name != n.settings.NodeID {
+			out = append(out, r.Address)
+		}
+	}
+	return out
+}
+
+// batchShare implements job.Parts: the slots of a target are dealt out to the
+// nodes of its data centre, so that together they never send it more batch
+// items than it has room for beside online requests. Targets of other data
+// centres are dealt out to all nodes.
+func (n *Node) batchShare(t choose.Target) int {
+	var near, all []string
+	for name, r := range n.registered() {
+		if !r.Callers {
+			continue
+		}
+		all = append(all, name)
+		if r.DataCentre == t.DataCentre {
+			near = append(near, name)
+		}
+	}
+	if t.DataCentre != n.settings.DataCentre && len(near) > 0 {
+		near = all
+	}
+	return job.Share(t.ID, t.Slots, n.settings.NodeID, near)
+}
+
+// registerPause is the time between attempts to register.
+const registerPause = 500 * time.Millisecond
+
+// register writes the node's own entry until the store has it.
+func (n *Node) register(ctx context.Context) {
+	value, err := json.Marshal(nodeRecord{Boot: n.boot, Address: n.settings.PeerListen, DataCentre: n.settings.DataCentre, Callers: n.settings.CallerListen != ""})
+	if err != nil {
+		n.recorder.Record(timeline.ObjectRejected, "", n.settings.NodeID, err.Error())
+		return
+	}
+	for {
+		_, err := n.adapter.Store.Create(ctx, callbudget.Status, kindNodes, n.settings.NodeID, value)
+		if err == nil {
+			return
+		}
+		if errors.Is(err, objects.ErrConflict) {
+			if _, err = n.adapter.Store.Update(ctx, callbudget.Status, kindNodes, n.settings.NodeID, anyRevision, value); err == nil {
+				return
+			}
+		}
+		if !wait.For(ctx, registerPause) {
+			return
+		}
+	}
+}
+
+// anyRevision makes a write unconditional. Only the node itself writes its entry.
+const anyRevision = 0
--- /dev/null
+++ b/internal/process/hosted/retirement.go
@@ -0,0 +1,53 @@
+package hosted
+
+import (
+	"context"
+	"time"
+
+	"github.com/marblepond/marblepond/internal/connection/callbudget"
+	"github.com/marblepond/marblepond/internal/connection/objects"
+	"github.com/marblepond/marblepond/internal/process/timeline"
+	"github.com/marblepond/marblepond/internal/process/wait"
+)
+
+const (
+	// retirementGrace is how long the VM named has to answer itself before
+	// another storage VM answers for it.
+	retirementGrace = 2 * time.Second
+	// retirementPause is the time between attempts to write the answer.
+	retirementPause = 300 * time.Millisecond
+	// retirementTimeout bounds the work for one retirement.
+	retirementTimeout = 30 * time.Second
+)
+
+// retirementSeen answers that a VM is to be emptied. What a VM's disk holds is
+// only a copy, so that nothing has to be moved: the VM hands its jobs over and
+// is done. Another VM answers for one that is down.
+func (n *Node) retirementSeen(o objects.Object) {
+	if o.Deleted || n.settings.CallerListen != "" {
+		return
+	}
+	n.recorder.Record(timeline.RetirementAsked, "", o.Name, "")
+	go n.retire(o.Name)
+}
+
+func (n *Node) retire(name string) {
+	ctx, cancel := context.WithTimeout(context.Background(), retirementTimeout)
+	defer cancel()
+	if name == n.settings.NodeID {
+		n.jobs.Drain(ctx)
+	} else if !wait.For(ctx, retirementGrace) {
+		return
+	}
+	for {
+		err := n.adapter.Store.SetStatus(ctx, callbudget.Commit, n.adapter.Kinds.Retirements, name, n.adapter.RetirementStatus(true))
+		if err == nil {
+			n.recorder.Record(timeline.RetirementDone, "", name, "")
+			return
+		}
+		if !wait.For(ctx, retirementPause) {
+			n.recorder.Record(timeline.RetirementAsked, "", name, "not answered: "+err.Error())
+			return
+		}
+	}
+}
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -7,14 +7,14 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
-	"os"
 	"sync"
 	"time"
 
 	"github.com/apex/log"
-	"github.com/apex/log/handlers/logfmt"
+	"github.com/apex/log/handlers/json"
 	"github.com/uber-go/tally/v4"
 
 	"github.com/marblepond/marblepond/api/marblepond/v1/marblepondv1connect"
@@ -22,6 +22,7 @@
 	"github.com/marblepond/marblepond/internal/connection/peer"
 	"github.com/marblepond/marblepond/internal/connection/platform"
 	"github.com/marblepond/marblepond/internal/errkind"
+	"github.com/marblepond/marblepond/internal/process/hosted"
 	"github.com/marblepond/marblepond/internal/process/invariant"
 	"github.com/marblepond/marblepond/internal/process/member"
 	"github.com/marblepond/marblepond/internal/process/membership"
@@ -76,26 +77,33 @@
 	Unthrottled bool          // batch fills targets whatever online does
 }
 
-// New connects the parts of a node.
-func New(s *settings.Settings) *Node { return NewVariant(s, Variant{}) }
+// New connects the parts of a node, which writes its log to out.
+func New(s *settings.Settings, out io.Writer) *Node { return NewVariant(s, out, Variant{}) }
+
+// Parts returns what a hosted node is assembled from.
+func Parts(s *settings.Settings, out io.Writer) hosted.Parts {
+	m := newMetrics()
+	return hosted.Parts{Settings: s, Metrics: m.scope, MetricsPage: m,
+		Recorder: timeline.NewRecorder(s.NodeID, s.TimelineEvents, newLogger(s, out), m.scope)}
+}
 
 // NewVariant connects the parts of a node with baselines in place.
-func NewVariant(s *settings.Settings, v Variant) *Node {
+func NewVariant(s *settings.Settings, out io.Writer, v Variant) *Node {
 	n := &Node{settings: s, variant: v, metrics: newMetrics()}
 	if n.variant.Policy == "" {
 		n.variant.Policy = choose.Affinity
 	}
 	n.self = member.Info{ID: s.NodeID, Incarnation: uint64(time.Now().UnixNano()), DataCentre: s.DataCentre,
 		PeerAddr: s.PeerAdvertise, CallerAddr: s.CallerAdvertise}
-	n.recorder = timeline.NewRecorder(s.NodeID, s.TimelineEvents, newLogger(s), n.metrics.scope)
+	n.recorder = timeline.NewRecorder(s.NodeID, s.TimelineEvents, newLogger(s, out), n.metrics.scope)
 	n.checker = invariant.New(n.recorder, s.StopOnViolated)
 	n.connect()
 	n.assemble()
 	return n
 }
 
-func newLogger(s *settings.Settings) log.Interface {
-	logger := &log.Logger{Handler: logfmt.New(os.Stderr), Level: log.MustParseLevel(s.LogLevel)}
+func newLogger(s *settings.Settings, out io.Writer) log.Interface {
+	logger := &log.Logger{Handler: json.New(out), Level: log.MustParseLevel(s.LogLevel)}
 	return logger.WithField("node", s.NodeID)
 }
 
--- a/internal/process/settings/keys.go
+++ b/internal/process/settings/keys.go
@@ -12,21 +12,35 @@
 var Keys = []Key{
 	{"node", "id", "", "name", "Name of the node, unique in the fleet.", name(func(s *Settings) *string { return &s.NodeID })},
 	{"node", "data_centre", "", "name", "Data centre the VM stands in.", name(func(s *Settings) *string { return &s.DataCentre })},
-	{"node", "caller_listen", "", "IP:port", "Where callers' HTTP requests are taken.", address(func(s *Settings) *string { return &s.CallerListen }, true)},
+	{"node", "caller_listen", "", "IP:port", "Where callers' HTTP requests are taken; required with front = openai. A hosted node without it takes none.", address(func(s *Settings) *string { return &s.CallerListen }, false)},
 	{"node", "peer_listen", "", "IP:port", "Where other nodes and operators are answered.", address(func(s *Settings) *string { return &s.PeerListen }, true)},
 	{"node", "caller_advertise", "", "IP:port", "Address other nodes use for caller_listen; empty: the same.", address(func(s *Settings) *string { return &s.CallerAdvertise }, false)},
 	{"node", "peer_advertise", "", "IP:port", "Address other nodes use for peer_listen; empty: the same.", address(func(s *Settings) *string { return &s.PeerAdvertise }, false)},
 	{"node", "seeds", "", "IP:port list", "Peer addresses asked first for members and configuration.", addresses(func(s *Settings) *[]string { return &s.Seeds })},
 
-	{"platform", "url", "", "URL", "Base URL of the platform's object API and VM list.", text(func(s *Settings) *string { return &s.PlatformURL }, true)},
+	{"node", "front", FrontOpenAI, "name", "Interface that the node serves: openai, or hosted on the users' platform.", choice(func(s *Settings) *string { return &s.Front }, FrontOpenAI, FrontHosted)},
+	{"node", "ready_listen", "", "IP:port", "Where a hosted node answers whether it is ready; empty: nowhere.", address(func(s *Settings) *string { return &s.ReadyListen }, false)},
+	{"node", "metrics_listen", "", "IP:port", "Where a hosted node serves its metrics; empty: nowhere.", address(func(s *Settings) *string { return &s.MetricsListen }, false)},
+	{"node", "data_dir", "", "path", "Folder on a disk of the VM; empty: the VM has none.", text(func(s *Settings) *string { return &s.DataDir }, false)},
+
+	{"store", "address", "", "IP:port", "Object store of a hosted node.", address(func(s *Settings) *string { return &s.StoreAddress }, false)},
+	{"store", "timeout", "600ms", "duration", "How long one call may take; the store answers in about 4 ms.", duration(func(s *Settings) *time.Duration { return &s.StoreTimeout }, 10*time.Millisecond, time.Minute)},
+	{"store", "write_rate", "400", "calls/s", "Writes the store takes from all nodes together.", count(func(s *Settings) *int { return &s.StoreWriteRate }, 1, 100000)},
+	{"store", "read_rate", "2000", "calls/s", "Reads the store takes from all nodes together.", count(func(s *Settings) *int { return &s.StoreReadRate }, 1, 1000000)},
+	{"store", "max_value", "1048576", "bytes", "Largest value the store takes.", count(func(s *Settings) *int { return &s.StoreMaxValue }, 4096, 1<<30)},
+	{"store", "watch_wait", "25s", "duration", "How long one watch waits; each is one call.", duration(func(s *Settings) *time.Duration { return &s.WatchWait }, 100*time.Millisecond, time.Minute)},
+	{"store", "probe_interval", "1s", "duration", "Time between cheap calls that notice an outage and its end.", duration(func(s *Settings) *time.Duration { return &s.ProbeInterval }, 100*time.Millisecond, time.Minute)},
+	{"store", "gossip_interval", "250ms", "duration", "Time between exchanges with another node of what the store was seen to hold.", duration(func(s *Settings) *time.Duration { return &s.GossipInterval }, 20*time.Millisecond, time.Minute)},
+
+	{"platform", "url", "", "URL", "Base URL of the platform's object API and VM list.", text(func(s *Settings) *string { return &s.PlatformURL }, false)},
 	{"platform", "timeout", "2s", "duration", "How long one call to the platform may take.", duration(func(s *Settings) *time.Duration { return &s.PlatformTimeout }, 10*time.Millisecond, time.Minute)},
 	{"platform", "write_rate", "20", "calls/s", "Writes this node may make; leases and commits go before status.", count(func(s *Settings) *int { return &s.PlatformWriteRate }, 1, 1000)},
 	{"platform", "read_rate", "60", "calls/s", "Reads this node may make.", count(func(s *Settings) *int { return &s.PlatformReadRate }, 1, 5000)},
 	{"platform", "vm_list_interval", "1s", "duration", "Time between reads of the VM list.", duration(func(s *Settings) *time.Duration { return &s.VMListInterval }, 50*time.Millisecond, time.Minute)},
 	{"platform", "watch_timeout", "10s", "duration", "How long one watch waits.", duration(func(s *Settings) *time.Duration { return &s.WatchTimeout }, 100*time.Millisecond, time.Minute)},
 
-	{"security", "peer_key", "", "text", "Shared secret of the nodes.", text(func(s *Settings) *string { return &s.PeerKey }, true)},
-	{"security", "operator_key", "", "text", "Secret that operators present.", text(func(s *Settings) *string { return &s.OperatorKey }, true)},
+	{"security", "peer_key", "", "text", "Shared secret of the nodes.", text(func(s *Settings) *string { return &s.PeerKey }, false)},
+	{"security", "operator_key", "", "text", "Secret that operators present.", text(func(s *Settings) *string { return &s.OperatorKey }, false)},
 
 	{"limits", "max_body", "8388608", "bytes", "Largest request body; files are cut into chunks while they arrive and may be larger.", count(func(s *Settings) *int { return &s.MaxBody }, 1024, 1<<30)},
 	{"limits", "max_header", "65536", "bytes", "Largest request header.", count(func(s *Settings) *int { return &s.MaxHeader }, 4096, mebi)},
@@ -34,6 +48,15 @@
 	{"limits", "request_timeout", "60s", "duration", "Deadline of an online request whose caller names none.", duration(func(s *Settings) *time.Duration { return &s.RequestTimeout }, 100*time.Millisecond, time.Hour)},
 	{"limits", "drain_timeout", "120s", "duration", "How long a leaving node waits for requests in progress.", duration(func(s *Settings) *time.Duration { return &s.DrainTimeout }, time.Second, time.Hour)},
 
+	{"limits", "memory", "0", "MiB", "Memory the process may use; the garbage collector keeps below nine tenths of it. 0: no limit.", count(func(s *Settings) *int { return &s.Memory }, 0, 1<<20)},
+	{"limits", "dial_timeout", "250ms", "duration", "How long a new connection to a target or node may take.", duration(func(s *Settings) *time.Duration { return &s.DialTimeout }, 10*time.Millisecond, time.Minute)},
+
+	{"jobs", "keep_results", "120s", "duration", "How long after its submission a job stays readable at a hosted node.", duration(func(s *Settings) *time.Duration { return &s.KeepResults }, time.Second, 30*day)},
+	{"jobs", "cancel_within", "3s", "duration", "How long after a job was ended its items may still be sent.", duration(func(s *Settings) *time.Duration { return &s.CancelWithin }, 100*time.Millisecond, time.Minute)},
+	{"jobs", "cap_slack", "0.1", "share", "Share by which the tokens that wait on a route may exceed its cap.", share(func(s *Settings) *float64 { return &s.JobCapSlack })},
+	{"jobs", "take_over_after", "6s", "duration", "How long the holder of a job must be unreachable before another node takes the job over.", duration(func(s *Settings) *time.Duration { return &s.TakeOverAfter }, 100*time.Millisecond, time.Hour)},
+	{"jobs", "sweep_interval", "5s", "duration", "Time between looks for jobs without a holder.", duration(func(s *Settings) *time.Duration { return &s.SweepInterval }, 100*time.Millisecond, time.Hour)},
+
 	{"membership", "heartbeat", "500ms", "duration", "Time between heartbeats to each node of the data centre.", duration(func(s *Settings) *time.Duration { return &s.Heartbeat }, 20*time.Millisecond, time.Minute)},
 	{"membership", "suspect_after", "1500ms", "duration", "Silence after which a node is suspect and gets no new duties.", duration(func(s *Settings) *time.Duration { return &s.SuspectAfter }, 40*time.Millisecond, time.Minute)},
 	{"membership", "dead_after", "3s", "duration", "Silence after which a node's work is taken over.", duration(func(s *Settings) *time.Duration { return &s.DeadAfter }, 60*time.Millisecond, 10*time.Minute)},
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"math"
 	"net"
 	"regexp"
 	"sort"
@@ -26,6 +27,20 @@
 	PeerAdvertise   string
 	Seeds           []string
 
+	Front         string // which callers' interface the node serves
+	ReadyListen   string
+	MetricsListen string
+	Region        string
+
+	StoreAddress   string
+	StoreTimeout   time.Duration
+	StoreWriteRate int
+	StoreReadRate  int
+	StoreMaxValue  int
+	WatchWait      time.Duration
+	ProbeInterval  time.Duration
+	GossipInterval time.Duration
+
 	PlatformURL       string
 	PlatformTimeout   time.Duration
 	PlatformWriteRate int
@@ -62,11 +77,26 @@
 	ResultMemory  int
 	FlushInterval time.Duration
 
+	Memory        int
+	DialTimeout   time.Duration
+	KeepResults   time.Duration
+	CancelWithin  time.Duration
+	JobCapSlack   float64
+	TakeOverAfter time.Duration
+	SweepInterval time.Duration
+	DataDir       string
+
 	LogLevel       string
 	TimelineEvents int
 	StopOnViolated bool
 }
 
+// The callers' interfaces.
+const (
+	FrontOpenAI = "openai" // the product's own, with its own discovery
+	FrontHosted = "hosted" // the users' platform, with its object store
+)
+
 // Key describes one setting: where it stands, its default, unit and meaning.
 type Key struct {
 	Section string
@@ -131,6 +161,7 @@
 			faults = append(faults, Fault{name, key.Section, key.Name, value, err.Error()})
 		}
 	}
+	faults = append(faults, frontChecks(name, s, faults)...)
 	faults = append(faults, unknownKeys(name, file, known)...)
 	if len(faults) == 0 {
 		faults = append(faults, crossChecks(name, s)...)
@@ -174,6 +205,29 @@
 	return faults
 }
 
+// frontChecks reports settings that the chosen interface needs and that are not
+// among the faults found already.
+func frontChecks(name string, s *Settings, found Faults) Faults {
+	wrong := map[string]bool{}
+	for _, f := range found {
+		wrong[f.Section+"."+f.Key] = true
+	}
+	needed := []struct{ section, key, value string }{
+		{"node", "caller_listen", s.CallerListen}, {"platform", "url", s.PlatformURL},
+		{"security", "peer_key", s.PeerKey}, {"security", "operator_key", s.OperatorKey},
+	}
+	if s.Front == FrontHosted {
+		needed = []struct{ section, key, value string }{{"store", "address", s.StoreAddress}}
+	}
+	var faults Faults
+	for _, n := range needed {
+		if n.value == "" && !wrong[n.section+"."+n.key] {
+			faults = append(faults, Fault{name, n.section, n.key, "", "a value (required with [node] front = " + s.Front + ")"})
+		}
+	}
+	return faults
+}
+
 // setters
 
 func text(field func(*Settings) *string, required bool) func(*Settings, string) error {
@@ -245,11 +299,11 @@
 
 func count(field func(*Settings) *int, least, most int) func(*Settings, string) error {
 	return func(s *Settings, value string) error {
-		n, err := strconv.Atoi(value)
-		if err != nil || n < least || n > most {
+		x, err := strconv.ParseFloat(value, 64) // rendered settings may hold 400.0
+		if err != nil || x != math.Trunc(x) || x < float64(least) || x > float64(most) {
 			return fmt.Errorf("a whole number from %d to %d", least, most)
 		}
-		*field(s) = n
+		*field(s) = int(x)
 		return nil
 	}
 }
--- a/internal/process/timeline/catalogue.go
+++ b/internal/process/timeline/catalogue.go
@@ -13,6 +13,9 @@
 	NodeDraining      Code = 103
 	NodeStopped       Code = 104
 	RingOverflow      Code = 105
+	NodeReloaded      Code = 106
+	RetirementAsked   Code = 107
+	RetirementDone    Code = 108
 	MemberJoined      Code = 201
 	MemberSuspect     Code = 202
 	MemberDead        Code = 203
@@ -34,10 +37,12 @@
 	ResultsFlushed    Code = 411
 	RequestHeld       Code = 412
 	ResultHeld        Code = 413
+	RequestBroken     Code = 414
 	TargetEjected     Code = 501
 	TargetReadmitted  Code = 502
 	TargetOrdered     Code = 503
 	TargetLost        Code = 504
+	TargetChanged     Code = 505
 	JobAccepted       Code = 601
 	ChunkLeased       Code = 602
 	ChunkCommitted    Code = 603
@@ -48,9 +53,22 @@
 	JobCancelling     Code = 608
 	JobCancelled      Code = 609
 	JobCompleted      Code = 610
+	JobRefused        Code = 611
+	JobHeld           Code = 612
+	JobCommitted      Code = 613
+	JobReleased       Code = 614
+	JobEnded          Code = 615
+	ItemSent          Code = 616
+	ItemFailed        Code = 617
+	ItemDone          Code = 618
+	ItemDead          Code = 619
+	JobDropped        Code = 620
 	PlatformDown      Code = 701
 	PlatformUp        Code = 702
 	PlatformAmbiguous Code = 703
+	StoreLost         Code = 704
+	StoreRegained     Code = 705
+	ObjectRejected    Code = 706
 	InvariantViolated Code = 901
 	unknownEventName       = "unknown"
 )
@@ -69,6 +87,9 @@
 	NodeDraining:      {"node_draining", log.InfoLevel, "a node was asked to stop and takes nothing new"},
 	NodeStopped:       {"node_stopped", log.InfoLevel, "a node ended after everything in progress"},
 	RingOverflow:      {"ring_overflow", log.WarnLevel, "a bounded ring, value or message had no room; the cause says which"},
+	NodeReloaded:      {"node_reloaded", log.InfoLevel, "the settings file was read again; the cause says what came of it"},
+	RetirementAsked:   {"retirement_asked", log.InfoLevel, "a VM is to be emptied"},
+	RetirementDone:    {"retirement_done", log.InfoLevel, "the VM keeps nothing that is needed and may be removed"},
 	MemberJoined:      {"member_joined", log.InfoLevel, "a node of the data centre is alive, new or again"},
 	MemberSuspect:     {"member_suspect", log.InfoLevel, "a node is silent and gets no new duties"},
 	MemberDead:        {"member_dead", log.WarnLevel, "a node is silent for long; its work is taken over"},
@@ -78,10 +99,10 @@
 	ConfigApplied:     {"config_applied", log.InfoLevel, "an operator's plan became a version"},
 	ConfigStalePlan:   {"config_stale_plan", log.InfoLevel, "a plan was refused because its base is not the newest version"},
 	RequestAccepted:   {"request_accepted", log.DebugLevel, "the caller has the first byte of a 200"},
-	RequestDispatched: {"request_dispatched", log.DebugLevel, "an attempt was sent to a target"},
+	RequestDispatched: {"request_dispatched", log.InfoLevel, "an attempt was sent to a target"},
 	RequestRetried:    {"request_retried", log.InfoLevel, "an attempt failed and another follows; the cause is the failure"},
-	RequestAnswered:   {"request_answered", log.DebugLevel, "the whole answer was sent"},
-	RequestRefused:    {"request_refused", log.DebugLevel, "a refusal was sent; the cause holds its kind"},
+	RequestAnswered:   {"request_answered", log.InfoLevel, "the whole answer was sent"},
+	RequestRefused:    {"request_refused", log.InfoLevel, "a refusal was sent; the cause holds its kind"},
 	RequestJoined:     {"request_joined", log.DebugLevel, "a resend waits for the request that has its key"},
 	RequestTakenOver:  {"request_taken_over", log.InfoLevel, "a request whose node or data centre was lost runs here"},
 	RequestResumed:    {"request_resumed", log.InfoLevel, "a stream whose connection broke goes on at the same target"},
@@ -90,6 +111,8 @@
 	ResultsFlushed:    {"results_flushed", log.DebugLevel, "a group of results is in the platform"},
 	RequestHeld:       {"request_held", log.DebugLevel, "this node keeps a request as one of its homes"},
 	ResultHeld:        {"result_held", log.DebugLevel, "this node keeps the result of a request"},
+	RequestBroken:     {"request_broken", log.InfoLevel, "an attempt ended without a whole answer; the cause says how, and whether it may have run"},
+	TargetChanged:     {"target_changed", log.InfoLevel, "what this node believes of a target changed; the cause says what"},
 	TargetEjected:     {"target_ejected", log.WarnLevel, "a target failed too often in a row and is left out"},
 	TargetReadmitted:  {"target_readmitted", log.InfoLevel, "a trial request succeeded and the target is back"},
 	TargetOrdered:     {"target_ordered", log.InfoLevel, "an order was given to a target; the cause holds order and answer"},
@@ -104,9 +127,22 @@
 	JobCancelling:     {"job_cancelling", log.InfoLevel, "a job was asked to stop"},
 	JobCancelled:      {"job_cancelled", log.InfoLevel, "every holder of a cancelled job has stopped"},
 	JobCompleted:      {"job_completed", log.InfoLevel, "every item of a job has its result"},
+	JobRefused:        {"job_refused", log.InfoLevel, "a job was not accepted and none of it will run; the cause holds the kind"},
+	JobHeld:           {"job_held", log.InfoLevel, "this node holds a job; the cause says how it came to"},
+	JobCommitted:      {"job_committed", log.InfoLevel, "results of a job are in the object store"},
+	JobReleased:       {"job_released", log.InfoLevel, "this node no longer holds a job; the cause says why"},
+	JobEnded:          {"job_ended", log.InfoLevel, "the end of a job by its caller is known here"},
+	ItemSent:          {"item_sent", log.InfoLevel, "an item was sent to a target"},
+	ItemFailed:        {"item_failed", log.InfoLevel, "an attempt at an item ended without its whole answer"},
+	ItemDone:          {"item_done", log.InfoLevel, "the whole answer of an item is here and waits to be committed"},
+	ItemDead:          {"item_dead", log.InfoLevel, "an item was given up; the cause says why"},
+	JobDropped:        {"job_dropped", log.InfoLevel, "an expired job was removed from the object store"},
 	PlatformDown:      {"platform_down", log.WarnLevel, "several calls to the platform failed in a row"},
 	PlatformUp:        {"platform_up", log.InfoLevel, "the platform answers again"},
 	PlatformAmbiguous: {"platform_ambiguous", log.InfoLevel, "a write has no clear answer and is read back"},
+	StoreLost:         {"store_lost", log.WarnLevel, "the object store does not answer this node"},
+	StoreRegained:     {"store_regained", log.InfoLevel, "the object store answers this node again"},
+	ObjectRejected:    {"object_rejected", log.WarnLevel, "an object in the store could not be decoded and is not used"},
 	InvariantViolated: {"invariant_violated", log.ErrorLevel, "something that must always hold does not; the cause is the evidence"},
 }
 
--- a/internal/process/timeline/timeline.go
+++ b/internal/process/timeline/timeline.go
@@ -82,8 +82,15 @@
 	}
 }
 
-// Record adds an event. It never blocks; the oldest event is overwritten.
-func (r *Recorder) Record(code Code, requestID, subject, cause string) {
+// Field is one input of a decision, for the log.
+type Field struct {
+	Name  string
+	Value any
+}
+
+// Record adds an event. It never blocks; the oldest event is overwritten. The
+// fields go into the log line only.
+func (r *Recorder) Record(code Code, requestID, subject, cause string, fields ...Field) {
 	event := Event{At: r.Clock.Now(), Node: r.node, Code: code, RequestID: requestID, Subject: subject, Cause: cause}
 	r.mu.Lock()
 	r.ring[r.next] = event
@@ -93,17 +100,24 @@
 	}
 	r.mu.Unlock()
 	r.metrics.Counter("event_" + code.String()).Inc(1)
-	r.log(event)
+	r.log(event, fields)
 }
 
-func (r *Recorder) log(event Event) {
+func (r *Recorder) log(event Event, extra []Field) {
 	level := Catalogue[event.Code].Level
 	if level == log.DebugLevel {
 		return // in the ring only; the log stays readable under load
 	}
-	entry := r.logger.WithFields(log.Fields{
-		"event": uint32(event.Code), "request": event.RequestID, "subject": event.Subject, "cause": event.Cause,
-	})
+	fields := log.Fields{"event": uint32(event.Code)}
+	for name, value := range map[string]string{"request": event.RequestID, "subject": event.Subject, "cause": event.Cause} {
+		if value != "" {
+			fields[name] = value
+		}
+	}
+	for _, f := range extra {
+		fields[f.Name] = f.Value
+	}
+	entry := r.logger.WithFields(fields)
 	switch level {
 	case log.ErrorLevel:
 		entry.Error(event.Code.String())
--- a/internal/request/choose/choose.go
+++ b/internal/request/choose/choose.go
@@ -33,6 +33,8 @@
 	Addr        string
 	DataCentre  string
 	Remote      bool // a node of another data centre that stands for its targets
+	Slots       int  // requests served at once, where discovery tells it; 0: load reports do
+	Warming     bool // just started and still slow
 }
 
 // Outcome says how an attempt ended for the target.
@@ -48,9 +50,14 @@
 type entry struct {
 	Target
 	load         Load
-	known        bool // a load report has arrived
-	online       int  // own online requests in flight
-	atReport     int  // own online in flight when load.At
+	known        bool          // a load report has arrived
+	online       int           // own online requests in flight
+	saturated    time.Time     // until then its own refusal stands for a full table entry
+	firstEvent   time.Duration // moving average of the time to the first event
+	firstAt      time.Time     // newest measurement of firstEvent
+	batch        int           // own batch items in flight, where this table places them
+	elsewhere    int           // requests that other nodes last said they have there
+	atReport     int           // own online in flight when load.At
 	leaving      bool
 	failures     int // in a row
 	ejectedUntil time.Time
@@ -74,6 +81,9 @@
 	EjectAfter int
 	EjectTime  time.Duration
 	Policy     Policy
+	// Home is the data centre whose targets are preferred while they have room;
+	// empty: none is.
+	Home string
 }
 
 // loadBound is how far above the mean a target's load may be for a request to
@@ -117,7 +127,7 @@
 		old.leaving = old.leaving || t.left[target.ID] >= target.Incarnation
 	}
 	for id, e := range t.entries {
-		if !keep[id] && e.online == 0 {
+		if !keep[id] && e.online+e.batch == 0 {
 			delete(t.entries, id)
 		} else if !keep[id] {
 			e.leaving = true
@@ -170,6 +180,16 @@
 	Loaded  string          // name that must be loaded; empty: none
 	Prefix  string          // affinity key; empty: none
 	Exclude map[string]bool // targets already tried
+	// Batch asks for room that online requests leave: the target must have more
+	// than Reserve slots free.
+	Batch   bool
+	Reserve int
+	// Limit returns how many batch items this table may have at a target at
+	// once; nil: no limit.
+	Limit func(Target) int
+	// Overflow is how many requests beyond its slots a target may be given
+	// when all are full; 0: no limit.
+	Overflow int
 }
 
 // Choose returns the target for a request; ok is false when none can take it.
@@ -192,16 +212,143 @@
 		if need.Exclude[id] || e.why(now, need.Loaded) != "" {
 			continue
 		}
-		if e.known && e.load.MaxRunning > 0 && e.estimate() >= e.load.MaxRunning {
-			full = append(full, e)
+		switch free := e.freeAt(now); {
+		case need.Batch && (free <= need.Reserve || (need.Limit != nil && e.batch >= need.Limit(e.Target))):
 			continue
+		case free <= 0:
+			if need.Overflow == 0 || free > -need.Overflow {
+				full = append(full, e)
+			}
+		default:
+			out = append(out, e)
 		}
-		out = append(out, e)
 	}
-	if len(out) == 0 {
+	if len(out) == 0 && !need.Batch {
 		return full
 	}
-	return out
+	return t.preferred(now, out)
+}
+
+// preferred leaves out slow targets, those that are still warming up, and those
+// of other data centres, when others have room.
+func (t *Table) preferred(now time.Time, entries []*entry) []*entry {
+	usual := usualFirstEvent(entries)
+	entries = keepIfAny(entries, func(e *entry) bool { return !e.Warming && !e.slow(now, usual) })
+	if t.cfg.Home == "" {
+		return entries
+	}
+	return keepIfAny(entries, func(e *entry) bool { return e.DataCentre == t.cfg.Home })
+}
+
+const (
+	// slowFactor is how many times the usual time to the first event marks a
+	// target as slow: above what queueing behind one full batch adds.
+	slowFactor = 2.5
+	// slowFor is how long a measurement marks a target as slow; after that one
+	// request finds out whether it still is.
+	slowFor = 2 * time.Second
+	// firstEventWeight is the weight of the newest measurement.
+	firstEventWeight = 0.3
+	// saturatedFor is how long a target's own refusal counts: about the time in
+	// which one of its slots becomes free.
+	saturatedFor = 50 * time.Millisecond
+)
+
+// usualFirstEvent returns the median over targets that were measured.
+func usualFirstEvent(entries []*entry) time.Duration {
+	var times []time.Duration
+	for _, e := range entries {
+		if e.firstEvent > 0 {
+			times = append(times, e.firstEvent)
+		}
+	}
+	if len(times) == 0 {
+		return 0
+	}
+	sort.Slice(times, func(i, j int) bool { return times[i] < times[j] })
+	return times[len(times)/2]
+}
+
+func (e *entry) slow(now time.Time, usual time.Duration) bool {
+	return usual > 0 && now.Sub(e.firstAt) < slowFor && float64(e.firstEvent) > slowFactor*float64(usual)
+}
+
+// FirstEvent takes a measurement of the time to the first event.
+func (t *Table) FirstEvent(now time.Time, id string, took time.Duration) {
+	e := t.entries[id]
+	if e == nil {
+		return
+	}
+	if e.firstEvent == 0 || now.Sub(e.firstAt) > slowFor {
+		e.firstEvent = took
+	} else {
+		e.firstEvent += time.Duration(firstEventWeight * float64(took-e.firstEvent))
+	}
+	e.firstAt = now
+}
+
+// Saturated notes that a target refused because it was full.
+func (t *Table) Saturated(now time.Time, id string) {
+	if e := t.entries[id]; e != nil {
+		e.saturated = now.Add(saturatedFor)
+	}
+}
+
+// Free returns the free slots of a target; negative when more is sent there
+// than it serves at once.
+func (t *Table) Free(id string) int {
+	if e := t.entries[id]; e != nil {
+		return e.free()
+	}
+	return 0
+}
+
+// Room returns the free and all slots of a service's usable targets.
+func (t *Table) Room(now time.Time, service string) (free, capacity int) {
+	for _, id := range t.rank[service] {
+		e := t.entries[id]
+		if e.why(now, "") != "" {
+			continue
+		}
+		capacity += e.Slots
+		free += max(0, e.freeAt(now))
+	}
+	return free, capacity
+}
+
+func (e *entry) freeAt(now time.Time) int {
+	if now.Before(e.saturated) {
+		return min(0, e.free())
+	}
+	return e.free()
+}
+
+func keepIfAny(entries []*entry, keep func(*entry) bool) []*entry {
+	var kept []*entry
+	for _, e := range entries {
+		if keep(e) {
+			kept = append(kept, e)
+		}
+	}
+	if len(kept) == 0 {
+		return entries
+	}
+	return kept
+}
+
+// unbounded stands for the free slots of a target whose size is not known.
+const unbounded = 1 << 20
+
+// free returns how many more requests the target serves at once.
+func (e *entry) free() int {
+	slots := e.Slots
+	if e.known && e.load.MaxRunning > 0 {
+		slots = e.load.MaxRunning
+	}
+	if slots == 0 {
+		return unbounded
+	}
+	return slots - e.estimate() - e.batch
 }
 
 // why returns the reason a target can't be chosen, empty when it can.
@@ -237,7 +384,7 @@
 // the last report.
 func (e *entry) estimate() int {
 	others := max(0, e.load.Running+e.load.Waiting-e.load.Batch-e.atReport)
-	return e.online + others
+	return e.online + others + e.elsewhere
 }
 
 func (t *Table) pick(usable []*entry, need Need) *entry {
@@ -252,7 +399,13 @@
 			return affine(usable, need.Prefix)
 		}
 	}
-	return least(usable, (*entry).estimate)
+	t.turn++ // equal targets take turns, so that nodes do not all pick the first
+	return least(rotate(usable, t.turn), func(e *entry) int { return e.estimate() + e.batch })
+}
+
+func rotate(entries []*entry, n int) []*entry {
+	n %= len(entries)
+	return append(append(make([]*entry, 0, len(entries)), entries[n:]...), entries[:n]...)
 }
 
 func least(usable []*entry, cost func(*entry) int) *entry {
@@ -284,6 +437,21 @@
 	return best
 }
 
+// BeginBatch counts a batch item sent to a target; EndBatch takes its result.
+func (t *Table) BeginBatch(id string) {
+	if e := t.entries[id]; e != nil {
+		e.batch++
+	}
+}
+
+// EndBatch takes the result of a batch item that BeginBatch counted.
+func (t *Table) EndBatch(now time.Time, id string, outcome Outcome) (ejected, readmitted bool) {
+	if e := t.entries[id]; e != nil {
+		e.batch = max(0, e.batch-1)
+	}
+	return t.Judge(now, id, outcome)
+}
+
 // Begin counts an online request sent to a target.
 func (t *Table) Begin(id string) {
 	if e := t.entries[id]; e != nil {
--- /dev/null
+++ b/internal/request/forward/forward.go
@@ -0,0 +1,341 @@
+// Package forward carries one online request to its whole answer: it chooses
+// targets, makes attempts, goes on at another target after the last whole
+// event where the route allows it, and tells a refusal that is proved not to
+// have run from an end that may have run.
+//
+// It knows neither the callers' protocol nor the targets': both stand behind
+// the interfaces Caller and target.Sender.
+package forward
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/marblepond/marblepond/internal/connection/target"
+	"github.com/marblepond/marblepond/internal/errkind"
+	"github.com/marblepond/marblepond/internal/request/choose"
+	"github.com/marblepond/marblepond/internal/version/route"
+)
+
+// Request is one attempt of a caller.
+type Request struct {
+	ID      string
+	Route   *route.Route
+	Service string
+	Version int64 // of the routing table that chose Route
+	Method  string
+	Host    string
+	Path    string // with the query
+	Header  http.Header
+	Body    []byte
+	// ResumeAfter is the ID of the last event that the caller holds.
+	ResumeAfter int64
+	Arrived     time.Time
+	// Deadline is when the caller or the route gives up, whichever is sooner.
+	Deadline time.Time
+}
+
+// Caller takes the answer. An error means that the caller is gone.
+type Caller interface {
+	// Whole sends an answer that is complete.
+	Whole(answer *target.Answer) error
+	// Begin sends the head of a streamed answer.
+	Begin(answer *target.Answer) error
+	// Event sends one event at once.
+	Event(e target.Event) error
+	// End sends the end of a streamed answer that is complete.
+	End() error
+}
+
+// Targets is what the forwarder needs of the table of targets.
+type Targets interface {
+	Choose(need choose.Need) (choose.Target, bool)
+	End(id string, outcome choose.Outcome)
+	FirstEvent(id string, took time.Duration)
+	Saturated(id string)
+	Leave(id, why string)
+}
+
+// Log receives the decisions that touch a request.
+type Log interface {
+	Sent(req *Request, t choose.Target, resumeAfter int64)
+	Failed(req *Request, t choose.Target, err error)
+	Answered(req *Request, t choose.Target, status int, events int64)
+	Refused(req *Request, err error)
+}
+
+// Forwarder carries requests. It is safe for concurrent use.
+type Forwarder struct {
+	Targets Targets
+	Sender  target.Sender
+	Log     Log
+	Now     func() time.Time
+}
+
+const (
+	// overflow is how many requests a full target is given beyond its slots: a
+	// slot becomes free about every 20 ms on a target of eight, so four wait
+	// less than a third of the usual objective.
+	overflow = 4
+	// roomPause is the time between looks for a target with room.
+	roomPause = 10 * time.Millisecond
+	// roomShare is the share of the objective that a request may wait for room
+	// before it is refused: a refusal that comes sooner leaves the caller the
+	// time to be served elsewhere within its objective.
+	roomShare = 0.2
+	// continuePause is the time between looks for a target when an answer that
+	// has begun has none to go on at.
+	continuePause = 25 * time.Millisecond
+)
+
+// errStalled is the cause of an attempt ended because its target was silent.
+var errStalled = errors.New("the target was silent for too long")
+
+// course is what the attempts of one request have come to.
+type course struct {
+	exclude map[string]bool
+	ran     int   // attempts that may have run
+	held    int64 // ID of the last event passed on
+	events  int64 // events passed on
+	begun   bool  // the caller has the head of the answer
+	last    error
+}
+
+// Do carries a request to its end. It returns nil when the caller has its
+// whole answer, and otherwise an error of errkind; Begun tells whether part of
+// the answer was sent.
+func (f *Forwarder) Do(ctx context.Context, req *Request, caller Caller) (begun bool, err error) {
+	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
+	defer cancel()
+	c := &course{exclude: map[string]bool{}, held: req.ResumeAfter}
+	err = f.run(ctx, req, caller, c)
+	if err != nil {
+		f.Log.Refused(req, err)
+	}
+	return c.begun, err
+}
+
+func (f *Forwarder) run(ctx context.Context, req *Request, caller Caller, c *course) error {
+	for {
+		t, ok := f.place(ctx, req, c)
+		if !ok {
+			return f.unplaced(ctx, c)
+		}
+		f.Log.Sent(req, t, c.held)
+		err := f.attempt(ctx, req, t, caller, c)
+		f.Targets.End(t.ID, outcomeOf(err))
+		if err == nil {
+			return nil
+		}
+		f.Log.Failed(req, t, err)
+		if final := f.judge(ctx, req, t, c, err); final != nil {
+			return final
+		}
+	}
+}
+
+// place finds a target with room; it waits for a short part of the objective,
+// or until the deadline when the caller already has part of the answer.
+func (f *Forwarder) place(ctx context.Context, req *Request, c *course) (choose.Target, bool) {
+	until := req.Arrived.Add(time.Duration(roomShare * float64(req.Route.Objective)))
+	pause := roomPause
+	if c.begun {
+		until, pause = req.Deadline, continuePause
+	}
+	need := choose.Need{Service: req.Service, Exclude: c.exclude, Overflow: overflow}
+	for {
+		if t, ok := f.Targets.Choose(need); ok {
+			return t, true
+		}
+		if !f.Now().Before(until) || !sleep(ctx, pause) {
+			return choose.Target{}, false
+		}
+		if c.begun {
+			clear(c.exclude)
+		}
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// unplaced returns the error of a request that no target can take.
+func (f *Forwarder) unplaced(ctx context.Context, c *course) error {
+	switch {
+	case c.ran > 0 && ctx.Err() != nil:
+		return givenUp(ctx)
+	case c.ran > 0:
+		return errkind.TargetFailed.New("every target tried failed, the last with: %v", c.last)
+	case errors.Is(ctx.Err(), context.Canceled):
+		return errkind.Cancelled.New("the caller went away before the request was sent")
+	}
+	return errkind.NoTarget.New("no target has room; last refusal: %v", c.last)
+}
+
+func givenUp(ctx context.Context) error {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return errkind.Cancelled.New("the caller went away")
+	}
+	return errkind.DeadlineExceeded.New("the answer was not whole at the deadline")
+}
+
+// judge returns the final error of the request, or nil to try again.
+func (f *Forwarder) judge(ctx context.Context, req *Request, t choose.Target, c *course, err error) error {
+	c.last = err
+	c.exclude[t.ID] = true
+	end := target.EndOf(err)
+	if end.Ran() {
+		c.ran++
+	}
+	f.note(t, err)
+	switch {
+	case ctx.Err() != nil && (c.ran > 0 || c.begun):
+		return givenUp(ctx)
+	case ctx.Err() != nil:
+		return errkind.DeadlineUnmeetable.New("no target took the request before its deadline")
+	case errors.Is(err, errCallerGone):
+		return errkind.Cancelled.New("the caller went away")
+	case !end.Ran():
+		return nil
+	case !req.Route.Repeatable():
+		return errkind.UnknownOutcome.New("the target failed after the request was sent: %v", err)
+	case c.ran >= max(1, req.Route.Attempts):
+		return errkind.TargetFailed.New("the request may run on %d targets; the last failed with: %v", req.Route.Attempts, err)
+	}
+	return nil
+}
+
+// note tells the table of targets what a refusal says about the target.
+func (f *Forwarder) note(t choose.Target, err error) {
+	var failure *target.Error
+	if !errors.As(err, &failure) {
+		return
+	}
+	switch {
+	case failure.End == target.WrongInstance:
+		f.Targets.Leave(t.ID, "another target has its address")
+	case failure.Saturated:
+		f.Targets.Saturated(t.ID)
+	}
+}
+
+// outcomeOf tells what an attempt's error says of its target.
+func outcomeOf(err error) choose.Outcome {
+	if err == nil {
+		return choose.Success
+	}
+	if errors.Is(err, errStalled) {
+		return choose.Failure
+	}
+	switch target.EndOf(err) {
+	case target.GivenUp, target.NotRun, target.WrongInstance:
+		return choose.Neutral
+	}
+	return choose.Failure
+}
+
+// errCallerGone marks an attempt that ended because the caller took nothing more.
+var errCallerGone = errors.New("the caller is gone")
+
+// attempt sends the request to one target and passes the answer on. The error
+// is a *target.Error or errCallerGone.
+func (f *Forwarder) attempt(ctx context.Context, req *Request, t choose.Target, caller Caller, c *course) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	watch := newWatchdog(req.Route, c.ran, cancel)
+	defer watch.stop()
+	sent := f.Now()
+	answer, err := f.Sender.Send(ctx, target.Call{
+		Address: t.Addr, InstanceID: t.ID, RequestID: req.ID, Method: req.Method, Host: req.Host, Path: req.Path,
+		Header: req.Header, Body: req.Body, ResumeAfter: c.held, Deadline: req.Deadline,
+	})
+	if err != nil {
+		return f.cause(ctx, err)
+	}
+	if answer.Stream == nil {
+		return f.whole(req, t, answer, caller, c)
+	}
+	defer answer.Stream.Close()
+	if !c.begun {
+		c.begun = true
+		if err := caller.Begin(answer); err != nil {
+			return errCallerGone
+		}
+	}
+	first := true
+	for {
+		event, err := answer.Stream.Next()
+		if errors.Is(err, io.EOF) {
+			f.Log.Answered(req, t, answer.Status, c.events)
+			return f.ended(caller)
+		}
+		if err != nil {
+			return f.cause(ctx, err)
+		}
+		watch.event()
+		if first {
+			f.Targets.FirstEvent(t.ID, f.Now().Sub(sent))
+			first = false
+		}
+		if err := f.pass(event, caller, c); err != nil {
+			return err
+		}
+	}
+}
+
+// pass hands one event on, unless the caller has it already.
+func (f *Forwarder) pass(event target.Event, caller Caller, c *course) error {
+	if event.ID > 0 {
+		if event.ID <= c.held {
+			return nil
+		}
+		c.held = event.ID
+	}
+	c.events++
+	if err := caller.Event(event); err != nil {
+		return errCallerGone
+	}
+	return nil
+}
+
+func (f *Forwarder) ended(caller Caller) error {
+	if err := caller.End(); err != nil {
+		return errCallerGone
+	}
+	return nil
+}
+
+// whole passes on an answer that came in one piece. A failure of a request
+// that may be repeated is tried elsewhere while attempts are left.
+func (f *Forwarder) whole(req *Request, t choose.Target, answer *target.Answer, caller Caller, c *course) error {
+	if answer.Status >= http.StatusInternalServerError && (c.begun || (req.Route.Repeatable() && c.ran+1 < req.Route.Attempts)) {
+		return &target.Error{End: target.Broken, Cause: errors.New("the target answered " + http.StatusText(answer.Status))}
+	}
+	if c.begun {
+		return &target.Error{End: target.Broken, Cause: errors.New("the target answered a resumed stream with " + http.StatusText(answer.Status))}
+	}
+	f.Log.Answered(req, t, answer.Status, 0)
+	if err := caller.Whole(answer); err != nil {
+		return errCallerGone
+	}
+	return nil
+}
+
+// cause puts the reason in place of a bare cancellation.
+func (f *Forwarder) cause(ctx context.Context, err error) error {
+	if errors.Is(context.Cause(ctx), errStalled) {
+		return &target.Error{End: target.Broken, Cause: errStalled}
+	}
+	return err
+}
--- /dev/null
+++ b/internal/request/job/commit.go
@@ -0,0 +1,192 @@
+package job
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/marblepond/marblepond/internal/process/invariant"
+	"github.com/marblepond/marblepond/internal/process/timeline"
+)
+
+const (
+	// commitDelay is how long a finished result may wait for others before it is
+	// committed: long enough that most jobs of ten items take two commits, short
+	// beside the seconds in which jobs are due.
+	commitDelay = 800 * time.Millisecond
+	// commitTick is the time between looks at what waits.
+	commitTick = 100 * time.Millisecond
+	// commitTimeout bounds one try of a commit; results are kept and tried again.
+	commitTimeout = 5 * time.Second
+)
+
+// commitLoop commits the results of one held job until all are listed or the
+// job is released.
+func (m *Manager) commitLoop(h *held) {
+	ticker := time.NewTicker(commitTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-h.wake:
+		case <-ticker.C:
+		}
+		h.writing.Lock()
+		stop := m.commitStep(h)
+		h.writing.Unlock()
+		if stop {
+			return
+		}
+	}
+}
+
+// commitStep commits what is due; it returns true when nothing is left to do.
+// The caller holds h.writing.
+func (m *Manager) commitStep(h *held) bool {
+	m.mu.Lock()
+	m.giveUpExpired(h)
+	stop := h.released
+	due := !stop && (h.progress.due(time.Now(), commitDelay) || (m.draining && len(h.progress.pending) > 0))
+	m.mu.Unlock()
+	if stop || (due && !m.commit(h)) {
+		return true
+	}
+	return m.finishIfWhole(h)
+}
+
+// giveUpExpired ends items whose route is gone or whose time is over. The
+// caller holds m.mu.
+func (m *Manager) giveUpExpired(h *held) {
+	if h.ended || h.released || m.Routes() == nil {
+		return
+	}
+	r := m.routeOf(&h.head)
+	why := ""
+	switch {
+	case r == nil && m.RoutesFresh():
+		why = "its route is gone"
+	case r != nil && r.AbandonAfter > 0 && time.Since(time.UnixMilli(h.head.Submitted)) > r.AbandonAfter+expirySlack:
+		why = "its time is over"
+	default:
+		return
+	}
+	for i := range h.progress.items {
+		if h.progress.items[i].phase == waiting {
+			m.dead(h, i, why)
+		}
+	}
+}
+
+// expirySlack is added to the time after which an item may be given up: the
+// job was sent a little before a node read it, never after.
+const expirySlack = 500 * time.Millisecond
+
+// dead gives an item its final failure. The caller holds m.mu.
+func (m *Manager) dead(h *held, i int, why string) {
+	if h.progress.finish(i, Result{Item: h.items[i].ID, Dead: true}, time.Now()) {
+		m.Recorder.Record(timeline.ItemDead, h.items[i].ID, h.id, why, timeline.Field{Name: "failures", Value: h.progress.items[i].failures})
+		h.signal()
+	}
+}
+
+// commit writes what is pending; it returns false when the job was released.
+func (m *Manager) commit(h *held) bool {
+	m.mu.Lock()
+	batch := slices.Clone(h.progress.pending)
+	head := h.head
+	head.Segments = slices.Clone(h.head.Segments)
+	head.Failed = h.progress.failures()
+	revision := h.revision
+	m.mu.Unlock()
+
+	ctx, cancel := context.WithTimeout(context.Background(), commitTimeout)
+	defer cancel()
+	for _, part := range split(batch, m.cfg.MaxValue*valueShare/100, func(p pendingResult) int { return resultSize(p.result) }) {
+		segment, err := m.writeSegment(ctx, h, part)
+		if err != nil {
+			return true // tried again at the next tick
+		}
+		head.Segments = append(head.Segments, segment)
+	}
+	next, err := m.updateHead(ctx, h.id, &head, revision)
+	switch {
+	case errors.Is(err, errFenced):
+		m.mu.Lock()
+		m.release(h, "another node holds the job")
+		m.mu.Unlock()
+		return false
+	case err != nil:
+		return m.resolve(h, &head, err)
+	}
+	m.listed(h, &head, next, batch)
+	return true
+}
+
+// resolve finds out, after a write of the head without an answer, which head is
+// in force. Until that is known nothing further is written.
+func (m *Manager) resolve(h *held, head *Head, cause error) bool {
+	if !errors.Is(cause, errMaybe) {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), commitTimeout)
+	defer cancel()
+	revision, err := m.readBack(ctx, h.id, head.Writer)
+	if err == nil {
+		m.mu.Lock()
+		batch := slices.Clone(h.progress.pending[:head.Listed()-h.head.Listed()])
+		m.mu.Unlock()
+		m.listed(h, head, revision, batch)
+	}
+	return true // not written: the next try writes at the same revision and meets a late write as a conflict
+}
+
+func (m *Manager) writeSegment(ctx context.Context, h *held, part []pendingResult) (Segment, error) {
+	results := make([]Result, len(part))
+	segment := Segment{}
+	for i, p := range part {
+		results[i] = p.result
+		segment.Items = append(segment.Items, p.index)
+	}
+	h.sequence++ // a failed try leaves an object that no head names
+	segment.Object = segmentName(h.id, h.head.Epoch, h.sequence)
+	_, _, err := m.create(ctx, KindResults, segment.Object, encode(results))
+	return segment, err
+}
+
+// listed takes a head that is in the store.
+func (m *Manager) listed(h *held, head *Head, revision int64, batch []pendingResult) {
+	results := make([]Result, len(batch))
+	for i, p := range batch {
+		results[i] = p.result
+	}
+	m.mu.Lock()
+	from := h.head.Listed()
+	m.Checker.Assert(head.Listed() == from+len(batch), invariant.CommitFenced, h.id, "", "%d results listed, %d expected", head.Listed(), from+len(batch))
+	h.head, h.revision = *head, revision
+	h.progress.committed(len(batch), time.Now())
+	m.results.put(h.id, from, results)
+	m.results.setTotal(h.id, head.Total)
+	close(h.changed)
+	h.changed = make(chan struct{})
+	m.mu.Unlock()
+	m.Metrics.Counter("results_committed").Inc(int64(len(batch)))
+	m.Recorder.Record(timeline.JobCommitted, h.id, "", "", timeline.Field{Name: "results", Value: len(batch)},
+		timeline.Field{Name: "listed", Value: head.Listed()}, timeline.Field{Name: "total", Value: head.Total}, timeline.Field{Name: "revision", Value: revision})
+}
+
+// finishIfWhole stops holding a job that needs no more work.
+func (m *Manager) finishIfWhole(h *held) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	done := h.progress.whole() || (h.ended && h.progress.idle() && len(h.progress.pending) == 0)
+	if !done || h.released {
+		return h.released
+	}
+	m.heads[h.id] = knownHead{head: h.head, revision: h.revision, at: time.Now()}
+	why := "every item has its result"
+	if !h.progress.whole() {
+		why = "ended by its caller"
+	}
+	m.release(h, why)
+	return true
+}
--- /dev/null
+++ b/internal/request/job/manager.go
@@ -0,0 +1,335 @@
+package job
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/marblepond/marblepond/api/marblepond/v1/marblepondv1connect"
+	"github.com/marblepond/marblepond/internal/connection/callbudget"
+	"github.com/marblepond/marblepond/internal/connection/objects"
+	"github.com/marblepond/marblepond/internal/connection/target"
+	"github.com/marblepond/marblepond/internal/process/invariant"
+	"github.com/marblepond/marblepond/internal/process/timeline"
+	"github.com/marblepond/marblepond/internal/request/choose"
+	"github.com/marblepond/marblepond/internal/version/route"
+)
+
+// Store is what jobs need of the object store.
+type Store interface {
+	Get(ctx context.Context, class callbudget.Class, kind, name string) (objects.Object, error)
+	Create(ctx context.Context, class callbudget.Class, kind, name string, value []byte) (objects.Object, error)
+	Update(ctx context.Context, class callbudget.Class, kind, name string, revision int64, value []byte) (objects.Object, error)
+	Delete(ctx context.Context, class callbudget.Class, kind, name string) error
+	// ListStale lists a kind at a small part of the price; the answer may be
+	// seconds old.
+	ListStale(ctx context.Context, kind string) (objects.Page, error)
+}
+
+// Pool places items on targets.
+type Pool interface {
+	ChooseBatch(need choose.Need) (choose.Target, bool)
+	EndBatch(id string, outcome choose.Outcome)
+	Saturated(id string)
+	Leave(id, why string)
+}
+
+// Peers reaches the job services of other nodes.
+type Peers interface {
+	Job(address string) marblepondv1connect.JobServiceClient
+	// Holders returns the addresses of the nodes that may hold jobs, without
+	// this one.
+	Holders() []string
+}
+
+// Config of a manager.
+type Config struct {
+	Self Holder
+	// Holds says whether this node holds jobs; one that does not only reads.
+	Holds         bool
+	MaxValue      int // largest value of the store, in bytes
+	KeepResults   time.Duration
+	TakeOverAfter time.Duration
+	SweepInterval time.Duration
+	// ResultMemory bounds the results kept in memory, in bytes.
+	ResultMemory int
+}
+
+// Parts are what a manager works with.
+type Parts struct {
+	Store  Store
+	Pool   Pool
+	Sender target.Sender
+	Peers  Peers
+	// Routes returns the routing table in force, nil before the first.
+	Routes func() *route.Table
+	// RoutesFresh reports whether the table is trusted to hold every route.
+	RoutesFresh func() bool
+	// Waiting returns the tokens that wait on a route at all other nodes.
+	Waiting func(route string) int64
+	// Ended reports whether the end of a job is known to this node.
+	Ended func(job string) bool
+	// Share returns how many items this node may have at a target at once.
+	Share    func(t choose.Target) int
+	Recorder *timeline.Recorder
+	Checker  *invariant.Checker
+	Metrics  tally.Scope
+}
+
+// Manager keeps the jobs of one node. It is safe for concurrent use.
+type Manager struct {
+	cfg Config
+	Parts
+	results *resultCache
+	wakeUp  chan struct{} // the scheduler looks at once
+
+	mu        sync.Mutex
+	held      map[string]*held
+	reserved  map[string]int64 // by route: tokens of submissions in progress
+	draining  bool
+	absent    map[string]time.Time // holders: since when they do not answer
+	heads     map[string]knownHead // of jobs that others hold
+	committer sync.WaitGroup
+}
+
+// held is a job that this node holds.
+type held struct {
+	id       string
+	head     Head
+	revision int64
+	items    []Item
+	progress *progress
+	writing  sync.Mutex // held during a commit: one at a time changes the head
+	sequence int        // segments written by this holder
+	ended    bool
+	released bool            // this node no longer holds it
+	stops    map[int]stopRun // running items
+	wake     chan struct{}   // the committer looks at once
+	changed  chan struct{}   // closed when results were listed
+}
+
+// stopRun ends the attempt at an item for a reason.
+type stopRun func(cause error)
+
+// NewManager returns a manager; Run starts it.
+func NewManager(cfg Config, parts Parts) *Manager {
+	return &Manager{cfg: cfg, Parts: parts, results: newResultCache(cfg.ResultMemory), wakeUp: make(chan struct{}, 1),
+		held: map[string]*held{}, reserved: map[string]int64{}, absent: map[string]time.Time{}, heads: map[string]knownHead{}}
+}
+
+// Run schedules items and looks for jobs without a holder until ctx ends.
+func (m *Manager) Run(ctx context.Context) {
+	if !m.cfg.Holds {
+		<-ctx.Done()
+		return
+	}
+	var wg sync.WaitGroup
+	wg.Go(func() { m.schedule(ctx) })
+	wg.Go(func() { m.sweep(ctx) })
+	wg.Wait()
+	m.committer.Wait()
+}
+
+// hold starts to work on a job whose head names this node.
+func (m *Manager) hold(id string, head Head, revision int64, items []Item, why string) {
+	h := &held{id: id, head: head, revision: revision, items: items, progress: newProgress(&head),
+		stops: map[int]stopRun{}, wake: make(chan struct{}, 1), changed: make(chan struct{})}
+	m.mu.Lock()
+	if m.held[id] != nil {
+		m.mu.Unlock()
+		return
+	}
+	h.ended = m.Ended(id)
+	m.held[id] = h
+	delete(m.heads, id)
+	m.committer.Add(1)
+	m.mu.Unlock()
+	m.Recorder.Record(timeline.JobHeld, id, "", why, timeline.Field{Name: "items", Value: head.Total},
+		timeline.Field{Name: "listed", Value: head.Listed()}, timeline.Field{Name: "epoch", Value: head.Epoch})
+	go func() {
+		defer m.committer.Done()
+		m.commitLoop(h)
+	}()
+	m.signal()
+}
+
+func (m *Manager) signal() {
+	select {
+	case m.wakeUp <- struct{}{}:
+	default:
+	}
+}
+
+func (h *held) signal() {
+	select {
+	case h.wake <- struct{}{}:
+	default:
+	}
+}
+
+// release ends this node's hold on a job. The caller holds m.mu.
+func (m *Manager) release(h *held, why string) {
+	if h.released {
+		return
+	}
+	h.released = true
+	for _, stop := range h.stops {
+		stop(errReleased)
+	}
+	delete(m.held, h.id)
+	close(h.changed)
+	h.changed = make(chan struct{})
+	h.signal()
+	m.Recorder.Record(timeline.JobReleased, h.id, "", why)
+}
+
+// EndSeen takes the news that the caller of a job has ended it.
+func (m *Manager) EndSeen(id string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	h := m.held[id]
+	if h == nil || h.ended {
+		return
+	}
+	h.ended = true
+	for _, stop := range h.stops {
+		stop(errEnded)
+	}
+	h.signal()
+	m.Recorder.Record(timeline.JobEnded, id, "", "its caller ended it")
+}
+
+// Yield stops the newest item at a target, so that an online request that was
+// just sent there finds room. The item goes on later from the events it holds.
+func (m *Manager) Yield(targetID string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var newest *held
+	index := -1
+	for _, h := range m.held {
+		for i := range h.stops {
+			s := &h.progress.items[i]
+			if s.target == targetID && (newest == nil || s.sentAt.After(newest.progress.items[index].sentAt)) {
+				newest, index = h, i
+			}
+		}
+	}
+	if newest != nil {
+		newest.stops[index](errYielded)
+		m.Recorder.Record(timeline.BatchYielded, newest.items[index].ID, targetID, "online requests fill the target")
+	}
+}
+
+// WaitingTokens returns, by route, the tokens of items that this node holds
+// and that no target has finished.
+func (m *Manager) WaitingTokens() map[string]int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := map[string]int64{}
+	for _, h := range m.held {
+		if h.ended {
+			continue
+		}
+		if r := m.routeOf(&h.head); r != nil {
+			out[r.Name] += h.waitingTokens()
+		}
+	}
+	for name, tokens := range m.reserved {
+		out[name] += tokens
+	}
+	return out
+}
+
+func (h *held) waitingTokens() int64 {
+	total := int64(0)
+	for i := range h.items {
+		if p := h.progress.items[i].phase; p == waiting || p == running {
+			total += h.items[i].Tokens
+		}
+	}
+	return total
+}
+
+// routeOf returns the route of a job in the table in force, nil when it has none.
+func (m *Manager) routeOf(head *Head) *route.Route {
+	table := m.Routes()
+	if table == nil {
+		return nil
+	}
+	return table.Match(head.Host, head.Path)
+}
+
+// dueAt returns when a job's results are due.
+func dueAt(head *Head, r *route.Route) time.Time {
+	at := time.UnixMilli(head.Submitted)
+	if r != nil {
+		at = at.Add(r.CompleteWithin)
+	}
+	return at
+}
+
+// byDue returns the held jobs, earliest due first. The caller holds m.mu.
+func (m *Manager) byDue() []*held {
+	jobs := make([]*held, 0, len(m.held))
+	for _, h := range m.held {
+		jobs = append(jobs, h)
+	}
+	slices.SortFunc(jobs, func(a, b *held) int {
+		return dueAt(&a.head, m.routeOf(&a.head)).Compare(dueAt(&b.head, m.routeOf(&b.head)))
+	})
+	return jobs
+}
+
+const (
+	// drainFor is how long a leaving node lets items run on before it hands its
+	// jobs over; an item takes about a second.
+	drainFor = 2 * time.Second
+	// drainPoll is the time between looks at what is still running.
+	drainPoll = 20 * time.Millisecond
+)
+
+// Drain lets running items end for a short time, commits what is finished and
+// hands the jobs to other nodes.
+func (m *Manager) Drain(ctx context.Context) {
+	m.mu.Lock()
+	m.draining = true
+	m.mu.Unlock()
+	until := time.Now().Add(drainFor)
+	for time.Now().Before(until) && !m.settled() && ctx.Err() == nil {
+		time.Sleep(drainPoll)
+	}
+	m.mu.Lock()
+	jobs := m.byDue()
+	for _, h := range jobs {
+		for _, stop := range h.stops {
+			stop(errReleased)
+		}
+		h.signal()
+	}
+	m.mu.Unlock()
+	m.handOver(ctx, jobs)
+}
+
+// settled reports whether no item runs.
+func (m *Manager) settled() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, h := range m.held {
+		if !h.progress.idle() {
+			return false
+		}
+	}
+	return true
+}
+
+// String describes a holder for the log.
+func (h Holder) String() string {
+	if h == (Holder{}) {
+		return "nobody"
+	}
+	return fmt.Sprintf("%s boot %d", h.Node, h.Boot)
+}
--- /dev/null
+++ b/internal/request/job/peer.go
@@ -0,0 +1,147 @@
+package job
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	v1 "github.com/marblepond/marblepond/api/marblepond/v1"
+	"github.com/marblepond/marblepond/internal/connection/callbudget"
+	"github.com/marblepond/marblepond/internal/connection/objects"
+	"github.com/marblepond/marblepond/internal/errkind"
+	"github.com/marblepond/marblepond/internal/process/timeline"
+)
+
+// Held implements the peers' service.
+func (m *Manager) Held(_ context.Context, req *v1.HeldRequest) (*v1.HeldResponse, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	resp := &v1.HeldResponse{}
+	for _, id := range req.Jobs {
+		if m.held[id] != nil {
+			resp.Held = append(resp.Held, id)
+		}
+	}
+	return resp, nil
+}
+
+// End implements the peers' service.
+func (m *Manager) End(_ context.Context, req *v1.EndRequest) (*v1.EndResponse, error) {
+	m.EndSeen(req.Job)
+	return &v1.EndResponse{}, nil
+}
+
+// Adopt implements the peers' service: it takes over jobs that nobody holds.
+func (m *Manager) Adopt(_ context.Context, req *v1.AdoptRequest) (*v1.AdoptResponse, error) {
+	if !m.cfg.Holds {
+		return &v1.AdoptResponse{}, nil
+	}
+	go func() {
+		for _, id := range req.Jobs {
+			m.adopt(context.Background(), id, Holder{})
+		}
+	}()
+	return &v1.AdoptResponse{}, nil
+}
+
+// noticeTimeout bounds a message that only speeds up what the store tells too.
+const noticeTimeout = 300 * time.Millisecond
+
+// endTimeout bounds the writing of a job's end.
+const endTimeout = 2 * time.Second
+
+// EndJob ends a job for its caller; when it returns nil the end is in the
+// store. Errors: errkind.NotFound, errkind.PlatformUnavailable.
+func (m *Manager) EndJob(ctx context.Context, id string) error {
+	ctx, cancel := context.WithTimeout(ctx, endTimeout)
+	defer cancel()
+	m.mu.Lock()
+	holder := m.heads[id].head.Holder
+	m.mu.Unlock()
+	if !m.known(id) {
+		head, o, err := m.getHead(ctx, callbudget.Commit, id)
+		if errors.Is(err, objects.ErrNotFound) {
+			return errkind.NotFound.New("no job %s", id)
+		}
+		if err != nil {
+			return errkind.PlatformUnavailable.New("the object store does not answer")
+		}
+		m.learn(id, head, o.Revision)
+		holder = head.Holder
+	}
+	if !m.Ended(id) {
+		if _, _, err := m.create(ctx, KindEnds, id, encode(struct{ Ended int64 }{time.Now().UnixMilli()})); err != nil {
+			return errkind.PlatformUnavailable.New("the end of the job is not in the object store: %v", err)
+		}
+	}
+	m.EndSeen(id)
+	if holder != (Holder{}) && holder.Node != m.cfg.Self.Node {
+		m.tellEnd(holder, id)
+	}
+	return nil
+}
+
+func (m *Manager) tellEnd(holder Holder, id string) {
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), noticeTimeout)
+		defer cancel()
+		if _, err := m.Peers.Job(holder.Address).End(ctx, &v1.EndRequest{Job: id}); err != nil {
+			m.Recorder.Record(timeline.JobEnded, id, holder.Node, "the holder was not told and learns it from the store: "+err.Error())
+		}
+	}()
+}
+
+// handOver gives the jobs up in the store and asks another node to hold them.
+func (m *Manager) handOver(ctx context.Context, jobs []*held) {
+	var given []string
+	for _, h := range jobs {
+		if m.giveUp(ctx, h) {
+			given = append(given, h.id)
+		}
+	}
+	holders := m.Peers.Holders()
+	rand.Shuffle(len(holders), func(i, j int) { holders[i], holders[j] = holders[j], holders[i] })
+	for _, address := range holders {
+		if len(given) == 0 {
+			return
+		}
+		ask, cancel := context.WithTimeout(ctx, noticeTimeout)
+		_, err := m.Peers.Job(address).Adopt(ask, &v1.AdoptRequest{Jobs: given})
+		cancel()
+		if err == nil {
+			return
+		}
+	}
+}
+
+// giveUp commits what is finished and writes a head without a holder.
+func (m *Manager) giveUp(ctx context.Context, h *held) bool {
+	h.writing.Lock()
+	defer h.writing.Unlock()
+	m.mu.Lock()
+	pending := len(h.progress.pending) > 0
+	released := h.released
+	m.mu.Unlock()
+	if released {
+		return false
+	}
+	if pending && !m.commit(h) {
+		return false
+	}
+	m.mu.Lock()
+	if h.released {
+		m.mu.Unlock()
+		return false
+	}
+	head, revision := h.head, h.revision
+	head.Failed = h.progress.failures()
+	m.release(h, "this node leaves")
+	m.mu.Unlock()
+	if head.Complete() {
+		return false
+	}
+	head.Holder = Holder{}
+	_, err := m.updateHead(ctx, h.id, &head, revision)
+	return err == nil
+}
--- /dev/null
+++ b/internal/request/job/progress.go
@@ -0,0 +1,181 @@
+package job
+
+import "time"
+
+// phase is the life of one item at the holder.
+type phase int
+
+const (
+	waiting  phase = iota
+	running        // at a target
+	finished       // its result waits to be committed
+	listed         // its result has a position
+)
+
+// progress is the pure state machine of one held job. Time comes from outside.
+type progress struct {
+	items   []itemState
+	pending []pendingResult // finished and not committed, in the order they came
+	oldest  time.Time       // when the first of pending came
+}
+
+type itemState struct {
+	phase    phase
+	failures int       // answers that count as failed attempts
+	breaks   int       // attempts in a row that broke off
+	notAt    time.Time // not before this
+	held     int64     // ID of the last event held
+	text     []byte    // data of the events held
+	target   string    // where it runs
+	sentAt   time.Time // when it was sent there
+}
+
+type pendingResult struct {
+	index  int
+	result Result
+}
+
+// newProgress returns the progress of a job as its head tells it.
+func newProgress(h *Head) *progress {
+	p := &progress{items: make([]itemState, h.Total)}
+	for _, s := range h.Segments {
+		for _, i := range s.Items {
+			p.items[i].phase = listed
+		}
+	}
+	for i, n := range h.Failed {
+		p.items[i].failures = n
+	}
+	return p
+}
+
+const (
+	// breakPause is the pause after an attempt broke off; it doubles up to
+	// maxBreakPause with each further one in a row.
+	breakPause    = 50 * time.Millisecond
+	maxBreakPause = 2 * time.Second
+	// failurePause is the pause after an answer of failure, so that a passing
+	// fault of a target does not use up the attempts at once.
+	failurePause = 250 * time.Millisecond
+)
+
+// next returns an item that may be sent now.
+func (p *progress) next(now time.Time) (int, bool) {
+	for i := range p.items {
+		if p.items[i].phase == waiting && !now.Before(p.items[i].notAt) {
+			return i, true
+		}
+	}
+	return 0, false
+}
+
+// sent notes that an item is at a target.
+func (p *progress) sent(i int, target string, now time.Time) {
+	s := &p.items[i]
+	s.phase, s.target, s.sentAt = running, target, now
+}
+
+// unsent notes that an attempt did not begin, or was stopped to make room.
+func (p *progress) unsent(i int, now time.Time, pause time.Duration) {
+	p.items[i].phase, p.items[i].notAt = waiting, now.Add(pause)
+}
+
+// broke notes an attempt that broke off after it held up to event held.
+func (p *progress) broke(i int, now time.Time) {
+	s := &p.items[i]
+	pause := min(breakPause<<min(s.breaks, 10), maxBreakPause)
+	s.breaks++
+	p.unsent(i, now, pause)
+}
+
+// failed notes an answer of failure. It returns whether attempts are left.
+func (p *progress) failed(i int, now time.Time, attempts int) (left bool) {
+	s := &p.items[i]
+	s.failures++
+	p.unsent(i, now, failurePause)
+	return s.failures < attempts
+}
+
+// event adds an event's data to the text held. Events that are held already
+// are left out.
+func (p *progress) event(i int, id int64, data []byte) {
+	s := &p.items[i]
+	if id <= s.held {
+		return
+	}
+	if s.held > 0 {
+		s.text = append(s.text, '\n')
+	}
+	s.text = append(s.text, data...)
+	s.held = id
+	s.breaks = 0
+}
+
+// finish gives an item its result. A second result of an item is ignored.
+func (p *progress) finish(i int, r Result, now time.Time) bool {
+	s := &p.items[i]
+	if s.phase == finished || s.phase == listed {
+		return false
+	}
+	s.phase, s.text = finished, nil
+	if len(p.pending) == 0 {
+		p.oldest = now
+	}
+	p.pending = append(p.pending, pendingResult{i, r})
+	return true
+}
+
+// due reports whether the pending results are to be committed now.
+func (p *progress) due(now time.Time, delay time.Duration) bool {
+	if len(p.pending) == 0 {
+		return false
+	}
+	return p.open() == 0 || now.Sub(p.oldest) >= delay
+}
+
+// open returns the number of items without a result.
+func (p *progress) open() int {
+	n := 0
+	for i := range p.items {
+		if ph := p.items[i].phase; ph == waiting || ph == running {
+			n++
+		}
+	}
+	return n
+}
+
+// committed notes that the first n pending results are listed.
+func (p *progress) committed(n int, now time.Time) {
+	for _, r := range p.pending[:n] {
+		p.items[r.index].phase = listed
+	}
+	p.pending = p.pending[n:]
+	p.oldest = now
+}
+
+// failures returns the failed attempts by item, where there are any.
+func (p *progress) failures() map[int]int {
+	var out map[int]int
+	for i := range p.items {
+		if n := p.items[i].failures; n > 0 && p.items[i].phase != listed {
+			if out == nil {
+				out = map[int]int{}
+			}
+			out[i] = n
+		}
+	}
+	return out
+}
+
+// idle reports whether no item is at a target.
+func (p *progress) idle() bool {
+	for i := range p.items {
+		if p.items[i].phase == running {
+			return false
+		}
+	}
+	return true
+}
+
+// whole reports whether every item is listed.
+func (p *progress) whole() bool { return p.open() == 0 && len(p.pending) == 0 }
--- /dev/null
+++ b/internal/request/job/read.go
@@ -0,0 +1,276 @@
+package job
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"connectrpc.com/connect"
+
+	v1 "github.com/marblepond/marblepond/api/marblepond/v1"
+	"github.com/marblepond/marblepond/internal/connection/callbudget"
+	"github.com/marblepond/marblepond/internal/connection/objects"
+	"github.com/marblepond/marblepond/internal/errkind"
+	"github.com/marblepond/marblepond/internal/process/wait"
+)
+
+// Page is the answer to a read: results from a position on.
+type Page struct {
+	Total   int
+	Results []Result
+}
+
+const (
+	// pageBytes bounds the text of one page; a larger single result is sent alone.
+	pageBytes = 900 << 10
+	// headAge is how long a head read from the store is trusted to name the holder.
+	headAge = 10 * time.Second
+	// rereadPause is the least time between two reads of one head from the store
+	// while a caller waits for results.
+	rereadPause = 400 * time.Millisecond
+	// askTimeout is added to the time that a holder may wait before it answers.
+	askTimeout = 300 * time.Millisecond
+)
+
+// knownHead is a head that another node holds, or that needs no more work.
+type knownHead struct {
+	head     Head
+	revision int64
+	at       time.Time // when it was read
+	lost     bool      // its holder did not answer lately
+}
+
+// learn keeps a head that was read from the store.
+func (m *Manager) learn(id string, head Head, revision int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if old, ok := m.heads[id]; !ok || old.revision <= revision {
+		m.heads[id] = knownHead{head: head, revision: revision, at: time.Now()}
+	}
+}
+
+// Read returns results from position after on; when there is none yet it waits
+// up to the time given. Errors: errkind.NotFound when no such job exists,
+// errkind.PlatformUnavailable when this node cannot be sure.
+func (m *Manager) Read(ctx context.Context, id string, after int, waitFor time.Duration) (Page, error) {
+	until := time.Now().Add(waitFor)
+	for {
+		page, changed, err := m.readHere(ctx, id, after)
+		if err == nil || !errors.Is(err, errNotHere) {
+			if err != nil || len(page.Results) > 0 || after >= page.Total || !waitChange(ctx, changed, until) {
+				return page, err
+			}
+			continue
+		}
+		page, err = m.readThere(ctx, id, after, time.Until(until))
+		if err != nil || len(page.Results) > 0 || after >= page.Total || !time.Now().Before(until) {
+			return page, err
+		}
+		if !wait.For(ctx, min(rereadPause, time.Until(until))) {
+			return page, nil
+		}
+	}
+}
+
+func waitChange(ctx context.Context, changed <-chan struct{}, until time.Time) bool {
+	timer := time.NewTimer(time.Until(until))
+	defer timer.Stop()
+	select {
+	case <-changed:
+		return true
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return false
+}
+
+// errNotHere: this node does not hold the job.
+var errNotHere = errors.New("job is not held here")
+
+// readHere answers for a job that this node holds.
+func (m *Manager) readHere(ctx context.Context, id string, after int) (Page, <-chan struct{}, error) {
+	m.mu.Lock()
+	h := m.held[id]
+	if h == nil {
+		m.mu.Unlock()
+		return Page{}, nil, errNotHere
+	}
+	head, changed := h.head, h.changed
+	m.mu.Unlock()
+	page, err := m.page(ctx, id, &head, after)
+	return page, changed, err
+}
+
+// readThere answers for a job that is not held here: from memory, from its
+// holder, or from the store.
+func (m *Manager) readThere(ctx context.Context, id string, after int, waitFor time.Duration) (Page, error) {
+	m.mu.Lock()
+	known, ok := m.heads[id]
+	m.mu.Unlock()
+	if ok && (known.head.Listed() > after || known.head.Complete()) {
+		return m.page(ctx, id, &known.head, after)
+	}
+	if results, total := m.results.from(id, after); len(results) > 0 {
+		return Page{Total: total, Results: bounded(results)}, nil
+	}
+	if ok && !known.lost && time.Since(known.at) < headAge {
+		if page, err := m.askHolder(ctx, id, &known.head, after, waitFor); err == nil {
+			return page, nil
+		}
+		m.holderLost(id)
+	}
+	head, o, err := m.getHead(ctx, callbudget.Commit, id)
+	switch {
+	case errors.Is(err, objects.ErrNotFound):
+		return Page{}, errkind.NotFound.New("no job %s", id)
+	case err != nil:
+		return Page{}, errkind.PlatformUnavailable.New("the object store does not answer")
+	}
+	m.learn(id, head, o.Revision)
+	return m.page(ctx, id, &head, after)
+}
+
+func (m *Manager) holderLost(id string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if known, ok := m.heads[id]; ok {
+		known.lost = true
+		m.heads[id] = known
+	}
+}
+
+// askHolder asks the node that holds the job.
+func (m *Manager) askHolder(ctx context.Context, id string, head *Head, after int, waitFor time.Duration) (Page, error) {
+	if head.Holder == (Holder{}) || head.Holder.Node == m.cfg.Self.Node {
+		return Page{}, errNotHere
+	}
+	waitFor = max(0, waitFor)
+	ctx, cancel := context.WithTimeout(ctx, waitFor+askTimeout)
+	defer cancel()
+	resp, err := m.Peers.Job(head.Holder.Address).Results(ctx, &v1.ResultsRequest{Job: id, After: uint32(after), WaitMs: uint32(waitFor.Milliseconds())})
+	if err != nil {
+		return Page{}, err
+	}
+	if !resp.Held {
+		return Page{}, errNotHere
+	}
+	page := Page{Total: int(resp.Total)}
+	for _, r := range resp.Results {
+		page.Results = append(page.Results, Result{Item: r.Item, Dead: r.Dead, Text: r.Text})
+	}
+	m.results.put(id, after, page.Results)
+	m.results.setTotal(id, page.Total)
+	return page, nil
+}
+
+// Results implements the peers' service.
+func (m *Manager) Results(ctx context.Context, req *v1.ResultsRequest) (*v1.ResultsResponse, error) {
+	until := time.Now().Add(time.Duration(req.WaitMs) * time.Millisecond)
+	for {
+		page, changed, err := m.readHere(ctx, req.Job, int(req.After))
+		if errors.Is(err, errNotHere) {
+			return &v1.ResultsResponse{}, nil
+		}
+		if err != nil {
+			return nil, connect.NewError(connect.CodeUnavailable, err)
+		}
+		if len(page.Results) > 0 || int(req.After) >= page.Total || !waitChange(ctx, changed, until) {
+			resp := &v1.ResultsResponse{Held: true, Total: uint32(page.Total)}
+			for _, r := range page.Results {
+				resp.Results = append(resp.Results, &v1.JobResult{Item: r.Item, Dead: r.Dead, Text: r.Text})
+			}
+			return resp, nil
+		}
+	}
+}
+
+// page returns the results that a head lists from a position on. What is no
+// longer in memory is read from the store.
+func (m *Manager) page(ctx context.Context, id string, head *Head, after int) (Page, error) {
+	page := Page{Total: head.Total}
+	if after >= head.Listed() {
+		return page, nil
+	}
+	if results, _ := m.results.from(id, after); len(results) > 0 {
+		page.Results = bounded(results[:min(len(results), head.Listed()-after)])
+		return page, nil
+	}
+	first := 0
+	for _, s := range head.Segments {
+		if after < first+len(s.Items) {
+			results, err := m.readSegment(ctx, s)
+			if err != nil {
+				return Page{}, err
+			}
+			m.results.put(id, first, results)
+			m.results.setTotal(id, head.Total)
+			page.Results = bounded(results[after-first:])
+			return page, nil
+		}
+		first += len(s.Items)
+	}
+	return page, nil
+}
+
+func (m *Manager) readSegment(ctx context.Context, s Segment) ([]Result, error) {
+	o, err := m.Store.Get(ctx, callbudget.Commit, KindResults, s.Object)
+	if err != nil {
+		return nil, errkind.PlatformUnavailable.New("results in the object store: %v", err)
+	}
+	results, err := decode[[]Result](o.Value)
+	if err != nil || len(results) != len(s.Items) {
+		return nil, errkind.Internal.New("results %s cannot be decoded: %v", s.Object, err)
+	}
+	return results, nil
+}
+
+// bounded cuts a list of results to the size of a page; at least one is left.
+func bounded(results []Result) []Result {
+	sum := 0
+	for i, r := range results {
+		sum += resultSize(r)
+		if i > 0 && sum > pageBytes {
+			return results[:i]
+		}
+	}
+	return results
+}
+
+// Body returns the body of an item. Errors: errkind.NotFound,
+// errkind.PlatformUnavailable when this node cannot be sure.
+func (m *Manager) Body(ctx context.Context, id, item string) ([]byte, error) {
+	m.mu.Lock()
+	h := m.held[id]
+	known, seen := m.heads[id]
+	m.mu.Unlock()
+	if h != nil {
+		return findBody(h.items, id, item)
+	}
+	head := known.head
+	if !seen {
+		var o objects.Object
+		var err error
+		head, o, err = m.getHead(ctx, callbudget.Commit, id)
+		if errors.Is(err, objects.ErrNotFound) {
+			return nil, errkind.NotFound.New("no job %s", id)
+		}
+		if err != nil {
+			return nil, errkind.PlatformUnavailable.New("the object store does not answer")
+		}
+		m.learn(id, head, o.Revision)
+	}
+	items, err := m.getItems(ctx, id, head.Parts)
+	if err != nil {
+		return nil, errkind.PlatformUnavailable.New("items in the object store: %v", err)
+	}
+	return findBody(items, id, item)
+}
+
+func findBody(items []Item, id, item string) ([]byte, error) {
+	for i := range items {
+		if items[i].ID == item {
+			return items[i].Body, nil
+		}
+	}
+	return nil, errkind.NotFound.New("job %s has no item %s", id, item)
+}
--- /dev/null
+++ b/internal/request/job/run.go
@@ -0,0 +1,225 @@
+package job
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/marblepond/marblepond/internal/connection/target"
+	"github.com/marblepond/marblepond/internal/process/invariant"
+	"github.com/marblepond/marblepond/internal/process/timeline"
+	"github.com/marblepond/marblepond/internal/request/choose"
+	"github.com/marblepond/marblepond/internal/version/route"
+)
+
+// Reasons for which the attempt at an item is stopped.
+var (
+	errEnded    = errors.New("the job was ended by its caller")
+	errReleased = errors.New("the job is handed over")
+	errYielded  = errors.New("online requests need the room")
+	errSilent   = errors.New("the target was silent for too long")
+)
+
+const (
+	// scheduleTick is the time between looks for room; a finished item or a new
+	// job wakes the scheduler at once.
+	scheduleTick = 20 * time.Millisecond
+	// reserve is how many slots of a target are kept free for the next online
+	// requests: two arrive within the time that a batch item takes to yield.
+	reserve = 2
+	// notRunPause is the pause after a target refused an item.
+	notRunPause = 40 * time.Millisecond
+	// yieldPause is the pause after an item made room.
+	yieldPause = 100 * time.Millisecond
+	// silence ends an attempt whose target sends nothing: many times the usual
+	// pause between events, and short beside the time in which jobs are due.
+	silence = 2 * time.Second
+)
+
+// schedule sends items while there is room, earliest due first.
+func (m *Manager) schedule(ctx context.Context) {
+	ticker := time.NewTicker(scheduleTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-m.wakeUp:
+		case <-ticker.C:
+		}
+		m.fill(ctx)
+	}
+}
+
+// fill sends as many items as there is room for.
+func (m *Manager) fill(ctx context.Context) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.draining || len(m.held) == 0 {
+		return
+	}
+	full := map[string]bool{} // services without room
+	now := time.Now()
+	for _, h := range m.byDue() {
+		for !h.ended && !h.released {
+			i, ok := h.progress.next(now)
+			if !ok {
+				break
+			}
+			if !m.place(ctx, h, i, now, full) {
+				break
+			}
+		}
+	}
+}
+
+// place sends one item if there is room. The caller holds m.mu.
+func (m *Manager) place(ctx context.Context, h *held, i int, now time.Time, full map[string]bool) bool {
+	r := m.routeOf(&h.head)
+	if r == nil {
+		return false
+	}
+	service := r.Service(rand.Float64())
+	if full[service] {
+		return false
+	}
+	t, ok := m.Pool.ChooseBatch(choose.Need{Service: service, Reserve: reserve, Limit: m.Share})
+	if !ok {
+		full[service] = true
+		return false
+	}
+	h.progress.sent(i, t.ID, now)
+	attempt, cancel := context.WithCancelCause(ctx)
+	h.stops[i] = stopRun(cancel)
+	m.Checker.Assert(!h.ended, invariant.NoWorkCancelled, h.items[i].ID, t.ID, "item sent after its job was ended")
+	m.Recorder.Record(timeline.ItemSent, h.items[i].ID, t.ID, "", timeline.Field{Name: "job", Value: h.id},
+		timeline.Field{Name: "resume_after", Value: h.progress.items[i].held}, timeline.Field{Name: "due_ms", Value: time.Until(dueAt(&h.head, r)).Milliseconds()})
+	go m.run(attempt, cancel, h, i, t, r)
+	return true
+}
+
+// run makes one attempt at an item and takes its end.
+func (m *Manager) run(ctx context.Context, cancel context.CancelCauseFunc, h *held, i int, t choose.Target, r *route.Route) {
+	defer cancel(nil)
+	err := m.attempt(ctx, cancel, h, i, t, r)
+	m.Pool.EndBatch(t.ID, outcomeOf(ctx, err))
+	m.take(ctx, h, i, t, r, err)
+	m.signal()
+	h.signal()
+}
+
+// statusError is an answer of a target that is not the item's output.
+type statusError int
+
+func (e statusError) Error() string { return "the target answered " + http.StatusText(int(e)) }
+
+func (m *Manager) attempt(ctx context.Context, cancel context.CancelCauseFunc, h *held, i int, t choose.Target, r *route.Route) error {
+	m.mu.Lock()
+	held := h.progress.items[i].held
+	m.mu.Unlock()
+	item := &h.items[i]
+	header := make(http.Header, len(item.Header))
+	for k, v := range item.Header {
+		header.Set(k, v)
+	}
+	watchdog := time.AfterFunc(silence, func() { cancel(errSilent) })
+	defer watchdog.Stop()
+	answer, err := m.Sender.Send(ctx, target.Call{
+		Address: t.Addr, InstanceID: t.ID, RequestID: item.ID, Method: http.MethodPost, Host: h.head.Host, Path: item.Path,
+		Header: header, Body: item.Body, ResumeAfter: held, Deadline: time.UnixMilli(h.head.Submitted).Add(r.AbandonAfter),
+	})
+	if err != nil {
+		return err
+	}
+	if answer.Stream == nil {
+		return statusError(answer.Status)
+	}
+	defer answer.Stream.Close()
+	for {
+		event, err := answer.Stream.Next()
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		watchdog.Reset(silence)
+		m.mu.Lock()
+		h.progress.event(i, event.ID, event.Data)
+		m.mu.Unlock()
+	}
+}
+
+func outcomeOf(ctx context.Context, err error) choose.Outcome {
+	var status statusError
+	switch {
+	case err == nil:
+		return choose.Success
+	case errors.Is(context.Cause(ctx), errSilent):
+		return choose.Failure
+	case errors.As(err, &status), ctx.Err() != nil:
+		return choose.Neutral
+	}
+	switch target.EndOf(err) {
+	case target.NotRun, target.WrongInstance, target.GivenUp:
+		return choose.Neutral
+	}
+	return choose.Failure
+}
+
+// take moves an item on after an attempt.
+func (m *Manager) take(ctx context.Context, h *held, i int, t choose.Target, r *route.Route, err error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(h.stops, i)
+	now := time.Now()
+	item := &h.items[i]
+	if err == nil {
+		m.Recorder.Record(timeline.ItemDone, item.ID, t.ID, "", timeline.Field{Name: "job", Value: h.id},
+			timeline.Field{Name: "events", Value: h.progress.items[i].held}, timeline.Field{Name: "took_ms", Value: now.Sub(h.progress.items[i].sentAt).Milliseconds()})
+		h.progress.finish(i, Result{Item: item.ID, Text: string(h.progress.items[i].text)}, now)
+		return
+	}
+	cause := err
+	if ctx.Err() != nil {
+		cause = context.Cause(ctx)
+	}
+	m.Recorder.Record(timeline.ItemFailed, item.ID, t.ID, cause.Error(), timeline.Field{Name: "job", Value: h.id},
+		timeline.Field{Name: "held", Value: h.progress.items[i].held})
+	m.judge(ctx, h, i, t, r, err, now)
+}
+
+// judge decides what follows an attempt that did not end with the whole output.
+func (m *Manager) judge(ctx context.Context, h *held, i int, t choose.Target, r *route.Route, err error, now time.Time) {
+	var status statusError
+	var failure *target.Error
+	switch {
+	case errors.Is(context.Cause(ctx), errYielded):
+		h.progress.unsent(i, now, yieldPause)
+	case errors.Is(context.Cause(ctx), errEnded), errors.Is(context.Cause(ctx), errReleased):
+		h.progress.unsent(i, now, 0)
+	case errors.As(err, &status) && status == http.StatusUnprocessableEntity:
+		m.dead(h, i, "the target says that it can never be done")
+	case errors.As(err, &status) && status == http.StatusInternalServerError:
+		if !h.progress.failed(i, now, max(1, r.Attempts)) {
+			m.dead(h, i, "it failed at every attempt")
+		}
+	case errors.As(err, &failure) && !failure.End.Ran():
+		m.noteRefusal(t, failure)
+		h.progress.unsent(i, now, notRunPause)
+	default:
+		h.progress.broke(i, now)
+	}
+}
+
+func (m *Manager) noteRefusal(t choose.Target, failure *target.Error) {
+	switch {
+	case failure.End == target.WrongInstance:
+		m.Pool.Leave(t.ID, "another target has its address")
+	case failure.Saturated:
+		m.Pool.Saturated(t.ID)
+	}
+}
--- /dev/null
+++ b/internal/request/job/submit.go
@@ -0,0 +1,144 @@
+package job
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/marblepond/marblepond/internal/connection/callbudget"
+	"github.com/marblepond/marblepond/internal/connection/objects"
+	"github.com/marblepond/marblepond/internal/errkind"
+	"github.com/marblepond/marblepond/internal/process/timeline"
+)
+
+// answerMargin is kept between the last try of a write and the deadline of the
+// answer.
+const answerMargin = 200 * time.Millisecond
+
+// Submit accepts a job: when it returns nil, the job is in the object store
+// and all of it is the system's to keep. A job that was accepted before is
+// accepted again. Errors are of errkind; only those that say so promise that
+// nothing of the job runs.
+func (m *Manager) Submit(ctx context.Context, s *Submission) error {
+	err := m.submit(ctx, s)
+	if err != nil {
+		answer := errkind.Of(err)
+		m.Recorder.Record(timeline.JobRefused, s.ID, "", errkind.Message(err), timeline.Field{Name: "kind", Value: answer.Name},
+			timeline.Field{Name: "not_run", Value: string(answer.NotRun)}, timeline.Field{Name: "tokens", Value: s.Tokens()})
+	}
+	return err
+}
+
+func (m *Manager) submit(ctx context.Context, s *Submission) error {
+	if err := s.Check(); err != nil {
+		return errkind.Malformed.New("%v", err)
+	}
+	if m.known(s.ID) {
+		return nil
+	}
+	ctx, cancel := context.WithDeadline(ctx, s.Deadline.Add(-answerMargin))
+	defer cancel()
+	release, err := m.reserve(ctx, s)
+	if err != nil {
+		return err
+	}
+	defer release()
+	parts, err := m.writeItems(ctx, s)
+	if err != nil {
+		return errkind.PlatformUnavailable.New("the object store does not take the job: %v", err)
+	}
+	return m.writeHead(ctx, s, parts)
+}
+
+// known reports whether this node knows that a job was accepted.
+func (m *Manager) known(id string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	_, seen := m.heads[id]
+	return seen || m.held[id] != nil
+}
+
+// reserve counts the job's tokens against the cap of its route, so that two
+// submissions at once do not both take the last room.
+func (m *Manager) reserve(ctx context.Context, s *Submission) (release func(), err error) {
+	tokens := s.Tokens()
+	waiting := m.WaitingTokens()[s.Route.Name] + m.Waiting(s.Route.Name)
+	if limit := s.Route.TokenCap; limit > 0 && waiting+tokens > limit {
+		if _, _, err := m.getHead(ctx, callbudget.Commit, s.ID); err == nil {
+			return func() {}, nil // accepted before; what follows finds the head
+		} else if !errors.Is(err, objects.ErrNotFound) {
+			return nil, errkind.PlatformUnavailable.New("the job does not fit now, and whether it was accepted before is not known")
+		}
+		return nil, errkind.RateLimited.New("%d tokens wait on route %s and %d may; the job has %d", waiting, s.Route.Name, limit, tokens)
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.reserved[s.Route.Name] += tokens
+	return func() {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		m.reserved[s.Route.Name] -= tokens
+	}, nil
+}
+
+// writeItems stores the items and returns the number of parts. It gives up
+// once the objective of the answer has passed: another node may reach the
+// store, and the caller is told to ask again.
+func (m *Manager) writeItems(ctx context.Context, s *Submission) (int, error) {
+	if s.Route.Objective > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, s.Arrived.Add(s.Route.Objective))
+		defer cancel()
+	}
+	parts := split(s.Items, m.cfg.MaxValue*valueShare/100, itemSize)
+	errs := make([]error, len(parts))
+	var wg sync.WaitGroup
+	for n, part := range parts {
+		wg.Go(func() { _, _, errs[n] = m.create(ctx, KindItems, partName(s.ID, n), encode(part)) })
+	}
+	wg.Wait()
+	return len(parts), errors.Join(errs...)
+}
+
+// valueShare is the share in per cent of the store's largest value that an
+// object is filled to; the rest is for the object's own fields and for
+// characters that need escaping.
+const valueShare = 70
+
+// writeHead makes the job accepted.
+func (m *Manager) writeHead(ctx context.Context, s *Submission, parts int) error {
+	head := Head{Host: s.Host, Path: s.Path, Submitted: s.Arrived.UnixMilli(), Total: len(s.Items), Parts: parts,
+		Holder: m.cfg.Self, Epoch: 1, Writer: newToken()}
+	o, existed, err := m.create(ctx, KindHeads, s.ID, encode(&head))
+	switch {
+	case errors.Is(err, errMaybe):
+		return errkind.UnknownOutcome.New("whether the job was accepted is not known; send it again")
+	case err != nil:
+		return errkind.PlatformUnavailable.New("the object store does not take the job: %v", err)
+	case existed:
+		return m.acceptedBefore(ctx, s, &head)
+	}
+	m.accepted(s, head, o.Revision, "accepted")
+	return nil
+}
+
+func (m *Manager) accepted(s *Submission, head Head, revision int64, why string) {
+	m.Recorder.Record(timeline.JobAccepted, s.ID, "", "", timeline.Field{Name: "items", Value: head.Total},
+		timeline.Field{Name: "tokens", Value: s.Tokens()}, timeline.Field{Name: "took_ms", Value: time.Since(s.Arrived).Milliseconds()})
+	m.hold(s.ID, head, revision, s.Items, why)
+}
+
+// acceptedBefore answers a job whose head is there: by another node, or by
+// this one when the answer to its write was lost.
+func (m *Manager) acceptedBefore(ctx context.Context, s *Submission, mine *Head) error {
+	head, o, err := m.getHead(ctx, callbudget.Commit, s.ID)
+	if err == nil && head.Writer == mine.Writer {
+		m.accepted(s, head, o.Revision, "accepted; the answer of the store was lost")
+		return nil
+	}
+	if err == nil {
+		m.learn(s.ID, head, o.Revision)
+	}
+	return nil // the head exists, whoever holds the job
+}
--- /dev/null
+++ b/internal/request/job/sweep.go
@@ -0,0 +1,181 @@
+package job
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	v1 "github.com/marblepond/marblepond/api/marblepond/v1"
+	"github.com/marblepond/marblepond/internal/connection/callbudget"
+	"github.com/marblepond/marblepond/internal/connection/objects"
+	"github.com/marblepond/marblepond/internal/process/timeline"
+	"github.com/marblepond/marblepond/internal/process/wait"
+)
+
+const (
+	// suspectSweep is the time between sweeps while a holder does not answer.
+	suspectSweep = time.Second
+	// probeTimeout bounds the question to a holder whether it still holds.
+	probeTimeout = 400 * time.Millisecond
+	// adoptTimeout bounds one take-over.
+	adoptTimeout = 5 * time.Second
+	// expiredSlack is added to the time that a job stays readable before it is
+	// removed from the store.
+	expiredSlack = 30 * time.Second
+	// firstSweep is when a starting node first looks: soon, because all nodes may
+	// have been lost at once, and after the first configuration is usually known.
+	firstSweep = 300 * time.Millisecond
+)
+
+// sweep looks for jobs without a holder until ctx ends: those of an earlier
+// boot of this node, those whose holder says that it does not hold them, and
+// those whose holder does not answer for long.
+func (m *Manager) sweep(ctx context.Context) {
+	pause := firstSweep
+	for wait.For(ctx, pause*3/4+rand.N(pause/2)) {
+		pause = m.cfg.SweepInterval
+		if m.sweepOnce(ctx) {
+			pause = suspectSweep
+		}
+	}
+}
+
+// sweepOnce returns whether a holder is suspected.
+func (m *Manager) sweepOnce(ctx context.Context) bool {
+	page, err := m.Store.ListStale(ctx, KindHeads)
+	if err != nil {
+		return true // the store is away; look again soon after it is back
+	}
+	byHolder := map[Holder][]string{}
+	for _, o := range page.Objects {
+		head, err := decode[Head](o.Value)
+		if err != nil {
+			m.Recorder.Record(timeline.ObjectRejected, o.Name, KindHeads, err.Error())
+			continue
+		}
+		switch {
+		case m.expired(&head):
+			m.remove(ctx, o.Name, &head)
+		case head.Complete(), m.Ended(o.Name), m.holds(o.Name):
+		default:
+			byHolder[head.Holder] = append(byHolder[head.Holder], o.Name)
+		}
+	}
+	suspected := false
+	for holder, jobs := range byHolder {
+		lost, maybe := m.lostJobs(ctx, holder, jobs)
+		suspected = suspected || maybe
+		for _, id := range lost {
+			m.adopt(ctx, id, holder)
+		}
+	}
+	return suspected
+}
+
+func (m *Manager) holds(id string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.held[id] != nil || m.draining
+}
+
+// lostJobs returns which of a holder's jobs nobody works on; suspected tells
+// that the holder does not answer but may.
+func (m *Manager) lostJobs(ctx context.Context, holder Holder, jobs []string) (lost []string, suspected bool) {
+	if holder == (Holder{}) || holder.Node == m.cfg.Self.Node {
+		return jobs, false
+	}
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	resp, err := m.Peers.Job(holder.Address).Held(ctx, &v1.HeldRequest{Jobs: jobs})
+	if err != nil {
+		return m.silentHolder(holder, jobs)
+	}
+	m.mu.Lock()
+	delete(m.absent, holder.String())
+	m.mu.Unlock()
+	held := map[string]bool{}
+	for _, id := range resp.Held {
+		held[id] = true
+	}
+	for _, id := range jobs {
+		if !held[id] {
+			lost = append(lost, id)
+		}
+	}
+	return lost, len(lost) > 0
+}
+
+func (m *Manager) silentHolder(holder Holder, jobs []string) (lost []string, suspected bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	since, known := m.absent[holder.String()]
+	if !known {
+		since = time.Now()
+		m.absent[holder.String()] = since
+	}
+	if time.Since(since) < m.cfg.TakeOverAfter {
+		return nil, true
+	}
+	return jobs, false
+}
+
+// adopt takes a job over, unless its head shows another holder by now.
+func (m *Manager) adopt(ctx context.Context, id string, from Holder) {
+	ctx, cancel := context.WithTimeout(ctx, adoptTimeout)
+	defer cancel()
+	head, o, err := m.getHead(ctx, callbudget.Commit, id)
+	if err != nil || head.Holder != from || head.Complete() || m.holds(id) {
+		return
+	}
+	items, err := m.getItems(ctx, id, head.Parts)
+	if err != nil {
+		return // the next sweep tries again
+	}
+	if len(items) != head.Total {
+		m.Recorder.Record(timeline.ObjectRejected, id, KindItems, "items are missing")
+		return
+	}
+	head.Holder = m.cfg.Self
+	head.Epoch++
+	revision, err := m.updateHead(ctx, id, &head, o.Revision)
+	if err != nil {
+		return // another node was first, or the next sweep finds this node's write
+	}
+	m.hold(id, head, revision, items, "taken over from "+from.String())
+}
+
+// expired reports whether a job need not be readable any more.
+func (m *Manager) expired(head *Head) bool {
+	return time.Since(time.UnixMilli(head.Submitted)) > m.cfg.KeepResults+expiredSlack
+}
+
+// remove deletes all objects of an expired job; the head last, so that an
+// interrupted removal is found again.
+func (m *Manager) remove(ctx context.Context, id string, head *Head) {
+	m.mu.Lock()
+	if h := m.held[id]; h != nil {
+		m.release(h, "expired")
+	}
+	delete(m.heads, id)
+	m.mu.Unlock()
+	m.results.forget(id)
+	type object struct{ kind, name string }
+	var all []object
+	for _, s := range head.Segments {
+		all = append(all, object{KindResults, s.Object})
+	}
+	for n := range head.Parts {
+		all = append(all, object{KindItems, partName(id, n)})
+	}
+	if m.Ended(id) {
+		all = append(all, object{KindEnds, id})
+	}
+	all = append(all, object{KindHeads, id})
+	for _, o := range all {
+		if err := m.Store.Delete(ctx, callbudget.Status, o.kind, o.name); err != nil && !errors.Is(err, objects.ErrNotFound) {
+			return // the next sweep goes on
+		}
+	}
+	m.Recorder.Record(timeline.JobDropped, id, "", "")
+}
--- /dev/null
+++ b/internal/request/job/write.go
@@ -0,0 +1,133 @@
+package job
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/marblepond/marblepond/internal/connection/callbudget"
+	"github.com/marblepond/marblepond/internal/connection/objects"
+	"github.com/marblepond/marblepond/internal/process/timeline"
+	"github.com/marblepond/marblepond/internal/process/wait"
+)
+
+const (
+	// writePause is the pause before a failed write is tried again; it doubles
+	// up to maxWritePause.
+	writePause    = 30 * time.Millisecond
+	maxWritePause = 500 * time.Millisecond
+)
+
+// errMaybe: a write was sent, has no answer, and could not be read back.
+var errMaybe = errors.New("the write may have taken effect or may still do so")
+
+// create writes an object until the store has it or ctx ends. existed tells
+// that the object was there already; after a write without an answer that may
+// be the node's own. Errors: objects.ErrUnavailable (it was not written), or
+// errMaybe.
+func (m *Manager) create(ctx context.Context, kind, name string, value []byte) (o objects.Object, existed bool, err error) {
+	pause, maybe := writePause, false
+	for {
+		o, err = m.Store.Create(ctx, callbudget.Commit, kind, name, value)
+		switch {
+		case err == nil:
+			return o, false, nil
+		case errors.Is(err, objects.ErrConflict):
+			return objects.Object{}, true, nil
+		case errors.Is(err, objects.ErrUnknownOutcome):
+			maybe = true
+			m.Recorder.Record(timeline.PlatformAmbiguous, name, kind, err.Error())
+		}
+		if !wait.For(ctx, pause) {
+			if maybe {
+				return objects.Object{}, false, errMaybe
+			}
+			return objects.Object{}, false, objects.ErrUnavailable
+		}
+		pause = min(2*pause, maxWritePause)
+	}
+}
+
+// errFenced: another node has changed the head.
+var errFenced = errors.New("another node holds the job")
+
+// updateHead replaces a head at a revision until it is written or ctx ends. A
+// write that had no answer is recognised by its token. Errors: errFenced,
+// objects.ErrUnavailable, errMaybe.
+func (m *Manager) updateHead(ctx context.Context, id string, head *Head, revision int64) (int64, error) {
+	head.Writer = newToken()
+	value := encode(head)
+	pause, maybe := writePause, false
+	for {
+		o, err := m.Store.Update(ctx, callbudget.Lease, KindHeads, id, revision, value)
+		switch {
+		case err == nil:
+			return o.Revision, nil
+		case errors.Is(err, objects.ErrConflict), errors.Is(err, objects.ErrNotFound):
+			if !maybe {
+				return 0, errFenced
+			}
+			return m.readBack(ctx, id, head.Writer)
+		case errors.Is(err, objects.ErrUnknownOutcome):
+			maybe = true
+			m.Recorder.Record(timeline.PlatformAmbiguous, id, KindHeads, err.Error())
+		}
+		if !wait.For(ctx, pause) {
+			if maybe {
+				return 0, errMaybe
+			}
+			return 0, objects.ErrUnavailable
+		}
+		pause = min(2*pause, maxWritePause)
+	}
+}
+
+// readBack finds out whether the head in the store is the one of a token.
+func (m *Manager) readBack(ctx context.Context, id, token string) (int64, error) {
+	pause := writePause
+	for {
+		head, o, err := m.getHead(ctx, callbudget.Lease, id)
+		switch {
+		case err == nil && head.Writer == token:
+			return o.Revision, nil
+		case err == nil, errors.Is(err, objects.ErrNotFound):
+			return 0, errFenced
+		}
+		if !wait.For(ctx, pause) {
+			return 0, errMaybe
+		}
+		pause = min(2*pause, maxWritePause)
+	}
+}
+
+// getHead reads the head of a job.
+func (m *Manager) getHead(ctx context.Context, class callbudget.Class, id string) (Head, objects.Object, error) {
+	o, err := m.Store.Get(ctx, class, KindHeads, id)
+	if err != nil {
+		return Head{}, objects.Object{}, err
+	}
+	head, err := decode[Head](o.Value)
+	if err != nil {
+		m.Recorder.Record(timeline.ObjectRejected, id, KindHeads, err.Error())
+		return Head{}, objects.Object{}, objects.ErrUnavailable
+	}
+	return head, o, nil
+}
+
+// getItems reads all items of a job.
+func (m *Manager) getItems(ctx context.Context, id string, parts int) ([]Item, error) {
+	var items []Item
+	for n := range parts {
+		o, err := m.Store.Get(ctx, callbudget.Commit, KindItems, partName(id, n))
+		if err != nil {
+			return nil, err
+		}
+		part, err := decode[[]Item](o.Value)
+		if err != nil {
+			m.Recorder.Record(timeline.ObjectRejected, id, KindItems, err.Error())
+			return nil, objects.ErrUnavailable
+		}
+		items = append(items, part...)
+	}
+	return items, nil
+}
--- /dev/null
+++ b/internal/version/discovery/discovery.go
@@ -0,0 +1,204 @@
+// Package discovery keeps a node's targets as the object store lists them,
+// less what the node knows better: targets that refuse, that are other targets
+// now, or that fail.
+package discovery
+
+import (
+	"sync"
+	"time"
+
+	"github.com/marblepond/marblepond/internal/request/choose"
+)
+
+// Record is what the store says of one target.
+type Record struct {
+	choose.Target
+	Draining bool
+}
+
+// Pool is the table of targets. It is safe for concurrent use.
+type Pool struct {
+	now      func() time.Time
+	doubtful func() bool // the store's list may lack targets that live
+	onChange func(id, what string)
+
+	mu      sync.Mutex
+	table   *choose.Table
+	records map[string]Record
+	lapsed  map[string]Record // taken from the list while the store was in doubt
+	yield   func(target string)
+}
+
+// incarnation of every target: the ID of a record names one start of it.
+const incarnation = 1
+
+// New returns an empty pool. doubtful reports whether the store has been in
+// trouble lately; onChange hears of each change for the log.
+func New(cfg choose.Config, now func() time.Time, doubtful func() bool, onChange func(id, what string)) *Pool {
+	return &Pool{now: now, doubtful: doubtful, onChange: onChange, table: choose.New(cfg),
+		records: map[string]Record{}, lapsed: map[string]Record{}, yield: func(string) {}}
+}
+
+// OnFull sets the function that makes room on a target that batch items fill.
+func (p *Pool) OnFull(yield func(target string)) { p.yield = yield }
+
+// Put takes what the store says of a target.
+func (p *Pool) Put(r Record) {
+	p.mu.Lock()
+	old, known := p.records[r.ID]
+	p.records[r.ID] = r
+	delete(p.lapsed, r.ID)
+	p.set()
+	if r.Draining {
+		p.table.Leave(r.ID, incarnation)
+	}
+	p.mu.Unlock()
+	switch {
+	case !known && !r.Draining:
+		p.onChange(r.ID, "listed")
+	case r.Draining && !old.Draining:
+		p.onChange(r.ID, "draining")
+	}
+}
+
+// Remove takes a target off. While the store's list is in doubt the target is
+// kept until Settle, because it may only have missed its heartbeat there.
+func (p *Pool) Remove(id string) {
+	p.mu.Lock()
+	r, known := p.records[id]
+	delete(p.records, id)
+	keep := known && !r.Draining && p.doubtful()
+	if keep {
+		p.lapsed[id] = r
+	}
+	p.set()
+	p.mu.Unlock()
+	switch {
+	case keep:
+		p.onChange(id, "lapsed while the store was away; kept until it has settled")
+	case known:
+		p.onChange(id, "gone")
+	}
+}
+
+// Settle removes targets that lapsed once the store's list is trusted again.
+func (p *Pool) Settle() {
+	p.mu.Lock()
+	var gone []string
+	if len(p.lapsed) > 0 && !p.doubtful() {
+		for id := range p.lapsed {
+			gone = append(gone, id)
+		}
+		clear(p.lapsed)
+		p.set()
+	}
+	p.mu.Unlock()
+	for _, id := range gone {
+		p.onChange(id, "gone")
+	}
+}
+
+// set hands the list to the table. The caller holds p.mu.
+func (p *Pool) set() {
+	list := make([]choose.Target, 0, len(p.records)+len(p.lapsed))
+	for _, records := range []map[string]Record{p.records, p.lapsed} {
+		for _, r := range records {
+			r.Incarnation = incarnation
+			list = append(list, r.Target)
+		}
+	}
+	p.table.Set(list)
+}
+
+// Leave stops new requests to a target that turned out to be leaving, or to be
+// another one.
+func (p *Pool) Leave(id, why string) {
+	p.mu.Lock()
+	news := p.table.Leave(id, incarnation)
+	p.mu.Unlock()
+	if news {
+		p.onChange(id, why)
+	}
+}
+
+// Choose returns a target for an online request and counts it there. Where
+// batch items fill the target, one of them is asked to make room.
+func (p *Pool) Choose(need choose.Need) (choose.Target, bool) {
+	p.mu.Lock()
+	target, ok := p.table.Choose(p.now(), need)
+	full := false
+	if ok {
+		full = p.table.Free(target.ID) <= 0
+		p.table.Begin(target.ID)
+	}
+	p.mu.Unlock()
+	if full {
+		p.yield(target.ID)
+	}
+	return target, ok
+}
+
+// ChooseBatch returns a target for a batch item and counts it there.
+func (p *Pool) ChooseBatch(need choose.Need) (choose.Target, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	need.Batch = true
+	target, ok := p.table.Choose(p.now(), need)
+	if ok {
+		p.table.BeginBatch(target.ID)
+	}
+	return target, ok
+}
+
+// End takes the result of an online request.
+func (p *Pool) End(id string, outcome choose.Outcome) {
+	p.mu.Lock()
+	ejected, readmitted := p.table.End(p.now(), id, outcome)
+	p.mu.Unlock()
+	p.tell(id, ejected, readmitted)
+}
+
+// EndBatch takes the result of a batch item.
+func (p *Pool) EndBatch(id string, outcome choose.Outcome) {
+	p.mu.Lock()
+	ejected, readmitted := p.table.EndBatch(p.now(), id, outcome)
+	p.mu.Unlock()
+	p.tell(id, ejected, readmitted)
+}
+
+func (p *Pool) tell(id string, ejected, readmitted bool) {
+	switch {
+	case ejected:
+		p.onChange(id, "ejected after failures in a row")
+	case readmitted:
+		p.onChange(id, "readmitted")
+	}
+}
+
+// FirstEvent takes the time from sending a request to its first event.
+func (p *Pool) FirstEvent(id string, took time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.table.FirstEvent(p.now(), id, took)
+}
+
+// Saturated notes that a target refused because it was full.
+func (p *Pool) Saturated(id string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.table.Saturated(p.now(), id)
+}
+
+// Room returns the free slots of a service's usable targets.
+func (p *Pool) Room(service string) (free, capacity int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.table.Room(p.now(), service)
+}
+
+// Listed returns how many targets the store lists.
+func (p *Pool) Listed() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.records)
+}
--- /dev/null
+++ b/internal/version/follow/cache.go
@@ -0,0 +1,184 @@
+// Package follow keeps this node's copy of the kinds of objects that it
+// follows in the object store, and spreads them between nodes, so that a node
+// that is cut off from the store learns what its peers know.
+//
+// For each object the entry with the higher store revision wins, whoever
+// delivers it. A copy therefore never goes back, and the order in which the
+// store and peers deliver does not matter.
+package follow
+
+import (
+	"sync"
+	"time"
+
+	"github.com/marblepond/marblepond/internal/connection/objects"
+)
+
+// tombstoneAge is how long a deletion is remembered. It only has to outlast
+// the longest cut between two nodes; a node that was away longer has been
+// restarted or lists again.
+const tombstoneAge = 10 * time.Minute
+
+// Source says who delivered a change.
+type Source int
+
+// The sources.
+const (
+	FromStore Source = iota
+	FromPeer
+	FromDisk
+)
+
+var sourceNames = map[Source]string{FromStore: "store", FromPeer: "peer", FromDisk: "disk"}
+
+// String returns the source's name.
+func (s Source) String() string { return sourceNames[s] }
+
+type entry struct {
+	objects.Object
+	deletedAt time.Time
+}
+
+type kind struct {
+	entries map[string]entry
+	// complete is the store revision up to which no change is missing.
+	complete int64
+}
+
+// Cache is the copy of all followed kinds. It is safe for concurrent use.
+type Cache struct {
+	mu    sync.Mutex
+	kinds map[string]*kind
+	now   func() time.Time
+}
+
+// NewCache returns an empty copy of the kinds.
+func NewCache(now func() time.Time, kinds ...string) *Cache {
+	c := &Cache{kinds: map[string]*kind{}, now: now}
+	for _, name := range kinds {
+		c.kinds[name] = &kind{entries: map[string]entry{}}
+	}
+	return c
+}
+
+// Apply takes changes that, together with what is held, are complete from
+// revision since up to revision to. It returns the entries that were news.
+func (c *Cache) Apply(name string, changes []objects.Object, since, to int64) []objects.Object {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	k := c.kinds[name]
+	if k == nil {
+		return nil
+	}
+	var news []objects.Object
+	for _, o := range changes {
+		if c.put(k, o) {
+			news = append(news, o)
+		}
+	}
+	if since <= k.complete && to > k.complete {
+		k.complete = to
+	}
+	return news
+}
+
+// Replace takes a whole listing at a revision: objects that it lacks are
+// deleted as of that revision. It returns the entries that were news.
+func (c *Cache) Replace(name string, list []objects.Object, revision int64) []objects.Object {
+	listed := make(map[string]bool, len(list))
+	for _, o := range list {
+		listed[o.Name] = true
+	}
+	c.mu.Lock()
+	k := c.kinds[name]
+	if k == nil {
+		c.mu.Unlock()
+		return nil
+	}
+	changes := list
+	for id, e := range k.entries {
+		if !listed[id] && !e.Deleted && e.Revision <= revision {
+			changes = append(changes, objects.Object{Name: id, Revision: revision, Deleted: true})
+		}
+	}
+	c.mu.Unlock()
+	return c.Apply(name, changes, 0, revision)
+}
+
+func (c *Cache) put(k *kind, o objects.Object) bool {
+	old, known := k.entries[o.Name]
+	if known && (old.Revision > o.Revision || (old.Revision == o.Revision && (old.Deleted || !o.Deleted))) {
+		return false
+	}
+	e := entry{Object: o}
+	if o.Deleted {
+		e.deletedAt = c.now()
+		c.prune(k)
+	}
+	k.entries[o.Name] = e
+	return !o.Deleted || known
+}
+
+func (c *Cache) prune(k *kind) {
+	for id, e := range k.entries {
+		if e.Deleted && c.now().Sub(e.deletedAt) > tombstoneAge {
+			delete(k.entries, id)
+		}
+	}
+}
+
+// Complete returns the revision up to which no change of the kind is missing.
+func (c *Cache) Complete(name string) int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.kinds[name].complete
+}
+
+// Marks returns Complete of every kind.
+func (c *Cache) Marks() map[string]int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	marks := make(map[string]int64, len(c.kinds))
+	for name, k := range c.kinds {
+		marks[name] = k.complete
+	}
+	return marks
+}
+
+// Since returns the changes of a kind after a revision.
+func (c *Cache) Since(name string, revision int64) []objects.Object {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	k := c.kinds[name]
+	if k == nil || k.complete <= revision {
+		return nil
+	}
+	var out []objects.Object
+	for _, e := range k.entries {
+		if e.Revision > revision {
+			out = append(out, e.Object)
+		}
+	}
+	return out
+}
+
+// Get returns an object that exists as far as is known.
+func (c *Cache) Get(name, id string) (objects.Object, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	e, ok := c.kinds[name].entries[id]
+	return e.Object, ok && !e.Deleted
+}
+
+// List returns the objects of a kind that exist as far as is known.
+func (c *Cache) List(name string) []objects.Object {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out []objects.Object
+	for _, e := range c.kinds[name].entries {
+		if !e.Deleted {
+			out = append(out, e.Object)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/version/follow/gossip.go
@@ -0,0 +1,99 @@
+package follow
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	v1 "github.com/marblepond/marblepond/api/marblepond/v1"
+	"github.com/marblepond/marblepond/api/marblepond/v1/marblepondv1connect"
+	"github.com/marblepond/marblepond/internal/connection/objects"
+)
+
+// Gossip exchanges the cache with one random peer at a time (push and pull
+// anti-entropy, Demers et al., 1987). What one node knows reaches n nodes in
+// about log2(n) rounds, at a cost for each node that does not grow with n.
+type Gossip struct {
+	Node     string
+	Cache    *Cache
+	Loads    *Loads
+	Listener Listener
+	// Peers returns the addresses of the other nodes known.
+	Peers func() []string
+	// Client returns the client of a peer.
+	Client func(address string) marblepondv1connect.SyncServiceClient
+	// Interval is the time between rounds.
+	Interval time.Duration
+}
+
+// exchangeTimeout bounds one exchange. A peer that does not answer must not
+// hold up the next round's peer for long.
+const exchangeTimeout = 400 * time.Millisecond
+
+// Run exchanges until ctx ends.
+func (g *Gossip) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if peers := g.Peers(); len(peers) > 0 {
+			go g.round(ctx, peers[rand.IntN(len(peers))])
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(g.Interval*3/4 + rand.N(g.Interval/2)):
+		}
+	}
+}
+
+// round is one exchange; a second message follows when the peer lacks
+// something that this node has.
+func (g *Gossip) round(ctx context.Context, address string) {
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	client := g.Client(address)
+	resp, err := client.Exchange(ctx, &v1.ExchangeRequest{Node: g.Node, Complete: g.Cache.Marks(), Loads: g.Loads.Pack()})
+	if err != nil {
+		return // the peer is away; the next round asks another
+	}
+	g.take(resp.Missing)
+	g.Loads.Unpack(resp.Loads)
+	if offer := g.lacking(resp.Complete); len(offer) > 0 {
+		_, _ = client.Exchange(ctx, &v1.ExchangeRequest{Node: g.Node, Complete: g.Cache.Marks(), Offered: offer})
+	}
+}
+
+// Exchange answers another node's round.
+func (g *Gossip) Exchange(_ context.Context, req *v1.ExchangeRequest) (*v1.ExchangeResponse, error) {
+	g.take(req.Offered)
+	g.Loads.Unpack(req.Loads)
+	return &v1.ExchangeResponse{Complete: g.Cache.Marks(), Missing: g.lacking(req.Complete), Loads: g.Loads.Pack()}, nil
+}
+
+// lacking returns what a node lacks that is complete up to the marks given.
+func (g *Gossip) lacking(marks map[string]int64) []*v1.KindChanges {
+	var out []*v1.KindChanges
+	for kind, complete := range g.Cache.Marks() {
+		theirs, follows := marks[kind]
+		if !follows || theirs >= complete {
+			continue
+		}
+		changes := &v1.KindChanges{Kind: kind, Since: theirs, Complete: complete}
+		for _, o := range g.Cache.Since(kind, theirs) {
+			changes.Changes = append(changes.Changes, &v1.ObjectChange{Name: o.Name, Revision: o.Revision, Value: o.Value, Deleted: o.Deleted})
+		}
+		if len(changes.Changes) > 0 {
+			out = append(out, changes)
+		}
+	}
+	return out
+}
+
+func (g *Gossip) take(missing []*v1.KindChanges) {
+	for _, m := range missing {
+		changes := make([]objects.Object, 0, len(m.Changes))
+		for _, c := range m.Changes {
+			changes = append(changes, objects.Object{Name: c.Name, Revision: c.Revision, Value: c.Value, Deleted: c.Deleted})
+		}
+		if news := g.Cache.Apply(m.Kind, changes, m.Since, m.Complete); len(news) > 0 {
+			g.Listener.Changed(m.Kind, news, FromPeer)
+		}
+	}
+}
--- /dev/null
+++ b/internal/version/route/route.go
@@ -0,0 +1,131 @@
+// Package route holds one version of the routing configuration: which service
+// answers which host and path, and under which policy. Tables are immutable;
+// a new version is a new table.
+package route
+
+import (
+	"sort"
+	"strings"
+	"time"
+)
+
+// Kind says what a route's requests are.
+type Kind int
+
+// The kinds. A kind that is not known is NonIdempotent, which promises least.
+const (
+	NonIdempotent Kind = iota // runs at most once
+	Idempotent                // may run more than once
+	Stream                    // answered by events; runs at most once unless resumable
+	Batch                     // accepts jobs
+)
+
+// Share is one service of a route and its part of the traffic.
+type Share struct {
+	Service string
+	Weight  int
+}
+
+// Route is one entry of the table.
+type Route struct {
+	Name      string
+	Host      string
+	Prefix    string // begins and ends with a slash
+	Shares    []Share
+	Kind      Kind
+	Resumable bool
+	Attempts  int // most targets that one request may run on
+	Priority  int // 0 is the highest
+	// Timeout is the longest time that a request may be kept waiting; 0: no bound.
+	Timeout time.Duration
+	// Objective is the time to the first event, whole answer or acceptance.
+	Objective time.Duration
+	// GapObjective is the longest pause between events.
+	GapObjective time.Duration
+	// Batch routes only.
+	CompleteWithin time.Duration // results are due this long after submission
+	AbandonAfter   time.Duration // an item may be given up this long after submission
+	TokenCap       int64         // tokens that may wait on the route; 0: no limit
+}
+
+// Repeatable reports whether a request of the route may run more than once.
+func (r *Route) Repeatable() bool { return r.Kind == Idempotent || r.Resumable }
+
+// Limits bound what callers may send.
+type Limits struct {
+	HeaderBytes   int
+	BodyBytes     int64
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// Table is one version of the routing configuration.
+type Table struct {
+	Version int64
+	Limits  Limits
+	byHost  map[string][]*Route // longest prefix first
+}
+
+// NewTable returns the table of one version.
+func NewTable(version int64, routes []Route, limits Limits) *Table {
+	t := &Table{Version: version, Limits: limits, byHost: map[string][]*Route{}}
+	for i := range routes {
+		r := &routes[i]
+		t.byHost[r.Host] = append(t.byHost[r.Host], r)
+	}
+	for _, list := range t.byHost {
+		sort.SliceStable(list, func(i, j int) bool { return len(list[i].Prefix) > len(list[j].Prefix) })
+	}
+	return t
+}
+
+// Match returns the route with the longest prefix that begins the path, or nil.
+func (t *Table) Match(host, path string) *Route {
+	for _, r := range t.byHost[host] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// HasBatch reports whether any batch route has the host.
+func (t *Table) HasBatch(host string) bool {
+	for _, r := range t.byHost[host] {
+		if r.Kind == Batch {
+			return true
+		}
+	}
+	return false
+}
+
+// ByName returns the route with the name, or nil.
+func (t *Table) ByName(name string) *Route {
+	for _, list := range t.byHost {
+		for _, r := range list {
+			if r.Name == name {
+				return r
+			}
+		}
+	}
+	return nil
+}
+
+// Service picks the service of one request; draw is uniform in [0, 1).
+func (r *Route) Service(draw float64) string {
+	total := 0
+	for _, s := range r.Shares {
+		total += s.Weight
+	}
+	at := int(draw * float64(total))
+	for _, s := range r.Shares {
+		if at < s.Weight {
+			return s.Service
+		}
+		at -= s.Weight
+	}
+	if len(r.Shares) == 0 {
+		return ""
+	}
+	return r.Shares[len(r.Shares)-1].Service
+}
--- a/lab/deployment/deployment.go
+++ b/lab/deployment/deployment.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"time"
@@ -206,7 +207,7 @@
 	if err != nil {
 		return err
 	}
-	nd := node.NewVariant(s, e.Variant)
+	nd := node.NewVariant(s, os.Stderr, e.Variant)
 	ctx, stop := context.WithCancel(context.Background())
 	stopped := make(chan struct{})
 	e.mu.Lock()
--- a/scripts/generate.sh
+++ b/scripts/generate.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/../api"
 protoc --go_out=. --go_opt=paths=source_relative \
   --connect-go_out=. --connect-go_opt=paths=source_relative,simple \
-  marblepond/v1/peer.proto marblepond/v1/operator.proto
+  marblepond/v1/*.proto
