Tell nodes what each has in flight, and make room as online requests arrive

Ruled out: a fixed reserve (it would leave a third of the slots idle in the lows); the targets' load reports (50 ms old, priced). Change: each node tells the others by datagrams what it has in flight at each target; the holder of items stops the least urgent ones while fewer than one slot is free, and they go on later from the events held.

--- a/internal/process/hosted/hosted.go
+++ b/internal/process/hosted/hosted.go
@@ -18,6 +18,7 @@
 
 	"github.com/marblepond/marblepond/api/marblepond/v1/marblepondv1connect"
 	"github.com/marblepond/marblepond/internal/connection/callbudget"
+	"github.com/marblepond/marblepond/internal/connection/inflight"
 	"github.com/marblepond/marblepond/internal/connection/objects"
 	"github.com/marblepond/marblepond/internal/connection/peer"
 	"github.com/marblepond/marblepond/internal/connection/target"
@@ -82,10 +83,12 @@
 	forwarder *forward.Forwarder
 	jobs      *job.Manager
 	peers     *peers
+	inFlight  *inflight.Exchange
 
 	nodes     atomic.Pointer[map[string]nodeRecord]
 	table     atomic.Pointer[route.Table]
-	configAt  atomic.Int64 // Unix nanoseconds when the table came into force
+	configAt  atomic.Int64  // Unix nanoseconds when the table came into force
+	makeRoom  chan struct{} // what is in flight has changed
 	leaving   atomic.Bool
 	active    sync.WaitGroup
 	callers   *callerServer
@@ -105,7 +108,8 @@
 // New connects the parts of a node.
 func New(parts Parts, adapter Adapter) *Node {
 	s := parts.Settings
-	n := &Node{settings: s, adapter: adapter, boot: time.Now().UnixMicro(), recorder: parts.Recorder, metrics: parts.Metrics}
+	n := &Node{settings: s, adapter: adapter, boot: time.Now().UnixMicro(), recorder: parts.Recorder, metrics: parts.Metrics,
+		makeRoom: make(chan struct{}, 1)}
 	n.checker = invariant.New(n.recorder, s.StopOnViolated)
 	n.peers = newPeers(s, n.recorder)
 	n.cache = follow.NewCache(time.Now, adapter.Kinds.Config, adapter.Kinds.Targets, adapter.Kinds.Retirements, kindNodes, job.KindEnds)
@@ -119,13 +123,35 @@
 		Holds: s.CallerListen != "", ResultMemory: s.ResultMemory,
 	}, job.Parts{Store: adapter.Store, Pool: n.pool, Sender: adapter.Sender, Routes: n.Table, RoutesFresh: n.TableFresh, Peers: n,
 		Waiting: n.loads.Waiting, Ended: n.ended, Share: n.batchShare, Recorder: n.recorder, Checker: n.checker, Metrics: n.metrics})
-	n.pool.OnFull(n.jobs.Yield)
+	n.inFlight = inflight.New(s.NodeID, n.boot, n.pool, n.loadPeers)
+	n.pool.OnLoad(n.loadChanged)
 	n.gossip = &follow.Gossip{Node: s.NodeID, Cache: n.cache, Loads: n.loads, Listener: n, Peers: n.peerAddresses,
 		Client: n.peers.sync, Interval: s.GossipInterval}
 	n.listenHandlers(parts.MetricsPage)
 	return n
 }
 
+// loadChanged tells the duties that depend on what is in flight.
+func (n *Node) loadChanged() {
+	n.inFlight.Touch()
+	select {
+	case n.makeRoom <- struct{}{}:
+	default:
+	}
+}
+
+// yield stops batch items where online requests need the room.
+func (n *Node) yield(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-n.makeRoom:
+			n.jobs.MakeRoom()
+		}
+	}
+}
+
 // Table returns the routing table in force, nil before the first is known.
 func (n *Node) Table() *route.Table { return n.table.Load() }
 
@@ -233,7 +259,7 @@
 	work, stop := context.WithCancel(context.Background())
 	defer stop()
 	var duties sync.WaitGroup
-	n.startDuties(work, &duties)
+	n.startDuties(work, listeners, &duties)
 	n.serve(listeners)
 	<-ctx.Done()
 	n.drain(work)
@@ -247,6 +273,7 @@
 
 type listeners struct {
 	callers, ready, peers, metrics net.Listener
+	load                           net.PacketConn
 }
 
 func (n *Node) listen() (listeners, error) {
@@ -263,6 +290,11 @@
 		*place.into = listener
 		errs = append(errs, err)
 	}
+	if n.settings.LoadListen != "" && n.settings.CallerListen != "" {
+		conn, err := net.ListenPacket("udp", n.settings.LoadListen)
+		l.load = conn
+		errs = append(errs, err)
+	}
 	return l, errors.Join(errs...)
 }
 
@@ -304,7 +336,7 @@
 	}
 }
 
-func (n *Node) startDuties(ctx context.Context, wg *sync.WaitGroup) {
+func (n *Node) startDuties(ctx context.Context, l listeners, wg *sync.WaitGroup) {
 	kinds := []string{n.adapter.Kinds.Config, n.adapter.Kinds.Targets, kindNodes, job.KindEnds}
 	if n.settings.CallerListen == "" {
 		kinds = append(kinds, n.adapter.Kinds.Retirements)
@@ -321,6 +353,10 @@
 	wg.Go(func() { n.announceReady(ctx) })
 	wg.Go(func() { n.callers.reapIdle(ctx) })
 	wg.Go(func() { n.jobs.Run(ctx) })
+	wg.Go(func() { n.yield(ctx) })
+	if l.load != nil {
+		wg.Go(func() { n.inFlight.Run(ctx, l.load) })
+	}
 }
 
 // tick is the pace of duties that look at the clock.
--- a/internal/process/hosted/peers.go
+++ b/internal/process/hosted/peers.go
@@ -31,7 +31,8 @@
 	Boot       int64  // Unix microseconds at process start
 	Address    string // IP:port of the services for other nodes
 	DataCentre string
-	Callers    bool // it serves callers and holds jobs
+	Load       string // IP:port for datagrams on what is in flight
+	Callers    bool   // it serves callers and holds jobs
 }
 
 // peers hands out clients of other nodes.
@@ -122,6 +123,21 @@
 	return slices.DeleteFunc(slices.Clone(n.settings.Seeds), func(a string) bool { return a == n.settings.PeerListen })
 }
 
+// loadPeers returns where other nodes hear what this one has in flight: those
+// of its data centre, and the others.
+func (n *Node) loadPeers() (near, far []string) {
+	for name, r := range n.registered() {
+		switch {
+		case !r.Callers || r.Load == "" || name == n.settings.NodeID:
+		case r.DataCentre == n.settings.DataCentre:
+			near = append(near, r.Load)
+		default:
+			far = append(far, r.Load)
+		}
+	}
+	return near, far
+}
+
 // Holders implements job.Peers.
 func (n *Node) Holders() []string {
 	var out []string
@@ -159,7 +175,8 @@
 
 // register writes the node's own entry until the store has it.
 func (n *Node) register(ctx context.Context) {
-	value, err := json.Marshal(nodeRecord{Boot: n.boot, Address: n.settings.PeerListen, DataCentre: n.settings.DataCentre, Callers: n.settings.CallerListen != ""})
+	value, err := json.Marshal(nodeRecord{Boot: n.boot, Address: n.settings.PeerListen, DataCentre: n.settings.DataCentre, Load: n.settings.LoadListen,
+		Callers: n.settings.CallerListen != ""})
 	if err != nil {
 		n.recorder.Record(timeline.ObjectRejected, "", n.settings.NodeID, err.Error())
 		return
--- a/internal/process/settings/keys.go
+++ b/internal/process/settings/keys.go
@@ -21,6 +21,7 @@
 	{"node", "front", FrontOpenAI, "name", "Interface that the node serves: openai, or hosted on the users' platform.", choice(func(s *Settings) *string { return &s.Front }, FrontOpenAI, FrontHosted)},
 	{"node", "ready_listen", "", "IP:port", "Where a hosted node answers whether it is ready; empty: nowhere.", address(func(s *Settings) *string { return &s.ReadyListen }, false)},
 	{"node", "metrics_listen", "", "IP:port", "Where a hosted node serves its metrics; empty: nowhere.", address(func(s *Settings) *string { return &s.MetricsListen }, false)},
+	{"node", "load_listen", "", "IP:port", "UDP address where a hosted node hears what others have in flight; empty: it hears nothing.", address(func(s *Settings) *string { return &s.LoadListen }, false)},
 	{"node", "data_dir", "", "path", "Folder on a disk of the VM; empty: the VM has none.", text(func(s *Settings) *string { return &s.DataDir }, false)},
 
 	{"store", "address", "", "IP:port", "Object store of a hosted node.", address(func(s *Settings) *string { return &s.StoreAddress }, false)},
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -30,6 +30,7 @@
 	Front         string // which callers' interface the node serves
 	ReadyListen   string
 	MetricsListen string
+	LoadListen    string
 	Region        string
 
 	StoreAddress   string
--- a/internal/request/choose/choose.go
+++ b/internal/request/choose/choose.go
@@ -56,7 +56,7 @@
 	firstEvent   time.Duration // moving average of the time to the first event
 	firstAt      time.Time     // newest measurement of firstEvent
 	batch        int           // own batch items in flight, where this table places them
-	elsewhere    int           // requests that other nodes last said they have there
+	elsewhere    InFlight      // what other nodes last said they have there
 	atReport     int           // own online in flight when load.At
 	leaving      bool
 	failures     int // in a row
@@ -98,15 +98,23 @@
 type Table struct {
 	cfg     Config
 	entries map[string]*entry
-	order   []string            // sorted IDs
-	left    map[string]uint64   // newest leaving incarnation by VM, kept after the VM is gone
-	turn    int                 // for RoundRobin
-	rank    map[string][]string // per service: IDs
+	order   []string                       // sorted IDs
+	left    map[string]uint64              // newest leaving incarnation by VM, kept after the VM is gone
+	turn    int                            // for RoundRobin
+	rank    map[string][]string            // per service: IDs
+	others  map[string]map[string]InFlight // by node and target: what it last said
+}
+
+// InFlight counts what is at a target.
+type InFlight struct {
+	Online int
+	Batch  int
 }
 
 // New returns an empty table.
 func New(cfg Config) *Table {
-	return &Table{cfg: cfg, entries: map[string]*entry{}, left: map[string]uint64{}, rank: map[string][]string{}}
+	return &Table{cfg: cfg, entries: map[string]*entry{}, left: map[string]uint64{}, rank: map[string][]string{},
+		others: map[string]map[string]InFlight{}}
 }
 
 // Set replaces the list of targets. Counters of targets that stay are kept; a
@@ -134,6 +142,62 @@
 		}
 	}
 	t.reindex()
+	t.sumOthers()
+}
+
+// SetElsewhere replaces what another node has in flight; nil: nothing.
+func (t *Table) SetElsewhere(node string, counts map[string]InFlight) {
+	if counts == nil {
+		delete(t.others, node)
+	} else {
+		t.others[node] = counts
+	}
+	t.sumOthers()
+}
+
+func (t *Table) sumOthers() {
+	for _, e := range t.entries {
+		e.elsewhere = InFlight{}
+	}
+	for _, counts := range t.others {
+		for id, n := range counts {
+			if e := t.entries[id]; e != nil {
+				e.elsewhere.Online += n.Online
+				e.elsewhere.Batch += n.Batch
+			}
+		}
+	}
+}
+
+// Own returns what this table has in flight, by target.
+func (t *Table) Own() map[string]InFlight {
+	out := map[string]InFlight{}
+	for id, e := range t.entries {
+		if e.online+e.batch > 0 {
+			out[id] = InFlight{Online: e.online, Batch: e.batch}
+		}
+	}
+	return out
+}
+
+// Excess returns, by target, how many of this table's batch items are to make
+// room so that keep slots are free for online requests. Where several nodes
+// have batch items at a target, each gives its part.
+func (t *Table) Excess(keep int) map[string]int {
+	var out map[string]int
+	for id, e := range t.entries {
+		over := keep - e.free()
+		if e.batch == 0 || over <= 0 {
+			continue
+		}
+		all := e.batch + e.elsewhere.Batch
+		part := (over*e.batch + all - 1) / all // rounded up
+		if out == nil {
+			out = map[string]int{}
+		}
+		out[id] = min(part, e.batch)
+	}
+	return out
 }
 
 func (t *Table) reindex() {
@@ -216,7 +280,7 @@
 		case need.Batch && (free <= need.Reserve || (need.Limit != nil && e.batch >= need.Limit(e.Target))):
 			continue
 		case free <= 0:
-			if need.Overflow == 0 || free > -need.Overflow {
+			if need.Overflow == 0 || e.freeOnline(now) > -need.Overflow {
 				full = append(full, e)
 			}
 		default:
@@ -224,11 +288,24 @@
 		}
 	}
 	if len(out) == 0 && !need.Batch {
-		return full
+		return leastOnline(full)
 	}
 	return t.preferred(now, out)
 }
 
+// leastOnline returns the entries with the fewest online requests: where all
+// are full, what batch items hold becomes free.
+func leastOnline(entries []*entry) []*entry {
+	if len(entries) == 0 {
+		return nil
+	}
+	lowest := entries[0].estimate()
+	for _, e := range entries {
+		lowest = min(lowest, e.estimate())
+	}
+	return keepIfAny(entries, func(e *entry) bool { return e.estimate() == lowest })
+}
+
 // preferred leaves out slow targets, those that are still warming up, and those
 // of other data centres, when others have room.
 func (t *Table) preferred(now time.Time, entries []*entry) []*entry {
@@ -348,7 +425,12 @@
 	if slots == 0 {
 		return unbounded
 	}
-	return slots - e.estimate() - e.batch
+	return slots - e.estimate() - e.batch - e.elsewhere.Batch
+}
+
+// freeOnline returns the free slots once batch items have made room.
+func (e *entry) freeOnline(now time.Time) int {
+	return e.freeAt(now) + e.batch + e.elsewhere.Batch
 }
 
 // why returns the reason a target can't be chosen, empty when it can.
@@ -384,7 +466,7 @@
 // the last report.
 func (e *entry) estimate() int {
 	others := max(0, e.load.Running+e.load.Waiting-e.load.Batch-e.atReport)
-	return e.online + others + e.elsewhere
+	return e.online + others + e.elsewhere.Online
 }
 
 func (t *Table) pick(usable []*entry, need Need) *entry {
@@ -400,7 +482,7 @@
 		}
 	}
 	t.turn++ // equal targets take turns, so that nodes do not all pick the first
-	return least(rotate(usable, t.turn), func(e *entry) int { return e.estimate() + e.batch })
+	return least(rotate(usable, t.turn), func(e *entry) int { return e.estimate() + e.batch + e.elsewhere.Batch })
 }
 
 func rotate(entries []*entry, n int) []*entry {
--- a/internal/request/job/manager.go
+++ b/internal/request/job/manager.go
@@ -34,6 +34,9 @@
 type Pool interface {
 	ChooseBatch(need choose.Need) (choose.Target, bool)
 	EndBatch(id string, outcome choose.Outcome)
+	// Excess returns how many of this node's items are to make room, by target,
+	// so that keep slots are free.
+	Excess(keep int) map[string]int
 	Saturated(id string)
 	Leave(id, why string)
 }
@@ -203,25 +206,52 @@
 	m.Recorder.Record(timeline.JobEnded, id, "", "its caller ended it")
 }
 
-// Yield stops the newest item at a target, so that an online request that was
-// just sent there finds room. The item goes on later from the events it holds.
-func (m *Manager) Yield(targetID string) {
+// MakeRoom stops items at targets that online requests are about to fill.
+// They go on later from the events they hold.
+func (m *Manager) MakeRoom() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var newest *held
-	index := -1
+	for id, n := range m.Pool.Excess(keepFree) {
+		for _, at := range m.leastUrgent(id, n) {
+			at.h.stops[at.index](errYielded)
+			delete(at.h.stops, at.index)
+			m.Metrics.Counter("items_yielded").Inc(1)
+			m.Recorder.Record(timeline.BatchYielded, at.h.items[at.index].ID, id, "online requests fill the target")
+		}
+	}
+}
+
+// keepFree is how many slots of a target batch items leave free by making room
+// as online requests arrive: a request that comes next finds one at once, and
+// the one after it comes later than an item takes to stop.
+const keepFree = 1
+
+// runningItem is an item at a target.
+type runningItem struct {
+	h     *held
+	index int
+	due   time.Time
+}
+
+// leastUrgent returns up to n items at a target, latest due first. The caller
+// holds m.mu.
+func (m *Manager) leastUrgent(targetID string, n int) []runningItem {
+	var at []runningItem
 	for _, h := range m.held {
+		due := dueAt(&h.head, m.routeOf(&h.head))
 		for i := range h.stops {
-			s := &h.progress.items[i]
-			if s.target == targetID && (newest == nil || s.sentAt.After(newest.progress.items[index].sentAt)) {
-				newest, index = h, i
+			if h.progress.items[i].target == targetID {
+				at = append(at, runningItem{h, i, due})
 			}
 		}
 	}
-	if newest != nil {
-		newest.stops[index](errYielded)
-		m.Recorder.Record(timeline.BatchYielded, newest.items[index].ID, targetID, "online requests fill the target")
-	}
+	slices.SortFunc(at, func(a, b runningItem) int {
+		if d := b.due.Compare(a.due); d != 0 {
+			return d
+		}
+		return b.h.progress.items[b.index].sentAt.Compare(a.h.progress.items[a.index].sentAt)
+	})
+	return at[:min(n, len(at))]
 }
 
 // WaitingTokens returns, by route, the tokens of items that this node holds
--- a/internal/version/discovery/discovery.go
+++ b/internal/version/discovery/discovery.go
@@ -26,9 +26,20 @@
 	table   *choose.Table
 	records map[string]Record
 	lapsed  map[string]Record // taken from the list while the store was in doubt
-	yield   func(target string)
+	onLoad  func()            // told each change of what is in flight here or elsewhere
+	heard   map[string]heardFrom
 }
 
+// heardFrom is the newest word of another node.
+type heardFrom struct {
+	boot     int64
+	sequence uint64
+	at       time.Time
+}
+
+// silentAfter is how long a node's word on what it has in flight counts.
+const silentAfter = 2 * time.Second
+
 // incarnation of every target: the ID of a record names one start of it.
 const incarnation = 1
 
@@ -36,11 +47,52 @@
 // trouble lately; onChange hears of each change for the log.
 func New(cfg choose.Config, now func() time.Time, doubtful func() bool, onChange func(id, what string)) *Pool {
 	return &Pool{now: now, doubtful: doubtful, onChange: onChange, table: choose.New(cfg),
-		records: map[string]Record{}, lapsed: map[string]Record{}, yield: func(string) {}}
+		records: map[string]Record{}, lapsed: map[string]Record{}, onLoad: func() {}, heard: map[string]heardFrom{}}
+}
+
+// OnLoad sets the function that is told each change of what is in flight. It
+// must not block.
+func (p *Pool) OnLoad(f func()) { p.onLoad = f }
+
+// InFlight returns what this node has in flight, by target.
+func (p *Pool) InFlight() map[string]choose.InFlight {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.table.Own()
+}
+
+// Heard takes what another node has in flight.
+func (p *Pool) Heard(node string, boot int64, sequence uint64, counts map[string]choose.InFlight) {
+	p.mu.Lock()
+	last := p.heard[node]
+	news := boot > last.boot || (boot == last.boot && sequence > last.sequence)
+	if news {
+		p.heard[node] = heardFrom{boot, sequence, p.now()}
+		p.table.SetElsewhere(node, counts)
+	}
+	p.mu.Unlock()
+	if news {
+		p.onLoad()
+	}
+}
+
+// forgetSilent drops the word of nodes that are silent. The caller holds p.mu.
+func (p *Pool) forgetSilent() {
+	for node, h := range p.heard {
+		if p.now().Sub(h.at) > silentAfter {
+			delete(p.heard, node)
+			p.table.SetElsewhere(node, nil)
+		}
+	}
 }
 
-// OnFull sets the function that makes room on a target that batch items fill.
-func (p *Pool) OnFull(yield func(target string)) { p.yield = yield }
+// Excess returns how many of this node's batch items are to make room, by
+// target, so that keep slots are free.
+func (p *Pool) Excess(keep int) map[string]int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.table.Excess(keep)
+}
 
 // Put takes what the store says of a target.
 func (p *Pool) Put(r Record) {
@@ -81,9 +133,11 @@
 	}
 }
 
-// Settle removes targets that lapsed once the store's list is trusted again.
+// Settle removes targets that lapsed once the store's list is trusted again,
+// and drops what silent nodes said. It is to be called several times a second.
 func (p *Pool) Settle() {
 	p.mu.Lock()
+	p.forgetSilent()
 	var gone []string
 	if len(p.lapsed) > 0 && !p.doubtful() {
 		for id := range p.lapsed {
@@ -121,19 +175,16 @@
 	}
 }
 
-// Choose returns a target for an online request and counts it there. Where
-// batch items fill the target, one of them is asked to make room.
+// Choose returns a target for an online request and counts it there.
 func (p *Pool) Choose(need choose.Need) (choose.Target, bool) {
 	p.mu.Lock()
 	target, ok := p.table.Choose(p.now(), need)
-	full := false
 	if ok {
-		full = p.table.Free(target.ID) <= 0
 		p.table.Begin(target.ID)
 	}
 	p.mu.Unlock()
-	if full {
-		p.yield(target.ID)
+	if ok {
+		p.onLoad()
 	}
 	return target, ok
 }
@@ -155,6 +206,7 @@
 	p.mu.Lock()
 	ejected, readmitted := p.table.End(p.now(), id, outcome)
 	p.mu.Unlock()
+	p.onLoad()
 	p.tell(id, ejected, readmitted)
 }
 
@@ -163,6 +215,7 @@
 	p.mu.Lock()
 	ejected, readmitted := p.table.EndBatch(p.now(), id, outcome)
 	p.mu.Unlock()
+	p.onLoad()
 	p.tell(id, ejected, readmitted)
 }
 
