Refresh what is followed by its age, in place of leaving watches waiting

Watches of one second by every node would cost three calls a second for each node. Change: each copy has an age. A node that hears nobody asks itself. Also: SIGHUP and a changed settings file are read (exit 129 before).

--- a/cmd/marblepond/main.go
+++ b/cmd/marblepond/main.go
@@ -48,19 +48,23 @@
 			if err != nil {
 				return err
 			}
-			return run(ctx, s)
+			return run(ctx, c.String("settings"), s)
 		},
 	}
 }
 
-// run runs the node whose interface the settings choose.
-func run(ctx context.Context, s *settings.Settings) error {
+// run runs the node whose interface the settings at path choose.
+func run(ctx context.Context, path string, s *settings.Settings) error {
 	log := logwriter.New(os.Stdout)
 	defer log.Close()
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
 	if s.Front == settings.FrontHosted {
-		return platform.Run(ctx, node.Parts(s, log))
+		hosted := platform.New(node.Parts(s, log))
+		go hosted.WatchSettings(ctx, path, hangups)
+		return hosted.Run(ctx)
 	}
-	return node.New(s, log).Run(ctx)
+	return node.New(s, log).Run(ctx) // a hangup is ignored: every setting is read at the start
 }
 
 func checkCommand() *cli.Command {
--- /dev/null
+++ b/internal/connection/beacon/beacon.go
@@ -0,0 +1,231 @@
+// Package beacon tells nodes about each other by datagrams that are always
+// whole: what each has in flight at targets, and how new its copy of what the
+// object store holds is. A lost or late datagram is healed by the next.
+//
+// Nodes of a data centre share its targets, so each change goes to all of them,
+// at most once an interval that grows with their number. Nodes of other data
+// centres hear at a low rate, a few at a time. The datagrams that a node sends
+// a second are bounded by 1/nearPace + (near + farFanout)/farInterval.
+package beacon
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	v1 "github.com/marblepond/marblepond/api/marblepond/v1"
+	"github.com/marblepond/marblepond/internal/request/choose"
+	"github.com/marblepond/marblepond/internal/version/follow"
+)
+
+const (
+	// nearLeast is the least time between two rounds to the own data centre,
+	// and nearPace is added to it for each node there: about 200 datagrams a
+	// second at the most.
+	nearLeast = 5 * time.Millisecond
+	nearPace  = 5 * time.Millisecond
+	// farInterval is the time between rounds to other data centres and farFanout
+	// how many nodes one round reaches.
+	farInterval = 100 * time.Millisecond
+	farFanout   = 3
+	// maxDatagram is the largest datagram read, in bytes.
+	maxDatagram = 64 << 10
+	// silentAfter is how long a node's word counts: several rounds.
+	silentAfter = time.Second
+)
+
+// Loads is what is told and heard of targets.
+type Loads interface {
+	InFlight() map[string]choose.InFlight
+	SetElsewhere(node string, counts map[string]choose.InFlight)
+}
+
+// Copies is what is told and heard of the copies of the object store.
+type Copies interface {
+	AgeMarks() map[string]follow.Mark
+	HeardMark(kind string, m follow.Mark) (behind bool)
+}
+
+// Options configures an exchange.
+type Options struct {
+	Node   string
+	Boot   int64 // Unix microseconds at process start
+	Loads  Loads
+	Copies Copies
+	// Peers returns where other nodes listen: those of the own data centre, and
+	// the others.
+	Peers func() (near, far []string)
+	// Behind is told that a node knows more than this one. It must not block.
+	Behind func(node string)
+}
+
+// Exchange sends and takes the datagrams of one node.
+type Exchange struct {
+	Options
+	touched  chan struct{}
+	sequence uint64
+
+	mu    sync.Mutex
+	heard map[string]word
+}
+
+// word is the newest datagram of another node.
+type word struct {
+	boot     int64
+	sequence uint64
+	at       time.Time
+}
+
+// New returns an exchange; Run starts it.
+func New(o Options) *Exchange {
+	return &Exchange{Options: o, touched: make(chan struct{}, 1), heard: map[string]word{}}
+}
+
+// Touch says that something changed; it never blocks.
+func (x *Exchange) Touch() {
+	select {
+	case x.touched <- struct{}{}:
+	default:
+	}
+}
+
+// Heard returns the nodes that are heard now.
+func (x *Exchange) Heard() []string {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	out := make([]string, 0, len(x.heard))
+	for node, w := range x.heard {
+		if time.Since(w.at) < silentAfter {
+			out = append(out, node)
+		}
+	}
+	return out
+}
+
+// Run exchanges over conn until ctx ends.
+func (x *Exchange) Run(ctx context.Context, conn net.PacketConn) {
+	go func() {
+		<-ctx.Done()
+		conn.Close()
+	}()
+	go x.receive(conn)
+	far := time.NewTicker(farInterval)
+	defer far.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-x.touched:
+			near, _ := x.Peers()
+			x.send(conn, near)
+			if !pause(ctx, nearLeast+time.Duration(len(near))*nearPace) {
+				return
+			}
+		case <-far.C:
+			x.forgetSilent()
+			near, others := x.Peers()
+			rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+			x.send(conn, append(near, others[:min(farFanout, len(others))]...))
+		}
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
+func (x *Exchange) send(conn net.PacketConn, addresses []string) {
+	if len(addresses) == 0 {
+		return
+	}
+	data, err := proto.Marshal(x.compose())
+	if err != nil {
+		return // plain fields always encode
+	}
+	for _, address := range addresses {
+		if to, err := net.ResolveUDPAddr("udp", address); err == nil {
+			_, _ = conn.WriteTo(data, to) // a lost datagram is healed by the next
+		}
+	}
+}
+
+func (x *Exchange) compose() *v1.Beacon {
+	x.sequence++
+	message := &v1.Beacon{Node: x.Node, Boot: x.Boot, Sequence: x.sequence}
+	for id, n := range x.Loads.InFlight() {
+		message.Targets = append(message.Targets, &v1.TargetCounts{Target: id, Online: uint32(n.Online), Batch: uint32(n.Batch)})
+	}
+	for kind, m := range x.Copies.AgeMarks() {
+		if m.Known {
+			message.Marks = append(message.Marks, &v1.KindMark{Kind: kind, Complete: m.Complete, Latest: m.Latest, AgeMs: uint32(m.Age.Milliseconds())})
+		}
+	}
+	return message
+}
+
+func (x *Exchange) receive(conn net.PacketConn) {
+	buffer := make([]byte, maxDatagram)
+	for {
+		n, _, err := conn.ReadFrom(buffer)
+		if err != nil {
+			return // the socket is closed
+		}
+		var message v1.Beacon
+		if proto.Unmarshal(buffer[:n], &message) == nil && x.news(&message) {
+			x.take(&message)
+		}
+	}
+}
+
+// news reports whether a datagram is newer than the last of its sender.
+func (x *Exchange) news(m *v1.Beacon) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	last := x.heard[m.Node]
+	if m.Boot < last.boot || (m.Boot == last.boot && m.Sequence <= last.sequence) {
+		return false
+	}
+	x.heard[m.Node] = word{m.Boot, m.Sequence, time.Now()}
+	return true
+}
+
+func (x *Exchange) take(m *v1.Beacon) {
+	counts := make(map[string]choose.InFlight, len(m.Targets))
+	for _, t := range m.Targets {
+		counts[t.Target] = choose.InFlight{Online: int(t.Online), Batch: int(t.Batch)}
+	}
+	x.Loads.SetElsewhere(m.Node, counts)
+	behind := false
+	for _, k := range m.Marks {
+		mark := follow.Mark{Complete: k.Complete, Latest: k.Latest, Age: time.Duration(k.AgeMs) * time.Millisecond, Known: true}
+		behind = x.Copies.HeardMark(k.Kind, mark) || behind
+	}
+	if behind {
+		x.Behind(m.Node)
+	}
+}
+
+// forgetSilent drops what silent nodes said they have in flight.
+func (x *Exchange) forgetSilent() {
+	x.mu.Lock()
+	var silent []string
+	for node, w := range x.heard {
+		if time.Since(w.at) > silentAfter {
+			delete(x.heard, node)
+			silent = append(silent, node)
+		}
+	}
+	x.mu.Unlock()
+	for _, node := range silent {
+		x.Loads.SetElsewhere(node, nil)
+	}
+}
--- a/internal/connection/objects/health.go
+++ b/internal/connection/objects/health.go
@@ -17,12 +17,10 @@
 	now      func() time.Time
 	onChange func(up bool, after time.Duration)
 
-	mu       sync.Mutex
-	up       bool
-	since    time.Time // of the present state
-	failed   time.Time // newest failed call
-	answered time.Time // newest answered call
-	restart  []chan struct{}
+	mu     sync.Mutex
+	up     bool
+	since  time.Time // of the present state
+	failed time.Time // newest failed call
 }
 
 // NewHealth returns the health of a store that is taken to be up. onChange is
@@ -35,9 +33,7 @@
 func (h *Health) Note(answered bool) {
 	h.mu.Lock()
 	now := h.now()
-	if answered {
-		h.answered = now
-	} else {
+	if !answered {
 		h.failed = now
 	}
 	changed := h.up != answered
@@ -45,32 +41,12 @@
 	if changed {
 		h.up, h.since = answered, now
 	}
-	var wake []chan struct{}
-	if changed && answered {
-		wake = h.restart
-	}
 	h.mu.Unlock()
-	for _, c := range wake {
-		select {
-		case c <- struct{}{}:
-		default: // a signal is waiting already
-		}
-	}
 	if changed {
 		h.onChange(answered, lasted)
 	}
 }
 
-// Returned returns a channel that is signalled when the store comes back.
-// Call it before the first Note.
-func (h *Health) Returned() <-chan struct{} {
-	c := make(chan struct{}, 1)
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.restart = append(h.restart, c)
-	return c
-}
-
 // Up reports whether the newest call was answered.
 func (h *Health) Up() bool {
 	h.mu.Lock()
@@ -84,13 +60,3 @@
 	defer h.mu.Unlock()
 	return !h.failed.IsZero() && h.now().Sub(h.failed) < settleTime
 }
-
-// Age returns how long ago the store last answered.
-func (h *Health) Age() time.Duration {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.answered.IsZero() {
-		return h.now().Sub(h.since)
-	}
-	return h.now().Sub(h.answered)
-}
--- a/internal/process/hosted/hosted.go
+++ b/internal/process/hosted/hosted.go
@@ -17,8 +17,8 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/marblepond/marblepond/api/marblepond/v1/marblepondv1connect"
+	"github.com/marblepond/marblepond/internal/connection/beacon"
 	"github.com/marblepond/marblepond/internal/connection/callbudget"
-	"github.com/marblepond/marblepond/internal/connection/inflight"
 	"github.com/marblepond/marblepond/internal/connection/objects"
 	"github.com/marblepond/marblepond/internal/connection/peer"
 	"github.com/marblepond/marblepond/internal/connection/target"
@@ -37,7 +37,6 @@
 type Store interface {
 	follow.Store
 	job.Store
-	Ping(ctx context.Context) error
 	SetStatus(ctx context.Context, class callbudget.Class, kind, name string, status []byte) error
 }
 
@@ -69,6 +68,7 @@
 // Node is one hosted process.
 type Node struct {
 	settings *settings.Settings
+	seeds    atomic.Pointer[[]string] // of the newest settings file
 	adapter  Adapter
 	boot     int64 // Unix microseconds at process start
 
@@ -83,7 +83,7 @@
 	forwarder *forward.Forwarder
 	jobs      *job.Manager
 	peers     *peers
-	inFlight  *inflight.Exchange
+	beacon    *beacon.Exchange
 
 	nodes     atomic.Pointer[map[string]nodeRecord]
 	table     atomic.Pointer[route.Table]
@@ -110,6 +110,7 @@
 	s := parts.Settings
 	n := &Node{settings: s, adapter: adapter, boot: time.Now().UnixMicro(), recorder: parts.Recorder, metrics: parts.Metrics,
 		makeRoom: make(chan struct{}, 1)}
+	n.seeds.Store(&s.Seeds)
 	n.checker = invariant.New(n.recorder, s.StopOnViolated)
 	n.peers = newPeers(s, n.recorder)
 	n.cache = follow.NewCache(time.Now, adapter.Kinds.Config, adapter.Kinds.Targets, adapter.Kinds.Retirements, kindNodes, job.KindEnds)
@@ -123,17 +124,17 @@
 		Holds: s.CallerListen != "", ResultMemory: s.ResultMemory,
 	}, job.Parts{Store: adapter.Store, Pool: n.pool, Sender: adapter.Sender, Routes: n.Table, RoutesFresh: n.TableFresh, Peers: n,
 		Waiting: n.loads.Waiting, Ended: n.ended, Share: n.batchShare, Recorder: n.recorder, Checker: n.checker, Metrics: n.metrics})
-	n.inFlight = inflight.New(s.NodeID, n.boot, n.pool, n.loadPeers)
+	n.beacon = beacon.New(beacon.Options{Node: s.NodeID, Boot: n.boot, Loads: n.pool, Copies: n.cache, Peers: n.beaconPeers, Behind: n.behind})
 	n.pool.OnLoad(n.loadChanged)
 	n.gossip = &follow.Gossip{Node: s.NodeID, Cache: n.cache, Loads: n.loads, Listener: n, Peers: n.peerAddresses,
-		Client: n.peers.sync, Interval: s.GossipInterval}
+		Client: n.peers.sync, Interval: s.GossipInterval, Pulls: follow.NewPulls()}
 	n.listenHandlers(parts.MetricsPage)
 	return n
 }
 
 // loadChanged tells the duties that depend on what is in flight.
 func (n *Node) loadChanged() {
-	n.inFlight.Touch()
+	n.beacon.Touch()
 	select {
 	case n.makeRoom <- struct{}{}:
 	default:
@@ -170,14 +171,10 @@
 // Metrics returns the scope that counts go to.
 func (n *Node) Metrics() tally.Scope { return n.metrics }
 
-// freshWithin is how recent the last contact with the store has to be for the
-// node to trust that it knows every route: well inside the 2 s in which a
-// change is to be in force.
-const freshWithin = 1500 * time.Millisecond
-
 // TableFresh reports whether the table is trusted to hold every route.
 func (n *Node) TableFresh() bool {
-	return n.adapter.Health.Up() && !n.adapter.Health.Doubtful() && n.adapter.Health.Age() < freshWithin
+	age, known := n.cache.Age(n.adapter.Kinds.Config)
+	return known && age < freshWithin
 }
 
 // Changed implements follow.Listener.
@@ -189,7 +186,7 @@
 		case n.adapter.Kinds.Targets:
 			n.targetListed(o)
 		case kindNodes:
-			n.nodesChanged()
+			n.nodesChanged(o)
 		case job.KindEnds:
 			n.jobs.EndSeen(o.Name)
 		case n.adapter.Kinds.Retirements:
@@ -198,6 +195,21 @@
 	}
 }
 
+// Failed implements follow.Listener.
+func (n *Node) Failed(kind string, revision int64, cause error) {
+	age, _ := n.cache.Age(kind)
+	n.recorder.Record(timeline.CopyNotRefreshed, "", kind, cause.Error(), field("revision", revision), field("age_ms", age.Milliseconds()))
+}
+
+// behind asks a node that was heard to know more.
+func (n *Node) behind(node string) {
+	if r, ok := n.registered()[node]; ok {
+		n.gossip.Pulls.Put(r.Address)
+		return
+	}
+	n.gossip.Pulls.Put(n.anySeed())
+}
+
 func (n *Node) configChanged(o objects.Object, from follow.Source) {
 	if o.Name != n.adapter.ConfigName || o.Deleted {
 		return
@@ -273,7 +285,7 @@
 
 type listeners struct {
 	callers, ready, peers, metrics net.Listener
-	load                           net.PacketConn
+	beacon                         net.PacketConn
 }
 
 func (n *Node) listen() (listeners, error) {
@@ -290,9 +302,9 @@
 		*place.into = listener
 		errs = append(errs, err)
 	}
-	if n.settings.LoadListen != "" && n.settings.CallerListen != "" {
-		conn, err := net.ListenPacket("udp", n.settings.LoadListen)
-		l.load = conn
+	if n.settings.BeaconListen != "" {
+		conn, err := net.ListenPacket("udp", n.settings.BeaconListen)
+		l.beacon = conn
 		errs = append(errs, err)
 	}
 	return l, errors.Join(errs...)
@@ -337,16 +349,10 @@
 }
 
 func (n *Node) startDuties(ctx context.Context, l listeners, wg *sync.WaitGroup) {
-	kinds := []string{n.adapter.Kinds.Config, n.adapter.Kinds.Targets, kindNodes, job.KindEnds}
-	if n.settings.CallerListen == "" {
-		kinds = append(kinds, n.adapter.Kinds.Retirements)
-	}
-	for _, kind := range kinds {
-		f := &follow.Follower{Kind: kind, Store: n.adapter.Store, Cache: n.cache, Listener: n, Wait: n.settings.WatchWait, Restart: n.adapter.Health.Returned()}
-		wg.Go(func() { f.Run(ctx) })
+	for kind, age := range n.followed() {
+		r := &follow.Refresher{Kind: kind, Store: n.adapter.Store, Cache: n.cache, Listener: n, MaxAge: age, Self: n.settings.NodeID, Heard: n.followers(kind)}
+		wg.Go(func() { r.Run(ctx) })
 	}
-	prober := &follow.Prober{Ping: n.adapter.Store.Ping, Interval: n.settings.ProbeInterval}
-	wg.Go(func() { prober.Run(ctx) })
 	wg.Go(func() { n.gossip.Run(ctx) })
 	wg.Go(func() { n.register(ctx) })
 	wg.Go(func() { n.settle(ctx) })
@@ -354,8 +360,8 @@
 	wg.Go(func() { n.callers.reapIdle(ctx) })
 	wg.Go(func() { n.jobs.Run(ctx) })
 	wg.Go(func() { n.yield(ctx) })
-	if l.load != nil {
-		wg.Go(func() { n.inFlight.Run(ctx, l.load) })
+	if l.beacon != nil {
+		wg.Go(func() { n.beacon.Run(ctx, l.beacon) })
 	}
 }
 
--- a/internal/process/hosted/peers.go
+++ b/internal/process/hosted/peers.go
@@ -31,7 +31,7 @@
 	Boot       int64  // Unix microseconds at process start
 	Address    string // IP:port of the services for other nodes
 	DataCentre string
-	Load       string // IP:port for datagrams on what is in flight
+	Beacon     string // IP:port where it hears other nodes' datagrams
 	Callers    bool   // it serves callers and holds jobs
 }
 
@@ -93,7 +93,7 @@
 }
 
 // nodesChanged reads the registrations again.
-func (n *Node) nodesChanged() {
+func (n *Node) nodesChanged(objects.Object) {
 	out := map[string]nodeRecord{}
 	for _, o := range n.cache.List(kindNodes) {
 		var r nodeRecord
@@ -120,19 +120,19 @@
 	if len(out) > 0 {
 		return out
 	}
-	return slices.DeleteFunc(slices.Clone(n.settings.Seeds), func(a string) bool { return a == n.settings.PeerListen })
+	return slices.DeleteFunc(slices.Clone(*n.seeds.Load()), func(a string) bool { return a == n.settings.PeerListen })
 }
 
-// loadPeers returns where other nodes hear what this one has in flight: those
-// of its data centre, and the others.
-func (n *Node) loadPeers() (near, far []string) {
+// beaconPeers returns where other nodes hear this one's datagrams: those of its
+// data centre, and the others.
+func (n *Node) beaconPeers() (near, far []string) {
 	for name, r := range n.registered() {
 		switch {
-		case !r.Callers || r.Load == "" || name == n.settings.NodeID:
+		case r.Beacon == "" || name == n.settings.NodeID:
 		case r.DataCentre == n.settings.DataCentre:
-			near = append(near, r.Load)
+			near = append(near, r.Beacon)
 		default:
-			far = append(far, r.Load)
+			far = append(far, r.Beacon)
 		}
 	}
 	return near, far
@@ -175,7 +175,7 @@
 
 // register writes the node's own entry until the store has it.
 func (n *Node) register(ctx context.Context) {
-	value, err := json.Marshal(nodeRecord{Boot: n.boot, Address: n.settings.PeerListen, DataCentre: n.settings.DataCentre, Load: n.settings.LoadListen,
+	value, err := json.Marshal(nodeRecord{Boot: n.boot, Address: n.settings.PeerListen, DataCentre: n.settings.DataCentre, Beacon: n.settings.BeaconListen,
 		Callers: n.settings.CallerListen != ""})
 	if err != nil {
 		n.recorder.Record(timeline.ObjectRejected, "", n.settings.NodeID, err.Error())
--- /dev/null
+++ b/internal/process/hosted/reload.go
@@ -0,0 +1,63 @@
+package hosted
+
+import (
+	"context"
+	"os"
+	"reflect"
+	"time"
+
+	"github.com/marblepond/marblepond/internal/process/settings"
+	"github.com/marblepond/marblepond/internal/process/timeline"
+)
+
+// settingsInterval is the time between looks whether the settings file changed;
+// it may change without a signal.
+const settingsInterval = 2 * time.Second
+
+// WatchSettings reads the settings file again at each hangup, and when it
+// changed, until ctx ends. Seeds are used at once; everything else needs a new
+// start, and a file with faults changes nothing.
+func (n *Node) WatchSettings(ctx context.Context, path string, hangups <-chan os.Signal) {
+	ticker := time.NewTicker(settingsInterval)
+	defer ticker.Stop()
+	read := modified(path)
+	for {
+		asked := false
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangups:
+			asked = true
+		case <-ticker.C:
+		}
+		if changed := modified(path); asked || !changed.Equal(read) {
+			read = changed
+			n.reload(path)
+		}
+	}
+}
+
+// modified returns when the file last changed, zero when that is not known.
+func modified(path string) time.Time {
+	info, err := os.Stat(path)
+	if err != nil {
+		return time.Time{}
+	}
+	return info.ModTime()
+}
+
+func (n *Node) reload(path string) {
+	fresh, err := settings.Load(path)
+	if err != nil {
+		n.recorder.Record(timeline.NodeReloaded, "", path, "not used: "+err.Error())
+		return
+	}
+	n.seeds.Store(&fresh.Seeds)
+	old, current := *n.settings, *fresh
+	old.Seeds, current.Seeds = nil, nil
+	what := "seeds are in use"
+	if !reflect.DeepEqual(old, current) {
+		what = "seeds are in use; other changes need a restart"
+	}
+	n.recorder.Record(timeline.NodeReloaded, "", path, what)
+}
--- a/internal/process/settings/keys.go
+++ b/internal/process/settings/keys.go
@@ -21,7 +21,7 @@
 	{"node", "front", FrontOpenAI, "name", "Interface that the node serves: openai, or hosted on the users' platform.", choice(func(s *Settings) *string { return &s.Front }, FrontOpenAI, FrontHosted)},
 	{"node", "ready_listen", "", "IP:port", "Where a hosted node answers whether it is ready; empty: nowhere.", address(func(s *Settings) *string { return &s.ReadyListen }, false)},
 	{"node", "metrics_listen", "", "IP:port", "Where a hosted node serves its metrics; empty: nowhere.", address(func(s *Settings) *string { return &s.MetricsListen }, false)},
-	{"node", "load_listen", "", "IP:port", "UDP address where a hosted node hears what others have in flight; empty: it hears nothing.", address(func(s *Settings) *string { return &s.LoadListen }, false)},
+	{"node", "beacon_listen", "", "IP:port", "UDP address where a hosted node hears other nodes; empty: it hears nothing.", address(func(s *Settings) *string { return &s.BeaconListen }, false)},
 	{"node", "data_dir", "", "path", "Folder on a disk of the VM; empty: the VM has none.", text(func(s *Settings) *string { return &s.DataDir }, false)},
 
 	{"store", "address", "", "IP:port", "Object store of a hosted node.", address(func(s *Settings) *string { return &s.StoreAddress }, false)},
@@ -29,9 +29,7 @@
 	{"store", "write_rate", "400", "calls/s", "Writes the store takes from all nodes together.", count(func(s *Settings) *int { return &s.StoreWriteRate }, 1, 100000)},
 	{"store", "read_rate", "2000", "calls/s", "Reads the store takes from all nodes together.", count(func(s *Settings) *int { return &s.StoreReadRate }, 1, 1000000)},
 	{"store", "max_value", "1048576", "bytes", "Largest value the store takes.", count(func(s *Settings) *int { return &s.StoreMaxValue }, 4096, 1<<30)},
-	{"store", "watch_wait", "25s", "duration", "How long one watch waits; each is one call.", duration(func(s *Settings) *time.Duration { return &s.WatchWait }, 100*time.Millisecond, time.Minute)},
-	{"store", "probe_interval", "1s", "duration", "Time between cheap calls that notice an outage and its end.", duration(func(s *Settings) *time.Duration { return &s.ProbeInterval }, 100*time.Millisecond, time.Minute)},
-	{"store", "gossip_interval", "250ms", "duration", "Time between exchanges with another node of what the store was seen to hold.", duration(func(s *Settings) *time.Duration { return &s.GossipInterval }, 20*time.Millisecond, time.Minute)},
+	{"store", "gossip_interval", "1s", "duration", "Time between exchanges with a random node of what the store was seen to hold; news is asked for at once.", duration(func(s *Settings) *time.Duration { return &s.GossipInterval }, 20*time.Millisecond, time.Minute)},
 
 	{"platform", "url", "", "URL", "Base URL of the platform's object API and VM list.", text(func(s *Settings) *string { return &s.PlatformURL }, false)},
 	{"platform", "timeout", "2s", "duration", "How long one call to the platform may take.", duration(func(s *Settings) *time.Duration { return &s.PlatformTimeout }, 10*time.Millisecond, time.Minute)},
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -30,7 +30,7 @@
 	Front         string // which callers' interface the node serves
 	ReadyListen   string
 	MetricsListen string
-	LoadListen    string
+	BeaconListen  string
 	Region        string
 
 	StoreAddress   string
@@ -38,8 +38,6 @@
 	StoreWriteRate int
 	StoreReadRate  int
 	StoreMaxValue  int
-	WatchWait      time.Duration
-	ProbeInterval  time.Duration
 	GossipInterval time.Duration
 
 	PlatformURL       string
--- a/internal/process/timeline/catalogue.go
+++ b/internal/process/timeline/catalogue.go
@@ -69,6 +69,7 @@
 	StoreLost         Code = 704
 	StoreRegained     Code = 705
 	ObjectRejected    Code = 706
+	CopyNotRefreshed  Code = 707
 	InvariantViolated Code = 901
 	unknownEventName       = "unknown"
 )
@@ -142,6 +143,7 @@
 	PlatformAmbiguous: {"platform_ambiguous", log.InfoLevel, "a write has no clear answer and is read back"},
 	StoreLost:         {"store_lost", log.WarnLevel, "the object store does not answer this node"},
 	StoreRegained:     {"store_regained", log.InfoLevel, "the object store answers this node again"},
+	CopyNotRefreshed:  {"copy_not_refreshed", log.InfoLevel, "the object store did not answer a question about a kind of objects; it is asked again"},
 	ObjectRejected:    {"object_rejected", log.WarnLevel, "an object in the store could not be decoded and is not used"},
 	InvariantViolated: {"invariant_violated", log.ErrorLevel, "something that must always hold does not; the cause is the evidence"},
 }
--- a/internal/version/discovery/discovery.go
+++ b/internal/version/discovery/discovery.go
@@ -27,19 +27,8 @@
 	records map[string]Record
 	lapsed  map[string]Record // taken from the list while the store was in doubt
 	onLoad  func()            // told each change of what is in flight here or elsewhere
-	heard   map[string]heardFrom
 }
 
-// heardFrom is the newest word of another node.
-type heardFrom struct {
-	boot     int64
-	sequence uint64
-	at       time.Time
-}
-
-// silentAfter is how long a node's word on what it has in flight counts.
-const silentAfter = 2 * time.Second
-
 // incarnation of every target: the ID of a record names one start of it.
 const incarnation = 1
 
@@ -47,7 +36,7 @@
 // trouble lately; onChange hears of each change for the log.
 func New(cfg choose.Config, now func() time.Time, doubtful func() bool, onChange func(id, what string)) *Pool {
 	return &Pool{now: now, doubtful: doubtful, onChange: onChange, table: choose.New(cfg),
-		records: map[string]Record{}, lapsed: map[string]Record{}, onLoad: func() {}, heard: map[string]heardFrom{}}
+		records: map[string]Record{}, lapsed: map[string]Record{}, onLoad: func() {}}
 }
 
 // OnLoad sets the function that is told each change of what is in flight. It
@@ -61,29 +50,13 @@
 	return p.table.Own()
 }
 
-// Heard takes what another node has in flight.
-func (p *Pool) Heard(node string, boot int64, sequence uint64, counts map[string]choose.InFlight) {
+// SetElsewhere takes what another node has in flight; nil: it is not heard of
+// any more.
+func (p *Pool) SetElsewhere(node string, counts map[string]choose.InFlight) {
 	p.mu.Lock()
-	last := p.heard[node]
-	news := boot > last.boot || (boot == last.boot && sequence > last.sequence)
-	if news {
-		p.heard[node] = heardFrom{boot, sequence, p.now()}
-		p.table.SetElsewhere(node, counts)
-	}
+	p.table.SetElsewhere(node, counts)
 	p.mu.Unlock()
-	if news {
-		p.onLoad()
-	}
-}
-
-// forgetSilent drops the word of nodes that are silent. The caller holds p.mu.
-func (p *Pool) forgetSilent() {
-	for node, h := range p.heard {
-		if p.now().Sub(h.at) > silentAfter {
-			delete(p.heard, node)
-			p.table.SetElsewhere(node, nil)
-		}
-	}
+	p.onLoad()
 }
 
 // Excess returns how many of this node's batch items are to make room, by
@@ -133,11 +106,9 @@
 	}
 }
 
-// Settle removes targets that lapsed once the store's list is trusted again,
-// and drops what silent nodes said. It is to be called several times a second.
+// Settle removes targets that lapsed once the store's list is trusted again.
 func (p *Pool) Settle() {
 	p.mu.Lock()
-	p.forgetSilent()
 	var gone []string
 	if len(p.lapsed) > 0 && !p.doubtful() {
 		for id := range p.lapsed {
--- a/internal/version/follow/cache.go
+++ b/internal/version/follow/cache.go
@@ -43,6 +43,19 @@
 	entries map[string]entry
 	// complete is the store revision up to which no change is missing.
 	complete int64
+	// latest is the highest revision of an entry.
+	latest int64
+	// verified is when the store was asked the question whose answer made the
+	// copy complete; zero: never.
+	verified time.Time
+}
+
+// Mark says how new a copy of a kind is.
+type Mark struct {
+	Complete int64         // no change up to this revision is missing
+	Latest   int64         // revision of the newest change held
+	Age      time.Duration // since the store was asked
+	Known    bool          // the store was ever asked
 }
 
 // Cache is the copy of all followed kinds. It is safe for concurrent use.
@@ -116,6 +129,7 @@
 		c.prune(k)
 	}
 	k.entries[o.Name] = e
+	k.latest = max(k.latest, o.Revision)
 	return !o.Deleted || known
 }
 
@@ -134,6 +148,58 @@
 	return c.kinds[name].complete
 }
 
+// Now returns the cache's time.
+func (c *Cache) Now() time.Time { return c.now() }
+
+// Verified notes that the copy holds all that the store held at a moment.
+func (c *Cache) Verified(name string, at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if k := c.kinds[name]; k != nil && at.After(k.verified) {
+		k.verified = at
+	}
+}
+
+// Age returns how long ago the copy was last known to hold all that the store
+// held; known is false when it never was.
+func (c *Cache) Age(name string) (age time.Duration, known bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	k := c.kinds[name]
+	return c.now().Sub(k.verified), !k.verified.IsZero()
+}
+
+// AgeMarks returns how new the copy of each kind is.
+func (c *Cache) AgeMarks() map[string]Mark {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	marks := make(map[string]Mark, len(c.kinds))
+	for name, k := range c.kinds {
+		marks[name] = Mark{Complete: k.complete, Latest: k.latest, Age: c.now().Sub(k.verified), Known: !k.verified.IsZero()}
+	}
+	return marks
+}
+
+// HeardMark takes how new another node's copy is. It reports whether this copy
+// lacks a change that the other holds; when it does not, the other's question
+// to the store counts for this copy too.
+func (c *Cache) HeardMark(name string, m Mark) (behind bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	k := c.kinds[name]
+	if k == nil || !m.Known {
+		return false
+	}
+	if k.latest < m.Latest {
+		return true
+	}
+	k.complete = max(k.complete, m.Complete)
+	if at := c.now().Add(-m.Age); at.After(k.verified) {
+		k.verified = at
+	}
+	return false
+}
+
 // Marks returns Complete of every kind.
 func (c *Cache) Marks() map[string]int64 {
 	c.mu.Lock()
--- a/internal/version/follow/gossip.go
+++ b/internal/version/follow/gossip.go
@@ -8,6 +8,7 @@
 	v1 "github.com/marblepond/marblepond/api/marblepond/v1"
 	"github.com/marblepond/marblepond/api/marblepond/v1/marblepondv1connect"
 	"github.com/marblepond/marblepond/internal/connection/objects"
+	"github.com/marblepond/marblepond/internal/process/ring"
 )
 
 // Gossip exchanges the cache with one random peer at a time (push and pull
@@ -24,8 +25,17 @@
 	Client func(address string) marblepondv1connect.SyncServiceClient
 	// Interval is the time between rounds.
 	Interval time.Duration
+	// Pulls holds the addresses of peers that were heard to know more.
+	Pulls *ring.Ring[string]
 }
 
+// pulls is how many peers may wait to be asked; one that finds no room is heard
+// again within a fraction of a second.
+const pulls = 8
+
+// NewPulls returns the ring for Gossip.Pulls.
+func NewPulls() *ring.Ring[string] { return ring.New[string](pulls, ring.Refuse) }
+
 // exchangeTimeout bounds one exchange. A peer that does not answer must not
 // hold up the next round's peer for long.
 const exchangeTimeout = 400 * time.Millisecond
@@ -33,12 +43,16 @@
 // Run exchanges until ctx ends.
 func (g *Gossip) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if peers := g.Peers(); len(peers) > 0 {
-			go g.round(ctx, peers[rand.IntN(len(peers))])
-		}
 		select {
 		case <-ctx.Done():
+		case address := <-g.Pulls.Out():
+			if address != "" {
+				g.round(ctx, address)
+			}
 		case <-time.After(g.Interval*3/4 + rand.N(g.Interval/2)):
+			if peers := g.Peers(); len(peers) > 0 {
+				go g.round(ctx, peers[rand.IntN(len(peers))])
+			}
 		}
 	}
 }
--- /dev/null
+++ b/internal/version/follow/refresh.go
@@ -0,0 +1,130 @@
+package follow
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/marblepond/marblepond/internal/connection/callbudget"
+	"github.com/marblepond/marblepond/internal/connection/objects"
+	"github.com/marblepond/marblepond/internal/process/rendezvous"
+	"github.com/marblepond/marblepond/internal/process/wait"
+)
+
+// Store is what following needs of the object store.
+type Store interface {
+	// List returns every object of a kind.
+	List(ctx context.Context, class callbudget.Class, kind string) (objects.Page, error)
+	// Changes returns at once what changed in a kind after a revision. It fails
+	// with objects.ErrHistoryGone when that is no longer known.
+	Changes(ctx context.Context, kind string, revision int64) (objects.Page, error)
+}
+
+// Listener hears of changes. It is called from several goroutines and must not
+// block.
+type Listener interface {
+	Changed(kind string, news []objects.Object, from Source)
+	// Failed hears that the store did not answer a question about a kind.
+	Failed(kind string, revision int64, cause error)
+}
+
+const (
+	// rankDelay is how much longer each further node waits before it asks the
+	// store itself: the answer that the node before it got has arrived by then,
+	// by a datagram or two.
+	rankDelay = 250 * time.Millisecond
+	// mostRank bounds the delay of nodes far down the order.
+	mostRank = 4
+	// listTimeout bounds one listing; the store answers in milliseconds, and a
+	// call that hangs must not use up the time a change has to be in force.
+	listTimeout = time.Second
+	// failurePause is the pause after a question that was not answered.
+	failurePause = 100 * time.Millisecond
+)
+
+// Refresher keeps one kind of the cache up to date. Nodes that hear each other
+// share the work: each knows how old its copy is, whoever asked the store, and
+// the first in order asks when it is older than MaxAge. A node that hears
+// nobody asks for itself. The store is thus asked about once each MaxAge by
+// every group of nodes that are in contact, however many they are.
+//
+// It asks over and over in place of leaving a watch waiting, because a waiting
+// watch of this store can go silent: it was seen to miss changes for seconds
+// while the store dropped its history, without being answered or cut.
+type Refresher struct {
+	Kind     string
+	Store    Store
+	Cache    *Cache
+	Listener Listener
+	MaxAge   time.Duration
+	// Self is this node; Heard returns the others that it hears, by name, among
+	// those that follow the kind.
+	Self  string
+	Heard func() []string
+}
+
+// Run refreshes until ctx ends.
+func (r *Refresher) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if due := r.due(); due > 0 {
+			wait.For(ctx, due)
+			continue
+		}
+		if err := r.refresh(ctx); err != nil {
+			r.Listener.Failed(r.Kind, r.Cache.Complete(r.Kind), err)
+			wait.For(ctx, failurePause)
+		}
+	}
+}
+
+// due returns how long the copy may still go without a question.
+func (r *Refresher) due() time.Duration {
+	age, known := r.Cache.Age(r.Kind)
+	if !known {
+		return 0
+	}
+	return r.MaxAge + time.Duration(r.rank())*rankDelay - age
+}
+
+// rank returns this node's place in the order of those that it hears.
+func (r *Refresher) rank() int {
+	nodes := append(r.Heard(), r.Self)
+	for place, node := range rendezvous.Rank(r.Kind, nodes, mostRank) {
+		if node == r.Self {
+			return place
+		}
+	}
+	return mostRank
+}
+
+// refresh asks the store once.
+func (r *Refresher) refresh(ctx context.Context) error {
+	asked := r.Cache.Now()
+	since := r.Cache.Complete(r.Kind)
+	if since > 0 {
+		page, err := r.Store.Changes(ctx, r.Kind, since)
+		if err == nil {
+			r.take(r.Cache.Apply(r.Kind, page.Objects, since, page.Revision))
+			r.Cache.Verified(r.Kind, asked)
+			return nil
+		}
+		if !errors.Is(err, objects.ErrHistoryGone) {
+			return err
+		}
+	}
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	page, err := r.Store.List(ctx, callbudget.Commit, r.Kind)
+	if err != nil {
+		return err
+	}
+	r.take(r.Cache.Replace(r.Kind, page.Objects, page.Revision))
+	r.Cache.Verified(r.Kind, asked)
+	return nil
+}
+
+func (r *Refresher) take(news []objects.Object) {
+	if len(news) > 0 {
+		r.Listener.Changed(r.Kind, news, FromStore)
+	}
+}
