--- a/api/marblepond/v1/marblepondv1connect/job.connect.go
+++ b/api/marblepond/v1/marblepondv1connect/job.connect.go
@@ -35,6 +35,8 @@
 const (
 	// JobServiceResultsProcedure is the fully-qualified name of the JobService's Results RPC.
 	JobServiceResultsProcedure = "/marblepond.v1.JobService/Results"
+	// JobServiceBodyProcedure is the fully-qualified name of the JobService's Body RPC.
+	JobServiceBodyProcedure = "/marblepond.v1.JobService/Body"
 	// JobServiceHeldProcedure is the fully-qualified name of the JobService's Held RPC.
 	JobServiceHeldProcedure = "/marblepond.v1.JobService/Held"
 	// JobServiceEndProcedure is the fully-qualified name of the JobService's End RPC.
@@ -48,6 +50,8 @@
 	// Results returns committed results from a position on and waits for one
 	// when there is none yet.
 	Results(context.Context, *v1.ResultsRequest) (*v1.ResultsResponse, error)
+	// Body returns the body of an item.
+	Body(context.Context, *v1.BodyRequest) (*v1.BodyResponse, error)
 	// Held says which of the jobs named the node holds in its present boot.
 	Held(context.Context, *v1.HeldRequest) (*v1.HeldResponse, error)
 	// End tells the holder that the end of a job is in the object store.
@@ -73,6 +77,12 @@
 			connect.WithSchema(jobServiceMethods.ByName("Results")),
 			connect.WithClientOptions(opts...),
 		),
+		body: connect.NewClient[v1.BodyRequest, v1.BodyResponse](
+			httpClient,
+			baseURL+JobServiceBodyProcedure,
+			connect.WithSchema(jobServiceMethods.ByName("Body")),
+			connect.WithClientOptions(opts...),
+		),
 		held: connect.NewClient[v1.HeldRequest, v1.HeldResponse](
 			httpClient,
 			baseURL+JobServiceHeldProcedure,
@@ -97,6 +107,7 @@
 // jobServiceClient implements JobServiceClient.
 type jobServiceClient struct {
 	results *connect.Client[v1.ResultsRequest, v1.ResultsResponse]
+	body    *connect.Client[v1.BodyRequest, v1.BodyResponse]
 	held    *connect.Client[v1.HeldRequest, v1.HeldResponse]
 	end     *connect.Client[v1.EndRequest, v1.EndResponse]
 	adopt   *connect.Client[v1.AdoptRequest, v1.AdoptResponse]
@@ -111,6 +122,15 @@
 	return nil, err
 }
 
+// Body calls marblepond.v1.JobService.Body.
+func (c *jobServiceClient) Body(ctx context.Context, req *v1.BodyRequest) (*v1.BodyResponse, error) {
+	response, err := c.body.CallUnary(ctx, connect.NewRequest(req))
+	if response != nil {
+		return response.Msg, err
+	}
+	return nil, err
+}
+
 // Held calls marblepond.v1.JobService.Held.
 func (c *jobServiceClient) Held(ctx context.Context, req *v1.HeldRequest) (*v1.HeldResponse, error) {
 	response, err := c.held.CallUnary(ctx, connect.NewRequest(req))
@@ -143,6 +163,8 @@
 	// Results returns committed results from a position on and waits for one
 	// when there is none yet.
 	Results(context.Context, *v1.ResultsRequest) (*v1.ResultsResponse, error)
+	// Body returns the body of an item.
+	Body(context.Context, *v1.BodyRequest) (*v1.BodyResponse, error)
 	// Held says which of the jobs named the node holds in its present boot.
 	Held(context.Context, *v1.HeldRequest) (*v1.HeldResponse, error)
 	// End tells the holder that the end of a job is in the object store.
@@ -164,6 +186,12 @@
 		connect.WithSchema(jobServiceMethods.ByName("Results")),
 		connect.WithHandlerOptions(opts...),
 	)
+	jobServiceBodyHandler := connect.NewUnaryHandlerSimple(
+		JobServiceBodyProcedure,
+		svc.Body,
+		connect.WithSchema(jobServiceMethods.ByName("Body")),
+		connect.WithHandlerOptions(opts...),
+	)
 	jobServiceHeldHandler := connect.NewUnaryHandlerSimple(
 		JobServiceHeldProcedure,
 		svc.Held,
@@ -186,6 +214,8 @@
 		switch r.URL.Path {
 		case JobServiceResultsProcedure:
 			jobServiceResultsHandler.ServeHTTP(w, r)
+		case JobServiceBodyProcedure:
+			jobServiceBodyHandler.ServeHTTP(w, r)
 		case JobServiceHeldProcedure:
 			jobServiceHeldHandler.ServeHTTP(w, r)
 		case JobServiceEndProcedure:
@@ -205,6 +235,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("marblepond.v1.JobService.Results is not implemented"))
 }
 
+func (UnimplementedJobServiceHandler) Body(context.Context, *v1.BodyRequest) (*v1.BodyResponse, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("marblepond.v1.JobService.Body is not implemented"))
+}
+
 func (UnimplementedJobServiceHandler) Held(context.Context, *v1.HeldRequest) (*v1.HeldResponse, error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("marblepond.v1.JobService.Held is not implemented"))
 }
--- a/internal/connection/beacon/beacon.go
+++ b/internal/connection/beacon/beacon.go
@@ -50,12 +50,24 @@
 	HeardMark(kind string, m follow.Mark) (behind bool)
 }
 
+// Batch is what is told of batch work: how many items wait or run here, how
+// many of them find no room in the own data centre, and which jobs this node
+// lately came to hold.
+type Batch struct {
+	Demand   int
+	Overflow int
+	Jobs     []string
+}
+
 // Options configures an exchange.
 type Options struct {
 	Node   string
 	Boot   int64 // Unix microseconds at process start
 	Loads  Loads
 	Copies Copies
+	// Batch returns this node's word; HeardBatch takes another's.
+	Batch      func() Batch
+	HeardBatch func(node string, b Batch)
 	// Peers returns where other nodes listen: those of the own data centre, and
 	// the others.
 	Peers func() (near, far []string)
@@ -160,7 +172,9 @@
 
 func (x *Exchange) compose() *v1.Beacon {
 	x.sequence++
-	message := &v1.Beacon{Node: x.Node, Boot: x.Boot, Sequence: x.sequence}
+	batch := x.Batch()
+	message := &v1.Beacon{Node: x.Node, Boot: x.Boot, Sequence: x.sequence,
+		Demand: uint32(batch.Demand), Overflow: uint32(batch.Overflow), Jobs: batch.Jobs}
 	for id, n := range x.Loads.InFlight() {
 		message.Targets = append(message.Targets, &v1.TargetCounts{Target: id, Online: uint32(n.Online), Batch: uint32(n.Batch)})
 	}
@@ -204,6 +218,7 @@
 		counts[t.Target] = choose.InFlight{Online: int(t.Online), Batch: int(t.Batch)}
 	}
 	x.Loads.SetElsewhere(m.Node, counts)
+	x.HeardBatch(m.Node, Batch{Demand: int(m.Demand), Overflow: int(m.Overflow), Jobs: m.Jobs})
 	behind := false
 	for _, k := range m.Marks {
 		mark := follow.Mark{Complete: k.Complete, Latest: k.Latest, Age: time.Duration(k.AgeMs) * time.Millisecond, Known: true}
--- a/internal/process/hosted/hosted.go
+++ b/internal/process/hosted/hosted.go
@@ -84,6 +84,7 @@
 	jobs      *job.Manager
 	peers     *peers
 	beacon    *beacon.Exchange
+	claims    claims
 
 	nodes     atomic.Pointer[map[string]nodeRecord]
 	table     atomic.Pointer[route.Table]
@@ -109,7 +110,7 @@
 func New(parts Parts, adapter Adapter) *Node {
 	s := parts.Settings
 	n := &Node{settings: s, adapter: adapter, boot: time.Now().UnixMicro(), recorder: parts.Recorder, metrics: parts.Metrics,
-		makeRoom: make(chan struct{}, 1)}
+		makeRoom: make(chan struct{}, 1), claims: claims{said: map[string]beacon.Batch{}}}
 	n.seeds.Store(&s.Seeds)
 	n.checker = invariant.New(n.recorder, s.StopOnViolated)
 	n.peers = newPeers(s, n.recorder)
@@ -123,8 +124,9 @@
 		KeepResults: s.KeepResults, TakeOverAfter: s.TakeOverAfter, SweepInterval: s.SweepInterval,
 		Holds: s.CallerListen != "", ResultMemory: s.ResultMemory,
 	}, job.Parts{Store: adapter.Store, Pool: n.pool, Sender: adapter.Sender, Routes: n.Table, RoutesFresh: n.TableFresh, Peers: n,
-		Waiting: n.loads.Waiting, Ended: n.ended, Share: n.batchShare, Recorder: n.recorder, Checker: n.checker, Metrics: n.metrics})
-	n.beacon = beacon.New(beacon.Options{Node: s.NodeID, Boot: n.boot, Loads: n.pool, Copies: n.cache, Peers: n.beaconPeers, Behind: n.behind})
+		Waiting: n.loads.Waiting, Ended: n.ended, Shares: n.batchShares, Recorder: n.recorder, Checker: n.checker, Metrics: n.metrics})
+	n.beacon = beacon.New(beacon.Options{Node: s.NodeID, Boot: n.boot, Loads: n.pool, Copies: n.cache, Peers: n.beaconPeers, Behind: n.behind,
+		Batch: n.batchWord, HeardBatch: n.batchHeard})
 	n.pool.OnLoad(n.loadChanged)
 	n.gossip = &follow.Gossip{Node: s.NodeID, Cache: n.cache, Loads: n.loads, Listener: n, Peers: n.peerAddresses,
 		Client: n.peers.sync, Interval: s.GossipInterval, Pulls: follow.NewPulls()}
@@ -316,7 +318,7 @@
 func (n *Node) listenHandlers(metricsPage http.Handler) {
 	mux := http.NewServeMux()
 	mux.Handle(marblepondv1connect.NewSyncServiceHandler(n.gossip, peer.Require(n.settings.PeerKey)...))
-	mux.Handle(marblepondv1connect.NewJobServiceHandler(n.jobs, peer.Require(n.settings.PeerKey)...))
+	mux.Handle(marblepondv1connect.NewJobServiceHandler(n.jobs.PeerService(), peer.Require(n.settings.PeerKey)...))
 	mux.Handle("GET /metrics", metricsPage)
 	n.peerHTTP = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
 	n.readyHTTP = &http.Server{Handler: n.adapter.Ready(n), ReadHeaderTimeout: headerTimeout}
--- a/internal/request/choose/choose.go
+++ b/internal/request/choose/choose.go
@@ -393,6 +393,17 @@
 	return free, capacity
 }
 
+// SlotsIn returns the slots of the usable targets of a data centre.
+func (t *Table) SlotsIn(now time.Time, dataCentre string) int {
+	slots := 0
+	for _, e := range t.entries {
+		if e.DataCentre == dataCentre && e.why(now, "") == "" {
+			slots += e.Slots
+		}
+	}
+	return slots
+}
+
 func (e *entry) freeAt(now time.Time) int {
 	if now.Before(e.saturated) {
 		return min(0, e.free())
--- a/internal/request/job/commit.go
+++ b/internal/request/job/commit.go
@@ -12,9 +12,11 @@
 
 const (
 	// commitDelay is how long a finished result may wait for others before it is
-	// committed: long enough that most jobs of ten items take two commits, short
+	// committed: long enough that a job of ten items takes a few commits, short
 	// beside the seconds in which jobs are due.
-	commitDelay = 800 * time.Millisecond
+	commitDelay = 2 * time.Second
+	// dueMargin is how long before its job is due a result waits no longer.
+	dueMargin = 3 * time.Second
 	// commitTick is the time between looks at what waits.
 	commitTick = 100 * time.Millisecond
 	// commitTimeout bounds one try of a commit; results are kept and tried again.
@@ -46,7 +48,7 @@
 	m.mu.Lock()
 	m.giveUpExpired(h)
 	stop := h.released
-	due := !stop && (h.progress.due(time.Now(), commitDelay) || (m.draining && len(h.progress.pending) > 0))
+	due := !stop && (h.progress.due(time.Now(), m.delay(h)) || (m.draining && len(h.progress.pending) > 0))
 	m.mu.Unlock()
 	if stop || (due && !m.commit(h)) {
 		return true
@@ -54,6 +56,15 @@
 	return m.finishIfWhole(h)
 }
 
+// delay returns how long a result of the job may wait for others. The caller
+// holds m.mu.
+func (m *Manager) delay(h *held) time.Duration {
+	if time.Until(dueAt(&h.head, m.routeOf(&h.head))) < dueMargin {
+		return 0
+	}
+	return commitDelay
+}
+
 // giveUpExpired ends items whose route is gone or whose time is over. The
 // caller holds m.mu.
 func (m *Manager) giveUpExpired(h *held) {
@@ -182,7 +193,7 @@
 	if !done || h.released {
 		return h.released
 	}
-	m.heads[h.id] = knownHead{head: h.head, revision: h.revision, at: time.Now()}
+	m.heads[h.id] = knownHead{head: h.head, revision: h.revision, at: time.Now(), whole: true}
 	why := "every item has its result"
 	if !h.progress.whole() {
 		why = "ended by its caller"
--- a/internal/request/job/manager.go
+++ b/internal/request/job/manager.go
@@ -76,8 +76,10 @@
 	Waiting func(route string) int64
 	// Ended reports whether the end of a job is known to this node.
 	Ended func(job string) bool
-	// Share returns how many items this node may have at a target at once.
-	Share    func(t choose.Target) int
+	// Shares returns the function that tells how many items this node may have
+	// at a target at once, by what is known now. It must not be called, but its
+	// result may be, while the manager or the pool is locked.
+	Shares   func() func(t choose.Target) int
 	Recorder *timeline.Recorder
 	Checker  *invariant.Checker
 	Metrics  tally.Scope
@@ -108,6 +110,7 @@
 	progress *progress
 	writing  sync.Mutex // held during a commit: one at a time changes the head
 	sequence int        // segments written by this holder
+	since    time.Time  // when this node came to hold it
 	ended    bool
 	released bool            // this node no longer holds it
 	stops    map[int]stopRun // running items
@@ -139,7 +142,7 @@
 
 // hold starts to work on a job whose head names this node.
 func (m *Manager) hold(id string, head Head, revision int64, items []Item, why string) {
-	h := &held{id: id, head: head, revision: revision, items: items, progress: newProgress(&head),
+	h := &held{id: id, since: time.Now(), head: head, revision: revision, items: items, progress: newProgress(&head),
 		stops: map[int]stopRun{}, wake: make(chan struct{}, 1), changed: make(chan struct{})}
 	m.mu.Lock()
 	if m.held[id] != nil {
@@ -254,6 +257,49 @@
 	return at[:min(n, len(at))]
 }
 
+// Demand returns how many items wait or run here.
+func (m *Manager) Demand() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	n := 0
+	for _, h := range m.held {
+		if !h.ended {
+			n += h.progress.open()
+		}
+	}
+	return n
+}
+
+// announceFor is how long a node tells others that it came to hold a job: in
+// that time each of them has heard it a few times.
+const announceFor = 2 * time.Second
+
+// Announced returns the jobs that this node lately came to hold.
+func (m *Manager) Announced() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []string
+	for id, h := range m.held {
+		if time.Since(h.since) < announceFor {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+// HeldBy takes the news that a node holds jobs.
+func (m *Manager) HeldBy(holder Holder, jobs []string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, id := range jobs {
+		known := m.heads[id]
+		if m.held[id] == nil && known.head.Holder != holder && !known.whole {
+			known.head.Holder, known.at, known.lost = holder, time.Now(), false
+			m.heads[id] = known
+		}
+	}
+}
+
 // WaitingTokens returns, by route, the tokens of items that this node holds
 // and that no target has finished.
 func (m *Manager) WaitingTokens() map[string]int64 {
--- a/internal/request/job/peer.go
+++ b/internal/request/job/peer.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	v1 "github.com/marblepond/marblepond/api/marblepond/v1"
@@ -13,13 +14,19 @@
 	"github.com/marblepond/marblepond/internal/process/timeline"
 )
 
+// PeerService answers other nodes about the jobs of a manager.
+type PeerService struct{ m *Manager }
+
+// PeerService returns the service for other nodes.
+func (m *Manager) PeerService() PeerService { return PeerService{m} }
+
 // Held implements the peers' service.
-func (m *Manager) Held(_ context.Context, req *v1.HeldRequest) (*v1.HeldResponse, error) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
+func (s PeerService) Held(_ context.Context, req *v1.HeldRequest) (*v1.HeldResponse, error) {
+	s.m.mu.Lock()
+	defer s.m.mu.Unlock()
 	resp := &v1.HeldResponse{}
 	for _, id := range req.Jobs {
-		if m.held[id] != nil {
+		if s.m.held[id] != nil {
 			resp.Held = append(resp.Held, id)
 		}
 	}
@@ -27,19 +34,19 @@
 }
 
 // End implements the peers' service.
-func (m *Manager) End(_ context.Context, req *v1.EndRequest) (*v1.EndResponse, error) {
-	m.EndSeen(req.Job)
+func (s PeerService) End(_ context.Context, req *v1.EndRequest) (*v1.EndResponse, error) {
+	s.m.EndSeen(req.Job)
 	return &v1.EndResponse{}, nil
 }
 
 // Adopt implements the peers' service: it takes over jobs that nobody holds.
-func (m *Manager) Adopt(_ context.Context, req *v1.AdoptRequest) (*v1.AdoptResponse, error) {
-	if !m.cfg.Holds {
+func (s PeerService) Adopt(_ context.Context, req *v1.AdoptRequest) (*v1.AdoptResponse, error) {
+	if !s.m.cfg.Holds {
 		return &v1.AdoptResponse{}, nil
 	}
 	go func() {
 		for _, id := range req.Jobs {
-			m.adopt(context.Background(), id, Holder{})
+			s.m.adopt(context.Background(), id, Holder{})
 		}
 	}()
 	return &v1.AdoptResponse{}, nil
@@ -59,7 +66,7 @@
 	m.mu.Lock()
 	holder := m.heads[id].head.Holder
 	m.mu.Unlock()
-	if !m.known(id) {
+	if !m.known(id) && holder == (Holder{}) {
 		head, o, err := m.getHead(ctx, callbudget.Commit, id)
 		if errors.Is(err, objects.ErrNotFound) {
 			return errkind.NotFound.New("no job %s", id)
@@ -102,15 +109,27 @@
 	}
 	holders := m.Peers.Holders()
 	rand.Shuffle(len(holders), func(i, j int) { holders[i], holders[j] = holders[j], holders[i] })
-	for _, address := range holders {
-		if len(given) == 0 {
-			return
+	var wg sync.WaitGroup
+	for i, address := range holders {
+		var part []string // every len(holders)-th job
+		for k := i; k < len(given); k += len(holders) {
+			part = append(part, given[k])
+		}
+		if len(part) > 0 {
+			wg.Go(func() { m.askToAdopt(ctx, address, part) })
 		}
-		ask, cancel := context.WithTimeout(ctx, noticeTimeout)
-		_, err := m.Peers.Job(address).Adopt(ask, &v1.AdoptRequest{Jobs: given})
-		cancel()
-		if err == nil {
-			return
+	}
+	wg.Wait()
+}
+
+// askToAdopt asks a node to hold jobs. When it does not answer, the next sweep
+// of any node finds them.
+func (m *Manager) askToAdopt(ctx context.Context, address string, jobs []string) {
+	ctx, cancel := context.WithTimeout(ctx, noticeTimeout)
+	defer cancel()
+	if _, err := m.Peers.Job(address).Adopt(ctx, &v1.AdoptRequest{Jobs: jobs}); err != nil {
+		for _, id := range jobs {
+			m.Recorder.Record(timeline.JobReleased, id, address, "the node asked to hold the job did not answer: "+err.Error())
 		}
 	}
 }
--- a/internal/request/job/read.go
+++ b/internal/request/job/read.go
@@ -38,6 +38,7 @@
 	revision int64
 	at       time.Time // when it was read
 	lost     bool      // its holder did not answer lately
+	whole    bool      // head is what the store holds; else only its holder is known
 }
 
 // learn keeps a head that was read from the store.
@@ -45,7 +46,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if old, ok := m.heads[id]; !ok || old.revision <= revision {
-		m.heads[id] = knownHead{head: head, revision: revision, at: time.Now()}
+		m.heads[id] = knownHead{head: head, revision: revision, at: time.Now(), whole: true}
 	}
 }
 
@@ -107,7 +108,7 @@
 	m.mu.Lock()
 	known, ok := m.heads[id]
 	m.mu.Unlock()
-	if ok && (known.head.Listed() > after || known.head.Complete()) {
+	if ok && known.whole && (known.head.Listed() > after || known.head.Complete()) {
 		return m.page(ctx, id, &known.head, after)
 	}
 	if results, total := m.results.from(id, after); len(results) > 0 {
@@ -151,7 +152,7 @@
 	if err != nil {
 		return Page{}, err
 	}
-	if !resp.Held {
+	if !resp.Known {
 		return Page{}, errNotHere
 	}
 	page := Page{Total: int(resp.Total)}
@@ -164,18 +165,23 @@
 }
 
 // Results implements the peers' service.
-func (m *Manager) Results(ctx context.Context, req *v1.ResultsRequest) (*v1.ResultsResponse, error) {
+func (s PeerService) Results(ctx context.Context, req *v1.ResultsRequest) (*v1.ResultsResponse, error) {
+	m := s.m
 	until := time.Now().Add(time.Duration(req.WaitMs) * time.Millisecond)
 	for {
 		page, changed, err := m.readHere(ctx, req.Job, int(req.After))
+		if errors.Is(err, errNotHere) {
+			page, err = m.readFinished(ctx, req.Job, int(req.After))
+			changed = nil
+		}
 		if errors.Is(err, errNotHere) {
 			return &v1.ResultsResponse{}, nil
 		}
 		if err != nil {
 			return nil, connect.NewError(connect.CodeUnavailable, err)
 		}
-		if len(page.Results) > 0 || int(req.After) >= page.Total || !waitChange(ctx, changed, until) {
-			resp := &v1.ResultsResponse{Held: true, Total: uint32(page.Total)}
+		if len(page.Results) > 0 || int(req.After) >= page.Total || changed == nil || !waitChange(ctx, changed, until) {
+			resp := &v1.ResultsResponse{Known: true, Total: uint32(page.Total)}
 			for _, r := range page.Results {
 				resp.Results = append(resp.Results, &v1.JobResult{Item: r.Item, Dead: r.Dead, Text: r.Text})
 			}
@@ -184,6 +190,17 @@
 	}
 }
 
+// readFinished answers for a job that this node held to its end.
+func (m *Manager) readFinished(ctx context.Context, id string, after int) (Page, error) {
+	m.mu.Lock()
+	known, ok := m.heads[id]
+	m.mu.Unlock()
+	if !ok || !known.whole || !known.head.Complete() {
+		return Page{}, errNotHere
+	}
+	return m.page(ctx, id, &known.head, after)
+}
+
 // page returns the results that a head lists from a position on. What is no
 // longer in memory is read from the store.
 func (m *Manager) page(ctx context.Context, id string, head *Head, after int) (Page, error) {
@@ -246,8 +263,17 @@
 	if h != nil {
 		return findBody(h.items, id, item)
 	}
+	if seen && known.head.Holder != (Holder{}) && !known.lost {
+		body, found, err := m.askBody(ctx, &known.head, id, item)
+		if err == nil && found {
+			return body, nil
+		}
+		if err == nil {
+			return nil, errkind.NotFound.New("job %s has no item %s", id, item)
+		}
+	}
 	head := known.head
-	if !seen {
+	if !known.whole {
 		var o objects.Object
 		var err error
 		head, o, err = m.getHead(ctx, callbudget.Commit, id)
@@ -266,6 +292,35 @@
 	return findBody(items, id, item)
 }
 
+// askBody asks the node that holds the job for the body of an item.
+func (m *Manager) askBody(ctx context.Context, head *Head, id, item string) (body []byte, found bool, err error) {
+	if head.Holder.Node == m.cfg.Self.Node {
+		return nil, false, errNotHere
+	}
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	resp, err := m.Peers.Job(head.Holder.Address).Body(ctx, &v1.BodyRequest{Job: id, Item: item})
+	if err != nil {
+		return nil, false, err
+	}
+	if !resp.Held {
+		return nil, false, errNotHere
+	}
+	return resp.Body, resp.Found, nil
+}
+
+// Body implements the peers' service.
+func (s PeerService) Body(_ context.Context, req *v1.BodyRequest) (*v1.BodyResponse, error) {
+	s.m.mu.Lock()
+	h := s.m.held[req.Job]
+	s.m.mu.Unlock()
+	if h == nil {
+		return &v1.BodyResponse{}, nil
+	}
+	body, err := findBody(h.items, req.Job, req.Item)
+	return &v1.BodyResponse{Held: true, Found: err == nil, Body: body}, nil
+}
+
 func findBody(items []Item, id, item string) ([]byte, error) {
 	for i := range items {
 		if items[i].ID == item {
--- a/internal/request/job/run.go
+++ b/internal/request/job/run.go
@@ -56,6 +56,7 @@
 
 // fill sends as many items as there is room for.
 func (m *Manager) fill(ctx context.Context) {
+	limit := m.Shares()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.draining || len(m.held) == 0 {
@@ -69,7 +70,7 @@
 			if !ok {
 				break
 			}
-			if !m.place(ctx, h, i, now, full) {
+			if !m.place(ctx, h, i, now, limit, full) {
 				break
 			}
 		}
@@ -77,7 +78,7 @@
 }
 
 // place sends one item if there is room. The caller holds m.mu.
-func (m *Manager) place(ctx context.Context, h *held, i int, now time.Time, full map[string]bool) bool {
+func (m *Manager) place(ctx context.Context, h *held, i int, now time.Time, limit func(choose.Target) int, full map[string]bool) bool {
 	r := m.routeOf(&h.head)
 	if r == nil {
 		return false
@@ -86,7 +87,7 @@
 	if full[service] {
 		return false
 	}
-	t, ok := m.Pool.ChooseBatch(choose.Need{Service: service, Reserve: reserve, Limit: m.Share})
+	t, ok := m.Pool.ChooseBatch(choose.Need{Service: service, Reserve: reserve, Limit: limit})
 	if !ok {
 		full[service] = true
 		return false
--- a/internal/request/job/submit.go
+++ b/internal/request/job/submit.go
@@ -55,8 +55,7 @@
 func (m *Manager) known(id string) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	_, seen := m.heads[id]
-	return seen || m.held[id] != nil
+	return m.heads[id].whole || m.held[id] != nil
 }
 
 // reserve counts the job's tokens against the cap of its route, so that two
--- a/internal/request/job/sweep.go
+++ b/internal/request/job/sweep.go
@@ -14,8 +14,12 @@
 )
 
 const (
-	// suspectSweep is the time between sweeps while a holder does not answer.
-	suspectSweep = time.Second
+	// suspectSweep is the time between sweeps while a holder does not answer or
+	// lost jobs are left.
+	suspectSweep = 600 * time.Millisecond
+	// adoptAtOnce is how many jobs of a lost holder one sweep takes over: the
+	// other nodes take theirs meanwhile, so that no node gets all of the work.
+	adoptAtOnce = 2
 	// probeTimeout bounds the question to a holder whether it still holds.
 	probeTimeout = 400 * time.Millisecond
 	// adoptTimeout bounds one take-over.
@@ -65,6 +69,10 @@
 	suspected := false
 	for holder, jobs := range byHolder {
 		lost, maybe := m.lostJobs(ctx, holder, jobs)
+		if holder.Node != m.cfg.Self.Node && len(lost) > adoptAtOnce {
+			rand.Shuffle(len(lost), func(i, j int) { lost[i], lost[j] = lost[j], lost[i] })
+			lost, maybe = lost[:adoptAtOnce], true
+		}
 		suspected = suspected || maybe
 		for _, id := range lost {
 			m.adopt(ctx, id, holder)
