Stand-ins of the platform's store and runners, and tests of the online path

Each test brings about the failure it is for: refusals, lost and foreign answers, broken and silent streams, clients that leave, time limits, leaving runners, reused addresses, and bad input at the front.

--- a/internal/process/hosted/hosted.go
+++ b/internal/process/hosted/hosted.go
@@ -91,6 +91,7 @@
 	configAt  atomic.Int64  // Unix nanoseconds when the table came into force
 	makeRoom  chan struct{} // what is in flight has changed
 	leaving   atomic.Bool
+	halted    chan struct{}
 	active    sync.WaitGroup
 	callers   *callerServer
 	peerHTTP  *http.Server
@@ -110,7 +111,7 @@
 func New(parts Parts, adapter Adapter) *Node {
 	s := parts.Settings
 	n := &Node{settings: s, adapter: adapter, boot: time.Now().UnixMicro(), recorder: parts.Recorder, metrics: parts.Metrics,
-		makeRoom: make(chan struct{}, 1), claims: claims{said: map[string]beacon.Batch{}}}
+		makeRoom: make(chan struct{}, 1), halted: make(chan struct{}), claims: claims{said: map[string]beacon.Batch{}}}
 	n.seeds.Store(&s.Seeds)
 	n.checker = invariant.New(n.recorder, s.StopOnViolated)
 	n.peers = newPeers(s, n.recorder)
@@ -164,6 +165,9 @@
 // Jobs returns what keeps batch jobs.
 func (n *Node) Jobs() *job.Manager { return n.jobs }
 
+// Halt ends Run at once and hands nothing over, as a crash would; for tests.
+func (n *Node) Halt() { close(n.halted) }
+
 // Leaving reports whether the node was asked to stop.
 func (n *Node) Leaving() bool { return n.leaving.Load() }
 
@@ -275,8 +279,12 @@
 	var duties sync.WaitGroup
 	n.startDuties(work, listeners, &duties)
 	n.serve(listeners)
-	<-ctx.Done()
-	n.drain(work)
+	select {
+	case <-ctx.Done():
+		n.drain(work)
+	case <-n.halted:
+		n.callers.http.Close()
+	}
 	stop()
 	duties.Wait()
 	n.peerHTTP.Close()
--- a/internal/request/job/commit.go
+++ b/internal/request/job/commit.go
@@ -30,6 +30,8 @@
 	defer ticker.Stop()
 	for {
 		select {
+		case <-m.stopped:
+			return
 		case <-h.wake:
 		case <-ticker.C:
 		}
--- a/internal/request/job/manager.go
+++ b/internal/request/job/manager.go
@@ -91,6 +91,7 @@
 	Parts
 	results *resultCache
 	wakeUp  chan struct{} // the scheduler looks at once
+	stopped chan struct{} // closed when Run ends
 
 	mu        sync.Mutex
 	held      map[string]*held
@@ -123,7 +124,7 @@
 
 // NewManager returns a manager; Run starts it.
 func NewManager(cfg Config, parts Parts) *Manager {
-	return &Manager{cfg: cfg, Parts: parts, results: newResultCache(cfg.ResultMemory), wakeUp: make(chan struct{}, 1),
+	return &Manager{cfg: cfg, Parts: parts, results: newResultCache(cfg.ResultMemory), wakeUp: make(chan struct{}, 1), stopped: make(chan struct{}),
 		held: map[string]*held{}, reserved: map[string]int64{}, absent: map[string]time.Time{}, heads: map[string]knownHead{}}
 }
 
@@ -137,6 +138,7 @@
 	wg.Go(func() { m.schedule(ctx) })
 	wg.Go(func() { m.sweep(ctx) })
 	wg.Wait()
+	close(m.stopped)
 	m.committer.Wait()
 }
 
--- /dev/null
+++ b/lab/hosted/client.go
@@ -0,0 +1,132 @@
+package hosted
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+)
+
+// Reply is what a client got.
+type Reply struct {
+	Status int
+	Header http.Header
+	Body   string
+	Err    error // the answer broke off
+}
+
+// Ask sends a request for tokens and reads the whole answer.
+func Ask(ctx context.Context, node, path, id string, header map[string]string) Reply {
+	return Call(ctx, http.MethodPost, node, path, id, header, []byte("prompt"))
+}
+
+// Call makes any call of a client.
+func Call(ctx context.Context, method, node, path, id string, header map[string]string, body []byte) Reply {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+node+path, bytes.NewReader(body))
+	if err != nil {
+		return Reply{Err: err}
+	}
+	req.Host = Host
+	if id != "" {
+		req.Header.Set("X-Marblepond-Request-Id", id)
+	}
+	for k, v := range header {
+		req.Header.Set(k, v)
+	}
+	transport := &http.Transport{DisableKeepAlives: true, DisableCompression: true}
+	resp, err := transport.RoundTrip(req)
+	if err != nil {
+		return Reply{Err: err}
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return Reply{Status: resp.StatusCode, Header: resp.Header, Body: string(data), Err: err}
+}
+
+// StreamText returns the data of the events of a stream, one a line.
+func StreamText(body string) string {
+	var lines []string
+	for _, line := range strings.Split(body, "\n") {
+		if data, ok := strings.CutPrefix(line, "data: "); ok {
+			lines = append(lines, data)
+		}
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Item is an item of a job as clients send it.
+type Item struct {
+	ID      string            `json:"id"`
+	Path    string            `json:"path"`
+	Headers map[string]string `json:"headers"`
+	Body    []byte            `json:"body"`
+	Tokens  float64           `json:"tokens"`
+}
+
+// Items returns n items of a job.
+func Items(job string, n int) []Item {
+	var items []Item
+	for i := range n {
+		items = append(items, Item{ID: fmt.Sprintf("%s-%d", job, i), Path: BatchPath + "run", Body: []byte(fmt.Sprintf("body %d", i)), Tokens: 100})
+	}
+	return items
+}
+
+// Submit sends a job.
+func Submit(node, job string, items []Item) Reply {
+	body, err := json.Marshal(map[string]any{"items": items})
+	if err != nil {
+		return Reply{Err: err}
+	}
+	return Call(context.Background(), http.MethodPost, node, BatchPath+"submit", job, map[string]string{"X-Marblepond-Deadline-Ms": "4000"}, body)
+}
+
+// Result is one result of a job.
+type Result struct {
+	ID    string `json:"id"`
+	State string `json:"state"`
+	Text  string `json:"text"`
+}
+
+// Results are what a read returns.
+type Results struct {
+	Total   int      `json:"total"`
+	Next    int      `json:"next"`
+	Results []Result `json:"results"`
+}
+
+// Read reads results from a position on.
+func Read(node, job string, after int) (Results, int) {
+	reply := Call(context.Background(), http.MethodGet, node, fmt.Sprintf("/v1/lots/%s?after=%d", job, after), "", map[string]string{"X-Marblepond-Wait-Ms": "300"}, nil)
+	var r Results
+	if reply.Err != nil || reply.Status != http.StatusOK || json.Unmarshal([]byte(reply.Body), &r) != nil {
+		return Results{}, reply.Status
+	}
+	return r, reply.Status
+}
+
+// ReadAll reads a job to its end, at the nodes in turn.
+func ReadAll(nodes []string, job string, within time.Duration) ([]Result, error) {
+	var all []Result
+	until := time.Now().Add(within)
+	for n := 0; time.Now().Before(until); n++ {
+		r, status := Read(nodes[n%len(nodes)], job, len(all))
+		all = append(all, r.Results...)
+		if status == http.StatusOK && len(all) >= r.Total {
+			return all, nil
+		}
+		if len(r.Results) == 0 {
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+	return all, fmt.Errorf("job %s has %d results after %v", job, len(all), within)
+}
+
+// End ends a job.
+func End(node, job string) Reply {
+	return Call(context.Background(), http.MethodDelete, node, "/v1/lots/"+job, "", nil, nil)
+}
--- /dev/null
+++ b/lab/hosted/fleet.go
@@ -0,0 +1,203 @@
+package hosted
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/marblepond/marblepond/internal/process/hosted"
+	"github.com/marblepond/marblepond/internal/process/node"
+	"github.com/marblepond/marblepond/internal/process/settings"
+	"github.com/marblepond/marblepond/platform"
+)
+
+// Names of the configuration that Config writes.
+const (
+	Service    = "svc-llm"
+	Host       = "orders.example"
+	StreamPath = "/ask/"   // streams that run at most once
+	ResumePath = "/note/"  // streams that may be resumed
+	RepeatPath = "/look/"  // idempotent requests
+	BatchPath  = "/sheet/" // jobs
+)
+
+// Config returns a configuration of one service and a route of each kind.
+func Config(version int, change ...func(map[string]any)) map[string]any {
+	route := func(name, prefix, kind string, attempts int, resumable bool) map[string]any {
+		return map[string]any{"name": name, "host": Host, "path_prefix": prefix, "kind": kind, "service": Service, "attempts": attempts,
+			"resumable": resumable, "timeout_ms": 5000, "slo_ms": 300.0, "gap_aim_ms": 200, "priority": 0}
+	}
+	batch := route("batch", BatchPath, "batch", 3, true)
+	batch["slo_ms"], batch["run_aim_ms"], batch["keep_s"], batch["cap"] = 400, 18000, 60.0, 100000
+	config := map[string]any{
+		"version": version,
+		"routes": []any{route("stream", StreamPath, "streaming", 1, false), route("resume", ResumePath, "streaming", 2, true),
+			route("repeat", RepeatPath, "idempotent", 2, false), batch},
+		"services": []any{map[string]any{"name": Service}},
+		"limits":   map[string]any{"max_header_bytes": 4096, "max_body_bytes": 65536, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+	}
+	for _, f := range change {
+		f(config)
+	}
+	return config
+}
+
+// Fleet is a store, runners and nodes in one process.
+type Fleet struct {
+	Store   *Store
+	Runners []*Runner
+	Nodes   []*Node
+	Log     io.Writer
+}
+
+// Node is one node of a fleet.
+type Node struct {
+	*hosted.Node
+	Settings *settings.Settings
+	cancel   context.CancelFunc
+	done     chan struct{} // closed when the node has ended
+	err      error
+}
+
+// Caller returns the node's address for clients.
+func (n *Node) Caller() string { return n.Settings.CallerListen }
+
+// Options of a fleet.
+type Options struct {
+	Nodes   int
+	Runners int
+	Slots   int
+	Events  int           // of each answer
+	Gap     time.Duration // between events
+	Extra   string        // settings of every node, in INI
+	Log     io.Writer     // of the nodes; nil: none
+}
+
+// Start starts a fleet and waits until every node is ready.
+func Start(o Options) (*Fleet, error) {
+	f := &Fleet{Store: NewStore(), Log: o.Log}
+	if f.Log == nil {
+		f.Log = io.Discard
+	}
+	f.Store.Put("config", "main", Config(1))
+	for i := range o.Runners {
+		r := NewRunner(fmt.Sprintf("i-%d", i), Service, o.Slots, o.Events, o.Gap)
+		f.Runners = append(f.Runners, r)
+		f.Store.Put("servers", r.ID, r.Entry("hall-a", "ready"))
+	}
+	for i := range o.Nodes {
+		if _, err := f.StartNode(fmt.Sprintf("edge-%d", i), o.Extra); err != nil {
+			f.Stop()
+			return nil, err
+		}
+	}
+	for _, n := range f.Nodes {
+		if err := f.waitReady(n); err != nil {
+			f.Stop()
+			return nil, err
+		}
+	}
+	return f, nil
+}
+
+// freeAddress returns a loopback address whose port is free now.
+func freeAddress() string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		panic(err) // no loopback
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// StartNode starts a node; extra is added to its settings.
+func (f *Fleet) StartNode(id, extra string) (*Node, error) {
+	var seeds []string
+	for _, n := range f.Nodes {
+		seeds = append(seeds, n.Settings.PeerListen)
+	}
+	text := fmt.Sprintf(`[node]
+id = %s
+front = hosted
+data_centre = hall-a
+caller_listen = %s
+ready_listen = %s
+peer_listen = %s
+beacon_listen = %s
+seeds = %s
+[store]
+address = %s
+[limits]
+drain_timeout = 8s
+[log]
+level = info
+timeline_events = 1000
+%s`, id, freeAddress(), freeAddress(), freeAddress(), freeAddress(), strings.Join(seeds, ","), f.Store.Address(), extra)
+	s, err := settings.Parse(id, []byte(text))
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	n := &Node{Node: platform.New(node.Parts(s, f.Log)), Settings: s, cancel: cancel, done: make(chan struct{})}
+	go func() {
+		defer close(n.done)
+		n.err = n.Run(ctx)
+	}()
+	f.Nodes = append(f.Nodes, n)
+	return n, nil
+}
+
+// readyWithin is how long a node may take to become ready.
+const readyWithin = 5 * time.Second
+
+func (f *Fleet) waitReady(n *Node) error {
+	until := time.Now().Add(readyWithin)
+	for time.Now().Before(until) {
+		resp, err := http.Get("http://" + n.Settings.ReadyListen + "/v1/ready")
+		if err == nil {
+			resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				return nil
+			}
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return fmt.Errorf("node %s is not ready after %v", n.Settings.NodeID, readyWithin)
+}
+
+// Terminate asks a node to stop and waits until it has.
+func (n *Node) Terminate() error {
+	n.cancel()
+	<-n.done
+	return n.err
+}
+
+// Kill ends a node as a crash would.
+func (n *Node) Kill() {
+	n.Halt()
+	<-n.done
+}
+
+// Stop ends the fleet.
+func (f *Fleet) Stop() {
+	var wg sync.WaitGroup
+	for _, n := range f.Nodes {
+		wg.Go(func() {
+			select {
+			case <-n.done: // stopped by the test
+			default:
+				n.Kill()
+			}
+		})
+	}
+	wg.Wait()
+	for _, r := range f.Runners {
+		r.Close()
+	}
+	f.Store.Close()
+}
--- /dev/null
+++ b/lab/hosted/online_test.go
@@ -0,0 +1,248 @@
+package hosted
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// fleet starts a fleet for one test.
+func fleet(t *testing.T, o Options) *Fleet {
+	t.Helper()
+	if o.Slots == 0 {
+		o.Slots, o.Events, o.Gap = 8, 6, 5*time.Millisecond
+	}
+	f, err := Start(o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(f.Stop)
+	return f
+}
+
+// eventually waits until a condition holds.
+func eventually(t *testing.T, what string, within time.Duration, holds func() bool) {
+	t.Helper()
+	for until := time.Now().Add(within); time.Now().Before(until); time.Sleep(10 * time.Millisecond) {
+		if holds() {
+			return
+		}
+	}
+	t.Fatalf("not within %v: %s", within, what)
+}
+
+func (f *Fleet) runs(id string) int {
+	n := 0
+	for _, r := range f.Runners {
+		n += r.Runs(id)
+	}
+	return n
+}
+
+func TestAnswerIsPassedOnWhole(t *testing.T) {
+	is := is.New(t)
+	f := fleet(t, Options{Nodes: 1, Runners: 2})
+	reply := Ask(context.Background(), f.Nodes[0].Caller(), StreamPath+"x?y=%2F", "a1", map[string]string{"X-Marblepond-Deadline-Ms": "3000", "X-Other": "kept"})
+	is.NoErr(reply.Err)
+	is.Equal(reply.Status, http.StatusOK)
+	is.Equal(StreamText(reply.Body), f.Runners[0].Text("a1"))
+	is.True(strings.HasPrefix(reply.Header.Get("X-Marblepond-Server-Stamp"), "stamp."))
+	is.Equal(reply.Header.Get("X-Marblepond-Request-Id"), "a1")
+	is.Equal(f.runs("a1"), 1)
+	for _, r := range f.Runners {
+		if h := r.Header("a1"); h != nil {
+			is.Equal(h.Get("X-Other"), "kept")
+			is.Equal(h.Get("X-Marblepond-Expect-Instance"), r.ID)
+			is.True(h.Get("X-Marblepond-Deadline-Ms") <= "3000")
+		}
+	}
+}
+
+// TestBadInput: a clear answer of the right status, and nothing runs.
+func TestBadInput(t *testing.T) {
+	f := fleet(t, Options{Nodes: 1, Runners: 1})
+	at := f.Nodes[0].Caller()
+	duplicate := append(Items("d", 1), Items("d", 1)...)
+	outside := Items("o", 1)
+	outside[0].Path = StreamPath + "run"
+	many := Items("m", 201)
+	post := func(path string, header map[string]string, body []byte) Reply {
+		return Call(context.Background(), http.MethodPost, at, path, "bad", header, body)
+	}
+	for _, c := range []struct {
+		name   string
+		reply  Reply
+		status int
+	}{
+		{"no route", post("/nowhere/x", nil, nil), http.StatusNotFound},
+		{"header over the limit", post(StreamPath, map[string]string{"X-Long": strings.Repeat("x", 5000)}, nil), http.StatusRequestHeaderFieldsTooLarge},
+		{"body over the limit", post(StreamPath, nil, bytes.Repeat([]byte("x"), 70000)), http.StatusRequestEntityTooLarge},
+		{"malformed job", post(BatchPath, nil, []byte(`{"items":[`)), http.StatusBadRequest},
+		{"job without items", Submit(at, "bad", nil), http.StatusBadRequest},
+		{"job without an ID", Submit(at, "", Items("n", 1)), http.StatusBadRequest},
+		{"an item ID twice", Submit(at, "bad", duplicate), http.StatusBadRequest},
+		{"an item outside the route", Submit(at, "bad", outside), http.StatusBadRequest},
+		{"too many items", Submit(at, "bad", many), http.StatusBadRequest},
+		{"job read with PUT", Call(context.Background(), http.MethodPut, at, "/v1/lots/bad", "", nil, nil), http.StatusMethodNotAllowed},
+		{"job submitted with GET", Call(context.Background(), http.MethodGet, at, BatchPath, "bad", nil, nil), http.StatusMethodNotAllowed},
+		{"unknown job", Call(context.Background(), http.MethodGet, at, "/v1/lots/bad?after=0", "", nil, nil), http.StatusNotFound},
+		{"a position that is no number", Call(context.Background(), http.MethodGet, at, "/v1/lots/bad?after=-1", "", nil, nil), http.StatusBadRequest},
+		{"item of an unknown job", Call(context.Background(), http.MethodGet, at, "/v1/items/bad?id=x", "", nil, nil), http.StatusNotFound},
+		{"end of an unknown job", End(at, "bad"), http.StatusNotFound},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			is.NoErr(c.reply.Err)
+			is.Equal(c.reply.Status, c.status)
+		})
+	}
+	is := is.New(t)
+	is.Equal(f.runs("bad"), 0)
+	is.Equal(len(f.Store.Names("marblepond-jobs")), 0)
+}
+
+// TestRefusalElsewhere: a refusal that is marked as not run goes to another
+// runner, also for requests that run at most once; when all refuse, the answer
+// says at once that nothing ran, and when to come back.
+func TestRefusalElsewhere(t *testing.T) {
+	is := is.New(t)
+	f := fleet(t, Options{Nodes: 1, Runners: 2})
+	f.Runners[0].Behave(func(string, int) Behaviour { return Full })
+	for i := range 6 {
+		is.Equal(Ask(context.Background(), f.Nodes[0].Caller(), StreamPath, fmt.Sprint("r", i), nil).Status, http.StatusOK)
+	}
+	f.Runners[1].Behave(func(string, int) Behaviour { return Full })
+	asked := time.Now()
+	reply := Ask(context.Background(), f.Nodes[0].Caller(), StreamPath, "full", nil)
+	is.Equal(reply.Status, http.StatusServiceUnavailable)
+	is.True(reply.Header.Get("Retry-After") != "")
+	is.True(time.Since(asked) < time.Second)
+	is.Equal(f.runs("full"), 0)
+}
+
+// TestAtMostOnce: after any end that may have run, a request that runs at most
+// once is not sent again, and the answer promises nothing.
+func TestAtMostOnce(t *testing.T) {
+	f := fleet(t, Options{Nodes: 1, Runners: 3})
+	for _, c := range []struct {
+		name string
+		what Behaviour
+	}{{"answer lost", LoseAnswer}, {"answer of another request", ForeignID}, {"answer without proof", NoProof}, {"broken off in an event", BreakOff}} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			for _, r := range f.Runners {
+				r.Behave(func(string, int) Behaviour { return c.what })
+			}
+			id := "once-" + fmt.Sprint(int(c.what))
+			reply := Ask(context.Background(), f.Nodes[0].Caller(), StreamPath, id, nil)
+			is.True(reply.Err != nil || reply.Status == http.StatusInternalServerError || reply.Status == http.StatusBadGateway)
+			is.Equal(f.runs(id), 1)
+		})
+	}
+}
+
+// TestResumeElsewhere: a stream that may be resumed goes on at another runner
+// after its last whole event, within one answer; so does one whose runner
+// falls silent.
+func TestResumeElsewhere(t *testing.T) {
+	f := fleet(t, Options{Nodes: 1, Runners: 2})
+	for _, c := range []struct {
+		name string
+		what Behaviour
+	}{{"broken off", BreakOff}, {"silent", Stall}, {"answer lost", LoseAnswer}} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			var once sync.Once
+			behave := func(string, int) Behaviour {
+				what := Serve
+				once.Do(func() { what = c.what })
+				return what
+			}
+			for _, r := range f.Runners {
+				r.Behave(behave)
+			}
+			id := "resume-" + fmt.Sprint(int(c.what))
+			reply := Ask(context.Background(), f.Nodes[0].Caller(), ResumePath, id, nil)
+			is.NoErr(reply.Err)
+			is.Equal(StreamText(reply.Body), f.Runners[0].Text(id))
+			is.Equal(f.runs(id), 2)
+		})
+	}
+}
+
+// TestClientResumes: a client that goes on after a broken connection gets what
+// it lacks.
+func TestClientResumes(t *testing.T) {
+	is := is.New(t)
+	f := fleet(t, Options{Nodes: 1, Runners: 1})
+	reply := Ask(context.Background(), f.Nodes[0].Caller(), ResumePath, "c1", map[string]string{"Last-Event-Id": "4"})
+	is.NoErr(reply.Err)
+	is.Equal(StreamText(reply.Body), Data("c1", 5)+"\n"+Data("c1", 6))
+}
+
+// TestRepeatable: an idempotent request is run again elsewhere, within its
+// attempts.
+func TestRepeatable(t *testing.T) {
+	is := is.New(t)
+	f := fleet(t, Options{Nodes: 1, Runners: 3})
+	for _, r := range f.Runners {
+		r.Behave(func(string, int) Behaviour { return LoseAnswer })
+	}
+	reply := Ask(context.Background(), f.Nodes[0].Caller(), RepeatPath, "twice", nil)
+	is.Equal(reply.Status, http.StatusBadGateway)
+	is.Equal(f.runs("twice"), 2)
+}
+
+// TestClientLeaves: when the client goes away, the runner's work is ended.
+func TestClientLeaves(t *testing.T) {
+	f := fleet(t, Options{Nodes: 1, Runners: 1, Slots: 8, Events: 100, Gap: 20 * time.Millisecond})
+	ctx, cancel := context.WithTimeout(context.Background(), 150*time.Millisecond)
+	defer cancel()
+	Ask(ctx, f.Nodes[0].Caller(), StreamPath, "gone", nil)
+	eventually(t, "the run was ended", 500*time.Millisecond, func() bool { return f.Runners[0].Cut("gone") == 1 })
+}
+
+// TestRouteTimeout: a request that lasts longer than its route allows ends at
+// that time.
+func TestRouteTimeout(t *testing.T) {
+	is := is.New(t)
+	f := fleet(t, Options{Nodes: 1, Runners: 1, Slots: 8, Events: 100, Gap: 20 * time.Millisecond})
+	f.Store.Put("config", "main", Config(2, func(c map[string]any) { c["routes"].([]any)[0].(map[string]any)["timeout_ms"] = 300 }))
+	eventually(t, "version 2 is in force", 2*time.Second, func() bool { return f.Nodes[0].Table().Version == 2 })
+	asked := time.Now()
+	reply := Ask(context.Background(), f.Nodes[0].Caller(), StreamPath, "long", nil)
+	is.True(reply.Err != nil) // it had begun, and must not look complete
+	is.True(time.Since(asked) < 700*time.Millisecond)
+}
+
+// TestDrainingTarget: a runner that is leaving gets nothing new on any node,
+// also on one that the store refuses.
+func TestDrainingTarget(t *testing.T) {
+	is := is.New(t)
+	f := fleet(t, Options{Nodes: 2, Runners: 2})
+	f.Store.Put("servers", "i-0", f.Runners[0].Entry("hall-a", "draining"))
+	time.Sleep(1500 * time.Millisecond)
+	for i := range 10 {
+		is.Equal(Ask(context.Background(), f.Nodes[i%2].Caller(), StreamPath, fmt.Sprint("d", i), nil).Status, http.StatusOK)
+		is.Equal(f.Runners[0].Runs(fmt.Sprint("d", i)), 0)
+	}
+}
+
+// TestReusedAddress: a runner that is not the one meant runs nothing, and is
+// not asked again.
+func TestReusedAddress(t *testing.T) {
+	is := is.New(t)
+	f := fleet(t, Options{Nodes: 1, Runners: 2})
+	f.Runners[0].ID = "i-other"
+	for i := range 8 {
+		is.Equal(Ask(context.Background(), f.Nodes[0].Caller(), StreamPath, fmt.Sprint("u", i), nil).Status, http.StatusOK)
+		is.Equal(f.Runners[0].Runs(fmt.Sprint("u", i)), 0)
+	}
+}
--- /dev/null
+++ b/lab/hosted/runner.go
@@ -0,0 +1,204 @@
+package hosted
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Behaviour says how a runner treats a request.
+type Behaviour int
+
+// The behaviours.
+const (
+	Serve      Behaviour = iota // a whole answer
+	BreakOff                    // the connection breaks in the middle of an event
+	LoseAnswer                  // it runs, and the connection closes without an answer
+	ForeignID                   // the answer carries the ID of another request
+	NoProof                     // the answer carries no proof
+	Fail                        // it runs and answers 500
+	Never                       // the request can never be done: 422
+	Full                        // refused, not run
+	Stall                       // the head and one event, then silence
+)
+
+// Runner is the stand-in of a runner.
+type Runner struct {
+	ID      string
+	Service string
+
+	server *httptest.Server
+	slots  int
+	events int           // of each answer
+	gap    time.Duration // between events
+	busy   atomic.Int32
+	mu     sync.Mutex
+	behave func(requestID string, run int) Behaviour
+	runs   map[string]int      // requests that began to run
+	resume map[string][]string // Last-Event-Id of each run
+	cut    map[string]int      // runs that the sender ended
+	heads  map[string]http.Header
+}
+
+// NewRunner starts a runner on a loopback address.
+func NewRunner(id, service string, slots, events int, gap time.Duration) *Runner {
+	r := &Runner{ID: id, Service: service, slots: slots, events: events, gap: gap,
+		runs: map[string]int{}, resume: map[string][]string{}, cut: map[string]int{}, heads: map[string]http.Header{},
+		behave: func(string, int) Behaviour { return Serve }}
+	r.server = httptest.NewServer(r)
+	return r
+}
+
+// Address returns the runner's IP:port.
+func (r *Runner) Address() string { return r.server.Listener.Addr().String() }
+
+// Close ends the runner; connections break.
+func (r *Runner) Close() {
+	r.server.CloseClientConnections()
+	r.server.Close()
+}
+
+// Behave sets how requests are treated, by their ID and how often this runner
+// ran them before.
+func (r *Runner) Behave(f func(requestID string, run int) Behaviour) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.behave = f
+}
+
+// Runs returns how often the runner began to run a request.
+func (r *Runner) Runs(requestID string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.runs[requestID]
+}
+
+// Resumed returns the Last-Event-Id of each run of a request.
+func (r *Runner) Resumed(requestID string) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]string(nil), r.resume[requestID]...)
+}
+
+// Cut returns how many runs of a request the sender ended.
+func (r *Runner) Cut(requestID string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.cut[requestID]
+}
+
+// Header returns the header of the newest run of a request.
+func (r *Runner) Header(requestID string) http.Header {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.heads[requestID]
+}
+
+// Busy returns how many requests run now.
+func (r *Runner) Busy() int { return int(r.busy.Load()) }
+
+// Entry returns what the runner registers in the store.
+func (r *Runner) Entry(dataCentre, state string) map[string]any {
+	return map[string]any{"service": r.Service, "address": r.Address(), "zone": dataCentre, "version": "v1",
+		"slots": float64(r.slots), "state": state, "warmup_left_ms": 0.0, "seq": 1}
+}
+
+// Data returns the data of event n of a request.
+func Data(requestID string, n int) string { return fmt.Sprintf("%s piece %d", requestID, n) }
+
+// Text returns the whole text of a request's answer, the events joined as a
+// batch result has them.
+func (r *Runner) Text(requestID string) string {
+	var lines []string
+	for n := 1; n <= r.events; n++ {
+		lines = append(lines, Data(requestID, n))
+	}
+	return strings.Join(lines, "\n")
+}
+
+// ServeHTTP implements http.Handler.
+func (r *Runner) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	id := req.Header.Get("X-Marblepond-Request-Id")
+	if _, err := io.Copy(io.Discard, req.Body); err != nil {
+		return
+	}
+	w.Header().Set("X-Marblepond-Request-Id", id)
+	if expected := req.Header.Get("X-Marblepond-Expect-Instance"); expected != "" && expected != r.ID {
+		w.Header().Set("X-Marblepond-Instance-Id", r.ID)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	r.mu.Lock()
+	what := r.behave(id, r.runs[id])
+	r.mu.Unlock()
+	if what == Full || int(r.busy.Add(1)) > r.slots {
+		if what != Full {
+			r.busy.Add(-1)
+		}
+		w.Header().Set("X-Marblepond-Not-Run", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	defer r.busy.Add(-1)
+	r.mu.Lock()
+	r.runs[id]++
+	r.resume[id] = append(r.resume[id], req.Header.Get("Last-Event-Id"))
+	r.heads[id] = req.Header.Clone()
+	r.mu.Unlock()
+	r.run(w, req, id, what)
+}
+
+func (r *Runner) run(w http.ResponseWriter, req *http.Request, id string, what Behaviour) {
+	stamp := fmt.Sprintf("stamp.%s.%08x", r.ID, rand.Uint32())
+	switch what {
+	case LoseAnswer:
+		panic(http.ErrAbortHandler)
+	case Fail, Never:
+		w.Header().Set("X-Marblepond-Server-Stamp", stamp)
+		w.WriteHeader(map[Behaviour]int{Fail: http.StatusInternalServerError, Never: http.StatusUnprocessableEntity}[what])
+		return
+	case ForeignID:
+		w.Header().Set("X-Marblepond-Request-Id", "another")
+	}
+	if what != NoProof {
+		w.Header().Set("X-Marblepond-Server-Stamp", stamp)
+	}
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.WriteHeader(http.StatusOK)
+	r.stream(w, req, id, what)
+}
+
+func (r *Runner) stream(w http.ResponseWriter, req *http.Request, id string, what Behaviour) {
+	flush := http.NewResponseController(w)
+	from, _ := strconv.Atoi(req.Header.Get("Last-Event-Id")) // absent: from the start
+	for n := from + 1; n <= r.events; n++ {
+		select {
+		case <-req.Context().Done():
+			r.mu.Lock()
+			r.cut[id]++
+			r.mu.Unlock()
+			return
+		case <-time.After(r.gap):
+		}
+		if what == BreakOff && n == from+1+r.events/2 {
+			fmt.Fprintf(w, "id: %d\ndata: half", n)
+			_ = flush.Flush()
+			panic(http.ErrAbortHandler)
+		}
+		fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, Data(id, n))
+		if flush.Flush() != nil {
+			return
+		}
+		if what == Stall {
+			<-req.Context().Done()
+			return
+		}
+	}
+}
--- /dev/null
+++ b/lab/hosted/store.go
@@ -0,0 +1,329 @@
+// Package hosted holds stand-ins for the users' platform: its object store and
+// its runners, spoken to over HTTP as the platform's pages say, and a fleet of
+// nodes before them. Failures are switched on from outside.
+package hosted
+
+import (
+	"encoding/json"
+	"maps"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// StoreFaults are what can be wrong with the store.
+type StoreFaults struct {
+	Down      bool            // every call is answered 503
+	Silent    bool            // no call is answered
+	Refuse    map[string]bool // callers by source IP that are answered 503
+	Latency   time.Duration   // added to every call
+	LoseWrite float64         // share of writes that are done and not answered
+	LateWrite time.Duration   // lost writes are done this much later
+	Stale     time.Duration   // age of what reads with stale_ok show
+}
+
+// Meta is the metadata of an object.
+type Meta struct {
+	Name       string   `json:"name"`
+	Rev        int64    `json:"rev"`
+	CreateRev  int64    `json:"create_rev"`
+	Finalizers []string `json:"finalizers"`
+	Deleting   bool     `json:"deleting"`
+}
+
+// Object is an object of the store.
+type Object struct {
+	Metadata Meta            `json:"metadata"`
+	Spec     json.RawMessage `json:"spec"`
+	Status   json.RawMessage `json:"status"`
+}
+
+type event struct {
+	kind    string
+	rev     int64
+	deleted bool
+	object  Object
+	at      time.Time
+}
+
+// Store is the stand-in of the platform's object store.
+type Store struct {
+	server *httptest.Server
+
+	mu      sync.Mutex
+	faults  StoreFaults
+	kinds   map[string]map[string]Object
+	rev     int64
+	history []event
+	floor   int64 // history up to here is gone
+	calls   map[string]int
+}
+
+// NewStore starts a store on a loopback address.
+func NewStore() *Store {
+	s := &Store{kinds: map[string]map[string]Object{}, calls: map[string]int{}}
+	s.server = httptest.NewServer(s)
+	return s
+}
+
+// Address returns the store's IP:port.
+func (s *Store) Address() string { return s.server.Listener.Addr().String() }
+
+// Close ends the store.
+func (s *Store) Close() {
+	s.Set(StoreFaults{})
+	s.server.CloseClientConnections()
+	s.server.Close()
+}
+
+// Set replaces the faults in force.
+func (s *Store) Set(f StoreFaults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+}
+
+// Forget drops the history of changes.
+func (s *Store) Forget() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.floor, s.history = s.rev, nil
+}
+
+// Calls returns how many calls were made, by method and kind.
+func (s *Store) Calls() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.calls)
+}
+
+// Put writes an object as the operator or a runner would.
+func (s *Store) Put(kind, name string, spec any) int64 {
+	data, err := json.Marshal(spec)
+	if err != nil {
+		panic(err) // test data of plain fields
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.put(kind, name, func(o *Object) { o.Spec = data }).Metadata.Rev
+}
+
+// Delete removes an object.
+func (s *Store) Delete(kind, name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.remove(kind, name)
+}
+
+// Get returns an object.
+func (s *Store) Get(kind, name string) (Object, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o, ok := s.kinds[kind][name]
+	return o, ok
+}
+
+// Names returns the names of a kind's objects.
+func (s *Store) Names(kind string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Sorted(maps.Keys(s.kinds[kind]))
+}
+
+func (s *Store) put(kind, name string, change func(*Object)) Object {
+	if s.kinds[kind] == nil {
+		s.kinds[kind] = map[string]Object{}
+	}
+	o, ok := s.kinds[kind][name]
+	s.rev++
+	if !ok {
+		o.Metadata = Meta{Name: name, CreateRev: s.rev, Finalizers: []string{}}
+	}
+	change(&o)
+	o.Metadata.Rev = s.rev
+	s.kinds[kind][name] = o
+	s.history = append(s.history, event{kind: kind, rev: s.rev, object: o, at: time.Now()})
+	return o
+}
+
+func (s *Store) remove(kind, name string) bool {
+	o, ok := s.kinds[kind][name]
+	if !ok {
+		return false
+	}
+	s.rev++
+	delete(s.kinds[kind], name)
+	o.Metadata.Rev = s.rev
+	s.history = append(s.history, event{kind: kind, rev: s.rev, deleted: true, object: o, at: time.Now()})
+	return true
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	kind, name, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/v1/objects/"), "/")
+	s.mu.Lock()
+	f := s.faults
+	s.calls[r.Method+" "+kind]++
+	s.mu.Unlock()
+	time.Sleep(f.Latency)
+	from, _, _ := net.SplitHostPort(r.RemoteAddr)
+	switch {
+	case f.Silent:
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	case f.Down, f.Refuse[from]:
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	if r.Method == http.MethodGet {
+		s.read(w, r, kind, name, f)
+		return
+	}
+	s.write(w, r, kind, name, f)
+}
+
+func (s *Store) write(w http.ResponseWriter, r *http.Request, kind, name string, f StoreFaults) {
+	var sent Object
+	if r.Method != http.MethodDelete {
+		if err := json.NewDecoder(r.Body).Decode(&sent); err != nil {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+	}
+	lost := rand.Float64() < f.LoseWrite
+	if lost && f.LateWrite > 0 {
+		time.AfterFunc(f.LateWrite, func() { s.apply(r.Method, kind, name, sent) })
+	}
+	if lost && f.LateWrite > 0 {
+		panic(http.ErrAbortHandler)
+	}
+	status, answer := s.apply(r.Method, kind, name, sent)
+	if lost {
+		panic(http.ErrAbortHandler)
+	}
+	w.WriteHeader(status)
+	if answer != nil {
+		_ = json.NewEncoder(w).Encode(answer) // the caller may be gone
+	}
+}
+
+func (s *Store) apply(method, kind, name string, sent Object) (int, *Object) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	name, isStatus := strings.CutSuffix(name, "/status")
+	if method == http.MethodPost {
+		name = sent.Metadata.Name
+	}
+	old, exists := s.kinds[kind][name]
+	switch {
+	case method == http.MethodPost && exists:
+		return http.StatusConflict, &old
+	case method != http.MethodPost && !exists:
+		return http.StatusNotFound, nil
+	case sent.Metadata.Rev != 0 && sent.Metadata.Rev != old.Metadata.Rev:
+		return http.StatusConflict, &old
+	case method == http.MethodDelete:
+		s.remove(kind, name)
+		return http.StatusOK, nil
+	}
+	o := s.put(kind, name, func(o *Object) {
+		if isStatus {
+			o.Status = sent.Status
+		} else {
+			o.Spec = sent.Spec
+		}
+	})
+	return http.StatusOK, &o
+}
+
+func (s *Store) read(w http.ResponseWriter, r *http.Request, kind, name string, f StoreFaults) {
+	query := r.URL.Query()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case name != "":
+		o, ok := s.kinds[kind][name]
+		if !ok {
+			w.WriteHeader(http.StatusNotFound)
+			return
+		}
+		_ = json.NewEncoder(w).Encode(o)
+	case query.Has("watch"):
+		s.watch(w, kind, query.Get("watch"))
+	default:
+		s.list(w, kind, query.Get("after"), query.Has("stale_ok"), f)
+	}
+}
+
+// pageSize keeps lists short enough that tests meet several pages.
+const pageSize = 5
+
+func (s *Store) list(w http.ResponseWriter, kind, after string, stale bool, f StoreFaults) {
+	answer := struct {
+		Items    []Object `json:"items"`
+		More     bool     `json:"has_more"`
+		Revision int64    `json:"store_revision"`
+	}{Items: []Object{}, Revision: s.rev}
+	objects := s.kinds[kind]
+	if stale && f.Stale > 0 {
+		objects = s.asOf(kind, time.Now().Add(-f.Stale))
+	}
+	for _, name := range slices.Sorted(maps.Keys(objects)) {
+		if name <= after {
+			continue
+		}
+		if len(answer.Items) == pageSize {
+			answer.More = true
+			break
+		}
+		answer.Items = append(answer.Items, objects[name])
+	}
+	_ = json.NewEncoder(w).Encode(answer)
+}
+
+// asOf returns a kind's objects as they were.
+func (s *Store) asOf(kind string, at time.Time) map[string]Object {
+	out := map[string]Object{}
+	for _, e := range s.history {
+		switch {
+		case e.kind != kind || e.at.After(at):
+		case e.deleted:
+			delete(out, e.object.Metadata.Name)
+		default:
+			out[e.object.Metadata.Name] = e.object
+		}
+	}
+	return out
+}
+
+func (s *Store) watch(w http.ResponseWriter, kind, from string) {
+	since, err := strconv.ParseInt(from, 10, 64)
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	if since < s.floor {
+		w.WriteHeader(http.StatusGone)
+		return
+	}
+	type change struct {
+		Deleted bool   `json:"deleted"`
+		Object  Object `json:"object"`
+	}
+	answer := struct {
+		Events   []change `json:"events"`
+		Revision int64    `json:"store_revision"`
+	}{Events: []change{}, Revision: s.rev}
+	for _, e := range s.history {
+		if e.kind == kind && e.rev > since {
+			answer.Events = append(answer.Events, change{e.deleted, e.object})
+		}
+	}
+	_ = json.NewEncoder(w).Encode(answer)
+}
