--- a/internal/process/hosted/hosted.go
+++ b/internal/process/hosted/hosted.go
@@ -86,6 +86,7 @@
 	beacon    *beacon.Exchange
 	claims    claims
 
+	nodeList  atomic.Pointer[follow.Refresher] // keeps the list of nodes
 	nodes     atomic.Pointer[map[string]nodeRecord]
 	table     atomic.Pointer[route.Table]
 	configAt  atomic.Int64  // Unix nanoseconds when the table came into force
@@ -213,6 +214,9 @@
 		n.gossip.Pulls.Put(r.Address)
 		return
 	}
+	if list := n.nodeList.Load(); list != nil {
+		list.Kick() // it has registered since the list was read
+	}
 	n.gossip.Pulls.Put(n.anySeed())
 }
 
@@ -360,7 +364,11 @@
 
 func (n *Node) startDuties(ctx context.Context, l listeners, wg *sync.WaitGroup) {
 	for kind, age := range n.followed() {
-		r := &follow.Refresher{Kind: kind, Store: n.adapter.Store, Cache: n.cache, Listener: n, MaxAge: age, Self: n.settings.NodeID, Heard: n.followers(kind)}
+		r := follow.NewRefresher(kind)
+		r.Store, r.Cache, r.Listener, r.MaxAge, r.Self, r.Heard = n.adapter.Store, n.cache, n, age, n.settings.NodeID, n.followers(kind)
+		if kind == kindNodes {
+			n.nodeList.Store(r)
+		}
 		wg.Go(func() { r.Run(ctx) })
 	}
 	wg.Go(func() { n.gossip.Run(ctx) })
--- a/internal/request/job/manager.go
+++ b/internal/request/job/manager.go
@@ -99,6 +99,7 @@
 	draining  bool
 	absent    map[string]time.Time // holders: since when they do not answer
 	heads     map[string]knownHead // of jobs that others hold
+	ends      map[string]time.Time // when the end of a job was told; the copy of the store may be older
 	committer sync.WaitGroup
 }
 
@@ -125,7 +126,8 @@
 // NewManager returns a manager; Run starts it.
 func NewManager(cfg Config, parts Parts) *Manager {
 	return &Manager{cfg: cfg, Parts: parts, results: newResultCache(cfg.ResultMemory), wakeUp: make(chan struct{}, 1), stopped: make(chan struct{}),
-		held: map[string]*held{}, reserved: map[string]int64{}, absent: map[string]time.Time{}, heads: map[string]knownHead{}}
+		held: map[string]*held{}, reserved: map[string]int64{}, absent: map[string]time.Time{}, heads: map[string]knownHead{},
+		ends: map[string]time.Time{}}
 }
 
 // Run schedules items and looks for jobs without a holder until ctx ends.
@@ -151,7 +153,7 @@
 		m.mu.Unlock()
 		return
 	}
-	h.ended = m.Ended(id)
+	h.ended = m.endKnown(id)
 	m.held[id] = h
 	delete(m.heads, id)
 	m.committer.Add(1)
@@ -199,6 +201,7 @@
 func (m *Manager) EndSeen(id string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.ends[id] = time.Now()
 	h := m.held[id]
 	if h == nil || h.ended {
 		return
@@ -211,6 +214,13 @@
 	m.Recorder.Record(timeline.JobEnded, id, "", "its caller ended it")
 }
 
+// endKnown reports whether the end of a job is known here, from the copy of the
+// store or from another node. The caller holds m.mu.
+func (m *Manager) endKnown(id string) bool {
+	_, told := m.ends[id]
+	return told || m.Ended(id)
+}
+
 // MakeRoom stops items at targets that online requests are about to fill.
 // They go on later from the events they hold.
 func (m *Manager) MakeRoom() {
--- a/internal/request/job/sweep.go
+++ b/internal/request/job/sweep.go
@@ -47,6 +47,7 @@
 
 // sweepOnce returns whether a holder is suspected.
 func (m *Manager) sweepOnce(ctx context.Context) bool {
+	m.forgetEnds()
 	page, err := m.Store.ListStale(ctx, KindHeads)
 	if err != nil {
 		return true // the store is away; look again soon after it is back
@@ -61,7 +62,7 @@
 		switch {
 		case m.expired(&head):
 			m.remove(ctx, o.Name, &head)
-		case head.Complete(), m.Ended(o.Name), m.holds(o.Name):
+		case head.Complete(), m.busy(o.Name):
 		default:
 			byHolder[head.Holder] = append(byHolder[head.Holder], o.Name)
 		}
@@ -81,10 +82,23 @@
 	return suspected
 }
 
-func (m *Manager) holds(id string) bool {
+// busy reports whether a job is not to be taken over here: it is held or ended,
+// or this node leaves.
+func (m *Manager) busy(id string) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.held[id] != nil || m.draining
+	return m.held[id] != nil || m.draining || m.endKnown(id)
+}
+
+// forgetEnds drops ends that the copy of the store has had long since.
+func (m *Manager) forgetEnds() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for id, at := range m.ends {
+		if time.Since(at) > m.cfg.KeepResults {
+			delete(m.ends, id)
+		}
+	}
 }
 
 // lostJobs returns which of a holder's jobs nobody works on; suspected tells
@@ -133,7 +147,7 @@
 	ctx, cancel := context.WithTimeout(ctx, adoptTimeout)
 	defer cancel()
 	head, o, err := m.getHead(ctx, callbudget.Commit, id)
-	if err != nil || head.Holder != from || head.Complete() || m.holds(id) {
+	if err != nil || head.Holder != from || head.Complete() || m.busy(id) {
 		return
 	}
 	items, err := m.getItems(ctx, id, head.Parts)
@@ -176,7 +190,7 @@
 	for n := range head.Parts {
 		all = append(all, object{KindItems, partName(id, n)})
 	}
-	if m.Ended(id) {
+	if m.Ended(id) { // as the store has it
 		all = append(all, object{KindEnds, id})
 	}
 	all = append(all, object{KindHeads, id})
--- a/internal/version/follow/refresh.go
+++ b/internal/version/follow/refresh.go
@@ -61,13 +61,27 @@
 	// those that follow the kind.
 	Self  string
 	Heard func() []string
+
+	kicks chan struct{}
+}
+
+// Kick makes the refresher ask the store at once. It never blocks.
+func (r *Refresher) Kick() {
+	select {
+	case r.kicks <- struct{}{}:
+	default: // a kick is waiting already
+	}
+}
+
+// NewRefresher returns a refresher of a kind; the caller sets the other fields.
+func NewRefresher(kind string) *Refresher {
+	return &Refresher{Kind: kind, kicks: make(chan struct{}, 1)}
 }
 
 // Run refreshes until ctx ends.
 func (r *Refresher) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if due := r.due(); due > 0 {
-			wait.For(ctx, due)
+		if due := r.due(); due > 0 && !r.kicked(ctx, due) {
 			continue
 		}
 		if err := r.refresh(ctx); err != nil {
@@ -77,6 +91,19 @@
 	}
 }
 
+// kicked waits and reports whether a kick came meanwhile.
+func (r *Refresher) kicked(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-r.kicks:
+		return true
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return false
+}
+
 // due returns how long the copy may still go without a question.
 func (r *Refresher) due() time.Duration {
 	age, known := r.Cache.Age(r.Kind)
--- /dev/null
+++ b/lab/hosted/jobs_test.go
@@ -0,0 +1,213 @@
+package hosted
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// quickJobs lets silences end within a test.
+const quickJobs = "[jobs]\ntake_over_after = 700ms\nsweep_interval = 300ms\n"
+
+func (f *Fleet) callers() []string {
+	var out []string
+	for _, n := range f.Nodes {
+		out = append(out, n.Caller())
+	}
+	return out
+}
+
+// checkResults fails unless the results are one whole answer for each item.
+func (f *Fleet) checkResults(t *testing.T, job string, items int, results []Result) {
+	t.Helper()
+	seen := map[string]bool{}
+	for _, r := range results {
+		if seen[r.ID] {
+			t.Errorf("item %s has two positions", r.ID)
+		}
+		seen[r.ID] = true
+		if r.State != "completed" || r.Text != f.Runners[0].Text(r.ID) {
+			t.Errorf("item %s is %s with text %q", r.ID, r.State, r.Text)
+		}
+	}
+	if len(seen) != items {
+		t.Errorf("job %s: %d of %d items have a result", job, len(seen), items)
+	}
+}
+
+func TestJobRunsAndIsReadAnywhere(t *testing.T) {
+	is := is.New(t)
+	f := fleet(t, Options{Nodes: 3, Runners: 2, Extra: quickJobs})
+	is.Equal(Submit(f.Nodes[0].Caller(), "j1", Items("j1", 12)).Status, http.StatusAccepted)
+	for _, n := range f.callers() { // sent again, at every node: accepted once
+		is.Equal(Submit(n, "j1", Items("j1", 12)).Status, http.StatusAccepted)
+	}
+	body := Call(context.Background(), http.MethodGet, f.Nodes[1].Caller(), "/v1/items/j1?id=j1-11", "", nil, nil)
+	is.Equal(body.Body, "body 11")
+	results, err := ReadAll(f.callers(), "j1", 10*time.Second)
+	is.NoErr(err)
+	f.checkResults(t, "j1", 12, results)
+	for _, n := range f.callers() { // positions are the same everywhere, also from the middle
+		r, _ := Read(n, "j1", 5)
+		is.Equal(r.Results[0], results[5])
+		is.Equal(r.Total, 12)
+	}
+	for _, r := range results {
+		is.Equal(f.runs(r.ID), 1)
+	}
+}
+
+// TestItemsThatFail: an item that can never be done is given up at once, one
+// that always fails after its attempts, and one that breaks off goes on at the
+// last event; the job still ends.
+func TestItemsThatFail(t *testing.T) {
+	is := is.New(t)
+	f := fleet(t, Options{Nodes: 1, Runners: 2, Extra: quickJobs})
+	for _, r := range f.Runners {
+		r.Behave(func(id string, run int) Behaviour {
+			switch {
+			case id == "j2-0":
+				return Never
+			case id == "j2-1":
+				return Fail
+			case id == "j2-2" && run == 0:
+				return BreakOff
+			}
+			return Serve
+		})
+	}
+	is.Equal(Submit(f.Nodes[0].Caller(), "j2", Items("j2", 4)).Status, http.StatusAccepted)
+	results, err := ReadAll(f.callers(), "j2", 10*time.Second)
+	is.NoErr(err)
+	states := map[string]string{}
+	for _, r := range results {
+		states[r.ID] = r.State
+	}
+	is.Equal(states["j2-0"], "dead_letter")
+	is.Equal(states["j2-1"], "dead_letter")
+	is.Equal(f.runs("j2-0"), 1)
+	is.Equal(f.runs("j2-1"), 3) // the attempts of the route
+	var alive []Result
+	for _, r := range results {
+		if r.State == "completed" {
+			alive = append(alive, r)
+		}
+	}
+	f.checkResults(t, "j2", 2, alive)
+	resumed := append(f.Runners[0].Resumed("j2-2"), f.Runners[1].Resumed("j2-2")...)
+	is.True(len(resumed) >= 2)
+}
+
+// TestEndedJobStops: after the end of a job was answered, at whatever node, its
+// items stop, also where the notice to the holder is lost.
+func TestEndedJobStops(t *testing.T) {
+	is := is.New(t)
+	f := fleet(t, Options{Nodes: 2, Runners: 1, Slots: 8, Events: 400, Gap: 10 * time.Millisecond, Extra: quickJobs})
+	is.Equal(Submit(f.Nodes[0].Caller(), "j3", Items("j3", 20)).Status, http.StatusAccepted)
+	eventually(t, "items run", 2*time.Second, func() bool { return f.Runners[0].Busy() > 0 })
+	is.Equal(End(f.Nodes[1].Caller(), "j3").Status, http.StatusOK)
+	is.Equal(End(f.Nodes[0].Caller(), "j3").Status, http.StatusOK) // repeated
+	eventually(t, "no item runs", 3*time.Second, func() bool { return f.Runners[0].Busy() == 0 })
+	time.Sleep(500 * time.Millisecond)
+	is.Equal(f.Runners[0].Busy(), 0)
+	_, status := Read(f.Nodes[1].Caller(), "j3", 0)
+	is.Equal(status, http.StatusOK) // what is listed stays readable
+}
+
+// TestTokenCap: tokens that wait at all nodes count against the cap, a job that
+// does not fit is refused, and one that was accepted before is not.
+func TestTokenCap(t *testing.T) {
+	is := is.New(t)
+	f := fleet(t, Options{Nodes: 2, Runners: 1, Slots: 8, Events: 1000, Gap: 10 * time.Millisecond, Extra: quickJobs})
+	f.Store.Put("config", "main", Config(2, func(c map[string]any) { c["routes"].([]any)[3].(map[string]any)["cap"] = 2500.0 }))
+	for _, n := range f.Nodes {
+		eventually(t, "version 2 is in force", 2*time.Second, func() bool { return n.Table().Version == 2 })
+	}
+	is.Equal(Submit(f.Nodes[0].Caller(), "c1", Items("c1", 20)).Status, http.StatusAccepted)
+	time.Sleep(1500 * time.Millisecond) // a round between the nodes
+	refused := Submit(f.Nodes[1].Caller(), "c2", Items("c2", 10))
+	is.Equal(refused.Status, http.StatusTooManyRequests)
+	is.True(refused.Header.Get("Retry-After") != "")
+	is.Equal(Submit(f.Nodes[1].Caller(), "c1", Items("c1", 20)).Status, http.StatusAccepted)
+	is.Equal(Submit(f.Nodes[1].Caller(), "c3", Items("c3", 4)).Status, http.StatusAccepted)
+	is.Equal(len(f.Store.Names("marblepond-jobs")), 2)
+}
+
+// TestOnlineGoesFirst: online requests that meet a full runner are served at
+// once, and the items that made room go on from the events they hold.
+func TestOnlineGoesFirst(t *testing.T) {
+	is := is.New(t)
+	f := fleet(t, Options{Nodes: 2, Runners: 1, Slots: 8, Events: 60, Gap: 10 * time.Millisecond, Extra: quickJobs})
+	is.Equal(Submit(f.Nodes[0].Caller(), "y1", Items("y1", 16)).Status, http.StatusAccepted)
+	eventually(t, "items fill the runner", 2*time.Second, func() bool { return f.Runners[0].Busy() >= 6 })
+	var wg sync.WaitGroup
+	for i := range 6 {
+		wg.Go(func() {
+			asked := time.Now()
+			reply := Ask(context.Background(), f.Nodes[1].Caller(), StreamPath, fmt.Sprint("on", i), nil)
+			if reply.Err != nil || reply.Status != http.StatusOK {
+				t.Errorf("online request %d: %d %v", i, reply.Status, reply.Err)
+			}
+			if took := time.Since(asked); took > 2*time.Second {
+				t.Errorf("online request %d took %v", i, took)
+			}
+		})
+		time.Sleep(20 * time.Millisecond)
+	}
+	wg.Wait()
+	results, err := ReadAll(f.callers(), "y1", 20*time.Second)
+	is.NoErr(err)
+	f.checkResults(t, "y1", 16, results)
+	went := 0
+	for i := range 16 {
+		for _, from := range f.Runners[0].Resumed(fmt.Sprint("y1-", i)) {
+			if from != "" {
+				went++
+			}
+		}
+	}
+	is.True(went > 0) // some item made room and went on
+}
+
+// TestHolderLost: jobs of a node that is gone are taken over, and what was
+// listed keeps its position.
+func TestHolderLost(t *testing.T) {
+	is := is.New(t)
+	f := fleet(t, Options{Nodes: 3, Runners: 2, Slots: 8, Events: 20, Gap: 10 * time.Millisecond, Extra: quickJobs})
+	is.Equal(Submit(f.Nodes[0].Caller(), "l1", Items("l1", 40)).Status, http.StatusAccepted)
+	eventually(t, "some results are listed", 10*time.Second, func() bool {
+		r, _ := Read(f.Nodes[1].Caller(), "l1", 0)
+		return len(r.Results) > 0
+	})
+	before, _ := Read(f.Nodes[1].Caller(), "l1", 0)
+	f.Nodes[0].Kill()
+	results, err := ReadAll(f.callers()[1:], "l1", 20*time.Second)
+	is.NoErr(err)
+	f.checkResults(t, "l1", 40, results)
+	for i, r := range before.Results {
+		is.Equal(results[i], r)
+	}
+}
+
+// TestLeavingNodeHandsOver: a node that is asked to stop ends what it answers,
+// and its jobs go on elsewhere at once.
+func TestLeavingNodeHandsOver(t *testing.T) {
+	is := is.New(t)
+	f := fleet(t, Options{Nodes: 2, Runners: 2, Slots: 8, Events: 100, Gap: 10 * time.Millisecond, Extra: "[jobs]\ntake_over_after = 1m\nsweep_interval = 1m\n"})
+	is.Equal(Submit(f.Nodes[0].Caller(), "h1", Items("h1", 40)).Status, http.StatusAccepted)
+	answered := make(chan Reply, 1)
+	go func() { answered <- Ask(context.Background(), f.Nodes[0].Caller(), StreamPath, "h-on", nil) }()
+	eventually(t, "the request runs", time.Second, func() bool { return f.runs("h-on") == 1 })
+	is.NoErr(f.Nodes[0].Terminate())
+	reply := <-answered
+	is.NoErr(reply.Err)
+	is.Equal(StreamText(reply.Body), f.Runners[0].Text("h-on"))
+	results, err := ReadAll(f.callers()[1:], "h1", 20*time.Second)
+	is.NoErr(err)
+	f.checkResults(t, "h1", 40, results)
+}
--- a/lab/hosted/store.go
+++ b/lab/hosted/store.go
@@ -5,6 +5,7 @@
 
 import (
 	"encoding/json"
+	"io"
 	"maps"
 	"math/rand/v2"
 	"net"
@@ -63,11 +64,12 @@
 	history []event
 	floor   int64 // history up to here is gone
 	calls   map[string]int
+	closed  chan struct{}
 }
 
 // NewStore starts a store on a loopback address.
 func NewStore() *Store {
-	s := &Store{kinds: map[string]map[string]Object{}, calls: map[string]int{}}
+	s := &Store{kinds: map[string]map[string]Object{}, calls: map[string]int{}, closed: make(chan struct{})}
 	s.server = httptest.NewServer(s)
 	return s
 }
@@ -77,7 +79,7 @@
 
 // Close ends the store.
 func (s *Store) Close() {
-	s.Set(StoreFaults{})
+	close(s.closed)
 	s.server.CloseClientConnections()
 	s.server.Close()
 }
@@ -175,7 +177,11 @@
 	from, _, _ := net.SplitHostPort(r.RemoteAddr)
 	switch {
 	case f.Silent:
-		<-r.Context().Done()
+		_, _ = io.Copy(io.Discard, r.Body) // net/http notices a caller that leaves only after that
+		select {
+		case <-r.Context().Done():
+		case <-s.closed:
+		}
 		panic(http.ErrAbortHandler)
 	case f.Down, f.Refuse[from]:
 		w.WriteHeader(http.StatusServiceUnavailable)
--- /dev/null
+++ b/lab/hosted/store_test.go
@@ -0,0 +1,165 @@
+package hosted
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// TestConfigurationThroughTrouble: a change is in force within 2 s when the
+// store has forgotten its history, and a node never goes back to an older one.
+func TestConfigurationThroughTrouble(t *testing.T) {
+	is := is.New(t)
+	f := fleet(t, Options{Nodes: 3, Runners: 1})
+	f.Store.Put("config", "main", Config(5))
+	f.Store.Forget()
+	for _, n := range f.Nodes {
+		eventually(t, "version 5 is in force", 2*time.Second, func() bool { return n.Table().Version == 5 })
+	}
+	f.Store.Put("config", "main", Config(4)) // an older version never comes into force
+	time.Sleep(1200 * time.Millisecond)
+	for _, n := range f.Nodes {
+		is.Equal(n.Table().Version, int64(5))
+	}
+}
+
+// TestStoreAway: while the store is away nodes serve with what they hold, take
+// no jobs, and say that nothing of a refused job runs; results are committed
+// when it is back.
+func TestStoreAway(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		faults StoreFaults
+	}{{"refusing", StoreFaults{Down: true}}, {"silent", StoreFaults{Silent: true}}} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			f := fleet(t, Options{Nodes: 2, Runners: 2, Slots: 8, Events: 20, Gap: 10 * time.Millisecond, Extra: quickJobs})
+			is.Equal(Submit(f.Nodes[0].Caller(), "s1", Items("s1", 10)).Status, http.StatusAccepted)
+			f.Store.Set(c.faults)
+			refused := Submit(f.Nodes[1].Caller(), "s2", Items("s2", 2))
+			is.Equal(refused.Status, http.StatusServiceUnavailable)
+			is.True(refused.Header.Get("Retry-After") != "")
+			for i := range 4 {
+				is.Equal(Ask(context.Background(), f.Nodes[i%2].Caller(), StreamPath, fmt.Sprint("s", i), nil).Status, http.StatusOK)
+			}
+			_, status := Read(f.Nodes[1].Caller(), "s-unknown", 0)
+			is.Equal(status, http.StatusServiceUnavailable) // not sure, so not 404
+			time.Sleep(2500 * time.Millisecond)
+			f.Store.Set(StoreFaults{})
+			results, err := ReadAll(f.callers(), "s1", 15*time.Second)
+			is.NoErr(err)
+			f.checkResults(t, "s1", 10, results)
+			is.Equal(f.runs("s2-0"), 0)
+		})
+	}
+}
+
+// TestLostAnswersOfTheStore: writes that are done and not answered, at once or
+// later, lose no job, double none, and move no result.
+func TestLostAnswersOfTheStore(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		late time.Duration
+	}{{"at once", 0}, {"later", 700 * time.Millisecond}} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			f := fleet(t, Options{Nodes: 2, Runners: 2, Extra: quickJobs})
+			f.Store.Set(StoreFaults{LoseWrite: 0.4, LateWrite: c.late})
+			var wg sync.WaitGroup
+			for n := range 6 {
+				wg.Go(func() {
+					job := fmt.Sprint("w", n)
+					status := 0
+					for try := 0; try < 10 && status != http.StatusAccepted; try++ { // as clients do: again, elsewhere
+						status = Submit(f.Nodes[try%2].Caller(), job, Items(job, 6)).Status
+					}
+					if status != http.StatusAccepted {
+						t.Errorf("job %s is not accepted: %d", job, status)
+					}
+				})
+			}
+			wg.Wait()
+			time.Sleep(time.Second)
+			f.Store.Set(StoreFaults{})
+			for n := range 6 {
+				job := fmt.Sprint("w", n)
+				results, err := ReadAll(f.callers(), job, 15*time.Second)
+				is.NoErr(err)
+				f.checkResults(t, job, 6, results)
+				again, err := ReadAll(f.callers()[1:], job, 5*time.Second)
+				is.NoErr(err)
+				is.Equal(again, results)
+			}
+		})
+	}
+}
+
+// TestNewsThroughPeers: a node that cannot reach the store learns a change of
+// the configuration from its peers. Here the store refuses it from the start,
+// so that all it knows comes from them.
+func TestNewsThroughPeers(t *testing.T) {
+	is := is.New(t)
+	f := fleet(t, Options{Nodes: 2, Runners: 1})
+	cut, err := f.StartNode("edge-cut", "")
+	is.NoErr(err)
+	is.NoErr(f.waitReady(cut))
+	cutStore := NewStore() // a node whose store answers nothing
+	defer cutStore.Close()
+	cutStore.Set(StoreFaults{Down: true})
+	real := f.Store
+	f.Store = cutStore
+	lone, err := f.StartNode("edge-lone", "")
+	f.Store = real
+	is.NoErr(err)
+	is.NoErr(f.waitReady(lone)) // configuration and targets came from peers
+	f.Store.Put("config", "main", Config(7))
+	eventually(t, "version 7 is in force at the cut node", 2*time.Second, func() bool { return lone.Table().Version == 7 })
+	is.Equal(Ask(context.Background(), lone.Caller(), StreamPath, "lone", nil).Status, http.StatusOK)
+}
+
+// TestNoConfigurationYet: a node that knows no configuration refuses with 503
+// and is not ready.
+func TestNoConfigurationYet(t *testing.T) {
+	is := is.New(t)
+	f := &Fleet{Store: NewStore(), Log: testWriter{}}
+	defer f.Stop()
+	f.Store.Set(StoreFaults{Down: true})
+	n, err := f.StartNode("edge-0", "")
+	is.NoErr(err)
+	var reply Reply
+	eventually(t, "it answers", 2*time.Second, func() bool {
+		reply = Ask(context.Background(), n.Caller(), StreamPath, "n1", nil)
+		return reply.Err == nil
+	})
+	is.Equal(reply.Status, http.StatusServiceUnavailable)
+	resp, err := http.Get("http://" + n.Settings.ReadyListen + "/v1/ready")
+	is.NoErr(err)
+	resp.Body.Close()
+	is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
+}
+
+// TestCallsToTheStore: following costs the same for few and for many nodes,
+// because nodes in contact share it.
+func TestCallsToTheStore(t *testing.T) {
+	is := is.New(t)
+	rate := func(nodes int) float64 {
+		f := fleet(t, Options{Nodes: nodes, Runners: 1})
+		time.Sleep(time.Second) // nodes get to know each other
+		before := f.Store.Calls()["GET config"]
+		time.Sleep(3 * time.Second)
+		return float64(f.Store.Calls()["GET config"]-before) / 3
+	}
+	two, eight := rate(2), rate(8)
+	t.Logf("calls a second for the configuration: %.1f by 2 nodes, %.1f by 8", two, eight)
+	is.True(two < 3)
+	is.True(eight < 4)
+}
+
+type testWriter struct{}
+
+func (testWriter) Write(p []byte) (int, error) { return len(p), nil }
