Judge slow targets against all of their service, and test the pure machines

Cause, by TestSlowTargetIsAvoided, which failed first: the usual time to the first event was the upper median over the targets with room only; with two of them the slow one was the measure of itself. Change: the lower median over all targets of the service. Property tests for progress, the deal of slots, splitting and refreshing.

--- a/internal/request/choose/choose.go
+++ b/internal/request/choose/choose.go
@@ -290,7 +290,7 @@
 	if len(out) == 0 && !need.Batch {
 		return leastOnline(full)
 	}
-	return t.preferred(now, out)
+	return t.preferred(now, need.Service, out)
 }
 
 // leastOnline returns the entries with the fewest online requests: where all
@@ -308,8 +308,8 @@
 
 // preferred leaves out slow targets, those that are still warming up, and those
 // of other data centres, when others have room.
-func (t *Table) preferred(now time.Time, entries []*entry) []*entry {
-	usual := usualFirstEvent(entries)
+func (t *Table) preferred(now time.Time, service string, entries []*entry) []*entry {
+	usual := t.usualFirstEvent(service)
 	entries = keepIfAny(entries, func(e *entry) bool { return !e.Warming && !e.slow(now, usual) })
 	if t.cfg.Home == "" {
 		return entries
@@ -331,11 +331,12 @@
 	saturatedFor = 50 * time.Millisecond
 )
 
-// usualFirstEvent returns the median over targets that were measured.
-func usualFirstEvent(entries []*entry) time.Duration {
+// usualFirstEvent returns the lower median over the service's targets that were
+// measured.
+func (t *Table) usualFirstEvent(service string) time.Duration {
 	var times []time.Duration
-	for _, e := range entries {
-		if e.firstEvent > 0 {
+	for _, id := range t.rank[service] {
+		if e := t.entries[id]; e.firstEvent > 0 {
 			times = append(times, e.firstEvent)
 		}
 	}
@@ -343,7 +344,7 @@
 		return 0
 	}
 	sort.Slice(times, func(i, j int) bool { return times[i] < times[j] })
-	return times[len(times)/2]
+	return times[(len(times)-1)/2]
 }
 
 func (e *entry) slow(now time.Time, usual time.Duration) bool {
--- a/internal/request/choose/choose_test.go
+++ b/internal/request/choose/choose_test.go
@@ -122,3 +122,79 @@
 	_, ok := table(2, Affinity).Choose(start, Need{Service: "s", Loaded: "m@2"})
 	is.True(!ok)
 }
+
+func slotTable(now time.Time) *Table {
+	t := New(Config{EjectAfter: 2, EjectTime: time.Second, Policy: LeastLoad, Home: "here"})
+	t.Set([]Target{{ID: "a", Incarnation: 1, Service: "s", DataCentre: "here", Slots: 4}, {ID: "b", Incarnation: 1, Service: "s", DataCentre: "there", Slots: 4}})
+	return t
+}
+
+// TestHomeFirstThenElsewhere: requests go to the own data centre while it has
+// room, then to another, then over the slots up to the overflow, then nowhere.
+func TestHomeFirstThenElsewhere(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(0, 0)
+	table := slotTable(now)
+	var got string
+	for range 12 {
+		target, ok := table.Choose(now, Need{Service: "s", Overflow: 2})
+		if !ok {
+			break
+		}
+		table.Begin(target.ID)
+		got += target.ID
+	}
+	is.Equal(got[:8], "aaaabbbb")
+	is.Equal(len(got), 12) // two more each
+	_, ok := table.Choose(now, Need{Service: "s", Overflow: 2})
+	is.True(!ok)
+}
+
+// TestBatchLeavesRoom: batch items leave the reserve free, count what other
+// nodes have in flight, and give way when online requests come.
+func TestBatchLeavesRoom(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(0, 0)
+	table := slotTable(now)
+	need := Need{Service: "s", Batch: true, Reserve: 2}
+	placed := 0
+	for {
+		target, ok := table.Choose(now, need)
+		if !ok {
+			break
+		}
+		table.BeginBatch(target.ID)
+		placed++
+	}
+	is.Equal(placed, 4) // two of four slots at each
+	is.Equal(len(table.Excess(1)), 0)
+	table.SetElsewhere("other", map[string]InFlight{"a": {Online: 2, Batch: 1}})
+	is.Equal(table.Excess(1)["a"], 2) // own part of what is over
+	table.SetElsewhere("other", nil)
+	is.Equal(len(table.Excess(1)), 0)
+	_, ok := table.Choose(now, Need{Service: "s", Batch: true, Reserve: 0, Limit: func(Target) int { return 2 }})
+	is.True(!ok) // two at each already
+}
+
+// TestSlowTargetIsAvoided: a target whose first events come late gets requests
+// only when others are full, and is tried again after a while.
+func TestSlowTargetIsAvoided(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(0, 0)
+	table := New(Config{EjectAfter: 2, EjectTime: time.Second, Policy: LeastLoad})
+	table.Set([]Target{{ID: "a", Incarnation: 1, Service: "s", Slots: 4}, {ID: "b", Incarnation: 1, Service: "s", Slots: 4}, {ID: "c", Incarnation: 1, Service: "s", Slots: 4}})
+	for range 5 {
+		table.FirstEvent(now, "a", 50*time.Millisecond)
+		table.FirstEvent(now, "b", 50*time.Millisecond)
+		table.FirstEvent(now, "c", 400*time.Millisecond)
+	}
+	for range 8 {
+		target, ok := table.Choose(now, Need{Service: "s"})
+		is.True(ok && target.ID != "c")
+		table.Begin(target.ID)
+	}
+	target, _ := table.Choose(now, Need{Service: "s"})
+	is.Equal(target.ID, "c") // the others are full
+	later := now.Add(slowFor)
+	is.True(!table.entries["c"].slow(later, 50*time.Millisecond))
+}
--- /dev/null
+++ b/internal/request/job/progress_test.go
@@ -0,0 +1,146 @@
+package job
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// TestEveryItemHasOnePosition: whatever order attempts end in, every item gets
+// one result, and its text holds each event once.
+func TestEveryItemHasOnePosition(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		total := rapid.IntRange(1, 8).Draw(t, "items")
+		p := newProgress(&Head{Total: total})
+		now := time.Unix(0, 0)
+		positions := map[int]int{}
+		for step := 0; !p.whole() && step < 500; step++ {
+			now = now.Add(time.Second)
+			i := rapid.IntRange(0, total-1).Draw(t, "item")
+			s := &p.items[i]
+			switch action := rapid.SampledFrom([]string{"send", "event", "repeat", "break", "yield", "finish", "finish twice", "commit"}).Draw(t, "action"); {
+			case action == "send" && s.phase == waiting:
+				p.sent(i, "t", now)
+			case action == "event" && s.phase == running:
+				p.event(i, s.held+1, []byte(fmt.Sprint(s.held+1)))
+			case action == "repeat" && s.phase == running:
+				p.event(i, s.held, []byte("repeated"))
+			case action == "break" && s.phase == running:
+				p.broke(i, now)
+			case action == "yield" && s.phase == running:
+				p.unsent(i, now, 0)
+			case strings.HasPrefix(action, "finish") && s.phase == running:
+				p.finish(i, Result{Text: string(s.text)}, now)
+				if action == "finish twice" && p.finish(i, Result{Text: "other"}, now) {
+					t.Fatal("an item has two results")
+				}
+			case action == "commit" && len(p.pending) > 0:
+				n := rapid.IntRange(1, len(p.pending)).Draw(t, "n")
+				for _, r := range p.pending[:n] {
+					positions[r.index]++
+					for k, line := range strings.Split(r.result.Text, "\n") {
+						if r.result.Text != "" && line != fmt.Sprint(k+1) {
+							t.Fatalf("text %q", r.result.Text)
+						}
+					}
+				}
+				p.committed(n, now)
+			}
+		}
+		for i, n := range positions {
+			if n != 1 {
+				t.Fatalf("item %d has %d positions", i, n)
+			}
+		}
+	})
+}
+
+func TestAttemptsAreBounded(t *testing.T) {
+	is := is.New(t)
+	p := newProgress(&Head{Total: 1, Failed: map[int]int{0: 1}}) // one failure under the holder before
+	now := time.Unix(0, 0)
+	p.sent(0, "t", now)
+	is.True(p.failed(0, now, 3))
+	_, ok := p.next(now)
+	is.True(!ok) // pauses first
+	_, ok = p.next(now.Add(failurePause))
+	is.True(ok)
+	p.sent(0, "t", now)
+	is.True(!p.failed(0, now, 3))
+}
+
+func TestBreaksBackOff(t *testing.T) {
+	is := is.New(t)
+	p := newProgress(&Head{Total: 1})
+	now := time.Unix(0, 0)
+	p.broke(0, now)
+	first := p.items[0].notAt.Sub(now)
+	for range 20 {
+		p.broke(0, now)
+	}
+	is.True(p.items[0].notAt.Sub(now) > first)
+	is.Equal(p.items[0].notAt.Sub(now), maxBreakPause)
+}
+
+// TestDealNeverExceedsTheRoom: what nodes compute from the same claims never
+// adds up to more than the slots that online requests leave, uses all of them
+// when the claims do, and gives nobody more than it claims.
+func TestDealNeverExceedsTheRoom(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		slots := rapid.IntRange(0, 32).Draw(t, "slots")
+		claims := map[string]int{}
+		for n := range rapid.IntRange(1, 12).Draw(t, "nodes") {
+			claims[fmt.Sprint("n", n)] = rapid.IntRange(0, 40).Draw(t, "claim")
+		}
+		dealt, wanted := 0, 0
+		for node, claim := range claims {
+			share := Deal("target", slots, node, claims)
+			if share > claim {
+				t.Fatalf("%s gets %d of the %d that it claims", node, share, claim)
+			}
+			dealt += share
+			wanted += claim
+		}
+		if room := max(0, slots-reserve); dealt != min(room, wanted) {
+			t.Fatalf("%d dealt, room for %d, %d wanted", dealt, room, wanted)
+		}
+	})
+}
+
+func TestSplitKeepsOrderAndSize(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		sizes := rapid.SliceOfN(rapid.IntRange(0, 2000), 1, 30).Draw(t, "sizes")
+		var joined []int
+		for _, part := range split(sizes, 4000, func(n int) int { return n }) {
+			sum := 0
+			for _, n := range part {
+				sum += n + encodingOverhead
+			}
+			if len(part) > 1 && sum > 4000 {
+				t.Fatalf("part of %d bytes", sum)
+			}
+			joined = append(joined, part...)
+		}
+		if fmt.Sprint(joined) != fmt.Sprint(sizes) {
+			t.Fatalf("%v became %v", sizes, joined)
+		}
+	})
+}
+
+func TestResultCacheForgetsTheLeastRead(t *testing.T) {
+	is := is.New(t)
+	c := newResultCache(100)
+	long := strings.Repeat("x", 40)
+	c.put("a", 0, []Result{{Text: long}})
+	c.put("b", 0, []Result{{Text: long}})
+	c.from("a", 0)
+	c.put("c", 0, []Result{{Text: long}})
+	got, _ := c.from("a", 0)
+	is.Equal(len(got), 1)
+	got, _ = c.from("b", 0)
+	is.Equal(len(got), 0)
+}
