Send again to runners that refused, make room at them, and know new nodes at once

Cause, by the demo of the hosted path (9 of 120 requests refused while items filled the runners) and TestRoomIsWaitedFor and TestOnlineGoesFirst, which failed first: a runner that had refused stayed left out while the request still had time to wait; items did not make room at a runner that refused; two nodes that started at once listed the nodes before either had registered. Ruled out: too short a wait (the runners had room after 40 ms). Change: as above; a node reads the list of nodes again once it has registered.

--- a/Makefile
+++ b/Makefile
@@ -15,6 +15,7 @@
 lint:
 	test -z "$$(gofmt -l $$(git ls-files '*.go'))"
 	go vet ./... ./lab/...
+	scripts/check-platform-names.sh
 	go run honnef.co/go/tools/cmd/staticcheck@v0.8.2 ./... ./lab/...
 
 # check that what the models in spec/ say must hold, and that broken ones fail
--- a/internal/process/hosted/peers.go
+++ b/internal/process/hosted/peers.go
@@ -227,14 +227,13 @@
 	}
 	for {
 		_, err := n.adapter.Store.Create(ctx, callbudget.Status, kindNodes, n.settings.NodeID, value)
+		if errors.Is(err, objects.ErrConflict) {
+			_, err = n.adapter.Store.Update(ctx, callbudget.Status, kindNodes, n.settings.NodeID, anyRevision, value)
+		}
 		if err == nil {
+			n.nodeList.Load().Kick() // of two nodes that start at once, the later one sees both
 			return
 		}
-		if errors.Is(err, objects.ErrConflict) {
-			if _, err = n.adapter.Store.Update(ctx, callbudget.Status, kindNodes, n.settings.NodeID, anyRevision, value); err == nil {
-				return
-			}
-		}
 		if !wait.For(ctx, registerPause) {
 			return
 		}
--- a/internal/request/choose/choose.go
+++ b/internal/request/choose/choose.go
@@ -182,11 +182,12 @@
 
 // Excess returns, by target, how many of this table's batch items are to make
 // room so that keep slots are free for online requests. Where several nodes
-// have batch items at a target, each gives its part.
-func (t *Table) Excess(keep int) map[string]int {
+// have batch items at a target, each gives its part. A target that refused for
+// want of room has none, whatever this table counts there.
+func (t *Table) Excess(now time.Time, keep int) map[string]int {
 	var out map[string]int
 	for id, e := range t.entries {
-		over := keep - e.free()
+		over := keep - e.freeAt(now)
 		if e.batch == 0 || over <= 0 {
 			continue
 		}
--- a/internal/request/choose/choose_test.go
+++ b/internal/request/choose/choose_test.go
@@ -167,11 +167,13 @@
 		placed++
 	}
 	is.Equal(placed, 4) // two of four slots at each
-	is.Equal(len(table.Excess(1)), 0)
+	is.Equal(len(table.Excess(now, 1)), 0)
 	table.SetElsewhere("other", map[string]InFlight{"a": {Online: 2, Batch: 1}})
-	is.Equal(table.Excess(1)["a"], 2) // own part of what is over
+	is.Equal(table.Excess(now, 1)["a"], 2) // own part of what is over
 	table.SetElsewhere("other", nil)
-	is.Equal(len(table.Excess(1)), 0)
+	is.Equal(len(table.Excess(now, 1)), 0)
+	table.Saturated(now, "b")
+	is.Equal(table.Excess(now, 1)["b"], 1) // it refused: others that are not heard fill it
 	_, ok := table.Choose(now, Need{Service: "s", Batch: true, Reserve: 0, Limit: func(Target) int { return 2 }})
 	is.True(!ok) // two at each already
 }
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -153,8 +153,8 @@
 		if !f.Now().Before(until) || !sleep(ctx, pause) {
 			return choose.Target{}, false
 		}
-		if c.begun {
-			clear(c.exclude)
+		if c.begun || c.ran == 0 {
+			clear(c.exclude) // those that refused may have room by now
 		}
 	}
 }
--- a/internal/version/discovery/discovery.go
+++ b/internal/version/discovery/discovery.go
@@ -64,7 +64,7 @@
 func (p *Pool) Excess(keep int) map[string]int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.table.Excess(keep)
+	return p.table.Excess(p.now(), keep)
 }
 
 // Put takes what the store says of a target.
@@ -209,8 +209,9 @@
 // Saturated notes that a target refused because it was full.
 func (p *Pool) Saturated(id string) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	p.table.Saturated(p.now(), id)
+	p.mu.Unlock()
+	p.onLoad() // batch items there make room
 }
 
 // Room returns the free slots of a service's usable targets.
--- a/lab/cmd/marblelab/main.go
+++ b/lab/cmd/marblelab/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -17,6 +18,7 @@
 	"github.com/marblepond/marblepond/lab/capacity"
 	"github.com/marblepond/marblepond/lab/demo"
 	"github.com/marblepond/marblepond/lab/engine"
+	"github.com/marblepond/marblepond/lab/hosted"
 	"github.com/marblepond/marblepond/lab/load"
 	"github.com/marblepond/marblepond/lab/platform"
 	"github.com/marblepond/marblepond/lab/service"
@@ -36,7 +38,9 @@
 				capacity.Run(os.Stdout)
 				return nil
 			}},
-			{Name: "demo", Usage: "run a small fleet in this process and check it", Action: func(context.Context, *cli.Command) error { return demo.Run(os.Stdout) }},
+			{Name: "demo", Usage: "run a small fleet in this process and check it, then a hosted one", Action: func(context.Context, *cli.Command) error {
+				return errors.Join(demo.Run(os.Stdout), hosted.Demo(os.Stdout))
+			}},
 		},
 	}
 	if err := app.Run(ctx, os.Args); err != nil {
--- /dev/null
+++ b/lab/hosted/demo.go
@@ -0,0 +1,103 @@
+package hosted
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"sync"
+	"time"
+)
+
+// Sizes of the demo.
+const (
+	demoNodes    = 3
+	demoRunners  = 4
+	demoSlots    = 8
+	demoEvents   = 40
+	demoGap      = 5 * time.Millisecond
+	demoRequests = 120
+	demoPause    = 25 * time.Millisecond // between requests
+	demoJobs     = 4
+	demoItems    = 12
+	demoWithin   = 30 * time.Second // for all results
+)
+
+// Demo runs a hosted fleet against the stand-ins of the users' platform: online
+// requests and jobs together, with one node killed on the way. It fails unless
+// every request that was answered got its whole answer and every item exactly
+// one.
+func Demo(w io.Writer) error {
+	f, err := Start(Options{Nodes: demoNodes, Runners: demoRunners, Slots: demoSlots, Events: demoEvents, Gap: demoGap,
+		Extra: "[jobs]\ntake_over_after = 1s\nsweep_interval = 500ms\n"})
+	if err != nil {
+		return err
+	}
+	defer f.Stop()
+	started := time.Now()
+	for j := range demoJobs {
+		if reply := Submit(f.Nodes[j%demoNodes].Caller(), demoJob(j), Items(demoJob(j), demoItems)); reply.Status != 202 {
+			return fmt.Errorf("job %s: status %d %v", demoJob(j), reply.Status, reply.Err)
+		}
+	}
+	whole, cut := f.demoOnline()
+	done, err := f.demoResults()
+	fmt.Fprintf(w, "hosted: %d nodes, %d runners, one node killed: %d requests, %d whole, %d cut by the kill; %d items, %d with one whole answer; %.1f s\n",
+		demoNodes, demoRunners, demoRequests, whole, cut, demoJobs*demoItems, done, time.Since(started).Seconds())
+	if whole+cut != demoRequests {
+		err = errors.Join(err, fmt.Errorf("%d requests have neither a whole answer nor a connection that the kill closed", demoRequests-whole-cut))
+	}
+	return err
+}
+
+func demoJob(n int) string { return fmt.Sprint("demo-job-", n) }
+
+// demoOnline sends the requests, kills the last node half way, and returns how
+// many were answered whole and how many the kill cut.
+func (f *Fleet) demoOnline() (whole, cut int) {
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	alive := demoNodes
+	for i := range demoRequests {
+		if i == demoRequests/2 {
+			f.Nodes[demoNodes-1].Kill()
+			alive--
+		}
+		node, id := f.Nodes[i%alive].Caller(), fmt.Sprint("demo-", i)
+		before := i < demoRequests/2
+		wg.Go(func() {
+			reply := Ask(context.Background(), node, StreamPath, id, nil)
+			mu.Lock()
+			defer mu.Unlock()
+			switch {
+			case reply.Err == nil && StreamText(reply.Body) == f.Runners[0].Text(id):
+				whole++
+			case reply.Err != nil && before:
+				cut++
+			}
+		})
+		time.Sleep(demoPause)
+	}
+	wg.Wait()
+	return whole, cut
+}
+
+// demoResults reads all jobs at the nodes that are left.
+func (f *Fleet) demoResults() (done int, err error) {
+	nodes := []string{f.Nodes[0].Caller(), f.Nodes[1].Caller()}
+	for j := range demoJobs {
+		results, readErr := ReadAll(nodes, demoJob(j), demoWithin)
+		err = errors.Join(err, readErr)
+		seen := map[string]bool{}
+		for _, r := range results {
+			if r.State == "completed" && r.Text == f.Runners[0].Text(r.ID) && !seen[r.ID] {
+				seen[r.ID] = true
+				done++
+			}
+		}
+	}
+	if done != demoJobs*demoItems {
+		err = errors.Join(err, fmt.Errorf("%d of %d items have exactly one whole answer", done, demoJobs*demoItems))
+	}
+	return done, err
+}
--- a/lab/hosted/online_test.go
+++ b/lab/hosted/online_test.go
@@ -246,3 +246,20 @@
 		is.Equal(f.Runners[0].Runs(fmt.Sprint("u", i)), 0)
 	}
 }
+
+// TestRoomIsWaitedFor: a request that every runner refuses is sent again within
+// a part of its objective, and batch items make room at a runner that refuses,
+// also those of a node that has not heard of the others.
+func TestRoomIsWaitedFor(t *testing.T) {
+	is := is.New(t)
+	f := fleet(t, Options{Nodes: 1, Runners: 1, Slots: 8, Events: 60, Gap: 10 * time.Millisecond})
+	is.Equal(Submit(f.Nodes[0].Caller(), "room", Items("room", 20)).Status, http.StatusAccepted)
+	eventually(t, "items fill the runner", 2*time.Second, func() bool { return f.Runners[0].Busy() >= 6 })
+	strangers := f.Runners[0].Fill(2) // of a node that is not heard
+	defer strangers()
+	for i := range 4 {
+		reply := Ask(context.Background(), f.Nodes[0].Caller(), StreamPath, fmt.Sprint("room-on-", i), nil)
+		is.NoErr(reply.Err)
+		is.Equal(reply.Status, http.StatusOK)
+	}
+}
--- a/lab/hosted/runner.go
+++ b/lab/hosted/runner.go
@@ -202,3 +202,9 @@
 		}
 	}
 }
+
+// Fill takes slots that no node knows of, until the function returned is called.
+func (r *Runner) Fill(slots int) (free func()) {
+	r.busy.Add(int32(slots))
+	return func() { r.busy.Add(int32(-slots)) }
+}
