Assert and break the new mechanisms; split the table of targets and the node

Invariants in the hosted path: sent again after it may have run, refused as not run though it may have, an older configuration after a newer, a position that held another result, an item of an ended job. Eleven mechanisms are broken one at a time by 'make mutants'; each is noticed. Two first were not: a test whose route allowed one attempt (it now allows three), and one with more runners than attempts (both cases now).

--- /dev/null
+++ b/internal/process/hosted/changes.go
@@ -0,0 +1,129 @@
+package hosted
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/marblepond/marblepond/internal/connection/objects"
+	"github.com/marblepond/marblepond/internal/process/invariant"
+	"github.com/marblepond/marblepond/internal/process/timeline"
+	"github.com/marblepond/marblepond/internal/request/job"
+	"github.com/marblepond/marblepond/internal/version/follow"
+)
+
+// loadChanged tells the duties that depend on what is in flight.
+func (n *Node) loadChanged() {
+	n.beacon.Touch()
+	select {
+	case n.makeRoom <- struct{}{}:
+	default:
+	}
+}
+
+// yield stops batch items where online requests need the room.
+func (n *Node) yield(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-n.makeRoom:
+			n.jobs.MakeRoom()
+		}
+	}
+}
+
+// Changed implements follow.Listener.
+func (n *Node) Changed(kind string, news []objects.Object, from follow.Source) {
+	for _, o := range news {
+		switch kind {
+		case n.adapter.Kinds.Config:
+			n.configChanged(o, from)
+		case n.adapter.Kinds.Targets:
+			n.targetListed(o)
+		case kindNodes:
+			n.nodesChanged(o)
+		case job.KindEnds:
+			n.jobs.EndSeen(o.Name)
+		case n.adapter.Kinds.Retirements:
+			n.retirementSeen(o)
+		}
+	}
+}
+
+// Failed implements follow.Listener.
+func (n *Node) Failed(kind string, revision int64, cause error) {
+	age, _ := n.cache.Age(kind)
+	n.recorder.Record(timeline.CopyNotRefreshed, "", kind, cause.Error(), field("revision", revision), field("age_ms", age.Milliseconds()))
+}
+
+// behind asks a node that was heard to know more.
+func (n *Node) behind(node string) {
+	if r, ok := n.registered()[node]; ok {
+		n.gossip.Pulls.Put(r.Address)
+		return
+	}
+	if list := n.nodeList.Load(); list != nil {
+		list.Kick() // it has registered since the list was read
+	}
+	n.gossip.Pulls.Put(n.anySeed())
+}
+
+func (n *Node) configChanged(o objects.Object, from follow.Source) {
+	if o.Name != n.adapter.ConfigName || o.Deleted {
+		return
+	}
+	table, err := n.adapter.DecodeConfig(o.Value)
+	if err != nil {
+		n.recorder.Record(timeline.ObjectRejected, "", o.Name, err.Error())
+		return
+	}
+	for {
+		old := n.table.Load()
+		if old != nil && old.Version >= table.Version {
+			return
+		}
+		if n.table.CompareAndSwap(old, table) {
+			break
+		}
+	}
+	n.checker.Assert(n.table.Load().Version >= table.Version, invariant.ConfigOnlyForward, "", o.Name, "version %d is in force after %d", n.table.Load().Version, table.Version)
+	n.callers.setIdleTimeout(table.Limits.IdleTimeout)
+	n.recorder.Record(timeline.ConfigAdopted, "", fmt.Sprintf("version %d", table.Version), "from "+from.String(),
+		timeline.Field{Name: "revision", Value: o.Revision})
+	n.metrics.Gauge("config_version").Update(float64(table.Version))
+}
+
+func (n *Node) targetListed(o objects.Object) {
+	if o.Deleted {
+		n.pool.Remove(o.Name)
+		return
+	}
+	record, err := n.adapter.DecodeTarget(o.Name, o.Value)
+	if err != nil {
+		n.recorder.Record(timeline.ObjectRejected, "", o.Name, err.Error())
+		return
+	}
+	n.pool.Put(record)
+}
+
+func (n *Node) targetChanged(id, what string) {
+	n.recorder.Record(timeline.TargetChanged, "", id, what)
+}
+
+// ended reports whether the end of a job is known here.
+func (n *Node) ended(id string) bool {
+	_, ok := n.cache.Get(job.KindEnds, id)
+	return ok
+}
+
+// StoreChanged records that the store was lost or regained.
+func StoreChanged(r *timeline.Recorder) func(up bool, after time.Duration) {
+	return func(up bool, after time.Duration) {
+		code := timeline.StoreLost
+		if up {
+			code = timeline.StoreRegained
+		}
+		r.Record(code, "", "store", "", timeline.Field{Name: "state_before_ms", Value: after.Milliseconds()})
+	}
+}
--- a/internal/process/hosted/log.go
+++ b/internal/process/hosted/log.go
@@ -44,7 +44,7 @@
 	took := time.Since(req.Arrived)
 	l.n.recorder.Record(timeline.RequestAnswered, req.ID, t.ID, "", field("status", status), field("events", events), field("took_ms", took.Milliseconds()))
 	l.n.metrics.Counter("requests_answered").Inc(1)
-	l.n.metrics.Histogram("request_time", requestBuckets).RecordDuration(took)
+	l.n.metrics.Histogram("request", requestBuckets).RecordDuration(took)
 }
 
 func (l *requestLog) Refused(req *forward.Request, err error) {
--- /dev/null
+++ b/internal/process/hosted/run.go
@@ -0,0 +1,167 @@
+package hosted
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync"
+	"time"
+
+	"github.com/marblepond/marblepond/api/marblepond/v1/marblepondv1connect"
+	"github.com/marblepond/marblepond/internal/connection/peer"
+	"github.com/marblepond/marblepond/internal/process/timeline"
+	"github.com/marblepond/marblepond/internal/version/follow"
+)
+
+// Halt ends Run at once and hands nothing over, as a crash would; for tests.
+func (n *Node) Halt() { close(n.halted) }
+
+// Run serves until ctx ends, then drains. A listen error is returned.
+func (n *Node) Run(ctx context.Context) error {
+	if n.settings.Memory > 0 {
+		debug.SetMemoryLimit(int64(n.settings.Memory) << 20 * 9 / 10)
+	}
+	listeners, err := n.listen()
+	if err != nil {
+		return err
+	}
+	n.recorder.Record(timeline.NodeStarted, "", n.settings.NodeID, fmt.Sprintf("boot %d", n.boot))
+	work, stop := context.WithCancel(context.Background())
+	defer stop()
+	var duties sync.WaitGroup
+	n.startDuties(work, listeners, &duties)
+	n.serve(listeners)
+	select {
+	case <-ctx.Done():
+		n.drain(work)
+	case <-n.halted:
+		n.callers.http.Close()
+	}
+	stop()
+	duties.Wait()
+	n.peerHTTP.Close()
+	n.readyHTTP.Close()
+	n.recorder.Record(timeline.NodeStopped, "", n.settings.NodeID, "")
+	return nil
+}
+
+type listeners struct {
+	callers, ready, peers, metrics net.Listener
+	beacon                         net.PacketConn
+}
+
+func (n *Node) listen() (listeners, error) {
+	var l listeners
+	var errs []error
+	for _, place := range []struct {
+		address string
+		into    *net.Listener
+	}{{n.settings.CallerListen, &l.callers}, {n.settings.ReadyListen, &l.ready}, {n.settings.PeerListen, &l.peers}, {n.settings.MetricsListen, &l.metrics}} {
+		if place.address == "" {
+			continue
+		}
+		listener, err := net.Listen("tcp", place.address)
+		*place.into = listener
+		errs = append(errs, err)
+	}
+	if n.settings.BeaconListen != "" {
+		conn, err := net.ListenPacket("udp", n.settings.BeaconListen)
+		l.beacon = conn
+		errs = append(errs, err)
+	}
+	return l, errors.Join(errs...)
+}
+
+// headerTimeout bounds how long a caller may take to send its header.
+const headerTimeout = 5 * time.Second
+
+func (n *Node) listenHandlers(metricsPage http.Handler) {
+	mux := http.NewServeMux()
+	mux.Handle(marblepondv1connect.NewSyncServiceHandler(n.gossip, peer.Require(n.settings.PeerKey)...))
+	mux.Handle(marblepondv1connect.NewJobServiceHandler(n.jobs.PeerService(), peer.Require(n.settings.PeerKey)...))
+	mux.Handle("GET /metrics", metricsPage)
+	n.peerHTTP = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+	n.readyHTTP = &http.Server{Handler: n.adapter.Ready(n), ReadHeaderTimeout: headerTimeout}
+	n.callers = newCallerServer(n.tracked(n.adapter.Callers(n)))
+}
+
+// tracked counts requests in progress, so that a drain waits for them.
+func (n *Node) tracked(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		n.active.Add(1)
+		defer n.active.Done()
+		if n.Leaving() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (n *Node) serve(l listeners) {
+	go n.peerHTTP.Serve(l.peers)
+	if l.callers != nil {
+		go n.callers.http.Serve(l.callers)
+	}
+	if l.ready != nil {
+		go n.readyHTTP.Serve(l.ready)
+	}
+	if l.metrics != nil {
+		go n.peerHTTP.Serve(l.metrics)
+	}
+}
+
+func (n *Node) startDuties(ctx context.Context, l listeners, wg *sync.WaitGroup) {
+	for kind, age := range n.followed() {
+		r := follow.NewRefresher(kind)
+		r.Store, r.Cache, r.Listener, r.MaxAge, r.Self, r.Heard = n.adapter.Store, n.cache, n, age, n.settings.NodeID, n.followers(kind)
+		if kind == kindNodes {
+			n.nodeList.Store(r)
+		}
+		wg.Go(func() { r.Run(ctx) })
+	}
+	wg.Go(func() { n.gossip.Run(ctx) })
+	wg.Go(func() { n.register(ctx) })
+	wg.Go(func() { n.settle(ctx) })
+	wg.Go(func() { n.announceReady(ctx) })
+	wg.Go(func() { n.callers.reapIdle(ctx) })
+	wg.Go(func() { n.jobs.Run(ctx) })
+	wg.Go(func() { n.yield(ctx) })
+	if l.beacon != nil {
+		wg.Go(func() { n.beacon.Run(ctx, l.beacon) })
+	}
+}
+
+// tick is the pace of duties that look at the clock.
+const tick = 200 * time.Millisecond
+
+// settle removes targets that lapsed while the store was away.
+func (n *Node) settle(ctx context.Context) {
+	every(ctx, tick, n.pool.Settle)
+}
+
+func every(ctx context.Context, d time.Duration, f func()) {
+	ticker := time.NewTicker(d)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			f()
+		}
+	}
+}
+
+func (n *Node) announceReady(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	every(ctx, tick, func() {
+		if table := n.Table(); table != nil {
+			n.recorder.Record(timeline.NodeReady, "", n.settings.NodeID, fmt.Sprintf("configuration version %d", table.Version))
+			cancel()
+		}
+	})
+}
--- a/internal/process/invariant/invariant.go
+++ b/internal/process/invariant/invariant.go
@@ -25,6 +25,7 @@
 	NoWorkLeaving     Name = "7-no-work-to-leaving"
 	DrainCutsNothing  Name = "8-drain-cuts-nothing"
 	ConfigOnlyForward Name = "9-config-only-forward"
+	PositionKept      Name = "1-result-keeps-its-position"
 )
 
 // Checker reports violations to the time line.
--- a/internal/process/node/metrics.go
+++ b/internal/process/node/metrics.go
@@ -2,10 +2,15 @@
 
 import (
 	"fmt"
+	"maps"
+	"math"
 	"net/http"
 	"runtime"
+	"slices"
 	"sort"
+	"strconv"
 	"strings"
+	"time"
 
 	"github.com/uber-go/tally/v4"
 )
@@ -28,6 +33,9 @@
 	for _, g := range snapshot.Gauges() {
 		lines = append(lines, fmt.Sprintf("%s%s %g", g.Name(), tags(g.Tags()), g.Value()))
 	}
+	for _, h := range snapshot.Histograms() {
+		lines = append(lines, histogram(h)...)
+	}
 	var memory runtime.MemStats
 	runtime.ReadMemStats(&memory)
 	lines = append(lines, fmt.Sprintf("process_heap_bytes %d", memory.HeapAlloc), fmt.Sprintf("process_goroutines %d", runtime.NumGoroutine()))
@@ -36,6 +44,28 @@
 	fmt.Fprintln(w, strings.Join(lines, "\n"))
 }
 
+// histogram returns the lines of a latency histogram, cumulative by upper bound
+// in seconds as Prometheus reads it.
+func histogram(h tally.HistogramSnapshot) []string {
+	bounds := slices.Sorted(maps.Keys(h.Durations()))
+	var lines []string
+	total := int64(0)
+	for _, bound := range bounds {
+		total += h.Durations()[bound]
+		le := "+Inf"
+		if bound != time.Duration(math.MaxInt64) {
+			le = strconv.FormatFloat(bound.Seconds(), 'g', -1, 64)
+		}
+		labels := maps.Clone(h.Tags())
+		if labels == nil {
+			labels = map[string]string{}
+		}
+		labels["le"] = le
+		lines = append(lines, fmt.Sprintf("%s_bucket%s %d", h.Name(), tags(labels), total))
+	}
+	return append(lines, fmt.Sprintf("%s_count%s %d", h.Name(), tags(h.Tags()), total))
+}
+
 func tags(t map[string]string) string {
 	if len(t) == 0 {
 		return ""
--- a/internal/process/settings/keys.go
+++ b/internal/process/settings/keys.go
@@ -51,8 +51,6 @@
 	{"limits", "dial_timeout", "250ms", "duration", "How long a new connection to a target or node may take.", duration(func(s *Settings) *time.Duration { return &s.DialTimeout }, 10*time.Millisecond, time.Minute)},
 
 	{"jobs", "keep_results", "120s", "duration", "How long after its submission a job stays readable at a hosted node.", duration(func(s *Settings) *time.Duration { return &s.KeepResults }, time.Second, 30*day)},
-	{"jobs", "cancel_within", "3s", "duration", "How long after a job was ended its items may still be sent.", duration(func(s *Settings) *time.Duration { return &s.CancelWithin }, 100*time.Millisecond, time.Minute)},
-	{"jobs", "cap_slack", "0.1", "share", "Share by which the tokens that wait on a route may exceed its cap.", share(func(s *Settings) *float64 { return &s.JobCapSlack })},
 	{"jobs", "take_over_after", "6s", "duration", "How long the holder of a job must be unreachable before another node takes the job over.", duration(func(s *Settings) *time.Duration { return &s.TakeOverAfter }, 100*time.Millisecond, time.Hour)},
 	{"jobs", "sweep_interval", "5s", "duration", "Time between looks for jobs without a holder.", duration(func(s *Settings) *time.Duration { return &s.SweepInterval }, 100*time.Millisecond, time.Hour)},
 
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -31,7 +31,6 @@
 	ReadyListen   string
 	MetricsListen string
 	BeaconListen  string
-	Region        string
 
 	StoreAddress   string
 	StoreTimeout   time.Duration
@@ -79,8 +78,6 @@
 	Memory        int
 	DialTimeout   time.Duration
 	KeepResults   time.Duration
-	CancelWithin  time.Duration
-	JobCapSlack   float64
 	TakeOverAfter time.Duration
 	SweepInterval time.Duration
 	DataDir       string
--- a/internal/request/choose/choose.go
+++ b/internal/request/choose/choose.go
@@ -105,12 +105,6 @@
 	others  map[string]map[string]InFlight // by node and target: what it last said
 }
 
-// InFlight counts what is at a target.
-type InFlight struct {
-	Online int
-	Batch  int
-}
-
 // New returns an empty table.
 func New(cfg Config) *Table {
 	return &Table{cfg: cfg, entries: map[string]*entry{}, left: map[string]uint64{}, rank: map[string][]string{},
@@ -145,62 +139,6 @@
 	t.sumOthers()
 }
 
-// SetElsewhere replaces what another node has in flight; nil: nothing.
-func (t *Table) SetElsewhere(node string, counts map[string]InFlight) {
-	if counts == nil {
-		delete(t.others, node)
-	} else {
-		t.others[node] = counts
-	}
-	t.sumOthers()
-}
-
-func (t *Table) sumOthers() {
-	for _, e := range t.entries {
-		e.elsewhere = InFlight{}
-	}
-	for _, counts := range t.others {
-		for id, n := range counts {
-			if e := t.entries[id]; e != nil {
-				e.elsewhere.Online += n.Online
-				e.elsewhere.Batch += n.Batch
-			}
-		}
-	}
-}
-
-// Own returns what this table has in flight, by target.
-func (t *Table) Own() map[string]InFlight {
-	out := map[string]InFlight{}
-	for id, e := range t.entries {
-		if e.online+e.batch > 0 {
-			out[id] = InFlight{Online: e.online, Batch: e.batch}
-		}
-	}
-	return out
-}
-
-// Excess returns, by target, how many of this table's batch items are to make
-// room so that keep slots are free for online requests. Where several nodes
-// have batch items at a target, each gives its part. A target that refused for
-// want of room has none, whatever this table counts there.
-func (t *Table) Excess(now time.Time, keep int) map[string]int {
-	var out map[string]int
-	for id, e := range t.entries {
-		over := keep - e.freeAt(now)
-		if e.batch == 0 || over <= 0 {
-			continue
-		}
-		all := e.batch + e.elsewhere.Batch
-		part := (over*e.batch + all - 1) / all // rounded up
-		if out == nil {
-			out = map[string]int{}
-		}
-		out[id] = min(part, e.batch)
-	}
-	return out
-}
-
 func (t *Table) reindex() {
 	t.order = t.order[:0]
 	clear(t.rank)
@@ -294,19 +232,6 @@
 	return t.preferred(now, need.Service, out)
 }
 
-// leastOnline returns the entries with the fewest online requests: where all
-// are full, what batch items hold becomes free.
-func leastOnline(entries []*entry) []*entry {
-	if len(entries) == 0 {
-		return nil
-	}
-	lowest := entries[0].estimate()
-	for _, e := range entries {
-		lowest = min(lowest, e.estimate())
-	}
-	return keepIfAny(entries, func(e *entry) bool { return e.estimate() == lowest })
-}
-
 // preferred leaves out slow targets, those that are still warming up, and those
 // of other data centres, when others have room.
 func (t *Table) preferred(now time.Time, service string, entries []*entry) []*entry {
@@ -318,101 +243,6 @@
 	return keepIfAny(entries, func(e *entry) bool { return e.DataCentre == t.cfg.Home })
 }
 
-const (
-	// slowFactor is how many times the usual time to the first event marks a
-	// target as slow: above what queueing behind one full batch adds.
-	slowFactor = 2.5
-	// slowFor is how long a measurement marks a target as slow; after that one
-	// request finds out whether it still is.
-	slowFor = 2 * time.Second
-	// firstEventWeight is the weight of the newest measurement.
-	firstEventWeight = 0.3
-	// saturatedFor is how long a target's own refusal counts: about the time in
-	// which one of its slots becomes free.
-	saturatedFor = 50 * time.Millisecond
-)
-
-// usualFirstEvent returns the lower median over the service's targets that were
-// measured.
-func (t *Table) usualFirstEvent(service string) time.Duration {
-	var times []time.Duration
-	for _, id := range t.rank[service] {
-		if e := t.entries[id]; e.firstEvent > 0 {
-			times = append(times, e.firstEvent)
-		}
-	}
-	if len(times) == 0 {
-		return 0
-	}
-	sort.Slice(times, func(i, j int) bool { return times[i] < times[j] })
-	return times[(len(times)-1)/2]
-}
-
-func (e *entry) slow(now time.Time, usual time.Duration) bool {
-	return usual > 0 && now.Sub(e.firstAt) < slowFor && float64(e.firstEvent) > slowFactor*float64(usual)
-}
-
-// FirstEvent takes a measurement of the time to the first event.
-func (t *Table) FirstEvent(now time.Time, id string, took time.Duration) {
-	e := t.entries[id]
-	if e == nil {
-		return
-	}
-	if e.firstEvent == 0 || now.Sub(e.firstAt) > slowFor {
-		e.firstEvent = took
-	} else {
-		e.firstEvent += time.Duration(firstEventWeight * float64(took-e.firstEvent))
-	}
-	e.firstAt = now
-}
-
-// Saturated notes that a target refused because it was full.
-func (t *Table) Saturated(now time.Time, id string) {
-	if e := t.entries[id]; e != nil {
-		e.saturated = now.Add(saturatedFor)
-	}
-}
-
-// Free returns the free slots of a target; negative when more is sent there
-// than it serves at once.
-func (t *Table) Free(id string) int {
-	if e := t.entries[id]; e != nil {
-		return e.free()
-	}
-	return 0
-}
-
-// Room returns the free and all slots of a service's usable targets.
-func (t *Table) Room(now time.Time, service string) (free, capacity int) {
-	for _, id := range t.rank[service] {
-		e := t.entries[id]
-		if e.why(now, "") != "" {
-			continue
-		}
-		capacity += e.Slots
-		free += max(0, e.freeAt(now))
-	}
-	return free, capacity
-}
-
-// SlotsIn returns the slots of the usable targets of a data centre.
-func (t *Table) SlotsIn(now time.Time, dataCentre string) int {
-	slots := 0
-	for _, e := range t.entries {
-		if e.DataCentre == dataCentre && e.why(now, "") == "" {
-			slots += e.Slots
-		}
-	}
-	return slots
-}
-
-func (e *entry) freeAt(now time.Time) int {
-	if now.Before(e.saturated) {
-		return min(0, e.free())
-	}
-	return e.free()
-}
-
 func keepIfAny(entries []*entry, keep func(*entry) bool) []*entry {
 	var kept []*entry
 	for _, e := range entries {
@@ -426,26 +256,6 @@
 	return kept
 }
 
-// unbounded stands for the free slots of a target whose size is not known.
-const unbounded = 1 << 20
-
-// free returns how many more requests the target serves at once.
-func (e *entry) free() int {
-	slots := e.Slots
-	if e.known && e.load.MaxRunning > 0 {
-		slots = e.load.MaxRunning
-	}
-	if slots == 0 {
-		return unbounded
-	}
-	return slots - e.estimate() - e.batch - e.elsewhere.Batch
-}
-
-// freeOnline returns the free slots once batch items have made room.
-func (e *entry) freeOnline(now time.Time) int {
-	return e.freeAt(now) + e.batch + e.elsewhere.Batch
-}
-
 // why returns the reason a target can't be chosen, empty when it can.
 func (e *entry) why(now time.Time, loaded string) string {
 	switch {
@@ -475,13 +285,6 @@
 	return false
 }
 
-// estimate is the online load now: own in flight plus what others had there at
-// the last report.
-func (e *entry) estimate() int {
-	others := max(0, e.load.Running+e.load.Waiting-e.load.Batch-e.atReport)
-	return e.online + others + e.elsewhere.Online
-}
-
 func (t *Table) pick(usable []*entry, need Need) *entry {
 	switch t.cfg.Policy {
 	case RoundRobin:
@@ -532,28 +335,6 @@
 	return best
 }
 
-// BeginBatch counts a batch item sent to a target; EndBatch takes its result.
-func (t *Table) BeginBatch(id string) {
-	if e := t.entries[id]; e != nil {
-		e.batch++
-	}
-}
-
-// EndBatch takes the result of a batch item that BeginBatch counted.
-func (t *Table) EndBatch(now time.Time, id string, outcome Outcome) (ejected, readmitted bool) {
-	if e := t.entries[id]; e != nil {
-		e.batch = max(0, e.batch-1)
-	}
-	return t.Judge(now, id, outcome)
-}
-
-// Begin counts an online request sent to a target.
-func (t *Table) Begin(id string) {
-	if e := t.entries[id]; e != nil {
-		e.online++
-	}
-}
-
 // End takes the result of an online request. ejected is true when the target
 // was taken out by it, readmitted when it was let back in.
 func (t *Table) End(now time.Time, id string, outcome Outcome) (ejected, readmitted bool) {
@@ -591,33 +372,6 @@
 	return ejected, readmitted
 }
 
-// Supply sums up a service's usable targets.
-func (t *Table) Supply(now time.Time, service, loaded string) (usable, capacity, inFlight, waiting int) {
-	for _, id := range t.rank[service] {
-		e := t.entries[id]
-		if e.why(now, loaded) != "" {
-			continue
-		}
-		usable++
-		capacity += e.load.MaxRunning
-		inFlight += e.estimate()
-		waiting += e.load.Waiting
-	}
-	return usable, capacity, inFlight, waiting
-}
-
-// Online returns this node's online requests in flight per target; targets
-// with none are left out.
-func (t *Table) Online() map[string]int {
-	out := map[string]int{}
-	for id, e := range t.entries {
-		if e.online > 0 {
-			out[id] = e.online
-		}
-	}
-	return out
-}
-
 // Status describes a target for operators and duties.
 type Status struct {
 	Target
--- /dev/null
+++ b/internal/request/choose/room.go
@@ -0,0 +1,183 @@
+package choose
+
+import "time"
+
+// saturatedFor is how long a target's own refusal counts: about the time in
+// which one of its slots becomes free.
+const saturatedFor = 50 * time.Millisecond
+
+// InFlight counts what is at a target.
+type InFlight struct {
+	Online int
+	Batch  int
+}
+
+// SetElsewhere replaces what another node has in flight; nil: nothing.
+func (t *Table) SetElsewhere(node string, counts map[string]InFlight) {
+	if counts == nil {
+		delete(t.others, node)
+	} else {
+		t.others[node] = counts
+	}
+	t.sumOthers()
+}
+
+func (t *Table) sumOthers() {
+	for _, e := range t.entries {
+		e.elsewhere = InFlight{}
+	}
+	for _, counts := range t.others {
+		for id, n := range counts {
+			if e := t.entries[id]; e != nil {
+				e.elsewhere.Online += n.Online
+				e.elsewhere.Batch += n.Batch
+			}
+		}
+	}
+}
+
+// Own returns what this table has in flight, by target.
+func (t *Table) Own() map[string]InFlight {
+	out := map[string]InFlight{}
+	for id, e := range t.entries {
+		if e.online+e.batch > 0 {
+			out[id] = InFlight{Online: e.online, Batch: e.batch}
+		}
+	}
+	return out
+}
+
+// Excess returns, by target, how many of this table's batch items are to make
+// room so that keep slots are free for online requests. Where several nodes
+// have batch items at a target, each gives its part. A target that refused for
+// want of room has none, whatever this table counts there.
+func (t *Table) Excess(now time.Time, keep int) map[string]int {
+	var out map[string]int
+	for id, e := range t.entries {
+		over := keep - e.freeAt(now)
+		if e.batch == 0 || over <= 0 {
+			continue
+		}
+		all := e.batch + e.elsewhere.Batch
+		part := (over*e.batch + all - 1) / all // rounded up
+		if out == nil {
+			out = map[string]int{}
+		}
+		out[id] = min(part, e.batch)
+	}
+	return out
+}
+
+// leastOnline returns the entries with the fewest online requests: where all
+// are full, what batch items hold becomes free.
+func leastOnline(entries []*entry) []*entry {
+	if len(entries) == 0 {
+		return nil
+	}
+	lowest := entries[0].estimate()
+	for _, e := range entries {
+		lowest = min(lowest, e.estimate())
+	}
+	return keepIfAny(entries, func(e *entry) bool { return e.estimate() == lowest })
+}
+
+// Saturated notes that a target refused because it was full.
+func (t *Table) Saturated(now time.Time, id string) {
+	if e := t.entries[id]; e != nil {
+		e.saturated = now.Add(saturatedFor)
+	}
+}
+
+// SlotsIn returns the slots of the usable targets of a data centre.
+func (t *Table) SlotsIn(now time.Time, dataCentre string) int {
+	slots := 0
+	for _, e := range t.entries {
+		if e.DataCentre == dataCentre && e.why(now, "") == "" {
+			slots += e.Slots
+		}
+	}
+	return slots
+}
+
+func (e *entry) freeAt(now time.Time) int {
+	if now.Before(e.saturated) {
+		return min(0, e.free())
+	}
+	return e.free()
+}
+
+// unbounded stands for the free slots of a target whose size is not known.
+const unbounded = 1 << 20
+
+// free returns how many more requests the target serves at once.
+func (e *entry) free() int {
+	slots := e.Slots
+	if e.known && e.load.MaxRunning > 0 {
+		slots = e.load.MaxRunning
+	}
+	if slots == 0 {
+		return unbounded
+	}
+	return slots - e.estimate() - e.batch - e.elsewhere.Batch
+}
+
+// freeOnline returns the free slots once batch items have made room.
+func (e *entry) freeOnline(now time.Time) int {
+	return e.freeAt(now) + e.batch + e.elsewhere.Batch
+}
+
+// estimate is the online load now: own in flight plus what others had there at
+// the last report.
+func (e *entry) estimate() int {
+	others := max(0, e.load.Running+e.load.Waiting-e.load.Batch-e.atReport)
+	return e.online + others + e.elsewhere.Online
+}
+
+// BeginBatch counts a batch item sent to a target; EndBatch takes its result.
+func (t *Table) BeginBatch(id string) {
+	if e := t.entries[id]; e != nil {
+		e.batch++
+	}
+}
+
+// EndBatch takes the result of a batch item that BeginBatch counted.
+func (t *Table) EndBatch(now time.Time, id string, outcome Outcome) (ejected, readmitted bool) {
+	if e := t.entries[id]; e != nil {
+		e.batch = max(0, e.batch-1)
+	}
+	return t.Judge(now, id, outcome)
+}
+
+// Begin counts an online request sent to a target.
+func (t *Table) Begin(id string) {
+	if e := t.entries[id]; e != nil {
+		e.online++
+	}
+}
+
+// Supply sums up a service's usable targets.
+func (t *Table) Supply(now time.Time, service, loaded string) (usable, capacity, inFlight, waiting int) {
+	for _, id := range t.rank[service] {
+		e := t.entries[id]
+		if e.why(now, loaded) != "" {
+			continue
+		}
+		usable++
+		capacity += e.load.MaxRunning
+		inFlight += e.estimate()
+		waiting += e.load.Waiting
+	}
+	return usable, capacity, inFlight, waiting
+}
+
+// Online returns this node's online requests in flight per target; targets
+// with none are left out.
+func (t *Table) Online() map[string]int {
+	out := map[string]int{}
+	for id, e := range t.entries {
+		if e.online > 0 {
+			out[id] = e.online
+		}
+	}
+	return out
+}
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -16,6 +16,7 @@
 
 	"github.com/marblepond/marblepond/internal/connection/target"
 	"github.com/marblepond/marblepond/internal/errkind"
+	"github.com/marblepond/marblepond/internal/process/invariant"
 	"github.com/marblepond/marblepond/internal/request/choose"
 	"github.com/marblepond/marblepond/internal/version/route"
 )
@@ -72,6 +73,7 @@
 	Targets Targets
 	Sender  target.Sender
 	Log     Log
+	Checker *invariant.Checker
 	Now     func() time.Time
 }
 
@@ -113,6 +115,7 @@
 	c := &course{exclude: map[string]bool{}, held: req.ResumeAfter}
 	err = f.run(ctx, req, caller, c)
 	if err != nil {
+		f.Checker.Assert(errkind.Of(err).NotRun != errkind.NotRunTrue || c.ran == 0, invariant.NotRunTrue, req.ID, "", "refused as not run after %d attempts that may have run: %v", c.ran, err)
 		f.Log.Refused(req, err)
 	}
 	return c.begun, err
@@ -124,6 +127,7 @@
 		if !ok {
 			return f.unplaced(ctx, c)
 		}
+		f.Checker.Assert(c.ran == 0 || req.Route.Repeatable(), invariant.AtMostOnce, req.ID, t.ID, "sent again after %d attempts that may have run", c.ran)
 		f.Log.Sent(req, t, c.held)
 		err := f.attempt(ctx, req, t, caller, c)
 		f.Targets.End(t.ID, outcomeOf(err))
--- a/internal/request/job/commit.go
+++ b/internal/request/job/commit.go
@@ -177,7 +177,7 @@
 	m.Checker.Assert(head.Listed() == from+len(batch), invariant.CommitFenced, h.id, "", "%d results listed, %d expected", head.Listed(), from+len(batch))
 	h.head, h.revision = *head, revision
 	h.progress.committed(len(batch), time.Now())
-	m.results.put(h.id, from, results)
+	m.keep(h.id, from, results)
 	m.results.setTotal(h.id, head.Total)
 	close(h.changed)
 	h.changed = make(chan struct{})
--- /dev/null
+++ b/internal/request/job/manager_test.go
@@ -0,0 +1,157 @@
+package job
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/matryer/is"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/marblepond/marblepond/api/marblepond/v1/marblepondv1connect"
+	"github.com/marblepond/marblepond/internal/connection/callbudget"
+	"github.com/marblepond/marblepond/internal/connection/objects"
+	"github.com/marblepond/marblepond/internal/process/invariant"
+	"github.com/marblepond/marblepond/internal/process/timeline"
+	"github.com/marblepond/marblepond/internal/request/choose"
+	"github.com/marblepond/marblepond/internal/version/route"
+)
+
+// memoryStore is an object store in memory.
+type memoryStore struct {
+	mu       sync.Mutex
+	revision int64
+	objects  map[string]objects.Object // by kind/name
+}
+
+func newMemoryStore() *memoryStore { return &memoryStore{objects: map[string]objects.Object{}} }
+
+func (s *memoryStore) Get(_ context.Context, _ callbudget.Class, kind, name string) (objects.Object, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o, ok := s.objects[kind+"/"+name]
+	if !ok {
+		return objects.Object{}, objects.ErrNotFound
+	}
+	return o, nil
+}
+
+func (s *memoryStore) put(kind, name string, value []byte) objects.Object {
+	s.revision++
+	o := objects.Object{Name: name, Revision: s.revision, Value: value}
+	s.objects[kind+"/"+name] = o
+	return o
+}
+
+func (s *memoryStore) Create(_ context.Context, _ callbudget.Class, kind, name string, value []byte) (objects.Object, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, ok := s.objects[kind+"/"+name]; ok {
+		return objects.Object{}, objects.ErrConflict
+	}
+	return s.put(kind, name, value), nil
+}
+
+func (s *memoryStore) Update(_ context.Context, _ callbudget.Class, kind, name string, revision int64, value []byte) (objects.Object, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	old, ok := s.objects[kind+"/"+name]
+	switch {
+	case !ok:
+		return objects.Object{}, objects.ErrNotFound
+	case revision != 0 && revision != old.Revision:
+		return objects.Object{}, objects.ErrConflict
+	}
+	return s.put(kind, name, value), nil
+}
+
+func (s *memoryStore) Delete(_ context.Context, _ callbudget.Class, kind, name string) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.objects, kind+"/"+name)
+	return nil
+}
+
+func (s *memoryStore) ListStale(context.Context, string) (objects.Page, error) {
+	return objects.Page{}, nil
+}
+
+// noPool has no room, noPeers knows nobody.
+type noPool struct{}
+
+func (noPool) ChooseBatch(choose.Need) (choose.Target, bool) { return choose.Target{}, false }
+func (noPool) EndBatch(string, choose.Outcome)               {}
+func (noPool) Excess(int) map[string]int                     { return nil }
+func (noPool) Saturated(string)                              {}
+func (noPool) Leave(string, string)                          {}
+
+type noPeers struct{}
+
+func (noPeers) Job(string) marblepondv1connect.JobServiceClient { return nil }
+func (noPeers) Holders() []string                               { return nil }
+
+func newTestManager(node string, store Store) *Manager {
+	recorder := timeline.NewRecorder(node, 100, &log.Logger{Handler: discard.New()}, tally.NoopScope)
+	table := route.NewTable(1, []route.Route{{Name: "r", Host: "h", Prefix: "/j/", Kind: route.Batch, Attempts: 3, CompleteWithin: time.Minute, AbandonAfter: time.Hour}}, route.Limits{})
+	return NewManager(Config{Self: Holder{Node: node, Boot: 1, Address: node}, Holds: true, MaxValue: 1 << 20, KeepResults: time.Hour, ResultMemory: 1 << 20},
+		Parts{Store: store, Pool: noPool{}, Peers: noPeers{}, Routes: func() *route.Table { return table }, RoutesFresh: func() bool { return true },
+			Waiting: func(string) int64 { return 0 }, Ended: func(string) bool { return false },
+			Shares:   func() func(choose.Target) int { return func(choose.Target) int { return 0 } },
+			Recorder: recorder, Checker: invariant.New(recorder, false), Metrics: tally.NoopScope})
+}
+
+func submission(id string) *Submission {
+	now := time.Now()
+	return &Submission{ID: id, Host: "h", Path: "/j/x", Arrived: now, Deadline: now.Add(4 * time.Second),
+		Route: &route.Route{Name: "r", Host: "h", Prefix: "/j/", Kind: route.Batch}, Items: []Item{{ID: "i0", Path: "/j/a"}, {ID: "i1", Path: "/j/b"}}}
+}
+
+// TestFormerHolderIsFenced: a holder that was paused while another node took
+// its job over lists nothing more, and what the new holder listed stays.
+func TestFormerHolderIsFenced(t *testing.T) {
+	is := is.New(t)
+	store := newMemoryStore()
+	paused, fresh := newTestManager("paused", store), newTestManager("fresh", store)
+	is.NoErr(paused.Submit(context.Background(), submission("job")))
+	mine := paused.held["job"]
+	mine.writing.Lock() // it stands still
+
+	fresh.adopt(context.Background(), "job", paused.cfg.Self)
+	theirs := fresh.held["job"]
+	is.True(theirs != nil)
+	theirs.writing.Lock()
+	theirs.progress.finish(1, Result{Item: "i1", Text: "of the new holder"}, time.Now())
+	is.True(fresh.commit(theirs))
+	theirs.writing.Unlock()
+
+	mine.progress.finish(0, Result{Item: "i0", Text: "of the former holder"}, time.Now())
+	is.True(!paused.commit(mine)) // refused
+	mine.writing.Unlock()
+	is.Equal(paused.held["job"], nil)
+	page, err := fresh.Read(context.Background(), "job", 0, 0)
+	is.NoErr(err)
+	is.Equal(len(page.Results), 1)
+	is.Equal(page.Results[0].Text, "of the new holder")
+	page, err = paused.Read(context.Background(), "job", 0, 0) // it reads what the store holds
+	is.NoErr(err)
+	is.Equal(page.Results[0].Text, "of the new holder")
+}
+
+// TestRemovedWhenExpired: all objects of an expired job leave the store.
+func TestRemovedWhenExpired(t *testing.T) {
+	is := is.New(t)
+	store := newMemoryStore()
+	m := newTestManager("n", store)
+	is.NoErr(m.Submit(context.Background(), submission("old")))
+	h := m.held["old"]
+	h.writing.Lock()
+	h.progress.finish(0, Result{Item: "i0"}, time.Now())
+	is.True(m.commit(h))
+	h.writing.Unlock()
+	head := h.head
+	m.remove(context.Background(), "old", &head)
+	is.Equal(len(store.objects), 0)
+}
--- a/internal/request/job/progress_test.go
+++ b/internal/request/job/progress_test.go
@@ -135,7 +135,8 @@
 	is := is.New(t)
 	c := newResultCache(100)
 	long := strings.Repeat("x", 40)
-	c.put("a", 0, []Result{{Text: long}})
+	is.Equal(c.put("a", 0, []Result{{Text: long}}), -1)
+	is.Equal(c.put("a", 0, []Result{{Text: "another"}}), 0) // it keeps what was there, and tells
 	c.put("b", 0, []Result{{Text: long}})
 	c.from("a", 0)
 	c.put("c", 0, []Result{{Text: long}})
--- a/internal/request/job/read.go
+++ b/internal/request/job/read.go
@@ -11,6 +11,7 @@
 	"github.com/marblepond/marblepond/internal/connection/callbudget"
 	"github.com/marblepond/marblepond/internal/connection/objects"
 	"github.com/marblepond/marblepond/internal/errkind"
+	"github.com/marblepond/marblepond/internal/process/invariant"
 	"github.com/marblepond/marblepond/internal/process/wait"
 )
 
@@ -159,7 +160,7 @@
 	for _, r := range resp.Results {
 		page.Results = append(page.Results, Result{Item: r.Item, Dead: r.Dead, Text: r.Text})
 	}
-	m.results.put(id, after, page.Results)
+	m.keep(id, after, page.Results)
 	m.results.setTotal(id, page.Total)
 	return page, nil
 }
@@ -219,7 +220,7 @@
 			if err != nil {
 				return Page{}, err
 			}
-			m.results.put(id, first, results)
+			m.keep(id, first, results)
 			m.results.setTotal(id, head.Total)
 			page.Results = bounded(results[after-first:])
 			return page, nil
@@ -229,6 +230,12 @@
 	return page, nil
 }
 
+// keep holds listed results in memory.
+func (m *Manager) keep(id string, first int, results []Result) {
+	moved := m.results.put(id, first, results)
+	m.Checker.Assert(moved < 0, invariant.PositionKept, id, "", "position %d held another result", moved)
+}
+
 func (m *Manager) readSegment(ctx context.Context, s Segment) ([]Result, error) {
 	o, err := m.Store.Get(ctx, callbudget.Commit, KindResults, s.Object)
 	if err != nil {
--- a/internal/request/job/results.go
+++ b/internal/request/job/results.go
@@ -29,13 +29,18 @@
 	return &resultCache{limit: limit, jobs: map[string]*cachedJob{}, order: list.New()}
 }
 
-// put keeps results at consecutive positions.
-func (c *resultCache) put(id string, first int, results []Result) {
+// put keeps results at consecutive positions. It returns a position that held
+// another result, -1 when there is none.
+func (c *resultCache) put(id string, first int, results []Result) (moved int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	moved = -1
 	j := c.get(id)
 	for i, r := range results {
-		if _, ok := j.results[first+i]; ok {
+		if old, ok := j.results[first+i]; ok {
+			if old != r {
+				moved = first + i
+			}
 			continue
 		}
 		j.results[first+i] = r
@@ -45,6 +50,7 @@
 	for c.bytes > c.limit && c.order.Len() > 1 {
 		c.drop(c.order.Back().Value.(*cachedJob))
 	}
+	return moved
 }
 
 func (c *resultCache) get(id string) *cachedJob {
--- a/internal/request/job/run.go
+++ b/internal/request/job/run.go
@@ -95,7 +95,7 @@
 	h.progress.sent(i, t.ID, now)
 	attempt, cancel := context.WithCancelCause(ctx)
 	h.stops[i] = stopRun(cancel)
-	m.Checker.Assert(!h.ended, invariant.NoWorkCancelled, h.items[i].ID, t.ID, "item sent after its job was ended")
+	m.Checker.Assert(!m.endKnown(h.id), invariant.NoWorkCancelled, h.items[i].ID, t.ID, "item sent after its job was ended")
 	m.Recorder.Record(timeline.ItemSent, h.items[i].ID, t.ID, "", timeline.Field{Name: "job", Value: h.id},
 		timeline.Field{Name: "resume_after", Value: h.progress.items[i].held}, timeline.Field{Name: "due_ms", Value: time.Until(dueAt(&h.head, r)).Milliseconds()})
 	go m.run(attempt, cancel, h, i, t, r)
--- a/internal/version/discovery/discovery.go
+++ b/internal/version/discovery/discovery.go
@@ -214,23 +214,9 @@
 	p.onLoad() // batch items there make room
 }
 
-// Room returns the free slots of a service's usable targets.
-func (p *Pool) Room(service string) (free, capacity int) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.table.Room(p.now(), service)
-}
-
 // SlotsIn returns the slots of the usable targets of a data centre.
 func (p *Pool) SlotsIn(dataCentre string) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.table.SlotsIn(p.now(), dataCentre)
 }
-
-// Listed returns how many targets the store lists.
-func (p *Pool) Listed() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return len(p.records)
-}
--- a/lab/hosted/fleet.go
+++ b/lab/hosted/fleet.go
@@ -4,10 +4,11 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/marblepond/marblepond/internal/process/hosted"
@@ -36,8 +37,8 @@
 	batch["slo_ms"], batch["run_aim_ms"], batch["keep_s"], batch["cap"] = 400, 18000, 60.0, 100000
 	config := map[string]any{
 		"version": version,
-		"routes": []any{route("stream", StreamPath, "streaming", 1, false), route("resume", ResumePath, "streaming", 2, true),
-			route("repeat", RepeatPath, "idempotent", 2, false), batch},
+		"routes": []any{route("stream", StreamPath, "streaming", 3, false), route("resume", ResumePath, "streaming", 2, true),
+			route("repeat", RepeatPath, "idempotent", 3, false), batch},
 		"services": []any{map[string]any{"name": Service}},
 		"limits":   map[string]any{"max_header_bytes": 4096, "max_body_bytes": 65536, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 	}
@@ -105,14 +106,14 @@
 	return f, nil
 }
 
-// freeAddress returns a loopback address whose port is free now.
-func freeAddress() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		panic(err) // no loopback
-	}
-	defer l.Close()
-	return l.Addr().String()
+// hosts counts the loopback addresses given out by this process.
+var hosts atomic.Int32
+
+// freshHost returns a loopback address of its own for a node. Ports of
+// 127.0.0.1 are not used: connections that go out take them at any moment.
+func freshHost() string {
+	n := hosts.Add(1)
+	return fmt.Sprintf("127.%d.%d.%d", 64+os.Getpid()%128, n/250, 1+n%250)
 }
 
 // StartNode starts a node; extra is added to its settings.
@@ -121,14 +122,15 @@
 	for _, n := range f.Nodes {
 		seeds = append(seeds, n.Settings.PeerListen)
 	}
+	host := freshHost()
 	text := fmt.Sprintf(`[node]
 id = %s
 front = hosted
 data_centre = hall-a
-caller_listen = %s
-ready_listen = %s
-peer_listen = %s
-beacon_listen = %s
+caller_listen = %s:7070
+ready_listen = %s:7071
+peer_listen = %s:7072
+beacon_listen = %s:7073
 seeds = %s
 [store]
 address = %s
@@ -137,7 +139,7 @@
 [log]
 level = info
 timeline_events = 1000
-%s`, id, freeAddress(), freeAddress(), freeAddress(), freeAddress(), strings.Join(seeds, ","), f.Store.Address(), extra)
+%s`, id, host, host, host, host, strings.Join(seeds, ","), f.Store.Address(), extra)
 	s, err := settings.Parse(id, []byte(text))
 	if err != nil {
 		return nil, err
@@ -165,7 +167,11 @@
 				return nil
 			}
 		}
-		time.Sleep(10 * time.Millisecond)
+		select {
+		case <-n.done:
+			return fmt.Errorf("node %s has ended: %w", n.Settings.NodeID, n.err)
+		case <-time.After(10 * time.Millisecond):
+		}
 	}
 	return fmt.Errorf("node %s is not ready after %v", n.Settings.NodeID, readyWithin)
 }
--- a/lab/hosted/online_test.go
+++ b/lab/hosted/online_test.go
@@ -190,14 +190,18 @@
 // TestRepeatable: an idempotent request is run again elsewhere, within its
 // attempts.
 func TestRepeatable(t *testing.T) {
-	is := is.New(t)
-	f := fleet(t, Options{Nodes: 1, Runners: 3})
-	for _, r := range f.Runners {
-		r.Behave(func(string, int) Behaviour { return LoseAnswer })
+	for _, c := range []struct{ runners, runs int }{{4, 3}, {2, 2}} { // more runners than attempts, and fewer
+		t.Run(fmt.Sprint(c.runners), func(t *testing.T) {
+			is := is.New(t)
+			f := fleet(t, Options{Nodes: 1, Runners: c.runners})
+			for _, r := range f.Runners {
+				r.Behave(func(string, int) Behaviour { return LoseAnswer })
+			}
+			reply := Ask(context.Background(), f.Nodes[0].Caller(), RepeatPath, "again", nil)
+			is.Equal(reply.Status, http.StatusBadGateway) // it ran: no refusal
+			is.Equal(f.runs("again"), c.runs)
+		})
 	}
-	reply := Ask(context.Background(), f.Nodes[0].Caller(), RepeatPath, "twice", nil)
-	is.Equal(reply.Status, http.StatusBadGateway)
-	is.Equal(f.runs("twice"), 2)
 }
 
 // TestClientLeaves: when the client goes away, the runner's work is ended.
--- a/lab/hosted/store.go
+++ b/lab/hosted/store.go
@@ -8,7 +8,6 @@
 	"io"
 	"maps"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -20,13 +19,12 @@
 
 // StoreFaults are what can be wrong with the store.
 type StoreFaults struct {
-	Down      bool            // every call is answered 503
-	Silent    bool            // no call is answered
-	Refuse    map[string]bool // callers by source IP that are answered 503
-	Latency   time.Duration   // added to every call
-	LoseWrite float64         // share of writes that are done and not answered
-	LateWrite time.Duration   // lost writes are done this much later
-	Stale     time.Duration   // age of what reads with stale_ok show
+	Down      bool          // every call is answered 503
+	Silent    bool          // no call is answered
+	Latency   time.Duration // added to every call
+	LoseWrite float64       // share of writes that are done and not answered
+	LateWrite time.Duration // lost writes are done this much later
+	Stale     time.Duration // age of what reads with stale_ok show
 }
 
 // Meta is the metadata of an object.
@@ -174,7 +172,6 @@
 	s.calls[r.Method+" "+kind]++
 	s.mu.Unlock()
 	time.Sleep(f.Latency)
-	from, _, _ := net.SplitHostPort(r.RemoteAddr)
 	switch {
 	case f.Silent:
 		_, _ = io.Copy(io.Discard, r.Body) // net/http notices a caller that leaves only after that
@@ -183,7 +180,7 @@
 		case <-s.closed:
 		}
 		panic(http.ErrAbortHandler)
-	case f.Down, f.Refuse[from]:
+	case f.Down:
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/scripts/check-mutants.sh
+++ b/scripts/check-mutants.sh
@@ -32,4 +32,15 @@
 mutant 7 internal/request/choose/choose.go 's/case e\.leaving:/case e.leaving \&\& e.failures < 0:/' internal/request/choose TestLeavingIsForGood
 mutant 8 internal/process/node/node.go 's/n\.callerHTTP\.Shutdown\(ctx\)/n.callerHTTP.Close()/' lab/e2e TestRollingDrain
 mutant 9 lab/platform/server.go 's/version == want && version != 0/version >= 0 \&\& want >= 0/' lab/e2e TestOperatorsRace
+mutant 6 internal/request/forward/forward.go 's/case !req\.Route\.Repeatable\(\):/case !req.Route.Repeatable() \&\& c.begun:/' lab/hosted TestAtMostOnce
+mutant 5 internal/request/forward/forward.go 's/case c\.ran > 0:/case c.ran > 5:/' lab/hosted TestRepeatable
+mutant 2 internal/request/job/manager.go 's/return told \|\| m\.Ended/_ = told\n\treturn m.Ended/' lab/hosted TestEndedJobStops
+mutant 1 internal/request/job/progress.go 's/if id <= s\.held/if id < s.held/' internal/request/job TestEveryItemHasOnePosition
+mutant 1 internal/request/job/write.go 's/KindHeads, id, revision, value/KindHeads, id, 0*revision, value/' internal/request/job TestFormerHolderIsFenced
+mutant 3 internal/request/job/share.go 's/room \* claim \/ total/room * claim \/ max(1, total-claim)/' internal/request/job TestDealNeverExceedsTheRoom
+mutant 3 internal/request/choose/room.go 's/over := keep - e\.freeAt\(now\)/over := -100/' lab/hosted TestOnlineGoesFirst
+mutant 8 internal/request/job/manager.go 's/m\.handOver\(ctx, jobs\)//' lab/hosted TestLeavingNodeHandsOver
+mutant 9 internal/version/follow/cache.go 's/old\.Revision > o\.Revision \|\|/old.Revision > o.Revision+9 ||/' internal/version/follow TestOrderOfDeliveryDoesNotMatter
+mutant 9 internal/version/follow/refresh.go 's/objects\.ErrHistoryGone\)/objects.ErrNotFound)/' internal/version/follow TestLostHistoryIsListedAgain
+mutant 7 internal/version/discovery/discovery.go 's/if r\.Draining \{\n\t\tp\.table\.Leave/if r.Draining \&\& r.Slots == 0 {\n\t\tp.table.Leave/' lab/hosted TestDrainingTarget
 exit $missed
