Reach the store through other nodes when it turns one away

Ruled out: forwarding submissions and reads one by one (every call of the job holder needs the same). Change: jobs call the store through a relay, which asks a node that reaches the store; conditional writes make it indifferent who writes, and a write whose outcome is not known is never repeated by the relay. Questions back off to one a second and kind while the store is away.

--- a/internal/connection/objects/health.go
+++ b/internal/connection/objects/health.go
@@ -22,6 +22,13 @@
 	return &Health{now: now, onChange: onChange, up: true, since: now()}
 }
 
+// Up reports whether the newest call was answered.
+func (h *Health) Up() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.up
+}
+
 // Note takes the outcome of a call: whether the store answered it at all.
 func (h *Health) Note(answered bool) {
 	h.mu.Lock()
--- a/internal/process/hosted/hosted.go
+++ b/internal/process/hosted/hosted.go
@@ -118,7 +118,7 @@
 		Self: job.Holder{Node: s.NodeID, Boot: n.boot, Address: s.PeerListen}, MaxValue: s.StoreMaxValue,
 		KeepResults: s.KeepResults, TakeOverAfter: s.TakeOverAfter, SweepInterval: s.SweepInterval,
 		Holds: s.CallerListen != "", ResultMemory: s.ResultMemory,
-	}, job.Parts{Store: adapter.Store, Pool: n.pool, Sender: adapter.Sender, Routes: n.Table, RoutesFresh: n.TableFresh, Peers: n,
+	}, job.Parts{Store: n.relay(), Pool: n.pool, Sender: adapter.Sender, Routes: n.Table, RoutesFresh: n.TableFresh, Peers: n,
 		Waiting: n.loads.Waiting, Ended: n.ended, Shares: n.batchShares, Recorder: n.recorder, Checker: n.checker, Metrics: n.metrics})
 	n.beacon = beacon.New(beacon.Options{Node: s.NodeID, Boot: n.boot, Loads: n.pool, Copies: n.cache, Peers: n.beaconPeers, Behind: n.behind,
 		Batch: n.batchWord, HeardBatch: n.batchHeard})
--- a/internal/process/hosted/peers.go
+++ b/internal/process/hosted/peers.go
@@ -17,6 +17,7 @@
 	"github.com/marblepond/marblepond/internal/connection/callbudget"
 	"github.com/marblepond/marblepond/internal/connection/objects"
 	"github.com/marblepond/marblepond/internal/connection/peer"
+	"github.com/marblepond/marblepond/internal/connection/relay"
 	"github.com/marblepond/marblepond/internal/process/settings"
 	"github.com/marblepond/marblepond/internal/process/timeline"
 	"github.com/marblepond/marblepond/internal/process/wait"
@@ -45,6 +46,7 @@
 	mu   sync.Mutex
 	syn  map[string]marblepondv1connect.SyncServiceClient
 	jobs map[string]marblepondv1connect.JobServiceClient
+	rel  map[string]marblepondv1connect.RelayServiceClient
 }
 
 // peerConns is how many idle connections are kept to each node.
@@ -57,7 +59,8 @@
 	dialer := &net.Dialer{Timeout: s.DialTimeout}
 	transport := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: peerConns, IdleConnTimeout: time.Minute, DisableCompression: true}
 	return &peers{http: &http.Client{Transport: transport}, options: peer.ClientOptions(s.PeerKey), recorder: r,
-		syn: map[string]marblepondv1connect.SyncServiceClient{}, jobs: map[string]marblepondv1connect.JobServiceClient{}}
+		syn: map[string]marblepondv1connect.SyncServiceClient{}, jobs: map[string]marblepondv1connect.JobServiceClient{},
+		rel: map[string]marblepondv1connect.RelayServiceClient{}}
 }
 
 func (p *peers) sync(address string) marblepondv1connect.SyncServiceClient {
@@ -82,6 +85,38 @@
 	return c
 }
 
+func (p *peers) relay(address string) marblepondv1connect.RelayServiceClient {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c := p.rel[address]
+	if c == nil {
+		c = marblepondv1connect.NewRelayServiceClient(p.http, "http://"+address, p.options...)
+		p.rel[address] = c
+	}
+	return c
+}
+
+// relay returns the object store as jobs reach it: also through other nodes.
+func (n *Node) relay() *relay.Relay {
+	return &relay.Relay{Own: n.adapter.Store, Reached: n.adapter.Health.Up, Peers: n.heardAddresses, Client: n.peers.relay,
+		Relayed: func(kind, name, address string) {
+			n.recorder.Record(timeline.CallRelayed, name, kind, "", field("through", address))
+			n.metrics.Counter("store_calls_relayed").Inc(1)
+		}}
+}
+
+// heardAddresses returns the addresses of the nodes that are heard now.
+func (n *Node) heardAddresses() []string {
+	nodes := n.registered()
+	var out []string
+	for _, name := range n.beacon.Heard() {
+		if r, ok := nodes[name]; ok {
+			out = append(out, r.Address)
+		}
+	}
+	return out
+}
+
 // Job implements job.Peers.
 func (n *Node) Job(address string) marblepondv1connect.JobServiceClient { return n.peers.job(address) }
 
--- a/internal/process/hosted/run.go
+++ b/internal/process/hosted/run.go
@@ -12,6 +12,7 @@
 
 	"github.com/marblepond/marblepond/api/marblepond/v1/marblepondv1connect"
 	"github.com/marblepond/marblepond/internal/connection/peer"
+	"github.com/marblepond/marblepond/internal/connection/relay"
 	"github.com/marblepond/marblepond/internal/process/timeline"
 	"github.com/marblepond/marblepond/internal/version/follow"
 )
@@ -82,6 +83,7 @@
 	mux := http.NewServeMux()
 	mux.Handle(marblepondv1connect.NewSyncServiceHandler(n.gossip, peer.Require(n.settings.PeerKey)...))
 	mux.Handle(marblepondv1connect.NewJobServiceHandler(n.jobs.PeerService(), peer.Require(n.settings.PeerKey)...))
+	mux.Handle(marblepondv1connect.NewRelayServiceHandler(&relay.Service{Own: n.adapter.Store, Reached: n.adapter.Health.Up}, peer.Require(n.settings.PeerKey)...))
 	mux.Handle("GET /metrics", metricsPage)
 	n.peerHTTP = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
 	n.readyHTTP = &http.Server{Handler: n.adapter.Ready(n), ReadHeaderTimeout: headerTimeout}
--- a/internal/version/follow/refresh.go
+++ b/internal/version/follow/refresh.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"time"
 
 	"github.com/marblepond/marblepond/internal/connection/callbudget"
@@ -38,8 +39,12 @@
 	// listTimeout bounds one listing; the store answers in milliseconds, and a
 	// call that hangs must not use up the time a change has to be in force.
 	listTimeout = time.Second
-	// failurePause is the pause after a question that was not answered.
-	failurePause = 100 * time.Millisecond
+	// failurePause is the pause after a question that was not answered; it
+	// doubles up to mostFailurePause. Refused calls are charged like others, and
+	// the first node that is answered again tells the rest within a fraction of
+	// a second.
+	failurePause     = 100 * time.Millisecond
+	mostFailurePause = time.Second
 )
 
 // Refresher keeps one kind of the cache up to date. Nodes that hear each other
@@ -80,14 +85,18 @@
 
 // Run refreshes until ctx ends.
 func (r *Refresher) Run(ctx context.Context) {
+	pause := failurePause
 	for ctx.Err() == nil {
 		if due := r.due(); due > 0 && !r.kicked(ctx, due) {
 			continue
 		}
 		if err := r.refresh(ctx); err != nil {
 			r.Listener.Failed(r.Kind, r.Cache.Complete(r.Kind), err)
-			wait.For(ctx, failurePause)
+			wait.For(ctx, pause/2+rand.N(pause))
+			pause = min(2*pause, mostFailurePause)
+			continue
 		}
+		pause = failurePause
 	}
 }
 
