Be ready only once the targets are known

Cause: a node that came back with all others answered ready with a configuration and no targets, and refused its first requests. Change: ready needs both.

--- a/internal/process/hosted/hosted.go
+++ b/internal/process/hosted/hosted.go
@@ -141,8 +141,11 @@
 // Leaving reports whether the node was asked to stop.
 func (n *Node) Leaving() bool { return n.leaving.Load() }
 
-// Ready reports whether the node can take new connections.
-func (n *Node) Ready() bool { return !n.Leaving() && n.Table() != nil }
+// Ready reports whether the node can take new connections: it knows a
+// configuration and the targets.
+func (n *Node) Ready() bool {
+	return !n.Leaving() && n.Table() != nil && n.cache.Complete(n.adapter.Kinds.Targets) > 0
+}
 
 // Metrics returns the scope that counts go to.
 func (n *Node) Metrics() tally.Scope { return n.metrics }
