--- a/internal/process/hosted/log.go
+++ b/internal/process/hosted/log.go
@@ -15,6 +15,20 @@
 // requestLog implements forward.Log: one line a decision, with its inputs.
 type requestLog struct{ n *Node }
 
+// LogRefusal records that a call was refused before it became a request or a
+// job, with the version of the configuration that decided.
+func (n *Node) LogRefusal(requestID, subject string, err error) {
+	version := int64(0)
+	if table := n.Table(); table != nil {
+		version = table.Version
+	}
+	age, _ := n.cache.Age(n.adapter.Kinds.Config)
+	answer := errkind.Of(err)
+	n.recorder.Record(timeline.RequestRefused, requestID, subject, errkind.Message(err), field("kind", answer.Name),
+		field("not_run", string(answer.NotRun)), field("config", version), field("config_age_ms", age.Milliseconds()))
+	n.metrics.Counter("calls_refused").Inc(1)
+}
+
 // requestBuckets cover answers from a few milliseconds to the longest usual
 // time limit.
 var requestBuckets = tally.DurationBuckets{
--- a/internal/process/settings/settings_test.go
+++ b/internal/process/settings/settings_test.go
@@ -29,7 +29,7 @@
 
 func page() string {
 	var b strings.Builder
-	b.WriteString("# Settings\n\nA node reads one INI file at its start (`marblepond agent --settings FILE`). `marblepond check` reports every fault,\none a line. Unknown keys are faults. This page is written from the code (`go test ./internal/process/settings -update`).\nServices, workspaces and their limits are not settings: operators change them while nodes run (OPERATING.md).\n")
+	b.WriteString("# Settings\n\nA node reads one INI file at its start (`marblepond agent --settings FILE`). `marblepond check` reports every fault,\none a line. Unknown keys are faults. This page is written from the code (`go test ./internal/process/settings -update`).\nServices, workspaces and their limits are not settings: operators change them while nodes run (OPERATIONS.md).\n")
 	section := ""
 	for _, k := range Keys {
 		if k.Section != section {
