One interface for the store's calls, one cache of clients, one way to pause

What stood twice: the store's interface in relay and job, three caches of clients for other nodes, and two copies of wait.For.

--- a/internal/connection/beacon/beacon.go
+++ b/internal/connection/beacon/beacon.go
@@ -18,6 +18,7 @@
 	"google.golang.org/protobuf/proto"
 
 	v1 "github.com/marblepond/marblepond/api/marblepond/v1"
+	"github.com/marblepond/marblepond/internal/process/wait"
 	"github.com/marblepond/marblepond/internal/request/choose"
 	"github.com/marblepond/marblepond/internal/version/follow"
 )
@@ -134,7 +135,7 @@
 		case <-x.touched:
 			near, _ := x.Peers()
 			x.send(conn, near)
-			if !pause(ctx, nearLeast+time.Duration(len(near))*nearPace) {
+			if !wait.For(ctx, nearLeast+time.Duration(len(near))*nearPace) {
 				return
 			}
 		case <-far.C:
@@ -146,15 +147,6 @@
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(d):
-		return true
-	}
-}
-
 func (x *Exchange) send(conn net.PacketConn, addresses []string) {
 	if len(addresses) == 0 {
 		return
--- a/internal/connection/objects/objects.go
+++ b/internal/connection/objects/objects.go
@@ -1,10 +1,15 @@
 // Package objects defines the object store that nodes keep their durable state
 // in: versioned objects by kind and name, conditional writes, lists and
-// watches. It holds types and errors only; a client of a concrete store
-// implements the calls, and each consumer declares the few that it needs.
+// lists. It holds types and errors only; a client of a concrete store implements
+// the calls.
 package objects
 
-import "errors"
+import (
+	"context"
+	"errors"
+
+	"github.com/marblepond/marblepond/internal/connection/callbudget"
+)
 
 // Errors of a store. Every other error of a client wraps one of them.
 var (
@@ -17,7 +22,7 @@
 	// ErrUnknownOutcome: a write was sent and has no answer. It may have taken
 	// effect, and may still do so seconds later while its condition holds.
 	ErrUnknownOutcome = errors.New("write may have taken effect")
-	// ErrHistoryGone: the revision to watch from is no longer kept; list again.
+	// ErrHistoryGone: the revision to ask from is no longer kept; list again.
 	ErrHistoryGone = errors.New("history of the object store is gone")
 )
 
@@ -30,9 +35,28 @@
 	Deleted  bool   // only in events: the object is gone as of Revision
 }
 
-// Page is the answer to a list or a watch.
+// Page is the answer to a list or to a question for changes.
 type Page struct {
 	Objects []Object
 	// Revision is the store's own revision that the answer is complete up to.
 	Revision int64
 }
+
+// Store is what jobs need of an object store, and what a node can call through
+// another one. Following a kind needs other calls (package follow).
+type Store interface {
+	// Get returns one object. Errors: ErrNotFound, ErrUnavailable.
+	Get(ctx context.Context, class callbudget.Class, kind, name string) (Object, error)
+	// Create writes an object that must not exist. Errors: ErrConflict (it
+	// exists), ErrUnavailable, ErrUnknownOutcome.
+	Create(ctx context.Context, class callbudget.Class, kind, name string, value []byte) (Object, error)
+	// Update replaces an object whose revision must be the one given; 0: any.
+	// Errors: ErrConflict, ErrNotFound, ErrUnavailable, ErrUnknownOutcome.
+	Update(ctx context.Context, class callbudget.Class, kind, name string, revision int64, value []byte) (Object, error)
+	// Delete removes an object. Errors: ErrNotFound, ErrUnavailable,
+	// ErrUnknownOutcome.
+	Delete(ctx context.Context, class callbudget.Class, kind, name string) error
+	// ListStale lists a kind at a small part of the price; the answer may be
+	// seconds old. Errors: ErrUnavailable.
+	ListStale(ctx context.Context, kind string) (Page, error)
+}
--- a/internal/connection/relay/relay.go
+++ b/internal/connection/relay/relay.go
@@ -16,15 +16,6 @@
 	"github.com/marblepond/marblepond/internal/connection/objects"
 )
 
-// Store is what can be called through other nodes.
-type Store interface {
-	Get(ctx context.Context, class callbudget.Class, kind, name string) (objects.Object, error)
-	Create(ctx context.Context, class callbudget.Class, kind, name string, value []byte) (objects.Object, error)
-	Update(ctx context.Context, class callbudget.Class, kind, name string, revision int64, value []byte) (objects.Object, error)
-	Delete(ctx context.Context, class callbudget.Class, kind, name string) error
-	ListStale(ctx context.Context, kind string) (objects.Page, error)
-}
-
 const (
 	// ownEvery is how often a call is made to the store itself while it does not
 	// answer this node, to find out when it does again.
@@ -36,10 +27,10 @@
 	peerTimeout = 350 * time.Millisecond
 )
 
-// Relay implements Store over the node's own client and its peers. It is safe
+// Relay implements objects.Store over the node's own client and its peers. It is safe
 // for concurrent use.
 type Relay struct {
-	Own Store
+	Own objects.Store
 	// Reached reports whether the store answered this node's newest own call.
 	Reached func() bool
 	// Peers returns the nodes that are heard now, by address.
@@ -131,32 +122,32 @@
 	return objects.Object{Name: o.Name, Revision: o.Revision, Value: o.Value}
 }
 
-// Get implements Store.
+// Get implements objects.Store.
 func (r *Relay) Get(ctx context.Context, class callbudget.Class, kind, name string) (objects.Object, error) {
 	return call(ctx, r, func() (objects.Object, error) { return r.Own.Get(ctx, class, kind, name) },
 		&v1.StoreCall{Operation: v1.StoreCall_GET, Kind: kind, Name: name}, first)
 }
 
-// Create implements Store.
+// Create implements objects.Store.
 func (r *Relay) Create(ctx context.Context, class callbudget.Class, kind, name string, value []byte) (objects.Object, error) {
 	return call(ctx, r, func() (objects.Object, error) { return r.Own.Create(ctx, class, kind, name, value) },
 		&v1.StoreCall{Operation: v1.StoreCall_CREATE, Kind: kind, Name: name, Value: value}, first)
 }
 
-// Update implements Store.
+// Update implements objects.Store.
 func (r *Relay) Update(ctx context.Context, class callbudget.Class, kind, name string, revision int64, value []byte) (objects.Object, error) {
 	return call(ctx, r, func() (objects.Object, error) { return r.Own.Update(ctx, class, kind, name, revision, value) },
 		&v1.StoreCall{Operation: v1.StoreCall_UPDATE, Kind: kind, Name: name, Revision: revision, Value: value}, first)
 }
 
-// Delete implements Store.
+// Delete implements objects.Store.
 func (r *Relay) Delete(ctx context.Context, class callbudget.Class, kind, name string) error {
 	_, err := call(ctx, r, func() (struct{}, error) { return struct{}{}, r.Own.Delete(ctx, class, kind, name) },
 		&v1.StoreCall{Operation: v1.StoreCall_DELETE, Kind: kind, Name: name}, func(*v1.StoreAnswer) struct{} { return struct{}{} })
 	return err
 }
 
-// ListStale implements Store.
+// ListStale implements objects.Store.
 func (r *Relay) ListStale(ctx context.Context, kind string) (objects.Page, error) {
 	return call(ctx, r, func() (objects.Page, error) { return r.Own.ListStale(ctx, kind) },
 		&v1.StoreCall{Operation: v1.StoreCall_LIST_STALE, Kind: kind}, func(a *v1.StoreAnswer) objects.Page {
@@ -170,7 +161,7 @@
 
 // Service makes calls for other nodes; it never passes them on.
 type Service struct {
-	Own     Store
+	Own     objects.Store
 	Reached func() bool
 }
 
--- a/internal/process/hosted/hosted.go
+++ b/internal/process/hosted/hosted.go
@@ -30,7 +30,7 @@
 // Store is the object store as the node's duties need it.
 type Store interface {
 	follow.Store
-	job.Store
+	objects.Store
 	SetStatus(ctx context.Context, class callbudget.Class, kind, name string, status []byte) error
 }
 
@@ -108,7 +108,7 @@
 		makeRoom: make(chan struct{}, 1), halted: make(chan struct{}), claims: claims{said: map[string]beacon.Batch{}}}
 	n.seeds.Store(&s.Seeds)
 	n.checker = invariant.New(n.recorder, s.StopOnViolated)
-	n.peers = newPeers(s, n.recorder)
+	n.peers = newPeers(s)
 	n.cache = follow.NewCache(time.Now, adapter.Kinds.Config, adapter.Kinds.Targets, adapter.Kinds.Retirements, kindNodes, job.KindEnds)
 	n.pool = discovery.New(choose.Config{EjectAfter: s.EjectAfter, EjectTime: s.EjectTime, Policy: choose.LeastLoad, Home: s.DataCentre},
 		time.Now, func() bool { return n.cache.Doubtful(adapter.Kinds.Targets) }, n.targetChanged)
@@ -124,7 +124,7 @@
 		Batch: n.batchWord, HeardBatch: n.batchHeard})
 	n.pool.OnLoad(n.loadChanged)
 	n.gossip = &follow.Gossip{Node: s.NodeID, Cache: n.cache, Loads: n.loads, Listener: n, Peers: n.peerAddresses,
-		Client: n.peers.sync, Interval: s.GossipInterval, Pulls: follow.NewPulls()}
+		Client: n.peers.sync.at, Interval: s.GossipInterval, Pulls: follow.NewPulls()}
 	n.listenHandlers(parts.MetricsPage)
 	return n
 }
--- a/internal/process/hosted/peers.go
+++ b/internal/process/hosted/peers.go
@@ -39,14 +39,34 @@
 
 // peers hands out clients of other nodes.
 type peers struct {
-	http     *http.Client
-	options  []connect.ClientOption
-	recorder *timeline.Recorder
+	sync  clients[marblepondv1connect.SyncServiceClient]
+	jobs  clients[marblepondv1connect.JobServiceClient]
+	relay clients[marblepondv1connect.RelayServiceClient]
+}
+
+// clients keeps one client for each address.
+type clients[T any] struct {
+	make func(address string) T
 
 	mu   sync.Mutex
-	syn  map[string]marblepondv1connect.SyncServiceClient
-	jobs map[string]marblepondv1connect.JobServiceClient
-	rel  map[string]marblepondv1connect.RelayServiceClient
+	made map[string]T
+}
+
+// at returns the client of the node at an address.
+func (c *clients[T]) at(address string) T {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	client, ok := c.made[address]
+	if !ok {
+		client = c.make(address)
+		c.made[address] = client
+	}
+	return client
+}
+
+// newClients returns clients that a constructor of generated code makes.
+func newClients[T any](h connect.HTTPClient, options []connect.ClientOption, construct func(connect.HTTPClient, string, ...connect.ClientOption) T) clients[T] {
+	return clients[T]{made: map[string]T{}, make: func(address string) T { return construct(h, "http://"+address, options...) }}
 }
 
 // peerConns is how many idle connections are kept to each node.
@@ -55,50 +75,21 @@
 // newPeers uses HTTP/1.1: a connection that a cut has left dead is dropped with
 // the call that met it, while one of HTTP/2 would fail every call until it is
 // found dead.
-func newPeers(s *settings.Settings, r *timeline.Recorder) *peers {
+func newPeers(s *settings.Settings) *peers {
 	dialer := &net.Dialer{Timeout: s.DialTimeout}
-	transport := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: peerConns, IdleConnTimeout: time.Minute, DisableCompression: true}
-	return &peers{http: &http.Client{Transport: transport}, options: peer.ClientOptions(s.PeerKey), recorder: r,
-		syn: map[string]marblepondv1connect.SyncServiceClient{}, jobs: map[string]marblepondv1connect.JobServiceClient{},
-		rel: map[string]marblepondv1connect.RelayServiceClient{}}
-}
-
-func (p *peers) sync(address string) marblepondv1connect.SyncServiceClient {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	c := p.syn[address]
-	if c == nil {
-		c = marblepondv1connect.NewSyncServiceClient(p.http, "http://"+address, p.options...)
-		p.syn[address] = c
-	}
-	return c
-}
-
-func (p *peers) job(address string) marblepondv1connect.JobServiceClient {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	c := p.jobs[address]
-	if c == nil {
-		c = marblepondv1connect.NewJobServiceClient(p.http, "http://"+address, p.options...)
-		p.jobs[address] = c
+	h := &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: peerConns,
+		IdleConnTimeout: time.Minute, DisableCompression: true}}
+	options := peer.ClientOptions(s.PeerKey)
+	return &peers{
+		sync:  newClients(h, options, marblepondv1connect.NewSyncServiceClient),
+		jobs:  newClients(h, options, marblepondv1connect.NewJobServiceClient),
+		relay: newClients(h, options, marblepondv1connect.NewRelayServiceClient),
 	}
-	return c
-}
-
-func (p *peers) relay(address string) marblepondv1connect.RelayServiceClient {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	c := p.rel[address]
-	if c == nil {
-		c = marblepondv1connect.NewRelayServiceClient(p.http, "http://"+address, p.options...)
-		p.rel[address] = c
-	}
-	return c
 }
 
 // relay returns the object store as jobs reach it: also through other nodes.
 func (n *Node) relay() *relay.Relay {
-	return &relay.Relay{Own: n.adapter.Store, Reached: n.adapter.Health.Up, Peers: n.heardAddresses, Client: n.peers.relay,
+	return &relay.Relay{Own: n.adapter.Store, Reached: n.adapter.Health.Up, Peers: n.heardAddresses, Client: n.peers.relay.at,
 		Relayed: func(kind, name, address string) {
 			n.recorder.Record(timeline.CallRelayed, name, kind, "", field("through", address))
 			n.metrics.Counter("store_calls_relayed").Inc(1)
@@ -118,7 +109,9 @@
 }
 
 // Job implements job.Peers.
-func (n *Node) Job(address string) marblepondv1connect.JobServiceClient { return n.peers.job(address) }
+func (n *Node) Job(address string) marblepondv1connect.JobServiceClient {
+	return n.peers.jobs.at(address)
+}
 
 // registered returns the nodes that registered themselves, by name.
 func (n *Node) registered() map[string]nodeRecord {
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -17,6 +17,7 @@
 	"github.com/marblepond/marblepond/internal/connection/target"
 	"github.com/marblepond/marblepond/internal/errkind"
 	"github.com/marblepond/marblepond/internal/process/invariant"
+	"github.com/marblepond/marblepond/internal/process/wait"
 	"github.com/marblepond/marblepond/internal/request/choose"
 	"github.com/marblepond/marblepond/internal/version/route"
 )
@@ -154,7 +155,7 @@
 		if t, ok := f.Targets.Choose(need); ok {
 			return t, true
 		}
-		if !f.Now().Before(until) || !sleep(ctx, pause) {
+		if !f.Now().Before(until) || !wait.For(ctx, pause) {
 			return choose.Target{}, false
 		}
 		if c.begun || c.ran == 0 {
@@ -163,17 +164,6 @@
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // unplaced returns the error of a request that no target can take.
 func (f *Forwarder) unplaced(ctx context.Context, c *course) error {
 	switch {
--- a/internal/request/job/manager.go
+++ b/internal/request/job/manager.go
@@ -10,7 +10,6 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/marblepond/marblepond/api/marblepond/v1/marblepondv1connect"
-	"github.com/marblepond/marblepond/internal/connection/callbudget"
 	"github.com/marblepond/marblepond/internal/connection/objects"
 	"github.com/marblepond/marblepond/internal/connection/target"
 	"github.com/marblepond/marblepond/internal/process/invariant"
@@ -19,17 +18,6 @@
 	"github.com/marblepond/marblepond/internal/version/route"
 )
 
-// Store is what jobs need of the object store.
-type Store interface {
-	Get(ctx context.Context, class callbudget.Class, kind, name string) (objects.Object, error)
-	Create(ctx context.Context, class callbudget.Class, kind, name string, value []byte) (objects.Object, error)
-	Update(ctx context.Context, class callbudget.Class, kind, name string, revision int64, value []byte) (objects.Object, error)
-	Delete(ctx context.Context, class callbudget.Class, kind, name string) error
-	// ListStale lists a kind at a small part of the price; the answer may be
-	// seconds old.
-	ListStale(ctx context.Context, kind string) (objects.Page, error)
-}
-
 // Pool places items on targets.
 type Pool interface {
 	ChooseBatch(need choose.Need) (choose.Target, bool)
@@ -64,7 +52,7 @@
 
 // Parts are what a manager works with.
 type Parts struct {
-	Store  Store
+	Store  objects.Store
 	Pool   Pool
 	Sender target.Sender
 	Peers  Peers
--- a/internal/request/job/manager_test.go
+++ b/internal/request/job/manager_test.go
@@ -93,7 +93,7 @@
 func (noPeers) Job(string) marblepondv1connect.JobServiceClient { return nil }
 func (noPeers) Holders() []string                               { return nil }
 
-func newTestManager(node string, store Store) *Manager {
+func newTestManager(node string, store objects.Store) *Manager {
 	recorder := timeline.NewRecorder(node, 100, &log.Logger{Handler: discard.New()}, tally.NoopScope)
 	table := route.NewTable(1, []route.Route{{Name: "r", Host: "h", Prefix: "/j/", Kind: route.Batch, Attempts: 3, CompleteWithin: time.Minute, AbandonAfter: time.Hour}}, route.Limits{})
 	return NewManager(Config{Self: Holder{Node: node, Boot: 1, Address: node}, Holds: true, MaxValue: 1 << 20, KeepResults: time.Hour, ResultMemory: 1 << 20},
