--- a/internal/connection/relay/relay.go
+++ b/internal/connection/relay/relay.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -14,6 +15,7 @@
 	"github.com/marblepond/marblepond/api/marblepond/v1/marblepondv1connect"
 	"github.com/marblepond/marblepond/internal/connection/callbudget"
 	"github.com/marblepond/marblepond/internal/connection/objects"
+	"github.com/marblepond/marblepond/internal/errkind"
 )
 
 const (
@@ -163,10 +165,15 @@
 type Service struct {
 	Own     objects.Store
 	Reached func() bool
+	// Kinds are the kinds of objects that other nodes may reach.
+	Kinds []string
 }
 
 // Call implements the peers' service.
 func (s *Service) Call(ctx context.Context, m *v1.StoreCall) (*v1.StoreAnswer, error) {
+	if !slices.Contains(s.Kinds, m.Kind) {
+		return nil, errkind.Malformed.New("kind %q is not relayed", m.Kind)
+	}
 	if !s.Reached() {
 		return &v1.StoreAnswer{Outcome: v1.StoreAnswer_UNAVAILABLE}, nil
 	}
--- a/internal/process/hosted/hosted.go
+++ b/internal/process/hosted/hosted.go
@@ -1,12 +1,11 @@
 // Package hosted assembles a node that runs on somebody else's platform: its
 // durable state lies in an object store, its targets and routes are listed
-// there, and an adapter translates. The adapter is given as Options.
+// there, and an Adapter translates.
 package hosted
 
 import (
 	"context"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -86,10 +85,10 @@
 	makeRoom  chan struct{} // what is in flight has changed
 	leaving   atomic.Bool
 	halted    chan struct{}
-	active    sync.WaitGroup
 	callers   *callerServer
 	peerHTTP  *http.Server
 	readyHTTP *http.Server
+	pageHTTP  *http.Server // the metrics page
 }
 
 // Parts are what every process has.
--- a/internal/process/hosted/run.go
+++ b/internal/process/hosted/run.go
@@ -14,16 +14,21 @@
 	"github.com/marblepond/marblepond/internal/connection/peer"
 	"github.com/marblepond/marblepond/internal/connection/relay"
 	"github.com/marblepond/marblepond/internal/process/timeline"
+	"github.com/marblepond/marblepond/internal/request/job"
 	"github.com/marblepond/marblepond/internal/version/follow"
 )
 
 // Halt ends Run at once and hands nothing over, as a crash would; for tests.
 func (n *Node) Halt() { close(n.halted) }
 
+// memoryShare is the share of the memory allowed that the garbage collector
+// keeps below; the rest is for stacks, buffers of the kernel and the program.
+const memoryShare = 0.9
+
 // Run serves until ctx ends, then drains. A listen error is returned.
 func (n *Node) Run(ctx context.Context) error {
 	if n.settings.Memory > 0 {
-		debug.SetMemoryLimit(int64(n.settings.Memory) << 20 * 9 / 10)
+		debug.SetMemoryLimit(int64(float64(n.settings.Memory<<20) * memoryShare))
 	}
 	listeners, err := n.listen()
 	if err != nil {
@@ -43,8 +48,9 @@
 	}
 	stop()
 	duties.Wait()
-	n.peerHTTP.Close()
-	n.readyHTTP.Close()
+	for _, server := range []*http.Server{n.peerHTTP, n.readyHTTP, n.pageHTTP} {
+		server.Close()
+	}
 	n.recorder.Record(timeline.NodeStopped, "", n.settings.NodeID, "")
 	return nil
 }
@@ -83,18 +89,18 @@
 	mux := http.NewServeMux()
 	mux.Handle(marblepondv1connect.NewSyncServiceHandler(n.gossip, peer.Require(n.settings.PeerKey)...))
 	mux.Handle(marblepondv1connect.NewJobServiceHandler(n.jobs.PeerService(), peer.Require(n.settings.PeerKey)...))
-	mux.Handle(marblepondv1connect.NewRelayServiceHandler(&relay.Service{Own: n.adapter.Store, Reached: n.adapter.Health.Up}, peer.Require(n.settings.PeerKey)...))
-	mux.Handle("GET /metrics", metricsPage)
+	mux.Handle(marblepondv1connect.NewRelayServiceHandler(&relay.Service{Own: n.adapter.Store, Reached: n.adapter.Health.Up, Kinds: job.Kinds}, peer.Require(n.settings.PeerKey)...))
+	page := http.NewServeMux()
+	page.Handle("GET /metrics", metricsPage)
+	n.pageHTTP = &http.Server{Handler: page, ReadHeaderTimeout: headerTimeout}
 	n.peerHTTP = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
 	n.readyHTTP = &http.Server{Handler: n.adapter.Ready(n), ReadHeaderTimeout: headerTimeout}
-	n.callers = newCallerServer(n.tracked(n.adapter.Callers(n)))
+	n.callers = newCallerServer(n.closing(n.adapter.Callers(n)))
 }
 
-// tracked counts requests in progress, so that a drain waits for them.
-func (n *Node) tracked(next http.Handler) http.Handler {
+// closing tells callers of a leaving node to use their connection no more.
+func (n *Node) closing(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		n.active.Add(1)
-		defer n.active.Done()
 		if n.Leaving() {
 			w.Header().Set("Connection", "close")
 		}
@@ -103,15 +109,18 @@
 }
 
 func (n *Node) serve(l listeners) {
-	go n.peerHTTP.Serve(l.peers)
-	if l.callers != nil {
-		go n.callers.http.Serve(l.callers)
-	}
-	if l.ready != nil {
-		go n.readyHTTP.Serve(l.ready)
-	}
-	if l.metrics != nil {
-		go n.peerHTTP.Serve(l.metrics)
+	for _, s := range []struct {
+		server   *http.Server
+		listener net.Listener
+	}{{n.peerHTTP, l.peers}, {n.callers.http, l.callers}, {n.readyHTTP, l.ready}, {n.pageHTTP, l.metrics}} {
+		if s.listener == nil {
+			continue
+		}
+		go func() {
+			if err := s.server.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
+				n.recorder.Record(timeline.NodeStopped, "", s.listener.Addr().String(), "no longer listens: "+err.Error())
+			}
+		}()
 	}
 }
 
--- a/internal/request/job/record.go
+++ b/internal/request/job/record.go
@@ -27,6 +27,9 @@
 	KindEnds    = "marblepond-ends"    // one object for each job that its caller ended
 )
 
+// Kinds lists them: the only ones that one node may change for another.
+var Kinds = []string{KindHeads, KindItems, KindResults, KindEnds}
+
 // Holder is one boot of a node that holds a job. The zero Holder is nobody.
 type Holder struct {
 	Node    string
--- a/internal/request/job/sweep.go
+++ b/internal/request/job/sweep.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"math/rand/v2"
 	"time"
 
@@ -47,7 +48,7 @@
 
 // sweepOnce returns whether a holder is suspected.
 func (m *Manager) sweepOnce(ctx context.Context) bool {
-	m.forgetEnds()
+	m.forgetOld()
 	page, err := m.Store.ListStale(ctx, KindHeads)
 	if err != nil {
 		return true // the store is away; look again soon after it is back
@@ -90,15 +91,15 @@
 	return m.held[id] != nil || m.draining || m.endKnown(id)
 }
 
-// forgetEnds drops ends that the copy of the store has had long since.
-func (m *Manager) forgetEnds() {
+// forgetOld drops what is remembered of jobs and holders that are long gone:
+// the store has had the ends, and can be asked for the heads again.
+func (m *Manager) forgetOld() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for id, at := range m.ends {
-		if time.Since(at) > m.cfg.KeepResults {
-			delete(m.ends, id)
-		}
-	}
+	old := func(at time.Time) bool { return time.Since(at) > m.cfg.KeepResults }
+	maps.DeleteFunc(m.ends, func(_ string, at time.Time) bool { return old(at) })
+	maps.DeleteFunc(m.heads, func(_ string, known knownHead) bool { return old(known.at) })
+	maps.DeleteFunc(m.absent, func(_ string, since time.Time) bool { return old(since) })
 }
 
 // lostJobs returns which of a holder's jobs nobody works on; suspected tells
