Let nodes down the order ask less while the store is away

Cause: in an outage every copy is too old, so that all nodes asked about each kind once a second, whatever their order; with 63 nodes that is 250 calls a second. Change: the pause after a failed question grows with the place in the order. A test holds the first in order to ask more than the last.

--- a/internal/version/follow/refresh.go
+++ b/internal/version/follow/refresh.go
@@ -40,9 +40,9 @@
 	// call that hangs must not use up the time a change has to be in force.
 	listTimeout = time.Second
 	// failurePause is the pause after a question that was not answered; it
-	// doubles up to mostFailurePause. Refused calls are charged like others, and
-	// the first node that is answered again tells the rest within a fraction of
-	// a second.
+	// doubles up to mostFailurePause, and a node pauses longer the farther down
+	// the order it stands. Refused calls are charged like others, and the first
+	// node that is answered again tells the rest within a fraction of a second.
 	failurePause     = 100 * time.Millisecond
 	mostFailurePause = time.Second
 )
@@ -92,7 +92,7 @@
 		}
 		if err := r.refresh(ctx); err != nil {
 			r.Listener.Failed(r.Kind, r.Cache.Complete(r.Kind), err)
-			wait.For(ctx, pause/2+rand.N(pause))
+			wait.For(ctx, time.Duration(1+r.rank())*(pause/2+rand.N(pause)))
 			pause = min(2*pause, mostFailurePause)
 			continue
 		}
--- a/internal/version/follow/refresh_test.go
+++ b/internal/version/follow/refresh_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/marblepond/marblepond/internal/connection/callbudget"
 	"github.com/marblepond/marblepond/internal/connection/objects"
+	"github.com/marblepond/marblepond/internal/process/rendezvous"
 )
 
 // fakeStore answers lists and changes as it is told.
@@ -132,3 +133,25 @@
 	runFor(r, 150*time.Millisecond)
 	is.True(s.lists+s.asked >= 2)
 }
+
+// TestNodesDownTheOrderAskLessInAnOutage: while the store is away, nodes in
+// contact together ask it little more often than one alone.
+func TestNodesDownTheOrderAskLessInAnOutage(t *testing.T) {
+	is := is.New(t)
+	asked := func(self string) int {
+		s := &fakeStore{list: objects.Page{Revision: 3}, err: objects.ErrUnavailable}
+		r, _ := newTestRefresher(s, "n0", "n1", "n2", "n3", "n4", "n5", "n6", "n7")
+		r.Self = self
+		runFor(r, 1500*time.Millisecond)
+		return s.asked
+	}
+	names := []string{"n0", "n1", "n2", "n3", "n4", "n5", "n6", "n7", "self"}
+	order := rendezvous.Rank(kindT, names, len(names))
+	var wg sync.WaitGroup
+	var first, last int
+	wg.Go(func() { first = asked(order[0]) })
+	wg.Go(func() { last = asked(order[len(order)-1]) })
+	wg.Wait()
+	is.True(last >= 1)
+	is.True(first > last)
+}
