Take the removal of a job's end for what it is

Read as a newcomer: the deletion of the object that tells a job's end, with the rest of an expired job, was taken for an end; harmless, as the job is gone, and confusing. A parameter that nothing used is gone. lab/hosted passes.

--- a/internal/process/hosted/changes.go
+++ b/internal/process/hosted/changes.go
@@ -42,9 +42,11 @@
 		case n.adapter.Kinds.Targets:
 			n.targetListed(o)
 		case kindNodes:
-			n.nodesChanged(o)
+			n.nodesChanged()
 		case job.KindEnds:
-			n.jobs.EndSeen(o.Name)
+			if !o.Deleted { // deleted with the rest of an expired job
+				n.jobs.EndSeen(o.Name)
+			}
 		case n.adapter.Kinds.Retirements:
 			n.retirementSeen(o)
 		}
--- a/internal/process/hosted/peers.go
+++ b/internal/process/hosted/peers.go
@@ -122,7 +122,7 @@
 }
 
 // nodesChanged reads the registrations again.
-func (n *Node) nodesChanged(objects.Object) {
+func (n *Node) nodesChanged() {
 	out := map[string]nodeRecord{}
 	for _, o := range n.cache.List(kindNodes) {
 		var r nodeRecord
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -107,9 +107,9 @@
 	last    error
 }
 
-// Do carries a request to its end. It returns nil when the caller has its
-// whole answer, and otherwise an error of errkind; Begun tells whether part of
-// the answer was sent.
+// Do carries a request to its end. The error is nil when the caller has its
+// whole answer, and otherwise of errkind; begun tells whether part of the answer
+// was sent.
 func (f *Forwarder) Do(ctx context.Context, req *Request, caller Caller) (begun bool, err error) {
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
 	defer cancel()
