--- a/internal/request/choose/room.go
+++ b/internal/request/choose/room.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// saturatedFor is how long a target's own refusal counts: about the time in
-// which one of its slots becomes free.
+// saturatedFor is how long a target's own refusal counts: long enough for batch
+// items to make room there, and shorter than a request waits for room.
 const saturatedFor = 50 * time.Millisecond
 
 // InFlight counts what is at a target.
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -79,9 +79,10 @@
 }
 
 const (
-	// overflow is how many requests a full target is given beyond its slots: a
-	// slot becomes free about every 20 ms on a target of eight, so four wait
-	// less than a third of the usual objective.
+	// overflow is how many requests a full target is given beyond its slots once
+	// batch items have made room. A stream of 40 events takes about 0.7 s, so that
+	// one of eight slots becomes free about every 90 ms and the first few still
+	// begin within or soon after the usual objective of 300 ms.
 	overflow = 4
 	// roomPause is the time between looks for a target with room.
 	roomPause = 10 * time.Millisecond
