--- a/api/marblepond/v1/marblepondv1connect/job.connect.go
+++ b/api/marblepond/v1/marblepondv1connect/job.connect.go
@@ -43,6 +43,8 @@
 	JobServiceEndProcedure = "/marblepond.v1.JobService/End"
 	// JobServiceAdoptProcedure is the fully-qualified name of the JobService's Adopt RPC.
 	JobServiceAdoptProcedure = "/marblepond.v1.JobService/Adopt"
+	// JobServiceLocateProcedure is the fully-qualified name of the JobService's Locate RPC.
+	JobServiceLocateProcedure = "/marblepond.v1.JobService/Locate"
 )
 
 // JobServiceClient is a client for the marblepond.v1.JobService service.
@@ -58,6 +60,10 @@
 	End(context.Context, *v1.EndRequest) (*v1.EndResponse, error)
 	// Adopt asks the node to hold jobs that the caller has given up.
 	Adopt(context.Context, *v1.AdoptRequest) (*v1.AdoptResponse, error)
+	// Locate returns the head of a job, from memory or from the object store. One
+	// node of each data centre is asked for a job, so that the store is not asked
+	// by every node that gets a read.
+	Locate(context.Context, *v1.LocateRequest) (*v1.LocateResponse, error)
 }
 
 // NewJobServiceClient constructs a client for the marblepond.v1.JobService service. By default, it
@@ -101,6 +107,12 @@
 			connect.WithSchema(jobServiceMethods.ByName("Adopt")),
 			connect.WithClientOptions(opts...),
 		),
+		locate: connect.NewClient[v1.LocateRequest, v1.LocateResponse](
+			httpClient,
+			baseURL+JobServiceLocateProcedure,
+			connect.WithSchema(jobServiceMethods.ByName("Locate")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -111,6 +123,7 @@
 	held    *connect.Client[v1.HeldRequest, v1.HeldResponse]
 	end     *connect.Client[v1.EndRequest, v1.EndResponse]
 	adopt   *connect.Client[v1.AdoptRequest, v1.AdoptResponse]
+	locate  *connect.Client[v1.LocateRequest, v1.LocateResponse]
 }
 
 // Results calls marblepond.v1.JobService.Results.
@@ -158,6 +171,15 @@
 	return nil, err
 }
 
+// Locate calls marblepond.v1.JobService.Locate.
+func (c *jobServiceClient) Locate(ctx context.Context, req *v1.LocateRequest) (*v1.LocateResponse, error) {
+	response, err := c.locate.CallUnary(ctx, connect.NewRequest(req))
+	if response != nil {
+		return response.Msg, err
+	}
+	return nil, err
+}
+
 // JobServiceHandler is an implementation of the marblepond.v1.JobService service.
 type JobServiceHandler interface {
 	// Results returns committed results from a position on and waits for one
@@ -171,6 +193,10 @@
 	End(context.Context, *v1.EndRequest) (*v1.EndResponse, error)
 	// Adopt asks the node to hold jobs that the caller has given up.
 	Adopt(context.Context, *v1.AdoptRequest) (*v1.AdoptResponse, error)
+	// Locate returns the head of a job, from memory or from the object store. One
+	// node of each data centre is asked for a job, so that the store is not asked
+	// by every node that gets a read.
+	Locate(context.Context, *v1.LocateRequest) (*v1.LocateResponse, error)
 }
 
 // NewJobServiceHandler builds an HTTP handler from the service implementation. It returns the path
@@ -210,6 +236,12 @@
 		connect.WithSchema(jobServiceMethods.ByName("Adopt")),
 		connect.WithHandlerOptions(opts...),
 	)
+	jobServiceLocateHandler := connect.NewUnaryHandlerSimple(
+		JobServiceLocateProcedure,
+		svc.Locate,
+		connect.WithSchema(jobServiceMethods.ByName("Locate")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/marblepond.v1.JobService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case JobServiceResultsProcedure:
@@ -222,6 +254,8 @@
 			jobServiceEndHandler.ServeHTTP(w, r)
 		case JobServiceAdoptProcedure:
 			jobServiceAdoptHandler.ServeHTTP(w, r)
+		case JobServiceLocateProcedure:
+			jobServiceLocateHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -250,3 +284,7 @@
 func (UnimplementedJobServiceHandler) Adopt(context.Context, *v1.AdoptRequest) (*v1.AdoptResponse, error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("marblepond.v1.JobService.Adopt is not implemented"))
 }
+
+func (UnimplementedJobServiceHandler) Locate(context.Context, *v1.LocateRequest) (*v1.LocateResponse, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("marblepond.v1.JobService.Locate is not implemented"))
+}
--- a/internal/connection/beacon/beacon.go
+++ b/internal/connection/beacon/beacon.go
@@ -3,9 +3,12 @@
 // object store holds is. A lost or late datagram is healed by the next.
 //
 // Nodes of a data centre share its targets, so each change goes to all of them,
-// at most once an interval that grows with their number. Nodes of other data
-// centres hear at a low rate, a few at a time. The datagrams that a node sends
-// a second are bounded by 1/nearPace + (near + farFanout)/farInterval.
+// at most once an interval that grows with their number. To other data centres
+// each node tells the sum over its own, at a low rate and to a few nodes at a
+// time: whichever node is heard, it speaks for its whole data centre. What a node
+// keeps thus grows with its data centre and the number of the others, and not
+// with the fleet. The datagrams that a node sends a second are bounded by
+// 1/nearPace + (near + farFanout)/farInterval.
 package beacon
 
 import (
@@ -41,8 +44,14 @@
 
 // Loads is what is told and heard of targets.
 type Loads interface {
+	// InFlight returns what this node has in flight, and InFlightHere what all
+	// nodes of its data centre have, as far as it knows.
 	InFlight() map[string]choose.InFlight
-	SetElsewhere(node string, counts map[string]choose.InFlight)
+	InFlightHere() map[string]choose.InFlight
+	// SetNode and SetDataCentre take what another node of this data centre, or
+	// another data centre, has in flight; nil: it is not heard of any more.
+	SetNode(node string, counts map[string]choose.InFlight)
+	SetDataCentre(name string, counts map[string]choose.InFlight)
 }
 
 // Copies is what is told and heard of the copies of the object store.
@@ -51,24 +60,34 @@
 	HeardMark(kind string, m follow.Mark) (behind bool)
 }
 
-// Batch is what is told of batch work: how many items wait or run here, how
-// many of them find no room in the own data centre, and which jobs this node
-// lately came to hold.
+// Batch is what is told of the batch work of a node or a data centre.
 type Batch struct {
-	Demand   int
-	Overflow int
-	Jobs     []string
+	Demand   int // items that wait or run
+	Overflow int // those that find no room in their data centre
+}
+
+// BatchWork is what is told and heard of batch work.
+type BatchWork interface {
+	// Own returns the word of this node, and Here that of its data centre.
+	Own() Batch
+	Here() Batch
+	// Announced returns the jobs that this node lately came to hold.
+	Announced() []string
+	// HeardNode and HeardDataCentre take the words of others.
+	HeardNode(node string, b Batch)
+	HeardDataCentre(name string, b Batch)
+	// HeardJobs takes the jobs that a node came to hold.
+	HeardJobs(node string, jobs []string)
 }
 
 // Options configures an exchange.
 type Options struct {
-	Node   string
-	Boot   int64 // Unix microseconds at process start
-	Loads  Loads
-	Copies Copies
-	// Batch returns this node's word; HeardBatch takes another's.
-	Batch      func() Batch
-	HeardBatch func(node string, b Batch)
+	Node       string
+	DataCentre string
+	Boot       int64 // Unix microseconds at process start
+	Loads      Loads
+	Copies     Copies
+	Batch      BatchWork
 	// Peers returns where other nodes listen: those of the own data centre, and
 	// the others.
 	Peers func() (near, far []string)
@@ -82,8 +101,9 @@
 	touched  chan struct{}
 	sequence uint64
 
-	mu    sync.Mutex
-	heard map[string]word
+	mu      sync.Mutex
+	heard   map[string]word
+	centres map[string]time.Time // other data centres: when a node of it was last heard
 }
 
 // word is the newest datagram of another node.
@@ -91,11 +111,12 @@
 	boot     int64
 	sequence uint64
 	at       time.Time
+	near     bool // of this node's data centre
 }
 
 // New returns an exchange; Run starts it.
 func New(o Options) *Exchange {
-	return &Exchange{Options: o, touched: make(chan struct{}, 1), heard: map[string]word{}}
+	return &Exchange{Options: o, touched: make(chan struct{}, 1), heard: map[string]word{}, centres: map[string]time.Time{}}
 }
 
 // Touch says that something changed; it never blocks.
@@ -119,6 +140,33 @@
 	return out
 }
 
+// HeardNear returns the nodes of this data centre that are heard now, without
+// this one.
+func (x *Exchange) HeardNear() []string {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	var out []string
+	for node, w := range x.heard {
+		if w.near && time.Since(w.at) < silentAfter {
+			out = append(out, node)
+		}
+	}
+	return out
+}
+
+// HeardDataCentres returns the other data centres of which a node is heard now.
+func (x *Exchange) HeardDataCentres() []string {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	var out []string
+	for name, at := range x.centres {
+		if time.Since(at) < silentAfter {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
 // Run exchanges over conn until ctx ends.
 func (x *Exchange) Run(ctx context.Context, conn net.PacketConn) {
 	go func() {
@@ -134,7 +182,7 @@
 			return
 		case <-x.touched:
 			near, _ := x.Peers()
-			x.send(conn, near)
+			x.send(conn, near, x.Loads.InFlight, x.Batch.Own)
 			if !wait.For(ctx, nearLeast+time.Duration(len(near))*nearPace) {
 				return
 			}
@@ -142,16 +190,18 @@
 			x.forgetSilent()
 			near, others := x.Peers()
 			rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
-			x.send(conn, append(near, others[:min(farFanout, len(others))]...))
+			x.send(conn, near, x.Loads.InFlight, x.Batch.Own)
+			x.send(conn, others[:min(farFanout, len(others))], x.Loads.InFlightHere, x.Batch.Here)
 		}
 	}
 }
 
-func (x *Exchange) send(conn net.PacketConn, addresses []string) {
+// send tells the nodes at the addresses what the functions return.
+func (x *Exchange) send(conn net.PacketConn, addresses []string, inFlight func() map[string]choose.InFlight, batch func() Batch) {
 	if len(addresses) == 0 {
 		return
 	}
-	data, err := proto.Marshal(x.compose())
+	data, err := proto.Marshal(x.compose(inFlight(), batch()))
 	if err != nil {
 		return // plain fields always encode
 	}
@@ -162,12 +212,11 @@
 	}
 }
 
-func (x *Exchange) compose() *v1.Beacon {
+func (x *Exchange) compose(inFlight map[string]choose.InFlight, batch Batch) *v1.Beacon {
 	x.sequence++
-	batch := x.Batch()
-	message := &v1.Beacon{Node: x.Node, Boot: x.Boot, Sequence: x.sequence,
-		Demand: uint32(batch.Demand), Overflow: uint32(batch.Overflow), Jobs: batch.Jobs}
-	for id, n := range x.Loads.InFlight() {
+	message := &v1.Beacon{Node: x.Node, Boot: x.Boot, Sequence: x.sequence, DataCentre: x.DataCentre,
+		Demand: uint32(batch.Demand), Overflow: uint32(batch.Overflow), Jobs: x.Batch.Announced()}
+	for id, n := range inFlight {
 		message.Targets = append(message.Targets, &v1.TargetCounts{Target: id, Online: uint32(n.Online), Batch: uint32(n.Batch)})
 	}
 	for kind, m := range x.Copies.AgeMarks() {
@@ -200,7 +249,10 @@
 	if m.Boot < last.boot || (m.Boot == last.boot && m.Sequence <= last.sequence) {
 		return false
 	}
-	x.heard[m.Node] = word{m.Boot, m.Sequence, time.Now()}
+	x.heard[m.Node] = word{m.Boot, m.Sequence, time.Now(), m.DataCentre == x.DataCentre}
+	if m.DataCentre != x.DataCentre {
+		x.centres[m.DataCentre] = time.Now()
+	}
 	return true
 }
 
@@ -209,8 +261,15 @@
 	for _, t := range m.Targets {
 		counts[t.Target] = choose.InFlight{Online: int(t.Online), Batch: int(t.Batch)}
 	}
-	x.Loads.SetElsewhere(m.Node, counts)
-	x.HeardBatch(m.Node, Batch{Demand: int(m.Demand), Overflow: int(m.Overflow), Jobs: m.Jobs})
+	batch := Batch{Demand: int(m.Demand), Overflow: int(m.Overflow)}
+	if m.DataCentre == x.DataCentre {
+		x.Loads.SetNode(m.Node, counts)
+		x.Batch.HeardNode(m.Node, batch)
+	} else {
+		x.Loads.SetDataCentre(m.DataCentre, counts)
+		x.Batch.HeardDataCentre(m.DataCentre, batch)
+	}
+	x.Batch.HeardJobs(m.Node, m.Jobs)
 	behind := false
 	for _, k := range m.Marks {
 		mark := follow.Mark{Complete: k.Complete, Latest: k.Latest, Age: time.Duration(k.AgeMs) * time.Millisecond, Known: true}
@@ -221,18 +280,36 @@
 	}
 }
 
-// forgetSilent drops what silent nodes said they have in flight.
+// forgetSilent drops what silent nodes and data centres said they have in
+// flight.
 func (x *Exchange) forgetSilent() {
+	nodes, centres := x.silent()
+	for _, node := range nodes {
+		x.Loads.SetNode(node, nil)
+	}
+	for _, name := range centres {
+		x.Loads.SetDataCentre(name, nil)
+	}
+}
+
+// silent forgets the nodes and data centres that are heard no more, and returns
+// the nodes of this data centre and the data centres among them.
+func (x *Exchange) silent() (nodes, centres []string) {
 	x.mu.Lock()
-	var silent []string
+	defer x.mu.Unlock()
 	for node, w := range x.heard {
 		if time.Since(w.at) > silentAfter {
 			delete(x.heard, node)
-			silent = append(silent, node)
+			if w.near {
+				nodes = append(nodes, node)
+			}
 		}
 	}
-	x.mu.Unlock()
-	for _, node := range silent {
-		x.Loads.SetElsewhere(node, nil)
+	for name, at := range x.centres {
+		if time.Since(at) > silentAfter {
+			delete(x.centres, name)
+			centres = append(centres, name)
+		}
 	}
+	return nodes, centres
 }
--- /dev/null
+++ b/internal/connection/beacon/beacon_test.go
@@ -0,0 +1,129 @@
+package beacon
+
+import (
+	"context"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/marblepond/marblepond/internal/request/choose"
+	"github.com/marblepond/marblepond/internal/version/follow"
+)
+
+// words records what one node has in flight and hears.
+type words struct {
+	mu      sync.Mutex
+	own     map[string]choose.InFlight
+	nodes   map[string]map[string]choose.InFlight
+	centres map[string]map[string]choose.InFlight
+	claims  map[string]Batch // by node or data centre
+}
+
+func newWords(own map[string]choose.InFlight) *words {
+	return &words{own: own, nodes: map[string]map[string]choose.InFlight{}, centres: map[string]map[string]choose.InFlight{}, claims: map[string]Batch{}}
+}
+
+func (w *words) InFlight() map[string]choose.InFlight { return w.own }
+
+func (w *words) InFlightHere() map[string]choose.InFlight {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	sum := map[string]choose.InFlight{}
+	for _, counts := range append([]map[string]choose.InFlight{w.own}, w.nodes["a1"], w.nodes["a2"]) {
+		for id, n := range counts {
+			sum[id] = choose.InFlight{Online: sum[id].Online + n.Online, Batch: sum[id].Batch + n.Batch}
+		}
+	}
+	return sum
+}
+
+func (w *words) SetNode(node string, counts map[string]choose.InFlight) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.nodes[node] = counts
+}
+
+func (w *words) SetDataCentre(name string, counts map[string]choose.InFlight) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.centres[name] = counts
+}
+
+func (w *words) Own() Batch          { return Batch{Demand: 1} }
+func (w *words) Here() Batch         { return Batch{Demand: 2, Overflow: 1} }
+func (w *words) Announced() []string { return nil }
+
+func (w *words) HeardNode(node string, b Batch) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.claims[node] = b
+}
+
+func (w *words) HeardDataCentre(name string, b Batch) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.claims[name] = b
+}
+
+func (w *words) HeardJobs(string, []string) {}
+
+type noCopies struct{}
+
+func (noCopies) AgeMarks() map[string]follow.Mark   { return nil }
+func (noCopies) HeardMark(string, follow.Mark) bool { return false }
+func (w *words) said(name string) map[string]choose.InFlight {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if counts := w.centres[name]; counts != nil {
+		return counts
+	}
+	return w.nodes[name]
+}
+
+// TestOneNodeSpeaksForItsDataCentre: a node hears each node of its own data
+// centre, and of another one the sum, whichever node it hears; what falls silent
+// counts no more.
+func TestOneNodeSpeaksForItsDataCentre(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	start := func(node, centre string, w *words, near, far []string) (address string, stop context.CancelFunc) {
+		conn, err := net.ListenPacket("udp", "127.0.0.1:0")
+		is.NoErr(err)
+		running, stop := context.WithCancel(ctx)
+		x := New(Options{Node: node, DataCentre: centre, Boot: 1, Loads: w, Copies: noCopies{}, Batch: w,
+			Peers: func() ([]string, []string) { return near, far }, Behind: func(string) {}})
+		go x.Run(running, conn)
+		return conn.LocalAddr().String(), stop
+	}
+	b, a1, a2 := newWords(nil), newWords(map[string]choose.InFlight{"t": {Online: 2}}), newWords(map[string]choose.InFlight{"t": {Online: 1, Batch: 3}})
+	addressB, _ := start("b1", "b", b, nil, nil)
+	address1, stop1 := start("a1", "a", a1, nil, []string{addressB})
+	_, stop2 := start("a2", "a", a2, []string{address1}, nil)
+	eventually(t, func() bool {
+		n := b.said("a")["t"]
+		return n.Online == 3 && n.Batch == 3
+	})
+	is.Equal(a1.said("a2")["t"], choose.InFlight{Online: 1, Batch: 3})
+	b.mu.Lock()
+	is.Equal(b.claims["a"], Batch{Demand: 2, Overflow: 1})
+	b.mu.Unlock()
+	stop2()
+	eventually(t, func() bool { return a1.said("a2") == nil })
+	stop1()
+	eventually(t, func() bool { return b.said("a") == nil })
+}
+
+func eventually(t *testing.T, f func() bool) {
+	t.Helper()
+	for range 400 {
+		if f() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatal("not within 4 s")
+}
--- a/internal/process/hosted/following.go
+++ b/internal/process/hosted/following.go
@@ -43,11 +43,12 @@
 // that are to be emptied.
 func (n *Node) keeper() bool { return n.settings.CallerListen == "" }
 
-// followers returns the function that lists the nodes heard that follow a kind.
+// followers returns the function that lists the other nodes of this data centre
+// that are heard and follow a kind.
 func (n *Node) followers(kind string) func() []string {
 	keepersOnly := kind == n.adapter.Kinds.Retirements
 	return func() []string {
-		heard := n.beacon.Heard()
+		heard := n.beacon.HeardNear()
 		if !keepersOnly {
 			return heard
 		}
--- a/internal/process/hosted/hosted.go
+++ b/internal/process/hosted/hosted.go
@@ -77,7 +77,7 @@
 	jobs      *job.Manager
 	peers     *peers
 	beacon    *beacon.Exchange
-	claims    claims
+	batch     *batchWork
 
 	nodeList  atomic.Pointer[follow.Refresher] // keeps the list of nodes
 	nodes     atomic.Pointer[map[string]nodeRecord]
@@ -104,7 +104,8 @@
 func New(parts Parts, adapter Adapter) *Node {
 	s := parts.Settings
 	n := &Node{settings: s, adapter: adapter, boot: time.Now().UnixMicro(), recorder: parts.Recorder, metrics: parts.Metrics,
-		makeRoom: make(chan struct{}, 1), halted: make(chan struct{}), claims: claims{said: map[string]beacon.Batch{}}}
+		makeRoom: make(chan struct{}, 1), halted: make(chan struct{})}
+	n.batch = newBatchWork(n)
 	n.seeds.Store(&s.Seeds)
 	n.checker = invariant.New(n.recorder, s.StopOnViolated)
 	n.peers = newPeers(s)
@@ -118,9 +119,9 @@
 		KeepResults: s.KeepResults, TakeOverAfter: s.TakeOverAfter, SweepInterval: s.SweepInterval,
 		Holds: s.CallerListen != "", ResultMemory: s.ResultMemory,
 	}, job.Parts{Store: n.relay(), Pool: n.pool, Sender: adapter.Sender, Routes: n.Table, RoutesFresh: n.TableFresh, Peers: n,
-		Waiting: n.loads.Waiting, Ended: n.ended, Shares: n.batchShares, Recorder: n.recorder, Checker: n.checker, Metrics: n.metrics})
-	n.beacon = beacon.New(beacon.Options{Node: s.NodeID, Boot: n.boot, Loads: n.pool, Copies: n.cache, Peers: n.beaconPeers, Behind: n.behind,
-		Batch: n.batchWord, HeardBatch: n.batchHeard})
+		Waiting: n.loads.Waiting, Ended: n.ended, Shares: n.batch.shares, Recorder: n.recorder, Checker: n.checker, Metrics: n.metrics})
+	n.beacon = beacon.New(beacon.Options{Node: s.NodeID, DataCentre: s.DataCentre, Boot: n.boot, Loads: n.pool, Copies: n.cache, Batch: n.batch,
+		Peers: n.beaconPeers, Behind: n.behind})
 	n.pool.OnLoad(n.loadChanged)
 	n.gossip = &follow.Gossip{Node: s.NodeID, Cache: n.cache, Loads: n.loads, Listener: n, Peers: n.peerAddresses,
 		Client: n.peers.sync.at, Interval: s.GossipInterval, Pulls: follow.NewPulls()}
--- a/internal/process/hosted/peers.go
+++ b/internal/process/hosted/peers.go
@@ -13,16 +13,14 @@
 	"connectrpc.com/connect"
 
 	"github.com/marblepond/marblepond/api/marblepond/v1/marblepondv1connect"
-	"github.com/marblepond/marblepond/internal/connection/beacon"
 	"github.com/marblepond/marblepond/internal/connection/callbudget"
 	"github.com/marblepond/marblepond/internal/connection/objects"
 	"github.com/marblepond/marblepond/internal/connection/peer"
 	"github.com/marblepond/marblepond/internal/connection/relay"
+	"github.com/marblepond/marblepond/internal/process/rendezvous"
 	"github.com/marblepond/marblepond/internal/process/settings"
 	"github.com/marblepond/marblepond/internal/process/timeline"
 	"github.com/marblepond/marblepond/internal/process/wait"
-	"github.com/marblepond/marblepond/internal/request/choose"
-	"github.com/marblepond/marblepond/internal/request/job"
 )
 
 // kindNodes is the kind of objects under which nodes register themselves.
@@ -178,68 +176,20 @@
 	return out
 }
 
-// batchShares implements job.Parts: the slots of a target are dealt out by
-// claims, so that nodes together never send it more batch items than it has
-// room for beside online requests. A node of its data centre claims for all of
-// its items, another for those that find no room at home.
-func (n *Node) batchShares() func(t choose.Target) int {
-	own, heard, nodes := n.batchWord(), n.beacon.Heard(), n.registered()
-	byDataCentre := map[string]map[string]int{}
-	return func(t choose.Target) int {
-		claims := byDataCentre[t.DataCentre]
-		if claims == nil {
-			claims = n.claims.of(t.DataCentre, nodes, heard)
-			claims[n.settings.NodeID] = own.Overflow
-			if t.DataCentre == n.settings.DataCentre {
-				claims[n.settings.NodeID] = own.Demand
-			}
-			byDataCentre[t.DataCentre] = claims
+// Locator implements job.Peers.
+func (n *Node) Locator(job string) string {
+	nodes := n.registered()
+	candidates := []string{n.settings.NodeID}
+	for _, name := range n.beacon.HeardNear() {
+		if nodes[name].Callers {
+			candidates = append(candidates, name)
 		}
-		return job.Deal(t.ID, t.Slots, n.settings.NodeID, claims)
 	}
-}
-
-// batchWord returns what this node says of its batch work.
-func (n *Node) batchWord() beacon.Batch {
-	demand := n.jobs.Demand()
-	overflow := max(0, demand-n.pool.SlotsIn(n.settings.DataCentre))
-	return beacon.Batch{Demand: demand, Overflow: overflow, Jobs: n.jobs.Announced()}
-}
-
-// batchHeard takes what another node says of its batch work.
-func (n *Node) batchHeard(node string, b beacon.Batch) {
-	n.claims.set(node, b)
-	if r, ok := n.registered()[node]; ok {
-		n.jobs.HeldBy(job.Holder{Node: node, Boot: r.Boot, Address: r.Address}, b.Jobs)
+	first := rendezvous.First(job, candidates)
+	if first == n.settings.NodeID {
+		return ""
 	}
-}
-
-// claims holds what other nodes last said of their batch work.
-type claims struct {
-	mu   sync.Mutex
-	said map[string]beacon.Batch
-}
-
-func (c *claims) set(node string, b beacon.Batch) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.said[node] = b
-}
-
-// of returns the claims on a target of a data centre by the nodes that are
-// heard.
-func (c *claims) of(dataCentre string, nodes map[string]nodeRecord, heard []string) map[string]int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	out := make(map[string]int, len(heard)+1)
-	for _, name := range heard {
-		if nodes[name].DataCentre == dataCentre {
-			out[name] = c.said[name].Demand
-		} else {
-			out[name] = c.said[name].Overflow
-		}
-	}
-	return out
+	return nodes[first].Address
 }
 
 // registerPause is the time between attempts to register.
--- a/internal/process/hosted/run.go
+++ b/internal/process/hosted/run.go
@@ -127,7 +127,8 @@
 func (n *Node) startDuties(ctx context.Context, l listeners, wg *sync.WaitGroup) {
 	for kind, age := range n.followed() {
 		r := follow.NewRefresher(kind)
-		r.Store, r.Cache, r.Listener, r.MaxAge, r.Self, r.Heard = n.adapter.Store, n.cache, n, age, n.settings.NodeID, n.followers(kind)
+		r.Store, r.Cache, r.Listener, r.MaxAge = n.adapter.Store, n.cache, n, age
+		r.Self, r.DataCentre, r.Near, r.Centres = n.settings.NodeID, n.settings.DataCentre, n.followers(kind), n.beacon.HeardDataCentres
 		if kind == kindNodes {
 			n.nodeList.Store(r)
 		}
--- a/internal/process/timeline/catalogue.go
+++ b/internal/process/timeline/catalogue.go
@@ -63,6 +63,7 @@
 	ItemDone          Code = 618
 	ItemDead          Code = 619
 	JobDropped        Code = 620
+	JobDoubted        Code = 621
 	PlatformDown      Code = 701
 	PlatformUp        Code = 702
 	PlatformAmbiguous Code = 703
@@ -139,6 +140,7 @@
 	ItemDone:          {"item_done", log.InfoLevel, "the whole answer of an item is here and waits to be committed"},
 	ItemDead:          {"item_dead", log.InfoLevel, "an item was given up; the cause says why"},
 	JobDropped:        {"job_dropped", log.InfoLevel, "an expired job was removed from the object store"},
+	JobDoubted:        {"job_doubted", log.InfoLevel, "another node may have taken a job over that this node holds; the object store is asked"},
 	PlatformDown:      {"platform_down", log.WarnLevel, "several calls to the platform failed in a row"},
 	PlatformUp:        {"platform_up", log.InfoLevel, "the platform answers again"},
 	PlatformAmbiguous: {"platform_ambiguous", log.InfoLevel, "a write has no clear answer and is read back"},
--- a/internal/request/choose/choose.go
+++ b/internal/request/choose/choose.go
@@ -102,13 +102,14 @@
 	left    map[string]uint64              // newest leaving incarnation by VM, kept after the VM is gone
 	turn    int                            // for RoundRobin
 	rank    map[string][]string            // per service: IDs
-	others  map[string]map[string]InFlight // by node and target: what it last said
+	nodes   map[string]map[string]InFlight // by node of this data centre and target: what it last said
+	centres map[string]map[string]InFlight // by other data centre and target: the same
 }
 
 // New returns an empty table.
 func New(cfg Config) *Table {
 	return &Table{cfg: cfg, entries: map[string]*entry{}, left: map[string]uint64{}, rank: map[string][]string{},
-		others: map[string]map[string]InFlight{}}
+		nodes: map[string]map[string]InFlight{}, centres: map[string]map[string]InFlight{}}
 }
 
 // Set replaces the list of targets. Counters of targets that stay are kept; a
@@ -232,30 +233,63 @@
 	return t.preferred(now, need.Service, out)
 }
 
-// preferred leaves out slow targets, those that are still warming up, and those
-// of other data centres, when others have room.
+// preferred leaves out slow targets and those that are still warming up when
+// others have room, and chooses the data centre.
 func (t *Table) preferred(now time.Time, service string, entries []*entry) []*entry {
 	usual := t.usualFirstEvent(service)
 	entries = keepIfAny(entries, func(e *entry) bool { return !e.Warming && !e.slow(now, usual) })
 	if t.cfg.Home == "" {
 		return entries
 	}
-	return keepIfAny(entries, func(e *entry) bool { return e.DataCentre == t.cfg.Home })
+	return t.nearest(now, entries)
 }
 
-func keepIfAny(entries []*entry, keep func(*entry) bool) []*entry {
+const (
+	// homeRoom is how many free slots keep a request in its own data centre
+	// whatever the others have: what nodes tell each other is some 10 to 100 ms old,
+	// and the last free slot of a target is often taken by the time it is used.
+	homeRoom = 2
+	// awayRoom is how many free slots a target elsewhere must have to be taken
+	// before the last slots at home: more than batch items leave free, so that it
+	// has room that nobody else there is about to use.
+	awayRoom = 3
+)
+
+// nearest returns the targets of the own data centre while they have room, then
+// those elsewhere with plenty, then whatever there is, the own first.
+func (t *Table) nearest(now time.Time, entries []*entry) []*entry {
+	home := keep(entries, func(e *entry) bool { return e.DataCentre == t.cfg.Home })
+	for _, e := range home {
+		if e.freeAt(now) >= homeRoom {
+			return home
+		}
+	}
+	if away := keep(entries, func(e *entry) bool { return e.freeAt(now) >= awayRoom }); len(away) > 0 {
+		return away
+	}
+	if len(home) > 0 {
+		return home
+	}
+	return entries
+}
+
+func keep(entries []*entry, wanted func(*entry) bool) []*entry {
 	var kept []*entry
 	for _, e := range entries {
-		if keep(e) {
+		if wanted(e) {
 			kept = append(kept, e)
 		}
 	}
-	if len(kept) == 0 {
-		return entries
-	}
 	return kept
 }
 
+func keepIfAny(entries []*entry, wanted func(*entry) bool) []*entry {
+	if kept := keep(entries, wanted); len(kept) > 0 {
+		return kept
+	}
+	return entries
+}
+
 // why returns the reason a target can't be chosen, empty when it can.
 func (e *entry) why(now time.Time, loaded string) string {
 	switch {
--- a/internal/request/choose/choose_test.go
+++ b/internal/request/choose/choose_test.go
@@ -130,7 +130,8 @@
 }
 
 // TestHomeFirstThenElsewhere: requests go to the own data centre while it has
-// room, then to another, then over the slots up to the overflow, then nowhere.
+// room, leave its last slot while another has plenty, take whatever is free, then
+// go over the slots up to the overflow, then nowhere.
 func TestHomeFirstThenElsewhere(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(0, 0)
@@ -144,12 +145,29 @@
 		table.Begin(target.ID)
 		got += target.ID
 	}
-	is.Equal(got[:8], "aaaabbbb")
+	is.Equal(got[:8], "aaabbabb")
 	is.Equal(len(got), 12) // two more each
 	_, ok := table.Choose(now, Need{Service: "s", Overflow: 2})
 	is.True(!ok)
 }
 
+// TestOtherDataCentresCount: what other data centres have in flight counts like
+// what other nodes have, and is told apart from it in what this one tells.
+func TestOtherDataCentresCount(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(0, 0)
+	table := slotTable(now)
+	table.Begin("a")
+	table.SetNode("near", map[string]InFlight{"a": {Online: 1}, "b": {Batch: 1}})
+	table.SetDataCentre("there", map[string]InFlight{"b": {Online: 2}, "a": {Batch: 1}})
+	is.Equal(table.entries["a"].free(), 1)
+	is.Equal(table.entries["b"].free(), 1)
+	is.Equal(table.Here(), map[string]InFlight{"a": {Online: 2}, "b": {Batch: 1}})
+	is.Equal(table.BatchRoom(now, "there", 1), 1) // four slots, one reserved, two taken by online requests
+	table.SetDataCentre("there", nil)
+	is.Equal(table.entries["b"].free(), 3)
+}
+
 // TestBatchLeavesRoom: batch items leave the reserve free, count what other
 // nodes have in flight, and give way when online requests come.
 func TestBatchLeavesRoom(t *testing.T) {
@@ -168,9 +186,9 @@
 	}
 	is.Equal(placed, 4) // two of four slots at each
 	is.Equal(len(table.Excess(now, 1)), 0)
-	table.SetElsewhere("other", map[string]InFlight{"a": {Online: 2, Batch: 1}})
+	table.SetNode("other", map[string]InFlight{"a": {Online: 2, Batch: 1}})
 	is.Equal(table.Excess(now, 1)["a"], 2) // own part of what is over
-	table.SetElsewhere("other", nil)
+	table.SetNode("other", nil)
 	is.Equal(len(table.Excess(now, 1)), 0)
 	table.Saturated(now, "b")
 	is.Equal(table.Excess(now, 1)["b"], 1) // it refused: others that are not heard fill it
--- a/internal/request/choose/room.go
+++ b/internal/request/choose/room.go
@@ -12,12 +12,21 @@
 	Batch  int
 }
 
-// SetElsewhere replaces what another node has in flight; nil: nothing.
-func (t *Table) SetElsewhere(node string, counts map[string]InFlight) {
+// SetNode replaces what another node of this data centre has in flight; nil:
+// nothing.
+func (t *Table) SetNode(node string, counts map[string]InFlight) { t.setOther(t.nodes, node, counts) }
+
+// SetDataCentre replaces what the nodes of another data centre have in flight
+// together; nil: nothing.
+func (t *Table) SetDataCentre(name string, counts map[string]InFlight) {
+	t.setOther(t.centres, name, counts)
+}
+
+func (t *Table) setOther(words map[string]map[string]InFlight, name string, counts map[string]InFlight) {
 	if counts == nil {
-		delete(t.others, node)
+		delete(words, name)
 	} else {
-		t.others[node] = counts
+		words[name] = counts
 	}
 	t.sumOthers()
 }
@@ -26,16 +35,31 @@
 	for _, e := range t.entries {
 		e.elsewhere = InFlight{}
 	}
-	for _, counts := range t.others {
-		for id, n := range counts {
-			if e := t.entries[id]; e != nil {
-				e.elsewhere.Online += n.Online
-				e.elsewhere.Batch += n.Batch
+	for _, words := range []map[string]map[string]InFlight{t.nodes, t.centres} {
+		for _, counts := range words {
+			for id, n := range counts {
+				if e := t.entries[id]; e != nil {
+					e.elsewhere.Online += n.Online
+					e.elsewhere.Batch += n.Batch
+				}
 			}
 		}
 	}
 }
 
+// Here returns what all nodes of this data centre have in flight, by target, as
+// far as this one knows.
+func (t *Table) Here() map[string]InFlight {
+	out := t.Own()
+	for _, counts := range t.nodes {
+		for id, n := range counts {
+			sum := out[id]
+			out[id] = InFlight{Online: sum.Online + n.Online, Batch: sum.Batch + n.Batch}
+		}
+	}
+	return out
+}
+
 // Own returns what this table has in flight, by target.
 func (t *Table) Own() map[string]InFlight {
 	out := map[string]InFlight{}
@@ -88,15 +112,16 @@
 	}
 }
 
-// SlotsIn returns the slots of the usable targets of a data centre.
-func (t *Table) SlotsIn(now time.Time, dataCentre string) int {
-	slots := 0
+// BatchRoom returns how many batch items the usable targets of a data centre
+// have room for beside online requests, when each keeps reserve slots free.
+func (t *Table) BatchRoom(now time.Time, dataCentre string, reserve int) int {
+	room := 0
 	for _, e := range t.entries {
 		if e.DataCentre == dataCentre && e.why(now, "") == "" {
-			slots += e.Slots
+			room += max(0, e.Slots-reserve-e.estimate())
 		}
 	}
-	return slots
+	return room
 }
 
 func (e *entry) freeAt(now time.Time) int {
--- a/internal/request/job/commit.go
+++ b/internal/request/job/commit.go
@@ -12,11 +12,14 @@
 
 const (
 	// commitDelay is how long a finished result may wait for others before it is
-	// committed: long enough that a job of ten items takes a few commits, short
-	// beside the seconds in which jobs are due.
+	// committed, also once its job is late: long enough that a job of ten items
+	// takes a few commits, short beside the seconds in which jobs are due. A lost
+	// holder loses what waits, and the items run again.
 	commitDelay = 2 * time.Second
-	// dueMargin is how long before its job is due a result waits no longer.
+	// dueMargin is how long before its job is due a result waits dueDelay only: a
+	// commit takes some milliseconds, and a second when the store is slow.
 	dueMargin = 3 * time.Second
+	dueDelay  = 300 * time.Millisecond
 	// commitTick is the time between looks at what waits.
 	commitTick = 100 * time.Millisecond
 	// commitTimeout bounds one try of a commit; results are kept and tried again.
@@ -61,10 +64,16 @@
 // delay returns how long a result of the job may wait for others. The caller
 // holds m.mu.
 func (m *Manager) delay(h *held) time.Duration {
-	if time.Until(dueAt(&h.head, m.routeOf(&h.head))) < dueMargin {
-		return 0
+	return commitWait(time.Until(dueAt(&h.head, m.routeOf(&h.head))))
+}
+
+// commitWait returns how long a result waits for others when its job is due
+// after the time left.
+func commitWait(left time.Duration) time.Duration {
+	if left < 0 || left > dueMargin+commitDelay {
+		return commitDelay
 	}
-	return commitDelay
+	return max(dueDelay, left-dueMargin)
 }
 
 // giveUpExpired ends items whose route is gone or whose time is over. The
--- a/internal/request/job/demand.go
+++ b/internal/request/job/demand.go
@@ -17,9 +17,14 @@
 	return n
 }
 
-// announceFor is how long a node tells others that it came to hold a job: in
-// that time each of them has heard it a few times.
-const announceFor = 2 * time.Second
+const (
+	// announceFor is how long a node tells others that it came to hold a job: in
+	// that time each of them has heard it a few times.
+	announceFor = 2 * time.Second
+	// announceTakenFor is the same for a job that it took over: its former holder
+	// may be cut off, usually for a few seconds, and has to hear it soon after.
+	announceTakenFor = 12 * time.Second
+)
 
 // Announced returns the jobs that this node lately came to hold.
 func (m *Manager) Announced() []string {
@@ -27,7 +32,11 @@
 	defer m.mu.Unlock()
 	var out []string
 	for id, h := range m.held {
-		if time.Since(h.since) < announceFor {
+		long := announceFor
+		if h.head.Epoch > 1 {
+			long = announceTakenFor
+		}
+		if time.Since(h.since) < long {
 			out = append(out, id)
 		}
 	}
@@ -39,10 +48,16 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, id := range jobs {
+		if h := m.held[id]; h != nil {
+			if time.Since(h.verified) > verifyEvery {
+				h.verified = time.Now()
+				go m.verify(id, "node "+holder.Node+" says that it holds the job")
+			}
+			continue
+		}
 		known := m.heads[id]
-		if m.held[id] == nil && known.head.Holder != holder && !known.whole {
-			known.head.Holder, known.at, known.lost = holder, time.Now(), false
-			m.heads[id] = known
+		if known.head.Holder != holder && !(known.whole && known.head.Complete()) {
+			m.heads[id] = knownHead{head: Head{Holder: holder}, at: time.Now()}
 		}
 	}
 }
--- a/internal/request/job/manager.go
+++ b/internal/request/job/manager.go
@@ -5,9 +5,11 @@
 	"fmt"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/uber-go/tally/v4"
+	"golang.org/x/sync/singleflight"
 
 	"github.com/marblepond/marblepond/api/marblepond/v1/marblepondv1connect"
 	"github.com/marblepond/marblepond/internal/connection/objects"
@@ -35,6 +37,9 @@
 	// Holders returns the addresses of the nodes that may hold jobs, without
 	// this one.
 	Holders() []string
+	// Locator returns the address of the node of this data centre that looks
+	// the head of a job up for all others, "" when this node does.
+	Locator(job string) string
 }
 
 // Config of a manager.
@@ -77,9 +82,11 @@
 type Manager struct {
 	cfg Config
 	Parts
-	results *resultCache
-	wakeUp  chan struct{} // the scheduler looks at once
-	stopped chan struct{} // closed when Run ends
+	results     *resultCache
+	lookUps     singleflight.Group // of heads, by job
+	headsListed atomic.Bool        // all heads were listed in this life of the process
+	wakeUp      chan struct{}      // the scheduler looks at once
+	stopped     chan struct{}      // closed when Run ends
 
 	mu        sync.Mutex
 	held      map[string]*held
@@ -101,6 +108,7 @@
 	writing  sync.Mutex // held during a commit: one at a time changes the head
 	sequence int        // segments written by this holder
 	since    time.Time  // when this node came to hold it
+	verified time.Time  // when the store was last asked because another node says it holds it
 	ended    bool
 	released bool            // this node no longer holds it
 	stops    map[int]stopRun // running items
--- a/internal/request/job/manager_test.go
+++ b/internal/request/job/manager_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -75,8 +76,16 @@
 	return nil
 }
 
-func (s *memoryStore) ListStale(context.Context, string) (objects.Page, error) {
-	return objects.Page{}, nil
+func (s *memoryStore) ListStale(_ context.Context, kind string) (objects.Page, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	page := objects.Page{Revision: s.revision}
+	for name, o := range s.objects {
+		if strings.HasPrefix(name, kind+"/") {
+			page.Objects = append(page.Objects, o)
+		}
+	}
+	return page, nil
 }
 
 // noPool has no room, noPeers knows nobody.
@@ -90,8 +99,11 @@
 
 type noPeers struct{}
 
-func (noPeers) Job(string) marblepondv1connect.JobServiceClient { return nil }
-func (noPeers) Holders() []string                               { return nil }
+func (noPeers) Job(string) marblepondv1connect.JobServiceClient {
+	return marblepondv1connect.UnimplementedJobServiceHandler{}
+}
+func (noPeers) Holders() []string     { return nil }
+func (noPeers) Locator(string) string { return "" }
 
 func newTestManager(node string, store objects.Store) *Manager {
 	recorder := timeline.NewRecorder(node, 100, &log.Logger{Handler: discard.New()}, tally.NoopScope)
--- a/internal/request/job/peer.go
+++ b/internal/request/job/peer.go
@@ -2,14 +2,11 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
 	"sync"
 	"time"
 
 	v1 "github.com/marblepond/marblepond/api/marblepond/v1"
-	"github.com/marblepond/marblepond/internal/connection/callbudget"
-	"github.com/marblepond/marblepond/internal/connection/objects"
 	"github.com/marblepond/marblepond/internal/errkind"
 	"github.com/marblepond/marblepond/internal/process/timeline"
 )
@@ -63,18 +60,13 @@
 func (m *Manager) EndJob(ctx context.Context, id string) error {
 	ctx, cancel := context.WithTimeout(ctx, endTimeout)
 	defer cancel()
-	m.mu.Lock()
-	holder := m.heads[id].head.Holder
-	m.mu.Unlock()
+	known, _ := m.knownHead(id)
+	holder := known.head.Holder
 	if !m.known(id) && holder == (Holder{}) {
-		head, o, err := m.getHead(ctx, callbudget.Commit, id)
-		if errors.Is(err, objects.ErrNotFound) {
-			return errkind.NotFound.New("no job %s", id)
-		}
+		head, err := m.locate(ctx, id, false)
 		if err != nil {
-			return errkind.PlatformUnavailable.New("the object store does not answer")
+			return err
 		}
-		m.learn(id, head, o.Revision)
 		holder = head.Holder
 	}
 	if !m.Ended(id) {
--- a/internal/request/job/progress_test.go
+++ b/internal/request/job/progress_test.go
@@ -91,21 +91,21 @@
 // when the claims do, and gives nobody more than it claims.
 func TestDealNeverExceedsTheRoom(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		slots := rapid.IntRange(0, 32).Draw(t, "slots")
+		room := rapid.IntRange(-2, 30).Draw(t, "room")
 		claims := map[string]int{}
 		for n := range rapid.IntRange(1, 12).Draw(t, "nodes") {
 			claims[fmt.Sprint("n", n)] = rapid.IntRange(0, 40).Draw(t, "claim")
 		}
 		dealt, wanted := 0, 0
 		for node, claim := range claims {
-			share := Deal("target", slots, node, claims)
+			share := Deal("target", room, node, claims)
 			if share > claim {
 				t.Fatalf("%s gets %d of the %d that it claims", node, share, claim)
 			}
 			dealt += share
 			wanted += claim
 		}
-		if room := max(0, slots-reserve); dealt != min(room, wanted) {
+		if dealt != min(max(0, room), wanted) {
 			t.Fatalf("%d dealt, room for %d, %d wanted", dealt, room, wanted)
 		}
 	})
@@ -145,3 +145,13 @@
 	got, _ = c.from("b", 0)
 	is.Equal(len(got), 0)
 }
+
+// TestCommitsAreGrouped: results wait for others, shortly before their job is
+// due much less, and again once it is late.
+func TestCommitsAreGrouped(t *testing.T) {
+	is := is.New(t)
+	is.Equal(commitWait(15*time.Second), commitDelay)
+	is.Equal(commitWait(dueMargin+time.Second), time.Second)
+	is.Equal(commitWait(time.Second), dueDelay)
+	is.Equal(commitWait(-time.Second), commitDelay)
+}
--- a/internal/request/job/read.go
+++ b/internal/request/job/read.go
@@ -9,7 +9,6 @@
 
 	v1 "github.com/marblepond/marblepond/api/marblepond/v1"
 	"github.com/marblepond/marblepond/internal/connection/callbudget"
-	"github.com/marblepond/marblepond/internal/connection/objects"
 	"github.com/marblepond/marblepond/internal/errkind"
 	"github.com/marblepond/marblepond/internal/process/invariant"
 	"github.com/marblepond/marblepond/internal/process/wait"
@@ -26,31 +25,14 @@
 	pageBytes = 900 << 10
 	// headAge is how long a head read from the store is trusted to name the holder.
 	headAge = 10 * time.Second
-	// rereadPause is the least time between two reads of one head from the store
-	// while a caller waits for results.
-	rereadPause = 400 * time.Millisecond
+	// rereadPause is the least time between two looks for the results of a job
+	// without a holder while a caller waits: until a node takes the job over there
+	// is nothing new, and the caller asks again by itself.
+	rereadPause = 900 * time.Millisecond
 	// askTimeout is added to the time that a holder may wait before it answers.
 	askTimeout = 300 * time.Millisecond
 )
 
-// knownHead is a head that another node holds, or that needs no more work.
-type knownHead struct {
-	head     Head
-	revision int64
-	at       time.Time // when it was read
-	lost     bool      // its holder did not answer lately
-	whole    bool      // head is what the store holds; else only its holder is known
-}
-
-// learn keeps a head that was read from the store.
-func (m *Manager) learn(id string, head Head, revision int64) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if old, ok := m.heads[id]; !ok || old.revision <= revision {
-		m.heads[id] = knownHead{head: head, revision: revision, at: time.Now(), whole: true}
-	}
-}
-
 // Read returns results from position after on; when there is none yet it waits
 // up to the time given. Errors: errkind.NotFound when no such job exists,
 // errkind.PlatformUnavailable when this node cannot be sure.
@@ -106,39 +88,55 @@
 // readThere answers for a job that is not held here: from memory, from its
 // holder, or from the store.
 func (m *Manager) readThere(ctx context.Context, id string, after int, waitFor time.Duration) (Page, error) {
-	m.mu.Lock()
-	known, ok := m.heads[id]
-	m.mu.Unlock()
+	known, ok := m.knownHead(id)
 	if ok && known.whole && (known.head.Listed() > after || known.head.Complete()) {
-		return m.page(ctx, id, &known.head, after)
+		return m.pageOfOther(ctx, id, &known.head, after)
 	}
 	if results, total := m.results.from(id, after); len(results) > 0 {
 		return Page{Total: total, Results: bounded(results)}, nil
 	}
-	if ok && !known.lost && time.Since(known.at) < headAge {
+	if ok && known.holderAnswers() {
 		if page, err := m.askHolder(ctx, id, &known.head, after, waitFor); err == nil {
 			return page, nil
 		}
 		m.holderLost(id)
 	}
-	head, o, err := m.getHead(ctx, callbudget.Commit, id)
-	switch {
-	case errors.Is(err, objects.ErrNotFound):
-		return Page{}, errkind.NotFound.New("no job %s", id)
-	case err != nil:
-		return Page{}, errkind.PlatformUnavailable.New("the object store does not answer")
+	return m.readLocated(ctx, id, after, waitFor, known.head.Holder)
+}
+
+// readLocated answers for a job whose holder, when one was known, did not
+// answer: from its present holder, or from what the store lists now.
+func (m *Manager) readLocated(ctx context.Context, id string, after int, waitFor time.Duration, lost Holder) (Page, error) {
+	if lost == (Holder{}) {
+		head, err := m.locate(ctx, id, false)
+		if err != nil {
+			return Page{}, err
+		}
+		if head.Listed() > after || head.Complete() {
+			return m.pageOfOther(ctx, id, &head, after)
+		}
+		if page, err := m.askHolder(ctx, id, &head, after, waitFor); err == nil {
+			return page, nil
+		}
+		m.holderLost(id)
+	}
+	head, err := m.locate(ctx, id, true)
+	if err != nil {
+		return Page{}, err
 	}
-	m.learn(id, head, o.Revision)
-	return m.page(ctx, id, &head, after)
+	return m.pageOfOther(ctx, id, &head, after)
 }
 
-func (m *Manager) holderLost(id string) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if known, ok := m.heads[id]; ok {
-		known.lost = true
-		m.heads[id] = known
+// pageOfOther returns the results that the head of another node's job lists.
+// What is not in memory here usually is at the node that listed it.
+func (m *Manager) pageOfOther(ctx context.Context, id string, head *Head, after int) (Page, error) {
+	if after >= head.Listed() || m.results.has(id, after) {
+		return m.page(ctx, id, head, after)
 	}
+	if page, err := m.askHolder(ctx, id, head, after, 0); err == nil && len(page.Results) > 0 {
+		return page, nil
+	}
+	return m.page(ctx, id, head, after)
 }
 
 // askHolder asks the node that holds the job.
@@ -193,9 +191,7 @@
 
 // readFinished answers for a job that this node held to its end.
 func (m *Manager) readFinished(ctx context.Context, id string, after int) (Page, error) {
-	m.mu.Lock()
-	known, ok := m.heads[id]
-	m.mu.Unlock()
+	known, ok := m.knownHead(id)
 	if !ok || !known.whole || !known.head.Complete() {
 		return Page{}, errNotHere
 	}
@@ -265,12 +261,12 @@
 func (m *Manager) Body(ctx context.Context, id, item string) ([]byte, error) {
 	m.mu.Lock()
 	h := m.held[id]
-	known, seen := m.heads[id]
 	m.mu.Unlock()
+	known, seen := m.knownHead(id)
 	if h != nil {
 		return findBody(h.items, id, item)
 	}
-	if seen && known.head.Holder != (Holder{}) && !known.lost {
+	if seen && known.holderAnswers() {
 		body, found, err := m.askBody(ctx, &known.head, id, item)
 		if err == nil && found {
 			return body, nil
@@ -281,16 +277,10 @@
 	}
 	head := known.head
 	if !known.whole {
-		var o objects.Object
 		var err error
-		head, o, err = m.getHead(ctx, callbudget.Commit, id)
-		if errors.Is(err, objects.ErrNotFound) {
-			return nil, errkind.NotFound.New("no job %s", id)
-		}
-		if err != nil {
-			return nil, errkind.PlatformUnavailable.New("the object store does not answer")
+		if head, err = m.locate(ctx, id, false); err != nil {
+			return nil, err
 		}
-		m.learn(id, head, o.Revision)
 	}
 	items, err := m.getItems(ctx, id, head.Parts)
 	if err != nil {
--- a/internal/request/job/results.go
+++ b/internal/request/job/results.go
@@ -100,6 +100,18 @@
 	}
 }
 
+// has reports whether the result at a position is in memory.
+func (c *resultCache) has(id string, position int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	j := c.jobs[id]
+	if j == nil {
+		return false
+	}
+	_, ok := j.results[position]
+	return ok
+}
+
 // forget drops a job.
 func (c *resultCache) forget(id string) {
 	c.mu.Lock()
--- a/internal/request/job/run.go
+++ b/internal/request/job/run.go
@@ -27,9 +27,6 @@
 	// scheduleTick is the time between looks for room; a finished item or a new
 	// job wakes the scheduler at once.
 	scheduleTick = 20 * time.Millisecond
-	// reserve is how many slots of a target are kept free for the next online
-	// requests: two arrive within the time that a batch item takes to yield.
-	reserve = 2
 	// notRunPause is the pause after a target refused an item.
 	notRunPause = 40 * time.Millisecond
 	// yieldPause is the pause after an item made room.
@@ -43,6 +40,7 @@
 func (m *Manager) schedule(ctx context.Context) {
 	ticker := time.NewTicker(scheduleTick)
 	defer ticker.Stop()
+	looked := time.Now()
 	for {
 		select {
 		case <-ctx.Done():
@@ -50,6 +48,10 @@
 		case <-m.wakeUp:
 		case <-ticker.C:
 		}
+		if paused := time.Since(looked); paused > pauseNoticed {
+			m.verifyAll(paused)
+		}
+		looked = time.Now()
 		m.fill(ctx)
 	}
 }
@@ -87,7 +89,7 @@
 	if full[service] {
 		return false
 	}
-	t, ok := m.Pool.ChooseBatch(choose.Need{Service: service, Reserve: reserve, Limit: limit})
+	t, ok := m.Pool.ChooseBatch(choose.Need{Service: service, Reserve: Reserve, Limit: limit})
 	if !ok {
 		full[service] = true
 		return false
--- a/internal/request/job/share.go
+++ b/internal/request/job/share.go
@@ -6,35 +6,38 @@
 	"github.com/marblepond/marblepond/internal/process/rendezvous"
 )
 
-// Deal returns how many items node may have at a target at once, when the slots
-// that online requests leave are dealt out to nodes by their claims. Every node
-// that knows the same claims computes the same deal.
-func Deal(target string, slots int, node string, claims map[string]int) int {
-	room := slots - reserve
+// Reserve is how many slots of a target are kept free for the next online
+// requests: two arrive within the time that a batch item takes to yield.
+const Reserve = 2
+
+// Deal returns how many items name, a data centre or a node, may have at a
+// target at once, when the room there is dealt out by claims. Everyone who knows
+// the same claims computes the same deal.
+func Deal(target string, room int, name string, claims map[string]int) int {
 	total := 0
 	for _, claim := range claims {
 		total += claim
 	}
-	if room <= 0 || claims[node] == 0 {
+	if room <= 0 || claims[name] == 0 {
 		return 0
 	}
 	if total <= room {
-		return claims[node]
+		return claims[name]
 	}
 	share, dealt := 0, 0
 	var names []string
-	for name, claim := range claims {
+	for other, claim := range claims {
 		part := room * claim / total
 		dealt += part
-		if name == node {
+		if other == name {
 			share = part
 		}
 		if claim > 0 {
-			names = append(names, name)
+			names = append(names, other)
 		}
 	}
 	slices.Sort(names)
-	if slices.Contains(rendezvous.Rank(target, names, room-dealt), node) {
+	if slices.Contains(rendezvous.Rank(target, names, room-dealt), name) {
 		share++
 	}
 	return share
--- a/internal/request/job/sweep.go
+++ b/internal/request/job/sweep.go
@@ -49,23 +49,18 @@
 // sweepOnce returns whether a holder is suspected.
 func (m *Manager) sweepOnce(ctx context.Context) bool {
 	m.forgetOld()
-	page, err := m.Store.ListStale(ctx, KindHeads)
+	heads, err := m.listHeads(ctx)
 	if err != nil {
 		return true // the store is away; look again soon after it is back
 	}
 	byHolder := map[Holder][]string{}
-	for _, o := range page.Objects {
-		head, err := decode[Head](o.Value)
-		if err != nil {
-			m.Recorder.Record(timeline.ObjectRejected, o.Name, KindHeads, err.Error())
-			continue
-		}
+	for id, head := range heads {
 		switch {
 		case m.expired(&head):
-			m.remove(ctx, o.Name, &head)
-		case head.Complete(), m.busy(o.Name):
+			m.remove(ctx, id, &head)
+		case head.Complete(), m.busy(id):
 		default:
-			byHolder[head.Holder] = append(byHolder[head.Holder], o.Name)
+			byHolder[head.Holder] = append(byHolder[head.Holder], id)
 		}
 	}
 	suspected := false
@@ -83,6 +78,20 @@
 	return suspected
 }
 
+// learnListed keeps a head from a list that may be seconds old. It names the
+// holder to nodes that get a read, and a complete head never changes again.
+func (m *Manager) learnListed(id string, head Head, revision int64) {
+	m.fence(id, &head)
+	m.mu.Lock()
+	old, ok := m.heads[id]
+	held := m.held[id] != nil
+	m.mu.Unlock()
+	if held || (ok && old.revision >= revision) || (ok && !old.whole && !head.Complete()) {
+		return // known as well or, from the holder itself, better
+	}
+	m.learn(id, head, revision)
+}
+
 // busy reports whether a job is not to be taken over here: it is held or ended,
 // or this node leaves.
 func (m *Manager) busy(id string) bool {
--- a/internal/version/discovery/discovery.go
+++ b/internal/version/discovery/discovery.go
@@ -50,11 +50,28 @@
 	return p.table.Own()
 }
 
-// SetElsewhere takes what another node has in flight; nil: it is not heard of
-// any more.
-func (p *Pool) SetElsewhere(node string, counts map[string]choose.InFlight) {
+// InFlightHere returns what all nodes of this data centre have in flight, by
+// target, as far as this one knows.
+func (p *Pool) InFlightHere() map[string]choose.InFlight {
 	p.mu.Lock()
-	p.table.SetElsewhere(node, counts)
+	defer p.mu.Unlock()
+	return p.table.Here()
+}
+
+// SetNode takes what another node of this data centre has in flight; nil: it is
+// not heard of any more.
+func (p *Pool) SetNode(node string, counts map[string]choose.InFlight) {
+	p.mu.Lock()
+	p.table.SetNode(node, counts)
+	p.mu.Unlock()
+	p.onLoad()
+}
+
+// SetDataCentre takes what another data centre has in flight; nil: it is not
+// heard of any more.
+func (p *Pool) SetDataCentre(name string, counts map[string]choose.InFlight) {
+	p.mu.Lock()
+	p.table.SetDataCentre(name, counts)
 	p.mu.Unlock()
 	p.onLoad()
 }
@@ -214,9 +231,10 @@
 	p.onLoad() // batch items there make room
 }
 
-// SlotsIn returns the slots of the usable targets of a data centre.
-func (p *Pool) SlotsIn(dataCentre string) int {
+// BatchRoom returns how many batch items the usable targets of a data centre
+// have room for beside online requests, when each keeps reserve slots free.
+func (p *Pool) BatchRoom(dataCentre string, reserve int) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.table.SlotsIn(p.now(), dataCentre)
+	return p.table.BatchRoom(p.now(), dataCentre, reserve)
 }
--- a/internal/version/follow/cache.go
+++ b/internal/version/follow/cache.go
@@ -227,8 +227,8 @@
 	if k == nil || !m.Known {
 		return false
 	}
-	if k.latest < m.Latest {
-		return true
+	if k.complete < m.Latest {
+		return true // a list of several pages may hold a newer change and lack one before it
 	}
 	k.complete = max(k.complete, m.Complete)
 	c.verify(k, c.now().Add(-m.Age))
--- a/internal/version/follow/cache_test.go
+++ b/internal/version/follow/cache_test.go
@@ -82,6 +82,17 @@
 	is.Equal(age, 1100*time.Millisecond)
 }
 
+// TestGapInAListIsNoFreshness: a list of several pages may hold a change that is
+// newer than the revision it is complete up to, and lack one before it. A peer's
+// mark that lies between must not stand for what this copy lacks.
+func TestGapInAListIsNoFreshness(t *testing.T) {
+	is := is.New(t)
+	cache, _ := newTestCache()
+	cache.Replace(kindT, []objects.Object{{Name: "a", Revision: 3}, {Name: "z", Revision: 12}}, 10) // "a" changed at 11 after its page was read
+	is.True(cache.HeardMark(kindT, Mark{Complete: 12, Latest: 12, Known: true}))
+	is.Equal(cache.Complete(kindT), int64(10))
+}
+
 // TestOutageOfOneNodeCastsNoDoubt: a node that the store refuses hears through
 // its peers that a target is gone, and must not keep sending to it (DRAIN on
 // trouble-1, seed 913322990933). Only when nobody in contact could ask the
--- a/internal/version/follow/refresh.go
+++ b/internal/version/follow/refresh.go
@@ -47,7 +47,7 @@
 	mostFailurePause = time.Second
 )
 
-// Refresher keeps one kind of the cache up to date. Nodes that hear each other
+// Refresher keeps one kind of the cache up to date. Nodes in contact
 // share the work: each knows how old its copy is, whoever asked the store, and
 // the first in order asks when it is older than MaxAge. A node that hears
 // nobody asks for itself. The store is thus asked about once each MaxAge by
@@ -62,10 +62,12 @@
 	Cache    *Cache
 	Listener Listener
 	MaxAge   time.Duration
-	// Self is this node; Heard returns the others that it hears, by name, among
-	// those that follow the kind.
-	Self  string
-	Heard func() []string
+	// Self is this node and DataCentre its own. Near returns the other nodes of it
+	// that are heard and follow the kind, and Centres the other data centres heard.
+	Self       string
+	DataCentre string
+	Near       func() []string
+	Centres    func() []string
 
 	kicks chan struct{}
 }
@@ -122,12 +124,18 @@
 	return r.MaxAge + time.Duration(r.rank())*rankDelay - age
 }
 
-// rank returns this node's place in the order of those that it hears.
+// rank returns this node's place in the order of those that may ask: data
+// centres are in an order, and so are the nodes of each. What decides it is known
+// the same everywhere, also where the fleet is too large to hear every node.
 func (r *Refresher) rank() int {
-	nodes := append(r.Heard(), r.Self)
-	for place, node := range rendezvous.Rank(r.Kind, nodes, mostRank) {
-		if node == r.Self {
-			return place
+	return min(mostRank, place(r.Kind, r.DataCentre, r.Centres())+place(r.Kind, r.Self, r.Near()))
+}
+
+// place returns the place of one among itself and others.
+func place(key, self string, others []string) int {
+	for at, name := range rendezvous.Rank(key, append(others, self), mostRank) {
+		if name == self {
+			return at
 		}
 	}
 	return mostRank
--- a/internal/version/follow/refresh_test.go
+++ b/internal/version/follow/refresh_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -62,7 +63,8 @@
 	r := NewRefresher(kindT)
 	r.Store, r.Listener, r.MaxAge, r.Self = s, news, 30*time.Millisecond, "self"
 	r.Cache = NewCache(time.Now, kindT)
-	r.Heard = func() []string { return heard }
+	r.Near = func() []string { return slices.Clone(heard) }
+	r.Centres = func() []string { return nil }
 	return r, news
 }
 
