Keep what the store held on the disk of a storage VM

Change: a node with a data folder writes its copy of configuration, targets and nodes there when it has changed (file written, synced, renamed, folder synced) and starts from it; peers get it by the usual exchange. The copy never counts as fresh, so that no route is denied by it. Ruled out: the ends of jobs, which only matter together with the store.

TestStartsFromTheDisk: all nodes start with the store silent; the request is answered whole, an unknown route with 503.

--- a/internal/process/hosted/following.go
+++ b/internal/process/hosted/following.go
@@ -1,9 +1,13 @@
 package hosted
 
 import (
+	"context"
+	"sync"
 	"time"
 
+	"github.com/marblepond/marblepond/internal/process/timeline"
 	"github.com/marblepond/marblepond/internal/request/job"
+	"github.com/marblepond/marblepond/internal/version/follow"
 )
 
 const (
@@ -43,6 +47,18 @@
 // that are to be emptied.
 func (n *Node) keeper() bool { return n.settings.CallerListen == "" }
 
+// keepSnapshot starts from what the disk holds of the followed kinds, and keeps
+// it there from then on.
+func (n *Node) keepSnapshot(ctx context.Context, wg *sync.WaitGroup) {
+	failed := func(err error) { n.recorder.Record(timeline.SnapshotFailed, "", n.settings.DataDir, err.Error()) }
+	s := &follow.Snapshot{Dir: n.settings.DataDir, Cache: n.cache, Failed: failed,
+		Kinds: []string{n.adapter.Kinds.Config, n.adapter.Kinds.Targets, kindNodes}}
+	if err := s.Load(n); err != nil {
+		failed(err)
+	}
+	wg.Go(func() { s.Run(ctx) })
+}
+
 // followers returns the function that lists the other nodes of this data centre
 // that are heard and follow a kind.
 func (n *Node) followers(kind string) func() []string {
@@ -67,7 +83,7 @@
 // none.
 func (n *Node) anySeed() string {
 	for _, seed := range *n.seeds.Load() {
-		if seed != n.settings.PeerListen {
+		if seed != n.settings.PeerAdvertise {
 			return seed
 		}
 	}
--- a/internal/process/hosted/hosted.go
+++ b/internal/process/hosted/hosted.go
@@ -115,7 +115,7 @@
 	n.forwarder = &forward.Forwarder{Targets: n.pool, Sender: adapter.Sender, Log: &requestLog{n}, Checker: n.checker, Now: time.Now}
 	n.loads = follow.NewLoads(s.NodeID, n.boot, time.Now, func() map[string]int64 { return n.jobs.WaitingTokens() })
 	n.jobs = job.NewManager(job.Config{
-		Self: job.Holder{Node: s.NodeID, Boot: n.boot, Address: s.PeerListen}, MaxValue: s.StoreMaxValue,
+		Self: job.Holder{Node: s.NodeID, Boot: n.boot, Address: s.PeerAdvertise}, MaxValue: s.StoreMaxValue,
 		KeepResults: s.KeepResults, TakeOverAfter: s.TakeOverAfter, SweepInterval: s.SweepInterval,
 		Holds: s.CallerListen != "", ResultMemory: s.ResultMemory,
 	}, job.Parts{Store: n.relay(), Pool: n.pool, Sender: adapter.Sender, Routes: n.Table, RoutesFresh: n.TableFresh, Peers: n,
--- a/internal/process/hosted/peers.go
+++ b/internal/process/hosted/peers.go
@@ -136,7 +136,7 @@
 // peerAddresses returns the addresses of the other nodes: those registered,
 // and the seeds until the first registration is known.
 func (n *Node) peerAddresses() []string {
-	seen := map[string]bool{"": true, n.settings.PeerListen: true}
+	seen := map[string]bool{"": true, n.settings.PeerAdvertise: true}
 	var out []string
 	for _, r := range n.registered() {
 		if !seen[r.Address] {
@@ -147,7 +147,7 @@
 	if len(out) > 0 {
 		return out
 	}
-	return slices.DeleteFunc(slices.Clone(*n.seeds.Load()), func(a string) bool { return a == n.settings.PeerListen })
+	return slices.DeleteFunc(slices.Clone(*n.seeds.Load()), func(a string) bool { return a == n.settings.PeerAdvertise })
 }
 
 // beaconPeers returns where other nodes hear this one's datagrams: those of its
@@ -197,7 +197,7 @@
 
 // register writes the node's own entry until the store has it.
 func (n *Node) register(ctx context.Context) {
-	value, err := json.Marshal(nodeRecord{Boot: n.boot, Address: n.settings.PeerListen, DataCentre: n.settings.DataCentre, Beacon: n.settings.BeaconListen,
+	value, err := json.Marshal(nodeRecord{Boot: n.boot, Address: n.settings.PeerAdvertise, DataCentre: n.settings.DataCentre, Beacon: n.settings.BeaconListen,
 		Callers: n.settings.CallerListen != ""})
 	if err != nil {
 		n.recorder.Record(timeline.ObjectRejected, "", n.settings.NodeID, err.Error())
--- a/internal/process/hosted/run.go
+++ b/internal/process/hosted/run.go
@@ -125,6 +125,9 @@
 }
 
 func (n *Node) startDuties(ctx context.Context, l listeners, wg *sync.WaitGroup) {
+	if n.settings.DataDir != "" {
+		n.keepSnapshot(ctx, wg)
+	}
 	for kind, age := range n.followed() {
 		r := follow.NewRefresher(kind)
 		r.Store, r.Cache, r.Listener, r.MaxAge = n.adapter.Store, n.cache, n, age
--- a/internal/version/follow/gossip.go
+++ b/internal/version/follow/gossip.go
@@ -89,10 +89,7 @@
 		if !follows || theirs >= complete {
 			continue
 		}
-		changes := &v1.KindChanges{Kind: kind, Since: theirs, Complete: complete}
-		for _, o := range g.Cache.Since(kind, theirs) {
-			changes.Changes = append(changes.Changes, &v1.ObjectChange{Name: o.Name, Revision: o.Revision, Value: o.Value, Deleted: o.Deleted})
-		}
+		changes := changesOf(g.Cache, kind, theirs)
 		if len(changes.Changes) > 0 {
 			out = append(out, changes)
 		}
@@ -100,13 +97,26 @@
 	return out
 }
 
+// changesOf returns the changes of a kind after a revision, as they are sent.
+func changesOf(c *Cache, kind string, since int64) *v1.KindChanges {
+	changes := &v1.KindChanges{Kind: kind, Since: since, Complete: c.Complete(kind)}
+	for _, o := range c.Since(kind, since) {
+		changes.Changes = append(changes.Changes, &v1.ObjectChange{Name: o.Name, Revision: o.Revision, Value: o.Value, Deleted: o.Deleted})
+	}
+	return changes
+}
+
+func received(changes []*v1.ObjectChange) []objects.Object {
+	out := make([]objects.Object, 0, len(changes))
+	for _, c := range changes {
+		out = append(out, objects.Object{Name: c.Name, Revision: c.Revision, Value: c.Value, Deleted: c.Deleted})
+	}
+	return out
+}
+
 func (g *Gossip) take(missing []*v1.KindChanges) {
 	for _, m := range missing {
-		changes := make([]objects.Object, 0, len(m.Changes))
-		for _, c := range m.Changes {
-			changes = append(changes, objects.Object{Name: c.Name, Revision: c.Revision, Value: c.Value, Deleted: c.Deleted})
-		}
-		if news := g.Cache.Apply(m.Kind, changes, m.Since, m.Complete); len(news) > 0 {
+		if news := g.Cache.Apply(m.Kind, received(m.Changes), m.Since, m.Complete); len(news) > 0 {
 			g.Listener.Changed(m.Kind, news, FromPeer)
 		}
 	}
--- /dev/null
+++ b/internal/version/follow/snapshot.go
@@ -0,0 +1,126 @@
+package follow
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	v1 "github.com/marblepond/marblepond/api/marblepond/v1"
+)
+
+const (
+	// snapshotName is the file in the data folder; snapshotNew is written first
+	// and renamed, so that a loss of power leaves the old or the new one whole.
+	snapshotName = "followed.snapshot"
+	snapshotNew  = "followed.snapshot.new"
+	// snapshotInterval is the time between looks whether there is news to write:
+	// a snapshot only has to be newer than none when all nodes start while the
+	// store is away.
+	snapshotInterval = 2 * time.Second
+	snapshotMode     = 0o600
+)
+
+// Snapshot keeps the copy of some kinds on a disk, for a start while the object
+// store is away. A node that reads it serves by it until the store or a peer
+// knows better, and never takes it for fresh.
+type Snapshot struct {
+	Dir   string
+	Cache *Cache
+	Kinds []string
+	// Failed is told what could not be written.
+	Failed func(error)
+
+	written map[string]int64 // by kind: revision of the newest change on the disk
+}
+
+// Load applies the snapshot, if there is one, and tells the listener.
+func (s *Snapshot) Load(listener Listener) error {
+	data, err := os.ReadFile(filepath.Join(s.Dir, snapshotName))
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	var stored v1.Snapshot
+	if err := proto.Unmarshal(data, &stored); err != nil {
+		return fmt.Errorf("snapshot: %w", err)
+	}
+	for _, kind := range stored.Kinds {
+		if news := s.Cache.Apply(kind.Kind, received(kind.Changes), 0, kind.Complete); len(news) > 0 {
+			listener.Changed(kind.Kind, news, FromDisk)
+		}
+	}
+	return nil
+}
+
+// Run writes the copy whenever it has changed, until ctx ends.
+func (s *Snapshot) Run(ctx context.Context) {
+	ticker := time.NewTicker(snapshotInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if err := s.Save(); err != nil {
+			s.Failed(err)
+		}
+	}
+}
+
+// Save writes the copy if it holds a change that the disk lacks.
+func (s *Snapshot) Save() error {
+	marks := s.Cache.AgeMarks()
+	news := false
+	for _, kind := range s.Kinds {
+		news = news || marks[kind].Latest > s.written[kind]
+	}
+	if !news {
+		return nil
+	}
+	var stored v1.Snapshot
+	newest := map[string]int64{}
+	for _, kind := range s.Kinds {
+		newest[kind] = marks[kind].Latest
+		stored.Kinds = append(stored.Kinds, changesOf(s.Cache, kind, 0))
+	}
+	data, err := proto.Marshal(&stored)
+	if err != nil {
+		return err
+	}
+	if err := replaceFile(s.Dir, data); err != nil {
+		return fmt.Errorf("snapshot: %w", err)
+	}
+	s.written = newest
+	return nil
+}
+
+// replaceFile puts data into the snapshot's place so that it outlasts a loss of
+// power.
+func replaceFile(dir string, data []byte) error {
+	fresh := filepath.Join(dir, snapshotNew)
+	file, err := os.OpenFile(fresh, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, snapshotMode)
+	if err != nil {
+		return err
+	}
+	_, err = file.Write(data)
+	if err = errors.Join(err, file.Sync(), file.Close()); err != nil {
+		return err
+	}
+	if err := os.Rename(fresh, filepath.Join(dir, snapshotName)); err != nil {
+		return err
+	}
+	folder, err := os.Open(dir)
+	if err != nil {
+		return err
+	}
+	return errors.Join(folder.Sync(), folder.Close())
+}
--- a/lab/hosted/store_test.go
+++ b/lab/hosted/store_test.go
@@ -143,6 +143,26 @@
 	is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
 }
 
+// TestStartsFromTheDisk: when all nodes start while the store is away, they serve
+// by what a node with a disk had kept, and deny no route by it.
+func TestStartsFromTheDisk(t *testing.T) {
+	is := is.New(t)
+	disk := "[node]\ndata_dir = " + t.TempDir() + "\n"
+	f := fleet(t, Options{Nodes: 1, Runners: 1, Slots: 4, Events: 3, Gap: time.Millisecond, Extra: disk})
+	time.Sleep(3 * time.Second) // until it is written
+	f.Nodes[0].Kill()
+	f.Store.Set(StoreFaults{Silent: true})
+	_, err := f.StartNode("keeper", disk)
+	is.NoErr(err)
+	edge, err := f.StartNode("edge-new", "")
+	is.NoErr(err)
+	is.NoErr(f.waitReady(edge))
+	reply := Ask(context.Background(), edge.Caller(), StreamPath+"x", "r1", nil)
+	is.Equal(reply.Status, 200)
+	is.Equal(StreamText(reply.Body), f.Runners[0].Text("r1"))
+	is.Equal(Ask(context.Background(), edge.Caller(), "/newer/x", "r2", nil).Status, 503) // there may be such a route by now
+}
+
 // TestCallsToTheStore: following costs the same for few and for many nodes,
 // because nodes in contact share it.
 func TestCallsToTheStore(t *testing.T) {
