Soak hosted nodes as processes behind faulty connections

marblelab hostedsoak: six processes in two data centres before stand-ins of the store and of six runners, behind proxies that delay, reset, silence or pass one way; nodes are killed, stopped, frozen and sent hangups; the store refuses, hangs, is slow, loses answers, makes writes late, forgets its history; runners are slow, cut, reset, crash, leave, answer badly. Checked: whole answers, refusals that were true, at most one run, jobs accepted once, positions that stay, ends that stop, leaving runners, versions that never go back and are in force in time, stops that cut nothing, invariants in the logs.

Hosted nodes now register peer_advertise, as the product's own do.

--- a/lab/cmd/marblelab/main.go
+++ b/lab/cmd/marblelab/main.go
@@ -19,6 +19,7 @@
 	"github.com/marblepond/marblepond/lab/demo"
 	"github.com/marblepond/marblepond/lab/engine"
 	"github.com/marblepond/marblepond/lab/hosted"
+	"github.com/marblepond/marblepond/lab/hostedsoak"
 	"github.com/marblepond/marblepond/lab/load"
 	"github.com/marblepond/marblepond/lab/platform"
 	"github.com/marblepond/marblepond/lab/service"
@@ -33,7 +34,7 @@
 		Usage: "stand-ins, demo and experiments",
 		Commands: []*cli.Command{
 			platformCommand(), engineCommand(), serviceCommand(),
-			soakCommand(), loadCommand(), overheadCommand(), reportCommand(),
+			soakCommand(), hostedSoakCommand(), loadCommand(), overheadCommand(), reportCommand(),
 			{Name: "capacity", Usage: "measure the slopes of docs/CAPACITY.md", Action: func(context.Context, *cli.Command) error {
 				capacity.Run(os.Stdout)
 				return nil
@@ -61,6 +62,23 @@
 		}}
 }
 
+func hostedSoakCommand() *cli.Command {
+	return &cli.Command{Name: "hostedsoak", Usage: "random faults over processes of hosted nodes, checked",
+		Flags: []cli.Flag{
+			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "`N` that gives the plan of faults; 0: drawn now"},
+			&cli.DurationFlag{Name: "for", Value: 30 * time.Second, Usage: "`TIME` under load and faults"},
+			&cli.StringFlag{Name: "dir", Usage: "`FOLDER` for settings and logs"},
+			&cli.StringFlag{Name: "bin", Usage: "`FOLDER` of the binaries; built when it is not given"},
+			&cli.IntFlag{Name: "net", Value: 90, Usage: "second byte of the addresses, 127.`N`.x.y"}},
+		Action: func(_ context.Context, c *cli.Command) error {
+			seed := c.Uint64("seed")
+			if seed == 0 {
+				seed = uint64(time.Now().UnixNano())
+			}
+			return hostedsoak.Main(hostedsoak.Options{Seed: seed, Length: c.Duration("for"), Dir: c.String("dir"), Bin: c.String("bin"), Net: c.Int("net"), Out: os.Stdout})
+		}}
+}
+
 func loadCommand() *cli.Command {
 	return &cli.Command{Name: "load", Usage: "run an experiment",
 		Flags: []cli.Flag{
--- a/lab/hosted/runner.go
+++ b/lab/hosted/runner.go
@@ -42,11 +42,26 @@
 	mu     sync.Mutex
 	behave func(requestID string, run int) Behaviour
 	runs   map[string]int      // requests that began to run
+	starts []RunStart          // the same, in order
 	resume map[string][]string // Last-Event-Id of each run
 	cut    map[string]int      // runs that the sender ended
 	heads  map[string]http.Header
 }
 
+// RunStart is one request that began to run.
+type RunStart struct {
+	RequestID string
+	Path      string
+	At        time.Time
+}
+
+// Starts returns the requests that began to run, in order.
+func (r *Runner) Starts() []RunStart {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]RunStart(nil), r.starts...)
+}
+
 // NewRunner starts a runner on a loopback address.
 func NewRunner(id, service string, slots, events int, gap time.Duration) *Runner {
 	r := &Runner{ID: id, Service: service, slots: slots, events: events, gap: gap,
@@ -149,6 +164,7 @@
 	defer r.busy.Add(-1)
 	r.mu.Lock()
 	r.runs[id]++
+	r.starts = append(r.starts, RunStart{id, req.URL.Path, time.Now()})
 	r.resume[id] = append(r.resume[id], req.Header.Get("Last-Event-Id"))
 	r.heads[id] = req.Header.Clone()
 	r.mu.Unlock()
--- /dev/null
+++ b/lab/hostedsoak/fleet.go
@@ -0,0 +1,272 @@
+package hostedsoak
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/marblepond/marblepond/lab/hosted"
+)
+
+// Sizes of a fleet: the usual few dozen processes and servers.
+const (
+	centres       = 2
+	nodesPer      = 3 // of callers, in each data centre
+	runnersPer    = 3
+	runnerSlots   = 8
+	answerEvents  = 30
+	eventGap      = 15 * time.Millisecond
+	nodeCount     = centres * nodesPer
+	runnerCount   = centres * runnersPer
+	nodeTemplate  = "[node]\nid = %s\nfront = hosted\ndata_centre = %s\ncaller_listen = %s:7070\nready_listen = %s:7071\npeer_listen = %s:7072\npeer_advertise = %s\nbeacon_listen = %s:7073\nmetrics_listen = %s:7074\nseeds = %s\n[store]\naddress = %s\n[jobs]\ntake_over_after = 3s\nsweep_interval = 2s\nkeep_results = 10m\n[limits]\ndrain_timeout = 8s\n[log]\nstop_on_violation = true\n"
+	stopWithin    = 10 * time.Second
+	readyWithin   = 10 * time.Second
+	drainsFor     = 2 * time.Second // a runner serves on this long after it announced that it leaves
+	entryLapses   = 3 * time.Second // after which the entry of a crashed runner goes
+	firstInterval = 20 * time.Millisecond
+)
+
+// node is one process with the proxies before and behind it.
+type node struct {
+	name     string
+	centre   string
+	host     string
+	settings string
+	log      string
+	callers  *Proxy
+	peers    *Proxy
+	store    *Proxy
+
+	mu   sync.Mutex
+	cmd  *exec.Cmd
+	done chan struct{}
+	err  error
+	boot int // counts starts
+}
+
+// seat is a place of a runner: another takes it when one is gone.
+type seat struct {
+	centre string
+	proxy  *Proxy
+
+	mu     sync.Mutex
+	runner *hosted.Runner
+	made   int
+}
+
+type fleet struct {
+	store *hosted.Store
+	nodes []*node
+	seats []*seat
+
+	mu      sync.Mutex
+	runners []*hosted.Runner // all there ever were: their ledgers are checked
+	version int
+}
+
+func centreName(n int) string { return fmt.Sprintf("hall-%c", 'a'+n) }
+
+func startFleet(o Options) (*fleet, error) {
+	f := &fleet{store: hosted.NewStore(), version: 1}
+	f.store.Put("config", "main", f.config())
+	for i := range runnerCount {
+		proxy, err := NewProxy(fmt.Sprintf("127.%d.3.%d:7070", o.Net, i+1), "")
+		if err != nil {
+			return f, err
+		}
+		s := &seat{centre: centreName(i / runnersPer), proxy: proxy}
+		f.seats = append(f.seats, s)
+		f.seat(s, i)
+	}
+	for i := range nodeCount {
+		n, err := f.newNode(o, i)
+		if err != nil {
+			return f, err
+		}
+		f.nodes = append(f.nodes, n)
+	}
+	for _, n := range f.nodes {
+		if err := n.start(filepath.Join(o.Bin, "marblepond")); err != nil {
+			return f, err
+		}
+	}
+	for _, n := range f.nodes {
+		if err := n.waitReady(); err != nil {
+			return f, err
+		}
+	}
+	return f, nil
+}
+
+func (f *fleet) config() map[string]any {
+	return hosted.Config(f.version, func(c map[string]any) {
+		routes := c["routes"].([]any)
+		for _, r := range routes { // batch jobs may wait long: faults hold them up
+			if r.(map[string]any)["kind"] == "batch" {
+				r.(map[string]any)["keep_s"], r.(map[string]any)["cap"] = 600.0, 0
+			}
+		}
+	})
+}
+
+// seat puts a new runner into a place and registers it.
+func (f *fleet) seat(s *seat, place int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.made++
+	s.runner = hosted.NewRunner(fmt.Sprintf("i-%d-%d", place, s.made), hosted.Service, runnerSlots, answerEvents, eventGap)
+	s.proxy.Retarget(s.runner.Address())
+	f.mu.Lock()
+	f.runners = append(f.runners, s.runner)
+	f.mu.Unlock()
+	f.register(s, "ready")
+}
+
+// register writes the entry of a place's runner with the address of its proxy.
+// The caller holds s.mu.
+func (f *fleet) register(s *seat, state string) {
+	entry := s.runner.Entry(s.centre, state)
+	entry["address"] = s.proxy.Address()
+	f.store.Put("servers", s.runner.ID, entry)
+}
+
+func (f *fleet) newNode(o Options, i int) (*node, error) {
+	centre := centreName(i / nodesPer)
+	n := &node{name: fmt.Sprintf("edge-%s-%d", centre, i%nodesPer), centre: centre, host: fmt.Sprintf("127.%d.1.%d", o.Net, i+1)}
+	var errs [3]error
+	n.callers, errs[0] = NewProxy(fmt.Sprintf("127.%d.2.%d:7070", o.Net, i+1), n.host+":7070")
+	n.peers, errs[1] = NewProxy(fmt.Sprintf("127.%d.2.%d:7072", o.Net, i+1), n.host+":7072")
+	n.store, errs[2] = NewProxy(fmt.Sprintf("127.%d.2.%d:7075", o.Net, i+1), f.store.Address())
+	if err := errors.Join(errs[:]...); err != nil {
+		return nil, err
+	}
+	seed := fmt.Sprintf("127.%d.2.1:7072", o.Net)
+	n.settings, n.log = filepath.Join(o.Dir, n.name+".ini"), filepath.Join(o.Dir, n.name+".log")
+	text := fmt.Sprintf(nodeTemplate, n.name, centre, n.host, n.host, n.host, n.peers.Address(), n.host, n.host, seed, n.store.Address())
+	return n, os.WriteFile(n.settings, []byte(text), 0o600)
+}
+
+func (n *node) start(program string) error {
+	out, err := os.OpenFile(n.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cmd = exec.Command(program, "agent", "--settings", n.settings)
+	n.cmd.Stdout, n.cmd.Stderr = out, out
+	n.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // it must not outlive a driver that is killed
+	if err := n.cmd.Start(); err != nil {
+		return errors.Join(err, out.Close())
+	}
+	n.boot++
+	done := make(chan struct{})
+	n.done = done
+	cmd := n.cmd
+	go func() {
+		err := cmd.Wait()
+		out.Close()
+		n.mu.Lock()
+		n.err = err
+		n.mu.Unlock()
+		close(done)
+	}()
+	return nil
+}
+
+func (n *node) signal(s syscall.Signal) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	_ = n.cmd.Process.Signal(s) // a process that has ended needs none
+}
+
+// ended returns the channel that is closed at the end of the present process.
+func (n *node) ended() <-chan struct{} {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.done
+}
+
+// running reports whether the process runs, and the number of its start.
+func (n *node) running() (bool, int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	select {
+	case <-n.done:
+		return false, n.boot
+	default:
+		return true, n.boot
+	}
+}
+
+// exit returns the error of the last process that ended.
+func (n *node) exit() error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.err
+}
+
+// probe asks without waiting long; a frozen node does not answer.
+var probe = &http.Client{Timeout: 300 * time.Millisecond}
+
+func (n *node) ready() bool {
+	resp, err := probe.Get("http://" + n.host + ":7071/v1/ready")
+	if err != nil {
+		return false
+	}
+	resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+func (n *node) waitReady() error {
+	for until := time.Now().Add(readyWithin); time.Now().Before(until); time.Sleep(firstInterval) {
+		if n.ready() {
+			return nil
+		}
+	}
+	return fmt.Errorf("node %s is not ready after %v; its log is %s", n.name, readyWithin, n.log)
+}
+
+// violations returns the lines of the nodes' logs that report a broken invariant.
+func (f *fleet) violations() []string {
+	var out []string
+	for _, n := range f.nodes {
+		data, err := os.ReadFile(n.log)
+		if err != nil {
+			out = append(out, "no log: "+err.Error())
+			continue
+		}
+		for _, line := range strings.Split(string(data), "\n") {
+			if strings.Contains(line, "invariant_violated") || strings.Contains(line, "panic:") || strings.Contains(line, "DATA RACE") {
+				out = append(out, n.name+": "+line)
+			}
+		}
+	}
+	return out
+}
+
+func (f *fleet) stop() {
+	for _, n := range f.nodes {
+		if n.cmd != nil {
+			n.signal(syscall.SIGKILL)
+			<-n.ended()
+		}
+		for _, p := range []*Proxy{n.callers, n.peers, n.store} {
+			p.Close()
+		}
+	}
+	for _, s := range f.seats {
+		s.proxy.Close()
+	}
+	for _, r := range f.runners {
+		r.Close()
+	}
+	f.store.Close()
+}
--- /dev/null
+++ b/lab/hostedsoak/load.go
@@ -0,0 +1,273 @@
+package hostedsoak
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/marblepond/marblepond/lab/hosted"
+)
+
+// load plays the callers: online requests over connections that are kept, and
+// jobs that are read while they run.
+type load struct {
+	fleet   *fleet
+	history *history
+	seed    uint64
+	client  *http.Client
+
+	mu    sync.Mutex
+	ready map[string]bool // nodes, as the balancer sees them
+	jobs  []*callerJob
+}
+
+func newLoad(f *fleet, h *history, seed uint64) *load {
+	return &load{fleet: f, history: h, seed: seed, ready: map[string]bool{},
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16, DisableCompression: true}}}
+}
+
+const (
+	onlineEvery  = 25 * time.Millisecond
+	jobEvery     = 1200 * time.Millisecond
+	jobItems     = 12
+	balanceEvery = 300 * time.Millisecond
+	onlineLimit  = 5 * time.Second
+)
+
+// run makes load until ctx ends, then waits for what is in progress.
+func (l *load) run(ctx context.Context) {
+	var wg sync.WaitGroup
+	wg.Go(func() { l.balance(ctx) })
+	wg.Go(func() { l.every(ctx, onlineEvery, l.online) })
+	wg.Go(func() { l.every(ctx, jobEvery, l.submit) })
+	wg.Wait()
+}
+
+func (l *load) every(ctx context.Context, pause time.Duration, f func(n int)) {
+	var wg sync.WaitGroup
+	ticker := time.NewTicker(pause)
+	defer ticker.Stop()
+	for n := 0; ; n++ {
+		select {
+		case <-ctx.Done():
+			wg.Wait()
+			return
+		case <-ticker.C:
+			wg.Go(func() { f(n) })
+		}
+	}
+}
+
+// balance is the platform's balancer: it keeps to nodes that say they are ready.
+func (l *load) balance(ctx context.Context) {
+	l.every(ctx, balanceEvery, func(int) {
+		for _, n := range l.fleet.nodes {
+			ready := n.ready()
+			l.mu.Lock()
+			l.ready[n.name] = ready
+			l.mu.Unlock()
+		}
+	})
+}
+
+// pick returns a node that is ready, or any when none is.
+func (l *load) pick() *node {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	first := rand.IntN(len(l.fleet.nodes))
+	for i := range l.fleet.nodes {
+		if n := l.fleet.nodes[(first+i)%len(l.fleet.nodes)]; l.ready[n.name] {
+			return n
+		}
+	}
+	return l.fleet.nodes[first]
+}
+
+// online sends one request and judges its answer.
+func (l *load) online(n int) {
+	path := []string{hosted.StreamPath, hosted.ResumePath, hosted.RepeatPath}[n%3]
+	id := fmt.Sprintf("s%d-r%d", l.seed, n)
+	at := l.pick()
+	l.history.count(func(c *counts) { c.Online++ })
+	started := time.Now()
+	status, body, err := l.ask(at, path, id)
+	switch {
+	case err != nil && status == 0:
+		l.history.count(func(c *counts) { c.Cut++ })
+		l.judgeCut(at, id, started, err)
+	case err != nil:
+		l.history.count(func(c *counts) { c.Cut++ })
+		l.judgeCut(at, id, started, err)
+	case status == http.StatusOK:
+		l.history.count(func(c *counts) { c.Whole++ })
+		if hosted.StreamText(body) != l.text(id) {
+			l.history.violate("request %s at %s: the answer is not whole: %q", id, at.name, body)
+		}
+	case status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests:
+		l.history.count(func(c *counts) { c.Refused++ })
+		l.history.refuse(id, fmt.Sprintf("status %d from %s", status, at.name))
+	case status == http.StatusNotFound:
+		l.history.violate("request %s at %s: its route is denied", id, at.name)
+	default:
+		l.history.count(func(c *counts) { c.Failed++ })
+	}
+}
+
+// text is the whole answer to a request; every runner gives the same.
+func (l *load) text(id string) string { return l.fleet.seats[0].runner.Text(id) }
+
+func (l *load) ask(at *node, path, id string) (status int, body string, err error) {
+	ctx, cancel := context.WithTimeout(context.Background(), onlineLimit)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+at.callers.Address()+path+"q", bytes.NewReader([]byte("prompt")))
+	if err != nil {
+		return 0, "", err
+	}
+	req.Host = hosted.Host
+	req.Header.Set("X-Marblepond-Request-Id", id)
+	req.Header.Set("X-Marblepond-Deadline-Ms", fmt.Sprint(onlineLimit.Milliseconds()))
+	resp, err := l.client.Do(req)
+	if err != nil {
+		return 0, "", err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(data), err
+}
+
+// judgeCut judges an answer that did not come or broke off: nodes that are asked
+// to stop, or read their settings again, cut nothing.
+func (l *load) judgeCut(at *node, id string, started time.Time, err error) {
+	if l.history.calm(started, time.Now(), StopNode, HangupNode, ConfigChange) {
+		l.history.violate("request %s at %s was cut with nothing else wrong: %v", id, at.name, err)
+	}
+}
+
+// callerJob is a job as its caller knows it.
+type callerJob struct {
+	id      string
+	results []hosted.Result // by position, as first read
+	ended   bool
+}
+
+const (
+	jobTries   = 25
+	jobPause   = 400 * time.Millisecond
+	endOneIn   = 5                      // jobs that their caller ends
+	endAfter   = 800 * time.Millisecond // after acceptance
+	endTries   = 40
+	jobsWithin = 60 * time.Second // after the last fault, for every result
+)
+
+// submit sends a job until it is accepted, and reads or ends it.
+func (l *load) submit(n int) {
+	j := &callerJob{id: fmt.Sprintf("s%d-j%d", l.seed, n)}
+	if !l.accepted(j.id) {
+		return
+	}
+	l.history.count(func(c *counts) { c.Jobs++; c.Items += jobItems })
+	if n%endOneIn == endOneIn-1 {
+		time.Sleep(endAfter)
+		j.ended = l.endJob(j.id)
+	}
+	l.mu.Lock()
+	l.jobs = append(l.jobs, j)
+	l.mu.Unlock()
+	if !j.ended {
+		l.read(j, time.Now().Add(jobPause*4))
+	}
+}
+
+// accepted sends a job until a node accepts it. A job that every try refused as
+// not run must never run.
+func (l *load) accepted(id string) bool {
+	promised := true
+	for range jobTries {
+		reply := hosted.Submit(l.pick().callers.Address(), id, hosted.Items(id, jobItems))
+		switch {
+		case reply.Err == nil && reply.Status == http.StatusAccepted:
+			return true
+		case reply.Err == nil && (reply.Status == http.StatusServiceUnavailable || reply.Status == http.StatusTooManyRequests):
+		default:
+			promised = false
+		}
+		time.Sleep(jobPause)
+	}
+	if promised {
+		for _, item := range hosted.Items(id, jobItems) {
+			l.history.refuse(item.ID, "its job was refused at every try")
+		}
+	}
+	return false
+}
+
+func (l *load) endJob(id string) bool {
+	for range endTries {
+		if reply := hosted.End(l.pick().callers.Address(), id); reply.Err == nil && reply.Status == http.StatusOK {
+			l.history.end(id)
+			return true
+		}
+		time.Sleep(jobPause)
+	}
+	return false
+}
+
+// read reads a job on until a moment or its end, at any nodes, and now and then
+// from an earlier position.
+func (l *load) read(j *callerJob, until time.Time) bool {
+	for time.Now().Before(until) {
+		after := len(j.results)
+		if after > 0 && rand.IntN(4) == 0 {
+			after = rand.IntN(after)
+		}
+		at := l.pick()
+		page, status := hosted.Read(at.callers.Address(), j.id, after)
+		l.take(j, at, after, page, status)
+		if len(j.results) == jobItems {
+			return true
+		}
+		time.Sleep(jobPause / 4)
+	}
+	return len(j.results) == jobItems
+}
+
+// take checks a page against what was read before.
+func (l *load) take(j *callerJob, at *node, after int, page hosted.Results, status int) {
+	switch {
+	case status == http.StatusNotFound || status == http.StatusGone:
+		l.history.violate("job %s is denied by %s", j.id, at.name)
+	case status != http.StatusOK:
+		return
+	case page.Total != jobItems:
+		l.history.violate("job %s has %d items at %s", j.id, page.Total, at.name)
+	case after < len(j.results) && len(page.Results) == 0 && l.history.calm(time.Now().Add(-settles), time.Now()):
+		l.history.violate("job %s at %s has nothing at position %d, which was read before", j.id, at.name, after)
+	}
+	for i, r := range page.Results {
+		switch position := after + i; {
+		case position < len(j.results):
+			if j.results[position] != r {
+				l.history.violate("job %s at %s: position %d holds another result than before", j.id, at.name, position)
+			}
+		default:
+			l.judgeResult(j, r)
+			j.results = append(j.results, r)
+		}
+	}
+}
+
+func (l *load) judgeResult(j *callerJob, r hosted.Result) {
+	for _, known := range j.results {
+		if known.ID == r.ID {
+			l.history.violate("item %s stands twice in job %s", r.ID, j.id)
+		}
+	}
+	if r.State == "completed" && r.Text != l.text(r.ID) {
+		l.history.violate("item %s of job %s has not its whole text: %q", r.ID, j.id, r.Text)
+	}
+}
--- /dev/null
+++ b/lab/hostedsoak/proxy.go
@@ -0,0 +1,173 @@
+package hostedsoak
+
+import (
+	"io"
+	"net"
+	"sync"
+	"time"
+)
+
+// Mode is what a proxy does to the connections through it.
+type Mode struct {
+	Delay  time.Duration // added to each piece, both ways
+	Reset  bool          // open connections are reset, and new ones at once
+	Silent bool          // nothing passes, and nothing is closed
+	OneWay bool          // only towards the server: its answers do not pass
+}
+
+// Proxy stands between two processes on loopback addresses.
+type Proxy struct {
+	listener net.Listener
+
+	mu     sync.Mutex
+	target string
+	mode   Mode
+	conns  map[net.Conn]bool
+	closed bool
+}
+
+// NewProxy forwards connections from an address to a target.
+func NewProxy(listen, target string) (*Proxy, error) {
+	listener, err := net.Listen("tcp", listen)
+	if err != nil {
+		return nil, err
+	}
+	p := &Proxy{listener: listener, target: target, conns: map[net.Conn]bool{}}
+	go p.accept()
+	return p, nil
+}
+
+// Address returns where the proxy listens.
+func (p *Proxy) Address() string { return p.listener.Addr().String() }
+
+// Set changes what happens to connections, also to open ones.
+func (p *Proxy) Set(m Mode) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.mode = m
+	if m.Reset {
+		p.resetAll()
+	}
+}
+
+// Retarget sends new connections elsewhere and resets the open ones.
+func (p *Proxy) Retarget(target string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.target = target
+	p.resetAll()
+}
+
+// Close ends the proxy and its connections.
+func (p *Proxy) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	p.listener.Close()
+	p.resetAll()
+}
+
+func (p *Proxy) resetAll() {
+	for conn := range p.conns {
+		reset(conn)
+	}
+}
+
+// reset closes a connection so that its peer sees a reset, not an end.
+func reset(conn net.Conn) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // a connection that has ended already needs none
+	}
+	conn.Close()
+}
+
+func (p *Proxy) accept() {
+	for {
+		conn, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		go p.forward(conn)
+	}
+}
+
+func (p *Proxy) forward(conn net.Conn) {
+	defer conn.Close()
+	p.mu.Lock()
+	target, refuse := p.target, p.mode.Reset || p.closed
+	p.mu.Unlock()
+	if refuse {
+		reset(conn)
+		return
+	}
+	out, err := net.Dial("tcp", target)
+	if err != nil {
+		reset(conn)
+		return
+	}
+	defer out.Close()
+	p.keep(conn, out, true)
+	defer p.keep(conn, out, false)
+	done := make(chan struct{}, 2)
+	go p.pump(out, conn, false, done)
+	go p.pump(conn, out, true, done)
+	<-done
+	<-done
+}
+
+func (p *Proxy) keep(a, b net.Conn, open bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, conn := range []net.Conn{a, b} {
+		if open {
+			p.conns[conn] = true
+		} else {
+			delete(p.conns, conn)
+		}
+	}
+}
+
+const (
+	pumpBuffer = 32 << 10
+	// holdPoll is the time between looks whether a silent connection speaks again.
+	holdPoll = 10 * time.Millisecond
+)
+
+// pump copies one direction; answers tells that it is the server's.
+func (p *Proxy) pump(to, from net.Conn, answers bool, done chan<- struct{}) {
+	defer func() { done <- struct{}{} }()
+	buffer := make([]byte, pumpBuffer)
+	for {
+		n, err := from.Read(buffer)
+		if n > 0 {
+			p.hold(answers)
+			if _, err := to.Write(buffer[:n]); err != nil {
+				reset(from)
+				return
+			}
+		}
+		if err != nil {
+			p.hold(answers)
+			if err == io.EOF {
+				_ = to.(*net.TCPConn).CloseWrite() // fails when the other side is gone too
+			} else {
+				reset(to)
+			}
+			return
+		}
+	}
+}
+
+// hold waits as long as the mode keeps a piece back.
+func (p *Proxy) hold(answers bool) {
+	for {
+		p.mu.Lock()
+		m, closed := p.mode, p.closed
+		p.mu.Unlock()
+		if closed || !(m.Silent || (m.OneWay && answers)) {
+			time.Sleep(m.Delay)
+			return
+		}
+		time.Sleep(holdPoll)
+	}
+}
--- /dev/null
+++ b/lab/hostedsoak/soak.go
@@ -0,0 +1,171 @@
+package hostedsoak
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/marblepond/marblepond/lab/hosted"
+	"github.com/marblepond/marblepond/lab/procs"
+)
+
+// Options of a run.
+type Options struct {
+	Seed   uint64
+	Length time.Duration
+	Dir    string // of settings and logs; kept when something was violated
+	Bin    string // folder of the binaries; empty: build them
+	Net    int    // second byte of the loopback addresses
+	Out    io.Writer
+}
+
+// Main runs a soak for the command line.
+func Main(o Options) error {
+	dir, err := os.MkdirTemp(o.Dir, "hostedsoak")
+	if err != nil {
+		return err
+	}
+	o.Dir = dir
+	if o.Bin == "" {
+		o.Bin = dir
+		if err := procs.Build(dir); err != nil {
+			return err
+		}
+	}
+	sum, violations, err := run(o)
+	if err != nil {
+		return err
+	}
+	for _, v := range violations {
+		fmt.Fprintln(o.Out, "VIOLATION", v)
+	}
+	fmt.Fprintf(o.Out, "seed %d: online %d: %d whole, %d refused, %d failed, %d cut; %d jobs with %d items; %d violations\n",
+		o.Seed, sum.Online, sum.Whole, sum.Refused, sum.Failed, sum.Cut, sum.Jobs, sum.Items, len(violations))
+	if len(violations) > 0 {
+		return fmt.Errorf("seed %d: %d violations; logs in %s", o.Seed, len(violations), dir)
+	}
+	return os.RemoveAll(dir)
+}
+
+func run(o Options) (counts, []string, error) {
+	f, err := startFleet(o)
+	defer f.stop()
+	if err != nil {
+		return counts{}, nil, err
+	}
+	h := newHistory()
+	logf := func(format string, args ...any) {
+		fmt.Fprintf(o.Out, time.Now().Format("15:04:05.000 ")+format+"\n", args...)
+	}
+	in := &injector{fleet: f, history: h, options: o, log: logf, busy: map[string]bool{}}
+	l := newLoad(f, h, o.Seed)
+	watching, stopWatching := context.WithCancel(context.Background())
+	go in.watchVersions(watching)
+	ctx, cancel := context.WithTimeout(context.Background(), o.Length)
+	defer cancel()
+	loaded := make(chan struct{})
+	go func() {
+		l.run(ctx)
+		close(loaded)
+	}()
+	in.run(NewPlan(o.Seed, o.Length, nodeCount, runnerCount))
+	<-ctx.Done()
+	<-loaded
+	l.finish()
+	stopWatching()
+	checkLedgers(f, h)
+	for _, line := range f.violations() {
+		h.violate("%s", line)
+	}
+	sum, violations := h.report()
+	return sum, violations, nil
+}
+
+// finish reads every job to its end and then once more from its start at every
+// node.
+func (l *load) finish() {
+	for _, n := range l.fleet.nodes {
+		if err := n.waitReady(); err != nil { // the last fault may have been its end
+			l.history.violate("%v", err)
+		}
+	}
+	until := time.Now().Add(jobsWithin)
+	for _, j := range l.jobs {
+		if !j.ended && !l.read(j, until) {
+			l.history.violate("job %s has %d of %d results, %v after the last fault", j.id, len(j.results), jobItems, jobsWithin)
+		}
+	}
+	for _, j := range l.jobs {
+		for _, n := range l.fleet.nodes {
+			page, status := hosted.Read(n.callers.Address(), j.id, 0)
+			l.take(j, n, 0, page, status)
+			if status != http.StatusOK {
+				l.history.violate("job %s cannot be read at %s at the end: status %d", j.id, n.name, status)
+			}
+		}
+	}
+}
+
+// stopsWithin is how long after the acknowledged end of a job its items may
+// still begin to run.
+const stopsWithin = 3 * time.Second
+
+// checkLedgers checks what the runners saw.
+func checkLedgers(f *fleet, h *history) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	violate := func(format string, args ...any) { h.violations = append(h.violations, fmt.Sprintf(format, args...)) }
+	runs := map[string]int{}
+	for _, r := range f.runners {
+		left, leaves := h.leaving[r]
+		for _, s := range r.Starts() {
+			runs[s.RequestID]++
+			if leaves && s.At.After(left.Add(drainedCheck)) && h.calmLocked(left, s.At, DrainRunner, HangupNode, ConfigChange) {
+				violate("%s began at %s, %v after it announced that it leaves", s.RequestID, r.ID, s.At.Sub(left))
+			}
+			job, _, _ := strings.Cut(s.RequestID, "-i")
+			if end, ended := h.ended[job]; ended && s.At.After(end.Add(stopsWithin)) && h.calmLocked(end, s.At, ConfigChange, HangupNode) {
+				violate("item %s began %v after the end of its job", s.RequestID, s.At.Sub(end))
+			}
+			if strings.HasSuffix(s.Path, "q") && strings.HasPrefix(s.Path, "/ask/") && runs[s.RequestID] == 2 {
+				violate("request %s ran twice", s.RequestID)
+			}
+		}
+	}
+	for id, how := range h.refused {
+		if runs[id] > 0 {
+			violate("%s was refused as not run (%s) and ran %d times", id, how, runs[id])
+		}
+	}
+}
+
+var errNoVersion = errors.New("the metrics name no version")
+
+// version returns the configuration that the node has in force.
+func (n *node) version() (int, bool) {
+	resp, err := probe.Get("http://" + n.host + ":7074/metrics")
+	if err != nil {
+		return 0, false
+	}
+	defer resp.Body.Close()
+	v, err := parseVersion(resp.Body)
+	return v, err == nil
+}
+
+func parseVersion(r io.Reader) (int, error) {
+	lines := bufio.NewScanner(r)
+	for lines.Scan() {
+		if name, value, ok := strings.Cut(lines.Text(), " "); ok && strings.Contains(name, "config_version") {
+			v, err := strconv.ParseFloat(strings.TrimSpace(value), 64)
+			return int(v), err
+		}
+	}
+	return 0, errNoVersion
+}
