Take lost jobs over in an order of nodes

Change: nodes take a lost job over in an order of their own for each job, first by data centre, then by node, 0.6 s apart; a node that answers and does not hold its job is left 1.5 s to take it up again. TestLostJobsAreTakenInTurn, TestRestartedHolderTakesItsJobsUp.

--- a/internal/process/hosted/peers.go
+++ b/internal/process/hosted/peers.go
@@ -176,20 +176,35 @@
 	return out
 }
 
-// Locator implements job.Peers.
-func (n *Node) Locator(job string) string {
+// nearHolders returns the other nodes of this data centre that are heard and
+// hold jobs.
+func (n *Node) nearHolders() []string {
 	nodes := n.registered()
-	candidates := []string{n.settings.NodeID}
+	var out []string
 	for _, name := range n.beacon.HeardNear() {
 		if nodes[name].Callers {
-			candidates = append(candidates, name)
+			out = append(out, name)
 		}
 	}
-	first := rendezvous.First(job, candidates)
+	return out
+}
+
+// Locator implements job.Peers.
+func (n *Node) Locator(job string) string {
+	first := rendezvous.First(job, append(n.nearHolders(), n.settings.NodeID))
 	if first == n.settings.NodeID {
 		return ""
 	}
-	return nodes[first].Address
+	return n.registered()[first].Address
+}
+
+// mostAdoptRank bounds the places in the order in which nodes take over a job.
+const mostAdoptRank = 5
+
+// AdoptRank implements job.Peers.
+func (n *Node) AdoptRank(job string) int {
+	centre := rendezvous.Place(job, n.settings.DataCentre, n.beacon.HeardDataCentres(), mostAdoptRank)
+	return min(mostAdoptRank, centre+rendezvous.Place(job, n.settings.NodeID, n.nearHolders(), mostAdoptRank))
 }
 
 // registerPause is the time between attempts to register.
--- a/internal/process/rendezvous/rendezvous.go
+++ b/internal/process/rendezvous/rendezvous.go
@@ -39,3 +39,15 @@
 	})
 	return ranked[:min(n, len(ranked))]
 }
+
+// Place returns the place of one member among itself and others in the order for
+// a key, most when it comes later than that.
+func Place(key, self string, others []string, most int) int {
+	members := append(append(make([]string, 0, len(others)+1), others...), self)
+	for at, name := range Rank(key, members, most) {
+		if name == self {
+			return at
+		}
+	}
+	return most
+}
--- a/internal/request/job/heads_test.go
+++ b/internal/request/job/heads_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -40,6 +42,10 @@
 	return p.managers[address].PeerService()
 }
 func (nearPeers) Holders() []string { return nil }
+func (p nearPeers) AdoptRank(string) int {
+	rank, _ := strconv.Atoi(strings.TrimPrefix(p.self, "n"))
+	return rank
+}
 func (p nearPeers) Locator(string) string {
 	if p.self == "n0" {
 		return ""
@@ -196,3 +202,49 @@
 	}
 	t.Fatal("the former holder goes on")
 }
+
+// TestLostJobsAreTakenInTurn: of many nodes that find the same lost jobs, one
+// asks the store for each; the next in order does so when it is not there.
+func TestLostJobsAreTakenInTurn(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	store := &countingStore{newMemoryStore(), map[string]int{}}
+	nodes := newNearManagers(store, 6)
+	const jobs = 10
+	for i := range jobs {
+		is.NoErr(nodes[5].Submit(ctx, submission(fmt.Sprintf("job-%d", i))))
+	}
+	for _, h := range nodes[5].held { // given up by a node that leaves
+		is.True(nodes[5].giveUp(ctx, h))
+	}
+	nodes[5].draining = true
+	clear(store.gets)
+	for _, m := range nodes {
+		m.sweepOnce(ctx)
+	}
+	is.Equal(len(nodes[0].held), jobs)
+	is.Equal(store.gets[KindHeads], jobs)
+	for _, h := range nodes[0].held { // now it leaves too, and does not come back
+		is.True(nodes[0].giveUp(ctx, h))
+	}
+	nodes[1].sweepOnce(ctx)
+	is.Equal(len(nodes[1].held), 0)
+	time.Sleep(adoptStagger)
+	nodes[1].sweepOnce(ctx)
+	is.Equal(len(nodes[1].held), jobs)
+}
+
+// TestRestartedHolderTakesItsJobsUp: a node that answers and does not hold a job
+// is left some time to take it up again.
+func TestRestartedHolderTakesItsJobsUp(t *testing.T) {
+	is := is.New(t)
+	m := newTestManager("n0", newMemoryStore())
+	restarted := Holder{Node: "n1", Boot: 1, Address: "n1"}
+	is.True(m.myTurn("own", Holder{Node: "n0", Boot: 0}))
+	is.True(m.myTurn("given up", Holder{}))
+	is.True(!m.myTurn("job", restarted))
+	m.mu.Lock()
+	m.orphans["job"] = time.Now().Add(-restartGrace)
+	m.mu.Unlock()
+	is.True(m.myTurn("job", restarted))
+}
--- a/internal/request/job/manager.go
+++ b/internal/request/job/manager.go
@@ -40,6 +40,9 @@
 	// Locator returns the address of the node of this data centre that looks
 	// the head of a job up for all others, "" when this node does.
 	Locator(job string) string
+	// AdoptRank returns the place of this node in the order of those that may
+	// take a job over, 0 for the first.
+	AdoptRank(job string) int
 }
 
 // Config of a manager.
@@ -93,6 +96,7 @@
 	reserved  map[string]int64 // by route: tokens of submissions in progress
 	draining  bool
 	absent    map[string]time.Time // holders: since when they do not answer
+	orphans   map[string]time.Time // jobs that nobody holds: since when this node knows
 	heads     map[string]knownHead // of jobs that others hold
 	ends      map[string]time.Time // when the end of a job was told; the copy of the store may be older
 	committer sync.WaitGroup
@@ -122,7 +126,7 @@
 // NewManager returns a manager; Run starts it.
 func NewManager(cfg Config, parts Parts) *Manager {
 	return &Manager{cfg: cfg, Parts: parts, results: newResultCache(cfg.ResultMemory), wakeUp: make(chan struct{}, 1), stopped: make(chan struct{}),
-		held: map[string]*held{}, reserved: map[string]int64{}, absent: map[string]time.Time{}, heads: map[string]knownHead{},
+		held: map[string]*held{}, reserved: map[string]int64{}, absent: map[string]time.Time{}, orphans: map[string]time.Time{}, heads: map[string]knownHead{},
 		ends: map[string]time.Time{}}
 }
 
@@ -152,6 +156,7 @@
 	h.ended = m.endKnown(id)
 	m.held[id] = h
 	delete(m.heads, id)
+	delete(m.orphans, id)
 	m.committer.Add(1)
 	m.mu.Unlock()
 	m.Recorder.Record(timeline.JobHeld, id, "", why, timeline.Field{Name: "items", Value: head.Total},
--- a/internal/request/job/manager_test.go
+++ b/internal/request/job/manager_test.go
@@ -104,6 +104,7 @@
 }
 func (noPeers) Holders() []string     { return nil }
 func (noPeers) Locator(string) string { return "" }
+func (noPeers) AdoptRank(string) int  { return 0 }
 
 func newTestManager(node string, store objects.Store) *Manager {
 	recorder := timeline.NewRecorder(node, 100, &log.Logger{Handler: discard.New()}, tally.NoopScope)
--- a/internal/request/job/sweep.go
+++ b/internal/request/job/sweep.go
@@ -18,9 +18,13 @@
 	// suspectSweep is the time between sweeps while a holder does not answer or
 	// lost jobs are left.
 	suspectSweep = 600 * time.Millisecond
-	// adoptAtOnce is how many jobs of a lost holder one sweep takes over: the
-	// other nodes take theirs meanwhile, so that no node gets all of the work.
-	adoptAtOnce = 2
+	// adoptStagger is how much longer each further node in the order of a job
+	// waits before it takes the job over: the one before it has done so by then,
+	// or is not there.
+	adoptStagger = suspectSweep
+	// restartGrace is how long a node that answers and does not hold a job is left
+	// the time to take it up again: it has just started.
+	restartGrace = 1500 * time.Millisecond
 	// probeTimeout bounds the question to a holder whether it still holds.
 	probeTimeout = 400 * time.Millisecond
 	// adoptTimeout bounds one take-over.
@@ -64,20 +68,49 @@
 		}
 	}
 	suspected := false
+	orphans := map[string]bool{}
 	for holder, jobs := range byHolder {
 		lost, maybe := m.lostJobs(ctx, holder, jobs)
-		if holder.Node != m.cfg.Self.Node && len(lost) > adoptAtOnce {
-			rand.Shuffle(len(lost), func(i, j int) { lost[i], lost[j] = lost[j], lost[i] })
-			lost, maybe = lost[:adoptAtOnce], true
-		}
 		suspected = suspected || maybe
 		for _, id := range lost {
-			m.adopt(ctx, id, holder)
+			orphans[id] = true
+		}
+		for _, id := range lost {
+			if m.myTurn(id, holder) {
+				m.adopt(ctx, id, holder)
+			} else {
+				suspected = true
+			}
 		}
 	}
+	m.mu.Lock()
+	maps.DeleteFunc(m.orphans, func(id string, _ time.Time) bool { return !orphans[id] })
+	m.mu.Unlock()
 	return suspected
 }
 
+// myTurn reports whether this node is to take a lost job over now. Nodes do so in
+// an order of their own for each job, one after the other, so that not all of them
+// ask the store for it and the jobs of a lost node are spread.
+func (m *Manager) myTurn(id string, holder Holder) bool {
+	if holder.Node == m.cfg.Self.Node {
+		return true // of an earlier start of this node
+	}
+	rank := m.Peers.AdoptRank(id)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	since, known := m.orphans[id]
+	if !known {
+		since = time.Now()
+		m.orphans[id] = since
+	}
+	wait := time.Duration(rank) * adoptStagger
+	if holder != (Holder{}) && m.absent[holder.String()].IsZero() {
+		wait += restartGrace // its node answers
+	}
+	return time.Since(since) >= wait
+}
+
 // learnListed keeps a head from a list that may be seconds old. It names the
 // holder to nodes that get a read, and a complete head never changes again.
 func (m *Manager) learnListed(id string, head Head, revision int64) {
--- a/internal/version/follow/refresh.go
+++ b/internal/version/follow/refresh.go
@@ -128,17 +128,8 @@
 // centres are in an order, and so are the nodes of each. What decides it is known
 // the same everywhere, also where the fleet is too large to hear every node.
 func (r *Refresher) rank() int {
-	return min(mostRank, place(r.Kind, r.DataCentre, r.Centres())+place(r.Kind, r.Self, r.Near()))
-}
-
-// place returns the place of one among itself and others.
-func place(key, self string, others []string) int {
-	for at, name := range rendezvous.Rank(key, append(others, self), mostRank) {
-		if name == self {
-			return at
-		}
-	}
-	return mostRank
+	centre := rendezvous.Place(r.Kind, r.DataCentre, r.Centres(), mostRank)
+	return min(mostRank, centre+rendezvous.Place(r.Kind, r.Self, r.Near(), mostRank))
 }
 
 // refresh asks the store once.
