Let no list hide a deletion, and no mark stay young on its way

Change: a copy knows up to which revision deletions may be missing in it (its newest list, or the newest one forgotten). Its mark counts only for copies complete up to there; what it sends to one that is not is all that exists. A question to the store counts when it is first heard of, because the age in a mark leaves out the time that the datagram waited.

TestListHidesNoDeletion and TestMarksDoNotStayYoungOnTheWay fail without it; both are also checked as broken mechanisms.

--- a/Makefile
+++ b/Makefile
@@ -28,6 +28,7 @@
 
 soak:
 	go run ./lab/cmd/marblelab soak --seed 1 --for 40s
+	go run ./lab/cmd/marblelab hostedsoak --seed 26 --for 30s
 
 capacity:
 	go run ./lab/cmd/marblelab capacity
--- a/internal/connection/beacon/beacon.go
+++ b/internal/connection/beacon/beacon.go
@@ -221,7 +221,7 @@
 	}
 	for kind, m := range x.Copies.AgeMarks() {
 		if m.Known {
-			message.Marks = append(message.Marks, &v1.KindMark{Kind: kind, Complete: m.Complete, Latest: m.Latest, AgeMs: uint32(m.Age.Milliseconds())})
+			message.Marks = append(message.Marks, &v1.KindMark{Kind: kind, Complete: m.Complete, Latest: m.Latest, Floor: m.Floor, AgeMs: uint32(m.Age.Milliseconds()), Question: m.Question})
 		}
 	}
 	return message
@@ -272,7 +272,7 @@
 	x.Batch.HeardJobs(m.Node, m.Jobs)
 	behind := false
 	for _, k := range m.Marks {
-		mark := follow.Mark{Complete: k.Complete, Latest: k.Latest, Age: time.Duration(k.AgeMs) * time.Millisecond, Known: true}
+		mark := follow.Mark{Complete: k.Complete, Latest: k.Latest, Floor: k.Floor, Age: time.Duration(k.AgeMs) * time.Millisecond, Question: k.Question, Known: true}
 		behind = x.Copies.HeardMark(k.Kind, mark) || behind
 	}
 	if behind {
--- a/internal/version/follow/cache.go
+++ b/internal/version/follow/cache.go
@@ -8,6 +8,8 @@
 package follow
 
 import (
+	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -45,9 +47,17 @@
 	complete int64
 	// latest is the highest revision of an entry.
 	latest int64
+	// floor is the revision up to which deletions may not be known: that of the
+	// newest list taken, which does not tell what it leaves out, or of the newest
+	// deletion that was forgotten.
+	floor int64
 	// verified is when the store was asked the question whose answer made the
 	// copy complete; zero: never.
 	verified time.Time
+	// question is the one that verified stands for, and heard holds those heard of
+	// lately, oldest first.
+	question uint64
+	heard    []uint64
 	// returned is when the store could be asked again after an outage.
 	returned time.Time
 }
@@ -67,7 +77,9 @@
 type Mark struct {
 	Complete int64         // no change up to this revision is missing
 	Latest   int64         // revision of the newest change held
+	Floor    int64         // deletions up to this revision may not be held
 	Age      time.Duration // since the store was asked
+	Question uint64        // which question to the store that was
 	Known    bool          // the store was ever asked
 }
 
@@ -127,6 +139,7 @@
 			changes = append(changes, objects.Object{Name: id, Revision: revision, Deleted: true})
 		}
 	}
+	k.floor = max(k.floor, revision)
 	c.mu.Unlock()
 	return c.Apply(name, changes, 0, revision)
 }
@@ -150,6 +163,7 @@
 	for id, e := range k.entries {
 		if e.Deleted && c.now().Sub(e.deletedAt) > tombstoneAge {
 			delete(k.entries, id)
+			k.floor = max(k.floor, e.Revision)
 		}
 	}
 }
@@ -164,23 +178,39 @@
 // Now returns the cache's time.
 func (c *Cache) Now() time.Time { return c.now() }
 
-// Verified notes that the copy holds all that the store held at a moment.
+// Verified notes that the copy holds all that the store held at a moment, by a
+// question that this node asked.
 func (c *Cache) Verified(name string, at time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if k := c.kinds[name]; k != nil {
-		c.verify(k, at)
+		c.verify(k, at, rand.Uint64())
 	}
 }
 
-func (c *Cache) verify(k *kind, at time.Time) {
+// heardQuestions is how many questions are remembered of a kind: a datagram that
+// is older than the last few of them is too old to be news.
+const heardQuestions = 32
+
+// verify notes the moment that a question stands for. A question counts when it
+// is first heard of, and not again: what a mark says of its age leaves out the
+// time that datagrams wait to be read, so that a mark that goes from node to node
+// would stay young.
+func (c *Cache) verify(k *kind, at time.Time, question uint64) {
+	if slices.Contains(k.heard, question) {
+		return
+	}
+	k.heard = append(k.heard, question)
+	if len(k.heard) > heardQuestions {
+		k.heard = slices.Delete(k.heard, 0, 1)
+	}
 	if !at.After(k.verified) {
 		return
 	}
 	if now := c.now(); !k.verified.IsZero() && now.Sub(k.verified) > outageAge {
 		k.returned = now
 	}
-	k.verified = at
+	k.verified, k.question = at, question
 }
 
 // Doubtful reports whether a deletion of this kind may only mean that the store
@@ -212,7 +242,7 @@
 	defer c.mu.Unlock()
 	marks := make(map[string]Mark, len(c.kinds))
 	for name, k := range c.kinds {
-		marks[name] = Mark{Complete: k.complete, Latest: k.latest, Age: c.now().Sub(k.verified), Known: !k.verified.IsZero()}
+		marks[name] = Mark{Complete: k.complete, Latest: k.latest, Floor: k.floor, Age: c.now().Sub(k.verified), Question: k.question, Known: !k.verified.IsZero()}
 	}
 	return marks
 }
@@ -230,8 +260,11 @@
 	if k.complete < m.Latest {
 		return true // a list of several pages may hold a newer change and lack one before it
 	}
+	if k.complete < m.Floor {
+		return false // a deletion that the other does not know may be missing here
+	}
 	k.complete = max(k.complete, m.Complete)
-	c.verify(k, c.now().Add(-m.Age))
+	c.verify(k, c.now().Add(-m.Age), m.Question)
 	return false
 }
 
@@ -246,21 +279,23 @@
 	return marks
 }
 
-// Since returns the changes of a kind after a revision.
-func (c *Cache) Since(name string, revision int64) []objects.Object {
+// Since returns the changes of a kind after a revision, as far as this copy knows
+// them. Where it may lack a deletion after that revision it returns all objects
+// that exist, and whole is true.
+func (c *Cache) Since(name string, revision int64) (changes []objects.Object, whole bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	k := c.kinds[name]
 	if k == nil || k.complete <= revision {
-		return nil
+		return nil, false
 	}
-	var out []objects.Object
+	whole = revision < k.floor
 	for _, e := range k.entries {
-		if e.Revision > revision {
-			out = append(out, e.Object)
+		if (whole && !e.Deleted) || (!whole && e.Revision > revision) {
+			changes = append(changes, e.Object)
 		}
 	}
-	return out
+	return changes, whole
 }
 
 // Get returns an object that exists as far as is known.
--- a/internal/version/follow/cache_test.go
+++ b/internal/version/follow/cache_test.go
@@ -72,7 +72,7 @@
 	cache.Replace(kindT, []objects.Object{{Name: "a", Revision: 3}}, 5)
 	cache.Verified(kindT, now.now)
 	now.pass(time.Second)
-	is.True(!cache.HeardMark(kindT, Mark{Complete: 40, Latest: 3, Age: 100 * time.Millisecond, Known: true}))
+	is.True(!cache.HeardMark(kindT, Mark{Complete: 40, Latest: 3, Age: 100 * time.Millisecond, Question: 1, Known: true}))
 	age, _ := cache.Age(kindT)
 	is.Equal(age, 100*time.Millisecond)
 	is.Equal(cache.Complete(kindT), int64(40))
@@ -82,6 +82,56 @@
 	is.Equal(age, 1100*time.Millisecond)
 }
 
+// TestListHidesNoDeletion: a node that has just started and listed does not know
+// what was deleted before. Neither its mark nor what it sends may let another node
+// pass over a deletion (DRAIN on scale-2 of keystel-queue-grown).
+func TestListHidesNoDeletion(t *testing.T) {
+	is := is.New(t)
+	old, _ := newTestCache()
+	old.Replace(kindT, []objects.Object{{Name: "a", Revision: 3}, {Name: "b", Revision: 5}}, 10)
+	started, now := newTestCache()
+	started.Replace(kindT, []objects.Object{{Name: "a", Revision: 3}}, 12) // "b" was deleted at 11
+	started.Verified(kindT, now.now)
+	is.True(!old.HeardMark(kindT, started.AgeMarks()[kindT])) // no change to be had there
+	is.Equal(old.Complete(kindT), int64(10))
+	_, known := old.Age(kindT)
+	is.True(!known)
+
+	news := adopt(old, changesOf(started, kindT, old.Complete(kindT)))
+	is.Equal(len(news), 1)
+	_, ok := old.Get(kindT, "b")
+	is.True(!ok)
+	is.Equal(old.Complete(kindT), int64(12))
+
+	old.Apply(kindT, []objects.Object{{Name: "c", Revision: 14}}, 12, 14) // from there on changes are enough
+	changes := changesOf(old, kindT, 12)
+	is.True(!changes.Whole)
+	is.Equal(len(changes.Changes), 1)
+}
+
+// TestMarksDoNotStayYoungOnTheWay: nodes that read their datagrams late tell each
+// other the age that a mark had when it was sent. Passed to and fro, it must not
+// stand for news of the store for longer than the first way took.
+func TestMarksDoNotStayYoungOnTheWay(t *testing.T) {
+	is := is.New(t)
+	now := &clock{time.Unix(1000, 0)}
+	a, b := NewCache(now.read, kindT), NewCache(now.read, kindT)
+	a.Verified(kindT, now.now)
+	const late = 200 * time.Millisecond
+	for range 15 { // three seconds in which nobody asks the store
+		sent := a.AgeMarks()[kindT]
+		now.pass(late)
+		b.HeardMark(kindT, sent)
+		sent = b.AgeMarks()[kindT]
+		now.pass(late)
+		a.HeardMark(kindT, sent)
+	}
+	for _, cache := range []*Cache{a, b} {
+		age, _ := cache.Age(kindT)
+		is.True(age >= 6*time.Second-2*late)
+	}
+}
+
 // TestGapInAListIsNoFreshness: a list of several pages may hold a change that is
 // newer than the revision it is complete up to, and lack one before it. A peer's
 // mark that lies between must not stand for what this copy lacks.
@@ -102,9 +152,11 @@
 	cache, now := newTestCache()
 	cache.Replace(kindT, []objects.Object{{Name: "a", Revision: 3}}, 5)
 	cache.Verified(kindT, now.now)
+	asked := uint64(0)
 	for range 10 { // refused here, while peers ask
 		now.pass(800 * time.Millisecond)
-		cache.HeardMark(kindT, Mark{Complete: 5, Latest: 3, Age: 200 * time.Millisecond, Known: true})
+		asked++
+		cache.HeardMark(kindT, Mark{Complete: 5, Latest: 3, Age: 200 * time.Millisecond, Question: asked, Known: true})
 		is.True(!cache.Doubtful(kindT))
 	}
 	now.pass(4 * time.Second) // nobody can ask
--- a/internal/version/follow/gossip.go
+++ b/internal/version/follow/gossip.go
@@ -90,7 +90,7 @@
 			continue
 		}
 		changes := changesOf(g.Cache, kind, theirs)
-		if len(changes.Changes) > 0 {
+		if len(changes.Changes) > 0 || changes.Whole {
 			out = append(out, changes)
 		}
 	}
@@ -99,11 +99,21 @@
 
 // changesOf returns the changes of a kind after a revision, as they are sent.
 func changesOf(c *Cache, kind string, since int64) *v1.KindChanges {
-	changes := &v1.KindChanges{Kind: kind, Since: since, Complete: c.Complete(kind)}
-	for _, o := range c.Since(kind, since) {
-		changes.Changes = append(changes.Changes, &v1.ObjectChange{Name: o.Name, Revision: o.Revision, Value: o.Value, Deleted: o.Deleted})
+	complete := c.Complete(kind)
+	changes, whole := c.Since(kind, since)
+	out := &v1.KindChanges{Kind: kind, Since: since, Complete: complete, Whole: whole}
+	for _, o := range changes {
+		out.Changes = append(out.Changes, &v1.ObjectChange{Name: o.Name, Revision: o.Revision, Value: o.Value, Deleted: o.Deleted})
 	}
-	return changes
+	return out
+}
+
+// adopt takes changes that were sent and returns what was news.
+func adopt(c *Cache, m *v1.KindChanges) []objects.Object {
+	if m.Whole {
+		return c.Replace(m.Kind, received(m.Changes), m.Complete)
+	}
+	return c.Apply(m.Kind, received(m.Changes), m.Since, m.Complete)
 }
 
 func received(changes []*v1.ObjectChange) []objects.Object {
@@ -116,7 +126,7 @@
 
 func (g *Gossip) take(missing []*v1.KindChanges) {
 	for _, m := range missing {
-		if news := g.Cache.Apply(m.Kind, received(m.Changes), m.Since, m.Complete); len(news) > 0 {
+		if news := adopt(g.Cache, m); len(news) > 0 {
 			g.Listener.Changed(m.Kind, news, FromPeer)
 		}
 	}
--- a/internal/version/follow/refresh_test.go
+++ b/internal/version/follow/refresh_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"testing"
@@ -110,7 +111,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	go func() {
 		for ctx.Err() == nil {
-			r.Cache.HeardMark(kindT, Mark{Complete: 3, Known: true})
+			r.Cache.HeardMark(kindT, Mark{Complete: 3, Question: rand.Uint64(), Known: true})
 			time.Sleep(10 * time.Millisecond)
 		}
 	}()
--- a/internal/version/follow/snapshot.go
+++ b/internal/version/follow/snapshot.go
@@ -53,7 +53,7 @@
 		return fmt.Errorf("snapshot: %w", err)
 	}
 	for _, kind := range stored.Kinds {
-		if news := s.Cache.Apply(kind.Kind, received(kind.Changes), 0, kind.Complete); len(news) > 0 {
+		if news := adopt(s.Cache, kind); len(news) > 0 {
 			listener.Changed(kind.Kind, news, FromDisk)
 		}
 	}
--- a/scripts/check-mutants.sh
+++ b/scripts/check-mutants.sh
@@ -43,4 +43,9 @@
 mutant 9 internal/version/follow/cache.go 's/old\.Revision > o\.Revision \|\|/old.Revision > o.Revision+9 ||/' internal/version/follow TestOrderOfDeliveryDoesNotMatter
 mutant 9 internal/version/follow/refresh.go 's/objects\.ErrHistoryGone\)/objects.ErrNotFound)/' internal/version/follow TestLostHistoryIsListedAgain
 mutant 7 internal/version/discovery/discovery.go 's/if r\.Draining \{\n\t\tp\.table\.Leave/if r.Draining \&\& r.Slots == 0 {\n\t\tp.table.Leave/' lab/hosted TestDrainingTarget
+mutant 1 internal/request/job/heads.go 's/return !fresh && k\.holderAnswers/return k.holderAnswers/' internal/request/job TestOldHeadDeniesNothing
+mutant 1 internal/request/job/verify.go 's/head\.Epoch > h\.head\.Epoch/head.Epoch > h.head.Epoch+9/' internal/request/job TestFormerHolderHearsOfItsSuccessor
+mutant 7 internal/version/follow/cache.go 's/if slices\.Contains\(k\.heard, question\)/if question == 0/' internal/version/follow TestMarksDoNotStayYoungOnTheWay
+mutant 9 internal/version/follow/cache.go 's/k\.complete < m\.Latest/k.latest < m.Latest/' internal/version/follow TestGapInAListIsNoFreshness
+mutant 7 internal/version/follow/cache.go 's/if k\.complete < m\.Floor/if m.Floor < 0/' internal/version/follow TestListHidesNoDeletion
 exit $missed
