--- a/internal/connection/objects/objects.go
+++ b/internal/connection/objects/objects.go
@@ -1,6 +1,6 @@
 // Package objects defines the object store that nodes keep their durable state
 // in: versioned objects by kind and name, conditional writes, lists and
-// lists. It holds types and errors only; a client of a concrete store implements
+// questions for changes. It holds types and errors only; a client of a concrete store implements
 // the calls.
 package objects
 
--- a/internal/version/follow/snapshot.go
+++ b/internal/version/follow/snapshot.go
@@ -12,6 +12,7 @@
 	"google.golang.org/protobuf/proto"
 
 	v1 "github.com/marblepond/marblepond/api/marblepond/v1"
+	"github.com/marblepond/marblepond/internal/process/wait"
 )
 
 const (
@@ -62,14 +63,7 @@
 
 // Run writes the copy whenever it has changed, until ctx ends.
 func (s *Snapshot) Run(ctx context.Context) {
-	ticker := time.NewTicker(snapshotInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	for wait.For(ctx, snapshotInterval) {
 		if err := s.Save(); err != nil {
 			s.Failed(err)
 		}
