Keep apart when a head was learned and when the store was asked

Cause, found reading the diff: a head from a list, or told by another node, may be seconds old.

Change: a head remembers when the store was asked for it; only that makes it decide what the job has listed. TestListDecidesNothing fails without it.

--- a/internal/request/job/heads.go
+++ b/internal/request/job/heads.go
@@ -18,7 +18,8 @@
 type knownHead struct {
 	head     Head
 	revision int64
-	at       time.Time // when it was read
+	at       time.Time // when this node learned it; it may have been older then
+	readAt   time.Time // when the store was asked for it; zero: it came from a list or another node
 	lostAt   time.Time // when its holder was last found not to answer
 	whole    bool      // head is what the store held; else only its holder is known
 }
@@ -31,15 +32,19 @@
 	return k.head.Holder != (Holder{}) && time.Since(k.lostAt) > lostFor && time.Since(k.at) < headAge
 }
 
-// learn keeps a head that was read from the store.
-func (m *Manager) learn(id string, head Head, revision int64) {
+// learn keeps a head that the store held. readAt is when the store was asked for
+// it, zero when the head may be older than this node can tell.
+func (m *Manager) learn(id string, head Head, revision int64, readAt time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	old, ok := m.heads[id]
 	if ok && old.whole && old.revision > revision {
 		return
 	}
-	known := knownHead{head: head, revision: revision, at: time.Now(), whole: true}
+	known := knownHead{head: head, revision: revision, at: time.Now(), readAt: readAt, whole: true}
+	if ok && old.revision == revision && old.readAt.After(readAt) {
+		known.readAt = old.readAt
+	}
 	if ok && old.head.Holder == head.Holder {
 		known.lostAt = old.lostAt
 	}
@@ -98,7 +103,7 @@
 	if err != nil {
 		return Head{}, errkind.Internal.New("the head of job %s cannot be decoded: %v", id, err)
 	}
-	m.learn(id, head, resp.Revision)
+	m.learn(id, head, resp.Revision, time.Time{})
 	return head, nil
 }
 
@@ -182,14 +187,15 @@
 
 // readHead returns a head that was read just now, here or for another question.
 func (m *Manager) readHead(id string) (Head, error) {
-	if known, ok := m.knownHead(id); ok && known.whole && time.Since(known.at) < locatedFor {
+	if known, ok := m.knownHead(id); ok && known.justRead() {
 		return known.head, nil
 	}
+	asked := time.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), lookUpTimeout)
 	defer cancel()
 	head, o, err := m.getHead(ctx, callbudget.Commit, id)
 	if err == nil {
-		m.learn(id, head, o.Revision)
+		m.learn(id, head, o.Revision, asked)
 	}
 	return head, err
 }
@@ -220,13 +226,17 @@
 	return &v1.LocateResponse{Outcome: v1.LocateResponse_FOUND, Head: encode(head), Revision: revision}
 }
 
+// justRead reports whether the store was asked for the head so lately that it
+// decides what the job has listed.
+func (k *knownHead) justRead() bool { return time.Since(k.readAt) < locatedFor }
+
 // serves reports whether a head answers a question without another look into
 // the store.
 func (k *knownHead) serves(fresh bool) bool {
 	switch {
 	case !k.whole:
 		return false
-	case k.head.Complete(), time.Since(k.at) < locatedFor:
+	case k.head.Complete(), k.justRead():
 		return true
 	}
 	return !fresh && k.holderAnswers()
--- a/internal/request/job/heads_test.go
+++ b/internal/request/job/heads_test.go
@@ -140,6 +140,29 @@
 	is.Equal(len(page.Results), 1)
 }
 
+// TestListDecidesNothing: what a list of some seconds ago shows, and what another
+// node tells, does not stand for a question to the store.
+func TestListDecidesNothing(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	store := &countingStore{newMemoryStore(), map[string]int{}}
+	nodes := newNearManagers(store, 3)
+	is.NoErr(nodes[2].Submit(ctx, submission("job")))
+	first, o, err := nodes[2].getHead(ctx, callbudget.Commit, "job")
+	is.NoErr(err)
+	h := nodes[2].held["job"]
+	h.progress.finish(0, Result{Item: h.items[0].ID, Text: "text"}, time.Now())
+	is.True(nodes[2].commit(h))
+	nodes[0].learnListed("job", first, o.Revision) // the list is older than the commit
+	head, err := nodes[1].locate(ctx, "job", true) // asks n0
+	is.NoErr(err)
+	is.Equal(head.Listed(), 1)
+	clear(store.gets)
+	_, err = nodes[1].locate(ctx, "job", true)
+	is.NoErr(err)
+	is.Equal(store.gets[KindHeads], 0) // n0 has just read it
+}
+
 // TestHolderStopsWhenTheListShowsAnother: a holder that was away for long stops
 // when it sees in the list that its job was taken over.
 func TestHolderStopsWhenTheListShowsAnother(t *testing.T) {
--- a/internal/request/job/submit.go
+++ b/internal/request/job/submit.go
@@ -137,7 +137,7 @@
 		return nil
 	}
 	if err == nil {
-		m.learn(s.ID, head, o.Revision)
+		m.learn(s.ID, head, o.Revision, time.Time{})
 	}
 	return nil // the head exists, whoever holds the job
 }
--- a/internal/request/job/sweep.go
+++ b/internal/request/job/sweep.go
@@ -104,11 +104,11 @@
 		since = time.Now()
 		m.orphans[id] = since
 	}
-	wait := time.Duration(rank) * adoptStagger
+	pause := time.Duration(rank) * adoptStagger
 	if holder != (Holder{}) && m.absent[holder.String()].IsZero() {
-		wait += restartGrace // its node answers
+		pause += restartGrace // its node answers
 	}
-	return time.Since(since) >= wait
+	return time.Since(since) >= pause
 }
 
 // learnListed keeps a head from a list that may be seconds old. It names the
@@ -122,7 +122,7 @@
 	if held || (ok && old.revision >= revision) || (ok && !old.whole && !head.Complete()) {
 		return // known as well or, from the holder itself, better
 	}
-	m.learn(id, head, revision)
+	m.learn(id, head, revision, time.Time{})
 }
 
 // busy reports whether a job is not to be taken over here: it is held or ended,
