Keep out what the list of a starting node left out

Found in the code: a node that lists after a deletion has never known the object, so it holds no trace of the deletion; a peer that is behind sends the object, and it is back.

Change: an object that is older than the newest list taken and unknown is not taken from anybody; a list is taken in one step. TestListKeepsOutWhatIsGone fails without it, and a broken mechanism is added for it.

--- a/internal/version/follow/cache.go
+++ b/internal/version/follow/cache.go
@@ -108,6 +108,11 @@
 	if k == nil {
 		return nil
 	}
+	return c.apply(k, changes, since, to)
+}
+
+// apply is Apply for a caller that holds c.mu.
+func (c *Cache) apply(k *kind, changes []objects.Object, since, to int64) []objects.Object {
 	var news []objects.Object
 	for _, o := range changes {
 		if c.put(k, o) {
@@ -128,24 +133,27 @@
 		listed[o.Name] = true
 	}
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	k := c.kinds[name]
 	if k == nil {
-		c.mu.Unlock()
 		return nil
 	}
-	changes := list
+	changes := slices.Clone(list)
 	for id, e := range k.entries {
 		if !listed[id] && !e.Deleted && e.Revision <= revision {
 			changes = append(changes, objects.Object{Name: id, Revision: revision, Deleted: true})
 		}
 	}
+	news := c.apply(k, changes, 0, revision)
 	k.floor = max(k.floor, revision)
-	c.mu.Unlock()
-	return c.Apply(name, changes, 0, revision)
+	return news
 }
 
 func (c *Cache) put(k *kind, o objects.Object) bool {
 	old, known := k.entries[o.Name]
+	if !known && o.Revision <= k.floor {
+		return false // it was gone when the list was made, and what deleted it is not known
+	}
 	if known && (old.Revision > o.Revision || (old.Revision == o.Revision && (old.Deleted || !o.Deleted))) {
 		return false
 	}
--- a/internal/version/follow/cache_test.go
+++ b/internal/version/follow/cache_test.go
@@ -109,6 +109,20 @@
 	is.Equal(len(changes.Changes), 1)
 }
 
+// TestListKeepsOutWhatIsGone: what a peer still holds and the store's list does
+// not show does not come back through the peer.
+func TestListKeepsOutWhatIsGone(t *testing.T) {
+	is := is.New(t)
+	old, _ := newTestCache()
+	old.Replace(kindT, []objects.Object{{Name: "a", Revision: 3}, {Name: "b", Revision: 5}}, 10)
+	started, _ := newTestCache()
+	started.Replace(kindT, []objects.Object{{Name: "a", Revision: 3}}, 12) // "b" was deleted at 11
+	is.Equal(len(adopt(started, changesOf(old, kindT, 0))), 0)
+	_, ok := started.Get(kindT, "b")
+	is.True(!ok)
+	is.Equal(len(started.Apply(kindT, []objects.Object{{Name: "b", Revision: 13}}, 12, 13)), 1) // made again
+}
+
 // TestMarksDoNotStayYoungOnTheWay: nodes that read their datagrams late tell each
 // other the age that a mark had when it was sent. Passed to and fro, it must not
 // stand for news of the store for longer than the first way took.
--- a/scripts/check-mutants.sh
+++ b/scripts/check-mutants.sh
@@ -48,4 +48,5 @@
 mutant 7 internal/version/follow/cache.go 's/if slices\.Contains\(k\.heard, question\)/if question == 0/' internal/version/follow TestMarksDoNotStayYoungOnTheWay
 mutant 9 internal/version/follow/cache.go 's/k\.complete < m\.Latest/k.latest < m.Latest/' internal/version/follow TestGapInAListIsNoFreshness
 mutant 7 internal/version/follow/cache.go 's/if k\.complete < m\.Floor/if m.Floor < 0/' internal/version/follow TestListHidesNoDeletion
+mutant 7 internal/version/follow/cache.go 's/if !known && o\.Revision <= k\.floor/if !known \&\& o.Revision < 0/' internal/version/follow TestListKeepsOutWhatIsGone
 exit $missed
