Judge the loss of a target by what each item was when it started

It failed 3 times in about 20 plays beside eight busy processes: an item that did nothing wrong ended as the one that crashes targets. The losses of one crash are noticed one by one. The item whose loss came first counted as a suspect at that target before it was counted off, so the item that had crashed the target was excused beside it, stayed without suspicion, and met the same suspects at the next target, which took the blame three times.

Ruled out: the way the test reads results (the item's result says target_failed with three lost connections), stalls (other error), leases that changed hands (epochs 1 and 2 both failed).

Change: the rule is a small machine of its own. An attempt is judged by what its item was when the attempt started, and an item that is excused is a suspect from then on. What was not sent no longer counts as a failed attempt.

--- a/internal/request/batch/item.go
+++ b/internal/request/batch/item.go
@@ -31,6 +31,7 @@
 	attempts int         // that failed by the target's fault
 	claimed  bool        // non-idempotent: its start is committed
 	suspect  bool        // a target was lost while it ran there
+	watched  bool        // the running attempt started as a suspect's
 
 	target  string
 	started time.Time
@@ -64,6 +65,7 @@
 	it.target, it.started, it.parking = target.ID, time.Now(), false
 	l.running++
 	l.worked = it.started
+	w.suspects.start(it)
 	w.running[target.ID] = append(w.running[target.ID], it)
 	w.pacer.Begin(target.ID)
 	go func() {
@@ -107,6 +109,7 @@
 	l := it.lease
 	l.running--
 	w.pacer.End(it.target)
+	w.suspects.end(it)
 	list := w.running[it.target]
 	for i := range list {
 		if list[i] == it {
@@ -131,9 +134,9 @@
 		// the next holder runs it
 	case errors.Is(cause, errParked):
 		w.requeue(it, true)
-	case errors.Is(err, engine.ErrBusy):
+	case notSent, errors.Is(err, engine.ErrBusy):
 		w.requeue(it, false)
-	case w.excused(it, err):
+	case errors.Is(err, engine.ErrLinkLost) && !w.countsLoss(it):
 		w.requeue(it, false)
 	default:
 		it.attempts++
@@ -147,39 +150,11 @@
 	}
 }
 
-// blameTime is how long after a suspect ran at a target the losses of others
-// there are put down to it.
-const blameTime = time.Second
-
-// excused reports whether a lost target is not to be held against the item.
-// The first loss makes every item that ran there a suspect; suspects run one
-// to a target, so that the next loss there is one suspect's fault and nobody
-// else's.
-func (w *Worker) excused(it *item, err error) bool {
-	if !errors.Is(err, engine.ErrLinkLost) {
-		return false
-	}
+// countsLoss reports whether the loss of its target counts against the item.
+func (w *Worker) countsLoss(it *item) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if it.suspect {
-		w.suspects[it.target] = time.Now()
-		return false
-	}
-	if w.suspectAt(it.target) || time.Since(w.suspects[it.target]) < blameTime {
-		return true
-	}
-	it.suspect = true
-	return false
-}
-
-// suspectAt reports whether a suspect runs at a target. The caller holds w.mu.
-func (w *Worker) suspectAt(target string) bool {
-	for _, it := range w.running[target] {
-		if it.suspect {
-			return true
-		}
-	}
-	return false
+	return w.suspects.lose(it, time.Now())
 }
 
 // finish records the item's result, once.
--- a/internal/request/batch/worker.go
+++ b/internal/request/batch/worker.go
@@ -52,12 +52,12 @@
 
 	mu        sync.Mutex
 	pacer     *pace.Pacer
-	jobs      map[string]*view     // open and cancelling
-	leases    map[string]*lease    // by name
-	queues    map[string][]*item   // by service, next first
-	running   map[string][]*item   // by target
-	suspects  map[string]time.Time // by target: when one was last lost there
-	wanted    map[string]bool      // services with room and no items
+	jobs      map[string]*view   // open and cancelling
+	leases    map[string]*lease  // by name
+	queues    map[string][]*item // by service, next first
+	running   map[string][]*item // by target
+	suspects  *suspects
+	wanted    map[string]bool // services with room and no items
 	acquiring bool
 	draining  bool
 }
@@ -81,7 +81,7 @@
 		cfg: cfg, self: self, store: p.Store, platform: p.Platform, runner: p.Runner, targets: p.Targets, members: p.Members,
 		config: p.Config, recorder: p.Recorder, checker: p.Checker, metrics: p.Metrics, wake: make(chan struct{}, 1),
 		pacer: pace.New(cfg.Pace), jobs: map[string]*view{}, leases: map[string]*lease{}, queues: map[string][]*item{},
-		running: map[string][]*item{}, suspects: map[string]time.Time{}, wanted: map[string]bool{},
+		running: map[string][]*item{}, suspects: newSuspects(), wanted: map[string]bool{},
 	}
 }
 
@@ -202,7 +202,7 @@
 			continue
 		}
 		for range slot.Count {
-			it := w.next(target.Service, now, !w.suspectAt(target.ID))
+			it := w.next(target.Service, now, !w.suspects.at(target.ID))
 			if it == nil {
 				w.wanted[target.Service] = true
 				break
