Take from the settings how soon changes must be in force

Cause: the ages at which copies of the configuration, the targets and the ends of jobs are refreshed were constants for a deployment that asks for 2 and 3 s. One that asks for 1 s would have been late, and the grown ones, which ask for 3 s, paid for calls to the store that nothing needs.

Ruled out: one setting for all three; the bounds of a deployment differ.

--- a/internal/process/hosted/following.go
+++ b/internal/process/hosted/following.go
@@ -11,31 +11,36 @@
 )
 
 const (
-	// configAge is how old a node's copy of the configuration may become before
-	// the store is asked: a change has to be in force within 2 s, and the answer
-	// takes up to half a second to reach every node.
-	configAge = 700 * time.Millisecond
-	// targetsAge is the same for the list of targets: one that is leaving gets
-	// no new request later than 2 s after that was acknowledged.
-	targetsAge = 700 * time.Millisecond
-	// endsAge is the same for ends of jobs: their items stop within 3 s.
-	endsAge = time.Second
-	// nodesAge is the same for the list of nodes, which changes rarely and only
-	// makes the work be shared better.
+	// refreshShare is the share of the time in which a change has to be in force
+	// after which a copy is refreshed. The rest is for the nodes that are asked
+	// first and do not answer (they delay the next by a quarter second each), the answer of a slow store, and
+	// the half second in which it reaches every node.
+	refreshShare = 0.35
+	// freshShare is the share of that time for which a copy of the configuration
+	// lets the node deny that a route exists.
+	freshShare = 0.95
+	// nodesAge is how old the copy of the list of nodes may become. It changes
+	// rarely and only makes the work be shared better.
 	nodesAge = 4 * time.Second
 	// retirementsAge is the same for VMs that are to be emptied, within 10 s or
 	// so.
 	retirementsAge = 2 * time.Second
-	// freshWithin is how old the copy of the configuration may be for the node to
-	// deny that a route exists: within the 2 s in which changes come into force.
-	freshWithin = 1900 * time.Millisecond
 )
 
+// refreshAge returns the age at which a copy is refreshed whose changes have to
+// be in force within a time.
+func refreshAge(within time.Duration) time.Duration {
+	return time.Duration(refreshShare * float64(within))
+}
+
 // followed returns the kinds that this node follows, each with the age at
 // which its copy is refreshed.
 func (n *Node) followed() map[string]time.Duration {
 	kinds := map[string]time.Duration{
-		n.adapter.Kinds.Config: configAge, n.adapter.Kinds.Targets: targetsAge, kindNodes: nodesAge, job.KindEnds: endsAge,
+		n.adapter.Kinds.Config:  refreshAge(n.settings.ConfigWithin),
+		n.adapter.Kinds.Targets: refreshAge(n.settings.TargetsWithin),
+		job.KindEnds:            refreshAge(n.settings.EndsWithin),
+		kindNodes:               nodesAge,
 	}
 	if n.keeper() {
 		kinds[n.adapter.Kinds.Retirements] = retirementsAge
--- a/internal/process/hosted/hosted.go
+++ b/internal/process/hosted/hosted.go
@@ -154,5 +154,5 @@
 // TableFresh reports whether the table is trusted to hold every route.
 func (n *Node) TableFresh() bool {
 	age, known := n.cache.Age(n.adapter.Kinds.Config)
-	return known && age < freshWithin
+	return known && age < time.Duration(freshShare*float64(n.settings.ConfigWithin))
 }
--- a/internal/process/settings/keys.go
+++ b/internal/process/settings/keys.go
@@ -31,6 +31,10 @@
 	{"store", "max_value", "1048576", "bytes", "Largest value the store takes.", count(func(s *Settings) *int { return &s.StoreMaxValue }, 4096, 1<<30)},
 	{"store", "gossip_interval", "1s", "duration", "Time between exchanges with a random node of what the store was seen to hold; news is asked for at once.", duration(func(s *Settings) *time.Duration { return &s.GossipInterval }, 20*time.Millisecond, time.Minute)},
 
+	{"follow", "config_within", "2s", "duration", "Time in which a change of the configuration must be in force at a hosted node. Its copy is refreshed when it is 0.35 of that old.", duration(func(s *Settings) *time.Duration { return &s.ConfigWithin }, 100*time.Millisecond, time.Hour)},
+	{"follow", "targets_within", "2s", "duration", "The same for the list of targets: one that leaves gets no new request after that.", duration(func(s *Settings) *time.Duration { return &s.TargetsWithin }, 100*time.Millisecond, time.Hour)},
+	{"follow", "ends_within", "3s", "duration", "The same for ends of jobs: items of an ended job stop within that.", duration(func(s *Settings) *time.Duration { return &s.EndsWithin }, 100*time.Millisecond, time.Hour)},
+
 	{"platform", "url", "", "URL", "Base URL of the platform's object API and VM list.", text(func(s *Settings) *string { return &s.PlatformURL }, false)},
 	{"platform", "timeout", "2s", "duration", "How long one call to the platform may take.", duration(func(s *Settings) *time.Duration { return &s.PlatformTimeout }, 10*time.Millisecond, time.Minute)},
 	{"platform", "write_rate", "20", "calls/s", "Writes this node may make; leases and commits go before status.", count(func(s *Settings) *int { return &s.PlatformWriteRate }, 1, 1000)},
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -39,6 +39,10 @@
 	StoreMaxValue  int
 	GossipInterval time.Duration
 
+	ConfigWithin  time.Duration
+	TargetsWithin time.Duration
+	EndsWithin    time.Duration
+
 	PlatformURL       string
 	PlatformTimeout   time.Duration
 	PlatformWriteRate int
--- a/internal/version/follow/refresh.go
+++ b/internal/version/follow/refresh.go
@@ -30,10 +30,12 @@
 }
 
 const (
-	// rankDelay is how much longer each further node waits before it asks the
+	// mostRankDelay is how much longer each further node waits before it asks the
 	// store itself: the answer that the node before it got has arrived by then,
-	// by a datagram or two.
-	rankDelay = 250 * time.Millisecond
+	// by a datagram or two. It is shorter where copies have to be newer: the
+	// share rankShare of their age.
+	mostRankDelay = 250 * time.Millisecond
+	rankShare     = 0.36
 	// mostRank bounds the delay of nodes far down the order.
 	mostRank = 4
 	// listTimeout bounds one listing; the store answers in milliseconds, and a
@@ -121,7 +123,11 @@
 	if !known {
 		return 0
 	}
-	return r.MaxAge + time.Duration(r.rank())*rankDelay - age
+	return r.MaxAge + time.Duration(r.rank())*r.rankDelay() - age
+}
+
+func (r *Refresher) rankDelay() time.Duration {
+	return min(mostRankDelay, time.Duration(rankShare*float64(r.MaxAge)))
 }
 
 // rank returns this node's place in the order of those that may ask: data
