Keep checkpoints of batch items outside their holder

Cause: a node that is lost takes with it what its running items had made.

Weighed: writing progress into the store (a call for each running job and second is dear, and the store is what fails); copies at a second entry node (covers one node, not a loss of power everywhere); the nodes that have a disk anyway. Chosen: each holder sends what is new of its items every 0.5 s to one of these in its data centre, which writes it to its disk; the head names it, and a node that takes the job over asks it. Nothing depends on the answer: without it items run from their start, as before. Without such a node, another entry node of the data centre keeps them in memory.

--- a/internal/process/hosted/following.go
+++ b/internal/process/hosted/following.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/marblepond/marblepond/internal/process/timeline"
+	"github.com/marblepond/marblepond/internal/request/checkpoint"
 	"github.com/marblepond/marblepond/internal/request/job"
 	"github.com/marblepond/marblepond/internal/version/follow"
 )
@@ -64,6 +65,17 @@
 	wg.Go(func() { s.Run(ctx) })
 }
 
+// keepCheckpoints starts from the checkpoints on the disk, and keeps them there
+// from then on.
+func (n *Node) keepCheckpoints(ctx context.Context, wg *sync.WaitGroup) {
+	failed := func(err error) { n.recorder.Record(timeline.SnapshotFailed, "", n.settings.DataDir, err.Error()) }
+	d := &checkpoint.Disk{Dir: n.settings.DataDir, Store: n.checkpoints, Failed: failed}
+	if err := d.Load(); err != nil {
+		failed(err)
+	}
+	wg.Go(func() { d.Run(ctx) })
+}
+
 // followers returns the function that lists the other nodes of this data centre
 // that are heard and follow a kind.
 func (n *Node) followers(kind string) func() []string {
--- a/internal/process/hosted/hosted.go
+++ b/internal/process/hosted/hosted.go
@@ -19,6 +19,7 @@
 	"github.com/marblepond/marblepond/internal/process/invariant"
 	"github.com/marblepond/marblepond/internal/process/settings"
 	"github.com/marblepond/marblepond/internal/process/timeline"
+	"github.com/marblepond/marblepond/internal/request/checkpoint"
 	"github.com/marblepond/marblepond/internal/request/choose"
 	"github.com/marblepond/marblepond/internal/request/forward"
 	"github.com/marblepond/marblepond/internal/request/job"
@@ -70,15 +71,16 @@
 	checker  *invariant.Checker
 	metrics  tally.Scope
 
-	cache     *follow.Cache
-	loads     *follow.Loads
-	gossip    *follow.Gossip
-	pool      *discovery.Pool
-	forwarder *forward.Forwarder
-	jobs      *job.Manager
-	peers     *peers
-	beacon    *beacon.Exchange
-	batch     *batchWork
+	cache       *follow.Cache
+	loads       *follow.Loads
+	gossip      *follow.Gossip
+	pool        *discovery.Pool
+	forwarder   *forward.Forwarder
+	jobs        *job.Manager
+	peers       *peers
+	beacon      *beacon.Exchange
+	batch       *batchWork
+	checkpoints *checkpoint.Store // of jobs that other nodes hold
 
 	nodeList  atomic.Pointer[follow.Refresher] // keeps the list of nodes
 	nodes     atomic.Pointer[map[string]nodeRecord]
@@ -118,9 +120,10 @@
 	n.jobs = job.NewManager(job.Config{
 		Self: job.Holder{Node: s.NodeID, Boot: n.boot, Address: s.PeerAdvertise}, MaxValue: s.StoreMaxValue,
 		KeepResults: s.KeepResults, TakeOverAfter: s.TakeOverAfter, SweepInterval: s.SweepInterval,
-		Holds: s.CallerListen != "", ResultMemory: s.ResultMemory,
+		Holds: s.CallerListen != "", ResultMemory: s.ResultMemory, CheckpointInterval: s.CheckpointInterval,
 	}, job.Parts{Store: n.relay(), Pool: n.pool, Sender: adapter.Sender, Routes: n.Table, RoutesFresh: n.TableFresh, Peers: n,
 		Waiting: n.loads.Waiting, Ended: n.ended, Shares: n.batch.shares, Recorder: n.recorder, Checker: n.checker, Metrics: n.metrics})
+	n.checkpoints = checkpoint.NewStore(checkpoint.Limits{Bytes: s.CheckpointMemory, Keep: s.KeepResults}, time.Now)
 	n.beacon = beacon.New(beacon.Options{Node: s.NodeID, DataCentre: s.DataCentre, Boot: n.boot, Loads: n.pool, Copies: n.cache, Batch: n.batch,
 		Peers: n.beaconPeers, Behind: n.behind})
 	n.pool.OnLoad(n.loadChanged)
--- a/internal/process/hosted/peers.go
+++ b/internal/process/hosted/peers.go
@@ -40,6 +40,7 @@
 	sync  clients[marblepondv1connect.SyncServiceClient]
 	jobs  clients[marblepondv1connect.JobServiceClient]
 	relay clients[marblepondv1connect.RelayServiceClient]
+	saves clients[marblepondv1connect.CheckpointServiceClient]
 }
 
 // clients keeps one client for each address.
@@ -82,6 +83,7 @@
 		sync:  newClients(h, options, marblepondv1connect.NewSyncServiceClient),
 		jobs:  newClients(h, options, marblepondv1connect.NewJobServiceClient),
 		relay: newClients(h, options, marblepondv1connect.NewRelayServiceClient),
+		saves: newClients(h, options, marblepondv1connect.NewCheckpointServiceClient),
 	}
 }
 
@@ -207,6 +209,40 @@
 	return min(mostAdoptRank, centre+rendezvous.Place(job, n.settings.NodeID, n.nearHolders(), mostAdoptRank))
 }
 
+// Checkpoints implements job.Peers.
+func (n *Node) Checkpoints(address string) marblepondv1connect.CheckpointServiceClient {
+	return n.peers.saves.at(address)
+}
+
+// Keeper implements job.Peers. Nodes without callers' interface come first: they
+// have a disk, and a start of the whole deployment finds the checkpoints there.
+// Without one in the data centre another node of it serves; that covers the loss
+// of one node.
+func (n *Node) Keeper(job, present string) string {
+	nodes := n.registered()
+	var keepers, others []string
+	for _, name := range n.beacon.HeardNear() {
+		r := nodes[name]
+		switch {
+		case r.Address == "":
+			continue
+		case r.Address == present:
+			return present
+		case r.Callers:
+			others = append(others, name)
+		default:
+			keepers = append(keepers, name)
+		}
+	}
+	if len(keepers) == 0 {
+		keepers = others
+	}
+	if len(keepers) == 0 {
+		return ""
+	}
+	return nodes[rendezvous.First(job, keepers)].Address
+}
+
 // registerPause is the time between attempts to register.
 const registerPause = 500 * time.Millisecond
 
--- a/internal/process/hosted/run.go
+++ b/internal/process/hosted/run.go
@@ -14,6 +14,7 @@
 	"github.com/marblepond/marblepond/internal/connection/peer"
 	"github.com/marblepond/marblepond/internal/connection/relay"
 	"github.com/marblepond/marblepond/internal/process/timeline"
+	"github.com/marblepond/marblepond/internal/request/checkpoint"
 	"github.com/marblepond/marblepond/internal/request/job"
 	"github.com/marblepond/marblepond/internal/version/follow"
 )
@@ -90,6 +91,7 @@
 	mux.Handle(marblepondv1connect.NewSyncServiceHandler(n.gossip, peer.Require(n.settings.PeerKey)...))
 	mux.Handle(marblepondv1connect.NewJobServiceHandler(n.jobs.PeerService(), peer.Require(n.settings.PeerKey)...))
 	mux.Handle(marblepondv1connect.NewRelayServiceHandler(&relay.Service{Own: n.adapter.Store, Reached: n.adapter.Health.Up, Kinds: job.Kinds}, peer.Require(n.settings.PeerKey)...))
+	mux.Handle(marblepondv1connect.NewCheckpointServiceHandler(checkpoint.Service{Store: n.checkpoints}, peer.Require(n.settings.PeerKey)...))
 	page := http.NewServeMux()
 	page.Handle("GET /metrics", metricsPage)
 	n.pageHTTP = &http.Server{Handler: page, ReadHeaderTimeout: headerTimeout}
@@ -127,6 +129,7 @@
 func (n *Node) startDuties(ctx context.Context, l listeners, wg *sync.WaitGroup) {
 	if n.settings.DataDir != "" {
 		n.keepSnapshot(ctx, wg)
+		n.keepCheckpoints(ctx, wg)
 	}
 	for kind, age := range n.followed() {
 		r := follow.NewRefresher(kind)
--- a/internal/process/settings/keys.go
+++ b/internal/process/settings/keys.go
@@ -57,6 +57,8 @@
 	{"jobs", "keep_results", "120s", "duration", "How long after its submission a job stays readable at a hosted node.", duration(func(s *Settings) *time.Duration { return &s.KeepResults }, time.Second, 30*day)},
 	{"jobs", "take_over_after", "6s", "duration", "How long the holder of a job must be unreachable before another node takes the job over.", duration(func(s *Settings) *time.Duration { return &s.TakeOverAfter }, 100*time.Millisecond, time.Hour)},
 	{"jobs", "sweep_interval", "5s", "duration", "Time between looks for jobs without a holder.", duration(func(s *Settings) *time.Duration { return &s.SweepInterval }, 100*time.Millisecond, time.Hour)},
+	{"jobs", "checkpoint_interval", "500ms", "duration", "Time between saves, at another node, of how far running items have come; 0: none.", duration(func(s *Settings) *time.Duration { return &s.CheckpointInterval }, 0, time.Hour)},
+	{"jobs", "checkpoint_memory", "16777216", "bytes", "Memory for what other nodes save here; the oldest is dropped first.", count(func(s *Settings) *int { return &s.CheckpointMemory }, 0, 1<<34)},
 
 	{"membership", "heartbeat", "500ms", "duration", "Time between heartbeats to each node of the data centre.", duration(func(s *Settings) *time.Duration { return &s.Heartbeat }, 20*time.Millisecond, time.Minute)},
 	{"membership", "suspect_after", "1500ms", "duration", "Silence after which a node is suspect and gets no new duties.", duration(func(s *Settings) *time.Duration { return &s.SuspectAfter }, 40*time.Millisecond, time.Minute)},
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -79,12 +79,14 @@
 	ResultMemory  int
 	FlushInterval time.Duration
 
-	Memory        int
-	DialTimeout   time.Duration
-	KeepResults   time.Duration
-	TakeOverAfter time.Duration
-	SweepInterval time.Duration
-	DataDir       string
+	Memory             int
+	DialTimeout        time.Duration
+	KeepResults        time.Duration
+	TakeOverAfter      time.Duration
+	SweepInterval      time.Duration
+	DataDir            string
+	CheckpointInterval time.Duration
+	CheckpointMemory   int
 
 	LogLevel       string
 	TimelineEvents int
--- a/internal/request/job/commit.go
+++ b/internal/request/job/commit.go
@@ -53,7 +53,7 @@
 	m.mu.Lock()
 	m.giveUpExpired(h)
 	stop := h.released
-	due := !stop && (h.progress.due(time.Now(), m.delay(h)) || (m.draining && len(h.progress.pending) > 0))
+	due := !stop && (h.progress.due(time.Now(), m.delay(h)) || (m.draining && len(h.progress.pending) > 0) || h.keeperChanged())
 	m.mu.Unlock()
 	if stop || (due && !m.commit(h)) {
 		return true
@@ -61,6 +61,13 @@
 	return m.finishIfWhole(h)
 }
 
+// keeperChanged reports whether the head names another keeper than the one that
+// has the checkpoint: a node that takes the job over would not find it. The
+// caller holds m.mu.
+func (h *held) keeperChanged() bool {
+	return len(h.checkpoint.items) > 0 && h.checkpoint.keeper != h.head.Keeper
+}
+
 // delay returns how long a result of the job may wait for others. The caller
 // holds m.mu.
 func (m *Manager) delay(h *held) time.Duration {
@@ -117,13 +124,13 @@
 	batch := slices.Clone(h.progress.pending)
 	head := h.head
 	head.Segments = slices.Clone(h.head.Segments)
-	head.Failed = h.progress.failures()
+	head.Failed, head.Keeper = h.progress.failures(), h.checkpoint.keeper
 	revision := h.revision
 	m.mu.Unlock()
 
 	ctx, cancel := context.WithTimeout(context.Background(), commitTimeout)
 	defer cancel()
-	for _, part := range split(batch, m.cfg.MaxValue*valueShare/100, func(p pendingResult) int { return resultSize(p.result) }) {
+	for _, part := range segments(batch, m.cfg.MaxValue*valueShare/100) {
 		segment, err := m.writeSegment(ctx, h, part)
 		if err != nil {
 			return true // tried again at the next tick
@@ -144,6 +151,14 @@
 	return true
 }
 
+// segments cuts pending results into parts that are stored as one object each.
+func segments(batch []pendingResult, limit int) [][]pendingResult {
+	if len(batch) == 0 {
+		return nil
+	}
+	return split(batch, limit, func(p pendingResult) int { return resultSize(p.result) })
+}
+
 // resolve finds out, after a write of the head without an answer, which head is
 // in force. Until that is known nothing further is written.
 func (m *Manager) resolve(h *held, head *Head, cause error) bool {
@@ -204,6 +219,9 @@
 	if !done || h.released {
 		return h.released
 	}
+	if h.checkpoint.items != nil {
+		m.forget[h.checkpoint.keeper] = append(m.forget[h.checkpoint.keeper], h.id)
+	}
 	m.heads[h.id] = knownHead{head: h.head, revision: h.revision, at: time.Now(), whole: true}
 	why := "every item has its result"
 	if !h.progress.whole() {
--- a/internal/request/job/heads_test.go
+++ b/internal/request/job/heads_test.go
@@ -34,6 +34,7 @@
 // nearPeers are the nodes of one data centre in one process; the first looks
 // heads up.
 type nearPeers struct {
+	noPeers
 	self     string
 	managers map[string]*Manager
 }
@@ -59,7 +60,7 @@
 	for i := range n {
 		name := fmt.Sprintf("n%d", i)
 		m := newTestManager(name, store)
-		m.Peers = nearPeers{name, managers}
+		m.Peers = nearPeers{self: name, managers: managers}
 		managers[name] = m
 		out = append(out, m)
 	}
--- a/internal/request/job/manager.go
+++ b/internal/request/job/manager.go
@@ -11,6 +11,7 @@
 	"github.com/uber-go/tally/v4"
 	"golang.org/x/sync/singleflight"
 
+	v1 "github.com/marblepond/marblepond/api/marblepond/v1"
 	"github.com/marblepond/marblepond/api/marblepond/v1/marblepondv1connect"
 	"github.com/marblepond/marblepond/internal/connection/objects"
 	"github.com/marblepond/marblepond/internal/connection/target"
@@ -43,6 +44,11 @@
 	// AdoptRank returns the place of this node in the order of those that may
 	// take a job over, 0 for the first.
 	AdoptRank(job string) int
+	// Checkpoints reaches the checkpoint service of another node, and Keeper
+	// returns the address of the node that is to keep a job's checkpoint: the
+	// present one while it is there, "" when there is none.
+	Checkpoints(address string) marblepondv1connect.CheckpointServiceClient
+	Keeper(job, present string) string
 }
 
 // Config of a manager.
@@ -54,6 +60,9 @@
 	KeepResults   time.Duration
 	TakeOverAfter time.Duration
 	SweepInterval time.Duration
+	// CheckpointInterval is the time between saves of how far items have come; 0:
+	// nothing is saved.
+	CheckpointInterval time.Duration
 	// ResultMemory bounds the results kept in memory, in bytes.
 	ResultMemory int
 }
@@ -90,6 +99,7 @@
 	headsListed atomic.Bool        // all heads were listed in this life of the process
 	wakeUp      chan struct{}      // the scheduler looks at once
 	stopped     chan struct{}      // closed when Run ends
+	saving      sync.Mutex         // held while checkpoints are sent: keepers get them in order
 
 	mu        sync.Mutex
 	held      map[string]*held
@@ -99,25 +109,27 @@
 	orphans   map[string]time.Time // jobs that nobody holds: since when this node knows
 	heads     map[string]knownHead // of jobs that others hold
 	ends      map[string]time.Time // when the end of a job was told; the copy of the store may be older
+	forget    map[string][]string  // by keeper: jobs whose checkpoint is not needed any more
 	committer sync.WaitGroup
 }
 
 // held is a job that this node holds.
 type held struct {
-	id       string
-	head     Head
-	revision int64
-	items    []Item
-	progress *progress
-	writing  sync.Mutex // held during a commit: one at a time changes the head
-	sequence int        // segments written by this holder
-	since    time.Time  // when this node came to hold it
-	verified time.Time  // when the store was last asked because another node says it holds it
-	ended    bool
-	released bool            // this node no longer holds it
-	stops    map[int]stopRun // running items
-	wake     chan struct{}   // the committer looks at once
-	changed  chan struct{}   // closed when results were listed
+	id         string
+	head       Head
+	revision   int64
+	items      []Item
+	progress   *progress
+	writing    sync.Mutex // held during a commit: one at a time changes the head
+	sequence   int        // segments written by this holder
+	since      time.Time  // when this node came to hold it
+	verified   time.Time  // when the store was last asked because another node says it holds it
+	ended      bool
+	released   bool            // this node no longer holds it
+	checkpoint savedJob        // what the keeper of the checkpoint has
+	stops      map[int]stopRun // running items
+	wake       chan struct{}   // the committer looks at once
+	changed    chan struct{}   // closed when results were listed
 }
 
 // stopRun ends the attempt at an item for a reason.
@@ -127,7 +139,7 @@
 func NewManager(cfg Config, parts Parts) *Manager {
 	return &Manager{cfg: cfg, Parts: parts, results: newResultCache(cfg.ResultMemory), wakeUp: make(chan struct{}, 1), stopped: make(chan struct{}),
 		held: map[string]*held{}, reserved: map[string]int64{}, absent: map[string]time.Time{}, orphans: map[string]time.Time{}, heads: map[string]knownHead{},
-		ends: map[string]time.Time{}}
+		ends: map[string]time.Time{}, forget: map[string][]string{}}
 }
 
 // Run schedules items and looks for jobs without a holder until ctx ends.
@@ -139,21 +151,24 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { m.schedule(ctx) })
 	wg.Go(func() { m.sweep(ctx) })
+	wg.Go(func() { m.saveLoop(ctx) })
 	wg.Wait()
 	close(m.stopped)
 	m.committer.Wait()
 }
 
-// hold starts to work on a job whose head names this node.
-func (m *Manager) hold(id string, head Head, revision int64, items []Item, why string) {
+// hold starts to work on a job whose head names this node. from is how far its
+// items came under an earlier holder, nil when that is not known.
+func (m *Manager) hold(id string, head Head, revision int64, items []Item, from *v1.JobCheckpoint, why string) {
 	h := &held{id: id, since: time.Now(), head: head, revision: revision, items: items, progress: newProgress(&head),
-		stops: map[int]stopRun{}, wake: make(chan struct{}, 1), changed: make(chan struct{})}
+		stops: map[int]stopRun{}, wake: make(chan struct{}, 1), changed: make(chan struct{}), checkpoint: savedJob{keeper: head.Keeper}}
 	m.mu.Lock()
 	if m.held[id] != nil {
 		m.mu.Unlock()
 		return
 	}
 	h.ended = m.endKnown(id)
+	m.restore(h, from)
 	m.held[id] = h
 	delete(m.heads, id)
 	delete(m.orphans, id)
@@ -279,6 +294,7 @@
 		h.signal()
 	}
 	m.mu.Unlock()
+	m.saveCheckpoints(ctx)
 	m.handOver(ctx, jobs)
 }
 
--- a/internal/request/job/manager_test.go
+++ b/internal/request/job/manager_test.go
@@ -102,9 +102,13 @@
 func (noPeers) Job(string) marblepondv1connect.JobServiceClient {
 	return marblepondv1connect.UnimplementedJobServiceHandler{}
 }
-func (noPeers) Holders() []string     { return nil }
-func (noPeers) Locator(string) string { return "" }
-func (noPeers) AdoptRank(string) int  { return 0 }
+func (noPeers) Holders() []string            { return nil }
+func (noPeers) Locator(string) string        { return "" }
+func (noPeers) AdoptRank(string) int         { return 0 }
+func (noPeers) Keeper(string, string) string { return "" }
+func (noPeers) Checkpoints(string) marblepondv1connect.CheckpointServiceClient {
+	return marblepondv1connect.UnimplementedCheckpointServiceHandler{}
+}
 
 func newTestManager(node string, store objects.Store) *Manager {
 	recorder := timeline.NewRecorder(node, 100, &log.Logger{Handler: discard.New()}, tally.NoopScope)
--- a/internal/request/job/peer.go
+++ b/internal/request/job/peer.go
@@ -146,7 +146,7 @@
 		return false
 	}
 	head, revision := h.head, h.revision
-	head.Failed = h.progress.failures()
+	head.Failed, head.Keeper = h.progress.failures(), h.checkpoint.keeper
 	m.release(h, "this node leaves")
 	m.mu.Unlock()
 	if head.Complete() {
--- a/internal/request/job/progress.go
+++ b/internal/request/job/progress.go
@@ -25,7 +25,8 @@
 	breaks   int       // attempts in a row that broke off
 	notAt    time.Time // not before this
 	held     int64     // ID of the last event held
-	text     []byte    // data of the events held
+	text     []byte    // data of the events held; kept until the result is listed
+	dead     bool      // finished without its whole output
 	target   string    // where it runs
 	sentAt   time.Time // when it was sent there
 }
@@ -111,13 +112,24 @@
 	s.breaks = 0
 }
 
+// restore lets a waiting item go on after event held, whose text is known. It
+// reports whether that is news.
+func (p *progress) restore(i int, held int64, text []byte) bool {
+	s := &p.items[i]
+	if s.phase != waiting || held <= s.held {
+		return false
+	}
+	s.held, s.text = held, text
+	return true
+}
+
 // finish gives an item its result. A second result of an item is ignored.
 func (p *progress) finish(i int, r Result, now time.Time) bool {
 	s := &p.items[i]
 	if s.phase == finished || s.phase == listed {
 		return false
 	}
-	s.phase, s.text = finished, nil
+	s.phase, s.dead = finished, r.Dead
 	if len(p.pending) == 0 {
 		p.oldest = now
 	}
@@ -148,6 +160,7 @@
 func (p *progress) committed(n int, now time.Time) {
 	for _, r := range p.pending[:n] {
 		p.items[r.index].phase = listed
+		p.items[r.index].text = nil
 	}
 	p.pending = p.pending[n:]
 	p.oldest = now
--- a/internal/request/job/submit.go
+++ b/internal/request/job/submit.go
@@ -108,7 +108,7 @@
 // writeHead makes the job accepted.
 func (m *Manager) writeHead(ctx context.Context, s *Submission, parts int) error {
 	head := Head{Host: s.Host, Path: s.Path, Submitted: s.Arrived.UnixMilli(), Total: len(s.Items), Parts: parts,
-		Holder: m.cfg.Self, Epoch: 1, Writer: newToken()}
+		Holder: m.cfg.Self, Epoch: 1, Keeper: m.Peers.Keeper(s.ID, ""), Writer: newToken()}
 	o, existed, err := m.create(ctx, KindHeads, s.ID, encode(&head))
 	switch {
 	case errors.Is(err, errMaybe):
@@ -125,7 +125,7 @@
 func (m *Manager) accepted(s *Submission, head Head, revision int64, why string) {
 	m.Recorder.Record(timeline.JobAccepted, s.ID, "", "", timeline.Field{Name: "items", Value: head.Total},
 		timeline.Field{Name: "tokens", Value: s.Tokens()}, timeline.Field{Name: "took_ms", Value: time.Since(s.Arrived).Milliseconds()})
-	m.hold(s.ID, head, revision, s.Items, why)
+	m.hold(s.ID, head, revision, s.Items, nil, why)
 }
 
 // acceptedBefore answers a job whose head is there: by another node, or by
--- a/internal/request/job/sweep.go
+++ b/internal/request/job/sweep.go
@@ -201,13 +201,15 @@
 		m.Recorder.Record(timeline.ObjectRejected, id, KindItems, "items are missing")
 		return
 	}
+	came := m.loadCheckpoint(ctx, id, &head)
 	head.Holder = m.cfg.Self
 	head.Epoch++
+	head.Keeper = m.Peers.Keeper(id, head.Keeper)
 	revision, err := m.updateHead(ctx, id, &head, o.Revision)
 	if err != nil {
 		return // another node was first, or the next sweep finds this node's write
 	}
-	m.hold(id, head, revision, items, "taken over from "+from.String())
+	m.hold(id, head, revision, items, came, "taken over from "+from.String())
 }
 
 // expired reports whether a job need not be readable any more.
--- a/internal/version/follow/snapshot.go
+++ b/internal/version/follow/snapshot.go
@@ -12,19 +12,17 @@
 	"google.golang.org/protobuf/proto"
 
 	v1 "github.com/marblepond/marblepond/api/marblepond/v1"
+	"github.com/marblepond/marblepond/internal/process/durable"
 	"github.com/marblepond/marblepond/internal/process/wait"
 )
 
 const (
-	// snapshotName is the file in the data folder; snapshotNew is written first
-	// and renamed, so that a loss of power leaves the old or the new one whole.
+	// snapshotName is the file in the data folder.
 	snapshotName = "followed.snapshot"
-	snapshotNew  = "followed.snapshot.new"
 	// snapshotInterval is the time between looks whether there is news to write:
 	// a snapshot only has to be newer than none when all nodes start while the
 	// store is away.
 	snapshotInterval = 2 * time.Second
-	snapshotMode     = 0o600
 )
 
 // Snapshot keeps the copy of some kinds on a disk, for a start while the object
@@ -90,31 +88,9 @@
 	if err != nil {
 		return err
 	}
-	if err := replaceFile(s.Dir, data); err != nil {
+	if err := durable.Replace(s.Dir, snapshotName, data); err != nil {
 		return fmt.Errorf("snapshot: %w", err)
 	}
 	s.written = newest
 	return nil
 }
-
-// replaceFile puts data into the snapshot's place so that it outlasts a loss of
-// power.
-func replaceFile(dir string, data []byte) error {
-	fresh := filepath.Join(dir, snapshotNew)
-	file, err := os.OpenFile(fresh, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, snapshotMode)
-	if err != nil {
-		return err
-	}
-	_, err = file.Write(data)
-	if err = errors.Join(err, file.Sync(), file.Close()); err != nil {
-		return err
-	}
-	if err := os.Rename(fresh, filepath.Join(dir, snapshotName)); err != nil {
-		return err
-	}
-	folder, err := os.Open(dir)
-	if err != nil {
-		return err
-	}
-	return errors.Join(folder.Sync(), folder.Close())
-}
--- a/lab/hosted/fleet.go
+++ b/lab/hosted/fleet.go
@@ -4,8 +4,10 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -118,16 +120,38 @@
 
 // StartNode starts a node; extra is added to its settings.
 func (f *Fleet) StartNode(id, extra string) (*Node, error) {
+	return f.startNode(id, freshHost(), "", extra)
+}
+
+// StartKeeper starts a node that serves no callers and has a disk.
+func (f *Fleet) StartKeeper(id, dir, extra string) (*Node, error) {
+	return f.startNode(id, freshHost(), dir, extra)
+}
+
+// Restart starts a node that has ended again, at its address and with its disk.
+func (f *Fleet) Restart(n *Node, extra string) (*Node, error) {
+	f.Nodes = slices.DeleteFunc(f.Nodes, func(other *Node) bool { return other == n })
+	host, _, err := net.SplitHostPort(n.Settings.PeerListen)
+	if err != nil {
+		return nil, err
+	}
+	return f.startNode(n.Settings.NodeID, host, n.Settings.DataDir, extra)
+}
+
+func (f *Fleet) startNode(id, host, dir, extra string) (*Node, error) {
 	var seeds []string
 	for _, n := range f.Nodes {
 		seeds = append(seeds, n.Settings.PeerListen)
 	}
-	host := freshHost()
+	role := "caller_listen = " + host + ":7070"
+	if dir != "" {
+		role = "data_dir = " + dir
+	}
 	text := fmt.Sprintf(`[node]
 id = %s
 front = hosted
 data_centre = hall-a
-caller_listen = %s:7070
+%s
 ready_listen = %s:7071
 peer_listen = %s:7072
 beacon_listen = %s:7073
@@ -139,7 +163,7 @@
 [log]
 level = info
 timeline_events = 1000
-%s`, id, host, host, host, host, strings.Join(seeds, ","), f.Store.Address(), extra)
+%s`, id, role, host, host, host, strings.Join(seeds, ","), f.Store.Address(), extra)
 	s, err := settings.Parse(id, []byte(text))
 	if err != nil {
 		return nil, err
--- a/lab/hosted/jobs_test.go
+++ b/lab/hosted/jobs_test.go
@@ -194,6 +194,61 @@
 	}
 }
 
+// wentOn returns how many runs of a job's items began after an event.
+func (f *Fleet) wentOn(job string, items int) int {
+	n := 0
+	for i := range items {
+		for _, r := range f.Runners {
+			for _, after := range r.Resumed(fmt.Sprint(job, "-", i)) {
+				if after != "" {
+					n++
+				}
+			}
+		}
+	}
+	return n
+}
+
+// TestItemsGoOnAfterTheirHolderIsLost: items of a lost node go on elsewhere from
+// the events it had, and not from their start.
+func TestItemsGoOnAfterTheirHolderIsLost(t *testing.T) {
+	is := is.New(t)
+	f := fleet(t, Options{Nodes: 3, Runners: 2, Slots: 8, Events: 300, Gap: 10 * time.Millisecond, Extra: quickJobs})
+	is.Equal(Submit(f.Nodes[0].Caller(), "g1", Items("g1", 6)).Status, http.StatusAccepted)
+	eventually(t, "items run", 5*time.Second, func() bool { return f.Runners[0].Busy()+f.Runners[1].Busy() >= 6 })
+	time.Sleep(1200 * time.Millisecond) // at least one checkpoint after the first events
+	f.Nodes[0].Kill()
+	results, err := ReadAll(f.callers()[1:], "g1", 20*time.Second)
+	is.NoErr(err)
+	f.checkResults(t, "g1", 6, results)
+	is.True(f.wentOn("g1", 6) >= 6)
+}
+
+// TestItemsGoOnAfterAllNodesAreLost: what a node with a disk kept outlasts the
+// loss of all nodes at once.
+func TestItemsGoOnAfterAllNodesAreLost(t *testing.T) {
+	is := is.New(t)
+	f := fleet(t, Options{Nodes: 1, Runners: 1, Slots: 8, Events: 300, Gap: 10 * time.Millisecond, Extra: quickJobs})
+	keeper, err := f.StartKeeper("keeper", t.TempDir(), "")
+	is.NoErr(err)
+	is.NoErr(f.waitReady(keeper))
+	edge := f.Nodes[0]
+	eventually(t, "the nodes hear each other", 5*time.Second, func() bool { return edge.Keeper("g2", "") != "" })
+	is.Equal(Submit(edge.Caller(), "g2", Items("g2", 6)).Status, http.StatusAccepted)
+	eventually(t, "items run", 5*time.Second, func() bool { return f.Runners[0].Busy() >= 6 })
+	time.Sleep(1500 * time.Millisecond) // at least one checkpoint and one write to the disk
+	edge.Kill()
+	keeper.Kill()
+	_, err = f.Restart(keeper, "")
+	is.NoErr(err)
+	edge, err = f.Restart(edge, quickJobs)
+	is.NoErr(err)
+	results, err := ReadAll([]string{edge.Caller()}, "g2", 20*time.Second)
+	is.NoErr(err)
+	f.checkResults(t, "g2", 6, results)
+	is.True(f.wentOn("g2", 6) >= 6)
+}
+
 // TestLeavingNodeHandsOver: a node that is asked to stop ends what it answers,
 // and its jobs go on elsewhere at once.
 func TestLeavingNodeHandsOver(t *testing.T) {
