Keep checkpoints in another data centre where the own one has no disk

A keeper that stopped answering was asked again for ever.

Change: nodes with a disk in other data centres come before entry nodes; three failed saves in a row leave a keeper out for ten seconds.

--- a/internal/process/hosted/peers.go
+++ b/internal/process/hosted/peers.go
@@ -214,33 +214,35 @@
 	return n.peers.saves.at(address)
 }
 
-// Keeper implements job.Peers. Nodes without callers' interface come first: they
-// have a disk, and a start of the whole deployment finds the checkpoints there.
-// Without one in the data centre another node of it serves; that covers the loss
-// of one node.
-func (n *Node) Keeper(job, present string) string {
+// Keeper implements job.Peers. Nodes that serve no callers come first: they have
+// a disk, and a start of the whole deployment finds the checkpoints there. Those
+// of this data centre come before those of others. Without any, another node of
+// the data centre serves: that covers the loss of one node.
+func (n *Node) Keeper(job, present string, usable func(address string) bool) string {
 	nodes := n.registered()
-	var keepers, others []string
-	for _, name := range n.beacon.HeardNear() {
-		r := nodes[name]
+	near := n.beacon.HeardNear()
+	centres := n.beacon.HeardDataCentres()
+	var disk, far, memory []string
+	for name, r := range nodes {
+		heard := slices.Contains(near, name)
 		switch {
-		case r.Address == "":
-			continue
-		case r.Address == present:
+		case name == n.settings.NodeID || !usable(r.Address):
+		case heard && r.Address == present:
 			return present
-		case r.Callers:
-			others = append(others, name)
-		default:
-			keepers = append(keepers, name)
+		case heard && !r.Callers:
+			disk = append(disk, name)
+		case heard:
+			memory = append(memory, name)
+		case !r.Callers && slices.Contains(centres, r.DataCentre):
+			far = append(far, name)
 		}
 	}
-	if len(keepers) == 0 {
-		keepers = others
-	}
-	if len(keepers) == 0 {
-		return ""
+	for _, names := range [][]string{disk, far, memory} {
+		if len(names) > 0 {
+			return nodes[rendezvous.First(job, names)].Address
+		}
 	}
-	return nodes[rendezvous.First(job, keepers)].Address
+	return ""
 }
 
 // registerPause is the time between attempts to register.
--- a/internal/process/timeline/catalogue.go
+++ b/internal/process/timeline/catalogue.go
@@ -66,6 +66,7 @@
 	JobDoubted         Code = 621
 	CheckpointRestored Code = 622
 	CheckpointLost     Code = 623
+	KeeperLost         Code = 624
 	PlatformDown       Code = 701
 	PlatformUp         Code = 702
 	PlatformAmbiguous  Code = 703
@@ -146,6 +147,7 @@
 	JobDoubted:         {"job_doubted", log.InfoLevel, "another node may have taken a job over that this node holds; the object store is asked"},
 	CheckpointRestored: {"checkpoint_restored", log.InfoLevel, "items of a job that was taken over go on from where its former holder had brought them"},
 	CheckpointLost:     {"checkpoint_lost", log.InfoLevel, "how far the items of a job had come is not known; they run from their start"},
+	KeeperLost:         {"keeper_lost", log.WarnLevel, "the node that keeps checkpoints does not answer; another one is chosen"},
 	PlatformDown:       {"platform_down", log.WarnLevel, "several calls to the platform failed in a row"},
 	PlatformUp:         {"platform_up", log.InfoLevel, "the platform answers again"},
 	PlatformAmbiguous:  {"platform_ambiguous", log.InfoLevel, "a write has no clear answer and is read back"},
--- a/internal/request/job/checkpoint.go
+++ b/internal/request/job/checkpoint.go
@@ -15,8 +15,19 @@
 	// loadTimeout bounds the question how far the items of a lost job had come. A
 	// keeper that does not answer in that time costs more than it saves.
 	loadTimeout = 300 * time.Millisecond
+	// keeperTries is how many saves in a row may fail before another keeper is
+	// chosen, and keeperAvoided how long the failing one is then left out: far
+	// longer than a cut between data centres usually lasts.
+	keeperTries   = 3
+	keeperAvoided = 10 * time.Second
 )
 
+// keeperState is what this node knows of a keeper that did not answer.
+type keeperState struct {
+	failed  int       // saves in a row
+	avoided time.Time // until then
+}
+
 // savedItem is what the keeper of a job has of one item.
 type savedItem struct {
 	bytes int // of its text
@@ -73,7 +84,7 @@
 		if h.ended {
 			continue
 		}
-		if keeper := m.Peers.Keeper(id, h.checkpoint.keeper); keeper != h.checkpoint.keeper {
+		if keeper := m.Peers.Keeper(id, h.checkpoint.keeper, m.keeperUsable); keeper != h.checkpoint.keeper {
 			h.checkpoint = savedJob{keeper: keeper}
 		}
 		if part := h.unsaved(); part != nil {
@@ -117,12 +128,13 @@
 	ctx, cancel := context.WithTimeout(ctx, saveTimeout)
 	defer cancel()
 	resp, err := m.Peers.Checkpoints(keeper).Save(ctx, req)
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	if err != nil {
-		m.Metrics.Counter("checkpoints_not_saved").Inc(1)
+		m.keeperFailed(keeper, err)
 		return // sent again with the next
 	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
+	delete(m.keepers, keeper)
 	for _, part := range req.Jobs {
 		if h := m.held[part.Job]; h != nil && h.checkpoint.keeper == keeper {
 			h.checkpoint.took(part)
@@ -135,6 +147,32 @@
 	}
 }
 
+// keeperUsable reports whether a node answered of late, or was not asked. The
+// caller holds m.mu.
+func (m *Manager) keeperUsable(address string) bool {
+	return !time.Now().Before(m.keepers[address].avoided)
+}
+
+// keeperFailed notes that a keeper did not take what it was sent. The caller
+// holds m.mu.
+func (m *Manager) keeperFailed(keeper string, err error) {
+	m.Metrics.Counter("checkpoints_not_saved").Inc(1)
+	state := m.keepers[keeper]
+	state.failed++
+	if state.failed >= keeperTries {
+		state = keeperState{avoided: time.Now().Add(keeperAvoided)}
+		m.Recorder.Record(timeline.KeeperLost, "", keeper, err.Error())
+	}
+	m.keepers[keeper] = state
+}
+
+// chooseKeeper returns the keeper of a job that this node is about to hold.
+func (m *Manager) chooseKeeper(id, present string) string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.Peers.Keeper(id, present, m.keeperUsable)
+}
+
 func (c *savedJob) took(part *v1.JobCheckpoint) {
 	if c.items == nil {
 		c.items = map[int]savedItem{}
--- a/internal/request/job/checkpoint_test.go
+++ b/internal/request/job/checkpoint_test.go
@@ -21,7 +21,7 @@
 	return keeperPeers{store: checkpoint.NewStore(checkpoint.Limits{Bytes: 1 << 20, Keep: time.Hour}, time.Now)}
 }
 
-func (keeperPeers) Keeper(string, string) string { return "keeper" }
+func (keeperPeers) Keeper(string, string, func(string) bool) string { return "keeper" }
 func (p keeperPeers) Checkpoints(string) marblepondv1connect.CheckpointServiceClient {
 	if p.store == nil {
 		return marblepondv1connect.UnimplementedCheckpointServiceHandler{}
--- a/internal/request/job/manager.go
+++ b/internal/request/job/manager.go
@@ -45,10 +45,11 @@
 	// take a job over, 0 for the first.
 	AdoptRank(job string) int
 	// Checkpoints reaches the checkpoint service of another node, and Keeper
-	// returns the address of the node that is to keep a job's checkpoint: the
-	// present one while it is there, "" when there is none.
+	// returns the address of the node that is to keep a job's checkpoint, among
+	// those that are usable: the present one while it is there, "" when there is
+	// none.
 	Checkpoints(address string) marblepondv1connect.CheckpointServiceClient
-	Keeper(job, present string) string
+	Keeper(job, present string, usable func(address string) bool) string
 }
 
 // Config of a manager.
@@ -110,6 +111,7 @@
 	heads     map[string]knownHead // of jobs that others hold
 	ends      map[string]time.Time // when the end of a job was told; the copy of the store may be older
 	forget    map[string][]string  // by keeper: jobs whose checkpoint is not needed any more
+	keepers   map[string]keeperState
 	committer sync.WaitGroup
 }
 
@@ -139,7 +141,7 @@
 func NewManager(cfg Config, parts Parts) *Manager {
 	return &Manager{cfg: cfg, Parts: parts, results: newResultCache(cfg.ResultMemory), wakeUp: make(chan struct{}, 1), stopped: make(chan struct{}),
 		held: map[string]*held{}, reserved: map[string]int64{}, absent: map[string]time.Time{}, orphans: map[string]time.Time{}, heads: map[string]knownHead{},
-		ends: map[string]time.Time{}, forget: map[string][]string{}}
+		ends: map[string]time.Time{}, forget: map[string][]string{}, keepers: map[string]keeperState{}}
 }
 
 // Run schedules items and looks for jobs without a holder until ctx ends.
--- a/internal/request/job/submit.go
+++ b/internal/request/job/submit.go
@@ -108,7 +108,7 @@
 // writeHead makes the job accepted.
 func (m *Manager) writeHead(ctx context.Context, s *Submission, parts int) error {
 	head := Head{Host: s.Host, Path: s.Path, Submitted: s.Arrived.UnixMilli(), Total: len(s.Items), Parts: parts,
-		Holder: m.cfg.Self, Epoch: 1, Keeper: m.Peers.Keeper(s.ID, ""), Writer: newToken()}
+		Holder: m.cfg.Self, Epoch: 1, Keeper: m.chooseKeeper(s.ID, ""), Writer: newToken()}
 	o, existed, err := m.create(ctx, KindHeads, s.ID, encode(&head))
 	switch {
 	case errors.Is(err, errMaybe):
--- a/internal/request/job/sweep.go
+++ b/internal/request/job/sweep.go
@@ -204,7 +204,7 @@
 	came := m.loadCheckpoint(ctx, id, &head)
 	head.Holder = m.cfg.Self
 	head.Epoch++
-	head.Keeper = m.Peers.Keeper(id, head.Keeper)
+	head.Keeper = m.chooseKeeper(id, head.Keeper)
 	revision, err := m.updateHead(ctx, id, &head, o.Revision)
 	if err != nil {
 		return // another node was first, or the next sweep finds this node's write
