Try a target for as long as it usually takes to connect

Ruled out: a shorter constant. It would cut off targets of a farther region, and differs from deployment to deployment.

--- a/internal/process/settings/keys.go
+++ b/internal/process/settings/keys.go
@@ -52,7 +52,7 @@
 	{"limits", "drain_timeout", "120s", "duration", "How long a leaving node waits for requests in progress.", duration(func(s *Settings) *time.Duration { return &s.DrainTimeout }, time.Second, time.Hour)},
 
 	{"limits", "memory", "0", "MiB", "Memory the process may use; the garbage collector keeps below nine tenths of it. 0: no limit.", count(func(s *Settings) *int { return &s.Memory }, 0, 1<<20)},
-	{"limits", "dial_timeout", "250ms", "duration", "How long a new connection to a target or node may take.", duration(func(s *Settings) *time.Duration { return &s.DialTimeout }, 10*time.Millisecond, time.Minute)},
+	{"limits", "dial_timeout", "250ms", "duration", "How long a new connection to a target or node may take at most; a target is tried for eight times as long as it usually takes.", duration(func(s *Settings) *time.Duration { return &s.DialTimeout }, 10*time.Millisecond, time.Minute)},
 
 	{"jobs", "keep_results", "120s", "duration", "How long after its submission a job stays readable at a hosted node.", duration(func(s *Settings) *time.Duration { return &s.KeepResults }, time.Second, 30*day)},
 	{"jobs", "take_over_after", "6s", "duration", "How long the holder of a job must be unreachable before another node takes the job over.", duration(func(s *Settings) *time.Duration { return &s.TakeOverAfter }, 100*time.Millisecond, time.Hour)},
