Accept a small job with one write while the store is slow

Weighed: both writes at once (the head may then stand without its items, and a job that was refused could run); one write always (TestStoreAway: in a store that has just gone silent the caller can no longer be told that nothing runs). Chosen: nodes tell each other how long the newest answer of the store took, and a small job carries its items in its head when two writes would miss the objective. The items move to objects of their own at the first commit, and a job that is done by then needs none.

--- a/internal/connection/beacon/beacon.go
+++ b/internal/connection/beacon/beacon.go
@@ -80,6 +80,12 @@
 	HeardJobs(node string, jobs []string)
 }
 
+// StoreLatency is what is told and heard of how slow the object store is.
+type StoreLatency interface {
+	Latency() (took, age time.Duration)
+	Heard(took, age time.Duration)
+}
+
 // Options configures an exchange.
 type Options struct {
 	Node       string
@@ -88,6 +94,7 @@
 	Loads      Loads
 	Copies     Copies
 	Batch      BatchWork
+	Store      StoreLatency
 	// Peers returns where other nodes listen: those of the own data centre, and
 	// the others.
 	Peers func() (near, far []string)
@@ -216,6 +223,9 @@
 	x.sequence++
 	message := &v1.Beacon{Node: x.Node, Boot: x.Boot, Sequence: x.sequence, DataCentre: x.DataCentre,
 		Demand: uint32(batch.Demand), Overflow: uint32(batch.Overflow), Jobs: x.Batch.Announced()}
+	if took, age := x.Store.Latency(); took > 0 {
+		message.StoreTookMs, message.StoreAgeMs = uint32(max(1, took.Milliseconds())), uint32(age.Milliseconds())
+	}
 	for id, n := range inFlight {
 		message.Targets = append(message.Targets, &v1.TargetCounts{Target: id, Online: uint32(n.Online), Batch: uint32(n.Batch)})
 	}
@@ -270,6 +280,9 @@
 		x.Batch.HeardDataCentre(m.DataCentre, batch)
 	}
 	x.Batch.HeardJobs(m.Node, m.Jobs)
+	if m.StoreTookMs > 0 {
+		x.Store.Heard(time.Duration(m.StoreTookMs)*time.Millisecond, time.Duration(m.StoreAgeMs)*time.Millisecond)
+	}
 	behind := false
 	for _, k := range m.Marks {
 		mark := follow.Mark{Complete: k.Complete, Latest: k.Latest, Floor: k.Floor, Age: time.Duration(k.AgeMs) * time.Millisecond, Question: k.Question, Known: true}
--- a/internal/connection/beacon/beacon_test.go
+++ b/internal/connection/beacon/beacon_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/marblepond/marblepond/internal/connection/objects"
 	"github.com/marblepond/marblepond/internal/request/choose"
 	"github.com/marblepond/marblepond/internal/version/follow"
 )
@@ -20,10 +21,12 @@
 	nodes   map[string]map[string]choose.InFlight
 	centres map[string]map[string]choose.InFlight
 	claims  map[string]Batch // by node or data centre
+	health  *objects.Health
 }
 
 func newWords(own map[string]choose.InFlight) *words {
-	return &words{own: own, nodes: map[string]map[string]choose.InFlight{}, centres: map[string]map[string]choose.InFlight{}, claims: map[string]Batch{}}
+	return &words{own: own, nodes: map[string]map[string]choose.InFlight{}, centres: map[string]map[string]choose.InFlight{}, claims: map[string]Batch{},
+		health: objects.NewHealth(time.Now, func(bool, time.Duration) {})}
 }
 
 func (w *words) InFlight() map[string]choose.InFlight { return w.own }
@@ -94,7 +97,7 @@
 		conn, err := net.ListenPacket("udp", "127.0.0.1:0")
 		is.NoErr(err)
 		running, stop := context.WithCancel(ctx)
-		x := New(Options{Node: node, DataCentre: centre, Boot: 1, Loads: w, Copies: noCopies{}, Batch: w,
+		x := New(Options{Node: node, DataCentre: centre, Boot: 1, Loads: w, Copies: noCopies{}, Batch: w, Store: w.health,
 			Peers: func() ([]string, []string) { return near, far }, Behind: func(string) {}})
 		go x.Run(running, conn)
 		return conn.LocalAddr().String(), stop
@@ -107,6 +110,11 @@
 		n := b.said("a")["t"]
 		return n.Online == 3 && n.Batch == 3
 	})
+	a2.health.Answered(300 * time.Millisecond) // how slow the store is passes on through a1
+	eventually(t, func() bool {
+		took, _ := b.health.Latency()
+		return took == 300*time.Millisecond
+	})
 	is.Equal(a1.said("a2")["t"], choose.InFlight{Online: 1, Batch: 3})
 	b.mu.Lock()
 	is.Equal(b.claims["a"], Batch{Demand: 2, Overflow: 1})
--- a/internal/connection/objects/health.go
+++ b/internal/connection/objects/health.go
@@ -13,7 +13,38 @@
 
 	mu    sync.Mutex
 	up    bool
-	since time.Time // of the present state
+	since time.Time     // of the present state
+	took  time.Duration // of the newest answer known, here or at another node
+	at    time.Time     // when that answer came
+}
+
+// latencyFor is how long an answer says how slow the store is: a few rounds of
+// the questions by which copies are kept new.
+const latencyFor = 3 * time.Second
+
+// Answered takes how long an answer of the store took.
+func (h *Health) Answered(took time.Duration) { h.Heard(took, 0) }
+
+// Heard takes how long an answer took that came, here or at another node, an age
+// ago.
+func (h *Health) Heard(took, age time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if at := h.now().Add(-age); at.After(h.at) {
+		h.took, h.at = took, at
+	}
+}
+
+// Latency returns how long the newest answer known took, and its age; took is 0
+// when none of late is known.
+func (h *Health) Latency() (took, age time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	age = h.now().Sub(h.at)
+	if age > latencyFor {
+		return 0, 0
+	}
+	return h.took, age
 }
 
 // NewHealth returns the health of a store that is taken to be up. onChange is
--- a/internal/process/hosted/hosted.go
+++ b/internal/process/hosted/hosted.go
@@ -121,10 +121,10 @@
 		Self: job.Holder{Node: s.NodeID, Boot: n.boot, Address: s.PeerAdvertise}, MaxValue: s.StoreMaxValue,
 		KeepResults: s.KeepResults, TakeOverAfter: s.TakeOverAfter, SweepInterval: s.SweepInterval,
 		Holds: s.CallerListen != "", ResultMemory: s.ResultMemory, CheckpointInterval: s.CheckpointInterval,
-	}, job.Parts{Store: n.relay(), Pool: n.pool, Sender: adapter.Sender, Routes: n.Table, RoutesFresh: n.TableFresh, Peers: n,
+	}, job.Parts{Store: n.relay(), StoreTook: n.storeTook, Pool: n.pool, Sender: adapter.Sender, Routes: n.Table, RoutesFresh: n.TableFresh, Peers: n,
 		Waiting: n.loads.Waiting, Ended: n.ended, Shares: n.batch.shares, Recorder: n.recorder, Checker: n.checker, Metrics: n.metrics})
 	n.checkpoints = checkpoint.NewStore(checkpoint.Limits{Bytes: s.CheckpointMemory, Keep: s.KeepResults}, time.Now)
-	n.beacon = beacon.New(beacon.Options{Node: s.NodeID, DataCentre: s.DataCentre, Boot: n.boot, Loads: n.pool, Copies: n.cache, Batch: n.batch,
+	n.beacon = beacon.New(beacon.Options{Node: s.NodeID, DataCentre: s.DataCentre, Boot: n.boot, Loads: n.pool, Copies: n.cache, Batch: n.batch, Store: adapter.Health,
 		Peers: n.beaconPeers, Behind: n.behind})
 	n.pool.OnLoad(n.loadChanged)
 	n.gossip = &follow.Gossip{Node: s.NodeID, Cache: n.cache, Loads: n.loads, Listener: n, Peers: n.peerAddresses,
@@ -151,6 +151,16 @@
 	return !n.Leaving() && n.Table() != nil && n.cache.Complete(n.adapter.Kinds.Targets) > 0
 }
 
+// storeTook returns how long the object store takes to answer, 0 while that is
+// not known or it does not answer.
+func (n *Node) storeTook() time.Duration {
+	if !n.adapter.Health.Up() {
+		return 0
+	}
+	took, _ := n.adapter.Health.Latency()
+	return took
+}
+
 // Metrics returns the scope that counts go to.
 func (n *Node) Metrics() tally.Scope { return n.metrics }
 
--- a/internal/request/job/commit.go
+++ b/internal/request/job/commit.go
@@ -137,6 +137,7 @@
 		}
 		head.Segments = append(head.Segments, segment)
 	}
+	m.moveItems(ctx, h.id, &head)
 	next, err := m.updateHead(ctx, h.id, &head, revision)
 	switch {
 	case errors.Is(err, errFenced):
@@ -151,6 +152,23 @@
 	return true
 }
 
+// moveItems puts the items that a head carries into objects of their own, unless
+// the job is done and nobody needs them any more. Where the store does not take
+// them the head keeps them.
+func (m *Manager) moveItems(ctx context.Context, id string, head *Head) {
+	switch {
+	case len(head.Inline) == 0:
+		return
+	case head.Complete():
+		head.Inline = nil
+		return
+	}
+	parts, err := m.storeItems(ctx, id, head.Inline)
+	if err == nil {
+		head.Parts, head.Inline = parts, nil
+	}
+}
+
 // segments cuts pending results into parts that are stored as one object each.
 func segments(batch []pendingResult, limit int) [][]pendingResult {
 	if len(batch) == 0 {
@@ -222,7 +240,9 @@
 	if h.checkpoint.items != nil {
 		m.forget[h.checkpoint.keeper] = append(m.forget[h.checkpoint.keeper], h.id)
 	}
-	m.heads[h.id] = knownHead{head: h.head, revision: h.revision, at: time.Now(), whole: true}
+	head := h.head
+	head.Inline = nil
+	m.heads[h.id] = knownHead{head: head, revision: h.revision, at: time.Now(), whole: true}
 	why := "every item has its result"
 	if !h.progress.whole() {
 		why = "ended by its caller"
--- a/internal/request/job/heads.go
+++ b/internal/request/job/heads.go
@@ -35,6 +35,7 @@
 // learn keeps a head that the store held. readAt is when the store was asked for
 // it, zero when the head may be older than this node can tell.
 func (m *Manager) learn(id string, head Head, revision int64, readAt time.Time) {
+	head.Inline = nil // of no use without its holder, and large
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	old, ok := m.heads[id]
--- a/internal/request/job/manager.go
+++ b/internal/request/job/manager.go
@@ -70,10 +70,13 @@
 
 // Parts are what a manager works with.
 type Parts struct {
-	Store  objects.Store
-	Pool   Pool
-	Sender target.Sender
-	Peers  Peers
+	Store objects.Store
+	// StoreTook returns how long the store takes to answer, 0 while that is not
+	// known or it does not answer.
+	StoreTook func() time.Duration
+	Pool      Pool
+	Sender    target.Sender
+	Peers     Peers
 	// Routes returns the routing table in force, nil before the first.
 	Routes func() *route.Table
 	// RoutesFresh reports whether the table is trusted to hold every route.
--- a/internal/request/job/manager_test.go
+++ b/internal/request/job/manager_test.go
@@ -114,7 +114,7 @@
 	recorder := timeline.NewRecorder(node, 100, &log.Logger{Handler: discard.New()}, tally.NoopScope)
 	table := route.NewTable(1, []route.Route{{Name: "r", Host: "h", Prefix: "/j/", Kind: route.Batch, Attempts: 3, CompleteWithin: time.Minute, AbandonAfter: time.Hour}}, route.Limits{})
 	return NewManager(Config{Self: Holder{Node: node, Boot: 1, Address: node}, Holds: true, MaxValue: 1 << 20, KeepResults: time.Hour, ResultMemory: 1 << 20},
-		Parts{Store: store, Pool: noPool{}, Peers: noPeers{}, Routes: func() *route.Table { return table }, RoutesFresh: func() bool { return true },
+		Parts{Store: store, StoreTook: func() time.Duration { return time.Millisecond }, Pool: noPool{}, Peers: noPeers{}, Routes: func() *route.Table { return table }, RoutesFresh: func() bool { return true },
 			Waiting: func(string) int64 { return 0 }, Ended: func(string) bool { return false },
 			Shares:   func() func(choose.Target) int { return func(choose.Target) int { return 0 } },
 			Recorder: recorder, Checker: invariant.New(recorder, false), Metrics: tally.NoopScope})
--- a/internal/request/job/read.go
+++ b/internal/request/job/read.go
@@ -9,6 +9,7 @@
 
 	v1 "github.com/marblepond/marblepond/api/marblepond/v1"
 	"github.com/marblepond/marblepond/internal/connection/callbudget"
+	"github.com/marblepond/marblepond/internal/connection/objects"
 	"github.com/marblepond/marblepond/internal/errkind"
 	"github.com/marblepond/marblepond/internal/process/invariant"
 	"github.com/marblepond/marblepond/internal/process/wait"
@@ -282,7 +283,18 @@
 			return nil, err
 		}
 	}
-	items, err := m.getItems(ctx, id, head.Parts)
+	if head.Parts == 0 {
+		// The items are in the head as the store has it, which is not kept here.
+		var err error
+		head, _, err = m.getHead(ctx, callbudget.Commit, id)
+		switch {
+		case errors.Is(err, objects.ErrNotFound):
+			return nil, errNoJob(id)
+		case err != nil:
+			return nil, errkind.PlatformUnavailable.New("the head of the job in the object store: %v", err)
+		}
+	}
+	items, err := m.getItems(ctx, id, &head)
 	if err != nil {
 		return nil, errkind.PlatformUnavailable.New("items in the object store: %v", err)
 	}
--- a/internal/request/job/record.go
+++ b/internal/request/job/record.go
@@ -44,12 +44,15 @@
 	Submitted int64  // Unix milliseconds when a node first read the job
 	Total     int    // items
 	Parts     int    // objects of KindItems
-	Holder    Holder
-	Epoch     int         // counts holders
-	Segments  []Segment   // in the order of their positions
-	Failed    map[int]int `json:",omitempty"` // answers of failure by item index, where any
-	Keeper    string      `json:",omitempty"` // IP:port of the node that keeps the checkpoint
-	Writer    string      // token of the last write, to recognise it after a lost answer
+	// Inline are the items while they are not in objects of their own: a small job
+	// is accepted with one write. They move at the first commit.
+	Inline   []Item `json:",omitempty"`
+	Holder   Holder
+	Epoch    int         // counts holders
+	Segments []Segment   // in the order of their positions
+	Failed   map[int]int `json:",omitempty"` // answers of failure by item index, where any
+	Keeper   string      `json:",omitempty"` // IP:port of the node that keeps the checkpoint
+	Writer   string      // token of the last write, to recognise it after a lost answer
 }
 
 // Segment lists results that one commit added.
--- a/internal/request/job/submit.go
+++ b/internal/request/job/submit.go
@@ -44,11 +44,56 @@
 		return err
 	}
 	defer release()
+	if m.fitsInline(s) {
+		return m.submitInline(ctx, s)
+	}
 	parts, err := m.writeItems(ctx, s)
 	if err != nil {
 		return errkind.PlatformUnavailable.New("the object store does not take the job: %v", err)
 	}
-	return m.writeHead(ctx, s, parts)
+	return m.writeHead(ctx, s, newHead(s, parts, nil))
+}
+
+const (
+	// mostInline is the most bytes of items that a head carries. Every node reads
+	// the heads of all jobs now and then, and a job lets go of its items at the
+	// first commit, a few seconds after it was accepted.
+	mostInline = 48 << 10
+	// slowShare is the share of the objective of the answer from which on two
+	// writes one after the other are taken to miss it.
+	slowShare = 0.8
+	// inlineWait is how long, in objectives of the answer, one write may take to
+	// be answered before the caller is told that the outcome is not known.
+	inlineWait = 2
+)
+
+// fitsInline reports whether a job is to be accepted with one write: it is small,
+// and two writes would take too long. Otherwise, and while the store does not
+// answer, two are better: the first one, of the items, may be given up with the
+// promise that nothing of the job runs.
+func (m *Manager) fitsInline(s *Submission) bool {
+	took := m.StoreTook()
+	if took == 0 || s.Route.Objective <= 0 || float64(2*took) < slowShare*float64(s.Route.Objective) {
+		return false
+	}
+	size := 0
+	for i := range s.Items {
+		size += itemSize(s.Items[i]) + encodingOverhead
+	}
+	return size <= mostInline
+}
+
+// submitInline writes the head with the items in it: half the time of two
+// writes one after the other, which decides whether a job is accepted within the
+// objective when the store is slow.
+func (m *Manager) submitInline(ctx context.Context, s *Submission) error {
+	ctx, cancel := context.WithDeadline(ctx, s.Arrived.Add(inlineWait*s.Route.Objective))
+	defer cancel()
+	return m.writeHead(ctx, s, newHead(s, 0, s.Items))
+}
+
+func newHead(s *Submission, parts int, inline []Item) *Head {
+	return &Head{Host: s.Host, Path: s.Path, Submitted: s.Arrived.UnixMilli(), Total: len(s.Items), Parts: parts, Inline: inline, Epoch: 1}
 }
 
 // known reports whether this node knows that a job was accepted.
@@ -90,11 +135,17 @@
 		ctx, cancel = context.WithDeadline(ctx, s.Arrived.Add(s.Route.Objective))
 		defer cancel()
 	}
-	parts := split(s.Items, m.cfg.MaxValue*valueShare/100, itemSize)
+	return m.storeItems(ctx, s.ID, s.Items)
+}
+
+// storeItems puts the items of a job into objects of their own and returns their
+// number. Those that are there already are left: they are the same.
+func (m *Manager) storeItems(ctx context.Context, id string, items []Item) (int, error) {
+	parts := split(items, m.cfg.MaxValue*valueShare/100, itemSize)
 	errs := make([]error, len(parts))
 	var wg sync.WaitGroup
 	for n, part := range parts {
-		wg.Go(func() { _, _, errs[n] = m.create(ctx, KindItems, partName(s.ID, n), encode(part)) })
+		wg.Go(func() { _, _, errs[n] = m.create(ctx, KindItems, partName(id, n), encode(part)) })
 	}
 	wg.Wait()
 	return len(parts), errors.Join(errs...)
@@ -106,19 +157,18 @@
 const valueShare = 70
 
 // writeHead makes the job accepted.
-func (m *Manager) writeHead(ctx context.Context, s *Submission, parts int) error {
-	head := Head{Host: s.Host, Path: s.Path, Submitted: s.Arrived.UnixMilli(), Total: len(s.Items), Parts: parts,
-		Holder: m.cfg.Self, Epoch: 1, Keeper: m.chooseKeeper(s.ID, ""), Writer: newToken()}
-	o, existed, err := m.create(ctx, KindHeads, s.ID, encode(&head))
+func (m *Manager) writeHead(ctx context.Context, s *Submission, head *Head) error {
+	head.Holder, head.Keeper, head.Writer = m.cfg.Self, m.chooseKeeper(s.ID, ""), newToken()
+	o, existed, err := m.create(ctx, KindHeads, s.ID, encode(head))
 	switch {
 	case errors.Is(err, errMaybe):
 		return errkind.UnknownOutcome.New("whether the job was accepted is not known; send it again")
 	case err != nil:
 		return errkind.PlatformUnavailable.New("the object store does not take the job: %v", err)
 	case existed:
-		return m.acceptedBefore(ctx, s, &head)
+		return m.acceptedBefore(ctx, s, head)
 	}
-	m.accepted(s, head, o.Revision, "accepted")
+	m.accepted(s, *head, o.Revision, "accepted")
 	return nil
 }
 
--- /dev/null
+++ b/internal/request/job/submit_test.go
@@ -0,0 +1,133 @@
+package job
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/marblepond/marblepond/internal/connection/callbudget"
+	"github.com/marblepond/marblepond/internal/connection/objects"
+)
+
+// count returns how many objects of a kind the store has.
+func (s *memoryStore) count(kind string) int {
+	page, _ := s.ListStale(context.Background(), kind)
+	return len(page.Objects)
+}
+
+// slowStore answers writes late.
+type slowStore struct {
+	*memoryStore
+	delay time.Duration
+}
+
+func (s slowStore) Create(ctx context.Context, class callbudget.Class, kind, name string, value []byte) (objects.Object, error) {
+	time.Sleep(s.delay)
+	return s.memoryStore.Create(ctx, class, kind, name, value)
+}
+
+// slow makes a manager take the store for slow, and the job for one that has to
+// be accepted soon.
+func slow(m *Manager, s *Submission) {
+	m.StoreTook = func() time.Duration { return 200 * time.Millisecond }
+	s.Route.Objective = 300 * time.Millisecond
+}
+
+// A small job is accepted in the time of one call to a slow store.
+func TestSmallJobIsAcceptedWithOneWrite(t *testing.T) {
+	is := is.New(t)
+	store := slowStore{newMemoryStore(), 200 * time.Millisecond}
+	m := newTestManager("n1", store)
+	s := submission("j")
+	slow(m, s)
+	start := time.Now()
+	is.NoErr(m.Submit(context.Background(), s))
+	is.True(time.Since(start) < 300*time.Millisecond)
+	is.Equal(store.count(KindItems), 0)
+	is.Equal(store.count(KindHeads), 1)
+}
+
+// Its items are there for a node that takes it over or is asked for a body,
+// before and after they move to objects of their own.
+func TestItemsOfASmallJobAreAlwaysThere(t *testing.T) {
+	is := is.New(t)
+	store := newMemoryStore()
+	first := newTestManager("n1", store)
+	s := submission("j")
+	slow(first, s)
+	is.NoErr(first.Submit(context.Background(), s))
+	second := newTestManager("n2", store)
+	_, err := second.Body(context.Background(), "j", "i1")
+	is.NoErr(err)
+	second.adopt(context.Background(), "j", first.cfg.Self)
+	h := second.held["j"]
+	is.Equal(len(h.items), 2)
+
+	h.writing.Lock()
+	second.mu.Lock()
+	h.progress.finish(0, Result{Item: "i0", Text: "done"}, time.Now())
+	second.mu.Unlock()
+	is.True(second.commit(h))
+	h.writing.Unlock()
+	is.Equal(store.count(KindItems), 1)
+	head, _, err := second.getHead(context.Background(), callbudget.Commit, "j")
+	is.NoErr(err)
+	is.Equal(len(head.Inline), 0)
+
+	third := newTestManager("n3", store)
+	_, err = third.Body(context.Background(), "j", "i1")
+	is.NoErr(err)
+	third.adopt(context.Background(), "j", second.cfg.Self)
+	is.Equal(len(third.held["j"].items), 2)
+}
+
+// A large job, and any while the store does not answer, is written in two steps:
+// the first may be given up with the promise that nothing runs.
+func TestItemsGoFirstWhereOneWriteDoesNotServe(t *testing.T) {
+	is := is.New(t)
+	store := newMemoryStore()
+	m := newTestManager("n1", store)
+	large := submission("large")
+	large.Items = nil
+	for i := range 20 {
+		large.Items = append(large.Items, Item{ID: fmt.Sprint("i", i), Path: "/j/a", Body: []byte(strings.Repeat("x", 4<<10))})
+	}
+	slow(m, large)
+	is.NoErr(m.Submit(context.Background(), large))
+	is.Equal(store.count(KindItems), 1)
+	for _, took := range []time.Duration{0, 5 * time.Millisecond} { // it does not answer, or in time
+		s := submission(took.String())
+		slow(m, s)
+		m.StoreTook = func() time.Duration { return took }
+		is.NoErr(m.Submit(context.Background(), s))
+	}
+	is.Equal(store.count(KindItems), 3)
+}
+
+// A job that is done with its first commit leaves no items behind.
+func TestDoneJobHasNoItems(t *testing.T) {
+	is := is.New(t)
+	store := newMemoryStore()
+	m := newTestManager("n1", store)
+	s := submission("j")
+	slow(m, s)
+	is.NoErr(m.Submit(context.Background(), s))
+	h := m.held["j"]
+	h.writing.Lock()
+	m.mu.Lock()
+	for i, item := range h.items {
+		h.progress.finish(i, Result{Item: item.ID, Text: "done"}, time.Now())
+	}
+	m.mu.Unlock()
+	is.True(m.commit(h))
+	h.writing.Unlock()
+	is.Equal(store.count(KindItems), 0)
+	head, _, err := m.getHead(context.Background(), callbudget.Commit, "j")
+	is.NoErr(err)
+	is.Equal(len(head.Inline), 0)
+	is.True(head.Complete())
+}
--- a/internal/request/job/sweep.go
+++ b/internal/request/job/sweep.go
@@ -193,7 +193,7 @@
 	if err != nil || head.Holder != from || head.Complete() || m.busy(id) {
 		return
 	}
-	items, err := m.getItems(ctx, id, head.Parts)
+	items, err := m.getItems(ctx, id, &head)
 	if err != nil {
 		return // the next sweep tries again
 	}
--- a/internal/request/job/write.go
+++ b/internal/request/job/write.go
@@ -114,10 +114,13 @@
 	return head, o, nil
 }
 
-// getItems reads all items of a job.
-func (m *Manager) getItems(ctx context.Context, id string, parts int) ([]Item, error) {
+// getItems returns all items of a job whose head was just read.
+func (m *Manager) getItems(ctx context.Context, id string, head *Head) ([]Item, error) {
+	if len(head.Inline) > 0 {
+		return head.Inline, nil
+	}
 	var items []Item
-	for n := range parts {
+	for n := range head.Parts {
 		o, err := m.Store.Get(ctx, callbudget.Commit, KindItems, partName(id, n))
 		if err != nil {
 			return nil, err
