Draw full targets too when an online request is placed

Targets with a free slot were taken first, and the few that were left drew the requests of all nodes for as long as news between them takes; where none was left, all nodes went to the one with the fewest.

Ruled out: the mark of slow targets (a play without it showed the same spread); other numbers of targets drawn (2, 4, 5, 7: worse).

Change: of three targets of the own data centre, full or not, the least loaded; elsewhere only when all three are full and one there has three slots free.

Simulation, 12 nodes, 24 targets, news 90 ms old; requests that wait over 250 ms, before and after: 15 and 6 of 3,000 at three quarters of the capacity, 602 and 62 of 3,720 at nine tenths, 1,619 and 420 of 4,080 at full load (TestFewChoicesSpreadOldNews, which now has queues and three loads).

--- a/internal/request/choose/choose.go
+++ b/internal/request/choose/choose.go
@@ -207,7 +207,7 @@
 	if len(usable) == 0 {
 		return Target{}, false
 	}
-	best := t.pick(usable, need)
+	best := t.pick(now, usable, need)
 	if !best.ejectedUntil.IsZero() {
 		best.trial = true
 	}
@@ -232,10 +232,14 @@
 			out = append(out, e)
 		}
 	}
-	if len(out) == 0 && !need.Batch {
+	switch {
+	case need.Batch:
+	case t.cfg.Policy == LeastOfFew:
+		out = append(out, full...) // a full target may be the best of a few
+	case len(out) == 0:
 		return leastOnline(full)
 	}
-	return t.preferred(now, need.Service, out)
+	return t.preferred(now, need, out)
 }
 
 // why returns the reason a target can't be chosen, empty when it can.
@@ -267,7 +271,7 @@
 	return false
 }
 
-func (t *Table) pick(usable []*entry, need Need) *entry {
+func (t *Table) pick(now time.Time, usable []*entry, need Need) *entry {
 	switch t.cfg.Policy {
 	case RoundRobin:
 		t.turn++
@@ -276,7 +280,7 @@
 		return least(usable, func(e *entry) int { return e.online })
 	case LeastOfFew:
 		if !need.Batch {
-			usable = t.few(usable)
+			return t.leastOfFew(now, usable)
 		}
 	case Affinity:
 		if need.Prefix != "" {
@@ -284,7 +288,7 @@
 		}
 	}
 	t.turn++ // equal targets take turns, so that nodes do not all pick the first
-	return least(rotate(usable, t.turn), func(e *entry) int { return e.estimate() + e.batch + e.elsewhere.Batch })
+	return least(rotate(usable, t.turn), (*entry).inFlight)
 }
 
 func rotate(entries []*entry, n int) []*entry {
--- a/internal/request/choose/choose_test.go
+++ b/internal/request/choose/choose_test.go
@@ -220,57 +220,114 @@
 	is.True(!table.entries["c"].slow(later, 50*time.Millisecond))
 }
 
-// overfull plays nodes that send at random to targets and hear of each other only
-// now and then, and returns how many requests met a full target.
-func overfull(policy Policy) (met int) {
-	const nodes, targets, slots, rounds, newsEvery, lasts = 12, 24, 8, 6000, 90, 560
+// play is a simulation of nodes that send at random to targets and hear of each
+// other only now and then. A target serves as many requests as it has slots, and
+// the others in order of arrival.
+type play struct {
+	policy Policy
+	perSec int // requests
+}
+
+const (
+	playNodes, playTargets, playSlots = 12, 24, 8
+	playRounds, playNews              = 12000, 90 // ms
+	playShortest, playLongest         = 280, 840  // ms a request is served
+)
+
+// playTarget is when each slot of a target becomes free.
+type playTarget [playSlots]int
+
+// take returns how long a request waits that comes at a time, in ms.
+func (t *playTarget) take(at, service int) int {
+	first := 0
+	for i := range t {
+		if t[i] < t[first] {
+			first = i
+		}
+	}
+	wait := max(0, t[first]-at)
+	t[first] = at + wait + service
+	return wait
+}
+
+// run returns how many requests there were, how many met a full target, and how
+// many waited there for longer than usual objectives allow.
+func (p play) run() (requests, met, late int) {
 	draw := rand.New(rand.NewPCG(1, 1))
-	list := make([]Target, targets)
+	list := make([]Target, playTargets)
+	states := map[string]*playTarget{}
 	for i := range list {
-		list[i] = Target{ID: fmt.Sprint("t", i), Incarnation: 1, Service: "s", DataCentre: "here", Slots: slots}
+		list[i] = Target{ID: fmt.Sprint("t", i), Incarnation: 1, Service: "s", DataCentre: "here", Slots: playSlots}
+		states[list[i].ID] = &playTarget{}
 	}
-	tables := make([]*Table, nodes)
+	tables := make([]*Table, playNodes)
 	for n := range tables {
-		tables[n] = New(Config{EjectAfter: 3, EjectTime: time.Second, Policy: policy, Home: "here", Seed: uint64(n)})
+		tables[n] = New(Config{EjectAfter: 3, EjectTime: time.Second, Policy: p.policy, Home: "here", Seed: uint64(n)})
 		tables[n].Set(list)
 	}
 	now := time.Unix(0, 0)
-	inFlight := map[string]int{}
-	ends := map[int]func(){}
-	for ms := range rounds { // a request begins every 4 ms and lasts 560 ms: 140 of 192 slots are taken
-		if end := ends[ms]; end != nil {
+	ends := map[int][]func(){}
+	owed := 0
+	for ms := range playRounds {
+		for _, end := range ends[ms] {
 			end()
 		}
-		if ms%4 == 0 {
-			table := tables[draw.IntN(nodes)]
+		for owed += p.perSec; owed >= 1000; owed -= 1000 {
+			table := tables[draw.IntN(playNodes)]
 			target, _ := table.Choose(now, Need{Service: "s"})
 			table.Begin(target.ID)
-			if inFlight[target.ID]++; inFlight[target.ID] > slots {
+			service := playShortest + draw.IntN(playLongest-playShortest)
+			wait := states[target.ID].take(ms, service)
+			requests++
+			if wait > 0 {
 				met++
 			}
-			ends[ms+lasts] = func() {
-				table.End(now, target.ID, Success)
-				inFlight[target.ID]--
+			if wait > playLate {
+				late++
 			}
+			at := ms + wait + service
+			ends[at] = append(ends[at], func() { table.End(now, target.ID, Success) })
+		}
+		if ms%playNews == 0 {
+			tellAll(tables)
 		}
-		if ms%newsEvery == 0 {
-			for a := range tables {
-				for b := range tables {
-					if a != b {
-						tables[a].SetNode(fmt.Sprint("n", b), tables[b].Own())
-					}
-				}
+	}
+	return requests, met, late
+}
+
+// playLate is the wait in ms after which a first event misses an objective of
+// 300 ms.
+const playLate = 250
+
+func tellAll(tables []*Table) {
+	for a := range tables {
+		for b := range tables {
+			if a != b {
+				tables[a].SetNode(fmt.Sprint("n", b), tables[b].Own())
 			}
 		}
 	}
-	return met
 }
 
 // TestFewChoicesSpreadOldNews: with news that is some 10 ms old, comparing a few
-// targets meets full ones less often than sending to the one that looks emptiest.
+// targets meets full ones less often than sending to the one that looks emptiest,
+// and keeps queues even when all are full.
 func TestFewChoicesSpreadOldNews(t *testing.T) {
 	is := is.New(t)
-	least, few := overfull(LeastLoad), overfull(LeastOfFew)
-	t.Logf("of 1500 requests %d met a full target with the least of all, %d with the least of a few", least, few)
-	is.True(few < least)
+	for _, c := range []struct {
+		load   string
+		perSec int
+		late   float64 // most of the requests, as a share
+		room   bool    // there usually is a free slot somewhere
+	}{{"three quarters", 250, 0.003, true}, {"nine tenths", 310, 0.03, true}, {"full", 340, 0.15, false}} {
+		requests, metLeast, lateLeast := play{LeastLoad, c.perSec}.run()
+		_, metFew, lateFew := play{LeastOfFew, c.perSec}.run()
+		t.Logf("%s: of %d requests, with the least of all %d met a full target and %d were late; with the least of a few %d and %d",
+			c.load, requests, metLeast, lateLeast, metFew, lateFew)
+		is.True(lateFew < lateLeast)
+		is.True(metFew < metLeast || !c.room)
+		if float64(lateFew) > c.late*float64(requests) {
+			t.Errorf("%s: %d of %d requests are late", c.load, lateFew, requests)
+		}
+	}
 }
--- a/internal/request/choose/prefer.go
+++ b/internal/request/choose/prefer.go
@@ -6,31 +6,30 @@
 )
 
 // preferred leaves out slow targets and those that are still warming up when
-// others have room, and chooses the data centre.
-func (t *Table) preferred(now time.Time, service string, entries []*entry) []*entry {
-	usual := t.usualFirstEvent(service)
+// there are others, and chooses the data centre of a batch item.
+func (t *Table) preferred(now time.Time, need Need, entries []*entry) []*entry {
+	usual := t.usualFirstEvent(need.Service)
 	entries = keepIfAny(entries, func(e *entry) bool { return !e.Warming && !e.slow(now, usual) })
-	if t.cfg.Home == "" {
+	if t.cfg.Home == "" || (t.cfg.Policy == LeastOfFew && !need.Batch) {
 		return entries
 	}
 	return t.nearest(now, entries)
 }
 
 const (
-	// homeRoom is how many free slots keep a request in its own data centre
-	// whatever the others have: what nodes tell each other is some 10 to 100 ms old,
-	// and the last free slot of a target is often taken by the time it is used.
+	// homeRoom is how many free slots keep a batch item in its own data centre
+	// whatever the others have.
 	homeRoom = 2
 	// awayRoom is how many free slots a target elsewhere must have to be taken
-	// before the last slots at home: more than batch items leave free, so that it
-	// has room that nobody else there is about to use.
+	// before a full one at home: more than batch items leave free, so that it has
+	// room that nobody else there is about to use.
 	awayRoom = 3
 )
 
 // nearest returns the targets of the own data centre while they have room, then
 // those elsewhere with plenty, then whatever there is, the own first.
 func (t *Table) nearest(now time.Time, entries []*entry) []*entry {
-	home := keep(entries, func(e *entry) bool { return e.DataCentre == t.cfg.Home })
+	home := keep(entries, t.atHome)
 	if roomy := keep(home, func(e *entry) bool { return e.freeAt(now) >= homeRoom }); len(roomy) > 0 {
 		return roomy
 	}
@@ -43,6 +42,8 @@
 	return entries
 }
 
+func (t *Table) atHome(e *entry) bool { return e.DataCentre == t.cfg.Home }
+
 func keep(entries []*entry, wanted func(*entry) bool) []*entry {
 	var kept []*entry
 	for _, e := range entries {
@@ -66,12 +67,41 @@
 // seldom a full one (power of d choices, Mitzenmacher, 2000).
 const few = 3
 
+// leastOfFew returns the least loaded of a few targets drawn at random: one of
+// the own data centre unless all drawn there are full and one drawn elsewhere has
+// plenty of room. Full targets are drawn like others. Taking those with room
+// first would send all nodes to the last few of them, and queues would grow there
+// while a request that waits behind one other is still in time.
+func (t *Table) leastOfFew(now time.Time, entries []*entry) *entry {
+	home := entries
+	if t.cfg.Home != "" {
+		home = keep(entries, t.atHome)
+	}
+	var best *entry
+	if len(home) > 0 {
+		if best = least(t.few(home), (*entry).inFlight); best.freeAt(now) > 0 {
+			return best
+		}
+	}
+	away := keep(entries, func(e *entry) bool { return !t.atHome(e) && e.freeAt(now) >= awayRoom })
+	switch {
+	case len(away) > 0:
+		return least(t.few(away), (*entry).inFlight)
+	case best != nil:
+		return best
+	}
+	return least(t.few(entries), (*entry).inFlight)
+}
+
 // few returns that many targets drawn at random.
 func (t *Table) few(entries []*entry) []*entry {
 	if len(entries) <= few {
 		return entries
 	}
 	drawn := slices.Clone(entries)
-	t.draw.Shuffle(len(drawn), func(i, j int) { drawn[i], drawn[j] = drawn[j], drawn[i] })
+	for i := range few {
+		j := i + t.draw.IntN(len(drawn)-i)
+		drawn[i], drawn[j] = drawn[j], drawn[i]
+	}
 	return drawn[:few]
 }
--- a/internal/request/choose/room.go
+++ b/internal/request/choose/room.go
@@ -143,9 +143,12 @@
 	if slots == 0 {
 		return unbounded
 	}
-	return slots - e.estimate() - e.batch - e.elsewhere.Batch
+	return slots - e.inFlight()
 }
 
+// inFlight returns what is at the target, online and batch.
+func (e *entry) inFlight() int { return e.estimate() + e.batch + e.elsewhere.Batch }
+
 // freeOnline returns the free slots once batch items have made room.
 func (e *entry) freeOnline(now time.Time) int {
 	return e.freeAt(now) + e.batch + e.elsewhere.Batch
