List many results sooner than a single one

Results wait 2 s for others, however many wait.

Change: results are listed when together they have waited for the delay: one after 2 s, two after 1 s, 17 after 0.2 s.

Test: TestManyResultsAreCommittedSooner.

--- a/internal/request/job/commit.go
+++ b/internal/request/job/commit.go
@@ -13,8 +13,8 @@
 const (
 	// commitDelay is how long a finished result may wait for others before it is
 	// committed, also once its job is late: long enough that a job of ten items
-	// takes a few commits, short beside the seconds in which jobs are due. A lost
-	// holder loses what waits, and the items run again.
+	// takes a few commits, short beside the seconds in which jobs are due. Several
+	// that wait share the time between them.
 	commitDelay = 2 * time.Second
 	// dueMargin is how long before its job is due a result waits dueDelay only: a
 	// commit takes some milliseconds, and a second when the store is slow.
@@ -218,7 +218,7 @@
 	from := h.head.Listed()
 	m.Checker.Assert(head.Listed() == from+len(batch), invariant.CommitFenced, h.id, "", "%d results listed, %d expected", head.Listed(), from+len(batch))
 	h.head, h.revision = *head, revision
-	h.progress.committed(len(batch), time.Now())
+	h.progress.committed(len(batch))
 	m.keep(h.id, from, results)
 	m.results.setTotal(h.id, head.Total)
 	close(h.changed)
--- a/internal/request/job/progress.go
+++ b/internal/request/job/progress.go
@@ -16,7 +16,6 @@
 type progress struct {
 	items   []itemState
 	pending []pendingResult // finished and not committed, in the order they came
-	oldest  time.Time       // when the first of pending came
 }
 
 type itemState struct {
@@ -34,6 +33,7 @@
 type pendingResult struct {
 	index  int
 	result Result
+	at     time.Time // when it came
 }
 
 // newProgress returns the progress of a job as its head tells it.
@@ -130,19 +130,22 @@
 		return false
 	}
 	s.phase, s.dead = finished, r.Dead
-	if len(p.pending) == 0 {
-		p.oldest = now
-	}
-	p.pending = append(p.pending, pendingResult{i, r})
+	p.pending = append(p.pending, pendingResult{i, r, now})
 	return true
 }
 
-// due reports whether the pending results are to be committed now.
+// due reports whether the pending results are to be committed now: when all of
+// them together have waited for the delay. One result waits that long, many that
+// came at once a fraction of it; a commit costs the same for all.
 func (p *progress) due(now time.Time, delay time.Duration) bool {
 	if len(p.pending) == 0 {
 		return false
 	}
-	return p.open() == 0 || now.Sub(p.oldest) >= delay
+	waited := time.Duration(0)
+	for _, r := range p.pending {
+		waited += now.Sub(r.at)
+	}
+	return p.open() == 0 || waited >= delay
 }
 
 // open returns the number of items without a result.
@@ -157,13 +160,12 @@
 }
 
 // committed notes that the first n pending results are listed.
-func (p *progress) committed(n int, now time.Time) {
+func (p *progress) committed(n int) {
 	for _, r := range p.pending[:n] {
 		p.items[r.index].phase = listed
 		p.items[r.index].text = nil
 	}
 	p.pending = p.pending[n:]
-	p.oldest = now
 }
 
 // failures returns the failed attempts by item, where there are any.
--- a/internal/request/job/progress_test.go
+++ b/internal/request/job/progress_test.go
@@ -48,7 +48,7 @@
 						}
 					}
 				}
-				p.committed(n, now)
+				p.committed(n)
 			}
 		}
 		for i, n := range positions {
@@ -155,3 +155,24 @@
 	is.Equal(commitWait(time.Second), dueDelay)
 	is.Equal(commitWait(-time.Second), commitDelay)
 }
+
+// Many results that come at once are listed much sooner than a single one: a
+// caller that ends its job a second later has read them.
+func TestManyResultsAreCommittedSooner(t *testing.T) {
+	is := is.New(t)
+	start := time.Unix(1000, 0)
+	waits := func(results int) time.Duration {
+		p := newProgress(&Head{Total: results + 1})
+		for i := range results {
+			p.finish(i, Result{}, start)
+		}
+		now := start
+		for !p.due(now, commitDelay) {
+			now = now.Add(commitTick)
+		}
+		return now.Sub(start)
+	}
+	is.Equal(waits(1), commitDelay)
+	is.Equal(waits(2), commitDelay/2)
+	is.True(waits(17) <= 200*time.Millisecond)
+}
