Compare targets by the requests that are served before one

Cause: among full targets the total in flight decided, so that one with eight online requests stood equal to one with six and two batch items, which make room at once; and a request stayed at a full data centre while another had a free slot.

Change: a full target costs its slots and the online requests beyond them, batch items as one; a request leaves a full data centre for any free slot seen; three nodes compare eight targets, more nodes fewer.

--- a/internal/request/choose/prefer.go
+++ b/internal/request/choose/prefer.go
@@ -71,31 +71,45 @@
 	few = 3
 	// fewByNodes divided by the number of nodes of the data centre is how many are
 	// compared where that is more: three nodes tell each other every 20 ms, and
-	// together draw five each without meeting at one target.
-	fewByNodes = 16
+	// together draw eight each without meeting at one target.
+	fewByNodes = 24
 )
 
 // leastOfFew returns the least loaded of a few targets drawn at random: one of
 // the own data centre while it has room, else one drawn elsewhere that has
-// plenty, else the one at home. Full targets are drawn like others. Taking those
+// plenty, or any when the one at home is full. Full targets are drawn like others. Taking those
 // with room first would send all nodes to the last few of them, and queues would
 // grow there while a request that waits behind one other is still in time.
 func (t *Table) leastOfFew(now time.Time, entries []*entry) *entry {
+	cost := func(e *entry) int { return e.cost(now) }
 	home := keep(entries, t.atHome)
 	away := keep(entries, func(e *entry) bool { return !t.atHome(e) })
 	if len(home) == 0 {
-		return least(t.few(away), (*entry).inFlight)
+		return least(t.few(away), cost)
 	}
-	best := least(t.few(home), (*entry).inFlight)
+	best := least(t.few(home), cost)
 	if len(away) == 0 || best.freeAt(now) >= homeRoom {
 		return best
 	}
-	if other := least(t.few(away), (*entry).inFlight); other.freeAt(now) >= awayRoom {
+	other := least(t.few(away), cost)
+	if room := other.freeAt(now); room >= awayRoom || (room > 0 && best.freeAt(now) <= 0) {
 		return other
 	}
 	return best
 }
 
+// cost orders targets for an online request: by what is there while a slot is
+// free, then by how many requests are served before it. Batch items at a full
+// target make room in about the time in which one of its requests ends, however
+// many they are.
+func (e *entry) cost(now time.Time) int {
+	if e.freeAt(now) > 0 {
+		return e.inFlight()
+	}
+	slots := e.inFlight() + e.free()
+	return slots + max(1, 1-e.freeOnline(now))
+}
+
 // few returns some targets drawn at random.
 func (t *Table) few(entries []*entry) []*entry {
 	draws := max(few, fewByNodes/(len(t.nodes)+1))
