--- a/internal/request/choose/choose.go
+++ b/internal/request/choose/choose.go
@@ -95,9 +95,6 @@
 // al., 2016).
 const loadBound = 1.25
 
-// maxEjectDoublings bounds the growth of the time a target is left out.
-const maxEjectDoublings = 5
-
 // Table holds the targets. It is not safe for concurrent use.
 type Table struct {
 	cfg     Config
@@ -324,69 +321,3 @@
 	}
 	return best
 }
-
-// End takes the result of an online request. ejected is true when the target
-// was taken out by it, readmitted when it was let back in.
-func (t *Table) End(now time.Time, id string, outcome Outcome) (ejected, readmitted bool) {
-	e := t.entries[id]
-	if e == nil {
-		return false, false
-	}
-	e.online = max(0, e.online-1)
-	return t.Judge(now, id, outcome)
-}
-
-// Judge counts an outcome for or against a target.
-func (t *Table) Judge(now time.Time, id string, outcome Outcome) (ejected, readmitted bool) {
-	e := t.entries[id]
-	if e == nil {
-		return false, false
-	}
-	wasTrial := e.trial
-	e.trial = false
-	switch outcome {
-	case Success:
-		readmitted = !e.ejectedUntil.IsZero()
-		e.failures, e.ejections, e.ejectedUntil = 0, 0, time.Time{}
-	case Failure:
-		if now.Before(e.ejectedUntil) && !wasTrial {
-			return false, false // sent before it was taken out; the same trouble
-		}
-		e.failures++
-		if e.failures >= t.cfg.EjectAfter || wasTrial {
-			ejected = true
-			e.ejectedUntil = now.Add(t.cfg.EjectTime << min(e.ejections, maxEjectDoublings))
-			e.ejections++
-		}
-	}
-	return ejected, readmitted
-}
-
-// Status describes a target for operators and duties.
-type Status struct {
-	Target
-	Load    Load
-	Known   bool
-	Online  int // own
-	Leaving bool
-	Why     string // why it gets no requests; empty: it gets them
-}
-
-// List returns all targets sorted by ID.
-func (t *Table) List(now time.Time) []Status {
-	var out []Status
-	for _, id := range t.order {
-		e := t.entries[id]
-		out = append(out, Status{e.Target, e.load, e.known, e.online, e.leaving, e.why(now, "")})
-	}
-	return out
-}
-
-// Get returns the status of one target.
-func (t *Table) Get(now time.Time, id string) (Status, bool) {
-	e := t.entries[id]
-	if e == nil {
-		return Status{}, false
-	}
-	return Status{e.Target, e.load, e.known, e.online, e.leaving, e.why(now, "")}, true
-}
--- /dev/null
+++ b/internal/request/choose/status.go
@@ -0,0 +1,32 @@
+package choose
+
+import "time"
+
+// Status describes a target for operators and duties.
+type Status struct {
+	Target
+	Load    Load
+	Known   bool
+	Online  int // own
+	Leaving bool
+	Why     string // why it gets no requests; empty: it gets them
+}
+
+// List returns all targets sorted by ID.
+func (t *Table) List(now time.Time) []Status {
+	var out []Status
+	for _, id := range t.order {
+		e := t.entries[id]
+		out = append(out, Status{e.Target, e.load, e.known, e.online, e.leaving, e.why(now, "")})
+	}
+	return out
+}
+
+// Get returns the status of one target.
+func (t *Table) Get(now time.Time, id string) (Status, bool) {
+	e := t.entries[id]
+	if e == nil {
+		return Status{}, false
+	}
+	return Status{e.Target, e.load, e.known, e.online, e.leaving, e.why(now, "")}, true
+}
--- a/internal/request/job/manager.go
+++ b/internal/request/job/manager.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -271,54 +270,3 @@
 	})
 	return jobs
 }
-
-const (
-	// drainFor is how long a leaving node lets items run on before it hands its
-	// jobs over; an item takes about a second.
-	drainFor = 2 * time.Second
-	// drainPoll is the time between looks at what is still running.
-	drainPoll = 20 * time.Millisecond
-)
-
-// Drain lets running items end for a short time, commits what is finished and
-// hands the jobs to other nodes.
-func (m *Manager) Drain(ctx context.Context) {
-	m.mu.Lock()
-	m.draining = true
-	m.mu.Unlock()
-	until := time.Now().Add(drainFor)
-	for time.Now().Before(until) && !m.settled() && ctx.Err() == nil {
-		time.Sleep(drainPoll)
-	}
-	m.mu.Lock()
-	jobs := m.byDue()
-	for _, h := range jobs {
-		for _, stop := range h.stops {
-			stop(errReleased)
-		}
-		h.signal()
-	}
-	m.mu.Unlock()
-	m.saveCheckpoints(ctx)
-	m.handOver(ctx, jobs)
-}
-
-// settled reports whether no item runs.
-func (m *Manager) settled() bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for _, h := range m.held {
-		if !h.progress.idle() {
-			return false
-		}
-	}
-	return true
-}
-
-// String describes a holder for the log.
-func (h Holder) String() string {
-	if h == (Holder{}) {
-		return "nobody"
-	}
-	return fmt.Sprintf("%s boot %d", h.Node, h.Boot)
-}
--- a/internal/request/job/peer.go
+++ b/internal/request/job/peer.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
-	"sync"
 	"time"
 
 	v1 "github.com/marblepond/marblepond/api/marblepond/v1"
@@ -90,69 +88,3 @@
 		}
 	}()
 }
-
-// handOver gives the jobs up in the store and asks another node to hold them.
-func (m *Manager) handOver(ctx context.Context, jobs []*held) {
-	var given []string
-	for _, h := range jobs {
-		if m.giveUp(ctx, h) {
-			given = append(given, h.id)
-		}
-	}
-	holders := m.Peers.Holders()
-	rand.Shuffle(len(holders), func(i, j int) { holders[i], holders[j] = holders[j], holders[i] })
-	var wg sync.WaitGroup
-	for i, address := range holders {
-		var part []string // every len(holders)-th job
-		for k := i; k < len(given); k += len(holders) {
-			part = append(part, given[k])
-		}
-		if len(part) > 0 {
-			wg.Go(func() { m.askToAdopt(ctx, address, part) })
-		}
-	}
-	wg.Wait()
-}
-
-// askToAdopt asks a node to hold jobs. When it does not answer, the next sweep
-// of any node finds them.
-func (m *Manager) askToAdopt(ctx context.Context, address string, jobs []string) {
-	ctx, cancel := context.WithTimeout(ctx, noticeTimeout)
-	defer cancel()
-	if _, err := m.Peers.Job(address).Adopt(ctx, &v1.AdoptRequest{Jobs: jobs}); err != nil {
-		for _, id := range jobs {
-			m.Recorder.Record(timeline.JobReleased, id, address, "the node asked to hold the job did not answer: "+err.Error())
-		}
-	}
-}
-
-// giveUp commits what is finished and writes a head without a holder.
-func (m *Manager) giveUp(ctx context.Context, h *held) bool {
-	h.writing.Lock()
-	defer h.writing.Unlock()
-	m.mu.Lock()
-	pending := len(h.progress.pending) > 0
-	released := h.released
-	m.mu.Unlock()
-	if released {
-		return false
-	}
-	if pending && !m.commit(h) {
-		return false
-	}
-	m.mu.Lock()
-	if h.released {
-		m.mu.Unlock()
-		return false
-	}
-	head, revision := h.head, h.revision
-	head.Failed, head.Keeper = h.progress.failures(), h.checkpoint.keeper
-	m.release(h, "this node leaves")
-	m.mu.Unlock()
-	if head.Complete() {
-		return false
-	}
-	head.Holder = Holder{}
-	_, err := m.updateHead(ctx, h.id, &head, revision)
-	return err == nil
-}
--- a/internal/request/job/record.go
+++ b/internal/request/job/record.go
@@ -37,6 +37,14 @@
 	Address string // IP:port of the node's services for other nodes
 }
 
+// String describes a holder for the log.
+func (h Holder) String() string {
+	if h == (Holder{}) {
+		return "nobody"
+	}
+	return fmt.Sprintf("%s boot %d", h.Node, h.Boot)
+}
+
 // Head is the state of a job that every decision about it depends on.
 type Head struct {
 	Host      string // of the submission
--- a/scripts/check-mutants.sh
+++ b/scripts/check-mutants.sh
@@ -39,7 +39,7 @@
 mutant 1 internal/request/job/write.go 's/KindHeads, id, revision, value/KindHeads, id, 0*revision, value/' internal/request/job TestFormerHolderIsFenced
 mutant 3 internal/request/job/share.go 's/room \* claim \/ total/room * claim \/ max(1, total-claim)/' internal/request/job TestDealNeverExceedsTheRoom
 mutant 3 internal/request/choose/room.go 's/over := keep - e\.freeAt\(now\)/over := -100/' lab/hosted TestOnlineGoesFirst
-mutant 8 internal/request/job/manager.go 's/m\.handOver\(ctx, jobs\)//' lab/hosted TestLeavingNodeHandsOver
+mutant 8 internal/request/job/handover.go 's/m\.handOver\(ctx, jobs\)//' lab/hosted TestLeavingNodeHandsOver
 mutant 9 internal/version/follow/cache.go 's/old\.Revision > o\.Revision \|\|/old.Revision > o.Revision+9 ||/' internal/version/follow TestOrderOfDeliveryDoesNotMatter
 mutant 9 internal/version/follow/refresh.go 's/objects\.ErrHistoryGone\)/objects.ErrNotFound)/' internal/version/follow TestLostHistoryIsListedAgain
 mutant 7 internal/version/discovery/discovery.go 's/if r\.Draining \{\n\t\tp\.table\.Leave/if r.Draining \&\& r.Slots == 0 {\n\t\tp.table.Leave/' lab/hosted TestDrainingTarget
