Keep each checkpoint at two nodes

Change: two keepers, one in the data centre of the holder and one elsewhere; the head names both, and the farthest text counts. A present keeper stays until it fails, so that the head is not written again for each missed datagram.

Test: TestOneOfTwoKeepersSuffices.

--- a/internal/process/hosted/peers.go
+++ b/internal/process/hosted/peers.go
@@ -214,35 +214,53 @@
 	return n.peers.saves.at(address)
 }
 
-// Keeper implements job.Peers. Nodes that serve no callers come first: they have
-// a disk, and a start of the whole deployment finds the checkpoints there. Those
-// of this data centre come before those of others. Without any, another node of
-// the data centre serves: that covers the loss of one node.
-func (n *Node) Keeper(job, present string, usable func(address string) bool) string {
+// keepersOfJob is how many nodes keep a job's checkpoint: one in the data centre
+// of its holder, which is near, and one elsewhere, for the loss of a disk or of
+// the data centre.
+const keepersOfJob = 2
+
+// Keepers implements job.Peers. Nodes that serve no callers come first: they have
+// a disk, and a start of the whole deployment finds the checkpoints there. Without
+// one in this data centre or another, other nodes of this one serve: that covers
+// the loss of one node.
+func (n *Node) Keepers(job string, present []string, usable func(address string) bool) []string {
 	nodes := n.registered()
 	near := n.beacon.HeardNear()
 	centres := n.beacon.HeardDataCentres()
-	var disk, far, memory []string
+	var disk, far, memory []string // names, by preference
 	for name, r := range nodes {
-		heard := slices.Contains(near, name)
+		// A present keeper stays until it fails: each change is written to the head.
+		kept := slices.Contains(present, r.Address)
+		here := r.DataCentre == n.settings.DataCentre
 		switch {
 		case name == n.settings.NodeID || !usable(r.Address):
-		case heard && r.Address == present:
-			return present
-		case heard && !r.Callers:
+		case here && !kept && !slices.Contains(near, name):
+		case here && !r.Callers:
 			disk = append(disk, name)
-		case heard:
+		case here:
 			memory = append(memory, name)
-		case !r.Callers && slices.Contains(centres, r.DataCentre):
+		case !r.Callers && (kept || slices.Contains(centres, r.DataCentre)):
 			far = append(far, name)
 		}
 	}
+	var out []string
 	for _, names := range [][]string{disk, far, memory} {
-		if len(names) > 0 {
-			return nodes[rendezvous.First(job, names)].Address
+		if len(names) > 0 && len(out) < keepersOfJob {
+			out = append(out, keeperOf(job, names, nodes, present))
+		}
+	}
+	return out
+}
+
+// keeperOf returns the address of one of the nodes named: the present keeper
+// among them, or the first in an order of the job's own.
+func keeperOf(job string, names []string, nodes map[string]nodeRecord, present []string) string {
+	for _, name := range names {
+		if slices.Contains(present, nodes[name].Address) {
+			return nodes[name].Address
 		}
 	}
-	return ""
+	return nodes[rendezvous.First(job, names)].Address
 }
 
 // registerPause is the time between attempts to register.
--- a/internal/request/job/checkpoint.go
+++ b/internal/request/job/checkpoint.go
@@ -34,11 +34,38 @@
 	whole bool
 }
 
-// savedJob is what the holder knows of its job's checkpoint.
+// savedJob is what one keeper has of a job.
 type savedJob struct {
-	keeper string // address of the node that keeps it, "" when there is none
-	items  map[int]savedItem
-	open   int // items without a listed result when it was last saved
+	items map[int]savedItem
+	open  int // items without a listed result when it was last saved
+}
+
+// checkpoints are what the keepers of a held job have.
+type checkpoints struct {
+	keepers []string // addresses, the first to be asked first
+	saved   map[string]*savedJob
+}
+
+// keep sets the keepers; what others had is forgotten here.
+func (c *checkpoints) keep(keepers []string) {
+	saved := make(map[string]*savedJob, len(keepers))
+	for _, keeper := range keepers {
+		saved[keeper] = c.saved[keeper]
+		if saved[keeper] == nil {
+			saved[keeper] = &savedJob{}
+		}
+	}
+	c.keepers, c.saved = keepers, saved
+}
+
+// any reports whether a keeper has text of the job.
+func (c *checkpoints) any() bool {
+	for _, saved := range c.saved {
+		if len(saved.items) > 0 {
+			return true
+		}
+	}
+	return false
 }
 
 // saveLoop saves checkpoints until ctx ends.
@@ -58,7 +85,7 @@
 	}
 }
 
-// saveCheckpoints sends what is new of each held job to its keeper.
+// saveCheckpoints sends what is new of each held job to its keepers.
 func (m *Manager) saveCheckpoints(ctx context.Context) {
 	m.saving.Lock()
 	defer m.saving.Unlock()
@@ -84,25 +111,24 @@
 		if h.ended {
 			continue
 		}
-		if keeper := m.Peers.Keeper(id, h.checkpoint.keeper, m.keeperUsable); keeper != h.checkpoint.keeper {
-			h.checkpoint = savedJob{keeper: keeper}
-		}
-		if part := h.unsaved(); part != nil {
-			req := at(h.checkpoint.keeper)
-			req.Jobs = append(req.Jobs, part)
+		h.checkpoints.keep(m.Peers.Keepers(id, h.checkpoints.keepers, m.keeperUsable))
+		for keeper, saved := range h.checkpoints.saved {
+			if part := h.unsaved(saved); part != nil {
+				req := at(keeper)
+				req.Jobs = append(req.Jobs, part)
+			}
 		}
 	}
 	for keeper, jobs := range m.forget {
 		at(keeper).Forget = jobs
 	}
 	clear(m.forget)
-	delete(out, "") // nobody keeps checkpoints
 	return out
 }
 
-// unsaved returns what the job's keeper lacks, nil when it lacks nothing. The
-// caller holds m.mu.
-func (h *held) unsaved() *v1.JobCheckpoint {
+// unsaved returns what a keeper lacks, nil when it lacks nothing. The caller
+// holds m.mu.
+func (h *held) unsaved(kept *savedJob) *v1.JobCheckpoint {
 	part := &v1.JobCheckpoint{Job: h.id, Epoch: uint32(h.head.Epoch)}
 	for i := range h.progress.items {
 		s := &h.progress.items[i]
@@ -110,14 +136,14 @@
 			continue
 		}
 		part.Open = append(part.Open, uint32(i))
-		saved := h.checkpoint.items[i]
+		saved := kept.items[i]
 		whole := s.phase == finished && !s.dead
 		if len(s.text) > saved.bytes || whole != saved.whole {
 			part.Items = append(part.Items, &v1.ItemCheckpoint{Item: uint32(i), Offset: uint32(saved.bytes),
 				Text: append([]byte(nil), s.text[saved.bytes:]...), Held: s.held, Whole: whole})
 		}
 	}
-	if len(part.Items) == 0 && len(part.Open) == h.checkpoint.open {
+	if len(part.Items) == 0 && len(part.Open) == kept.open {
 		return nil
 	}
 	return part
@@ -136,13 +162,13 @@
 	}
 	delete(m.keepers, keeper)
 	for _, part := range req.Jobs {
-		if h := m.held[part.Job]; h != nil && h.checkpoint.keeper == keeper {
-			h.checkpoint.took(part)
+		if h := m.held[part.Job]; h != nil && h.checkpoints.saved[keeper] != nil {
+			h.checkpoints.saved[keeper].took(part)
 		}
 	}
 	for _, id := range resp.Lacking {
-		if h := m.held[id]; h != nil && h.checkpoint.keeper == keeper {
-			h.checkpoint = savedJob{keeper: keeper} // it has lost what it had
+		if h := m.held[id]; h != nil && h.checkpoints.saved[keeper] != nil {
+			h.checkpoints.saved[keeper] = &savedJob{} // it has lost what it had
 		}
 	}
 }
@@ -166,11 +192,11 @@
 	m.keepers[keeper] = state
 }
 
-// chooseKeeper returns the keeper of a job that this node is about to hold.
-func (m *Manager) chooseKeeper(id, present string) string {
+// chooseKeepers returns the keepers of a job that this node is about to hold.
+func (m *Manager) chooseKeepers(id string, present []string) []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.Peers.Keeper(id, present, m.keeperUsable)
+	return m.Peers.Keepers(id, present, m.keeperUsable)
 }
 
 func (c *savedJob) took(part *v1.JobCheckpoint) {
@@ -183,40 +209,48 @@
 	c.open = len(part.Open)
 }
 
-// loadCheckpoint asks the keeper of a lost job how far its items had come. It
-// returns nil when that is not known.
-func (m *Manager) loadCheckpoint(ctx context.Context, id string, head *Head) *v1.JobCheckpoint {
-	if head.Keeper == "" {
-		return nil
-	}
+// loadCheckpoints asks the keepers of a lost job how far its items had come. Each
+// may know less than another, or not answer.
+func (m *Manager) loadCheckpoints(ctx context.Context, id string, head *Head) []*v1.JobCheckpoint {
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
-	resp, err := m.Peers.Checkpoints(head.Keeper).Load(ctx, &v1.LoadCheckpointRequest{Job: id})
-	if err != nil {
-		m.Recorder.Record(timeline.CheckpointLost, id, head.Keeper, "its keeper does not answer: "+err.Error())
-		return nil
+	found := make([]*v1.JobCheckpoint, len(head.Keepers))
+	var wg sync.WaitGroup
+	for i, keeper := range head.Keepers {
+		wg.Go(func() {
+			resp, err := m.Peers.Checkpoints(keeper).Load(ctx, &v1.LoadCheckpointRequest{Job: id})
+			if err != nil {
+				m.Recorder.Record(timeline.CheckpointLost, id, keeper, "its keeper does not answer: "+err.Error())
+				return
+			}
+			found[i] = resp.Checkpoint
+		})
 	}
-	return resp.Checkpoint
+	wg.Wait()
+	return found
 }
 
-// restore lets the items of a job go on from a checkpoint. The caller holds m.mu.
-func (m *Manager) restore(h *held, from *v1.JobCheckpoint) {
-	if from == nil {
-		return
-	}
+// restore lets the items of a job go on from the farthest of some checkpoints. The
+// caller holds m.mu.
+func (m *Manager) restore(h *held, from []*v1.JobCheckpoint) {
 	now := time.Now()
-	items, whole := 0, 0
-	for _, item := range from.Items {
-		i := int(item.Item)
-		if i >= len(h.items) || !h.progress.restore(i, item.Held, item.Text) {
-			continue
-		}
-		items++
-		if item.Whole {
-			whole++
-			h.progress.finish(i, Result{Item: h.items[i].ID, Text: string(item.Text)}, now)
+	restored := map[int]bool{}
+	whole := 0
+	for _, checkpoint := range from {
+		for _, item := range checkpoint.GetItems() {
+			i := int(item.Item)
+			if i >= len(h.items) || !h.progress.restore(i, item.Held, item.Text) {
+				continue
+			}
+			restored[i] = true
+			if item.Whole {
+				whole++
+				h.progress.finish(i, Result{Item: h.items[i].ID, Text: string(item.Text)}, now)
+			}
 		}
 	}
-	m.Recorder.Record(timeline.CheckpointRestored, h.id, "", "", timeline.Field{Name: "items", Value: items},
-		timeline.Field{Name: "whole", Value: whole}, timeline.Field{Name: "epoch", Value: from.Epoch})
+	if len(from) > 0 {
+		m.Recorder.Record(timeline.CheckpointRestored, h.id, "", "", timeline.Field{Name: "items", Value: len(restored)},
+			timeline.Field{Name: "whole", Value: whole}, timeline.Field{Name: "keepers", Value: len(from)})
+	}
 }
--- a/internal/request/job/checkpoint_test.go
+++ b/internal/request/job/checkpoint_test.go
@@ -21,7 +21,7 @@
 	return keeperPeers{store: checkpoint.NewStore(checkpoint.Limits{Bytes: 1 << 20, Keep: time.Hour}, time.Now)}
 }
 
-func (keeperPeers) Keeper(string, string, func(string) bool) string { return "keeper" }
+func (keeperPeers) Keepers(string, []string, func(string) bool) []string { return []string{"keeper"} }
 func (p keeperPeers) Checkpoints(string) marblepondv1connect.CheckpointServiceClient {
 	if p.store == nil {
 		return marblepondv1connect.UnimplementedCheckpointServiceHandler{}
@@ -95,6 +95,38 @@
 	is.Equal(string(kept.Items[0].Text), text)
 }
 
+// twoKeepers know two nodes that keep checkpoints; the first has lost its disk.
+type twoKeepers struct {
+	keeperPeers
+	lost *bool
+}
+
+func (twoKeepers) Keepers(string, []string, func(string) bool) []string {
+	return []string{"first", "second"}
+}
+
+func (p twoKeepers) Checkpoints(address string) marblepondv1connect.CheckpointServiceClient {
+	if address == "first" && *p.lost {
+		return checkpoint.Service{Store: checkpoint.NewStore(checkpoint.Limits{}, time.Now)}
+	}
+	return p.keeperPeers.Checkpoints(address)
+}
+
+// One keeper of two may lose what it had.
+func TestOneOfTwoKeepersSuffices(t *testing.T) {
+	is := is.New(t)
+	store, lost := newMemoryStore(), false
+	peers := twoKeepers{newKeeperPeers(), &lost}
+	first, second := newTestManager("n1", store), newTestManager("n2", store)
+	first.Peers, second.Peers = peers, peers
+	is.NoErr(first.Submit(context.Background(), submission("j")))
+	text := runUntil(first, "j", 0, 5)
+	first.saveCheckpoints(context.Background())
+	lost = true
+	second.adopt(context.Background(), "j", first.cfg.Self)
+	is.Equal(string(itemAt(second, "j", 0).text), text)
+}
+
 // Without an answer of the keeper items run from their start, and nothing waits.
 func TestTakeOverWithoutTheCheckpoint(t *testing.T) {
 	is := is.New(t)
--- a/internal/request/job/commit.go
+++ b/internal/request/job/commit.go
@@ -53,7 +53,7 @@
 	m.mu.Lock()
 	m.giveUpExpired(h)
 	stop := h.released
-	due := !stop && (h.progress.due(time.Now(), m.delay(h)) || (m.draining && len(h.progress.pending) > 0) || h.keeperChanged())
+	due := !stop && (h.progress.due(time.Now(), m.delay(h)) || (m.draining && len(h.progress.pending) > 0) || h.keepersChanged())
 	m.mu.Unlock()
 	if stop || (due && !m.commit(h)) {
 		return true
@@ -61,11 +61,11 @@
 	return m.finishIfWhole(h)
 }
 
-// keeperChanged reports whether the head names another keeper than the one that
-// has the checkpoint: a node that takes the job over would not find it. The
+// keepersChanged reports whether the head names other keepers than those that
+// have the checkpoint: a node that takes the job over would not find it. The
 // caller holds m.mu.
-func (h *held) keeperChanged() bool {
-	return len(h.checkpoint.items) > 0 && h.checkpoint.keeper != h.head.Keeper
+func (h *held) keepersChanged() bool {
+	return h.checkpoints.any() && !slices.Equal(h.checkpoints.keepers, h.head.Keepers)
 }
 
 // delay returns how long a result of the job may wait for others. The caller
@@ -124,7 +124,7 @@
 	batch := slices.Clone(h.progress.pending)
 	head := h.head
 	head.Segments = slices.Clone(h.head.Segments)
-	head.Failed, head.Keeper = h.progress.failures(), h.checkpoint.keeper
+	head.Failed, head.Keepers = h.progress.failures(), h.checkpoints.keepers
 	revision := h.revision
 	m.mu.Unlock()
 
@@ -237,8 +237,8 @@
 	if !done || h.released {
 		return h.released
 	}
-	if h.checkpoint.items != nil {
-		m.forget[h.checkpoint.keeper] = append(m.forget[h.checkpoint.keeper], h.id)
+	for keeper := range h.checkpoints.saved {
+		m.forget[keeper] = append(m.forget[keeper], h.id)
 	}
 	head := h.head
 	head.Inline = nil
--- a/internal/request/job/handover.go
+++ b/internal/request/job/handover.go
@@ -108,7 +108,7 @@
 		return false
 	}
 	head, revision := h.head, h.revision
-	head.Failed, head.Keeper = h.progress.failures(), h.checkpoint.keeper
+	head.Failed, head.Keepers = h.progress.failures(), h.checkpoints.keepers
 	m.release(h, "this node leaves")
 	m.mu.Unlock()
 	if head.Complete() {
--- a/internal/request/job/manager.go
+++ b/internal/request/job/manager.go
@@ -43,12 +43,11 @@
 	// AdoptRank returns the place of this node in the order of those that may
 	// take a job over, 0 for the first.
 	AdoptRank(job string) int
-	// Checkpoints reaches the checkpoint service of another node, and Keeper
-	// returns the address of the node that is to keep a job's checkpoint, among
-	// those that are usable: the present one while it is there, "" when there is
-	// none.
+	// Checkpoints reaches the checkpoint service of another node, and Keepers
+	// returns the addresses of the nodes that are to keep a job's checkpoint, among
+	// those that are usable: the present ones while they are there.
 	Checkpoints(address string) marblepondv1connect.CheckpointServiceClient
-	Keeper(job, present string, usable func(address string) bool) string
+	Keepers(job string, present []string, usable func(address string) bool) []string
 }
 
 // Config of a manager.
@@ -119,21 +118,21 @@
 
 // held is a job that this node holds.
 type held struct {
-	id         string
-	head       Head
-	revision   int64
-	items      []Item
-	progress   *progress
-	writing    sync.Mutex // held during a commit: one at a time changes the head
-	sequence   int        // segments written by this holder
-	since      time.Time  // when this node came to hold it
-	verified   time.Time  // when the store was last asked because another node says it holds it
-	ended      bool
-	released   bool            // this node no longer holds it
-	checkpoint savedJob        // what the keeper of the checkpoint has
-	stops      map[int]stopRun // running items
-	wake       chan struct{}   // the committer looks at once
-	changed    chan struct{}   // closed when results were listed
+	id          string
+	head        Head
+	revision    int64
+	items       []Item
+	progress    *progress
+	writing     sync.Mutex // held during a commit: one at a time changes the head
+	sequence    int        // segments written by this holder
+	since       time.Time  // when this node came to hold it
+	verified    time.Time  // when the store was last asked because another node says it holds it
+	ended       bool
+	released    bool // this node no longer holds it
+	checkpoints checkpoints
+	stops       map[int]stopRun // running items
+	wake        chan struct{}   // the committer looks at once
+	changed     chan struct{}   // closed when results were listed
 }
 
 // stopRun ends the attempt at an item for a reason.
@@ -162,10 +161,11 @@
 }
 
 // hold starts to work on a job whose head names this node. from is how far its
-// items came under an earlier holder, nil when that is not known.
-func (m *Manager) hold(id string, head Head, revision int64, items []Item, from *v1.JobCheckpoint, why string) {
+// items came under an earlier holder, as far as that is known.
+func (m *Manager) hold(id string, head Head, revision int64, items []Item, from []*v1.JobCheckpoint, why string) {
 	h := &held{id: id, since: time.Now(), head: head, revision: revision, items: items, progress: newProgress(&head),
-		stops: map[int]stopRun{}, wake: make(chan struct{}, 1), changed: make(chan struct{}), checkpoint: savedJob{keeper: head.Keeper}}
+		stops: map[int]stopRun{}, wake: make(chan struct{}, 1), changed: make(chan struct{})}
+	h.checkpoints.keep(head.Keepers)
 	m.mu.Lock()
 	if m.held[id] != nil {
 		m.mu.Unlock()
--- a/internal/request/job/manager_test.go
+++ b/internal/request/job/manager_test.go
@@ -102,10 +102,10 @@
 func (noPeers) Job(string) marblepondv1connect.JobServiceClient {
 	return marblepondv1connect.UnimplementedJobServiceHandler{}
 }
-func (noPeers) Holders() []string                               { return nil }
-func (noPeers) Locator(string) string                           { return "" }
-func (noPeers) AdoptRank(string) int                            { return 0 }
-func (noPeers) Keeper(string, string, func(string) bool) string { return "" }
+func (noPeers) Holders() []string                                    { return nil }
+func (noPeers) Locator(string) string                                { return "" }
+func (noPeers) AdoptRank(string) int                                 { return 0 }
+func (noPeers) Keepers(string, []string, func(string) bool) []string { return nil }
 func (noPeers) Checkpoints(string) marblepondv1connect.CheckpointServiceClient {
 	return marblepondv1connect.UnimplementedCheckpointServiceHandler{}
 }
--- a/internal/request/job/record.go
+++ b/internal/request/job/record.go
@@ -59,7 +59,7 @@
 	Epoch    int         // counts holders
 	Segments []Segment   // in the order of their positions
 	Failed   map[int]int `json:",omitempty"` // answers of failure by item index, where any
-	Keeper   string      `json:",omitempty"` // IP:port of the node that keeps the checkpoint
+	Keepers  []string    `json:",omitempty"` // IP:port of the nodes that keep checkpoints
 	Writer   string      // token of the last write, to recognise it after a lost answer
 }
 
--- a/internal/request/job/submit.go
+++ b/internal/request/job/submit.go
@@ -158,7 +158,7 @@
 
 // writeHead makes the job accepted.
 func (m *Manager) writeHead(ctx context.Context, s *Submission, head *Head) error {
-	head.Holder, head.Keeper, head.Writer = m.cfg.Self, m.chooseKeeper(s.ID, ""), newToken()
+	head.Holder, head.Keepers, head.Writer = m.cfg.Self, m.chooseKeepers(s.ID, nil), newToken()
 	o, existed, err := m.create(ctx, KindHeads, s.ID, encode(head))
 	switch {
 	case errors.Is(err, errMaybe):
--- a/internal/request/job/sweep.go
+++ b/internal/request/job/sweep.go
@@ -201,10 +201,10 @@
 		m.Recorder.Record(timeline.ObjectRejected, id, KindItems, "items are missing")
 		return
 	}
-	came := m.loadCheckpoint(ctx, id, &head)
+	came := m.loadCheckpoints(ctx, id, &head)
 	head.Holder = m.cfg.Self
 	head.Epoch++
-	head.Keeper = m.chooseKeeper(id, head.Keeper)
+	head.Keepers = m.chooseKeepers(id, head.Keepers)
 	revision, err := m.updateHead(ctx, id, &head, o.Revision)
 	if err != nil {
 		return // another node was first, or the next sweep finds this node's write
--- a/lab/hosted/jobs_test.go
+++ b/lab/hosted/jobs_test.go
@@ -233,7 +233,7 @@
 	is.NoErr(err)
 	is.NoErr(f.waitReady(keeper))
 	edge := f.Nodes[0]
-	eventually(t, "the nodes hear each other", 5*time.Second, func() bool { return edge.Keeper("g2", "", func(string) bool { return true }) != "" })
+	eventually(t, "the nodes hear each other", 5*time.Second, func() bool { return len(edge.Keepers("g2", nil, func(string) bool { return true })) > 0 })
 	is.Equal(Submit(edge.Caller(), "g2", Items("g2", 6)).Status, http.StatusAccepted)
 	eventually(t, "items run", 5*time.Second, func() bool { return f.Runners[0].Busy() >= 6 })
 	time.Sleep(1500 * time.Millisecond) // at least one checkpoint and one write to the disk
