--- a/internal/process/hosted/following.go
+++ b/internal/process/hosted/following.go
@@ -13,9 +13,10 @@
 
 const (
 	// refreshShare is the share of the time in which a change has to be in force
-	// after which a copy is refreshed. The rest is for the nodes that are asked
-	// first and do not answer (they delay the next by a quarter second each), the answer of a slow store, and
-	// the half second in which it reaches every node.
+	// after which a copy is refreshed. The rest is for nodes that are to ask first
+	// and do not (each delays the next by a quarter second at the most), for the
+	// answer of a slow store, and for the half second in which it reaches every
+	// node.
 	refreshShare = 0.35
 	// freshShare is the share of that time for which a copy of the configuration
 	// lets the node deny that a route exists.
--- a/internal/process/timeline/catalogue.go
+++ b/internal/process/timeline/catalogue.go
@@ -154,7 +154,7 @@
 	StoreLost:          {"store_lost", log.WarnLevel, "the object store does not answer this node"},
 	StoreRegained:      {"store_regained", log.InfoLevel, "the object store answers this node again"},
 	CallRelayed:        {"call_relayed", log.InfoLevel, "a call to the object store, which does not answer this node, was made by another node"},
-	SnapshotFailed:     {"snapshot_failed", log.WarnLevel, "the copy on the disk of what the object store holds could not be read or written"},
+	SnapshotFailed:     {"snapshot_failed", log.WarnLevel, "a copy on the disk, of what the object store holds or of checkpoints, could not be read or written"},
 	CopyNotRefreshed:   {"copy_not_refreshed", log.InfoLevel, "the object store did not answer a question about a kind of objects; it is asked again"},
 	ObjectRejected:     {"object_rejected", log.WarnLevel, "an object in the store could not be decoded and is not used"},
 	InvariantViolated:  {"invariant_violated", log.ErrorLevel, "something that must always hold does not; the cause is the evidence"},
