Look for the jobs of a node that is heard no more at once

Ruled out: a shorter time until the take-over; cuts between data centres last about five seconds, and items would run twice.

Test: TestLostHolderIsNoticedAtOnce, which fails without it (12 s without a result); TestOneNodeSpeaksForItsDataCentre sees the notice.

--- a/internal/connection/beacon/beacon.go
+++ b/internal/connection/beacon/beacon.go
@@ -98,8 +98,10 @@
 	// Peers returns where other nodes listen: those of the own data centre, and
 	// the others.
 	Peers func() (near, far []string)
-	// Behind is told that a node knows more than this one. It must not block.
+	// Behind is told that a node knows more than this one, and Silent that a node
+	// of the own data centre is heard no more. They must not block.
 	Behind func(node string)
+	Silent func(node string)
 }
 
 // Exchange sends and takes the datagrams of one node.
@@ -299,6 +301,7 @@
 	nodes, centres := x.silent()
 	for _, node := range nodes {
 		x.Loads.SetNode(node, nil)
+		x.Silent(node)
 	}
 	for _, name := range centres {
 		x.Loads.SetDataCentre(name, nil)
--- a/internal/connection/beacon/beacon_test.go
+++ b/internal/connection/beacon/beacon_test.go
@@ -22,6 +22,13 @@
 	centres map[string]map[string]choose.InFlight
 	claims  map[string]Batch // by node or data centre
 	health  *objects.Health
+	gone    []string // nodes that fell silent
+}
+
+func (w *words) silent(node string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.gone = append(w.gone, node)
 }
 
 func newWords(own map[string]choose.InFlight) *words {
@@ -98,7 +105,7 @@
 		is.NoErr(err)
 		running, stop := context.WithCancel(ctx)
 		x := New(Options{Node: node, DataCentre: centre, Boot: 1, Loads: w, Copies: noCopies{}, Batch: w, Store: w.health,
-			Peers: func() ([]string, []string) { return near, far }, Behind: func(string) {}})
+			Peers: func() ([]string, []string) { return near, far }, Behind: func(string) {}, Silent: w.silent})
 		go x.Run(running, conn)
 		return conn.LocalAddr().String(), stop
 	}
@@ -121,6 +128,9 @@
 	b.mu.Unlock()
 	stop2()
 	eventually(t, func() bool { return a1.said("a2") == nil })
+	a1.mu.Lock()
+	is.Equal(a1.gone, []string{"a2"})
+	a1.mu.Unlock()
 	stop1()
 	eventually(t, func() bool { return b.said("a") == nil })
 }
--- a/internal/process/hosted/hosted.go
+++ b/internal/process/hosted/hosted.go
@@ -125,7 +125,7 @@
 		Waiting: n.loads.Waiting, Ended: n.ended, Shares: n.batch.shares, Recorder: n.recorder, Checker: n.checker, Metrics: n.metrics})
 	n.checkpoints = checkpoint.NewStore(checkpoint.Limits{Bytes: s.CheckpointMemory, Keep: s.KeepResults}, time.Now)
 	n.beacon = beacon.New(beacon.Options{Node: s.NodeID, DataCentre: s.DataCentre, Boot: n.boot, Loads: n.pool, Copies: n.cache, Batch: n.batch, Store: adapter.Health,
-		Peers: n.beaconPeers, Behind: n.behind})
+		Peers: n.beaconPeers, Behind: n.behind, Silent: func(string) { n.jobs.LookForLostJobs() }})
 	n.pool.OnLoad(n.loadChanged)
 	n.gossip = &follow.Gossip{Node: s.NodeID, Cache: n.cache, Loads: n.loads, Listener: n, Peers: n.peerAddresses,
 		Client: n.peers.sync.at, Interval: s.GossipInterval, Pulls: follow.NewPulls()}
--- a/internal/request/job/manager.go
+++ b/internal/request/job/manager.go
@@ -100,6 +100,7 @@
 	lookUps     singleflight.Group // of heads, by job
 	headsListed atomic.Bool        // all heads were listed in this life of the process
 	wakeUp      chan struct{}      // the scheduler looks at once
+	sweepSoon   chan struct{}      // the next sweep comes at once
 	stopped     chan struct{}      // closed when Run ends
 	saving      sync.Mutex         // held while checkpoints are sent: keepers get them in order
 
@@ -140,7 +141,7 @@
 
 // NewManager returns a manager; Run starts it.
 func NewManager(cfg Config, parts Parts) *Manager {
-	return &Manager{cfg: cfg, Parts: parts, results: newResultCache(cfg.ResultMemory), wakeUp: make(chan struct{}, 1), stopped: make(chan struct{}),
+	return &Manager{cfg: cfg, Parts: parts, results: newResultCache(cfg.ResultMemory), wakeUp: make(chan struct{}, 1), sweepSoon: make(chan struct{}, 1), stopped: make(chan struct{}),
 		held: map[string]*held{}, reserved: map[string]int64{}, absent: map[string]time.Time{}, orphans: map[string]time.Time{}, heads: map[string]knownHead{},
 		ends: map[string]time.Time{}, forget: map[string][]string{}, keepers: map[string]keeperState{}}
 }
--- a/internal/request/job/sweep.go
+++ b/internal/request/job/sweep.go
@@ -11,7 +11,6 @@
 	"github.com/marblepond/marblepond/internal/connection/callbudget"
 	"github.com/marblepond/marblepond/internal/connection/objects"
 	"github.com/marblepond/marblepond/internal/process/timeline"
-	"github.com/marblepond/marblepond/internal/process/wait"
 )
 
 const (
@@ -42,7 +41,7 @@
 // those whose holder does not answer for long.
 func (m *Manager) sweep(ctx context.Context) {
 	pause := firstSweep
-	for wait.For(ctx, pause*3/4+rand.N(pause/2)) {
+	for m.sweepPause(ctx, pause*3/4+rand.N(pause/2)) {
 		pause = m.cfg.SweepInterval
 		if m.sweepOnce(ctx) {
 			pause = suspectSweep
@@ -50,6 +49,29 @@
 	}
 }
 
+// LookForLostJobs makes the next sweep come at once: a node is heard no more, and
+// the time after which its jobs are taken over counts from the sweep that finds
+// it silent.
+func (m *Manager) LookForLostJobs() {
+	select {
+	case m.sweepSoon <- struct{}{}:
+	default: // asked for already
+	}
+}
+
+// sweepPause waits for the next sweep; false: ctx has ended.
+func (m *Manager) sweepPause(ctx context.Context, pause time.Duration) bool {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+	case <-m.sweepSoon:
+	}
+	return true
+}
+
 // sweepOnce returns whether a holder is suspected.
 func (m *Manager) sweepOnce(ctx context.Context) bool {
 	m.forgetOld()
--- a/lab/hosted/jobs_test.go
+++ b/lab/hosted/jobs_test.go
@@ -194,6 +194,21 @@
 	}
 }
 
+// TestLostHolderIsNoticedAtOnce: that a node is heard no more makes the others of
+// its data centre look for its jobs, long before the next sweep is due.
+func TestLostHolderIsNoticedAtOnce(t *testing.T) {
+	is := is.New(t)
+	f := fleet(t, Options{Nodes: 3, Runners: 2, Slots: 8, Events: 100, Gap: 10 * time.Millisecond,
+		Extra: "[jobs]\ntake_over_after = 700ms\nsweep_interval = 60s\n"})
+	time.Sleep(time.Second) // the first sweeps of the nodes are over
+	is.Equal(Submit(f.Nodes[0].Caller(), "n1", Items("n1", 6)).Status, http.StatusAccepted)
+	eventually(t, "items run", 5*time.Second, func() bool { return f.Runners[0].Busy()+f.Runners[1].Busy() >= 6 })
+	f.Nodes[0].Kill()
+	results, err := ReadAll(f.callers()[1:], "n1", 12*time.Second)
+	is.NoErr(err)
+	f.checkResults(t, "n1", 6, results)
+}
+
 // wentOn returns how many runs of a job's items began after an event.
 func (f *Fleet) wentOn(job string, items int) int {
 	n := 0
