Count the silence of a holder also while the store is away

Change: the six seconds count from when the node was last heard.

Test: TestSilenceCountsWhileTheStoreIsAway, and SilentSince in TestOneNodeSpeaksForItsDataCentre.

--- a/internal/connection/beacon/beacon.go
+++ b/internal/connection/beacon/beacon.go
@@ -13,6 +13,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"sync"
@@ -112,6 +113,7 @@
 
 	mu      sync.Mutex
 	heard   map[string]word
+	gone    map[string]time.Time // nodes that are heard no more: when they last were
 	centres map[string]time.Time // other data centres: when a node of it was last heard
 }
 
@@ -125,7 +127,7 @@
 
 // New returns an exchange; Run starts it.
 func New(o Options) *Exchange {
-	return &Exchange{Options: o, touched: make(chan struct{}, 1), heard: map[string]word{}, centres: map[string]time.Time{}}
+	return &Exchange{Options: o, touched: make(chan struct{}, 1), heard: map[string]word{}, gone: map[string]time.Time{}, centres: map[string]time.Time{}}
 }
 
 // Touch says that something changed; it never blocks.
@@ -262,6 +264,7 @@
 		return false
 	}
 	x.heard[m.Node] = word{m.Boot, m.Sequence, time.Now(), m.DataCentre == x.DataCentre}
+	delete(x.gone, m.Node)
 	if m.DataCentre != x.DataCentre {
 		x.centres[m.DataCentre] = time.Now()
 	}
@@ -295,6 +298,18 @@
 	}
 }
 
+// SilentSince returns when a node that is heard no more was last heard; false: it
+// is heard, or never was.
+func (x *Exchange) SilentSince(node string) (time.Time, bool) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	at, gone := x.gone[node]
+	return at, gone
+}
+
+// goneFor is how long a silent node is remembered: longer than its jobs are held.
+const goneFor = 10 * time.Minute
+
 // forgetSilent drops what silent nodes and data centres said they have in
 // flight.
 func (x *Exchange) forgetSilent() {
@@ -316,11 +331,13 @@
 	for node, w := range x.heard {
 		if time.Since(w.at) > silentAfter {
 			delete(x.heard, node)
+			x.gone[node] = w.at
 			if w.near {
 				nodes = append(nodes, node)
 			}
 		}
 	}
+	maps.DeleteFunc(x.gone, func(_ string, at time.Time) bool { return time.Since(at) > goneFor })
 	for name, at := range x.centres {
 		if time.Since(at) > silentAfter {
 			delete(x.centres, name)
--- a/internal/connection/beacon/beacon_test.go
+++ b/internal/connection/beacon/beacon_test.go
@@ -100,12 +100,14 @@
 	is := is.New(t)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	exchanges := map[string]*Exchange{}
 	start := func(node, centre string, w *words, near, far []string) (address string, stop context.CancelFunc) {
 		conn, err := net.ListenPacket("udp", "127.0.0.1:0")
 		is.NoErr(err)
 		running, stop := context.WithCancel(ctx)
 		x := New(Options{Node: node, DataCentre: centre, Boot: 1, Loads: w, Copies: noCopies{}, Batch: w, Store: w.health,
 			Peers: func() ([]string, []string) { return near, far }, Behind: func(string) {}, Silent: w.silent})
+		exchanges[node] = x
 		go x.Run(running, conn)
 		return conn.LocalAddr().String(), stop
 	}
@@ -130,6 +132,8 @@
 	eventually(t, func() bool { return a1.said("a2") == nil })
 	a1.mu.Lock()
 	is.Equal(a1.gone, []string{"a2"})
+	since, silent := exchanges["a1"].SilentSince("a2")
+	is.True(silent && time.Since(since) >= silentAfter)
 	a1.mu.Unlock()
 	stop1()
 	eventually(t, func() bool { return b.said("a") == nil })
--- a/internal/process/hosted/peers.go
+++ b/internal/process/hosted/peers.go
@@ -214,6 +214,9 @@
 	return n.peers.saves.at(address)
 }
 
+// SilentSince implements job.Peers.
+func (n *Node) SilentSince(node string) (time.Time, bool) { return n.beacon.SilentSince(node) }
+
 // keepersOfJob is how many nodes keep a job's checkpoint: one in the data centre
 // of its holder, which is near, and one elsewhere, for the loss of a disk or of
 // the data centre.
--- a/internal/request/job/manager.go
+++ b/internal/request/job/manager.go
@@ -43,6 +43,9 @@
 	// AdoptRank returns the place of this node in the order of those that may
 	// take a job over, 0 for the first.
 	AdoptRank(job string) int
+	// SilentSince returns when a node that is heard no more was last heard; false:
+	// it is heard, or never was.
+	SilentSince(node string) (time.Time, bool)
 	// Checkpoints reaches the checkpoint service of another node, and Keepers
 	// returns the addresses of the nodes that are to keep a job's checkpoint, among
 	// those that are usable: the present ones while they are there.
--- a/internal/request/job/manager_test.go
+++ b/internal/request/job/manager_test.go
@@ -106,6 +106,7 @@
 func (noPeers) Locator(string) string                                { return "" }
 func (noPeers) AdoptRank(string) int                                 { return 0 }
 func (noPeers) Keepers(string, []string, func(string) bool) []string { return nil }
+func (noPeers) SilentSince(string) (time.Time, bool)                 { return time.Time{}, false }
 func (noPeers) Checkpoints(string) marblepondv1connect.CheckpointServiceClient {
 	return marblepondv1connect.UnimplementedCheckpointServiceHandler{}
 }
@@ -172,3 +173,27 @@
 	m.remove(context.Background(), "old", &head)
 	is.Equal(len(store.objects), 0)
 }
+
+// silentPeers know when the holder was last heard.
+type silentPeers struct {
+	noPeers
+	since time.Time
+}
+
+func (p silentPeers) SilentSince(string) (time.Time, bool) { return p.since, true }
+
+// The time after which a silent holder is taken for lost counts from when it was
+// last heard, also when the store could not be asked for its jobs until now.
+func TestSilenceCountsWhileTheStoreIsAway(t *testing.T) {
+	is := is.New(t)
+	m := newTestManager("n1", newMemoryStore())
+	m.cfg.TakeOverAfter = 6 * time.Second
+	holder := Holder{Node: "lost", Boot: 1, Address: "lost"}
+	m.Peers = silentPeers{since: time.Now().Add(-7 * time.Second)}
+	lost, _ := m.silentHolder(holder, []string{"j"})
+	is.Equal(lost, []string{"j"})
+	m.Peers = silentPeers{since: time.Now().Add(-2 * time.Second)}
+	lost, suspected := m.silentHolder(Holder{Node: "quiet", Boot: 1}, []string{"j"})
+	is.Equal(len(lost), 0)
+	is.True(suspected)
+}
--- a/internal/request/job/sweep.go
+++ b/internal/request/job/sweep.go
@@ -49,9 +49,8 @@
 	}
 }
 
-// LookForLostJobs makes the next sweep come at once: a node is heard no more, and
-// the time after which its jobs are taken over counts from the sweep that finds
-// it silent.
+// LookForLostJobs makes the next sweep come at once, because a node is heard no
+// more.
 func (m *Manager) LookForLostJobs() {
 	select {
 	case m.sweepSoon <- struct{}{}:
@@ -199,6 +198,9 @@
 	since, known := m.absent[holder.String()]
 	if !known {
 		since = time.Now()
+		if at, silent := m.Peers.SilentSince(holder.Node); silent {
+			since = at // before the store could be asked what the node holds
+		}
 		m.absent[holder.String()] = since
 	}
 	if time.Since(since) < m.cfg.TakeOverAfter {
