--- a/internal/request/choose/choose_test.go
+++ b/internal/request/choose/choose_test.go
@@ -134,22 +134,27 @@
 // room, leave its last slot while another has plenty, take whatever is free, then
 // go over the slots up to the overflow, then nowhere.
 func TestHomeFirstThenElsewhere(t *testing.T) {
-	is := is.New(t)
-	now := time.Unix(0, 0)
-	table := slotTable(now)
-	var got string
-	for range 12 {
-		target, ok := table.Choose(now, Need{Service: "s", Overflow: 2})
-		if !ok {
-			break
-		}
-		table.Begin(target.ID)
-		got += target.ID
+	for _, policy := range []Policy{LeastLoad, LeastOfFew} {
+		t.Run(string(policy), func(t *testing.T) {
+			is := is.New(t)
+			now := time.Unix(0, 0)
+			table := slotTable(now)
+			table.cfg.Policy = policy
+			var got string
+			for range 12 {
+				target, ok := table.Choose(now, Need{Service: "s", Overflow: 2})
+				if !ok {
+					break
+				}
+				table.Begin(target.ID)
+				got += target.ID
+			}
+			is.Equal(got[:8], "aaabbabb")
+			is.Equal(len(got), 12) // two more each
+			_, ok := table.Choose(now, Need{Service: "s", Overflow: 2})
+			is.True(!ok)
+		})
 	}
-	is.Equal(got[:8], "aaabbabb")
-	is.Equal(len(got), 12) // two more each
-	_, ok := table.Choose(now, Need{Service: "s", Overflow: 2})
-	is.True(!ok)
 }
 
 // TestOtherDataCentresCount: what other data centres have in flight counts like
--- a/scripts/check-mutants.sh
+++ b/scripts/check-mutants.sh
@@ -54,5 +54,7 @@
 mutant 1 internal/request/checkpoint/checkpoint.go 's/saved\.Epoch < state\.epoch/saved.Epoch+9 < state.epoch/' internal/request/checkpoint TestFormerHolderIsIgnored
 mutant 1 internal/request/job/progress.go 's/s\.phase != waiting \|\| held <= s\.held/held <= s.held/' internal/request/job TestRestoreOnlyAdds
 mutant 1 internal/request/job/commit.go 's/head\.Parts, head\.Inline = parts, nil/head.Parts, head.Inline = 0*parts, nil/' internal/request/job TestItemsOfASmallJobAreAlwaysThere
-mutant 3 internal/request/choose/prefer.go 's/best\.freeAt\(now\) > 0/best.freeAt(now) > -99/' internal/request/choose TestHomeFirstThenElsewhere
+mutant 3 internal/request/choose/prefer.go 's/best\.freeAt\(now\) >= homeRoom/best.freeAt(now) > -99/' internal/request/choose TestHomeFirstThenElsewhere
+mutant 1 internal/request/job/sweep.go 's/since = at /_ = at /' internal/request/job TestSilenceCountsWhileTheStoreIsAway
+mutant 3 internal/connection/dial/dial.go 's/d\.at\(address\)\.failed\+\+/d.at(address)/' internal/connection/dial TestLimitFollowsTheNetwork
 exit $missed
