Test that what was not sent is no attempt of a batch item

Ruled out: a test over processes; the decision is one switch.

Change: TestWhatWasNotSentIsNoAttempt. Before, with the case taken out of the switch, it fails (the item is given up at its first refusal); with it, it passes: three refusals, no attempt counted. No product code changes.

--- a/internal/request/batch/suspect_test.go
+++ b/internal/request/batch/suspect_test.go
@@ -8,6 +8,10 @@
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
+
+	"github.com/marblepond/marblepond/internal/connection/engine"
+	"github.com/marblepond/marblepond/internal/record"
+	"github.com/marblepond/marblepond/internal/version/fleet"
 )
 
 // attempts that an item has before it ends with an error, as in the default
@@ -150,3 +154,16 @@
 		}
 	}
 }
+
+// An attempt that no target took is none: the item is queued again, however often
+// that happens.
+func TestWhatWasNotSentIsNoAttempt(t *testing.T) {
+	is := is.New(t)
+	w := &Worker{cfg: Config{ItemAttempts: 1}, queues: map[string][]*item{}, suspects: newSuspects()}
+	it := &item{lease: &lease{job: record.Job{}}, service: &fleet.Service{Name: "m", Kind: fleet.KindModel}}
+	for range 3 {
+		w.afterFailure(it, fmt.Errorf("%w: refused", engine.ErrNotSent), nil)
+	}
+	is.Equal(it.attempts, 0)
+	is.Equal(len(w.queues["m"]), 3)
+}
