--- a/internal/connection/beacon/beacon.go
+++ b/internal/connection/beacon/beacon.go
@@ -22,7 +22,6 @@
 	"google.golang.org/protobuf/proto"
 
 	v1 "github.com/marblepond/marblepond/api/marblepond/v1"
-	"github.com/marblepond/marblepond/internal/process/wait"
 	"github.com/marblepond/marblepond/internal/request/choose"
 	"github.com/marblepond/marblepond/internal/version/follow"
 )
@@ -37,6 +36,8 @@
 	// how many nodes one round reaches.
 	farInterval = 100 * time.Millisecond
 	farFanout   = 3
+	// urgentRing is how many urgent words may wait to be sent.
+	urgentRing = 64
 	// maxDatagram is the largest datagram read, in bytes.
 	maxDatagram = 64 << 10
 	// silentAfter is how long a node's word counts: several rounds.
@@ -99,6 +100,9 @@
 	// Peers returns where other nodes listen: those of the own data centre, and
 	// the others.
 	Peers func() (near, far []string)
+	// Holders returns where those hear that have batch items at a target: those
+	// of the own data centre, and the others.
+	Holders func(h choose.Holders) (near, far []string)
 	// Behind is told that a node knows more than this one, and Silent that a node
 	// of the own data centre is heard no more. They must not block.
 	Behind func(node string)
@@ -109,6 +113,7 @@
 type Exchange struct {
 	Options
 	touched  chan struct{}
+	urgent   chan choose.Holders // drops what it has no room for: the next round tells the same
 	sequence uint64
 
 	mu      sync.Mutex
@@ -127,7 +132,7 @@
 
 // New returns an exchange; Run starts it.
 func New(o Options) *Exchange {
-	return &Exchange{Options: o, touched: make(chan struct{}, 1), heard: map[string]word{}, gone: map[string]time.Time{}, centres: map[string]time.Time{}}
+	return &Exchange{Options: o, touched: make(chan struct{}, 1), urgent: make(chan choose.Holders, urgentRing), heard: map[string]word{}, gone: map[string]time.Time{}, centres: map[string]time.Time{}}
 }
 
 // Touch says that something changed; it never blocks.
@@ -138,6 +143,16 @@
 	}
 }
 
+// Tell lets those that have batch items at a target know at once what this node
+// has in flight; it never blocks. Waiting for the next round would take up to
+// nearLeast + near * nearPace in the own data centre and farInterval in others.
+func (x *Exchange) Tell(h choose.Holders) {
+	select {
+	case x.urgent <- h:
+	default:
+	}
+}
+
 // Heard returns the nodes that are heard now.
 func (x *Exchange) Heard() []string {
 	x.mu.Lock()
@@ -187,16 +202,22 @@
 	go x.receive(conn)
 	far := time.NewTicker(farInterval)
 	defer far.Stop()
+	var touched <-chan struct{} = x.touched // nil while the pace forbids a round
+	var paced <-chan time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-x.touched:
+		case <-touched:
 			near, _ := x.Peers()
 			x.send(conn, near, x.Loads.InFlight, x.Batch.Own)
-			if !wait.For(ctx, nearLeast+time.Duration(len(near))*nearPace) {
-				return
-			}
+			touched, paced = nil, time.After(nearLeast+time.Duration(len(near))*nearPace)
+		case <-paced:
+			touched, paced = x.touched, nil
+		case h := <-x.urgent:
+			near, others := x.Holders(h)
+			x.send(conn, near, x.Loads.InFlight, x.Batch.Own)
+			x.send(conn, others, x.Loads.InFlightHere, x.Batch.Here)
 		case <-far.C:
 			x.forgetSilent()
 			near, others := x.Peers()
--- a/internal/connection/beacon/beacon_test.go
+++ b/internal/connection/beacon/beacon_test.go
@@ -139,6 +139,43 @@
 	eventually(t, func() bool { return b.said("a") == nil })
 }
 
+// TestHoldersHearAtOnce: what cannot wait reaches the holders of items before
+// the next round, in the own data centre and elsewhere, and nobody else.
+func TestHoldersHearAtOnce(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	start := func(node, centre string, w *words, near, far []string, holders func(choose.Holders) ([]string, []string)) (string, *Exchange) {
+		conn, err := net.ListenPacket("udp", "127.0.0.1:0")
+		is.NoErr(err)
+		x := New(Options{Node: node, DataCentre: centre, Boot: 1, Loads: w, Copies: noCopies{}, Batch: w, Store: w.health,
+			Peers: func() ([]string, []string) { return near, far }, Holders: holders, Behind: func(string) {}, Silent: w.silent})
+		go x.Run(ctx, conn)
+		return conn.LocalAddr().String(), x
+	}
+	near, far, other := newWords(nil), newWords(nil), newWords(nil)
+	nearAddress, _ := start("a2", "a", near, nil, nil, nil)
+	farAddress, _ := start("b1", "b", far, nil, nil, nil)
+	otherAddress, _ := start("c1", "c", other, nil, nil, nil)
+	// So many peers that the pace of rounds alone would take a second.
+	crowd := make([]string, 200)
+	for i := range crowd {
+		crowd[i] = otherAddress
+	}
+	w := newWords(map[string]choose.InFlight{"t": {Online: 1}})
+	_, x := start("a1", "a", w, crowd, nil, func(h choose.Holders) ([]string, []string) {
+		is.Equal(h, choose.Holders{Nodes: []string{"a2"}, DataCentres: []string{"b"}})
+		return []string{nearAddress}, []string{farAddress}
+	})
+	x.Touch()
+	time.Sleep(20 * time.Millisecond) // the first round is over, the next is a second away
+	told := time.Now()
+	x.Tell(choose.Holders{Nodes: []string{"a2"}, DataCentres: []string{"b"}})
+	eventually(t, func() bool { return near.said("a1") != nil && far.said("a") != nil })
+	is.True(time.Since(told) < 500*time.Millisecond)
+	is.Equal(near.said("a1")["t"].Online, 1)
+}
+
 func eventually(t *testing.T, f func() bool) {
 	t.Helper()
 	for range 400 {
--- a/internal/process/hosted/batchwork.go
+++ b/internal/process/hosted/batchwork.go
@@ -32,7 +32,7 @@
 	for _, claim := range w.claimsHere() {
 		demand += claim
 	}
-	room := w.node.pool.BatchRoom(w.node.settings.DataCentre, job.Reserve)
+	room := w.node.pool.BatchRoom(w.node.settings.DataCentre)
 	return beacon.Batch{Demand: demand, Overflow: max(0, demand-room)}
 }
 
@@ -100,13 +100,14 @@
 	here, nodes := w.Here(), w.claimsHere()
 	self := w.node.settings
 	byDataCentre := map[string]map[string]int{}
+	reserve := w.node.pool.Reserve()
 	return func(t choose.Target) int {
 		claims := byDataCentre[t.DataCentre]
 		if claims == nil {
 			claims = w.claimsOn(t.DataCentre, here)
 			byDataCentre[t.DataCentre] = claims
 		}
-		room := job.Deal(t.ID, t.Slots-job.Reserve, self.DataCentre, claims)
-		return job.Deal(t.ID, room, self.NodeID, nodes)
+		room := choose.Deal(t.ID, t.Slots-reserve(t), self.DataCentre, claims)
+		return choose.Deal(t.ID, room, self.NodeID, nodes)
 	}
 }
--- a/internal/process/hosted/changes.go
+++ b/internal/process/hosted/changes.go
@@ -8,6 +8,7 @@
 	"github.com/marblepond/marblepond/internal/connection/objects"
 	"github.com/marblepond/marblepond/internal/process/invariant"
 	"github.com/marblepond/marblepond/internal/process/timeline"
+	"github.com/marblepond/marblepond/internal/request/choose"
 	"github.com/marblepond/marblepond/internal/request/job"
 	"github.com/marblepond/marblepond/internal/version/follow"
 )
@@ -21,6 +22,12 @@
 	}
 }
 
+// MakeRoom implements discovery.Displacer.
+func (n *Node) MakeRoom(target string) { n.jobs.MakeRoomAt(target) }
+
+// TellHolders implements discovery.Displacer.
+func (n *Node) TellHolders(h choose.Holders) { n.beacon.Tell(h) }
+
 // yield stops batch items where online requests need the room.
 func (n *Node) yield(ctx context.Context) {
 	for {
--- a/internal/process/hosted/hosted.go
+++ b/internal/process/hosted/hosted.go
@@ -113,7 +113,7 @@
 	n.checker = invariant.New(n.recorder, s.StopOnViolated)
 	n.peers = newPeers(s)
 	n.cache = follow.NewCache(time.Now, adapter.Kinds.Config, adapter.Kinds.Targets, adapter.Kinds.Retirements, kindNodes, job.KindEnds)
-	n.pool = discovery.New(choose.Config{EjectAfter: s.EjectAfter, EjectTime: s.EjectTime, Policy: choose.LeastOfFew, Home: s.DataCentre, Seed: uint64(n.boot) ^ xxhash.Sum64String(s.NodeID)},
+	n.pool = discovery.New(choose.Config{EjectAfter: s.EjectAfter, EjectTime: s.EjectTime, Policy: choose.LeastOfFew, Node: s.NodeID, Home: s.DataCentre, Seed: uint64(n.boot) ^ xxhash.Sum64String(s.NodeID)},
 		time.Now, func() bool { return n.cache.Doubtful(adapter.Kinds.Targets) }, n.targetChanged)
 	n.forwarder = &forward.Forwarder{Targets: n.pool, Sender: adapter.Sender, Log: &requestLog{n}, Checker: n.checker, Now: time.Now}
 	n.loads = follow.NewLoads(s.NodeID, n.boot, time.Now, func() map[string]int64 { return n.jobs.WaitingTokens() })
@@ -125,8 +125,9 @@
 		Waiting: n.loads.Waiting, Ended: n.ended, Shares: n.batch.shares, Recorder: n.recorder, Checker: n.checker, Metrics: n.metrics})
 	n.checkpoints = checkpoint.NewStore(checkpoint.Limits{Bytes: s.CheckpointMemory, Keep: s.KeepResults}, time.Now)
 	n.beacon = beacon.New(beacon.Options{Node: s.NodeID, DataCentre: s.DataCentre, Boot: n.boot, Loads: n.pool, Copies: n.cache, Batch: n.batch, Store: adapter.Health,
-		Peers: n.beaconPeers, Behind: n.behind, Silent: func(string) { n.jobs.LookForLostJobs() }})
+		Peers: n.beaconPeers, Holders: n.holderBeacons, Behind: n.behind, Silent: func(string) { n.jobs.LookForLostJobs() }})
 	n.pool.OnLoad(n.loadChanged)
+	n.pool.SetDisplacer(n)
 	n.gossip = &follow.Gossip{Node: s.NodeID, Cache: n.cache, Loads: n.loads, Listener: n, Peers: n.peerAddresses,
 		Client: n.peers.sync.at, Interval: s.GossipInterval, Pulls: follow.NewPulls()}
 	n.listenHandlers(parts.MetricsPage)
--- a/internal/process/hosted/log.go
+++ b/internal/process/hosted/log.go
@@ -54,9 +54,10 @@
 	l.n.metrics.Counter("attempts_failed").Inc(1)
 }
 
-func (l *requestLog) Answered(req *forward.Request, t choose.Target, status int, events int64) {
+func (l *requestLog) Answered(req *forward.Request, t choose.Target, answer forward.Answer) {
 	took := time.Since(req.Arrived)
-	l.n.recorder.Record(timeline.RequestAnswered, req.ID, t.ID, "", field("status", status), field("events", events), field("took_ms", took.Milliseconds()))
+	l.n.recorder.Record(timeline.RequestAnswered, req.ID, t.ID, "", field("status", answer.Status), field("events", answer.Events), field("took_ms", took.Milliseconds()),
+		field("first_ms", answer.First.Milliseconds()), field("pause_ms", answer.Pause.Milliseconds()))
 	l.n.metrics.Counter("requests_answered").Inc(1)
 	l.n.metrics.Histogram("request", requestBuckets).RecordDuration(took)
 }
--- a/internal/process/hosted/peers.go
+++ b/internal/process/hosted/peers.go
@@ -21,6 +21,7 @@
 	"github.com/marblepond/marblepond/internal/process/settings"
 	"github.com/marblepond/marblepond/internal/process/timeline"
 	"github.com/marblepond/marblepond/internal/process/wait"
+	"github.com/marblepond/marblepond/internal/request/choose"
 )
 
 // kindNodes is the kind of objects under which nodes register themselves.
@@ -167,6 +168,21 @@
 	return near, far
 }
 
+// holderBeacons returns where those that have items at a target hear this node's
+// datagrams: the nodes named, and all that hold jobs of the data centres named.
+func (n *Node) holderBeacons(h choose.Holders) (near, far []string) {
+	for name, r := range n.registered() {
+		switch {
+		case r.Beacon == "" || !r.Callers || name == n.settings.NodeID:
+		case r.DataCentre == n.settings.DataCentre && slices.Contains(h.Nodes, name):
+			near = append(near, r.Beacon)
+		case r.DataCentre != n.settings.DataCentre && slices.Contains(h.DataCentres, r.DataCentre):
+			far = append(far, r.Beacon)
+		}
+	}
+	return near, far
+}
+
 // Holders implements job.Peers.
 func (n *Node) Holders() []string {
 	var out []string
--- a/internal/request/choose/choose.go
+++ b/internal/request/choose/choose.go
@@ -57,6 +57,8 @@
 	firstEvent   time.Duration // moving average of the time to the first event
 	firstAt      time.Time     // newest measurement of firstEvent
 	batch        int           // own batch items in flight, where this table places them
+	yielding     int           // those of them that were told to make room
+	overSince    time.Time     // since when requests here wait for a slot; zero: none does
 	elsewhere    InFlight      // what other nodes last said they have there
 	atReport     int           // own online in flight when load.At
 	leaving      bool
@@ -85,6 +87,8 @@
 	Policy     Policy
 	// Seed of the draws of LeastOfFew; it differs from node to node.
 	Seed uint64
+	// Node is the name of the node whose table it is, as other nodes tell theirs.
+	Node string
 	// Home is the data centre whose targets are preferred while they have room;
 	// empty: none is.
 	Home string
@@ -103,6 +107,7 @@
 	left    map[string]uint64              // newest leaving incarnation by VM, kept after the VM is gone
 	turn    int                            // for RoundRobin
 	draw    *rand.Rand                     // for LeastOfFew
+	held    map[string]time.Duration       // per service: how long online requests hold a slot
 	rank    map[string][]string            // per service: IDs
 	nodes   map[string]map[string]InFlight // by node of this data centre and target: what it last said
 	centres map[string]map[string]InFlight // by other data centre and target: the same
@@ -110,7 +115,7 @@
 
 // New returns an empty table.
 func New(cfg Config) *Table {
-	return &Table{cfg: cfg, draw: rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)), entries: map[string]*entry{}, left: map[string]uint64{}, rank: map[string][]string{},
+	return &Table{cfg: cfg, draw: rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)), entries: map[string]*entry{}, left: map[string]uint64{}, rank: map[string][]string{}, held: map[string]time.Duration{},
 		nodes: map[string]map[string]InFlight{}, centres: map[string]map[string]InFlight{}}
 }
 
@@ -187,9 +192,8 @@
 	Prefix  string          // affinity key; empty: none
 	Exclude map[string]bool // targets already tried
 	// Batch asks for room that online requests leave: the target must have more
-	// than Reserve slots free.
-	Batch   bool
-	Reserve int
+	// slots free than Table.Reserve returns.
+	Batch bool
 	// Limit returns how many batch items this table may have at a target at
 	// once; nil: no limit.
 	Limit func(Target) int
@@ -213,13 +217,17 @@
 
 func (t *Table) usable(now time.Time, need Need) []*entry {
 	var out, full []*entry
+	var reserve func(Target) int
+	if need.Batch {
+		reserve = t.Reserve()
+	}
 	for _, id := range t.rank[need.Service] {
 		e := t.entries[id]
 		if need.Exclude[id] || e.why(now, need.Loaded) != "" {
 			continue
 		}
 		switch free := e.freeAt(now); {
-		case need.Batch && (free <= need.Reserve || (need.Limit != nil && e.batch >= need.Limit(e.Target))):
+		case need.Batch && (free <= reserve(e.Target) || (need.Limit != nil && e.batch >= need.Limit(e.Target))):
 			continue
 		case free <= 0:
 			if need.Overflow == 0 || e.freeOnline(now) > -need.Overflow {
--- a/internal/request/choose/choose_test.go
+++ b/internal/request/choose/choose_test.go
@@ -169,39 +169,11 @@
 	is.Equal(table.entries["a"].free(), 1)
 	is.Equal(table.entries["b"].free(), 1)
 	is.Equal(table.Here(), map[string]InFlight{"a": {Online: 2}, "b": {Batch: 1}})
-	is.Equal(table.BatchRoom(now, "there", 1), 1) // four slots, one reserved, two taken by online requests
+	is.Equal(table.BatchRoom(now, "there"), 2) // four slots, two taken by online requests
 	table.SetDataCentre("there", nil)
 	is.Equal(table.entries["b"].free(), 3)
 }
 
-// TestBatchLeavesRoom: batch items leave the reserve free, count what other
-// nodes have in flight, and give way when online requests come.
-func TestBatchLeavesRoom(t *testing.T) {
-	is := is.New(t)
-	now := time.Unix(0, 0)
-	table := slotTable(now)
-	need := Need{Service: "s", Batch: true, Reserve: 2}
-	placed := 0
-	for {
-		target, ok := table.Choose(now, need)
-		if !ok {
-			break
-		}
-		table.BeginBatch(target.ID)
-		placed++
-	}
-	is.Equal(placed, 4) // two of four slots at each
-	is.Equal(len(table.Excess(now, 1)), 0)
-	table.SetNode("other", map[string]InFlight{"a": {Online: 2, Batch: 1}})
-	is.Equal(table.Excess(now, 1)["a"], 2) // own part of what is over
-	table.SetNode("other", nil)
-	is.Equal(len(table.Excess(now, 1)), 0)
-	table.Saturated(now, "b")
-	is.Equal(table.Excess(now, 1)["b"], 1) // it refused: others that are not heard fill it
-	_, ok := table.Choose(now, Need{Service: "s", Batch: true, Reserve: 0, Limit: func(Target) int { return 2 }})
-	is.True(!ok) // two at each already
-}
-
 // TestSlowTargetIsAvoided: a target whose first events come late gets requests
 // only when others are full, and is tried again after a while.
 func TestSlowTargetIsAvoided(t *testing.T) {
--- a/internal/request/job/share.go
+++ b/internal/request/choose/deal.go
@@ -1,4 +1,4 @@
-package job
+package choose
 
 import (
 	"slices"
@@ -6,13 +6,10 @@
 	"github.com/marblepond/marblepond/internal/process/rendezvous"
 )
 
-// Reserve is how many slots of a target are kept free for the next online
-// requests: two arrive within the time that a batch item takes to yield.
-const Reserve = 2
-
-// Deal returns how many items name, a data centre or a node, may have at a
-// target at once, when the room there is dealt out by claims. Everyone who knows
-// the same claims computes the same deal.
+// Deal returns the share of name, a data centre or a node, when room at a target
+// is dealt out by claims: to each in proportion to its claim, never more than
+// that, and what is left over in an order of the target's own. Everyone who
+// knows the same claims computes the same deal.
 func Deal(target string, room int, name string, claims map[string]int) int {
 	total := 0
 	for _, claim := range claims {
--- a/internal/request/choose/prefer.go
+++ b/internal/request/choose/prefer.go
@@ -88,26 +88,25 @@
 		return least(t.few(away), cost)
 	}
 	best := least(t.few(home), cost)
-	if len(away) == 0 || best.freeAt(now) >= homeRoom {
+	if len(away) == 0 || best.freeOnline(now) >= homeRoom {
 		return best
 	}
 	other := least(t.few(away), cost)
-	if room := other.freeAt(now); room >= awayRoom || (room > 0 && best.freeAt(now) <= 0) {
+	if room := other.freeOnline(now); room >= awayRoom || (room > 0 && best.freeOnline(now) <= 0) {
 		return other
 	}
 	return best
 }
 
 // cost orders targets for an online request: by what is there while a slot is
-// free, then by how many requests are served before it. Batch items at a full
-// target make room in about the time in which one of its requests ends, however
-// many they are.
+// free, then those at which an item makes room at once, then by how many requests
+// are served before it.
 func (e *entry) cost(now time.Time) int {
 	if e.freeAt(now) > 0 {
 		return e.inFlight()
 	}
 	slots := e.inFlight() + e.free()
-	return slots + max(1, 1-e.freeOnline(now))
+	return slots + max(0, 1-e.freeOnline(now))
 }
 
 // few returns some targets drawn at random.
--- a/internal/request/choose/room.go
+++ b/internal/request/choose/room.go
@@ -60,38 +60,18 @@
 	return out
 }
 
-// Own returns what this table has in flight, by target.
+// Own returns what this table has in flight, by target. Items that are making
+// room count no more.
 func (t *Table) Own() map[string]InFlight {
 	out := map[string]InFlight{}
 	for id, e := range t.entries {
-		if e.online+e.batch > 0 {
-			out[id] = InFlight{Online: e.online, Batch: e.batch}
+		if n := (InFlight{Online: e.online, Batch: e.staying()}); n != (InFlight{}) {
+			out[id] = n
 		}
 	}
 	return out
 }
 
-// Excess returns, by target, how many of this table's batch items are to make
-// room so that keep slots are free for online requests. Where several nodes
-// have batch items at a target, each gives its part. A target that refused for
-// want of room has none, whatever this table counts there.
-func (t *Table) Excess(now time.Time, keep int) map[string]int {
-	var out map[string]int
-	for id, e := range t.entries {
-		over := keep - e.freeAt(now)
-		if e.batch == 0 || over <= 0 {
-			continue
-		}
-		all := e.batch + e.elsewhere.Batch
-		part := (over*e.batch + all - 1) / all // rounded up
-		if out == nil {
-			out = map[string]int{}
-		}
-		out[id] = min(part, e.batch)
-	}
-	return out
-}
-
 // leastOnline returns the entries with the fewest online requests: where all
 // are full, what batch items hold becomes free.
 func leastOnline(entries []*entry) []*entry {
@@ -113,12 +93,13 @@
 }
 
 // BatchRoom returns how many batch items the usable targets of a data centre
-// have room for beside online requests, when each keeps reserve slots free.
-func (t *Table) BatchRoom(now time.Time, dataCentre string, reserve int) int {
+// have room for beside online requests.
+func (t *Table) BatchRoom(now time.Time, dataCentre string) int {
 	room := 0
+	reserve := t.Reserve()
 	for _, e := range t.entries {
 		if e.DataCentre == dataCentre && e.why(now, "") == "" {
-			room += max(0, e.Slots-reserve-e.estimate())
+			room += max(0, e.Slots-reserve(e.Target)-e.estimate())
 		}
 	}
 	return room
@@ -168,10 +149,14 @@
 	}
 }
 
-// EndBatch takes the result of a batch item that BeginBatch counted.
-func (t *Table) EndBatch(now time.Time, id string, outcome Outcome) (ejected, readmitted bool) {
+// EndBatch takes the result of a batch item that BeginBatch counted; yielded
+// says whether it was one that Yielding counted.
+func (t *Table) EndBatch(now time.Time, id string, outcome Outcome, yielded bool) (ejected, readmitted bool) {
 	if e := t.entries[id]; e != nil {
 		e.batch = max(0, e.batch-1)
+		if yielded {
+			e.yielding = max(0, e.yielding-1)
+		}
 	}
 	return t.Judge(now, id, outcome)
 }
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -57,6 +57,8 @@
 	Choose(need choose.Need) (choose.Target, bool)
 	End(id string, outcome choose.Outcome)
 	FirstEvent(id string, took time.Duration)
+	// Held takes how long a request that was answered whole was at its target.
+	Held(service string, took time.Duration)
 	Saturated(id string)
 	Leave(id, why string)
 }
@@ -65,10 +67,19 @@
 type Log interface {
 	Sent(req *Request, t choose.Target, resumeAfter int64)
 	Failed(req *Request, t choose.Target, err error)
-	Answered(req *Request, t choose.Target, status int, events int64)
+	Answered(req *Request, t choose.Target, answer Answer)
 	Refused(req *Request, err error)
 }
 
+// Answer sums up an answer that the caller got whole.
+type Answer struct {
+	Status int
+	Events int64
+	// First is the time from the arrival of the request to its first event, and
+	// Pause the longest time between two events; 0 for an answer without events.
+	First, Pause time.Duration
+}
+
 // Forwarder carries requests. It is safe for concurrent use.
 type Forwarder struct {
 	Targets Targets
@@ -101,10 +112,13 @@
 // course is what the attempts of one request have come to.
 type course struct {
 	exclude map[string]bool
-	ran     int   // attempts that may have run
-	held    int64 // ID of the last event passed on
-	events  int64 // events passed on
-	begun   bool  // the caller has the head of the answer
+	ran     int           // attempts that may have run
+	held    int64         // ID of the last event passed on
+	events  int64         // events passed on
+	newest  time.Time     // when the last event was passed on
+	first   time.Duration // from the arrival of the request to the first event
+	pause   time.Duration // longest time between two events
+	begun   bool          // the caller has the head of the answer
 	last    error
 }
 
@@ -272,7 +286,8 @@
 	for {
 		event, err := answer.Stream.Next()
 		if errors.Is(err, io.EOF) {
-			f.Log.Answered(req, t, answer.Status, c.events)
+			f.Targets.Held(req.Service, f.Now().Sub(sent))
+			f.Log.Answered(req, t, Answer{Status: answer.Status, Events: c.events, First: c.first, Pause: c.pause})
 			return f.ended(caller)
 		}
 		if err != nil {
@@ -283,27 +298,38 @@
 			f.Targets.FirstEvent(t.ID, f.Now().Sub(sent))
 			first = false
 		}
-		if err := f.pass(event, caller, c); err != nil {
+		if err := f.pass(req, event, caller, c); err != nil {
 			return err
 		}
 	}
 }
 
 // pass hands one event on, unless the caller has it already.
-func (f *Forwarder) pass(event target.Event, caller Caller, c *course) error {
+func (f *Forwarder) pass(req *Request, event target.Event, caller Caller, c *course) error {
 	if event.ID > 0 {
 		if event.ID <= c.held {
 			return nil
 		}
 		c.held = event.ID
 	}
-	c.events++
+	c.passed(f.Now(), req.Arrived)
 	if err := caller.Event(event); err != nil {
 		return errCallerGone
 	}
 	return nil
 }
 
+// passed notes that an event is passed on now.
+func (c *course) passed(now, arrived time.Time) {
+	c.events++
+	if c.newest.IsZero() {
+		c.first = now.Sub(arrived)
+	} else {
+		c.pause = max(c.pause, now.Sub(c.newest))
+	}
+	c.newest = now
+}
+
 func (f *Forwarder) ended(caller Caller) error {
 	if err := caller.End(); err != nil {
 		return errCallerGone
@@ -320,7 +346,7 @@
 	if c.begun {
 		return &target.Error{End: target.Broken, Cause: errors.New("the target answered a resumed stream with " + http.StatusText(answer.Status))}
 	}
-	f.Log.Answered(req, t, answer.Status, 0)
+	f.Log.Answered(req, t, Answer{Status: answer.Status})
 	if err := caller.Whole(answer); err != nil {
 		return errCallerGone
 	}
--- a/internal/request/job/manager.go
+++ b/internal/request/job/manager.go
@@ -23,10 +23,13 @@
 // Pool places items on targets.
 type Pool interface {
 	ChooseBatch(need choose.Need) (choose.Target, bool)
-	EndBatch(id string, outcome choose.Outcome)
-	// Excess returns how many of this node's items are to make room, by target,
-	// so that keep slots are free.
-	Excess(keep int) map[string]int
+	// EndBatch takes the end of an item's attempt; yielded says whether it was
+	// stopped to make room, as Yielding noted.
+	EndBatch(id string, outcome choose.Outcome, yielded bool)
+	// Excess returns how many of this node's items are to make room, by target.
+	Excess() map[string]int
+	// Yielding notes that an item at a target was told to make room.
+	Yielding(id string)
 	Saturated(id string)
 	Leave(id, why string)
 }
@@ -139,8 +142,9 @@
 	changed     chan struct{}   // closed when results were listed
 }
 
-// stopRun ends the attempt at an item for a reason.
-type stopRun func(cause error)
+// stopRun ends the attempt at an item for a reason. It returns whether that was
+// what ended it.
+type stopRun func(cause error) bool
 
 // NewManager returns a manager; Run starts it.
 func NewManager(cfg Config, parts Parts) *Manager {
--- a/internal/request/job/manager_test.go
+++ b/internal/request/job/manager_test.go
@@ -92,8 +92,9 @@
 type noPool struct{}
 
 func (noPool) ChooseBatch(choose.Need) (choose.Target, bool) { return choose.Target{}, false }
-func (noPool) EndBatch(string, choose.Outcome)               {}
-func (noPool) Excess(int) map[string]int                     { return nil }
+func (noPool) EndBatch(string, choose.Outcome, bool)         {}
+func (noPool) Yielding(string)                               {}
+func (noPool) Excess() map[string]int                        { return nil }
 func (noPool) Saturated(string)                              {}
 func (noPool) Leave(string, string)                          {}
 
--- a/internal/request/job/room.go
+++ b/internal/request/job/room.go
@@ -7,25 +7,36 @@
 	"github.com/marblepond/marblepond/internal/process/timeline"
 )
 
-// MakeRoom stops items at targets that online requests are about to fill.
-// They go on later from the events they hold.
+// MakeRoom stops items at targets that online requests have filled. They go on
+// later from the events they hold.
 func (m *Manager) MakeRoom() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for id, n := range m.Pool.Excess(keepFree) {
-		for _, at := range m.leastUrgent(id, n) {
-			at.h.stops[at.index](errYielded)
-			delete(at.h.stops, at.index)
-			m.Metrics.Counter("items_yielded").Inc(1)
-			m.Recorder.Record(timeline.BatchYielded, at.h.items[at.index].ID, id, "online requests fill the target")
-		}
+	for id, n := range m.Pool.Excess() {
+		m.yield(id, n)
 	}
 }
 
-// keepFree is how many slots of a target batch items leave free by making room
-// as online requests arrive: a request that comes next finds one at once, and
-// the one after it comes later than an item takes to stop.
-const keepFree = 1
+// MakeRoomAt stops one item at a target.
+func (m *Manager) MakeRoomAt(id string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.yield(id, 1)
+}
+
+// yield stops up to n items at a target. The caller holds m.mu.
+func (m *Manager) yield(id string, n int) {
+	for _, at := range m.leastUrgent(id, n) {
+		stop := at.h.stops[at.index]
+		delete(at.h.stops, at.index)
+		if !stop(errYielded) {
+			continue // it has ended otherwise
+		}
+		m.Pool.Yielding(id)
+		m.Metrics.Counter("items_yielded").Inc(1)
+		m.Recorder.Record(timeline.BatchYielded, at.h.items[at.index].ID, id, "online requests fill the target")
+	}
+}
 
 // runningItem is an item at a target.
 type runningItem struct {
--- a/internal/request/job/run.go
+++ b/internal/request/job/run.go
@@ -89,14 +89,17 @@
 	if full[service] {
 		return false
 	}
-	t, ok := m.Pool.ChooseBatch(choose.Need{Service: service, Reserve: Reserve, Limit: limit})
+	t, ok := m.Pool.ChooseBatch(choose.Need{Service: service, Limit: limit})
 	if !ok {
 		full[service] = true
 		return false
 	}
 	h.progress.sent(i, t.ID, now)
 	attempt, cancel := context.WithCancelCause(ctx)
-	h.stops[i] = stopRun(cancel)
+	h.stops[i] = func(cause error) bool {
+		cancel(cause)
+		return errors.Is(context.Cause(attempt), cause)
+	}
 	m.Checker.Assert(!m.endKnown(h.id), invariant.NoWorkCancelled, h.items[i].ID, t.ID, "item sent after its job was ended")
 	m.Recorder.Record(timeline.ItemSent, h.items[i].ID, t.ID, "", timeline.Field{Name: "job", Value: h.id},
 		timeline.Field{Name: "resume_after", Value: h.progress.items[i].held}, timeline.Field{Name: "due_ms", Value: time.Until(dueAt(&h.head, r)).Milliseconds()})
@@ -108,7 +111,7 @@
 func (m *Manager) run(ctx context.Context, cancel context.CancelCauseFunc, h *held, i int, t choose.Target, r *route.Route) {
 	defer cancel(nil)
 	err := m.attempt(ctx, cancel, h, i, t, r)
-	m.Pool.EndBatch(t.ID, outcomeOf(ctx, err))
+	m.Pool.EndBatch(t.ID, outcomeOf(ctx, err), errors.Is(context.Cause(ctx), errYielded))
 	m.take(ctx, h, i, t, r, err)
 	m.signal()
 	h.signal()
--- a/internal/version/discovery/discovery.go
+++ b/internal/version/discovery/discovery.go
@@ -27,6 +27,16 @@
 	records map[string]Record
 	lapsed  map[string]Record // taken from the list while the store was in doubt
 	onLoad  func()            // told each change of what is in flight here or elsewhere
+
+	displacer Displacer
+}
+
+// Displacer makes room at full targets. Its methods must not block.
+type Displacer interface {
+	// MakeRoom stops one of this node's items at a target.
+	MakeRoom(target string)
+	// TellHolders lets others know at once what this node has in flight.
+	TellHolders(holders choose.Holders)
 }
 
 // incarnation of every target: the ID of a record names one start of it.
@@ -43,6 +53,9 @@
 // must not block.
 func (p *Pool) OnLoad(f func()) { p.onLoad = f }
 
+// SetDisplacer sets what makes room; call it before the pool is used.
+func (p *Pool) SetDisplacer(d Displacer) { p.displacer = d }
+
 // InFlight returns what this node has in flight, by target.
 func (p *Pool) InFlight() map[string]choose.InFlight {
 	p.mu.Lock()
@@ -76,12 +89,18 @@
 	p.onLoad()
 }
 
-// Excess returns how many of this node's batch items are to make room, by
-// target, so that keep slots are free.
-func (p *Pool) Excess(keep int) map[string]int {
+// Excess returns how many of this node's batch items are to make room, by target.
+func (p *Pool) Excess() map[string]int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.table.Excess(p.now())
+}
+
+// Yielding notes that an item at a target was told to make room.
+func (p *Pool) Yielding(id string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.table.Excess(p.now(), keep)
+	p.table.Yielding(id)
 }
 
 // Put takes what the store says of a target.
@@ -167,14 +186,26 @@
 func (p *Pool) Choose(need choose.Need) (choose.Target, bool) {
 	p.mu.Lock()
 	target, ok := p.table.Choose(p.now(), need)
-	if ok {
-		p.table.Begin(target.ID)
+	if !ok {
+		p.mu.Unlock()
+		return target, false
 	}
+	p.table.Begin(target.ID)
+	own, others := p.table.Displace(p.now(), target.ID)
 	p.mu.Unlock()
-	if ok {
-		p.onLoad()
+	p.displaced(target.ID, own, others)
+	p.onLoad()
+	return target, true
+}
+
+// displaced has room made for an online request that was sent to a full target.
+func (p *Pool) displaced(id string, own bool, others choose.Holders) {
+	switch {
+	case own:
+		p.displacer.MakeRoom(id)
+	case len(others.Nodes)+len(others.DataCentres) > 0:
+		p.displacer.TellHolders(others)
 	}
-	return target, ok
 }
 
 // ChooseBatch returns a target for a batch item and counts it there.
@@ -199,9 +230,9 @@
 }
 
 // EndBatch takes the result of a batch item.
-func (p *Pool) EndBatch(id string, outcome choose.Outcome) {
+func (p *Pool) EndBatch(id string, outcome choose.Outcome, yielded bool) {
 	p.mu.Lock()
-	ejected, readmitted := p.table.EndBatch(p.now(), id, outcome)
+	ejected, readmitted := p.table.EndBatch(p.now(), id, outcome, yielded)
 	p.mu.Unlock()
 	p.onLoad()
 	p.tell(id, ejected, readmitted)
@@ -232,9 +263,24 @@
 }
 
 // BatchRoom returns how many batch items the usable targets of a data centre
-// have room for beside online requests, when each keeps reserve slots free.
-func (p *Pool) BatchRoom(dataCentre string, reserve int) int {
+// have room for beside online requests.
+func (p *Pool) BatchRoom(dataCentre string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.table.BatchRoom(p.now(), dataCentre)
+}
+
+// Reserve returns the function that tells, by what is known now, how many slots
+// of a target items leave free.
+func (p *Pool) Reserve() func(choose.Target) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.table.Reserve()
+}
+
+// Held takes how long an online request of a service held a slot.
+func (p *Pool) Held(service string, took time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.table.BatchRoom(p.now(), dataCentre, reserve)
+	p.table.Held(service, took)
 }
--- a/scripts/check-mutants.sh
+++ b/scripts/check-mutants.sh
@@ -37,8 +37,12 @@
 mutant 2 internal/request/job/manager.go 's/return told \|\| m\.Ended/_ = told\n\treturn m.Ended/' lab/hosted TestEndedJobStops
 mutant 1 internal/request/job/progress.go 's/if id <= s\.held/if id < s.held/' internal/request/job TestEveryItemHasOnePosition
 mutant 1 internal/request/job/write.go 's/KindHeads, id, revision, value/KindHeads, id, 0*revision, value/' internal/request/job TestFormerHolderIsFenced
-mutant 3 internal/request/job/share.go 's/room \* claim \/ total/room * claim \/ max(1, total-claim)/' internal/request/job TestDealNeverExceedsTheRoom
-mutant 3 internal/request/choose/room.go 's/over := keep - e\.freeAt\(now\)/over := -100/' lab/hosted TestOnlineGoesFirst
+mutant 3 internal/request/choose/deal.go 's/room \* claim \/ total/room * claim \/ max(1, total-claim)/' internal/request/choose TestDealNeverExceedsTheRoom
+mutant 3 internal/request/choose/yield.go 's/over := -e\.free\(\) - e\.yielding/over := -100/' lab/hosted TestOnlineGoesFirst
+mutant 3 internal/request/choose/yield.go 's/now\.Sub\(e\.overSince\) >= yieldPatience/now.Sub(e.overSince) >= 0/' internal/request/choose TestOneMakesRoomForOne
+mutant 3 internal/request/choose/yield.go 's/now\.Sub\(e\.overSince\) >= yieldPatience/now.Sub(e.overSince) > time.Hour/' internal/request/choose TestDifferentNewsStillMakesRoom
+mutant 3 internal/request/choose/reserve.go 's/reaction := awayReaction/reaction := homeReaction/' internal/request/choose TestReserveFollowsTheArrivals
+mutant 3 internal/connection/beacon/beacon.go 's/case h := <-x\.urgent:/case h := <-x.urgent:\n\t\t\th = choose.Holders{}/' internal/connection/beacon TestHoldersHearAtOnce
 mutant 8 internal/request/job/handover.go 's/m\.handOver\(ctx, jobs\)//' lab/hosted TestLeavingNodeHandsOver
 mutant 9 internal/version/follow/cache.go 's/old\.Revision > o\.Revision \|\|/old.Revision > o.Revision+9 ||/' internal/version/follow TestOrderOfDeliveryDoesNotMatter
 mutant 9 internal/version/follow/refresh.go 's/objects\.ErrHistoryGone\)/objects.ErrNotFound)/' internal/version/follow TestLostHistoryIsListedAgain
@@ -54,7 +58,7 @@
 mutant 1 internal/request/checkpoint/checkpoint.go 's/saved\.Epoch < state\.epoch/saved.Epoch+9 < state.epoch/' internal/request/checkpoint TestFormerHolderIsIgnored
 mutant 1 internal/request/job/progress.go 's/s\.phase != waiting \|\| held <= s\.held/held <= s.held/' internal/request/job TestRestoreOnlyAdds
 mutant 1 internal/request/job/commit.go 's/head\.Parts, head\.Inline = parts, nil/head.Parts, head.Inline = 0*parts, nil/' internal/request/job TestItemsOfASmallJobAreAlwaysThere
-mutant 3 internal/request/choose/prefer.go 's/best\.freeAt\(now\) >= homeRoom/best.freeAt(now) > -99/' internal/request/choose TestHomeFirstThenElsewhere
+mutant 3 internal/request/choose/prefer.go 's/best\.freeOnline\(now\) >= homeRoom/best.freeOnline(now) > -99/' internal/request/choose TestHomeFirstThenElsewhere
 mutant 1 internal/request/job/sweep.go 's/since = at /_ = at /' internal/request/job TestSilenceCountsWhileTheStoreIsAway
 mutant 3 internal/connection/dial/dial.go 's/d\.at\(address\)\.failed\+\+/d.at(address)/' internal/connection/dial TestLimitFollowsTheNetwork
 exit $missed
