--- a/internal/request/choose/choose.go
+++ b/internal/request/choose/choose.go
@@ -58,6 +58,7 @@
 	firstAt      time.Time     // newest measurement of firstEvent
 	batch        int           // own batch items in flight, where this table places them
 	yielding     int           // those of them that were told to make room
+	heardAt      time.Time     // when an event of it last came
 	overSince    time.Time     // since when requests here wait for a slot; zero: none does
 	elsewhere    InFlight      // what other nodes last said they have there
 	atReport     int           // own online in flight when load.At
--- a/internal/request/choose/yield_test.go
+++ b/internal/request/choose/yield_test.go
@@ -173,3 +173,28 @@
 		table.SetNode("other", map[string]InFlight{"a": {Online: 4}, "b": {Online: 2, Batch: 1}, "c": {Online: 2}})
 	}
 }
+
+// TestBetterThanWaiting: a request leaves a target that lives only for one that
+// has a slot for it, and a target that may be dead for any.
+func TestBetterThanWaiting(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(0, 0)
+	const heard = 100 * time.Millisecond
+	need := Need{Service: "s", Overflow: 2}
+	table := slotTable(now)
+	counts := func(b InFlight) { table.SetNode("other", map[string]InFlight{"a": {Online: 5}, "b": b}) }
+	better := func() bool { return table.Better(now, "a", need, heard) }
+	table.Heard(now, "a")
+	for _, c := range []struct {
+		b    InFlight
+		want bool
+	}{{InFlight{}, true}, {InFlight{Online: 4}, false}, {InFlight{Online: 3, Batch: 1}, true}} {
+		counts(c.b)
+		is.Equal(better(), c.want)
+	}
+	counts(InFlight{Online: 4})
+	now = now.Add(heard + 1)
+	is.True(better()) // b is full, but a may be dead
+	counts(InFlight{Online: 6})
+	is.True(!better()) // b takes no more
+}
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -11,6 +11,7 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"net/http"
 	"time"
 
@@ -55,6 +56,12 @@
 // Targets is what the forwarder needs of the table of targets.
 type Targets interface {
 	Choose(need choose.Need) (choose.Target, bool)
+	// Better reports whether a request that waits for an event of a target would
+	// come sooner to it at another. A target that was heard within the time given
+	// lives, and what waits there has its turn coming.
+	Better(id string, need choose.Need, heard time.Duration) bool
+	// Heard notes an event of a target.
+	Heard(id string)
 	End(id string, outcome choose.Outcome)
 	FirstEvent(id string, took time.Duration)
 	// Held takes how long a request that was answered whole was at its target.
@@ -165,9 +172,8 @@
 	if c.begun {
 		until, pause = req.Deadline, continuePause
 	}
-	need := choose.Need{Service: req.Service, Exclude: c.exclude, Overflow: overflow}
 	for {
-		if t, ok := f.Targets.Choose(need); ok {
+		if t, ok := f.Targets.Choose(f.need(req, c)); ok {
 			return t, true
 		}
 		if !f.Now().Before(until) || !wait.For(ctx, pause) {
@@ -179,6 +185,11 @@
 	}
 }
 
+// need returns what the request asks of its next target.
+func (f *Forwarder) need(req *Request, c *course) choose.Need {
+	return choose.Need{Service: req.Service, Exclude: c.exclude, Overflow: overflow}
+}
+
 // unplaced returns the error of a request that no target can take.
 func (f *Forwarder) unplaced(ctx context.Context, c *course) error {
 	switch {
@@ -262,7 +273,10 @@
 func (f *Forwarder) attempt(ctx context.Context, req *Request, t choose.Target, caller Caller, c *course) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	watch := newWatchdog(req.Route, c.ran, cancel)
+	need := f.need(req, c)
+	need.Exclude = maps.Clone(need.Exclude) // the watchdog looks at it from its timer
+	better := func() bool { return f.Targets.Better(t.ID, need, longestGap(req.Route)) }
+	watch := newWatchdog(req.Route, c.ran, better, cancel)
 	defer watch.stop()
 	sent := f.Now()
 	answer, err := f.Sender.Send(ctx, target.Call{
@@ -294,6 +308,7 @@
 			return f.cause(ctx, err)
 		}
 		watch.event()
+		f.Targets.Heard(t.ID)
 		if first {
 			f.Targets.FirstEvent(t.ID, f.Now().Sub(sent))
 			first = false
--- /dev/null
+++ b/internal/request/forward/forward_test.go
@@ -0,0 +1,140 @@
+package forward
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	apex "github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/matryer/is"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/marblepond/marblepond/internal/connection/target"
+	"github.com/marblepond/marblepond/internal/process/invariant"
+	"github.com/marblepond/marblepond/internal/process/timeline"
+	"github.com/marblepond/marblepond/internal/request/choose"
+	"github.com/marblepond/marblepond/internal/version/route"
+)
+
+// fakeTargets hands out the targets "a", "b" and so on, and says whether another
+// one is better than a silent one.
+type fakeTargets struct {
+	mu     sync.Mutex
+	chosen []string
+	better bool
+	asked  int
+}
+
+func (f *fakeTargets) Choose(need choose.Need) (choose.Target, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, id := range []string{"a", "b"} {
+		if !need.Exclude[id] {
+			f.chosen = append(f.chosen, id)
+			return choose.Target{ID: id, Addr: id}, true
+		}
+	}
+	return choose.Target{}, false
+}
+
+func (f *fakeTargets) Better(string, choose.Need, time.Duration) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.asked++
+	return f.better
+}
+
+func (f *fakeTargets) End(string, choose.Outcome)       {}
+func (f *fakeTargets) FirstEvent(string, time.Duration) {}
+func (f *fakeTargets) Held(string, time.Duration)       {}
+func (f *fakeTargets) Heard(string)                     {}
+func (f *fakeTargets) Saturated(string)                 {}
+func (f *fakeTargets) Leave(string, string)             {}
+
+// slowSender answers with three events, the first after a time that depends on
+// the target.
+type slowSender map[string]time.Duration
+
+func (s slowSender) Send(ctx context.Context, call target.Call) (*target.Answer, error) {
+	return &target.Answer{Status: http.StatusOK, Stream: &slowStream{ctx: ctx, first: s[call.Address], next: call.ResumeAfter}}, nil
+}
+
+type slowStream struct {
+	ctx   context.Context
+	first time.Duration
+	next  int64
+}
+
+func (s *slowStream) Next() (target.Event, error) {
+	select {
+	case <-s.ctx.Done():
+		return target.Event{}, &target.Error{End: target.GivenUp, Cause: s.ctx.Err()}
+	case <-time.After(s.first):
+	}
+	s.first = 0
+	if s.next == 3 {
+		return target.Event{}, io.EOF
+	}
+	s.next++
+	return target.Event{ID: s.next}, nil
+}
+
+func (s *slowStream) Close() error { return nil }
+
+// fakeCaller counts the events that it gets, and log keeps the answer's summary.
+type fakeCaller struct{ events int }
+
+func (c *fakeCaller) Whole(*target.Answer) error { return nil }
+func (c *fakeCaller) Begin(*target.Answer) error { return nil }
+func (c *fakeCaller) Event(target.Event) error   { c.events++; return nil }
+func (c *fakeCaller) End() error                 { return nil }
+
+type fakeLog struct{ answer Answer }
+
+func (l *fakeLog) Sent(*Request, choose.Target, int64)                 {}
+func (l *fakeLog) Failed(*Request, choose.Target, error)               {}
+func (l *fakeLog) Refused(*Request, error)                             {}
+func (l *fakeLog) Answered(_ *Request, _ choose.Target, answer Answer) { l.answer = answer }
+
+func carry(targets *fakeTargets, sender target.Sender, log Log, caller Caller) error {
+	recorder := timeline.NewRecorder("n", 10, &apex.Logger{Handler: discard.New()}, tally.NoopScope)
+	f := Forwarder{Targets: targets, Sender: sender, Log: log, Checker: invariant.New(recorder, false), Now: time.Now}
+	now := time.Now()
+	req := &Request{ID: "r", Service: "s", Arrived: now, Deadline: now.Add(5 * time.Second),
+		Route: &route.Route{Kind: route.Stream, Resumable: true, Attempts: 2, Objective: 200 * time.Millisecond, GapObjective: 200 * time.Millisecond}}
+	_, err := f.Do(context.Background(), req, caller)
+	return err
+}
+
+// TestQueuedRequestKeepsItsPlace: a request whose first event is late because it
+// waits its turn at a target stays there while no other is better. Given up after
+// half of the objective, it would lose its place, be last elsewhere, and end as
+// failed where no target is left.
+func TestQueuedRequestKeepsItsPlace(t *testing.T) {
+	is := is.New(t)
+	targets := &fakeTargets{}
+	log, caller := &fakeLog{}, &fakeCaller{}
+	is.NoErr(carry(targets, slowSender{"a": 300 * time.Millisecond}, log, caller))
+	is.Equal(targets.chosen, []string{"a"})
+	is.Equal(caller.events, 3)
+	is.True(targets.asked > 1) // it looked for a better place again and again
+	is.True(log.answer.First >= 300*time.Millisecond)
+	is.Equal(log.answer.Events, int64(3))
+}
+
+// TestSilentTargetIsLeftForABetterOne: when another target would be sooner, a
+// silent one is given up after half of the objective.
+func TestSilentTargetIsLeftForABetterOne(t *testing.T) {
+	is := is.New(t)
+	targets := &fakeTargets{better: true}
+	log, caller := &fakeLog{}, &fakeCaller{}
+	began := time.Now()
+	is.NoErr(carry(targets, slowSender{"a": time.Minute}, log, caller))
+	is.Equal(targets.chosen, []string{"a", "b"})
+	is.Equal(caller.events, 3)
+	is.True(time.Since(began) < time.Second)
+}
--- a/internal/version/discovery/discovery.go
+++ b/internal/version/discovery/discovery.go
@@ -208,6 +208,21 @@
 	}
 }
 
+// Better reports whether a request that waits for an event of a target would come
+// sooner to it at another; see choose.Table.Better.
+func (p *Pool) Better(id string, need choose.Need, heard time.Duration) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.table.Better(p.now(), id, need, heard)
+}
+
+// Heard notes an event of a target.
+func (p *Pool) Heard(id string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.table.Heard(p.now(), id)
+}
+
 // ChooseBatch returns a target for a batch item and counts it there.
 func (p *Pool) ChooseBatch(need choose.Need) (choose.Target, bool) {
 	p.mu.Lock()
--- a/scripts/check-mutants.sh
+++ b/scripts/check-mutants.sh
@@ -43,6 +43,8 @@
 mutant 3 internal/request/choose/yield.go 's/now\.Sub\(e\.overSince\) >= yieldPatience/now.Sub(e.overSince) > time.Hour/' internal/request/choose TestDifferentNewsStillMakesRoom
 mutant 3 internal/request/choose/reserve.go 's/reaction := awayReaction/reaction := homeReaction/' internal/request/choose TestReserveFollowsTheArrivals
 mutant 3 internal/connection/beacon/beacon.go 's/case h := <-x\.urgent:/case h := <-x.urgent:\n\t\t\th = choose.Holders{}/' internal/connection/beacon TestHoldersHearAtOnce
+mutant 3 internal/request/forward/watchdog.go 's/if w\.better\(\)/if w.better() || w.gap > 0/' internal/request/forward TestQueuedRequestKeepsItsPlace
+mutant 3 internal/request/choose/better.go 's/now\.Sub\(e\.heardAt\) > heard/now.Sub(e.heardAt) > time.Hour/' internal/request/choose TestBetterThanWaiting
 mutant 8 internal/request/job/handover.go 's/m\.handOver\(ctx, jobs\)//' lab/hosted TestLeavingNodeHandsOver
 mutant 9 internal/version/follow/cache.go 's/old\.Revision > o\.Revision \|\|/old.Revision > o.Revision+9 ||/' internal/version/follow TestOrderOfDeliveryDoesNotMatter
 mutant 9 internal/version/follow/refresh.go 's/objects\.ErrHistoryGone\)/objects.ErrNotFound)/' internal/version/follow TestLostHistoryIsListedAgain
