--- a/internal/connection/beacon/beacon.go
+++ b/internal/connection/beacon/beacon.go
@@ -62,22 +62,16 @@
 	HeardMark(kind string, m follow.Mark) (behind bool)
 }
 
-// Batch is what is told of the batch work of a node or a data centre.
-type Batch struct {
-	Demand   int // items that wait or run
-	Overflow int // those that find no room in their data centre
-}
-
 // BatchWork is what is told and heard of batch work.
 type BatchWork interface {
 	// Own returns the word of this node, and Here that of its data centre.
-	Own() Batch
-	Here() Batch
+	Own() choose.Claim
+	Here() choose.Claim
 	// Announced returns the jobs that this node lately came to hold.
 	Announced() []string
 	// HeardNode and HeardDataCentre take the words of others.
-	HeardNode(node string, b Batch)
-	HeardDataCentre(name string, b Batch)
+	HeardNode(node string, c choose.Claim)
+	HeardDataCentre(name string, c choose.Claim)
 	// HeardJobs takes the jobs that a node came to hold.
 	HeardJobs(node string, jobs []string)
 }
@@ -229,7 +223,7 @@
 }
 
 // send tells the nodes at the addresses what the functions return.
-func (x *Exchange) send(conn net.PacketConn, addresses []string, inFlight func() map[string]choose.InFlight, batch func() Batch) {
+func (x *Exchange) send(conn net.PacketConn, addresses []string, inFlight func() map[string]choose.InFlight, batch func() choose.Claim) {
 	if len(addresses) == 0 {
 		return
 	}
@@ -244,7 +238,7 @@
 	}
 }
 
-func (x *Exchange) compose(inFlight map[string]choose.InFlight, batch Batch) *v1.Beacon {
+func (x *Exchange) compose(inFlight map[string]choose.InFlight, batch choose.Claim) *v1.Beacon {
 	x.sequence++
 	message := &v1.Beacon{Node: x.Node, Boot: x.Boot, Sequence: x.sequence, DataCentre: x.DataCentre,
 		Demand: uint32(batch.Demand), Overflow: uint32(batch.Overflow), Jobs: x.Batch.Announced()}
@@ -297,7 +291,7 @@
 	for _, t := range m.Targets {
 		counts[t.Target] = choose.InFlight{Online: int(t.Online), Batch: int(t.Batch)}
 	}
-	batch := Batch{Demand: int(m.Demand), Overflow: int(m.Overflow)}
+	batch := choose.Claim{Demand: int(m.Demand), Overflow: int(m.Overflow)}
 	if m.DataCentre == x.DataCentre {
 		x.Loads.SetNode(m.Node, counts)
 		x.Batch.HeardNode(m.Node, batch)
--- a/internal/connection/beacon/beacon_test.go
+++ b/internal/connection/beacon/beacon_test.go
@@ -20,7 +20,7 @@
 	own     map[string]choose.InFlight
 	nodes   map[string]map[string]choose.InFlight
 	centres map[string]map[string]choose.InFlight
-	claims  map[string]Batch // by node or data centre
+	claims  map[string]choose.Claim // by node or data centre
 	health  *objects.Health
 	gone    []string // nodes that fell silent
 }
@@ -32,7 +32,7 @@
 }
 
 func newWords(own map[string]choose.InFlight) *words {
-	return &words{own: own, nodes: map[string]map[string]choose.InFlight{}, centres: map[string]map[string]choose.InFlight{}, claims: map[string]Batch{},
+	return &words{own: own, nodes: map[string]map[string]choose.InFlight{}, centres: map[string]map[string]choose.InFlight{}, claims: map[string]choose.Claim{},
 		health: objects.NewHealth(time.Now, func(bool, time.Duration) {})}
 }
 
@@ -62,17 +62,17 @@
 	w.centres[name] = counts
 }
 
-func (w *words) Own() Batch          { return Batch{Demand: 1} }
-func (w *words) Here() Batch         { return Batch{Demand: 2, Overflow: 1} }
+func (w *words) Own() choose.Claim   { return choose.Claim{Demand: 1} }
+func (w *words) Here() choose.Claim  { return choose.Claim{Demand: 2, Overflow: 1} }
 func (w *words) Announced() []string { return nil }
 
-func (w *words) HeardNode(node string, b Batch) {
+func (w *words) HeardNode(node string, b choose.Claim) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.claims[node] = b
 }
 
-func (w *words) HeardDataCentre(name string, b Batch) {
+func (w *words) HeardDataCentre(name string, b choose.Claim) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.claims[name] = b
@@ -126,7 +126,7 @@
 	})
 	is.Equal(a1.said("a2")["t"], choose.InFlight{Online: 1, Batch: 3})
 	b.mu.Lock()
-	is.Equal(b.claims["a"], Batch{Demand: 2, Overflow: 1})
+	is.Equal(b.claims["a"], choose.Claim{Demand: 2, Overflow: 1})
 	b.mu.Unlock()
 	stop2()
 	eventually(t, func() bool { return a1.said("a2") == nil })
--- a/internal/process/hosted/batchwork.go
+++ b/internal/process/hosted/batchwork.go
@@ -3,7 +3,6 @@
 import (
 	"sync"
 
-	"github.com/marblepond/marblepond/internal/connection/beacon"
 	"github.com/marblepond/marblepond/internal/request/choose"
 	"github.com/marblepond/marblepond/internal/request/job"
 )
@@ -15,39 +14,39 @@
 	node *Node
 
 	mu      sync.Mutex
-	nodes   map[string]beacon.Batch // other nodes of this data centre
-	centres map[string]beacon.Batch // other data centres
+	nodes   map[string]choose.Claim // other nodes of this data centre
+	centres map[string]choose.Claim // other data centres
 }
 
 func newBatchWork(n *Node) *batchWork {
-	return &batchWork{node: n, nodes: map[string]beacon.Batch{}, centres: map[string]beacon.Batch{}}
+	return &batchWork{node: n, nodes: map[string]choose.Claim{}, centres: map[string]choose.Claim{}}
 }
 
 // Own implements beacon.BatchWork.
-func (w *batchWork) Own() beacon.Batch { return beacon.Batch{Demand: w.node.jobs.Demand()} }
+func (w *batchWork) Own() choose.Claim { return choose.Claim{Demand: w.node.jobs.Demand()} }
 
 // Here implements beacon.BatchWork.
-func (w *batchWork) Here() beacon.Batch {
+func (w *batchWork) Here() choose.Claim {
 	demand := 0
 	for _, claim := range w.claimsHere() {
 		demand += claim
 	}
 	room := w.node.pool.BatchRoom(w.node.settings.DataCentre)
-	return beacon.Batch{Demand: demand, Overflow: max(0, demand-room)}
+	return choose.Claim{Demand: demand, Overflow: max(0, demand-room)}
 }
 
 // Announced implements beacon.BatchWork.
 func (w *batchWork) Announced() []string { return w.node.jobs.Announced() }
 
 // HeardNode implements beacon.BatchWork.
-func (w *batchWork) HeardNode(node string, b beacon.Batch) {
+func (w *batchWork) HeardNode(node string, b choose.Claim) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.nodes[node] = b
 }
 
 // HeardDataCentre implements beacon.BatchWork.
-func (w *batchWork) HeardDataCentre(name string, b beacon.Batch) {
+func (w *batchWork) HeardDataCentre(name string, b choose.Claim) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.centres[name] = b
@@ -73,23 +72,15 @@
 	return claims
 }
 
-// claimsOn returns the claims of data centres on the targets of one of them: all
-// of its own items, and those of others that find no room at home.
-func (w *batchWork) claimsOn(dataCentre string, here beacon.Batch) map[string]int {
-	self := w.node.settings.DataCentre
-	words := map[string]beacon.Batch{self: here}
+// claims returns what is known of the batch work on the fleet's targets.
+func (w *batchWork) claims() choose.Claims {
+	self := w.node.settings
+	claims := choose.Claims{Node: self.NodeID, DataCentre: self.DataCentre, Nodes: w.claimsHere(), Centres: map[string]choose.Claim{self.DataCentre: w.Here()}}
 	heard := w.node.beacon.HeardDataCentres()
 	w.mu.Lock()
+	defer w.mu.Unlock()
 	for _, name := range heard {
-		words[name] = w.centres[name]
-	}
-	w.mu.Unlock()
-	claims := make(map[string]int, len(words))
-	for name, word := range words {
-		claims[name] = word.Overflow
-		if name == dataCentre {
-			claims[name] = word.Demand
-		}
+		claims.Centres[name] = w.centres[name]
 	}
 	return claims
 }
@@ -97,17 +88,6 @@
 // shares implements job.Parts.Shares: nodes together never send a target more
 // items than it has room for beside online requests, and need not ask each other.
 func (w *batchWork) shares() func(t choose.Target) int {
-	here, nodes := w.Here(), w.claimsHere()
-	self := w.node.settings
-	byDataCentre := map[string]map[string]int{}
-	reserve := w.node.pool.Reserve()
-	return func(t choose.Target) int {
-		claims := byDataCentre[t.DataCentre]
-		if claims == nil {
-			claims = w.claimsOn(t.DataCentre, here)
-			byDataCentre[t.DataCentre] = claims
-		}
-		room := choose.Deal(t.ID, t.Slots-reserve(t), self.DataCentre, claims)
-		return choose.Deal(t.ID, room, self.NodeID, nodes)
-	}
+	claims, reserve := w.claims(), w.node.pool.Reserve()
+	return func(t choose.Target) int { return claims.Share(t, t.Slots-reserve(t)) }
 }
--- a/internal/request/choose/choose.go
+++ b/internal/request/choose/choose.go
@@ -86,6 +86,9 @@
 	EjectAfter int
 	EjectTime  time.Duration
 	Policy     Policy
+	// LeastReserve is how many slots of a target items leave free however few online
+	// requests arrive: the baseline that reserves by arrivals are measured against.
+	LeastReserve int
 	// Seed of the draws of LeastOfFew; it differs from node to node.
 	Seed uint64
 	// Node is the name of the node whose table it is, as other nodes tell theirs.
--- a/internal/request/choose/deal.go
+++ b/internal/request/choose/deal.go
@@ -39,3 +39,31 @@
 	}
 	return share
 }
+
+// Claim is the batch work of a node or a data centre, in items that wait or run.
+type Claim struct {
+	Demand   int
+	Overflow int // those that find no room in their data centre
+}
+
+// Claims is what a node knows of the batch work on the targets.
+type Claims struct {
+	Node       string
+	DataCentre string
+	Nodes      map[string]int   // demand, by node of the own data centre
+	Centres    map[string]Claim // by data centre
+}
+
+// Share returns how many items the node may have at a target that has room for
+// so many. Data centres come first: that of the target with all of its items,
+// others with those that find no room at home; then the nodes of each.
+func (c Claims) Share(t Target, room int) int {
+	centres := make(map[string]int, len(c.Centres))
+	for name, claim := range c.Centres {
+		centres[name] = claim.Overflow
+		if name == t.DataCentre {
+			centres[name] = claim.Demand
+		}
+	}
+	return Deal(t.ID, Deal(t.ID, room, c.DataCentre, centres), c.Node, c.Nodes)
+}
--- a/internal/request/choose/reserve.go
+++ b/internal/request/choose/reserve.go
@@ -17,7 +17,7 @@
 	awayReaction = 180 * time.Millisecond
 	// reserveMiss is the share of online requests that may find the slots kept for
 	// them taken, and wait until an item has made room.
-	reserveMiss = 0.1
+	reserveMiss = 0.03
 	// heldWeight is the weight of the newest measurement in the usual time that a
 	// request holds a slot.
 	heldWeight = 0.05
@@ -29,13 +29,13 @@
 // to a target in the time for which one holds a slot.
 func (c *Config) reserve(target Target, perSlot float64, held time.Duration) int {
 	if held <= 0 {
-		return 0
+		return c.LeastReserve
 	}
 	reaction := awayReaction
 	if c.Home == "" || target.DataCentre == c.Home {
 		reaction = homeReaction
 	}
-	return poissonQuantile(perSlot*reaction.Seconds()/held.Seconds(), reserveMiss)
+	return max(c.LeastReserve, poissonQuantile(perSlot*reaction.Seconds()/held.Seconds(), reserveMiss))
 }
 
 // onlinePerTarget returns, by service, how many online requests each target has
--- a/internal/request/choose/yield_test.go
+++ b/internal/request/choose/yield_test.go
@@ -46,7 +46,7 @@
 	home, away := reserve()
 	is.Equal([]int{home, away}, []int{0, 0}) // nothing is known yet
 	table.Held("s", 700*time.Millisecond)
-	for _, c := range []struct{ online, home, away int }{{0, 0, 0}, {2, 0, 1}, {6, 1, 3}, {60, 5, 21}} {
+	for _, c := range []struct{ online, home, away int }{{0, 0, 0}, {1, 1, 1}, {2, 1, 2}, {6, 1, 4}, {60, 6, 23}} {
 		table.SetDataCentre("there", map[string]InFlight{"a": {Online: c.online}, "b": {Online: c.online}})
 		home, away := reserve()
 		is.Equal([]int{home, away}, []int{c.home, c.away})
@@ -56,7 +56,7 @@
 	}
 	table.SetDataCentre("there", map[string]InFlight{"a": {Online: 6}, "b": {Online: 6}})
 	home, away = reserve()
-	is.Equal([]int{home, away}, []int{5, 21})
+	is.Equal([]int{home, away}, []int{6, 23})
 }
 
 // holders returns the tables of nodes that each have items at the target "t" of
--- a/internal/request/job/progress.go
+++ b/internal/request/job/progress.go
@@ -60,14 +60,9 @@
 	failurePause = 250 * time.Millisecond
 )
 
-// next returns an item that may be sent now.
-func (p *progress) next(now time.Time) (int, bool) {
-	for i := range p.items {
-		if p.items[i].phase == waiting && !now.Before(p.items[i].notAt) {
-			return i, true
-		}
-	}
-	return 0, false
+// mayBeSent reports whether an item waits and its pause is over.
+func (p *progress) mayBeSent(i int, now time.Time) bool {
+	return p.items[i].phase == waiting && !now.Before(p.items[i].notAt)
 }
 
 // sent notes that an item is at a target.
--- a/internal/request/job/progress_test.go
+++ b/internal/request/job/progress_test.go
@@ -65,10 +65,8 @@
 	now := time.Unix(0, 0)
 	p.sent(0, "t", now)
 	is.True(p.failed(0, now, 3))
-	_, ok := p.next(now)
-	is.True(!ok) // pauses first
-	_, ok = p.next(now.Add(failurePause))
-	is.True(ok)
+	is.True(!p.mayBeSent(0, now)) // pauses first
+	is.True(p.mayBeSent(0, now.Add(failurePause)))
 	p.sent(0, "t", now)
 	is.True(!p.failed(0, now, 3))
 }
--- a/internal/request/job/room.go
+++ b/internal/request/job/room.go
@@ -1,10 +1,8 @@
 package job
 
 import (
-	"slices"
-	"time"
-
 	"github.com/marblepond/marblepond/internal/process/timeline"
+	"github.com/marblepond/marblepond/internal/request/schedule"
 )
 
 // MakeRoom stops items at targets that online requests have filled. They go on
@@ -26,42 +24,30 @@
 
 // yield stops up to n items at a target. The caller holds m.mu.
 func (m *Manager) yield(id string, n int) {
-	for _, at := range m.leastUrgent(id, n) {
-		stop := at.h.stops[at.index]
-		delete(at.h.stops, at.index)
+	for _, item := range schedule.Yielding(m.itemsAt(id), n) {
+		h := m.held[item.Job]
+		stop := h.stops[item.Index]
+		delete(h.stops, item.Index)
 		if !stop(errYielded) {
 			continue // it has ended otherwise
 		}
 		m.Pool.Yielding(id)
 		m.Metrics.Counter("items_yielded").Inc(1)
-		m.Recorder.Record(timeline.BatchYielded, at.h.items[at.index].ID, id, "online requests fill the target")
+		m.Recorder.Record(timeline.BatchYielded, h.items[item.Index].ID, id, "online requests fill the target")
 	}
 }
 
-// runningItem is an item at a target.
-type runningItem struct {
-	h     *held
-	index int
-	due   time.Time
-}
-
-// leastUrgent returns up to n items at a target, latest due first. The caller
-// holds m.mu.
-func (m *Manager) leastUrgent(targetID string, n int) []runningItem {
-	var at []runningItem
+// itemsAt returns the items at a target that were not stopped. The caller holds
+// m.mu.
+func (m *Manager) itemsAt(id string) []schedule.Item {
+	var items []schedule.Item
 	for _, h := range m.held {
 		due := dueAt(&h.head, m.routeOf(&h.head))
 		for i := range h.stops {
-			if h.progress.items[i].target == targetID {
-				at = append(at, runningItem{h, i, due})
+			if s := &h.progress.items[i]; s.target == id {
+				items = append(items, schedule.Item{Job: h.id, Index: i, Due: due, Sent: s.sentAt})
 			}
 		}
 	}
-	slices.SortFunc(at, func(a, b runningItem) int {
-		if d := b.due.Compare(a.due); d != 0 {
-			return d
-		}
-		return b.h.progress.items[b.index].sentAt.Compare(a.h.progress.items[a.index].sentAt)
-	})
-	return at[:min(n, len(at))]
+	return items
 }
--- a/internal/request/job/run.go
+++ b/internal/request/job/run.go
@@ -12,6 +12,7 @@
 	"github.com/marblepond/marblepond/internal/process/invariant"
 	"github.com/marblepond/marblepond/internal/process/timeline"
 	"github.com/marblepond/marblepond/internal/request/choose"
+	"github.com/marblepond/marblepond/internal/request/schedule"
 	"github.com/marblepond/marblepond/internal/version/route"
 )
 
@@ -36,7 +37,7 @@
 	silence = 2 * time.Second
 )
 
-// schedule sends items while there is room, earliest due first.
+// schedule sends items while there is room, in the order of package schedule.
 func (m *Manager) schedule(ctx context.Context) {
 	ticker := time.NewTicker(scheduleTick)
 	defer ticker.Stop()
@@ -66,33 +67,43 @@
 	}
 	full := map[string]bool{} // services without room
 	now := time.Now()
-	for _, h := range m.byDue() {
-		for !h.ended && !h.released {
-			i, ok := h.progress.next(now)
-			if !ok {
-				break
-			}
-			if !m.place(ctx, h, i, now, limit, full) {
-				break
+	for _, item := range m.waitingItems(now) {
+		h := m.held[item.Job]
+		if r := m.routeOf(&h.head); r != nil {
+			m.place(ctx, h, item.Index, now, r, limit, full)
+		}
+	}
+}
+
+// waitingItems returns the items that may be sent now, in their order. The caller
+// holds m.mu.
+func (m *Manager) waitingItems(now time.Time) []schedule.Item {
+	var items []schedule.Item
+	for _, h := range m.held {
+		if h.ended || h.released {
+			continue
+		}
+		due := dueAt(&h.head, m.routeOf(&h.head))
+		for i := range h.progress.items {
+			if h.progress.mayBeSent(i, now) {
+				items = append(items, schedule.Item{Job: h.id, Index: i, Due: due})
 			}
 		}
 	}
+	schedule.Sort(items)
+	return items
 }
 
 // place sends one item if there is room. The caller holds m.mu.
-func (m *Manager) place(ctx context.Context, h *held, i int, now time.Time, limit func(choose.Target) int, full map[string]bool) bool {
-	r := m.routeOf(&h.head)
-	if r == nil {
-		return false
-	}
+func (m *Manager) place(ctx context.Context, h *held, i int, now time.Time, r *route.Route, limit func(choose.Target) int, full map[string]bool) {
 	service := r.Service(rand.Float64())
 	if full[service] {
-		return false
+		return
 	}
 	t, ok := m.Pool.ChooseBatch(choose.Need{Service: service, Limit: limit})
 	if !ok {
 		full[service] = true
-		return false
+		return
 	}
 	h.progress.sent(i, t.ID, now)
 	attempt, cancel := context.WithCancelCause(ctx)
@@ -104,7 +115,6 @@
 	m.Recorder.Record(timeline.ItemSent, h.items[i].ID, t.ID, "", timeline.Field{Name: "job", Value: h.id},
 		timeline.Field{Name: "resume_after", Value: h.progress.items[i].held}, timeline.Field{Name: "due_ms", Value: time.Until(dueAt(&h.head, r)).Milliseconds()})
 	go m.run(attempt, cancel, h, i, t, r)
-	return true
 }
 
 // run makes one attempt at an item and takes its end.
--- /dev/null
+++ b/lab/cmd/marblelab/model.go
@@ -0,0 +1,56 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/marblepond/marblepond/lab/model"
+)
+
+func modelCommand() *cli.Command {
+	return &cli.Command{Name: "model", Usage: "play loads over modelled engines in virtual time, with the product's decisions",
+		Flags: []cli.Flag{
+			&cli.StringSliceFlag{Name: "load", Usage: "`NAME` of a load, may be given again; all when none is: " + strings.Join(model.Loads(), ", ")},
+			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "`N` that gives the course of events"},
+			&cli.IntFlag{Name: "centres", Value: model.Small.Centres, Usage: "`N` data centres"},
+			&cli.IntFlag{Name: "nodes", Value: model.Small.NodesPerCentre, Usage: "`N` nodes in each"},
+			&cli.IntFlag{Name: "targets", Value: model.Small.TargetsPerCentre, Usage: "`N` targets in each"},
+			&cli.StringFlag{Name: "plots", Usage: "draw what slots do over time into this `FOLDER`"}},
+		Action: func(_ context.Context, c *cli.Command) error {
+			names := c.StringSlice("load")
+			if len(names) == 0 {
+				names = model.Loads()
+			}
+			d := model.Small
+			d.Centres, d.NodesPerCentre, d.TargetsPerCentre = c.Int("centres"), c.Int("nodes"), c.Int("targets")
+			return playModel(d, names, c.Uint64("seed"), c.String("plots"))
+		}}
+}
+
+func playModel(d model.Deployment, names []string, seed uint64, plots string) error {
+	var results []model.Result
+	for _, name := range names {
+		load, err := model.Named(name)
+		if err != nil {
+			return err
+		}
+		for _, v := range model.Variants {
+			results = append(results, model.Play(d, load, v, seed))
+		}
+	}
+	if err := model.Print(os.Stdout, results); err != nil || plots == "" {
+		return err
+	}
+	for _, r := range results {
+		file := filepath.Join(plots, fmt.Sprintf("%s-%s.png", r.Load, strings.ReplaceAll(r.Variant, " ", "-")))
+		if err := model.Plot(r, file); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/lab/model/clock.go
@@ -0,0 +1,62 @@
+package model
+
+import (
+	"container/heap"
+	"time"
+)
+
+// clock runs functions in the order of their virtual time.
+type clock struct {
+	now   time.Duration
+	queue events
+	count int
+}
+
+type event struct {
+	at    time.Duration
+	order int // of two at one time the first that was set runs first
+	f     func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || (e[i].at == e[j].at && e[i].order < e[j].order)
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+// after runs f once the time has passed.
+func (c *clock) after(d time.Duration, f func()) {
+	c.count++
+	heap.Push(&c.queue, event{c.now + max(0, d), c.count, f})
+}
+
+// every runs f at each interval.
+func (c *clock) every(d time.Duration, f func()) {
+	c.after(d, func() {
+		f()
+		c.every(d, f)
+	})
+}
+
+// run runs what is due until the end.
+func (c *clock) run(end time.Duration) {
+	for len(c.queue) > 0 && c.queue[0].at <= end {
+		next := heap.Pop(&c.queue).(event)
+		c.now = next.at
+		next.f()
+	}
+	c.now = end
+}
+
+// epoch is the wall clock at virtual time 0.
+var epoch = time.Unix(1_700_000_000, 0)
+
+func (c *clock) wall() time.Time { return epoch.Add(c.now) }
--- /dev/null
+++ b/lab/model/fleet.go
@@ -0,0 +1,192 @@
+package model
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/marblepond/marblepond/internal/request/choose"
+)
+
+// Deployment is what the load is played on.
+type Deployment struct {
+	Centres, NodesPerCentre, TargetsPerCentre int
+	Engine                                    EngineFigures
+	// Objective is the time to the first event of an online request, GapObjective
+	// the longest pause after it, Deadline when its caller gives up, and
+	// CompleteWithin when items are due.
+	Objective, GapObjective, Deadline, CompleteWithin time.Duration
+	// NearDelay and FarDelay are the times one way within a data centre and between
+	// two.
+	NearDelay, FarDelay time.Duration
+	OnlineEvents        int // mean of an answer
+	ItemEvents          int
+}
+
+// Small is the deployment of a customer of today: four data centres with six nodes
+// and nine targets, rounded up to two and three in each.
+var Small = Deployment{Centres: 4, NodesPerCentre: 2, TargetsPerCentre: 3, Engine: PublishedEngine, Objective: 300 * time.Millisecond,
+	GapObjective: 250 * time.Millisecond, Deadline: 5 * time.Second, CompleteWithin: 18 * time.Second, NearDelay: 300 * time.Microsecond, FarDelay: 900 * time.Microsecond,
+	OnlineEvents: 28, ItemEvents: 193}
+
+// Variant switches a mechanism for comparison.
+type Variant struct {
+	Name string
+	// LeastReserve is how many slots items always leave free.
+	LeastReserve int
+	// Mute keeps a node from telling holders at once that it needs room.
+	Mute bool
+}
+
+// Variants are the product's policy and the ones that it is measured against.
+var Variants = []Variant{{Name: "product"}, {Name: "two slots kept free", LeastReserve: 2}, {Name: "no word to holders", Mute: true}}
+
+const (
+	sharedTokens = 200 // of an online prompt, with other requests
+	ownTokens    = 250
+	itemTokens   = 350
+	prefixes     = 40 // different shared parts
+	jobItems     = 10
+	// lengthSpread is the deviation of a length from its mean, as a share.
+	lengthSpread = 0.25
+)
+
+// fleet is one play.
+type fleet struct {
+	Deployment
+	load    Load
+	variant Variant
+	clock   clock
+	draw    *rand.Rand
+	engines map[string]*engine
+	centres map[string]string // of targets
+	list    []choose.Target
+	nodes   []*node
+	cut     string // data centre that is cut off
+	jobs    int
+	result  Result
+}
+
+// Play plays a load and returns what came of it.
+func Play(d Deployment, load Load, v Variant, seed uint64) Result {
+	f := &fleet{Deployment: d, load: load, variant: v, draw: rand.New(rand.NewPCG(seed, seed)), engines: map[string]*engine{}, centres: map[string]string{}}
+	f.build(seed)
+	f.arrivals()
+	for _, fault := range load.Faults {
+		f.clock.after(fault.At, func() { f.strike(fault) })
+	}
+	f.clock.every(sampleEvery, f.sample)
+	f.clock.run(load.Length + d.CompleteWithin)
+	return f.finish()
+}
+
+func (f *fleet) build(seed uint64) {
+	for c := range f.Centres {
+		centre := fmt.Sprint("dc", c)
+		for t := range f.TargetsPerCentre {
+			id := fmt.Sprintf("t%d-%d", c, t)
+			f.list = append(f.list, choose.Target{ID: id, Incarnation: 1, Service: service, DataCentre: centre, Slots: f.Engine.Slots})
+			f.engines[id] = newEngine(&f.Engine, &f.clock)
+			f.centres[id] = centre
+		}
+		for n := range f.NodesPerCentre {
+			f.nodes = append(f.nodes, newNode(f, fmt.Sprintf("n%d-%d", c, n), centre, seed+uint64(100*c+n)))
+		}
+	}
+	for _, n := range f.nodes {
+		n.start()
+	}
+}
+
+// slotTime is how long a request of some events holds a slot on an idle engine.
+func (f *fleet) slotTime(events, prompt int) time.Duration {
+	e := f.Engine
+	return time.Duration(events*e.TokensPerEvent)*e.Step + time.Duration(float64(prompt)/e.PromptPerMS*float64(time.Millisecond))
+}
+
+// arrivals draws online requests and jobs as Poisson processes.
+func (f *fleet) arrivals() {
+	slots := float64(f.Centres * f.TargetsPerCentre * f.Engine.Slots)
+	online := slots / f.slotTime(f.OnlineEvents, sharedTokens+ownTokens).Seconds()
+	jobs := f.load.Batch * slots / f.slotTime(f.ItemEvents, itemTokens).Seconds() / jobItems
+	f.poisson(func() float64 { return online * f.load.Online(f.clock.now) }, f.request)
+	f.poisson(func() float64 { return jobs }, f.job)
+	for _, at := range f.load.JobsAt {
+		f.clock.after(at, func() {
+			for range 10 {
+				f.job()
+			}
+		})
+	}
+}
+
+// arrivalTick is the time between draws of arrivals.
+const arrivalTick = time.Millisecond
+
+func (f *fleet) poisson(perSecond func() float64, arrive func()) {
+	f.clock.every(arrivalTick, func() {
+		if f.draw.Float64() < perSecond()*arrivalTick.Seconds() {
+			arrive()
+		}
+	})
+}
+
+func (f *fleet) length(mean int) int {
+	return max(1, int(float64(mean)*(1+lengthSpread*f.draw.NormFloat64())))
+}
+
+// node draws one that takes callers.
+func (f *fleet) node() *node {
+	n := f.nodes[f.draw.IntN(len(f.nodes))]
+	if n.down {
+		return nil
+	}
+	return n
+}
+
+// reaches reports whether two data centres reach each other.
+func (f *fleet) reaches(a, b string) bool { return a == b || (a != f.cut && b != f.cut) }
+
+func (f *fleet) delay(a, b string) time.Duration {
+	if a == b {
+		return f.NearDelay
+	}
+	return f.FarDelay
+}
+
+// unlistedAfter is when nodes hear that a target is gone: three heartbeats of a
+// third of a second.
+const unlistedAfter = time.Second
+
+func (f *fleet) strike(fault Fault) {
+	struck := f.list[:int(fault.Share*float64(len(f.list)))]
+	switch fault.Kind {
+	case TargetsLost:
+		for _, t := range struck {
+			f.engines[t.ID].fail()
+		}
+		f.clock.after(unlistedAfter, func() {
+			f.list = f.list[len(struck):]
+			for _, n := range f.nodes {
+				n.table.Set(f.list)
+			}
+		})
+	case TargetsSlow:
+		for _, t := range struck {
+			f.engines[t.ID].slow = fault.Factor
+		}
+		f.clock.after(fault.For, func() {
+			for _, t := range struck {
+				f.engines[t.ID].slow = 1
+			}
+		})
+	case CentreCut:
+		f.cut = fmt.Sprint("dc", fault.Centre)
+		f.clock.after(fault.For, func() { f.cut = "" })
+	case AllRestart:
+		for _, n := range f.nodes {
+			n.stop()
+			f.clock.after(fault.For, n.start)
+		}
+	}
+}
--- /dev/null
+++ b/lab/model/result.go
@@ -0,0 +1,138 @@
+package model
+
+import (
+	"fmt"
+	"io"
+	"path/filepath"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+)
+
+// Counts says how requests or items ended.
+type Counts struct {
+	Asked, InTime, Late, Refused, Failed int
+}
+
+// Share returns the share that was in time.
+func (c Counts) Share() float64 { return float64(c.InTime) / float64(max(1, c.Asked)) }
+
+func (c *Counts) end(now, due time.Time) {
+	if now.After(due) {
+		c.Late++
+		return
+	}
+	c.InTime++
+}
+
+// Result is what came of a play.
+type Result struct {
+	Load, Variant      string
+	Online, Items      Counts
+	FirstP50, FirstP99 time.Duration // from arrival to the first event
+	OnlineSlots        float64       // share of the slots' time that online requests held
+	ItemSlots          float64
+	Yields             int
+	ResumedTokens      int // of outputs, read again because an item went on
+	PromptTokens       int // read in all
+	SharedTokensAgain  int // of prefixes that the same engine had read before
+	Samples            []Sample
+	first              []time.Duration
+}
+
+// Sample is what the slots of the fleet were doing at a time.
+type Sample struct {
+	At            time.Duration
+	Slots         int // of engines that live
+	Online, Items int // running
+	Waiting       int // at engines
+}
+
+// sampleEvery is the time between samples.
+const sampleEvery = 50 * time.Millisecond
+
+func (f *fleet) sample() {
+	if f.clock.now > f.load.Length {
+		return
+	}
+	s := Sample{At: f.clock.now}
+	for _, e := range f.engines {
+		if e.down {
+			continue
+		}
+		s.Slots += f.Engine.Slots
+		s.Waiting += len(e.waiting)
+		for _, r := range e.running {
+			if r.prefix == "" {
+				s.Items++
+			} else {
+				s.Online++
+			}
+		}
+	}
+	f.result.Samples = append(f.result.Samples, s)
+}
+
+func (f *fleet) finish() Result {
+	r := f.result
+	r.Load, r.Variant = f.load.Name, f.variant.Name
+	slices.Sort(r.first)
+	if n := len(r.first); n > 0 {
+		r.FirstP50, r.FirstP99 = r.first[n/2], r.first[n*99/100]
+	}
+	slots, online, items := 0, 0, 0
+	for _, s := range r.Samples {
+		slots += s.Slots
+		online += s.Online
+		items += s.Items
+	}
+	r.OnlineSlots, r.ItemSlots = float64(online)/float64(max(1, slots)), float64(items)/float64(max(1, slots))
+	for _, e := range f.engines {
+		r.PromptTokens += e.promptTokens
+		r.SharedTokensAgain += e.sharedAgain
+	}
+	return r
+}
+
+// Print writes one line for each result.
+func Print(w io.Writer, results []Result) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "load\tvariant\tonline in aim\trefused\tfailed\tfirst p50\tp99\titems in time\tslots online\titems\tfree\tyields\ttokens read\tagain for yields\tof prefixes")
+	for _, r := range results {
+		fmt.Fprintf(t, "%s\t%s\t%d of %d, %.4f\t%d\t%d\t%v\t%v\t%d of %d, %.4f\t%.3f\t%.3f\t%.3f\t%d\t%d\t%d\t%d\n", r.Load, r.Variant,
+			r.Online.InTime, r.Online.Asked, r.Online.Share(), r.Online.Refused, r.Online.Failed, r.FirstP50.Round(time.Millisecond), r.FirstP99.Round(time.Millisecond),
+			r.Items.InTime, r.Items.Asked, r.Items.Share(), r.OnlineSlots, r.ItemSlots, 1-r.OnlineSlots-r.ItemSlots, r.Yields, r.PromptTokens, r.ResumedTokens, r.SharedTokensAgain)
+	}
+	return t.Flush()
+}
+
+// Plot draws what the slots were doing over time into a PNG or SVG file.
+func Plot(r Result, path string) error {
+	p := plot.New()
+	p.Title.Text = r.Load + ", " + r.Variant
+	p.X.Label.Text, p.Y.Label.Text = "s", "slots"
+	lines := []struct {
+		name string
+		of   func(Sample) int
+	}{{"slots", func(s Sample) int { return s.Slots }}, {"online", func(s Sample) int { return s.Online }},
+		{"items", func(s Sample) int { return s.Items }}, {"waiting", func(s Sample) int { return s.Waiting }}}
+	for i, l := range lines {
+		points := make(plotter.XYs, len(r.Samples))
+		for k, s := range r.Samples {
+			points[k] = plotter.XY{X: s.At.Seconds(), Y: float64(l.of(s))}
+		}
+		line, err := plotter.NewLine(points)
+		if err != nil {
+			return err
+		}
+		line.Color = plotutil.Color(i)
+		p.Add(line)
+		p.Legend.Add(l.name, line)
+	}
+	return p.Save(18*vg.Centimeter, 9*vg.Centimeter, filepath.Clean(path))
+}
