--- a/lab/cmd/marblelab/main.go
+++ b/lab/cmd/marblelab/main.go
@@ -34,7 +34,7 @@
 		Usage: "stand-ins, demo and experiments",
 		Commands: []*cli.Command{
 			platformCommand(), engineCommand(), serviceCommand(),
-			soakCommand(), hostedSoakCommand(), modelCommand(), loadCommand(), overheadCommand(), reportCommand(),
+			soakCommand(), hostedSoakCommand(), modelCommand(), explainCommand(), loadCommand(), overheadCommand(), reportCommand(),
 			{Name: "capacity", Usage: "measure the slopes of docs/CAPACITY.md", Action: func(context.Context, *cli.Command) error {
 				capacity.Run(os.Stdout)
 				return nil
--- /dev/null
+++ b/lab/explain/items.go
@@ -0,0 +1,143 @@
+package explain
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+)
+
+// Times says where the time of items went, summed over some of them.
+type Times struct {
+	Items    int
+	First    time.Duration // before their first start
+	Wait     time.Duration // between their attempts
+	Run      time.Duration // at targets
+	Listed   time.Duration // from the end to the commit that listed them
+	Attempts int
+}
+
+// Items sums up the batch items of a log.
+type Items struct {
+	InTime, Late Times
+	Undone       int // of jobs that were ended, or still open at the end of the log
+	// Stopped counts ends of attempts by cause, Refused the jobs refused by cause.
+	Stopped, Refused map[string]int
+}
+
+// life is what the log tells of one item.
+type life struct {
+	submitted, due time.Time
+	job            string
+	started        time.Time // of the attempt that runs; zero: none does
+	ended          time.Time // of the last attempt
+	done           time.Time
+	listed         time.Time
+	times          Times
+}
+
+// OfItems sums up the batch items of a log; completeWithin is the time after which
+// a job is due.
+func OfItems(lines []Line, completeWithin time.Duration) Items {
+	out := Items{Stopped: map[string]int{}, Refused: map[string]int{}}
+	lives := map[string]*life{}
+	byJob := map[string][]*life{} // done and not listed
+	for _, l := range lines {
+		switch l.Name {
+		case "item_sent":
+			item := lives[l.Fields.Request]
+			if item == nil {
+				due := l.At.Add(time.Duration(l.Fields.DueMS) * time.Millisecond)
+				item = &life{due: due, submitted: due.Add(-completeWithin), job: l.Fields.Job}
+				lives[l.Fields.Request] = item
+			}
+			item.start(l.At)
+		case "item_failed":
+			out.Stopped[shorten(l.Fields.Cause)]++
+			if item := lives[l.Fields.Request]; item != nil {
+				item.stop(l.At)
+			}
+		case "item_done":
+			if item := lives[l.Fields.Request]; item != nil && item.done.IsZero() {
+				item.stop(l.At)
+				item.done = l.At
+				byJob[item.job] = append(byJob[item.job], item)
+			}
+		case "job_committed":
+			for _, item := range byJob[l.Fields.Request] {
+				item.listed = l.At
+			}
+			delete(byJob, l.Fields.Request)
+		case "job_refused":
+			out.Refused[shorten(l.Fields.Cause)]++
+		}
+	}
+	for _, item := range lives {
+		out.add(item)
+	}
+	return out
+}
+
+func (i *life) start(at time.Time) {
+	if i.ended.IsZero() && i.started.IsZero() {
+		i.times.First = at.Sub(i.submitted)
+	} else if i.started.IsZero() {
+		i.times.Wait += at.Sub(i.ended)
+	}
+	i.started = at
+	i.times.Attempts++
+}
+
+func (i *life) stop(at time.Time) {
+	if !i.started.IsZero() {
+		i.times.Run += at.Sub(i.started)
+	}
+	i.started, i.ended = time.Time{}, at
+}
+
+func (o *Items) add(item *life) {
+	if item.listed.IsZero() {
+		o.Undone++
+		return
+	}
+	item.times.Items, item.times.Listed = 1, item.listed.Sub(item.done)
+	if item.listed.After(item.due) {
+		o.Late.add(item.times)
+	} else {
+		o.InTime.add(item.times)
+	}
+}
+
+func (t *Times) add(o Times) {
+	t.Items += o.Items
+	t.First += o.First
+	t.Wait += o.Wait
+	t.Run += o.Run
+	t.Listed += o.Listed
+	t.Attempts += o.Attempts
+}
+
+// Print writes the mean times of items in time and late, and the causes.
+func (o Items) Print(w io.Writer) error {
+	fmt.Fprintf(w, "items: %d in time, %d late, %d not done\n", o.InTime.Items, o.Late.Items, o.Undone)
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "\tbefore the first start\tbetween attempts\tat targets\tuntil listed\tattempts\t")
+	for _, row := range []struct {
+		name string
+		Times
+	}{{"in time", o.InTime}, {"late", o.Late}} {
+		n := max(1, row.Items)
+		fmt.Fprintf(t, "%s\t%.2f s\t%.2f s\t%.2f s\t%.2f s\t%.2f\t\n", row.name, mean(row.First, n), mean(row.Wait, n), mean(row.Run, n), mean(row.Listed, n), float64(row.Attempts)/float64(n))
+	}
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	fmt.Fprintln(w, "attempts at items that ended early:")
+	if err := printCounts(w, o.Stopped); err != nil {
+		return err
+	}
+	fmt.Fprintln(w, "jobs refused:")
+	return printCounts(w, o.Refused)
+}
+
+func mean(sum time.Duration, n int) float64 { return sum.Seconds() / float64(n) }
