--- a/internal/connection/dial/dial.go
+++ b/internal/connection/dial/dial.go
@@ -41,7 +41,7 @@
 
 // New returns a dialer that waits for max at the most.
 func New(max time.Duration) *Dialer {
-	return &Dialer{max: max, dial: (&net.Dialer{}).DialContext, known: map[string]*place{}}
+	return &Dialer{max: max, dial: Plain(0).DialContext, known: map[string]*place{}}
 }
 
 // DialContext opens a connection; it serves as http.Transport.DialContext.
--- a/internal/process/hosted/peers.go
+++ b/internal/process/hosted/peers.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"net"
 	"net/http"
 	"slices"
 	"sync"
@@ -14,6 +13,7 @@
 
 	"github.com/marblepond/marblepond/api/marblepond/v1/marblepondv1connect"
 	"github.com/marblepond/marblepond/internal/connection/callbudget"
+	"github.com/marblepond/marblepond/internal/connection/dial"
 	"github.com/marblepond/marblepond/internal/connection/objects"
 	"github.com/marblepond/marblepond/internal/connection/peer"
 	"github.com/marblepond/marblepond/internal/connection/relay"
@@ -76,7 +76,7 @@
 // the call that met it, while one of HTTP/2 would fail every call until it is
 // found dead.
 func newPeers(s *settings.Settings) *peers {
-	dialer := &net.Dialer{Timeout: s.DialTimeout}
+	dialer := dial.Plain(s.DialTimeout)
 	h := &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: peerConns,
 		IdleConnTimeout: time.Minute, DisableCompression: true}}
 	options := peer.ClientOptions(s.PeerKey)
--- a/scripts/check-mutants.sh
+++ b/scripts/check-mutants.sh
@@ -63,4 +63,5 @@
 mutant 3 internal/request/choose/prefer.go 's/best\.freeOnline\(now\) >= homeRoom/best.freeOnline(now) > -99/' internal/request/choose TestHomeFirstThenElsewhere
 mutant 1 internal/request/job/sweep.go 's/since = at /_ = at /' internal/request/job TestSilenceCountsWhileTheStoreIsAway
 mutant 3 internal/connection/dial/dial.go 's/d\.at\(address\)\.failed\+\+/d.at(address)/' internal/connection/dial TestLimitFollowsTheNetwork
+mutant 8 internal/connection/dial/silent.go 's/Control: limitUnacknowledged,//' internal/connection/dial TestSilentConnectionsAreFound
 exit $missed
