--- a/internal/request/choose/choose.go
+++ b/internal/request/choose/choose.go
@@ -105,21 +105,21 @@
 
 // Table holds the targets. It is not safe for concurrent use.
 type Table struct {
-	cfg     Config
-	entries map[string]*entry
-	order   []string                       // sorted IDs
-	left    map[string]uint64              // newest leaving incarnation by VM, kept after the VM is gone
-	turn    int                            // for RoundRobin
-	draw    *rand.Rand                     // for LeastOfFew
-	held    map[string]time.Duration       // per service: how long online requests hold a slot
-	rank    map[string][]string            // per service: IDs
-	nodes   map[string]map[string]InFlight // by node of this data centre and target: what it last said
-	centres map[string]map[string]InFlight // by other data centre and target: the same
+	cfg      Config
+	entries  map[string]*entry
+	order    []string                       // sorted IDs
+	left     map[string]uint64              // newest leaving incarnation by VM, kept after the VM is gone
+	turn     int                            // for RoundRobin
+	draw     *rand.Rand                     // for LeastOfFew
+	occupied map[string]time.Duration       // per service: how long online requests hold a slot
+	rank     map[string][]string            // per service: IDs
+	nodes    map[string]map[string]InFlight // by node of this data centre and target: what it last said
+	centres  map[string]map[string]InFlight // by other data centre and target: the same
 }
 
 // New returns an empty table.
 func New(cfg Config) *Table {
-	return &Table{cfg: cfg, draw: rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)), entries: map[string]*entry{}, left: map[string]uint64{}, rank: map[string][]string{}, held: map[string]time.Duration{},
+	return &Table{cfg: cfg, draw: rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)), entries: map[string]*entry{}, left: map[string]uint64{}, rank: map[string][]string{}, occupied: map[string]time.Duration{},
 		nodes: map[string]map[string]InFlight{}, centres: map[string]map[string]InFlight{}}
 }
 
--- a/internal/request/choose/reserve.go
+++ b/internal/request/choose/reserve.go
@@ -18,24 +18,24 @@
 	// reserveMiss is the share of online requests that may find the slots kept for
 	// them taken, and wait until an item has made room.
 	reserveMiss = 0.03
-	// heldWeight is the weight of the newest measurement in the usual time that a
-	// request holds a slot.
-	heldWeight = 0.05
+	// occupiedWeight is the weight of the newest measurement in the usual time that
+	// a request holds a slot.
+	occupiedWeight = 0.05
 )
 
 // reserve returns how many slots of a target items leave free: as many as there
 // are online requests within the time that an item takes to make room, in all but
 // reserveMiss of such times. perSlot is the number of online requests that come
 // to a target in the time for which one holds a slot.
-func (c *Config) reserve(target Target, perSlot float64, held time.Duration) int {
-	if held <= 0 {
+func (c *Config) reserve(target Target, perSlot float64, occupied time.Duration) int {
+	if occupied <= 0 {
 		return c.LeastReserve
 	}
 	reaction := awayReaction
 	if c.Home == "" || target.DataCentre == c.Home {
 		reaction = homeReaction
 	}
-	return max(c.LeastReserve, poissonQuantile(perSlot*reaction.Seconds()/held.Seconds(), reserveMiss))
+	return max(c.LeastReserve, poissonQuantile(perSlot*reaction.Seconds()/occupied.Seconds(), reserveMiss, target.Slots))
 }
 
 // onlinePerTarget returns, by service, how many online requests each target has
@@ -60,26 +60,28 @@
 // of a target items leave free for online requests.
 func (t *Table) Reserve() func(Target) int {
 	perSlot := t.onlinePerTarget()
-	held := maps.Clone(t.held)
-	return func(target Target) int { return t.cfg.reserve(target, perSlot[target.Service], held[target.Service]) }
+	occupied := maps.Clone(t.occupied)
+	return func(target Target) int {
+		return t.cfg.reserve(target, perSlot[target.Service], occupied[target.Service])
+	}
 }
 
 // poissonQuantile returns the least k for which a Poisson variable of the given
-// mean is above k with a probability of at most miss.
-func poissonQuantile(mean, miss float64) int {
+// mean is above k with a probability of at most miss, and most if that is less.
+func poissonQuantile(mean, miss float64, most int) int {
 	k := 0
 	term := math.Exp(-mean)
-	for above := 1 - term; above > miss; k++ {
+	for above := 1 - term; above > miss && k < most; k++ {
 		term *= mean / float64(k+1)
 		above -= term
 	}
 	return k
 }
 
-// Held takes how long an online request of a service held a slot.
-func (t *Table) Held(service string, took time.Duration) {
-	if old := t.held[service]; old > 0 {
-		took = old + time.Duration(heldWeight*float64(took-old))
+// Occupied takes how long an online request of a service held a slot.
+func (t *Table) Occupied(service string, took time.Duration) {
+	if old := t.occupied[service]; old > 0 {
+		took = old + time.Duration(occupiedWeight*float64(took-old))
 	}
-	t.held[service] = took
+	t.occupied[service] = took
 }
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -64,8 +64,8 @@
 	Heard(id string)
 	End(id string, outcome choose.Outcome)
 	FirstEvent(id string, took time.Duration)
-	// Held takes how long a request that was answered whole was at its target.
-	Held(service string, took time.Duration)
+	// Occupied takes how long a request that was answered whole held a slot.
+	Occupied(service string, took time.Duration)
 	Saturated(id string)
 	Leave(id, why string)
 }
@@ -300,7 +300,7 @@
 	for {
 		event, err := answer.Stream.Next()
 		if errors.Is(err, io.EOF) {
-			f.Targets.Held(req.Service, f.Now().Sub(sent))
+			f.Targets.Occupied(req.Service, f.Now().Sub(sent))
 			f.Log.Answered(req, t, Answer{Status: answer.Status, Events: c.events, First: c.first, Pause: c.pause})
 			return f.ended(caller)
 		}
--- a/internal/request/job/run.go
+++ b/internal/request/job/run.go
@@ -53,6 +53,7 @@
 			m.verifyAll(paused)
 		}
 		looked = time.Now()
+		m.MakeRoom() // also while nothing changes: the time for which requests wait for a slot grows
 		m.fill(ctx)
 	}
 }
--- a/internal/version/discovery/discovery.go
+++ b/internal/version/discovery/discovery.go
@@ -293,9 +293,9 @@
 	return p.table.Reserve()
 }
 
-// Held takes how long an online request of a service held a slot.
-func (p *Pool) Held(service string, took time.Duration) {
+// Occupied takes how long an online request of a service held a slot.
+func (p *Pool) Occupied(service string, took time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.table.Held(service, took)
+	p.table.Occupied(service, took)
 }
--- a/lab/model/work.go
+++ b/lab/model/work.go
@@ -220,7 +220,7 @@
 		f.deliver(n, target, func() {
 			if a.current() {
 				a.finish(choose.Success)
-				n.table.Held(service, f.clock.now-a.sent)
+				n.table.Occupied(service, f.clock.now-a.sent)
 				q.whole()
 			}
 		})
