Look for work only where there is some, and correct sums by the difference

Cause: a node among 51 of its data centre (31 targets, 160 requests a second over all, in one process) took 3.98 % of a core, 2.45 % without a request. By its profile 25 % of that went into summing all words of all nodes again for each datagram, 9 % into dealing out room for items on nodes that hold no job, 4 % into looking for items to stop on such nodes.

Ruled out: the store's copies, logs and the callers' path; together under a tenth of the profile.

--- a/internal/process/rendezvous/rendezvous.go
+++ b/internal/process/rendezvous/rendezvous.go
@@ -43,11 +43,12 @@
 // Place returns the place of one member among itself and others in the order for
 // a key, most when it comes later than that.
 func Place(key, self string, others []string, most int) int {
-	members := append(append(make([]string, 0, len(others)+1), others...), self)
-	for at, name := range Rank(key, members, most) {
-		if name == self {
-			return at
+	own := Weight(key, self)
+	place := 0
+	for _, other := range others {
+		if w := Weight(key, other); w > own || (w == own && other < self) {
+			place++
 		}
 	}
-	return most
+	return min(place, most)
 }
--- /dev/null
+++ b/internal/process/rendezvous/rendezvous_test.go
@@ -0,0 +1,26 @@
+package rendezvous
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// TestPlaceIsTheRank: the place of a member is that in the whole ranking.
+func TestPlaceIsTheRank(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var members []string
+		for i := range rapid.IntRange(1, 12).Draw(t, "members") {
+			members = append(members, fmt.Sprint("n", i))
+		}
+		key, most := rapid.String().Draw(t, "key"), rapid.IntRange(1, 14).Draw(t, "most")
+		self := rapid.SampledFrom(members).Draw(t, "self")
+		others := slices.DeleteFunc(slices.Clone(members), func(m string) bool { return m == self })
+		want := min(most, slices.Index(Rank(key, members, len(members)), self))
+		if got := Place(key, self, others, most); got != want {
+			t.Fatalf("place %d, rank %d", got, want)
+		}
+	})
+}
--- a/internal/request/choose/room.go
+++ b/internal/request/choose/room.go
@@ -1,6 +1,9 @@
 package choose
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 // saturatedFor is how long a target's own refusal counts: long enough for batch
 // items to make room there, and shorter than a request waits for room.
@@ -13,36 +16,54 @@
 }
 
 // SetNode replaces what another node of this data centre has in flight; nil:
-// nothing.
-func (t *Table) SetNode(node string, counts map[string]InFlight) { t.setOther(t.nodes, node, counts) }
+// nothing. It reports whether that is news.
+func (t *Table) SetNode(node string, counts map[string]InFlight) (news bool) {
+	return t.setOther(t.nodes, node, counts)
+}
 
 // SetDataCentre replaces what the nodes of another data centre have in flight
-// together; nil: nothing.
-func (t *Table) SetDataCentre(name string, counts map[string]InFlight) {
-	t.setOther(t.centres, name, counts)
+// together; nil: nothing. It reports whether that is news.
+func (t *Table) SetDataCentre(name string, counts map[string]InFlight) (news bool) {
+	return t.setOther(t.centres, name, counts)
 }
 
-func (t *Table) setOther(words map[string]map[string]InFlight, name string, counts map[string]InFlight) {
+// setOther replaces one word and corrects the sums by the difference: its cost
+// grows with that word and not with the number of nodes that are heard. It
+// reports whether the word says something new.
+func (t *Table) setOther(words map[string]map[string]InFlight, name string, counts map[string]InFlight) (news bool) {
+	old := words[name]
 	if counts == nil {
 		delete(words, name)
 	} else {
 		words[name] = counts
 	}
-	t.sumOthers()
+	if maps.Equal(old, counts) {
+		return false
+	}
+	t.addElsewhere(old, -1)
+	t.addElsewhere(counts, 1)
+	return true
+}
+
+// addElsewhere adds what a word counts to the sums of others, or with sign -1
+// takes it away.
+func (t *Table) addElsewhere(counts map[string]InFlight, sign int) {
+	for id, n := range counts {
+		if e := t.entries[id]; e != nil {
+			e.elsewhere.Online += sign * n.Online
+			e.elsewhere.Batch += sign * n.Batch
+		}
+	}
 }
 
+// sumOthers computes the sums of others anew, because the targets are others.
 func (t *Table) sumOthers() {
 	for _, e := range t.entries {
 		e.elsewhere = InFlight{}
 	}
 	for _, words := range []map[string]map[string]InFlight{t.nodes, t.centres} {
 		for _, counts := range words {
-			for id, n := range counts {
-				if e := t.entries[id]; e != nil {
-					e.elsewhere.Online += n.Online
-					e.elsewhere.Batch += n.Batch
-				}
-			}
+			t.addElsewhere(counts, 1)
 		}
 	}
 }
--- a/internal/request/job/room.go
+++ b/internal/request/job/room.go
@@ -10,11 +10,25 @@
 func (m *Manager) MakeRoom() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if !m.anyRunning() {
+		return
+	}
 	for id, n := range m.Pool.Excess() {
 		m.yield(id, n)
 	}
 }
 
+// anyRunning reports whether an item runs that was not stopped. The caller holds
+// m.mu.
+func (m *Manager) anyRunning() bool {
+	for _, h := range m.held {
+		if len(h.stops) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // MakeRoomAt stops one item at a target.
 func (m *Manager) MakeRoomAt(id string) {
 	m.mu.Lock()
--- a/internal/request/job/run.go
+++ b/internal/request/job/run.go
@@ -39,38 +39,66 @@
 
 // schedule sends items while there is room, in the order of package schedule.
 func (m *Manager) schedule(ctx context.Context) {
-	ticker := time.NewTicker(scheduleTick)
-	defer ticker.Stop()
-	looked := time.Now()
-	for {
+	timer := time.NewTimer(scheduleTick)
+	defer timer.Stop()
+	for m.waitForWork(ctx) {
+		looked := time.Now()
+		m.MakeRoom() // also while nothing changes: the time for which requests wait for a slot grows
+		m.fill(ctx)
+		timer.Reset(scheduleTick)
 		select {
 		case <-ctx.Done():
-			return
 		case <-m.wakeUp:
-		case <-ticker.C:
+		case <-timer.C:
 		}
 		if paused := time.Since(looked); paused > pauseNoticed {
 			m.verifyAll(paused)
 		}
-		looked = time.Now()
-		m.MakeRoom() // also while nothing changes: the time for which requests wait for a slot grows
-		m.fill(ctx)
 	}
 }
 
+// waitForWork waits until this node holds a job; false: ctx has ended. A node
+// without jobs has nothing to look for, and most nodes of a large fleet are that:
+// without this wait the looks take a tenth of an idle node's processor time.
+func (m *Manager) waitForWork(ctx context.Context) bool {
+	for ctx.Err() == nil {
+		if m.holdsAny() {
+			return true
+		}
+		select {
+		case <-ctx.Done():
+		case <-m.wakeUp:
+		}
+	}
+	return false
+}
+
+func (m *Manager) holdsAny() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.held) > 0
+}
+
+// anyWaiting reports whether an item may be sent now.
+func (m *Manager) anyWaiting(now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return !m.draining && len(m.waitingItems(now)) > 0
+}
+
 // fill sends as many items as there is room for.
 func (m *Manager) fill(ctx context.Context) {
+	now := time.Now()
+	if !m.anyWaiting(now) {
+		return
+	}
 	limit := m.Shares()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.draining || len(m.held) == 0 {
-		return
-	}
 	full := map[string]bool{} // services without room
-	now := time.Now()
 	for _, item := range m.waitingItems(now) {
 		h := m.held[item.Job]
-		if r := m.routeOf(&h.head); r != nil {
+		if r := m.routeOf(&h.head); r != nil && !m.draining {
 			m.place(ctx, h, item.Index, now, r, limit, full)
 		}
 	}
--- a/internal/version/discovery/discovery.go
+++ b/internal/version/discovery/discovery.go
@@ -75,18 +75,22 @@
 // not heard of any more.
 func (p *Pool) SetNode(node string, counts map[string]choose.InFlight) {
 	p.mu.Lock()
-	p.table.SetNode(node, counts)
+	news := p.table.SetNode(node, counts)
 	p.mu.Unlock()
-	p.onLoad()
+	if news {
+		p.onLoad()
+	}
 }
 
 // SetDataCentre takes what another data centre has in flight; nil: it is not
 // heard of any more.
 func (p *Pool) SetDataCentre(name string, counts map[string]choose.InFlight) {
 	p.mu.Lock()
-	p.table.SetDataCentre(name, counts)
+	news := p.table.SetDataCentre(name, counts)
 	p.mu.Unlock()
-	p.onLoad()
+	if news {
+		p.onLoad()
+	}
 }
 
 // Excess returns how many of this node's batch items are to make room, by target.
