--- a/internal/connection/beacon/beacon.go
+++ b/internal/connection/beacon/beacon.go
@@ -2,36 +2,49 @@
 // whole: what each has in flight at targets, and how new its copy of what the
 // object store holds is. A lost or late datagram is healed by the next.
 //
-// Nodes of a data centre share its targets, so each change goes to all of them,
-// at most once an interval that grows with their number. To other data centres
+// The nodes of a data centre share its targets, and each has to know what the
+// others have there. Where they are many they form groups. Each node tells its
+// own word to its group, and the sum over its group to those nodes of other groups
+// that it speaks to; a grid of rows and columns, which makes 2 sqrt(n) datagrams a
+// round of what would be n, and one step more on the way. To other data centres
 // each node tells the sum over its own, at a low rate and to a few nodes at a
-// time: whichever node is heard, it speaks for its whole data centre. What a node
-// keeps thus grows with its data centre and the number of the others, and not
-// with the fleet. The datagrams that a node sends a second are bounded by
-// 1/nearPace + (near + farFanout)/farInterval.
+// time: whichever node is heard, it speaks for its whole data centre.
+//
+// What each word carries, how old it may be when it is used, and who hears it:
+//
+//	                       of a node    of a group      of a data centre
+//	heard by               its group    other groups    a few nodes elsewhere
+//	in flight, demand      100 ms       200 ms          300 ms
+//	liveness               1 s          1 s, 2 s when   1 s, of the data centre
+//	                                    a whole group
+//	                                    falls silent
+//	age of copies          all of them, at the sender
+//	jobs newly held        the sender's, its members', those of its data centre
+//
+// A node sends at most 1/nearPace datagrams a second in its data centre, whatever
+// its size, and farFanout/farInterval to others.
 package beacon
 
 import (
 	"context"
-	"maps"
 	"math/rand/v2"
 	"net"
 	"sync"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
-	v1 "github.com/marblepond/marblepond/api/marblepond/v1"
 	"github.com/marblepond/marblepond/internal/request/choose"
 	"github.com/marblepond/marblepond/internal/version/follow"
 )
 
 const (
 	// nearLeast is the least time between two rounds to the own data centre,
-	// and nearPace is added to it for each node there: about 200 datagrams a
-	// second at the most.
+	// and nearPace is added to it for each node told: 200 datagrams a second at the
+	// most.
 	nearLeast = 5 * time.Millisecond
 	nearPace  = 5 * time.Millisecond
+	// nearInterval is the time between rounds when nothing changes: ten of them may
+	// be lost before a node counts as silent.
+	nearInterval = 100 * time.Millisecond
 	// farInterval is the time between rounds to other data centres and farFanout
 	// how many nodes one round reaches.
 	farInterval = 100 * time.Millisecond
@@ -44,16 +57,24 @@
 	silentAfter = time.Second
 )
 
-// Loads is what is told and heard of targets.
+// Loads is what is told and heard of targets. What is set replaces what was heard
+// before; nil: it is not heard of any more. The setters report whether that is
+// news.
 type Loads interface {
-	// InFlight returns what this node has in flight, and InFlightHere what all
-	// nodes of its data centre have, as far as it knows.
+	// InFlight returns what this node has in flight, InFlightInGroup what all nodes
+	// of its group have, and InFlightHere those of its data centre, as far as it
+	// knows.
 	InFlight() map[string]choose.InFlight
+	InFlightInGroup() map[string]choose.InFlight
 	InFlightHere() map[string]choose.InFlight
-	// SetNode and SetDataCentre take what another node of this data centre, or
-	// another data centre, has in flight; nil: it is not heard of any more.
-	SetNode(node string, counts map[string]choose.InFlight)
-	SetDataCentre(name string, counts map[string]choose.InFlight)
+	// Holders returns who else has batch items at a target.
+	Holders(target string) choose.Holders
+	// JoinGroup forgets what nodes and groups of this data centre were heard to
+	// have, because they are divided anew.
+	JoinGroup(group string)
+	SetNode(node string, counts map[string]choose.InFlight) (news bool)
+	SetGroup(group string, members int, counts map[string]choose.InFlight) (news bool)
+	SetDataCentre(name string, counts map[string]choose.InFlight) (news bool)
 }
 
 // Copies is what is told and heard of the copies of the object store.
@@ -64,13 +85,16 @@
 
 // BatchWork is what is told and heard of batch work.
 type BatchWork interface {
-	// Own returns the word of this node, and Here that of its data centre.
+	// Own returns the word of this node, Group that of its group, and Here that of
+	// its data centre.
 	Own() choose.Claim
+	Group() choose.Claim
 	Here() choose.Claim
 	// Announced returns the jobs that this node lately came to hold.
 	Announced() []string
-	// HeardNode and HeardDataCentre take the words of others.
+	// HeardNode, HeardGroup and HeardDataCentre take the words of others.
 	HeardNode(node string, c choose.Claim)
+	HeardGroup(group string, c choose.Claim)
 	HeardDataCentre(name string, c choose.Claim)
 	// HeardJobs takes the jobs that a node came to hold.
 	HeardJobs(node string, jobs []string)
@@ -91,12 +115,8 @@
 	Copies     Copies
 	Batch      BatchWork
 	Store      StoreLatency
-	// Peers returns where other nodes listen: those of the own data centre, and
-	// the others.
-	Peers func() (near, far []string)
-	// Holders returns where those hear that have batch items at a target: those
-	// of the own data centre, and the others.
-	Holders func(h choose.Holders) (near, far []string)
+	// View returns how this node sees the others now.
+	View func() *View
 	// Behind is told that a node knows more than this one, and Silent that a node
 	// of the own data centre is heard no more. They must not block.
 	Behind func(node string)
@@ -107,26 +127,23 @@
 type Exchange struct {
 	Options
 	touched  chan struct{}
-	urgent   chan choose.Holders // drops what it has no room for: the next round tells the same
-	sequence uint64
+	urgent   chan string // targets; drops what it has no room for: the next round tells the same
+	sequence uint64      // of the newest datagram composed; only Run uses it
+
+	nearInterval, farInterval time.Duration // the constants, longer in tests
 
 	mu      sync.Mutex
+	groups  int // into which the data centre was divided when the words were heard
 	heard   map[string]word
 	gone    map[string]time.Time // nodes that are heard no more: when they last were
+	grouped map[string]time.Time // other groups: when a node of it last spoke for it
 	centres map[string]time.Time // other data centres: when a node of it was last heard
 }
 
-// word is the newest datagram of another node.
-type word struct {
-	boot     int64
-	sequence uint64
-	at       time.Time
-	near     bool // of this node's data centre
-}
-
 // New returns an exchange; Run starts it.
 func New(o Options) *Exchange {
-	return &Exchange{Options: o, touched: make(chan struct{}, 1), urgent: make(chan choose.Holders, urgentRing), heard: map[string]word{}, gone: map[string]time.Time{}, centres: map[string]time.Time{}}
+	return &Exchange{Options: o, touched: make(chan struct{}, 1), urgent: make(chan string, urgentRing), nearInterval: nearInterval, farInterval: farInterval, heard: map[string]word{},
+		gone: map[string]time.Time{}, grouped: map[string]time.Time{}, centres: map[string]time.Time{}}
 }
 
 // Touch says that something changed; it never blocks.
@@ -137,56 +154,16 @@
 	}
 }
 
-// Tell lets those that have batch items at a target know at once what this node
-// has in flight; it never blocks. Waiting for the next round would take up to
-// nearLeast + near * nearPace in the own data centre and farInterval in others.
-func (x *Exchange) Tell(h choose.Holders) {
+// Tell lets those that have batch items at a target know at once that a request
+// waits for a slot there; it never blocks. Waiting for the next rounds would take
+// up to two of them in the own data centre and farInterval in others.
+func (x *Exchange) Tell(target string) {
 	select {
-	case x.urgent <- h:
+	case x.urgent <- target:
 	default:
 	}
 }
 
-// Heard returns the nodes that are heard now.
-func (x *Exchange) Heard() []string {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	out := make([]string, 0, len(x.heard))
-	for node, w := range x.heard {
-		if time.Since(w.at) < silentAfter {
-			out = append(out, node)
-		}
-	}
-	return out
-}
-
-// HeardNear returns the nodes of this data centre that are heard now, without
-// this one.
-func (x *Exchange) HeardNear() []string {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	var out []string
-	for node, w := range x.heard {
-		if w.near && time.Since(w.at) < silentAfter {
-			out = append(out, node)
-		}
-	}
-	return out
-}
-
-// HeardDataCentres returns the other data centres of which a node is heard now.
-func (x *Exchange) HeardDataCentres() []string {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	var out []string
-	for name, at := range x.centres {
-		if time.Since(at) < silentAfter {
-			out = append(out, name)
-		}
-	}
-	return out
-}
-
 // Run exchanges over conn until ctx ends.
 func (x *Exchange) Run(ctx context.Context, conn net.PacketConn) {
 	go func() {
@@ -194,170 +171,62 @@
 		conn.Close()
 	}()
 	go x.receive(conn)
-	far := time.NewTicker(farInterval)
+	far := time.NewTicker(x.farInterval)
 	defer far.Stop()
-	var touched <-chan struct{} = x.touched // nil while the pace forbids a round
-	var paced <-chan time.Time
+	next := time.NewTimer(x.nearInterval)
+	defer next.Stop()
+	touched := x.touched // nil while the pace forbids a round
+	round := func() {
+		told := x.round(conn)
+		touched = nil
+		next.Reset(Pace(told))
+	}
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-touched:
-			near, _ := x.Peers()
-			x.send(conn, near, x.Loads.InFlight, x.Batch.Own)
-			touched, paced = nil, time.After(nearLeast+time.Duration(len(near))*nearPace)
-		case <-paced:
-			touched, paced = x.touched, nil
-		case h := <-x.urgent:
-			near, others := x.Holders(h)
-			x.send(conn, near, x.Loads.InFlight, x.Batch.Own)
-			x.send(conn, others, x.Loads.InFlightHere, x.Batch.Here)
+			round()
+		case <-next.C:
+			if touched != nil {
+				round()
+				continue
+			}
+			touched = x.touched
+			next.Reset(x.nearInterval)
+		case target := <-x.urgent:
+			x.tellHolders(conn, target)
 		case <-far.C:
 			x.forgetSilent()
-			near, others := x.Peers()
-			rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
-			x.send(conn, near, x.Loads.InFlight, x.Batch.Own)
-			x.send(conn, others[:min(farFanout, len(others))], x.Loads.InFlightHere, x.Batch.Here)
-		}
-	}
-}
-
-// send tells the nodes at the addresses what the functions return.
-func (x *Exchange) send(conn net.PacketConn, addresses []string, inFlight func() map[string]choose.InFlight, batch func() choose.Claim) {
-	if len(addresses) == 0 {
-		return
-	}
-	data, err := proto.Marshal(x.compose(inFlight(), batch()))
-	if err != nil {
-		return // plain fields always encode
-	}
-	for _, address := range addresses {
-		if to, err := net.ResolveUDPAddr("udp", address); err == nil {
-			_, _ = conn.WriteTo(data, to) // a lost datagram is healed by the next
-		}
-	}
-}
-
-func (x *Exchange) compose(inFlight map[string]choose.InFlight, batch choose.Claim) *v1.Beacon {
-	x.sequence++
-	message := &v1.Beacon{Node: x.Node, Boot: x.Boot, Sequence: x.sequence, DataCentre: x.DataCentre,
-		Demand: uint32(batch.Demand), Overflow: uint32(batch.Overflow), Jobs: x.Batch.Announced()}
-	if took, age := x.Store.Latency(); took > 0 {
-		message.StoreTookMs, message.StoreAgeMs = uint32(max(1, took.Milliseconds())), uint32(age.Milliseconds())
-	}
-	for id, n := range inFlight {
-		message.Targets = append(message.Targets, &v1.TargetCounts{Target: id, Online: uint32(n.Online), Batch: uint32(n.Batch)})
-	}
-	for kind, m := range x.Copies.AgeMarks() {
-		if m.Known {
-			message.Marks = append(message.Marks, &v1.KindMark{Kind: kind, Complete: m.Complete, Latest: m.Latest, Floor: m.Floor, AgeMs: uint32(m.Age.Milliseconds()), Question: m.Question})
+			x.send(conn, x.View().farListeners(farFanout), x.wordOfDataCentre)
 		}
 	}
-	return message
 }
 
-func (x *Exchange) receive(conn net.PacketConn) {
-	buffer := make([]byte, maxDatagram)
-	for {
-		n, _, err := conn.ReadFrom(buffer)
-		if err != nil {
-			return // the socket is closed
-		}
-		var message v1.Beacon
-		if proto.Unmarshal(buffer[:n], &message) == nil && x.news(&message) {
-			x.take(&message)
-		}
-	}
-}
+// Pace returns the least time between two rounds that each tell so many nodes.
+func Pace(told int) time.Duration { return nearLeast + time.Duration(told)*nearPace }
 
-// news reports whether a datagram is newer than the last of its sender.
-func (x *Exchange) news(m *v1.Beacon) bool {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	last := x.heard[m.Node]
-	if m.Boot < last.boot || (m.Boot == last.boot && m.Sequence <= last.sequence) {
-		return false
-	}
-	x.heard[m.Node] = word{m.Boot, m.Sequence, time.Now(), m.DataCentre == x.DataCentre}
-	delete(x.gone, m.Node)
-	if m.DataCentre != x.DataCentre {
-		x.centres[m.DataCentre] = time.Now()
-	}
-	return true
+// round tells the own data centre, and returns how many nodes it told.
+func (x *Exchange) round(conn net.PacketConn) int {
+	view := x.View()
+	x.join(view)
+	members, listeners := view.Members(), view.Listeners(x.HeardInGroup(), rand.Float64)
+	x.send(conn, members, x.wordOfNode)
+	x.send(conn, listeners, x.wordOfGroup)
+	return len(members) + len(listeners)
 }
 
-func (x *Exchange) take(m *v1.Beacon) {
-	counts := make(map[string]choose.InFlight, len(m.Targets))
-	for _, t := range m.Targets {
-		counts[t.Target] = choose.InFlight{Online: int(t.Online), Batch: int(t.Batch)}
-	}
-	batch := choose.Claim{Demand: int(m.Demand), Overflow: int(m.Overflow)}
-	if m.DataCentre == x.DataCentre {
-		x.Loads.SetNode(m.Node, counts)
-		x.Batch.HeardNode(m.Node, batch)
-	} else {
-		x.Loads.SetDataCentre(m.DataCentre, counts)
-		x.Batch.HeardDataCentre(m.DataCentre, batch)
-	}
-	x.Batch.HeardJobs(m.Node, m.Jobs)
-	if m.StoreTookMs > 0 {
-		x.Store.Heard(time.Duration(m.StoreTookMs)*time.Millisecond, time.Duration(m.StoreAgeMs)*time.Millisecond)
-	}
-	behind := false
-	for _, k := range m.Marks {
-		mark := follow.Mark{Complete: k.Complete, Latest: k.Latest, Floor: k.Floor, Age: time.Duration(k.AgeMs) * time.Millisecond, Question: k.Question, Known: true}
-		behind = x.Copies.HeardMark(k.Kind, mark) || behind
-	}
-	if behind {
-		x.Behind(m.Node)
-	}
-}
-
-// SilentSince returns when a node that is heard no more was last heard; false: it
-// is heard, or never was.
-func (x *Exchange) SilentSince(node string) (time.Time, bool) {
+// join forgets the words of nodes and groups when the data centre is divided into
+// groups anew.
+func (x *Exchange) join(view *View) {
 	x.mu.Lock()
-	defer x.mu.Unlock()
-	at, gone := x.gone[node]
-	return at, gone
-}
-
-// goneFor is how long a silent node is remembered: longer than its jobs are held.
-const goneFor = 10 * time.Minute
-
-// forgetSilent drops what silent nodes and data centres said they have in
-// flight.
-func (x *Exchange) forgetSilent() {
-	nodes, centres := x.silent()
-	for _, node := range nodes {
-		x.Loads.SetNode(node, nil)
-		x.Silent(node)
-	}
-	for _, name := range centres {
-		x.Loads.SetDataCentre(name, nil)
+	same := x.groups == view.groups
+	x.groups = view.groups
+	if !same {
+		clear(x.grouped)
 	}
-}
-
-// silent forgets the nodes and data centres that are heard no more, and returns
-// the nodes of this data centre and the data centres among them.
-func (x *Exchange) silent() (nodes, centres []string) {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	for node, w := range x.heard {
-		if time.Since(w.at) > silentAfter {
-			delete(x.heard, node)
-			x.gone[node] = w.at
-			if w.near {
-				nodes = append(nodes, node)
-			}
-		}
-	}
-	maps.DeleteFunc(x.gone, func(_ string, at time.Time) bool { return time.Since(at) > goneFor })
-	for name, at := range x.centres {
-		if time.Since(at) > silentAfter {
-			delete(x.centres, name)
-			centres = append(centres, name)
-		}
+	x.mu.Unlock()
+	if !same {
+		x.Loads.JoinGroup(view.Group())
 	}
-	return nodes, centres
 }
--- a/internal/connection/beacon/beacon_test.go
+++ b/internal/connection/beacon/beacon_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -16,9 +18,14 @@
 
 // words records what one node has in flight and hears.
 type words struct {
-	mu      sync.Mutex
-	own     map[string]choose.InFlight
+	mu        sync.Mutex
+	own       map[string]choose.InFlight
+	holders   choose.Holders
+	announced []string
+	jobs      map[string]string // holders that were heard, by job
+
 	nodes   map[string]map[string]choose.InFlight
+	groups  map[string]map[string]choose.InFlight
 	centres map[string]map[string]choose.InFlight
 	claims  map[string]choose.Claim // by node or data centre
 	health  *objects.Health
@@ -32,39 +39,84 @@
 }
 
 func newWords(own map[string]choose.InFlight) *words {
-	return &words{own: own, nodes: map[string]map[string]choose.InFlight{}, centres: map[string]map[string]choose.InFlight{}, claims: map[string]choose.Claim{},
+	return &words{own: own, jobs: map[string]string{}, nodes: map[string]map[string]choose.InFlight{}, groups: map[string]map[string]choose.InFlight{}, centres: map[string]map[string]choose.InFlight{}, claims: map[string]choose.Claim{},
 		health: objects.NewHealth(time.Now, func(bool, time.Duration) {})}
 }
 
-func (w *words) InFlight() map[string]choose.InFlight { return w.own }
+func (w *words) InFlight() map[string]choose.InFlight {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return maps.Clone(w.own)
+}
+
+func (w *words) InFlightInGroup() map[string]choose.InFlight {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return sumOf(append(slices.Collect(maps.Values(w.nodes)), w.own)...)
+}
 
 func (w *words) InFlightHere() map[string]choose.InFlight {
+	here := w.InFlightInGroup()
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	sum := map[string]choose.InFlight{}
-	for _, counts := range append([]map[string]choose.InFlight{w.own}, w.nodes["a1"], w.nodes["a2"]) {
+	return sumOf(append(slices.Collect(maps.Values(w.groups)), here)...)
+}
+
+// sumOf adds up words.
+func sumOf(words ...map[string]choose.InFlight) map[string]choose.InFlight {
+	out := map[string]choose.InFlight{}
+	for _, counts := range words {
 		for id, n := range counts {
-			sum[id] = choose.InFlight{Online: sum[id].Online + n.Online, Batch: sum[id].Batch + n.Batch}
+			out[id] = choose.InFlight{Online: out[id].Online + n.Online, Batch: out[id].Batch + n.Batch}
 		}
 	}
-	return sum
+	return out
+}
+
+func (w *words) Holders(string) choose.Holders {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.holders
 }
 
-func (w *words) SetNode(node string, counts map[string]choose.InFlight) {
+func (w *words) JoinGroup(string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.nodes[node] = counts
+	clear(w.nodes)
+	clear(w.groups)
+}
+
+func (w *words) SetNode(node string, counts map[string]choose.InFlight) bool {
+	return w.set(w.nodes, node, counts)
+}
+
+func (w *words) SetGroup(group string, _ int, counts map[string]choose.InFlight) bool {
+	return w.set(w.groups, group, counts)
 }
 
-func (w *words) SetDataCentre(name string, counts map[string]choose.InFlight) {
+func (w *words) SetDataCentre(name string, counts map[string]choose.InFlight) bool {
+	return w.set(w.centres, name, counts)
+}
+
+func (w *words) set(words map[string]map[string]choose.InFlight, name string, counts map[string]choose.InFlight) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.centres[name] = counts
+	news := !maps.Equal(words[name], counts)
+	words[name] = counts
+	return news
 }
 
 func (w *words) Own() choose.Claim   { return choose.Claim{Demand: 1} }
+func (w *words) Group() choose.Claim { return choose.Claim{Demand: 1} }
 func (w *words) Here() choose.Claim  { return choose.Claim{Demand: 2, Overflow: 1} }
-func (w *words) Announced() []string { return nil }
+
+func (w *words) Announced() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.announced
+}
+
+func (w *words) HeardGroup(string, choose.Claim) {}
 
 func (w *words) HeardNode(node string, b choose.Claim) {
 	w.mu.Lock()
@@ -78,12 +130,19 @@
 	w.claims[name] = b
 }
 
-func (w *words) HeardJobs(string, []string) {}
+func (w *words) HeardJobs(node string, jobs []string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, id := range jobs {
+		w.jobs[id] = node
+	}
+}
 
 type noCopies struct{}
 
 func (noCopies) AgeMarks() map[string]follow.Mark   { return nil }
 func (noCopies) HeardMark(string, follow.Mark) bool { return false }
+
 func (w *words) said(name string) map[string]choose.InFlight {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -101,20 +160,17 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	exchanges := map[string]*Exchange{}
-	start := func(node, centre string, w *words, near, far []string) (address string, stop context.CancelFunc) {
-		conn, err := net.ListenPacket("udp", "127.0.0.1:0")
-		is.NoErr(err)
+	start := func(node, centre string, w *words, others ...Peer) (Peer, context.CancelFunc) {
 		running, stop := context.WithCancel(ctx)
-		x := New(Options{Node: node, DataCentre: centre, Boot: 1, Loads: w, Copies: noCopies{}, Batch: w, Store: w.health,
-			Peers: func() ([]string, []string) { return near, far }, Behind: func(string) {}, Silent: w.silent})
+		x, conn := newExchange(t, node, centre, w, func() []Peer { return others })
 		exchanges[node] = x
 		go x.Run(running, conn)
-		return conn.LocalAddr().String(), stop
+		return Peer{Node: node, DataCentre: centre, Address: conn.LocalAddr(), Callers: true}, stop
 	}
 	b, a1, a2 := newWords(nil), newWords(map[string]choose.InFlight{"t": {Online: 2}}), newWords(map[string]choose.InFlight{"t": {Online: 1, Batch: 3}})
-	addressB, _ := start("b1", "b", b, nil, nil)
-	address1, stop1 := start("a1", "a", a1, nil, []string{addressB})
-	_, stop2 := start("a2", "a", a2, []string{address1}, nil)
+	peerB, _ := start("b1", "b", b)
+	peer1, stop1 := start("a1", "a", a1, peerB)
+	_, stop2 := start("a2", "a", a2, peer1)
 	eventually(t, func() bool {
 		n := b.said("a")["t"]
 		return n.Online == 3 && n.Batch == 3
@@ -139,41 +195,43 @@
 	eventually(t, func() bool { return b.said("a") == nil })
 }
 
-// TestHoldersHearAtOnce: what cannot wait reaches the holders of items before
-// the next round, in the own data centre and elsewhere, and nobody else.
+// newExchange returns an exchange that sees the others given, and where it hears.
+func newExchange(t *testing.T, node, centre string, w *words, others func() []Peer) (*Exchange, net.PacketConn) {
+	t.Helper()
+	conn, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return New(Options{Node: node, DataCentre: centre, Boot: time.Now().UnixMicro(), Loads: w, Copies: noCopies{}, Batch: w, Store: w.health,
+		View: func() *View { return NewView(node, centre, others()) }, Behind: func(string) {}, Silent: w.silent}), conn
+}
+
+// TestHoldersHearAtOnce: what cannot wait reaches the holders of items without
+// waiting for a round, in the own data centre and elsewhere, and nobody else.
 func TestHoldersHearAtOnce(t *testing.T) {
 	is := is.New(t)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	start := func(node, centre string, w *words, near, far []string, holders func(choose.Holders) ([]string, []string)) (string, *Exchange) {
-		conn, err := net.ListenPacket("udp", "127.0.0.1:0")
-		is.NoErr(err)
-		x := New(Options{Node: node, DataCentre: centre, Boot: 1, Loads: w, Copies: noCopies{}, Batch: w, Store: w.health,
-			Peers: func() ([]string, []string) { return near, far }, Holders: holders, Behind: func(string) {}, Silent: w.silent})
+	near, far, other, holder := newWords(nil), newWords(nil), newWords(nil), newWords(nil)
+	start := func(node, centre string, w *words, others ...Peer) (*Exchange, Peer) {
+		x, conn := newExchange(t, node, centre, w, func() []Peer { return others })
+		x.nearInterval, x.farInterval = time.Hour, time.Hour
 		go x.Run(ctx, conn)
-		return conn.LocalAddr().String(), x
-	}
-	near, far, other := newWords(nil), newWords(nil), newWords(nil)
-	nearAddress, _ := start("a2", "a", near, nil, nil, nil)
-	farAddress, _ := start("b1", "b", far, nil, nil, nil)
-	otherAddress, _ := start("c1", "c", other, nil, nil, nil)
-	// So many peers that the pace of rounds alone would take a second.
-	crowd := make([]string, 200)
-	for i := range crowd {
-		crowd[i] = otherAddress
+		return x, Peer{Node: node, DataCentre: centre, Address: conn.LocalAddr(), Callers: true}
 	}
+	_, nearPeer := start("a2", "a", near)
+	_, holderPeer := start("b2", "b", holder)
+	far.holders = choose.Holders{Nodes: []string{"b2"}} // as b1 knows its data centre
+	_, farPeer := start("b1", "b", far, holderPeer)
+	_, otherPeer := start("c1", "c", other)
 	w := newWords(map[string]choose.InFlight{"t": {Online: 1}})
-	_, x := start("a1", "a", w, crowd, nil, func(h choose.Holders) ([]string, []string) {
-		is.Equal(h, choose.Holders{Nodes: []string{"a2"}, DataCentres: []string{"b"}})
-		return []string{nearAddress}, []string{farAddress}
-	})
-	x.Touch()
-	time.Sleep(20 * time.Millisecond) // the first round is over, the next is a second away
-	told := time.Now()
-	x.Tell(choose.Holders{Nodes: []string{"a2"}, DataCentres: []string{"b"}})
-	eventually(t, func() bool { return near.said("a1") != nil && far.said("a") != nil })
-	is.True(time.Since(told) < 500*time.Millisecond)
+	w.holders = choose.Holders{Nodes: []string{"a2"}, DataCentres: []string{"b"}}
+	x, _ := start("a1", "a", w, nearPeer, farPeer, otherPeer)
+	x.Tell("t")
+	eventually(t, func() bool { return near.said("a1") != nil && far.said("a") != nil && holder.said("a") != nil })
 	is.Equal(near.said("a1")["t"].Online, 1)
+	is.Equal(holder.said("a")["t"].Online, 1) // through b1, which knows who holds items there
+	is.Equal(len(other.said("a")), 0)
 }
 
 func eventually(t *testing.T, f func() bool) {
--- a/internal/process/hosted/batchwork.go
+++ b/internal/process/hosted/batchwork.go
@@ -9,32 +9,42 @@
 
 // batchWork tells other nodes of this node's batch work and takes what they
 // tell; it implements beacon.BatchWork. From that the room for items at each
-// target is dealt out: first to data centres, then to the nodes of each.
+// target is dealt out: first to data centres, then to the groups of each, then to
+// the nodes of each group.
 type batchWork struct {
 	node *Node
 
 	mu      sync.Mutex
-	nodes   map[string]choose.Claim // other nodes of this data centre
+	nodes   map[string]choose.Claim // other nodes of this node's group
+	groups  map[string]choose.Claim // other groups of this data centre
 	centres map[string]choose.Claim // other data centres
 }
 
 func newBatchWork(n *Node) *batchWork {
-	return &batchWork{node: n, nodes: map[string]choose.Claim{}, centres: map[string]choose.Claim{}}
+	return &batchWork{node: n, nodes: map[string]choose.Claim{}, groups: map[string]choose.Claim{}, centres: map[string]choose.Claim{}}
 }
 
 // Own implements beacon.BatchWork.
 func (w *batchWork) Own() choose.Claim { return choose.Claim{Demand: w.node.jobs.Demand()} }
 
+// Group implements beacon.BatchWork.
+func (w *batchWork) Group() choose.Claim { return choose.Claim{Demand: total(w.claimsInGroup())} }
+
 // Here implements beacon.BatchWork.
 func (w *batchWork) Here() choose.Claim {
-	demand := 0
-	for _, claim := range w.claimsHere() {
-		demand += claim
-	}
+	demand := total(w.claimsOfGroups())
 	room := w.node.pool.BatchRoom(w.node.settings.DataCentre)
 	return choose.Claim{Demand: demand, Overflow: max(0, demand-room)}
 }
 
+func total(demands map[string]int) int {
+	sum := 0
+	for _, demand := range demands {
+		sum += demand
+	}
+	return sum
+}
+
 // Announced implements beacon.BatchWork.
 func (w *batchWork) Announced() []string { return w.node.jobs.Announced() }
 
@@ -45,6 +55,13 @@
 	w.nodes[node] = b
 }
 
+// HeardGroup implements beacon.BatchWork.
+func (w *batchWork) HeardGroup(group string, b choose.Claim) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.groups[group] = b
+}
+
 // HeardDataCentre implements beacon.BatchWork.
 func (w *batchWork) HeardDataCentre(name string, b choose.Claim) {
 	w.mu.Lock()
@@ -59,11 +76,11 @@
 	}
 }
 
-// claimsHere returns the items of each node of this data centre that is heard,
-// and of this one.
-func (w *batchWork) claimsHere() map[string]int {
+// claimsInGroup returns the items of each node of this node's group that is
+// heard, and of this one.
+func (w *batchWork) claimsInGroup() map[string]int {
 	claims := map[string]int{w.node.settings.NodeID: w.node.jobs.Demand()}
-	heard := w.node.beacon.HeardNear()
+	heard := w.node.beacon.HeardInGroup()
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, name := range heard {
@@ -72,10 +89,24 @@
 	return claims
 }
 
+// claimsOfGroups returns the items of each group of this data centre that is
+// heard, and of this node's.
+func (w *batchWork) claimsOfGroups() map[string]int {
+	claims := map[string]int{w.node.view.Load().Group(): total(w.claimsInGroup())}
+	heard := w.node.beacon.HeardGroups()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, name := range heard {
+		claims[name] = w.groups[name].Demand
+	}
+	return claims
+}
+
 // claims returns what is known of the batch work on the fleet's targets.
 func (w *batchWork) claims() choose.Claims {
 	self := w.node.settings
-	claims := choose.Claims{Node: self.NodeID, DataCentre: self.DataCentre, Nodes: w.claimsHere(), Centres: map[string]choose.Claim{self.DataCentre: w.Here()}}
+	claims := choose.Claims{Node: self.NodeID, Group: w.node.view.Load().Group(), DataCentre: self.DataCentre,
+		Nodes: w.claimsInGroup(), Groups: w.claimsOfGroups(), Centres: map[string]choose.Claim{self.DataCentre: w.Here()}}
 	heard := w.node.beacon.HeardDataCentres()
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/process/hosted/changes.go
+++ b/internal/process/hosted/changes.go
@@ -8,14 +8,18 @@
 	"github.com/marblepond/marblepond/internal/connection/objects"
 	"github.com/marblepond/marblepond/internal/process/invariant"
 	"github.com/marblepond/marblepond/internal/process/timeline"
-	"github.com/marblepond/marblepond/internal/request/choose"
 	"github.com/marblepond/marblepond/internal/request/job"
 	"github.com/marblepond/marblepond/internal/version/follow"
 )
 
-// loadChanged tells the duties that depend on what is in flight.
-func (n *Node) loadChanged() {
+// ownLoadChanged tells the duties that depend on what this node has in flight.
+func (n *Node) ownLoadChanged() {
 	n.beacon.Touch()
+	n.othersLoadChanged()
+}
+
+// othersLoadChanged tells those that depend on what others have.
+func (n *Node) othersLoadChanged() {
 	select {
 	case n.makeRoom <- struct{}{}:
 	default:
@@ -26,7 +30,7 @@
 func (n *Node) MakeRoom(target string) { n.jobs.MakeRoomAt(target) }
 
 // TellHolders implements discovery.Displacer.
-func (n *Node) TellHolders(h choose.Holders) { n.beacon.Tell(h) }
+func (n *Node) TellHolders(target string) { n.beacon.Tell(target) }
 
 // yield stops batch items where online requests need the room.
 func (n *Node) yield(ctx context.Context) {
--- a/internal/process/hosted/hosted.go
+++ b/internal/process/hosted/hosted.go
@@ -84,6 +84,7 @@
 
 	nodeList  atomic.Pointer[follow.Refresher] // keeps the list of nodes
 	nodes     atomic.Pointer[map[string]nodeRecord]
+	view      atomic.Pointer[beacon.View] // the same as datagrams go
 	table     atomic.Pointer[route.Table]
 	makeRoom  chan struct{} // what is in flight has changed
 	leaving   atomic.Bool
@@ -109,6 +110,7 @@
 	n := &Node{settings: s, adapter: adapter, boot: time.Now().UnixMicro(), recorder: parts.Recorder, metrics: parts.Metrics,
 		makeRoom: make(chan struct{}, 1), halted: make(chan struct{})}
 	n.batch = newBatchWork(n)
+	n.view.Store(beacon.NewView(s.NodeID, s.DataCentre, nil))
 	n.seeds.Store(&s.Seeds)
 	n.checker = invariant.New(n.recorder, s.StopOnViolated)
 	n.peers = newPeers(s)
@@ -125,8 +127,8 @@
 		Waiting: n.loads.Waiting, Ended: n.ended, Shares: n.batch.shares, Recorder: n.recorder, Checker: n.checker, Metrics: n.metrics})
 	n.checkpoints = checkpoint.NewStore(checkpoint.Limits{Bytes: s.CheckpointMemory, Keep: s.KeepResults}, time.Now)
 	n.beacon = beacon.New(beacon.Options{Node: s.NodeID, DataCentre: s.DataCentre, Boot: n.boot, Loads: n.pool, Copies: n.cache, Batch: n.batch, Store: adapter.Health,
-		Peers: n.beaconPeers, Holders: n.holderBeacons, Behind: n.behind, Silent: func(string) { n.jobs.LookForLostJobs() }})
-	n.pool.OnLoad(n.loadChanged)
+		View: n.view.Load, Behind: n.behind, Silent: func(string) { n.jobs.LookForLostJobs() }})
+	n.pool.OnLoad(n.ownLoadChanged, n.othersLoadChanged)
 	n.pool.SetDisplacer(n)
 	n.gossip = &follow.Gossip{Node: s.NodeID, Cache: n.cache, Loads: n.loads, Listener: n, Peers: n.peerAddresses,
 		Client: n.peers.sync.at, Interval: s.GossipInterval, Pulls: follow.NewPulls()}
--- a/internal/process/hosted/peers.go
+++ b/internal/process/hosted/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"net"
 	"net/http"
 	"slices"
 	"sync"
@@ -12,6 +13,7 @@
 	"connectrpc.com/connect"
 
 	"github.com/marblepond/marblepond/api/marblepond/v1/marblepondv1connect"
+	"github.com/marblepond/marblepond/internal/connection/beacon"
 	"github.com/marblepond/marblepond/internal/connection/callbudget"
 	"github.com/marblepond/marblepond/internal/connection/dial"
 	"github.com/marblepond/marblepond/internal/connection/objects"
@@ -21,7 +23,6 @@
 	"github.com/marblepond/marblepond/internal/process/settings"
 	"github.com/marblepond/marblepond/internal/process/timeline"
 	"github.com/marblepond/marblepond/internal/process/wait"
-	"github.com/marblepond/marblepond/internal/request/choose"
 )
 
 // kindNodes is the kind of objects under which nodes register themselves.
@@ -134,6 +135,7 @@
 		out[o.Name] = r
 	}
 	n.nodes.Store(&out)
+	n.view.Store(n.viewOf(out))
 }
 
 // peerAddresses returns the addresses of the other nodes: those registered,
@@ -153,34 +155,21 @@
 	return slices.DeleteFunc(slices.Clone(*n.seeds.Load()), func(a string) bool { return a == n.settings.PeerAdvertise })
 }
 
-// beaconPeers returns where other nodes hear this one's datagrams: those of its
-// data centre, and the others.
-func (n *Node) beaconPeers() (near, far []string) {
-	for name, r := range n.registered() {
-		switch {
-		case r.Beacon == "" || name == n.settings.NodeID:
-		case r.DataCentre == n.settings.DataCentre:
-			near = append(near, r.Beacon)
-		default:
-			far = append(far, r.Beacon)
+// viewOf returns how this node sees the nodes that registered themselves.
+func (n *Node) viewOf(nodes map[string]nodeRecord) *beacon.View {
+	var others []beacon.Peer
+	for name, r := range nodes {
+		if name == n.settings.NodeID || r.Beacon == "" {
+			continue
 		}
-	}
-	return near, far
-}
-
-// holderBeacons returns where those that have items at a target hear this node's
-// datagrams: the nodes named, and all that hold jobs of the data centres named.
-func (n *Node) holderBeacons(h choose.Holders) (near, far []string) {
-	for name, r := range n.registered() {
-		switch {
-		case r.Beacon == "" || !r.Callers || name == n.settings.NodeID:
-		case r.DataCentre == n.settings.DataCentre && slices.Contains(h.Nodes, name):
-			near = append(near, r.Beacon)
-		case r.DataCentre != n.settings.DataCentre && slices.Contains(h.DataCentres, r.DataCentre):
-			far = append(far, r.Beacon)
+		address, err := net.ResolveUDPAddr("udp", r.Beacon)
+		if err != nil {
+			n.recorder.Record(timeline.ObjectRejected, "", name, err.Error())
+			continue
 		}
+		others = append(others, beacon.Peer{Node: name, DataCentre: r.DataCentre, Address: address, Callers: r.Callers})
 	}
-	return near, far
+	return beacon.NewView(n.settings.NodeID, n.settings.DataCentre, others)
 }
 
 // Holders implements job.Peers.
--- a/internal/request/choose/choose.go
+++ b/internal/request/choose/choose.go
@@ -93,6 +93,9 @@
 	Seed uint64
 	// Node is the name of the node whose table it is, as other nodes tell theirs.
 	Node string
+	// Group is the group of nodes of its data centre that the node belongs to;
+	// Table.JoinGroup changes it.
+	Group string
 	// Home is the data centre whose targets are preferred while they have room;
 	// empty: none is.
 	Home string
@@ -107,20 +110,24 @@
 type Table struct {
 	cfg      Config
 	entries  map[string]*entry
-	order    []string                       // sorted IDs
-	left     map[string]uint64              // newest leaving incarnation by VM, kept after the VM is gone
-	turn     int                            // for RoundRobin
-	draw     *rand.Rand                     // for LeastOfFew
-	occupied map[string]time.Duration       // per service: how long online requests hold a slot
-	rank     map[string][]string            // per service: IDs
-	nodes    map[string]map[string]InFlight // by node of this data centre and target: what it last said
-	centres  map[string]map[string]InFlight // by other data centre and target: the same
+	order    []string                 // sorted IDs
+	left     map[string]uint64        // newest leaving incarnation by VM, kept after the VM is gone
+	turn     int                      // for RoundRobin
+	draw     *rand.Rand               // for LeastOfFew
+	occupied map[string]time.Duration // per service: how long online requests hold a slot
+	rank     map[string][]string      // per service: IDs
+	// What others last said that they have in flight, by target: the other nodes of
+	// this node's group, the other groups of its data centre, other data centres.
+	nodes   map[string]map[string]InFlight
+	groups  map[string]map[string]InFlight
+	centres map[string]map[string]InFlight
+	members map[string]int // nodes of each other group
 }
 
 // New returns an empty table.
 func New(cfg Config) *Table {
 	return &Table{cfg: cfg, draw: rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)), entries: map[string]*entry{}, left: map[string]uint64{}, rank: map[string][]string{}, occupied: map[string]time.Duration{},
-		nodes: map[string]map[string]InFlight{}, centres: map[string]map[string]InFlight{}}
+		nodes: map[string]map[string]InFlight{}, groups: map[string]map[string]InFlight{}, centres: map[string]map[string]InFlight{}, members: map[string]int{}}
 }
 
 // Set replaces the list of targets. Counters of targets that stay are kept; a
--- a/internal/request/choose/deal.go
+++ b/internal/request/choose/deal.go
@@ -49,14 +49,17 @@
 // Claims is what a node knows of the batch work on the targets.
 type Claims struct {
 	Node       string
+	Group      string
 	DataCentre string
-	Nodes      map[string]int   // demand, by node of the own data centre
+	Nodes      map[string]int   // demand, by node of the own group
+	Groups     map[string]int   // demand, by group of the own data centre
 	Centres    map[string]Claim // by data centre
 }
 
 // Share returns how many items the node may have at a target that has room for
 // so many. Data centres come first: that of the target with all of its items,
-// others with those that find no room at home; then the nodes of each.
+// others with those that find no room at home; then the groups of each, then the
+// nodes of each group.
 func (c Claims) Share(t Target, room int) int {
 	centres := make(map[string]int, len(c.Centres))
 	for name, claim := range c.Centres {
@@ -65,5 +68,7 @@
 			centres[name] = claim.Demand
 		}
 	}
-	return Deal(t.ID, Deal(t.ID, room, c.DataCentre, centres), c.Node, c.Nodes)
+	here := Deal(t.ID, room, c.DataCentre, centres)
+	group := Deal(t.ID, here, c.Group, c.Groups)
+	return Deal(t.ID, group, c.Node, c.Nodes)
 }
--- a/internal/request/choose/prefer.go
+++ b/internal/request/choose/prefer.go
@@ -111,7 +111,7 @@
 
 // few returns some targets drawn at random.
 func (t *Table) few(entries []*entry) []*entry {
-	draws := max(few, fewByNodes/(len(t.nodes)+1))
+	draws := max(few, fewByNodes/t.NodesHere())
 	if len(entries) <= draws {
 		return entries
 	}
--- a/internal/request/choose/room.go
+++ b/internal/request/choose/room.go
@@ -15,12 +15,43 @@
 	Batch  int
 }
 
-// SetNode replaces what another node of this data centre has in flight; nil:
+// JoinGroup says which group of its data centre this node belongs to. What nodes
+// and groups there were heard to have counts no more: they are divided anew.
+func (t *Table) JoinGroup(group string) {
+	t.cfg.Group = group
+	clear(t.nodes)
+	clear(t.groups)
+	clear(t.members)
+	t.sumOthers()
+}
+
+// SetNode replaces what another node of this node's group has in flight; nil:
 // nothing. It reports whether that is news.
 func (t *Table) SetNode(node string, counts map[string]InFlight) (news bool) {
 	return t.setOther(t.nodes, node, counts)
 }
 
+// SetGroup replaces what the nodes of another group of this data centre, so many
+// in number, have in flight together; nil: nothing. It reports whether that is
+// news.
+func (t *Table) SetGroup(name string, members int, counts map[string]InFlight) (news bool) {
+	if counts == nil {
+		delete(t.members, name)
+	} else {
+		t.members[name] = members
+	}
+	return t.setOther(t.groups, name, counts)
+}
+
+// NodesHere returns how many nodes of this data centre are heard, with this one.
+func (t *Table) NodesHere() int {
+	n := 1 + len(t.nodes)
+	for _, members := range t.members {
+		n += members
+	}
+	return n
+}
+
 // SetDataCentre replaces what the nodes of another data centre have in flight
 // together; nil: nothing. It reports whether that is news.
 func (t *Table) SetDataCentre(name string, counts map[string]InFlight) (news bool) {
@@ -61,24 +92,33 @@
 	for _, e := range t.entries {
 		e.elsewhere = InFlight{}
 	}
-	for _, words := range []map[string]map[string]InFlight{t.nodes, t.centres} {
+	for _, words := range []map[string]map[string]InFlight{t.nodes, t.groups, t.centres} {
 		for _, counts := range words {
 			t.addElsewhere(counts, 1)
 		}
 	}
 }
 
-// Here returns what all nodes of this data centre have in flight, by target, as
-// far as this one knows.
+// InGroup returns what all nodes of this node's group have in flight, by target,
+// as far as this one knows.
+func (t *Table) InGroup() map[string]InFlight {
+	return addAll(t.Own(), t.nodes)
+}
+
+// Here returns the same of all nodes of this data centre.
 func (t *Table) Here() map[string]InFlight {
-	out := t.Own()
-	for _, counts := range t.nodes {
+	return addAll(t.InGroup(), t.groups)
+}
+
+// addAll adds the counts of words to a sum, which it returns.
+func addAll(sum map[string]InFlight, words map[string]map[string]InFlight) map[string]InFlight {
+	for _, counts := range words {
 		for id, n := range counts {
-			sum := out[id]
-			out[id] = InFlight{Online: sum.Online + n.Online, Batch: sum.Batch + n.Batch}
+			old := sum[id]
+			sum[id] = InFlight{Online: old.Online + n.Online, Batch: old.Batch + n.Batch}
 		}
 	}
-	return out
+	return sum
 }
 
 // Own returns what this table has in flight, by target. Items that are making
--- a/internal/request/choose/yield.go
+++ b/internal/request/choose/yield.go
@@ -1,6 +1,9 @@
 package choose
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // yieldPatience is how long a target may have more requests than slots before
 // every holder of items there makes room, whoever was to do it: several rounds of
@@ -58,16 +61,23 @@
 		all := own + e.elsewhere.Batch
 		return min(own, (over*own+all-1)/all)
 	}
-	nodes := map[string]int{t.cfg.Node: own}
-	centres := map[string]int{t.cfg.Home: own}
-	for name, counts := range t.nodes {
-		nodes[name] = counts[id].Batch
-		centres[t.cfg.Home] += counts[id].Batch
-	}
-	for name, counts := range t.centres {
-		centres[name] = counts[id].Batch
+	nodes, inGroup := itemsAt(t.nodes, id, t.cfg.Node, own)
+	groups, here := itemsAt(t.groups, id, t.cfg.Group, inGroup)
+	centres, _ := itemsAt(t.centres, id, t.cfg.Home, here)
+	mine := Deal(id, over, t.cfg.Home, centres)
+	mine = Deal(id, mine, t.cfg.Group, groups)
+	return Deal(id, mine, t.cfg.Node, nodes)
+}
+
+// itemsAt returns how many items each of the others named in words, and self, has
+// at a target, and their sum.
+func itemsAt(words map[string]map[string]InFlight, id, self string, own int) (items map[string]int, sum int) {
+	items, sum = map[string]int{self: own}, own
+	for name, counts := range words {
+		items[name] = counts[id].Batch
+		sum += counts[id].Batch
 	}
-	return Deal(id, Deal(id, over, t.cfg.Home, centres), t.cfg.Node, nodes)
+	return items, sum
 }
 
 // Yielding notes that one of this table's items at a target was told to make
@@ -80,8 +90,17 @@
 
 // Holders are those that have batch items at a target.
 type Holders struct {
-	Nodes       []string // of the own data centre
-	DataCentres []string
+	Nodes       []string // of the own group
+	Groups      []string // other ones of the own data centre
+	DataCentres []string // other ones
+}
+
+// None reports whether nobody has.
+func (h Holders) None() bool { return len(h.Nodes)+len(h.Groups)+len(h.DataCentres) == 0 }
+
+// Holders returns who else has batch items at a target, as far as this node knows.
+func (t *Table) Holders(id string) Holders {
+	return Holders{Nodes: withItems(t.nodes, id), Groups: withItems(t.groups, id), DataCentres: withItems(t.centres, id)}
 }
 
 // Displace is called for an online request that was begun at a target. If that
@@ -96,7 +115,7 @@
 	if e.staying() > 0 {
 		return true, Holders{}
 	}
-	return false, Holders{Nodes: withItems(t.nodes, id), DataCentres: withItems(t.centres, id)}
+	return false, t.Holders(id)
 }
 
 func withItems(words map[string]map[string]InFlight, id string) []string {
@@ -106,5 +125,6 @@
 			out = append(out, name)
 		}
 	}
+	slices.Sort(out)
 	return out
 }
--- a/internal/version/discovery/discovery.go
+++ b/internal/version/discovery/discovery.go
@@ -26,7 +26,8 @@
 	table   *choose.Table
 	records map[string]Record
 	lapsed  map[string]Record // taken from the list while the store was in doubt
-	onLoad  func()            // told each change of what is in flight here or elsewhere
+	onOwn   func()            // told each change of what this node has in flight
+	onHeard func()            // told each change of what others have in flight
 
 	displacer Displacer
 }
@@ -35,8 +36,9 @@
 type Displacer interface {
 	// MakeRoom stops one of this node's items at a target.
 	MakeRoom(target string)
-	// TellHolders lets others know at once what this node has in flight.
-	TellHolders(holders choose.Holders)
+	// TellHolders lets others that have items at a target know at once that an
+	// online request waits for a slot there.
+	TellHolders(target string)
 }
 
 // incarnation of every target: the ID of a record names one start of it.
@@ -46,12 +48,12 @@
 // trouble lately; onChange hears of each change for the log.
 func New(cfg choose.Config, now func() time.Time, doubtful func() bool, onChange func(id, what string)) *Pool {
 	return &Pool{now: now, doubtful: doubtful, onChange: onChange, table: choose.New(cfg),
-		records: map[string]Record{}, lapsed: map[string]Record{}, onLoad: func() {}}
+		records: map[string]Record{}, lapsed: map[string]Record{}, onOwn: func() {}, onHeard: func() {}}
 }
 
-// OnLoad sets the function that is told each change of what is in flight. It
-// must not block.
-func (p *Pool) OnLoad(f func()) { p.onLoad = f }
+// OnLoad sets the functions that are told each change of what this node has in
+// flight and of what it hears of others. They must not block.
+func (p *Pool) OnLoad(own, heard func()) { p.onOwn, p.onHeard = own, heard }
 
 // SetDisplacer sets what makes room; call it before the pool is used.
 func (p *Pool) SetDisplacer(d Displacer) { p.displacer = d }
@@ -71,26 +73,56 @@
 	return p.table.Here()
 }
 
-// SetNode takes what another node of this data centre has in flight; nil: it is
-// not heard of any more.
-func (p *Pool) SetNode(node string, counts map[string]choose.InFlight) {
+// InFlightInGroup returns the same of this node's group.
+func (p *Pool) InFlightInGroup() map[string]choose.InFlight {
 	p.mu.Lock()
-	news := p.table.SetNode(node, counts)
-	p.mu.Unlock()
-	if news {
-		p.onLoad()
-	}
+	defer p.mu.Unlock()
+	return p.table.InGroup()
+}
+
+// Holders returns who else has batch items at a target.
+func (p *Pool) Holders(target string) choose.Holders {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.table.Holders(target)
+}
+
+// JoinGroup says which group of its data centre this node belongs to, and forgets
+// what nodes and groups there were heard to have in flight.
+func (p *Pool) JoinGroup(group string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.table.JoinGroup(group)
+}
+
+// SetNode takes what another node of this node's group has in flight; nil: it is
+// not heard of any more. It reports whether that is news.
+func (p *Pool) SetNode(node string, counts map[string]choose.InFlight) (news bool) {
+	return p.hear(func() bool { return p.table.SetNode(node, counts) })
+}
+
+// SetGroup takes what the nodes of another group of this data centre, so many in
+// number, have in flight; nil: it is not heard of any more. It reports whether that
+// is news.
+func (p *Pool) SetGroup(group string, members int, counts map[string]choose.InFlight) (news bool) {
+	return p.hear(func() bool { return p.table.SetGroup(group, members, counts) })
 }
 
 // SetDataCentre takes what another data centre has in flight; nil: it is not
-// heard of any more.
-func (p *Pool) SetDataCentre(name string, counts map[string]choose.InFlight) {
+// heard of any more. It reports whether that is news.
+func (p *Pool) SetDataCentre(name string, counts map[string]choose.InFlight) (news bool) {
+	return p.hear(func() bool { return p.table.SetDataCentre(name, counts) })
+}
+
+// hear changes what others have in flight.
+func (p *Pool) hear(set func() bool) (news bool) {
 	p.mu.Lock()
-	news := p.table.SetDataCentre(name, counts)
+	news = set()
 	p.mu.Unlock()
 	if news {
-		p.onLoad()
+		p.onHeard()
 	}
+	return news
 }
 
 // Excess returns how many of this node's batch items are to make room, by target.
@@ -198,7 +230,7 @@
 	own, others := p.table.Displace(p.now(), target.ID)
 	p.mu.Unlock()
 	p.displaced(target.ID, own, others)
-	p.onLoad()
+	p.onOwn()
 	return target, true
 }
 
@@ -207,8 +239,8 @@
 	switch {
 	case own:
 		p.displacer.MakeRoom(id)
-	case len(others.Nodes)+len(others.DataCentres) > 0:
-		p.displacer.TellHolders(others)
+	case !others.None():
+		p.displacer.TellHolders(id)
 	}
 }
 
@@ -244,7 +276,7 @@
 	p.mu.Lock()
 	ejected, readmitted := p.table.End(p.now(), id, outcome)
 	p.mu.Unlock()
-	p.onLoad()
+	p.onOwn()
 	p.tell(id, ejected, readmitted)
 }
 
@@ -253,7 +285,7 @@
 	p.mu.Lock()
 	ejected, readmitted := p.table.EndBatch(p.now(), id, outcome, yielded)
 	p.mu.Unlock()
-	p.onLoad()
+	p.onOwn()
 	p.tell(id, ejected, readmitted)
 }
 
@@ -278,7 +310,7 @@
 	p.mu.Lock()
 	p.table.Saturated(p.now(), id)
 	p.mu.Unlock()
-	p.onLoad() // batch items there make room
+	p.onOwn() // batch items there make room
 }
 
 // BatchRoom returns how many batch items the usable targets of a data centre
--- a/lab/model/fleet.go
+++ b/lab/model/fleet.go
@@ -36,10 +36,12 @@
 	LeastReserve int
 	// Mute keeps a node from telling holders at once that it needs room.
 	Mute bool
+	// OneGroup makes each node tell each other one of its data centre, however many.
+	OneGroup bool
 }
 
 // Variants are the product's policy and the ones that it is measured against.
-var Variants = []Variant{{Name: "product"}, {Name: "two slots kept free", LeastReserve: 2}, {Name: "no word to holders", Mute: true}}
+var Variants = []Variant{{Name: "product"}, {Name: "two slots kept free", LeastReserve: 2}, {Name: "no word to holders", Mute: true}, {Name: "one group", OneGroup: true}}
 
 const (
 	sharedTokens = 200 // of an online prompt, with other requests
@@ -62,6 +64,7 @@
 	centres map[string]string // of targets
 	list    []choose.Target
 	nodes   []*node
+	byName  map[string]*node
 	cut     string // data centre that is cut off
 	jobs    int
 	result  Result
@@ -69,7 +72,7 @@
 
 // Play plays a load and returns what came of it.
 func Play(d Deployment, load Load, v Variant, seed uint64) Result {
-	f := &fleet{Deployment: d, load: load, variant: v, draw: rand.New(rand.NewPCG(seed, seed)), engines: map[string]*engine{}, centres: map[string]string{}}
+	f := &fleet{Deployment: d, load: load, variant: v, draw: rand.New(rand.NewPCG(seed, seed)), engines: map[string]*engine{}, centres: map[string]string{}, byName: map[string]*node{}}
 	f.build(seed)
 	f.arrivals()
 	for _, fault := range load.Faults {
@@ -82,7 +85,7 @@
 
 func (f *fleet) build(seed uint64) {
 	for c := range f.Centres {
-		centre := fmt.Sprint("dc", c)
+		centre := centreName(c)
 		for t := range f.TargetsPerCentre {
 			id := fmt.Sprintf("t%d-%d", c, t)
 			f.list = append(f.list, choose.Target{ID: id, Incarnation: 1, Service: service, DataCentre: centre, Slots: f.Engine.Slots})
@@ -90,7 +93,9 @@
 			f.centres[id] = centre
 		}
 		for n := range f.NodesPerCentre {
-			f.nodes = append(f.nodes, newNode(f, fmt.Sprintf("n%d-%d", c, n), centre, seed+uint64(100*c+n)))
+			made := newNode(f, nodeName(c, n), centre, seed+uint64(100*c+n))
+			f.nodes = append(f.nodes, made)
+			f.byName[made.name] = made
 		}
 	}
 	for _, n := range f.nodes {
@@ -98,6 +103,19 @@
 	}
 }
 
+func centreName(c int) string { return fmt.Sprint("dc", c) }
+
+func nodeName(c, n int) string { return fmt.Sprintf("n%d-%d", c, n) }
+
+// all returns the nodes named.
+func (f *fleet) all(names []string) []*node {
+	var out []*node
+	for _, name := range names {
+		out = append(out, f.byName[name])
+	}
+	return out
+}
+
 // slotTime is how long a request of some events holds a slot on an idle engine.
 func (f *fleet) slotTime(events, prompt int) time.Duration {
 	e := f.Engine
@@ -181,7 +199,7 @@
 			}
 		})
 	case CentreCut:
-		f.cut = fmt.Sprint("dc", fault.Centre)
+		f.cut = centreName(fault.Centre)
 		f.clock.after(fault.For, func() { f.cut = "" })
 	case AllRestart:
 		for _, n := range f.nodes {
--- a/lab/model/load.go
+++ b/lab/model/load.go
@@ -49,8 +49,13 @@
 // steps is a square wave between a low and a high, the usual shape of the users'
 // online traffic: 2.4 s at the high of every 5.8 s.
 func steps(low, high float64) func(time.Duration) float64 {
+	return wave(3400*time.Millisecond, 5800*time.Millisecond, low, high)
+}
+
+// wave is a square wave that stays at the low for a time of each period.
+func wave(lowFor, period time.Duration, low, high float64) func(time.Duration) float64 {
 	return func(at time.Duration) float64 {
-		if at%(5800*time.Millisecond) < 3400*time.Millisecond {
+		if at%period < lowFor {
 			return low
 		}
 		return high
@@ -66,6 +71,8 @@
 var loads = map[string]Load{
 	"steps": {About: "online traffic in steps beside steady batch work, eight tenths of the fleet together", Length: 60 * second,
 		Online: steps(0.17, 0.8), Batch: 0.36},
+	"full": {About: "highs in which online traffic alone takes nearly all slots, and lows shorter than an item, as on the users' largest deployment", Length: 40 * second,
+		Online: wave(3800*time.Millisecond, 6600*time.Millisecond, 0.2, 0.98), Batch: 0.36},
 	"burst": {About: "ten jobs at once on top of online traffic at half of the fleet", Length: 40 * second,
 		Online: steady(0.5), Batch: 0.1, JobsAt: []time.Duration{8 * second, 20 * second}},
 	"lost": {About: "a fifth of the targets is lost for good while online traffic comes in steps", Length: 50 * second,
--- a/lab/model/result.go
+++ b/lab/model/result.go
@@ -38,9 +38,11 @@
 	OnlineSlots        float64       // share of the slots' time that online requests held
 	ItemSlots          float64
 	Yields             int
-	ResumedTokens      int // of outputs, read again because an item went on
-	PromptTokens       int // read in all
-	SharedTokensAgain  int // of prefixes that the same engine had read before
+	Datagrams          int     // between nodes
+	DatagramRate       float64 // a second, sent by a node
+	ResumedTokens      int     // of outputs, read again because an item went on
+	PromptTokens       int     // read in all
+	SharedTokensAgain  int     // of prefixes that the same engine had read before
 	Samples            []Sample
 	first              []time.Duration
 }
@@ -92,6 +94,7 @@
 		items += s.Items
 	}
 	r.OnlineSlots, r.ItemSlots = float64(online)/float64(max(1, slots)), float64(items)/float64(max(1, slots))
+	r.DatagramRate = float64(r.Datagrams) / f.clock.now.Seconds() / float64(len(f.nodes))
 	for _, e := range f.engines {
 		r.PromptTokens += e.promptTokens
 		r.SharedTokensAgain += e.sharedAgain
@@ -102,11 +105,11 @@
 // Print writes one line for each result.
 func Print(w io.Writer, results []Result) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(t, "load\tvariant\tonline in aim\trefused\tfailed\tfirst p50\tp99\titems in time\tslots online\titems\tfree\tyields\ttokens read\tagain for yields\tof prefixes")
+	fmt.Fprintln(t, "load\tvariant\tonline in aim\trefused\tfailed\tfirst p50\tp99\titems in time\tslots online\titems\tfree\tyields\ttokens read\tagain for yields\tof prefixes\tdatagrams a node and s")
 	for _, r := range results {
-		fmt.Fprintf(t, "%s\t%s\t%d of %d, %.4f\t%d\t%d\t%v\t%v\t%d of %d, %.4f\t%.3f\t%.3f\t%.3f\t%d\t%d\t%d\t%d\n", r.Load, r.Variant,
+		fmt.Fprintf(t, "%s\t%s\t%d of %d, %.4f\t%d\t%d\t%v\t%v\t%d of %d, %.4f\t%.3f\t%.3f\t%.3f\t%d\t%d\t%d\t%d\t%.0f\n", r.Load, r.Variant,
 			r.Online.InTime, r.Online.Asked, r.Online.Share(), r.Online.Refused, r.Online.Failed, r.FirstP50.Round(time.Millisecond), r.FirstP99.Round(time.Millisecond),
-			r.Items.InTime, r.Items.Asked, r.Items.Share(), r.OnlineSlots, r.ItemSlots, 1-r.OnlineSlots-r.ItemSlots, r.Yields, r.PromptTokens, r.ResumedTokens, r.SharedTokensAgain)
+			r.Items.InTime, r.Items.Asked, r.Items.Share(), r.OnlineSlots, r.ItemSlots, 1-r.OnlineSlots-r.ItemSlots, r.Yields, r.PromptTokens, r.ResumedTokens, r.SharedTokensAgain, r.DatagramRate)
 	}
 	return t.Flush()
 }
--- a/lab/model/work.go
+++ b/lab/model/work.go
@@ -203,10 +203,10 @@
 	n.table.Begin(target)
 	if own, others := n.table.Displace(f.clock.wall(), target); own {
 		n.yield(target, 1)
-	} else if len(others.Nodes)+len(others.DataCentres) > 0 {
+	} else if !others.None() {
 		n.tellHolders(others)
 	}
-	n.loadChanged()
+	n.ownLoadChanged()
 	a := &attempt{request: q, target: target, sent: f.clock.now,
 		run: &run{prefix: q.prefix, shared: sharedTokens, prompt: sharedTokens + ownTokens, events: q.left}}
 	a.run.event = func(time.Duration) {
@@ -237,7 +237,7 @@
 	a.n.f.engines[a.target].drop(a.run)
 	if !a.over() {
 		a.n.table.End(a.n.f.clock.wall(), a.target, outcome)
-		a.n.loadChanged()
+		a.n.ownLoadChanged()
 	}
 }
 
