--- a/internal/connection/beacon/beacon.go
+++ b/internal/connection/beacon/beacon.go
@@ -15,6 +15,7 @@
 //	                       of a node    of a group      of a data centre
 //	heard by               its group    other groups    a few nodes elsewhere
 //	in flight, demand      100 ms       200 ms          300 ms
+//	tokens that wait       the same
 //	liveness               1 s          1 s, 2 s when   1 s, of the data centre
 //	                                    a whole group
 //	                                    falls silent
@@ -41,7 +42,7 @@
 	// and nearPace is added to it for each node told: 200 datagrams a second at the
 	// most.
 	nearLeast = 5 * time.Millisecond
-	nearPace  = 5 * time.Millisecond
+	nearPace  = 8 * time.Millisecond
 	// nearInterval is the time between rounds when nothing changes: ten of them may
 	// be lost before a node counts as silent.
 	nearInterval = 100 * time.Millisecond
@@ -83,19 +84,27 @@
 	HeardMark(kind string, m follow.Mark) (behind bool)
 }
 
+// BatchWord is what is said of the batch work of a node, a group or a data centre.
+type BatchWord struct {
+	choose.Claim
+	Waiting map[string]int64 // tokens accepted and not finished, by batch route
+}
+
 // BatchWork is what is told and heard of batch work.
 type BatchWork interface {
 	// Own returns the word of this node, Group that of its group, and Here that of
 	// its data centre.
-	Own() choose.Claim
-	Group() choose.Claim
-	Here() choose.Claim
+	Own() BatchWord
+	Group() BatchWord
+	Here() BatchWord
 	// Announced returns the jobs that this node lately came to hold.
 	Announced() []string
+	// JoinGroup forgets what nodes and groups of this data centre said.
+	JoinGroup()
 	// HeardNode, HeardGroup and HeardDataCentre take the words of others.
-	HeardNode(node string, c choose.Claim)
-	HeardGroup(group string, c choose.Claim)
-	HeardDataCentre(name string, c choose.Claim)
+	HeardNode(node string, w BatchWord)
+	HeardGroup(group string, w BatchWord)
+	HeardDataCentre(name string, w BatchWord)
 	// HeardJobs takes the jobs that a node came to hold.
 	HeardJobs(node string, jobs []string)
 }
@@ -228,5 +237,6 @@
 	x.mu.Unlock()
 	if !same {
 		x.Loads.JoinGroup(view.Group())
+		x.Batch.JoinGroup()
 	}
 }
--- a/internal/connection/beacon/beacon_test.go
+++ b/internal/connection/beacon/beacon_test.go
@@ -27,7 +27,7 @@
 	nodes   map[string]map[string]choose.InFlight
 	groups  map[string]map[string]choose.InFlight
 	centres map[string]map[string]choose.InFlight
-	claims  map[string]choose.Claim // by node or data centre
+	claims  map[string]BatchWord // by node or data centre
 	health  *objects.Health
 	gone    []string // nodes that fell silent
 }
@@ -39,7 +39,7 @@
 }
 
 func newWords(own map[string]choose.InFlight) *words {
-	return &words{own: own, jobs: map[string]string{}, nodes: map[string]map[string]choose.InFlight{}, groups: map[string]map[string]choose.InFlight{}, centres: map[string]map[string]choose.InFlight{}, claims: map[string]choose.Claim{},
+	return &words{own: own, jobs: map[string]string{}, nodes: map[string]map[string]choose.InFlight{}, groups: map[string]map[string]choose.InFlight{}, centres: map[string]map[string]choose.InFlight{}, claims: map[string]BatchWord{},
 		health: objects.NewHealth(time.Now, func(bool, time.Duration) {})}
 }
 
@@ -79,6 +79,11 @@
 	return w.holders
 }
 
+// batchOf is the batch side of words, whose JoinGroup has nothing to forget.
+type batchOf struct{ *words }
+
+func (batchOf) JoinGroup() {}
+
 func (w *words) JoinGroup(string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -106,9 +111,11 @@
 	return news
 }
 
-func (w *words) Own() choose.Claim   { return choose.Claim{Demand: 1} }
-func (w *words) Group() choose.Claim { return choose.Claim{Demand: 1} }
-func (w *words) Here() choose.Claim  { return choose.Claim{Demand: 2, Overflow: 1} }
+func (w *words) Own() BatchWord   { return BatchWord{Claim: choose.Claim{Demand: 1}} }
+func (w *words) Group() BatchWord { return BatchWord{Claim: choose.Claim{Demand: 1}} }
+func (w *words) Here() BatchWord {
+	return BatchWord{Claim: choose.Claim{Demand: 2, Overflow: 1}, Waiting: map[string]int64{"r": 7}}
+}
 
 func (w *words) Announced() []string {
 	w.mu.Lock()
@@ -116,15 +123,15 @@
 	return w.announced
 }
 
-func (w *words) HeardGroup(string, choose.Claim) {}
+func (w *words) HeardGroup(string, BatchWord) {}
 
-func (w *words) HeardNode(node string, b choose.Claim) {
+func (w *words) HeardNode(node string, b BatchWord) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.claims[node] = b
 }
 
-func (w *words) HeardDataCentre(name string, b choose.Claim) {
+func (w *words) HeardDataCentre(name string, b BatchWord) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.claims[name] = b
@@ -182,7 +189,7 @@
 	})
 	is.Equal(a1.said("a2")["t"], choose.InFlight{Online: 1, Batch: 3})
 	b.mu.Lock()
-	is.Equal(b.claims["a"], choose.Claim{Demand: 2, Overflow: 1})
+	is.Equal(b.claims["a"], BatchWord{Claim: choose.Claim{Demand: 2, Overflow: 1}, Waiting: map[string]int64{"r": 7}})
 	b.mu.Unlock()
 	stop2()
 	eventually(t, func() bool { return a1.said("a2") == nil })
@@ -202,7 +209,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return New(Options{Node: node, DataCentre: centre, Boot: time.Now().UnixMicro(), Loads: w, Copies: noCopies{}, Batch: w, Store: w.health,
+	return New(Options{Node: node, DataCentre: centre, Boot: time.Now().UnixMicro(), Loads: w, Copies: noCopies{}, Batch: batchOf{w}, Store: w.health,
 		View: func() *View { return NewView(node, centre, others()) }, Behind: func(string) {}, Silent: w.silent}), conn
 }
 
--- a/internal/connection/beacon/receive.go
+++ b/internal/connection/beacon/receive.go
@@ -47,7 +47,9 @@
 // take hands what a datagram says to the duties that it concerns.
 func (x *Exchange) take(m *v1.Beacon) {
 	x.takeLoads(m)
-	x.Batch.HeardJobs(m.Node, m.Jobs)
+	if len(m.Jobs) > 0 {
+		x.Batch.HeardJobs(m.Node, m.Jobs)
+	}
 	for _, member := range m.Members {
 		x.takeMember(member, m)
 	}
@@ -55,9 +57,8 @@
 		x.Store.Heard(time.Duration(m.StoreTookMs)*time.Millisecond, time.Duration(m.StoreAgeMs)*time.Millisecond)
 	}
 	behind := false
-	for _, k := range m.Marks {
-		mark := follow.Mark{Complete: k.Complete, Latest: k.Latest, Floor: k.Floor, Age: time.Duration(k.AgeMs) * time.Millisecond, Question: k.Question, Known: true}
-		behind = x.Copies.HeardMark(k.Kind, mark) || behind
+	for kind, mark := range follow.UnpackMarks(m.Marks) {
+		behind = x.Copies.HeardMark(kind, mark) || behind
 	}
 	if behind {
 		x.Behind(m.Node)
@@ -72,7 +73,7 @@
 	for _, t := range m.Targets {
 		counts[t.Target] = choose.InFlight{Online: int(t.Online), Batch: int(t.Batch)}
 	}
-	batch := choose.Claim{Demand: int(m.Demand), Overflow: int(m.Overflow)}
+	batch := BatchWord{Claim: choose.Claim{Demand: int(m.Demand), Overflow: int(m.Overflow)}, Waiting: m.WaitingTokens}
 	view := x.View()
 	group := view.groupOf(m.Node)
 	switch {
--- a/internal/connection/beacon/send.go
+++ b/internal/connection/beacon/send.go
@@ -8,6 +8,7 @@
 
 	v1 "github.com/marblepond/marblepond/api/marblepond/v1"
 	"github.com/marblepond/marblepond/internal/request/choose"
+	"github.com/marblepond/marblepond/internal/version/follow"
 )
 
 // send tells a word to nodes; it is composed only when there are any.
@@ -84,21 +85,17 @@
 	return m
 }
 
-func (x *Exchange) compose(scope v1.Scope, inFlight map[string]choose.InFlight, batch choose.Claim) *v1.Beacon {
+func (x *Exchange) compose(scope v1.Scope, inFlight map[string]choose.InFlight, batch BatchWord) *v1.Beacon {
 	x.sequence++
 	message := &v1.Beacon{Node: x.Node, Boot: x.Boot, Sequence: x.sequence, DataCentre: x.DataCentre, Scope: scope, Groups: uint32(x.View().groups),
-		Demand: uint32(batch.Demand), Overflow: uint32(batch.Overflow), Jobs: x.Batch.Announced()}
+		Demand: uint32(batch.Demand), Overflow: uint32(batch.Overflow), WaitingTokens: batch.Waiting, Jobs: x.Batch.Announced()}
 	if took, age := x.Store.Latency(); took > 0 {
 		message.StoreTookMs, message.StoreAgeMs = uint32(max(1, took.Milliseconds())), uint32(age.Milliseconds())
 	}
 	for id, n := range inFlight {
 		message.Targets = append(message.Targets, &v1.TargetCounts{Target: id, Online: uint32(n.Online), Batch: uint32(n.Batch)})
 	}
-	for kind, m := range x.Copies.AgeMarks() {
-		if m.Known {
-			message.Marks = append(message.Marks, &v1.KindMark{Kind: kind, Complete: m.Complete, Latest: m.Latest, Floor: m.Floor, AgeMs: uint32(m.Age.Milliseconds()), Question: m.Question})
-		}
-	}
+	message.Marks = follow.PackMarks(x.Copies.AgeMarks())
 	return message
 }
 
--- a/internal/process/hosted/batchwork.go
+++ b/internal/process/hosted/batchwork.go
@@ -2,7 +2,9 @@
 
 import (
 	"sync"
+	"time"
 
+	"github.com/marblepond/marblepond/internal/connection/beacon"
 	"github.com/marblepond/marblepond/internal/request/choose"
 	"github.com/marblepond/marblepond/internal/request/job"
 )
@@ -15,28 +17,75 @@
 	node *Node
 
 	mu      sync.Mutex
-	nodes   map[string]choose.Claim // other nodes of this node's group
-	groups  map[string]choose.Claim // other groups of this data centre
-	centres map[string]choose.Claim // other data centres
+	nodes   batchWords // of other nodes of this node's group
+	groups  batchWords // of other groups of this data centre
+	centres batchWords // of other data centres
+}
+
+// batchWords are the newest words of others on their batch work.
+type batchWords map[string]heardWord
+
+type heardWord struct {
+	beacon.BatchWord
+	at time.Time
+}
+
+// waitingFor is how long the tokens count that a node said wait there. One that is
+// silent for longer has been taken over, and its successor says the same.
+const waitingFor = 30 * time.Second
+
+// addWaiting adds the tokens that others said wait with them.
+func (words batchWords) addWaiting(to map[string]int64) {
+	for _, word := range words {
+		if time.Since(word.at) > waitingFor {
+			continue
+		}
+		for route, tokens := range word.Waiting {
+			to[route] += tokens
+		}
+	}
 }
 
 func newBatchWork(n *Node) *batchWork {
-	return &batchWork{node: n, nodes: map[string]choose.Claim{}, groups: map[string]choose.Claim{}, centres: map[string]choose.Claim{}}
+	return &batchWork{node: n, nodes: batchWords{}, groups: batchWords{}, centres: batchWords{}}
 }
 
 // Own implements beacon.BatchWork.
-func (w *batchWork) Own() choose.Claim { return choose.Claim{Demand: w.node.jobs.Demand()} }
+func (w *batchWork) Own() beacon.BatchWord {
+	return beacon.BatchWord{Claim: choose.Claim{Demand: w.node.jobs.Demand()}, Waiting: w.node.jobs.WaitingTokens()}
+}
 
 // Group implements beacon.BatchWork.
-func (w *batchWork) Group() choose.Claim { return choose.Claim{Demand: total(w.claimsInGroup())} }
+func (w *batchWork) Group() beacon.BatchWord {
+	return beacon.BatchWord{Claim: choose.Claim{Demand: total(w.claimsInGroup())}, Waiting: w.addWaiting(w.node.jobs.WaitingTokens(), w.nodes)}
+}
 
 // Here implements beacon.BatchWork.
-func (w *batchWork) Here() choose.Claim {
+func (w *batchWork) Here() beacon.BatchWord {
+	return beacon.BatchWord{Claim: w.claimHere(), Waiting: w.addWaiting(w.node.jobs.WaitingTokens(), w.nodes, w.groups)}
+}
+
+func (w *batchWork) claimHere() choose.Claim {
 	demand := total(w.claimsOfGroups())
 	room := w.node.pool.BatchRoom(w.node.settings.DataCentre)
 	return choose.Claim{Demand: demand, Overflow: max(0, demand-room)}
 }
 
+// addWaiting adds the tokens that others said wait with them, and returns the sum.
+func (w *batchWork) addWaiting(tokens map[string]int64, others ...batchWords) map[string]int64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, words := range others {
+		words.addWaiting(tokens)
+	}
+	return tokens
+}
+
+// waiting returns the tokens that wait on a batch route at all other nodes.
+func (w *batchWork) waiting(route string) int64 {
+	return w.addWaiting(map[string]int64{}, w.nodes, w.groups, w.centres)[route]
+}
+
 func total(demands map[string]int) int {
 	sum := 0
 	for _, demand := range demands {
@@ -48,25 +97,33 @@
 // Announced implements beacon.BatchWork.
 func (w *batchWork) Announced() []string { return w.node.jobs.Announced() }
 
-// HeardNode implements beacon.BatchWork.
-func (w *batchWork) HeardNode(node string, b choose.Claim) {
+// JoinGroup implements beacon.BatchWork.
+func (w *batchWork) JoinGroup() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.nodes[node] = b
+	clear(w.nodes)
+	clear(w.groups)
+}
+
+// HeardNode implements beacon.BatchWork.
+func (w *batchWork) HeardNode(node string, b beacon.BatchWord) {
+	w.hear(w.nodes, node, b)
 }
 
 // HeardGroup implements beacon.BatchWork.
-func (w *batchWork) HeardGroup(group string, b choose.Claim) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.groups[group] = b
+func (w *batchWork) HeardGroup(group string, b beacon.BatchWord) {
+	w.hear(w.groups, group, b)
 }
 
 // HeardDataCentre implements beacon.BatchWork.
-func (w *batchWork) HeardDataCentre(name string, b choose.Claim) {
+func (w *batchWork) HeardDataCentre(name string, b beacon.BatchWord) {
+	w.hear(w.centres, name, b)
+}
+
+func (w *batchWork) hear(words batchWords, name string, b beacon.BatchWord) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.centres[name] = b
+	words[name] = heardWord{b, time.Now()}
 }
 
 // HeardJobs implements beacon.BatchWork.
@@ -106,12 +163,12 @@
 func (w *batchWork) claims() choose.Claims {
 	self := w.node.settings
 	claims := choose.Claims{Node: self.NodeID, Group: w.node.view.Load().Group(), DataCentre: self.DataCentre,
-		Nodes: w.claimsInGroup(), Groups: w.claimsOfGroups(), Centres: map[string]choose.Claim{self.DataCentre: w.Here()}}
+		Nodes: w.claimsInGroup(), Groups: w.claimsOfGroups(), Centres: map[string]choose.Claim{self.DataCentre: w.claimHere()}}
 	heard := w.node.beacon.HeardDataCentres()
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, name := range heard {
-		claims.Centres[name] = w.centres[name]
+		claims.Centres[name] = w.centres[name].Claim
 	}
 	return claims
 }
--- a/internal/process/hosted/changes.go
+++ b/internal/process/hosted/changes.go
@@ -9,6 +9,7 @@
 	"github.com/marblepond/marblepond/internal/process/invariant"
 	"github.com/marblepond/marblepond/internal/process/timeline"
 	"github.com/marblepond/marblepond/internal/request/job"
+	"github.com/marblepond/marblepond/internal/version/discovery"
 	"github.com/marblepond/marblepond/internal/version/follow"
 )
 
@@ -46,14 +47,18 @@
 
 // Changed implements follow.Listener.
 func (n *Node) Changed(kind string, news []objects.Object, from follow.Source) {
+	switch kind {
+	case n.adapter.Kinds.Targets:
+		n.targetsChanged(news)
+		return
+	case kindNodes:
+		n.nodesChanged(news)
+		return
+	}
 	for _, o := range news {
 		switch kind {
 		case n.adapter.Kinds.Config:
 			n.configChanged(o, from)
-		case n.adapter.Kinds.Targets:
-			n.targetListed(o)
-		case kindNodes:
-			n.nodesChanged()
 		case job.KindEnds:
 			if !o.Deleted { // deleted with the rest of an expired job
 				n.jobs.EndSeen(o.Name)
@@ -107,17 +112,27 @@
 	n.metrics.Gauge("config_version").Update(float64(table.Version))
 }
 
-func (n *Node) targetListed(o objects.Object) {
-	if o.Deleted {
-		n.pool.Remove(o.Name)
-		return
-	}
-	record, err := n.adapter.DecodeTarget(o.Name, o.Value)
-	if err != nil {
-		n.recorder.Record(timeline.ObjectRejected, "", o.Name, err.Error())
-		return
+// targetsChanged hands what the store says of targets to the pool, all of it at
+// once: the table is made anew for each list.
+func (n *Node) targetsChanged(news []objects.Object) {
+	n.listing.Lock()
+	defer n.listing.Unlock()
+	var listed []discovery.Record
+	var gone []string
+	for _, changed := range news {
+		o, exists := n.cache.Get(n.adapter.Kinds.Targets, changed.Name)
+		if !exists {
+			gone = append(gone, changed.Name)
+			continue
+		}
+		record, err := n.adapter.DecodeTarget(o.Name, o.Value)
+		if err != nil {
+			n.recorder.Record(timeline.ObjectRejected, "", o.Name, err.Error())
+			continue
+		}
+		listed = append(listed, record)
 	}
-	n.pool.Put(record)
+	n.pool.Update(listed, gone)
 }
 
 func (n *Node) targetChanged(id, what string) {
--- a/internal/process/hosted/following.go
+++ b/internal/process/hosted/following.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/marblepond/marblepond/internal/process/timeline"
+	"github.com/marblepond/marblepond/internal/process/wait"
 	"github.com/marblepond/marblepond/internal/request/checkpoint"
 	"github.com/marblepond/marblepond/internal/request/job"
 	"github.com/marblepond/marblepond/internal/version/follow"
@@ -97,6 +99,28 @@
 	}
 }
 
+const (
+	// firstShown is when a seed reads the list of nodes at the first start of a
+	// fleet: all nodes start within 0.3 s and have registered by then. firstGreeting
+	// is when the others ask it: they learn of all nodes at once. Before they knew
+	// each other each followed the store by itself, which took 680 calls of 255
+	// nodes.
+	firstShown    = 700 * time.Millisecond
+	firstGreeting = time.Second
+)
+
+// isSeed reports whether other nodes ask this one first.
+func (n *Node) isSeed() bool { return slices.Contains(*n.seeds.Load(), n.settings.PeerAdvertise) }
+
+// greet asks the seeds for what they know before this node asks the object store.
+// A seed asks the store at once, for all that start with it.
+func (n *Node) greet(ctx context.Context) {
+	if n.isSeed() || (n.settings.FirstStart && !wait.For(ctx, firstGreeting)) {
+		return
+	}
+	n.gossip.Greet(ctx, *n.seeds.Load(), n.adapter.Kinds.Config, n.adapter.Kinds.Targets, job.KindEnds, kindNodes)
+}
+
 // anySeed returns the address of a seed other than this node, "" when there is
 // none.
 func (n *Node) anySeed() string {
--- a/internal/process/hosted/hosted.go
+++ b/internal/process/hosted/hosted.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -72,7 +73,6 @@
 	metrics  tally.Scope
 
 	cache       *follow.Cache
-	loads       *follow.Loads
 	gossip      *follow.Gossip
 	pool        *discovery.Pool
 	forwarder   *forward.Forwarder
@@ -82,7 +82,10 @@
 	batch       *batchWork
 	checkpoints *checkpoint.Store // of jobs that other nodes hold
 
-	nodeList  atomic.Pointer[follow.Refresher] // keeps the list of nodes
+	nodeList atomic.Pointer[follow.Refresher] // keeps the list of nodes
+	// listing is held while lists that the store holds are taken over. News may come
+	// out of order, so that what counts is read from the cache.
+	listing   sync.Mutex
 	nodes     atomic.Pointer[map[string]nodeRecord]
 	view      atomic.Pointer[beacon.View] // the same as datagrams go
 	table     atomic.Pointer[route.Table]
@@ -118,19 +121,19 @@
 	n.pool = discovery.New(choose.Config{EjectAfter: s.EjectAfter, EjectTime: s.EjectTime, Policy: choose.LeastOfFew, Node: s.NodeID, Home: s.DataCentre, Seed: uint64(n.boot) ^ xxhash.Sum64String(s.NodeID)},
 		time.Now, func() bool { return n.cache.Doubtful(adapter.Kinds.Targets) }, n.targetChanged)
 	n.forwarder = &forward.Forwarder{Targets: n.pool, Sender: adapter.Sender, Log: &requestLog{n}, Checker: n.checker, Now: time.Now}
-	n.loads = follow.NewLoads(s.NodeID, n.boot, time.Now, func() map[string]int64 { return n.jobs.WaitingTokens() })
 	n.jobs = job.NewManager(job.Config{
 		Self: job.Holder{Node: s.NodeID, Boot: n.boot, Address: s.PeerAdvertise}, MaxValue: s.StoreMaxValue,
 		KeepResults: s.KeepResults, TakeOverAfter: s.TakeOverAfter, SweepInterval: s.SweepInterval,
 		Holds: s.CallerListen != "", ResultMemory: s.ResultMemory, CheckpointInterval: s.CheckpointInterval,
 	}, job.Parts{Store: n.relay(), StoreTook: n.storeTook, Pool: n.pool, Sender: adapter.Sender, Routes: n.Table, RoutesFresh: n.TableFresh, Peers: n,
-		Waiting: n.loads.Waiting, Ended: n.ended, Shares: n.batch.shares, Recorder: n.recorder, Checker: n.checker, Metrics: n.metrics})
+		Waiting: n.batch.waiting, Ended: n.ended, Shares: n.batch.shares, Recorder: n.recorder, Checker: n.checker, Metrics: n.metrics})
 	n.checkpoints = checkpoint.NewStore(checkpoint.Limits{Bytes: s.CheckpointMemory, Keep: s.KeepResults}, time.Now)
 	n.beacon = beacon.New(beacon.Options{Node: s.NodeID, DataCentre: s.DataCentre, Boot: n.boot, Loads: n.pool, Copies: n.cache, Batch: n.batch, Store: adapter.Health,
 		View: n.view.Load, Behind: n.behind, Silent: func(string) { n.jobs.LookForLostJobs() }})
+	n.cache.OnVerified(n.beacon.Touch)
 	n.pool.OnLoad(n.ownLoadChanged, n.othersLoadChanged)
 	n.pool.SetDisplacer(n)
-	n.gossip = &follow.Gossip{Node: s.NodeID, Cache: n.cache, Loads: n.loads, Listener: n, Peers: n.peerAddresses,
+	n.gossip = &follow.Gossip{Node: s.NodeID, Cache: n.cache, Listener: n, Peers: n.peerAddresses,
 		Client: n.peers.sync.at, Interval: s.GossipInterval, Pulls: follow.NewPulls()}
 	n.listenHandlers(parts.MetricsPage)
 	return n
--- a/internal/process/hosted/peers.go
+++ b/internal/process/hosted/peers.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"maps"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
@@ -23,6 +25,7 @@
 	"github.com/marblepond/marblepond/internal/process/settings"
 	"github.com/marblepond/marblepond/internal/process/timeline"
 	"github.com/marblepond/marblepond/internal/process/wait"
+	"github.com/marblepond/marblepond/internal/request/job"
 )
 
 // kindNodes is the kind of objects under which nodes register themselves.
@@ -123,19 +126,31 @@
 	return nil
 }
 
-// nodesChanged reads the registrations again.
-func (n *Node) nodesChanged() {
-	out := map[string]nodeRecord{}
-	for _, o := range n.cache.List(kindNodes) {
+// nodesChanged takes the registrations of some nodes. Only these are decoded, and
+// addresses are resolved once for each list: 255 nodes that start together hear of
+// all others in one.
+func (n *Node) nodesChanged(news []objects.Object) {
+	n.listing.Lock()
+	defer n.listing.Unlock()
+	nodes := maps.Clone(n.registered())
+	if nodes == nil {
+		nodes = map[string]nodeRecord{}
+	}
+	for _, changed := range news {
+		delete(nodes, changed.Name)
+		o, exists := n.cache.Get(kindNodes, changed.Name)
+		if !exists {
+			continue
+		}
 		var r nodeRecord
 		if err := json.Unmarshal(o.Value, &r); err != nil {
 			n.recorder.Record(timeline.ObjectRejected, "", o.Name, err.Error())
 			continue
 		}
-		out[o.Name] = r
+		nodes[o.Name] = r
 	}
-	n.nodes.Store(&out)
-	n.view.Store(n.viewOf(out))
+	n.nodes.Store(&nodes)
+	n.view.Store(n.viewOf(nodes))
 }
 
 // peerAddresses returns the addresses of the other nodes: those registered,
@@ -205,13 +220,31 @@
 	return n.registered()[first].Address
 }
 
-// mostAdoptRank bounds the places in the order in which nodes take over a job.
-const mostAdoptRank = 5
+const (
+	// mostAdoptRank bounds the places in the order in which nodes take over a job.
+	mostAdoptRank = 5
+	// sweepersHere is how many nodes of a data centre look for lost jobs: as many as
+	// have a place of their own in that order. Each look lists the heads of all jobs,
+	// which costs a call a page, and by 250 nodes brings nothing that 30 do not.
+	sweepersHere = mostAdoptRank + 1
+)
+
+// sweepers returns the nodes of this data centre that look for lost jobs.
+func (n *Node) sweepers() []string {
+	return rendezvous.Rank(job.KindHeads, append(n.nearHolders(), n.settings.NodeID), sweepersHere)
+}
+
+// Sweeps implements job.Peers.
+func (n *Node) Sweeps() bool { return slices.Contains(n.sweepers(), n.settings.NodeID) }
 
 // AdoptRank implements job.Peers.
 func (n *Node) AdoptRank(job string) int {
+	sweepers := n.sweepers()
+	if !slices.Contains(sweepers, n.settings.NodeID) {
+		return mostAdoptRank
+	}
 	centre := rendezvous.Place(job, n.settings.DataCentre, n.beacon.HeardDataCentres(), mostAdoptRank)
-	return min(mostAdoptRank, centre+rendezvous.Place(job, n.settings.NodeID, n.nearHolders(), mostAdoptRank))
+	return min(mostAdoptRank, centre+rendezvous.Place(job, n.settings.NodeID, sweepers, mostAdoptRank))
 }
 
 // Checkpoints implements job.Peers.
@@ -288,7 +321,7 @@
 			_, err = n.adapter.Store.Update(ctx, callbudget.Status, kindNodes, n.settings.NodeID, anyRevision, value)
 		}
 		if err == nil {
-			n.nodeList.Load().Kick() // of two nodes that start at once, the later one sees both
+			n.showRegistration(ctx)
 			return
 		}
 		if !wait.For(ctx, registerPause) {
@@ -297,5 +330,29 @@
 	}
 }
 
+const (
+	// showPace is the time for each node that is known, and showLongest the longest,
+	// within which a starting node has its registration seen. Of many that start at
+	// once the first ones ask the store, and the others are seen with them.
+	showPace    = 8 * time.Millisecond
+	showLongest = 2 * time.Second
+)
+
+// showRegistration has the copy of the list of nodes refreshed, which others then
+// fetch, unless it has this node's entry by then.
+func (n *Node) showRegistration(ctx context.Context) {
+	pause := rand.N(min(showLongest, time.Duration(1+len(n.registered()))*showPace))
+	forAll := n.settings.FirstStart && n.isSeed()
+	switch {
+	case forAll:
+		pause = firstShown
+	case n.settings.FirstStart:
+		pause = firstGreeting + rand.N(showLongest)
+	}
+	if wait.For(ctx, pause) && (forAll || n.registered()[n.settings.NodeID].Boot != n.boot) {
+		n.nodeList.Load().Kick()
+	}
+}
+
 // anyRevision makes a write unconditional. Only the node itself writes its entry.
 const anyRevision = 0
--- a/internal/process/hosted/run.go
+++ b/internal/process/hosted/run.go
@@ -131,6 +131,11 @@
 		n.keepSnapshot(ctx, wg)
 		n.keepCheckpoints(ctx, wg)
 	}
+	greeted := make(chan struct{})
+	wg.Go(func() {
+		defer close(greeted)
+		n.greet(ctx)
+	})
 	for kind, age := range n.followed() {
 		r := follow.NewRefresher(kind)
 		r.Store, r.Cache, r.Listener, r.MaxAge = n.adapter.Store, n.cache, n, age
@@ -138,7 +143,10 @@
 		if kind == kindNodes {
 			n.nodeList.Store(r)
 		}
-		wg.Go(func() { r.Run(ctx) })
+		wg.Go(func() {
+			<-greeted
+			r.Run(ctx)
+		})
 	}
 	wg.Go(func() { n.gossip.Run(ctx) })
 	wg.Go(func() { n.register(ctx) })
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -26,6 +26,7 @@
 	CallerAdvertise string
 	PeerAdvertise   string
 	Seeds           []string
+	FirstStart      bool
 
 	Front         string // which callers' interface the node serves
 	ReadyListen   string
--- a/internal/request/job/idle_test.go
+++ b/internal/request/job/idle_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/marblepond/marblepond/internal/connection/objects"
 	"github.com/marblepond/marblepond/internal/request/choose"
 )
 
@@ -50,3 +51,61 @@
 	is.Equal(shares.Load(), int32(0))
 	is.Equal(pool.excess.Load(), int32(0))
 }
+
+// fewSweepers are peers among which this node is not one that looks for the lost
+// jobs of others.
+type fewSweepers struct{ noPeers }
+
+func (fewSweepers) Sweeps() bool { return false }
+
+// TestFewNodesSweep: of 250 nodes before ten jobs a second each listed the heads of
+// all jobs every five seconds. A node lists them at its start, for jobs of its own
+// before that, and then only if it is one of those that look for all.
+func TestFewNodesSweep(t *testing.T) {
+	for name, c := range map[string]struct {
+		peers Peers
+		more  bool
+	}{"one of them": {noPeers{}, true}, "another one": {fewSweepers{}, false}} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			store := &listCounter{memoryStore: newMemoryStore()}
+			m := newTestManager("n", store)
+			m.cfg.SweepInterval, m.cfg.CheckpointInterval, m.Peers = 20*time.Millisecond, time.Hour, c.peers
+			ctx, cancel := context.WithTimeout(context.Background(), 2*firstSweep)
+			defer cancel()
+			m.Run(ctx)
+			lists := store.lists.Load()
+			is.True(lists >= 1)
+			is.Equal(lists > 1, c.more)
+		})
+	}
+}
+
+// TestStartingNodeLooksUntilItHasItsJobs: a node that can't list the heads at its
+// start looks again, also when it is not one of those that look for all.
+func TestStartingNodeLooksUntilItHasItsJobs(t *testing.T) {
+	is := is.New(t)
+	store := &listCounter{memoryStore: newMemoryStore()}
+	store.failures.Store(1)
+	m := newTestManager("n", store)
+	m.cfg.SweepInterval, m.cfg.CheckpointInterval, m.Peers = time.Hour, time.Hour, fewSweepers{}
+	ctx, cancel := context.WithTimeout(context.Background(), 2*firstSweep+2*suspectSweep)
+	defer cancel()
+	m.Run(ctx)
+	is.Equal(store.lists.Load(), int32(2))
+}
+
+// listCounter counts lists, the first few of which fail.
+type listCounter struct {
+	*memoryStore
+	lists, failures atomic.Int32
+}
+
+func (s *listCounter) ListStale(ctx context.Context, kind string) (objects.Page, error) {
+	s.lists.Add(1)
+	if s.failures.Add(-1) >= 0 {
+		return objects.Page{}, objects.ErrUnavailable
+	}
+	return s.memoryStore.ListStale(ctx, kind)
+}
--- a/internal/request/job/manager.go
+++ b/internal/request/job/manager.go
@@ -43,6 +43,9 @@
 	// Locator returns the address of the node of this data centre that looks
 	// the head of a job up for all others, "" when this node does.
 	Locator(job string) string
+	// Sweeps reports whether this node is one of the few of its data centre that
+	// look for lost jobs of others.
+	Sweeps() bool
 	// AdoptRank returns the place of this node in the order of those that may
 	// take a job over, 0 for the first.
 	AdoptRank(job string) int
--- a/internal/request/job/manager_test.go
+++ b/internal/request/job/manager_test.go
@@ -105,6 +105,7 @@
 }
 func (noPeers) Holders() []string                                    { return nil }
 func (noPeers) Locator(string) string                                { return "" }
+func (noPeers) Sweeps() bool                                         { return true }
 func (noPeers) AdoptRank(string) int                                 { return 0 }
 func (noPeers) Keepers(string, []string, func(string) bool) []string { return nil }
 func (noPeers) SilentSince(string) (time.Time, bool)                 { return time.Time{}, false }
--- a/internal/request/job/sweep.go
+++ b/internal/request/job/sweep.go
@@ -38,12 +38,18 @@
 
 // sweep looks for jobs without a holder until ctx ends: those of an earlier
 // boot of this node, those whose holder says that it does not hold them, and
-// those whose holder does not answer for long.
+// those whose holder does not answer for long. A starting node looks for the first
+// of these; for the others a few nodes of each data centre look.
 func (m *Manager) sweep(ctx context.Context) {
-	pause := firstSweep
+	pause, ownLeft := firstSweep, true
 	for m.sweepPause(ctx, pause*3/4+rand.N(pause/2)) {
+		m.forgetOld()
 		pause = m.cfg.SweepInterval
-		if m.sweepOnce(ctx) {
+		if !ownLeft && !m.Peers.Sweeps() {
+			continue
+		}
+		var suspected bool
+		if suspected, ownLeft = m.sweepOnce(ctx); suspected {
 			pause = suspectSweep
 		}
 	}
@@ -71,12 +77,12 @@
 	return true
 }
 
-// sweepOnce returns whether a holder is suspected.
-func (m *Manager) sweepOnce(ctx context.Context) bool {
-	m.forgetOld()
+// sweepOnce returns whether a holder is suspected, and whether jobs of an earlier
+// boot of this node may be left.
+func (m *Manager) sweepOnce(ctx context.Context) (suspected, ownLeft bool) {
 	heads, err := m.listHeads(ctx)
 	if err != nil {
-		return true // the store is away; look again soon after it is back
+		return true, true // the store is away; look again soon after it is back
 	}
 	byHolder := map[Holder][]string{}
 	for id, head := range heads {
@@ -88,9 +94,9 @@
 			byHolder[head.Holder] = append(byHolder[head.Holder], id)
 		}
 	}
-	suspected := false
 	orphans := map[string]bool{}
 	for holder, jobs := range byHolder {
+		ownLeft = ownLeft || holder.Node == m.cfg.Self.Node
 		lost, maybe := m.lostJobs(ctx, holder, jobs)
 		suspected = suspected || maybe
 		for _, id := range lost {
@@ -107,7 +113,7 @@
 	m.mu.Lock()
 	maps.DeleteFunc(m.orphans, func(id string, _ time.Time) bool { return !orphans[id] })
 	m.mu.Unlock()
-	return suspected
+	return suspected, ownLeft
 }
 
 // myTurn reports whether this node is to take a lost job over now. Nodes do so in
--- a/internal/version/discovery/discovery.go
+++ b/internal/version/discovery/discovery.go
@@ -139,43 +139,60 @@
 	p.table.Yielding(id)
 }
 
-// Put takes what the store says of a target.
-func (p *Pool) Put(r Record) {
+// change is a line of the log about one target.
+type change struct{ id, what string }
+
+// Update takes what the store says of targets that are listed, and which are taken
+// off the list. The table is made anew once, however many they are.
+func (p *Pool) Update(listed []Record, gone []string) {
 	p.mu.Lock()
-	old, known := p.records[r.ID]
-	p.records[r.ID] = r
-	delete(p.lapsed, r.ID)
+	var changes []change
+	for _, r := range listed {
+		changes = append(changes, p.put(r)...)
+	}
+	for _, id := range gone {
+		changes = append(changes, p.remove(id)...)
+	}
 	p.set()
-	if r.Draining {
-		p.table.Leave(r.ID, incarnation)
+	for _, r := range listed {
+		if r.Draining {
+			p.table.Leave(r.ID, incarnation)
+		}
 	}
 	p.mu.Unlock()
+	for _, c := range changes {
+		p.onChange(c.id, c.what)
+	}
+}
+
+// put notes what the store says of a target. The caller holds p.mu.
+func (p *Pool) put(r Record) []change {
+	old, known := p.records[r.ID]
+	p.records[r.ID] = r
+	delete(p.lapsed, r.ID)
 	switch {
 	case !known && !r.Draining:
-		p.onChange(r.ID, "listed")
+		return []change{{r.ID, "listed"}}
 	case r.Draining && !old.Draining:
-		p.onChange(r.ID, "draining")
+		return []change{{r.ID, "draining"}}
 	}
+	return nil
 }
 
-// Remove takes a target off. While the store's list is in doubt the target is
-// kept until Settle, because it may only have missed its heartbeat there.
-func (p *Pool) Remove(id string) {
-	p.mu.Lock()
+// remove takes a target off. While the store's list is in doubt the target is
+// kept until Settle, because it may only have missed its heartbeat there. The
+// caller holds p.mu.
+func (p *Pool) remove(id string) []change {
 	r, known := p.records[id]
 	delete(p.records, id)
-	keep := known && !r.Draining && p.doubtful()
-	if keep {
-		p.lapsed[id] = r
-	}
-	p.set()
-	p.mu.Unlock()
 	switch {
-	case keep:
-		p.onChange(id, "lapsed while the store was away; kept until it has settled")
+	case known && !r.Draining && p.doubtful():
+		p.lapsed[id] = r
+		return []change{{id, "lapsed while the store was away; kept until it has settled"}}
 	case known:
-		p.onChange(id, "gone")
+		return []change{{id, "gone"}}
 	}
+	return nil
 }
 
 // Settle removes targets that lapsed once the store's list is trusted again.
--- a/internal/version/follow/cache.go
+++ b/internal/version/follow/cache.go
@@ -88,11 +88,13 @@
 	mu    sync.Mutex
 	kinds map[string]*kind
 	now   func() time.Time
+
+	onVerified func()
 }
 
 // NewCache returns an empty copy of the kinds.
 func NewCache(now func() time.Time, kinds ...string) *Cache {
-	c := &Cache{kinds: map[string]*kind{}, now: now}
+	c := &Cache{kinds: map[string]*kind{}, now: now, onVerified: func() {}}
 	for _, name := range kinds {
 		c.kinds[name] = &kind{entries: map[string]entry{}}
 	}
@@ -186,6 +188,12 @@
 // Now returns the cache's time.
 func (c *Cache) Now() time.Time { return c.now() }
 
+// OnVerified sets the function that is told when a question to the store counts
+// here that did not before, whoever asked it: other nodes ask themselves unless
+// they hear of it soon. It must not block, nor call the cache. Call it before the
+// cache is used.
+func (c *Cache) OnVerified(f func()) { c.onVerified = f }
+
 // Verified notes that the copy holds all that the store held at a moment, by a
 // question that this node asked.
 func (c *Cache) Verified(name string, at time.Time) {
@@ -219,6 +227,7 @@
 		k.returned = now
 	}
 	k.verified, k.question = at, question
+	c.onVerified()
 }
 
 // Doubtful reports whether a deletion of this kind may only mean that the store
@@ -244,6 +253,16 @@
 	return c.now().Sub(k.verified), !k.verified.IsZero()
 }
 
+// Knows reports whether the copy of each kind ever held all that the store held.
+func (c *Cache) Knows(kinds ...string) bool {
+	for _, name := range kinds {
+		if _, known := c.Age(name); !known {
+			return false
+		}
+	}
+	return true
+}
+
 // AgeMarks returns how new the copy of each kind is.
 func (c *Cache) AgeMarks() map[string]Mark {
 	c.mu.Lock()
--- a/internal/version/follow/cache_test.go
+++ b/internal/version/follow/cache_test.go
@@ -184,3 +184,22 @@
 	now.pass(300 * time.Millisecond)
 	is.True(!cache.Doubtful(kindT))
 }
+
+// TestQuestionsAreToldOnce: a question that this node asked or heard of for the
+// first time is to be told on at once; the same one again is not, or nodes would
+// tell each other without end.
+func TestQuestionsAreToldOnce(t *testing.T) {
+	is := is.New(t)
+	cache, now := newTestCache()
+	told := 0
+	cache.OnVerified(func() { told++ })
+	cache.Verified(kindT, now.now)
+	is.Equal(told, 1)
+	now.pass(time.Second)
+	for range 3 {
+		cache.HeardMark(kindT, Mark{Age: 10 * time.Millisecond, Question: 7, Known: true})
+	}
+	is.Equal(told, 2)
+	cache.HeardMark(kindT, Mark{Age: time.Minute, Question: 8, Known: true}) // older than what is known
+	is.Equal(told, 2)
+}
--- a/internal/version/follow/gossip.go
+++ b/internal/version/follow/gossip.go
@@ -9,6 +9,7 @@
 	"github.com/marblepond/marblepond/api/marblepond/v1/marblepondv1connect"
 	"github.com/marblepond/marblepond/internal/connection/objects"
 	"github.com/marblepond/marblepond/internal/process/ring"
+	"github.com/marblepond/marblepond/internal/process/wait"
 )
 
 // Gossip exchanges the cache with one random peer at a time (push and pull
@@ -17,7 +18,6 @@
 type Gossip struct {
 	Node     string
 	Cache    *Cache
-	Loads    *Loads
 	Listener Listener
 	// Peers returns the addresses of the other nodes known.
 	Peers func() []string
@@ -57,28 +57,79 @@
 	}
 }
 
-// round is one exchange; a second message follows when the peer lacks
-// something that this node has.
+// round is one exchange with a peer that need not be there.
 func (g *Gossip) round(ctx context.Context, address string) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
+	_ = g.exchange(ctx, address) // the peer is away; the next round asks another
+}
+
+// exchange takes what a peer has and this node lacks; a second message follows
+// when it is the other way round too.
+func (g *Gossip) exchange(ctx context.Context, address string) error {
 	client := g.Client(address)
-	resp, err := client.Exchange(ctx, &v1.ExchangeRequest{Node: g.Node, Complete: g.Cache.Marks(), Loads: g.Loads.Pack()})
+	asked := g.Cache.Now()
+	resp, err := client.Exchange(ctx, &v1.ExchangeRequest{Node: g.Node, Complete: g.Cache.Marks()})
 	if err != nil {
-		return // the peer is away; the next round asks another
+		return err
 	}
 	g.take(resp.Missing)
-	g.Loads.Unpack(resp.Loads)
+	for kind, mark := range UnpackMarks(resp.Marks) {
+		mark.Age += g.Cache.Now().Sub(asked) // the answer was composed in this time
+		g.Cache.HeardMark(kind, mark)
+	}
 	if offer := g.lacking(resp.Complete); len(offer) > 0 {
-		_, _ = client.Exchange(ctx, &v1.ExchangeRequest{Node: g.Node, Complete: g.Cache.Marks(), Offered: offer})
+		_, err = client.Exchange(ctx, &v1.ExchangeRequest{Node: g.Node, Complete: g.Cache.Marks(), Offered: offer})
 	}
+	return err
+}
+
+const (
+	// greetFor is how long a starting node waits for what its seeds know: all nodes
+	// may start at once, and the seeds ask the store first.
+	greetFor = 1500 * time.Millisecond
+	// greetTimeout bounds one answer of a seed, which is all that it knows: 50 KB for
+	// 150 targets, to 85 nodes at once over its link in the largest deployment.
+	greetTimeout = time.Second
+	// greetStart is how long seeds that do not answer are asked again: nodes that
+	// start together do so within 0.3 s.
+	greetStart = 600 * time.Millisecond
+	// greetPause is the time between questions to seeds that know nothing yet.
+	greetPause = 100 * time.Millisecond
+)
+
+// Greet asks seeds for the copies that a starting node lacks, so that it need not
+// list them from the object store, which takes a call a page: it returns once it
+// has the kinds given, or when the seeds do not answer or know nothing in time.
+func (g *Gossip) Greet(ctx context.Context, seeds []string, kinds ...string) {
+	started := g.Cache.Now()
+	limit := greetStart // until one has answered
+	for len(seeds) > 0 {
+		for _, i := range rand.Perm(len(seeds)) {
+			if g.greet(ctx, seeds[i]) != nil {
+				continue
+			}
+			limit = greetFor
+			if g.Cache.Knows(kinds...) {
+				return
+			}
+		}
+		if g.Cache.Now().Sub(started) >= limit || !wait.For(ctx, greetPause/2+rand.N(greetPause)) {
+			return
+		}
+	}
+}
+
+func (g *Gossip) greet(ctx context.Context, seed string) error {
+	ctx, cancel := context.WithTimeout(ctx, greetTimeout)
+	defer cancel()
+	return g.exchange(ctx, seed)
 }
 
 // Exchange answers another node's round.
 func (g *Gossip) Exchange(_ context.Context, req *v1.ExchangeRequest) (*v1.ExchangeResponse, error) {
 	g.take(req.Offered)
-	g.Loads.Unpack(req.Loads)
-	return &v1.ExchangeResponse{Complete: g.Cache.Marks(), Missing: g.lacking(req.Complete), Loads: g.Loads.Pack()}, nil
+	return &v1.ExchangeResponse{Complete: g.Cache.Marks(), Missing: g.lacking(req.Complete), Marks: PackMarks(g.Cache.AgeMarks())}, nil
 }
 
 // lacking returns what a node lacks that is complete up to the marks given.
--- /dev/null
+++ b/internal/version/follow/marks.go
@@ -0,0 +1,28 @@
+package follow
+
+import (
+	"time"
+
+	v1 "github.com/marblepond/marblepond/api/marblepond/v1"
+)
+
+// PackMarks returns marks as they are sent. Copies that never held all that the
+// store held are left out.
+func PackMarks(marks map[string]Mark) []*v1.KindMark {
+	var out []*v1.KindMark
+	for kind, m := range marks {
+		if m.Known {
+			out = append(out, &v1.KindMark{Kind: kind, Complete: m.Complete, Latest: m.Latest, Floor: m.Floor, AgeMs: uint32(m.Age.Milliseconds()), Question: m.Question})
+		}
+	}
+	return out
+}
+
+// UnpackMarks returns marks as they were sent.
+func UnpackMarks(marks []*v1.KindMark) map[string]Mark {
+	out := make(map[string]Mark, len(marks))
+	for _, k := range marks {
+		out[k.Kind] = Mark{Complete: k.Complete, Latest: k.Latest, Floor: k.Floor, Age: time.Duration(k.AgeMs) * time.Millisecond, Question: k.Question, Known: true}
+	}
+	return out
+}
--- a/lab/model/model_test.go
+++ b/lab/model/model_test.go
@@ -27,6 +27,11 @@
 // with two slots kept free: what two plays of one policy differ by.
 const onlineLoss = 0.006
 
+// seeds is how many plays of each policy are compared. The items in time of two
+// plays ranged from 436 to 487 in sum with nothing but the order of datagrams
+// changed, which is more than the two policies differ by.
+const seeds = 6
+
 // TestRoomByArrivals: online traffic in steps beside batch work that fills what it
 // leaves, the pattern of the users' heaviest days. Slots reserved by arrivals and
 // room made as a request is sent bring more items in time than two slots kept
@@ -42,10 +47,10 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			items, itemsBefore, online, onlineBefore := 0, 0, 0.0, 0.0
-			for seed := uint64(1); seed <= 2; seed++ {
+			for seed := uint64(1); seed <= seeds; seed++ {
 				after, before := Play(d, load, Variants[0], seed), Play(d, load, Variants[1], seed)
 				items, itemsBefore = items+after.Items.InTime, itemsBefore+before.Items.InTime
-				online, onlineBefore = online+after.Online.Share()/2, onlineBefore+before.Online.Share()/2
+				online, onlineBefore = online+after.Online.Share()/seeds, onlineBefore+before.Online.Share()/seeds
 			}
 			t.Logf("items in time %d, with two slots kept free %d; online in aim %.4f and %.4f", items, itemsBefore, online, onlineBefore)
 			if items <= itemsBefore {
