Know targets that start again under their ID, and entries of other writers

A target may start again under the ID that it had and holds nothing of before; what it says of itself carries the time of its start. An entry in the store may come from another writer. The code took each ID for one start (incarnation 1 for all), an unknown state for ready, and missing fields for zero; a good entry that became unreadable stayed in use.

Weighed: an unreadable entry that was good before could be kept until it lapses; but it names no target to use, and whoever wrote it may have given the name to something else, so it is taken off at once, also while the store is in doubt.

Change: the start of a target is its incarnation. A newer one begins without counts, failures, averages and marks of leaving; an older word never overrides it, also after the target was taken off; ends of attempts at the one before change nothing; those attempts are ended as soon as the new start is known (of unknown outcome where they may run once, resumed elsewhere where they may); connections are kept by incarnation, so that none to the former process is used. Entries of targets and registrations of nodes are checked whole, refused with a log line and a counter.

Left: counts of what is in flight travel between nodes without the incarnation, so that for some 100 ms a target that has started again is counted with what others had at the one before.

--- a/internal/connection/target/target.go
+++ b/internal/connection/target/target.go
@@ -15,12 +15,15 @@
 type Call struct {
 	Address    string
 	InstanceID string // the target that is meant; another one must refuse
-	RequestID  string
-	Method     string
-	Host       string
-	Path       string // with the query, exactly as the caller sent it
-	Header     http.Header
-	Body       []byte
+	// Incarnation of the target. A connection to an earlier one is not used: that it
+	// has ended may not show yet.
+	Incarnation uint64
+	RequestID   string
+	Method      string
+	Host        string
+	Path        string // with the query, exactly as the caller sent it
+	Header      http.Header
+	Body        []byte
 	// ResumeAfter is the ID of the last event that is held; 0 starts anew.
 	ResumeAfter int64
 	// Deadline ends the attempt; the target is told how much time is left.
--- a/internal/process/hosted/changes.go
+++ b/internal/process/hosted/changes.go
@@ -94,6 +94,7 @@
 	table, err := n.adapter.DecodeConfig(o.Value)
 	if err != nil {
 		n.recorder.Record(timeline.ObjectRejected, "", o.Name, err.Error())
+		n.metrics.Counter("objects_rejected").Inc(1)
 		return
 	}
 	for {
@@ -118,7 +119,7 @@
 	n.listing.Lock()
 	defer n.listing.Unlock()
 	var listed []discovery.Record
-	var gone []string
+	var gone, refused []string
 	for _, changed := range news {
 		o, exists := n.cache.Get(n.adapter.Kinds.Targets, changed.Name)
 		if !exists {
@@ -127,12 +128,16 @@
 		}
 		record, err := n.adapter.DecodeTarget(o.Name, o.Value)
 		if err != nil {
+			// It names no target to use, also where it did before: whoever wrote it may
+			// have given the name to something else.
 			n.recorder.Record(timeline.ObjectRejected, "", o.Name, err.Error())
+			n.metrics.Counter("objects_rejected").Inc(1)
+			refused = append(refused, o.Name)
 			continue
 		}
 		listed = append(listed, record)
 	}
-	n.pool.Update(listed, gone)
+	n.pool.Update(listed, gone, refused)
 }
 
 func (n *Node) targetChanged(id, what string) {
--- /dev/null
+++ b/internal/process/hosted/fuzz_test.go
@@ -0,0 +1,23 @@
+package hosted
+
+import (
+	"net/netip"
+	"testing"
+)
+
+// FuzzDecodeNode: whatever a registration holds, it is refused or names a node
+// that can be asked.
+func FuzzDecodeNode(f *testing.F) {
+	for _, seed := range []string{`{"Boot":1,"Address":"10.0.0.1:1","DataCentre":"a"}`, `{}`, `[]`, `null`, "\xff", `{"Boot":"1"}`, `{"Boot":1,"Address":"x"}`} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		r, err := decodeNode(data)
+		if err != nil {
+			return
+		}
+		if _, err := netip.ParseAddrPort(r.Address); err != nil || r.DataCentre == "" || r.Boot <= 0 {
+			t.Fatalf("%q is taken for %+v", data, r)
+		}
+	})
+}
--- a/internal/process/hosted/peers.go
+++ b/internal/process/hosted/peers.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/netip"
 	"slices"
 	"sync"
 	"time"
@@ -40,6 +41,21 @@
 	Callers    bool   // it serves callers and holds jobs
 }
 
+// decodeNode decodes a registration. One that can't be used is refused whole.
+func decodeNode(value []byte) (nodeRecord, error) {
+	var r nodeRecord
+	if err := json.Unmarshal(value, &r); err != nil {
+		return nodeRecord{}, err
+	}
+	if _, err := netip.ParseAddrPort(r.Address); err != nil {
+		return nodeRecord{}, err
+	}
+	if r.DataCentre == "" || r.Boot <= 0 {
+		return nodeRecord{}, errors.New("a registration without data centre or start")
+	}
+	return r, nil
+}
+
 // peers hands out clients of other nodes.
 type peers struct {
 	sync  clients[marblepondv1connect.SyncServiceClient]
@@ -142,9 +158,10 @@
 		if !exists {
 			continue
 		}
-		var r nodeRecord
-		if err := json.Unmarshal(o.Value, &r); err != nil {
+		r, err := decodeNode(o.Value)
+		if err != nil {
 			n.recorder.Record(timeline.ObjectRejected, "", o.Name, err.Error())
+			n.metrics.Counter("objects_rejected").Inc(1)
 			continue
 		}
 		nodes[o.Name] = r
--- a/internal/request/choose/choose.go
+++ b/internal/request/choose/choose.go
@@ -187,6 +187,13 @@
 // Left returns the leaving incarnations known, to be passed on.
 func (t *Table) Left() map[string]uint64 { return t.left }
 
+// Current reports whether a target is the incarnation that the table holds. What
+// is said of another one, which has ended, says nothing of this one.
+func (t *Table) Current(target Target) bool {
+	e := t.entries[target.ID]
+	return e != nil && e.Incarnation == target.Incarnation
+}
+
 // Report takes a load report of the given incarnation.
 func (t *Table) Report(id string, incarnation uint64, load Load) {
 	e := t.entries[id]
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -61,13 +61,16 @@
 	// lives, and what waits there has its turn coming.
 	Better(id string, need choose.Need, heard time.Duration) bool
 	// Heard notes an event of a target.
-	Heard(id string)
-	End(id string, outcome choose.Outcome)
-	FirstEvent(id string, took time.Duration)
+	Heard(t choose.Target)
+	End(t choose.Target, outcome choose.Outcome)
+	FirstEvent(t choose.Target, took time.Duration)
+	// WhenGone has a function called when a target has started again, and what ran
+	// there is lost; stop takes it back.
+	WhenGone(t choose.Target, ended func()) (stop func())
 	// Occupied takes how long a request that was answered whole held a slot.
 	Occupied(service string, took time.Duration)
-	Saturated(id string)
-	Leave(id, why string)
+	Saturated(t choose.Target)
+	Leave(t choose.Target, why string)
 }
 
 // Log receives the decisions that touch a request.
@@ -113,8 +116,11 @@
 	continuePause = 25 * time.Millisecond
 )
 
-// errStalled is the cause of an attempt ended because its target was silent.
-var errStalled = errors.New("the target was silent for too long")
+// Causes for which an attempt is ended while its connection is open.
+var (
+	errStalled  = errors.New("the target was silent for too long")
+	errReplaced = errors.New("the target has started again")
+)
 
 // course is what the attempts of one request have come to.
 type course struct {
@@ -153,7 +159,7 @@
 		f.Checker.Assert(c.ran == 0 || req.Route.Repeatable(), invariant.AtMostOnce, req.ID, t.ID, "sent again after %d attempts that may have run", c.ran)
 		f.Log.Sent(req, t, c.held)
 		err := f.attempt(ctx, req, t, caller, c)
-		f.Targets.End(t.ID, outcomeOf(err))
+		f.Targets.End(t, outcomeOf(err))
 		if err == nil {
 			return nil
 		}
@@ -244,9 +250,9 @@
 	}
 	switch {
 	case failure.End == target.WrongInstance:
-		f.Targets.Leave(t.ID, "another target has its address")
+		f.Targets.Leave(t, "another target has its address")
 	case failure.Saturated:
-		f.Targets.Saturated(t.ID)
+		f.Targets.Saturated(t)
 	}
 }
 
@@ -278,9 +284,10 @@
 	better := func() bool { return f.Targets.Better(t.ID, need, longestGap(req.Route)) }
 	watch := newWatchdog(req.Route, c.ran, better, cancel)
 	defer watch.stop()
+	defer f.Targets.WhenGone(t, func() { cancel(errReplaced) })()
 	sent := f.Now()
 	answer, err := f.Sender.Send(ctx, target.Call{
-		Address: t.Addr, InstanceID: t.ID, RequestID: req.ID, Method: req.Method, Host: req.Host, Path: req.Path,
+		Address: t.Addr, InstanceID: t.ID, Incarnation: t.Incarnation, RequestID: req.ID, Method: req.Method, Host: req.Host, Path: req.Path,
 		Header: req.Header, Body: req.Body, ResumeAfter: c.held, Deadline: req.Deadline,
 	})
 	if err != nil {
@@ -308,9 +315,9 @@
 			return f.cause(ctx, err)
 		}
 		watch.event()
-		f.Targets.Heard(t.ID)
+		f.Targets.Heard(t)
 		if first {
-			f.Targets.FirstEvent(t.ID, f.Now().Sub(sent))
+			f.Targets.FirstEvent(t, f.Now().Sub(sent))
 			first = false
 		}
 		if err := f.pass(req, event, caller, c); err != nil {
@@ -370,8 +377,10 @@
 
 // cause puts the reason in place of a bare cancellation.
 func (f *Forwarder) cause(ctx context.Context, err error) error {
-	if errors.Is(context.Cause(ctx), errStalled) {
-		return &target.Error{End: target.Broken, Cause: errStalled}
+	for _, ended := range []error{errStalled, errReplaced} {
+		if errors.Is(context.Cause(ctx), ended) {
+			return &target.Error{End: target.Broken, Cause: ended}
+		}
 	}
 	return err
 }
--- a/internal/request/forward/forward_test.go
+++ b/internal/request/forward/forward_test.go
@@ -14,6 +14,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/marblepond/marblepond/internal/connection/target"
+	"github.com/marblepond/marblepond/internal/errkind"
 	"github.com/marblepond/marblepond/internal/process/invariant"
 	"github.com/marblepond/marblepond/internal/process/timeline"
 	"github.com/marblepond/marblepond/internal/request/choose"
@@ -27,6 +28,8 @@
 	chosen []string
 	better bool
 	asked  int
+
+	restarts map[string]time.Duration
 }
 
 func (f *fakeTargets) Choose(need choose.Need) (choose.Target, bool) {
@@ -48,12 +51,22 @@
 	return f.better
 }
 
-func (f *fakeTargets) End(string, choose.Outcome)       {}
-func (f *fakeTargets) FirstEvent(string, time.Duration) {}
-func (f *fakeTargets) Occupied(string, time.Duration)   {}
-func (f *fakeTargets) Heard(string)                     {}
-func (f *fakeTargets) Saturated(string)                 {}
-func (f *fakeTargets) Leave(string, string)             {}
+func (f *fakeTargets) End(choose.Target, choose.Outcome)       {}
+func (f *fakeTargets) FirstEvent(choose.Target, time.Duration) {}
+func (f *fakeTargets) Occupied(string, time.Duration)          {}
+func (f *fakeTargets) Heard(choose.Target)                     {}
+func (f *fakeTargets) Saturated(choose.Target)                 {}
+func (f *fakeTargets) Leave(choose.Target, string)             {}
+
+// WhenGone tells that a target has started again after the time set for it.
+func (f *fakeTargets) WhenGone(t choose.Target, ended func()) func() {
+	after, set := f.restarts[t.ID]
+	if !set {
+		return func() {}
+	}
+	timer := time.AfterFunc(after, ended)
+	return func() { timer.Stop() }
+}
 
 // slowSender answers with three events, the first after a time that depends on
 // the target.
@@ -100,12 +113,21 @@
 func (l *fakeLog) Refused(*Request, error)                             {}
 func (l *fakeLog) Answered(_ *Request, _ choose.Target, answer Answer) { l.answer = answer }
 
+// carry carries a stream that may be resumed, carryOnce one that may run once.
 func carry(targets *fakeTargets, sender target.Sender, log Log, caller Caller) error {
+	return carryStream(targets, sender, log, caller, true)
+}
+
+func carryOnce(targets *fakeTargets, sender target.Sender, log Log, caller Caller) error {
+	return carryStream(targets, sender, log, caller, false)
+}
+
+func carryStream(targets *fakeTargets, sender target.Sender, log Log, caller Caller, resumable bool) error {
 	recorder := timeline.NewRecorder("n", 10, &apex.Logger{Handler: discard.New()}, tally.NoopScope)
 	f := Forwarder{Targets: targets, Sender: sender, Log: log, Checker: invariant.New(recorder, false), Now: time.Now}
 	now := time.Now()
 	req := &Request{ID: "r", Service: "s", Arrived: now, Deadline: now.Add(5 * time.Second),
-		Route: &route.Route{Kind: route.Stream, Resumable: true, Attempts: 2, Objective: 200 * time.Millisecond, GapObjective: 200 * time.Millisecond}}
+		Route: &route.Route{Kind: route.Stream, Resumable: resumable, Attempts: 2, Objective: 200 * time.Millisecond, GapObjective: 200 * time.Millisecond}}
 	_, err := f.Do(context.Background(), req, caller)
 	return err
 }
@@ -138,3 +160,23 @@
 	is.Equal(caller.events, 3)
 	is.True(time.Since(began) < time.Second)
 }
+
+// TestRestartedTargetIsLeftAtOnce: a target that is known to have started again has
+// lost what ran there, though the connection shows nothing. A stream that may be
+// resumed goes on elsewhere; one that may run once ends as of unknown outcome, and
+// neither waits for its silence to be noticed.
+func TestRestartedTargetIsLeftAtOnce(t *testing.T) {
+	is := is.New(t)
+	targets := &fakeTargets{restarts: map[string]time.Duration{"a": 20 * time.Millisecond}}
+	log, caller := &fakeLog{}, &fakeCaller{}
+	began := time.Now()
+	is.NoErr(carry(targets, slowSender{"a": time.Minute}, log, caller))
+	is.Equal(targets.chosen, []string{"a", "b"})
+	is.Equal(caller.events, 3)
+	is.True(time.Since(began) < 100*time.Millisecond) // half of the objective
+
+	targets = &fakeTargets{restarts: map[string]time.Duration{"a": 20 * time.Millisecond}}
+	err := carryOnce(targets, slowSender{"a": time.Minute}, log, caller)
+	is.Equal(errkind.Of(err).NotRun, errkind.NotRunUnknown)
+	is.Equal(targets.chosen, []string{"a"})
+}
--- a/internal/request/job/checkpoint_test.go
+++ b/internal/request/job/checkpoint_test.go
@@ -7,6 +7,8 @@
 
 	"github.com/matryer/is"
 
+	"github.com/marblepond/marblepond/internal/request/choose"
+
 	"github.com/marblepond/marblepond/api/marblepond/v1/marblepondv1connect"
 	"github.com/marblepond/marblepond/internal/request/checkpoint"
 )
@@ -34,7 +36,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	p := m.held[job].progress
-	p.sent(item, "t", time.Now())
+	p.sent(item, choose.Target{ID: "t"}, time.Now())
 	for id := p.items[item].held + 1; id <= events; id++ {
 		p.event(item, id, []byte{byte('a' + id)})
 	}
@@ -149,7 +151,7 @@
 	is.True(!p.restore(0, 4, []byte("four")))
 	is.Equal(string(p.items[0].text), "five")
 	is.True(!p.restore(2, 9, []byte("listed")))
-	p.sent(1, "t", time.Now())
+	p.sent(1, choose.Target{ID: "t"}, time.Now())
 	is.True(!p.restore(1, 9, []byte("runs")))
 }
 
--- a/internal/request/job/manager.go
+++ b/internal/request/job/manager.go
@@ -25,13 +25,16 @@
 	ChooseBatch(need choose.Need) (choose.Target, bool)
 	// EndBatch takes the end of an item's attempt; yielded says whether it was
 	// stopped to make room, as Yielding noted.
-	EndBatch(id string, outcome choose.Outcome, yielded bool)
+	EndBatch(t choose.Target, outcome choose.Outcome, yielded bool)
 	// Excess returns how many of this node's items are to make room, by target.
 	Excess() map[string]int
 	// Yielding notes that an item at a target was told to make room.
-	Yielding(id string)
-	Saturated(id string)
-	Leave(id, why string)
+	Yielding(t choose.Target)
+	Saturated(t choose.Target)
+	Leave(t choose.Target, why string)
+	// WhenGone has a function called when a target has started again, and what ran
+	// there is lost; stop takes it back.
+	WhenGone(t choose.Target, ended func()) (stop func())
 }
 
 // Peers reaches the job services of other nodes.
--- a/internal/request/job/manager_test.go
+++ b/internal/request/job/manager_test.go
@@ -92,11 +92,12 @@
 type noPool struct{}
 
 func (noPool) ChooseBatch(choose.Need) (choose.Target, bool) { return choose.Target{}, false }
-func (noPool) EndBatch(string, choose.Outcome, bool)         {}
-func (noPool) Yielding(string)                               {}
+func (noPool) EndBatch(choose.Target, choose.Outcome, bool)  {}
+func (noPool) Yielding(choose.Target)                        {}
 func (noPool) Excess() map[string]int                        { return nil }
-func (noPool) Saturated(string)                              {}
-func (noPool) Leave(string, string)                          {}
+func (noPool) Saturated(choose.Target)                       {}
+func (noPool) Leave(choose.Target, string)                   {}
+func (noPool) WhenGone(choose.Target, func()) func()         { return func() {} }
 
 type noPeers struct{}
 
--- a/internal/request/job/progress.go
+++ b/internal/request/job/progress.go
@@ -1,6 +1,10 @@
 package job
 
-import "time"
+import (
+	"time"
+
+	"github.com/marblepond/marblepond/internal/request/choose"
+)
 
 // phase is the life of one item at the holder.
 type phase int
@@ -20,14 +24,14 @@
 
 type itemState struct {
 	phase    phase
-	failures int       // answers that count as failed attempts
-	breaks   int       // attempts in a row that broke off
-	notAt    time.Time // not before this
-	held     int64     // ID of the last event held
-	text     []byte    // data of the events held; kept until the result is listed
-	dead     bool      // finished without its whole output
-	target   string    // where it runs
-	sentAt   time.Time // when it was sent there
+	failures int           // answers that count as failed attempts
+	breaks   int           // attempts in a row that broke off
+	notAt    time.Time     // not before this
+	held     int64         // ID of the last event held
+	text     []byte        // data of the events held; kept until the result is listed
+	dead     bool          // finished without its whole output
+	target   choose.Target // where it runs
+	sentAt   time.Time     // when it was sent there
 }
 
 type pendingResult struct {
@@ -66,7 +70,7 @@
 }
 
 // sent notes that an item is at a target.
-func (p *progress) sent(i int, target string, now time.Time) {
+func (p *progress) sent(i int, target choose.Target, now time.Time) {
 	s := &p.items[i]
 	s.phase, s.target, s.sentAt = running, target, now
 }
--- a/internal/request/job/progress_test.go
+++ b/internal/request/job/progress_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/marblepond/marblepond/internal/request/choose"
 	"pgregory.net/rapid"
 )
 
@@ -24,7 +26,7 @@
 			s := &p.items[i]
 			switch action := rapid.SampledFrom([]string{"send", "event", "repeat", "break", "yield", "finish", "finish twice", "commit"}).Draw(t, "action"); {
 			case action == "send" && s.phase == waiting:
-				p.sent(i, "t", now)
+				p.sent(i, choose.Target{ID: "t"}, now)
 			case action == "event" && s.phase == running:
 				p.event(i, s.held+1, []byte(fmt.Sprint(s.held+1)))
 			case action == "repeat" && s.phase == running:
@@ -63,11 +65,11 @@
 	is := is.New(t)
 	p := newProgress(&Head{Total: 1, Failed: map[int]int{0: 1}}) // one failure under the holder before
 	now := time.Unix(0, 0)
-	p.sent(0, "t", now)
+	p.sent(0, choose.Target{ID: "t"}, now)
 	is.True(p.failed(0, now, 3))
 	is.True(!p.mayBeSent(0, now)) // pauses first
 	is.True(p.mayBeSent(0, now.Add(failurePause)))
-	p.sent(0, "t", now)
+	p.sent(0, choose.Target{ID: "t"}, now)
 	is.True(!p.failed(0, now, 3))
 }
 
--- a/internal/request/job/room.go
+++ b/internal/request/job/room.go
@@ -45,7 +45,7 @@
 		if !stop(errYielded) {
 			continue // it has ended otherwise
 		}
-		m.Pool.Yielding(id)
+		m.Pool.Yielding(h.progress.items[item.Index].target)
 		m.Metrics.Counter("items_yielded").Inc(1)
 		m.Recorder.Record(timeline.BatchYielded, h.items[item.Index].ID, id, "online requests fill the target")
 	}
@@ -58,7 +58,7 @@
 	for _, h := range m.held {
 		due := dueAt(&h.head, m.routeOf(&h.head))
 		for i := range h.stops {
-			if s := &h.progress.items[i]; s.target == id {
+			if s := &h.progress.items[i]; s.target.ID == id {
 				items = append(items, schedule.Item{Job: h.id, Index: i, Due: due, Sent: s.sentAt})
 			}
 		}
--- a/internal/request/job/run.go
+++ b/internal/request/job/run.go
@@ -22,6 +22,7 @@
 	errReleased = errors.New("the job is handed over")
 	errYielded  = errors.New("online requests need the room")
 	errSilent   = errors.New("the target was silent for too long")
+	errReplaced = errors.New("the target has started again")
 )
 
 const (
@@ -134,7 +135,7 @@
 		full[service] = true
 		return
 	}
-	h.progress.sent(i, t.ID, now)
+	h.progress.sent(i, t, now)
 	attempt, cancel := context.WithCancelCause(ctx)
 	h.stops[i] = func(cause error) bool {
 		cancel(cause)
@@ -149,8 +150,9 @@
 // run makes one attempt at an item and takes its end.
 func (m *Manager) run(ctx context.Context, cancel context.CancelCauseFunc, h *held, i int, t choose.Target, r *route.Route) {
 	defer cancel(nil)
+	defer m.Pool.WhenGone(t, func() { cancel(errReplaced) })()
 	err := m.attempt(ctx, cancel, h, i, t, r)
-	m.Pool.EndBatch(t.ID, outcomeOf(ctx, err), errors.Is(context.Cause(ctx), errYielded))
+	m.Pool.EndBatch(t, outcomeOf(ctx, err), errors.Is(context.Cause(ctx), errYielded))
 	m.take(ctx, h, i, t, r, err)
 	m.signal()
 	h.signal()
@@ -263,8 +265,8 @@
 func (m *Manager) noteRefusal(t choose.Target, failure *target.Error) {
 	switch {
 	case failure.End == target.WrongInstance:
-		m.Pool.Leave(t.ID, "another target has its address")
+		m.Pool.Leave(t, "another target has its address")
 	case failure.Saturated:
-		m.Pool.Saturated(t.ID)
+		m.Pool.Saturated(t)
 	}
 }
--- a/internal/version/discovery/discovery.go
+++ b/internal/version/discovery/discovery.go
@@ -4,6 +4,7 @@
 package discovery
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -26,6 +27,8 @@
 	table   *choose.Table
 	records map[string]Record
 	lapsed  map[string]Record // taken from the list while the store was in doubt
+	newest  map[string]uint64 // newest incarnation heard of, by target; kept after the target is gone
+	running map[string][]*run // attempts that end when their target has started again, by target
 	onOwn   func()            // told each change of what this node has in flight
 	onHeard func()            // told each change of what others have in flight
 
@@ -41,14 +44,17 @@
 	TellHolders(target string)
 }
 
-// incarnation of every target: the ID of a record names one start of it.
-const incarnation = 1
+// run is an attempt at one incarnation of a target.
+type run struct {
+	incarnation uint64
+	ended       func() // told when that incarnation is known to be gone
+}
 
 // New returns an empty pool. doubtful reports whether the store has been in
 // trouble lately; onChange hears of each change for the log.
 func New(cfg choose.Config, now func() time.Time, doubtful func() bool, onChange func(id, what string)) *Pool {
 	return &Pool{now: now, doubtful: doubtful, onChange: onChange, table: choose.New(cfg),
-		records: map[string]Record{}, lapsed: map[string]Record{}, onOwn: func() {}, onHeard: func() {}}
+		records: map[string]Record{}, lapsed: map[string]Record{}, newest: map[string]uint64{}, running: map[string][]*run{}, onOwn: func() {}, onHeard: func() {}}
 }
 
 // OnLoad sets the functions that are told each change of what this node has in
@@ -133,38 +139,93 @@
 }
 
 // Yielding notes that an item at a target was told to make room.
-func (p *Pool) Yielding(id string) {
+func (p *Pool) Yielding(t choose.Target) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.table.Yielding(id)
+	if p.table.Current(t) {
+		p.table.Yielding(t.ID)
+	}
 }
 
 // change is a line of the log about one target.
 type change struct{ id, what string }
 
-// Update takes what the store says of targets that are listed, and which are taken
-// off the list. The table is made anew once, however many they are.
-func (p *Pool) Update(listed []Record, gone []string) {
+// Update takes what the store says of targets: those that are listed, those that
+// are taken off the list, and those whose entries name no target to use. The table
+// is made anew once, however many they are.
+func (p *Pool) Update(listed []Record, gone, refused []string) {
 	p.mu.Lock()
 	var changes []change
+	var ended []*run
 	for _, r := range listed {
+		if r.Incarnation < p.newest[r.ID] {
+			continue // a late word of an earlier incarnation
+		}
+		if r.Incarnation > p.newest[r.ID] {
+			ended = append(ended, p.startedAgain(r)...)
+		}
 		changes = append(changes, p.put(r)...)
 	}
 	for _, id := range gone {
-		changes = append(changes, p.remove(id)...)
+		changes = append(changes, p.remove(id, p.doubtful())...)
+	}
+	for _, id := range refused {
+		changes = append(changes, p.remove(id, false)...)
 	}
 	p.set()
 	for _, r := range listed {
 		if r.Draining {
-			p.table.Leave(r.ID, incarnation)
+			p.table.Leave(r.ID, r.Incarnation)
 		}
 	}
 	p.mu.Unlock()
+	for _, attempt := range ended {
+		attempt.ended()
+	}
 	for _, c := range changes {
 		p.onChange(c.id, c.what)
 	}
 }
 
+// startedAgain notes a new incarnation of a target, and returns the attempts at
+// earlier ones, which are gone with them. The caller holds p.mu.
+func (p *Pool) startedAgain(r Record) (ended []*run) {
+	p.newest[r.ID] = r.Incarnation
+	if old, known := p.records[r.ID]; known && old.Incarnation < r.Incarnation {
+		delete(p.records, r.ID) // what is put is a new target
+	}
+	ended = p.running[r.ID]
+	delete(p.running, r.ID)
+	return ended
+}
+
+// WhenGone has a function called when a target is known to have started again:
+// what runs at the incarnation given is lost with it, whether or not its
+// connection shows it. stop takes the function back. It is called at once when
+// that is known already.
+func (p *Pool) WhenGone(t choose.Target, ended func()) (stop func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.newest[t.ID] > t.Incarnation {
+		go ended()
+		return func() {}
+	}
+	attempt := &run{t.Incarnation, ended}
+	p.running[t.ID] = append(p.running[t.ID], attempt)
+	return func() { p.forget(t.ID, attempt) }
+}
+
+func (p *Pool) forget(id string, attempt *run) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	left := slices.DeleteFunc(p.running[id], func(r *run) bool { return r == attempt })
+	if len(left) == 0 {
+		delete(p.running, id)
+		return
+	}
+	p.running[id] = left
+}
+
 // put notes what the store says of a target. The caller holds p.mu.
 func (p *Pool) put(r Record) []change {
 	old, known := p.records[r.ID]
@@ -182,11 +243,11 @@
 // remove takes a target off. While the store's list is in doubt the target is
 // kept until Settle, because it may only have missed its heartbeat there. The
 // caller holds p.mu.
-func (p *Pool) remove(id string) []change {
+func (p *Pool) remove(id string, doubtful bool) []change {
 	r, known := p.records[id]
 	delete(p.records, id)
 	switch {
-	case known && !r.Draining && p.doubtful():
+	case known && !r.Draining && doubtful:
 		p.lapsed[id] = r
 		return []change{{id, "lapsed while the store was away; kept until it has settled"}}
 	case known:
@@ -217,7 +278,6 @@
 	list := make([]choose.Target, 0, len(p.records)+len(p.lapsed))
 	for _, records := range []map[string]Record{p.records, p.lapsed} {
 		for _, r := range records {
-			r.Incarnation = incarnation
 			list = append(list, r.Target)
 		}
 	}
@@ -226,12 +286,12 @@
 
 // Leave stops new requests to a target that turned out to be leaving, or to be
 // another one.
-func (p *Pool) Leave(id, why string) {
+func (p *Pool) Leave(t choose.Target, why string) {
 	p.mu.Lock()
-	news := p.table.Leave(id, incarnation)
+	news := p.table.Leave(t.ID, t.Incarnation)
 	p.mu.Unlock()
 	if news {
-		p.onChange(id, why)
+		p.onChange(t.ID, why)
 	}
 }
 
@@ -270,10 +330,12 @@
 }
 
 // Heard notes an event of a target.
-func (p *Pool) Heard(id string) {
+func (p *Pool) Heard(t choose.Target) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.table.Heard(p.now(), id)
+	if p.table.Current(t) {
+		p.table.Heard(p.now(), t.ID)
+	}
 }
 
 // ChooseBatch returns a target for a batch item and counts it there.
@@ -289,21 +351,27 @@
 }
 
 // End takes the result of an online request.
-func (p *Pool) End(id string, outcome choose.Outcome) {
-	p.mu.Lock()
-	ejected, readmitted := p.table.End(p.now(), id, outcome)
-	p.mu.Unlock()
-	p.onOwn()
-	p.tell(id, ejected, readmitted)
+func (p *Pool) End(t choose.Target, outcome choose.Outcome) {
+	p.end(t, func() (ejected, readmitted bool) { return p.table.End(p.now(), t.ID, outcome) })
 }
 
 // EndBatch takes the result of a batch item.
-func (p *Pool) EndBatch(id string, outcome choose.Outcome, yielded bool) {
+func (p *Pool) EndBatch(t choose.Target, outcome choose.Outcome, yielded bool) {
+	p.end(t, func() (ejected, readmitted bool) { return p.table.EndBatch(p.now(), t.ID, outcome, yielded) })
+}
+
+// end has the table count the end of an attempt, unless the target has started
+// again: the counts of the new incarnation began without it.
+func (p *Pool) end(t choose.Target, count func() (ejected, readmitted bool)) {
 	p.mu.Lock()
-	ejected, readmitted := p.table.EndBatch(p.now(), id, outcome, yielded)
+	if !p.table.Current(t) {
+		p.mu.Unlock()
+		return
+	}
+	ejected, readmitted := count()
 	p.mu.Unlock()
 	p.onOwn()
-	p.tell(id, ejected, readmitted)
+	p.tell(t.ID, ejected, readmitted)
 }
 
 func (p *Pool) tell(id string, ejected, readmitted bool) {
@@ -316,16 +384,20 @@
 }
 
 // FirstEvent takes the time from sending a request to its first event.
-func (p *Pool) FirstEvent(id string, took time.Duration) {
+func (p *Pool) FirstEvent(t choose.Target, took time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.table.FirstEvent(p.now(), id, took)
+	if p.table.Current(t) {
+		p.table.FirstEvent(p.now(), t.ID, took)
+	}
 }
 
 // Saturated notes that a target refused because it was full.
-func (p *Pool) Saturated(id string) {
+func (p *Pool) Saturated(t choose.Target) {
 	p.mu.Lock()
-	p.table.Saturated(p.now(), id)
+	if p.table.Current(t) {
+		p.table.Saturated(p.now(), t.ID)
+	}
 	p.mu.Unlock()
 	p.onOwn() // batch items there make room
 }
--- /dev/null
+++ b/lab/hosted/entries_test.go
@@ -0,0 +1,77 @@
+package hosted
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// TestRunnerStartsAgainUnderItsID: what ran there is lost, though its connections
+// show nothing: behind a cut they stay silent. A stream that may run once ends
+// then, and does not hold its caller until its deadline.
+func TestRunnerStartsAgainUnderItsID(t *testing.T) {
+	is := is.New(t)
+	f := fleet(t, Options{Nodes: 2, Runners: 1})
+	f.Runners[0].Behave(func(string, int) Behaviour { return Stall })
+	answered := make(chan Reply, 1)
+	go func() { answered <- Ask(context.Background(), f.Nodes[0].Caller(), StreamPath+"x", "lost", nil) }()
+	eventually(t, "the request runs", time.Second, func() bool { return f.Runners[0].Runs("lost") == 1 })
+	f.Store.Put("servers", "i-0", f.Runners[0].EntryOfNextStart("hall-a"))
+	select {
+	case reply := <-answered:
+		is.True(reply.Err != nil) // the answer does not look complete
+	case <-time.After(2 * time.Second): // two refreshes of the list; its deadline is 5 s
+		t.Fatal("the caller still waits")
+	}
+	f.Runners[0].Behave(func(string, int) Behaviour { return Serve })
+	reply := Ask(context.Background(), f.Nodes[0].Caller(), StreamPath+"x", "next", nil)
+	is.NoErr(reply.Err)
+	is.Equal(reply.Status, http.StatusOK)
+	is.Equal(f.runs("lost"), 1) // never again
+}
+
+// TestEntriesOfAnotherWriter: entries that can't be read, or name a state that
+// is not known, disturb no other, in whichever order they come; a good one that is
+// overwritten gets no requests any more.
+func TestEntriesOfAnotherWriter(t *testing.T) {
+	is := is.New(t)
+	f := fleet(t, Options{Nodes: 2, Runners: 2})
+	strange := f.Runners[0].Entry("hall-a", "sleeping")
+	f.Store.Put("servers", "a-state", strange)
+	f.Store.Put("servers", "b-text", "no entry at all")
+	f.Store.Put("servers", "c-empty", map[string]any{})
+	half := f.Runners[0].Entry("hall-a", "ready")
+	half["address"] = 17
+	f.Store.Put("servers", "i-0", half) // overwrites a good one
+	f.Store.Put("servers", "z-null", nil)
+	f.Store.Put("marblepond-nodes", "no-node", map[string]any{"Boot": "yes"})
+	f.Store.Put("marblepond-jobs", "no-job", []int{1})
+	eventually(t, "runner i-0 gets no requests", 3*time.Second, func() bool {
+		before := f.Runners[0].Runs("probe")
+		for i := range 6 {
+			if Ask(context.Background(), f.Nodes[i%2].Caller(), RepeatPath+"x", "probe", nil).Status != http.StatusOK {
+				t.Fatal("a request is refused")
+			}
+		}
+		return f.Runners[0].Runs("probe") == before
+	})
+	is.Equal(Submit(f.Nodes[0].Caller(), "job", Items("job", 4)).Status, http.StatusAccepted)
+	results, err := ReadAll(f.callers(), "job", 10*time.Second)
+	is.NoErr(err)
+	f.checkResults(t, "job", 4, results)
+	f.Store.Put("servers", "i-0", f.Runners[0].Entry("hall-a", "ready"))
+	eventually(t, "runner i-0 serves again", 3*time.Second, func() bool {
+		for i := range 8 {
+			id := fmt.Sprint("back-", i)
+			Ask(context.Background(), f.Nodes[i%2].Caller(), RepeatPath+"x", id, nil)
+			if f.Runners[0].Runs(id) > 0 {
+				return true
+			}
+		}
+		return false
+	})
+}
--- a/lab/hosted/runner.go
+++ b/lab/hosted/runner.go
@@ -34,6 +34,7 @@
 	ID      string
 	Service string
 
+	born   time.Time
 	server *httptest.Server
 	slots  int
 	events int           // of each answer
@@ -64,7 +65,7 @@
 
 // NewRunner starts a runner on a loopback address.
 func NewRunner(id, service string, slots, events int, gap time.Duration) *Runner {
-	r := &Runner{ID: id, Service: service, slots: slots, events: events, gap: gap,
+	r := &Runner{ID: id, Service: service, born: time.Now(), slots: slots, events: events, gap: gap,
 		runs: map[string]int{}, resume: map[string][]string{}, cut: map[string]int{}, heads: map[string]http.Header{},
 		behave: func(string, int) Behaviour { return Serve }}
 	r.server = httptest.NewServer(r)
@@ -122,7 +123,15 @@
 // Entry returns what the runner registers in the store.
 func (r *Runner) Entry(dataCentre, state string) map[string]any {
 	return map[string]any{"service": r.Service, "address": r.Address(), "zone": dataCentre, "version": "v1",
-		"slots": float64(r.slots), "state": state, "warmup_left_ms": 0.0, "seq": 1}
+		"slots": float64(r.slots), "state": state, "warmup_left_ms": 0.0, "seq": 1, "born": r.born.UnixMilli()}
+}
+
+// EntryOfNextStart returns what the runner registers when it has started again
+// under its ID.
+func (r *Runner) EntryOfNextStart(dataCentre string) map[string]any {
+	entry := r.Entry(dataCentre, "ready")
+	entry["born"] = r.born.UnixMilli() + 5000
+	return entry
 }
 
 // Data returns the data of event n of a request.
