Split the list of targets, what others said, registrations and holders by duty

Change: functions moved, none changed. discovery/list.go holds what the store lists, choose/others.go what others said that they have in flight, hosted/registration.go how nodes register, hosted/holders.go who holds and takes over jobs, follow/greet.go what a starting node asks its seeds.

--- /dev/null
+++ b/internal/process/hosted/holders.go
@@ -0,0 +1,127 @@
+package hosted
+
+import (
+	"slices"
+	"time"
+
+	"github.com/marblepond/marblepond/api/marblepond/v1/marblepondv1connect"
+	"github.com/marblepond/marblepond/internal/process/rendezvous"
+	"github.com/marblepond/marblepond/internal/request/job"
+)
+
+// Holders implements job.Peers.
+func (n *Node) Holders() []string {
+	var out []string
+	for name, r := range n.registered() {
+		if r.Callers && name != n.settings.NodeID {
+			out = append(out, r.Address)
+		}
+	}
+	return out
+}
+
+// nearHolders returns the other nodes of this data centre that are heard and
+// hold jobs.
+func (n *Node) nearHolders() []string {
+	nodes := n.registered()
+	var out []string
+	for _, name := range n.beacon.HeardNear() {
+		if nodes[name].Callers {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
+// Locator implements job.Peers.
+func (n *Node) Locator(job string) string {
+	first := rendezvous.First(job, append(n.nearHolders(), n.settings.NodeID))
+	if first == n.settings.NodeID {
+		return ""
+	}
+	return n.registered()[first].Address
+}
+
+const (
+	// mostAdoptRank bounds the places in the order in which nodes take over a job.
+	mostAdoptRank = 5
+	// sweepersHere is how many nodes of a data centre look for lost jobs: as many as
+	// have a place of their own in that order. Each look lists the heads of all jobs,
+	// which costs a call a page, and by 250 nodes brings nothing that 30 do not.
+	sweepersHere = mostAdoptRank + 1
+)
+
+// sweepers returns the nodes of this data centre that look for lost jobs.
+func (n *Node) sweepers() []string {
+	return rendezvous.Rank(job.KindHeads, append(n.nearHolders(), n.settings.NodeID), sweepersHere)
+}
+
+// Sweeps implements job.Peers.
+func (n *Node) Sweeps() bool { return slices.Contains(n.sweepers(), n.settings.NodeID) }
+
+// AdoptRank implements job.Peers.
+func (n *Node) AdoptRank(job string) int {
+	sweepers := n.sweepers()
+	if !slices.Contains(sweepers, n.settings.NodeID) {
+		return mostAdoptRank
+	}
+	centre := rendezvous.Place(job, n.settings.DataCentre, n.beacon.HeardDataCentres(), mostAdoptRank)
+	return min(mostAdoptRank, centre+rendezvous.Place(job, n.settings.NodeID, sweepers, mostAdoptRank))
+}
+
+// Checkpoints implements job.Peers.
+func (n *Node) Checkpoints(address string) marblepondv1connect.CheckpointServiceClient {
+	return n.peers.saves.at(address)
+}
+
+// SilentSince implements job.Peers.
+func (n *Node) SilentSince(node string) (time.Time, bool) { return n.beacon.SilentSince(node) }
+
+// keepersOfJob is how many nodes keep a job's checkpoint: one in the data centre
+// of its holder, which is near, and one elsewhere, for the loss of a disk or of
+// the data centre.
+const keepersOfJob = 2
+
+// Keepers implements job.Peers. Nodes that serve no callers come first: they have
+// a disk, and a start of the whole deployment finds the checkpoints there. Without
+// one in this data centre or another, other nodes of this one serve: that covers
+// the loss of one node.
+func (n *Node) Keepers(job string, present []string, usable func(address string) bool) []string {
+	nodes := n.registered()
+	near := n.beacon.HeardNear()
+	centres := n.beacon.HeardDataCentres()
+	var disk, far, memory []string // names, by preference
+	for name, r := range nodes {
+		// A present keeper stays until it fails: each change is written to the head.
+		kept := slices.Contains(present, r.Address)
+		here := r.DataCentre == n.settings.DataCentre
+		switch {
+		case name == n.settings.NodeID || !usable(r.Address):
+		case here && !kept && !slices.Contains(near, name):
+		case here && !r.Callers:
+			disk = append(disk, name)
+		case here:
+			memory = append(memory, name)
+		case !r.Callers && (kept || slices.Contains(centres, r.DataCentre)):
+			far = append(far, name)
+		}
+	}
+	var out []string
+	for _, names := range [][]string{disk, far, memory} {
+		if len(names) > 0 && len(out) < keepersOfJob {
+			out = append(out, keeperOf(job, names, nodes, present))
+		}
+	}
+	return out
+}
+
+// keeperOf returns the address of one of the nodes named: the present keeper
+// among them, or the first in an order of the job's own.
+func keeperOf(job string, names []string, nodes map[string]nodeRecord, present []string) string {
+	for _, name := range names {
+		if slices.Contains(present, nodes[name].Address) {
+			return nodes[name].Address
+		}
+	}
+	return nodes[rendezvous.First(job, names)].Address
+}
