--- a/internal/connection/beacon/beacon.go
+++ b/internal/connection/beacon/beacon.go
@@ -10,11 +10,12 @@
 // each node tells the sum over its own, at a low rate and to a few nodes at a
 // time: whichever node is heard, it speaks for its whole data centre.
 //
-// What each word carries, how old it may be when it is used, and who hears it:
+// What each word carries, how old it may be with 59 nodes in a data centre while
+// something changes all the time, and who hears it:
 //
 //	                       of a node    of a group      of a data centre
 //	heard by               its group    other groups    a few nodes elsewhere
-//	in flight, demand      100 ms       200 ms          300 ms
+//	in flight, demand      0.2 s        0.4 s           0.5 s
 //	tokens that wait       the same
 //	liveness               1 s          1 s, 2 s when   1 s, of the data centre
 //	                                    a whole group
