--- a/internal/process/hosted/following.go
+++ b/internal/process/hosted/following.go
@@ -102,9 +102,8 @@
 const (
 	// firstShown is when a seed reads the list of nodes at the first start of a
 	// fleet: all nodes start within 0.3 s and have registered by then. firstGreeting
-	// is when the others ask it: they learn of all nodes at once. Before they knew
-	// each other each followed the store by itself, which took 680 calls of 255
-	// nodes.
+	// is when the others ask it, and learn of all nodes at once. The start of 255
+	// nodes took 939 calls without that and 676 with it, 255 of them to register.
 	firstShown    = 700 * time.Millisecond
 	firstGreeting = time.Second
 )
