--- a/internal/process/hosted/hosted.go
+++ b/internal/process/hosted/hosted.go
@@ -55,6 +55,8 @@
 	DecodeTarget func(id string, value []byte) (discovery.Record, error)
 	// RetirementStatus encodes what is said of a VM that is to be emptied.
 	RetirementStatus func(done bool) []byte
+	// Selectors are the headers of a request whose values change what it asks for.
+	Selectors []string
 	// Callers serves the callers' interface; Ready answers whether the node
 	// takes new connections.
 	Callers func(n *Node) http.Handler
@@ -123,7 +125,7 @@
 	n.forwarder = &forward.Forwarder{Targets: n.pool, Sender: adapter.Sender, Log: &requestLog{n}, Checker: n.checker, Now: time.Now}
 	n.jobs = job.NewManager(job.Config{
 		Self: job.Holder{Node: s.NodeID, Boot: n.boot, Address: s.PeerAdvertise}, MaxValue: s.StoreMaxValue,
-		KeepResults: s.KeepResults, TakeOverAfter: s.TakeOverAfter, SweepInterval: s.SweepInterval,
+		KeepResults: s.KeepResults, Selectors: adapter.Selectors, TakeOverAfter: s.TakeOverAfter, SweepInterval: s.SweepInterval,
 		Holds: s.CallerListen != "", ResultMemory: s.ResultMemory, CheckpointInterval: s.CheckpointInterval,
 	}, job.Parts{Store: n.relay(), StoreTook: n.storeTook, Pool: n.pool, Sender: adapter.Sender, Routes: n.Table, RoutesFresh: n.TableFresh, Peers: n,
 		Waiting: n.batch.waiting, Ended: n.ended, Shares: n.batch.shares, Recorder: n.recorder, Checker: n.checker, Metrics: n.metrics})
--- a/internal/process/hosted/log.go
+++ b/internal/process/hosted/log.go
@@ -36,6 +36,12 @@
 	200 * time.Millisecond, 300 * time.Millisecond, 500 * time.Millisecond, time.Second, 2 * time.Second, 5 * time.Second, 15 * time.Second,
 }
 
+// inFlightAt returns how many requests and items of this node are at a target.
+func (n *Node) inFlightAt(t choose.Target) int {
+	here := n.pool.InFlight()[t.ID]
+	return here.Online + here.Batch
+}
+
 func field(name string, value any) timeline.Field { return timeline.Field{Name: name, Value: value} }
 
 func (l *requestLog) Sent(req *forward.Request, t choose.Target, resumeAfter int64) {
@@ -48,9 +54,13 @@
 	l.n.metrics.Counter("requests_sent").Inc(1)
 }
 
-func (l *requestLog) Failed(req *forward.Request, t choose.Target, err error) {
-	l.n.recorder.Record(timeline.RequestBroken, req.ID, t.ID, err.Error(),
-		field("may_have_run", target.EndOf(err).Ran()), field("after_ms", time.Since(req.Arrived).Milliseconds()))
+func (l *requestLog) Failed(req *forward.Request, t choose.Target, events int64, err error) {
+	ran := target.EndOf(err).Ran()
+	fields := []timeline.Field{field("may_have_run", ran), field("after_ms", time.Since(req.Arrived).Milliseconds())}
+	if ran { // what ties it to other attempts at the same work, and to others that were lost with it
+		fields = append(fields, field("work", req.Work.ID().String()), field("events", events), field("others_there", l.n.inFlightAt(t)))
+	}
+	l.n.recorder.Record(timeline.RequestBroken, req.ID, t.ID, err.Error(), fields...)
 	l.n.metrics.Counter("attempts_failed").Inc(1)
 }
 
--- /dev/null
+++ b/internal/request/fingerprint/fingerprint_test.go
@@ -0,0 +1,62 @@
+package fingerprint
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// TestWhatIsTheSameWork: only what is asked for counts, and each part of it does.
+func TestWhatIsTheSameWork(t *testing.T) {
+	is := is.New(t)
+	base := func() *Work {
+		return &Work{Method: "POST", Host: "h", Path: "/a/b?q=1", Selectors: []string{"m", "key"}, Body: []byte("prompt")}
+	}
+	is.Equal(base().ID(), base().ID())
+	seen := map[ID]string{base().ID(): "base"}
+	for name, change := range map[string]func(*Work){
+		"method":        func(w *Work) { w.Method = "GET" },
+		"host":          func(w *Work) { w.Host = "g" },
+		"path":          func(w *Work) { w.Path = "/a/c?q=1" },
+		"query":         func(w *Work) { w.Path = "/a/b?q=2" },
+		"model":         func(w *Work) { w.Selectors[0] = "n" },
+		"caller":        func(w *Work) { w.Selectors[1] = "other" },
+		"body":          func(w *Work) { w.Body = []byte("prompt!") },
+		"empty body":    func(w *Work) { w.Body = nil },
+		"parts shifted": func(w *Work) { w.Host, w.Path = "h/", "a/b?q=1" },
+	} {
+		w := base()
+		change(w)
+		if other, found := seen[w.ID()]; found {
+			t.Errorf("%s and %s are taken for the same", name, other)
+		}
+		seen[w.ID()] = name
+	}
+}
+
+func TestTextStandsForOneID(t *testing.T) {
+	is := is.New(t)
+	id := (&Work{Path: "/x"}).ID()
+	parsed, ok := Parse(id.String())
+	is.True(ok)
+	is.Equal(parsed, id)
+	for _, text := range []string{"", "xy", id.String()[2:], id.String() + "00"} {
+		_, ok := Parse(text)
+		is.True(!ok)
+	}
+}
+
+// BenchmarkWork gives what the fingerprint of a request costs.
+func BenchmarkWork(b *testing.B) {
+	for _, size := range []int{1 << 10, 1 << 20} {
+		body := bytes.Repeat([]byte("x"), size)
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			for range b.N {
+				w := &Work{Method: "POST", Host: "orders.example", Path: "/ask/1", Selectors: []string{"m", ""}, Body: body}
+				w.ID()
+			}
+		})
+	}
+}
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -20,6 +20,7 @@
 	"github.com/marblepond/marblepond/internal/process/invariant"
 	"github.com/marblepond/marblepond/internal/process/wait"
 	"github.com/marblepond/marblepond/internal/request/choose"
+	"github.com/marblepond/marblepond/internal/request/fingerprint"
 	"github.com/marblepond/marblepond/internal/version/route"
 )
 
@@ -34,6 +35,8 @@
 	Path    string // with the query
 	Header  http.Header
 	Body    []byte
+	// Work is what the request asks for, whatever its ID.
+	Work fingerprint.Work
 	// ResumeAfter is the ID of the last event that the caller holds.
 	ResumeAfter int64
 	Arrived     time.Time
@@ -76,7 +79,9 @@
 // Log receives the decisions that touch a request.
 type Log interface {
 	Sent(req *Request, t choose.Target, resumeAfter int64)
-	Failed(req *Request, t choose.Target, err error)
+	// Failed takes an attempt that ended without a whole answer; events is how many
+	// it had brought.
+	Failed(req *Request, t choose.Target, events int64, err error)
 	Answered(req *Request, t choose.Target, answer Answer)
 	Refused(req *Request, err error)
 }
@@ -158,12 +163,13 @@
 		}
 		f.Checker.Assert(c.ran == 0 || req.Route.Repeatable(), invariant.AtMostOnce, req.ID, t.ID, "sent again after %d attempts that may have run", c.ran)
 		f.Log.Sent(req, t, c.held)
+		before := c.events
 		err := f.attempt(ctx, req, t, caller, c)
 		f.Targets.End(t, outcomeOf(err))
 		if err == nil {
 			return nil
 		}
-		f.Log.Failed(req, t, err)
+		f.Log.Failed(req, t, c.events-before, err)
 		if final := f.judge(ctx, req, t, c, err); final != nil {
 			return final
 		}
--- a/internal/request/forward/forward_test.go
+++ b/internal/request/forward/forward_test.go
@@ -109,7 +109,7 @@
 type fakeLog struct{ answer Answer }
 
 func (l *fakeLog) Sent(*Request, choose.Target, int64)                 {}
-func (l *fakeLog) Failed(*Request, choose.Target, error)               {}
+func (l *fakeLog) Failed(*Request, choose.Target, int64, error)        {}
 func (l *fakeLog) Refused(*Request, error)                             {}
 func (l *fakeLog) Answered(_ *Request, _ choose.Target, answer Answer) { l.answer = answer }
 
--- a/internal/request/job/manager.go
+++ b/internal/request/job/manager.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -17,6 +18,7 @@
 	"github.com/marblepond/marblepond/internal/process/invariant"
 	"github.com/marblepond/marblepond/internal/process/timeline"
 	"github.com/marblepond/marblepond/internal/request/choose"
+	"github.com/marblepond/marblepond/internal/request/fingerprint"
 	"github.com/marblepond/marblepond/internal/version/route"
 )
 
@@ -74,6 +76,8 @@
 	// CheckpointInterval is the time between saves of how far items have come; 0:
 	// nothing is saved.
 	CheckpointInterval time.Duration
+	// Selectors are the headers of an item whose values change what it asks for.
+	Selectors []string
 	// ResultMemory bounds the results kept in memory, in bytes.
 	ResultMemory int
 }
@@ -135,6 +139,7 @@
 	head        Head
 	revision    int64
 	items       []Item
+	works       []fingerprint.Work // what the items ask for
 	progress    *progress
 	writing     sync.Mutex // held during a commit: one at a time changes the head
 	sequence    int        // segments written by this holder
@@ -177,7 +182,7 @@
 // hold starts to work on a job whose head names this node. from is how far its
 // items came under an earlier holder, as far as that is known.
 func (m *Manager) hold(id string, head Head, revision int64, items []Item, from []*v1.JobCheckpoint, why string) {
-	h := &held{id: id, since: time.Now(), head: head, revision: revision, items: items, progress: newProgress(&head),
+	h := &held{id: id, since: time.Now(), head: head, revision: revision, items: items, works: worksOf(&head, items, m.cfg.Selectors), progress: newProgress(&head),
 		stops: map[int]stopRun{}, wake: make(chan struct{}, 1), changed: make(chan struct{})}
 	h.checkpoints.keep(head.Keepers)
 	m.mu.Lock()
@@ -201,6 +206,18 @@
 	m.signal()
 }
 
+// worksOf returns what items ask for. An item is sent as the same request would be
+// that a caller sends by itself, and so has its fingerprint.
+func worksOf(head *Head, items []Item, selectors []string) []fingerprint.Work {
+	works := make([]fingerprint.Work, len(items))
+	for i := range items {
+		w := &works[i]
+		w.Method, w.Host, w.Path, w.Body = http.MethodPost, head.Host, items[i].Path, items[i].Body
+		w.Selectors = fingerprint.Select(selectors, items[i].header().Get)
+	}
+	return works
+}
+
 func (m *Manager) signal() {
 	select {
 	case m.wakeUp <- struct{}{}:
--- a/internal/request/job/record.go
+++ b/internal/request/job/record.go
@@ -14,6 +14,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"time"
 
 	"github.com/marblepond/marblepond/internal/version/route"
@@ -90,6 +91,15 @@
 	Tokens int64 // of the prompt and the longest answer together
 }
 
+// header returns the item's header as it is sent.
+func (i *Item) header() http.Header {
+	header := make(http.Header, len(i.Header))
+	for k, v := range i.Header {
+		header.Set(k, v)
+	}
+	return header
+}
+
 // Result is the outcome of one item.
 type Result struct {
 	Item string
--- a/internal/request/job/run.go
+++ b/internal/request/job/run.go
@@ -180,15 +180,11 @@
 	held := h.progress.items[i].held
 	m.mu.Unlock()
 	item := &h.items[i]
-	header := make(http.Header, len(item.Header))
-	for k, v := range item.Header {
-		header.Set(k, v)
-	}
 	watchdog := time.AfterFunc(silence, func() { cancel(errSilent) })
 	defer watchdog.Stop()
 	answer, err := m.Sender.Send(ctx, target.Call{
 		Address: t.Addr, InstanceID: t.ID, RequestID: item.ID, Method: http.MethodPost, Host: h.head.Host, Path: item.Path,
-		Header: header, Body: item.Body, ResumeAfter: held, Deadline: time.UnixMilli(h.head.Submitted).Add(r.AbandonAfter),
+		Header: item.header(), Body: item.Body, ResumeAfter: held, Deadline: time.UnixMilli(h.head.Submitted).Add(r.AbandonAfter),
 	})
 	if err != nil {
 		return err
@@ -246,8 +242,11 @@
 	if ctx.Err() != nil {
 		cause = context.Cause(ctx)
 	}
-	m.Recorder.Record(timeline.ItemFailed, item.ID, t.ID, cause.Error(), timeline.Field{Name: "job", Value: h.id},
-		timeline.Field{Name: "held", Value: h.progress.items[i].held})
+	fields := []timeline.Field{{Name: "job", Value: h.id}, {Name: "held", Value: h.progress.items[i].held}}
+	if target.EndOf(err).Ran() {
+		fields = append(fields, timeline.Field{Name: "work", Value: h.works[i].ID().String()})
+	}
+	m.Recorder.Record(timeline.ItemFailed, item.ID, t.ID, cause.Error(), fields...)
 	m.judge(ctx, h, i, t, r, err, now)
 }
 
