--- a/lab/hosted/crash_test.go
+++ b/lab/hosted/crash_test.go
@@ -12,6 +12,10 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	v1 "github.com/marblepond/marblepond/api/marblepond/v1"
+	"github.com/marblepond/marblepond/api/marblepond/v1/marblepondv1connect"
+	"github.com/marblepond/marblepond/internal/connection/peer"
 )
 
 // What was seen: targets ended one after the other, 63 in 80 s of the 12 that there
@@ -200,3 +204,159 @@
 	f.end()
 	is.Equal(f.accused.Load(), int64(0))
 }
+
+// refusedEverywhere reports whether every node refuses a request, at once.
+func (c *crashFleet) refusedEverywhere(path, name string) bool {
+	for n := range c.Nodes {
+		if !accused(Call(context.Background(), http.MethodPost, c.Nodes[n].Caller(), path, fmt.Sprint(badPrefix, name, "-at-", n), nil, []byte(name))) {
+			return false
+		}
+	}
+	return true
+}
+
+// TestTargetsKilledTogetherAccuseNobody: seven of twelve targets are killed at once,
+// three times in a row, in the middle of a load. Requests lose up to three targets,
+// and none is refused for it.
+func TestTargetsKilledTogetherAccuseNobody(t *testing.T) {
+	is := is.New(t)
+	f := startCrashFleet(t, nil)
+	for range 3 {
+		time.Sleep(700 * time.Millisecond)
+		for _, r := range f.Runners[:7] {
+			r.Kill(400 * time.Millisecond)
+		}
+	}
+	time.Sleep(time.Second)
+	f.end()
+	is.Equal(f.crashes(), 21)
+	is.Equal(f.accused.Load(), int64(0))
+	is.Equal(len(f.refusedWork(t, 0)), 0)
+}
+
+// operator returns the operators' client of a node.
+func (c *crashFleet) operator(n int) marblepondv1connect.OperatorServiceClient {
+	return peer.NewOperatorClient(http.DefaultClient, c.Nodes[n].Settings.PeerListen, "")
+}
+
+// refusedWork returns the fingerprints that a node refuses.
+func (c *crashFleet) refusedWork(t *testing.T, n int) []string {
+	t.Helper()
+	answer, err := c.operator(n).Quarantine(context.Background(), &v1.QuarantineRequest{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var out []string
+	for _, r := range answer.Refused {
+		out = append(out, r.Work)
+	}
+	return out
+}
+
+// TestWhatIsRefusedStaysSo: a node that starts anew while the others live hears what
+// is refused, and after all nodes have lost power together it is read from the store.
+func TestWhatIsRefusedStaysSo(t *testing.T) {
+	is := is.New(t)
+	f := startCrashFleet(t, nil)
+	f.repeat(StreamPath+"x", "stays", 50*time.Millisecond, 2*time.Second)
+	f.end()
+	is.True(f.refusedEverywhere(StreamPath+"x", "stays"))
+	eventually(t, "it is in the store", 2*time.Second, func() bool { return len(f.Store.Names("marblepond-verdicts")) == 1 })
+
+	restart := func(n *Node) {
+		_, err := f.Restart(n, "")
+		is.NoErr(err)
+	}
+	f.Nodes[0].Kill()
+	restart(f.Nodes[0])
+	eventually(t, "the node that started anew refuses it", knownWithin, func() bool { return f.refusedEverywhere(StreamPath+"x", "stays") })
+
+	for _, n := range f.Nodes {
+		n.Kill()
+	}
+	before := f.arrived()
+	for range f.Nodes {
+		restart(f.Nodes[0]) // it moves to the end of the list
+	}
+	eventually(t, "all refuse it", knownWithin, func() bool { return f.refusedEverywhere(StreamPath+"x", "stays") })
+	is.True(f.arrived() <= before+3) // those that a node sent before it had read what is refused
+}
+
+// TestOperatorLetsWorkGo: an operator sees at any node what is refused, and lets it
+// go at all of them.
+func TestOperatorLetsWorkGo(t *testing.T) {
+	is := is.New(t)
+	f := startCrashFleet(t, nil)
+	f.repeat(StreamPath+"x", "go", 50*time.Millisecond, 2*time.Second)
+	f.end()
+	for n := range f.Nodes {
+		is.Equal(len(f.refusedWork(t, n)), 1)
+	}
+	answer, err := f.operator(3).ReleaseWork(context.Background(), &v1.ReleaseWorkRequest{Work: f.refusedWork(t, 0)[0]})
+	is.NoErr(err)
+	is.True(answer.Known)
+	eventually(t, "no node refuses it", knownWithin, func() bool {
+		for n := range f.Nodes {
+			if len(f.refusedWork(t, n)) > 0 {
+				return false
+			}
+		}
+		return true
+	})
+	eventually(t, "it is not in the store any more", knownWithin, func() bool { return len(f.Store.Names("marblepond-verdicts")) == 0 })
+	_, err = f.operator(0).ReleaseWork(context.Background(), &v1.ReleaseWorkRequest{Work: "no fingerprint"})
+	is.True(err != nil)
+}
+
+// TestItemThatEndsTargets: an item that ends the target that runs it is not sent any
+// more either, also not by a node that takes its job over, nor from another job with
+// the same body; the other items are done, and it is given up when its time is over.
+func TestItemThatEndsTargets(t *testing.T) {
+	is := is.New(t)
+	f := &crashFleet{Fleet: fleet(t, Options{Nodes: 4, Runners: 8, Slots: 8, Events: 20, Gap: 10 * time.Millisecond, Extra: quickJobs})}
+	f.Store.Put("config", "main", Config(2, func(c map[string]any) { c["routes"].([]any)[3].(map[string]any)["keep_s"] = 8.0 }))
+	for _, n := range f.Nodes {
+		eventually(t, "version 2 is in force", 2*time.Second, func() bool { return n.Table().Version == 2 })
+	}
+	for _, r := range f.Runners {
+		r.Behave(func(id string, _ int) Behaviour {
+			if strings.HasPrefix(id, badPrefix) {
+				return Crash
+			}
+			return Serve
+		})
+	}
+	job := func(name string) []Item {
+		items := Items(name, 8)
+		items[2].ID, items[2].Body = badPrefix+name, []byte("the same in both jobs")
+		return items
+	}
+	is.Equal(Submit(f.Nodes[0].Caller(), "first", job("first")).Status, http.StatusAccepted)
+	eventually(t, "all nodes refuse the item", 4*time.Second, func() bool {
+		for n := range f.Nodes {
+			if len(f.refusedWork(t, n)) == 0 {
+				return false
+			}
+		}
+		return true
+	})
+	t.Logf("%d crashes", f.crashes())
+	is.True(f.crashes() >= 3 && f.crashes() <= 6)
+	is.Equal(len(f.refusedWork(t, 1)), 1) // and none of the items beside it
+	before := f.arrived()
+	f.Nodes[0].Kill() // the others take its job over
+	is.Equal(Submit(f.Nodes[1].Caller(), "second", job("second")).Status, http.StatusAccepted)
+	for _, name := range []string{"first", "second"} {
+		results, err := ReadAll(f.callers()[1:], name, 12*time.Second)
+		is.NoErr(err)
+		dead := 0
+		for _, r := range results {
+			if r.State == "dead_letter" {
+				dead++
+				is.Equal(r.ID, badPrefix+name)
+			}
+		}
+		is.Equal(dead, 1)
+	}
+	is.Equal(f.arrived(), before)
+}
