Count suspensions of the machine in ages, deadlines and leases

Cause: Go's steady clock stands still while a machine is suspended. A node that was away for 10 s told others that its copies of the store, and the nodes that it had heard, were as young as before; took its jobs and its leases for its own; and handed targets a time limit that was over.

Change: package clock reads CLOCK_BOOTTIME beside the steady clock at most each 10 ms and is injected where an age, a deadline or a lease is told: copies of the store, store latency, checkpoints, crashes, deadlines of online requests, the pause of a holder, chunk leases.

--- a/internal/connection/beacon/beacon.go
+++ b/internal/connection/beacon/beacon.go
@@ -137,6 +137,8 @@
 	Batch      BatchWork
 	Store      StoreLatency
 	Crashes    Crashes
+	// Suspended returns how long the machine was suspended in all.
+	Suspended func() time.Duration
 	// View returns how this node sees the others now.
 	View func() *View
 	// Behind is told that a node knows more than this one, and Silent that a node
@@ -155,7 +157,9 @@
 	nearInterval, farInterval time.Duration // the constants, longer in tests
 
 	mu      sync.Mutex
-	groups  int // into which the data centre was divided when the words were heard
+	groups  int           // into which the data centre was divided when the words were heard
+	slept   time.Duration // suspensions of the machine that are noticed
+	woke    time.Time     // when the last of them was
 	heard   map[string]word
 	gone    map[string]time.Time // nodes that are heard no more: when they last were
 	grouped map[string]time.Time // other groups: when a node of it last spoke for it
--- a/internal/connection/beacon/beacon_test.go
+++ b/internal/connection/beacon/beacon_test.go
@@ -215,7 +215,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return New(Options{Node: node, DataCentre: centre, Boot: time.Now().UnixMicro(), Loads: w, Copies: noCopies{}, Crashes: noCrashes{}, Batch: batchOf{w}, Store: w.health,
+	return New(Options{Node: node, DataCentre: centre, Boot: time.Now().UnixMicro(), Loads: w, Copies: noCopies{}, Crashes: noCrashes{}, Suspended: func() time.Duration { return 0 }, Batch: batchOf{w}, Store: w.health,
 		View: func() *View { return NewView(node, centre, others()) }, Behind: func(string) {}, Silent: w.silent}), conn
 }
 
--- a/internal/connection/beacon/groups_test.go
+++ b/internal/connection/beacon/groups_test.go
@@ -202,3 +202,28 @@
 	time.Sleep(time.Millisecond)
 	is.True(!x.news(m)) // and a repeated datagram is none
 }
+
+// TestSuspendedNodeTellsNothingOld: a node whose machine was suspended does not tell
+// others that it just heard nodes which it heard before that. They may be lost since,
+// and those that know it would take them for alive again.
+func TestSuspendedNodeTellsNothingOld(t *testing.T) {
+	is := is.New(t)
+	var suspended time.Duration
+	x, conn := newExchange(t, "self", "a", newWords(nil), func() []Peer { return nil })
+	defer conn.Close()
+	x.Suspended = func() time.Duration { return suspended }
+	everyone := func(word) bool { return true }
+	hear := func(node string) {
+		x.mu.Lock()
+		defer x.mu.Unlock()
+		x.heard[node] = word{at: time.Now(), near: true}
+	}
+	hear("before")
+	is.Equal(len(x.members(everyone)), 1)
+	suspended = 10 * time.Second
+	is.Equal(len(x.members(everyone)), 0)
+	hear("after")
+	told := x.members(everyone)
+	is.Equal(len(told), 1)
+	is.Equal(told[0].Node, "after")
+}
--- a/internal/connection/beacon/send.go
+++ b/internal/connection/beacon/send.go
@@ -99,14 +99,24 @@
 	return message
 }
 
+// noteSuspension notes that the machine was suspended. What was heard before is older
+// than it seems then, and others would take nodes that were lost meanwhile for alive.
+// The caller holds x.mu.
+func (x *Exchange) noteSuspension() {
+	if slept := x.Suspended(); slept > x.slept {
+		x.slept, x.woke = slept, time.Now()
+	}
+}
+
 // members returns what is told of the nodes of this data centre that are heard and
 // wanted.
 func (x *Exchange) members(wanted func(word) bool) []*v1.Member {
 	x.mu.Lock()
 	defer x.mu.Unlock()
+	x.noteSuspension()
 	var out []*v1.Member
 	for node, w := range x.heard {
-		if silent := time.Since(w.at); w.near && silent < silentAfter && wanted(w) {
+		if silent := time.Since(w.at); w.near && silent < silentAfter && w.at.After(x.woke) && wanted(w) {
 			out = append(out, &v1.Member{Node: node, SilentMs: uint32(silent.Milliseconds()), Jobs: w.jobs})
 		}
 	}
--- a/internal/process/hosted/crashes.go
+++ b/internal/process/hosted/crashes.go
@@ -20,7 +20,7 @@
 
 func (n *Node) newCrashWatch() *crashes.Watch {
 	s := n.settings
-	return crashes.New(crashes.Options{Config: quarantine.Config{Limit: s.CrashLimit, Keep: s.CrashMemory}, Now: time.Now, Probe: dial.Probe, Serving: n.pool.Serving, Leaving: n.pool.Leaving,
+	return crashes.New(crashes.Options{Config: quarantine.Config{Limit: s.CrashLimit, Keep: s.CrashMemory}, Now: n.clock.Now, Probe: dial.Probe, Serving: n.pool.Serving, Leaving: n.pool.Leaving,
 		Client: n.crashesOf, News: func() { n.beacon.Touch() }, Keeper: verdictKeeper{n}, Recorder: n.recorder, Metrics: n.metrics})
 }
 
--- a/internal/process/hosted/hosted.go
+++ b/internal/process/hosted/hosted.go
@@ -17,6 +17,7 @@
 	"github.com/marblepond/marblepond/internal/connection/callbudget"
 	"github.com/marblepond/marblepond/internal/connection/objects"
 	"github.com/marblepond/marblepond/internal/connection/target"
+	"github.com/marblepond/marblepond/internal/process/clock"
 	"github.com/marblepond/marblepond/internal/process/crashes"
 	"github.com/marblepond/marblepond/internal/process/invariant"
 	"github.com/marblepond/marblepond/internal/process/settings"
@@ -74,6 +75,7 @@
 	recorder *timeline.Recorder
 	checker  *invariant.Checker
 	metrics  tally.Scope
+	clock    *clock.Clock
 
 	cache       *follow.Cache
 	gossip      *follow.Gossip
@@ -107,6 +109,8 @@
 	Settings *settings.Settings
 	Recorder *timeline.Recorder
 	Metrics  tally.Scope
+	// Clock tells ages, deadlines and leases; it counts suspensions of the machine.
+	Clock *clock.Clock
 	// MetricsPage serves the metrics as text.
 	MetricsPage http.Handler
 }
@@ -114,26 +118,26 @@
 // New connects the parts of a node.
 func New(parts Parts, adapter Adapter) *Node {
 	s := parts.Settings
-	n := &Node{settings: s, adapter: adapter, boot: time.Now().UnixMicro(), recorder: parts.Recorder, metrics: parts.Metrics,
+	n := &Node{settings: s, adapter: adapter, boot: time.Now().UnixMicro(), recorder: parts.Recorder, metrics: parts.Metrics, clock: parts.Clock,
 		makeRoom: make(chan struct{}, 1), halted: make(chan struct{})}
 	n.batch = newBatchWork(n)
 	n.view.Store(beacon.NewView(s.NodeID, s.DataCentre, nil))
 	n.seeds.Store(&s.Seeds)
 	n.checker = invariant.New(n.recorder, s.StopOnViolated)
 	n.peers = newPeers(s)
-	n.cache = follow.NewCache(time.Now, adapter.Kinds.Config, adapter.Kinds.Targets, adapter.Kinds.Retirements, kindNodes, job.KindEnds)
+	n.cache = follow.NewCache(n.clock.Now, adapter.Kinds.Config, adapter.Kinds.Targets, adapter.Kinds.Retirements, kindNodes, job.KindEnds)
 	n.pool = discovery.New(choose.Config{EjectAfter: s.EjectAfter, EjectTime: s.EjectTime, Policy: choose.LeastOfFew, Node: s.NodeID, Home: s.DataCentre, Seed: uint64(n.boot) ^ xxhash.Sum64String(s.NodeID)},
 		time.Now, func() bool { return n.cache.Doubtful(adapter.Kinds.Targets) }, n.targetChanged)
 	n.crashes = n.newCrashWatch()
-	n.forwarder = &forward.Forwarder{Targets: n.pool, Sender: adapter.Sender, Quarantine: n.crashes, Log: &requestLog{n}, Checker: n.checker, Now: time.Now}
+	n.forwarder = &forward.Forwarder{Targets: n.pool, Sender: adapter.Sender, Quarantine: n.crashes, Log: &requestLog{n}, Checker: n.checker, Now: n.clock.Now}
 	n.jobs = job.NewManager(job.Config{
 		Self: job.Holder{Node: s.NodeID, Boot: n.boot, Address: s.PeerAdvertise}, MaxValue: s.StoreMaxValue,
 		KeepResults: s.KeepResults, Selectors: adapter.Selectors, TakeOverAfter: s.TakeOverAfter, SweepInterval: s.SweepInterval,
 		Holds: s.CallerListen != "", ResultMemory: s.ResultMemory, CheckpointInterval: s.CheckpointInterval,
 	}, job.Parts{Store: n.relay(), StoreTook: n.storeTook, Pool: n.pool, Quarantine: n.crashes, Sender: adapter.Sender, Routes: n.Table, RoutesFresh: n.TableFresh, Peers: n,
-		Waiting: n.batch.waiting, Ended: n.ended, Shares: n.batch.shares, Recorder: n.recorder, Checker: n.checker, Metrics: n.metrics})
-	n.checkpoints = checkpoint.NewStore(checkpoint.Limits{Bytes: s.CheckpointMemory, Keep: s.KeepResults}, time.Now)
-	n.beacon = beacon.New(beacon.Options{Node: s.NodeID, DataCentre: s.DataCentre, Boot: n.boot, Loads: n.pool, Copies: n.cache, Batch: n.batch, Store: adapter.Health, Crashes: n.crashes,
+		Waiting: n.batch.waiting, Ended: n.ended, Clock: n.clock, Shares: n.batch.shares, Recorder: n.recorder, Checker: n.checker, Metrics: n.metrics})
+	n.checkpoints = checkpoint.NewStore(checkpoint.Limits{Bytes: s.CheckpointMemory, Keep: s.KeepResults}, n.clock.Now)
+	n.beacon = beacon.New(beacon.Options{Node: s.NodeID, DataCentre: s.DataCentre, Boot: n.boot, Loads: n.pool, Copies: n.cache, Batch: n.batch, Store: adapter.Health, Crashes: n.crashes, Suspended: n.clock.Suspended,
 		View: n.view.Load, Behind: n.behind, Silent: func(string) { n.jobs.LookForLostJobs() }})
 	n.cache.OnVerified(n.beacon.Touch)
 	n.pool.OnLoad(n.ownLoadChanged, n.othersLoadChanged)
@@ -172,6 +176,9 @@
 	return took
 }
 
+// Clock returns the clock that callers' deadlines are told by.
+func (n *Node) Clock() *clock.Clock { return n.clock }
+
 // Metrics returns the scope that counts go to.
 func (n *Node) Metrics() tally.Scope { return n.metrics }
 
--- a/internal/process/hosted/log.go
+++ b/internal/process/hosted/log.go
@@ -46,7 +46,7 @@
 
 func (l *requestLog) Sent(req *forward.Request, t choose.Target, resumeAfter int64) {
 	fields := []timeline.Field{field("route", req.Route.Name), field("config", req.Version), field("address", t.Addr),
-		field("after_ms", time.Since(req.Arrived).Milliseconds()), field("left_ms", time.Until(req.Deadline).Milliseconds())}
+		field("after_ms", l.n.clock.Since(req.Arrived).Milliseconds()), field("left_ms", l.n.clock.Until(req.Deadline).Milliseconds())}
 	if resumeAfter > 0 {
 		fields = append(fields, field("resume_after", resumeAfter))
 	}
@@ -56,7 +56,7 @@
 
 func (l *requestLog) Failed(req *forward.Request, t choose.Target, events int64, err error) {
 	ran := target.EndOf(err).Ran()
-	fields := []timeline.Field{field("may_have_run", ran), field("after_ms", time.Since(req.Arrived).Milliseconds())}
+	fields := []timeline.Field{field("may_have_run", ran), field("after_ms", l.n.clock.Since(req.Arrived).Milliseconds())}
 	if ran { // what ties it to other attempts at the same work, and to others that were lost with it
 		fields = append(fields, field("work", req.Work.ID().String()), field("events", events), field("others_there", l.n.inFlightAt(t)))
 	}
@@ -65,7 +65,7 @@
 }
 
 func (l *requestLog) Answered(req *forward.Request, t choose.Target, answer forward.Answer) {
-	took := time.Since(req.Arrived)
+	took := l.n.clock.Since(req.Arrived)
 	l.n.recorder.Record(timeline.RequestAnswered, req.ID, t.ID, "", field("status", answer.Status), field("events", answer.Events), field("took_ms", took.Milliseconds()),
 		field("first_ms", answer.First.Milliseconds()), field("pause_ms", answer.Pause.Milliseconds()))
 	l.n.metrics.Counter("requests_answered").Inc(1)
@@ -75,6 +75,6 @@
 func (l *requestLog) Refused(req *forward.Request, err error) {
 	answer := errkind.Of(err)
 	l.n.recorder.Record(timeline.RequestRefused, req.ID, req.Route.Name, errkind.Message(err), field("kind", answer.Name),
-		field("not_run", string(answer.NotRun)), field("config", req.Version), field("took_ms", time.Since(req.Arrived).Milliseconds()))
+		field("not_run", string(answer.NotRun)), field("config", req.Version), field("took_ms", l.n.clock.Since(req.Arrived).Milliseconds()))
 	l.n.metrics.Counter("requests_refused").Inc(1)
 }
--- a/internal/process/node/crashes.go
+++ b/internal/process/node/crashes.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"time"
 
 	v1 "github.com/marblepond/marblepond/api/marblepond/v1"
 	"github.com/marblepond/marblepond/api/marblepond/v1/marblepondv1connect"
@@ -15,7 +14,7 @@
 
 func (n *Node) newCrashWatch(client *http.Client) *crashes.Watch {
 	s := n.settings
-	return crashes.New(crashes.Options{Config: quarantine.Config{Limit: s.CrashLimit, Keep: s.CrashMemory}, Now: time.Now, Probe: dial.Probe,
+	return crashes.New(crashes.Options{Config: quarantine.Config{Limit: s.CrashLimit, Keep: s.CrashMemory}, Now: n.clock.Now, Probe: dial.Probe,
 		Serving: n.targets.Serving, Leaving: n.targets.Leaving, News: func() {}, // the next heartbeat tells it
 		Client: func(node string) (marblepondv1connect.QuarantineServiceClient, bool) {
 			address := peerAddress(n.membership.View(), node)
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -22,6 +22,7 @@
 	"github.com/marblepond/marblepond/internal/connection/peer"
 	"github.com/marblepond/marblepond/internal/connection/platform"
 	"github.com/marblepond/marblepond/internal/errkind"
+	"github.com/marblepond/marblepond/internal/process/clock"
 	"github.com/marblepond/marblepond/internal/process/crashes"
 	"github.com/marblepond/marblepond/internal/process/hosted"
 	"github.com/marblepond/marblepond/internal/process/invariant"
@@ -55,6 +56,7 @@
 	pool       *peer.Pool
 	peerClient *http.Client // behind pool
 	crashes    *crashes.Watch
+	clock      *clock.Clock
 	platform   *platform.Client
 	membership *membership.Manager
 	config     *config.Manager
@@ -86,13 +88,13 @@
 // Parts returns what a hosted node is assembled from.
 func Parts(s *settings.Settings, out io.Writer) hosted.Parts {
 	m := newMetrics()
-	return hosted.Parts{Settings: s, Metrics: m.scope, MetricsPage: m,
+	return hosted.Parts{Settings: s, Metrics: m.scope, MetricsPage: m, Clock: clock.New(),
 		Recorder: timeline.NewRecorder(s.NodeID, s.TimelineEvents, newLogger(s, out), m.scope)}
 }
 
 // NewVariant connects the parts of a node with baselines in place.
 func NewVariant(s *settings.Settings, out io.Writer, v Variant) *Node {
-	n := &Node{settings: s, variant: v, metrics: newMetrics()}
+	n := &Node{settings: s, variant: v, metrics: newMetrics(), clock: clock.New()}
 	if n.variant.Policy == "" {
 		n.variant.Policy = choose.Affinity
 	}
@@ -162,7 +164,7 @@
 		ItemAttempts: s.ItemAttempts, WatchTimeout: s.WatchTimeout, Pace: pace.Config{Fill: s.BatchFill, Reserve: s.BatchReserve, Quiet: quietTime, Unthrottled: n.variant.Unthrottled}},
 		record.Holder{Node: n.self.ID, Incarnation: n.self.Incarnation},
 		batch.Parts{Store: n.store, Platform: n.platform, Runner: n.runner, Targets: n.targets, Members: n.membership.View,
-			Config: n.config.Current, Recorder: n.recorder, Checker: n.checker, Metrics: n.metrics.scope})
+			Config: n.config.Current, Recorder: n.recorder, Checker: n.checker, Metrics: n.metrics.scope, Clock: n.clock})
 	n.server = serve.New(serve.Limits{MaxBody: s.MaxBody, MaxInFlight: s.MaxInFlight, RequestTimeout: s.RequestTimeout},
 		serve.Parts{Config: n.config.Current, Ready: n.ready, Members: n.membership.View, Targets: n.targets, Runner: n.runner,
 			Keeper: n.keeper, Claims: n.claims, Store: n.store, Recorder: n.recorder, Checker: n.checker, Metrics: n.metrics.scope, PeerKey: s.PeerKey})
--- a/internal/request/batch/lease.go
+++ b/internal/request/batch/lease.go
@@ -25,7 +25,8 @@
 	state   record.ChunkState
 	version int64
 	// renewed is taken before the newest confirmed write was sent, so that
-	// this node's idea of the lease ends before anyone else's does.
+	// this node's idea of the lease ends before anyone else's does. It is a time of
+	// Worker.clock: a lease runs out while its holder's machine is suspended.
 	renewed time.Time
 	pending []finished // results not yet committed
 	left    int        // items without a result
@@ -51,12 +52,12 @@
 
 // valid reports whether the holder may still dispatch under the lease. While
 // the platform can't be reached, idempotent items go on within the grace.
-func (w *Worker) valid(l *lease, now time.Time) bool {
+func (w *Worker) valid(l *lease) bool {
 	limit := w.cfg.LeaseTTL - w.margin()
 	if !l.job.NonIdempotent {
 		limit += w.cfg.OutageGrace
 	}
-	return !l.stopped && now.Sub(l.renewed) < limit
+	return !l.stopped && w.clock.Since(l.renewed) < limit
 }
 
 // expired judges another node's lease by how long its state has not changed.
@@ -81,7 +82,7 @@
 	if before.version == 0 {
 		before.state = record.ChunkState{Job: job.ID, N: n}
 	}
-	sent := time.Now()
+	sent := w.clock.Now()
 	state, err := before.state.Acquire(w.self, rand.Text(), w.takeable(before))
 	if err != nil {
 		return nil
@@ -91,7 +92,7 @@
 		return nil
 	}
 	v.put(state, version)
-	l := &lease{view: v, job: job, n: n, epoch: state.Epoch, state: state, version: version, renewed: sent, worked: sent, kick: make(chan struct{}, 1)}
+	l := &lease{view: v, job: job, n: n, epoch: state.Epoch, state: state, version: version, renewed: sent, worked: time.Now(), kick: make(chan struct{}, 1)}
 	// The job is read after the lease was written: a cancellation either is
 	// seen here, or sees this lease and waits for it.
 	if err := w.checkJob(ctx, l); err != nil {
@@ -249,7 +250,7 @@
 	claim, returned := w.claims(l, giveBack)
 	w.mu.Unlock()
 
-	sent := time.Now()
+	sent := w.clock.Now()
 	progress := record.Progress{Items: l.state.Items, Phase: record.ChunkLeased, Started: claim, Returned: returned}
 	if len(batch) > 0 {
 		segment, err := w.writeSegment(ctx, l, batch)
--- a/internal/request/batch/worker.go
+++ b/internal/request/batch/worker.go
@@ -10,6 +10,7 @@
 
 	v1 "github.com/marblepond/marblepond/api/marblepond/v1"
 	"github.com/marblepond/marblepond/internal/connection/platform"
+	"github.com/marblepond/marblepond/internal/process/clock"
 	"github.com/marblepond/marblepond/internal/process/invariant"
 	"github.com/marblepond/marblepond/internal/process/member"
 	"github.com/marblepond/marblepond/internal/process/rendezvous"
@@ -47,6 +48,7 @@
 	recorder *timeline.Recorder
 	checker  *invariant.Checker
 	metrics  tally.Scope
+	clock    *clock.Clock
 
 	wake chan struct{}
 
@@ -73,13 +75,14 @@
 	Recorder *timeline.Recorder
 	Checker  *invariant.Checker
 	Metrics  tally.Scope
+	Clock    *clock.Clock // leases are told by it
 }
 
 // NewWorker returns a worker; Run starts it.
 func NewWorker(cfg Config, self record.Holder, p Parts) *Worker {
 	return &Worker{
 		cfg: cfg, self: self, store: p.Store, platform: p.Platform, runner: p.Runner, targets: p.Targets, members: p.Members,
-		config: p.Config, recorder: p.Recorder, checker: p.Checker, metrics: p.Metrics, wake: make(chan struct{}, 1),
+		config: p.Config, recorder: p.Recorder, checker: p.Checker, metrics: p.Metrics, clock: p.Clock, wake: make(chan struct{}, 1),
 		pacer: pace.New(cfg.Pace), jobs: map[string]*view{}, leases: map[string]*lease{}, queues: map[string][]*item{},
 		running: map[string][]*item{}, suspects: newSuspects(), wanted: map[string]bool{},
 	}
@@ -202,7 +205,7 @@
 			continue
 		}
 		for range slot.Count {
-			it := w.next(target.Service, now, !w.suspects.at(target.ID))
+			it := w.next(target.Service, !w.suspects.at(target.ID))
 			if it == nil {
 				w.wanted[target.Service] = true
 				break
@@ -214,13 +217,13 @@
 
 // next takes the next item of a service that may be dispatched, a suspect only
 // where there is none.
-func (w *Worker) next(service string, now time.Time, suspects bool) *item {
+func (w *Worker) next(service string, suspects bool) *item {
 	queue := w.queues[service]
 	for i, it := range queue {
 		if it.lease.stopped || (it.suspect && !suspects) {
 			continue
 		}
-		if w.valid(it.lease, now) && it.lease.open() {
+		if w.valid(it.lease) && it.lease.open() {
 			w.queues[service] = append(queue[:i:i], queue[i+1:]...)
 			return it
 		}
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -167,7 +167,8 @@
 // whole answer, and otherwise of errkind; begun tells whether part of the answer
 // was sent.
 func (f *Forwarder) Do(ctx context.Context, req *Request, caller Caller) (begun bool, err error) {
-	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
+	// By time left: the deadline is told by f.Now, and timers by the steady clock.
+	ctx, cancel := context.WithTimeout(ctx, req.Deadline.Sub(f.Now()))
 	defer cancel()
 	c := &course{exclude: map[string]bool{}, held: req.ResumeAfter}
 	err = f.run(ctx, req, caller, c)
@@ -183,6 +184,9 @@
 		if err := f.Quarantine.Refuse(&req.Work); err != nil {
 			return err
 		}
+		if !f.Now().Before(req.Deadline) { // the machine was suspended: no timer has told it
+			return expired(c)
+		}
 		t, ok := f.place(ctx, req, c)
 		if !ok {
 			return f.unplaced(ctx, c)
@@ -243,6 +247,14 @@
 	return errkind.NoTarget.New("no target has room; last refusal: %v", c.last)
 }
 
+// expired returns the error of a request whose deadline is over.
+func expired(c *course) error {
+	if c.ran > 0 || c.begun {
+		return errkind.DeadlineExceeded.New("the answer was not whole at the deadline")
+	}
+	return errkind.DeadlineUnmeetable.New("the deadline was over before the request was sent")
+}
+
 func givenUp(ctx context.Context) error {
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return errkind.Cancelled.New("the caller went away")
--- a/internal/request/forward/forward_test.go
+++ b/internal/request/forward/forward_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -15,6 +16,7 @@
 
 	"github.com/marblepond/marblepond/internal/connection/target"
 	"github.com/marblepond/marblepond/internal/errkind"
+	"github.com/marblepond/marblepond/internal/process/clock"
 	"github.com/marblepond/marblepond/internal/process/invariant"
 	"github.com/marblepond/marblepond/internal/process/timeline"
 	"github.com/marblepond/marblepond/internal/request/choose"
@@ -135,9 +137,14 @@
 }
 
 func carryStream(targets *fakeTargets, sender target.Sender, log Log, caller Caller, resumable bool) error {
+	return carryBy(time.Now, targets, sender, log, caller, resumable)
+}
+
+// carryBy tells deadlines by a clock.
+func carryBy(clock func() time.Time, targets *fakeTargets, sender target.Sender, log Log, caller Caller, resumable bool) error {
 	recorder := timeline.NewRecorder("n", 10, &apex.Logger{Handler: discard.New()}, tally.NoopScope)
-	f := Forwarder{Targets: targets, Sender: sender, Quarantine: noQuarantine{}, Log: log, Checker: invariant.New(recorder, false), Now: time.Now}
-	now := time.Now()
+	f := Forwarder{Targets: targets, Sender: sender, Quarantine: noQuarantine{}, Log: log, Checker: invariant.New(recorder, false), Now: clock}
+	now := clock()
 	req := &Request{ID: "r", Service: "s", Arrived: now, Deadline: now.Add(5 * time.Second),
 		Route: &route.Route{Kind: route.Stream, Resumable: resumable, Attempts: 2, Objective: 200 * time.Millisecond, GapObjective: 200 * time.Millisecond}}
 	_, err := f.Do(context.Background(), req, caller)
@@ -192,3 +199,17 @@
 	is.Equal(errkind.Of(err).NotRun, errkind.NotRunUnknown)
 	is.Equal(targets.chosen, []string{"a"})
 }
+
+// TestDeadlineCountsSuspensions: a machine that was suspended for longer than a
+// request had left sends it to no further target: its caller has given up, and the
+// target would be told a time that is over. No timer tells it so; timers stood still.
+func TestDeadlineCountsSuspensions(t *testing.T) {
+	is := is.New(t)
+	var suspended atomic.Int64
+	slept := clock.NewShifted(func() time.Duration { return time.Duration(suspended.Load()) })
+	targets := &fakeTargets{restarts: map[string]time.Duration{"a": 100 * time.Millisecond}}
+	time.AfterFunc(50*time.Millisecond, func() { suspended.Store(int64(10 * time.Second)) })
+	err := carryBy(slept.Now, targets, slowSender{"a": time.Minute}, &fakeLog{}, &fakeCaller{}, true)
+	is.Equal(targets.chosen, []string{"a"})
+	is.True(errkind.Is(err, errkind.DeadlineExceeded))
+}
--- a/internal/request/job/manager.go
+++ b/internal/request/job/manager.go
@@ -15,6 +15,7 @@
 	"github.com/marblepond/marblepond/api/marblepond/v1/marblepondv1connect"
 	"github.com/marblepond/marblepond/internal/connection/objects"
 	"github.com/marblepond/marblepond/internal/connection/target"
+	"github.com/marblepond/marblepond/internal/process/clock"
 	"github.com/marblepond/marblepond/internal/process/invariant"
 	"github.com/marblepond/marblepond/internal/process/timeline"
 	"github.com/marblepond/marblepond/internal/request/choose"
@@ -116,6 +117,8 @@
 	Waiting func(route string) int64
 	// Ended reports whether the end of a job is known to this node.
 	Ended func(job string) bool
+	// Clock counts suspensions of the machine.
+	Clock *clock.Clock
 	// Shares returns the function that tells how many items this node may have
 	// at a target at once, by what is known now. It must not be called, but its
 	// result may be, while the manager or the pool is locked.
--- a/internal/request/job/manager_test.go
+++ b/internal/request/job/manager_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -15,6 +16,7 @@
 	"github.com/marblepond/marblepond/api/marblepond/v1/marblepondv1connect"
 	"github.com/marblepond/marblepond/internal/connection/callbudget"
 	"github.com/marblepond/marblepond/internal/connection/objects"
+	"github.com/marblepond/marblepond/internal/process/clock"
 	"github.com/marblepond/marblepond/internal/process/invariant"
 	"github.com/marblepond/marblepond/internal/process/timeline"
 	"github.com/marblepond/marblepond/internal/request/choose"
@@ -130,7 +132,7 @@
 	table := route.NewTable(1, []route.Route{{Name: "r", Host: "h", Prefix: "/j/", Kind: route.Batch, Attempts: 3, CompleteWithin: time.Minute, AbandonAfter: time.Hour}}, route.Limits{})
 	return NewManager(Config{Self: Holder{Node: node, Boot: 1, Address: node}, Holds: true, MaxValue: 1 << 20, KeepResults: time.Hour, ResultMemory: 1 << 20},
 		Parts{Store: store, StoreTook: func() time.Duration { return time.Millisecond }, Pool: noPool{}, Quarantine: noQuarantine{}, Peers: noPeers{}, Routes: func() *route.Table { return table }, RoutesFresh: func() bool { return true },
-			Waiting: func(string) int64 { return 0 }, Ended: func(string) bool { return false },
+			Waiting: func(string) int64 { return 0 }, Ended: func(string) bool { return false }, Clock: clock.New(),
 			Shares:   func() func(choose.Target) int { return func(choose.Target) int { return 0 } },
 			Recorder: recorder, Checker: invariant.New(recorder, false), Metrics: tally.NoopScope})
 }
@@ -211,3 +213,30 @@
 	is.Equal(len(lost), 0)
 	is.True(suspected)
 }
+
+// TestSuspendedHolderAsksTheStore: while the machine of a holder is suspended another
+// node takes its job over. When it wakes, no timer and no message tells it so; it asks
+// the store and works on the job no more.
+func TestSuspendedHolderAsksTheStore(t *testing.T) {
+	is := is.New(t)
+	store := newMemoryStore()
+	var suspended atomic.Int64
+	holder, other := newTestManager("holder", store), newTestManager("other", store)
+	holder.Clock = clock.NewShifted(func() time.Duration { return time.Duration(suspended.Load()) })
+	holder.cfg.SweepInterval, holder.cfg.CheckpointInterval = time.Hour, time.Hour
+	is.NoErr(holder.Submit(context.Background(), submission("job")))
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go holder.Run(ctx)
+	other.adopt(context.Background(), "job", holder.cfg.Self)
+	time.Sleep(3 * runningTick)
+	is.Equal(holder.Demand(), 2) // it does not know yet
+	suspended.Store(int64(10 * time.Second))
+	for range 100 {
+		if holder.Demand() == 0 {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatal("it still works on the job a second after it woke")
+}
--- a/internal/request/job/run.go
+++ b/internal/request/job/run.go
@@ -49,7 +49,7 @@
 	timer := time.NewTimer(scheduleTick)
 	defer timer.Stop()
 	for m.waitForWork(ctx) {
-		looked := time.Now()
+		looked := m.Clock.Now()
 		m.MakeRoom() // also while nothing changes: the time for which requests wait for a slot grows
 		m.fill(ctx)
 		timer.Reset(m.lookAgainIn())
@@ -58,7 +58,7 @@
 		case <-m.wakeUp:
 		case <-timer.C:
 		}
-		if paused := time.Since(looked); paused > pauseNoticed {
+		if paused := m.Clock.Since(looked); paused > pauseNoticed {
 			m.verifyAll(paused)
 		}
 	}
