Let operators see and release refused work; correct the rule for targets killed together

Cause: the rule that targets which end together accuse nobody was committed with togetherLeast at 100, left over from a trial, so it never applied. Neither of its tests noticed: in one each request was lost beside others that were lost as often, in the other hardly any was lost three times.

Change: 3, as meant.

Measured again with the rule: 16 of 179,000 proper requests refused beside six requests that end targets, 2 of 600 of those on for too long.

--- a/cmd/marblepond/operators.go
+++ b/cmd/marblepond/operators.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"os"
+	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -41,12 +42,15 @@
 	file := &cli.StringFlag{Name: "file", Aliases: []string{"f"}, Required: true, Usage: "the intent, an INI `FILE`"}
 	base := &cli.Uint64Flag{Name: "base", Required: true, Usage: "the base `VERSION` that plan printed"}
 	request := &cli.StringFlag{Name: "request", Usage: "only events of this request `ID`"}
+	work := &cli.StringFlag{Name: "work", Required: true, Usage: "the `FINGERPRINT` that quarantine printed"}
 	limit := &cli.Uint32Flag{Name: "limit", Value: 200, Usage: "newest `N` events"}
 	return []*cli.Command{
 		operator("plan", "show what an intent would change", []cli.Flag{file}, plan),
 		operator("apply", "confirm a plan", []cli.Flag{file, base}, apply),
 		operator("status", "show nodes, data centres and the configuration in force", nil, status),
 		operator("targets", "show the targets of the node's data centre", nil, targets),
+		operator("quarantine", "show the requests that are refused because targets crash under them", nil, quarantine),
+		operator("release", "let a refused request run again, at every node", []cli.Flag{work}, release),
 		operator("timeline", "show what the fleet decided, in order of time", []cli.Flag{request, limit}, showTimeline),
 		batchCommand(),
 	}
@@ -143,6 +147,37 @@
 	return out.Flush()
 }
 
+func quarantine(ctx context.Context, _ *cli.Command, client marblepondv1connect.OperatorServiceClient) error {
+	resp, err := client.Quarantine(ctx, &v1.QuarantineRequest{})
+	if err != nil {
+		return err
+	}
+	out := table()
+	fmt.Fprintln(out, "WORK\tLAST CRASH\tLET GO IN\tTARGETS")
+	for _, r := range resp.Refused {
+		fmt.Fprintf(out, "%s\t%v ago\t%v\t%s\n", r.Work, seconds(r.SinceMs), seconds(r.LeftMs), strings.Join(r.Targets, " "))
+	}
+	out.Flush()
+	fmt.Printf("%d refused, %d crashes remembered\n", len(resp.Refused), resp.Crashes)
+	return nil
+}
+
+func seconds(ms uint32) time.Duration {
+	return (time.Duration(ms) * time.Millisecond).Round(time.Second)
+}
+
+func release(ctx context.Context, c *cli.Command, client marblepondv1connect.OperatorServiceClient) error {
+	resp, err := client.ReleaseWork(ctx, &v1.ReleaseWorkRequest{Work: c.String("work")})
+	if err != nil {
+		return err
+	}
+	if !resp.Known {
+		return fmt.Errorf("no crash is held against %s", c.String("work"))
+	}
+	fmt.Println("released; other nodes hear of it within a second")
+	return nil
+}
+
 func showTimeline(ctx context.Context, c *cli.Command, client marblepondv1connect.OperatorServiceClient) error {
 	resp, err := client.Timeline(ctx, &v1.TimelineRequest{RequestId: c.String("request"), Limit: c.Uint32("limit")})
 	if err != nil {
--- a/internal/request/quarantine/table_test.go
+++ b/internal/request/quarantine/table_test.go
@@ -108,14 +108,15 @@
 }
 
 // TestTargetsKilledTogether: three times in a row seven of twelve targets are killed
-// at once. What was in flight at three of them each time is not refused.
+// at once. A request that was in flight at one of them each time is not refused.
 func TestTargetsKilledTogether(t *testing.T) {
 	is := is.New(t)
 	table := New(testConfig)
 	for kill := range 3 {
 		for n := range 7 {
 			at := start.Add(time.Duration(kill)*time.Second + time.Duration(n)*5*time.Millisecond)
-			table.crashAt(at, incarnation(kill*fleetSize+n), work(n), work(n+7))
+			beside := work(100 + kill*fleetSize + n)
+			table.crashAt(at, incarnation(kill*fleetSize+n), work(n), beside)
 		}
 	}
 	is.Equal(len(table.Verdicts(start.Add(time.Minute))), 0)
--- a/internal/request/quarantine/verdict.go
+++ b/internal/request/quarantine/verdict.go
@@ -17,15 +17,15 @@
 	// togetherWithin is how close the ends of targets that were killed at once are
 	// noticed, and togetherShare the share of a service's targets, and togetherLeast
 	// the number, that count as killed at once. One request runs at one target at a
-	// time: five that crash targets together, each sent six times a second, end four
-	// of twelve within 0.1 s in less than a third of all cases.
+	// time: beside six that end targets, each sent three times a second, 2 of 600 of
+	// them go on for too long with this rule and 1 without it.
 	togetherWithin = 50 * time.Millisecond
 	togetherShare  = 1.0 / 3
-	togetherLeast  = 100
+	togetherLeast  = 3
 	// aloneLeast is at how many of its crashes no other work may have been that was
 	// at several. Beside six requests that end targets, 16 of 179,000 proper ones are
-	// refused; without it 136, and with two none, but then 13 of 600 such requests in
-	// place of 1 go on for too long (TestBystandersAreNotRefused).
+	// refused; without it 131, and with two none, but then 18 of 600 such requests in
+	// place of 2 go on for too long (TestBystandersAreNotRefused).
 	aloneLeast = 1
 	// certainFactor times the limit is enough whoever else was there: work that
 	// always comes together would never be told apart.
--- a/lab/hosted/crash_test.go
+++ b/lab/hosted/crash_test.go
@@ -216,22 +216,42 @@
 }
 
 // TestTargetsKilledTogetherAccuseNobody: seven of twelve targets are killed at once,
-// three times in a row, in the middle of a load. Requests lose up to three targets,
-// and none is refused for it.
+// three times in a row, under 60 streams that go on elsewhere each time. Many of them
+// lose three targets; all are answered whole, and none is refused.
 func TestTargetsKilledTogetherAccuseNobody(t *testing.T) {
 	is := is.New(t)
-	f := startCrashFleet(t, nil)
-	for range 3 {
-		time.Sleep(700 * time.Millisecond)
-		for _, r := range f.Runners[:7] {
-			r.Kill(400 * time.Millisecond)
+	f := &crashFleet{Fleet: fleet(t, Options{Nodes: 6, Runners: 12, Slots: 12, Events: 200, Gap: 10 * time.Millisecond, DataCentres: []string{"hall-a", "hall-b", "hall-c"}})}
+	f.Store.Put("config", "main", Config(2, func(c map[string]any) { c["routes"].([]any)[1].(map[string]any)["attempts"] = 8 }))
+	for _, n := range f.Nodes {
+		eventually(t, "version 2 is in force", 2*time.Second, func() bool { return n.Table().Version == 2 })
+	}
+	for i := range 60 {
+		f.load.Go(func() { f.properRequest(i%len(f.Nodes), fmt.Sprint("stream-", i)) })
+	}
+	refused := map[string]bool{}
+	for kill := range 3 {
+		time.Sleep(400 * time.Millisecond)
+		for i := range 7 {
+			f.Runners[(kill*5+i)%len(f.Runners)].Kill(200 * time.Millisecond)
 		}
 	}
-	time.Sleep(time.Second)
-	f.end()
-	is.Equal(f.crashes(), 21)
-	is.Equal(f.accused.Load(), int64(0))
-	is.Equal(len(f.refusedWork(t, 0)), 0)
+	for range 20 {
+		time.Sleep(50 * time.Millisecond)
+		for _, work := range f.refusedWork(t, 0) {
+			refused[work] = true
+		}
+	}
+	f.load.Wait()
+	lostThrice := 0
+	for i := range 60 {
+		if f.runs(fmt.Sprint("stream-", i, "-0")) >= 4 {
+			lostThrice++
+		}
+	}
+	t.Logf("%d streams lost three targets or more", lostThrice)
+	is.True(lostThrice >= 5) // otherwise the test shows nothing
+	is.Equal(len(refused), 0)
+	is.Equal(f.whole.Load(), int64(60))
 }
 
 // operator returns the operators' client of a node.
--- a/scripts/check-mutants.sh
+++ b/scripts/check-mutants.sh
@@ -70,4 +70,20 @@
 mutant 1 internal/request/job/sweep.go 's/since = at /_ = at /' internal/request/job TestSilenceCountsWhileTheStoreIsAway
 mutant 3 internal/connection/dial/dial.go 's/d\.at\(address\)\.failed\+\+/d.at(address)/' internal/connection/dial TestLimitFollowsTheNetwork
 mutant 8 internal/connection/dial/silent.go 's/Control: limitUnacknowledged,//' internal/connection/dial TestSilentConnectionsAreFound
+mutant 1 internal/process/clock/clock.go 's/c\.suspended = away/_ = away/' internal/process/clock TestSuspensionsCount
+mutant 6 internal/request/forward/forward.go 's/if !f\.Now\(\)\.Before\(req\.Deadline\)/if c.begun \&\& f.Now().IsZero()/' internal/request/forward TestDeadlineCountsSuspensions
+mutant 1 internal/request/job/run.go 's/m\.Clock\.Since\(looked\)/time.Since(looked)/' internal/request/job TestSuspendedHolderAsksTheStore
+mutant 1 internal/connection/beacon/send.go 's/w\.at\.After\(x\.woke\) && //' internal/connection/beacon TestSuspendedNodeTellsNothingOld
+mutant 1 internal/request/batch/lease.go 's/w\.clock\.Since\(l\.renewed\)/time.Since(l.renewed)/' internal/request/batch TestLeaseRunsOutDuringASuspension
+mutant 5 internal/request/quarantine/verdict.go 's/if !t\.together\(c\)/if !t.together(c) || len(c.work) > 0/' internal/request/quarantine TestTargetsKilledTogether
+mutant 5 internal/request/quarantine/verdict.go 's/aloneLeast = 1/aloneLeast = 0/' internal/request/quarantine TestBystandersAreNotRefused
+mutant 5 internal/request/quarantine/table.go 's/c\.work\[work\] = cleared/_ = cleared/' internal/request/quarantine TestWholeAnswerClears
+mutant 5 internal/request/quarantine/table.go 's/now\.Sub\(l\.since\) > provedWithin \|\| len/len/' internal/request/quarantine TestLossWithoutProofCountsNothing
+mutant 5 internal/request/quarantine/exchange.go 's/known && s >= to/known \&\& s >= accused/' internal/request/quarantine TestMergeInAnyOrder
+mutant 5 internal/request/quarantine/exchange.go 's/told\.Age < 0 \|\| told\.Age >= t\.cfg\.Keep/told.Age < 0/' internal/request/quarantine TestForgottenCrashesStayForgotten
+mutant 5 internal/process/crashes/watch.go 's/if w\.Leaving\(t\)/if w.Leaving(t) \&\& t.ID == ""/' internal/process/crashes TestWhatProvesNoCrash
+mutant 5 internal/process/crashes/watch.go 's/w\.table\.Lives\(keyOf\(t\), began\)/_ = began/' internal/process/crashes TestWhatProvesNoCrash
+mutant 5 internal/process/crashes/exchange.go 's/w\.pulls\.Put\(node\)/_ = node/' internal/process/crashes TestCrashesAtThreeNodes
+mutant 5 internal/process/hosted/crashes.go 's/n\.crashes\.Merge\(evidence\)/_ = evidence/' lab/hosted TestWhatIsRefusedStaysSo
+mutant 5 internal/request/job/run.go 's/ && !m\.refused\(h, i\)//' lab/hosted TestItemThatEndsTargets
 exit $missed
