--- a/internal/request/run/run.go
+++ b/internal/request/run/run.go
@@ -108,8 +108,6 @@
 type course struct {
 	exclude map[string]bool
 	sent    bool // something was sent to a target
-	held    int  // tokens held at the last loss
-	losses  int  // of targets in a row that brought nothing
 	lastErr error
 }
 
@@ -138,21 +136,6 @@
 	}
 }
 
-// mostLosses is how many targets one request may lose in a row without a token from
-// any. The retry budget lets a single request of a quiet fleet go to all targets, and one
-// that crashes them ended 6 of 4 within 4 ms at the first try.
-const mostLosses = 2
-
-// lost counts the loss of a target.
-func (c *course) lost(target choose.Target, err error, held int) {
-	switch {
-	case held > c.held:
-		c.held, c.losses = held, 0
-	case errors.Is(err, engine.ErrLinkLost), target.Remote && errors.Is(err, engine.ErrFailed): // the node there lost its own
-		c.losses++
-	}
-}
-
 func (r *Runner) choose(req Request, c *course) (choose.Target, http.Header, bool) {
 	if req.Away && !c.sent {
 		if target, header, ok := r.remote.Next(req.Workspace, c.exclude); ok {
@@ -193,7 +176,6 @@
 	c.exclude[target.ID] = true
 	notSent := errors.Is(err, engine.ErrNotSent) || (errors.Is(err, engine.ErrBusy) && req.Loaded != "")
 	c.sent = c.sent || !notSent
-	c.lost(target, err, a.Held())
 	switch {
 	case errors.Is(err, engine.ErrRejected):
 		return errkind.Malformed.New("the engine rejects the request: %v", err)
@@ -203,8 +185,6 @@
 		return deadlineError(ctx)
 	case ctx.Err() != nil:
 		return errkind.DeadlineUnmeetable.New("no target took the request before its deadline")
-	case c.losses >= mostLosses:
-		return errkind.TargetFailed.New("%d targets in a row were lost under the request; the last with: %v", c.losses, err)
 	}
 	if a.Held() == 0 && !r.takeRetry() {
 		if !c.sent {
