--- a/internal/request/quarantine/doc.go
+++ b/internal/request/quarantine/doc.go
@@ -9,7 +9,9 @@
 // with the work that was in flight there. No node sees all of that, and none has to:
 // crashes are merged as sets, so that order, loss and repetition of news do not
 // matter (a grow-only set and marks that are set once; Shapiro et al., 2011), and
-// every node derives the same verdicts from the same crashes.
+// every node derives its verdicts from the same crashes. Of their times each node has
+// its own, some milliseconds apart, and of the number of targets what it heard first:
+// whether targets ended together may be decided differently near its bounds.
 //
 // # Who is to blame
 //
