Send work that lost its target on by what it asks for, not by load

Cause: TestRequestThatEndsTargets (goes on elsewhere) was red. Two requests that lose one target at the same moment, at two nodes that know the same loads, both go to the emptiest target left. A proper request rode along with the one that ends targets, and neither could be told from the other before six crashes. Ruled out: keeping them apart by what nodes tell each other; the news is 100 ms old and the verdict counts 0.3 s later. Change: the next target of a request whose connection broke is the first with room in an order drawn from its fingerprint.

--- a/internal/request/choose/choose.go
+++ b/internal/request/choose/choose.go
@@ -232,6 +232,10 @@
 	// where there is none, no target can take the request. Items don't ask for it: they
 	// run for long, and online requests would have to wait for them.
 	Apart bool
+	// Scatter draws the target by the work asked for and not by load, among those with
+	// room; 0: it does not. Nodes that know the same loads choose alike at the same
+	// moment.
+	Scatter uint64
 	// Overflow is how many requests beyond its slots a target may be given
 	// when all are full; 0: no limit.
 	Overflow int
@@ -325,7 +329,7 @@
 		return least(usable, func(e *entry) int { return e.online })
 	case LeastOfFew:
 		if !need.Batch {
-			return t.leastOfFew(now, usable)
+			return t.leastOfFew(now, scattered(now, usable, need.Scatter))
 		}
 	case Affinity:
 		if need.Prefix != "" {
--- a/internal/request/choose/prefer.go
+++ b/internal/request/choose/prefer.go
@@ -2,7 +2,10 @@
 
 import (
 	"slices"
+	"strconv"
 	"time"
+
+	"github.com/marblepond/marblepond/internal/process/rendezvous"
 )
 
 // preferred leaves out slow targets and those that are still warming up when
@@ -122,3 +125,26 @@
 	}
 	return drawn[:draws]
 }
+
+// scattered returns the one of the targets with room that comes first in an order of
+// the key's own; all of them without a key, or when none has room.
+func scattered(now time.Time, entries []*entry, key uint64) []*entry {
+	if key == 0 {
+		return entries
+	}
+	var first *entry
+	var top uint64
+	name := strconv.FormatUint(key, 16)
+	for _, e := range entries {
+		if e.freeOnline(now) <= 0 {
+			continue
+		}
+		if w := rendezvous.Weight(name, e.ID); first == nil || w > top {
+			first, top = e, w
+		}
+	}
+	if first == nil {
+		return entries
+	}
+	return []*entry{first}
+}
--- a/internal/request/fingerprint/fingerprint.go
+++ b/internal/request/fingerprint/fingerprint.go
@@ -20,6 +20,9 @@
 // String returns the ID in hexadecimal, as logs have it.
 func (id ID) String() string { return hex.EncodeToString(id[:]) }
 
+// Key returns a number that spreads work evenly.
+func (id ID) Key() uint64 { return binary.BigEndian.Uint64(id[:]) }
+
 // FromBytes returns the ID that another node sent; false: it is none.
 func FromBytes(b []byte) (ID, bool) {
 	if len(b) != size {
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -159,6 +159,7 @@
 	first   time.Duration // from the arrival of the request to the first event
 	pause   time.Duration // longest time between two events
 	begun   bool          // the caller has the head of the answer
+	lost    bool          // the connection to a target broke
 	last    error
 	// inLine is the full target that refused the request last. It counts there while it
 	// waits, so that nodes with batch items at the target hear of it: an attempt that is
@@ -260,7 +261,11 @@
 	// of 19,400, and 1,060 targets end in place of 1,440; where they may meet if there is
 	// no other room it is 18,700, and at the emptiest target more than without (100 seeds
 	// of 12 s of the storm in package quarantine).
-	return choose.Need{Service: req.Service, Exclude: c.exclude, Overflow: overflow, Apart: f.Quarantine.Suspected(&req.Work)}
+	need := choose.Need{Service: req.Service, Exclude: c.exclude, Overflow: overflow, Apart: f.Quarantine.Suspected(&req.Work)}
+	if c.lost {
+		need.Scatter = req.Work.ID().Key()
+	}
+	return need
 }
 
 // unplaced returns the error of a request that no target can take.
@@ -299,6 +304,7 @@
 	if end.Ran() {
 		c.ran++
 	}
+	c.lost = c.lost || lostTarget(err)
 	f.note(req, t, err)
 	switch {
 	case ctx.Err() != nil && (c.ran > 0 || c.begun):
@@ -328,6 +334,12 @@
 	return errkind.UnknownOutcome.New("it was stopped while targets seemed to crash under it")
 }
 
+// lostTarget reports whether a target was lost with the request, for all that is known.
+func lostTarget(err error) bool {
+	var failure *target.Error
+	return errors.Is(err, errReplaced) || (errors.As(err, &failure) && failure.ConnectionLost)
+}
+
 // note tells the table of targets and the quarantine what a failure says about the
 // target.
 func (f *Forwarder) note(req *Request, t choose.Target, err error) {
