Know callers by the keys of their workspaces on the users' platform

Cause: the platform's configuration brings workspaces with keys. Change: one type Workspace and one index from the hash of a key to it serve both interfaces; it is built with each version. A call needs a key that is known, except on an open route; the target is told the workspace and never sees the key, nor a workspace that the caller names itself. A call is checked by itself, also on a connection that is open. An unknown key is refused at once while the copy of the configuration is fresh, and answered with 503 while it is not. Jobs belong to their workspace: another one's key gets the 404 of a job that does not exist, and the same ID in two workspaces is two jobs. Work is remembered by workspace, so that a changed key makes no new work. Weighed: asking the store about each unknown key lets a new key work a second sooner, and costs a call and 4 ms for each wrong key anybody sends; refused.

--- a/internal/connection/target/target.go
+++ b/internal/connection/target/target.go
@@ -20,6 +20,7 @@
 	// has ended may not show yet.
 	Incarnation uint64
 	RequestID   string
+	Workspace   string // whose request it is; empty: nobody's in particular
 	Method      string
 	Host        string
 	Path        string // with the query, exactly as the caller sent it
--- a/internal/process/node/operators.go
+++ b/internal/process/node/operators.go
@@ -164,7 +164,7 @@
 func (o *operatorService) SubmitBatch(ctx context.Context, req *v1.SubmitBatchRequest) (*v1.BatchResponse, error) {
 	n := o.node
 	current := n.config.Current()
-	workspace := current.Workspaces[req.Workspace]
+	workspace := current.Workspaces.ByName(req.Workspace)
 	if workspace == nil {
 		return nil, errkind.NotFound.New("no workspace %q", req.Workspace)
 	}
--- a/internal/request/admit/admit.go
+++ b/internal/request/admit/admit.go
@@ -8,6 +8,7 @@
 
 	"github.com/marblepond/marblepond/internal/errkind"
 	"github.com/marblepond/marblepond/internal/version/fleet"
+	"github.com/marblepond/marblepond/internal/version/workspace"
 )
 
 // Supply is what the node knows of a service's targets at this moment.
@@ -29,7 +30,7 @@
 
 // Demand describes the request.
 type Demand struct {
-	Workspace *fleet.Workspace
+	Workspace *workspace.Workspace
 	Service   *fleet.Service
 	Remaining time.Duration // until the deadline
 }
@@ -77,7 +78,7 @@
 	if limit := d.Service.MaxInFlight; limit > 0 && g.services[d.Service.Name] >= limit {
 		return errkind.Overloaded.New("service %s has its limit of %d requests in progress", d.Service.Name, limit)
 	}
-	if rate := d.Workspace.RequestsPerSecond; rate > 0 {
+	if rate := d.Workspace.Allowance.PerSecond; rate > 0 {
 		if a.tokens < 1 {
 			wait := time.Duration((1 - a.tokens) / rate * float64(time.Second))
 			return errkind.WithRetryAfter(errkind.RateLimited.New("workspace %s is over %.0f requests a second", d.Workspace.Name, rate), wait)
@@ -112,13 +113,13 @@
 	return nil
 }
 
-func (g *Gate) account(now time.Time, w *fleet.Workspace) *account {
+func (g *Gate) account(now time.Time, w *workspace.Workspace) *account {
 	a := g.workspaces[w.Name]
 	if a == nil {
-		a = &account{tokens: w.RequestsPerSecond, filled: now}
+		a = &account{tokens: w.Allowance.PerSecond, filled: now}
 		g.workspaces[w.Name] = a
 	}
-	a.tokens = min(w.RequestsPerSecond, a.tokens+now.Sub(a.filled).Seconds()*w.RequestsPerSecond)
+	a.tokens = min(w.Allowance.PerSecond, a.tokens+now.Sub(a.filled).Seconds()*w.Allowance.PerSecond)
 	a.filled = now
 	return a
 }
--- a/internal/request/admit/admit_test.go
+++ b/internal/request/admit/admit_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/marblepond/marblepond/internal/errkind"
 	"github.com/marblepond/marblepond/internal/version/fleet"
+	"github.com/marblepond/marblepond/internal/version/workspace"
 )
 
 var now = time.Unix(1000, 0)
@@ -17,20 +18,20 @@
 	enough := Supply{Usable: 2, Capacity: 8, ServiceSec: 1}
 	for _, c := range []struct {
 		name      string
-		workspace fleet.Workspace
+		workspace workspace.Workspace
 		service   fleet.Service
 		supply    Supply
 		remaining time.Duration
 		admitted  int // before the refusal
 		kind      *errorx.Type
 	}{
-		{"no target", fleet.Workspace{}, fleet.Service{}, Supply{}, time.Minute, 0, errkind.NoTarget},
-		{"service full", fleet.Workspace{}, fleet.Service{}, Supply{Usable: 2, Capacity: 8, InFlight: 10}, time.Minute, 0, errkind.Overloaded},
-		{"too late", fleet.Workspace{}, fleet.Service{}, Supply{Usable: 2, Capacity: 8, InFlight: 9, ServiceSec: 100}, time.Second, 0, errkind.DeadlineUnmeetable},
-		{"workspace in flight", fleet.Workspace{MaxInFlight: 1}, fleet.Service{}, enough, time.Minute, 1, errkind.RateLimited},
-		{"workspace rate", fleet.Workspace{RequestsPerSecond: 2}, fleet.Service{}, enough, time.Minute, 2, errkind.RateLimited},
-		{"service limit", fleet.Workspace{}, fleet.Service{MaxInFlight: 3}, enough, time.Minute, 3, errkind.Overloaded},
-		{"node limit", fleet.Workspace{}, fleet.Service{}, enough, time.Minute, 5, errkind.Overloaded},
+		{"no target", workspace.Workspace{}, fleet.Service{}, Supply{}, time.Minute, 0, errkind.NoTarget},
+		{"service full", workspace.Workspace{}, fleet.Service{}, Supply{Usable: 2, Capacity: 8, InFlight: 10}, time.Minute, 0, errkind.Overloaded},
+		{"too late", workspace.Workspace{}, fleet.Service{}, Supply{Usable: 2, Capacity: 8, InFlight: 9, ServiceSec: 100}, time.Second, 0, errkind.DeadlineUnmeetable},
+		{"workspace in flight", workspace.Workspace{MaxInFlight: 1}, fleet.Service{}, enough, time.Minute, 1, errkind.RateLimited},
+		{"workspace rate", workspace.Workspace{Allowance: workspace.Allowance{PerSecond: 2, Burst: 2}}, fleet.Service{}, enough, time.Minute, 2, errkind.RateLimited},
+		{"service limit", workspace.Workspace{}, fleet.Service{MaxInFlight: 3}, enough, time.Minute, 3, errkind.Overloaded},
+		{"node limit", workspace.Workspace{}, fleet.Service{}, enough, time.Minute, 5, errkind.Overloaded},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
@@ -55,7 +56,7 @@
 // TestEmptyOrFullCentreAsksAnother: it refuses only when there is none to ask.
 func TestEmptyOrFullCentreAsksAnother(t *testing.T) {
 	is := is.New(t)
-	d := Demand{&fleet.Workspace{}, &fleet.Service{}, time.Minute}
+	d := Demand{&workspace.Workspace{}, &fleet.Service{}, time.Minute}
 	for _, s := range []Supply{{}, {Usable: 2, Capacity: 8, InFlight: 10}} {
 		is.True(New(5).Admit(now, d, s) != nil)
 		s.Remote = true
@@ -68,7 +69,7 @@
 func TestRateRefills(t *testing.T) {
 	is := is.New(t)
 	g := New(100)
-	d := Demand{&fleet.Workspace{Name: "w", RequestsPerSecond: 2}, &fleet.Service{}, time.Minute}
+	d := Demand{&workspace.Workspace{Name: "w", Allowance: workspace.Allowance{PerSecond: 2, Burst: 2}}, &fleet.Service{}, time.Minute}
 	s := Supply{Usable: 1, Capacity: 50}
 	is.NoErr(g.Admit(now, d, s))
 	is.NoErr(g.Admit(now, d, s))
--- a/internal/request/batch/lease.go
+++ b/internal/request/batch/lease.go
@@ -171,7 +171,7 @@
 	}
 	l.state.Items = len(lines)
 	config := w.config()
-	workspace := config.Workspaces[l.job.Workspace]
+	workspace := config.Workspaces.ByName(l.job.Workspace)
 	for i, line := range lines {
 		if done[i] {
 			continue
--- a/internal/request/batch/line.go
+++ b/internal/request/batch/line.go
@@ -12,6 +12,7 @@
 	"github.com/marblepond/marblepond/internal/connection/openai"
 	"github.com/marblepond/marblepond/internal/errkind"
 	"github.com/marblepond/marblepond/internal/version/fleet"
+	"github.com/marblepond/marblepond/internal/version/workspace"
 )
 
 // Line is one item of a JSONL file, in the OpenAI batch shape.
@@ -48,7 +49,7 @@
 const servicesPrefix = "/services/"
 
 // resolve finds the service of a line and the name its target must have loaded.
-func (l *Line) resolve(config *fleet.Config, w *fleet.Workspace) (*fleet.Service, string, error) {
+func (l *Line) resolve(config *fleet.Config, w *workspace.Workspace) (*fleet.Service, string, error) {
 	if rest, ok := strings.CutPrefix(l.URL, servicesPrefix); ok {
 		name, _, _ := strings.Cut(rest, "/")
 		s := config.Services[name]
@@ -77,7 +78,7 @@
 // splitter reads JSONL and cuts it into chunks of one service each.
 type splitter struct {
 	config    *fleet.Config
-	workspace *fleet.Workspace
+	workspace *workspace.Workspace
 	maxItems  int
 	maxBytes  int
 	emit      func(n int, chunk []byte) error
--- a/internal/request/batch/line_test.go
+++ b/internal/request/batch/line_test.go
@@ -17,7 +17,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return &splitter{config: config, workspace: config.Workspaces["w"], maxItems: maxItems, maxBytes: 10000, emit: emit,
+	return &splitter{config: config, workspace: config.Workspaces.ByName("w"), maxItems: maxItems, maxBytes: 10000, emit: emit,
 		seen: map[uint64]bool{}, growing: map[string]*growing{}}
 }
 
--- a/internal/request/batch/store.go
+++ b/internal/request/batch/store.go
@@ -24,6 +24,7 @@
 	"github.com/marblepond/marblepond/internal/process/wait"
 	"github.com/marblepond/marblepond/internal/record"
 	"github.com/marblepond/marblepond/internal/version/fleet"
+	"github.com/marblepond/marblepond/internal/version/workspace"
 )
 
 // Store reads and writes files, jobs and results. Any node may do so.
@@ -53,7 +54,7 @@
 )
 
 // PutFile stores a JSONL file. size is its length in bytes if known, else 0.
-func (s *Store) PutFile(ctx context.Context, config *fleet.Config, w *fleet.Workspace, name string, body io.Reader, size int64) (record.File, error) {
+func (s *Store) PutFile(ctx context.Context, config *fleet.Config, w *workspace.Workspace, name string, body io.Reader, size int64) (record.File, error) {
 	file := record.File{ID: "file-" + rand.Text(), Workspace: w.Name, Name: name, Created: time.Now().Unix(), Token: rand.Text()}
 	limit := chunkBytes
 	if size > 0 {
--- a/internal/request/fingerprint/fingerprint.go
+++ b/internal/request/fingerprint/fingerprint.go
@@ -48,6 +48,9 @@
 	// Selectors are the values of the headers that change what is done, such as the
 	// model and the caller's credentials.
 	Selectors []string
+	// Workspace is whose request it is: a changed key makes no other work, and what two
+	// workspaces ask is never the same.
+	Workspace string
 	Body      []byte
 
 	once sync.Once
@@ -76,6 +79,9 @@
 	for _, text := range w.Selectors {
 		part([]byte(text))
 	}
+	if w.Workspace != "" {
+		part([]byte(w.Workspace))
+	}
 	part(w.Body)
 	return ID(h.Sum(nil)[:size])
 }
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -30,12 +30,14 @@
 	ID      string
 	Route   *route.Route
 	Service string
-	Version int64 // of the routing table that chose Route
-	Method  string
-	Host    string
-	Path    string // with the query
-	Header  http.Header
-	Body    []byte
+	// Workspace is whose request it is; empty: nobody's in particular.
+	Workspace string
+	Version   int64 // of the routing table that chose Route
+	Method    string
+	Host      string
+	Path      string // with the query
+	Header    http.Header
+	Body      []byte
 	// Work is what the request asks for, whatever its ID.
 	Work fingerprint.Work
 	// ResumeAfter is the ID of the last event that the caller holds.
@@ -398,7 +400,7 @@
 	defer f.Quarantine.Running(&req.Work, func() { cancel(errRefused) })()
 	sent := f.Now()
 	answer, err := f.Sender.Send(ctx, target.Call{
-		Address: t.Addr, InstanceID: t.ID, Incarnation: t.Incarnation, RequestID: req.ID, Method: req.Method, Host: req.Host, Path: req.Path,
+		Address: t.Addr, InstanceID: t.ID, Incarnation: t.Incarnation, RequestID: req.ID, Workspace: req.Workspace, Method: req.Method, Host: req.Host, Path: req.Path,
 		Header: req.Header, Body: req.Body, ResumeAfter: c.held, Deadline: req.Deadline,
 	})
 	if err != nil {
--- a/internal/request/job/manager.go
+++ b/internal/request/job/manager.go
@@ -233,7 +233,7 @@
 	for i := range items {
 		w := &works[i]
 		w.Method, w.Host, w.Path, w.Body = http.MethodPost, head.Host, items[i].Path, items[i].Body
-		w.Selectors = fingerprint.Select(selectors, items[i].header().Get)
+		w.Selectors, w.Workspace = fingerprint.Select(selectors, items[i].header().Get), head.Workspace
 	}
 	return works
 }
--- a/internal/request/job/record.go
+++ b/internal/request/job/record.go
@@ -15,6 +15,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/marblepond/marblepond/internal/version/route"
@@ -48,6 +49,7 @@
 
 // Head is the state of a job that every decision about it depends on.
 type Head struct {
+	Workspace string `json:",omitempty"` // whose job it is; empty: of a configuration without workspaces
 	Host      string // of the submission
 	Path      string // of the submission; names the route in any version
 	Submitted int64  // Unix milliseconds when a node first read the job
@@ -109,15 +111,34 @@
 
 // Submission is a job as its caller sends it.
 type Submission struct {
-	ID       string
-	Host     string
-	Path     string
-	Route    *route.Route
-	Items    []Item
-	Arrived  time.Time
-	Deadline time.Time // of the answer
+	ID        string // as ScopedID returns it
+	Workspace string // whose job it is; empty: the configuration has no workspaces
+	Host      string
+	Path      string
+	Route     *route.Route
+	Items     []Item
+	Arrived   time.Time
+	Deadline  time.Time // of the answer
+}
+
+// scopeMark separates the ID that a caller gave a job from its workspace.
+const scopeMark = "@"
+
+// ScopedID returns the ID under which a job of a workspace is kept. The same ID of two
+// workspaces names two jobs, and neither can name the other's: the mark is escaped in
+// both parts.
+func ScopedID(workspace, id string) string {
+	if workspace == "" {
+		return id
+	}
+	return scopeEscaper.Replace(id) + scopeMark + scopeEscaper.Replace(workspace)
 }
 
+// Scoped reports whether an ID could be that of a workspace's job.
+func Scoped(id string) bool { return strings.Contains(id, scopeMark) }
+
+var scopeEscaper = strings.NewReplacer("%", "%25", scopeMark, "%40")
+
 // Tokens returns the tokens of all items.
 func (s *Submission) Tokens() int64 {
 	total := int64(0)
@@ -140,7 +161,7 @@
 // Check returns what is wrong with a submission, or nil.
 func (s *Submission) Check() error {
 	switch {
-	case s.ID == "":
+	case s.ID == ScopedID(s.Workspace, ""):
 		return errNoJobID
 	case len(s.Items) == 0:
 		return errNoItems
--- a/internal/request/job/submit.go
+++ b/internal/request/job/submit.go
@@ -93,7 +93,7 @@
 }
 
 func newHead(s *Submission, parts int, inline []Item) *Head {
-	return &Head{Host: s.Host, Path: s.Path, Submitted: s.Arrived.UnixMilli(), Total: len(s.Items), Parts: parts, Inline: inline, Epoch: 1}
+	return &Head{Workspace: s.Workspace, Host: s.Host, Path: s.Path, Submitted: s.Arrived.UnixMilli(), Total: len(s.Items), Parts: parts, Inline: inline, Epoch: 1}
 }
 
 // known reports whether this node knows that a job was accepted.
--- a/internal/request/run/run.go
+++ b/internal/request/run/run.go
@@ -44,7 +44,7 @@
 // WorkOf returns what a request asks for. A new version of its model is other work: it
 // may bear what the one before did not.
 func WorkOf(req *Request) *fingerprint.Work {
-	return &fingerprint.Work{Method: http.MethodPost, Host: req.Service, Path: req.Path, Selectors: []string{req.Workspace, req.Loaded, req.Method}, Body: req.Body}
+	return &fingerprint.Work{Method: http.MethodPost, Host: req.Service, Path: req.Path, Workspace: req.Workspace, Selectors: []string{req.Loaded, req.Method}, Body: req.Body}
 }
 
 // Remote stands for the targets of other data centres.
--- a/internal/request/serve/complete.go
+++ b/internal/request/serve/complete.go
@@ -265,7 +265,7 @@
 	close(e.registered)
 	e.accepted.Store(true) // perhaps: its answer is kept either way
 	parsed, err := openai.Parse(held.Path, held.Body)
-	service, workspace := config.Services[held.Service], config.Workspaces[held.Workspace]
+	service, workspace := config.Services[held.Service], config.Workspaces.ByName(held.Workspace)
 	if held.NonIdempotent || err != nil || service == nil || workspace == nil {
 		s.Keeper.Finish(context.Background(), s.result(e, errkind.UnknownOutcome.New("the node that ran the request was lost")))
 		return
--- a/internal/request/serve/serve.go
+++ b/internal/request/serve/serve.go
@@ -31,6 +31,7 @@
 	"github.com/marblepond/marblepond/internal/request/run"
 	"github.com/marblepond/marblepond/internal/version/fleet"
 	"github.com/marblepond/marblepond/internal/version/targets"
+	"github.com/marblepond/marblepond/internal/version/workspace"
 )
 
 // Limits of the server.
@@ -99,7 +100,7 @@
 // session is a caller's authenticated call.
 type session struct {
 	config    *fleet.Config // the version the request keeps to its end
-	workspace *fleet.Workspace
+	workspace *workspace.Workspace
 	forwarded bool // by a node of another data centre
 }
 
@@ -136,9 +137,9 @@
 			return nil, errkind.Unauthenticated.New("not a node of this fleet")
 		}
 		c.forwarded = true
-		c.workspace = c.config.Workspaces[r.Header.Get(openai.HeaderWorkspace)]
+		c.workspace = c.config.Workspaces.ByName(r.Header.Get(openai.HeaderWorkspace))
 	} else if key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer "); ok {
-		c.workspace = c.config.ByKey(key)
+		c.workspace = c.config.Workspaces.ByKey(key)
 	}
 	if c.workspace == nil {
 		return nil, errkind.Unauthenticated.New("unknown key; send Authorization: Bearer KEY")
--- a/internal/version/fleet/fleet.go
+++ b/internal/version/fleet/fleet.go
@@ -5,8 +5,6 @@
 package fleet
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
 	"fmt"
 	"sort"
 	"strconv"
@@ -14,6 +12,8 @@
 	"time"
 
 	"gopkg.in/ini.v1"
+
+	"github.com/marblepond/marblepond/internal/version/workspace"
 )
 
 // Kind says what stands behind a service.
@@ -65,22 +65,11 @@
 	return "", false
 }
 
-// Workspace is one customer's account.
-type Workspace struct {
-	Name              string
-	KeyHashes         []string // SHA-256 of the keys, hex
-	Services          []string // empty: all
-	RequestsPerSecond float64  // per node; 0: no limit
-	MaxInFlight       int      // online requests per node; 0: no limit
-	BatchWeight       int      // share of batch capacity against other workspaces
-}
-
 // Config is one version of the fleet's configuration.
 type Config struct {
 	Version    uint64
 	Services   map[string]*Service
-	Workspaces map[string]*Workspace
-	byKey      map[string]*Workspace
+	Workspaces *workspace.Index
 	sections   map[string]section // INI section name to its keys
 }
 
@@ -130,12 +119,11 @@
 
 func build(sections map[string]section) (*Config, error) {
 	c := &Config{
-		Services:   map[string]*Service{},
-		Workspaces: map[string]*Workspace{},
-		byKey:      map[string]*Workspace{},
-		sections:   sections,
+		Services: map[string]*Service{},
+		sections: sections,
 	}
 	var faults Faults
+	var workspaces []*workspace.Workspace
 	for _, name := range sortedKeys(sections) {
 		kind, id, ok := splitSection(name)
 		r := &reader{section: name, values: sections[name]}
@@ -143,7 +131,7 @@
 		case ok && kind == "service":
 			c.Services[id] = readService(id, r)
 		case ok && kind == "workspace":
-			c.addWorkspace(readWorkspace(id, r), r)
+			workspaces = append(workspaces, readWorkspace(id, r))
 		default:
 			faults = append(faults, Fault{name, "-", name, `[service "name"] or [workspace "name"]`})
 			continue
@@ -151,6 +139,9 @@
 		r.refuseUnknown()
 		faults = append(faults, r.faults...)
 	}
+	index, doubles := workspace.NewIndex(workspaces)
+	c.Workspaces = index
+	faults = append(faults, asFaults(doubles)...)
 	faults = append(faults, c.crossChecks()...)
 	if len(faults) > 0 {
 		return nil, faults
@@ -158,20 +149,24 @@
 	return c, nil
 }
 
-func (c *Config) addWorkspace(w *Workspace, r *reader) {
-	c.Workspaces[w.Name] = w
-	for _, hash := range w.KeyHashes {
-		if other, taken := c.byKey[hash]; taken {
-			r.fault("key_sha256", hash, "a key that workspace "+other.Name+" does not have")
+// asFaults words the faults of the list of workspaces.
+func asFaults(doubles []workspace.Fault) Faults {
+	var faults Faults
+	for _, d := range doubles {
+		section := SectionName("workspace", d.Workspace)
+		if d.Key == nil {
+			faults = append(faults, Fault{section, "-", d.Workspace, "a name of its own"})
+			continue
 		}
-		c.byKey[hash] = w
+		faults = append(faults, Fault{section, "key_sha256", d.Key.String(), "a key that workspace " + d.Other + " does not have"})
 	}
+	return faults
 }
 
 func (c *Config) crossChecks() Faults {
 	var faults Faults
-	for _, name := range sortedKeys(c.Workspaces) {
-		for _, service := range c.Workspaces[name].Services {
+	for _, name := range c.Workspaces.Names() {
+		for _, service := range c.Workspaces.ByName(name).Services {
 			if c.Services[service] == nil {
 				faults = append(faults, Fault{SectionName("workspace", name), "services", service, "a service of this configuration"})
 			}
@@ -180,20 +175,9 @@
 	return faults
 }
 
-// ByKey returns the workspace that a bearer key belongs to, or nil.
-func (c *Config) ByKey(key string) *Workspace {
-	return c.byKey[HashKey(key)]
-}
-
-// HashKey returns the stored form of a bearer key.
-func HashKey(key string) string {
-	sum := sha256.Sum256([]byte(key))
-	return hex.EncodeToString(sum[:])
-}
-
 // ServiceFor returns the service that serves the model name for the workspace
 // and the loaded name it needs; nil when there is none.
-func (c *Config) ServiceFor(w *Workspace, model string) (*Service, string) {
+func (c *Config) ServiceFor(w *workspace.Workspace, model string) (*Service, string) {
 	if i := strings.IndexByte(model, ':'); i > 0 && c.Services[model[:i]] != nil {
 		return c.match(w, c.Services[model[:i]], model)
 	}
@@ -208,7 +192,7 @@
 	return nil, ""
 }
 
-func (c *Config) match(w *Workspace, s *Service, model string) (*Service, string) {
+func (c *Config) match(w *workspace.Workspace, s *Service, model string) (*Service, string) {
 	if s.Kind != KindModel || !w.May(s.Name) {
 		return nil, ""
 	}
@@ -218,19 +202,6 @@
 	return nil, ""
 }
 
-// May reports whether the workspace may use the service.
-func (w *Workspace) May(service string) bool {
-	if len(w.Services) == 0 {
-		return true
-	}
-	for _, s := range w.Services {
-		if s == service {
-			return true
-		}
-	}
-	return false
-}
-
 // Text returns the configuration as INI text with sorted sections and keys.
 func (c *Config) Text() string {
 	var b strings.Builder
@@ -269,19 +240,22 @@
 	}
 }
 
-func readWorkspace(name string, r *reader) *Workspace {
-	w := &Workspace{
-		Name:              name,
-		KeyHashes:         r.list("key_sha256"),
-		Services:          r.list("services"),
-		RequestsPerSecond: float64(r.count("requests_per_second", 0)),
-		MaxInFlight:       r.count("max_in_flight", 0),
-		BatchWeight:       r.count("batch_weight", 1),
-	}
-	for _, hash := range w.KeyHashes {
-		if raw, err := hex.DecodeString(hash); err != nil || len(raw) != sha256.Size {
-			r.fault("key_sha256", hash, "SHA-256 in hex, 64 digits")
+func readWorkspace(name string, r *reader) *workspace.Workspace {
+	perSecond := r.count("requests_per_second", 0)
+	w := &workspace.Workspace{
+		Name:        name,
+		Services:    r.list("services"),
+		Allowance:   workspace.Allowance{PerSecond: float64(perSecond), Burst: float64(r.count("burst", perSecond))},
+		MaxInFlight: r.count("max_in_flight", 0),
+		BatchWeight: r.count("batch_weight", 1),
+	}
+	for _, text := range r.list("key_sha256") {
+		hash, err := workspace.ParseKeyHash(text)
+		if err != nil {
+			r.fault("key_sha256", text, "SHA-256 in hex, 64 digits")
+			continue
 		}
+		w.KeyHashes = append(w.KeyHashes, hash)
 	}
 	return w
 }
--- a/internal/version/fleet/fleet_test.go
+++ b/internal/version/fleet/fleet_test.go
@@ -7,6 +7,8 @@
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
+
+	"github.com/marblepond/marblepond/internal/version/workspace"
 )
 
 const intent = `[service "akmens-llm"]
@@ -30,15 +32,15 @@
 
 func TestModelNames(t *testing.T) {
 	is := is.New(t)
-	c := parse(t, fmt.Sprintf(intent, HashKey("k")))
-	w := c.ByKey("k")
+	c := parse(t, fmt.Sprintf(intent, workspace.HashKey("k")))
+	w := c.Workspaces.ByKey("k")
 	for name, loaded := range map[string]string{
 		"akmens-llm": "akmens@3", "akmens": "akmens@3", "akmens-llm:notes": "akmens@3+notes", "akmens:stock": "akmens@3+stock", "akmens:none": "", "other": "",
 	} {
 		_, got := c.ServiceFor(w, name)
 		is.Equal(got, loaded) // name
 	}
-	is.True(c.ByKey("other") == nil)
+	is.True(c.Workspaces.ByKey("other") == nil)
 }
 
 func TestFaults(t *testing.T) {
@@ -104,7 +106,7 @@
 }
 
 func FuzzParse(f *testing.F) {
-	f.Add([]byte(fmt.Sprintf(intent, HashKey("k"))))
+	f.Add([]byte(fmt.Sprintf(intent, workspace.HashKey("k"))))
 	f.Add([]byte(`[service ""]`))
 	f.Fuzz(func(t *testing.T, text []byte) {
 		c, err := Parse(text)
--- a/internal/version/route/route.go
+++ b/internal/version/route/route.go
@@ -7,6 +7,8 @@
 	"sort"
 	"strings"
 	"time"
+
+	"github.com/marblepond/marblepond/internal/version/workspace"
 )
 
 // Kind says what a route's requests are.
@@ -34,8 +36,9 @@
 	Shares    []Share
 	Kind      Kind
 	Resumable bool
-	Attempts  int // most targets that one request may run on
-	Priority  int // 0 is the highest
+	Attempts  int  // most targets that one request may run on
+	Priority  int  // 0 is the highest
+	Open      bool // callers need no key
 	// Timeout is the longest time that a request may be kept waiting; 0: no bound.
 	Timeout time.Duration
 	// Objective is the time to the first event, whole answer or acceptance.
@@ -45,7 +48,7 @@
 	// Batch routes only.
 	CompleteWithin time.Duration // results are due this long after submission
 	AbandonAfter   time.Duration // an item may be given up this long after submission
-	TokenCap       int64         // tokens that may wait on the route; 0: no limit
+	TokenCap       int64         // tokens of one workspace that may wait on the route; 0: no limit
 }
 
 // Repeatable reports whether a request of the route may run more than once.
@@ -63,7 +66,11 @@
 type Table struct {
 	Version int64
 	Limits  Limits
-	byHost  map[string][]*Route // longest prefix first
+	// Workspaces are whose requests are served; nil: callers need no key.
+	Workspaces *workspace.Index
+	// Faults are what could not be read of the version and is left out.
+	Faults []string
+	byHost map[string][]*Route // longest prefix first
 }
 
 // NewTable returns the table of one version.
--- a/lab/demo/demo.go
+++ b/lab/demo/demo.go
@@ -16,7 +16,7 @@
 
 	"github.com/marblepond/marblepond/internal/connection/openai"
 	"github.com/marblepond/marblepond/internal/request/batch"
-	"github.com/marblepond/marblepond/internal/version/fleet"
+	"github.com/marblepond/marblepond/internal/version/workspace"
 	"github.com/marblepond/marblepond/lab/client"
 	"github.com/marblepond/marblepond/lab/deployment"
 	"github.com/marblepond/marblepond/lab/engine"
@@ -45,7 +45,7 @@
 		Net: 20, DataCentres: []string{"hall-a", "hall-b"}, Nodes: []int{2, 1}, Engines: 2, EngineName: model,
 		Model: engine.DefaultModel(), Loaded: []string{model + "@1"},
 		Extra: "[log]\nlevel = error\n",
-		Fleet: fmt.Sprintf("[service %q]\n[workspace \"demo\"]\nkey_sha256 = %s\n", model, fleet.HashKey(callerKey)),
+		Fleet: fmt.Sprintf("[service %q]\n[workspace \"demo\"]\nkey_sha256 = %s\n", model, workspace.HashKey(callerKey)),
 	}
 }
 
--- a/lab/e2e/big_test.go
+++ b/lab/e2e/big_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/matryer/is"
 
-	"github.com/marblepond/marblepond/internal/version/fleet"
+	"github.com/marblepond/marblepond/internal/version/workspace"
 	"github.com/marblepond/marblepond/lab/client"
 	"github.com/marblepond/marblepond/lab/deployment"
 	"github.com/marblepond/marblepond/lab/engine"
@@ -31,7 +31,7 @@
 	f, err := deployment.Start(deployment.Layout{
 		Net: 120, DataCentres: []string{"hall-a", "hall-b", "hall-c"}, Nodes: []int{2, 2, 2}, Engines: 2, EngineName: "m", Model: model, Loaded: []string{"m@1"},
 		Extra: "[log]\nlevel = error\n[platform]\nwrite_rate = 100\nread_rate = 300\n",
-		Fleet: "[service \"m\"]\n[workspace \"w\"]\nkey_sha256 = " + fleet.HashKey("k") + "\n",
+		Fleet: "[service \"m\"]\n[workspace \"w\"]\nkey_sha256 = " + workspace.HashKey("k").String() + "\n",
 	})
 	is.NoErr(err)
 	c := client.New("k")
--- a/lab/e2e/e2e_test.go
+++ b/lab/e2e/e2e_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/matryer/is"
 
-	"github.com/marblepond/marblepond/internal/version/fleet"
+	"github.com/marblepond/marblepond/internal/version/workspace"
 	"github.com/marblepond/marblepond/lab/deployment"
 	"github.com/marblepond/marblepond/lab/engine"
 	"github.com/marblepond/marblepond/lab/procs"
@@ -47,7 +47,7 @@
 	f, err := procs.Start(deployment.Layout{
 		Net: net, DataCentres: []string{"saldus-hall", "kuldiga-hall"}, Nodes: []int{2, 2}, Engines: 2, Services: 1,
 		EngineName: "akmens-llm", PlainName: "orders", Model: engine.DefaultModel(), Loaded: []string{"akmens-llm@1"},
-		Extra: extra, Fleet: intent + fleet.HashKey("clerk-key") + "\n",
+		Extra: extra, Fleet: intent + workspace.HashKey("clerk-key").String() + "\n",
 	}, t.TempDir(), binaries)
 	if err != nil {
 		t.Fatal(err)
--- a/lab/e2e/holds_test.go
+++ b/lab/e2e/holds_test.go
@@ -14,7 +14,7 @@
 	v1 "github.com/marblepond/marblepond/api/marblepond/v1"
 	"github.com/marblepond/marblepond/internal/connection/openai"
 	"github.com/marblepond/marblepond/internal/connection/peer"
-	"github.com/marblepond/marblepond/internal/version/fleet"
+	"github.com/marblepond/marblepond/internal/version/workspace"
 	"github.com/marblepond/marblepond/lab/client"
 	"github.com/marblepond/marblepond/lab/deployment"
 	"github.com/marblepond/marblepond/lab/engine"
@@ -45,7 +45,7 @@
 	f, err := deployment.Start(deployment.Layout{
 		Net: net, DataCentres: []string{"saldus-hall", "kuldiga-hall"}, Nodes: []int{2, 2}, Engines: 2, Services: 1,
 		EngineName: "akmens-llm", PlainName: "orders", Model: engine.DefaultModel(), Loaded: []string{"akmens-llm@1"},
-		Extra: quick, Fleet: intent + fleet.HashKey("clerk-key") + "\n",
+		Extra: quick, Fleet: intent + workspace.HashKey("clerk-key").String() + "\n",
 	})
 	if err != nil {
 		t.Fatal(err)
--- a/lab/hosted/client.go
+++ b/lab/hosted/client.go
@@ -76,13 +76,18 @@
 	return items
 }
 
-// Submit sends a job.
-func Submit(node, job string, items []Item) Reply {
+// jobBody returns the body of a submission.
+func jobBody(items []Item) []byte {
 	body, err := json.Marshal(map[string]any{"items": items})
 	if err != nil {
-		return Reply{Err: err}
+		panic(err) // items hold only plain fields
 	}
-	return Call(context.Background(), http.MethodPost, node, BatchPath+"submit", job, map[string]string{"X-Marblepond-Deadline-Ms": "4000"}, body)
+	return body
+}
+
+// Submit sends a job.
+func Submit(node, job string, items []Item) Reply {
+	return Call(context.Background(), http.MethodPost, node, BatchPath+"submit", job, map[string]string{"X-Marblepond-Deadline-Ms": "4000"}, jobBody(items))
 }
 
 // Result is one result of a job.
@@ -101,7 +106,11 @@
 
 // Read reads results from a position on.
 func Read(node, job string, after int) (Results, int) {
-	reply := Call(context.Background(), http.MethodGet, node, fmt.Sprintf("/v1/lots/%s?after=%d", job, after), "", map[string]string{"X-Marblepond-Wait-Ms": "300"}, nil)
+	return read(node, job, after, map[string]string{"X-Marblepond-Wait-Ms": "300"})
+}
+
+func read(node, job string, after int, header map[string]string) (Results, int) {
+	reply := Call(context.Background(), http.MethodGet, node, fmt.Sprintf("/v1/lots/%s?after=%d", job, after), "", header, nil)
 	var r Results
 	if reply.Err != nil || reply.Status != http.StatusOK || json.Unmarshal([]byte(reply.Body), &r) != nil {
 		return Results{}, reply.Status
@@ -111,10 +120,14 @@
 
 // ReadAll reads a job to its end, at the nodes in turn.
 func ReadAll(nodes []string, job string, within time.Duration) ([]Result, error) {
+	return readAll(nodes, job, within, func(node string, after int) (Results, int) { return Read(node, job, after) })
+}
+
+func readAll(nodes []string, job string, within time.Duration, read func(node string, after int) (Results, int)) ([]Result, error) {
 	var all []Result
 	until := time.Now().Add(within)
 	for n := 0; time.Now().Before(until); n++ {
-		r, status := Read(nodes[n%len(nodes)], job, len(all))
+		r, status := read(nodes[n%len(nodes)], len(all))
 		all = append(all, r.Results...)
 		if status == http.StatusOK && len(all) >= r.Total {
 			return all, nil
--- /dev/null
+++ b/lab/hosted/workspaces.go
@@ -0,0 +1,54 @@
+package hosted
+
+import (
+	"context"
+	"net/http"
+	"time"
+)
+
+// OpenPath is the prefix of a route whose callers need no key, where WithWorkspaces adds
+// it.
+const OpenPath = "/open/"
+
+// Workspace is an entry of a configuration.
+type Workspace struct {
+	Name      string   `json:"name"`
+	Keys      []string `json:"api_keys"`
+	PerSecond float64  `json:"rate_per_s,omitempty"`
+	Burst     float64  `json:"burst,omitempty"`
+}
+
+// WithWorkspaces gives a configuration workspaces and an open route.
+func WithWorkspaces(list ...any) func(map[string]any) {
+	return func(config map[string]any) {
+		config["tenants"] = list
+		open := map[string]any{"name": "open", "host": Host, "path_prefix": OpenPath, "kind": "idempotent", "service": Service, "attempts": 2,
+			"timeout_ms": 5000, "slo_ms": 300.0, "priority": 0, "public": true}
+		config["routes"] = append(config["routes"].([]any), open)
+	}
+}
+
+// As returns the header of a caller with a key.
+func As(key string) map[string]string { return map[string]string{"Authorization": "Bearer " + key} }
+
+// AskAs sends a request for tokens with a key.
+func AskAs(node, path, id, key string) Reply {
+	return Ask(context.Background(), node, path, id, As(key))
+}
+
+// SubmitAs sends a job with a key.
+func SubmitAs(node, job, key string, items []Item) Reply {
+	return Call(context.Background(), http.MethodPost, node, BatchPath+"submit", job, As(key), jobBody(items))
+}
+
+// ReadAs reads results with a key from a position on.
+func ReadAs(node, job, key string, after int) (Results, int) {
+	header := As(key)
+	header["X-Marblepond-Wait-Ms"] = "300"
+	return read(node, job, after, header)
+}
+
+// ReadAllAs reads a job with a key to its end, at the nodes in turn.
+func ReadAllAs(nodes []string, job, key string, within time.Duration) ([]Result, error) {
+	return readAll(nodes, job, within, func(node string, after int) (Results, int) { return ReadAs(node, job, key, after) })
+}
--- /dev/null
+++ b/lab/hosted/workspaces_test.go
@@ -0,0 +1,212 @@
+package hosted
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// twoWorkspaces has two workspaces, one with two keys.
+var twoWorkspaces = WithWorkspaces(Workspace{Name: "kurzeme", Keys: []string{"k-one", "k-two"}}, Workspace{Name: "keystel", Keys: []string{"s-one"}})
+
+// startWith starts a fleet and puts a configuration into force.
+func startWith(t *testing.T, o Options, change func(map[string]any)) *Fleet {
+	t.Helper()
+	f := fleet(t, o)
+	f.enforce(t, 2, change)
+	return f
+}
+
+// enforce puts a configuration into force at all nodes.
+func (f *Fleet) enforce(t *testing.T, version int, change ...func(map[string]any)) {
+	t.Helper()
+	f.Store.Put("config", "main", Config(version, change...))
+	for _, n := range f.Nodes {
+		eventually(t, fmt.Sprintf("version %d is in force", version), 2*time.Second, func() bool { return n.Table().Version == int64(version) })
+	}
+}
+
+// headerAt returns the header with which a request reached a runner.
+func (f *Fleet) headerAt(id string) http.Header {
+	for _, r := range f.Runners {
+		if h := r.Header(id); h != nil {
+			return h
+		}
+	}
+	return nil
+}
+
+// TestTargetsLearnTheWorkspace: a request needs a key that is known. The target is told
+// whose it is, whatever the caller says of that, and never sees the key.
+func TestTargetsLearnTheWorkspace(t *testing.T) {
+	is := is.New(t)
+	f := startWith(t, Options{Nodes: 2, Runners: 2}, twoWorkspaces)
+	at := f.Nodes[0].Caller()
+	lying := As("k-two")
+	lying["X-Marblepond-Tenant"] = "keystel"
+	is.Equal(Ask(context.Background(), at, StreamPath, "w1", lying).Status, http.StatusOK)
+	is.Equal(f.headerAt("w1")["X-Marblepond-Tenant"], []string{"kurzeme"})
+	is.Equal(f.headerAt("w1").Get("Authorization"), "")
+	is.Equal(AskAs(at, ResumePath, "w2", "s-one").Status, http.StatusOK)
+	is.Equal(f.headerAt("w2").Get("X-Marblepond-Tenant"), "keystel")
+
+	is.Equal(Ask(context.Background(), at, OpenPath, "w3", map[string]string{"X-Marblepond-Tenant": "keystel", "Authorization": "Bearer nobody's"}).Status, http.StatusOK)
+	is.Equal(len(f.headerAt("w3")["X-Marblepond-Tenant"]), 0)
+	is.Equal(f.headerAt("w3").Get("Authorization"), "")
+	is.Equal(AskAs(at, OpenPath, "w4", "s-one").Status, http.StatusOK)
+	is.Equal(f.headerAt("w4").Get("X-Marblepond-Tenant"), "keystel")
+
+	for name, header := range map[string]map[string]string{
+		"no-key": nil, "unknown": As("k-three"), "empty": As(""), "scheme": {"Authorization": "Basic k-one"}, "bare": {"Authorization": "k-one"},
+	} {
+		reply := Call(context.Background(), http.MethodPost, at, StreamPath, name, header, bytes.Repeat([]byte("x"), 70000)) // a body over the limit isn't read
+		is.Equal(reply.Status, http.StatusUnauthorized)                                                                      // name
+		is.Equal(reply.Header.Get("WWW-Authenticate"), "Bearer")
+		is.Equal(f.runs(name), 0)
+	}
+	is.Equal(Submit(at, "w5", Items("w5", 1)).Status, http.StatusUnauthorized)
+	_, status := Read(at, "w5", 0)
+	is.Equal(status, http.StatusUnauthorized)
+	is.Equal(End(at, "w5").Status, http.StatusUnauthorized)
+}
+
+// TestWithoutWorkspacesNothingIsAsked: a configuration without workspaces asks for no
+// key; what a caller says of a workspace reaches no target.
+func TestWithoutWorkspacesNothingIsAsked(t *testing.T) {
+	is := is.New(t)
+	f := fleet(t, Options{Nodes: 1, Runners: 1})
+	header := As("some key")
+	header["X-Marblepond-Tenant"] = "kurzeme"
+	is.Equal(Ask(context.Background(), f.Nodes[0].Caller(), StreamPath, "n1", header).Status, http.StatusOK)
+	is.Equal(f.headerAt("n1").Get("Authorization"), "Bearer some key")
+	is.Equal(f.headerAt("n1").Get("X-Marblepond-Tenant"), "")
+}
+
+// TestUnreadableWorkspacesDisturbNoOther: an entry that can't be read, a key of two
+// workspaces and a name that stands twice take nothing from the others.
+func TestUnreadableWorkspacesDisturbNoOther(t *testing.T) {
+	is := is.New(t)
+	f := startWith(t, Options{Nodes: 1, Runners: 1}, WithWorkspaces(
+		map[string]any{"name": 7, "api_keys": []string{"a"}}, "no entry", nil, map[string]any{}, map[string]any{"name": "", "api_keys": []string{"b"}},
+		map[string]any{"name": "bad-rate", "api_keys": []string{"c"}, "rate_per_s": "many"}, map[string]any{"name": "negative", "api_keys": []string{"d"}, "burst": -1},
+		map[string]any{"name": "some-keys", "api_keys": []any{4, "e", "", "shared"}},
+		Workspace{Name: "other", Keys: []string{"shared", "f"}}, Workspace{Name: "other", Keys: []string{"g"}},
+		map[string]any{"name": "keyless"}, Workspace{Name: "kurzeme", Keys: []string{"h"}},
+	))
+	at := f.Nodes[0].Caller()
+	for key, status := range map[string]int{"a": 401, "b": 401, "c": 401, "d": 401, "e": 200, "": 401, "4": 401, "shared": 401, "f": 200, "g": 401, "h": 200} {
+		is.Equal(AskAs(at, StreamPath, "u-"+key, key).Status, status) // key
+	}
+}
+
+// TestRemovedKeyEnds: a key that was taken away is refused at every node within the time
+// in which a change has to be in force, also on a connection that is open, at a node
+// that the store turns away, and by one that has just started; the workspace's other
+// key goes on.
+func TestRemovedKeyEnds(t *testing.T) {
+	is := is.New(t)
+	f := startWith(t, Options{Nodes: 3, Runners: 2}, twoWorkspaces)
+	cut, err := f.StartNode("edge-cut", "[store]\naddress = 127.0.0.1:1\n")
+	is.NoErr(err)
+	is.NoErr(f.waitReady(cut))
+	eventually(t, "the node cut off has version 2", 2*time.Second, func() bool { return cut.Table().Version == 2 })
+	open := map[string]*keptConnection{}
+	for _, n := range f.Nodes {
+		open[n.Settings.NodeID] = &keptConnection{node: n.Caller()}
+		is.Equal(open[n.Settings.NodeID].ask(t, "k-one"), http.StatusOK)
+	}
+	f.Store.Put("config", "main", Config(3, WithWorkspaces(Workspace{Name: "kurzeme", Keys: []string{"k-two"}}, Workspace{Name: "keystel", Keys: []string{}})))
+	acked := time.Now()
+	fresh, err := f.StartNode("edge-new", "")
+	is.NoErr(err)
+	open["edge-new"] = &keptConnection{node: fresh.Caller()}
+	time.Sleep(time.Until(acked.Add(f.Nodes[0].Settings.ConfigWithin)))
+	for name, c := range open {
+		is.Equal(c.ask(t, "k-one"), http.StatusUnauthorized) // name
+		is.True(name == "edge-new" || c.reused)              // on the connection that was open
+		is.Equal(c.ask(t, "s-one"), http.StatusUnauthorized)
+		is.Equal(c.ask(t, "k-two"), http.StatusOK)
+	}
+}
+
+// keptConnection is a client's connection to a node that stays open.
+type keptConnection struct {
+	node   string
+	client http.Client
+	asked  int
+	reused bool // by the last request
+}
+
+// ask sends a request on the connection and returns the status.
+func (c *keptConnection) ask(t *testing.T, key string) int {
+	t.Helper()
+	if c.client.Transport == nil {
+		c.client.Transport = &http.Transport{MaxConnsPerHost: 1}
+		t.Cleanup(c.client.CloseIdleConnections)
+	}
+	c.asked++
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { c.reused = info.Reused }}
+	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(context.Background(), trace), http.MethodPost, "http://"+c.node+StreamPath, bytes.NewReader([]byte("prompt")))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Host = Host
+	req.Header.Set("X-Marblepond-Request-Id", fmt.Sprint(c.node, "-", c.asked))
+	req.Header.Set("Authorization", "Bearer "+key)
+	resp, err := c.client.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		t.Fatal(err)
+	}
+	return resp.StatusCode
+}
+
+// TestJobsBelongToTheirWorkspace: the same ID in two workspaces is two jobs. Another
+// workspace's key reads, ends and finds nothing; any key of the own one does, also one
+// that was added later. Items tell their target whose they are, and nothing else does.
+func TestJobsBelongToTheirWorkspace(t *testing.T) {
+	is := is.New(t)
+	f := fleet(t, Options{Nodes: 2, Runners: 2, Extra: quickJobs})
+	is.Equal(Submit(f.Nodes[0].Caller(), "before", Items("before", 2)).Status, http.StatusAccepted)
+	f.enforce(t, 2, twoWorkspaces)
+	at := f.Nodes[0].Caller()
+	items := Items("one", 3)
+	items[1].Headers = map[string]string{"X-Marblepond-Tenant": "keystel", "authorization": "Bearer s-one", "X-Kept": "yes"}
+	is.Equal(SubmitAs(at, "same", "k-one", items).Status, http.StatusAccepted)
+	is.Equal(SubmitAs(at, "same", "s-one", Items("two", 2)).Status, http.StatusAccepted)
+	is.Equal(SubmitAs(f.Nodes[1].Caller(), "same", "k-two", items).Status, http.StatusAccepted) // accepted before
+	read := func(job, key string) []Result {
+		t.Helper()
+		results, err := ReadAllAs(f.callers(), job, key, 10*time.Second)
+		is.NoErr(err)
+		return results
+	}
+	is.Equal(len(read("same", "k-two")), 3)
+	is.Equal(len(read("same", "s-one")), 2)
+	is.Equal(f.headerAt("one-1")["X-Marblepond-Tenant"], []string{"kurzeme"})
+	is.Equal(f.headerAt("one-1").Get("Authorization"), "")
+	is.Equal(f.headerAt("one-1").Get("X-Kept"), "yes")
+	is.Equal(f.headerAt("two-1").Get("X-Marblepond-Tenant"), "keystel")
+	is.Equal(len(read("before", "s-one")), 2) // from before there were workspaces
+
+	is.Equal(SubmitAs(at, "mine", "k-one", Items("mine", 1)).Status, http.StatusAccepted)
+	for _, n := range f.Nodes {
+		for _, id := range []string{"mine", "mine@kurzeme", "mine%40kurzeme"} {
+			_, status := ReadAs(n.Caller(), id, "s-one", 0)
+			is.Equal(status, http.StatusNotFound)
+			is.Equal(Call(context.Background(), http.MethodGet, n.Caller(), "/v1/items/"+id+"?id=mine-0", "", As("s-one"), nil).Status, http.StatusNotFound)
+			is.Equal(Call(context.Background(), http.MethodDelete, n.Caller(), "/v1/lots/"+id, "", As("s-one"), nil).Status, http.StatusNotFound)
+		}
+	}
+	is.Equal(len(read("mine", "k-one")), 1)
+}
--- a/lab/load/overhead.go
+++ b/lab/load/overhead.go
@@ -12,7 +12,7 @@
 	"sync"
 	"time"
 
-	"github.com/marblepond/marblepond/internal/version/fleet"
+	"github.com/marblepond/marblepond/internal/version/workspace"
 	"github.com/marblepond/marblepond/lab/client"
 	"github.com/marblepond/marblepond/lab/deployment"
 	"github.com/marblepond/marblepond/lab/engine"
@@ -45,7 +45,7 @@
 	model.Instant, model.MaxRunning = true, 4096
 	f, err := procs.Start(deployment.Layout{Net: net, DataCentres: []string{"a", "b"}, Nodes: []int{2, 1}, Engines: 2, EngineName: overheadModel,
 		Model: model, Loaded: []string{overheadModel + "@1"}, Extra: nodeSettings,
-		Fleet: fmt.Sprintf("[service %q]\n[workspace \"w\"]\nkey_sha256 = %s\n", overheadModel, fleet.HashKey(callerKey))}, dir, dir)
+		Fleet: fmt.Sprintf("[service %q]\n[workspace \"w\"]\nkey_sha256 = %s\n", overheadModel, workspace.HashKey(callerKey))}, dir, dir)
 	if err != nil {
 		return err
 	}
--- a/lab/load/workload.go
+++ b/lab/load/workload.go
@@ -10,7 +10,7 @@
 
 	"github.com/marblepond/marblepond/internal/process/node"
 	"github.com/marblepond/marblepond/internal/request/choose"
-	"github.com/marblepond/marblepond/internal/version/fleet"
+	"github.com/marblepond/marblepond/internal/version/workspace"
 	"github.com/marblepond/marblepond/lab/client"
 	"github.com/marblepond/marblepond/lab/deployment"
 	"github.com/marblepond/marblepond/lab/engine"
@@ -79,7 +79,7 @@
 func (w Workload) layout(net int, m engine.Model, v node.Variant, extra string) deployment.Layout {
 	return deployment.Layout{Net: net, DataCentres: w.DataCentres, Nodes: w.Nodes, Engines: w.EnginesPerDC, EngineName: w.Model, Model: m,
 		Loaded: []string{w.Model + "@1"}, Extra: nodeSettings + extra, Variant: v,
-		Fleet: fmt.Sprintf("[service %q]\n[workspace %q]\nkey_sha256 = %s\n", w.Model, w.Name, fleet.HashKey(callerKey))}
+		Fleet: fmt.Sprintf("[service %q]\n[workspace %q]\nkey_sha256 = %s\n", w.Model, w.Name, workspace.HashKey(callerKey))}
 }
 
 // template returns the long common beginning of a template's prompts.
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -8,7 +8,7 @@
 	"os"
 	"time"
 
-	"github.com/marblepond/marblepond/internal/version/fleet"
+	"github.com/marblepond/marblepond/internal/version/workspace"
 	"github.com/marblepond/marblepond/lab/client"
 	"github.com/marblepond/marblepond/lab/deployment"
 	"github.com/marblepond/marblepond/lab/engine"
@@ -78,7 +78,7 @@
 		Net: net, DataCentres: []string{"hall-a", "hall-b", "hall-c"}, Nodes: []int{2, 2, 2}, Engines: 2, Services: 1,
 		EngineName: modelName, PlainName: plainName, Model: model, Loaded: []string{modelName + "@1"}, Extra: nodeSettings,
 		Fleet: fmt.Sprintf("[service %q]\nversion = 1\n[service %q]\nkind = plain\nnon_idempotent = true\n[workspace \"keystel\"]\nkey_sha256 = %s\n",
-			modelName, plainName, fleet.HashKey(callerKey)),
+			modelName, plainName, workspace.HashKey(callerKey)),
 	}
 }
 
