Count requests_per_second over the fleet at our own interface too

Cause: the gate of each node had a bucket of its own, so that a workspace got its allowance once for each node. Change: our own front takes tokens from the same lending. A node there knows its data centre and some contacts of each other one, so the owner is found in two steps: the data centre by the workspace's order, the node in it by those that know it; an ask to a contact is passed on, and answered straight. What joins a running request, or is sent on between data centres, takes no second token. The bucket of the gate goes; its two checks of the rate stand, to the request, in TestRateRefills of package allowance, in place of those of package admit. Also: asks are for all requests that wait at a node, not for the one that asks. Before: model, 3,700 requests a second of one workspace at one node wait up to 8.6 s (p99). After: 20 ms at most in TestManyRequestsShareAnAsk. Tests: TestRequestsPerSecondCountOverTheFleet, TestManyRequestsShareAnAsk.

--- a/internal/connection/lending/datagrams.go
+++ b/internal/connection/lending/datagrams.go
@@ -52,6 +52,9 @@
 // takeAsk answers another node's ask. One without a need only asks whether this node
 // lives.
 func (x *Exchange) takeAsk(from net.Addr, m *v1.LendingAsk) {
+	if m.ForCentre && x.passOn(from, m) {
+		return
+	}
 	grant := &v1.LendingGrant{Node: x.Node, Workspace: m.Workspace, Sequence: m.Sequence}
 	x.mu.Lock()
 	x.lived[m.Node] = x.Now()
@@ -63,9 +66,31 @@
 		grant.Unsure = true
 	}
 	x.mu.Unlock()
+	if m.ReplyTo != "" {
+		asker, err := net.ResolveUDPAddr("udp", m.ReplyTo)
+		if err != nil {
+			return // not from a node of ours
+		}
+		from = asker
+	}
 	x.write(from, &v1.Lending{Kind: &v1.Lending_Grant{Grant: grant}})
 }
 
+// passOn passes an ask for this data centre on to the owner here; false: this node is to
+// answer it.
+func (x *Exchange) passOn(from net.Addr, m *v1.LendingAsk) bool {
+	x.mu.Lock()
+	owners := x.Fleet.Owners(m.Workspace, x.suspected)
+	x.mu.Unlock()
+	m.ForCentre = false
+	if len(owners) == 0 || owners[0].Node == x.Node || owners[0].ForCentre || owners[0].Address == nil {
+		return false
+	}
+	m.ReplyTo = from.String()
+	x.write(owners[0].Address, &v1.Lending{Kind: &v1.Lending_Ask{Ask: m}})
+	return true
+}
+
 // takeGrant hands an answer to the ask that waits for it.
 func (x *Exchange) takeGrant(m *v1.LendingGrant) {
 	x.mu.Lock()
@@ -83,13 +108,12 @@
 }
 
 // sendAsk asks a node.
-func (x *Exchange) sendAsk(node string, ask allowance.Ask) {
-	lender, known := x.Fleet.Lenders().byName[node]
-	if !known || lender.Address == nil {
+func (x *Exchange) sendAsk(lender Lender, ask allowance.Ask) {
+	if lender.Address == nil {
 		return
 	}
 	x.write(lender.Address, &v1.Lending{Kind: &v1.Lending_Ask{Ask: &v1.LendingAsk{Workspace: ask.Workspace, Node: ask.Borrower, Boot: ask.Boot, Sequence: ask.Sequence,
-		DataCentre: ask.DataCentre, Need: uint32(ask.Need), Ahead: uint32(ask.Ahead), Back: uint32(ask.Back), Share: float32(ask.Share)}}})
+		DataCentre: ask.DataCentre, Need: uint32(ask.Need), Ahead: uint32(ask.Ahead), Back: uint32(ask.Back), Share: float32(ask.Share), ForCentre: lender.ForCentre}}})
 }
 
 func (x *Exchange) write(to net.Addr, m *v1.Lending) {
--- a/internal/connection/lending/lending.go
+++ b/internal/connection/lending/lending.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"net"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -31,14 +30,16 @@
 
 // Fleet is what an exchange needs to know of the nodes.
 type Fleet interface {
-	// Lenders returns the nodes that take requests, with this one.
-	Lenders() *Lenders
-	// HeardNear returns the other nodes of this node's data centre that are heard, and
-	// HeardDataCentres the other data centres of which a node is.
-	HeardNear() []string
-	HeardDataCentres() []string
-	// DataCentreHeardAt returns when a node of another data centre was last heard.
-	DataCentreHeardAt(name string) time.Time
+	// Owners returns whom to ask for tokens of a workspace, among the nodes that are heard
+	// and not to be skipped, the first choice first.
+	Owners(name string, skip func(node string) bool) []Lender
+	// Natural returns the first choice among all nodes, heard or not.
+	Natural(name string) Lender
+	// Nodes returns how many nodes each data centre has.
+	Nodes() map[string]int
+	// Heard reports whether another data centre is heard, and HeardAt when it last was.
+	Heard(dataCentre string) bool
+	HeardAt(dataCentre string) time.Time
 }
 
 // Options configures an exchange.
@@ -65,6 +66,7 @@
 	purse    *allowance.Purse
 	sequence uint64
 	pending  map[string]*pending  // asks under way, by workspace
+	waiting  map[string]int       // requests that wait for a token, by workspace
 	lived    map[string]time.Time // when a datagram of a node last came
 	probed   map[string]time.Time // when a node was last asked for one
 	suspects map[string]time.Time // until when an owner that didn't answer is not asked first
@@ -73,14 +75,13 @@
 // pending is an ask under way. Requests that come while it is wait for it.
 type pending struct {
 	sequence uint64
-	waiting  int
 	grants   chan grantFrom
 	done     chan struct{}
 }
 
 // New returns an exchange; Run starts it.
 func New(o Options) *Exchange {
-	return &Exchange{Options: o, ledger: allowance.NewLedger(o.Now(), o.Tolerance), purse: allowance.NewPurse(), pending: map[string]*pending{},
+	return &Exchange{Options: o, ledger: allowance.NewLedger(o.Now(), o.Tolerance), purse: allowance.NewPurse(), pending: map[string]*pending{}, waiting: map[string]int{},
 		lived: map[string]time.Time{}, probed: map[string]time.Time{}, suspects: map[string]time.Time{}}
 }
 
@@ -93,6 +94,8 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.purse.Arrived(x.Now(), w.Name)
+	x.waiting[w.Name]++
+	defer x.leave(w.Name)
 	for {
 		answer, wait := x.purse.Take(x.Now(), w.Name)
 		switch answer {
@@ -116,6 +119,14 @@
 	}
 }
 
+// leave notes that a request waits no longer. The caller holds x.mu.
+func (x *Exchange) leave(name string) {
+	x.waiting[name]--
+	if x.waiting[name] == 0 {
+		delete(x.waiting, name)
+	}
+}
+
 // Return gives back the token of a request that no target got.
 func (x *Exchange) Return(w *workspace.Workspace) {
 	if !allowance.Borrows(w) {
@@ -136,18 +147,17 @@
 		x.pending[name] = p
 		go x.ask(name, p)
 	}
-	p.waiting++
 	return p
 }
 
 // ask borrows what is needed, from the first owner that answers.
 func (x *Exchange) ask(name string, p *pending) {
 	x.mu.Lock()
-	owners := x.owners(name)
-	ask := x.purse.Ask(x.Now(), name, p.waiting)
+	owners := x.Fleet.Owners(name, x.suspected)
+	ask := x.purse.Ask(x.Now(), name, x.waiting[name])
 	x.mu.Unlock()
 	ask.Borrower, ask.Boot, ask.Sequence, ask.DataCentre = x.Node, x.Boot, p.sequence, x.DataCentre
-	grant, answered := x.borrow(allowance.NewCourse(x.Node, owners), ask, p)
+	grant, answered := x.borrow(owners, ask, p)
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	if !answered {
@@ -160,7 +170,13 @@
 }
 
 // borrow sends an ask along its course.
-func (x *Exchange) borrow(course *allowance.Course, ask allowance.Ask, p *pending) (allowance.Grant, bool) {
+func (x *Exchange) borrow(owners []Lender, ask allowance.Ask, p *pending) (allowance.Grant, bool) {
+	lenders := make(map[string]Lender, len(owners))
+	names := make([]string, len(owners))
+	for i, owner := range owners {
+		names[i], lenders[owner.Node] = owner.Node, owner
+	}
+	course := allowance.NewCourse(x.Node, names)
 	for {
 		owner, wait, ok := course.Next()
 		if !ok {
@@ -172,7 +188,7 @@
 			x.mu.Unlock()
 			return grant, true
 		}
-		x.sendAsk(owner, ask)
+		x.sendAsk(lenders[owner], ask)
 		timer := time.NewTimer(wait)
 		select {
 		case got := <-p.grants:
@@ -200,13 +216,12 @@
 
 // around returns what this node knows of the fleet as it lends. The caller holds x.mu.
 func (x *Exchange) around(name string, alone bool) allowance.Surroundings {
-	lenders := x.Fleet.Lenders()
-	around := allowance.Surroundings{Alone: alone, Nodes: lenders.Centres, Heard: map[string]bool{x.DataCentre: true}}
-	for _, dc := range x.Fleet.HeardDataCentres() {
-		around.Heard[dc] = true
+	around := allowance.Surroundings{Alone: alone, Nodes: x.Fleet.Nodes(), Heard: map[string]bool{}}
+	for dc := range around.Nodes {
+		around.Heard[dc] = dc == x.DataCentre || x.Fleet.Heard(dc)
 	}
-	natural := allowance.Natural(name, lenders.names)
-	around.Natural = natural == x.Node
+	natural := x.Fleet.Natural(name)
+	around.Natural = natural.Node == x.Node
 	if !around.Natural && !alone {
 		around.Substitute = x.lives(natural)
 	}
@@ -216,21 +231,24 @@
 // lives reports whether a node is taken to live, and asks it for a datagram. It is until
 // it had the time to answer, and longer while its data centre is silent too. The caller
 // holds x.mu.
-func (x *Exchange) lives(node string) bool {
-	now := x.Now()
+func (x *Exchange) lives(owner Lender) bool {
+	heard := x.Now()
+	if owner.DataCentre != x.DataCentre {
+		if !x.Fleet.Heard(owner.DataCentre) {
+			return false // it is cut off, and what it may lend there is left to it
+		}
+		if owner.ForCentre {
+			return true
+		}
+		heard = x.Fleet.HeardAt(owner.DataCentre)
+	}
+	now, node := x.Now(), owner.Node
 	if now.Sub(x.probed[node]) >= deadAfter {
 		x.lived[node] = now
 	}
 	if now.Sub(x.probed[node]) >= probePause {
 		x.probed[node] = now
-		x.sendAsk(node, allowance.Ask{Borrower: x.Node, Boot: x.Boot, DataCentre: x.DataCentre})
-	}
-	heard := now
-	if dc := x.Fleet.Lenders().byName[node].DataCentre; dc != x.DataCentre {
-		heard = x.Fleet.DataCentreHeardAt(dc)
-		if !slices.Contains(x.Fleet.HeardDataCentres(), dc) {
-			return false // it is cut off, and what it may lend there is left to it
-		}
+		x.sendAsk(owner, allowance.Ask{Borrower: x.Node, Boot: x.Boot, DataCentre: x.DataCentre})
 	}
 	return heard.Sub(x.lived[node]) < deadAfter
 }
@@ -242,27 +260,8 @@
 	x.suspects[node] = x.Now().Add(suspectFor)
 }
 
-// owners returns the owners of a workspace that are heard, the first choice first. The
-// caller holds x.mu.
-func (x *Exchange) owners(name string) []string {
-	lenders := x.Fleet.Lenders()
-	heard := map[string]bool{x.Node: true}
-	for _, node := range x.Fleet.HeardNear() {
-		heard[node] = true
-	}
-	centres := map[string]bool{}
-	for _, dc := range x.Fleet.HeardDataCentres() {
-		centres[dc] = true
-	}
-	now := x.Now()
-	var out []string
-	for _, n := range lenders.byName {
-		if (heard[n.Node] || centres[n.DataCentre]) && !now.Before(x.suspects[n.Node]) {
-			out = append(out, n.Node)
-		}
-	}
-	return allowance.Owners(name, out)
-}
+// suspected reports whether a node did not answer of late. The caller holds x.mu.
+func (x *Exchange) suspected(node string) bool { return x.Now().Before(x.suspects[node]) }
 
 // Uses returns what this node lends now.
 func (x *Exchange) Uses() []allowance.Use {
--- a/internal/process/hosted/allowances.go
+++ b/internal/process/hosted/allowances.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"slices"
 	"time"
 
 	"github.com/marblepond/marblepond/internal/connection/lending"
@@ -58,9 +59,22 @@
 // lendingFleet implements lending.Fleet.
 type lendingFleet struct{ n *Node }
 
-func (f lendingFleet) Lenders() *lending.Lenders  { return f.n.lenders.Load() }
-func (f lendingFleet) HeardNear() []string        { return f.n.beacon.HeardNear() }
-func (f lendingFleet) HeardDataCentres() []string { return f.n.beacon.HeardDataCentres() }
-func (f lendingFleet) DataCentreHeardAt(name string) time.Time {
-	return f.n.beacon.DataCentreHeardAt(name)
+func (f lendingFleet) Owners(name string, skip func(node string) bool) []lending.Lender {
+	near := map[string]bool{f.n.settings.NodeID: true}
+	for _, node := range f.n.beacon.HeardNear() {
+		near[node] = true
+	}
+	return f.n.lenders.Load().Owners(name, func(l lending.Lender) bool {
+		heard := near[l.Node] || (l.DataCentre != f.n.settings.DataCentre && f.Heard(l.DataCentre))
+		return heard && !skip(l.Node)
+	})
+}
+
+func (f lendingFleet) Natural(name string) lending.Lender { return f.n.lenders.Load().Natural(name) }
+func (f lendingFleet) Nodes() map[string]int              { return f.n.lenders.Load().Nodes() }
+func (f lendingFleet) Heard(dataCentre string) bool {
+	return slices.Contains(f.n.beacon.HeardDataCentres(), dataCentre)
+}
+func (f lendingFleet) HeardAt(dataCentre string) time.Time {
+	return f.n.beacon.DataCentreHeardAt(dataCentre)
 }
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -19,6 +19,7 @@
 
 	"github.com/marblepond/marblepond/api/marblepond/v1/marblepondv1connect"
 	"github.com/marblepond/marblepond/internal/connection/engine"
+	"github.com/marblepond/marblepond/internal/connection/lending"
 	"github.com/marblepond/marblepond/internal/connection/peer"
 	"github.com/marblepond/marblepond/internal/connection/platform"
 	"github.com/marblepond/marblepond/internal/errkind"
@@ -57,6 +58,7 @@
 	pool       *peer.Pool
 	peerClient *http.Client // behind pool
 	crashes    *crashes.Watch
+	lending    *lending.Exchange
 	clock      *clock.Clock
 	platform   *platform.Client
 	membership *membership.Manager
@@ -166,9 +168,10 @@
 		record.Holder{Node: n.self.ID, Incarnation: n.self.Incarnation},
 		batch.Parts{Store: n.store, Platform: n.platform, Runner: n.runner, Targets: n.targets, Members: n.membership.View,
 			Config: n.config.Current, Recorder: n.recorder, Checker: n.checker, Metrics: n.metrics.scope, Clock: n.clock})
+	n.lending = n.newLending()
 	n.server = serve.New(serve.Limits{MaxBody: s.MaxBody, MaxInFlight: s.MaxInFlight, RequestTimeout: s.RequestTimeout},
 		serve.Parts{Config: n.config.Current, Ready: n.ready, Members: n.membership.View, Targets: n.targets, Runner: n.runner,
-			Keeper: n.keeper, Claims: n.claims, Store: n.store, Recorder: n.recorder, Checker: n.checker, Metrics: n.metrics.scope, PeerKey: s.PeerKey})
+			Allowances: n.lending, Keeper: n.keeper, Claims: n.claims, Store: n.store, Recorder: n.recorder, Checker: n.checker, Metrics: n.metrics.scope, PeerKey: s.PeerKey})
 	n.server.Handle("GET /metrics", n.metrics)
 	n.targets.SetBatch(n.worker.InFlight, n.worker.TakeReport, n.worker.Own)
 	n.membership.Carry(n.config)
@@ -218,11 +221,16 @@
 	if err != nil {
 		return errors.Join(err, peerListener.Close())
 	}
+	lendingConn, err := net.ListenPacket("udp", n.settings.PeerListen)
+	if err != nil {
+		return errors.Join(err, peerListener.Close(), callerListener.Close())
+	}
 	n.recorder.Record(timeline.NodeStarted, "", n.self.ID, fmt.Sprintf("incarnation %d", n.self.Incarnation))
 	work, stop := context.WithCancel(context.Background())
 	defer stop()
 	var duties sync.WaitGroup
 	n.startDuties(work, &duties)
+	duties.Go(func() { n.lending.Run(work, lendingConn) })
 	go n.peerHTTP.Serve(peerListener)
 	go n.callerHTTP.Serve(callerListener)
 	<-ctx.Done()
--- a/internal/request/admit/admit.go
+++ b/internal/request/admit/admit.go
@@ -1,5 +1,6 @@
 // Package admit decides whether an online request is taken on: limits per
-// node, workspace and service, and whether its deadline can still be met.
+// node, workspace and service, and whether its deadline can still be met. How many a
+// workspace may ask for a second counts over all nodes and is package allowance's.
 // It is pure; a refusal is given at once and says when to come back.
 package admit
 
@@ -48,11 +49,7 @@
 	services    map[string]int
 }
 
-type account struct {
-	inFlight int
-	tokens   float64
-	filled   time.Time
-}
+type account struct{ inFlight int }
 
 // New returns a gate with the node's own limit.
 func New(maxInFlight int) *Gate {
@@ -64,27 +61,20 @@
 
 // Admit takes the request on or returns the refusal. Every admitted request
 // must be followed by one Done.
-func (g *Gate) Admit(now time.Time, d Demand, s Supply) error {
+func (g *Gate) Admit(d Demand, s Supply) error {
 	if g.inFlight >= g.maxInFlight {
 		return errkind.Overloaded.New("this node has %d requests in progress, its limit", g.inFlight)
 	}
 	if err := g.checkSupply(d, s); err != nil {
 		return err
 	}
-	a := g.account(now, d.Workspace)
+	a := g.account(d.Workspace)
 	if limit := d.Workspace.MaxInFlight; limit > 0 && a.inFlight >= limit {
 		return errkind.RateLimited.New("workspace %s has %d requests in progress, its limit", d.Workspace.Name, a.inFlight)
 	}
 	if limit := d.Service.MaxInFlight; limit > 0 && g.services[d.Service.Name] >= limit {
 		return errkind.Overloaded.New("service %s has its limit of %d requests in progress", d.Service.Name, limit)
 	}
-	if rate := d.Workspace.Allowance.PerSecond; rate > 0 {
-		if a.tokens < 1 {
-			wait := time.Duration((1 - a.tokens) / rate * float64(time.Second))
-			return errkind.WithRetryAfter(errkind.RateLimited.New("workspace %s is over %.0f requests a second", d.Workspace.Name, rate), wait)
-		}
-		a.tokens--
-	}
 	g.inFlight++
 	a.inFlight++
 	g.services[d.Service.Name]++
@@ -113,14 +103,12 @@
 	return nil
 }
 
-func (g *Gate) account(now time.Time, w *workspace.Workspace) *account {
+func (g *Gate) account(w *workspace.Workspace) *account {
 	a := g.workspaces[w.Name]
 	if a == nil {
-		a = &account{tokens: w.Allowance.PerSecond, filled: now}
+		a = &account{}
 		g.workspaces[w.Name] = a
 	}
-	a.tokens = min(w.Allowance.PerSecond, a.tokens+now.Sub(a.filled).Seconds()*w.Allowance.PerSecond)
-	a.filled = now
 	return a
 }
 
--- a/internal/request/admit/admit_test.go
+++ b/internal/request/admit/admit_test.go
@@ -12,8 +12,6 @@
 	"github.com/marblepond/marblepond/internal/version/workspace"
 )
 
-var now = time.Unix(1000, 0)
-
 func TestRefusals(t *testing.T) {
 	enough := Supply{Usable: 2, Capacity: 8, ServiceSec: 1}
 	for _, c := range []struct {
@@ -29,7 +27,6 @@
 		{"service full", workspace.Workspace{}, fleet.Service{}, Supply{Usable: 2, Capacity: 8, InFlight: 10}, time.Minute, 0, errkind.Overloaded},
 		{"too late", workspace.Workspace{}, fleet.Service{}, Supply{Usable: 2, Capacity: 8, InFlight: 9, ServiceSec: 100}, time.Second, 0, errkind.DeadlineUnmeetable},
 		{"workspace in flight", workspace.Workspace{MaxInFlight: 1}, fleet.Service{}, enough, time.Minute, 1, errkind.RateLimited},
-		{"workspace rate", workspace.Workspace{Allowance: workspace.Allowance{PerSecond: 2, Burst: 2}}, fleet.Service{}, enough, time.Minute, 2, errkind.RateLimited},
 		{"service limit", workspace.Workspace{}, fleet.Service{MaxInFlight: 3}, enough, time.Minute, 3, errkind.Overloaded},
 		{"node limit", workspace.Workspace{}, fleet.Service{}, enough, time.Minute, 5, errkind.Overloaded},
 	} {
@@ -38,9 +35,9 @@
 			g := New(5)
 			d := Demand{&c.workspace, &c.service, c.remaining}
 			for range c.admitted {
-				is.NoErr(g.Admit(now, d, c.supply))
+				is.NoErr(g.Admit(d, c.supply))
 			}
-			err := g.Admit(now, d, c.supply)
+			err := g.Admit(d, c.supply)
 			is.True(errkind.Is(err, c.kind))
 			is.Equal(errkind.Of(err).NotRun, errkind.NotRunTrue)
 			is.True(errkind.Of(err).RetryAfter > 0) // says when to come back
@@ -58,21 +55,10 @@
 	is := is.New(t)
 	d := Demand{&workspace.Workspace{}, &fleet.Service{}, time.Minute}
 	for _, s := range []Supply{{}, {Usable: 2, Capacity: 8, InFlight: 10}} {
-		is.True(New(5).Admit(now, d, s) != nil)
+		is.True(New(5).Admit(d, s) != nil)
 		s.Remote = true
-		is.NoErr(New(5).Admit(now, d, s))
+		is.NoErr(New(5).Admit(d, s))
 		is.True(s.Away())
 	}
 	is.True(!Supply{Usable: 2, Capacity: 8, InFlight: 9, Remote: true}.Away())
 }
-
-func TestRateRefills(t *testing.T) {
-	is := is.New(t)
-	g := New(100)
-	d := Demand{&workspace.Workspace{Name: "w", Allowance: workspace.Allowance{PerSecond: 2, Burst: 2}}, &fleet.Service{}, time.Minute}
-	s := Supply{Usable: 1, Capacity: 50}
-	is.NoErr(g.Admit(now, d, s))
-	is.NoErr(g.Admit(now, d, s))
-	is.True(g.Admit(now, d, s) != nil)
-	is.NoErr(g.Admit(now.Add(500*time.Millisecond), d, s))
-}
--- a/internal/request/allowance/allowance_test.go
+++ b/internal/request/allowance/allowance_test.go
@@ -135,6 +135,21 @@
 	is.True(l.Lend(start, limit, natural, ask(2, 500)).Lent <= int(limit.Burst+tolerated.of(limit)))
 }
 
+// TestRateRefills: two at once and two a second, to the request, where nothing may be
+// exceeded.
+func TestRateRefills(t *testing.T) {
+	is := is.New(t)
+	two := workspace.Allowance{PerSecond: 2, Burst: 2}
+	l := NewLedger(start.Add(-time.Hour), Tolerance{Window: 5 * time.Second})
+	is.Equal(l.Lend(start, two, natural, ask(1, 1)).Lent, 1)
+	is.Equal(l.Lend(start, two, natural, ask(2, 1)).Lent, 1)
+	refusal := l.Lend(start, two, natural, ask(3, 1))
+	is.Equal(refusal.Lent, 0)
+	is.Equal(refusal.Wait, 500*time.Millisecond)
+	is.Equal(l.Lend(start.Add(499*time.Millisecond), two, natural, ask(4, 1)).Lent, 0)
+	is.Equal(l.Lend(start.Add(500*time.Millisecond), two, natural, ask(5, 1)).Lent, 1)
+}
+
 // TestPurse: tokens of a lot are taken one by one, lapse, and go back; after a refusal the
 // node refuses by itself for a while, and says when to come back.
 func TestPurse(t *testing.T) {
--- a/internal/request/serve/complete.go
+++ b/internal/request/serve/complete.go
@@ -53,7 +53,7 @@
 
 func (s *Server) completeOnce(w http.ResponseWriter, r *http.Request, c *session, e *execution, service *fleet.Service) error {
 	w.Header().Set(openai.HeaderRequestID, e.request.ID)
-	release, away, err := s.admit(c, service, e.request.Loaded, e.request.Deadline)
+	release, away, err := s.admit(r.Context(), c, service, e.request.Loaded, e.request.Deadline)
 	if err != nil {
 		return err
 	}
@@ -62,6 +62,7 @@
 		joined, err := s.reserve(r.Context(), e)
 		if err != nil || joined != nil {
 			release()
+			s.Allowances.Return(c.workspace) // the request that it joins has its own
 		}
 		if err != nil {
 			return err
--- a/internal/request/serve/plain.go
+++ b/internal/request/serve/plain.go
@@ -44,7 +44,7 @@
 	e.request.Header = passed(r.Header)
 	e.request.Work = run.WorkOf(&e.request)
 	w.Header().Set(openai.HeaderRequestID, e.request.ID)
-	release, _, err := s.admit(c, service, "", deadline)
+	release, _, err := s.admit(r.Context(), c, service, "", deadline)
 	if err != nil {
 		return err
 	}
@@ -53,6 +53,9 @@
 		return s.plainOnce(w, r, e)
 	}
 	joined, err := s.reserve(r.Context(), e)
+	if err != nil || joined != nil {
+		s.Allowances.Return(c.workspace) // the request that it joins has its own
+	}
 	if err != nil {
 		return err
 	}
--- a/internal/request/serve/serve.go
+++ b/internal/request/serve/serve.go
@@ -43,18 +43,28 @@
 
 // Parts are what a server works with.
 type Parts struct {
-	Config   func() *fleet.Config
-	Ready    func() error // nil when the node can serve
-	Members  func() *member.View
-	Targets  *targets.Manager
-	Runner   *run.Runner
-	Keeper   *homes.Keeper
-	Claims   *claim.Claims
-	Store    *batch.Store
-	Recorder *timeline.Recorder
-	Checker  *invariant.Checker
-	Metrics  tally.Scope
-	PeerKey  string
+	Config  func() *fleet.Config
+	Ready   func() error // nil when the node can serve
+	Members func() *member.View
+	Targets *targets.Manager
+	Runner  *run.Runner
+	// Allowances keeps workspaces to what they may ask for over all nodes.
+	Allowances Allowances
+	Keeper     *homes.Keeper
+	Claims     *claim.Claims
+	Store      *batch.Store
+	Recorder   *timeline.Recorder
+	Checker    *invariant.Checker
+	Metrics    tally.Scope
+	PeerKey    string
+}
+
+// Allowances keeps workspaces to what they may ask for over all nodes together.
+type Allowances interface {
+	// Take takes a token for a request; the error is of errkind. Return gives it back when
+	// the request did not run.
+	Take(ctx context.Context, w *workspace.Workspace) error
+	Return(w *workspace.Workspace)
 }
 
 // Server is the callers' API of a node.
@@ -175,8 +185,22 @@
 }
 
 // admit takes a request on; release ends it. away says that another data
-// centre is to be asked.
-func (s *Server) admit(c *session, service *fleet.Service, loaded string, deadline time.Time) (release func(), away bool, err error) {
+// centre is to be asked. A request that a node of another data centre sends counted there.
+func (s *Server) admit(ctx context.Context, c *session, service *fleet.Service, loaded string, deadline time.Time) (release func(), away bool, err error) {
+	if !c.forwarded {
+		if err := s.Allowances.Take(ctx, c.workspace); err != nil {
+			return nil, false, err
+		}
+	}
+	release, away, err = s.pass(c, service, loaded, deadline)
+	if err != nil && !c.forwarded {
+		s.Allowances.Return(c.workspace)
+	}
+	return release, away, err
+}
+
+// pass has the gate take a request on.
+func (s *Server) pass(c *session, service *fleet.Service, loaded string, deadline time.Time) (release func(), away bool, err error) {
 	now := time.Now()
 	usable, capacity, inFlight, waiting := s.Targets.Supply(service.Name, loaded)
 	s.mu.Lock()
@@ -184,7 +208,7 @@
 	demand := admit.Demand{Workspace: c.workspace, Service: service, Remaining: deadline.Sub(now)}
 	supply := admit.Supply{Usable: usable, Capacity: capacity, InFlight: inFlight, Waiting: waiting, ServiceSec: s.meanSec,
 		Remote: service.Kind == fleet.KindModel && !c.forwarded && s.Runner.RemoteReachable()}
-	if err := s.gate.Admit(now, demand, supply); err != nil {
+	if err := s.gate.Admit(demand, supply); err != nil {
 		return nil, false, err
 	}
 	return func() {
--- a/lab/model/quota/quota_test.go
+++ b/lab/model/quota/quota_test.go
@@ -73,3 +73,14 @@
 		})
 	}
 }
+
+// TestManyRequestsShareAnAsk: thousands of requests a second of one workspace at one node
+// wait for one ask at a time, which asks for all of them. When each ask was for one, they
+// waited up to 8.6 s (360 nodes, 3,700 a second at one).
+func TestManyRequestsShareAnAsk(t *testing.T) {
+	is := is.New(t)
+	s := Scenario{Nodes: 6, Centres: 3, Workspaces: 2, PerSecond: 800, Length: 5 * time.Second, OneNode: true, Hot: Span{time.Second, 3 * time.Second}, HotFactor: 7.5, Seed: 7}
+	f := Run(s, Lent)
+	t.Logf("%d requests, %v and %v added", f.Requests, f.P50, f.P99)
+	is.True(f.P99 <= 20*time.Millisecond)
+}
--- a/lab/model/quota/ways.go
+++ b/lab/model/quota/ways.go
@@ -170,6 +170,7 @@
 	started  int64
 	sequence uint64
 	pending  map[int]*asking
+	waiting  map[int]int           // requests that wait for a token
 	suspects map[int]time.Duration // until when an owner is passed over
 	lived    map[int]time.Duration // when an owner was last heard
 	doubted  map[int]time.Duration // when it was last asked whether one lives
@@ -210,7 +211,7 @@
 func (l *lent) Started(node int) {
 	n := &l.nodes[node]
 	*n = lentNode{ledger: allowance.NewLedger(l.w.clock(), tolerated), purse: allowance.NewPurse(), started: n.started + 1,
-		pending: map[int]*asking{}, suspects: map[int]time.Duration{}, lived: map[int]time.Duration{}, doubted: map[int]time.Duration{}}
+		pending: map[int]*asking{}, waiting: map[int]int{}, suspects: map[int]time.Duration{}, lived: map[int]time.Duration{}, doubted: map[int]time.Duration{}}
 }
 
 func workspaceName(ws int) string { return fmt.Sprint("w", ws) }
@@ -227,7 +228,11 @@
 func (l *lent) Take(node, ws int, decided func(bool)) {
 	n := &l.nodes[node]
 	n.purse.Arrived(l.w.clock(), workspaceName(ws))
-	l.tryTake(node, ws, decided)
+	n.waiting[ws]++
+	l.tryTake(node, ws, func(admitted bool) {
+		l.nodes[node].waiting[ws]--
+		decided(admitted)
+	})
 }
 
 func (l *lent) tryTake(node, ws int, decided func(bool)) {
@@ -253,7 +258,7 @@
 // ask sends an ask along its course.
 func (l *lent) ask(node, ws int, a *asking) {
 	n := &l.nodes[node]
-	ask := n.purse.Ask(l.w.clock(), workspaceName(ws), len(a.waiting))
+	ask := n.purse.Ask(l.w.clock(), workspaceName(ws), n.waiting[ws])
 	ask.Borrower, ask.Boot, ask.Sequence, ask.DataCentre = l.names[node], n.started, a.sequence, centreName(l.w.centre(node))
 	l.next(node, ws, a, ask, allowance.NewCourse(l.names[node], allowance.Owners(workspaceName(ws), l.heard(node))))
 }
