Count the tokens that wait by workspace, at one owner

Cause: what may wait on a batch route is a workspace's, over all nodes; it was counted for all callers together, from sums that each node told all others in every datagram, up to a second old, so that two submissions at once could both take the last room. Change: package backlog (pure): each workspace and route has an owner, found as that of an allowance. A node counts a job with itself first and asks the owner, which holds one of two at once against the other; holders tell the owner each 0.3 s what waits with them. A new owner learns for 0.45 s before it says that a job fits; in a cut the limit is shared by the number of nodes. Datagrams carry no such table any more. Cost: one call to another node for each job, and one each 0.3 s for each node and backlog of which items wait there. The test of the sums that nodes told is replaced by that of the same name in package backlog (newest word, silence, groups of holders) and three more. Tests: TestOneOfTwoTakesTheLastRoom, TestNewOwnerLearnsFirst, TestAcceptedNeverExceedsTheLimit, TestTokensThatWaitCountOverTheFleet.

--- a/internal/connection/beacon/beacon.go
+++ b/internal/connection/beacon/beacon.go
@@ -16,7 +16,6 @@
 //	                       of a node    of a group      of a data centre
 //	heard by               its group    other groups    a few nodes elsewhere
 //	in flight, demand      0.2 s        0.4 s           0.5 s
-//	tokens that wait       the same
 //	liveness               1 s          1 s, 2 s when   1 s, of the data centre
 //	                                    a whole group
 //	                                    falls silent
@@ -91,7 +90,6 @@
 // BatchWord is what is said of the batch work of a node, a group or a data centre.
 type BatchWord struct {
 	choose.Claim
-	Waiting map[string]int64 // tokens accepted and not finished, by batch route
 }
 
 // BatchWork is what is told and heard of batch work.
--- a/internal/connection/beacon/beacon_test.go
+++ b/internal/connection/beacon/beacon_test.go
@@ -114,7 +114,7 @@
 func (w *words) Own() BatchWord   { return BatchWord{Claim: choose.Claim{Demand: 1}} }
 func (w *words) Group() BatchWord { return BatchWord{Claim: choose.Claim{Demand: 1}} }
 func (w *words) Here() BatchWord {
-	return BatchWord{Claim: choose.Claim{Demand: 2, Overflow: 1}, Waiting: map[string]int64{"r": 7}}
+	return BatchWord{Claim: choose.Claim{Demand: 2, Overflow: 1}}
 }
 
 func (w *words) Announced() []string {
@@ -195,7 +195,7 @@
 	})
 	is.Equal(a1.said("a2")["t"], choose.InFlight{Online: 1, Batch: 3})
 	b.mu.Lock()
-	is.Equal(b.claims["a"], BatchWord{Claim: choose.Claim{Demand: 2, Overflow: 1}, Waiting: map[string]int64{"r": 7}})
+	is.Equal(b.claims["a"], BatchWord{Claim: choose.Claim{Demand: 2, Overflow: 1}})
 	b.mu.Unlock()
 	stop2()
 	eventually(t, func() bool { return a1.said("a2") == nil })
--- a/internal/connection/beacon/receive.go
+++ b/internal/connection/beacon/receive.go
@@ -76,7 +76,7 @@
 	for _, t := range m.Targets {
 		counts[t.Target] = choose.InFlight{Online: int(t.Online), Batch: int(t.Batch), Apart: int(t.Apart)}
 	}
-	batch := BatchWord{Claim: choose.Claim{Demand: int(m.Demand), Overflow: int(m.Overflow)}, Waiting: m.WaitingTokens}
+	batch := BatchWord{Claim: choose.Claim{Demand: int(m.Demand), Overflow: int(m.Overflow)}}
 	view := x.View()
 	group := view.groupOf(m.Node)
 	switch {
--- a/internal/connection/beacon/send.go
+++ b/internal/connection/beacon/send.go
@@ -88,7 +88,7 @@
 func (x *Exchange) compose(scope v1.Scope, inFlight map[string]choose.InFlight, batch BatchWord) *v1.Beacon {
 	x.sequence++
 	message := &v1.Beacon{Node: x.Node, Boot: x.Boot, Sequence: x.sequence, DataCentre: x.DataCentre, Scope: scope, Groups: uint32(x.View().groups),
-		Demand: uint32(batch.Demand), Overflow: uint32(batch.Overflow), WaitingTokens: batch.Waiting, Jobs: x.Batch.Announced(), Crashes: x.Crashes.Digest()}
+		Demand: uint32(batch.Demand), Overflow: uint32(batch.Overflow), Jobs: x.Batch.Announced(), Crashes: x.Crashes.Digest()}
 	if took, age := x.Store.Latency(); took > 0 {
 		message.StoreTookMs, message.StoreAgeMs = uint32(max(1, took.Milliseconds())), uint32(age.Milliseconds())
 	}
--- a/internal/process/hosted/allowances.go
+++ b/internal/process/hosted/allowances.go
@@ -72,6 +72,22 @@
 
 func (f lendingFleet) Natural(name string) lending.Lender { return f.n.lenders.Load().Natural(name) }
 func (f lendingFleet) Nodes() map[string]int              { return f.n.lenders.Load().Nodes() }
+
+// partHeard returns the part of the nodes whose data centre is heard.
+func (f lendingFleet) partHeard() float64 {
+	heard, all := 0, 0
+	for dc, n := range f.Nodes() {
+		all += n
+		if dc == f.n.settings.DataCentre || f.Heard(dc) {
+			heard += n
+		}
+	}
+	if all == 0 {
+		return 1
+	}
+	return float64(heard) / float64(all)
+}
+
 func (f lendingFleet) Heard(dataCentre string) bool {
 	return slices.Contains(f.n.beacon.HeardDataCentres(), dataCentre)
 }
--- /dev/null
+++ b/internal/process/hosted/backlogs.go
@@ -0,0 +1,183 @@
+package hosted
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	v1 "github.com/marblepond/marblepond/api/marblepond/v1"
+	"github.com/marblepond/marblepond/internal/connection/lending"
+	"github.com/marblepond/marblepond/internal/errkind"
+	"github.com/marblepond/marblepond/internal/process/wait"
+	"github.com/marblepond/marblepond/internal/request/backlog"
+)
+
+// backlogs keeps the tokens that wait over all nodes: it tells the owners of backlogs how
+// much waits here, asks them whether a job fits, and answers for those that this node
+// owns. It implements job.Backlogs.
+type backlogs struct {
+	node *Node
+
+	mu       sync.Mutex
+	ledger   *backlog.Ledger
+	sequence uint64
+	told     map[backlog.Key]bool // of which something waited here when it was last told
+}
+
+func newBacklogs(n *Node) *backlogs {
+	return &backlogs{node: n, ledger: backlog.New(n.clock.Now()), told: map[backlog.Key]bool{}}
+}
+
+const (
+	// reserveTimeout bounds one question to an owner, which takes some milliseconds.
+	reserveTimeout = 200 * time.Millisecond
+	// reserveTries is how often an owner is asked: one that is new to a backlog decides
+	// after half a second.
+	reserveTries = 4
+	// reservePause is the time between them.
+	reservePause = 150 * time.Millisecond
+)
+
+// Reserve has a job counted that this node's own backlog holds already. The error is of
+// errkind, and promises that the job does not run.
+func (b *backlogs) Reserve(ctx context.Context, key backlog.Key, limit int64) error {
+	failed := map[string]bool{} // owners that did not answer
+	for range reserveTries {
+		owner, answer, err := b.reserveOnce(ctx, key, limit, failed)
+		switch {
+		case err != nil:
+			failed[owner] = true
+			continue
+		case answer.Verdict == v1.ReserveResponse_FITS:
+			return nil
+		case answer.Verdict == v1.ReserveResponse_FULL:
+			return errkind.RateLimited.New("%d tokens would wait on route %s and %d may", answer.Waiting, key.Route, limit)
+		}
+		if !wait.For(ctx, reservePause) {
+			break
+		}
+	}
+	return errkind.PlatformUnavailable.New("how much waits on route %s is not known now", key.Route)
+}
+
+func (b *backlogs) reserveOnce(ctx context.Context, key backlog.Key, limit int64, failed map[string]bool) (owner string, answer *v1.ReserveResponse, err error) {
+	req := b.request(key, limit)
+	owners := lendingFleet{b.node}.Owners(ownerName(key), func(node string) bool { return failed[node] })
+	if len(owners) == 0 || owners[0].Node == b.node.settings.NodeID {
+		return b.node.settings.NodeID, b.decide(req), nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
+	defer cancel()
+	answer, err = b.node.peers.backlogs.at(b.addressOf(owners[0])).Reserve(ctx, req)
+	return owners[0].Node, answer, err
+}
+
+func ownerName(key backlog.Key) string { return "backlog " + key.Route + " " + key.Workspace }
+
+func (b *backlogs) addressOf(l lending.Lender) string { return b.node.registered()[l.Node].Address }
+
+// request says what waits here, in the order in which it changes.
+func (b *backlogs) request(key backlog.Key, limit int64) *v1.ReserveRequest {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.sequence++
+	b.told[key] = true
+	return &v1.ReserveRequest{Node: b.node.settings.NodeID, Boot: b.node.boot, Sequence: b.sequence, Limit: limit,
+		Word: &v1.BacklogWord{Route: key.Route, Workspace: key.Workspace, Tokens: b.node.jobs.WaitingTokens()[key]}}
+}
+
+// decide answers a question as the owner. While data centres are not heard the limit is
+// shared with them by the number of nodes.
+func (b *backlogs) decide(req *v1.ReserveRequest) *v1.ReserveResponse {
+	key, word := keyAndWord(req.Word, req.Node, req.Boot, req.Sequence)
+	fleet := lendingFleet{b.node}
+	limit := int64(float64(req.Limit) * fleet.partHeard())
+	natural := fleet.Natural(ownerName(key)).Node == b.node.settings.NodeID
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	verdict, waiting := b.ledger.Reserve(b.node.clock.Now(), key, word, limit, natural)
+	return &v1.ReserveResponse{Verdict: wireVerdicts[verdict], Waiting: waiting}
+}
+
+var wireVerdicts = map[backlog.Verdict]v1.ReserveResponse_Verdict{
+	backlog.Unsure: v1.ReserveResponse_UNSURE, backlog.Fits: v1.ReserveResponse_FITS, backlog.Full: v1.ReserveResponse_FULL,
+}
+
+func keyAndWord(w *v1.BacklogWord, node string, boot int64, sequence uint64) (backlog.Key, backlog.Word) {
+	return backlog.Key{Route: w.GetRoute(), Workspace: w.GetWorkspace()}, backlog.Word{Node: node, Boot: boot, Sequence: sequence, Tokens: w.GetTokens()}
+}
+
+// Run tells owners what waits here until ctx ends.
+func (b *backlogs) Run(ctx context.Context) {
+	every(ctx, backlog.TellInterval, func() { b.tell(ctx) })
+}
+
+func (b *backlogs) tell(ctx context.Context) {
+	requests := b.words()
+	var calls sync.WaitGroup
+	for address, req := range requests {
+		calls.Go(func() {
+			ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
+			defer cancel()
+			if _, err := b.node.peers.backlogs.at(address).Tell(ctx, req); err != nil {
+				b.node.metrics.Counter("backlog_words_lost").Inc(1) // the next word says the same
+			}
+		})
+	}
+	calls.Wait()
+}
+
+// words returns what waits here, by the address of the owner that is to be told. Of a
+// backlog of which nothing waits here any more that is said once.
+func (b *backlogs) words() map[string]*v1.TellRequest {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.node.clock.Now()
+	b.ledger.Forget(now)
+	waiting := b.node.jobs.WaitingTokens()
+	for key := range b.told {
+		waiting[key] += 0
+	}
+	clear(b.told)
+	if len(waiting) == 0 {
+		return nil
+	}
+	b.sequence++
+	self, fleet := b.node.settings.NodeID, lendingFleet{b.node}
+	requests := map[string]*v1.TellRequest{}
+	for key, tokens := range waiting {
+		if tokens > 0 {
+			b.told[key] = true
+		}
+		owners := fleet.Owners(ownerName(key), func(string) bool { return false })
+		if len(owners) == 0 || owners[0].Node == self {
+			b.ledger.Told(now, key, backlog.Word{Node: self, Boot: b.node.boot, Sequence: b.sequence, Tokens: tokens})
+			continue
+		}
+		address := b.addressOf(owners[0])
+		if requests[address] == nil {
+			requests[address] = &v1.TellRequest{Node: self, Boot: b.node.boot, Sequence: b.sequence}
+		}
+		requests[address].Words = append(requests[address].Words, &v1.BacklogWord{Route: key.Route, Workspace: key.Workspace, Tokens: tokens})
+	}
+	return requests
+}
+
+// backlogService serves the other nodes.
+type backlogService struct{ *backlogs }
+
+// Reserve implements the peers' service.
+func (s backlogService) Reserve(_ context.Context, req *v1.ReserveRequest) (*v1.ReserveResponse, error) {
+	return s.decide(req), nil
+}
+
+// Tell implements the peers' service.
+func (s backlogService) Tell(_ context.Context, req *v1.TellRequest) (*v1.TellResponse, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, w := range req.Words {
+		key, word := keyAndWord(w, req.Node, req.Boot, req.Sequence)
+		s.ledger.Told(s.node.clock.Now(), key, word)
+	}
+	return &v1.TellResponse{}, nil
+}
--- a/internal/process/hosted/batchwork.go
+++ b/internal/process/hosted/batchwork.go
@@ -2,7 +2,6 @@
 
 import (
 	"sync"
-	"time"
 
 	"github.com/marblepond/marblepond/internal/connection/beacon"
 	"github.com/marblepond/marblepond/internal/request/choose"
@@ -23,28 +22,7 @@
 }
 
 // batchWords are the newest words of others on their batch work.
-type batchWords map[string]heardWord
-
-type heardWord struct {
-	beacon.BatchWord
-	at time.Time
-}
-
-// waitingFor is how long the tokens count that a node said wait there. One that is
-// silent for longer has been taken over, and its successor says the same.
-const waitingFor = 30 * time.Second
-
-// addWaiting adds the tokens that others said wait with them.
-func (words batchWords) addWaiting(to map[string]int64) {
-	for _, word := range words {
-		if time.Since(word.at) > waitingFor {
-			continue
-		}
-		for route, tokens := range word.Waiting {
-			to[route] += tokens
-		}
-	}
-}
+type batchWords map[string]beacon.BatchWord
 
 func newBatchWork(n *Node) *batchWork {
 	return &batchWork{node: n, nodes: batchWords{}, groups: batchWords{}, centres: batchWords{}}
@@ -52,17 +30,17 @@
 
 // Own implements beacon.BatchWork.
 func (w *batchWork) Own() beacon.BatchWord {
-	return beacon.BatchWord{Claim: choose.Claim{Demand: w.node.jobs.Demand()}, Waiting: w.node.jobs.WaitingTokens()}
+	return beacon.BatchWord{Claim: choose.Claim{Demand: w.node.jobs.Demand()}}
 }
 
 // Group implements beacon.BatchWork.
 func (w *batchWork) Group() beacon.BatchWord {
-	return beacon.BatchWord{Claim: choose.Claim{Demand: total(w.claimsInGroup())}, Waiting: w.addWaiting(w.node.jobs.WaitingTokens(), w.nodes)}
+	return beacon.BatchWord{Claim: choose.Claim{Demand: total(w.claimsInGroup())}}
 }
 
 // Here implements beacon.BatchWork.
 func (w *batchWork) Here() beacon.BatchWord {
-	return beacon.BatchWord{Claim: w.claimHere(), Waiting: w.addWaiting(w.node.jobs.WaitingTokens(), w.nodes, w.groups)}
+	return beacon.BatchWord{Claim: w.claimHere()}
 }
 
 func (w *batchWork) claimHere() choose.Claim {
@@ -71,21 +49,6 @@
 	return choose.Claim{Demand: demand, Overflow: max(0, demand-room)}
 }
 
-// addWaiting adds the tokens that others said wait with them, and returns the sum.
-func (w *batchWork) addWaiting(tokens map[string]int64, others ...batchWords) map[string]int64 {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	for _, words := range others {
-		words.addWaiting(tokens)
-	}
-	return tokens
-}
-
-// waiting returns the tokens that wait on a batch route at all other nodes.
-func (w *batchWork) waiting(route string) int64 {
-	return w.addWaiting(map[string]int64{}, w.nodes, w.groups, w.centres)[route]
-}
-
 func total(demands map[string]int) int {
 	sum := 0
 	for _, demand := range demands {
@@ -123,7 +86,7 @@
 func (w *batchWork) hear(words batchWords, name string, b beacon.BatchWord) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	words[name] = heardWord{b, time.Now()}
+	words[name] = b
 }
 
 // HeardJobs implements beacon.BatchWork.
--- a/internal/process/hosted/hosted.go
+++ b/internal/process/hosted/hosted.go
@@ -89,6 +89,7 @@
 	checkpoints *checkpoint.Store // of jobs that other nodes hold
 	crashes     *crashes.Watch
 	lending     *lending.Exchange
+	backlogs    *backlogs
 
 	nodeList atomic.Pointer[follow.Refresher] // keeps the list of nodes
 	// listing is held while lists that the store holds are taken over. News may come
@@ -133,13 +134,14 @@
 		time.Now, func() bool { return n.cache.Doubtful(adapter.Kinds.Targets) }, n.targetChanged)
 	n.crashes = n.newCrashWatch()
 	n.lending = n.newLending()
+	n.backlogs = newBacklogs(n)
 	n.forwarder = &forward.Forwarder{Targets: n.pool, Sender: adapter.Sender, Quarantine: n.crashes, Log: &requestLog{n}, Checker: n.checker, Now: n.clock.Now}
 	n.jobs = job.NewManager(job.Config{
 		Self: job.Holder{Node: s.NodeID, Boot: n.boot, Address: s.PeerAdvertise}, MaxValue: s.StoreMaxValue,
 		KeepResults: s.KeepResults, Selectors: adapter.Selectors, TakeOverAfter: s.TakeOverAfter, SweepInterval: s.SweepInterval,
 		Holds: s.CallerListen != "", ResultMemory: s.ResultMemory, CheckpointInterval: s.CheckpointInterval,
 	}, job.Parts{Store: n.relay(), StoreTook: n.storeTook, Pool: n.pool, Quarantine: n.crashes, Sender: adapter.Sender, Routes: n.Table, RoutesFresh: n.TableFresh, Peers: n,
-		Waiting: n.batch.waiting, Ended: n.ended, Clock: n.clock, Shares: n.batch.shares, Recorder: n.recorder, Checker: n.checker, Metrics: n.metrics})
+		Backlogs: n.backlogs, Ended: n.ended, Clock: n.clock, Shares: n.batch.shares, Recorder: n.recorder, Checker: n.checker, Metrics: n.metrics})
 	n.checkpoints = checkpoint.NewStore(checkpoint.Limits{Bytes: s.CheckpointMemory, Keep: s.KeepResults}, n.clock.Now)
 	n.beacon = beacon.New(beacon.Options{Node: s.NodeID, DataCentre: s.DataCentre, Boot: n.boot, Loads: n.pool, Copies: n.cache, Batch: n.batch, Store: adapter.Health, Crashes: n.crashes, Suspended: n.clock.Suspended,
 		View: n.view.Load, Behind: n.behind, Silent: func(string) { n.jobs.LookForLostJobs() }})
--- a/internal/process/hosted/peers.go
+++ b/internal/process/hosted/peers.go
@@ -23,7 +23,8 @@
 	relay clients[marblepondv1connect.RelayServiceClient]
 	saves clients[marblepondv1connect.CheckpointServiceClient]
 	// crashes reaches what others know of crashed targets.
-	crashes clients[marblepondv1connect.QuarantineServiceClient]
+	crashes  clients[marblepondv1connect.QuarantineServiceClient]
+	backlogs clients[marblepondv1connect.BacklogServiceClient]
 }
 
 // clients keeps one client for each address.
@@ -68,7 +69,8 @@
 		relay: newClients(h, options, marblepondv1connect.NewRelayServiceClient),
 		saves: newClients(h, options, marblepondv1connect.NewCheckpointServiceClient),
 
-		crashes: newClients(h, options, marblepondv1connect.NewQuarantineServiceClient),
+		crashes:  newClients(h, options, marblepondv1connect.NewQuarantineServiceClient),
+		backlogs: newClients(h, options, marblepondv1connect.NewBacklogServiceClient),
 	}
 }
 
--- a/internal/process/hosted/run.go
+++ b/internal/process/hosted/run.go
@@ -99,6 +99,7 @@
 	mux.Handle(marblepondv1connect.NewRelayServiceHandler(&relay.Service{Own: n.adapter.Store, Reached: n.adapter.Health.Up, Kinds: job.Kinds}, peer.Require(n.settings.PeerKey)...))
 	mux.Handle(marblepondv1connect.NewCheckpointServiceHandler(checkpoint.Service{Store: n.checkpoints}, peer.Require(n.settings.PeerKey)...))
 	mux.Handle(marblepondv1connect.NewQuarantineServiceHandler(n.crashes, peer.Require(n.settings.PeerKey)...))
+	mux.Handle(marblepondv1connect.NewBacklogServiceHandler(backlogService{n.backlogs}, peer.Require(n.settings.PeerKey)...))
 	mux.Handle(marblepondv1connect.NewOperatorServiceHandler(operatorService{crashes: n.crashes}, peer.Require(n.settings.OperatorKey)...))
 	page := http.NewServeMux()
 	page.Handle("GET /metrics", metricsPage)
@@ -165,6 +166,7 @@
 	wg.Go(func() { n.crashes.Run(ctx) })
 	wg.Go(func() { n.recallVerdicts(ctx) })
 	wg.Go(func() { n.yield(ctx) })
+	wg.Go(func() { n.backlogs.Run(ctx) })
 	if l.lending != nil {
 		wg.Go(func() { n.lending.Run(ctx, l.lending) })
 	}
--- a/internal/request/job/demand.go
+++ b/internal/request/job/demand.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/marblepond/marblepond/internal/request/backlog"
 )
 
 // Demand returns how many items wait for a target or run here.
@@ -62,22 +64,22 @@
 	}
 }
 
-// WaitingTokens returns, by route, the tokens of items that this node holds
-// and that no target has finished.
-func (m *Manager) WaitingTokens() map[string]int64 {
+// WaitingTokens returns the tokens of items that this node holds and that no target has
+// finished, with those of submissions in progress.
+func (m *Manager) WaitingTokens() map[backlog.Key]int64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	out := map[string]int64{}
+	out := map[backlog.Key]int64{}
 	for _, h := range m.held {
 		if h.ended {
 			continue
 		}
 		if r := m.routeOf(&h.head); r != nil {
-			out[r.Name] += h.waitingTokens()
+			out[backlog.Key{Route: r.Name, Workspace: h.head.Workspace}] += h.waitingTokens()
 		}
 	}
-	for name, tokens := range m.reserved {
-		out[name] += tokens
+	for key, tokens := range m.reserved {
+		out[key] += tokens
 	}
 	return out
 }
--- a/internal/request/job/manager.go
+++ b/internal/request/job/manager.go
@@ -18,6 +18,7 @@
 	"github.com/marblepond/marblepond/internal/process/clock"
 	"github.com/marblepond/marblepond/internal/process/invariant"
 	"github.com/marblepond/marblepond/internal/process/timeline"
+	"github.com/marblepond/marblepond/internal/request/backlog"
 	"github.com/marblepond/marblepond/internal/request/choose"
 	"github.com/marblepond/marblepond/internal/request/fingerprint"
 	"github.com/marblepond/marblepond/internal/request/quarantine"
@@ -41,6 +42,13 @@
 	WhenGone(t choose.Target, ended func()) (stop func())
 }
 
+// Backlogs counts the tokens that wait over all nodes.
+type Backlogs interface {
+	// Reserve has a job counted that this node's WaitingTokens hold already. The error is of
+	// errkind, and promises that the job does not run.
+	Reserve(ctx context.Context, key backlog.Key, limit int64) error
+}
+
 // Quarantine knows the work under which targets crash.
 type Quarantine interface {
 	// Refuse returns the error that refuses such work, nil for all other work.
@@ -113,8 +121,7 @@
 	Routes func() *route.Table
 	// RoutesFresh reports whether the table is trusted to hold every route.
 	RoutesFresh func() bool
-	// Waiting returns the tokens that wait on a route at all other nodes.
-	Waiting func(route string) int64
+	Backlogs    Backlogs
 	// Ended reports whether the end of a job is known to this node.
 	Ended func(job string) bool
 	// Clock counts suspensions of the machine.
@@ -142,7 +149,7 @@
 
 	mu        sync.Mutex
 	held      map[string]*held
-	reserved  map[string]int64 // by route: tokens of submissions in progress
+	reserved  map[backlog.Key]int64 // tokens of submissions in progress
 	draining  bool
 	absent    map[string]time.Time // holders: since when they do not answer
 	orphans   map[string]time.Time // jobs that nobody holds: since when this node knows
@@ -180,7 +187,7 @@
 // NewManager returns a manager; Run starts it.
 func NewManager(cfg Config, parts Parts) *Manager {
 	return &Manager{cfg: cfg, Parts: parts, results: newResultCache(cfg.ResultMemory), wakeUp: make(chan struct{}, 1), sweepSoon: make(chan struct{}, 1), stopped: make(chan struct{}),
-		held: map[string]*held{}, reserved: map[string]int64{}, absent: map[string]time.Time{}, orphans: map[string]time.Time{}, heads: map[string]knownHead{},
+		held: map[string]*held{}, reserved: map[backlog.Key]int64{}, absent: map[string]time.Time{}, orphans: map[string]time.Time{}, heads: map[string]knownHead{},
 		ends: map[string]time.Time{}, forget: map[string][]string{}, keepers: map[string]keeperState{}}
 }
 
--- a/internal/request/job/manager_test.go
+++ b/internal/request/job/manager_test.go
@@ -19,6 +19,7 @@
 	"github.com/marblepond/marblepond/internal/process/clock"
 	"github.com/marblepond/marblepond/internal/process/invariant"
 	"github.com/marblepond/marblepond/internal/process/timeline"
+	"github.com/marblepond/marblepond/internal/request/backlog"
 	"github.com/marblepond/marblepond/internal/request/choose"
 	"github.com/marblepond/marblepond/internal/request/fingerprint"
 	"github.com/marblepond/marblepond/internal/request/quarantine"
@@ -132,7 +133,7 @@
 	table := route.NewTable(1, []route.Route{{Name: "r", Host: "h", Prefix: "/j/", Kind: route.Batch, Attempts: 3, CompleteWithin: time.Minute, AbandonAfter: time.Hour}}, route.Limits{})
 	return NewManager(Config{Self: Holder{Node: node, Boot: 1, Address: node}, Holds: true, MaxValue: 1 << 20, KeepResults: time.Hour, ResultMemory: 1 << 20},
 		Parts{Store: store, StoreTook: func() time.Duration { return time.Millisecond }, Pool: noPool{}, Quarantine: noQuarantine{}, Peers: noPeers{}, Routes: func() *route.Table { return table }, RoutesFresh: func() bool { return true },
-			Waiting: func(string) int64 { return 0 }, Ended: func(string) bool { return false }, Clock: clock.New(),
+			Backlogs: roomForAll{}, Ended: func(string) bool { return false }, Clock: clock.New(),
 			Shares:   func() func(choose.Target) int { return func(choose.Target) int { return 0 } },
 			Recorder: recorder, Checker: invariant.New(recorder, false), Metrics: tally.NoopScope})
 }
@@ -240,3 +241,8 @@
 	}
 	t.Fatal("it still works on the job a second after it woke")
 }
+
+// roomForAll has room for every job.
+type roomForAll struct{}
+
+func (roomForAll) Reserve(context.Context, backlog.Key, int64) error { return nil }
--- a/internal/request/job/submit.go
+++ b/internal/request/job/submit.go
@@ -10,6 +10,7 @@
 	"github.com/marblepond/marblepond/internal/connection/objects"
 	"github.com/marblepond/marblepond/internal/errkind"
 	"github.com/marblepond/marblepond/internal/process/timeline"
+	"github.com/marblepond/marblepond/internal/request/backlog"
 )
 
 // answerMargin is kept between the last try of a write and the deadline of the
@@ -103,27 +104,37 @@
 	return m.heads[id].whole || m.held[id] != nil
 }
 
-// reserve counts the job's tokens against the cap of its route, so that two
-// submissions at once do not both take the last room.
+// reserve counts the job's tokens against what may wait of its workspace on the route,
+// over all nodes. They count here before the owner of the backlog is asked, so that of two
+// submissions at once one is held against the other.
 func (m *Manager) reserve(ctx context.Context, s *Submission) (release func(), err error) {
-	tokens := s.Tokens()
-	waiting := m.WaitingTokens()[s.Route.Name] + m.Waiting(s.Route.Name)
-	if limit := s.Route.TokenCap; limit > 0 && waiting+tokens > limit {
-		if _, _, err := m.getHead(ctx, callbudget.Commit, s.ID); err == nil {
-			return func() {}, nil // accepted before; what follows finds the head
-		} else if !errors.Is(err, objects.ErrNotFound) {
-			return nil, errkind.PlatformUnavailable.New("the job does not fit now, and whether it was accepted before is not known")
-		}
-		return nil, errkind.RateLimited.New("%d tokens wait on route %s and %d may; the job has %d", waiting, s.Route.Name, limit, tokens)
+	key := backlog.Key{Route: s.Route.Name, Workspace: s.Workspace}
+	m.addReserved(key, s.Tokens())
+	release = func() { m.addReserved(key, -s.Tokens()) }
+	if s.Route.TokenCap <= 0 {
+		return release, nil
 	}
+	if err = m.Backlogs.Reserve(ctx, key, s.Route.TokenCap); err == nil {
+		return release, nil
+	}
+	release()
+	switch _, _, lookUp := m.getHead(ctx, callbudget.Commit, s.ID); {
+	case lookUp == nil:
+		return func() {}, nil // accepted before; what follows finds the head
+	case !errors.Is(lookUp, objects.ErrNotFound):
+		return nil, errkind.PlatformUnavailable.New("the job does not fit now, and whether it was accepted before is not known")
+	}
+	return nil, err
+}
+
+// addReserved counts tokens of submissions in progress.
+func (m *Manager) addReserved(key backlog.Key, tokens int64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.reserved[s.Route.Name] += tokens
-	return func() {
-		m.mu.Lock()
-		defer m.mu.Unlock()
-		m.reserved[s.Route.Name] -= tokens
-	}, nil
+	m.reserved[key] += tokens
+	if m.reserved[key] == 0 {
+		delete(m.reserved, key)
+	}
 }
 
 // writeItems stores the items and returns the number of parts. It gives up
--- a/lab/hosted/workspaces_test.go
+++ b/lab/hosted/workspaces_test.go
@@ -323,3 +323,41 @@
 	f.Runners[0].Behave(func(string, int) Behaviour { return Serve })
 	is.Equal(AskAs(f.Nodes[0].Caller(), StreamPath, "served", "k").Status, http.StatusOK)
 }
+
+// TestTokensThatWaitCountOverTheFleet: two jobs that come at two nodes at once don't both
+// take the last room; another workspace has room of its own; a job that was accepted gets
+// its 202 again while there is none; what its caller ends makes room at once.
+func TestTokensThatWaitCountOverTheFleet(t *testing.T) {
+	is := is.New(t)
+	f := startWith(t, Options{Nodes: 4, Runners: 1, Slots: 1, Gap: 100 * time.Millisecond, Extra: quickJobs}, func(config map[string]any) {
+		twoWorkspaces(config)
+		config["routes"].([]any)[3].(map[string]any)["cap"] = 1000
+	})
+	time.Sleep(time.Second) // every node has run long enough to know what waits
+	for round := range 5 {
+		job := func(n int) string { return fmt.Sprint("r", round, "-", n) }
+		replies := make([]Reply, 4)
+		var wg sync.WaitGroup
+		for n := range replies {
+			wg.Go(func() { replies[n] = SubmitAs(f.Nodes[n].Caller(), job(n), "k-one", Items(job(n), 6)) })
+		}
+		wg.Wait()
+		var accepted []int
+		for n, reply := range replies {
+			if reply.Status == http.StatusAccepted {
+				accepted = append(accepted, n)
+				continue
+			}
+			is.Equal(reply.Status, http.StatusTooManyRequests)
+			is.True(reply.Header.Get("Retry-After") != "")
+		}
+		is.Equal(len(accepted), 1)
+		first := accepted[0]
+		is.Equal(SubmitAs(f.Nodes[(first+1)%4].Caller(), job(first), "k-two", Items(job(first), 6)).Status, http.StatusAccepted)
+		is.Equal(SubmitAs(f.Nodes[(first+1)%4].Caller(), job(9), "s-one", Items(job(9), 6)).Status, http.StatusAccepted)
+		for _, end := range []struct{ job, key string }{{job(first), "k-two"}, {job(9), "s-one"}} {
+			is.Equal(Call(context.Background(), http.MethodDelete, f.Nodes[0].Caller(), "/v1/lots/"+end.job, "", As(end.key), nil).Status, http.StatusOK)
+		}
+		time.Sleep(time.Second) // the end is known everywhere
+	}
+}
