Share batch room among workspaces by start-time fair queueing

Cause: a node sent its items earliest due first, so that a workspace with many jobs kept one with a few waiting behind its whole backlog. Change: among workspaces by fair queueing, within one by due time. With one workspace, or none, the order is what it was. Open: the order is each node's own; between nodes room is dealt by the number of items.

--- a/internal/request/job/run.go
+++ b/internal/request/job/run.go
@@ -114,7 +114,7 @@
 	for _, item := range m.waitingItems(now) {
 		h := m.held[item.Job]
 		if r := m.routeOf(&h.head); r != nil && !m.draining {
-			m.place(ctx, h, item.Index, now, r, limit, full)
+			m.place(ctx, h, item, now, r, limit, full)
 		}
 	}
 }
@@ -130,11 +130,11 @@
 		due := dueAt(&h.head, m.routeOf(&h.head))
 		for i := range h.progress.items {
 			if h.progress.mayBeSent(i, now) && !m.refused(h, i) {
-				items = append(items, schedule.Item{Job: h.id, Index: i, Due: due})
+				items = append(items, schedule.Item{Workspace: h.head.Workspace, Job: h.id, Index: i, Tokens: h.items[i].Tokens, Due: due})
 			}
 		}
 	}
-	schedule.Sort(items)
+	m.fair.Order(items)
 	return items
 }
 
@@ -152,7 +152,8 @@
 }
 
 // place sends one item if there is room. The caller holds m.mu.
-func (m *Manager) place(ctx context.Context, h *held, i int, now time.Time, r *route.Route, limit func(choose.Target) int, full map[string]bool) {
+func (m *Manager) place(ctx context.Context, h *held, item schedule.Item, now time.Time, r *route.Route, limit func(choose.Target) int, full map[string]bool) {
+	i := item.Index
 	service := r.Service(rand.Float64())
 	if full[service] {
 		return
@@ -162,6 +163,7 @@
 		full[service] = true
 		return
 	}
+	m.fair.Sent(item)
 	h.progress.sent(i, t, now)
 	attempt, cancel := context.WithCancelCause(ctx)
 	h.stops[i] = func(cause error) bool {
--- a/internal/request/schedule/schedule.go
+++ b/internal/request/schedule/schedule.go
@@ -1,7 +1,7 @@
 // Package schedule decides which batch items get room first and which give it
 // up. It is pure: the items' state comes from outside.
 //
-// Items go earliest due first. Putting those last that can no longer be in time
+// Items go earliest due first, and among workspaces by Fair. Putting those last that can no longer be in time
 // was measured and gains nothing: how long an item will still wait for online
 // requests cannot be told well enough, and items that would have been in time
 // are put last as often.
@@ -15,10 +15,12 @@
 
 // Item is one item that waits or runs.
 type Item struct {
-	Job   string
-	Index int // in its job
-	Due   time.Time
-	Sent  time.Time // when it was last sent to a target
+	Workspace string // whose it is; empty: nobody's in particular
+	Job       string
+	Index     int // in its job
+	Tokens    int64
+	Due       time.Time
+	Sent      time.Time // when it was last sent to a target
 }
 
 // Sort orders waiting items by who gets room first: earliest due first, then in
--- a/internal/request/schedule/schedule_test.go
+++ b/internal/request/schedule/schedule_test.go
@@ -10,7 +10,7 @@
 func TestEarliestDueFirst(t *testing.T) {
 	is := is.New(t)
 	at := func(s int) time.Time { return time.Unix(int64(s), 0) }
-	items := []Item{{"b", 0, at(20), at(3)}, {"a", 1, at(10), at(1)}, {"a", 0, at(10), at(2)}, {"c", 0, at(20), at(4)}}
+	items := []Item{{Job: "b", Due: at(20), Sent: at(3)}, {Job: "a", Index: 1, Due: at(10), Sent: at(1)}, {Job: "a", Due: at(10), Sent: at(2)}, {Job: "c", Due: at(20), Sent: at(4)}}
 	Sort(items)
 	order := ""
 	for _, i := range items {
--- a/lab/hosted/workspaces_test.go
+++ b/lab/hosted/workspaces_test.go
@@ -361,3 +361,26 @@
 		time.Sleep(time.Second) // the end is known everywhere
 	}
 }
+
+// TestOneWorkspacesJobsDontHoldUpAnother: a workspace whose 12 jobs fill a node's share of
+// the targets for long leaves another one's job its turn, though that one comes last.
+func TestOneWorkspacesJobsDontHoldUpAnother(t *testing.T) {
+	is := is.New(t)
+	f := startWith(t, Options{Nodes: 1, Runners: 1, Slots: 4, Events: 10, Gap: 10 * time.Millisecond, Extra: quickJobs}, twoWorkspaces)
+	at := f.Nodes[0].Caller()
+	for n := range 12 {
+		is.Equal(SubmitAs(at, fmt.Sprint("many-", n), "k-one", Items(fmt.Sprint("many-", n), 10)).Status, http.StatusAccepted)
+	}
+	is.Equal(SubmitAs(at, "few", "s-one", Items("few", 6)).Status, http.StatusAccepted)
+	results, err := ReadAllAs([]string{at}, "few", "s-one", 10*time.Second)
+	is.NoErr(err)
+	is.Equal(len(results), 6)
+	ran := 0
+	for _, s := range f.Runners[0].Starts() {
+		if strings.HasPrefix(s.RequestID, "many-") {
+			ran++
+		}
+	}
+	t.Logf("%d of 120 items of the other workspace began", ran)
+	is.True(ran < 60)
+}
