Show operators each workspace's use of its allowance and who lends it

marblepond workspaces asks any node, and the lenders that it names, at both interfaces: allowance, requests taken and refused a second, what could be taken at once, the lender, and why and when the last request was refused. Test: TestOperatorsSeeAllowances (three nodes, one of which lends).

--- a/api/marblepond/v1/marblepondv1connect/operator.connect.go
+++ b/api/marblepond/v1/marblepondv1connect/operator.connect.go
@@ -50,6 +50,9 @@
 	// OperatorServiceReleaseWorkProcedure is the fully-qualified name of the OperatorService's
 	// ReleaseWork RPC.
 	OperatorServiceReleaseWorkProcedure = "/marblepond.v1.OperatorService/ReleaseWork"
+	// OperatorServiceWorkspacesProcedure is the fully-qualified name of the OperatorService's
+	// Workspaces RPC.
+	OperatorServiceWorkspacesProcedure = "/marblepond.v1.OperatorService/Workspaces"
 	// OperatorServiceSubmitBatchProcedure is the fully-qualified name of the OperatorService's
 	// SubmitBatch RPC.
 	OperatorServiceSubmitBatchProcedure = "/marblepond.v1.OperatorService/SubmitBatch"
@@ -80,6 +83,9 @@
 	Quarantine(context.Context, *v1.QuarantineRequest) (*v1.QuarantineResponse, error)
 	// ReleaseWork lets refused work go: it may run again at every node.
 	ReleaseWork(context.Context, *v1.ReleaseWorkRequest) (*v1.ReleaseWorkResponse, error)
+	// Workspaces lists the workspaces with the use of their allowances, as far as the
+	// node lends them, and who lends the others.
+	Workspaces(context.Context, *v1.WorkspacesRequest) (*v1.WorkspacesResponse, error)
 	// SubmitBatch stores a JSONL file and creates a job from it.
 	SubmitBatch(context.Context, *v1.SubmitBatchRequest) (*v1.BatchResponse, error)
 	// ShowBatch returns the state of a job.
@@ -143,6 +149,12 @@
 			connect.WithSchema(operatorServiceMethods.ByName("ReleaseWork")),
 			connect.WithClientOptions(opts...),
 		),
+		workspaces: connect.NewClient[v1.WorkspacesRequest, v1.WorkspacesResponse](
+			httpClient,
+			baseURL+OperatorServiceWorkspacesProcedure,
+			connect.WithSchema(operatorServiceMethods.ByName("Workspaces")),
+			connect.WithClientOptions(opts...),
+		),
 		submitBatch: connect.NewClient[v1.SubmitBatchRequest, v1.BatchResponse](
 			httpClient,
 			baseURL+OperatorServiceSubmitBatchProcedure,
@@ -179,6 +191,7 @@
 	timeline     *connect.Client[v1.TimelineRequest, v1.TimelineResponse]
 	quarantine   *connect.Client[v1.QuarantineRequest, v1.QuarantineResponse]
 	releaseWork  *connect.Client[v1.ReleaseWorkRequest, v1.ReleaseWorkResponse]
+	workspaces   *connect.Client[v1.WorkspacesRequest, v1.WorkspacesResponse]
 	submitBatch  *connect.Client[v1.SubmitBatchRequest, v1.BatchResponse]
 	showBatch    *connect.Client[v1.BatchRequest, v1.BatchResponse]
 	cancelBatch  *connect.Client[v1.BatchRequest, v1.BatchResponse]
@@ -248,6 +261,15 @@
 	return nil, err
 }
 
+// Workspaces calls marblepond.v1.OperatorService.Workspaces.
+func (c *operatorServiceClient) Workspaces(ctx context.Context, req *v1.WorkspacesRequest) (*v1.WorkspacesResponse, error) {
+	response, err := c.workspaces.CallUnary(ctx, connect.NewRequest(req))
+	if response != nil {
+		return response.Msg, err
+	}
+	return nil, err
+}
+
 // SubmitBatch calls marblepond.v1.OperatorService.SubmitBatch.
 func (c *operatorServiceClient) SubmitBatch(ctx context.Context, req *v1.SubmitBatchRequest) (*v1.BatchResponse, error) {
 	response, err := c.submitBatch.CallUnary(ctx, connect.NewRequest(req))
@@ -300,6 +322,9 @@
 	Quarantine(context.Context, *v1.QuarantineRequest) (*v1.QuarantineResponse, error)
 	// ReleaseWork lets refused work go: it may run again at every node.
 	ReleaseWork(context.Context, *v1.ReleaseWorkRequest) (*v1.ReleaseWorkResponse, error)
+	// Workspaces lists the workspaces with the use of their allowances, as far as the
+	// node lends them, and who lends the others.
+	Workspaces(context.Context, *v1.WorkspacesRequest) (*v1.WorkspacesResponse, error)
 	// SubmitBatch stores a JSONL file and creates a job from it.
 	SubmitBatch(context.Context, *v1.SubmitBatchRequest) (*v1.BatchResponse, error)
 	// ShowBatch returns the state of a job.
@@ -359,6 +384,12 @@
 		connect.WithSchema(operatorServiceMethods.ByName("ReleaseWork")),
 		connect.WithHandlerOptions(opts...),
 	)
+	operatorServiceWorkspacesHandler := connect.NewUnaryHandlerSimple(
+		OperatorServiceWorkspacesProcedure,
+		svc.Workspaces,
+		connect.WithSchema(operatorServiceMethods.ByName("Workspaces")),
+		connect.WithHandlerOptions(opts...),
+	)
 	operatorServiceSubmitBatchHandler := connect.NewUnaryHandlerSimple(
 		OperatorServiceSubmitBatchProcedure,
 		svc.SubmitBatch,
@@ -399,6 +430,8 @@
 			operatorServiceQuarantineHandler.ServeHTTP(w, r)
 		case OperatorServiceReleaseWorkProcedure:
 			operatorServiceReleaseWorkHandler.ServeHTTP(w, r)
+		case OperatorServiceWorkspacesProcedure:
+			operatorServiceWorkspacesHandler.ServeHTTP(w, r)
 		case OperatorServiceSubmitBatchProcedure:
 			operatorServiceSubmitBatchHandler.ServeHTTP(w, r)
 		case OperatorServiceShowBatchProcedure:
@@ -444,6 +477,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("marblepond.v1.OperatorService.ReleaseWork is not implemented"))
 }
 
+func (UnimplementedOperatorServiceHandler) Workspaces(context.Context, *v1.WorkspacesRequest) (*v1.WorkspacesResponse, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("marblepond.v1.OperatorService.Workspaces is not implemented"))
+}
+
 func (UnimplementedOperatorServiceHandler) SubmitBatch(context.Context, *v1.SubmitBatchRequest) (*v1.BatchResponse, error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("marblepond.v1.OperatorService.SubmitBatch is not implemented"))
 }
--- a/cmd/marblepond/operators.go
+++ b/cmd/marblepond/operators.go
@@ -49,6 +49,7 @@
 		operator("apply", "confirm a plan", []cli.Flag{file, base}, apply),
 		operator("status", "show nodes, data centres and the configuration in force", nil, status),
 		operator("targets", "show the targets of the node's data centre", nil, targets),
+		operator("workspaces", "show each workspace's use of its allowance, who lends it and why it was last refused", nil, workspaces),
 		operator("quarantine", "show the requests that are refused because targets crash under them", nil, quarantine),
 		operator("release", "let a refused request run again, at every node", []cli.Flag{work}, release),
 		operator("timeline", "show what the fleet decided, in order of time", []cli.Flag{request, limit}, showTimeline),
--- /dev/null
+++ b/cmd/marblepond/workspaces.go
@@ -0,0 +1,73 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	v1 "github.com/marblepond/marblepond/api/marblepond/v1"
+	"github.com/marblepond/marblepond/api/marblepond/v1/marblepondv1connect"
+	"github.com/marblepond/marblepond/internal/connection/peer"
+)
+
+// workspaces asks a node for the workspaces, and each node that lends some of them for
+// their use.
+func workspaces(ctx context.Context, c *cli.Command, client marblepondv1connect.OperatorServiceClient) error {
+	resp, err := client.Workspaces(ctx, &v1.WorkspacesRequest{})
+	if err != nil {
+		return err
+	}
+	lenders := askLenders(ctx, c.String("key"), resp.Uses)
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "WORKSPACE\tPER SECOND\tBURST\tTAKEN/S\tREFUSED/S\tAVAILABLE\tLENDER\tLAST REFUSAL")
+	for _, use := range resp.Uses {
+		if said := lenders[use.LenderAddress][use.Workspace]; said != nil && !use.LentHere {
+			use = said
+		}
+		fmt.Fprintln(w, useLine(use))
+	}
+	return w.Flush()
+}
+
+// askLenders returns what lenders say, by their address and the workspace. One that does
+// not answer is named, and its lines stay without figures.
+func askLenders(ctx context.Context, key string, uses []*v1.WorkspaceUse) map[string]map[string]*v1.WorkspaceUse {
+	said := map[string]map[string]*v1.WorkspaceUse{}
+	for _, use := range uses {
+		if use.LenderAddress == "" || said[use.LenderAddress] != nil {
+			continue
+		}
+		said[use.LenderAddress] = map[string]*v1.WorkspaceUse{}
+		resp, err := peer.NewOperatorClient(http.DefaultClient, use.LenderAddress, key).Workspaces(ctx, &v1.WorkspacesRequest{})
+		if err != nil {
+			fmt.Fprintf(os.Stderr, "%s does not answer: %v\n", use.Lender, err)
+			continue
+		}
+		for _, own := range resp.Uses {
+			if own.LentHere {
+				said[use.LenderAddress][own.Workspace] = own
+			}
+		}
+	}
+	return said
+}
+
+func useLine(use *v1.WorkspaceUse) string {
+	if use.PerSecond == 0 {
+		return use.Workspace + "\tno limit"
+	}
+	limit := fmt.Sprintf("%s\t%g\t%g", use.Workspace, use.PerSecond, use.Burst)
+	if !use.LentHere {
+		return fmt.Sprintf("%s\t?\t?\t?\t%s\t", limit, use.Lender)
+	}
+	refusal := "none"
+	if use.RefusedAgoMs >= 0 {
+		refusal = fmt.Sprintf("%v ago: %s", (time.Duration(use.RefusedAgoMs) * time.Millisecond).Round(100*time.Millisecond), use.Refusal)
+	}
+	return fmt.Sprintf("%s\t%.1f\t%.1f\t%.0f\t%s\t%s", limit, use.Taken, use.Refused, use.Available, use.Lender, refusal)
+}
--- a/internal/connection/lending/lending.go
+++ b/internal/connection/lending/lending.go
@@ -262,10 +262,3 @@
 
 // suspected reports whether a node did not answer of late. The caller holds x.mu.
 func (x *Exchange) suspected(node string) bool { return x.Now().Before(x.suspects[node]) }
-
-// Uses returns what this node lends now.
-func (x *Exchange) Uses() []allowance.Use {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	return x.ledger.Uses(x.Now())
-}
--- a/internal/process/hosted/crashes.go
+++ b/internal/process/hosted/crashes.go
@@ -11,6 +11,7 @@
 	"github.com/marblepond/marblepond/internal/connection/callbudget"
 	"github.com/marblepond/marblepond/internal/connection/dial"
 	"github.com/marblepond/marblepond/internal/connection/objects"
+	"github.com/marblepond/marblepond/internal/errkind"
 	"github.com/marblepond/marblepond/internal/process/crashes"
 	"github.com/marblepond/marblepond/internal/process/timeline"
 	"github.com/marblepond/marblepond/internal/process/wait"
@@ -144,9 +145,19 @@
 // operators do they do at the platform.
 type operatorService struct {
 	marblepondv1connect.UnimplementedOperatorServiceHandler
+	node    *Node
 	crashes *crashes.Watch
 }
 
+// Workspaces lists the workspaces with the use of their allowances.
+func (o operatorService) Workspaces(context.Context, *v1.WorkspacesRequest) (*v1.WorkspacesResponse, error) {
+	table := o.node.Table()
+	if table == nil {
+		return nil, errkind.Connect(errkind.PlatformUnavailable.New("no configuration is known yet"))
+	}
+	return o.node.lending.Report(table.Workspaces, func(node string) string { return o.node.registered()[node].Address }), nil
+}
+
 // Quarantine lists the work that is refused.
 func (o operatorService) Quarantine(ctx context.Context, req *v1.QuarantineRequest) (*v1.QuarantineResponse, error) {
 	return o.crashes.Quarantine(ctx, req)
--- a/internal/process/hosted/run.go
+++ b/internal/process/hosted/run.go
@@ -100,7 +100,7 @@
 	mux.Handle(marblepondv1connect.NewCheckpointServiceHandler(checkpoint.Service{Store: n.checkpoints}, peer.Require(n.settings.PeerKey)...))
 	mux.Handle(marblepondv1connect.NewQuarantineServiceHandler(n.crashes, peer.Require(n.settings.PeerKey)...))
 	mux.Handle(marblepondv1connect.NewBacklogServiceHandler(backlogService{n.backlogs}, peer.Require(n.settings.PeerKey)...))
-	mux.Handle(marblepondv1connect.NewOperatorServiceHandler(operatorService{crashes: n.crashes}, peer.Require(n.settings.OperatorKey)...))
+	mux.Handle(marblepondv1connect.NewOperatorServiceHandler(operatorService{node: n, crashes: n.crashes}, peer.Require(n.settings.OperatorKey)...))
 	page := http.NewServeMux()
 	page.Handle("GET /metrics", metricsPage)
 	n.pageHTTP = &http.Server{Handler: page, ReadHeaderTimeout: headerTimeout}
--- a/internal/process/node/operators.go
+++ b/internal/process/node/operators.go
@@ -39,6 +39,12 @@
 	return resp
 }
 
+// Workspaces implements OperatorService.
+func (o *operatorService) Workspaces(context.Context, *v1.WorkspacesRequest) (*v1.WorkspacesResponse, error) {
+	view := o.node.membership.View()
+	return o.node.lending.Report(o.node.config.Current().Workspaces, func(node string) string { return peerAddress(view, node) }), nil
+}
+
 // Quarantine implements OperatorService.
 func (o *operatorService) Quarantine(ctx context.Context, req *v1.QuarantineRequest) (*v1.QuarantineResponse, error) {
 	return o.node.crashes.Quarantine(ctx, req)
--- a/internal/request/allowance/ledger.go
+++ b/internal/request/allowance/ledger.go
@@ -132,6 +132,30 @@
 	// oneSided: some data centre is not heard, so that what is seen of demand says nothing of
 	// how it is spread.
 	oneSided bool
+	// refusedAt is when tokens were last refused, and why.
+	refusedAt time.Time
+	why       Cause
+}
+
+// Cause says why tokens were refused.
+type Cause string
+
+// The causes.
+const (
+	UsedUp      Cause = "the allowance is used up"
+	CutOff      Cause = "data centres are not heard, and their part is left to them"
+	NotTheOwner Cause = "the owner lives, and only a small part is lent in its place"
+)
+
+// cause returns why an owner with these surroundings has no more to lend.
+func cause(around Surroundings) Cause {
+	switch {
+	case around.Substitute:
+		return NotTheOwner
+	case around.Alone, around.silent():
+		return CutOff
+	}
+	return UsedUp
 }
 
 // answer is the grant of a borrower's last ask, for the ask that comes again because the
@@ -159,6 +183,9 @@
 	a.level += float64(max(0, ask.Back))
 	a.level = min(a.level, l.capacity(limit, around, a.portion))
 	grant := a.lend(now, ask, limit)
+	if grant.Lent < ask.Need {
+		a.refusedAt, a.why = now, cause(around)
+	}
 	if around.Natural && !a.oneSided { // a substitute may see one side of a cut before it shows
 		grant.Share = a.shareOf(now, ask.DataCentre, around.partOfNodes(ask.DataCentre))
 	}
@@ -331,6 +358,9 @@
 	Level     float64 // tokens that could be lent
 	Lent      float64 // requests a second, mean of some seconds
 	Refused   float64 // requests a second, the same
+	// RefusedAt is when one was last refused, zero: none was; Why says why.
+	RefusedAt time.Time
+	Why       Cause
 }
 
 // Uses returns what is lent now, in no order.
@@ -338,7 +368,7 @@
 	out := make([]Use, 0, len(l.accounts))
 	for name, a := range l.accounts {
 		out = append(out, Use{Workspace: name, Limit: a.limit, Portion: a.portion, Level: a.level,
-			Lent: a.lent.value(now, windowTime) / windowTime.Seconds(), Refused: a.refused.value(now, windowTime) / windowTime.Seconds()})
+			Lent: a.lent.value(now, windowTime) / windowTime.Seconds(), Refused: a.refused.value(now, windowTime) / windowTime.Seconds(), RefusedAt: a.refusedAt, Why: a.why})
 	}
 	return out
 }
--- a/lab/hosted/workspaces_test.go
+++ b/lab/hosted/workspaces_test.go
@@ -16,6 +16,9 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	v1 "github.com/marblepond/marblepond/api/marblepond/v1"
+	"github.com/marblepond/marblepond/internal/connection/peer"
 )
 
 // twoWorkspaces has two workspaces, one with two keys.
@@ -384,3 +387,35 @@
 	t.Logf("%d of 120 items of the other workspace began", ran)
 	is.True(ran < 60)
 }
+
+// TestOperatorsSeeAllowances: any node tells each workspace's use or who lends it, and the
+// lender why a request was refused.
+func TestOperatorsSeeAllowances(t *testing.T) {
+	is := is.New(t)
+	f := startWith(t, Options{Nodes: 3, Runners: 2, Extra: "[allowance]\nslack = 0\n"}, WithWorkspaces(Workspace{Name: "small", Keys: []string{"k"}, PerSecond: 2, Burst: 2}, Workspace{Name: "free", Keys: []string{"f"}}))
+	refused := 0
+	for i := range 12 {
+		if AskAs(f.Nodes[i%3].Caller(), StreamPath, fmt.Sprint("seen-", i), "k").Status == http.StatusTooManyRequests {
+			refused++
+		}
+	}
+	is.True(refused > 0)
+	lenders := 0
+	for _, n := range f.Nodes {
+		client := peer.NewOperatorClient(http.DefaultClient, n.Settings.PeerListen, "")
+		resp, err := client.Workspaces(context.Background(), &v1.WorkspacesRequest{})
+		is.NoErr(err)
+		is.Equal(len(resp.Uses), 2)
+		use := resp.Uses[1]
+		is.Equal(use.Workspace, "small")
+		is.Equal(use.PerSecond, 2.0)
+		if !use.LentHere {
+			is.True(use.LenderAddress != "")
+			continue
+		}
+		lenders++
+		is.True(use.Taken > 0 && use.Refused > 0 && use.RefusedAgoMs >= 0)
+		is.Equal(use.Refusal, "the allowance is used up")
+	}
+	is.Equal(lenders, 1)
+}
