Soak workspaces, and break each of their mechanisms once

The soak of hosted nodes gets three workspaces: one that its callers use, one whose key is tried on the first one's jobs, and one that asks for three times its allowance; a key comes and goes with every version. Checked from outside: no key reaches a runner, none is served later than a change has to be in force, no window is over its allowance whatever fails, no job is read across workspaces. Twelve broken mechanisms, each noticed by its test.

--- a/lab/hosted/workspaces.go
+++ b/lab/hosted/workspaces.go
@@ -52,3 +52,8 @@
 func ReadAllAs(nodes []string, job, key string, within time.Duration) ([]Result, error) {
 	return readAll(nodes, job, within, func(node string, after int) (Results, int) { return ReadAs(node, job, key, after) })
 }
+
+// EndAs ends a job with a key.
+func EndAs(node, job, key string) Reply {
+	return Call(context.Background(), http.MethodDelete, node, "/v1/lots/"+job, "", As(key), nil)
+}
--- a/lab/hostedsoak/fleet.go
+++ b/lab/hostedsoak/fleet.go
@@ -25,7 +25,7 @@
 	eventGap      = 15 * time.Millisecond
 	nodeCount     = centres * nodesPer
 	runnerCount   = centres * runnersPer
-	nodeTemplate  = "[node]\nid = %s\nfront = hosted\ndata_centre = %s\ncaller_listen = %s:7070\nready_listen = %s:7071\npeer_listen = %s:7072\npeer_advertise = %s\nbeacon_listen = %s:7073\nmetrics_listen = %s:7074\nseeds = %s\n[store]\naddress = %s\n[jobs]\ntake_over_after = 3s\nsweep_interval = 2s\nkeep_results = 10m\n[limits]\ndrain_timeout = 8s\n[log]\nstop_on_violation = true\n"
+	nodeTemplate  = "[node]\nid = %s\nfront = hosted\ndata_centre = %s\ncaller_listen = %s:7070\nready_listen = %s:7071\npeer_listen = %s:7072\npeer_advertise = %s\nbeacon_listen = %s:7073\nlending_listen = %s:7075\nmetrics_listen = %s:7074\nseeds = %s\n[store]\naddress = %s\n[jobs]\ntake_over_after = 3s\nsweep_interval = 2s\nkeep_results = 10m\n[limits]\ndrain_timeout = 8s\n[log]\nstop_on_violation = true\n"
 	stopWithin    = 10 * time.Second
 	readyWithin   = 10 * time.Second
 	drainsFor     = 2 * time.Second // a runner serves on this long after it announced that it leaves
@@ -113,7 +113,7 @@
 				r.(map[string]any)["keep_s"], r.(map[string]any)["cap"] = 600.0, 0
 			}
 		}
-	})
+	}, workspaces(f.version))
 }
 
 // seat puts a new runner into a place and registers it.
@@ -149,7 +149,7 @@
 	}
 	seed := fmt.Sprintf("127.%d.2.1:7072", o.Net)
 	n.settings, n.log = filepath.Join(o.Dir, n.name+".ini"), filepath.Join(o.Dir, n.name+".log")
-	text := fmt.Sprintf(nodeTemplate, n.name, centre, n.host, n.host, n.host, n.peers.Address(), n.host, n.host, seed, n.store.Address())
+	text := fmt.Sprintf(nodeTemplate, n.name, centre, n.host, n.host, n.host, n.peers.Address(), n.host, n.host, n.host, seed, n.store.Address())
 	return n, os.WriteFile(n.settings, []byte(text), 0o600)
 }
 
--- a/lab/hostedsoak/history.go
+++ b/lab/hostedsoak/history.go
@@ -15,12 +15,19 @@
 	leaving    map[*hosted.Runner]time.Time
 	version    int // newest written
 	written    time.Time
+	versions   []written // all of them
 	violations []string
 	counts     counts
 	refused    map[string]string // attempts and jobs that were refused as not run: the refusal
 	ended      map[string]time.Time
 }
 
+// written is a version of the configuration with the time at which it was written.
+type written struct {
+	version int
+	at      time.Time
+}
+
 // span is a fault with the time it lasted.
 type span struct {
 	fault    Fault
@@ -91,6 +98,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.version, h.written = version, time.Now()
+	h.versions = append(h.versions, written{version, h.written})
 }
 
 // inForceWithin is how soon a change of the configuration has to be in force.
--- a/lab/hostedsoak/load.go
+++ b/lab/hostedsoak/load.go
@@ -45,6 +45,8 @@
 	wg.Go(func() { l.balance(ctx) })
 	wg.Go(func() { l.every(ctx, onlineEvery, l.online) })
 	wg.Go(func() { l.every(ctx, jobEvery, l.submit) })
+	wg.Go(func() { l.every(ctx, tightEvery, l.tight) })
+	wg.Go(func() { l.every(ctx, passingEvery, l.passing) })
 	wg.Wait()
 }
 
@@ -95,7 +97,7 @@
 	at := l.pick()
 	l.history.count(func(c *counts) { c.Online++ })
 	started := time.Now()
-	status, body, err := l.ask(at, path, id)
+	status, body, err := l.ask(at, path, id, steadyKey)
 	switch {
 	case err != nil && status == 0:
 		l.history.count(func(c *counts) { c.Cut++ })
@@ -121,7 +123,7 @@
 // text is the whole answer to a request; every runner gives the same.
 func (l *load) text(id string) string { return l.fleet.seats[0].runner.Text(id) }
 
-func (l *load) ask(at *node, path, id string) (status int, body string, err error) {
+func (l *load) ask(at *node, path, id, key string) (status int, body string, err error) {
 	ctx, cancel := context.WithTimeout(context.Background(), onlineLimit)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+at.callers.Address()+path+"q", bytes.NewReader([]byte("prompt")))
@@ -130,6 +132,7 @@
 	}
 	req.Host = hosted.Host
 	req.Header.Set("X-Marblepond-Request-Id", id)
+	req.Header.Set("Authorization", "Bearer "+key)
 	req.Header.Set("X-Marblepond-Deadline-Ms", fmt.Sprint(onlineLimit.Milliseconds()))
 	resp, err := l.client.Do(req)
 	if err != nil {
@@ -188,7 +191,7 @@
 func (l *load) accepted(id string) bool {
 	promised := true
 	for range jobTries {
-		reply := hosted.Submit(l.pick().callers.Address(), id, hosted.Items(id, jobItems))
+		reply := hosted.SubmitAs(l.pick().callers.Address(), id, steadyKey, hosted.Items(id, jobItems))
 		switch {
 		case reply.Err == nil && reply.Status == http.StatusAccepted:
 			return true
@@ -208,7 +211,7 @@
 
 func (l *load) endJob(id string) bool {
 	for range endTries {
-		if reply := hosted.End(l.pick().callers.Address(), id); reply.Err == nil && reply.Status == http.StatusOK {
+		if reply := hosted.EndAs(l.pick().callers.Address(), id, steadyKey); reply.Err == nil && reply.Status == http.StatusOK {
 			l.history.end(id)
 			return true
 		}
@@ -226,7 +229,7 @@
 			after = rand.IntN(after)
 		}
 		at := l.pick()
-		page, status := hosted.Read(at.callers.Address(), j.id, after)
+		page, status := hosted.ReadAs(at.callers.Address(), j.id, steadyKey, after)
 		l.take(j, at, after, page, status)
 		if len(j.results) == jobItems {
 			return true
--- a/lab/hostedsoak/soak.go
+++ b/lab/hostedsoak/soak.go
@@ -79,6 +79,7 @@
 	<-ctx.Done()
 	<-loaded
 	l.finish()
+	l.checkWalls()
 	stopWatching()
 	checkLedgers(f, h)
 	for _, line := range f.violations() {
@@ -104,7 +105,7 @@
 	}
 	for _, j := range l.jobs {
 		for _, n := range l.fleet.nodes {
-			page, status := hosted.Read(n.callers.Address(), j.id, 0)
+			page, status := hosted.ReadAs(n.callers.Address(), j.id, steadyKey, 0)
 			l.take(j, n, 0, page, status)
 			if status != http.StatusOK {
 				l.history.violate("job %s cannot be read at %s at the end: status %d", j.id, n.name, status)
@@ -143,6 +144,7 @@
 			}
 		}
 	}
+	checkWorkspaces(f, h, violate)
 	for id, how := range h.refused {
 		if runs[id] > 0 {
 			violate("%s was refused as not run (%s) and ran %d times", id, how, runs[id])
--- a/scripts/check-mutants.sh
+++ b/scripts/check-mutants.sh
@@ -47,8 +47,20 @@
 mutant 3 internal/connection/beacon/view.go 's/rendezvous\.First\(p\.Node, speakers\) == v\.self/rendezvous.First(p.Node, speakers) == p.Node/' internal/connection/beacon TestEveryNodeHearsEveryGroup
 mutant 1 internal/connection/beacon/silence.go 's/told\.Sub\(w\.at\) > silentAfter/told.Sub(w.at) > time.Hour/' internal/connection/beacon TestSilenceIsToldOn
 mutant 3 internal/request/forward/forward.go 's/final == nil && saturated\(err\)/final == nil \&\& saturated(err) \&\& c.begun/' internal/request/forward TestRefusedRequestCountsWhileItWaits
-mutant 6 internal/request/choose/prefer.go 's/if key == 0 \{/if now.IsZero() || key < 1<<63 || key > 0 {/' internal/request/choose TestScatteredWorkParts
+mutant 6 internal/request/choose/prefer.go 's/if key == 0 \{/if key < 1<<63 {/' internal/request/choose TestScatteredWorkParts
 mutant 6 internal/request/run/run.go 's/promptLosses = 2/promptLosses = 60/' lab/e2e TestRequestThatCrashesEngines
+mutant 10 internal/version/workspace/workspace.go 's/x\.byKey\[hash\] = nil/x.byKey[hash] = holder/' internal/version/workspace TestKeysNameOneWorkspace
+mutant 10 platform/workspaces.go 's/h\.Del\(headerAuthorization\)/h.Del(headerWorkspace)/' lab/hosted TestTargetsLearnTheWorkspace
+mutant 10 internal/request/job/record.go 's/if workspace == "" \{/if workspace != "never" {/' lab/hosted TestJobsBelongToTheirWorkspace
+mutant 10 internal/request/allowance/ledger.go 's/last\.sequence == ask\.Sequence &&/last.sequence > ask.Sequence \&\&/' internal/request/allowance TestLedgerKeepsTheAllowance
+mutant 10 internal/request/allowance/ledger.go 's/if around\.Natural && now\.Sub/if now.Sub/' internal/request/allowance TestNewOwnerBringsNoNewBurst
+mutant 10 internal/request/allowance/ledger.go 's/case around\.Substitute:\n\t\treturn substituteShare/case around.Substitute:\n\t\treturn 1/' internal/request/allowance TestNewOwnerBringsNoNewBurst
+mutant 10 internal/request/allowance/ledger.go 's/case !around\.silent\(\):/case !around.silent() || around.Natural:/' internal/request/allowance TestBothSidesOfACutShareTheAllowance
+mutant 10 platform/front.go 's/f\.node\.Allowances\(\)\.Return\(by\)//' lab/hosted TestUnrunRequestsTakeNothing
+mutant 10 internal/connection/lending/lending.go 's/owner == x\.Node \{/owner != "" {/' lab/hosted TestAllowanceHoldsOverTheFleet
+mutant 10 internal/request/backlog/backlog.go 's/case waiting > limit:/case waiting > 2*limit:/' internal/request/backlog TestOneOfTwoTakesTheLastRoom
+mutant 10 internal/request/backlog/backlog.go 's/case now\.Sub\(b\.since\) < learnTime:/case now.Before(b.since):/' internal/request/backlog TestNewOwnerLearnsFirst
+mutant 10 internal/request/schedule/fair.go 's/return max\(f\.virtual, f\.tags\[name\]\)/return f.tags[name]/' internal/request/schedule TestFairWithinAWorkspaceIsByDue
 mutant 3 internal/request/forward/watchdog.go 's/if w\.better\(\)/if w.better() || w.gap > 0/' internal/request/forward TestQueuedRequestKeepsItsPlace
 mutant 3 internal/request/choose/better.go 's/now\.Sub\(e\.heardAt\) > heard/now.Sub(e.heardAt) > time.Hour/' internal/request/choose TestBetterThanWaiting
 mutant 8 internal/request/job/handover.go 's/m\.handOver\(ctx, jobs\)//' lab/hosted TestLeavingNodeHandsOver
