Start an owner's account higher when the node has just started

Change: 0.9 of the tolerance for a natural owner that has just started (less was lent than allowed while it was away); what an account starts with above its capacity isn't filled up again. A substitute starts with a half as before.

--- a/internal/request/allowance/ledger.go
+++ b/internal/request/allowance/ledger.go
@@ -22,10 +22,14 @@
 }
 
 const (
-	// creditShare is the share of the tolerance that an account starts with whose owner
-	// does not know what was lent before it. It serves a workspace at its usual for half a
-	// second, until its owner is known to be lost.
+	// creditShare is the share of the tolerance that an account starts with whose owner is a
+	// substitute and does not know what was lent before it. It serves a workspace at its
+	// usual for half a second, until its owner is known to be lost. freshShare is the same for
+	// a natural owner that has just started: while it was away less was lent than allowed,
+	// and where all nodes were, all callers come at once. With 0.5 a workspace at its usual
+	// was refused right after a start of all nodes.
 	creditShare = 0.5
+	freshShare  = 0.9
 	// substituteShare is the part of the allowance that a substitute lends while the
 	// natural owner lives: nodes that can't reach that one, or lost its answers, then exceed
 	// the allowance by no more than this and the credit, which the tolerance covers.
@@ -180,8 +184,7 @@
 	}
 	l.refill(now, a, limit, around)
 	a.note(now, ask)
-	a.level += float64(max(0, ask.Back))
-	a.level = min(a.level, l.capacity(limit, around, a.portion))
+	l.fill(a, float64(max(0, ask.Back)), limit, around)
 	grant := a.lend(now, ask, limit)
 	if grant.Lent < ask.Need {
 		a.refusedAt, a.why = now, cause(around)
@@ -205,9 +208,8 @@
 		a.told[ask.DataCentre] = ask.Share
 	}
 	a.portion = a.portionOf(now, around)
-	full := l.capacity(limit, around, a.portion)
 	if around.Natural && now.Sub(l.began) >= l.tolerance.Window {
-		a.level = full // nobody else lends, and in all of a window nobody has borrowed
+		a.level = l.capacity(limit, a.portion) // nobody else lends, and in all of a window nobody has borrowed
 		return a
 	}
 	a.level = l.credit(limit, around, a.portion)
@@ -218,26 +220,37 @@
 // before. A node that hears no other has its part of that.
 func (l *Ledger) credit(limit workspace.Allowance, around Surroundings, portion float64) float64 {
 	credit := creditShare * l.tolerance.of(limit)
-	if around.Alone {
+	switch {
+	case around.Alone:
 		credit *= portion
+	case around.Natural:
+		credit = freshShare * l.tolerance.of(limit)
 	}
 	return max(1, credit)
 }
 
-// capacity returns the most tokens that an account holds: never less than it may start
-// with.
-func (l *Ledger) capacity(limit workspace.Allowance, around Surroundings, portion float64) float64 {
-	return max(l.credit(limit, around, portion), portion*(limit.Burst+capShare*l.tolerance.of(limit)))
+// capacity returns up to how many tokens an account fills.
+func (l *Ledger) capacity(limit workspace.Allowance, portion float64) float64 {
+	return max(1, portion*(limit.Burst+capShare*l.tolerance.of(limit)))
+}
+
+// fill adds tokens to an account as far as its capacity goes. What it started with may be
+// more than that, and is not filled up again.
+func (l *Ledger) fill(a *account, tokens float64, limit workspace.Allowance, around Surroundings) {
+	most := l.capacity(limit, a.portion)
+	if a.level < most {
+		a.level = min(most, a.level+tokens)
+	}
+	a.level = min(a.level, max(most, l.credit(limit, around, a.portion)))
 }
 
 // refill adds the tokens of the time since the last look.
 func (l *Ledger) refill(now time.Time, a *account, limit workspace.Allowance, around Surroundings) {
 	a.limit, a.portion, a.oneSided = limit, a.portionOf(now, around), around.silent()
 	if passed := now.Sub(a.at).Seconds(); passed > 0 {
-		a.level += passed * a.portion * limit.PerSecond
+		l.fill(a, passed*a.portion*limit.PerSecond, limit, around)
 		a.at = now
 	}
-	a.level = min(a.level, l.capacity(limit, around, a.portion))
 }
 
 // lend takes tokens from the account.
--- a/lab/model/quota/quota_test.go
+++ b/lab/model/quota/quota_test.go
@@ -22,12 +22,14 @@
 	nothing := func(*Scenario) {}
 	cut := func(s *Scenario) { s.Cut = Span{8 * time.Second, 6 * time.Second} }
 	killed := func(s *Scenario) { s.Killed = Span{8 * time.Second, 2 * time.Second} }
+	allKilled := func(s *Scenario) { s.AllKilled = Span{8 * time.Second, time.Second} }
 	ownerKilled := func(s *Scenario) { s.OwnerKilled = Span{8 * time.Second, 2 * time.Second} }
 	return []Scenario{
 		with(base, "usual", nothing), with(base, "usual, one node", func(s *Scenario) { s.OneNode = true }),
 		with(hot, "hot", nothing), with(hot, "hot, one node", func(s *Scenario) { s.OneNode = true }),
 		with(base, "usual, cut", cut), with(hot, "hot, cut", cut),
 		with(base, "usual, half killed", killed), with(hot, "hot, half killed", killed),
+		with(base, "usual, all killed", allKilled),
 		with(base, "usual, owner killed", ownerKilled), with(hot, "hot, owner killed", ownerKilled),
 		with(hot, "hot, limit lowered", func(s *Scenario) { s.Lowered = 8 * time.Second }),
 		with(base, "usual, 30 % lost", func(s *Scenario) { s.Loss = 0.3 }), with(hot, "hot, 30 % lost", func(s *Scenario) { s.Loss = 0.3 }),
