--- a/lab/hosted/store_test.go
+++ b/lab/hosted/store_test.go
@@ -137,6 +137,7 @@
 		return reply.Err == nil
 	})
 	is.Equal(reply.Status, http.StatusServiceUnavailable)
+	is.Equal(reply.Header.Get("Retry-After"), "0.1") // other nodes may know it
 	resp, err := http.Get("http://" + n.Settings.ReadyListen + "/v1/ready")
 	is.NoErr(err)
 	resp.Body.Close()
