--- a/internal/request/allowance/ledger.go
+++ b/internal/request/allowance/ledger.go
@@ -1,7 +1,6 @@
 package allowance
 
 import (
-	"math"
 	"time"
 
 	"github.com/marblepond/marblepond/internal/version/workspace"
@@ -51,45 +50,6 @@
 	idleAccount = time.Minute
 )
 
-// Surroundings are what an owner knows of the fleet as it lends.
-type Surroundings struct {
-	// Natural: this node is the first in the workspace's order of all nodes that are
-	// registered, heard or not.
-	Natural bool
-	// Substitute: the natural owner is another node, which lives.
-	Substitute bool
-	// Alone: this node hears no other, although there are some.
-	Alone bool
-	// Nodes is how many nodes each data centre has, and Heard which data centres are
-	// heard, the own one included.
-	Nodes map[string]int
-	Heard map[string]bool
-}
-
-// silent reports whether some data centre is not heard.
-func (s *Surroundings) silent() bool {
-	for dc := range s.Nodes {
-		if !s.Heard[dc] {
-			return true
-		}
-	}
-	return false
-}
-
-// nodes returns how many nodes there are.
-func (s *Surroundings) nodes() int {
-	sum := 0
-	for _, n := range s.Nodes {
-		sum += n
-	}
-	return sum
-}
-
-// partOfNodes returns the part of the nodes that a data centre has.
-func (s *Surroundings) partOfNodes(dc string) float64 {
-	return float64(s.Nodes[dc]) / float64(max(1, s.nodes()))
-}
-
 // Ask is a node's wish for tokens.
 type Ask struct {
 	Workspace  string
@@ -141,27 +101,6 @@
 	why       Cause
 }
 
-// Cause says why tokens were refused.
-type Cause string
-
-// The causes.
-const (
-	UsedUp      Cause = "the allowance is used up"
-	CutOff      Cause = "data centres are not heard, and their part is left to them"
-	NotTheOwner Cause = "the owner lives, and only a small part is lent in its place"
-)
-
-// cause returns why an owner with these surroundings has no more to lend.
-func cause(around Surroundings) Cause {
-	switch {
-	case around.Substitute:
-		return NotTheOwner
-	case around.Alone, around.silent():
-		return CutOff
-	}
-	return UsedUp
-}
-
 // answer is the grant of a borrower's last ask, for the ask that comes again because the
 // answer was lost.
 type answer struct {
@@ -284,69 +223,6 @@
 // longestWait bounds what a refusal says of when to come back.
 const longestWait = 10 * time.Second
 
-// note takes what an ask says of demand. While some data centres are not heard it says
-// nothing of how demand is spread.
-func (a *account) note(now time.Time, ask Ask) {
-	if ask.Share > 0 {
-		a.told[ask.DataCentre] = ask.Share
-	}
-	if a.oneSided {
-		return
-	}
-	d := a.demand[ask.DataCentre]
-	if d == nil {
-		d = &decaying{}
-		a.demand[ask.DataCentre] = d
-	}
-	d.add(now, float64(max(0, ask.Need)), demandTime)
-}
-
-// shareOf returns what a data centre has of the demand that came here. The fewer requests
-// came, the more it goes by its part of the nodes.
-func (a *account) shareOf(now time.Time, dataCentre string, byNodes float64) float64 {
-	total, own := 0.0, 0.0
-	for dc, d := range a.demand {
-		value := d.value(now, demandTime)
-		total += value
-		if dc == dataCentre {
-			own = value
-		}
-	}
-	return (own + priorRequests*byNodes) / (total + priorRequests)
-}
-
-// portionOf returns the part of the allowance that this node lends: all of it while every
-// data centre is heard.
-func (a *account) portionOf(now time.Time, around Surroundings) float64 {
-	switch {
-	case len(around.Nodes) == 0:
-		return 1
-	case around.Alone:
-		return 1 / float64(around.nodes())
-	case around.Substitute:
-		return substituteShare
-	case !around.silent():
-		return 1
-	}
-	part := 0.0
-	for dc := range around.Nodes {
-		if around.Heard[dc] {
-			part += a.partOf(now, dc, around)
-		}
-	}
-	return min(1, part)
-}
-
-// partOf returns the part of a data centre in the demand. The natural owner has seen that
-// itself; a substitute sees one side of a cut only, and goes by what that owner told
-// those that borrow. A data centre that nobody was told of had no demand then.
-func (a *account) partOf(now time.Time, dc string, around Surroundings) float64 {
-	if len(a.told) > 0 && !around.Natural {
-		return a.told[dc]
-	}
-	return a.shareOf(now, dc, around.partOfNodes(dc))
-}
-
 // sweep drops accounts that nobody borrows from any more.
 func (l *Ledger) sweep(now time.Time) {
 	if now.Sub(l.swept) < idleAccount/6 {
@@ -359,48 +235,3 @@
 		}
 	}
 }
-
-// windowTime is the time over which use is averaged for operators.
-const windowTime = 5 * time.Second
-
-// Use is what an owner knows of a workspace, for operators.
-type Use struct {
-	Workspace string
-	Limit     workspace.Allowance
-	Portion   float64 // of the allowance that this node lends
-	Level     float64 // tokens that could be lent
-	Lent      float64 // requests a second, mean of some seconds
-	Refused   float64 // requests a second, the same
-	// RefusedAt is when one was last refused, zero: none was; Why says why.
-	RefusedAt time.Time
-	Why       Cause
-}
-
-// Uses returns what is lent now, in no order.
-func (l *Ledger) Uses(now time.Time) []Use {
-	out := make([]Use, 0, len(l.accounts))
-	for name, a := range l.accounts {
-		out = append(out, Use{Workspace: name, Limit: a.limit, Portion: a.portion, Level: a.level,
-			Lent: a.lent.value(now, windowTime) / windowTime.Seconds(), Refused: a.refused.value(now, windowTime) / windowTime.Seconds(), RefusedAt: a.refusedAt, Why: a.why})
-	}
-	return out
-}
-
-// decaying is a sum of which old parts count ever less.
-type decaying struct {
-	sum float64
-	at  time.Time
-}
-
-func (d *decaying) add(now time.Time, n float64, over time.Duration) {
-	d.sum = d.value(now, over) + n
-	d.at = now
-}
-
-// value returns the sum now; divided by the time over which it decays it is a rate.
-func (d *decaying) value(now time.Time, over time.Duration) float64 {
-	if d.sum == 0 {
-		return 0
-	}
-	return d.sum * math.Exp(-now.Sub(d.at).Seconds()/over.Seconds())
-}
--- /dev/null
+++ b/internal/request/forward/place.go
@@ -0,0 +1,76 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/marblepond/marblepond/internal/connection/target"
+	"github.com/marblepond/marblepond/internal/errkind"
+	"github.com/marblepond/marblepond/internal/process/wait"
+	"github.com/marblepond/marblepond/internal/request/choose"
+)
+
+// saturated reports whether a target refused an attempt because it was full.
+func saturated(err error) bool {
+	var failure *target.Error
+	return errors.As(err, &failure) && failure.Saturated
+}
+
+// place finds a target with room; it waits for a short part of the objective,
+// or until the deadline when the caller already has part of the answer.
+func (f *Forwarder) place(ctx context.Context, req *Request, c *course) (choose.Target, bool) {
+	defer f.leaveLine(c)
+	until := req.Arrived.Add(time.Duration(roomShare * float64(req.Route.Objective)))
+	pause := roomPause
+	if c.begun {
+		until, pause = req.Deadline, continuePause
+	}
+	for {
+		if t, ok := f.Targets.Choose(f.need(req, c)); ok {
+			return t, true
+		}
+		if !f.Now().Before(until) || !wait.For(ctx, pause) {
+			return choose.Target{}, false
+		}
+		if c.begun || c.ran == 0 {
+			clear(c.exclude) // those that refused may have room by now
+		}
+	}
+}
+
+// leaveLine ends the wait of a request at the target that refused it.
+func (f *Forwarder) leaveLine(c *course) {
+	if c.inLine != nil {
+		f.Targets.End(*c.inLine, choose.Neutral)
+		c.inLine = nil
+	}
+}
+
+// need returns what the request asks of its next target.
+func (f *Forwarder) need(req *Request, c *course) choose.Need {
+	// What was in flight at a crash may cause the next one, or was beside what did. Two
+	// of them must not meet: apart, the proper ones are answered and clear of it. Beside
+	// three requests that end targets, 6,200 of 72,000 proper ones go unanswered in place
+	// of 19,400, and 1,060 targets end in place of 1,440; where they may meet if there is
+	// no other room it is 18,700, and at the emptiest target more than without (100 seeds
+	// of 12 s of the storm in package quarantine).
+	need := choose.Need{Service: req.Service, Exclude: c.exclude, Overflow: overflow, Apart: f.Quarantine.Suspected(&req.Work)}
+	if c.lost {
+		need.Scatter = req.Work.ID().Key()
+	}
+	return need
+}
+
+// unplaced returns the error of a request that no target can take.
+func (f *Forwarder) unplaced(ctx context.Context, c *course) error {
+	switch {
+	case c.ran > 0 && ctx.Err() != nil:
+		return givenUp(ctx)
+	case c.ran > 0:
+		return errkind.TargetFailed.New("every target tried failed, the last with: %v", c.last)
+	case errors.Is(ctx.Err(), context.Canceled):
+		return errkind.Cancelled.New("the caller went away before the request was sent")
+	}
+	return errkind.NoTarget.New("no target has room; last refusal: %v", c.last)
+}
--- a/scripts/check-mutants.sh
+++ b/scripts/check-mutants.sh
@@ -32,8 +32,8 @@
 mutant 7 internal/request/choose/choose.go 's/case e\.leaving:/case e.leaving \&\& e.failures < 0:/' internal/request/choose TestLeavingIsForGood
 mutant 8 internal/process/node/node.go 's/n\.callerHTTP\.Shutdown\(ctx\)/n.callerHTTP.Close()/' lab/e2e TestRollingDrain
 mutant 9 lab/platform/server.go 's/version == want && version != 0/version >= 0 \&\& want >= 0/' lab/e2e TestOperatorsRace
-mutant 6 internal/request/forward/forward.go 's/case !req\.Route\.Repeatable\(\):/case !req.Route.Repeatable() \&\& c.begun:/' lab/hosted TestAtMostOnce
-mutant 5 internal/request/forward/forward.go 's/case c\.ran > 0:/case c.ran > 5:/' lab/hosted TestRepeatable
+mutant 6 internal/request/forward/judge.go 's/case !req\.Route\.Repeatable\(\):/case !req.Route.Repeatable() \&\& c.begun:/' lab/hosted TestAtMostOnce
+mutant 5 internal/request/forward/place.go 's/case c\.ran > 0:/case c.ran > 5:/' lab/hosted TestRepeatable
 mutant 2 internal/request/job/manager.go 's/return told \|\| m\.Ended/_ = told\n\treturn m.Ended/' lab/hosted TestEndedJobStops
 mutant 1 internal/request/job/progress.go 's/if id <= s\.held/if id < s.held/' internal/request/job TestEveryItemHasOnePosition
 mutant 1 internal/request/job/write.go 's/KindHeads, id, revision, value/KindHeads, id, 0*revision, value/' internal/request/job TestFormerHolderIsFenced
@@ -54,8 +54,8 @@
 mutant 10 internal/request/job/record.go 's/if workspace == "" \{/if workspace != "never" {/' lab/hosted TestJobsBelongToTheirWorkspace
 mutant 10 internal/request/allowance/ledger.go 's/last\.sequence == ask\.Sequence &&/last.sequence > ask.Sequence \&\&/' internal/request/allowance TestLedgerKeepsTheAllowance
 mutant 10 internal/request/allowance/ledger.go 's/if around\.Natural && now\.Sub/if now.Sub/' internal/request/allowance TestNewOwnerBringsNoNewBurst
-mutant 10 internal/request/allowance/ledger.go 's/case around\.Substitute:\n\t\treturn substituteShare/case around.Substitute:\n\t\treturn 1/' internal/request/allowance TestNewOwnerBringsNoNewBurst
-mutant 10 internal/request/allowance/ledger.go 's/case !around\.silent\(\):/case !around.silent() || around.Natural:/' internal/request/allowance TestBothSidesOfACutShareTheAllowance
+mutant 10 internal/request/allowance/portion.go 's/case around\.Substitute:\n\t\treturn substituteShare/case around.Substitute:\n\t\treturn 1/' internal/request/allowance TestNewOwnerBringsNoNewBurst
+mutant 10 internal/request/allowance/portion.go 's/case !around\.silent\(\):/case !around.silent() || around.Natural:/' internal/request/allowance TestBothSidesOfACutShareTheAllowance
 mutant 10 platform/front.go 's/f\.node\.Allowances\(\)\.Return\(by\)//' lab/hosted TestUnrunRequestsTakeNothing
 mutant 10 internal/connection/lending/lending.go 's/owner == x\.Node \{/owner != "" {/' lab/hosted TestAllowanceHoldsOverTheFleet
 mutant 10 internal/request/backlog/backlog.go 's/case waiting > limit:/case waiting > 2*limit:/' internal/request/backlog TestOneOfTwoTakesTheLastRoom
