Let the first calls of a starting node wait for its configuration

Where all nodes start at once a caller that comes back after 0.1 s finds another node that knows no more, and has no try left.

--- a/internal/process/hosted/changes.go
+++ b/internal/process/hosted/changes.go
@@ -103,6 +103,9 @@
 			return
 		}
 		if n.table.CompareAndSwap(old, table) {
+			if old == nil {
+				close(n.configured)
+			}
 			break
 		}
 	}
--- a/internal/process/hosted/hosted.go
+++ b/internal/process/hosted/hosted.go
@@ -94,18 +94,19 @@
 	nodeList atomic.Pointer[follow.Refresher] // keeps the list of nodes
 	// listing is held while lists that the store holds are taken over. News may come
 	// out of order, so that what counts is read from the cache.
-	listing   sync.Mutex
-	nodes     atomic.Pointer[map[string]nodeRecord]
-	view      atomic.Pointer[beacon.View]     // the same as datagrams go
-	lenders   atomic.Pointer[lending.Lenders] // the same as allowances are lent
-	table     atomic.Pointer[route.Table]
-	makeRoom  chan struct{} // what is in flight has changed
-	leaving   atomic.Bool
-	halted    chan struct{}
-	callers   *callerServer
-	peerHTTP  *http.Server
-	readyHTTP *http.Server
-	pageHTTP  *http.Server // the metrics page
+	listing    sync.Mutex
+	nodes      atomic.Pointer[map[string]nodeRecord]
+	view       atomic.Pointer[beacon.View]     // the same as datagrams go
+	lenders    atomic.Pointer[lending.Lenders] // the same as allowances are lent
+	table      atomic.Pointer[route.Table]
+	configured chan struct{} // closed when the first table is known
+	makeRoom   chan struct{} // what is in flight has changed
+	leaving    atomic.Bool
+	halted     chan struct{}
+	callers    *callerServer
+	peerHTTP   *http.Server
+	readyHTTP  *http.Server
+	pageHTTP   *http.Server // the metrics page
 }
 
 // Parts are what every process has.
@@ -123,7 +124,7 @@
 func New(parts Parts, adapter Adapter) *Node {
 	s := parts.Settings
 	n := &Node{settings: s, adapter: adapter, boot: time.Now().UnixMicro(), recorder: parts.Recorder, metrics: parts.Metrics, clock: parts.Clock,
-		makeRoom: make(chan struct{}, 1), halted: make(chan struct{})}
+		configured: make(chan struct{}), makeRoom: make(chan struct{}, 1), halted: make(chan struct{})}
 	n.batch = newBatchWork(n)
 	n.view.Store(beacon.NewView(s.NodeID, s.DataCentre, nil))
 	n.seeds.Store(&s.Seeds)
@@ -157,6 +158,21 @@
 // Table returns the routing table in force, nil before the first is known.
 func (n *Node) Table() *route.Table { return n.table.Load() }
 
+// AwaitTable returns the routing table in force; before the first is known it waits for
+// it for a time.
+func (n *Node) AwaitTable(ctx context.Context, most time.Duration) *route.Table {
+	if table := n.Table(); table != nil {
+		return table
+	}
+	ctx, cancel := context.WithTimeout(ctx, most)
+	defer cancel()
+	select {
+	case <-n.configured:
+	case <-ctx.Done():
+	}
+	return n.Table()
+}
+
 // Forwarder returns what carries online requests.
 func (n *Node) Forwarder() *forward.Forwarder { return n.forwarder }
 
