--- a/lab/hosted/workspaces.go
+++ b/lab/hosted/workspaces.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 )
 
@@ -57,3 +58,16 @@
 func EndAs(node, job, key string) Reply {
 	return Call(context.Background(), http.MethodDelete, node, "/v1/lots/"+job, "", As(key), nil)
 }
+
+// MostIn returns the most times that lie in any window of so long.
+func MostIn(times []time.Time, window time.Duration) int {
+	slices.SortFunc(times, time.Time.Compare)
+	most, first := 0, 0
+	for i, at := range times {
+		for at.Sub(times[first]) > window {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
--- a/lab/hosted/workspaces_test.go
+++ b/lab/hosted/workspaces_test.go
@@ -7,7 +7,6 @@
 	"io"
 	"net/http"
 	"net/http/httptrace"
-	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -251,15 +250,7 @@
 			}
 		}
 	}
-	slices.SortFunc(begun, time.Time.Compare)
-	most, first := 0, 0
-	for i, at := range begun {
-		for at.Sub(begun[first]) > window {
-			first++
-		}
-		most = max(most, i-first+1)
-	}
-	return most
+	return MostIn(begun, window)
 }
 
 // TestAllowanceHoldsOverTheFleet: one workspace asks for ten times its allowance at all
--- a/lab/hostedsoak/workspaces.go
+++ b/lab/hostedsoak/workspaces.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"net/http"
-	"slices"
 	"strings"
 	"time"
 
@@ -86,24 +85,11 @@
 			}
 		}
 	}
-	if most, allowed := mostIn(tight, tightWindow), (tightRate*tightWindow.Seconds()+tightBurst)*tightOver+tightSlack; float64(most) > allowed {
+	if most, allowed := hosted.MostIn(tight, tightWindow), (tightRate*tightWindow.Seconds()+tightBurst)*tightOver+tightSlack; float64(most) > allowed {
 		violate("%d requests of tight began within %v, %.0f may", most, tightWindow, allowed)
 	}
 }
 
-// mostIn returns the most times that lie in any window.
-func mostIn(times []time.Time, window time.Duration) int {
-	slices.SortFunc(times, time.Time.Compare)
-	most, first := 0, 0
-	for i, at := range times {
-		for at.Sub(times[first]) > window {
-			first++
-		}
-		most = max(most, i-first+1)
-	}
-	return most
-}
-
 // passingGone reports whether the configuration in force at a time had not the key that
 // comes and goes, and since when. The caller holds h.mu.
 func (h *history) passingGone(at time.Time) (gone bool, since time.Time) {
