Refuse as not known, and not as over, where nobody who lends answers

Cause, read in the code: a node whose asks are not answered and whose own part is used up told callers 429, that their workspace is over its allowance. An ask that all callers had left was sent with no need, taken for a question whether the owner lives, and ended as a refusal for 0.1 s of whoever came next. Change: 503 with the time, and no ask without a need.

--- a/internal/connection/lending/lending.go
+++ b/internal/connection/lending/lending.go
@@ -105,6 +105,8 @@
 			x.Metrics.Counter("allowance_refused").Inc(1)
 			return errkind.WithRetryAfter(errkind.RateLimited.New("workspace %s is over its %g requests a second with %g at once; the next one is expected in %v",
 				w.Name, w.Allowance.PerSecond, w.Allowance.Burst, wait.Round(time.Millisecond)), wait)
+		case allowance.Unanswered:
+			return errkind.WithRetryAfter(errkind.PlatformUnavailable.New("no node that lends for workspace %s answers", w.Name), wait)
 		}
 		p := x.join(w.Name)
 		x.mu.Unlock()
@@ -157,16 +159,28 @@
 	ask := x.purse.Ask(x.Now(), name, x.waiting[name])
 	x.mu.Unlock()
 	ask.Borrower, ask.Boot, ask.Sequence, ask.DataCentre = x.Node, x.Boot, p.sequence, x.DataCentre
-	grant, answered := x.borrow(owners, ask, p)
+	var grant allowance.Grant
+	answered := false
+	if ask.Need > 0 { // else all that waited have gone away
+		grant, answered = x.borrow(owners, ask, p)
+	}
 	x.mu.Lock()
 	defer x.mu.Unlock()
+	if ask.Need > 0 {
+		x.granted(ask, grant, answered)
+	}
+	delete(x.pending, name)
+	close(p.done)
+}
+
+// granted takes the answer to an ask, or lends in place of owners that do not answer. The
+// caller holds x.mu.
+func (x *Exchange) granted(ask allowance.Ask, grant allowance.Grant, answered bool) {
 	if !answered {
 		x.Metrics.Counter("allowance_unanswered").Inc(1)
 		grant = x.lend(ask, true)
 	}
-	x.purse.Granted(x.Now(), name, grant)
-	delete(x.pending, name)
-	close(p.done)
+	x.purse.Granted(x.Now(), ask.Workspace, grant, !answered)
 }
 
 // borrow sends an ask along its course.
--- /dev/null
+++ b/internal/connection/lending/lending_test.go
@@ -0,0 +1,137 @@
+package lending
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/marblepond/marblepond/internal/errkind"
+	"github.com/marblepond/marblepond/internal/request/allowance"
+	"github.com/marblepond/marblepond/internal/version/workspace"
+)
+
+// fakeFleet has nodes of one data centre that are all heard.
+type fakeFleet struct{ *Lenders }
+
+func (f fakeFleet) Owners(name string, skip func(string) bool) []Lender {
+	return f.Lenders.Owners(name, func(l Lender) bool { return !skip(l.Node) })
+}
+func (fakeFleet) Heard(string) bool        { return false }
+func (fakeFleet) HeardAt(string) time.Time { return time.Time{} }
+
+var small = &workspace.Workspace{Name: "small", Allowance: workspace.Allowance{PerSecond: 5, Burst: 5}}
+
+// exchanges returns one for each name, that know each other; those that are told to run do.
+func exchanges(t *testing.T, names []string, running map[string]bool) map[string]*Exchange {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	var list []Lender
+	conns := map[string]net.PacketConn{}
+	for _, name := range names {
+		conn, err := net.ListenPacket("udp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { conn.Close() })
+		conns[name] = conn
+		list = append(list, Lender{Node: name, DataCentre: "a", Address: conn.LocalAddr()})
+	}
+	out := map[string]*Exchange{}
+	for _, name := range names {
+		out[name] = New(Options{Node: name, DataCentre: "a", Boot: 1, Now: time.Now, Fleet: fakeFleet{NewLenders(list)}, Metrics: tally.NoopScope,
+			Limit:     func(name string) (workspace.Allowance, bool) { return small.Allowance, name == small.Name },
+			Tolerance: allowance.Tolerance{Window: 5 * time.Second, Share: 0.1}})
+		if running[name] {
+			go out[name].Run(ctx, conns[name])
+		}
+	}
+	return out
+}
+
+// TestManyWaitForOneAsk: requests that come together at a node that is not the owner share
+// an ask; what is over gets 429 with a time, and none gets more than the account holds.
+func TestManyWaitForOneAsk(t *testing.T) {
+	is := is.New(t)
+	names := []string{"n1", "n2", "n3"}
+	all := exchanges(t, names, map[string]bool{"n1": true, "n2": true, "n3": true})
+	owner := all["n1"].Fleet.Natural(small.Name).Node
+	var mu sync.Mutex
+	taken, refused := 0, 0
+	var wg sync.WaitGroup
+	for _, name := range names {
+		if name == owner {
+			continue
+		}
+		for range 20 {
+			wg.Go(func() {
+				err := all[name].Take(context.Background(), small)
+				mu.Lock()
+				defer mu.Unlock()
+				switch {
+				case err == nil:
+					taken++
+				case errkind.Is(err, errkind.RateLimited) && errkind.Of(err).RetryAfter > 0:
+					refused++
+				}
+			})
+		}
+	}
+	wg.Wait()
+	is.Equal(taken+refused, 40)
+	is.True(taken >= 1 && taken <= 6)
+}
+
+// TestNobodyLends: where no owner answers, a request waits 0.2 s and no longer, and a node
+// lends itself its own part; what is beyond that is refused as not known, and not as over
+// the allowance.
+func TestNobodyLends(t *testing.T) {
+	is := is.New(t)
+	names := []string{"n1", "n2", "n3", "n4", "n5", "n6", "n7", "n8"}
+	all := exchanges(t, names, nil)
+	last := ""
+	for _, name := range names { // one that is not among the first that are asked
+		asked := all[name].Fleet.Owners(small.Name, func(string) bool { return false })
+		first := false
+		for _, o := range asked {
+			first = first || o.Node == name
+		}
+		if !first {
+			last = name
+		}
+	}
+	started := time.Now()
+	is.NoErr(all[last].Take(context.Background(), small))
+	is.True(time.Since(started) < 400*time.Millisecond)
+	x := all[last]
+	x.mu.Lock()
+	x.granted(allowance.Ask{Workspace: small.Name, Borrower: last, Boot: 1, Sequence: 99, DataCentre: "a", Need: 1}, allowance.Grant{}, false)
+	x.mu.Unlock()
+	err := x.Take(context.Background(), small)
+	is.True(errkind.Is(err, errkind.PlatformUnavailable))
+	is.Equal(errkind.Of(err).NotRun, errkind.NotRunTrue)
+}
+
+// TestGoneCallersTakeNothing: a caller that leaves while its request waits costs no token,
+// and no later request is refused because of it.
+func TestGoneCallersTakeNothing(t *testing.T) {
+	is := is.New(t)
+	x := exchanges(t, []string{"n1"}, nil)["n1"]
+	gone, cancel := context.WithCancel(context.Background())
+	cancel()
+	for range 50 {
+		err := x.Take(gone, small)
+		is.True(err == nil || errors.Is(gone.Err(), context.Canceled))
+	}
+	time.Sleep(10 * time.Millisecond)
+	x.mu.Lock()
+	is.Equal(len(x.waiting), 0)
+	is.Equal(len(x.pending), 0)
+	x.mu.Unlock()
+}
--- a/internal/request/allowance/allowance_test.go
+++ b/internal/request/allowance/allowance_test.go
@@ -160,7 +160,7 @@
 		return answer
 	}
 	is.Equal(take(start), MustAsk)
-	p.Granted(start, "w", Grant{Lent: 3})
+	p.Granted(start, "w", Grant{Lent: 3}, false)
 	is.Equal(take(start), Taken)
 	p.Return(start, "w")
 	is.Equal(take(start), Taken)
@@ -169,11 +169,13 @@
 	is.Equal(take(late), MustAsk)
 	is.Equal(p.Ask(late, "w", 1).Back, 1)
 	is.Equal(p.Ask(late, "w", 1).Back, 0) // given back once
-	p.Granted(late, "w", Grant{Wait: time.Second})
+	p.Granted(late, "w", Grant{Wait: time.Second}, false)
 	answer, wait := p.Take(late, "w")
 	is.Equal(answer, Refused)
 	is.Equal(wait, time.Second)
 	is.Equal(take(late.Add(time.Second)), MustAsk)
+	p.Granted(late, "w", Grant{Wait: time.Second}, true)
+	is.Equal(take(late), Unanswered)
 	for range 40 { // often used: a lot in place of one token
 		p.Arrived(late, "w")
 	}
--- a/internal/request/allowance/purse.go
+++ b/internal/request/allowance/purse.go
@@ -32,6 +32,8 @@
 	MustAsk Answer = iota // the owner is to be asked
 	Taken
 	Refused
+	// Unanswered: no owner answered, and the node's own part of the allowance is used up.
+	Unanswered
 )
 
 // Purse keeps the lots that one node has borrowed. It is not safe for concurrent use.
@@ -45,6 +47,7 @@
 	left     int
 	lapses   time.Time
 	refused  time.Time // until then requests are refused without asking
+	alone    bool      // because no owner answered
 	back     int       // tokens that were not used and are to be given back
 	backAt   time.Time // when the last of them was
 	arrivals decaying
@@ -68,6 +71,8 @@
 	case l.left > 0:
 		l.left--
 		return Taken, 0
+	case now.Before(l.refused) && l.alone:
+		return Unanswered, l.refused.Sub(now)
 	case now.Before(l.refused):
 		return Refused, l.refused.Sub(now)
 	}
@@ -100,8 +105,8 @@
 	return ask
 }
 
-// Granted takes an owner's answer.
-func (p *Purse) Granted(now time.Time, name string, g Grant) {
+// Granted takes an owner's answer; alone: none answered, and the node lent to itself.
+func (p *Purse) Granted(now time.Time, name string, g Grant, alone bool) {
 	l := p.lot(name)
 	l.lapse(now)
 	l.left += g.Lent
@@ -110,7 +115,7 @@
 		l.share = g.Share
 	}
 	if g.Lent == 0 {
-		l.refused = now.Add(max(refusedTime, g.Wait))
+		l.refused, l.alone = now.Add(max(refusedTime, g.Wait)), alone
 	}
 }
 
--- a/lab/model/quota/ways.go
+++ b/lab/model/quota/ways.go
@@ -240,7 +240,7 @@
 	switch answer, _ := n.purse.Take(l.w.clock(), workspaceName(ws)); answer {
 	case allowance.Taken:
 		decided(true)
-	case allowance.Refused:
+	case allowance.Refused, allowance.Unanswered:
 		decided(false)
 	default:
 		again := func() { l.tryTake(node, ws, decided) }
@@ -267,10 +267,10 @@
 	name, wait, ok := course.Next()
 	switch {
 	case !ok:
-		l.granted(node, ws, a, l.lend(node, ws, ask, true))
+		l.granted(node, ws, a, l.lend(node, ws, ask, true), true)
 		return
 	case name == l.names[node]:
-		l.granted(node, ws, a, l.lend(node, ws, ask, false))
+		l.granted(node, ws, a, l.lend(node, ws, ask, false), false)
 		return
 	}
 	owner := slices.Index(l.names, name)
@@ -280,7 +280,7 @@
 		l.w.send(owner, node, grantBytes, func() {
 			l.nodes[node].lived[owner] = l.w.now
 			if l.nodes[node].started == started {
-				l.granted(node, ws, a, grant)
+				l.granted(node, ws, a, grant, false)
 			}
 		})
 	})
@@ -295,13 +295,13 @@
 	})
 }
 
-func (l *lent) granted(node, ws int, a *asking, grant allowance.Grant) {
+func (l *lent) granted(node, ws int, a *asking, grant allowance.Grant, alone bool) {
 	if a.answered {
 		return
 	}
 	a.answered = true
 	n := &l.nodes[node]
-	n.purse.Granted(l.w.clock(), workspaceName(ws), grant)
+	n.purse.Granted(l.w.clock(), workspaceName(ws), grant, alone)
 	delete(n.pending, ws)
 	for _, again := range a.waiting {
 		again()
