Refuse at once what a lot of tokens does not bring

Cause: the table of ways for 360 nodes showed admitted requests of a hot workspace at one node waiting 8,514 ms (99th percentile) although asks were for all that wait. An owner that lends some of what was asked for said nothing of when to come again, so the node took the rest for not asked yet: those that got nothing of a lot asked again for as long as new ones came and took the tokens before them.

Change: a grant says how long it is until the next token whenever it is smaller than what was needed, and the node refuses what is left. Datagrams carry whole milliseconds, so the least is one.

The test runs at 6 nodes as before and at 360, and fails without the change. A mutant of it, too.

It breaks the same rule again, and is noticed.

--- a/internal/request/allowance/ledger.go
+++ b/internal/request/allowance/ledger.go
@@ -68,7 +68,8 @@
 // Grant answers an ask.
 type Grant struct {
 	Lent int
-	// Wait is how long it takes until a token is there, when none was lent.
+	// Wait is how long it takes until the next token is there, when not all that was
+	// needed was lent; 0: it was.
 	Wait time.Duration
 	// Share is what the borrower's data centre has of the demand; 0: not known.
 	Share float64
@@ -205,7 +206,7 @@
 		a.refused.add(now, float64(ask.Need-need), windowTime)
 	}
 	grant := Grant{Lent: need + ahead}
-	if grant.Lent == 0 {
+	if need < ask.Need {
 		grant.Wait = a.untilOne(limit)
 	}
 	return grant
@@ -217,11 +218,15 @@
 	if rate <= 0 {
 		return longestWait
 	}
-	return min(longestWait, time.Duration((1-a.level)/rate*float64(time.Second)))
+	return max(shortestWait, min(longestWait, time.Duration((1-a.level)/rate*float64(time.Second))))
 }
 
-// longestWait bounds what a refusal says of when to come back.
-const longestWait = 10 * time.Second
+// longestWait and shortestWait bound what a refusal says of when to come back; datagrams
+// carry whole milliseconds.
+const (
+	longestWait  = 10 * time.Second
+	shortestWait = time.Millisecond
+)
 
 // sweep drops accounts that nobody borrows from any more.
 func (l *Ledger) sweep(now time.Time) {
--- a/internal/request/allowance/purse.go
+++ b/internal/request/allowance/purse.go
@@ -12,7 +12,7 @@
 	// with fewer for each request.
 	lotTime   = 250 * time.Millisecond
 	lapseTime = 2 * lotTime
-	// refusedTime is how long a node refuses by itself after an owner had nothing to lend.
+	// refusedTime is how long a node refuses by itself after an owner had too little to lend.
 	// The owner's account fills meanwhile, and holds more than that; asks for what is over
 	// the allowance are bounded by it to ten a second and node.
 	refusedTime = 100 * time.Millisecond
@@ -114,7 +114,7 @@
 	if g.Share > 0 {
 		l.share = g.Share
 	}
-	if g.Lent == 0 {
+	if g.Wait > 0 { // those that got nothing of the lot would wait in vain
 		l.refused, l.alone = now.Add(max(refusedTime, g.Wait)), alone
 	}
 }
--- a/lab/model/quota/quota_test.go
+++ b/lab/model/quota/quota_test.go
@@ -82,13 +82,20 @@
 	}
 }
 
-// TestManyRequestsShareAnAsk: thousands of requests a second of one workspace at one node
-// wait for one ask at a time, which asks for all of them. When each ask was for one, they
-// waited up to 8.6 s (360 nodes, 3,700 a second at one).
+// TestManyRequestsShareAnAsk: thousands of requests a second of one workspace come to one
+// node, which asks the workspace's owner for tokens. Seen: admitted requests waited 8.6 s in a
+// fleet of 360 nodes. Cause: first an ask was for one token only, then those that got nothing
+// of a lot asked again for as long as any came. Now one ask is for all that wait, and what it
+// does not bring is refused at once. Proof: with the second fault the 99th percentile is 1.7 s
+// in the larger of the two fleets, where the owner is another node, and 3.6 ms without.
 func TestManyRequestsShareAnAsk(t *testing.T) {
-	is := is.New(t)
-	s := Scenario{Nodes: 6, Centres: 3, Workspaces: 2, PerSecond: 800, Length: 5 * time.Second, OneNode: true, Hot: Span{time.Second, 3 * time.Second}, HotFactor: 7.5, Seed: 7}
-	f := Run(s, Lent)
-	t.Logf("%d requests, %v and %v added", f.Requests, f.P50, f.P99)
-	is.True(f.P99 <= 20*time.Millisecond)
+	for _, nodes := range []int{6, 360} {
+		t.Run(fmt.Sprint(nodes), func(t *testing.T) {
+			is := is.New(t)
+			s := Scenario{Nodes: nodes, Centres: 3, Workspaces: 2, PerSecond: 800, Length: 5 * time.Second, OneNode: true, Hot: Span{time.Second, 3 * time.Second}, HotFactor: 7.5, Seed: 7}
+			f := Run(s, Lent)
+			t.Logf("%d requests, %v and %v added, worst window %.2f, %.2f %% missing", f.Requests, f.P50, f.P99, f.Worst, 100*f.Wrong)
+			is.True(f.P99 <= 20*time.Millisecond)
+		})
+	}
 }
--- a/scripts/check-mutants.sh
+++ b/scripts/check-mutants.sh
@@ -58,8 +58,9 @@
 mutant 10 internal/request/allowance/portion.go 's/case !around\.silent\(\):/case !around.silent() || around.Natural:/' internal/request/allowance TestBothSidesOfACutShareTheAllowance
 mutant 10 platform/front.go 's/f\.node\.Allowances\(\)\.Return\(by\)//' lab/hosted TestUnrunRequestsTakeNothing
 mutant 10 internal/connection/lending/lending.go 's/owner == x\.Node \{/owner != "" {/' lab/hosted TestAllowanceHoldsOverTheFleet
+mutant 10 internal/request/allowance/purse.go 's/if g\.Wait > 0 \{/if g.Lent == 0 {/' lab/model/quota TestManyRequestsShareAnAsk
 mutant 10 internal/request/backlog/backlog.go 's/case waiting > limit:/case waiting > 2*limit:/' internal/request/backlog TestOneOfTwoTakesTheLastRoom
-mutant 10 internal/request/backlog/backlog.go 's/case now\.Sub\(b\.since\) < learnTime:/case now.Before(b.since):/' internal/request/backlog TestNewOwnerLearnsFirst
+mutant 10 internal/request/backlog/backlog.go 's/case now\.Sub\(b\.since\) >= learnTime:/case !now.Before(b.since):/' internal/request/backlog TestNewOwnerLearnsFirst
 mutant 10 internal/request/schedule/fair.go 's/return max\(f\.virtual, f\.tags\[name\]\)/return f.tags[name]/' internal/request/schedule TestFairWithinAWorkspaceIsByDue
 mutant 3 internal/request/forward/watchdog.go 's/if w\.better\(\)/if w.better() || w.gap > 0/' internal/request/forward TestQueuedRequestKeepsItsPlace
 mutant 3 internal/request/choose/better.go 's/now\.Sub\(e\.heardAt\) > heard/now.Sub(e.heardAt) > time.Hour/' internal/request/choose TestBetterThanWaiting
