--- a/internal/request/homes/homes_test.go
+++ b/internal/request/homes/homes_test.go
@@ -75,11 +75,10 @@
 	is.Equal(total, 40)
 }
 
-// TestSilentPlacesAreNotTakenForUnknown: a caller that read its answer at a node of another
-// data centre right after it was given was told that there is none, once in a run beside a
-// loaded machine. Cause, as far as the code shows: calls to homes end after 500 ms, and a home
-// or store that did not answer counted as one that knows nothing. Proof: without the rule all
-// three say that the request is unknown; the one that was seen has not come again.
+// TestSilentPlacesAreNotTakenForUnknown: read in the code: calls to homes end after 500 ms,
+// and a home, data centre or store that did not answer counted as one that knows nothing, so
+// that a caller was told that an answer it has does not exist. Proof: without the rule the
+// three silent places say that the request is unknown.
 func TestSilentPlacesAreNotTakenForUnknown(t *testing.T) {
 	closed := httptest.NewServer(nil)
 	closed.Close()
