Log what a full target is taken to be full of, and what decided a verdict

Cause: of failing plays of TestOnlineGoesFirst, TestRoomIsWaitedFor and TestTargetsKilledTogetherAccuseNobody the logs could not say what each node counted at the target, since when it heard the other node, or which crashes stood behind a refusal and how many targets ended beside each. Change: an attempt that a full target refused logs what this node counts there (414); a verdict logs its crashes with age, work accused and others near (415); a node that is heard for the first time, or again after a silence, is a debug event (206).

--- a/internal/connection/beacon/beacon.go
+++ b/internal/connection/beacon/beacon.go
@@ -143,6 +143,8 @@
 	// of the own data centre is heard no more. They must not block.
 	Behind func(node string)
 	Silent func(node string)
+	// HeardFirst is told that a node is heard that was not; nil: nobody is.
+	HeardFirst func(node string)
 }
 
 // Exchange sends and takes the datagrams of one node.
--- a/internal/connection/beacon/receive.go
+++ b/internal/connection/beacon/receive.go
@@ -31,7 +31,7 @@
 	group := x.View().groupOf(m.Node)
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	last := x.heard[m.Node]
+	last, heard := x.heard[m.Node]
 	if m.Node == x.Node || m.Boot < last.boot || (m.Boot == last.boot && m.Sequence <= last.sequence) {
 		return false
 	}
@@ -41,6 +41,9 @@
 	if !near {
 		x.centres[m.DataCentre] = time.Now()
 	}
+	if !heard && x.HeardFirst != nil {
+		x.HeardFirst(m.Node)
+	}
 	return true
 }
 
--- a/internal/process/crashes/verdicts.go
+++ b/internal/process/crashes/verdicts.go
@@ -59,11 +59,7 @@
 
 // refuse acts on a new verdict: what is under way is stopped.
 func (w *Watch) refuse(ctx context.Context, id fingerprint.ID, v quarantine.Verdict, now time.Time) {
-	targets := make([]string, len(v.Targets))
-	for i, t := range v.Targets {
-		targets[i] = t.ID
-	}
-	w.Recorder.Record(timeline.WorkRefused, "", id.String(), "targets crash under it", timeline.Field{Name: "targets", Value: targets},
+	w.Recorder.Record(timeline.WorkRefused, "", id.String(), "targets crash under it", timeline.Field{Name: "crashes", Value: w.describe(v, now)},
 		timeline.Field{Name: "decided_ms", Value: now.Sub(v.Since).Milliseconds()}, timeline.Field{Name: "for_s", Value: int(v.Until.Sub(now).Seconds())})
 	for _, a := range w.underWay(id) {
 		a.stop()
@@ -78,6 +74,17 @@
 	}
 }
 
+// describe returns, for the log, the crashes of a verdict as this node knows them.
+func (w *Watch) describe(v quarantine.Verdict, now time.Time) []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	out := make([]string, len(v.Targets))
+	for i, t := range v.Targets {
+		out[i] = w.table.Describe(now, t)
+	}
+	return out
+}
+
 // underWay returns the attempts at work.
 func (w *Watch) underWay(id fingerprint.ID) []*attempt {
 	w.mu.Lock()
--- a/internal/process/hosted/hosted.go
+++ b/internal/process/hosted/hosted.go
@@ -145,7 +145,8 @@
 		Backlogs: n.backlogs, Ended: n.ended, Clock: n.clock, Shares: n.batch.shares, Recorder: n.recorder, Checker: n.checker, Metrics: n.metrics})
 	n.checkpoints = checkpoint.NewStore(checkpoint.Limits{Bytes: s.CheckpointMemory, Keep: s.KeepResults}, n.clock.Now)
 	n.beacon = beacon.New(beacon.Options{Node: s.NodeID, DataCentre: s.DataCentre, Boot: n.boot, Loads: n.pool, Copies: n.cache, Batch: n.batch, Store: adapter.Health, Crashes: n.crashes, Suspended: n.clock.Suspended,
-		View: n.view.Load, Behind: n.behind, Silent: func(string) { n.jobs.LookForLostJobs() }})
+		View: n.view.Load, Behind: n.behind, Silent: func(string) { n.jobs.LookForLostJobs() },
+		HeardFirst: func(node string) { n.recorder.Record(timeline.NodeHeard, "", node, "") }})
 	n.cache.OnVerified(n.beacon.Touch)
 	n.pool.OnLoad(n.ownLoadChanged, n.othersLoadChanged)
 	n.pool.SetDisplacer(n)
--- a/internal/process/hosted/log.go
+++ b/internal/process/hosted/log.go
@@ -60,6 +60,11 @@
 	if ran { // what ties it to other attempts at the same work, and to others that were lost with it
 		fields = append(fields, field("work", req.Work.ID().String()), field("events", events), field("others_there", l.n.inFlightAt(t)))
 	}
+	if forward.Saturated(err) { // what this node takes the target to be full of
+		counts := l.n.pool.Counts(t.ID)
+		fields = append(fields, field("online", counts.Online), field("items", counts.Items), field("yielding", counts.Yielding),
+			field("others_online", counts.Elsewhere.Online), field("others_items", counts.Elsewhere.Batch))
+	}
 	l.n.recorder.Record(timeline.RequestBroken, req.ID, t.ID, err.Error(), fields...)
 	l.n.metrics.Counter("attempts_failed").Inc(1)
 }
--- a/internal/process/timeline/catalogue.go
+++ b/internal/process/timeline/catalogue.go
@@ -21,6 +21,7 @@
 	MemberDead         Code = 203
 	MemberLeaving      Code = 204
 	VMLeaving          Code = 205
+	NodeHeard          Code = 206
 	ConfigAdopted      Code = 301
 	ConfigApplied      Code = 302
 	ConfigStalePlan    Code = 303
@@ -107,6 +108,7 @@
 	MemberDead:         {"member_dead", log.WarnLevel, "a node is silent for long; its work is taken over"},
 	MemberLeaving:      {"member_leaving", log.InfoLevel, "a node announced that it leaves"},
 	VMLeaving:          {"vm_leaving", log.InfoLevel, "a VM is leaving and gets no new work; the cause says who told"},
+	NodeHeard:          {"node_heard", log.DebugLevel, "the first datagram of a node arrived, or the first after it was silent"},
 	ConfigAdopted:      {"config_adopted", log.InfoLevel, "a configuration version came into force at this node"},
 	ConfigApplied:      {"config_applied", log.InfoLevel, "an operator's plan became a version"},
 	ConfigStalePlan:    {"config_stale_plan", log.InfoLevel, "a plan was refused because its base is not the newest version"},
@@ -124,7 +126,7 @@
 	RequestHeld:        {"request_held", log.DebugLevel, "this node keeps a request as one of its homes"},
 	ResultHeld:         {"result_held", log.DebugLevel, "this node keeps the result of a request"},
 	RequestBroken:      {"request_broken", log.InfoLevel, "an attempt ended without a whole answer; the cause says how, and whether it may have run"},
-	WorkRefused:        {"work_refused", log.WarnLevel, "work under which targets crash is refused from now on; the targets whose crashes decided it are named"},
+	WorkRefused:        {"work_refused", log.WarnLevel, "work under which targets crash is refused from now on; the crashes that decided it are named"},
 	WorkReleased:       {"work_released", log.InfoLevel, "work is refused no more: an operator let it go, it was answered whole, or its crashes are forgotten"},
 	VerdictNotKept:     {"verdict_not_kept", log.WarnLevel, "what refuses work could not be written to the object store or removed there; nodes that live know it"},
 	TargetCrashed:      {"target_crashed", log.WarnLevel, "a target has ended while work of this node ran there; the cause is the proof"},
--- a/internal/request/choose/status.go
+++ b/internal/request/choose/status.go
@@ -30,3 +30,21 @@
 	}
 	return Status{e.Target, e.load, e.known, e.online, e.leaving, e.why(now, "")}, true
 }
+
+// Counts is what a table holds against the slots of one target.
+type Counts struct {
+	Online    int // own online requests
+	Items     int // own batch items, those that are making room among them
+	Yielding  int // items that are making room
+	Elsewhere InFlight
+	Free      int // slots, by all of that; below 0: so many wait
+}
+
+// Counts returns what is held against the slots of a target.
+func (t *Table) Counts(id string) Counts {
+	e := t.entries[id]
+	if e == nil {
+		return Counts{}
+	}
+	return Counts{Online: e.online, Items: e.batch, Yielding: e.yielding, Elsewhere: e.elsewhere, Free: e.free()}
+}
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -134,7 +134,7 @@
 		}
 		f.Log.Failed(req, t, c.events-before, err)
 		final := f.judge(ctx, req, t, c, err)
-		if final == nil && saturated(err) {
+		if final == nil && Saturated(err) {
 			c.inLine = &t
 			continue
 		}
--- a/internal/request/forward/place.go
+++ b/internal/request/forward/place.go
@@ -11,8 +11,8 @@
 	"github.com/marblepond/marblepond/internal/request/choose"
 )
 
-// saturated reports whether a target refused an attempt because it was full.
-func saturated(err error) bool {
+// Saturated reports whether a target refused an attempt because it was full.
+func Saturated(err error) bool {
 	var failure *target.Error
 	return errors.As(err, &failure) && failure.Saturated
 }
--- a/internal/request/quarantine/exchange.go
+++ b/internal/request/quarantine/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"fmt"
 	"slices"
 	"time"
 
@@ -56,6 +57,18 @@
 // All returns all crashes.
 func (t *Table) All(now time.Time) []Crash { return t.Unknown(now, nil) }
 
+// Describe says in a few words what is known of a crash: when it was, how much work it
+// is put down to, and how many other targets ended with it.
+func (t *Table) Describe(now time.Time, target Target) string {
+	order := t.inOrder()
+	i := slices.IndexFunc(order, func(c *crash) bool { return c.target == target })
+	if i < 0 {
+		return target.ID + ": not known any more"
+	}
+	c := order[i]
+	return fmt.Sprintf("%s: %d ms ago, %d accused, %d others ended within %v", target.ID, now.Sub(c.at).Milliseconds(), len(c.accused()), len(around(order, i)), togetherWithin)
+}
+
 func (c *crash) told(now time.Time) Crash {
 	out := Crash{Target: c.target, Age: now.Sub(c.at), Targets: c.targets}
 	for work, s := range c.work {
--- a/internal/version/discovery/discovery.go
+++ b/internal/version/discovery/discovery.go
@@ -79,6 +79,13 @@
 	return p.table.InGroup()
 }
 
+// Counts returns what is held against the slots of a target.
+func (p *Pool) Counts(target string) choose.Counts {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.table.Counts(target)
+}
+
 // Holders returns who else has batch items at a target.
 func (p *Pool) Holders(target string) choose.Holders {
 	p.mu.Lock()
--- a/scripts/check-mutants.sh
+++ b/scripts/check-mutants.sh
@@ -47,7 +47,7 @@
 mutant 3 internal/connection/beacon/send.go 's/if pass == v1\.Pass_PASS_NOT/if pass != v1.Pass_PASS_NOT/' internal/connection/beacon TestHoldersHearAtOnce
 mutant 3 internal/connection/beacon/view.go 's/rendezvous\.First\(p\.Node, speakers\) == v\.self/rendezvous.First(p.Node, speakers) == p.Node/' internal/connection/beacon TestEveryNodeHearsEveryGroup
 mutant 1 internal/connection/beacon/silence.go 's/told\.Sub\(w\.at\) > silentAfter/told.Sub(w.at) > time.Hour/' internal/connection/beacon TestSilenceIsToldOn
-mutant 3 internal/request/forward/forward.go 's/final == nil && saturated\(err\)/final == nil \&\& saturated(err) \&\& c.begun/' internal/request/forward TestRefusedRequestCountsWhileItWaits
+mutant 3 internal/request/forward/forward.go 's/final == nil && Saturated\(err\)/final == nil \&\& Saturated(err) \&\& c.begun/' internal/request/forward TestRefusedRequestCountsWhileItWaits
 mutant 6 internal/request/choose/prefer.go 's/if key == 0 \{/if key < 1<<63 {/' internal/request/choose TestScatteredWorkParts
 mutant 6 internal/request/run/run.go 's/promptLosses = 2/promptLosses = 60/' lab/e2e TestRequestThatCrashesEngines
 mutant 10 internal/version/workspace/workspace.go 's/x\.byKey\[hash\] = nil/x.byKey[hash] = holder/' internal/version/workspace TestKeysNameOneWorkspace
