Do not hold an attempt against a crash that was known before it was sent

Callers saw: after a kill of many targets a proper stream was refused with 500 at all nodes, for an hour (TestTargetsKilledTogetherAccuseNobody). Cause: a loss was put down to a crash by target and listed incarnation. A target that has started again is listed under its earlier incarnation for some hundred milliseconds; what was sent there meanwhile and lost was held against the earlier end. One stream then was 'at' three of five ends of one moment, which left too few to show a kill of many. Ruled out: ends noticed over more than 50 ms (both traced plays: within 12 ms), and nodes that know different ends (all five at each). Change: the target of an attempt carries when it was sent; a loss is not put down to a crash that the node knew of before. The same at our own interface and for items.

--- a/internal/process/crashes/watch.go
+++ b/internal/process/crashes/watch.go
@@ -123,7 +123,7 @@
 // Lost takes work whose connection to a target broke, and has it found out whether
 // the target has ended.
 func (w *Watch) Lost(work *fingerprint.Work, t choose.Target) {
-	if w.Leaving(t) {
+	if w.Leaving(t) || w.endedBefore(t) {
 		return
 	}
 	id, serving := work.ID(), w.Serving(t.Service)
@@ -133,6 +133,15 @@
 	}
 }
 
+// endedBefore reports whether the target of an attempt was known to have ended when the
+// attempt was sent. It ran at the next incarnation then, and was lost with that: put
+// down to the earlier crash, proper work would be refused for ends it was not there at.
+func (w *Watch) endedBefore(t choose.Target) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return !t.Sent.IsZero() && w.table.EndedBefore(keyOf(t), t.Sent)
+}
+
 // Ended takes proof that an incarnation of a target has ended.
 func (w *Watch) Ended(t choose.Target, proof quarantine.Proof) {
 	if w.idle.Load() {
--- a/internal/process/crashes/watch_test.go
+++ b/internal/process/crashes/watch_test.go
@@ -44,6 +44,12 @@
 	w.now = w.now.Add(d)
 }
 
+func (w *world) time() time.Time {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.now
+}
+
 func (w *world) probe(_ context.Context, address string) dial.State {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -73,11 +79,7 @@
 	recorder := timeline.NewRecorder(node, 100, &log.Logger{Handler: discard.New()}, tally.NoopScope)
 	watch := New(Options{
 		Config: quarantine.Config{Limit: 3, Keep: time.Hour}, Probe: w.probe, Keeper: w, Recorder: recorder, Metrics: tally.NoopScope, News: func() {},
-		Now: func() time.Time {
-			w.mu.Lock()
-			defer w.mu.Unlock()
-			return w.now
-		},
+		Now:     w.time,
 		Serving: func(string) int { return 12 },
 		Leaving: func(t choose.Target) bool {
 			w.mu.Lock()
@@ -210,6 +212,48 @@
 	}
 }
 
+// TestLaterAttemptIsNotAccused: a target crashes and starts again at its address, and a
+// node sends to it before it has heard of the new start. What is lost there then was
+// not in flight at the crash, also where the node has heard of that from another.
+//
+// What happened: a stream that lost two of seven targets that were killed together went
+// on at a third, which had been killed with them and had started again, and was taken
+// for the cause of that end too. With its three "crashes" only two of the five ends of
+// that moment were left to show a kill of many, so that it was refused at all nodes.
+// What showed it: in the log of a failing play of TestTargetsKilledTogetherAccuseNobody
+// target_crashed for i-7 comes 0.42 s before the request_dispatched to i-7 that the
+// verdict holds against the stream.
+func TestLaterAttemptIsNotAccused(t *testing.T) {
+	is := is.New(t)
+	w := newWorld()
+	here, there := w.start(t, "here"), w.start(t, "there")
+	work, beside := &fingerprint.Work{Path: "/good"}, &fingerprint.Work{Path: "/beside"}
+	for n := range 3 {
+		w.crash(there, n, beside)
+		eventually(t, "the crash is proved", func() bool { return there.crashesKnown() == n+1 })
+		is.NoErr(here.pullFrom(context.Background(), "there", there))
+		w.pass(time.Second)
+		for _, watch := range []*Watch{here, there} {
+			later := targetNo(n)
+			later.Sent = w.time()
+			watch.Lost(work, later)
+		}
+	}
+	for _, watch := range []*Watch{here, there} {
+		is.True(!watch.Suspected(work))
+		is.NoErr(watch.Refuse(work))
+	}
+	sent := w.time()
+	w.pass(time.Millisecond)
+	w.crash(there, 3, &fingerprint.Work{Path: "/other"})
+	eventually(t, "the crash is proved", func() bool { return there.crashesKnown() == 4 })
+	before := targetNo(3)
+	before.Sent = sent
+	there.Lost(work, before) // it was in flight there, and its end is noticed late
+	w.pass(time.Second)
+	is.True(there.Suspected(work))
+}
+
 // TestOneLookForManyLosses: all that is lost at a target at once has it looked at
 // once, and is put down to the crash.
 func TestOneLookForManyLosses(t *testing.T) {
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -159,7 +159,7 @@
 		Choose: choose.Config{EjectAfter: s.EjectAfter, EjectTime: s.EjectTime, Policy: n.variant.Policy}},
 		n.platform, engines, n.membership, n.recorder, n.checker, n.config.Current)
 	n.crashes = n.newCrashWatch(n.peerClient)
-	n.runner = run.New(n.targets, engines, &remotes{n}, n.crashes, n.recorder, n.checker, s.RetryShare, s.LoadInterval)
+	n.runner = run.New(n.targets, engines, &remotes{n}, n.crashes, n.recorder, n.checker, s.RetryShare, s.LoadInterval, n.clock.Now)
 	n.keeper = homes.New(s.ResultMemory, n.membership.View, n.pool, n.platform, n.recorder, func(r hold.Request) { n.server.Rerun(r) })
 	n.claims = claim.New(n.platform, n.recorder)
 	n.store = batch.NewStore(n.platform, n.recorder, s.ChunkItems)
--- a/internal/request/choose/choose.go
+++ b/internal/request/choose/choose.go
@@ -39,6 +39,8 @@
 	Warming     bool // just started and still slow
 	// Apart says, of the target of an attempt, that it was chosen with Need.Apart.
 	Apart bool
+	// Sent is, of the target of an attempt, when that was sent; zero: not known.
+	Sent time.Time
 }
 
 // Outcome says how an attempt ended for the target.
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -127,6 +127,7 @@
 		f.Checker.Assert(c.ran == 0 || req.Route.Repeatable(), invariant.AtMostOnce, req.ID, t.ID, "sent again after %d attempts that may have run", c.ran)
 		f.Log.Sent(req, t, c.held)
 		before := c.events
+		t.Sent = f.Now()
 		err := f.attempt(ctx, req, t, caller, c)
 		if err == nil {
 			f.Targets.End(t, choose.Success)
--- a/internal/request/job/run.go
+++ b/internal/request/job/run.go
@@ -163,6 +163,7 @@
 		full[service] = true
 		return
 	}
+	t.Sent = m.Clock.Now()
 	m.fair.Sent(item)
 	h.progress.sent(i, t, now)
 	attempt, cancel := context.WithCancelCause(ctx)
--- a/internal/request/quarantine/exchange.go
+++ b/internal/request/quarantine/exchange.go
@@ -95,7 +95,7 @@
 func (t *Table) merge(now time.Time, told Crash) (news bool) {
 	c := t.crashes[told.Target]
 	if c == nil {
-		c = &crash{target: told.Target, at: now.Add(-told.Age), work: map[fingerprint.ID]state{}}
+		c = &crash{target: told.Target, at: now.Add(-told.Age), known: now, work: map[fingerprint.ID]state{}}
 		if l := t.unproved[told.Target]; l != nil { // another node's proof holds here too
 			delete(t.unproved, told.Target)
 			told.Accused = append(slices.Clone(told.Accused), l.accused()...)
--- a/internal/request/quarantine/table.go
+++ b/internal/request/quarantine/table.go
@@ -45,6 +45,7 @@
 type crash struct {
 	target  Target
 	at      time.Time // of the first loss that was noticed
+	known   time.Time // when this node learned that the target has ended
 	targets int       // that served the same service, this one included
 	work    map[fingerprint.ID]state
 	content uint64 // hash of what is told of it
@@ -114,6 +115,13 @@
 	return false
 }
 
+// EndedBefore reports whether an incarnation of a target was known to have ended before
+// a time. What was sent there later has met the next one, of which no list tells yet.
+func (t *Table) EndedBefore(target Target, sent time.Time) bool {
+	c := t.crashes[target]
+	return c != nil && c.known.Before(sent)
+}
+
 // Ended takes proof that an incarnation of a target has ended. It reports whether
 // work was lost there of which that was not known.
 func (t *Table) Ended(now time.Time, target Target) (news bool) {
@@ -122,7 +130,7 @@
 	if l == nil || now.Sub(l.since) > provedWithin || len(l.work) == 0 {
 		return false
 	}
-	c := &crash{target: target, at: l.since, targets: l.targets, work: map[fingerprint.ID]state{}}
+	c := &crash{target: target, at: l.since, known: now, targets: l.targets, work: map[fingerprint.ID]state{}}
 	for work := range l.work {
 		c.work[work] = accused
 	}
--- a/internal/request/run/run.go
+++ b/internal/request/run/run.go
@@ -75,15 +75,16 @@
 	recorder   *timeline.Recorder
 	checker    *invariant.Checker
 	reports    time.Duration // between load reports of a target
+	now        func() time.Time
 
 	mu     sync.Mutex
 	budget *budget.Budget
 }
 
 // New returns a runner whose retries are bounded to a share of its requests; reports is
-// the time between load reports of a target.
-func New(t *targets.Manager, e *engine.Client, remote Remote, q Quarantine, r *timeline.Recorder, c *invariant.Checker, retryShare float64, reports time.Duration) *Runner {
-	return &Runner{quarantine: q, targets: t, engines: e, remote: remote, recorder: r, checker: c, budget: budget.New(retryShare), reports: reports}
+// the time between load reports of a target. now is the clock of the quarantine.
+func New(t *targets.Manager, e *engine.Client, remote Remote, q Quarantine, r *timeline.Recorder, c *invariant.Checker, retryShare float64, reports time.Duration, now func() time.Time) *Runner {
+	return &Runner{quarantine: q, targets: t, engines: e, remote: remote, recorder: r, checker: c, budget: budget.New(retryShare), reports: reports, now: now}
 }
 
 // RemoteReachable reports whether another data centre can be asked.
@@ -139,6 +140,7 @@
 			}
 			continue
 		}
+		target.Sent = r.now()
 		err := r.attempt(ctx, req, target, header, a)
 		r.note(req, target, err)
 		r.end(target, err)
@@ -255,6 +257,7 @@
 		r.quarantine.Whole(req.Work)
 	case errors.Is(err, engine.ErrLinkLost):
 		if process, known := r.targets.Process(target); known {
+			process.Sent = target.Sent
 			r.quarantine.Lost(req.Work, process)
 		}
 	}
--- a/lab/hosted/crash_test.go
+++ b/lab/hosted/crash_test.go
@@ -252,6 +252,15 @@
 // TestTargetsKilledTogetherAccuseNobody: seven of twelve targets are killed at once,
 // three times in a row, under 60 streams that go on elsewhere each time. Many of them
 // lose three targets; all are answered whole, and none is refused.
+//
+// What happened: in 1 of some 15 to 80 plays beside load one stream was refused. Streams
+// that were sent to a target after its end was known, and ran at its next incarnation,
+// were held against the earlier end as well; with one target more at which it "was", too
+// few of the five ends of that moment were left to show a kill of many, and the stream was
+// suspected. Crashes at which suspected work was count for no kill, so that others beside
+// it were refused too. What showed it: in the log of a failing play target_crashed for
+// i-7 comes 0.42 s before the request_dispatched to i-7 that the verdict names, and the
+// attempt ends with "the target has started again" while its events still came.
 func TestTargetsKilledTogetherAccuseNobody(t *testing.T) {
 	is := is.New(t)
 	f := &crashFleet{Fleet: fleet(t, Options{Nodes: 6, Runners: 12, Slots: 12, Events: 200, Gap: 10 * time.Millisecond, DataCentres: []string{"hall-a", "hall-b", "hall-c"}})}
