Let answers go on where a target has started again before the list tells of it

Callers saw: answers broken off in mid-stream by our own node, up to a second after a target had started again; of requests that may run once a broken answer or 500. Cause: the news that a target has started again ended every attempt that was sent under the earlier incarnation, also those that the new process was serving. Ruled out: events left over in connections to the process that ended; they come every 10 ms for 0.2 s after the new start. Change: an attempt that has brought events is ended only if it brings none for as long as the route lets a target be silent, counted from its last event; one sent after the node knew of the end is not ended at all. Before: TestAnswerGoesOnAtTheNextStart fails on both routes (unexpected EOF; 2 runs for 1). Conclusion: mended for answers that have begun; what has brought nothing is stopped as before.

--- a/internal/process/crashes/watch.go
+++ b/internal/process/crashes/watch.go
@@ -123,7 +123,7 @@
 // Lost takes work whose connection to a target broke, and has it found out whether
 // the target has ended.
 func (w *Watch) Lost(work *fingerprint.Work, t choose.Target) {
-	if w.Leaving(t) || w.endedBefore(t) {
+	if w.Leaving(t) || w.EndedBefore(t) {
 		return
 	}
 	id, serving := work.ID(), w.Serving(t.Service)
@@ -133,13 +133,16 @@
 	}
 }
 
-// endedBefore reports whether the target of an attempt was known to have ended when the
+// EndedBefore reports whether the target of an attempt was known to have ended when the
 // attempt was sent. It ran at the next incarnation then, and was lost with that: put
 // down to the earlier crash, proper work would be refused for ends it was not there at.
-func (w *Watch) endedBefore(t choose.Target) bool {
+func (w *Watch) EndedBefore(t choose.Target) bool {
+	if w.idle.Load() || t.Sent.IsZero() {
+		return false
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return !t.Sent.IsZero() && w.table.EndedBefore(keyOf(t), t.Sent)
+	return w.table.EndedBefore(keyOf(t), t.Sent)
 }
 
 // Ended takes proof that an incarnation of a target has ended.
--- a/internal/request/forward/attempt.go
+++ b/internal/request/forward/attempt.go
@@ -25,7 +25,13 @@
 	better := func() bool { return f.Targets.Better(t.ID, need, longestGap(req.Route)) }
 	watch := newWatchdog(req.Route, c.ran, better, cancel)
 	defer watch.stop()
-	defer f.Targets.WhenGone(t, func() { cancel(errReplaced) })()
+	live := &target.Liveness{}
+	defer live.Stop()
+	defer f.Targets.WhenGone(t, func() {
+		if !f.Quarantine.EndedBefore(t) {
+			live.Replaced(longestGap(req.Route), func() { cancel(errReplaced) })
+		}
+	})()
 	defer f.Quarantine.Running(&req.Work, func() { cancel(errRefused) })()
 	sent := f.Now()
 	answer, err := f.Sender.Send(ctx, target.Call{
@@ -57,6 +63,7 @@
 		if err != nil {
 			return f.cause(ctx, err)
 		}
+		live.Brought()
 		watch.event()
 		f.Targets.Heard(t)
 		if first {
--- a/internal/request/forward/forward_test.go
+++ b/internal/request/forward/forward_test.go
@@ -97,6 +97,7 @@
 func (noQuarantine) Lost(*fingerprint.Work, choose.Target)    {}
 func (noQuarantine) Whole(*fingerprint.Work)                  {}
 func (noQuarantine) Ended(choose.Target, quarantine.Proof)    {}
+func (noQuarantine) EndedBefore(choose.Target) bool           { return false }
 func (noQuarantine) Running(*fingerprint.Work, func()) func() { return func() {} }
 
 // slowSender answers with three events, the first after a time that depends on
--- a/internal/request/forward/parts.go
+++ b/internal/request/forward/parts.go
@@ -32,8 +32,8 @@
 	Heard(t choose.Target)
 	End(t choose.Target, outcome choose.Outcome)
 	FirstEvent(t choose.Target, took time.Duration)
-	// WhenGone has a function called when a target has started again, and what ran
-	// there is lost; stop takes it back.
+	// WhenGone has a function called when a target is known to have started again; stop
+	// takes it back. What ran there before is lost, what was sent since is not.
 	WhenGone(t choose.Target, ended func()) (stop func())
 	// Occupied takes how long a request that was answered whole held a slot.
 	Occupied(service string, took time.Duration)
@@ -55,6 +55,9 @@
 	Whole(work *fingerprint.Work)
 	// Ended takes proof that an incarnation of a target has ended.
 	Ended(t choose.Target, proof quarantine.Proof)
+	// EndedBefore reports whether that was known when an attempt was sent there, which
+	// has then met the next incarnation.
+	EndedBefore(t choose.Target) bool
 	// Running has a function called when work is refused that is under way; done
 	// takes it back.
 	Running(work *fingerprint.Work, stop func()) (done func())
--- a/internal/request/job/manager.go
+++ b/internal/request/job/manager.go
@@ -38,8 +38,8 @@
 	Yielding(t choose.Target)
 	Saturated(t choose.Target)
 	Leave(t choose.Target, why string)
-	// WhenGone has a function called when a target has started again, and what ran
-	// there is lost; stop takes it back.
+	// WhenGone has a function called when a target is known to have started again; stop
+	// takes it back. What ran there before is lost, what was sent since is not.
 	WhenGone(t choose.Target, ended func()) (stop func())
 }
 
@@ -58,6 +58,9 @@
 	// Lost takes work whose connection to a target broke, and Whole work that was
 	// answered whole.
 	Lost(work *fingerprint.Work, t choose.Target)
+	// EndedBefore reports whether a target was known to have ended when an attempt was
+	// sent there, which has then met the next incarnation.
+	EndedBefore(t choose.Target) bool
 	Whole(work *fingerprint.Work)
 	// Ended takes proof that an incarnation of a target has ended.
 	Ended(t choose.Target, proof quarantine.Proof)
--- a/internal/request/job/manager_test.go
+++ b/internal/request/job/manager_test.go
@@ -111,6 +111,7 @@
 func (noQuarantine) Lost(*fingerprint.Work, choose.Target)    {}
 func (noQuarantine) Whole(*fingerprint.Work)                  {}
 func (noQuarantine) Ended(choose.Target, quarantine.Proof)    {}
+func (noQuarantine) EndedBefore(choose.Target) bool           { return false }
 func (noQuarantine) Running(*fingerprint.Work, func()) func() { return func() {} }
 
 type noPeers struct{}
--- a/internal/request/job/run.go
+++ b/internal/request/job/run.go
@@ -42,6 +42,8 @@
 	// silence ends an attempt whose target sends nothing: many times the usual
 	// pause between events, and short beside the time in which jobs are due.
 	silence = 2 * time.Second
+	// replacedSilence is the same once the target is said to have started again.
+	replacedSilence = 200 * time.Millisecond
 )
 
 // schedule sends items while there is room, in the order of package schedule.
@@ -180,9 +182,15 @@
 // run makes one attempt at an item and takes its end.
 func (m *Manager) run(ctx context.Context, cancel context.CancelCauseFunc, h *held, i int, t choose.Target, r *route.Route) {
 	defer cancel(nil)
-	defer m.Pool.WhenGone(t, func() { cancel(errReplaced) })()
+	live := &target.Liveness{}
+	defer live.Stop()
+	defer m.Pool.WhenGone(t, func() {
+		if !m.Quarantine.EndedBefore(t) {
+			live.Replaced(replacedSilence, func() { cancel(errReplaced) })
+		}
+	})()
 	defer m.Quarantine.Running(&h.works[i], func() { cancel(errRefused) })()
-	err := m.attempt(ctx, cancel, h, i, t, r)
+	err := m.attempt(ctx, cancel, h, i, t, r, live)
 	m.Pool.EndBatch(t, outcomeOf(ctx, err), errors.Is(context.Cause(ctx), errYielded))
 	m.take(ctx, h, i, t, r, err)
 	m.signal()
@@ -194,7 +202,7 @@
 
 func (e statusError) Error() string { return "the target answered " + http.StatusText(int(e)) }
 
-func (m *Manager) attempt(ctx context.Context, cancel context.CancelCauseFunc, h *held, i int, t choose.Target, r *route.Route) error {
+func (m *Manager) attempt(ctx context.Context, cancel context.CancelCauseFunc, h *held, i int, t choose.Target, r *route.Route, live *target.Liveness) error {
 	m.mu.Lock()
 	held := h.progress.items[i].held
 	m.mu.Unlock()
@@ -220,6 +228,7 @@
 		if err != nil {
 			return err
 		}
+		live.Brought()
 		watchdog.Reset(silence)
 		m.mu.Lock()
 		h.progress.event(i, event.ID, event.Data)
--- a/internal/version/discovery/list.go
+++ b/internal/version/discovery/list.go
@@ -64,10 +64,10 @@
 	return ended
 }
 
-// WhenGone has a function called when a target is known to have started again:
-// what runs at the incarnation given is lost with it, whether or not its
-// connection shows it. stop takes the function back. It is called at once when
-// that is known already.
+// WhenGone has a function called when a target is known to have started again: what
+// was sent to the incarnation given before it ended is lost with it, whether or not its
+// connection shows it. stop takes the function back. It is called at once when that is
+// known already.
 func (p *Pool) WhenGone(t choose.Target, ended func()) (stop func()) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/lab/hosted/online_test.go
+++ b/lab/hosted/online_test.go
@@ -239,6 +239,35 @@
 	}
 }
 
+// TestAnswerGoesOnAtTheNextStart: a runner starts again at its address, and a node sends
+// to it before the list tells of the new start. When it does, the answers go on.
+//
+// What happened: each such attempt was stopped, though its events came. A request that
+// may run once ended with a broken answer, or with 500 before it; others ran twice.
+// Why: that a target has started again was taken to mean that all that was sent under
+// the earlier start is lost. What showed it: request_broken with "the target has started
+// again" right after events, at a target whose target_crashed came before the
+// request_dispatched.
+func TestAnswerGoesOnAtTheNextStart(t *testing.T) {
+	for _, path := range []string{StreamPath, ResumePath} {
+		t.Run(path, func(t *testing.T) {
+			is := is.New(t)
+			f := fleet(t, Options{Nodes: 1, Runners: 1, Slots: 8, Events: 250, Gap: 10 * time.Millisecond})
+			r := f.Runners[0]
+			is.Equal(Ask(context.Background(), f.Nodes[0].Caller(), path, "before", nil).Status, http.StatusOK)
+			r.restart = func() {} // the list does not tell yet
+			r.Kill(50 * time.Millisecond)
+			eventually(t, "it has started again", time.Second, r.up)
+			time.AfterFunc(200*time.Millisecond, func() { f.Store.Put("servers", r.ID, r.Entry("hall-a", "ready")) })
+			reply := Ask(context.Background(), f.Nodes[0].Caller(), path, "meanwhile", nil)
+			is.NoErr(reply.Err)
+			is.Equal(reply.Status, http.StatusOK)
+			is.Equal(StreamText(reply.Body), r.Text("meanwhile"))
+			is.Equal(f.runs("meanwhile"), 1)
+		})
+	}
+}
+
 // TestReusedAddress: a runner that is not the one meant runs nothing, and is
 // not asked again.
 func TestReusedAddress(t *testing.T) {
--- a/lab/hosted/runner.go
+++ b/lab/hosted/runner.go
@@ -137,6 +137,13 @@
 	})
 }
 
+// up reports whether the runner's process runs.
+func (r *Runner) up() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.server != nil
+}
+
 // Ends returns how often the runner's process has ended.
 func (r *Runner) Ends() int {
 	r.mu.Lock()
