Give each process of the lab a loopback network of its own

Cause: two plays of lab/hosted ended with 'address already in use' before their first check. The network of a process was its number modulo 128, so that two test processes at once could have the same one. Change: a process holds a port in its network and takes the next one if that is held. Before: 2 of some 900 plays, four at once. Conclusion: a disturbance of tests, not of the product.

--- a/lab/hosted/fleet.go
+++ b/lab/hosted/fleet.go
@@ -133,9 +133,32 @@
 // 127.0.0.1 are not used: connections that go out take them at any moment.
 func freshHost() string {
 	n := hosts.Add(1)
-	return fmt.Sprintf("127.%d.%d.%d", 64+os.Getpid()%128, n/250, 1+n%250)
+	return fmt.Sprintf("127.%d.%d.%d", ownNet(), n/250, 1+n%250)
 }
 
+const (
+	// firstNet and nets are the networks 127.x that processes with fleets choose from.
+	firstNet, nets = 64, 128
+	// claimPort is held in the network of a process, so that no other one takes it.
+	claimPort = 1099
+)
+
+// claim holds the network of this process until it ends.
+var claim net.Listener
+
+// ownNet returns the x of the network 127.x of this process.
+var ownNet = sync.OnceValue(func() int {
+	for i := range nets {
+		x := firstNet + (os.Getpid()+i)%nets
+		held, err := net.Listen("tcp", fmt.Sprintf("127.%d.255.254:%d", x, claimPort))
+		if err == nil {
+			claim = held
+			return x
+		}
+	}
+	panic("every network of the loopback range is taken")
+})
+
 // StartNode starts a node; extra is added to its settings.
 func (f *Fleet) StartNode(id, extra string) (*Node, error) {
 	return f.startNode(id, freshHost(), "", extra)
