Wait for the room that batch items make as long as a request can begin in time

Callers saw: the first online requests at a node that had just started refused after 60 ms (503, not run) beside another node's batch items (TestOnlineGoesFirst). Cause: nodes that start together know each other only some 0.1 s later beside load; until then nobody is told that requests wait. A request was refused after a fifth of its objective whoever held the slots. Ruled out: items that wrongly count as making room (yielding is 0), and slots taken by others (no item is sent between the refusals). Change: where items of any node are at targets of its service, and at a node that others do not know yet, a request waits until it can't begin in time; in all other cases it is refused as soon as before.

--- a/internal/connection/beacon/view.go
+++ b/internal/connection/beacon/view.go
@@ -86,6 +86,9 @@
 	return int(xxhash.Sum64String(node) % uint64(v.groups))
 }
 
+// AloneHere reports whether no other node of the data centre is known.
+func (v *View) AloneHere() bool { return len(v.byName) == 0 }
+
 // Group returns the name of this node's group.
 func (v *View) Group() string { return groupName(v.group) }
 
--- a/internal/process/hosted/hosted.go
+++ b/internal/process/hosted/hosted.go
@@ -72,6 +72,7 @@
 	seeds    atomic.Pointer[[]string] // of the newest settings file
 	adapter  Adapter
 	boot     int64 // Unix microseconds at process start
+	started  time.Time
 
 	recorder *timeline.Recorder
 	checker  *invariant.Checker
@@ -123,7 +124,7 @@
 // New connects the parts of a node.
 func New(parts Parts, adapter Adapter) *Node {
 	s := parts.Settings
-	n := &Node{settings: s, adapter: adapter, boot: time.Now().UnixMicro(), recorder: parts.Recorder, metrics: parts.Metrics, clock: parts.Clock,
+	n := &Node{settings: s, adapter: adapter, boot: time.Now().UnixMicro(), started: time.Now(), recorder: parts.Recorder, metrics: parts.Metrics, clock: parts.Clock,
 		configured: make(chan struct{}), makeRoom: make(chan struct{}, 1), halted: make(chan struct{})}
 	n.batch = newBatchWork(n)
 	n.view.Store(beacon.NewView(s.NodeID, s.DataCentre, nil))
@@ -150,6 +151,7 @@
 	n.cache.OnVerified(n.beacon.Touch)
 	n.pool.OnLoad(n.ownLoadChanged, n.othersLoadChanged)
 	n.pool.SetDisplacer(n)
+	n.pool.SetJoined(n.joined)
 	n.gossip = &follow.Gossip{Node: s.NodeID, Cache: n.cache, Listener: n, Peers: n.peerAddresses,
 		Client: n.peers.sync.at, GreetClient: n.peers.greet.at, Interval: s.GossipInterval, Alone: func() bool { return len(n.beacon.Heard()) == 0 }, Pulls: follow.NewPulls()}
 	n.listenHandlers(parts.MetricsPage)
--- a/internal/process/hosted/peers.go
+++ b/internal/process/hosted/peers.go
@@ -127,3 +127,22 @@
 	}
 	return slices.DeleteFunc(slices.Clone(*n.seeds.Load()), func(a string) bool { return a == n.settings.PeerAdvertise })
 }
+
+// joinTime is how long after its start a node may take others for not knowing it yet. Many
+// nodes that start together have heard of each other within it.
+const joinTime = 5 * time.Second
+
+// joined reports whether the nodes of this data centre know of each other: this node is
+// registered where they read it, and one of them is heard. Before that nobody makes room
+// for its requests at targets, and it does not know that anybody could. It is taken for so
+// when it has run for joinTime, and where no other node is known or configured.
+func (n *Node) joined() bool {
+	if time.Since(n.started) > joinTime {
+		return true
+	}
+	nodes := n.registered()
+	if nodes[n.settings.NodeID].Boot != n.boot {
+		return len(n.peerAddresses()) == 0
+	}
+	return n.view.Load().AloneHere() || len(n.beacon.HeardNear()) > 0
+}
--- a/internal/request/choose/room.go
+++ b/internal/request/choose/room.go
@@ -39,6 +39,16 @@
 	return room
 }
 
+// ItemsAt reports whether batch items of any node are at usable targets of a service.
+func (t *Table) ItemsAt(now time.Time, service string) bool {
+	for _, id := range t.rank[service] {
+		if e := t.entries[id]; e.batch+e.elsewhere.Batch > 0 && e.why(now, "") == "" {
+			return true
+		}
+	}
+	return false
+}
+
 func (e *entry) freeAt(now time.Time) int {
 	if now.Before(e.saturated) {
 		return min(0, e.free())
--- a/internal/request/forward/forward_test.go
+++ b/internal/request/forward/forward_test.go
@@ -35,6 +35,7 @@
 	there  map[string]int // attempts that are counted, by target
 
 	restarts map[string]time.Duration
+	items    bool // batch items are at the targets
 }
 
 func (f *fakeTargets) Choose(need choose.Need) (choose.Target, bool) {
@@ -60,6 +61,8 @@
 	return f.better
 }
 
+func (f *fakeTargets) RoomExpected(string) bool { return f.items }
+
 func (f *fakeTargets) End(t choose.Target, _ choose.Outcome) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -260,6 +263,35 @@
 	is.Equal(targets.countAt("a")+targets.countAt("b"), 0) // and no more than once
 }
 
+// TestRoomOfItemsIsWaitedFor: a request that full targets refuse is refused after a part of
+// its objective, which leaves its caller time to be served elsewhere. Where batch items are
+// to make room it waits for that, as long as it can begin in time.
+func TestRoomOfItemsIsWaitedFor(t *testing.T) {
+	const objective = 200 * time.Millisecond
+	for _, c := range []struct {
+		name   string
+		items  bool
+		room   time.Duration // until the targets take it
+		served bool
+		within time.Duration // it is served or refused
+	}{
+		{"no items", false, 150 * time.Millisecond, false, 100 * time.Millisecond},
+		{"items make room", true, 150 * time.Millisecond, true, objective},
+		{"items make no room", true, time.Minute, false, objective + 100*time.Millisecond},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			began := time.Now()
+			err := carry(&fakeTargets{items: c.items}, fullSender{began.Add(c.room), slowSender{}}, &fakeLog{}, &fakeCaller{})
+			is.Equal(err == nil, c.served)
+			is.True(time.Since(began) < c.within)
+			if err != nil {
+				is.Equal(errkind.Of(err).NotRun, errkind.NotRunTrue)
+			}
+		})
+	}
+}
+
 // TestDeadlineCountsSuspensions: a machine that was suspended for longer than a
 // request had left sends it to no further target: its caller has given up, and the
 // target would be told a time that is over. No timer tells it so; timers stood still.
--- a/internal/request/forward/parts.go
+++ b/internal/request/forward/parts.go
@@ -24,6 +24,9 @@
 // Targets is what the forwarder needs of the table of targets.
 type Targets interface {
 	Choose(need choose.Need) (choose.Target, bool)
+	// RoomExpected reports whether batch items are, or may be, at targets of a service:
+	// what they hold becomes free for online requests.
+	RoomExpected(service string) bool
 	// Better reports whether a request that waits for an event of a target would
 	// come sooner to it at another. A target that was heard within the time given
 	// lives, and what waits there has its turn coming.
--- a/internal/request/forward/place.go
+++ b/internal/request/forward/place.go
@@ -17,20 +17,18 @@
 	return errors.As(err, &failure) && failure.Saturated
 }
 
-// place finds a target with room; it waits for a short part of the objective,
-// or until the deadline when the caller already has part of the answer.
+// place finds a target with room, for as long as mayWait allows.
 func (f *Forwarder) place(ctx context.Context, req *Request, c *course) (choose.Target, bool) {
 	defer f.leaveLine(c)
-	until := req.Arrived.Add(time.Duration(roomShare * float64(req.Route.Objective)))
 	pause := roomPause
 	if c.begun {
-		until, pause = req.Deadline, continuePause
+		pause = continuePause
 	}
 	for {
 		if t, ok := f.Targets.Choose(f.need(req, c)); ok {
 			return t, true
 		}
-		if !f.Now().Before(until) || !wait.For(ctx, pause) {
+		if !f.mayWait(req, c) || !wait.For(ctx, pause) {
 			return choose.Target{}, false
 		}
 		if c.begun || c.ran == 0 {
@@ -39,6 +37,22 @@
 	}
 }
 
+// mayWait reports whether a request may go on waiting for room: one whose caller already
+// has part of the answer until its deadline, any other for a short part of its objective,
+// and where batch items are to make room for it for as long as it can begin in time. To
+// refuse it sooner would have the caller pay for the items.
+func (f *Forwarder) mayWait(req *Request, c *course) bool {
+	now := f.Now()
+	waited := now.Sub(req.Arrived)
+	switch {
+	case c.begun:
+		return now.Before(req.Deadline)
+	case waited < time.Duration(roomShare*float64(req.Route.Objective)):
+		return true
+	}
+	return c.ran == 0 && waited < req.Route.Objective && f.Targets.RoomExpected(req.Service)
+}
+
 // leaveLine ends the wait of a request at the target that refused it.
 func (f *Forwarder) leaveLine(c *course) {
 	if c.inLine != nil {
--- a/internal/version/discovery/discovery.go
+++ b/internal/version/discovery/discovery.go
@@ -32,6 +32,7 @@
 	onHeard func()            // told each change of what others have in flight
 
 	displacer Displacer
+	joined    func() bool
 }
 
 // Displacer makes room at full targets. Its methods must not block.
@@ -47,7 +48,7 @@
 // trouble lately; onChange hears of each change for the log.
 func New(cfg choose.Config, now func() time.Time, doubtful func() bool, onChange func(id, what string)) *Pool {
 	return &Pool{now: now, doubtful: doubtful, onChange: onChange, table: choose.New(cfg),
-		records: map[string]Record{}, lapsed: map[string]Record{}, newest: map[string]uint64{}, running: map[string][]*run{}, onOwn: func() {}, onHeard: func() {}}
+		records: map[string]Record{}, lapsed: map[string]Record{}, newest: map[string]uint64{}, running: map[string][]*run{}, onOwn: func() {}, onHeard: func() {}, joined: func() bool { return true }}
 }
 
 // OnLoad sets the functions that are told each change of what this node has in
@@ -57,6 +58,21 @@
 // SetDisplacer sets what makes room; call it before the pool is used.
 func (p *Pool) SetDisplacer(d Displacer) { p.displacer = d }
 
+// SetJoined sets the function that reports whether this node and the others know of each
+// other; call it before the pool is used.
+func (p *Pool) SetJoined(joined func() bool) { p.joined = joined }
+
+// RoomExpected reports whether batch items of any node are at usable targets of a service,
+// or may be, as long as this node does not know what others have there.
+func (p *Pool) RoomExpected(service string) bool {
+	if !p.joined() {
+		return true
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.table.ItemsAt(p.now(), service)
+}
+
 // InFlight returns what this node has in flight, by target.
 func (p *Pool) InFlight() map[string]choose.InFlight {
 	p.mu.Lock()
--- a/lab/hosted/jobs_test.go
+++ b/lab/hosted/jobs_test.go
@@ -140,6 +140,13 @@
 
 // TestOnlineGoesFirst: online requests that meet a full runner are served at
 // once, and the items that made room go on from the events they hold.
+//
+// What happened: in 1 of some 50 to 450 plays beside load one to three of the first requests
+// were refused after 60 ms. The node of the requests did not know the one with the items
+// yet, so that it told nobody that requests wait, and a request was refused after a fifth of
+// its objective whoever held the slots. What showed it: "others_items" is 0 in each
+// request_broken until the first datagram arrives, some 0.1 s after the start, and items
+// are stopped within a millisecond of that.
 func TestOnlineGoesFirst(t *testing.T) {
 	is := is.New(t)
 	f := fleet(t, Options{Nodes: 2, Runners: 1, Slots: 8, Events: 60, Gap: 10 * time.Millisecond, Extra: quickJobs})
