Break the mechanisms of the last mends, one each

Cause: a mechanism that can be switched off without a test noticing may be so by accident. Change: nine broken mechanisms for nine new ones.

--- a/scripts/check-mutants.sh
+++ b/scripts/check-mutants.sh
@@ -106,4 +106,13 @@
 mutant 5 internal/request/choose/choose.go 's/e\.apart\+e\.elsewhere\.Apart == 0/e.apart >= 0/' internal/request/choose TestSuspectsDontMeet
 mutant 5 internal/request/quarantine/verdict.go 's/!\(there && s == accused\) &&/!(there \&\& s > cleared) \&\&/' internal/request/quarantine TestOneRequestAtManyTargetsAtOnce
 mutant 5 internal/request/quarantine/verdict.go 's/ && !t\.explains\(other\)//' internal/request/quarantine TestSeveralInStep
+mutant 6 internal/process/crashes/watch.go 's/w\.Leaving\(t\) \|\| w\.EndedBefore\(t\)/w.Leaving(t)/' internal/process/crashes TestLaterAttemptIsNotAccused
+mutant 6 internal/connection/target/liveness.go 's/silent-time\.Since\(l\.last\)/0*(silent-time.Since(l.last))/' internal/connection/target TestSilentAttemptIsLost
+mutant 6 internal/request/forward/attempt.go 's/live\.Replaced\(longestGap\(req\.Route\)/live.Replaced(0*longestGap(req.Route)/' lab/hosted TestAnswerGoesOnAtTheNextStart
+mutant 6 internal/connection/dial/checked.go 's/c\.kept\.Swap\(false\) && c\.closed\(\)/c.kept.Swap(false) \&\& c.closed() \&\& c.raw == nil/' platform TestKeptConnectionsOfAnEndedProcess
+mutant 3 internal/request/job/run.go 's/\tm\.mu\.Lock\(\)\n\tdelete\(h\.stops, i\)\n\tm\.mu\.Unlock\(\)\n//' internal/request/job TestItemsThatHaveLeftAreNotLeaving
+mutant 3 internal/request/forward/place.go 's/f\.Targets\.RoomExpected\(req\.Service\)/f.Targets == nil/' internal/request/forward TestRoomOfItemsIsWaitedFor
+mutant 3 internal/process/hosted/peers.go 's/\]\.Boot != n\.boot \{/].Boot != n.boot \&\& n.boot < 0 {/' internal/process/hosted TestNodeJoinsOnceItIsKnown
+mutant 1 internal/request/homes/durable.go 's/case k\.membership\(\)\.SilentSeeds:/case k.membership().SilentSeeds \&\& centre == requestID:/' internal/request/homes TestWhatIsNotHeardYetIsNotDenied
+mutant 1 internal/process/membership/membership.go 's/!m\.beat\(ctx, seed, ""\);/!m.beat(ctx, seed, "") \&\& pause < 0;/' internal/process/membership TestEverySeedIsAskedUntilItAnswers
 exit $missed
