Hold the loopback network of a lab process by a goroutine

Cause: staticcheck takes the variable that kept the listener for unused; make lint failed. Change: a goroutine accepts on it until the process ends. Measured: make lint passes, TestBadInput passes once. Conclusion: mended.

--- a/lab/hosted/fleet.go
+++ b/lab/hosted/fleet.go
@@ -143,22 +143,30 @@
 	claimPort = 1099
 )
 
-// claim holds the network of this process until it ends.
-var claim net.Listener
-
 // ownNet returns the x of the network 127.x of this process.
 var ownNet = sync.OnceValue(func() int {
 	for i := range nets {
 		x := firstNet + (os.Getpid()+i)%nets
 		held, err := net.Listen("tcp", fmt.Sprintf("127.%d.255.254:%d", x, claimPort))
 		if err == nil {
-			claim = held
+			go hold(held)
 			return x
 		}
 	}
 	panic("every network of the loopback range is taken")
 })
 
+// hold keeps a listener open until the process ends.
+func hold(l net.Listener) {
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		conn.Close()
+	}
+}
+
 // StartNode starts a node; extra is added to its settings.
 func (f *Fleet) StartNode(id, extra string) (*Node, error) {
 	return f.startNode(id, freshHost(), "", extra)
