--- a/cmd/marblepond/operators.go
+++ b/cmd/marblepond/operators.go
@@ -42,11 +42,14 @@
 	file := &cli.StringFlag{Name: "file", Aliases: []string{"f"}, Required: true, Usage: "the intent, an INI `FILE`"}
 	base := &cli.Uint64Flag{Name: "base", Required: true, Usage: "the base `VERSION` that plan printed"}
 	request := &cli.StringFlag{Name: "request", Usage: "only events of this request `ID`"}
+	confirmed := &cli.Uint64Flag{Name: "base", Usage: "confirm the plan that was made from this `VERSION`; without it the plan is shown"}
+	end := &cli.BoolFlag{Name: "end", Usage: "let its targets get work again"}
 	work := &cli.StringFlag{Name: "work", Required: true, Usage: "the `FINGERPRINT` that quarantine printed"}
 	limit := &cli.Uint32Flag{Name: "limit", Value: 200, Usage: "newest `N` events"}
 	return []*cli.Command{
 		operator("plan", "show what an intent would change", []cli.Flag{file}, plan),
 		operator("apply", "confirm a plan", []cli.Flag{file, base}, apply),
+		operator("evacuate", "keep new work from all targets of a data centre: evacuate DATA_CENTRE", []cli.Flag{end, confirmed}, evacuate),
 		operator("status", "show nodes, data centres and the configuration in force", nil, status),
 		operator("targets", "show the targets of the node's data centre", nil, targets),
 		operator("workspaces", "show each workspace's use of its allowance, who lends it and why it was last refused", nil, workspaces),
@@ -97,7 +100,12 @@
 	if err != nil {
 		return err
 	}
-	resp, err := client.Apply(ctx, &v1.ApplyRequest{Intent: string(intent), BaseVersion: c.Uint64("base")})
+	return confirm(ctx, client, &v1.ApplyRequest{Intent: string(intent), BaseVersion: c.Uint64("base")})
+}
+
+// confirm applies a plan and tells what came of it.
+func confirm(ctx context.Context, client marblepondv1connect.OperatorServiceClient, req *v1.ApplyRequest) error {
+	resp, err := client.Apply(ctx, req)
 	if err != nil {
 		return err
 	}
@@ -126,6 +134,9 @@
 		if !dc.Reachable {
 			fmt.Printf("data centre %s is cut off\n", dc.DataCentre)
 		}
+		if dc.Evacuated {
+			fmt.Printf("data centre %s is evacuated\n", dc.DataCentre)
+		}
 	}
 	if resp.InForceEverywhere {
 		fmt.Printf("version %d is in force at every node asked\n", resp.HeadVersion)
--- a/internal/process/hosted/changes.go
+++ b/internal/process/hosted/changes.go
@@ -54,6 +54,9 @@
 	case kindNodes:
 		n.nodesChanged(news)
 		return
+	case n.adapter.Kinds.Evacuations:
+		n.evacuationsChanged(news, from)
+		return
 	}
 	for _, o := range news {
 		switch kind {
--- a/internal/process/hosted/crashes.go
+++ b/internal/process/hosted/crashes.go
@@ -158,6 +158,19 @@
 	return o.node.lending.Report(table.Workspaces, func(node string) string { return o.node.registered()[node].Address }), nil
 }
 
+// Targets lists the targets that this node knows, with what it and others have in flight
+// there and why any of them gets no work.
+func (o operatorService) Targets(context.Context, *v1.TargetsRequest) (*v1.TargetsResponse, error) {
+	resp := &v1.TargetsResponse{}
+	for _, s := range o.node.pool.List() {
+		counts := o.node.pool.Counts(s.ID)
+		batch := counts.Items + counts.Elsewhere.Batch
+		resp.Targets = append(resp.Targets, &v1.TargetStatus{Target: s.ID, DataCentre: s.DataCentre, Service: s.Service, Addr: s.Addr, Leaving: s.Leaving, Ejected: string(s.Why),
+			Load: &v1.TargetLoad{Target: s.ID, Incarnation: s.Incarnation, Running: uint32(counts.Online + counts.Elsewhere.Online + batch), MaxRunning: uint32(s.Slots), Batch: uint32(batch)}})
+	}
+	return resp, nil
+}
+
 // Quarantine lists the work that is refused.
 func (o operatorService) Quarantine(ctx context.Context, req *v1.QuarantineRequest) (*v1.QuarantineResponse, error) {
 	return o.crashes.Quarantine(ctx, req)
--- a/internal/process/hosted/following.go
+++ b/internal/process/hosted/following.go
@@ -46,6 +46,9 @@
 		job.KindEnds:            refreshAge(n.settings.EndsWithin),
 		kindNodes:               nodesAge,
 	}
+	if n.settings.EvacuatedWithin > 0 {
+		kinds[n.adapter.Kinds.Evacuations] = refreshAge(n.settings.EvacuatedWithin)
+	}
 	if n.keeper() {
 		kinds[n.adapter.Kinds.Retirements] = retirementsAge
 	}
@@ -61,7 +64,7 @@
 func (n *Node) keepSnapshot(ctx context.Context, wg *sync.WaitGroup) {
 	failed := func(err error) { n.recorder.Record(timeline.SnapshotFailed, "", n.settings.DataDir, err.Error()) }
 	s := &follow.Snapshot{Dir: n.settings.DataDir, Cache: n.cache, Failed: failed,
-		Kinds: []string{n.adapter.Kinds.Config, n.adapter.Kinds.Targets, kindNodes}}
+		Kinds: []string{n.adapter.Kinds.Config, n.adapter.Kinds.Targets, n.adapter.Kinds.Evacuations, kindNodes}}
 	if err := s.Load(n); err != nil {
 		failed(err)
 	}
@@ -117,7 +120,11 @@
 	if n.isSeed() || (n.settings.FirstStart && !wait.For(ctx, firstGreeting)) {
 		return
 	}
-	n.gossip.Greet(ctx, *n.seeds.Load(), n.adapter.Kinds.Config, n.adapter.Kinds.Targets, job.KindEnds, kindNodes)
+	kinds := []string{n.adapter.Kinds.Config, n.adapter.Kinds.Targets, job.KindEnds, kindNodes}
+	if n.settings.EvacuatedWithin > 0 {
+		kinds = append(kinds, n.adapter.Kinds.Evacuations)
+	}
+	n.gossip.Greet(ctx, *n.seeds.Load(), kinds...)
 }
 
 // anySeed returns the address of a seed other than this node, "" when there is
--- a/internal/process/hosted/hosted.go
+++ b/internal/process/hosted/hosted.go
@@ -44,6 +44,7 @@
 	Config      string // one object: the routing configuration
 	Targets     string // one object a target
 	Retirements string // one object for each VM that is to be emptied
+	Evacuations string // one object for each data centre whose targets are to get no work, under its name
 }
 
 // Adapter is what translates between the node and its platform.
@@ -131,8 +132,8 @@
 	n.seeds.Store(&s.Seeds)
 	n.checker = invariant.New(n.recorder, s.StopOnViolated)
 	n.peers = newPeers(s)
-	n.cache = follow.NewCache(n.clock.Now, adapter.Kinds.Config, adapter.Kinds.Targets, adapter.Kinds.Retirements, kindNodes, job.KindEnds)
-	n.pool = discovery.New(choose.Config{EjectAfter: s.EjectAfter, EjectTime: s.EjectTime, Policy: choose.LeastOfFew, Node: s.NodeID, Home: s.DataCentre, Seed: uint64(n.boot) ^ xxhash.Sum64String(s.NodeID)},
+	n.cache = follow.NewCache(n.clock.Now, adapter.Kinds.Config, adapter.Kinds.Targets, adapter.Kinds.Retirements, adapter.Kinds.Evacuations, kindNodes, job.KindEnds)
+	n.pool = discovery.New(choose.Config{EjectAfter: s.EjectAfter, EjectTime: s.EjectTime, Policy: choose.LeastOfFew, Node: s.NodeID, Home: s.DataCentre, Seed: uint64(n.boot) ^ xxhash.Sum64String(s.NodeID), WarmUp: n.warmUp},
 		time.Now, func() bool { return n.cache.Doubtful(adapter.Kinds.Targets) }, n.targetChanged)
 	n.crashes = n.newCrashWatch()
 	n.lending = n.newLending()
@@ -140,7 +141,7 @@
 	n.forwarder = &forward.Forwarder{Targets: n.pool, Sender: adapter.Sender, Quarantine: n.crashes, Log: &requestLog{n}, Checker: n.checker, Now: n.clock.Now}
 	n.jobs = job.NewManager(job.Config{
 		Self: job.Holder{Node: s.NodeID, Boot: n.boot, Address: s.PeerAdvertise}, MaxValue: s.StoreMaxValue,
-		KeepResults: s.KeepResults, Selectors: adapter.Selectors, TakeOverAfter: s.TakeOverAfter, SweepInterval: s.SweepInterval,
+		KeepResults: s.KeepResults, Selectors: adapter.Selectors, TakeOverAfter: s.TakeOverAfter, SweepInterval: s.SweepInterval, EvacuatedWithin: s.EvacuatedWithin,
 		Holds: s.CallerListen != "", ResultMemory: s.ResultMemory, CheckpointInterval: s.CheckpointInterval,
 	}, job.Parts{Store: n.relay(), StoreTook: n.storeTook, Pool: n.pool, Quarantine: n.crashes, Sender: adapter.Sender, Routes: n.Table, RoutesFresh: n.TableFresh, Peers: n,
 		Backlogs: n.backlogs, Ended: n.ended, Clock: n.clock, Shares: n.batch.shares, Recorder: n.recorder, Checker: n.checker, Metrics: n.metrics})
@@ -186,9 +187,9 @@
 func (n *Node) Leaving() bool { return n.leaving.Load() }
 
 // Ready reports whether the node can take new connections: it knows a
-// configuration and the targets.
+// configuration, the targets and which of them are evacuated.
 func (n *Node) Ready() bool {
-	return !n.Leaving() && n.Table() != nil && n.cache.Complete(n.adapter.Kinds.Targets) > 0
+	return !n.Leaving() && n.Table() != nil && n.cache.Complete(n.adapter.Kinds.Targets) > 0 && n.knowsEvacuations()
 }
 
 // storeTook returns how long the object store takes to answer, 0 while that is
--- a/internal/process/hosted/registration.go
+++ b/internal/process/hosted/registration.go
@@ -86,6 +86,7 @@
 	n.nodes.Store(&nodes)
 	if moved {
 		n.view.Store(n.viewOf(nodes))
+		n.pool.SetShare(n.shareOf(nodes))
 		n.lenders.Store(n.lendersOf(nodes))
 	}
 }
--- a/internal/process/member/member.go
+++ b/internal/process/member/member.go
@@ -8,6 +8,7 @@
 package member
 
 import (
+	"slices"
 	"sort"
 	"time"
 )
@@ -278,6 +279,16 @@
 	return names
 }
 
+// DataCentres returns the names of the data centres known, sorted.
+func (v *View) DataCentres() []string {
+	names := []string{v.Self.DataCentre}
+	for _, m := range v.Contacts {
+		names = append(names, m.DataCentre)
+	}
+	slices.Sort(names)
+	return slices.Compact(names)
+}
+
 // Find returns a member of the own data centre by ID.
 func (v *View) Find(id string) (Member, bool) {
 	for _, m := range v.Members {
--- a/internal/process/node/operators.go
+++ b/internal/process/node/operators.go
@@ -3,7 +3,9 @@
 import (
 	"bytes"
 	"context"
+	"slices"
 	"sort"
+	"strings"
 	"sync"
 	"time"
 
@@ -24,13 +26,30 @@
 
 // Plan implements OperatorService.
 func (o *operatorService) Plan(ctx context.Context, req *v1.PlanRequest) (*v1.PlanResponse, error) {
-	plan, err := o.node.config.Plan(ctx, req.Intent)
+	intent, err := o.intentOf(req.Intent, req.Evacuation)
+	if err != nil {
+		return nil, err
+	}
+	plan, err := o.node.config.Plan(ctx, intent)
 	if err != nil {
 		return nil, err
 	}
 	return planToProto(plan), nil
 }
 
+// intentOf returns what an operator asks for.
+func (o *operatorService) intentOf(text string, evacuation *v1.Evacuation) (config.Intent, error) {
+	if evacuation == nil {
+		return config.TextIntent(text), nil
+	}
+	name := evacuation.DataCentre
+	known := o.node.membership.View().DataCentres()
+	if !slices.Contains(known, name) && !evacuation.End {
+		return nil, errkind.NotFound.New("no data centre %q is known; known: %s", name, strings.Join(known, ", "))
+	}
+	return config.EvacuationIntent(name, !evacuation.End), nil
+}
+
 func planToProto(plan config.Plan) *v1.PlanResponse {
 	resp := &v1.PlanResponse{BaseVersion: plan.Base}
 	for _, c := range plan.Changes {
@@ -57,9 +76,13 @@
 
 // Apply implements OperatorService.
 func (o *operatorService) Apply(ctx context.Context, req *v1.ApplyRequest) (*v1.ApplyResponse, error) {
-	version, err := o.node.config.Apply(ctx, req.Intent, req.BaseVersion)
+	intent, err := o.intentOf(req.Intent, req.Evacuation)
+	if err != nil {
+		return nil, err
+	}
+	version, err := o.node.config.Apply(ctx, intent, req.BaseVersion)
 	if errkind.Is(err, errkind.StalePlan) {
-		fresh, planErr := o.node.config.Plan(ctx, req.Intent)
+		fresh, planErr := o.node.config.Plan(ctx, intent)
 		if planErr != nil {
 			return nil, err
 		}
@@ -82,7 +105,12 @@
 		wg.Go(func() { statuses[i] = o.ask(ctx, m) })
 	}
 	wg.Wait()
-	return summarise(statuses, n.config.Current().Version), nil
+	current := n.config.Current()
+	resp := summarise(statuses, current.Version)
+	for _, dc := range resp.DataCentres {
+		dc.Evacuated = current.IsEvacuated(dc.DataCentre)
+	}
+	return resp, nil
 }
 
 func (o *operatorService) ask(ctx context.Context, m member.Member) *v1.NodeStatus {
@@ -129,7 +157,7 @@
 	resp := &v1.TargetsResponse{}
 	for _, s := range list {
 		resp.Targets = append(resp.Targets, &v1.TargetStatus{
-			Target: s.ID, DataCentre: s.DataCentre, Service: s.Service, Addr: s.Addr, Owner: owners[s.ID], Leaving: s.Leaving, Ejected: s.Why,
+			Target: s.ID, DataCentre: s.DataCentre, Service: s.Service, Addr: s.Addr, Owner: owners[s.ID], Leaving: s.Leaving, Ejected: string(s.Why),
 			Load: &v1.TargetLoad{Target: s.ID, Incarnation: s.Incarnation, Running: uint32(s.Load.Running), Waiting: uint32(s.Load.Waiting),
 				MaxRunning: uint32(s.Load.MaxRunning), Batch: uint32(s.Load.Batch), Healthy: s.Load.Healthy, Loaded: s.Load.Loaded},
 		})
--- a/internal/process/node/remotes.go
+++ b/internal/process/node/remotes.go
@@ -18,15 +18,15 @@
 // Reachable implements run.Remote.
 func (r *remotes) Reachable() bool {
 	for _, c := range r.node.membership.View().Contacts {
-		if usable(c) {
+		if r.usable(c) {
 			return true
 		}
 	}
 	return false
 }
 
-func usable(c member.Member) bool {
-	return !c.Leaving && c.State != member.Dead && c.CallerAddr != ""
+func (r *remotes) usable(c member.Member) bool {
+	return !c.Leaving && c.State != member.Dead && c.CallerAddr != "" && !r.node.config.Current().IsEvacuated(c.DataCentre)
 }
 
 // Next implements run.Remote.
@@ -38,7 +38,7 @@
 	turn := int(remoteTurn.Add(1))
 	for i := range contacts {
 		c := contacts[(turn+i)%len(contacts)]
-		if exclude[c.ID] || !usable(c) {
+		if exclude[c.ID] || !r.usable(c) {
 			continue
 		}
 		header := http.Header{}
--- a/internal/process/settings/keys.go
+++ b/internal/process/settings/keys.go
@@ -36,6 +36,7 @@
 	{"follow", "config_within", "2s", "duration", "Time in which a change of the configuration must be in force at a hosted node. Its copy is refreshed when it is 0.35 of that old.", duration(func(s *Settings) *time.Duration { return &s.ConfigWithin }, 100*time.Millisecond, time.Hour)},
 	{"follow", "targets_within", "2s", "duration", "The same for the list of targets: one that leaves gets no new request after that.", duration(func(s *Settings) *time.Duration { return &s.TargetsWithin }, 100*time.Millisecond, time.Hour)},
 	{"follow", "ends_within", "3s", "duration", "The same for ends of jobs: items of an ended job stop within that.", duration(func(s *Settings) *time.Duration { return &s.EndsWithin }, 100*time.Millisecond, time.Hour)},
+	{"follow", "evacuated_within", "0s", "duration", "The same for evacuations: from then on targets of an evacuated data centre get no work. 0: the store has none, and they are not followed.", duration(func(s *Settings) *time.Duration { return &s.EvacuatedWithin }, 0, time.Hour)},
 
 	{"platform", "url", "", "URL", "Base URL of the platform's object API and VM list.", text(func(s *Settings) *string { return &s.PlatformURL }, false)},
 	{"platform", "timeout", "2s", "duration", "How long one call to the platform may take.", duration(func(s *Settings) *time.Duration { return &s.PlatformTimeout }, 10*time.Millisecond, time.Minute)},
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -44,6 +44,8 @@
 	ConfigWithin  time.Duration
 	TargetsWithin time.Duration
 	EndsWithin    time.Duration
+	// EvacuatedWithin is 0 where evacuations are not followed.
+	EvacuatedWithin time.Duration
 
 	PlatformURL       string
 	PlatformTimeout   time.Duration
--- a/internal/request/admit/admit.go
+++ b/internal/request/admit/admit.go
@@ -20,6 +20,7 @@
 	Waiting    int     // sequences queued inside the engines
 	ServiceSec float64 // mean time of a request at the service, seconds; 0: not known
 	Remote     bool    // another data centre can be asked
+	Evacuated  bool    // the own data centre is evacuated
 }
 
 // Away reports whether a request is to go to another data centre: the own one
@@ -85,6 +86,9 @@
 	if s.Away() {
 		return nil // the other data centre decides
 	}
+	if s.Usable == 0 && s.Evacuated {
+		return errkind.NoTarget.New("every data centre that can be asked for service %s is evacuated", d.Service.Name)
+	}
 	if s.Usable == 0 {
 		return errkind.NoTarget.New("no target of service %s can take a request", d.Service.Name)
 	}
--- a/internal/request/choose/choose.go
+++ b/internal/request/choose/choose.go
@@ -7,12 +7,13 @@
 package choose
 
 import (
-	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"time"
 
 	"github.com/marblepond/marblepond/internal/process/rendezvous"
+	"github.com/marblepond/marblepond/internal/request/warmup"
 )
 
 // Load is the newest report of a target.
@@ -36,7 +37,6 @@
 	DataCentre  string
 	Remote      bool // a node of another data centre that stands for its targets
 	Slots       int  // requests served at once, where discovery tells it; 0: load reports do
-	Warming     bool // just started and still slow
 	// Apart says, of the target of an attempt, that it was chosen with Need.Apart.
 	Apart bool
 	// Sent is, of the target of an attempt, when that was sent; zero: not known.
@@ -73,7 +73,10 @@
 	failures     int // in a row
 	ejectedUntil time.Time
 	ejections    int
-	trial        bool // one request is out to see whether it is back
+	trial        bool      // one request is out to see whether it is back
+	warmAt       time.Time // until then it is cold
+	coldSince    time.Time // when this table learned that
+	lastTurn     int       // newest turn used at it while it is cold
 }
 
 // Policy names how a target is chosen; baselines are kept for measurements.
@@ -103,6 +106,8 @@
 	// Group is the group of nodes of its data centre that the node belongs to;
 	// Table.JoinGroup changes it.
 	Group string
+	// WarmUp returns how targets of a service warm up; nil: they need not.
+	WarmUp func(service string) warmup.Rate
 	// Home is the data centre whose targets are preferred while they have room;
 	// empty: none is.
 	Home string
@@ -129,6 +134,9 @@
 	groups  map[string]map[string]InFlight
 	centres map[string]map[string]InFlight
 	members map[string]int // nodes of each other group
+
+	evacuated map[string]bool // data centres
+	turns     warmup.Share    // which of the nodes this one is
 }
 
 // New returns an empty table.
@@ -254,6 +262,7 @@
 		return Target{}, false
 	}
 	best := t.pick(now, usable, need)
+	t.useTurn(now, best)
 	if !best.ejectedUntil.IsZero() {
 		best.trial = true
 	}
@@ -263,14 +272,14 @@
 }
 
 func (t *Table) usable(now time.Time, need Need) []*entry {
-	var out, full []*entry
+	var out, full, cold []*entry
 	var reserve func(Target) int
 	if need.Batch {
 		reserve = t.Reserve()
 	}
 	for _, id := range t.rank[need.Service] {
 		e := t.entries[id]
-		if need.Exclude[id] || e.why(now, need.Loaded) != "" {
+		if need.Exclude[id] || t.reason(now, e, need) != "" {
 			continue
 		}
 		switch free := e.freeAt(now); {
@@ -280,11 +289,15 @@
 			if need.Overflow == 0 || e.freeOnline(now) > -need.Overflow {
 				full = append(full, e)
 			}
+		case !e.warm(now):
+			cold = append(cold, e)
 		default:
 			out = append(out, e)
 		}
 	}
 	switch {
+	case len(cold) > 0 && !hasRoom(now, out) && !hasRoom(now, full):
+		out = cold
 	case need.Batch:
 	case t.cfg.Policy == LeastOfFew:
 		out = append(out, full...) // a full target may be the best of a few
@@ -294,33 +307,10 @@
 	return t.preferred(now, need, out)
 }
 
-// why returns the reason a target can't be chosen, empty when it can.
-func (e *entry) why(now time.Time, loaded string) string {
-	switch {
-	case e.leaving:
-		return "leaving"
-	case e.known && !e.load.Healthy:
-		return "unhealthy"
-	case !e.ejectedUntil.IsZero() && now.Before(e.ejectedUntil):
-		return fmt.Sprintf("failed %d times in a row", e.failures)
-	case e.trial:
-		return "on trial"
-	case loaded != "" && !e.has(loaded):
-		return loaded + " not loaded"
-	}
-	return ""
-}
-
-func (e *entry) has(name string) bool {
-	if !e.known {
-		return false
-	}
-	for _, l := range e.load.Loaded {
-		if l == name {
-			return true
-		}
-	}
-	return false
+// hasRoom reports whether any of some targets has a slot that is free, or becomes so
+// when an item makes room.
+func hasRoom(now time.Time, entries []*entry) bool {
+	return slices.ContainsFunc(entries, func(e *entry) bool { return e.freeOnline(now) > 0 })
 }
 
 func (t *Table) pick(now time.Time, usable []*entry, need Need) *entry {
--- /dev/null
+++ b/internal/request/choose/evacuate_test.go
@@ -0,0 +1,122 @@
+package choose
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/marblepond/marblepond/internal/request/warmup"
+)
+
+const (
+	coldFor  = 3 * time.Second
+	coldRate = 8.0
+)
+
+// centresTable returns a table of three data centres with targets of 8 slots, in the
+// first of which this node is.
+func centresTable(targets int, share warmup.Share) *Table {
+	t := New(Config{EjectAfter: 3, EjectTime: time.Second, Policy: LeastOfFew, Home: "dc0",
+		WarmUp: func(string) warmup.Rate { return warmup.Rate{Time: coldFor, PerSecond: coldRate} }})
+	var list []Target
+	for i := range targets {
+		list = append(list, Target{ID: fmt.Sprintf("t%d", i), Incarnation: 1, Service: "s", DataCentre: fmt.Sprintf("dc%d", i%3), Slots: 8})
+	}
+	t.Set(list)
+	t.SetShare(share)
+	return t
+}
+
+// TestEvacuatedTargetsGetNothing: neither requests nor items go to a data centre from its
+// evacuation to its end, whatever else is said of the targets meanwhile.
+func TestEvacuatedTargetsGetNothing(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		tab := centresTable(9, warmup.Share{Place: 0, Nodes: 1})
+		now := start
+		evacuated := map[string]bool{}
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(1, 400).Draw(t, "ms")) * time.Millisecond)
+			switch rapid.IntRange(0, 4).Draw(t, "step") {
+			case 0:
+				clear(evacuated)
+				var names []string
+				for _, name := range []string{"dc0", "dc1", "dc2", "unknown"} {
+					if rapid.Bool().Draw(t, name) {
+						evacuated[name], names = true, append(names, name)
+					}
+				}
+				tab.Evacuate(now, names)
+			case 1:
+				tab.WarmUp(now, "t1", 1, time.Duration(rapid.IntRange(0, 4000).Draw(t, "cold ms"))*time.Millisecond)
+			case 2:
+				tab.Saturated(now, "t0")
+			default:
+				need := Need{Service: "s", Batch: rapid.Bool().Draw(t, "batch"), Overflow: 4}
+				if target, ok := tab.Choose(now, need); ok && evacuated[target.DataCentre] {
+					t.Fatalf("%s of %s was chosen", target.ID, target.DataCentre)
+				}
+			}
+		}
+		if tab.AllEvacuated("s") != (evacuated["dc0"] && evacuated["dc1"] && evacuated["dc2"]) {
+			t.Fatalf("evacuated: %v; all: %v", evacuated, tab.AllEvacuated("s"))
+		}
+	})
+}
+
+// TestReturnedTargetsWarmUp: targets of a data centre that is evacuated no more get
+// requests at the rate of cold ones, and no items, until they had the time to warm up.
+func TestReturnedTargetsWarmUp(t *testing.T) {
+	is := is.New(t)
+	tab := centresTable(1, warmup.Share{Place: 0, Nodes: 1})
+	tab.Evacuate(start, []string{"dc0"})
+	is.Equal(tab.List(start)[0].Why, Evacuated)
+	tab.Evacuate(start, nil)
+	sent := 0
+	for at := start; at.Before(start.Add(coldFor)); at = at.Add(5 * time.Millisecond) {
+		_, ok := tab.Choose(at, Need{Service: "s", Batch: true})
+		is.True(!ok) // an item would run for long, and take a turn from online requests
+		if _, ok := tab.Choose(at, Need{Service: "s"}); ok {
+			sent++
+		}
+	}
+	is.True(sent >= int(coldFor.Seconds()*coldRate)-1)
+	is.True(sent <= int(coldFor.Seconds()*coldRate)+1)
+	_, ok := tab.Choose(start.Add(coldFor), Need{Service: "s", Batch: true})
+	is.True(ok)
+}
+
+// TestColdTargetsComeAfterWarmOnes: a cold target gets a request only where no warm one
+// has room for it.
+func TestColdTargetsComeAfterWarmOnes(t *testing.T) {
+	is := is.New(t)
+	tab := centresTable(2, warmup.Share{Place: 0, Nodes: 1})
+	tab.WarmUp(start, "t0", 1, coldFor)
+	for range 8 {
+		target, ok := tab.Choose(start, Need{Service: "s"})
+		is.True(ok)
+		is.Equal(target.ID, "t1")
+		tab.Begin(target.ID)
+	}
+	target, ok := tab.Choose(start, Need{Service: "s"})
+	is.True(ok)
+	is.Equal(target.ID, "t0") // the warm one is full
+	tab.Begin(target.ID)
+	target, ok = tab.Choose(start, Need{Service: "s"})
+	is.True(ok)
+	is.Equal(target.ID, "t1") // it waits there rather than at a target that may crash under it
+}
+
+// TestWarmUpIsNotCutShort: that a target is warm may have been said before it became cold
+// again, and only its time ends it.
+func TestWarmUpIsNotCutShort(t *testing.T) {
+	is := is.New(t)
+	tab := centresTable(1, warmup.Share{Place: 1, Nodes: 100})
+	tab.WarmUp(start, "t0", 1, coldFor)
+	tab.WarmUp(start, "t0", 1, 0)
+	tab.WarmUp(start, "t0", 1, time.Second)
+	is.Equal(tab.List(start.Add(2 * time.Second))[0].Why, WarmingUp)
+	is.Equal(tab.List(start.Add(coldFor))[0].Why, Reason(""))
+}
--- a/internal/request/choose/prefer.go
+++ b/internal/request/choose/prefer.go
@@ -8,11 +8,11 @@
 	"github.com/marblepond/marblepond/internal/process/rendezvous"
 )
 
-// preferred leaves out slow targets and those that are still warming up when
-// there are others, and chooses the data centre of a batch item.
+// preferred leaves out slow targets when there are others, and chooses the data centre
+// of a batch item.
 func (t *Table) preferred(now time.Time, need Need, entries []*entry) []*entry {
 	usual := t.usualFirstEvent(need.Service)
-	entries = keepIfAny(entries, func(e *entry) bool { return !e.Warming && !e.slow(now, usual) })
+	entries = keepIfAny(entries, func(e *entry) bool { return !e.slow(now, usual) })
 	if t.cfg.Home == "" || (t.cfg.Policy == LeastOfFew && !need.Batch) {
 		return entries
 	}
--- a/internal/request/choose/reserve.go
+++ b/internal/request/choose/reserve.go
@@ -46,7 +46,7 @@
 	for service, ids := range t.rank {
 		targets, online := 0, 0
 		for _, id := range ids {
-			if e := t.entries[id]; !e.leaving {
+			if e := t.entries[id]; !e.leaving && !t.evacuated[e.DataCentre] {
 				targets++
 				online += e.estimate()
 			}
--- a/internal/request/choose/room.go
+++ b/internal/request/choose/room.go
@@ -40,7 +40,7 @@
 	room := 0
 	reserve := t.Reserve()
 	for _, e := range t.entries {
-		if e.DataCentre == dataCentre && e.why(now, "") == "" {
+		if e.DataCentre == dataCentre && t.reason(now, e, Need{Batch: true}) == "" {
 			room += max(0, e.Slots-reserve(e.Target)-e.estimate())
 		}
 	}
@@ -50,7 +50,7 @@
 // ItemsAt reports whether batch items of any node are at usable targets of a service.
 func (t *Table) ItemsAt(now time.Time, service string) bool {
 	for _, id := range t.rank[service] {
-		if e := t.entries[id]; e.batch+e.elsewhere.Batch > 0 && e.why(now, "") == "" {
+		if e := t.entries[id]; e.batch+e.elsewhere.Batch > 0 && t.reason(now, e, Need{}) == "" {
 			return true
 		}
 	}
@@ -139,7 +139,7 @@
 func (t *Table) Supply(now time.Time, service, loaded string) (usable, capacity, inFlight, waiting int) {
 	for _, id := range t.rank[service] {
 		e := t.entries[id]
-		if e.why(now, loaded) != "" {
+		if t.reason(now, e, Need{Loaded: loaded}) != "" {
 			continue
 		}
 		usable++
--- a/internal/request/choose/status.go
+++ b/internal/request/choose/status.go
@@ -9,7 +9,7 @@
 	Known   bool
 	Online  int // own
 	Leaving bool
-	Why     string // why it gets no requests; empty: it gets them
+	Why     Reason // why it gets no requests; empty: it gets them
 }
 
 // List returns all targets sorted by ID.
@@ -17,7 +17,7 @@
 	var out []Status
 	for _, id := range t.order {
 		e := t.entries[id]
-		out = append(out, Status{e.Target, e.load, e.known, e.online, e.leaving, e.why(now, "")})
+		out = append(out, Status{e.Target, e.load, e.known, e.online, e.leaving, t.reason(now, e, Need{})})
 	}
 	return out
 }
@@ -28,7 +28,7 @@
 	if e == nil {
 		return Status{}, false
 	}
-	return Status{e.Target, e.load, e.known, e.online, e.leaving, e.why(now, "")}, true
+	return Status{e.Target, e.load, e.known, e.online, e.leaving, t.reason(now, e, Need{})}, true
 }
 
 // Counts is what a table holds against the slots of one target.
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -122,7 +122,7 @@
 		}
 		t, ok := f.place(ctx, req, c)
 		if !ok {
-			return f.unplaced(ctx, c)
+			return f.unplaced(ctx, req, c)
 		}
 		f.Checker.Assert(c.ran == 0 || req.Route.Repeatable(), invariant.AtMostOnce, req.ID, t.ID, "sent again after %d attempts that may have run", c.ran)
 		f.Log.Sent(req, t, c.held)
--- a/internal/request/forward/forward_test.go
+++ b/internal/request/forward/forward_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -34,15 +35,16 @@
 	asked  int
 	there  map[string]int // attempts that are counted, by target
 
-	restarts map[string]time.Duration
-	items    bool // batch items are at the targets
+	restarts  map[string]time.Duration
+	items     bool // batch items are at the targets
+	evacuated bool // all targets stand in data centres that are
 }
 
 func (f *fakeTargets) Choose(need choose.Need) (choose.Target, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, id := range []string{"a", "b"} {
-		if !need.Exclude[id] {
+		if !need.Exclude[id] && !f.evacuated {
 			f.chosen = append(f.chosen, id)
 			if f.there == nil {
 				f.there = map[string]int{}
@@ -62,6 +64,7 @@
 }
 
 func (f *fakeTargets) RoomExpected(string) bool { return f.items }
+func (f *fakeTargets) AllEvacuated(string) bool { return f.evacuated }
 
 func (f *fakeTargets) End(t choose.Target, _ choose.Outcome) {
 	f.mu.Lock()
@@ -292,6 +295,19 @@
 	}
 }
 
+// TestNoTargetLeftIsSaidAtOnce: where all targets are evacuated a request waits for
+// nothing, though items may still run there.
+func TestNoTargetLeftIsSaidAtOnce(t *testing.T) {
+	is := is.New(t)
+	began := time.Now()
+	err := carry(&fakeTargets{evacuated: true, items: true}, slowSender{}, &fakeLog{}, &fakeCaller{})
+	is.True(time.Since(began) < roomPause)
+	is.True(errkind.Is(err, errkind.NoTarget))
+	is.True(strings.Contains(errkind.Message(err), "evacuated"))
+	is.Equal(errkind.Of(err).NotRun, errkind.NotRunTrue)
+	is.True(errkind.Of(err).RetryAfter > 0)
+}
+
 // TestDeadlineCountsSuspensions: a machine that was suspended for longer than a
 // request had left sends it to no further target: its caller has given up, and the
 // target would be told a time that is over. No timer tells it so; timers stood still.
--- a/internal/request/forward/parts.go
+++ b/internal/request/forward/parts.go
@@ -27,6 +27,9 @@
 	// RoomExpected reports whether batch items are, or may be, at targets of a service:
 	// what they hold becomes free for online requests.
 	RoomExpected(service string) bool
+	// AllEvacuated reports whether all targets of a service stand in data centres that
+	// operators have evacuated.
+	AllEvacuated(service string) bool
 	// Better reports whether a request that waits for an event of a target would
 	// come sooner to it at another. A target that was heard within the time given
 	// lives, and what waits there has its turn coming.
--- a/internal/request/forward/place.go
+++ b/internal/request/forward/place.go
@@ -28,7 +28,7 @@
 		if t, ok := f.Targets.Choose(f.need(req, c)); ok {
 			return t, true
 		}
-		if !f.mayWait(req, c) || !wait.For(ctx, pause) {
+		if f.evacuated(req, c) || !f.mayWait(req, c) || !wait.For(ctx, pause) {
 			return choose.Target{}, false
 		}
 		if c.begun || c.ran == 0 {
@@ -53,6 +53,12 @@
 	return c.ran == 0 && waited < req.Route.Objective && f.Targets.RoomExpected(req.Service)
 }
 
+// evacuated reports whether a request is refused because there is no target left that it
+// may be sent to. One whose caller has part of the answer waits for the end of that.
+func (f *Forwarder) evacuated(req *Request, c *course) bool {
+	return !c.begun && f.Targets.AllEvacuated(req.Service)
+}
+
 // leaveLine ends the wait of a request at the target that refused it.
 func (f *Forwarder) leaveLine(c *course) {
 	if c.inLine != nil {
@@ -77,7 +83,7 @@
 }
 
 // unplaced returns the error of a request that no target can take.
-func (f *Forwarder) unplaced(ctx context.Context, c *course) error {
+func (f *Forwarder) unplaced(ctx context.Context, req *Request, c *course) error {
 	switch {
 	case c.ran > 0 && ctx.Err() != nil:
 		return givenUp(ctx)
@@ -86,5 +92,8 @@
 	case errors.Is(ctx.Err(), context.Canceled):
 		return errkind.Cancelled.New("the caller went away before the request was sent")
 	}
+	if f.evacuated(req, c) {
+		return errkind.NoTarget.New("every data centre with targets of service %s is evacuated", req.Service)
+	}
 	return errkind.NoTarget.New("no target has room; last refusal: %v", c.last)
 }
--- /dev/null
+++ b/internal/request/job/evacuate_test.go
@@ -0,0 +1,25 @@
+package job
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// TestItemsAreMovedOverTime: items at evacuated targets run on at first, are then stopped
+// a few at a time, and none is left when the time is over.
+func TestItemsAreMovedOverTime(t *testing.T) {
+	is := is.New(t)
+	const within = 5 * time.Second
+	tick := scheduleTick.Seconds() / within.Seconds()
+	left, most := 300, 0
+	for passed := 0.0; left > 0; passed += tick {
+		is.True(passed <= moveUntil+tick)
+		due := movesDue(left, passed, tick)
+		is.True(passed >= moveFrom || due == 0)
+		left -= due
+		most = max(most, due)
+	}
+	is.True(most <= 7) // of 300 in 50 looks
+}
--- a/internal/request/job/manager.go
+++ b/internal/request/job/manager.go
@@ -39,6 +39,8 @@
 	// RefusedItem notes that a target refused an item because it was full.
 	RefusedItem(t choose.Target)
 	Leave(t choose.Target, why string)
+	// Evacuated reports whether a target stands in a data centre that is evacuated.
+	Evacuated(t choose.Target) bool
 	// WhenGone has a function called when a target is known to have started again; stop
 	// takes it back. What ran there before is lost, what was sent since is not.
 	WhenGone(t choose.Target, ended func()) (stop func())
@@ -104,6 +106,9 @@
 	KeepResults   time.Duration
 	TakeOverAfter time.Duration
 	SweepInterval time.Duration
+	// EvacuatedWithin is the time in which an evacuation has to be in force; 0: there are
+	// none.
+	EvacuatedWithin time.Duration
 	// CheckpointInterval is the time between saves of how far items have come; 0:
 	// nothing is saved.
 	CheckpointInterval time.Duration
@@ -158,6 +163,7 @@
 	held      map[string]*held
 	reserved  map[backlog.Key]int64 // tokens of submissions in progress
 	draining  bool
+	moving    time.Time            // since when items run at targets that are evacuated; zero: none does
 	absent    map[string]time.Time // holders: since when they do not answer
 	orphans   map[string]time.Time // jobs that nobody holds: since when this node knows
 	heads     map[string]knownHead // of jobs that others hold
--- a/internal/request/job/room.go
+++ b/internal/request/job/room.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/marblepond/marblepond/internal/process/timeline"
+	"github.com/marblepond/marblepond/internal/request/choose"
 	"github.com/marblepond/marblepond/internal/request/schedule"
 )
 
@@ -39,7 +40,8 @@
 // yield stops up to n items at a target. The caller holds m.mu until the pool has
 // counted them, so that none of them ends there before.
 func (m *Manager) yield(id string, n int) {
-	for _, item := range schedule.Yielding(m.itemsAt(id), n) {
+	here := m.runningWhere(func(t choose.Target) bool { return t.ID == id })
+	for _, item := range schedule.Yielding(here, n) {
 		h := m.held[item.Job]
 		stop := h.stops[item.Index]
 		delete(h.stops, item.Index)
@@ -52,14 +54,14 @@
 	}
 }
 
-// itemsAt returns the items at a target that were not stopped. The caller holds
-// m.mu.
-func (m *Manager) itemsAt(id string) []schedule.Item {
+// runningWhere returns the items that run at some targets and were not stopped. The
+// caller holds m.mu.
+func (m *Manager) runningWhere(wanted func(choose.Target) bool) []schedule.Item {
 	var items []schedule.Item
 	for _, h := range m.held {
 		due := dueAt(&h.head, m.routeOf(&h.head))
 		for i := range h.stops {
-			if s := &h.progress.items[i]; s.target.ID == id {
+			if s := &h.progress.items[i]; wanted(s.target) {
 				items = append(items, schedule.Item{Job: h.id, Index: i, Due: due, Sent: s.sentAt})
 			}
 		}
--- a/internal/request/job/run.go
+++ b/internal/request/job/run.go
@@ -22,6 +22,7 @@
 	errEnded    = errors.New("the job was ended by its caller")
 	errReleased = errors.New("the job is handed over")
 	errYielded  = errors.New("online requests need the room")
+	errMoved    = errors.New("the data centre of the target is evacuated")
 	errSilent   = errors.New("the target was silent for too long")
 	errReplaced = errors.New("the target has started again")
 	errRefused  = errors.New("targets crash under the item")
@@ -52,6 +53,7 @@
 	defer timer.Stop()
 	for m.waitForWork(ctx) {
 		looked := m.Clock.Now()
+		m.moveEvacuated(looked)
 		m.MakeRoom() // also while nothing changes: the time for which requests wait for a slot grows
 		m.fill(ctx)
 		timer.Reset(m.lookAgainIn())
@@ -294,7 +296,7 @@
 		h.progress.unsent(i, now, yieldPause)
 	case errors.Is(context.Cause(ctx), errEnded), errors.Is(context.Cause(ctx), errReleased):
 		h.progress.unsent(i, now, 0)
-	case errors.Is(context.Cause(ctx), errRefused):
+	case errors.Is(context.Cause(ctx), errRefused), errors.Is(context.Cause(ctx), errMoved):
 		h.progress.unsent(i, now, 0)
 	case errors.As(err, &status) && status == http.StatusUnprocessableEntity:
 		m.dead(h, i, "the target says that it can never be done")
--- a/internal/request/serve/serve.go
+++ b/internal/request/serve/serve.go
@@ -207,7 +207,7 @@
 	defer s.mu.Unlock()
 	demand := admit.Demand{Workspace: c.workspace, Service: service, Remaining: deadline.Sub(now)}
 	supply := admit.Supply{Usable: usable, Capacity: capacity, InFlight: inFlight, Waiting: waiting, ServiceSec: s.meanSec,
-		Remote: service.Kind == fleet.KindModel && !c.forwarded && s.Runner.RemoteReachable()}
+		Remote: service.Kind == fleet.KindModel && !c.forwarded && s.Runner.RemoteReachable(), Evacuated: s.Targets.AllEvacuated(service.Name)}
 	if err := s.gate.Admit(demand, supply); err != nil {
 		return nil, false, err
 	}
--- a/internal/version/config/config.go
+++ b/internal/version/config/config.go
@@ -284,14 +284,44 @@
 	Changes []fleet.Change
 }
 
-// Plan compares an intent with the newest configuration.
-func (m *Manager) Plan(ctx context.Context, intent string) (Plan, error) {
-	want, err := fleet.Parse([]byte(intent))
-	if err != nil {
-		return Plan{}, errkind.Malformed.New("%v", err)
+// Intent returns the configuration that an operator wants, made from the newest one;
+// nil: that can't be read whole. Errors are of errkind.
+type Intent func(newest *fleet.Config) (*fleet.Config, error)
+
+// TextIntent returns the intent that INI text states whole.
+func TextIntent(text string) Intent {
+	return func(*fleet.Config) (*fleet.Config, error) {
+		want, err := fleet.Parse([]byte(text))
+		if err != nil {
+			return nil, errkind.Malformed.New("%v", err)
+		}
+		return want, nil
 	}
+}
+
+// EvacuationIntent returns the intent that changes only whether a data centre is
+// evacuated.
+func EvacuationIntent(dataCentre string, evacuated bool) Intent {
+	return func(newest *fleet.Config) (*fleet.Config, error) {
+		if newest == nil {
+			return nil, errkind.PlatformUnavailable.New("the newest configuration can't be read whole; nothing was changed")
+		}
+		want, err := newest.WithEvacuation(dataCentre, evacuated)
+		if err != nil {
+			return nil, errkind.Malformed.New("%v", err)
+		}
+		return want, nil
+	}
+}
+
+// Plan compares an intent with the newest configuration.
+func (m *Manager) Plan(ctx context.Context, intent Intent) (Plan, error) {
 	m.refresh(ctx)
 	have := m.Current()
+	want, err := intent(have)
+	if err != nil {
+		return Plan{}, err
+	}
 	return Plan{have.Version, fleet.Diff(have, want)}, nil
 }
 
@@ -306,12 +336,16 @@
 // Apply makes the intent the next version if base is still the newest one.
 // Errors: Malformed, StalePlan (another operator was first; plan again),
 // PlatformUnavailable (nothing was changed), UnknownOutcome (it may have been).
-func (m *Manager) Apply(ctx context.Context, intent string, base uint64) (uint64, error) {
-	want, err := fleet.Parse([]byte(intent))
+func (m *Manager) Apply(ctx context.Context, intent Intent, base uint64) (uint64, error) {
+	newest, err := m.newestHead(ctx, base)
 	if err != nil {
-		return 0, errkind.Malformed.New("%v", err)
+		return 0, err
 	}
-	newest, err := m.newestHead(ctx, base)
+	have := m.Current()
+	if have.Version != base {
+		have = nil // its sections can't be read
+	}
+	want, err := intent(have)
 	if err != nil {
 		return 0, err
 	}
@@ -347,8 +381,10 @@
 			return stored{}, err
 		}
 	}
+	if s.object > 0 {
+		m.adoptHead(ctx, o.Value) // where that fails, an intent that needs it says so
+	}
 	if s.head.Version != base {
-		m.adoptHead(ctx, o.Value)
 		return stored{}, m.stale(base, s.head.Version)
 	}
 	return s, nil
--- a/internal/version/discovery/discovery.go
+++ b/internal/version/discovery/discovery.go
@@ -8,12 +8,15 @@
 	"time"
 
 	"github.com/marblepond/marblepond/internal/request/choose"
+	"github.com/marblepond/marblepond/internal/request/warmup"
 )
 
 // Record is what the store says of one target.
 type Record struct {
 	choose.Target
 	Draining bool
+	// WarmUpLeft is how long the target stays cold.
+	WarmUpLeft time.Duration
 }
 
 // Pool is the table of targets. It is safe for concurrent use.
@@ -181,6 +184,42 @@
 	return p.table.Leaving(t)
 }
 
+// Evacuate replaces the data centres whose targets get no work.
+func (p *Pool) Evacuate(dataCentres []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.table.Evacuate(p.now(), dataCentres)
+}
+
+// Evacuated reports whether a target stands in a data centre that is evacuated.
+func (p *Pool) Evacuated(t choose.Target) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.table.Evacuated(t)
+}
+
+// AllEvacuated reports whether all targets of a service stand in data centres that are
+// evacuated.
+func (p *Pool) AllEvacuated(service string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.table.AllEvacuated(service)
+}
+
+// SetShare says which of the nodes that send work this one is.
+func (p *Pool) SetShare(s warmup.Share) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.table.SetShare(s)
+}
+
+// List returns all targets, with the reason why any of them gets no work.
+func (p *Pool) List() []choose.Status {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.table.List(p.now())
+}
+
 // Serving returns how many targets of a service are listed.
 func (p *Pool) Serving(service string) int {
 	p.mu.Lock()
--- a/internal/version/discovery/list.go
+++ b/internal/version/discovery/list.go
@@ -42,6 +42,7 @@
 		if r.Draining {
 			p.table.Leave(r.ID, r.Incarnation)
 		}
+		p.table.WarmUp(p.now(), r.ID, r.Incarnation, r.WarmUpLeft)
 	}
 	p.mu.Unlock()
 	for _, attempt := range ended {
--- /dev/null
+++ b/internal/version/fleet/evacuation_test.go
@@ -0,0 +1,24 @@
+package fleet
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// TestEvacuationChangesNothingElse: an evacuation is one difference, and its end brings
+// back the configuration of before.
+func TestEvacuationChangesNothingElse(t *testing.T) {
+	is := is.New(t)
+	before, err := Parse([]byte("[service \"s\"]\nversion = 2\n"))
+	is.NoErr(err)
+	evacuated, err := before.WithEvacuation("hall-a", true)
+	is.NoErr(err)
+	is.True(evacuated.IsEvacuated("hall-a"))
+	is.True(!evacuated.IsEvacuated("hall-b"))
+	is.Equal(Diff(before, evacuated), []Change{{Section: `data_centre "hall-a"`, Key: "evacuated", After: "true"}})
+	returned, err := evacuated.WithEvacuation("hall-a", false)
+	is.NoErr(err)
+	is.Equal(returned.Text(), before.Text())
+	is.True(!returned.IsEvacuated("hall-a"))
+}
--- a/internal/version/fleet/fleet.go
+++ b/internal/version/fleet/fleet.go
@@ -1,6 +1,6 @@
 // Package fleet holds the configuration that operators change while nodes
-// run: services with their model versions and adapters, and workspaces with
-// their keys and limits. A Config is immutable; a new version replaces it
+// run: services with their model versions and adapters, workspaces with their keys
+// and limits, and data centres whose targets get no work. A Config is immutable; a new version replaces it
 // whole, and requests keep the version they started with.
 package fleet
 
@@ -70,6 +70,7 @@
 	Version    uint64
 	Services   map[string]*Service
 	Workspaces *workspace.Index
+	Evacuated  []string           // data centres whose targets get no work, sorted
 	sections   map[string]section // INI section name to its keys
 }
 
@@ -132,8 +133,12 @@
 			c.Services[id] = readService(id, r)
 		case ok && kind == "workspace":
 			workspaces = append(workspaces, readWorkspace(id, r))
+		case ok && kind == kindDataCentre:
+			if r.boolean(keyEvacuated, false) {
+				c.Evacuated = append(c.Evacuated, id)
+			}
 		default:
-			faults = append(faults, Fault{name, "-", name, `[service "name"] or [workspace "name"]`})
+			faults = append(faults, Fault{name, "-", name, `[service "name"], [workspace "name"] or [data_centre "name"]`})
 			continue
 		}
 		r.refuseUnknown()
@@ -215,7 +220,7 @@
 	return b.String()
 }
 
-// SectionName returns the INI section of a service or workspace.
+// SectionName returns the INI section of a service, workspace or data centre.
 func SectionName(kind, id string) string { return kind + ` "` + id + `"` }
 
 func splitSection(name string) (kind, id string, ok bool) {
--- a/internal/version/fleet/fleet_test.go
+++ b/internal/version/fleet/fleet_test.go
@@ -46,7 +46,9 @@
 func TestFaults(t *testing.T) {
 	for _, c := range []struct{ name, text, want string }{
 		{"unknown key", "[service \"s\"]\ncolour = red\n", `[service "s"] colour: found "red", allowed: no such key in this section`},
-		{"unknown section", "[server \"s\"]\nmodel = m\n", `[server "s"] -: found "server \"s\"", allowed: [service "name"] or [workspace "name"]`},
+		{"unknown section", "[server \"s\"]\nmodel = m\n", `[server "s"] -: found "server \"s\"", allowed: [service "name"], [workspace "name"] or [data_centre "name"]`},
+		{"bad evacuation", "[data_centre \"hall-a\"]\nevacuated = perhaps\n", `[data_centre "hall-a"] evacuated: found "perhaps", allowed: true or false`},
+		{"unknown key of a data centre", "[data_centre \"hall-a\"]\nnodes = 3\n", `[data_centre "hall-a"] nodes: found "3", allowed: no such key in this section`},
 		{"bad kind", "[service \"s\"]\nkind = big\n", `[service "s"] kind: found "big", allowed: model or plain`},
 		{"bad key", "[workspace \"w\"]\nkey_sha256 = abc\n", `[workspace "w"] key_sha256: found "abc", allowed: SHA-256 in hex, 64 digits`},
 		{"no such service", "[workspace \"w\"]\nservices = s\n", `[workspace "w"] services: found "s", allowed: a service of this configuration`},
--- a/internal/version/route/route.go
+++ b/internal/version/route/route.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/marblepond/marblepond/internal/request/warmup"
 	"github.com/marblepond/marblepond/internal/version/workspace"
 )
 
@@ -68,6 +69,8 @@
 	Limits  Limits
 	// Workspaces are whose requests are served; nil: callers need no key.
 	Workspaces *workspace.Index
+	// WarmUps tell, by service, how its targets warm up.
+	WarmUps map[string]warmup.Rate
 	// Faults are what could not be read of the version and is left out.
 	Faults []string
 	byHost map[string][]*Route // longest prefix first
@@ -75,7 +78,7 @@
 
 // NewTable returns the table of one version.
 func NewTable(version int64, routes []Route, limits Limits) *Table {
-	t := &Table{Version: version, Limits: limits, byHost: map[string][]*Route{}}
+	t := &Table{Version: version, Limits: limits, WarmUps: map[string]warmup.Rate{}, byHost: map[string][]*Route{}}
 	for i := range routes {
 		r := &routes[i]
 		t.byHost[r.Host] = append(t.byHost[r.Host], r)
--- a/internal/version/targets/targets.go
+++ b/internal/version/targets/targets.go
@@ -165,6 +165,21 @@
 	}
 }
 
+// Evacuate replaces the data centres whose targets get no work.
+func (m *Manager) Evacuate(dataCentres []string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.table.Evacuate(time.Now(), dataCentres)
+}
+
+// AllEvacuated reports whether all targets of a service stand in data centres that are
+// evacuated.
+func (m *Manager) AllEvacuated(service string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.table.AllEvacuated(service)
+}
+
 // Reown computes the owners anew.
 func (m *Manager) Reown(view *member.View) {
 	m.mu.Lock()
--- /dev/null
+++ b/lab/e2e/evacuation_test.go
@@ -0,0 +1,112 @@
+package e2e
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/matryer/is"
+
+	v1 "github.com/marblepond/marblepond/api/marblepond/v1"
+	"github.com/marblepond/marblepond/api/marblepond/v1/marblepondv1connect"
+	"github.com/marblepond/marblepond/internal/connection/peer"
+	"github.com/marblepond/marblepond/lab/client"
+	"github.com/marblepond/marblepond/lab/deployment"
+)
+
+// started returns how many requests the engines of a data centre have begun.
+func started(f *deployment.Embedded, dc int) int {
+	n := 0
+	for _, e := range f.Engines[dc] {
+		n += len(e.Ledger())
+	}
+	return n
+}
+
+// evacuate plans and confirms an evacuation or its end.
+func evacuate(op marblepondv1connect.OperatorServiceClient, dataCentre string, end bool) error {
+	change := &v1.Evacuation{DataCentre: dataCentre, End: end}
+	plan, err := op.Plan(context.Background(), &v1.PlanRequest{Evacuation: change})
+	if err != nil {
+		return err
+	}
+	resp, err := op.Apply(context.Background(), &v1.ApplyRequest{Evacuation: change, BaseVersion: plan.BaseVersion})
+	if err == nil && resp.Stale {
+		return deployment.ErrStale
+	}
+	return err
+}
+
+// inForce reports whether every node has the newest version, and which data centres it
+// evacuates.
+func inForce(op marblepondv1connect.OperatorServiceClient) (everywhere bool, evacuated []string) {
+	resp, err := op.Status(context.Background(), &v1.StatusRequest{})
+	if err != nil {
+		return false, nil
+	}
+	for _, dc := range resp.DataCentres {
+		if dc.Evacuated {
+			evacuated = append(evacuated, dc.DataCentre)
+		}
+	}
+	return resp.InForceEverywhere, evacuated
+}
+
+// TestOperatorEvacuatesADataCentre: requests and items of all callers go to the other data
+// centre until the end; where both are evacuated requests are refused at once.
+func TestOperatorEvacuatesADataCentre(t *testing.T) {
+	is := is.New(t)
+	f, c := embedded(t, 118)
+	ctx := context.Background()
+	op := peer.NewOperatorClient(http.DefaultClient, f.PeerAddr(0, 0), deployment.OperatorKey)
+	ask := func(dc, n int) client.Outcome {
+		return c.Complete(ctx, f.CallerAddr(dc, n%2), client.Prompt{Model: "akmens-llm", Text: fmt.Sprint("slab ", dc, n), MaxTokens: 4, Stream: true})
+	}
+	err := evacuate(op, "no-hall", false)
+	is.Equal(connect.CodeOf(err), connect.CodeNotFound)
+
+	is.NoErr(evacuate(op, "saldus-hall", false))
+	is.True(eventually(5*time.Second, func() bool {
+		everywhere, evacuated := inForce(op)
+		return everywhere && len(evacuated) == 1 && evacuated[0] == "saldus-hall"
+	}))
+	before := started(f, 0)
+	for n := range 8 {
+		is.True(ask(0, n).Whole)
+		is.True(ask(1, n).Whole)
+	}
+	var lines []byte
+	for n := range 10 {
+		lines = fmt.Appendf(lines, `{"custom_id":"e-%d","method":"POST","url":"/v1/chat/completions","body":{"model":"akmens-llm","max_tokens":4,"messages":[{"role":"user","content":"item %d"}]}}`+"\n", n, n)
+	}
+	job, err := c.Submit(ctx, f.CallerAddr(0, 0), lines, "evacuated", "")
+	is.NoErr(err)
+	done, err := c.WaitBatch(ctx, f.CallerAddr(0, 1), job.ID)
+	is.NoErr(err)
+	is.Equal(done.Counts.Completed, 10)
+	is.Equal(started(f, 0), before) // nothing began there
+
+	stale := &v1.Evacuation{DataCentre: "kuldiga-hall"}
+	resp, err := op.Apply(ctx, &v1.ApplyRequest{Evacuation: stale, BaseVersion: 1})
+	is.NoErr(err)
+	is.True(resp.Stale) // a plan of before the first evacuation
+	is.NoErr(evacuate(op, "kuldiga-hall", false))
+	is.True(eventually(5*time.Second, func() bool { everywhere, evacuated := inForce(op); return everywhere && len(evacuated) == 2 }))
+	asked := time.Now()
+	refused := ask(1, 0)
+	is.Equal(refused.Status, http.StatusServiceUnavailable)
+	is.Equal(refused.NotRun, "true")
+	is.True(refused.RetryAfter != "")
+	is.True(time.Since(asked) < time.Second)
+
+	is.NoErr(evacuate(op, "saldus-hall", true))
+	is.NoErr(evacuate(op, "kuldiga-hall", true))
+	is.True(eventually(5*time.Second, func() bool { everywhere, evacuated := inForce(op); return everywhere && len(evacuated) == 0 }))
+	for n := range 8 {
+		is.True(ask(0, n).Whole)
+	}
+	is.True(started(f, 0) > before)
+}
--- /dev/null
+++ b/lab/hosted/evacuation_test.go
@@ -0,0 +1,217 @@
+package hosted
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// evacuatedWithin is the time in which an evacuation has to be in force in these tests.
+const evacuatedWithin = 2 * time.Second
+
+var evacuating = fmt.Sprintf("[follow]\nevacuated_within = %v\n", evacuatedWithin)
+
+var twoCentres = []string{"hall-a", "hall-b"}
+
+// pressing asks all nodes for answers until the function returned is called, which tells
+// how many were not served.
+func (f *Fleet) pressing(path string, callers int, pause time.Duration) (stop func() (failed []Reply)) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	var failed []Reply
+	var n atomic.Int64
+	nodes := f.callers()
+	for c := range callers {
+		wg.Go(func() {
+			for i := c; ctx.Err() == nil; i++ {
+				reply := Ask(context.Background(), nodes[i%len(nodes)], path, fmt.Sprint("press-", n.Add(1)), nil)
+				if reply.Err != nil || reply.Status != http.StatusOK {
+					mu.Lock()
+					failed = append(failed, reply)
+					mu.Unlock()
+				}
+				time.Sleep(pause)
+			}
+		})
+	}
+	return func() []Reply {
+		cancel()
+		wg.Wait()
+		return failed
+	}
+}
+
+// in returns the runners of a data centre.
+func (f *Fleet) in(dataCentre string) []*Runner {
+	var out []*Runner
+	for i, r := range f.Runners {
+		if f.centre(i) == dataCentre {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+func lastArrival(runners []*Runner) time.Time {
+	var last time.Time
+	for _, r := range runners {
+		if at := r.LastArrival(); at.After(last) {
+			last = at
+		}
+	}
+	return last
+}
+
+// TestEvacuatedDataCentreGetsNothing: from the bound on nothing reaches the targets of an
+// evacuated data centre, from nodes that the store turns away and from one that starts
+// meanwhile neither; callers and jobs notice nothing. Its end brings the work back.
+func TestEvacuatedDataCentreGetsNothing(t *testing.T) {
+	is := is.New(t)
+	f := fleet(t, Options{Nodes: 3, Runners: 6, Slots: 8, Events: 6, Gap: 5 * time.Millisecond, DataCentres: twoCentres, Extra: evacuating + quickJobs})
+	door := f.Store.NewDoor()
+	_, err := f.StartNode("edge-door", evacuating+quickJobs+door.Settings())
+	is.NoErr(err)
+	is.NoErr(f.waitReady(f.Nodes[3]))
+	stop := f.pressing(StreamPath+"x", 8, 5*time.Millisecond)
+	eventually(t, "both data centres serve", 2*time.Second, func() bool { return !lastArrival(f.in("hall-b")).IsZero() })
+	door.Shut(true)
+	is.Equal(Submit(f.Nodes[1].Caller(), "job", Items("job", 40)).Status, http.StatusAccepted)
+	f.Store.Put("evacuations", "hall-b", map[string]any{})
+	asked := time.Now()
+	late, err := f.StartNode("edge-late", evacuating+quickJobs)
+	is.NoErr(err)
+	is.NoErr(f.waitReady(late))
+	time.Sleep(time.Until(asked.Add(evacuatedWithin)))
+	for i := range 200 {
+		reply := Ask(context.Background(), late.Caller(), StreamPath+"x", fmt.Sprint("late-", i), nil)
+		is.Equal(reply.Status, http.StatusOK)
+	}
+	is.True(lastArrival(f.in("hall-b")).Before(asked.Add(evacuatedWithin)))
+	results, err := ReadAll(f.callers(), "job", 10*time.Second)
+	is.NoErr(err)
+	f.checkResults(t, "job", 40, results)
+	f.Store.Delete("evacuations", "hall-b")
+	eventually(t, "hall-b serves again", evacuatedWithin, func() bool { return lastArrival(f.in("hall-b")).After(asked.Add(evacuatedWithin)) })
+	is.Equal(len(stop()), 0)
+}
+
+// TestItemsLeaveAnEvacuatedDataCentre: items that would run on for long are moved well
+// before the bound, go on after the last event they hold, and do not end all at once.
+func TestItemsLeaveAnEvacuatedDataCentre(t *testing.T) {
+	is := is.New(t)
+	f := fleet(t, Options{Nodes: 2, Runners: 2, Slots: 8, Events: 400, Gap: 10 * time.Millisecond, DataCentres: twoCentres, Extra: evacuating + quickJobs})
+	is.Equal(Submit(f.Nodes[0].Caller(), "long", Items("long", 6)).Status, http.StatusAccepted)
+	is.Equal(Submit(f.Nodes[1].Caller(), "far", Items("far", 6)).Status, http.StatusAccepted)
+	leaving := f.in("hall-b")[0]
+	eventually(t, "items run there", 2*time.Second, func() bool { return leaving.Busy() >= 4 })
+	f.Store.Put("evacuations", "hall-b", map[string]any{})
+	asked := time.Now()
+	eventually(t, "none runs there", evacuatedWithin, func() bool { return leaving.Busy() == 0 })
+	is.True(leaving.LastArrival().Before(asked.Add(evacuatedWithin)))
+	for _, job := range []string{"long", "far"} {
+		results, err := ReadAll(f.callers(), job, 20*time.Second)
+		is.NoErr(err)
+		f.checkResults(t, job, 6, results)
+	}
+	resumed := 0
+	for _, job := range []string{"long", "far"} {
+		for _, item := range Items(job, 6) {
+			for _, after := range f.in("hall-a")[0].Resumed(item.ID) {
+				if after != "" {
+					resumed++
+				}
+			}
+		}
+	}
+	is.True(resumed >= 4) // from the events they held
+}
+
+// TestAllDataCentresEvacuated: requests are refused at once, with what the matter is and
+// when to come back; jobs are kept and run when it is over. An evacuation of a data
+// centre that does not exist changes nothing.
+func TestAllDataCentresEvacuated(t *testing.T) {
+	is := is.New(t)
+	f := fleet(t, Options{Nodes: 2, Runners: 4, DataCentres: twoCentres, Extra: evacuating + quickJobs})
+	f.Store.Put("evacuations", "hall-x", map[string]any{})
+	f.Store.Put("evacuations", "hall-a", map[string]any{})
+	f.Store.Put("evacuations", "hall-b", map[string]any{})
+	var reply Reply
+	eventually(t, "requests are refused", evacuatedWithin, func() bool {
+		reply = Ask(context.Background(), f.Nodes[0].Caller(), StreamPath+"x", "refused", nil)
+		return reply.Status == http.StatusServiceUnavailable
+	})
+	is.True(reply.Header.Get("Retry-After") != "")
+	asked := time.Now()
+	reply = Ask(context.Background(), f.Nodes[0].Caller(), StreamPath+"x", "at-once", nil)
+	is.True(time.Since(asked) < 50*time.Millisecond) // a sixth of its objective, on a busy machine
+	is.True(strings.Contains(reply.Body, "evacuated"))
+	is.Equal(f.runs("at-once"), 0)
+	time.Sleep(time.Until(asked.Add(evacuatedWithin)))
+	is.Equal(Submit(f.Nodes[1].Caller(), "kept", Items("kept", 5)).Status, http.StatusAccepted)
+	f.Store.Delete("evacuations", "hall-a")
+	results, err := ReadAll(f.callers(), "kept", 10*time.Second)
+	is.NoErr(err)
+	f.checkResults(t, "kept", 5, results)
+	is.Equal(lastArrival(f.in("hall-b")).After(asked.Add(evacuatedWithin)), false)
+}
+
+const (
+	// coldTime and coldRate are how runners of these tests warm up, and coldMost what
+	// they bear in one second while they are cold.
+	coldTime = 2 * time.Second
+	coldRate = 10
+	coldMost = 15
+)
+
+func warmsUp(config map[string]any) {
+	config["services"] = []any{map[string]any{"name": Service, "warmup_s": coldTime.Seconds(), "warmup_per_s": float64(coldRate)}}
+}
+
+// TestColdTargetsGetWhatTheyBear: while the targets of a data centre come back cold from
+// its evacuation, and those of the other are evacuated at that moment, all that callers
+// send would go to them. No target gets more than it bears; what there is no room for is
+// refused, and all is served again when they are warm.
+func TestColdTargetsGetWhatTheyBear(t *testing.T) {
+	is := is.New(t)
+	f := fleet(t, Options{Nodes: 6, Runners: 8, Slots: 8, Events: 3, Gap: 2 * time.Millisecond, DataCentres: twoCentres, Extra: evacuating + quickJobs})
+	f.Store.Put("config", "main", Config(2, warmsUp))
+	f.Store.Put("evacuations", "hall-b", map[string]any{})
+	stop := f.pressing(StreamPath+"x", 24, 10*time.Millisecond)
+	time.Sleep(evacuatedWithin)
+	is.Equal(Submit(f.Nodes[0].Caller(), "beside", Items("beside", 60)).Status, http.StatusAccepted)
+	cold := f.in("hall-b")
+	for _, r := range cold {
+		r.Cool(coldTime) // no entry tells of it yet
+	}
+	f.Store.Delete("evacuations", "hall-b")
+	f.Store.Put("evacuations", "hall-a", map[string]any{})
+	time.Sleep(coldTime)
+	served := 0
+	for _, r := range cold {
+		is.True(r.MostWhileCold() <= coldMost)
+		served += r.MostWhileCold()
+	}
+	is.True(served > 0) // they serve while they warm up
+	eventually(t, "all is served", evacuatedWithin+2*time.Second, func() bool {
+		for i, node := range f.callers() {
+			if Ask(context.Background(), node, StreamPath+"x", fmt.Sprintf("warm-%d-%d", i, time.Now().UnixNano()), nil).Status != http.StatusOK {
+				return false
+			}
+		}
+		return true
+	})
+	for _, reply := range stop() {
+		is.Equal(reply.Status, http.StatusServiceUnavailable) // a promise that it did not run
+	}
+	results, err := ReadAll(f.callers(), "beside", 10*time.Second) // online requests left no room before
+	is.NoErr(err)
+	f.checkResults(t, "beside", 60, results)
+}
--- a/lab/hosted/runner.go
+++ b/lab/hosted/runner.go
@@ -53,6 +53,8 @@
 	resume  map[string][]string // Last-Event-Id of each run
 	cut     map[string]int      // runs that the sender ended
 	heads   map[string]http.Header
+	cold    coldness
+	newest  time.Time // when a request last came
 }
 
 // RunStart is one request that began to run.
@@ -209,7 +211,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return map[string]any{"service": r.Service, "address": r.Address(), "zone": dataCentre, "version": "v1",
-		"slots": float64(r.slots), "state": state, "warmup_left_ms": 0.0, "seq": 1, "born": r.born.UnixMilli()}
+		"slots": float64(r.slots), "state": state, "warmup_left_ms": float64(r.cold.left(time.Now()).Milliseconds()), "seq": 1, "born": r.born.UnixMilli()}
 }
 
 // EntryOfNextStart returns what the runner registers when it has started again
@@ -247,6 +249,8 @@
 	}
 	r.mu.Lock()
 	r.arrived[id]++
+	r.newest = time.Now()
+	r.cold.arrived(r.newest)
 	what := r.behave(id, r.runs[id])
 	r.mu.Unlock()
 	if what == Full || int(r.busy.Add(1)) > r.slots {
--- a/lab/hosted/store.go
+++ b/lab/hosted/store.go
@@ -14,6 +14,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -63,6 +64,7 @@
 	floor   int64 // history up to here is gone
 	calls   map[string]int
 	closed  chan struct{}
+	doors   []*Door
 }
 
 // NewStore starts a store on a loopback address.
@@ -78,6 +80,10 @@
 // Close ends the store.
 func (s *Store) Close() {
 	close(s.closed)
+	for _, d := range s.doors {
+		d.server.CloseClientConnections()
+		d.server.Close()
+	}
 	s.server.CloseClientConnections()
 	s.server.Close()
 }
@@ -103,6 +109,36 @@
 	return maps.Clone(s.calls)
 }
 
+// Door is a second address of the store, for nodes that it can be told to turn away.
+type Door struct {
+	server *httptest.Server
+	closed atomic.Bool
+}
+
+// NewDoor opens a door, which Store.Close closes.
+func (s *Store) NewDoor() *Door {
+	d := &Door{}
+	d.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if d.closed.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		s.ServeHTTP(w, r)
+	}))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.doors = append(s.doors, d)
+	return d
+}
+
+// Settings returns the settings of a node that uses the door, in INI.
+func (d *Door) Settings() string {
+	return "[store]\naddress = " + d.server.Listener.Addr().String() + "\n"
+}
+
+// Shut turns its nodes away, or lets them in again.
+func (d *Door) Shut(shut bool) { d.closed.Store(shut) }
+
 // Put writes an object as the operator or a runner would.
 func (s *Store) Put(kind, name string, spec any) int64 {
 	data, err := json.Marshal(spec)
--- a/scripts/check-mutants.sh
+++ b/scripts/check-mutants.sh
@@ -117,4 +117,14 @@
 mutant 3 internal/process/hosted/peers.go 's/\]\.Boot != n\.boot \{/].Boot != n.boot \&\& n.boot < 0 {/' internal/process/hosted TestNodeJoinsOnceItIsKnown
 mutant 1 internal/request/homes/durable.go 's/case k\.membership\(\)\.SilentSeeds:/case k.membership().SilentSeeds \&\& centre == requestID:/' internal/request/homes TestWhatIsNotHeardYetIsNotDenied
 mutant 1 internal/process/membership/membership.go 's/!m\.beat\(ctx, seed, ""\);/!m.beat(ctx, seed, "") \&\& pause < 0;/' internal/process/membership TestEverySeedIsAskedUntilItAnswers
+mutant 11 internal/request/choose/eligible.go 's/case t\.evacuated\[e\.DataCentre\]:/case t.evacuated[e.DataCentre] \&\& need.Batch:/' internal/request/choose TestEvacuatedTargetsGetNothing
+mutant 11 internal/request/choose/eligible.go 's/t\.warmUp\(now, e, t\.warmUpOf\(e\.Service\)\.Time\)/_ = e/' internal/request/choose TestReturnedTargetsWarmUp
+mutant 11 internal/process/hosted/evacuation.go 's/n\.pool\.Evacuate\(evacuated\)/n.pool.Evacuate(nil)/' lab/hosted TestEvacuatedDataCentreGetsNothing
+mutant 11 internal/request/job/evacuate.go 's/items := m\.runningWhere\(m\.Pool\.Evacuated\)/items := m.runningWhere(m.Pool.Evacuated)[:0]/' lab/hosted TestItemsLeaveAnEvacuatedDataCentre
+mutant 11 internal/request/forward/place.go 's/if f\.evacuated\(req, c\) \|\| /if /' internal/request/forward TestNoTargetLeftIsSaidAtOnce
+mutant 11 internal/process/node/remotes.go 's/ && !r\.node\.config\.Current\(\)\.IsEvacuated\(c\.DataCentre\)//' lab/e2e TestOperatorEvacuatesADataCentre
+mutant 12 internal/request/warmup/warmup.go 's/place := \(uint64\(s\.Place\) \+ /place := uint64(0) * (uint64(s.Place) + /' internal/request/warmup TestTurnsKeepTheRate
+mutant 12 internal/request/choose/warm.go 's/turn != warmup\.NoTurn && turn != e\.lastTurn/turn != warmup.NoTurn/' internal/request/choose TestReturnedTargetsWarmUp
+mutant 12 internal/request/choose/warm.go 's/if until := now\.Add\(left\); until\.After\(e\.warmAt\)/if until := now.Add(left); left > 0/' internal/request/choose TestWarmUpIsNotCutShort
+mutant 12 internal/request/choose/choose.go 's/case len\(cold\) > 0 && !hasRoom\(now, out\) && !hasRoom\(now, full\):/case len(cold) > 0:/' internal/request/choose TestColdTargetsComeAfterWarmOnes
 exit $missed
