Do not take targets that all leave for evacuated ones

A service all of whose targets were leaving, and none evacuated, counted as evacuated: its requests would have been refused at once and told so, though a release brings new targets. Found by reading; TestLeavingTargetsAreNotTakenForEvacuated fails without the change. Reasons are constants now: a choice among many failing targets made a text for each.

--- a/internal/request/choose/eligible.go
+++ b/internal/request/choose/eligible.go
@@ -1,9 +1,6 @@
 package choose
 
-import (
-	"fmt"
-	"time"
-)
+import "time"
 
 // Reason tells why a target gets no new work; empty: it gets it.
 type Reason string
@@ -14,13 +11,13 @@
 	Leaving   Reason = "leaving"
 	Evacuated Reason = "its data centre is evacuated"
 	Unhealthy Reason = "unhealthy"
-	Failing   Reason = "failing" // followed by how often
+	Failing   Reason = "failed several times in a row"
 	OnTrial   Reason = "on trial"
-	NotLoaded Reason = "not loaded" // after what is asked for
+	NotLoaded Reason = "what is asked for is not loaded"
 	WarmingUp Reason = "warming up"
 )
 
-// reason returns why a target gets no work of a kind now; empty: it does, while it has
+// reason returns why a target gets no work of a kind now; empty: it gets it while it has
 // room.
 func (t *Table) reason(now time.Time, e *entry, need Need) Reason {
 	switch {
@@ -31,11 +28,11 @@
 	case e.known && !e.load.Healthy:
 		return Unhealthy
 	case !e.ejectedUntil.IsZero() && now.Before(e.ejectedUntil):
-		return Reason(fmt.Sprintf("%s: %d times in a row", Failing, e.failures))
+		return Failing
 	case e.trial:
 		return OnTrial
 	case need.Loaded != "" && !e.has(need.Loaded):
-		return Reason(need.Loaded) + " " + NotLoaded
+		return NotLoaded
 	case !e.warm(now) && !t.takesCold(now, e, need):
 		return WarmingUp
 	}
@@ -72,13 +69,19 @@
 // Evacuated reports whether a target stands in a data centre that is evacuated.
 func (t *Table) Evacuated(target Target) bool { return t.evacuated[target.DataCentre] }
 
-// AllEvacuated reports whether a service has targets and all of them stand in data
-// centres that are evacuated.
+// AllEvacuated reports whether a service has targets that are not leaving, and all of
+// these stand in data centres that are evacuated.
 func (t *Table) AllEvacuated(service string) bool {
+	evacuated := false
 	for _, id := range t.rank[service] {
-		if e := t.entries[id]; !e.leaving && !t.evacuated[e.DataCentre] {
+		e := t.entries[id]
+		if e.leaving {
+			continue
+		}
+		if !t.evacuated[e.DataCentre] {
 			return false
 		}
+		evacuated = true
 	}
-	return len(t.rank[service]) > 0
+	return evacuated
 }
--- a/internal/request/choose/evacuate_test.go
+++ b/internal/request/choose/evacuate_test.go
@@ -66,6 +66,19 @@
 	})
 }
 
+// TestLeavingTargetsAreNotTakenForEvacuated: where all targets leave, others may come, and
+// requests wait for them.
+func TestLeavingTargetsAreNotTakenForEvacuated(t *testing.T) {
+	is := is.New(t)
+	tab := centresTable(3, warmup.Share{Place: 0, Nodes: 1})
+	is.True(!tab.AllEvacuated("s"))
+	is.True(!tab.AllEvacuated("a service without targets"))
+	for _, id := range []string{"t0", "t1", "t2"} {
+		tab.Leave(id, 1)
+	}
+	is.True(!tab.AllEvacuated("s"))
+}
+
 // TestReturnedTargetsWarmUp: targets of a data centre that is evacuated no more get
 // requests at the rate of cold ones, and no items, until they had the time to warm up.
 func TestReturnedTargetsWarmUp(t *testing.T) {
