Spare targets that have just started, on our own interface

Only the users' platform told how long a target is cold. Change: a service names warm_up and warm_up_rate; the start of a target's process, which load reports carry, tells since when, and the nodes of the data centre take turns. Test: TestStartedProcessIsSparedWhileItWarmsUp.

--- a/internal/version/fleet/fleet.go
+++ b/internal/version/fleet/fleet.go
@@ -13,6 +13,7 @@
 
 	"gopkg.in/ini.v1"
 
+	"github.com/marblepond/marblepond/internal/request/warmup"
 	"github.com/marblepond/marblepond/internal/version/workspace"
 )
 
@@ -36,6 +37,7 @@
 	NonIdempotent bool // its calls may not be repeated
 	Deadline      time.Duration
 	MaxInFlight   int // online requests per data centre; 0: no limit
+	WarmUp        warmup.Rate
 }
 
 // Wanted returns the names a target must have loaded to serve the service:
@@ -242,6 +244,7 @@
 		NonIdempotent: r.boolean("non_idempotent", false),
 		Deadline:      r.duration("deadline", 0),
 		MaxInFlight:   r.count("max_in_flight", 0),
+		WarmUp:        warmup.Rate{Time: r.duration("warm_up", 0), PerSecond: float64(r.count("warm_up_rate", 0))},
 	}
 }
 
--- a/internal/version/targets/targets.go
+++ b/internal/version/targets/targets.go
@@ -27,6 +27,7 @@
 	"github.com/marblepond/marblepond/internal/process/timeline"
 	"github.com/marblepond/marblepond/internal/process/wait"
 	"github.com/marblepond/marblepond/internal/request/choose"
+	"github.com/marblepond/marblepond/internal/request/warmup"
 	"github.com/marblepond/marblepond/internal/version/fleet"
 	"github.com/marblepond/marblepond/internal/version/order"
 )
@@ -76,6 +77,12 @@
 
 // New returns a manager.
 func New(cfg Config, p *platform.Client, e *engine.Client, m *membership.Manager, r *timeline.Recorder, c *invariant.Checker, config func() *fleet.Config) *Manager {
+	cfg.Choose.WarmUp = func(service string) warmup.Rate {
+		if s := config().Services[service]; s != nil {
+			return s.WarmUp
+		}
+		return warmup.Rate{}
+	}
 	return &Manager{
 		cfg: cfg, platform: p, engines: e, membership: m, recorder: r, checker: c, config: config,
 		table: choose.New(cfg.Choose), owners: map[string]string{}, marked: map[string]time.Time{}, polls: map[string]*poll{},
@@ -183,6 +190,7 @@
 // Reown computes the owners anew.
 func (m *Manager) Reown(view *member.View) {
 	m.mu.Lock()
+	m.table.SetShare(shareOf(view))
 	var own []string
 	for _, s := range m.table.List(time.Now()) {
 		owner := rendezvous.First(s.ID, view.Duty)
@@ -200,6 +208,15 @@
 	m.onOwn(own)
 }
 
+// shareOf returns which of the nodes that send work to the targets this one is.
+func shareOf(view *member.View) warmup.Share {
+	place, found := slices.BinarySearch(view.Duty, view.Self.ID)
+	if !found {
+		return warmup.Share{} // it leaves
+	}
+	return warmup.Share{Place: place, Nodes: len(view.Duty)}
+}
+
 // readLoads reads every owned target once an interval.
 func (m *Manager) readLoads(ctx context.Context) {
 	ticker := time.NewTicker(m.cfg.LoadInterval)
@@ -282,12 +299,24 @@
 func (m *Manager) report(id string, incarnation uint64, load choose.Load) (ended []choose.Target) {
 	before, known := m.table.Get(time.Now(), id)
 	m.table.Report(id, incarnation, load)
+	m.warmUp(id, incarnation, load.Started)
 	if known && before.Load.Started > 0 && load.Started > before.Load.Started {
 		ended = append(ended, ofProcess(before))
 	}
 	return ended
 }
 
+// warmUp notes that a target is cold if its process, whose start is given in Unix
+// milliseconds, has not run for long. The caller holds m.mu.
+func (m *Manager) warmUp(id string, incarnation, started uint64) {
+	s, known := m.table.Get(time.Now(), id)
+	if !known || started == 0 {
+		return
+	}
+	ran := time.Since(time.UnixMilli(int64(started)))
+	m.table.WarmUp(time.Now(), id, incarnation, m.cfg.Choose.WarmUp(s.Service).Time-ran)
+}
+
 // ofProcess returns a target whose incarnation is the start of its process, which
 // changes more often than that of its VM.
 func ofProcess(s choose.Status) choose.Target {
--- a/internal/version/targets/targets_test.go
+++ b/internal/version/targets/targets_test.go
@@ -29,15 +29,26 @@
 // has m@1 loaded.
 func newManager(t *testing.T) *Manager {
 	t.Helper()
+	return managerOf(t, fleet.Empty(), time.Time{})
+}
+
+// managerOf returns the same with a configuration, and a target whose process started at
+// a time; zero: it does not tell.
+func managerOf(t *testing.T, config *fleet.Config, started time.Time) *Manager {
+	t.Helper()
+	report := engine.Report{MaxRunning: 8, Loaded: []string{"m@1"}}
+	if !started.IsZero() {
+		report.Started = uint64(started.UnixMilli())
+	}
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		json.NewEncoder(w).Encode(engine.Report{MaxRunning: 8, Loaded: []string{"m@1"}})
+		json.NewEncoder(w).Encode(report)
 	}))
 	t.Cleanup(server.Close)
 	recorder := timeline.NewRecorder("n", 100, &log.Logger{Handler: discard.New()}, tally.NoopScope)
 	self := member.Info{ID: "n", Incarnation: 1, DataCentre: "dc"}
 	members := membership.New(self, member.Timing{Heartbeat: time.Second, SuspectAfter: 3 * time.Second, DeadAfter: 6 * time.Second}, nil, nil, recorder)
 	m := New(Config{LoadInterval: time.Second, Choose: choose.Config{EjectAfter: 3, EjectTime: time.Second, Policy: choose.Affinity}},
-		nil, engine.New(server.Client(), time.Second), members, recorder, invariant.New(recorder, false), fleet.Empty)
+		nil, engine.New(server.Client(), time.Second), members, recorder, invariant.New(recorder, false), func() *fleet.Config { return config })
 	m.takeVMs([]platform.VM{{ID: "t", Incarnation: 1, DataCentre: "dc", Role: platform.RoleTarget, Service: "s", Addr: strings.TrimPrefix(server.URL, "http://")}}, self)
 	return m
 }
@@ -81,3 +92,31 @@
 	list, _ = m.List()
 	is.Equal(len(list[0].Load.Loaded), 0) // names given: none
 }
+
+// TestStartedProcessIsSparedWhileItWarmsUp: a target whose process has just started gets
+// requests at the rate that its service names, and is used whole once it is warm.
+func TestStartedProcessIsSparedWhileItWarmsUp(t *testing.T) {
+	is := is.New(t)
+	config, err := fleet.Parse([]byte("[service \"s\"]\nwarm_up = 1s\nwarm_up_rate = 10\n"))
+	is.NoErr(err)
+	began := time.Now()
+	m := managerOf(t, config, began)
+	for _, s := range m.ownedIdle() {
+		m.readLoad(context.Background(), s)
+	}
+	sent := 0
+	for time.Since(began) < 900*time.Millisecond {
+		if target, ok := m.Choose(choose.Need{Service: "s"}); ok {
+			m.End(target.ID, choose.Success)
+			sent++
+		}
+		time.Sleep(time.Millisecond)
+	}
+	is.True(sent >= 1)
+	is.True(sent <= 10) // the rate, for nine tenths of a second, and the turn at its start
+	time.Sleep(time.Until(began.Add(1100 * time.Millisecond)))
+	for range 20 {
+		_, ok := m.Choose(choose.Need{Service: "s"})
+		is.True(ok)
+	}
+}
