--- a/internal/connection/beacon/beacon.go
+++ b/internal/connection/beacon/beacon.go
@@ -41,16 +41,14 @@
 const (
 	// nearLeast is the least time between two rounds to the own data centre,
 	// and nearPace is added to it for each node told: 125 datagrams a second at the
-	// most. With 5 ms for each a node of 51 took 2.4 in place of 2.1 % of a core
-	// (295 VMs, 8 s of traffic, with three and one far listeners a round).
+	// most.
 	nearLeast = 5 * time.Millisecond
 	nearPace  = 8 * time.Millisecond
 	// nearInterval is the time between rounds when nothing changes: ten of them may
 	// be lost before a node counts as silent.
 	nearInterval = 100 * time.Millisecond
 	// farInterval is the time between rounds to other data centres and farFanout
-	// how many nodes one round reaches. With two, items in time were 3 % fewer in the
-	// model, on three data centres of two nodes and two targets each.
+	// how many nodes one round reaches.
 	farInterval = 100 * time.Millisecond
 	farFanout   = 3
 	// urgentRing is how many urgent words may wait to be sent.
--- a/internal/process/hosted/following.go
+++ b/internal/process/hosted/following.go
@@ -105,8 +105,7 @@
 const (
 	// firstShown is when a seed reads the list of nodes at the first start of a
 	// fleet: all nodes start within 0.3 s and have registered by then. firstGreeting
-	// is when the others ask it, and learn of all nodes at once. The start of 255
-	// nodes took 939 calls without that and 676 with it, 255 of them to register.
+	// is when the others ask it, and learn of all nodes at once.
 	firstShown    = 700 * time.Millisecond
 	firstGreeting = time.Second
 )
--- a/internal/process/hosted/peers.go
+++ b/internal/process/hosted/peers.go
@@ -59,9 +59,7 @@
 // greetDial is how long a starting node tries to connect to one seed before it asks the
 // next. Machines that lost power together start within 0.3 s of each other, and a seed that
 // is still dark drops the first packet of a connection, which is sent again only after a
-// second. With the usual 250 ms a node without a configuration refused its callers for 275
-// ms where one seed was dark and for 540 ms where two were. Two nodes of different regions
-// connect in 24 ms.
+// second.
 const greetDial = 60 * time.Millisecond
 
 // newPeers uses HTTP/1.1: a connection that a cut has left dead is dropped with
--- a/internal/request/allowance/ledger.go
+++ b/internal/request/allowance/ledger.go
@@ -25,8 +25,7 @@
 	// substitute and does not know what was lent before it. It serves a workspace at its
 	// usual for half a second, until its owner is known to be lost. freshShare is the same for
 	// a natural owner that has just started: while it was away less was lent than allowed,
-	// and where all nodes were, all callers come at once. With 0.5 a workspace at its usual
-	// was refused right after a start of all nodes.
+	// and where all nodes were, all callers come at once.
 	creditShare = 0.5
 	freshShare  = 0.9
 	// substituteShare is the part of the allowance that a substitute lends while the
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -91,8 +91,7 @@
 	last    error
 	// inLine is the full target that refused the request last. It counts there while it
 	// waits, so that nodes with batch items at the target hear of it: an attempt that is
-	// refused is over in less than a millisecond, and they would miss it. Without that,
-	// 3 of 20 plays of TestOnlineGoesFirst beside five busy processes had a request refused.
+	// refused is over in less than a millisecond, and they would miss it.
 	inLine *choose.Target
 }
 
--- a/internal/request/forward/place.go
+++ b/internal/request/forward/place.go
@@ -70,11 +70,7 @@
 // need returns what the request asks of its next target.
 func (f *Forwarder) need(req *Request, c *course) choose.Need {
 	// What was in flight at a crash may cause the next one, or was beside what did. Two
-	// of them must not meet: apart, the proper ones are answered and clear of it. Beside
-	// three requests that end targets, 6,200 of 72,000 proper ones go unanswered in place
-	// of 19,400, and 1,060 targets end in place of 1,440; where they may meet if there is
-	// no other room it is 18,700, and at the emptiest target more than without (100 seeds
-	// of 12 s of the storm in package quarantine).
+	// of them must not meet: apart, the proper ones are answered and clear of it.
 	need := choose.Need{Service: req.Service, Exclude: c.exclude, Overflow: overflow, Apart: f.Quarantine.Suspected(&req.Work)}
 	if c.lost {
 		need.Scatter = req.Work.ID().Key()
--- a/internal/request/job/run.go
+++ b/internal/request/job/run.go
@@ -30,8 +30,7 @@
 
 const (
 	// scheduleTick is the time between looks for room while items wait; a finished
-	// item or a new job wakes the scheduler at once. With twice the time, items in
-	// time were 2 % fewer in the model.
+	// item or a new job wakes the scheduler at once.
 	scheduleTick = 20 * time.Millisecond
 	// runningTick is the same while all items run: then only the time grows for
 	// which online requests wait where they do.
--- a/internal/request/quarantine/verdict.go
+++ b/internal/request/quarantine/verdict.go
@@ -23,9 +23,7 @@
 	togetherShare  = 1.0 / 3
 	togetherLeast  = 3
 	// aloneLeast is at how many of its crashes no other work may have been that was
-	// at several. Beside six requests that end targets, 15 of 180,000 proper ones are
-	// refused and none of 600 such requests goes on for too long; without it 155 and 3,
-	// with two 2 and 1 (TestBystandersAreNotRefused).
+	// at several: it keeps proper requests clear that are often beside several bad ones.
 	aloneLeast = 1
 	// certainFactor times the limit is enough whoever else was there: work that
 	// always comes together would never be told apart.
--- a/internal/request/run/run.go
+++ b/internal/request/run/run.go
@@ -122,8 +122,6 @@
 	promptLosses = 2
 	// reportsToWait is how many times between load reports it waits then: in the mean half
 	// of one shows that the target has crashed, and the others are told with the next.
-	// Without the wait one request ended four targets 24 times before any node knew, and
-	// with it 8 times (TestRequestThatCrashesEngines).
 	reportsToWait = 2
 )
 
--- a/internal/request/schedule/fair.go
+++ b/internal/request/schedule/fair.go
@@ -8,10 +8,8 @@
 // the tag that is served now, so that nothing is saved up. Of its items the earliest due
 // goes first; where there is one workspace, that is the whole order.
 //
-// Weighed against deficit round robin (Shreedhar and Varghese, 1995), which needs a
-// quantum of the largest item to be as cheap: with items of 100 to 4,000 tokens of 20
-// workspaces the most that one is ahead of another that waits is 1.0 of the largest item
-// here and 1.9 there (TestFairQueueingAgainstRoundRobin).
+// Deficit round robin (Shreedhar and Varghese, 1995) would need a quantum of the largest
+// item to be as cheap, and lets one workspace run further ahead of another.
 //
 // It is not safe for concurrent use.
 type Fair struct {
--- a/internal/request/schedule/schedule.go
+++ b/internal/request/schedule/schedule.go
@@ -1,10 +1,9 @@
 // Package schedule decides which batch items get room first and which give it
 // up. It is pure: the items' state comes from outside.
 //
-// Items go earliest due first, and among workspaces by Fair. Putting those last that can no longer be in time
-// was measured and gains nothing: how long an item will still wait for online
-// requests cannot be told well enough, and items that would have been in time
-// are put last as often.
+// Items go earliest due first, and among workspaces by Fair. Those that can no longer be
+// in time are not put last: how long an item will still wait for online requests cannot
+// be told well enough, and items that would have been in time would be put last as often.
 package schedule
 
 import (
