Send items over the connections of their target's incarnation

What callers saw: nothing yet. Connections to targets are kept by incarnation, so that none of a process that has ended is used. Items named no incarnation: they kept connections of their own beside those of online requests, which the deployments price, and went on using them after a target had started again under its ID.

Cause: an attempt at an item left the field out. Test: TestItemNamesTheIncarnation fails without the change.

--- a/internal/request/job/run.go
+++ b/internal/request/job/run.go
@@ -217,7 +217,7 @@
 	watchdog := time.AfterFunc(silence, func() { cancel(errSilent) })
 	defer watchdog.Stop()
 	answer, err := m.Sender.Send(ctx, target.Call{
-		Address: t.Addr, InstanceID: t.ID, RequestID: item.ID, Workspace: h.head.Workspace, Method: http.MethodPost, Host: h.head.Host, Path: item.Path,
+		Address: t.Addr, InstanceID: t.ID, Incarnation: t.Incarnation, RequestID: item.ID, Workspace: h.head.Workspace, Method: http.MethodPost, Host: h.head.Host, Path: item.Path,
 		Header: item.header(), Body: item.Body, ResumeAfter: held, Deadline: time.UnixMilli(h.head.Submitted).Add(r.AbandonAfter),
 	})
 	if err != nil {
--- /dev/null
+++ b/internal/request/job/run_test.go
@@ -0,0 +1,36 @@
+package job
+
+import (
+	"context"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/marblepond/marblepond/internal/connection/target"
+	"github.com/marblepond/marblepond/internal/request/choose"
+)
+
+// callSender keeps the calls that are made, and answers none.
+type callSender struct{ calls chan target.Call }
+
+func (s callSender) Send(ctx context.Context, call target.Call) (*target.Answer, error) {
+	s.calls <- call
+	<-ctx.Done()
+	return nil, &target.Error{End: target.GivenUp, Cause: ctx.Err()}
+}
+
+// TestItemNamesTheIncarnation: connections are kept by incarnation, so that an item
+// shares those of online requests and is never written into one of a process that has
+// ended.
+func TestItemNamesTheIncarnation(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	sender := callSender{make(chan target.Call, 8)}
+	m := newTestManager("n", newMemoryStore())
+	m.Pool, m.Sender = newSlowPool(2), sender
+	m.Shares = func() func(choose.Target) int { return func(choose.Target) int { return 2 } }
+	is.NoErr(m.Submit(ctx, submission("job")))
+	m.fill(ctx)
+	is.Equal((<-sender.calls).Incarnation, uint64(1))
+}
