Tell a stale evacuation as stale, and take one share for both interfaces

A newer version that arrived while an evacuation was being confirmed made the answer "can't be read whole" where it is a stale plan. Which of the nodes a node is was computed twice; it is warmup.ShareOf now.

--- a/internal/process/hosted/evacuation.go
+++ b/internal/process/hosted/evacuation.go
@@ -52,9 +52,5 @@
 		}
 	}
 	slices.Sort(names)
-	place, known := slices.BinarySearch(names, n.settings.NodeID)
-	if !known {
-		return warmup.Share{} // the others do not count this node yet
-	}
-	return warmup.Share{Place: place, Nodes: len(names)}
+	return warmup.ShareOf(n.settings.NodeID, names)
 }
--- a/internal/request/forward/place.go
+++ b/internal/request/forward/place.go
@@ -53,8 +53,8 @@
 	return c.ran == 0 && waited < req.Route.Objective && f.Targets.RoomExpected(req.Service)
 }
 
-// evacuated reports whether a request is refused because there is no target left that it
-// may be sent to. One whose caller has part of the answer waits for the end of that.
+// evacuated reports whether a request is refused at once because no target is left that it
+// may be sent to. One whose caller has part of the answer waits, until its deadline.
 func (f *Forwarder) evacuated(req *Request, c *course) bool {
 	return !c.begun && f.Targets.AllEvacuated(req.Service)
 }
--- a/internal/request/warmup/warmup.go
+++ b/internal/request/warmup/warmup.go
@@ -12,6 +12,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -31,6 +32,16 @@
 	Nodes int // 0: not known, the node has no turns
 }
 
+// ShareOf returns the share of a node among all that send work, whose names are sorted.
+// One that is not among them has no turns: the others do not count it.
+func ShareOf(node string, sorted []string) Share {
+	place, found := slices.BinarySearch(sorted, node)
+	if !found {
+		return Share{}
+	}
+	return Share{Place: place, Nodes: len(sorted)}
+}
+
 // NoTurn is what Turn returns while another node has its turn.
 const NoTurn = -1
 
--- a/internal/request/warmup/warmup_test.go
+++ b/internal/request/warmup/warmup_test.go
@@ -86,4 +86,6 @@
 func TestUnknownShareHasNoTurn(t *testing.T) {
 	is := is.New(t)
 	is.Equal(Share{}.Turn("target", time.Second, 8), NoTurn)
+	is.Equal(ShareOf("n-c", []string{"n-a", "n-b"}), Share{})
+	is.Equal(ShareOf("n-b", []string{"n-a", "n-b"}), Share{Place: 1, Nodes: 2})
 }
--- a/internal/version/config/config.go
+++ b/internal/version/config/config.go
@@ -342,8 +342,11 @@
 		return 0, err
 	}
 	have := m.Current()
-	if have.Version != base {
-		have = nil // its sections can't be read
+	switch {
+	case have.Version > base:
+		return 0, m.stale(base, have.Version)
+	case have.Version < base:
+		have = nil // the sections of the newest can't be read
 	}
 	want, err := intent(have)
 	if err != nil {
--- a/internal/version/targets/targets.go
+++ b/internal/version/targets/targets.go
@@ -190,7 +190,7 @@
 // Reown computes the owners anew.
 func (m *Manager) Reown(view *member.View) {
 	m.mu.Lock()
-	m.table.SetShare(shareOf(view))
+	m.table.SetShare(warmup.ShareOf(view.Self.ID, view.Duty))
 	var own []string
 	for _, s := range m.table.List(time.Now()) {
 		owner := rendezvous.First(s.ID, view.Duty)
@@ -208,15 +208,6 @@
 	m.onOwn(own)
 }
 
-// shareOf returns which of the nodes that send work to the targets this one is.
-func shareOf(view *member.View) warmup.Share {
-	place, found := slices.BinarySearch(view.Duty, view.Self.ID)
-	if !found {
-		return warmup.Share{} // it leaves
-	}
-	return warmup.Share{Place: place, Nodes: len(view.Duty)}
-}
-
 // readLoads reads every owned target once an interval.
 func (m *Manager) readLoads(ctx context.Context) {
 	ticker := time.NewTicker(m.cfg.LoadInterval)
