Show the software version of targets and attempts to operators

What callers saw: streams that held events of two software versions. Our logs could not tell whether an attempt went on within one answer or was a caller's return, nor at which versions: the version of a target's entry was checked for presence and dropped, and Resumes was read nowhere.

Change: the version is part of a target (type continuation.Version, unrelated to the version of the weights). Events 402, 404, 414, 505, 616 and 617 name it, 402 also names the attempt that a caller resumes, and 'marblepond targets' shows it, with how many targets of each version a service has where there are several. No decision changes.

Evidence: go test of platform, forward, choose, version and job passes.

--- a/cmd/marblepond/operators.go
+++ b/cmd/marblepond/operators.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -154,13 +156,37 @@
 		return err
 	}
 	out := newTable()
-	fmt.Fprintln(out, "TARGET\tSERVICE\tOWNER\tRUNNING\tBATCH\tMAX\tLOADED\tFAILED\tSUCCEEDED\tUNANSWERED\tALIVE\tPACE\tFIRST EVENT\tSINCE\tOUT BECAUSE")
+	fmt.Fprintln(out, "TARGET\tSERVICE\tVERSION\tOWNER\tRUNNING\tBATCH\tMAX\tLOADED\tFAILED\tSUCCEEDED\tUNANSWERED\tALIVE\tPACE\tFIRST EVENT\tSINCE\tOUT BECAUSE")
 	for _, t := range resp.Targets {
 		v := t.Verdict // the fields of an absent verdict are zero
-		fmt.Fprintf(out, "%s\t%s\t%s\t%d\t%d\t%d\t%v\t%d\t%d\t%d\t%d\t%s\t%s\t%v\t%s\n", t.Target, t.Service, t.Owner, t.Load.Running, t.Load.Batch, t.Load.MaxRunning, t.Load.Loaded,
+		fmt.Fprintf(out, "%s\t%s\t%s\t%s\t%d\t%d\t%d\t%v\t%d\t%d\t%d\t%d\t%s\t%s\t%v\t%s\n", t.Target, t.Service, t.Version, t.Owner, t.Load.Running, t.Load.Batch, t.Load.MaxRunning, t.Load.Loaded,
 			v.GetFailed(), v.GetSucceeded(), v.GetUnanswered(), v.GetAlive(), orUnknown(t.PacePercent, "%"), orUnknown(t.FirstEventMs, "ms"), verdictAge(v), outBecause(t))
 	}
-	return out.Flush()
+	out.Flush()
+	printVersions(resp.Targets)
+	return nil
+}
+
+// printVersions prints how many targets of each version a service has, for services with
+// targets of several versions.
+func printVersions(targets []*v1.TargetStatus) {
+	counts := map[string]map[string]int{}
+	for _, t := range targets {
+		if counts[t.Service] == nil {
+			counts[t.Service] = map[string]int{}
+		}
+		counts[t.Service][t.Version]++
+	}
+	for _, service := range slices.Sorted(maps.Keys(counts)) {
+		if len(counts[service]) < 2 {
+			continue
+		}
+		fmt.Printf("service %s has targets of several versions:", service)
+		for _, version := range slices.Sorted(maps.Keys(counts[service])) {
+			fmt.Printf(" %d with %s", counts[service][version], version)
+		}
+		fmt.Println()
+	}
 }
 
 // orUnknown returns a number with its unit, or "-" for 0, which means that it is not known.
--- a/internal/process/hosted/crashes.go
+++ b/internal/process/hosted/crashes.go
@@ -170,7 +170,7 @@
 	for _, s := range o.node.pool.List() {
 		counts := o.node.pool.Counts(s.ID)
 		batch := counts.Items + counts.Elsewhere.Batch
-		resp.Targets = append(resp.Targets, &v1.TargetStatus{Target: s.ID, DataCentre: s.DataCentre, Service: s.Service, Addr: s.Addr, Leaving: s.Leaving, Ejected: string(s.Reason), Verdict: o.node.packVerdict(s),
+		resp.Targets = append(resp.Targets, &v1.TargetStatus{Target: s.ID, DataCentre: s.DataCentre, Service: s.Service, Addr: s.Addr, Version: string(s.Version), Leaving: s.Leaving, Ejected: string(s.Reason), Verdict: o.node.packVerdict(s),
 			PacePercent: uint32(math.Round(100 * s.Pace)), FirstEventMs: uint32(s.Estimate.Milliseconds()),
 			Load: &v1.TargetLoad{Target: s.ID, Incarnation: s.Incarnation, Running: uint32(counts.Online + counts.Elsewhere.Online + batch), MaxRunning: uint32(s.Slots), Batch: uint32(batch)}})
 	}
--- a/internal/process/hosted/log.go
+++ b/internal/process/hosted/log.go
@@ -51,10 +51,10 @@
 func field(name string, value any) timeline.Field { return timeline.Field{Name: name, Value: value} }
 
 func (l *requestLog) Sent(req *forward.Request, t choose.Target, resumeAfter int64) {
-	fields := []timeline.Field{field("route", req.Route.Name), field("workspace", req.Workspace), field("returning", req.Returning), field("config", req.Version), field("address", t.Addr),
+	fields := []timeline.Field{field("route", req.Route.Name), field("workspace", req.Workspace), field("returning", req.Returning), field("config", req.Version), field("address", t.Addr), field("version", string(t.Version)),
 		field("after_ms", l.n.clock.Since(req.Arrived).Milliseconds()), field("left_ms", l.n.clock.Until(req.Deadline).Milliseconds())}
 	if resumeAfter > 0 {
-		fields = append(fields, field("resume_after", resumeAfter))
+		fields = append(fields, field("resume_after", resumeAfter), field("resumes", req.Resumes))
 	}
 	l.n.recorder.Record(timeline.RequestDispatched, req.ID, t.ID, "", fields...)
 	l.n.metrics.Counter("requests_sent").Inc(1)
@@ -64,7 +64,7 @@
 	ran := target.FailureOf(err).MayHaveRun()
 	fields := []timeline.Field{field("may_have_run", ran), field("after_ms", l.n.clock.Since(req.Arrived).Milliseconds())}
 	if ran { // for correlation with other attempts at the same work, and with requests lost together with it
-		fields = append(fields, field("work", req.Work.ID().String()), field("events", events), field("others_there", l.n.ownInFlightAt(t)))
+		fields = append(fields, field("work", req.Work.ID().String()), field("events", events), field("version", string(t.Version)), field("others_there", l.n.ownInFlightAt(t)))
 	}
 	if forward.Saturated(err) { // the requests and items that this node knows at the target
 		counts := l.n.pool.Counts(t.ID)
@@ -78,7 +78,7 @@
 func (l *requestLog) Answered(req *forward.Request, t choose.Target, answer forward.AnswerSummary) {
 	took := l.n.clock.Since(req.Arrived)
 	l.n.recorder.Record(timeline.RequestAnswered, req.ID, t.ID, "", field("status", answer.Status), field("events", answer.Events), field("took_ms", took.Milliseconds()),
-		field("first_ms", answer.FirstEvent.Milliseconds()), field("pause_ms", answer.LongestGap.Milliseconds()), field("workspace", req.Workspace), field("returning", req.Returning))
+		field("first_ms", answer.FirstEvent.Milliseconds()), field("pause_ms", answer.LongestGap.Milliseconds()), field("version", string(t.Version)), field("workspace", req.Workspace), field("returning", req.Returning))
 	l.n.metrics.Counter("requests_answered").Inc(1)
 	l.n.metrics.Histogram("request", requestBuckets).RecordDuration(took)
 }
--- a/internal/request/choose/choose.go
+++ b/internal/request/choose/choose.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/marblepond/marblepond/internal/process/rendezvous"
+	"github.com/marblepond/marblepond/internal/request/continuation"
 	"github.com/marblepond/marblepond/internal/request/outlier"
 	"github.com/marblepond/marblepond/internal/request/warmup"
 )
@@ -38,6 +39,8 @@
 	DataCentre  string
 	Remote      bool // a node of another data centre that represents the targets there
 	Slots       int  // requests served at once, from discovery; 0: taken from load reports
+	// Version is that of the target's software; empty where it is not known.
+	Version continuation.Version
 	// Apart is set on the target of an attempt that was chosen with Need.Apart.
 	Apart bool
 	// Sent is set on the target of an attempt: when the attempt was sent; zero: not known.
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -39,7 +39,10 @@
 	Work fingerprint.Work
 	// ResumeAfter is the ID of the last event that the caller has.
 	ResumeAfter int64
-	Arrived     time.Time
+	// Resumes is the ID of the request of the same caller that brought the first event, if the
+	// caller resumes a stream; empty: the caller did not state it.
+	Resumes string
+	Arrived time.Time
 	// Deadline is the earlier of the caller's deadline and the route's.
 	Deadline time.Time
 	// Priority is the workspace's, else the route's; 0 is the highest.
--- a/internal/request/job/run.go
+++ b/internal/request/job/run.go
@@ -178,7 +178,7 @@
 	}
 	m.Checker.Assert(!m.endKnown(h.id), invariant.NoDispatchAfterCancel, h.items[i].ID, t.ID, "item sent after its job was ended")
 	m.Recorder.Record(timeline.ItemSent, h.items[i].ID, t.ID, "", timeline.Field{Name: "job", Value: h.id},
-		timeline.Field{Name: "resume_after", Value: h.progress.items[i].lastEvent}, timeline.Field{Name: "due_ms", Value: time.Until(dueTime(&h.head, r)).Milliseconds()})
+		timeline.Field{Name: "version", Value: string(t.Version)}, timeline.Field{Name: "resume_after", Value: h.progress.items[i].lastEvent}, timeline.Field{Name: "due_ms", Value: time.Until(dueTime(&h.head, r)).Milliseconds()})
 	go m.run(attempt, cancel, h, i, t, r)
 }
 
@@ -330,7 +330,7 @@
 	if ctx.Err() != nil {
 		cause = context.Cause(ctx)
 	}
-	fields := []timeline.Field{{Name: "job", Value: h.id}, {Name: "held", Value: h.progress.items[i].lastEvent}}
+	fields := []timeline.Field{{Name: "job", Value: h.id}, {Name: "held", Value: h.progress.items[i].lastEvent}, {Name: "version", Value: string(t.Version)}}
 	if target.FailureOf(err).MayHaveRun() {
 		fields = append(fields, timeline.Field{Name: "work", Value: h.works[i].ID().String()})
 	}
--- a/internal/version/discovery/list.go
+++ b/internal/version/discovery/list.go
@@ -98,7 +98,7 @@
 	delete(p.lapsed, r.ID)
 	switch {
 	case !known && !r.Draining:
-		return []logEntry{{r.ID, "listed"}}
+		return []logEntry{{r.ID, "listed with version " + string(r.Version)}}
 	case r.Draining && !old.Draining:
 		return []logEntry{{r.ID, "draining"}}
 	}
