Reproduce streams and items that hold events of two software versions

Stand-in targets have a version, which stands in the data of their events unless it is the default; texts of the other tests are unchanged.

--- a/lab/hosted/fleet.go
+++ b/lab/hosted/fleet.go
@@ -78,6 +78,8 @@
 	Slots   int
 	Events  int           // of each answer
 	Gap     time.Duration // between events
+	// Versions are assigned to runners in rotation. Empty: all have DefaultVersion.
+	Versions []string
 	// DataCentres are assigned to nodes and to runners in rotation. Empty: one data centre.
 	DataCentres []string
 	Extra       string    // settings of every node, in INI
@@ -93,7 +95,11 @@
 	f.dataCentres = o.DataCentres
 	f.Store.Put("config", "main", Config(1))
 	for i := range o.Runners {
-		f.addRunner(NewRunner(fmt.Sprintf("i-%d", i), Service, o.Slots, o.Events, o.Gap))
+		r := NewRunner(fmt.Sprintf("i-%d", i), Service, o.Slots, o.Events, o.Gap)
+		if len(o.Versions) > 0 {
+			r.SetVersion(o.Versions[i%len(o.Versions)])
+		}
+		f.addRunner(r)
 	}
 	for i := range o.Nodes {
 		if _, err := f.StartNode(fmt.Sprintf("edge-%d", i), o.Extra); err != nil {
--- a/lab/hosted/runner.go
+++ b/lab/hosted/runner.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -42,6 +43,7 @@
 	gap             time.Duration // between events
 	busy            atomic.Int32
 	mu              sync.Mutex
+	version         string // of its software; stands in the data of its events
 	startedAt       time.Time
 	server          *http.Server // nil while the process is down
 	closed          bool
@@ -75,7 +77,7 @@
 
 // NewRunner starts a runner on a loopback address.
 func NewRunner(id, service string, slots, events int, gap time.Duration) *Runner {
-	r := &Runner{ID: id, Service: service, address: newHost() + ":8443", slots: slots, events: events, gap: gap,
+	r := &Runner{ID: id, Service: service, version: DefaultVersion, address: newHost() + ":8443", slots: slots, events: events, gap: gap,
 		onRestart: func() {}, arrivals: map[string]int{}, runs: map[string]int{}, resumePositions: map[string][]string{}, cancelled: map[string]int{}, completed: map[string]bool{}, headers: map[string]http.Header{},
 		behaviour: func(string, int) Behaviour { return Serve }}
 	if err := r.start(); err != nil {
@@ -84,6 +86,24 @@
 	return r
 }
 
+// DefaultVersion is the software version of a runner that is given no other.
+const DefaultVersion = "v1"
+
+// SetVersion sets the version of the runner's software; its entry shows it when it is
+// written next.
+func (r *Runner) SetVersion(version string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.version = version
+}
+
+// Version returns the version of the runner's software.
+func (r *Runner) Version() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.version
+}
+
 // Address returns the runner's IP:port.
 func (r *Runner) Address() string { return r.address }
 
@@ -218,7 +238,7 @@
 func (r *Runner) Entry(dataCentre, state string) map[string]any {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return map[string]any{"service": r.Service, "address": r.Address(), "zone": dataCentre, "version": "v1",
+	return map[string]any{"service": r.Service, "address": r.Address(), "zone": dataCentre, "version": r.version,
 		"slots": float64(r.slots), "state": state, "warmup_left_ms": float64(r.warmUp.remaining(time.Now()).Milliseconds()), "seq": 1, "born": r.startedAt.UnixMilli()}
 }
 
@@ -230,15 +250,46 @@
 	return entry
 }
 
-// EventData returns the data of event n of a request.
+// EventData returns the data of event n of a request at a runner of DefaultVersion.
 func EventData(requestID string, n int) string { return fmt.Sprintf("%s piece %d", requestID, n) }
 
+// versionMark precedes the version in the data of events of other versions.
+const versionMark = " by "
+
+// eventData returns the data of event n of a request at a runner of a version.
+func eventData(requestID string, n int, version string) string {
+	if version == DefaultVersion {
+		return EventData(requestID, n)
+	}
+	return EventData(requestID, n) + versionMark + version
+}
+
+// VersionOfEvent returns the version of the runner that wrote an event.
+func VersionOfEvent(data string) string {
+	if _, version, marked := strings.Cut(data, versionMark); marked {
+		return version
+	}
+	return DefaultVersion
+}
+
+// VersionsOfText returns the versions of the runners that wrote the events of a text, each
+// once, in the order of their first events.
+func VersionsOfText(text string) []string {
+	var versions []string
+	for _, line := range strings.Split(text, "\n") {
+		if version := VersionOfEvent(line); !slices.Contains(versions, version) {
+			versions = append(versions, version)
+		}
+	}
+	return versions
+}
+
 // Text returns the complete text of a request's answer, with the events joined
 // as in a batch result.
 func (r *Runner) Text(requestID string) string {
 	var lines []string
 	for n := 1; n <= r.events; n++ {
-		lines = append(lines, EventData(requestID, n))
+		lines = append(lines, eventData(requestID, n, r.Version()))
 	}
 	return strings.Join(lines, "\n")
 }
@@ -316,6 +367,7 @@
 func (r *Runner) stream(w http.ResponseWriter, req *http.Request, id string, behaviour Behaviour) {
 	flush := http.NewResponseController(w)
 	from, _ := strconv.Atoi(req.Header.Get("Last-Event-Id")) // absent: from the start
+	version := r.Version()
 	for n := from + 1; n <= r.events; n++ {
 		select {
 		case <-req.Context().Done():
@@ -328,7 +380,7 @@
 			_ = flush.Flush()
 			panic(http.ErrAbortHandler)
 		}
-		fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, EventData(id, n))
+		fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, eventData(id, n, version))
 		if flush.Flush() != nil {
 			return
 		}
--- /dev/null
+++ b/lab/hosted/versions_test.go
@@ -0,0 +1,216 @@
+package hosted
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Targets of several software versions serve side by side while a release runs. What two
+// versions write does not fit together, and targets do not check it. These tests count the
+// versions in what each caller received, over all of its attempts.
+
+// twoVersions is a fleet with as many targets of v1 as of v2, in two data centres.
+func twoVersions(t *testing.T, runners, slots int) *Fleet {
+	t.Helper()
+	f := startFleet(t, Options{Nodes: 4, Runners: runners, Slots: slots, Events: 30, Gap: 10 * time.Millisecond,
+		DataCentres: []string{"hall-a", "hall-b"}, Versions: []string{"v1", "v1", "v2", "v2"}})
+	time.Sleep(nodesKnownWithin)
+	return f
+}
+
+// checkCallers fails the test for each caller with a faulty stream, and returns how many
+// answers are complete.
+func checkCallers(t *testing.T, callers []*ReturningCaller) (complete int) {
+	t.Helper()
+	faulty := 0
+	for _, c := range callers {
+		if fault := c.Fault(); fault != "" {
+			faulty++
+			t.Logf("%s: %s", c.Name, fault)
+		}
+		if c.Complete {
+			complete++
+		}
+	}
+	if faulty > 0 {
+		t.Errorf("%d of %d streams are faulty", faulty, len(callers))
+	}
+	return complete
+}
+
+// TestBrokenStreamContinuesAtItsVersion guards against a stream that is resumed within one
+// answer at a target of another software version: targets are killed in mid-stream while those
+// of both versions have free slots. Each stream has to go on, since a target of its version
+// has room.
+func TestBrokenStreamContinuesAtItsVersion(t *testing.T) {
+	is := is.New(t)
+	f := twoVersions(t, 8, 16)
+	const streams = 40
+	callers := make([]*ReturningCaller, streams)
+	var wg sync.WaitGroup
+	for i := range callers {
+		callers[i] = &ReturningCaller{Name: fmt.Sprint("broken-", i), Path: ResumePath + "x"}
+		wg.Go(func() { callers[i].Run(context.Background(), []string{f.Nodes[i%len(f.Nodes)].CallerAddress()}) })
+	}
+	time.Sleep(150 * time.Millisecond)
+	for _, i := range []int{0, 2, 5} { // two of v1 and one of v2
+		f.Runners[i].Kill(500 * time.Millisecond)
+	}
+	wg.Wait()
+	is.Equal(checkCallers(t, callers), streams)
+}
+
+// TestReturningCallerContinuesAtItsVersion guards against a stream that is resumed at a target
+// of another software version when its caller returns at another node: in the same or another
+// data centre, while the first node lives or after it was killed at once or a little after the
+// first event. Each stream has to go on, since targets of its version have room.
+func TestReturningCallerContinuesAtItsVersion(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		returnAt  int // index of the node; the first attempt is at node 0 of hall-a
+		kill      bool
+		killAfter time.Duration // the first event
+	}{
+		{"same node", 0, false, 0},
+		{"other node of the data centre", 2, false, 0},
+		{"other data centre", 1, false, 0},
+		{"first node killed at the first event", 2, true, 0},
+		{"first node killed 5 ms after it", 2, true, 5 * time.Millisecond},
+		{"first node killed 50 ms after it", 2, true, 50 * time.Millisecond},
+		{"first node killed, other data centre", 1, true, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			f := twoVersions(t, 8, 16)
+			const streams = 16
+			callers := make([]*ReturningCaller, streams)
+			var wg sync.WaitGroup
+			var kill sync.Once
+			killed := make(chan struct{})
+			for i := range callers {
+				callers[i] = &ReturningCaller{Name: fmt.Sprint("back-", i), Path: ResumePath + "x"}
+				wg.Go(func() {
+					_ = callers[i].Attempt(context.Background(), f.Nodes[0].CallerAddress(), func(Event) bool {
+						if !c.kill {
+							return len(callers[i].Events) < 5
+						}
+						kill.Do(func() {
+							time.AfterFunc(c.killAfter, func() {
+								f.Nodes[0].Kill()
+								close(killed)
+							})
+						})
+						return true
+					})
+					if c.kill {
+						<-killed
+					}
+					for range 3 { // a stream without an event may be refused while targets recover
+						if !callers[i].Complete {
+							time.Sleep(returnDelay)
+							_ = callers[i].Attempt(context.Background(), f.Nodes[c.returnAt].CallerAddress(), nil)
+						}
+					}
+				})
+			}
+			wg.Wait()
+			complete := checkCallers(t, callers)
+			for _, caller := range callers {
+				if !caller.Complete {
+					t.Logf("%s: status %d after %d events: %s", caller.Name, caller.Status, len(caller.Events), caller.Refusal)
+				}
+			}
+			is.Equal(complete, streams)
+		})
+	}
+}
+
+// TestResumedItemKeepsItsVersion guards against the text of a batch item that holds events of
+// two software versions: targets of both versions are killed while they run items, and then the
+// holder of the job, so that another node continues the items from their checkpoints.
+func TestResumedItemKeepsItsVersion(t *testing.T) {
+	is := is.New(t)
+	f := startFleet(t, Options{Nodes: 3, Runners: 4, Slots: 8, Events: 100, Gap: 10 * time.Millisecond, Versions: []string{"v1", "v2"},
+		Extra: shortJobTimeouts + "checkpoint_interval = 100ms\n"})
+	const items = 40
+	is.Equal(SubmitJob(f.Nodes[0].CallerAddress(), "two", Items("two", items)).Status, http.StatusAccepted)
+	time.Sleep(500 * time.Millisecond)
+	f.Runners[0].Kill(500 * time.Millisecond)
+	f.Runners[1].Kill(500 * time.Millisecond)
+	time.Sleep(time.Second)
+	f.Nodes[0].Kill()
+	time.Sleep(200 * time.Millisecond)
+	f.Runners[2].Kill(300 * time.Millisecond)
+	results, err := ReadAllResults(f.callers()[1:], "two", 30*time.Second)
+	is.NoErr(err)
+	is.Equal(len(results), items)
+	for _, r := range results {
+		if versions := VersionsOfText(r.Text); len(versions) > 1 {
+			t.Errorf("%s holds events of %v", r.ID, versions)
+		}
+	}
+}
+
+// TestRollingReleaseMixesNoStreams guards against streams of two software versions while a
+// release replaces every target under load: callers' connections break, and they return at
+// other nodes. At the end no target of the old version is left, and streams that it began are
+// refused at once.
+func TestRollingReleaseMixesNoStreams(t *testing.T) {
+	is := is.New(t)
+	f := startFleet(t, Options{Nodes: 4, Runners: 6, Slots: 16, Events: 30, Gap: 10 * time.Millisecond, DataCentres: []string{"hall-a", "hall-b"}})
+	time.Sleep(nodesKnownWithin)
+	ctx, cancel := context.WithTimeout(context.Background(), 9*time.Second)
+	defer cancel()
+	var mu sync.Mutex
+	var callers []*ReturningCaller
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		for i := 0; ctx.Err() == nil; i++ {
+			c := &ReturningCaller{Name: fmt.Sprint("release-", i), Path: ResumePath + "x"}
+			mu.Lock()
+			callers = append(callers, c)
+			mu.Unlock()
+			wg.Go(func() {
+				at := func(n int) string { return f.Nodes[(i+n)%len(f.Nodes)].CallerAddress() }
+				if c.Attempt(context.Background(), at(0), func(Event) bool { return i%3 > 0 || len(c.Events) < 8 }) != nil {
+					time.Sleep(returnDelay)
+					c.Run(context.Background(), []string{at(1), at(2)})
+				}
+			})
+			time.Sleep(15 * time.Millisecond)
+		}
+	})
+	wg.Go(func() { f.replaceAll(ctx, "v2", 800*time.Millisecond) })
+	wg.Wait()
+	complete := checkCallers(t, callers)
+	t.Logf("%d of %d streams are complete", complete, len(callers))
+	is.True(complete >= len(callers)*95/100)
+}
+
+// replaceAll replaces the runners one after the other: the new one is listed, then the old one
+// is announced as draining, and its process ends after the pause.
+func (f *Fleet) replaceAll(ctx context.Context, version string, pause time.Duration) {
+	for i, old := range f.Runners {
+		if ctx.Err() != nil {
+			return
+		}
+		dataCentre := f.dataCentreOf(i)
+		r := NewRunner(old.ID+"-"+version, Service, old.slots, old.events, old.gap)
+		r.SetVersion(version)
+		f.Store.Put("servers", r.ID, r.Entry(dataCentre, "ready"))
+		f.Store.Put("servers", old.ID, old.Entry(dataCentre, "draining"))
+		time.AfterFunc(3*pause, func() {
+			f.Store.Delete("servers", old.ID)
+			old.Close()
+		})
+		f.Runners[i] = r
+		time.Sleep(pause)
+	}
+}
