Continue a broken stream only at targets of the version that began it

Cause: the forwarder took targets of a service for interchangeable. Nothing in a stream's progress said which version wrote its events.

Change: package continuation holds the decision. The first event of an answer binds it to the version of the target that wrote it; until then it may begin anywhere. The choice of targets leaves out others, also when a pause of the target is compared with what another would offer. While several versions serve, an answer that has begun may be queued twice as deep as a new request, which can go elsewhere. When only targets of other versions are left the answer ends at once, without Retry-After. An invariant checks each attempt. With one version alone nothing changes.

--- a/internal/process/invariant/invariant.go
+++ b/internal/process/invariant/invariant.go
@@ -17,6 +17,7 @@
 // users' list "What must always hold".
 const (
 	CompleteAnswerOnce      Name = "1-answer-whole-once"
+	AnswerOfOneVersion      Name = "1-answer-of-one-version"
 	CommitFenced            Name = "1-commit-fenced"
 	NoDispatchAfterCancel   Name = "2-no-dispatch-after-cancelled"
 	BatchWithinShare        Name = "3-batch-within-share"
--- a/internal/request/choose/choose.go
+++ b/internal/request/choose/choose.go
@@ -171,6 +171,7 @@
 	random              *rand.Rand               // for LeastOfFew
 	slotTime            map[string]time.Duration // by service: average time that an online request holds a slot
 	byService           map[string][]string      // sorted IDs
+	severalVersions     map[string]bool          // services whose targets have several versions
 	medians             map[string]time.Duration // by service, see medianFirstEvent; until the next measurement
 	// In-flight counts that others last reported, by reporter and target. The reporters
 	// are the other nodes of this node's group, the other groups of its data centre, and
@@ -191,7 +192,7 @@
 
 // New creates an empty table.
 func New(cfg Config) *Table {
-	return &Table{cfg: cfg, random: rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)), entries: map[string]*entry{}, leavingIncarnations: map[string]uint64{}, byService: map[string][]string{}, slotTime: map[string]time.Duration{}, medians: map[string]time.Duration{},
+	return &Table{cfg: cfg, random: rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)), entries: map[string]*entry{}, leavingIncarnations: map[string]uint64{}, byService: map[string][]string{}, severalVersions: map[string]bool{}, slotTime: map[string]time.Duration{}, medians: map[string]time.Duration{},
 		judge: outlier.New(outlier.Config{Node: cfg.Node, DataCentre: cfg.LocalDataCentre, EjectTime: cfg.EjectTime}),
 		nodes: map[string]map[string]InFlight{}, groups: map[string]map[string]InFlight{}, centres: map[string]map[string]InFlight{}, members: map[string]int{}, paces: newPaces()}
 }
@@ -229,12 +230,16 @@
 	t.order = t.order[:0]
 	clear(t.medians)
 	clear(t.byService)
+	clear(t.severalVersions)
 	for id := range t.entries {
 		t.order = append(t.order, id)
 	}
 	sort.Strings(t.order)
 	for _, id := range t.order {
 		service := t.entries[id].Service
+		if same := t.byService[service]; len(same) > 0 && t.entries[same[0]].Version != t.entries[id].Version {
+			t.severalVersions[service] = true
+		}
 		t.byService[service] = append(t.byService[service], id)
 	}
 }
@@ -313,6 +318,9 @@
 	// Proven prefers targets that are known to succeed.
 	Proven bool
 	probe  bool // it is checked whether the work may be a probe
+	// Origin says at which version the answer began: it continues at a target of that version
+	// only. Zero: it has not begun.
+	Origin continuation.Origin
 	// Overflow is how many requests may be queued at a target beyond its slots
 	// when all targets are full; 0: no limit.
 	Overflow int
@@ -354,6 +362,7 @@
 	if need.Batch {
 		reserve = t.Reserve()
 	}
+	overflow := t.overflow(need)
 	for _, id := range t.byService[need.Service] {
 		e := t.entries[id]
 		if need.Exclude[id] || t.reason(now, e, need) != "" {
@@ -363,7 +372,7 @@
 		case need.Batch && (free <= reserve(e.Target) || (need.Limit != nil && e.batch >= need.Limit(e.Target))):
 			continue
 		case free <= 0:
-			if (need.Overflow == 0 || e.freeOnline(now) > -need.Overflow) && t.isInTime(now, e, need) {
+			if (overflow == 0 || e.freeOnline(now) > -overflow) && t.isInTime(now, e, need) {
 				full = append(full, e)
 			}
 		case !e.warm(now):
--- a/internal/request/choose/eligible.go
+++ b/internal/request/choose/eligible.go
@@ -19,7 +19,9 @@
 	Outlier   Reason = "ejected, because nodes observe that it fails or hangs"
 	Probing   Reason = "on trial"
 	NotLoaded Reason = "what is asked for is not loaded"
-	WarmingUp Reason = "warming up"
+	// OtherVersion concerns only answers that a target of another version began.
+	OtherVersion Reason = "another software version"
+	WarmingUp    Reason = "warming up"
 )
 
 // reason returns why a target cannot get the given kind of work now, apart from
@@ -40,6 +42,8 @@
 		return Probing
 	case need.Loaded != "" && !e.has(need.Loaded):
 		return NotLoaded
+	case !need.Origin.Allows(e.Version):
+		return OtherVersion
 	case !e.warm(now) && !t.hasColdTurn(now, e, need):
 		return WarmingUp
 	case !t.hasReadmissionTurn(now, e, need):
--- /dev/null
+++ b/internal/request/choose/versions_test.go
@@ -0,0 +1,98 @@
+package choose
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/marblepond/marblepond/internal/request/continuation"
+)
+
+// versionedTable returns a table of targets with the versions given, of eight slots each.
+func versionedTable(versions ...continuation.Version) *Table {
+	table := New(Config{EjectAfter: 2, EjectTime: time.Second, Policy: LeastOfFew, LocalDataCentre: "here"})
+	var targets []Target
+	for i, v := range versions {
+		targets = append(targets, Target{ID: fmt.Sprint("t", i), Incarnation: 1, Service: "s", DataCentre: "here", Slots: 8, Version: v})
+	}
+	table.SetTargets(targets)
+	return table
+}
+
+// TestBegunAnswerGetsItsVersionOnly guards against an answer that is continued at a target of
+// another version, however much freer that is, or whatever state targets are in.
+func TestBegunAnswerGetsItsVersionOnly(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		table := versionedTable("v1", "v2", "v1", "v2", "v3")
+		now := time.Unix(1000, 0)
+		for range rapid.IntRange(0, 60).Draw(t, "steps") {
+			id := fmt.Sprint("t", rapid.IntRange(0, 4).Draw(t, "target"))
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0:
+				table.Begin(id)
+			case 1:
+				table.MarkSaturated(now, id)
+			case 2:
+				table.MarkLeaving(id, 1)
+			case 3:
+				now = now.Add(50 * time.Millisecond)
+			}
+			batch := rapid.Bool().Draw(t, "batch")
+			got, ok := table.Choose(now, Need{Service: "s", Origin: continuation.BegunAt("v2"), Overflow: 4, Batch: batch})
+			if ok && got.Version != "v2" {
+				t.Fatalf("continued at %s with version %s", got.ID, got.Version)
+			}
+			if ok && table.Supply("s", continuation.BegunAt("v2")) == continuation.Gone {
+				t.Fatal("a version is gone that a target was chosen for")
+			}
+		}
+	})
+}
+
+// TestBegunAnswerMayQueueDeeper guards against begun answers that are refused because new
+// requests fill the last targets of their version: those stop at the overflow, and a begun
+// answer may still be queued.
+func TestBegunAnswerMayQueueDeeper(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	const overflow = 4
+	table := versionedTable("v1", "v2")
+	for range 8 + overflow {
+		table.Begin("t0")
+		table.Begin("t1")
+	}
+	_, ok := table.Choose(now, Need{Service: "s", Overflow: overflow})
+	is.True(!ok) // a new request
+	got, ok := table.Choose(now, Need{Service: "s", Overflow: overflow, Origin: continuation.BegunAt("v1")})
+	is.True(ok)
+	is.Equal(got.ID, "t0")
+	for range overflow {
+		table.Begin("t0")
+	}
+	_, ok = table.Choose(now, Need{Service: "s", Overflow: overflow, Origin: continuation.BegunAt("v1")})
+	is.True(!ok)
+
+	alone := versionedTable("v1", "v1") // with one version alone nothing changes
+	for range 8 + overflow {
+		alone.Begin("t0")
+		alone.Begin("t1")
+	}
+	_, ok = alone.Choose(now, Need{Service: "s", Overflow: overflow, Origin: continuation.BegunAt("v1")})
+	is.True(!ok)
+}
+
+// TestVersionIsGoneOnlyBesideOthers guards against answers that are given up while the targets
+// of their version may return, and against answers that wait for a version that was replaced.
+func TestVersionIsGoneOnlyBesideOthers(t *testing.T) {
+	is := is.New(t)
+	v1 := continuation.BegunAt("v1")
+	table := versionedTable("v1", "v2")
+	is.Equal(table.Supply("s", v1), continuation.Busy)
+	table.MarkLeaving("t0", 1)
+	is.Equal(table.Supply("s", v1), continuation.Gone)
+	table.MarkLeaving("t1", 1)
+	is.Equal(table.Supply("s", v1), continuation.Busy) // no target at all
+}
--- a/internal/request/forward/attempt.go
+++ b/internal/request/forward/attempt.go
@@ -22,8 +22,14 @@
 	defer cancel(nil)
 	need := f.need(req, p)
 	need.Exclude = maps.Clone(need.Exclude) // the watchdog reads it from a timer's goroutine
+	begunNeed := need
+	begunNeed.Origin = need.Origin.After(t.Version)
 	better := func(waited time.Duration, begun bool) bool {
-		return f.Targets.BetterElsewhere(choose.Wait{Target: t, For: waited, Begun: begun, AliveWithin: gapTimeout(req.Route)}, need)
+		needElsewhere := need
+		if begun {
+			needElsewhere = begunNeed
+		}
+		return f.Targets.BetterElsewhere(choose.Wait{Target: t, For: waited, Begun: begun, AliveWithin: gapTimeout(req.Route)}, needElsewhere)
 	}
 	watch := newWatchdog(req.Route, p.ran, better, cancel)
 	defer watch.stop()
@@ -80,20 +86,21 @@
 			f.Targets.RecordInterval(t, now.Sub(lastAt))
 		}
 		lastAt = now
-		if err := f.forwardEvent(req, event, caller, p); err != nil {
+		if err := f.forwardEvent(req, t, event, caller, p); err != nil {
 			return err
 		}
 	}
 }
 
 // forwardEvent sends one event to the caller, unless the caller has it already.
-func (f *Forwarder) forwardEvent(req *Request, event target.Event, caller Caller, p *progress) error {
+func (f *Forwarder) forwardEvent(req *Request, t choose.Target, event target.Event, caller Caller, p *progress) error {
 	if event.ID > 0 {
 		if event.ID <= p.lastEventID {
 			return nil
 		}
 		p.lastEventID = event.ID
 	}
+	p.origin = p.origin.After(t.Version)
 	p.recordEvent(f.Now(), req.Arrived)
 	if err := caller.Event(event); err != nil {
 		return errCallerDisconnected
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -18,6 +18,7 @@
 	"github.com/marblepond/marblepond/internal/process/invariant"
 	"github.com/marblepond/marblepond/internal/request/admission"
 	"github.com/marblepond/marblepond/internal/request/choose"
+	"github.com/marblepond/marblepond/internal/request/continuation"
 	"github.com/marblepond/marblepond/internal/request/fingerprint"
 	"github.com/marblepond/marblepond/internal/version/route"
 )
@@ -93,8 +94,9 @@
 // progress is the state of a request across its attempts.
 type progress struct {
 	exclude        map[string]bool
-	ran            int           // attempts that may have run
-	lastEventID    int64         // ID of the last event that the caller has
+	ran            int   // attempts that may have run
+	lastEventID    int64 // ID of the last event that the caller has
+	origin         continuation.Origin
 	events         int64         // events forwarded
 	lastEventAt    time.Time     // when the last event was forwarded
 	firstEvent     time.Duration // from the arrival of the request to the first event
@@ -143,6 +145,7 @@
 			return f.noTargetError(ctx, req, p)
 		}
 		f.Checker.Assert(p.ran == 0 || req.Route.Repeatable(), invariant.AtMostOnce, req.ID, t.ID, "sent again after %d attempts that may have run", p.ran)
+		f.Checker.Assert(p.origin.Allows(t.Version), invariant.AnswerOfOneVersion, req.ID, t.ID, "an answer that another version began is continued at version %q", t.Version)
 		f.Log.Sent(req, t, p.lastEventID)
 		before := p.events
 		t.Sent = f.Now()
--- a/internal/request/forward/forward_test.go
+++ b/internal/request/forward/forward_test.go
@@ -21,6 +21,7 @@
 	"github.com/marblepond/marblepond/internal/process/invariant"
 	"github.com/marblepond/marblepond/internal/process/timeline"
 	"github.com/marblepond/marblepond/internal/request/choose"
+	"github.com/marblepond/marblepond/internal/request/continuation"
 	"github.com/marblepond/marblepond/internal/request/fingerprint"
 	"github.com/marblepond/marblepond/internal/request/quarantine"
 	"github.com/marblepond/marblepond/internal/version/route"
@@ -65,6 +66,11 @@
 	return f.better
 }
 
+// Supply implements Targets: targets of every version are left.
+func (f *fakeTargets) Supply(string, continuation.Origin) continuation.Supply {
+	return continuation.Busy
+}
+
 func (f *fakeTargets) MayHaveItems(string) bool { return f.hasItems }
 func (f *fakeTargets) AllEvacuated(string) bool { return f.evacuated }
 
--- a/internal/request/forward/parts.go
+++ b/internal/request/forward/parts.go
@@ -5,6 +5,7 @@
 
 	"github.com/marblepond/marblepond/internal/connection/target"
 	"github.com/marblepond/marblepond/internal/request/choose"
+	"github.com/marblepond/marblepond/internal/request/continuation"
 	"github.com/marblepond/marblepond/internal/request/fingerprint"
 	"github.com/marblepond/marblepond/internal/request/quarantine"
 )
@@ -35,6 +36,8 @@
 	BetterElsewhere(w choose.Wait, need choose.Need) bool
 	// RecordEvent records that an event of a target was received.
 	RecordEvent(t choose.Target)
+	// Supply returns whether a target is left at which an answer that has begun may continue.
+	Supply(service string, o continuation.Origin) continuation.Supply
 	End(t choose.Target, outcome choose.Outcome)
 	RecordFirstEvent(t choose.Target, took time.Duration)
 	// RecordInterval records the time between two events of an answer, and RecordStreamTime
--- a/internal/request/forward/place.go
+++ b/internal/request/forward/place.go
@@ -9,6 +9,7 @@
 	"github.com/marblepond/marblepond/internal/errkind"
 	"github.com/marblepond/marblepond/internal/process/wait"
 	"github.com/marblepond/marblepond/internal/request/choose"
+	"github.com/marblepond/marblepond/internal/request/continuation"
 )
 
 // Saturated reports whether a target refused an attempt because it was full.
@@ -32,7 +33,7 @@
 		if t, ok := f.Targets.Choose(f.need(req, p)); ok {
 			return t, true
 		}
-		if f.evacuated(req, p) || !f.mayWait(req, p) || !wait.For(ctx, pause) {
+		if f.versionGone(req, p) || f.evacuated(req, p) || !f.mayWait(req, p) || !wait.For(ctx, pause) {
 			return choose.Target{}, false
 		}
 		if p.begun || p.ran == 0 {
@@ -58,6 +59,12 @@
 	return p.ran == 0 && waited < req.Route.Objective && f.Targets.MayHaveItems(req.Service)
 }
 
+// versionGone reports whether the answer has begun and no target of the version that began it
+// is left.
+func (f *Forwarder) versionGone(req *Request, p *progress) bool {
+	return p.origin.Begun() && continuation.Next(p.origin, f.Targets.Supply(req.Service, p.origin)) == continuation.GiveUp
+}
+
 // evacuated reports whether a request is refused at once because all data centres with
 // targets of its service are evacuated. A request whose caller has part of the answer waits
 // until its deadline instead.
@@ -78,7 +85,7 @@
 	// A suspect was in flight at a crash and either caused it or ran there by chance. Two
 	// suspects must not run at one target: run separately, the harmless ones are answered,
 	// which clears them.
-	need := choose.Need{Service: req.Service, Exclude: p.exclude, Overflow: overflow, Apart: f.Quarantine.Suspected(&req.Work),
+	need := choose.Need{Service: req.Service, Exclude: p.exclude, Origin: p.origin, Overflow: overflow, Apart: f.Quarantine.Suspected(&req.Work),
 		Repeatable: req.Route.Repeatable() && p.ran+1 < req.Route.Attempts, NoProbe: p.ran > 0 || p.begun}
 	if p.connectionLost {
 		need.ScatterKey = req.Work.ID().Key()
@@ -91,6 +98,8 @@
 	switch {
 	case p.ran > 0 && ctx.Err() != nil:
 		return interrupted(ctx)
+	case p.ran > 0 && f.versionGone(req, p):
+		return errkind.WithRetryAfter(errkind.TargetFailed.New("no target is left with the version that began the answer"), 0)
 	case p.ran > 0:
 		return errkind.TargetFailed.New("every target tried failed, the last with: %v", p.lastErr)
 	case errors.Is(ctx.Err(), context.Canceled):
