--- a/internal/connection/beacon/beacon.go
+++ b/internal/connection/beacon/beacon.go
@@ -34,8 +34,10 @@
 	"math/rand/v2"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	v1 "github.com/marblepond/marblepond/api/marblepond/v1"
 	"github.com/marblepond/marblepond/internal/request/choose"
 	"github.com/marblepond/marblepond/internal/request/outlier"
 	"github.com/marblepond/marblepond/internal/version/follow"
@@ -182,14 +184,18 @@
 	// OnReachable is called with the first datagram from a node that did not count as
 	// reachable; it may be nil.
 	OnReachable func(node string)
+	// OnStreamMessage is called with each stream message of another node; respond sends one
+	// back. It must not block; nil: they are ignored.
+	OnStreamMessage func(m *v1.StreamMessage, respond func(*v1.StreamMessage))
 }
 
 // Exchange sends and receives the datagrams of one node.
 type Exchange struct {
 	Options
 	changed  chan struct{}
-	urgent   chan string // targets; when it is full, more are dropped: the next round carries the same
-	sequence uint64      // of the newest datagram composed; only Run uses it
+	urgent   chan string                    // targets; when it is full, more are dropped: the next round carries the same
+	conn     atomic.Pointer[net.PacketConn] // nil before Run
+	sequence uint64                         // of the newest datagram composed; only Run uses it
 
 	nearInterval, farInterval time.Duration // the constants, longer in tests
 	pacesSent                 [3]time.Time  // by scope: when paces were last included; only Run uses it
@@ -230,6 +236,7 @@
 
 // Run sends and receives datagrams over conn until ctx ends.
 func (x *Exchange) Run(ctx context.Context, conn net.PacketConn) {
+	x.conn.Store(&conn)
 	go func() {
 		<-ctx.Done()
 		conn.Close()
--- a/internal/connection/beacon/receive.go
+++ b/internal/connection/beacon/receive.go
@@ -16,12 +16,16 @@
 func (x *Exchange) receive(conn net.PacketConn) {
 	buffer := make([]byte, maxDatagram)
 	for {
-		n, _, err := conn.ReadFrom(buffer)
+		n, from, err := conn.ReadFrom(buffer)
 		if err != nil {
 			return // the socket is closed
 		}
 		var message v1.Beacon
-		if proto.Unmarshal(buffer[:n], &message) == nil && x.isNewer(&message) {
+		switch {
+		case proto.Unmarshal(buffer[:n], &message) != nil:
+		case message.Stream != nil:
+			x.receiveStreamMessage(message.Stream, from)
+		case x.isNewer(&message):
 			x.apply(&message)
 			x.forward(conn, &message)
 		}
--- /dev/null
+++ b/internal/connection/origins/origins_test.go
@@ -0,0 +1,176 @@
+package origins
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/uber-go/tally/v4"
+
+	v1 "github.com/marblepond/marblepond/api/marblepond/v1"
+	"github.com/marblepond/marblepond/internal/request/continuation"
+)
+
+const testWindow = 10 * time.Second
+
+var (
+	testStream = Stream{Workspace: "w", Service: "s", ID: "first", Window: testWindow}
+	onlyV1     = map[string]map[continuation.Version]int{"s": {"v1": 2}}
+	bothV1V2   = map[string]map[continuation.Version]int{"s": {"v1": 1, "v2": 1}}
+)
+
+// network delivers messages between exchanges, unless a node is down or drops them.
+type network struct {
+	mu    sync.Mutex
+	nodes map[string]*Exchange
+	down  map[string]bool
+	drop  int // how many of the next messages are lost
+	sent  int
+}
+
+type sender struct {
+	net  *network
+	from string
+}
+
+func (s sender) SendStreamMessage(node string, m *v1.StreamMessage) { s.net.deliver(s.from, node, m) }
+
+func (n *network) deliver(from, to string, m *v1.StreamMessage) {
+	n.mu.Lock()
+	n.sent++
+	x := n.nodes[to]
+	lost := n.drop > 0 || n.down[to] || n.down[from] || x == nil
+	n.drop = max(0, n.drop-1)
+	n.mu.Unlock()
+	if !lost {
+		x.Receive(m, func(answer *v1.StreamMessage) { n.deliver(to, from, answer) })
+	}
+}
+
+// newNetwork returns exchanges of nodes n0, n1 and n2 in one data centre that have seen a list
+// for the time given.
+func newNetwork(listed map[string]map[continuation.Version]int, seen time.Duration) *network {
+	net := &network{nodes: map[string]*Exchange{}, down: map[string]bool{}}
+	start := time.Now().Add(-seen)
+	for _, name := range []string{"n0", "n1", "n2"} {
+		fleet := &continuation.Fleet{Self: name, DataCentre: "dc", Nodes: map[string][]string{}, Reachable: func(string) bool { return true }}
+		for _, other := range []string{"n0", "n1", "n2"} {
+			if other != name {
+				fleet.Nodes["dc"] = append(fleet.Nodes["dc"], other)
+			}
+		}
+		now := start
+		clock := func() time.Time {
+			if now.IsZero() {
+				return time.Now()
+			}
+			return now
+		}
+		x := New(Options{Node: name, Now: clock, Timing: continuation.TimingOf(2 * time.Second), Network: sender{net, name},
+			Fleet: func() *continuation.Fleet { return fleet }, ListVerified: clock, Metrics: tally.NoopScope})
+		x.SetListed(listed)
+		for ; now.Before(start.Add(seen)); now = now.Add(time.Second) {
+			x.Tick()
+		}
+		now = time.Time{}
+		net.nodes[name] = x
+	}
+	return net
+}
+
+func versionOf(found Found) string {
+	v, known := found.Origin.Version()
+	if !known {
+		return "unknown"
+	}
+	return string(v)
+}
+
+// TestRecordOutlivesItsNode guards against a stream whose version is lost with the node that
+// served it: once Record has returned, any other node finds the version.
+func TestRecordOutlivesItsNode(t *testing.T) {
+	is := is.New(t)
+	net := newNetwork(bothV1V2, time.Minute)
+	is.True(!net.nodes["n0"].Derivable("s", testWindow))
+	net.nodes["n0"].Record(testStream, "v2")
+	net.down["n0"] = true
+	for _, node := range []string{"n1", "n2"} {
+		found := net.nodes[node].Find(context.Background(), testStream, 200*time.Millisecond)
+		is.Equal(versionOf(found), "v2")
+		other := testStream
+		other.Workspace = "other"
+		is.Equal(versionOf(net.nodes[node].Find(context.Background(), other, 100*time.Millisecond)), "unknown")
+	}
+}
+
+// TestLostQueryIsRepeated guards against a stream that is refused because a datagram was lost.
+func TestLostQueryIsRepeated(t *testing.T) {
+	is := is.New(t)
+	net := newNetwork(bothV1V2, time.Minute)
+	net.down["n1"] = true // the record reaches n2 only
+	net.nodes["n0"].Record(testStream, "v1")
+	net.down["n1"], net.down["n0"] = false, true
+	net.drop = 2
+	found := net.nodes["n1"].Find(context.Background(), testStream, 500*time.Millisecond)
+	is.Equal(versionOf(found), "v1")
+	is.Equal(found.Source, FromPeer)
+}
+
+// TestNobodyKnows guards against a guess, and against a wait after all nodes have replied. A
+// node that does not reply is waited for as long as the caller allows.
+func TestNobodyKnows(t *testing.T) {
+	is := is.New(t)
+	net := newNetwork(bothV1V2, time.Minute)
+	asked := time.Now()
+	found := net.nodes["n0"].Find(context.Background(), testStream, time.Second)
+	is.Equal(versionOf(found), "unknown")
+	is.True(found.Origin.Begun())
+	is.Equal([]int{found.Asked, found.Replied}, []int{2, 2})
+	is.True(time.Since(asked) < 500*time.Millisecond)
+
+	net.down["n1"] = true
+	asked = time.Now()
+	found = net.nodes["n0"].Find(context.Background(), testStream, 120*time.Millisecond)
+	is.Equal([]int{found.Asked, found.Replied}, []int{2, 1})
+	is.True(time.Since(asked) >= 120*time.Millisecond)
+
+	sent := net.sent
+	unnamed := testStream
+	unnamed.ID = ""
+	is.Equal(versionOf(net.nodes["n0"].Find(context.Background(), unnamed, time.Second)), "unknown")
+	is.Equal(net.sent, sent)
+}
+
+// TestOneVersionAloneSendsNothing guards against messages in a fleet whose targets have one
+// version.
+func TestOneVersionAloneSendsNothing(t *testing.T) {
+	is := is.New(t)
+	net := newNetwork(onlyV1, time.Minute)
+	is.True(net.nodes["n0"].Derivable("s", testWindow))
+	found := net.nodes["n1"].Find(context.Background(), testStream, time.Second)
+	is.Equal(versionOf(found), "v1")
+	is.Equal(found.Source, FromHistory)
+	is.Equal(net.sent, 0)
+	is.Equal(net.nodes["n0"].records.Len(), 0)
+}
+
+// TestStartingNodeLearnsTheHistory guards against a node that refuses the streams of lost nodes
+// for a whole window after its start although targets have one version alone: it takes the
+// history of another node, and until then asks.
+func TestStartingNodeLearnsTheHistory(t *testing.T) {
+	is := is.New(t)
+	net := newNetwork(onlyV1, time.Minute)
+	started := newNetwork(onlyV1, 0).nodes["n0"]
+	started.Network = sender{net, "n0"}
+	net.nodes["n0"] = started
+	is.True(started.WantsHistory())
+	found := started.Find(context.Background(), testStream, time.Second)
+	is.Equal(versionOf(found), "v1")
+	is.Equal(found.Source, FromPeerHistory)
+	started.AddHistory(net.nodes["n1"].History())
+	is.True(!started.WantsHistory())
+	is.True(started.Derivable("s", testWindow))
+	is.Equal(started.Find(context.Background(), testStream, time.Second).Source, FromHistory)
+}
--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -47,6 +47,8 @@
 	Overloaded          = namespace.NewType("overloaded")
 	DeadlineUnmeetable  = namespace.NewType("deadline_unmeetable")
 	NoTarget            = namespace.NewType("no_target")
+	VersionGone         = namespace.NewType("version_gone")
+	OriginUnknown       = namespace.NewType("origin_unknown")
 	Leaving             = namespace.NewType("leaving")
 	PlatformUnavailable = namespace.NewType("platform_unavailable")
 	StalePlan           = namespace.NewType("stale_plan")
@@ -59,18 +61,21 @@
 )
 
 var responses = map[*errorx.Type]Response{
-	Malformed:           {"malformed", 400, connect.CodeInvalidArgument, NotRunTrue, 0},
-	Unauthenticated:     {"unauthenticated", 401, connect.CodeUnauthenticated, NotRunTrue, 0},
-	NotFound:            {"not_found", 404, connect.CodeNotFound, NotRunTrue, 0},
-	UnknownModel:        {"unknown_model", 404, connect.CodeNotFound, NotRunTrue, 0},
-	MethodNotAllowed:    {"method_not_allowed", 405, connect.CodeUnimplemented, NotRunTrue, 0},
-	KeyConflict:         {"key_conflict", 409, connect.CodeAlreadyExists, NotRunTrue, 0},
-	TooLarge:            {"too_large", 413, connect.CodeInvalidArgument, NotRunTrue, 0},
-	HeaderTooLarge:      {"header_too_large", 431, connect.CodeInvalidArgument, NotRunTrue, 0},
-	RateLimited:         {"rate_limited", 429, connect.CodeResourceExhausted, NotRunTrue, time.Second},
-	Overloaded:          {"overloaded", 503, connect.CodeUnavailable, NotRunTrue, 2 * time.Second},
-	DeadlineUnmeetable:  {"deadline_unmeetable", 503, connect.CodeUnavailable, NotRunTrue, 2 * time.Second},
-	NoTarget:            {"no_target", 503, connect.CodeUnavailable, NotRunTrue, 2 * time.Second},
+	Malformed:          {"malformed", 400, connect.CodeInvalidArgument, NotRunTrue, 0},
+	Unauthenticated:    {"unauthenticated", 401, connect.CodeUnauthenticated, NotRunTrue, 0},
+	NotFound:           {"not_found", 404, connect.CodeNotFound, NotRunTrue, 0},
+	UnknownModel:       {"unknown_model", 404, connect.CodeNotFound, NotRunTrue, 0},
+	MethodNotAllowed:   {"method_not_allowed", 405, connect.CodeUnimplemented, NotRunTrue, 0},
+	KeyConflict:        {"key_conflict", 409, connect.CodeAlreadyExists, NotRunTrue, 0},
+	TooLarge:           {"too_large", 413, connect.CodeInvalidArgument, NotRunTrue, 0},
+	HeaderTooLarge:     {"header_too_large", 431, connect.CodeInvalidArgument, NotRunTrue, 0},
+	RateLimited:        {"rate_limited", 429, connect.CodeResourceExhausted, NotRunTrue, time.Second},
+	Overloaded:         {"overloaded", 503, connect.CodeUnavailable, NotRunTrue, 2 * time.Second},
+	DeadlineUnmeetable: {"deadline_unmeetable", 503, connect.CodeUnavailable, NotRunTrue, 2 * time.Second},
+	NoTarget:           {"no_target", 503, connect.CodeUnavailable, NotRunTrue, 2 * time.Second},
+	// A stream that a caller resumes continues only at the version that began it.
+	VersionGone:         {"version_gone", 503, connect.CodeUnavailable, NotRunTrue, 0},
+	OriginUnknown:       {"origin_unknown", 503, connect.CodeUnavailable, NotRunTrue, 0},
 	Leaving:             {"leaving", 503, connect.CodeUnavailable, NotRunTrue, time.Second},
 	PlatformUnavailable: {"platform_unavailable", 503, connect.CodeUnavailable, NotRunTrue, 5 * time.Second},
 	StalePlan:           {"stale_plan", 409, connect.CodeFailedPrecondition, NotRunTrue, 0},
--- a/internal/process/hosted/changes.go
+++ b/internal/process/hosted/changes.go
@@ -150,6 +150,7 @@
 		listed = append(listed, record)
 	}
 	n.pool.Update(listed, removed, refused)
+	n.origins.SetListed(n.pool.Versions())
 	n.updateSharedView()
 }
 
--- a/internal/process/hosted/hosted.go
+++ b/internal/process/hosted/hosted.go
@@ -17,6 +17,7 @@
 	"github.com/marblepond/marblepond/internal/connection/callbudget"
 	"github.com/marblepond/marblepond/internal/connection/lending"
 	"github.com/marblepond/marblepond/internal/connection/objects"
+	"github.com/marblepond/marblepond/internal/connection/origins"
 	"github.com/marblepond/marblepond/internal/connection/target"
 	"github.com/marblepond/marblepond/internal/process/clock"
 	"github.com/marblepond/marblepond/internal/process/crashes"
@@ -25,6 +26,7 @@
 	"github.com/marblepond/marblepond/internal/process/timeline"
 	"github.com/marblepond/marblepond/internal/request/checkpoint"
 	"github.com/marblepond/marblepond/internal/request/choose"
+	"github.com/marblepond/marblepond/internal/request/continuation"
 	"github.com/marblepond/marblepond/internal/request/forward"
 	"github.com/marblepond/marblepond/internal/request/job"
 	"github.com/marblepond/marblepond/internal/version/discovery"
@@ -92,6 +94,7 @@
 	checkpoints *checkpoint.Store // of jobs that other nodes hold
 	crashes     *crashes.Watch
 	lending     *lending.Exchange
+	origins     *origins.Exchange
 	retries     *retries
 	backlogs    *backlogs
 
@@ -100,8 +103,9 @@
 	// arrive out of order, so the handlers read the current objects from the cache.
 	listMu      sync.Mutex
 	nodes       atomic.Pointer[map[string]nodeRecord]
-	view        atomic.Pointer[beacon.View]     // nodes, as package beacon needs them
-	lenders     atomic.Pointer[lending.Lenders] // nodes, as package lending needs them
+	view        atomic.Pointer[beacon.View]        // nodes, as package beacon needs them
+	lenders     atomic.Pointer[lending.Lenders]    // nodes, as package lending needs them
+	originFleet atomic.Pointer[continuation.Fleet] // nodes, as package origins needs them
 	table       atomic.Pointer[route.Table]
 	configured  chan struct{} // closed when the first routing table is known
 	loadChanged chan struct{} // signals that the requests or items in flight have changed
@@ -138,13 +142,14 @@
 	n.checker = invariant.New(n.recorder, s.StopOnViolation)
 	n.peers = newPeers(s)
 	n.cache = follow.NewCache(n.clock.Now, adapter.Kinds.Config, adapter.Kinds.Targets, adapter.Kinds.Retirements, adapter.Kinds.Evacuations, kindNodes, job.KindEnds)
-	n.pool = discovery.New(choose.Config{EjectAfter: s.EjectAfter, EjectTime: s.EjectTime, Policy: choose.LeastOfFew, Node: s.NodeID, LocalDataCentre: s.DataCentre, Seed: uint64(n.boot) ^ xxhash.Sum64String(s.NodeID), WarmUp: n.warmUp},
+	n.pool = discovery.New(choose.Config{EjectAfter: s.EjectAfter, EjectTime: s.EjectTime, Policy: choose.LeastOfFew, Node: s.NodeID, LocalDataCentre: s.DataCentre, Seed: uint64(n.boot) ^ xxhash.Sum64String(s.NodeID), WarmUp: n.warmUp, VersionInUse: n.versionInUse},
 		time.Now, func() bool { return n.cache.DeletionsUncertain(adapter.Kinds.Targets) }, n.targetChanged)
+	n.origins = n.newOrigins()
 	n.crashes = n.newCrashWatch()
 	n.lending = n.newLending()
 	n.retries = newRetries()
 	n.backlogs = newBacklogs(n)
-	n.forwarder = &forward.Forwarder{Targets: n.pool, Sender: adapter.Sender, Quarantine: n.crashes, Log: &requestLog{n}, Checker: n.checker, Now: n.clock.Now, Admission: n.newAdmission()}
+	n.forwarder = &forward.Forwarder{Targets: n.pool, Sender: adapter.Sender, Quarantine: n.crashes, Log: &requestLog{n}, Checker: n.checker, Now: n.clock.Now, Admission: n.newAdmission(), Origins: n.origins}
 	n.jobs = job.NewManager(job.Config{
 		Self: job.Holder{Node: s.NodeID, Boot: n.boot, Address: s.PeerAdvertise}, MaxValueBytes: s.StoreMaxValue,
 		KeepResults: s.KeepResults, Selectors: adapter.Selectors, TakeOverAfter: s.TakeOverAfter, SweepInterval: s.SweepInterval, EvacuatedWithin: s.EvacuatedWithin,
@@ -154,14 +159,15 @@
 	n.checkpoints = checkpoint.NewStore(checkpoint.Limits{MaxBytes: s.CheckpointMemory, Retention: s.KeepResults}, n.clock.Now)
 	n.beacon = beacon.New(beacon.Options{Node: s.NodeID, DataCentre: s.DataCentre, Boot: n.boot, Loads: n.pool, Evidence: n.pool, Paces: n.pool, Cache: n.cache, Batch: n.batch, Store: adapter.Health, Crashes: n.crashes, Suspended: n.clock.Suspended,
 		View: n.view.Load, OnBehind: n.pullFrom, OnUnreachable: func(string) { n.jobs.TriggerSweep() },
-		OnReachable: func(node string) { n.recorder.Record(timeline.NodeHeard, "", node, "") }})
+		OnStreamMessage: n.origins.Receive,
+		OnReachable:     func(node string) { n.recorder.Record(timeline.NodeHeard, "", node, "") }})
 	n.cache.OnVerified(n.beacon.NotifyChange)
 	n.pool.OnInFlightChange(n.ownLoadChanged, n.othersLoadChanged)
 	n.pool.SetPreemptor(n)
 	n.pool.OnVerdict(n.verdictChanged, n.probers)
 	n.pool.SetJoined(n.joined)
 	n.gossip = &follow.Gossip{Node: s.NodeID, Cache: n.cache, Listener: n, Peers: n.peerAddresses,
-		Client: n.peers.sync.at, SeedClient: n.peers.seedSync.at, Interval: s.GossipInterval, Isolated: func() bool { return len(n.beacon.ReachableNodes()) == 0 }, PullQueue: follow.NewPullQueue()}
+		Client: n.peers.sync.at, SeedClient: n.peers.seedSync.at, Interval: s.GossipInterval, Isolated: func() bool { return len(n.beacon.ReachableNodes()) == 0 }, PullQueue: follow.NewPullQueue(), Versions: n.origins}
 	n.createServers(deps.MetricsPage)
 	return n
 }
--- a/internal/process/hosted/log.go
+++ b/internal/process/hosted/log.go
@@ -5,6 +5,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"github.com/marblepond/marblepond/internal/connection/origins"
 	"github.com/marblepond/marblepond/internal/connection/target"
 	"github.com/marblepond/marblepond/internal/errkind"
 	"github.com/marblepond/marblepond/internal/process/timeline"
@@ -54,12 +55,23 @@
 	fields := []timeline.Field{field("route", req.Route.Name), field("workspace", req.Workspace), field("returning", req.Returning), field("config", req.Version), field("address", t.Addr), field("version", string(t.Version)),
 		field("after_ms", l.n.clock.Since(req.Arrived).Milliseconds()), field("left_ms", l.n.clock.Until(req.Deadline).Milliseconds())}
 	if resumeAfter > 0 {
+		l.n.metrics.Counter("streams_resumed").Inc(1)
 		fields = append(fields, field("resume_after", resumeAfter), field("resumes", req.Resumes))
 	}
 	l.n.recorder.Record(timeline.RequestDispatched, req.ID, t.ID, "", fields...)
 	l.n.metrics.Counter("requests_sent").Inc(1)
 }
 
+func (l *requestLog) Resumes(req *forward.Request, found origins.Found) {
+	version, known := found.Origin.Version()
+	cause := string(found.Source)
+	l.n.recorder.Record(timeline.StreamOrigin, req.ID, req.Service, cause, field("resumes", req.Resumes), field("resume_after", req.ResumeAfter), field("known", known), field("version", string(version)),
+		field("record_age_ms", found.Age.Milliseconds()), field("asked", found.Asked), field("replied", found.Replied), field("took_ms", l.n.clock.Since(req.Arrived).Milliseconds()))
+	if !known {
+		l.n.metrics.Counter("streams_not_resumed_unknown_version").Inc(1)
+	}
+}
+
 func (l *requestLog) Failed(req *forward.Request, t choose.Target, events int64, err error) {
 	ran := target.FailureOf(err).MayHaveRun()
 	fields := []timeline.Field{field("may_have_run", ran), field("after_ms", l.n.clock.Since(req.Arrived).Milliseconds())}
@@ -88,4 +100,11 @@
 	l.n.recorder.Record(timeline.RequestRefused, req.ID, req.Route.Name, errkind.Message(err), field("kind", answer.Name), field("workspace", req.Workspace), field("returning", req.Returning),
 		field("not_run", string(answer.NotRun)), field("config", req.Version), field("took_ms", l.n.clock.Since(req.Arrived).Milliseconds()), field("retry_after_ms", answer.RetryAfter.Milliseconds()))
 	l.n.metrics.Counter("requests_refused").Inc(1)
+	switch {
+	case req.ResumeAfter == 0:
+	case errkind.Is(err, errkind.VersionGone):
+		l.n.metrics.Counter("streams_not_resumed_version_gone").Inc(1)
+	case errkind.Is(err, errkind.NoTarget):
+		l.n.metrics.Counter("streams_not_resumed_no_room").Inc(1)
+	}
 }
--- /dev/null
+++ b/internal/process/hosted/origins.go
@@ -0,0 +1,47 @@
+package hosted
+
+import (
+	"time"
+
+	v1 "github.com/marblepond/marblepond/api/marblepond/v1"
+	"github.com/marblepond/marblepond/internal/connection/beacon"
+	"github.com/marblepond/marblepond/internal/connection/origins"
+	"github.com/marblepond/marblepond/internal/request/continuation"
+)
+
+// newOrigins returns the records of the versions at which streams began.
+func (n *Node) newOrigins() *origins.Exchange {
+	x := origins.New(origins.Options{Node: n.settings.NodeID, Now: n.clock.Now, Timing: continuation.TimingOf(n.settings.TargetsWithin), Network: streamNetwork{n},
+		Fleet: n.originFleet.Load, ListVerified: n.targetsVerified, Metrics: n.metrics})
+	n.originFleet.Store(n.originFleetOf(n.view.Load()))
+	if n.settings.FirstStart {
+		x.BeginsNow()
+	}
+	return x
+}
+
+// streamNetwork implements origins.Network; the exchange of datagrams is created later.
+type streamNetwork struct{ n *Node }
+
+func (s streamNetwork) SendStreamMessage(node string, m *v1.StreamMessage) {
+	s.n.beacon.SendStreamMessage(node, m)
+}
+
+// originFleetOf returns the nodes that may keep records.
+func (n *Node) originFleetOf(view *beacon.View) *continuation.Fleet {
+	return &continuation.Fleet{Self: n.settings.NodeID, DataCentre: n.settings.DataCentre, Nodes: view.Nodes(), Reachable: func(node string) bool { return n.beacon.Reachable(node) }}
+}
+
+// targetsVerified returns up to which time the list of targets is known.
+func (n *Node) targetsVerified() time.Time {
+	age, known := n.cache.Age(n.adapter.Kinds.Targets)
+	if !known {
+		return time.Time{}
+	}
+	return n.clock.Now().Add(-age)
+}
+
+// versionInUse reports whether resumable streams are begun at a version of a service.
+func (n *Node) versionInUse(service string, v continuation.Version) bool {
+	return n.origins.InUse(service, v)
+}
--- a/internal/process/hosted/registration.go
+++ b/internal/process/hosted/registration.go
@@ -89,6 +89,7 @@
 		n.view.Store(n.viewOf(nodes))
 		n.pool.SetPosition(n.warmUpPosition(nodes))
 		n.lenders.Store(n.lendersOf(nodes))
+		n.originFleet.Store(n.originFleetOf(n.view.Load()))
 		n.updateSharedView()
 	}
 }
--- a/internal/process/hosted/run.go
+++ b/internal/process/hosted/run.go
@@ -163,6 +163,7 @@
 	wg.Go(func() { n.gossip.Run(ctx) })
 	wg.Go(func() { n.register(ctx) })
 	wg.Go(func() { n.removeLapsedTargets(ctx) })
+	wg.Go(func() { every(ctx, tickInterval, n.origins.Tick) })
 	wg.Go(func() { n.recordReady(ctx) })
 	wg.Go(func() { n.recordPaces(ctx) })
 	wg.Go(func() { n.callers.reapIdle(ctx) })
@@ -185,7 +186,11 @@
 // removeLapsedTargets removes targets that lapsed during an outage of the object store,
 // once the store's list of targets is trusted again.
 func (n *Node) removeLapsedTargets(ctx context.Context) {
-	every(ctx, tickInterval, n.pool.RemoveLapsed)
+	every(ctx, tickInterval, func() {
+		if n.pool.RemoveLapsed() {
+			n.origins.SetListed(n.pool.Versions())
+		}
+	})
 }
 
 // every calls f each d until ctx ends.
--- a/internal/request/choose/choose.go
+++ b/internal/request/choose/choose.go
@@ -151,6 +151,9 @@
 	Group string
 	// WarmUp returns how targets of a service warm up; nil: no target has to.
 	WarmUp func(service string) warmup.Rate
+	// VersionInUse reports whether resumable streams are begun at a version of a service, see
+	// continuation.History.InUse; nil: at all. It must not call the table.
+	VersionInUse func(service string, v continuation.Version) bool
 	// LocalDataCentre is the data centre whose targets are preferred while they have
 	// free slots; empty: no preference.
 	LocalDataCentre string
@@ -321,6 +324,8 @@
 	// Origin says at which version the answer began: it continues at a target of that version
 	// only. Zero: it has not begun.
 	Origin continuation.Origin
+	// Resumable marks a stream that has not begun and may be resumed later.
+	Resumable bool
 	// Overflow is how many requests may be queued at a target beyond its slots
 	// when all targets are full; 0: no limit.
 	Overflow int
@@ -381,6 +386,10 @@
 			out = append(out, e)
 		}
 	}
+	if need.Resumable && t.severalVersions[need.Service] {
+		versions := t.versionsForNewStreams(need.Service)
+		out, full, cold = versions.preferred(out), versions.allowed(full), versions.allowed(cold)
+	}
 	switch {
 	case len(cold) > 0 && !anyFree(now, out) && !anyFree(now, full):
 		out = cold
--- /dev/null
+++ b/internal/request/continuation/history_test.go
@@ -0,0 +1,275 @@
+package continuation
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+const (
+	testWithin = 2 * time.Second
+	testWindow = 10 * time.Second
+)
+
+var (
+	testStart = time.Unix(1000, 0)
+	onlyV1    = map[string]map[Version]int{"s": {"v1": 3}}
+	bothV1V2  = map[string]map[Version]int{"s": {"v1": 2, "v2": 1}}
+	onlyV2    = map[string]map[Version]int{"s": {"v2": 3}}
+)
+
+// watched returns the history of a node that has seen a list for a time, with the list verified
+// every half second, and the time at its end.
+func watched(listed map[string]map[Version]int, d time.Duration) (*History, time.Time) {
+	h, now := NewHistory(TimingOf(testWithin)), testStart
+	h.Listed(now, listed)
+	return h, watch(h, now, d)
+}
+
+func watch(h *History, now time.Time, d time.Duration) time.Time {
+	for end := now.Add(d); now.Before(end); now = now.Add(500 * time.Millisecond) {
+		h.Verified(now)
+	}
+	h.Verified(now)
+	return now
+}
+
+// TestOneVersionIsDerivedWithoutRecords guards against messages and state in a fleet whose
+// targets all have one version.
+func TestOneVersionIsDerivedWithoutRecords(t *testing.T) {
+	is := is.New(t)
+	h, now := watched(onlyV1, 12*time.Second)
+	v, ok := h.Sole(now, "s", testWindow)
+	is.True(ok)
+	is.Equal(v, Version("v1"))
+	is.True(!h.Several(now, "s", testWindow))
+}
+
+// TestJustStartedNodeDoesNotGuess guards against a node that takes the one version it has seen
+// for the only one that can have begun a stream, although it has seen the list too shortly or
+// not lately.
+func TestJustStartedNodeDoesNotGuess(t *testing.T) {
+	is := is.New(t)
+	h, now := watched(onlyV1, 5*time.Second)
+	_, ok := h.Sole(now, "s", testWindow)
+	is.True(!ok) // started too recently
+	h, now = watched(onlyV1, time.Minute)
+	_, ok = h.Sole(now.Add(1600*time.Millisecond), "s", testWindow)
+	is.True(!ok) // the copy is too old
+	later := now.Add(8 * time.Second)
+	h.Verified(later)
+	_, ok = h.Sole(later, "s", testWindow)
+	is.True(!ok) // a version may have come and gone meanwhile
+	_, ok = h.Sole(watch(h, later, 12*time.Second), "s", testWindow)
+	is.True(ok)
+	_, ok = h.Sole(now, "other", testWindow)
+	is.True(!ok)
+}
+
+// TestFirstStartKnowsThatNothingBegan guards against refusals in the first seconds of a fleet.
+func TestFirstStartKnowsThatNothingBegan(t *testing.T) {
+	is := is.New(t)
+	h := NewHistory(TimingOf(testWithin))
+	h.BeginsNow(testStart)
+	h.Listed(testStart, onlyV1)
+	h.Verified(testStart)
+	_, ok := h.Sole(testStart, "s", testWindow)
+	is.True(ok)
+}
+
+// TestReplacedVersionCountsForAWindow guards against a stream of a version that was just
+// replaced and is continued at its successor.
+func TestReplacedVersionCountsForAWindow(t *testing.T) {
+	is := is.New(t)
+	h, now := watched(onlyV1, time.Minute)
+	h.Listed(now, bothV1V2)
+	is.True(h.Several(now, "s", testWindow)) // records are kept from now on
+	v, ok := h.Sole(now, "s", testWindow)
+	is.True(ok) // no node begins a stream at v2 yet
+	is.Equal(v, Version("v1"))
+	is.True(!h.InUse(now, "s", "v2"))
+	is.True(h.InUse(now, "s", "v1"))
+	now = watch(h, now, 3*time.Second)
+	is.True(h.InUse(now, "s", "v2"))
+	_, ok = h.Sole(now, "s", testWindow)
+	is.True(!ok)
+	h.Listed(now, onlyV2)
+	now = watch(h, now, 9*time.Second)
+	_, ok = h.Sole(now, "s", testWindow)
+	is.True(!ok)
+	v, ok = h.Sole(watch(h, now, 4*time.Second), "s", testWindow)
+	is.True(ok)
+	is.Equal(v, Version("v2"))
+}
+
+// TestHistoryOfAnotherNodeHelpsAStartingOne guards against a node that knows nothing for a
+// whole window after each start.
+func TestHistoryOfAnotherNodeHelpsAStartingOne(t *testing.T) {
+	is := is.New(t)
+	old, now := watched(onlyV1, time.Minute)
+	report, ok := old.Report(now)
+	is.True(ok)
+	started := NewHistory(TimingOf(testWithin))
+	started.Listed(now, onlyV1)
+	started.Verified(now)
+	_, ok = started.Sole(now, "s", testWindow)
+	is.True(!ok)
+	started.Merge(now, report)
+	_, ok = started.Sole(now, "s", testWindow)
+	is.True(ok)
+
+	old.Listed(now, bothV1V2) // v2 is new, and the started node sees both at once
+	report, _ = old.Report(now)
+	started = NewHistory(TimingOf(testWithin))
+	started.Listed(now, bothV1V2)
+	started.Verified(now)
+	started.Merge(now, report)
+	is.True(!started.InUse(now, "s", "v2"))
+	is.True(started.InUse(now, "s", "v1"))
+	_, ok = old.Report(now.Add(time.Hour))
+	is.True(!ok) // not up to date
+}
+
+// TestNodesNeverDeriveAVersionThatOthersDoNotUse guards against a stream that one node begins
+// at a new version while another, whose copy of the list is older, derives that the old one
+// alone has begun all streams. Copies lag by up to FreshFor; versions are listed and removed
+// at random.
+func TestNodesNeverDeriveAVersionThatOthersDoNotUse(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		timing := TimingOf(testWithin)
+		const step = 100 * time.Millisecond
+		now := testStart
+		type node struct {
+			h        *History
+			lag      time.Duration
+			applied  int
+			verified time.Time
+		}
+		nodes := make([]*node, 3)
+		for i := range nodes {
+			nodes[i] = &node{h: NewHistory(timing), lag: rapid.SampledFrom([]time.Duration{0, 500 * time.Millisecond, timing.FreshFor, 5 * time.Second}).Draw(t, "lag")}
+		}
+		type change struct {
+			at     time.Time
+			listed map[string]map[Version]int
+		}
+		changes := []change{{now, onlyV1}}
+		begun := map[Version]time.Time{} // when a stream last began at a version
+		for range rapid.IntRange(100, 400).Draw(t, "steps") {
+			now = now.Add(step)
+			if rapid.IntRange(0, 60).Draw(t, "change") == 0 {
+				changes = append(changes, change{now, rapid.SampledFrom([]map[string]map[Version]int{onlyV1, bothV1V2, onlyV2}).Draw(t, "listed")})
+			}
+			for _, n := range nodes {
+				if rapid.IntRange(0, 4).Draw(t, "refresh") > 0 {
+					continue
+				}
+				n.verified = now.Add(-n.lag)
+				for n.applied < len(changes) && !changes[n.applied].at.After(n.verified) {
+					n.h.Listed(now, changes[n.applied].listed)
+					n.applied++
+				}
+				n.h.Verified(n.verified)
+			}
+			for _, n := range nodes {
+				for _, v := range []Version{"v1", "v2"} {
+					if listed := n.applied > 0 && changes[n.applied-1].listed["s"][v] > 0; listed && n.h.InUse(now, "s", v) && now.Sub(n.verified) <= timing.FreshFor {
+						begun[v] = now
+					}
+				}
+			}
+			for i, n := range nodes {
+				sole, ok := n.h.Sole(now, "s", testWindow)
+				for v, at := range begun {
+					if ok && v != sole && now.Sub(at) <= testWindow {
+						t.Fatalf("node %d derives %s alone, %v after a stream began at %s", i, sole, now.Sub(at), v)
+					}
+				}
+			}
+		}
+	})
+}
+
+// TestRecordsAreBounded guards against records that grow without a bound or outlive their
+// time, and against old ones that are kept in place of new ones.
+func TestRecordsAreBounded(t *testing.T) {
+	is := is.New(t)
+	r, now := NewRecords(), testStart
+	for i := range maxRecords + 100 {
+		r.Put(now, Key(i), "v1", time.Minute)
+	}
+	is.Equal(r.Len(), maxRecords)
+	_, _, ok := r.Get(now, 99)
+	is.True(!ok)
+	v, _, ok := r.Get(now, maxRecords+99)
+	is.True(ok)
+	is.Equal(v, Version("v1"))
+	r.Put(now.Add(50*time.Second), 200, "v1", time.Minute) // kept for longer
+	_, _, ok = r.Get(now.Add(time.Minute), 201)
+	is.True(!ok)
+	r.RemoveExpired(now.Add(time.Minute))
+	is.Equal(r.Len(), 1)
+	_, age, ok := r.Get(now.Add(time.Minute), 200)
+	is.True(ok)
+	is.Equal(age, time.Minute)
+	r.Put(now.Add(time.Minute), 5, "v2", time.Second)
+	is.Equal(r.Len(), 2)
+}
+
+// TestReturningCallerFindsAHolder guards against a record whose holders the node that the
+// caller returns to does not ask: in fleets of any size, after the loss of the first node, of
+// another one, or of the first node's data centre.
+func TestReturningCallerFindsAHolder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		centres := rapid.IntRange(1, 6).Draw(t, "data centres")
+		perCentre := rapid.IntRange(1, 30).Draw(t, "nodes")
+		if centres*perCentre < 2 {
+			return
+		}
+		fleetOf := func(self string) *Fleet {
+			f := &Fleet{Self: self, Nodes: map[string][]string{}, Reachable: func(string) bool { return true }}
+			for c := range centres {
+				centre := fmt.Sprint("dc", c)
+				for i := range perCentre {
+					node := fmt.Sprint(centre, "-n", i)
+					if node == self {
+						f.DataCentre = centre
+					} else {
+						f.Nodes[centre] = append(f.Nodes[centre], node)
+					}
+				}
+			}
+			return f
+		}
+		draw := func(what string) (centre, node string) {
+			centre = fmt.Sprint("dc", rapid.IntRange(0, centres-1).Draw(t, what+" data centre"))
+			return centre, fmt.Sprint(centre, "-n", rapid.IntRange(0, perCentre-1).Draw(t, what))
+		}
+		key := Key(rapid.Uint64().Draw(t, "key"))
+		firstCentre, first := draw("first node")
+		asked, asking := draw("node returned to")
+		holders := fleetOf(first).Holders(key)
+		if len(holders) != min(copies, centres*perCentre-1) {
+			t.Fatalf("%d holders", len(holders))
+		}
+		if first == asking {
+			return
+		}
+		known := map[string]bool{asking: true}
+		for _, node := range fleetOf(asking).Candidates(key) {
+			known[node] = true
+		}
+		found := 0
+		for _, h := range holders {
+			if known[h] {
+				found++
+			}
+		}
+		if found == 0 {
+			t.Fatalf("%v hold the record of a stream at %s (%s), and %s (%s) asks none of them", holders, first, firstCentre, asking, asked)
+		}
+	})
+}
--- a/internal/request/forward/admit_test.go
+++ b/internal/request/forward/admit_test.go
@@ -66,7 +66,7 @@
 
 func forwarderWith(targets Targets, sender target.Sender, occupancies *fakeOccupancies, log AdmissionLog) *Forwarder {
 	recorder := timeline.NewRecorder("n", 10, &apex.Logger{Handler: discard.New()}, tally.NoopScope)
-	return &Forwarder{Targets: targets, Sender: sender, Quarantine: noQuarantine{}, Log: &fakeLog{}, Checker: invariant.New(recorder, false), Now: time.Now,
+	return &Forwarder{Targets: targets, Sender: sender, Quarantine: noQuarantine{}, Log: &fakeLog{}, Checker: invariant.New(recorder, false), Now: time.Now, Origins: &fakeOrigins{derivable: true},
 		Admission: NewAdmission(occupancies, log, rand.New(rand.NewPCG(1, 1)))}
 }
 
--- a/internal/request/forward/attempt.go
+++ b/internal/request/forward/attempt.go
@@ -101,6 +101,7 @@
 		p.lastEventID = event.ID
 	}
 	p.origin = p.origin.After(t.Version)
+	f.recordOrigin(req, p)
 	p.recordEvent(f.Now(), req.Arrived)
 	if err := caller.Event(event); err != nil {
 		return errCallerDisconnected
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -65,6 +65,7 @@
 	// Admission decides which requests are sent while the targets are full; nil: all are sent
 	// as long as targets take them.
 	Admission *Admission
+	Origins   Origins
 }
 
 const (
@@ -97,6 +98,8 @@
 	ran            int   // attempts that may have run
 	lastEventID    int64 // ID of the last event that the caller has
 	origin         continuation.Origin
+	recorded       bool          // the version of the stream was recorded for the caller's return
+	recordChecked  time.Time     // when it was last checked whether it has to be
 	events         int64         // events forwarded
 	lastEventAt    time.Time     // when the last event was forwarded
 	firstEvent     time.Duration // from the arrival of the request to the first event
@@ -122,9 +125,13 @@
 	ctx, cancel := context.WithTimeout(ctx, req.Deadline.Sub(f.Now()))
 	defer cancel()
 	p := &progress{exclude: map[string]bool{}, lastEventID: req.ResumeAfter}
-	p.admitted = f.Admission.arrive(f.Now(), req)
 	defer func() { f.Admission.ended(p.admitted) }()
-	err = f.run(ctx, req, caller, p)
+	if err = f.findOrigin(ctx, req, p); err == nil {
+		if !f.bound(req, p) {
+			p.admitted = f.Admission.arrive(f.Now(), req)
+		}
+		err = f.run(ctx, req, caller, p)
+	}
 	if err != nil {
 		f.Checker.Assert(errkind.Of(err).NotRun != errkind.NotRunTrue || p.ran == 0, invariant.NotRunIsTrue, req.ID, "", "refused as not run after %d attempts that may have run: %v", p.ran, err)
 		f.Log.Refused(req, err)
--- a/internal/request/forward/forward_test.go
+++ b/internal/request/forward/forward_test.go
@@ -15,6 +15,7 @@
 	"github.com/matryer/is"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/marblepond/marblepond/internal/connection/origins"
 	"github.com/marblepond/marblepond/internal/connection/target"
 	"github.com/marblepond/marblepond/internal/errkind"
 	"github.com/marblepond/marblepond/internal/process/clock"
@@ -71,6 +72,8 @@
 	return continuation.Busy
 }
 
+func (f *fakeTargets) SeveralVersions(string) bool { return false }
+
 func (f *fakeTargets) MayHaveItems(string) bool { return f.hasItems }
 func (f *fakeTargets) AllEvacuated(string) bool { return f.evacuated }
 
@@ -156,12 +159,39 @@
 func (c *fakeCaller) Event(target.Event) error     { c.events++; return nil }
 func (c *fakeCaller) End() error                   { return nil }
 
+// fakeOrigins knows no stream unless known is set, and keeps what is recorded.
+type fakeOrigins struct {
+	derivable bool
+	known     map[string]continuation.Version // by ID
+	recorded  map[string]continuation.Version
+	found     origins.Found // for what is not known
+}
+
+func (o *fakeOrigins) Derivable(string, time.Duration) bool { return o.derivable }
+
+func (o *fakeOrigins) Record(s origins.Stream, v continuation.Version) {
+	if o.recorded == nil {
+		o.recorded = map[string]continuation.Version{}
+	}
+	o.recorded[s.ID] = v
+}
+
+func (o *fakeOrigins) Find(_ context.Context, s origins.Stream, _ time.Duration) origins.Found {
+	if v, ok := o.known[s.ID]; ok {
+		return origins.Found{Origin: continuation.BegunAt(v)}
+	}
+	found := o.found
+	found.Origin = continuation.BegunAnywhere()
+	return found
+}
+
 // fakeLog keeps the summary of the last answer.
 type fakeLog struct{ answer AnswerSummary }
 
 func (l *fakeLog) Sent(*Request, choose.Target, int64)                        {}
 func (l *fakeLog) Failed(*Request, choose.Target, int64, error)               {}
 func (l *fakeLog) Refused(*Request, error)                                    {}
+func (l *fakeLog) Resumes(*Request, origins.Found)                            {}
 func (l *fakeLog) Answered(_ *Request, _ choose.Target, answer AnswerSummary) { l.answer = answer }
 
 // forwardStream forwards a stream that may be resumed.
@@ -181,7 +211,7 @@
 // forwardWithClock measures the deadline of the stream with the clock given.
 func forwardWithClock(clock func() time.Time, targets *fakeTargets, sender target.Sender, log Log, caller Caller, resumable bool) error {
 	recorder := timeline.NewRecorder("n", 10, &apex.Logger{Handler: discard.New()}, tally.NoopScope)
-	f := Forwarder{Targets: targets, Sender: sender, Quarantine: noQuarantine{}, Log: log, Checker: invariant.New(recorder, false), Now: clock}
+	f := Forwarder{Targets: targets, Sender: sender, Quarantine: noQuarantine{}, Log: log, Checker: invariant.New(recorder, false), Now: clock, Origins: &fakeOrigins{derivable: true}}
 	now := clock()
 	req := &Request{ID: "r", Service: "s", Arrived: now, Deadline: now.Add(5 * time.Second),
 		Route: &route.Route{Kind: route.Stream, Resumable: resumable, Attempts: 2, Objective: 200 * time.Millisecond, GapObjective: 200 * time.Millisecond}}
@@ -369,7 +399,7 @@
 	}{{http.StatusInternalServerError, 1, []choose.Outcome{choose.ErrorAnswer}}, {http.StatusInternalServerError, 2, []choose.Outcome{choose.Failure, choose.ErrorAnswer}}, {http.StatusBadRequest, 1, []choose.Outcome{choose.Success}}} {
 		targets := &fakeTargets{}
 		recorder := timeline.NewRecorder("n", 10, &apex.Logger{Handler: discard.New()}, tally.NoopScope)
-		f := Forwarder{Targets: targets, Sender: answerSender(c.status), Quarantine: noQuarantine{}, Log: &fakeLog{}, Checker: invariant.New(recorder, false), Now: time.Now}
+		f := Forwarder{Targets: targets, Sender: answerSender(c.status), Quarantine: noQuarantine{}, Log: &fakeLog{}, Checker: invariant.New(recorder, false), Now: time.Now, Origins: &fakeOrigins{derivable: true}}
 		req := &Request{ID: "r", Service: "s", Arrived: time.Now(), Deadline: time.Now().Add(time.Second), Route: &route.Route{Kind: route.Stream, Resumable: true, Attempts: c.attempts, Objective: time.Second}}
 		_, err := f.Do(context.Background(), req, &fakeCaller{})
 		is.NoErr(err)
--- a/internal/request/forward/parts.go
+++ b/internal/request/forward/parts.go
@@ -1,8 +1,10 @@
 package forward
 
 import (
+	"context"
 	"time"
 
+	"github.com/marblepond/marblepond/internal/connection/origins"
 	"github.com/marblepond/marblepond/internal/connection/target"
 	"github.com/marblepond/marblepond/internal/request/choose"
 	"github.com/marblepond/marblepond/internal/request/continuation"
@@ -36,6 +38,8 @@
 	BetterElsewhere(w choose.Wait, need choose.Need) bool
 	// RecordEvent records that an event of a target was received.
 	RecordEvent(t choose.Target)
+	// SeveralVersions reports whether targets of several versions of a service are listed.
+	SeveralVersions(service string) bool
 	// Supply returns whether a target is left at which an answer that has begun may continue.
 	Supply(service string, o continuation.Origin) continuation.Supply
 	End(t choose.Target, outcome choose.Outcome)
@@ -53,6 +57,18 @@
 	MarkLeaving(t choose.Target, why string)
 }
 
+// Origins remembers at which version each stream began, for callers that resume them.
+type Origins interface {
+	// Derivable reports whether nothing has to be recorded of a service's streams, because one
+	// version alone can have begun them.
+	Derivable(service string, window time.Duration) bool
+	// Record keeps the version of a stream. It must not block.
+	Record(s origins.Stream, v continuation.Version)
+	// Find returns at which version a stream began; it waits for other nodes at most for the
+	// time given.
+	Find(ctx context.Context, s origins.Stream, wait time.Duration) origins.Found
+}
+
 // Quarantine refuses work that crashes the targets that run it. Its calls cost almost
 // nothing while no crash is known.
 type Quarantine interface {
@@ -82,6 +98,8 @@
 	Failed(req *Request, t choose.Target, events int64, err error)
 	Answered(req *Request, t choose.Target, answer AnswerSummary)
 	Refused(req *Request, err error)
+	// Resumes records that a caller resumes a stream, and what was found of its origin.
+	Resumes(req *Request, found origins.Found)
 }
 
 // AnswerSummary summarizes an answer that the caller received completely.
--- a/internal/request/forward/place.go
+++ b/internal/request/forward/place.go
@@ -46,13 +46,16 @@
 // caller has part of the answer may wait until its deadline, any other for a short part of
 // its objective. Where batch items are expected to yield their slots it may wait as long
 // as it can still begin within its objective; an earlier refusal would let batch items displace
-// online requests.
+// online requests. So may one that continues a stream, since only targets of one version can
+// take it.
 func (f *Forwarder) mayWait(req *Request, p *progress) bool {
 	now := f.Now()
 	waited := now.Sub(req.Arrived)
 	switch {
 	case p.begun:
 		return now.Before(req.Deadline)
+	case p.origin.Begun() && f.bound(req, p):
+		return waited < req.Route.Objective
 	case waited < time.Duration(capacityWaitShare*float64(req.Route.Objective)):
 		return true
 	}
@@ -85,7 +88,7 @@
 	// A suspect was in flight at a crash and either caused it or ran there by chance. Two
 	// suspects must not run at one target: run separately, the harmless ones are answered,
 	// which clears them.
-	need := choose.Need{Service: req.Service, Exclude: p.exclude, Origin: p.origin, Overflow: overflow, Apart: f.Quarantine.Suspected(&req.Work),
+	need := choose.Need{Service: req.Service, Exclude: p.exclude, Origin: p.origin, Resumable: req.Route.Resumable && !p.origin.Begun(), Overflow: overflow, Apart: f.Quarantine.Suspected(&req.Work),
 		Repeatable: req.Route.Repeatable() && p.ran+1 < req.Route.Attempts, NoProbe: p.ran > 0 || p.begun}
 	if p.connectionLost {
 		need.ScatterKey = req.Work.ID().Key()
@@ -104,6 +107,8 @@
 		return errkind.TargetFailed.New("every target tried failed, the last with: %v", p.lastErr)
 	case errors.Is(ctx.Err(), context.Canceled):
 		return errkind.Cancelled.New("the caller disconnected before the request was sent")
+	case f.versionGone(req, p):
+		return errkind.VersionGone.New("no target is left with the version that began the stream")
 	}
 	if f.evacuated(req, p) {
 		return errkind.NoTarget.New("every data centre with targets of service %s is evacuated", req.Service)
--- a/internal/request/forward/versions_test.go
+++ b/internal/request/forward/versions_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/marblepond/marblepond/internal/connection/origins"
 	"github.com/marblepond/marblepond/internal/connection/target"
 	"github.com/marblepond/marblepond/internal/errkind"
 	"github.com/marblepond/marblepond/internal/process/invariant"
@@ -38,7 +39,7 @@
 // resume.
 func newForwarder(targets Targets, sender target.Sender) *Forwarder {
 	recorder := timeline.NewRecorder("n", 10, &apex.Logger{Handler: discard.New()}, tally.NoopScope)
-	return &Forwarder{Targets: targets, Sender: sender, Quarantine: noQuarantine{}, Log: &fakeLog{}, Checker: invariant.New(recorder, false), Now: time.Now}
+	return &Forwarder{Targets: targets, Sender: sender, Quarantine: noQuarantine{}, Log: &fakeLog{}, Checker: invariant.New(recorder, false), Now: time.Now, Origins: &fakeOrigins{derivable: true}}
 }
 
 func resumableRequest(id string) *Request {
@@ -169,3 +170,96 @@
 	}
 	return s.Stream.Next()
 }
+
+// orderCaller fails the test if an event arrives before its stream was recorded.
+type orderCaller struct {
+	fakeCaller
+	t       *testing.T
+	origins *fakeOrigins
+}
+
+func (c *orderCaller) Event(e target.Event) error {
+	if len(c.origins.recorded) == 0 {
+		c.t.Error("the caller has an event of a stream that is not recorded")
+	}
+	return c.fakeCaller.Event(e)
+}
+
+// TestStreamIsRecordedBeforeItsFirstEvent guards against a stream whose version is lost when
+// its node is killed right after the first event: the record leaves the node before that. A
+// stream that its caller resumed is recorded under the name of its first attempt too.
+func TestStreamIsRecordedBeforeItsFirstEvent(t *testing.T) {
+	is := is.New(t)
+	targets := &versionedTargets{list: []choose.Target{{ID: "a", Addr: "a", Version: "v1"}, {ID: "b", Addr: "b", Version: "v2"}}}
+	f := newForwarder(targets, slowSender{})
+	known := &fakeOrigins{known: map[string]continuation.Version{"first": "v2"}}
+	f.Origins = known
+	_, err := f.Do(context.Background(), resumableRequest("r"), &orderCaller{t: t, origins: known})
+	is.NoErr(err)
+	is.Equal(known.recorded, map[string]continuation.Version{"r": "v1"})
+
+	again := resumableRequest("again")
+	again.ResumeAfter, again.Resumes = 1, "first"
+	_, err = f.Do(context.Background(), again, &orderCaller{t: t, origins: known})
+	is.NoErr(err)
+	is.Equal(targets.chosen, []string{"a", "b"})
+	is.Equal(known.recorded["again"], continuation.Version("v2"))
+	is.Equal(known.recorded["first"], continuation.Version("v2"))
+
+	alone := &fakeOrigins{derivable: true}
+	f.Origins = alone
+	_, err = f.Do(context.Background(), resumableRequest("r"), &fakeCaller{})
+	is.NoErr(err)
+	is.Equal(len(alone.recorded), 0) // one version alone needs no record
+	f.Origins = &fakeOrigins{}
+	once := resumableRequest("once")
+	once.Route.Resumable = false
+	_, err = f.Do(context.Background(), once, &fakeCaller{})
+	is.NoErr(err)
+	is.Equal(len(f.Origins.(*fakeOrigins).recorded), 0) // no caller resumes it
+}
+
+// TestUnknownStreamIsRefusedAtOnce guards against a guess, and against a refusal that names a
+// time to come back when that does not help: it may if a node did not reply.
+func TestUnknownStreamIsRefusedAtOnce(t *testing.T) {
+	for name, c := range map[string]struct {
+		resumes string
+		found   origins.Found
+		helps   bool
+	}{
+		"all nodes replied":     {"first", origins.Found{Asked: 2, Replied: 2}, false},
+		"a node did not reply":  {"first", origins.Found{Asked: 2, Replied: 1}, true},
+		"no node is known yet":  {"first", origins.Found{}, true},
+		"the caller names none": {"", origins.Found{}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			targets := &versionedTargets{list: []choose.Target{{ID: "a", Addr: "a", Version: "v1"}}}
+			f := newForwarder(targets, slowSender{})
+			f.Origins = &fakeOrigins{found: c.found}
+			req := resumableRequest("r")
+			req.ResumeAfter, req.Resumes = 3, c.resumes
+			_, err := f.Do(context.Background(), req, &fakeCaller{})
+			is.True(errkind.Is(err, errkind.OriginUnknown))
+			is.Equal(errkind.Of(err).NotRun, errkind.NotRunTrue)
+			is.Equal(errkind.Of(err).RetryAfter > 0, c.helps)
+			is.Equal(len(targets.chosen), 0)
+		})
+	}
+}
+
+// TestReturningCallerOfAReplacedVersion guards against a caller that waits although no target
+// is left with the version that began its stream.
+func TestReturningCallerOfAReplacedVersion(t *testing.T) {
+	is := is.New(t)
+	targets := &versionedTargets{list: []choose.Target{{ID: "b", Addr: "b", Version: "v2"}}}
+	f := newForwarder(targets, slowSender{})
+	f.Origins = &fakeOrigins{known: map[string]continuation.Version{"first": "v1"}}
+	req := resumableRequest("r")
+	req.ResumeAfter, req.Resumes = 3, "first"
+	_, err := f.Do(context.Background(), req, &fakeCaller{})
+	is.True(errkind.Is(err, errkind.VersionGone))
+	is.Equal(errkind.Of(err).RetryAfter, time.Duration(0))
+	is.True(time.Since(req.Arrived) < capacityPollInterval)
+	is.Equal(len(targets.chosen), 0)
+}
--- a/internal/version/discovery/list.go
+++ b/internal/version/discovery/list.go
@@ -122,8 +122,8 @@
 }
 
 // RemoveLapsed removes the targets that were kept while the store's list was uncertain,
-// once it is reliable again.
-func (p *Pool) RemoveLapsed() {
+// once it is reliable again. It reports whether there were any.
+func (p *Pool) RemoveLapsed() bool {
 	p.mu.Lock()
 	var removed []string
 	if len(p.lapsed) > 0 && !p.listUncertain() {
@@ -137,6 +137,7 @@
 	for _, id := range removed {
 		p.onChange(id, "gone")
 	}
+	return len(removed) > 0
 }
 
 // updateTable sets the listed and the lapsed targets in the table. The caller holds p.mu.
--- a/internal/version/follow/gossip.go
+++ b/internal/version/follow/gossip.go
@@ -26,6 +26,8 @@
 	// SeedClient returns the client of a seed that is queried at the start. Its connect
 	// timeout is short: a seed whose VM starts at the same time may be unreachable.
 	SeedClient func(address string) marblepondv1connect.SyncServiceClient
+	// Versions exchanges which versions targets have had; nil: it does not.
+	Versions VersionHistory
 	// Interval is the time between rounds.
 	Interval time.Duration
 	// Isolated reports whether no datagrams of other nodes are received.
@@ -35,6 +37,16 @@
 	PullQueue *ring.Ring[string]
 }
 
+// VersionHistory holds which software versions the targets of services have had.
+type VersionHistory interface {
+	// WantsHistory reports whether this node's history is too short.
+	WantsHistory() bool
+	// History returns the history, nil if it is not up to date, and AddHistory adds that of
+	// another node.
+	History() *v1.VersionHistory
+	AddHistory(h *v1.VersionHistory)
+}
+
 // pullQueueSize is how many peers may wait for a pull. The mark of a peer that finds the
 // queue full arrives again within a fraction of a second.
 const pullQueueSize = 8
@@ -108,7 +120,7 @@
 // peer lacks in a second call.
 func (g *Gossip) exchange(ctx context.Context, client marblepondv1connect.SyncServiceClient) error {
 	started := g.Cache.Now()
-	resp, err := client.Exchange(ctx, &v1.ExchangeRequest{Node: g.Node, Complete: g.Cache.CompleteRevisions()})
+	resp, err := client.Exchange(ctx, &v1.ExchangeRequest{Node: g.Node, Complete: g.Cache.CompleteRevisions(), WantsVersions: g.Versions != nil && g.Versions.WantsHistory()})
 	if err != nil {
 		return err
 	}
@@ -117,6 +129,9 @@
 		mark.Age += g.Cache.Now().Sub(started) // the peer stated the age at some time since started
 		g.Cache.ReceiveMark(kind, mark)
 	}
+	if g.Versions != nil && resp.Versions != nil {
+		g.Versions.AddHistory(resp.Versions)
+	}
 	if offer := g.missingFor(resp.Complete); len(offer) > 0 {
 		_, err = client.Exchange(ctx, &v1.ExchangeRequest{Node: g.Node, Complete: g.Cache.CompleteRevisions(), Offered: offer})
 	}
@@ -126,7 +141,11 @@
 // Exchange answers another node's exchange call.
 func (g *Gossip) Exchange(_ context.Context, req *v1.ExchangeRequest) (*v1.ExchangeResponse, error) {
 	g.applyMissing(req.Offered)
-	return &v1.ExchangeResponse{Complete: g.Cache.CompleteRevisions(), Missing: g.missingFor(req.Complete), Marks: PackMarks(g.Cache.FreshnessMarks())}, nil
+	resp := &v1.ExchangeResponse{Complete: g.Cache.CompleteRevisions(), Missing: g.missingFor(req.Complete), Marks: PackMarks(g.Cache.FreshnessMarks())}
+	if g.Versions != nil && req.WantsVersions {
+		resp.Versions = g.Versions.History()
+	}
+	return resp, nil
 }
 
 // missingFor returns the changes that a node lacks whose kinds are complete up to the
--- a/lab/hosted/online_test.go
+++ b/lab/hosted/online_test.go
@@ -177,10 +177,11 @@
 }
 
 // TestClientResumes: a client that resumes after a broken connection gets the
-// remaining events.
+// remaining events. The fleet starts for the first time, so its node knows that no other
+// version can have begun the stream.
 func TestClientResumes(t *testing.T) {
 	is := is.New(t)
-	f := startFleet(t, Options{Nodes: 1, Runners: 1})
+	f := startFleet(t, Options{Nodes: 1, Runners: 1, Extra: "[node]\nfirst_start = true\n"})
 	reply := SendRequest(context.Background(), f.Nodes[0].CallerAddress(), ResumePath, "c1", map[string]string{"Last-Event-Id": "4"})
 	is.NoErr(reply.Err)
 	is.Equal(StreamText(reply.Body), EventData("c1", 5)+"\n"+EventData("c1", 6))
--- a/lab/hosted/versions_test.go
+++ b/lab/hosted/versions_test.go
@@ -214,3 +214,138 @@
 		time.Sleep(pause)
 	}
 }
+
+// TestStreamsAfterTheLossOfAllNodes guards against a guess: targets of two versions serve, all
+// nodes are killed at once, and callers return to the restarted ones. Nobody knows at which
+// version the streams began, so that none continues, and each is refused at once.
+func TestStreamsAfterTheLossOfAllNodes(t *testing.T) {
+	is := is.New(t)
+	f := twoVersions(t, 8, 16)
+	const streams = 16
+	callers := make([]*ReturningCaller, streams)
+	var wg, begun sync.WaitGroup
+	begun.Add(streams)
+	for i := range callers {
+		callers[i] = &ReturningCaller{Name: fmt.Sprint("lost-", i), Path: ResumePath + "x"}
+		wg.Go(func() {
+			once := sync.OnceFunc(begun.Done)
+			_ = callers[i].Attempt(context.Background(), f.Nodes[i%len(f.Nodes)].CallerAddress(), func(Event) bool { once(); return true })
+		})
+	}
+	begun.Wait()
+	killed := append([]*Node(nil), f.Nodes...)
+	for _, n := range killed {
+		wg.Go(n.Kill)
+	}
+	wg.Wait()
+	for _, n := range killed {
+		_, err := f.Restart(n, "")
+		is.NoErr(err)
+	}
+	for _, n := range f.Nodes {
+		is.NoErr(f.waitReady(n))
+	}
+	refused := 0
+	for i, c := range callers {
+		if c.Complete {
+			continue
+		}
+		asked := time.Now()
+		is.NoErr(c.Attempt(context.Background(), f.Nodes[i%len(f.Nodes)].CallerAddress(), nil))
+		if c.Status == http.StatusServiceUnavailable {
+			refused++
+		}
+		is.True(time.Since(asked) < time.Second)
+	}
+	checkCallers(t, callers)
+	t.Logf("%d refused", refused)
+	is.True(refused > streams/2) // otherwise the test proves nothing
+}
+
+// TestReturnToAStartingNode guards against a stream that is mixed or lost because its caller
+// returns to a node that has just joined the fleet and has no record: the node asks others.
+func TestReturnToAStartingNode(t *testing.T) {
+	is := is.New(t)
+	f := twoVersions(t, 8, 16)
+	const streams = 12
+	callers := make([]*ReturningCaller, streams)
+	for i := range callers {
+		callers[i] = &ReturningCaller{Name: fmt.Sprint("young-", i), Path: ResumePath + "x"}
+		_ = callers[i].Attempt(context.Background(), f.Nodes[0].CallerAddress(), func(Event) bool { return len(callers[i].Events) < 3 })
+	}
+	started, err := f.StartNode("edge-9", "")
+	is.NoErr(err)
+	is.NoErr(f.waitReady(started))
+	var wg sync.WaitGroup
+	for _, c := range callers {
+		wg.Go(func() {
+			for range 3 { // it may not know another node yet
+				if c.Attempt(context.Background(), started.CallerAddress(), nil) == nil && c.Complete {
+					return
+				}
+				time.Sleep(300 * time.Millisecond)
+			}
+		})
+	}
+	wg.Wait()
+	is.Equal(checkCallers(t, callers), streams)
+}
+
+// TestLastTargetKeepsRoomForItsStreams guards against streams that are refused while a target
+// of their version is left, because new requests fill it: one of two targets of v1 is lost,
+// and its streams have to continue at the other beside a steady load of new ones.
+func TestLastTargetKeepsRoomForItsStreams(t *testing.T) {
+	is := is.New(t)
+	f := startFleet(t, Options{Nodes: 2, Runners: 4, Slots: 8, Events: 60, Gap: 10 * time.Millisecond, Versions: []string{"v1", "v2"}})
+	time.Sleep(nodesKnownWithin)
+	var mu sync.Mutex
+	var callers []*ReturningCaller
+	var wg sync.WaitGroup
+	send := func(i int) {
+		c := &ReturningCaller{Name: fmt.Sprint("room-", i), Path: ResumePath + "x"}
+		mu.Lock()
+		callers = append(callers, c)
+		mu.Unlock()
+		wg.Go(func() {
+			c.Run(context.Background(), []string{f.Nodes[i%2].CallerAddress(), f.Nodes[(i+1)%2].CallerAddress(), f.Nodes[i%2].CallerAddress()})
+		})
+	}
+	for i := range 90 { // some 20 of 32 slots are taken, of 24 after the loss
+		if i == 40 {
+			f.Store.Delete("servers", f.Runners[0].ID)
+			f.Runners[0].Close()
+		}
+		send(i)
+		time.Sleep(35 * time.Millisecond)
+	}
+	wg.Wait()
+	checkCallers(t, callers)
+	for _, c := range callers {
+		if len(c.Events) > 0 && !c.Complete {
+			t.Errorf("%s: status %d after %d events: %s", c.Name, c.Status, len(c.Events), c.Refusal)
+		}
+	}
+	is.True(len(callers) == 90)
+}
+
+// TestTargetReturnsWithAnotherVersion guards against a stream that is continued at a target
+// that has its old ID and another version since its restart.
+func TestTargetReturnsWithAnotherVersion(t *testing.T) {
+	is := is.New(t)
+	f := startFleet(t, Options{Nodes: 2, Runners: 3, Slots: 16, Events: 60, Gap: 10 * time.Millisecond, Versions: []string{"v1", "v1", "v2"}})
+	time.Sleep(nodesKnownWithin)
+	const streams = 24
+	callers := make([]*ReturningCaller, streams)
+	var wg sync.WaitGroup
+	for i := range callers {
+		callers[i] = &ReturningCaller{Name: fmt.Sprint("same-", i), Path: ResumePath + "x"}
+		wg.Go(func() {
+			callers[i].Run(context.Background(), []string{f.Nodes[i%2].CallerAddress(), f.Nodes[(i+1)%2].CallerAddress()})
+		})
+	}
+	time.Sleep(200 * time.Millisecond)
+	f.Runners[0].SetVersion("v2")
+	f.Runners[0].Kill(50 * time.Millisecond)
+	wg.Wait()
+	is.Equal(checkCallers(t, callers), streams)
+}
