Continue batch items only at the version that began their text

What callers saw: texts of batch items that held events of two software versions.

Cause: an item resumed after its last event at any target: after a break, when it yielded to an online request, when a data centre was evacuated, and after a take-over, for which the checkpoint named no version. The keeper of a checkpoint took all runs of an item for interchangeable and joined their texts.

Change: the first event of an item binds it to the version and the service of the target that wrote it. Checkpoints name both, and how often the item began anew, so that the text of another run replaces the old one and a late save of that is ignored. A checkpoint without a version, saved by a node of the previous release, is only used when it is whole. While no target of its version can take an item it waits as long as attempts have run for its text, and then begins anew at another version; at once if its version is gone or its route leads to another service. With one version alone nothing waits or begins anew.

--- a/internal/request/checkpoint/checkpoint.go
+++ b/internal/request/checkpoint/checkpoint.go
@@ -4,8 +4,8 @@
 //
 // Correctness does not depend on checkpoints: one may be old, or lost with its
 // keeper (the node that stores it). The text of an item up to a given event is the
-// same in every run of the item, so that with an old checkpoint only some events
-// are generated again.
+// same in every run of the item at targets of one version, so that with an old
+// checkpoint only some events are generated again. The checkpoint names the version.
 package checkpoint
 
 import (
@@ -43,6 +43,10 @@
 	text      []byte
 	lastEvent int64 // ID of the last event in text
 	complete  bool  // text is the whole output of the item
+	run       uint32
+	version   *string // of the targets that wrote text; nil: not known
+	service   string
+	tookMS    uint32
 }
 
 // NewStore returns an empty store.
@@ -102,6 +106,13 @@
 		item = &itemState{}
 		state.items[saved.Item] = item
 	}
+	if saved.Run < item.run {
+		return true // a late save of a text that was dropped since
+	}
+	if saved.Run > item.run {
+		s.bytes -= len(item.text)
+		item.text, item.run = nil, saved.Run
+	}
 	if int(saved.Offset) > len(item.text) {
 		return false
 	}
@@ -109,6 +120,7 @@
 	item.text = append(item.text[:saved.Offset:saved.Offset], saved.Text...)
 	item.lastEvent = saved.Held
 	item.complete = saved.Whole
+	item.version, item.service, item.tookMS = saved.Version, saved.Service, saved.TookMs
 	return true
 }
 
@@ -157,7 +169,8 @@
 	out := &v1.JobCheckpoint{Job: id, Epoch: j.epoch}
 	for i, item := range j.items {
 		out.Open = append(out.Open, i)
-		out.Items = append(out.Items, &v1.ItemCheckpoint{Item: i, Text: slices.Clone(item.text), Held: item.lastEvent, Whole: item.complete})
+		out.Items = append(out.Items, &v1.ItemCheckpoint{Item: i, Text: slices.Clone(item.text), Held: item.lastEvent, Whole: item.complete,
+			Run: item.run, Version: item.version, Service: item.service, TookMs: item.tookMS})
 	}
 	return out
 }
--- a/internal/request/job/checkpoint.go
+++ b/internal/request/job/checkpoint.go
@@ -5,8 +5,11 @@
 	"sync"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	v1 "github.com/marblepond/marblepond/api/marblepond/v1"
 	"github.com/marblepond/marblepond/internal/process/timeline"
+	"github.com/marblepond/marblepond/internal/request/continuation"
 )
 
 const (
@@ -31,6 +34,7 @@
 // savedItem is how much of an item a keeper has stored.
 type savedItem struct {
 	bytes    int  // of its text
+	begins   int  // how often the item had begun anew
 	complete bool // the text is the item's complete output
 }
 
@@ -138,9 +142,12 @@
 		part.Open = append(part.Open, uint32(i))
 		item := saved.items[i]
 		complete := s.phase == finished && !s.givenUp
-		if len(s.text) > item.bytes || complete != item.complete {
-			part.Items = append(part.Items, &v1.ItemCheckpoint{Item: uint32(i), Offset: uint32(item.bytes),
-				Text: append([]byte(nil), s.text[item.bytes:]...), Held: s.lastEvent, Whole: complete})
+		from := item.bytes
+		if s.begins != item.begins {
+			from = 0 // the keeper has a text that was dropped
+		}
+		if len(s.text) > from || complete != item.complete || s.begins != item.begins {
+			part.Items = append(part.Items, s.encode(i, from, complete))
 		}
 	}
 	if len(part.Items) == 0 && len(part.Open) == saved.open {
@@ -149,6 +156,26 @@
 	return part
 }
 
+// encode returns the checkpoint of an item with its text from an offset on.
+func (s *itemState) encode(i, offset int, complete bool) *v1.ItemCheckpoint {
+	out := &v1.ItemCheckpoint{Item: uint32(i), Offset: uint32(offset), Text: append([]byte(nil), s.text[offset:]...), Held: s.lastEvent, Whole: complete,
+		Run: uint32(s.begins), Service: s.service, TookMs: uint32(s.ran.Milliseconds())}
+	if v, known := s.origin.Version(); known {
+		out.Version = proto.String(string(v))
+	}
+	return out
+}
+
+// decodeHeld returns the output of an item in a checkpoint. Text of an unknown version, saved
+// by a node that does not know versions, cannot be continued; ok is false unless it is whole.
+func decodeHeld(saved *v1.ItemCheckpoint) (out held, ok bool) {
+	out = held{lastEvent: saved.Held, text: saved.Text, service: saved.Service, ran: time.Duration(saved.TookMs) * time.Millisecond}
+	if saved.Version != nil {
+		out.origin = continuation.BegunAt(continuation.Version(*saved.Version))
+	}
+	return out, saved.Version != nil || saved.Whole
+}
+
 // save sends one keeper what it has not stored yet.
 func (m *Manager) save(ctx context.Context, keeper string, req *v1.SaveCheckpointsRequest) {
 	ctx, cancel := context.WithTimeout(ctx, saveTimeout)
@@ -204,7 +231,7 @@
 		c.items = map[int]savedItem{}
 	}
 	for _, item := range part.Items {
-		c.items[int(item.Item)] = savedItem{bytes: int(item.Offset) + len(item.Text), complete: item.Whole}
+		c.items[int(item.Item)] = savedItem{bytes: int(item.Offset) + len(item.Text), begins: int(item.Run), complete: item.Whole}
 	}
 	c.open = len(part.Open)
 }
@@ -239,7 +266,8 @@
 	for _, checkpoint := range loaded {
 		for _, item := range checkpoint.GetItems() {
 			i := int(item.Item)
-			if i >= len(h.items) || !h.progress.restore(i, item.Held, item.Text) {
+			output, usable := decodeHeld(item)
+			if i >= len(h.items) || !usable || !h.progress.restore(i, output) {
 				continue
 			}
 			restored[i] = true
--- a/internal/request/job/checkpoint_test.go
+++ b/internal/request/job/checkpoint_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"github.com/marblepond/marblepond/internal/request/choose"
+	"github.com/marblepond/marblepond/internal/request/continuation"
 
 	"github.com/marblepond/marblepond/api/marblepond/v1/marblepondv1connect"
 	"github.com/marblepond/marblepond/internal/request/checkpoint"
@@ -149,12 +150,13 @@
 func TestRestoreOnlyAdds(t *testing.T) {
 	is := is.New(t)
 	p := newProgress(&Head{Total: 3, Segments: []Segment{{Items: []int{2}}}})
-	is.True(p.restore(0, 5, []byte("five")))
-	is.True(!p.restore(0, 4, []byte("four")))
+	v1 := continuation.BegunAt("v1")
+	is.True(p.restore(0, held{lastEvent: 5, text: []byte("five"), origin: v1}))
+	is.True(!p.restore(0, held{lastEvent: 4, text: []byte("four"), origin: v1}))
 	is.Equal(string(p.items[0].text), "five")
-	is.True(!p.restore(2, 9, []byte("listed")))
+	is.True(!p.restore(2, held{lastEvent: 9, text: []byte("listed"), origin: v1}))
 	p.markSent(1, choose.Target{ID: "t"}, time.Now())
-	is.True(!p.restore(1, 9, []byte("runs")))
+	is.True(!p.restore(1, held{lastEvent: 9, text: []byte("runs"), origin: v1}))
 }
 
 // The keeper drops the checkpoint of a finished job.
--- a/internal/request/job/manager.go
+++ b/internal/request/job/manager.go
@@ -20,6 +20,7 @@
 	"github.com/marblepond/marblepond/internal/process/timeline"
 	"github.com/marblepond/marblepond/internal/request/backlog"
 	"github.com/marblepond/marblepond/internal/request/choose"
+	"github.com/marblepond/marblepond/internal/request/continuation"
 	"github.com/marblepond/marblepond/internal/request/fingerprint"
 	"github.com/marblepond/marblepond/internal/request/quarantine"
 	"github.com/marblepond/marblepond/internal/request/schedule"
@@ -47,6 +48,10 @@
 	// RecordItemEvent records an event of an item, took after the one before; 0: it is the
 	// first of its attempt.
 	RecordItemEvent(t choose.Target, took time.Duration)
+	// SeveralVersions reports whether targets of several versions of a service are listed, and
+	// Supply whether a target is left at which an answer that has begun may continue.
+	SeveralVersions(service string) bool
+	Supply(service string, o continuation.Origin) continuation.Supply
 	// Evacuated reports whether a target is in a data centre that is evacuated.
 	Evacuated(t choose.Target) bool
 	// OnRestart registers a function that is called when a target is known to have
--- a/internal/request/job/manager_test.go
+++ b/internal/request/job/manager_test.go
@@ -21,6 +21,7 @@
 	"github.com/marblepond/marblepond/internal/process/timeline"
 	"github.com/marblepond/marblepond/internal/request/backlog"
 	"github.com/marblepond/marblepond/internal/request/choose"
+	"github.com/marblepond/marblepond/internal/request/continuation"
 	"github.com/marblepond/marblepond/internal/request/fingerprint"
 	"github.com/marblepond/marblepond/internal/request/quarantine"
 	"github.com/marblepond/marblepond/internal/version/route"
@@ -96,16 +97,18 @@
 // noPool has no free slots; noPeers has no other nodes.
 type noPool struct{}
 
-func (noPool) ChooseBatch(choose.Need) (choose.Target, bool) { return choose.Target{}, false }
-func (noPool) EndBatch(choose.Target, choose.Outcome, bool)  {}
-func (noPool) SharedView() bool                              { return false }
-func (noPool) MarkYielding(choose.Target)                    {}
-func (noPool) RecordItemEvent(choose.Target, time.Duration)  {}
-func (noPool) Evacuated(choose.Target) bool                  { return false }
-func (noPool) Excess() map[string]int                        { return nil }
-func (noPool) MarkItemRefused(choose.Target)                 {}
-func (noPool) MarkLeaving(choose.Target, string)             {}
-func (noPool) OnRestart(choose.Target, func()) func()        { return func() {} }
+func (noPool) ChooseBatch(choose.Need) (choose.Target, bool)          { return choose.Target{}, false }
+func (noPool) EndBatch(choose.Target, choose.Outcome, bool)           {}
+func (noPool) SharedView() bool                                       { return false }
+func (noPool) SeveralVersions(string) bool                            { return false }
+func (noPool) Supply(string, continuation.Origin) continuation.Supply { return continuation.Busy }
+func (noPool) MarkYielding(choose.Target)                             {}
+func (noPool) RecordItemEvent(choose.Target, time.Duration)           {}
+func (noPool) Evacuated(choose.Target) bool                           { return false }
+func (noPool) Excess() map[string]int                                 { return nil }
+func (noPool) MarkItemRefused(choose.Target)                          {}
+func (noPool) MarkLeaving(choose.Target, string)                      {}
+func (noPool) OnRestart(choose.Target, func()) func()                 { return func() {} }
 
 // noQuarantine quarantines no work.
 type noQuarantine struct{}
--- a/internal/request/job/progress.go
+++ b/internal/request/job/progress.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/marblepond/marblepond/internal/request/choose"
+	"github.com/marblepond/marblepond/internal/request/continuation"
 )
 
 // phase is the state of an item at the holder of its job.
@@ -28,8 +29,8 @@
 	failures          int             // attempts that the target answered with a failure
 	consecutiveBreaks int             // attempts in a row that broke off without a new event
 	notBefore         time.Time       // earliest time of the next attempt
-	lastEvent         int64           // ID of the last event received
-	text              []byte          // data of the events received; kept until the result is listed
+	held                              // what its attempts have brought; kept until the result is listed
+	blockedSince      time.Time       // since when no target of the version that began the text can take it
 	givenUp           bool            // finished without its complete output
 	quarantined       bool            // not sent, because its work crashes targets
 	reported          bool            // a failure of it was counted as a target's
@@ -38,6 +39,17 @@
 	sentAt            time.Time       // when the attempt started
 }
 
+// held is the output of an item so far.
+type held struct {
+	lastEvent int64  // ID of the last event received
+	text      []byte // data of the events received
+	// origin and service say which targets wrote the text. It continues only there.
+	origin  continuation.Origin
+	service string
+	ran     time.Duration // for which attempts ran
+	begins  int           // how often it was begun anew at this holder
+}
+
 type pendingResult struct {
 	index  int
 	result Result
@@ -76,7 +88,7 @@
 // markSent records that an attempt at an item has started at a target.
 func (p *progress) markSent(i int, target choose.Target, now time.Time) {
 	s := &p.items[i]
-	s.phase, s.target, s.sentAt = running, target, now
+	s.phase, s.target, s.sentAt, s.blockedSince = running, target, now, time.Time{}
 }
 
 // requeue returns an item to waiting after an attempt that did not start, broke off, failed
@@ -120,19 +132,43 @@
 	if s.lastEvent > 0 {
 		s.text = append(s.text, '\n')
 	}
+	s.origin, s.service = s.origin.After(s.target.Version), s.target.Service
 	s.text = append(s.text, data...)
 	s.lastEvent = id
 	s.consecutiveBreaks = 0
 }
 
-// restore lets a waiting item resume after lastEvent with the text up to there. It reports
-// whether that is further than the item had come.
-func (p *progress) restore(i int, lastEvent int64, text []byte) bool {
+// attemptEnded adds the time of an attempt that has just ended.
+func (p *progress) attemptEnded(i int, now time.Time) {
+	s := &p.items[i]
+	s.ran += now.Sub(s.sentAt)
+}
+
+// beginAnew drops the text of an item, so that its next attempt may run at any target.
+func (p *progress) beginAnew(i int) {
+	s := &p.items[i]
+	s.held = held{begins: s.begins + 1}
+	s.blockedSince = time.Time{}
+}
+
+// blockedFor returns for how long no target of its version could take an item that it was
+// tried to send now.
+func (p *progress) blockedFor(i int, now time.Time) time.Duration {
+	s := &p.items[i]
+	if s.blockedSince.IsZero() {
+		s.blockedSince = now
+	}
+	return now.Sub(s.blockedSince)
+}
+
+// restore lets a waiting item resume with the text of a checkpoint. It reports whether that is
+// further than the item had come.
+func (p *progress) restore(i int, saved held) bool {
 	s := &p.items[i]
-	if s.phase != waiting || lastEvent <= s.lastEvent {
+	if s.phase != waiting || saved.lastEvent <= s.lastEvent {
 		return false
 	}
-	s.lastEvent, s.text = lastEvent, text
+	s.held = saved
 	return true
 }
 
--- a/internal/request/job/run.go
+++ b/internal/request/job/run.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -12,6 +11,7 @@
 	"github.com/marblepond/marblepond/internal/process/invariant"
 	"github.com/marblepond/marblepond/internal/process/timeline"
 	"github.com/marblepond/marblepond/internal/request/choose"
+	"github.com/marblepond/marblepond/internal/request/continuation"
 	"github.com/marblepond/marblepond/internal/request/quarantine"
 	"github.com/marblepond/marblepond/internal/request/schedule"
 	"github.com/marblepond/marblepond/internal/version/route"
@@ -158,14 +158,21 @@
 // sendItem sends one item if a target has a free slot. The caller holds m.mu.
 func (m *Manager) sendItem(ctx context.Context, h *heldJob, item schedule.Item, now time.Time, r *route.Route, allotment func(choose.Target) int, full map[string]bool) {
 	i := item.Index
-	service := r.PickService(rand.Float64())
+	service := m.serviceOf(h, i, r)
 	if full[service] {
 		return
 	}
 	need := m.needOf(h, i, service, allotment)
 	t, ok := m.Pool.ChooseBatch(need)
+	if !ok && m.shouldBeginAnew(h, i, service, now) {
+		need.Origin = continuation.Origin{}
+		if t, ok = m.Pool.ChooseBatch(need); ok {
+			m.beginAnew(h, i, "no target of the version that began it can take it")
+		}
+	}
 	if !ok {
-		full[service] = len(need.Exclude) == 0 // other items may have a free slot at excluded targets
+		// Other items may have a free slot at excluded targets, or at those of another version.
+		full[service] = len(need.Exclude) == 0 && !need.Origin.Begun()
 		return
 	}
 	t.Sent = m.Clock.Now()
@@ -186,7 +193,7 @@
 // that failed is not tried again where it failed: a target that fails at once looks empty and
 // would get all attempts. The caller holds m.mu.
 func (m *Manager) needOf(h *heldJob, i int, service string, allotment func(choose.Target) int) choose.Need {
-	need := choose.Need{Service: service, Limit: allotment}
+	need := choose.Need{Service: service, Limit: allotment, Origin: h.progress.items[i].origin}
 	if item := &h.progress.items[i]; item.failures > 0 && m.Pool.SharedView() {
 		need.Exclude, need.Proven, need.NoProbe = item.failedAt, true, true
 	}
@@ -319,6 +326,7 @@
 	defer m.mu.Unlock()
 	now := time.Now()
 	item := &h.items[i]
+	h.progress.attemptEnded(i, now)
 	if err == nil {
 		m.Quarantine.Completed(&h.works[i])
 		m.Recorder.Record(timeline.ItemDone, item.ID, t.ID, "", timeline.Field{Name: "job", Value: h.id},
--- a/internal/version/route/route.go
+++ b/internal/version/route/route.go
@@ -122,6 +122,16 @@
 	return nil
 }
 
+// Serves reports whether the route leads to a service.
+func (r *Route) Serves(service string) bool {
+	for _, s := range r.Shares {
+		if s.Service == service && s.Weight > 0 {
+			return true
+		}
+	}
+	return service == r.PickService(0) // of shares without a weight, the last one serves
+}
+
 // PickService returns the service of one request, by weight; draw is a random number
 // uniform in [0, 1).
 func (r *Route) PickService(draw float64) string {
