Continue the stream of a returning caller at the service that began it

What callers saw: on a route with a traffic split a caller that came back with Last-Event-Id could get the rest of its stream from another service.

Cause: the same as of streams of two versions: whatever can serve a request was taken for able to go on with what another began. The service was drawn at random for each attempt.

Change: the draw follows from the ID of the attempt that brought the first event, which Resumes names; nothing is kept or sent. A route that is moved to another service between two attempts is not covered.

--- a/internal/version/route/route.go
+++ b/internal/version/route/route.go
@@ -8,6 +8,8 @@
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/marblepond/marblepond/internal/request/warmup"
 	"github.com/marblepond/marblepond/internal/version/workspace"
 )
@@ -132,6 +134,13 @@
 	return service == r.PickService(0) // of shares without a weight, the last one serves
 }
 
+// PickServiceOf returns the service of a request by the ID that its caller gave the first
+// attempt, so that all attempts at a stream go to one service while the shares stay the same.
+func (r *Route) PickServiceOf(id string) string {
+	const draws = 1 << 53 // integers that float64 represents exactly
+	return r.PickService(float64(xxhash.Sum64String(id)%draws) / draws)
+}
+
 // PickService returns the service of one request, by weight; draw is a random number
 // uniform in [0, 1).
 func (r *Route) PickService(draw float64) string {
--- a/lab/hosted/versions_test.go
+++ b/lab/hosted/versions_test.go
@@ -349,3 +349,33 @@
 	wg.Wait()
 	is.Equal(checkCallers(t, callers), streams)
 }
+
+// TestReturningCallerKeepsItsService guards against a stream that is continued at another
+// service, because a route with a traffic split draws the service anew for each attempt.
+func TestReturningCallerKeepsItsService(t *testing.T) {
+	is := is.New(t)
+	f := startFleet(t, Options{Nodes: 2, Runners: 2, Slots: 16, Events: 30, Gap: 5 * time.Millisecond, Extra: "[node]\nfirst_start = true\n"})
+	other := NewRunner("i-other", "svc-other", 32, 30, 5*time.Millisecond)
+	other.SetVersion("v9") // tells its events from those of the other service
+	f.addRunner(other)
+	f.Store.Put("config", "main", Config(2, func(c map[string]any) {
+		c["routes"].([]any)[1].(map[string]any)["traffic_split"] = []any{map[string]any{"service": Service, "weight": 1}, map[string]any{"service": "svc-other", "weight": 1}}
+		c["services"] = []any{map[string]any{"name": Service}, map[string]any{"name": "svc-other"}}
+	}))
+	for _, n := range f.Nodes {
+		eventually(t, "version 2 is in force", 2*time.Second, func() bool { return n.Table().Version == 2 })
+	}
+	time.Sleep(2 * time.Second) // until every node lists the new target
+	const streams = 20
+	var callers []*ReturningCaller
+	services := map[string]bool{}
+	for i := range streams {
+		c := &ReturningCaller{Name: fmt.Sprint("split-", i), Path: ResumePath + "x"}
+		callers = append(callers, c)
+		_ = c.Attempt(context.Background(), f.Nodes[0].CallerAddress(), func(Event) bool { return len(c.Events) < 3 })
+		is.NoErr(c.Attempt(context.Background(), f.Nodes[1].CallerAddress(), nil))
+		services[c.Events[0].Version] = true
+	}
+	is.Equal(checkCallers(t, callers), streams)
+	is.Equal(len(services), 2) // otherwise the test proves nothing
+}
