Test that one version alone costs no record, and search full targets once for all items

TestOneVersionRecordsNothing: callers that return beside a restart of a target cause no record in a fleet that has one version since its first start. Nodes of lab fleets serve their metrics for it.

While one version alone serves, an item that has begun marks a service as full for the others again when it finds no slot, as before items were bound to versions.

--- a/internal/connection/beacon/streams.go
+++ b/internal/connection/beacon/streams.go
@@ -9,7 +9,7 @@
 // SendStreamMessage sends a message to another node, in a datagram of its own that is handed
 // to the network before the function returns. It does nothing if the node is not known.
 func (x *Exchange) SendStreamMessage(node string, m *v1.StreamMessage) {
-	address, conn := x.View().everywhere[node], x.conn.Load()
+	address, conn := x.View().addresses[node], x.conn.Load()
 	if address == nil || conn == nil {
 		return
 	}
--- a/internal/connection/beacon/view.go
+++ b/internal/connection/beacon/view.go
@@ -34,15 +34,15 @@
 // groups as each has nodes, and the others by data centre. The group of a node follows
 // from its name, so that all nodes that know the same nodes agree on it.
 type View struct {
-	self       string
-	groups     int
-	group      int                 // of this node
-	near       [][]Peer            // by group, without this node
-	far        map[string][]Peer   // by data centre
-	all        []Peer              // of other data centres
-	byName     map[string]net.Addr // of this data centre
-	nodes      map[string][]string // names by data centre, without this node
-	everywhere map[string]net.Addr // by name, of all data centres
+	self      string
+	groups    int
+	group     int                 // of this node
+	near      [][]Peer            // by group, without this node
+	far       map[string][]Peer   // by data centre
+	all       []Peer              // of other data centres
+	byName    map[string]net.Addr // of this data centre
+	nodes     map[string][]string // names by data centre, without this node
+	addresses map[string]net.Addr // by name, of all data centres
 }
 
 // NewView returns the view of a node of a data centre.
@@ -58,12 +58,12 @@
 
 // NewViewWithGroups is NewView with a given number of groups in the data centre.
 func NewViewWithGroups(self, dataCentre string, others []Peer, groups int) *View {
-	v := &View{self: self, groups: groups, far: map[string][]Peer{}, byName: map[string]net.Addr{}, nodes: map[string][]string{}, everywhere: map[string]net.Addr{}}
+	v := &View{self: self, groups: groups, far: map[string][]Peer{}, byName: map[string]net.Addr{}, nodes: map[string][]string{}, addresses: map[string]net.Addr{}}
 	v.group = v.groupOf(self)
 	v.near = make([][]Peer, v.groups)
 	for _, p := range others {
 		v.nodes[p.DataCentre] = append(v.nodes[p.DataCentre], p.Node)
-		v.everywhere[p.Node] = p.Address
+		v.addresses[p.Node] = p.Address
 		if p.DataCentre == dataCentre {
 			g := v.groupOf(p.Node)
 			v.near[g] = append(v.near[g], p)
--- a/internal/request/job/run.go
+++ b/internal/request/job/run.go
@@ -172,7 +172,7 @@
 	}
 	if !ok {
 		// Other items may have a free slot at excluded targets, or at those of another version.
-		full[service] = len(need.Exclude) == 0 && !need.Origin.Begun()
+		full[service] = len(need.Exclude) == 0 && (!need.Origin.Begun() || !m.Pool.SeveralVersions(service))
 		return
 	}
 	t.Sent = m.Clock.Now()
--- a/lab/hosted/fleet.go
+++ b/lab/hosted/fleet.go
@@ -211,6 +211,7 @@
 peer_listen = %s:7072
 beacon_listen = %s:7073
 lending_listen = %s:7075
+metrics_listen = %s:7074
 seeds = %s
 [store]
 address = %s
@@ -219,7 +220,7 @@
 [log]
 level = info
 timeline_events = 1000
-%s`, id, f.dataCentreOf(len(f.Nodes)), role, host, host, host, host, strings.Join(seeds, ","), f.Store.Address(), extra)
+%s`, id, f.dataCentreOf(len(f.Nodes)), role, host, host, host, host, host, strings.Join(seeds, ","), f.Store.Address(), extra)
 	s, err := settings.Parse(id, []byte(text))
 	if err != nil {
 		return nil, err
--- a/lab/hosted/versions_test.go
+++ b/lab/hosted/versions_test.go
@@ -1,9 +1,12 @@
 package hosted
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"net/http"
+	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -380,6 +383,52 @@
 	is.Equal(len(services), 2) // otherwise the test proves nothing
 }
 
+// metric returns the sum of a metric over the nodes, 0 if none has it.
+func (f *Fleet) metric(t *testing.T, name string) (sum float64) {
+	t.Helper()
+	for _, n := range f.Nodes {
+		resp, err := http.Get("http://" + n.Settings.MetricsListen + "/metrics")
+		if err != nil {
+			t.Fatal(err)
+		}
+		for lines := bufio.NewScanner(resp.Body); lines.Scan(); {
+			if key, value, _ := strings.Cut(lines.Text(), " "); key == name {
+				v, err := strconv.ParseFloat(value, 64)
+				if err != nil {
+					t.Fatal(err)
+				}
+				sum += v
+			}
+		}
+		resp.Body.Close()
+	}
+	return sum
+}
+
+// TestOneVersionRecordsNothing guards against records and messages in a fleet whose targets
+// have one version, beside restarts of targets and callers that return.
+func TestOneVersionRecordsNothing(t *testing.T) {
+	is := is.New(t)
+	f := startFleet(t, Options{Nodes: 3, Runners: 3, Slots: 16, Events: 30, Gap: 10 * time.Millisecond, Extra: "[node]\nfirst_start = true\n"})
+	time.Sleep(nodesKnownWithin)
+	callers := make([]*ReturningCaller, 30)
+	var wg sync.WaitGroup
+	for i := range callers {
+		callers[i] = &ReturningCaller{Name: fmt.Sprint("alone-", i), Path: ResumePath + "x"}
+		wg.Go(func() {
+			at := func(n int) string { return f.Nodes[(i+n)%3].CallerAddress() }
+			_ = callers[i].Attempt(context.Background(), at(0), func(Event) bool { return len(callers[i].Events) < 5 })
+			callers[i].Run(context.Background(), []string{at(1), at(2)})
+		})
+	}
+	time.Sleep(100 * time.Millisecond)
+	f.Runners[0].Kill(200 * time.Millisecond)
+	wg.Wait()
+	is.Equal(checkCallers(t, callers), len(callers))
+	is.Equal(f.metric(t, "stream_records_sent"), 0.0)
+	is.True(f.metric(t, "streams_resumed") >= float64(len(callers)))
+}
+
 // TestReturnToARestartedNodeWithOneVersion guards against streams that are refused after each
 // restart of a node although targets have one version alone: the node learns from others which
 // versions there were.
