--- a/internal/connection/origins/origins.go
+++ b/internal/connection/origins/origins.go
@@ -168,7 +168,7 @@
 const resendInterval = 50 * time.Millisecond
 
 // maxReplies bounds the replies that wait to be read; more than nodes are asked at once.
-const maxReplies = 32
+const maxReplies = 16
 
 // Find returns at which version a stream began. It asks other nodes only if this node does
 // not know, and waits for them at most for the time given.
@@ -202,7 +202,7 @@
 // ask asks the nodes that may have the record. The first that knows the version ends the
 // search.
 func (x *Exchange) ask(ctx context.Context, s Stream, wait time.Duration) Found {
-	replies := make(chan *v1.StreamReply, 16)
+	replies := make(chan *v1.StreamReply, maxReplies)
 	x.mu.Lock()
 	x.sequence++
 	sequence := x.sequence
