--- a/internal/process/hosted/nodes_test.go
+++ b/internal/process/hosted/nodes_test.go
@@ -12,6 +12,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/marblepond/marblepond/internal/connection/objects"
+	"github.com/marblepond/marblepond/internal/connection/origins"
 	"github.com/marblepond/marblepond/internal/process/settings"
 	"github.com/marblepond/marblepond/internal/process/timeline"
 	"github.com/marblepond/marblepond/internal/request/choose"
@@ -29,6 +30,7 @@
 			return discovery.Record{Target: choose.Target{ID: id, Service: "s", Slots: 7}}, nil
 		}}}
 	n.pool = discovery.New(choose.Config{Policy: choose.LeastOfFew}, time.Now, func() bool { return false }, func(string, string) {})
+	n.origins = origins.New(origins.Options{Now: time.Now, ListVerified: func() time.Time { return time.Time{} }, Metrics: tally.NoopScope})
 	return n
 }
 
