Allow refusals of new streams in the soak, as of other requests

Its log shows 18 attempts within 62 ms, each refused by a full target with 8 to 10 online requests in flight, at all six targets: half a second after the start the workspace that exceeds its allowance sends its burst. The refusal was true, and the same refusal of a request on another route counts as refused. The check of begun streams stays: without a fault each has to become complete.

--- a/lab/hostedsoak/returning.go
+++ b/lab/hostedsoak/returning.go
@@ -33,7 +33,7 @@
 	for range 1 + maxReturns {
 		at := l.pickNode()
 		_ = c.Attempt(ctx, at.callers.Address(), func(hosted.Event) bool { return !hangsUp || len(c.Events) != hangUpAfter })
-		if c.Status == http.StatusServiceUnavailable || c.Status == http.StatusTooManyRequests {
+		if wasRefused(c) {
 			l.history.recordRefusal(fmt.Sprint(c.Name, "-", c.Attempts-1), fmt.Sprintf("status %d from %s", c.Status, at.name))
 		}
 		if c.Complete || c.Status >= http.StatusBadRequest || ctx.Err() != nil {
@@ -49,14 +49,22 @@
 		l.history.violate("stream %s ended as complete after %d events", c.Name, len(c.Events))
 	}
 	l.countReturning(c, returned)
+	if len(c.Events) == 0 && wasRefused(c) {
+		return // as for other requests: all targets may be full
+	}
 	// A fault may break off a stream or take away the targets of its version.
 	if !c.Complete && l.history.faultFree(started, time.Now(), StopNode, HangupNode, ConfigChange, Overload) {
 		l.history.violate("stream %s was not complete without a fault: status %d after %d events and %d attempts: %s", c.Name, c.Status, len(c.Events), c.Attempts, c.Refusal)
 	}
 }
 
+// wasRefused reports whether the last attempt was refused as not run.
+func wasRefused(c *hosted.ReturningCaller) bool {
+	return c.Status == http.StatusServiceUnavailable || c.Status == http.StatusTooManyRequests
+}
+
 func (l *load) countReturning(c *hosted.ReturningCaller, returned bool) {
-	refused := c.Status == http.StatusServiceUnavailable || c.Status == http.StatusTooManyRequests
+	refused := wasRefused(c)
 	l.history.count(func(sum *counts) {
 		switch {
 		case c.Complete:
