--- a/scripts/check-mutants.sh
+++ b/scripts/check-mutants.sh
@@ -112,7 +112,7 @@
 mutant 1 internal/request/batch/suspect.go 's/it\.startedAsSuspect = it\.suspect/it.startedAsSuspect = it.suspect \&\& it.attempts > 9/' internal/request/batch TestOnlyTheItemThatCrashesTargetsEnds
 mutant 1 internal/request/batch/suspect.go 's/it\.suspect = true/it.suspect = !s.runningAt(it.target)/' internal/request/batch TestExcusedItemIsASuspect
 mutant 1 internal/request/checkpoint/checkpoint.go 's/saved\.Epoch < state\.epoch/saved.Epoch+9 < state.epoch/' internal/request/checkpoint TestFormerHolderIsIgnored
-mutant 1 internal/request/job/progress.go 's/s\.phase != waiting \|\| lastEvent <= s\.lastEvent/lastEvent <= s.lastEvent/' internal/request/job TestRestoreOnlyAdds
+mutant 1 internal/request/job/progress.go 's/s\.phase != waiting \|\| saved\.lastEvent <= s\.lastEvent/saved.lastEvent <= s.lastEvent/' internal/request/job TestRestoreOnlyAdds
 mutant 1 internal/request/job/commit.go 's/head\.Parts, head\.Inline = parts, nil/head.Parts, head.Inline = 0*parts, nil/' internal/request/job TestItemsOfASmallJobAreAlwaysThere
 mutant 3 internal/request/choose/prefer.go 's/best\.freeOnline\(now\) >= localMinFree/best.freeOnline(now) > -99/' internal/request/choose TestLocalDataCentreFirst
 mutant 1 internal/request/job/sweep.go 's/since = at /_ = at /' internal/request/job TestUnreachableTimeCountsDuringStoreOutage
@@ -151,7 +151,7 @@
 mutant 11 internal/request/choose/eligible.go 's/t\.startWarmUp\(now, e, t\.warmUpRate\(e\.Service\)\.Time\)/_ = e/' internal/request/choose TestReturnedTargetsWarmUp
 mutant 11 internal/process/hosted/evacuation.go 's/n\.pool\.SetEvacuated\(evacuated\)/n.pool.SetEvacuated(nil)/' lab/hosted TestEvacuatedDataCentreGetsNothing
 mutant 11 internal/request/job/evacuate.go 's/items := m\.runningWhere\(m\.Pool\.Evacuated\)/items := m.runningWhere(m.Pool.Evacuated)[:0]/' lab/hosted TestItemsLeaveAnEvacuatedDataCentre
-mutant 11 internal/request/forward/place.go 's/if f\.evacuated\(req, p\) \|\| /if /' internal/request/forward TestNoTargetLeftIsSaidAtOnce
+mutant 11 internal/request/forward/place.go 's/f\.evacuated\(req, p\) \|\| !f\.mayWait/!f.mayWait/' internal/request/forward TestNoTargetLeftIsSaidAtOnce
 mutant 11 internal/process/node/remotes.go 's/ && !r\.node\.config\.Current\(\)\.IsEvacuated\(c\.DataCentre\)//' lab/e2e TestOperatorEvacuatesADataCentre
 mutant 12 internal/request/warmup/warmup.go 's/offset := \(uint64\(p\.Index\) \+ /offset := uint64(0) * (uint64(p.Index) + /' internal/request/warmup TestTurnsKeepTheRate
 mutant 12 internal/request/choose/warm.go 's/turn != warmup\.NoTurn && turn != e\.lastTurn/turn != warmup.NoTurn/' internal/request/choose TestReturnedTargetsWarmUp
