Stop the nodes of a test before their directories are removed

Cause: clean-ups run in reverse order. The directories of the keepers were created after the clean-up that stops the fleet was registered, so they were removed first, and a keeper that wrote its checkpoints meanwhile put a file into a directory that was being removed.

The other candidate, a node that writes after Kill has returned, is ruled out: the nodes still ran.

Change: the directories are created before the fleet. startFleet now checks at the end that each directory is still there before it stops the nodes.

--- a/lab/hosted/calls_test.go
+++ b/lab/hosted/calls_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"maps"
 	"net/http"
+	"os"
+	"path/filepath"
 	"slices"
 	"strconv"
 	"strings"
@@ -21,10 +23,15 @@
 // keeper of checkpoints.
 func callFleet(t *testing.T, extra string) *Fleet {
 	t.Helper()
+	disks := t.TempDir()
 	f := startFleet(t, Options{Nodes: callFleetNodes, Runners: 2, Slots: 3, Events: 60, Gap: 20 * time.Millisecond,
 		DataCentres: []string{"hall-a", "hall-b", "hall-c", "hall-d"}, Extra: extra})
 	for _, id := range []string{"keep-0", "keep-1", "keep-2", "keep-3"} {
-		if _, err := f.StartKeeper(id, t.TempDir(), extra); err != nil {
+		disk := filepath.Join(disks, id)
+		if err := os.Mkdir(disk, 0o700); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := f.StartKeeper(id, disk, extra); err != nil {
 			t.Fatal(err)
 		}
 	}
--- a/lab/hosted/jobs_test.go
+++ b/lab/hosted/jobs_test.go
@@ -249,8 +249,9 @@
 // all nodes at once.
 func TestItemsGoOnAfterAllNodesAreLost(t *testing.T) {
 	is := is.New(t)
+	disk := t.TempDir()
 	f := startFleet(t, Options{Nodes: 1, Runners: 1, Slots: 8, Events: 300, Gap: 10 * time.Millisecond, Extra: shortJobTimeouts})
-	keeper, err := f.StartKeeper("keeper", t.TempDir(), "")
+	keeper, err := f.StartKeeper("keeper", disk, "")
 	is.NoErr(err)
 	is.NoErr(f.waitReady(keeper))
 	edge := f.Nodes[0]
--- a/lab/hosted/online_test.go
+++ b/lab/hosted/online_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -13,7 +14,8 @@
 	"github.com/matryer/is"
 )
 
-// startFleet starts a fleet for one test.
+// startFleet starts a fleet for one test. The directories of its nodes must outlive them: a
+// t.TempDir that is created later is removed while the nodes still write to it.
 func startFleet(t *testing.T, o Options) *Fleet {
 	t.Helper()
 	if o.Slots == 0 {
@@ -23,7 +25,17 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(f.Stop)
+	t.Cleanup(func() {
+		for _, n := range f.Nodes {
+			if n.Settings.DataDir == "" {
+				continue
+			}
+			if _, err := os.Stat(n.Settings.DataDir); err != nil {
+				t.Errorf("the directory of %s is gone before the node: %v", n.Settings.NodeID, err)
+			}
+		}
+		f.Stop()
+	})
 	return f
 }
 
