Reproduce streams that are refused beside new requests in an overload

The test takes chance out of it: six nodes, two targets of v1 and two of v2, 16 streams that have begun; one target of v1 is lost, new requests arrive at five times what the targets serve, and a caller returns each 250 ms.

--- a/lab/hosted/versions_test.go
+++ b/lab/hosted/versions_test.go
@@ -452,3 +452,63 @@
 	}
 	is.Equal(checkCallers(t, callers), streams)
 }
+
+// TestReturningCallerFindsRoomInAnOverload guards against a returning caller's stream that is
+// refused because new requests take each slot that becomes free at the last target of its
+// version, while targets of another version serve them too.
+func TestReturningCallerFindsRoomInAnOverload(t *testing.T) {
+	for name, extra := range map[string]string{"without the shared view": "", "with the shared view": "[targets]\nshared_view_nodes = 6\n"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			const nodes, streams, events = 6, 16, 40
+			f := startFleet(t, Options{Nodes: nodes, Runners: 4, Slots: 8, Events: events, Gap: 20 * time.Millisecond,
+				DataCentres: []string{"hall-a", "hall-b"}, Versions: []string{"v1", "v1", "v2", "v2"}, Extra: extra})
+			time.Sleep(nodesKnownWithin)
+			var callers []*ReturningCaller
+			for i := range streams {
+				c := &ReturningCaller{Name: fmt.Sprint("room-", i), Path: ResumePath + "x"}
+				callers = append(callers, c)
+				_ = c.Attempt(context.Background(), f.Nodes[i%nodes].CallerAddress(), func(Event) bool { return len(c.Events) < 5 })
+			}
+			f.Store.Delete("servers", f.Runners[0].ID)
+			f.Runners[0].Close()
+
+			ctx, stop := context.WithCancel(context.Background())
+			var load, returns sync.WaitGroup
+			load.Go(func() {
+				interval := 35 * time.Millisecond // as many as the targets serve
+				for i := 0; ctx.Err() == nil; i++ {
+					load.Go(func() { SendRequest(ctx, f.Nodes[i%nodes].CallerAddress(), StreamPath, fmt.Sprint("new-", i), nil) })
+					time.Sleep(interval)
+					if i == 30 {
+						interval /= 5
+					}
+				}
+			})
+			time.Sleep(2 * time.Second)
+			for i, c := range callers {
+				returns.Go(func() {
+					c.Run(context.Background(), []string{f.Nodes[(i+1)%nodes].CallerAddress(), f.Nodes[(i+2)%nodes].CallerAddress()})
+				})
+				time.Sleep(250 * time.Millisecond)
+			}
+			returns.Wait()
+			stop()
+			load.Wait()
+			checkCallers(t, callers)
+			ofLast := 0
+			for _, c := range callers {
+				if c.Versions()[0] == "v1" {
+					ofLast++
+				}
+				if !c.Complete {
+					t.Errorf("%s of %s: status %d after %d events: %s", c.Name, c.Versions()[0], c.Status, len(c.Events), c.Refusal)
+				}
+			}
+			if ofLast == 0 {
+				t.Error("no stream began at the version that has one target left")
+			}
+			t.Logf("%d streams of the version with one target left", ofLast)
+		})
+	}
+}
