Let a returning caller wait longer for a target of its version

Callers saw: in an overload, streams that had begun were refused as no_target within 300 ms, although slots of their version became free all the time.

Cause: a stream that continues waited for one objective. It can use the targets of one version only, and a refused caller returns to just these, so an early refusal helps nobody, unlike that of a new request.

Change: it may wait four objectives for free capacity, in which several slots of a target become free. A version that is gone is still refused at once.

--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -80,6 +80,9 @@
 	// capacity before it is refused. An early refusal leaves the caller time to be
 	// served elsewhere within its objective.
 	capacityWaitShare = 0.2
+	// resumeWaitObjectives is how many objectives a returning caller's stream may wait for free
+	// capacity.
+	resumeWaitObjectives = 4
 	// resumePollInterval is the interval at which targets are polled for an answer that
 	// has begun and has to be resumed.
 	resumePollInterval = 25 * time.Millisecond
--- a/internal/request/forward/place.go
+++ b/internal/request/forward/place.go
@@ -46,8 +46,8 @@
 // caller has part of the answer may wait until its deadline, any other for a short part of
 // its objective. Where batch items are expected to yield their slots it may wait as long
 // as it can still begin within its objective; an earlier refusal would let batch items displace
-// online requests. So may one that continues a stream, since only targets of one version can
-// take it.
+// online requests. One that continues a stream may wait longer: only targets of one version
+// can take it, and a refused caller would return to the same targets.
 func (f *Forwarder) mayWait(req *Request, p *progress) bool {
 	now := f.Now()
 	waited := now.Sub(req.Arrived)
@@ -55,7 +55,7 @@
 	case p.begun:
 		return now.Before(req.Deadline)
 	case p.origin.Begun() && f.bound(req, p):
-		return waited < req.Route.Objective
+		return waited < resumeWaitObjectives*req.Route.Objective
 	case waited < time.Duration(capacityWaitShare*float64(req.Route.Objective)):
 		return true
 	}
--- a/internal/request/forward/versions_test.go
+++ b/internal/request/forward/versions_test.go
@@ -263,3 +263,38 @@
 	is.True(time.Since(req.Arrived) < capacityPollInterval)
 	is.Equal(len(targets.chosen), 0)
 }
+
+// TestReturningCallerWaitsForItsVersion guards against a returning caller that is refused while
+// the targets of its version are full and a slot becomes free soon, and against one that waits
+// until its deadline.
+func TestReturningCallerWaitsForItsVersion(t *testing.T) {
+	for name, c := range map[string]struct {
+		freeAfter int // objectives
+		served    bool
+	}{"a slot becomes free": {2, true}, "none does": {20, false}} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			req := resumableRequest("r")
+			req.ResumeAfter, req.Resumes = 3, "first"
+			req.Route.Objective = 50 * time.Millisecond
+			targets := &severalVersionsTargets{}
+			targets.list = []choose.Target{{ID: "a", Addr: "a", Version: "v1"}, {ID: "b", Addr: "b", Version: "v2"}}
+			f := newForwarder(targets, fullSender{until: req.Arrived.Add(time.Duration(c.freeAfter) * req.Route.Objective), then: slowSender{}})
+			f.Origins = &fakeOrigins{known: map[string]continuation.Version{"first": "v1"}}
+			_, err := f.Do(context.Background(), req, &fakeCaller{})
+			if c.served {
+				is.NoErr(err)
+				return
+			}
+			is.True(errkind.Is(err, errkind.NoTarget))
+			is.Equal(errkind.Of(err).NotRun, errkind.NotRunTrue)
+			is.True(time.Since(req.Arrived) < 8*req.Route.Objective)
+		})
+	}
+}
+
+// severalVersionsTargets state that several versions are listed.
+type severalVersionsTargets struct{ versionedTargets }
+
+func (*severalVersionsTargets) SeveralVersions(string) bool { return true }
