Leave room for begun answers at targets of each version in an overload

Callers saw: streams that had begun were refused as no_target in an overload, while targets of their version served new requests.

Cause: an answer that has begun can use the targets of one version, a new request those of all. Nodes try again every 10 ms, so new requests, which are many more, took each slot that became free. That a begun answer may be queued twice as deep does not help at targets that refuse all beyond their slots.

Ruled out: begun streams alone are too many (three of eight slots at most were theirs); a lost record or a wrong version (each refusal named a full target of the right one).

Change: while targets of several versions are usable, new online requests leave one slot of one in eight targets of each version free, and are not queued there. Items yield their slots as before. One version alone: nothing is computed or kept.

--- a/internal/request/choose/choose.go
+++ b/internal/request/choose/choose.go
@@ -367,13 +367,15 @@
 	if need.Batch {
 		reserve = t.Reserve()
 	}
-	overflow := t.overflow(need)
+	overflow, kept := t.overflow(need), t.keptSlots(now, need)
 	for _, id := range t.byService[need.Service] {
 		e := t.entries[id]
 		if need.Exclude[id] || t.reason(now, e, need) != "" {
 			continue
 		}
 		switch free := e.freeAt(now); {
+		case !kept.allow(id, e.freeOnline(now)):
+			continue
 		case need.Batch && (free <= reserve(e.Target) || (need.Limit != nil && e.batch >= need.Limit(e.Target))):
 			continue
 		case free <= 0:
--- a/internal/request/choose/versions.go
+++ b/internal/request/choose/versions.go
@@ -1,6 +1,10 @@
 package choose
 
-import "github.com/marblepond/marblepond/internal/request/continuation"
+import (
+	"time"
+
+	"github.com/marblepond/marblepond/internal/request/continuation"
+)
 
 // overflow returns how many requests may be queued at a target beyond its slots. While
 // targets of several versions serve, an answer that has begun can use only some of them, and
@@ -12,6 +16,44 @@
 	return need.Overflow
 }
 
+// roomShare is one in how many targets of each version keeps a slot for answers that have begun.
+const roomShare = 8
+
+// keptSlots holds how many slots of a target new requests leave free.
+type keptSlots map[string]int
+
+// keptSlots returns the slots that a request has to leave free. An answer that has begun can
+// use the targets of one version only; in an overload new requests, which can use them all,
+// would take each slot that becomes free. None are kept while targets of one version alone
+// are usable, or for items, which yield their slots.
+func (t *Table) keptSlots(now time.Time, need Need) keptSlots {
+	if need.Batch || need.Origin.Begun() || !t.severalVersions[need.Service] {
+		return nil
+	}
+	kept, usable := keptSlots{}, versionCounts{}
+	for _, id := range t.byService[need.Service] {
+		e := t.entries[id]
+		if !t.mayContinueAt(e) || t.reason(now, e, Need{Service: need.Service}) != "" {
+			continue
+		}
+		if usable[e.Version]%roomShare == 0 {
+			kept[id] = min(1, e.slots()-1)
+		}
+		usable[e.Version]++
+	}
+	if len(usable) < 2 {
+		return nil
+	}
+	return kept
+}
+
+// allow reports whether a request may use a target with this many free slots. It is not queued
+// at a target that keeps slots.
+func (k keptSlots) allow(id string, free int) bool {
+	n, ok := k[id]
+	return !ok || free > n
+}
+
 // versionCounts holds how many targets of each version may get work, now or later.
 type versionCounts map[continuation.Version]int
 
--- a/internal/request/choose/versions_test.go
+++ b/internal/request/choose/versions_test.go
@@ -84,6 +84,57 @@
 	is.True(!ok)
 }
 
+// TestNewRequestsLeaveRoomForBegunAnswers guards against begun answers that are refused in an
+// overload because new requests take each slot that becomes free at the last target of their
+// version, and against slots that are kept while one version alone has usable targets.
+func TestNewRequestsLeaveRoomForBegunAnswers(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1000, 0)
+		slots := rapid.IntRange(1, 8).Draw(t, "slots")
+		others := rapid.IntRange(1, 9).Draw(t, "targets of v2")
+		table := New(Config{EjectAfter: 2, EjectTime: time.Second, Policy: LeastOfFew, LocalDataCentre: "here"})
+		targets := []Target{{ID: "last", Incarnation: 1, Service: "s", DataCentre: "here", Slots: slots, Version: "v1"}}
+		for i := range others {
+			targets = append(targets, Target{ID: fmt.Sprint("t", i), Incarnation: 1, Service: "s", DataCentre: "here", Slots: slots, Version: "v2"})
+		}
+		table.SetTargets(targets)
+		sent := map[string]int{}
+		fill := func() { // new requests alone
+			for {
+				got, ok := table.Choose(now, Need{Service: "s", Overflow: 4, Resumable: rapid.Bool().Draw(t, "resumable")})
+				if !ok {
+					return
+				}
+				table.Begin(got.ID)
+				sent[got.ID]++
+			}
+		}
+		fill()
+		kept := min(1, slots-1)
+		if sent["last"] != slots-kept {
+			t.Fatalf("the last target of %d slots got %d new requests", slots, sent["last"])
+		}
+		if sent["t0"] != slots-kept { // one in eight targets of a version
+			t.Fatalf("a target of the other version got %d new requests", sent["t0"])
+		}
+		if others > 1 && sent["t1"] != slots+4 {
+			t.Fatalf("a target that keeps no slot got %d new requests", sent["t1"])
+		}
+		got, ok := table.Choose(now, Need{Service: "s", Overflow: 4, Origin: continuation.BegunAt("v1")})
+		if !ok || got.ID != "last" {
+			t.Fatalf("a begun answer was sent to %q", got.ID)
+		}
+		for i := range others {
+			table.MarkLeaving(fmt.Sprint("t", i), 1)
+		}
+		table.Begin(got.ID)
+		fill()
+		if sent["last"] != slots+4-1 { // and the begun answer
+			t.Fatalf("the only usable target got %d new requests", sent["last"])
+		}
+	})
+}
+
 // TestVersionIsGoneOnlyBesideOthers guards against answers that are given up while the targets
 // of their version may return, and against answers that wait for a version that was replaced.
 func TestVersionIsGoneOnlyBesideOthers(t *testing.T) {
--- a/scripts/check-mutants.sh
+++ b/scripts/check-mutants.sh
@@ -203,6 +203,8 @@
 mutant 14 internal/connection/origins/origins.go 's/case <-resend\.C:\n\t\t\tx\.sendAll\(silent, m\)/case <-resend.C:/' internal/connection/origins TestLostQueryIsRepeated
 mutant 14 internal/connection/origins/origins.go 's/return sole && !/return (sole || x.Node != "") \&\& !/' internal/connection/origins TestStartingNodeLearnsTheHistory
 mutant 14 internal/request/choose/eligible.go 's/case !need\.Origin\.Allows\(e\.Version\):/case !need.Origin.Allows(e.Version) \&\& need.Batch:/' internal/request/choose TestBegunAnswerGetsItsVersionOnly
+mutant 14 internal/request/choose/choose.go 's/case !kept\.allow\(/case need.Batch \&\& !kept.allow(/' internal/request/choose TestNewRequestsLeaveRoomForBegunAnswers
+mutant 14 internal/request/choose/versions.go 's/if len\(usable\) < 2 \{/if len(usable) < 1 {/' internal/request/choose TestNewRequestsLeaveRoomForBegunAnswers
 mutant 14 internal/request/choose/versions.go 's/return 2 \* need\.Overflow/return need.Overflow/' internal/request/choose TestBegunAnswerMayQueueDeeper
 mutant 14 internal/request/choose/versions.go 's/if others \{/if !others {/' internal/request/choose TestVersionIsGoneOnlyBesideOthers
 mutant 14 internal/request/choose/versions.go 's/\|\| t\.cfg\.VersionInUse\(service, v\)/|| v != ""/' internal/request/choose TestStreamsBeginAtVersionsInUse
@@ -211,6 +213,7 @@
 mutant 14 internal/request/forward/attempt.go 's/begunNeed\.Origin = need\.Origin\.After\(t\.Version\)/_ = begunNeed/' internal/request/forward TestPauseAtTheOnlyTargetOfAVersion
 mutant 14 internal/request/forward/attempt.go 's/\tf\.recordOrigin\(req, p\)\n(.*?)\tp\.recordEvent/$1\tdefer f.recordOrigin(req, p)\n\tp.recordEvent/s' internal/request/forward TestStreamIsRecordedBeforeItsFirstEvent
 mutant 14 internal/request/forward/place.go 's/return p\.origin\.Begun\(\) && continuation/return p.origin.Begun() \&\& p.ran > 5 \&\& continuation/' internal/request/forward TestStreamOfReplacedVersionEndsAtOnce
+mutant 14 internal/request/forward/place.go 's/resumeWaitObjectives\*req/req/' internal/request/forward TestReturningCallerWaitsForItsVersion
 mutant 14 internal/request/forward/resume.go 's/if _, known := p\.origin\.Version\(\); known \{/if p.origin.Begun() {/' internal/request/forward TestUnknownStreamIsRefusedAtOnce
 mutant 14 internal/request/forward/resume.go 's/found\.Asked == 0 \|\| found\.Replied < found\.Asked/found.Asked >= 0/' internal/request/forward TestUnknownStreamIsRefusedAtOnce
 mutant 14 internal/request/forward/resume.go 's/if req\.Resumes != "" \{/if req.Resumes != "" \&\& p.begun \&\& p.ran > 5 {/' internal/request/forward TestStreamIsRecordedBeforeItsFirstEvent
