Report why a node of the soak did not start instead of panicking

A start that failed left a command that had never run, and the clean-up sent a signal to it: `--bin .` ended with a nil dereference. It now states "exec: \"marblepond\": executable file not found in $PATH".

--- a/lab/hostedsoak/fleet.go
+++ b/lab/hostedsoak/fleet.go
@@ -186,16 +186,16 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.cmd = exec.Command(program, "agent", "--settings", n.settings)
-	n.cmd.Stdout, n.cmd.Stderr = out, out
-	n.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // ends the node if this process is killed
-	if err := n.cmd.Start(); err != nil {
+	cmd := exec.Command(program, "agent", "--settings", n.settings)
+	cmd.Stdout, cmd.Stderr = out, out
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // ends the node if this process is killed
+	if err := cmd.Start(); err != nil {
 		return errors.Join(err, out.Close())
 	}
+	n.cmd = cmd
 	n.starts++
 	done := make(chan struct{})
 	n.exited = done
-	cmd := n.cmd
 	go func() {
 		err := cmd.Wait()
 		out.Close()
