Reproduce streams that are refused after a loss of all nodes

Callers saw: after a kill or a loss of power of all nodes, each stream that had begun is refused with origin_unknown, for as long as its caller may be away (20 s with a timeout of 10 s), also in a fleet whose targets have one version.

--- a/lab/hosted/versions_test.go
+++ b/lab/hosted/versions_test.go
@@ -265,6 +265,59 @@
 	is.True(refused > streams/2) // otherwise the test proves nothing
 }
 
+// TestStreamsOutliveTheLossOfAllNodes guards against streams that are refused after a loss of
+// power of all nodes because none of them remembers at which version they began: two keepers
+// have a disk. With one version alone nothing is recorded of a stream.
+func TestStreamsOutliveTheLossOfAllNodes(t *testing.T) {
+	for name, versions := range map[string][]string{"one version": nil, "two versions": {"v1", "v1", "v2", "v2"}} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			const streams, edges = 16, 4
+			disks := []string{t.TempDir(), t.TempDir()}
+			f := startFleet(t, Options{Nodes: edges, Runners: 8, Slots: 8, Events: 100, Gap: 20 * time.Millisecond,
+				DataCentres: []string{"hall-a", "hall-b"}, Versions: versions, Extra: "[node]\nfirst_start = true\n"})
+			for i, disk := range disks {
+				_, err := f.StartKeeper(fmt.Sprint("keep-", i), disk, "[node]\nfirst_start = true\n")
+				is.NoErr(err)
+			}
+			time.Sleep(nodesKnownWithin)
+			callers := make([]*ReturningCaller, streams)
+			var wg sync.WaitGroup
+			for i := range callers {
+				callers[i] = &ReturningCaller{Name: fmt.Sprint("power-", i), Path: ResumePath + "x"}
+				wg.Go(func() { _ = callers[i].Attempt(context.Background(), f.Nodes[i%edges].CallerAddress(), nil) })
+			}
+			time.Sleep(1500 * time.Millisecond) // until the records are on a disk
+			killed := append([]*Node(nil), f.Nodes...)
+			for _, n := range killed {
+				wg.Go(n.Kill)
+			}
+			wg.Wait()
+			for _, n := range killed {
+				_, err := f.Restart(n, "")
+				is.NoErr(err)
+			}
+			for _, n := range f.Nodes {
+				is.NoErr(f.waitReady(n))
+			}
+			time.Sleep(3 * time.Second) // until the nodes know each other
+			for i, c := range callers {
+				if !c.Complete {
+					wg.Go(func() { c.Run(context.Background(), []string{f.Nodes[(i+1)%edges].CallerAddress(), f.Nodes[(i+2)%edges].CallerAddress()}) })
+				}
+			}
+			wg.Wait()
+			checkCallers(t, callers)
+			for _, c := range callers {
+				if !c.Complete {
+					t.Errorf("%s: status %d after %d events: %s", c.Name, c.Status, len(c.Events), c.Refusal)
+				}
+			}
+		})
+	}
+}
+
 // TestReturnToAStartingNode guards against a stream that is mixed or lost because its caller
 // returns to a node that has just joined the fleet and has no record: the node asks others.
 func TestReturnToAStartingNode(t *testing.T) {
