Keep the origins of streams over a loss of all nodes

Callers saw: after a kill or a loss of power of all nodes each stream that had begun was refused as origin_unknown, with one version and with two.

Cause: the history of versions, from which the version of a stream is derived, and the records of streams were in memory only. A fleet that has just started refuses to guess.

Change: a keeper writes both to its disk when they have changed. One of the two holders of a record is a keeper, if there is one; the other is in the other of the two data centres, as before, so that a record still costs two datagrams. After a start the records count at once. The history counts after 2 s, unless a node was met that ran meanwhile, which knows better. Ages in the file are taken as written: a wrong time of day cannot lengthen them. Until 4 s after the start of its node a refusal names Retry-After.

With one version alone no record is kept or sent; the file holds the history (about 20 bytes a service) and is written every 5 s until it covers 5 minutes, then no more.

It does not tell which versions were removed shortly before the loss.

TestOriginsSurviveTheLossOfAllNodes covers releases before and after the loss, a second loss within 2 s, and a wrong clock.

--- /dev/null
+++ b/internal/connection/origins/disk.go
@@ -0,0 +1,144 @@
+package origins
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	v1 "github.com/marblepond/marblepond/api/marblepond/v1"
+	"github.com/marblepond/marblepond/internal/process/durable"
+	"github.com/marblepond/marblepond/internal/process/wait"
+	"github.com/marblepond/marblepond/internal/request/continuation"
+)
+
+const (
+	fileName = "stream-origins"
+	// writeInterval is the time between two checks for changes to write. A loss of power of
+	// all nodes loses the records of this interval.
+	writeInterval = 500 * time.Millisecond
+	// ageStep is the step in which ages are stated in the file. An age that grows is rounded
+	// down, so that it proves less, and stated up to maxAge: a history that does not change is
+	// then written no more.
+	ageStep = 5 * time.Second
+	maxAge  = 5 * time.Minute
+	// diskDelay is how long after a start the history of the file is not used: a node that
+	// went on meanwhile knows more, and is met within this time.
+	diskDelay = 2 * time.Second
+)
+
+// Disk keeps the records and the history of an exchange in a file, for a loss of power of all
+// nodes. While one version alone is listed the file is written only when that changes.
+type Disk struct {
+	Dir      string
+	Exchange *Exchange
+	// OnError is called with the error of a failed write.
+	OnError func(error)
+
+	written []byte // history in the file
+	changes uint64 // of the records in the file
+}
+
+// Load adds the content of the file to the exchange.
+func (d *Disk) Load() error {
+	data, err := os.ReadFile(filepath.Join(d.Dir, fileName))
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil
+	}
+	if err != nil {
+		return fmt.Errorf("read the origins of streams: %w", err)
+	}
+	var file v1.StreamOriginsFile
+	if err := proto.Unmarshal(data, &file); err != nil {
+		return fmt.Errorf("decode the origins of streams: %w", err)
+	}
+	d.Exchange.load(&file)
+	return nil
+}
+
+// Run writes the file whenever its content has changed, until ctx ends.
+func (d *Disk) Run(ctx context.Context) {
+	for wait.For(ctx, writeInterval) {
+		if err := d.Write(); err != nil {
+			d.OnError(err)
+		}
+	}
+}
+
+// Write writes the file if its content has changed.
+func (d *Disk) Write() error {
+	file, changes := d.Exchange.dump()
+	history, err := proto.MarshalOptions{Deterministic: true}.Marshal(file.History)
+	if err != nil {
+		return fmt.Errorf("encode the history of versions: %w", err)
+	}
+	if d.written != nil && bytes.Equal(history, d.written) && changes == d.changes {
+		return nil
+	}
+	data, err := proto.Marshal(file)
+	if err != nil {
+		return fmt.Errorf("encode the origins of streams: %w", err)
+	}
+	if err := durable.Replace(d.Dir, fileName, data); err != nil {
+		return fmt.Errorf("write the origins of streams: %w", err)
+	}
+	d.written, d.changes = history, changes
+	return nil
+}
+
+// dump returns the content of the file, and a number that changes with the records.
+func (x *Exchange) dump() (*v1.StreamOriginsFile, uint64) {
+	history := x.History()
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	switch {
+	case x.stored != nil:
+		history = x.stored
+	case history == nil:
+		history = &v1.VersionHistory{}
+	}
+	history.CompleteMs = uint64(steppedAge(int64(history.CompleteMs)))
+	for _, s := range history.Sightings {
+		s.FirstMs, s.CeasedMs = steppedAge(s.FirstMs), steppedAge(s.CeasedMs)
+	}
+	file := &v1.StreamOriginsFile{History: history}
+	for key, r := range x.records.All(x.Now()) {
+		file.Records = append(file.Records, &v1.StreamRecord{Key: uint64(key), Version: string(r.Version), KeepMs: uint32(r.Keep.Milliseconds())})
+	}
+	return file, x.records.Changes()
+}
+
+// steppedAge rounds an age down to a step; one that is not known stays so.
+func steppedAge(ms int64) int64 {
+	if ms < 0 {
+		return ms
+	}
+	step := ageStep.Milliseconds()
+	return min(ms/step*step, maxAge.Milliseconds())
+}
+
+// load adds the content of a file. Its ages are counted from now, since no node that could
+// begin a stream ran in the meantime, or one tells of it within diskDelay.
+func (x *Exchange) load(file *v1.StreamOriginsFile) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for _, r := range file.Records {
+		x.records.Put(x.Now(), continuation.Key(r.Key), continuation.Version(r.Version), time.Duration(r.KeepMs)*time.Millisecond)
+	}
+	x.stored = file.History
+}
+
+// useStored adds the history of the file, unless a node that went on meanwhile was met. The
+// caller holds x.mu.
+func (x *Exchange) useStored() {
+	if now := x.Now(); x.stored != nil && now.Sub(x.started) >= diskDelay {
+		x.history.Merge(now, reportFromProto(x.stored))
+		x.stored = nil
+	}
+}
--- a/internal/connection/origins/history.go
+++ b/internal/connection/origins/history.go
@@ -42,13 +42,21 @@
 	if h == nil {
 		return
 	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	now, report := x.Now(), reportFromProto(h)
+	if report.CompleteFor > now.Sub(x.started)+diskDelay {
+		x.stored = nil // that node ran while this one did not
+	}
+	x.history.Merge(now, report)
+}
+
+func reportFromProto(h *v1.VersionHistory) continuation.Report {
 	report := continuation.Report{CompleteFor: time.Duration(h.CompleteMs) * time.Millisecond}
 	for _, s := range h.Sightings {
 		report.Sightings = append(report.Sightings, continuation.Sighting{Service: s.Service, Version: continuation.Version(s.Version), FirstAgo: ageFromProto(s.FirstMs), CeasedAgo: ageFromProto(s.CeasedMs)})
 	}
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	x.history.Merge(x.Now(), report)
+	return report
 }
 
 // unknownAge stands for an age that is not known or does not apply.
--- a/internal/connection/origins/origins.go
+++ b/internal/connection/origins/origins.go
@@ -45,13 +45,15 @@
 	mu       sync.Mutex
 	history  *continuation.History
 	records  *continuation.Records
+	started  time.Time
+	stored   *v1.VersionHistory // read from the disk and not used yet; nil: none
 	sequence uint32
 	pending  map[uint32]chan *v1.StreamReply
 }
 
 // New returns an exchange.
 func New(o Options) *Exchange {
-	return &Exchange{Options: o, history: continuation.NewHistory(o.Timing), records: continuation.NewRecords(), pending: map[uint32]chan *v1.StreamReply{}}
+	return &Exchange{Options: o, started: o.Now(), history: continuation.NewHistory(o.Timing), records: continuation.NewRecords(), pending: map[uint32]chan *v1.StreamReply{}}
 }
 
 // Stream identifies a stream at the node that serves it and at the one that its caller
@@ -102,6 +104,7 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.verify()
+	x.useStored()
 	if x.records.Len() > 0 {
 		x.records.RemoveExpired(x.Now())
 		x.Metrics.Gauge("stream_records").Update(float64(x.records.Len()))
@@ -161,12 +164,18 @@
 	Age    time.Duration // of the record
 	// Asked is how many nodes were asked, and Replied how many of them replied.
 	Asked, Replied int
+	// Starting is set if this node has just started, so that the fleet may know more soon.
+	Starting bool
 }
 
 // resendInterval is the time after which nodes that have not replied are asked again, because
 // a datagram may be lost. A reply from another region takes about as long.
 const resendInterval = 50 * time.Millisecond
 
+// startingFor is how long a node counts as just started: until the history of a disk is used,
+// and other nodes have taken it over.
+const startingFor = 2 * diskDelay
+
 // maxReplies bounds the replies that wait to be read; more than nodes are asked at once.
 const maxReplies = 16
 
@@ -222,7 +231,7 @@
 	for _, node := range x.Fleet().Candidates(key) {
 		silent[node] = true
 	}
-	found := Found{Origin: continuation.BegunAnywhere(), Source: FromNobody, Asked: len(silent)}
+	found := Found{Origin: continuation.BegunAnywhere(), Source: FromNobody, Asked: len(silent), Starting: x.Now().Sub(x.started) < startingFor}
 	m := &v1.StreamMessage{Kind: &v1.StreamMessage_Query{Query: &v1.StreamQuery{Key: uint64(key), Sequence: sequence, Service: s.Service, WindowMs: uint32(s.Window.Milliseconds())}}}
 	x.sendAll(silent, m)
 	for len(silent) > 0 {
--- a/internal/process/hosted/following.go
+++ b/internal/process/hosted/following.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/marblepond/marblepond/internal/connection/origins"
 	"github.com/marblepond/marblepond/internal/process/timeline"
 	"github.com/marblepond/marblepond/internal/process/wait"
 	"github.com/marblepond/marblepond/internal/request/checkpoint"
@@ -81,6 +82,17 @@
 	wg.Go(func() { d.Run(ctx) })
 }
 
+// startOriginsDisk loads the origins of streams from the disk and then keeps those on the disk
+// up to date.
+func (n *Node) startOriginsDisk(ctx context.Context, wg *sync.WaitGroup) {
+	failed := func(err error) { n.recorder.Record(timeline.SnapshotFailed, "", n.settings.DataDir, err.Error()) }
+	d := &origins.Disk{Dir: n.settings.DataDir, Exchange: n.origins, OnError: failed}
+	if err := d.Load(); err != nil {
+		failed(err)
+	}
+	wg.Go(func() { d.Run(ctx) })
+}
+
 // followers returns the function that lists the other reachable nodes of this data centre that
 // cache a kind.
 func (n *Node) followers(kind string) func() []string {
--- a/internal/process/hosted/origins.go
+++ b/internal/process/hosted/origins.go
@@ -29,7 +29,19 @@
 
 // originFleetOf returns the nodes that may keep records.
 func (n *Node) originFleetOf(view *beacon.View) *continuation.Fleet {
-	return &continuation.Fleet{Self: n.settings.NodeID, DataCentre: n.settings.DataCentre, Nodes: view.Nodes(), Reachable: func(node string) bool { return n.beacon.Reachable(node) }}
+	return &continuation.Fleet{Self: n.settings.NodeID, DataCentre: n.settings.DataCentre, Nodes: view.Nodes(), Keepers: n.keepers(),
+		Reachable: func(node string) bool { return n.beacon.Reachable(node) }}
+}
+
+// keepers returns the other nodes that serve no callers and have a disk.
+func (n *Node) keepers() []string {
+	var out []string
+	for name, r := range n.registered() {
+		if !r.Callers && name != n.settings.NodeID {
+			out = append(out, name)
+		}
+	}
+	return out
 }
 
 // targetsVerified returns up to which time the list of targets is known.
--- a/internal/process/hosted/run.go
+++ b/internal/process/hosted/run.go
@@ -142,6 +142,7 @@
 	if n.settings.DataDir != "" {
 		n.startSnapshot(ctx, wg)
 		n.startCheckpointDisk(ctx, wg)
+		n.startOriginsDisk(ctx, wg)
 	}
 	seedsQueried := make(chan struct{})
 	wg.Go(func() {
--- a/internal/process/timeline/catalogue.go
+++ b/internal/process/timeline/catalogue.go
@@ -199,7 +199,7 @@
 	StoreLost:           {"store_lost", log.WarnLevel, "the object store does not serve this node: it does not respond, or refuses calls with status 429 or 503"},
 	StoreRegained:       {"store_regained", log.InfoLevel, "the object store serves this node again"},
 	CallRelayed:         {"call_relayed", log.InfoLevel, "the object store does not serve this node; another node made the call"},
-	SnapshotFailed:      {"snapshot_failed", log.WarnLevel, "a snapshot on disk, of cached store objects or of checkpoints, could not be read or written"},
+	SnapshotFailed:      {"snapshot_failed", log.WarnLevel, "a snapshot on disk, of cached store objects, of checkpoints or of the origins of streams, could not be read or written"},
 	CopyNotRefreshed:    {"copy_not_refreshed", log.InfoLevel, "the object store did not respond to a query for a kind of objects; the query is repeated"},
 	ObjectRejected:      {"object_rejected", log.WarnLevel, "an object of the store, or an address, is not valid and is ignored"},
 	InvariantViolated:   {"invariant_violated", log.ErrorLevel, "an invariant does not hold; the cause is the evidence"},
--- a/internal/request/continuation/history_test.go
+++ b/internal/request/continuation/history_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -304,6 +306,46 @@
 	})
 }
 
+// TestRecordReachesADisk guards against records that are lost in a loss of power of all nodes:
+// one of the nodes with a disk keeps each, and any node asks that one.
+func TestRecordReachesADisk(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		keepers := rapid.IntRange(1, 9).Draw(t, "nodes with a disk")
+		nodes := rapid.IntRange(2, 60).Draw(t, "other nodes")
+		fleetOf := func(self int) *Fleet {
+			f := &Fleet{Self: fmt.Sprint("n", self), DataCentre: fmt.Sprint("dc", self%2), Nodes: map[string][]string{}, Reachable: func(string) bool { return true }}
+			for i := range nodes {
+				if i != self {
+					f.Nodes[fmt.Sprint("dc", i%2)] = append(f.Nodes[fmt.Sprint("dc", i%2)], fmt.Sprint("n", i))
+				}
+			}
+			for i := range keepers {
+				keeper := fmt.Sprint("k", i)
+				f.Nodes[fmt.Sprint("dc", i%2)] = append(f.Nodes[fmt.Sprint("dc", i%2)], keeper)
+				f.Keepers = append(f.Keepers, keeper)
+			}
+			return f
+		}
+		key := Key(rapid.Uint64().Draw(t, "key"))
+		holders := fleetOf(rapid.IntRange(0, nodes-1).Draw(t, "first node")).Holders(key)
+		asked := fleetOf(rapid.IntRange(0, nodes-1).Draw(t, "node returned to")).Candidates(key)
+		centres := map[bool]bool{}
+		for _, h := range holders {
+			n, _ := strconv.Atoi(h[1:])
+			centres[n%2 == 0] = true
+		}
+		if len(holders) != copies || len(centres) != min(2, keepers+nodes-1) && nodes > 3 {
+			t.Fatalf("%v hold the record", holders)
+		}
+		for _, h := range holders {
+			if strings.HasPrefix(h, "k") && slices.Contains(asked, h) {
+				return
+			}
+		}
+		t.Fatalf("%v hold the record, and %v are asked", holders, asked)
+	})
+}
+
 // TestStatedSightingCountsAsInUse guards against a version that is taken for unused because a
 // starting node learned of it a moment ago from another node, whose statement may be a little
 // old.
--- a/internal/request/continuation/holders.go
+++ b/internal/request/continuation/holders.go
@@ -1,6 +1,7 @@
 package continuation
 
 import (
+	"slices"
 	"strconv"
 
 	"github.com/marblepond/marblepond/internal/process/rendezvous"
@@ -14,6 +15,8 @@
 	// data centre are reachable.
 	Nodes     map[string][]string
 	Reachable func(node string) bool
+	// Keepers are the other nodes that have a disk, of all data centres.
+	Keepers []string
 }
 
 const (
@@ -26,6 +29,8 @@
 	// data centres in order is not the sender's.
 	farCandidates = 2
 	farCentres    = 2
+	// keeperCandidates is how many nodes with a disk a node asks.
+	keeperCandidates = 2
 	// askAll is the number of other nodes up to which all are asked.
 	askAll = 12
 )
@@ -34,20 +39,24 @@
 
 // Holders returns the nodes to which the node that serves a stream sends its record: one of
 // its own data centre, for a caller that returns after the loss of the node, and one of
-// another, for the loss of the data centre. Two copies cost the same in a fleet of any size.
+// another, for the loss of the data centre. One of the two has a disk, for a loss of power of
+// all nodes. Two copies cost the same in a fleet of any size.
 func (f *Fleet) Holders(key Key) []string {
+	name := key.name()
+	isNear := func(node string) bool { return slices.Contains(f.Nodes[f.DataCentre], node) }
+	lost := func(node string) bool { return isNear(node) && !f.Reachable(node) }
+	out := rendezvous.Rank(name, slices.DeleteFunc(slices.Clone(f.Keepers), lost), 1)
+	nearHeld := slices.ContainsFunc(out, isNear)
 	var near []string
 	for _, node := range f.Nodes[f.DataCentre] {
-		if f.Reachable(node) {
+		if f.Reachable(node) && !slices.Contains(out, node) {
 			near = append(near, node)
 		}
 	}
-	farCopies := copies - 1
-	if len(near) == 0 {
-		farCopies = copies
+	farCopies := copies - len(out)
+	if len(near) > 0 && !nearHeld {
+		farCopies--
 	}
-	name := key.name()
-	var out []string
 	for _, centre := range rendezvous.Rank(name, f.otherCentres(), farCopies) {
 		out = append(out, rendezvous.Rank(name, f.Nodes[centre], 1)...)
 	}
@@ -78,5 +87,10 @@
 	for _, centre := range rendezvous.Rank(name, f.otherCentres(), farCentres) {
 		out = append(out, rendezvous.Rank(name, f.Nodes[centre], farCandidates)...)
 	}
+	for _, keeper := range rendezvous.Rank(name, f.Keepers, keeperCandidates) {
+		if !slices.Contains(out, keeper) {
+			out = append(out, keeper)
+		}
+	}
 	return out
 }
--- a/internal/request/continuation/records.go
+++ b/internal/request/continuation/records.go
@@ -1,6 +1,9 @@
 package continuation
 
-import "time"
+import (
+	"iter"
+	"time"
+)
 
 // Key identifies a stream by a hash of what its caller names when it returns. Keys of two
 // streams that a caller can name are equal with a probability of 2^-64.
@@ -14,6 +17,8 @@
 	byKey map[Key]record
 	order []Key // in order of the first Put; ring buffer once it is full
 	next  int   // oldest entry of order once it is full
+	// changes counts the changes.
+	changes uint64
 }
 
 type record struct {
@@ -27,6 +32,7 @@
 
 // Put records the version of a stream, or keeps the record for longer.
 func (r *Records) Put(now time.Time, key Key, v Version, keep time.Duration) {
+	r.changes++
 	old, known := r.byKey[key]
 	if known && now.Before(old.expires) && old.version == v {
 		old.expires = now.Add(keep)
@@ -67,7 +73,30 @@
 			kept = append(kept, key)
 		} else {
 			delete(r.byKey, key)
+			r.changes++
 		}
 	}
 	r.order, r.next = kept, 0
 }
+
+// Changes returns a number that is another one after each change.
+func (r *Records) Changes() uint64 { return r.changes }
+
+// All yields the records, oldest first, each with the time for which it is still kept.
+func (r *Records) All(now time.Time) iter.Seq2[Key, Record] {
+	return func(yield func(Key, Record) bool) {
+		for i := range r.order {
+			key := r.order[(r.next+i)%len(r.order)]
+			found := r.byKey[key]
+			if now.Before(found.expires) && !yield(key, Record{found.version, found.expires.Sub(now)}) {
+				return
+			}
+		}
+	}
+}
+
+// Record is the version that began a stream.
+type Record struct {
+	Version Version
+	Keep    time.Duration
+}
--- a/internal/request/forward/resume.go
+++ b/internal/request/forward/resume.go
@@ -16,7 +16,7 @@
 	// began: a datagram to another region and back takes up to 50 ms.
 	minFindWait = 100 * time.Millisecond
 	// unknownRetryAfter is the Retry-After of a caller whose stream no node that replied knows
-	// while others did not reply.
+	// while others did not reply or have just started.
 	unknownRetryAfter = 300 * time.Millisecond
 	// recordCheckInterval is the time between two checks whether the version of a stream has to
 	// be recorded, because a second version was listed. It is short compared with the time
@@ -52,7 +52,7 @@
 		return nil
 	}
 	err := errkind.OriginUnknown.New("the version that began the stream is not known")
-	if req.Resumes != "" && (found.Asked == 0 || found.Replied < found.Asked) {
+	if req.Resumes != "" && (found.Asked == 0 || found.Replied < found.Asked || found.Starting) {
 		err = errkind.WithRetryAfter(err, unknownRetryAfter)
 	}
 	return err
--- a/internal/request/forward/versions_test.go
+++ b/internal/request/forward/versions_test.go
@@ -230,6 +230,7 @@
 		"all nodes replied":     {"first", origins.Found{Asked: 2, Replied: 2}, false},
 		"a node did not reply":  {"first", origins.Found{Asked: 2, Replied: 1}, true},
 		"no node is known yet":  {"first", origins.Found{}, true},
+		"the node just started": {"first", origins.Found{Asked: 2, Replied: 2, Starting: true}, true},
 		"the caller names none": {"", origins.Found{}, false},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/lab/hosted/versions_test.go
+++ b/lab/hosted/versions_test.go
@@ -304,7 +304,9 @@
 			time.Sleep(3 * time.Second) // until the nodes know each other
 			for i, c := range callers {
 				if !c.Complete {
-					wg.Go(func() { c.Run(context.Background(), []string{f.Nodes[(i+1)%edges].CallerAddress(), f.Nodes[(i+2)%edges].CallerAddress()}) })
+					wg.Go(func() {
+						c.Run(context.Background(), []string{f.Nodes[(i+1)%edges].CallerAddress(), f.Nodes[(i+2)%edges].CallerAddress()})
+					})
 				}
 			}
 			wg.Wait()
--- a/scripts/check-mutants.sh
+++ b/scripts/check-mutants.sh
@@ -202,6 +202,15 @@
 mutant 14 internal/connection/origins/origins.go 's/s\.Workspace, s\.Service, s\.ID/s.Service, s.ID/' internal/connection/origins TestRecordOutlivesItsNode
 mutant 14 internal/connection/origins/origins.go 's/case <-resend\.C:\n\t\t\tx\.sendAll\(silent, m\)/case <-resend.C:/' internal/connection/origins TestLostQueryIsRepeated
 mutant 14 internal/connection/origins/origins.go 's/return sole && !/return (sole || x.Node != "") \&\& !/' internal/connection/origins TestStartingNodeLearnsTheHistory
+mutant 14 internal/request/continuation/holders.go 's/rendezvous\.Rank\(name, f\.Keepers, 1\)/rendezvous.Rank(name, f.Keepers, 0)/' internal/request/continuation TestRecordReachesADisk
+mutant 14 internal/request/continuation/holders.go 's/keeperCandidates = 2/keeperCandidates = 0/' internal/request/continuation TestRecordReachesADisk
+mutant 14 internal/connection/origins/disk.go 's/x\.history\.Merge\(now, reportFromProto/_ = (reportFromProto/' internal/connection/origins TestOriginsSurviveTheLossOfAllNodes
+mutant 14 internal/connection/origins/disk.go 's/now\.Sub\(x\.started\) >= diskDelay/!now.Before(x.started)/' internal/connection/origins TestOriginsSurviveTheLossOfAllNodes
+mutant 14 internal/connection/origins/disk.go 's/case x\.stored != nil:/case x.stored != nil \&\& history != nil \&\& false:/' internal/connection/origins TestOriginsSurviveTheLossOfAllNodes
+mutant 14 internal/connection/origins/history.go 's/x\.stored = nil/_ = x.stored/' internal/connection/origins TestLivingNodeKnowsBetterThanTheDisk
+mutant 14 internal/connection/origins/disk.go 's/changes == d\.changes \{/changes != d.changes {/' internal/connection/origins TestOneVersionIsWrittenOnce
+mutant 14 internal/process/hosted/run.go 's/n\.startOriginsDisk\(ctx, wg\)/_ = n.startOriginsDisk/' lab/hosted TestStreamsOutliveTheLossOfAllNodes
+mutant 14 internal/request/forward/resume.go 's/ \|\| found\.Starting//' internal/request/forward TestUnknownStreamIsRefusedAtOnce
 mutant 14 internal/request/choose/eligible.go 's/case !need\.Origin\.Allows\(e\.Version\):/case !need.Origin.Allows(e.Version) \&\& need.Batch:/' internal/request/choose TestBegunAnswerGetsItsVersionOnly
 mutant 14 internal/request/choose/choose.go 's/case !kept\.allow\(/case need.Batch \&\& !kept.allow(/' internal/request/choose TestNewRequestsLeaveRoomForBegunAnswers
 mutant 14 internal/request/choose/versions.go 's/if len\(usable\) < 2 \{/if len(usable) < 1 {/' internal/request/choose TestNewRequestsLeaveRoomForBegunAnswers
