Measure returns during an outage of the store, with one version

An outage makes the copies of the list stale, and from then on nothing is derived. It was suspected that streams are refused then until the history is complete again.

--- a/lab/hosted/versions_test.go
+++ b/lab/hosted/versions_test.go
@@ -320,6 +320,40 @@
 	}
 }
 
+// TestReturnsWhileTheStoreIsAway guards against streams of targets with one version that are
+// refused in an outage of the store, in which no node knows whether a second version was listed.
+// Only one whose caller leaves in the moment in which its node begins to record is not known.
+func TestReturnsWhileTheStoreIsAway(t *testing.T) {
+	const streams, nodes = 40, 4
+	f := startFleet(t, Options{Nodes: nodes, Runners: 8, Slots: 16, Events: 400, Gap: 20 * time.Millisecond,
+		DataCentres: []string{"hall-a", "hall-b"}, Extra: "[node]\nfirst_start = true\n"})
+	time.Sleep(nodesKnownWithin)
+	callers := make([]*ReturningCaller, streams)
+	var wg sync.WaitGroup
+	for i := range callers {
+		callers[i] = &ReturningCaller{Name: fmt.Sprint("away-", i), Path: ResumePath + "x"}
+		wg.Go(func() {
+			hangUp := time.Now().Add(time.Duration(i) * 150 * time.Millisecond) // up to a second after the outage
+			_ = callers[i].Attempt(context.Background(), f.Nodes[i%nodes].CallerAddress(), func(Event) bool { return time.Now().Before(hangUp) })
+			time.Sleep(50 * time.Millisecond)
+			callers[i].Run(context.Background(), []string{f.Nodes[(i+1)%nodes].CallerAddress(), f.Nodes[(i+2)%nodes].CallerAddress()})
+		})
+	}
+	time.Sleep(500 * time.Millisecond)
+	f.Store.SetFaults(StoreFaults{Unresponsive: true})
+	time.Sleep(4500 * time.Millisecond)
+	f.Store.SetFaults(StoreFaults{})
+	wg.Wait()
+	for _, c := range callers {
+		if !c.Complete {
+			t.Logf("%s: status %d after %d events: %s", c.Name, c.Status, len(c.Events), c.Refusal)
+		}
+	}
+	if complete := checkCallers(t, callers); complete < streams-2 {
+		t.Errorf("%d of %d streams are complete", complete, streams)
+	}
+}
+
 // TestReturnToAStartingNode guards against a stream that is mixed or lost because its caller
 // returns to a node that has just joined the fleet and has no record: the node asks others.
 func TestReturnToAStartingNode(t *testing.T) {
