Ask other nodes too when a returning caller names no stream

Callers saw: after a kill of the edge nodes, or of all, those that return with Last-Event-Id and without Resumes were refused as origin_unknown at once, without Retry-After, although targets have one version and the keepers know that.

Cause: a node that does not know asked nobody if there was no ID to ask for. But whether one version alone can have begun a stream needs no ID.

Change: it asks in any case; the refusal names Retry-After for the same reasons as for other callers.

--- a/internal/connection/origins/origins.go
+++ b/internal/connection/origins/origins.go
@@ -185,9 +185,6 @@
 	if found, ok := x.findHere(s); ok {
 		return found
 	}
-	if s.ID == "" {
-		return Found{Origin: continuation.BegunAnywhere(), Source: FromNobody}
-	}
 	return x.ask(ctx, s, wait)
 }
 
@@ -209,7 +206,7 @@
 }
 
 // ask asks the nodes that may have the record. The first that knows the version ends the
-// search.
+// search. If the caller names no stream, one that knows a sole version can still tell.
 func (x *Exchange) ask(ctx context.Context, s Stream, wait time.Duration) Found {
 	replies := make(chan *v1.StreamReply, maxReplies)
 	x.mu.Lock()
--- a/internal/request/forward/resume.go
+++ b/internal/request/forward/resume.go
@@ -52,7 +52,7 @@
 		return nil
 	}
 	err := errkind.OriginUnknown.New("the version that began the stream is not known")
-	if req.Resumes != "" && (found.Asked == 0 || found.Replied < found.Asked || found.Starting) {
+	if found.Asked == 0 || found.Replied < found.Asked || found.Starting {
 		err = errkind.WithRetryAfter(err, unknownRetryAfter)
 	}
 	return err
--- a/scripts/check-mutants.sh
+++ b/scripts/check-mutants.sh
@@ -200,6 +200,7 @@
 mutant 14 internal/request/continuation/records.go 's/\|\| !now\.Before\(found\.expires\)//' internal/request/continuation TestRecordsAreBounded
 mutant 14 internal/connection/origins/origins.go 's/range x\.Fleet\(\)\.Holders\(key\)/range x.Fleet().Holders(key)[:0]/' internal/connection/origins TestRecordOutlivesItsNode
 mutant 14 internal/connection/origins/origins.go 's/s\.Workspace, s\.Service, s\.ID/s.Service, s.ID/' internal/connection/origins TestRecordOutlivesItsNode
+mutant 14 internal/connection/origins/origins.go 's/return x\.ask\(ctx, s, wait\)/if s.ID == "" {\n\t\treturn Found{Origin: continuation.BegunAnywhere()}\n\t}\n\treturn x.ask(ctx, s, wait)/' internal/connection/origins TestStartingNodeLearnsTheHistory
 mutant 14 internal/connection/origins/origins.go 's/case <-resend\.C:\n\t\t\tx\.sendAll\(silent, m\)/case <-resend.C:/' internal/connection/origins TestLostQueryIsRepeated
 mutant 14 internal/connection/origins/origins.go 's/return sole && !/return (sole || x.Node != "") \&\& !/' internal/connection/origins TestStartingNodeLearnsTheHistory
 mutant 14 internal/request/continuation/holders.go 's/rendezvous\.Rank\(name, f\.Keepers, 1\)/rendezvous.Rank(name, f.Keepers, 0)/' internal/request/continuation TestRecordReachesADisk
