Write the origins of streams less often while one version serves

Cause: after each start and each outage streams are recorded for a while also where one version serves, and the file was written twice a second then. These writes delay those of checkpoints on the same disk.

Change: while no service has targets of several versions the file is written every 2 s at most.

--- a/internal/connection/origins/disk.go
+++ b/internal/connection/origins/disk.go
@@ -26,6 +26,9 @@
 	// writeInterval is the time between two checks for changes to write. A loss of power of
 	// all nodes loses the records of this interval.
 	writeInterval = 500 * time.Millisecond
+	// slowWriteInterval is the same while no service has targets of several versions: a write
+	// delays those of checkpoints on the same disk.
+	slowWriteInterval = 2 * time.Second
 	// ageStep is the step in which ages are stated in the file. An age that grows is rounded
 	// down, so that it proves less, and stated up to maxAge: a history that does not change is
 	// then written no more.
@@ -45,8 +48,9 @@
 	// OnError is called with the error of a failed write.
 	OnError func(error)
 
-	written []byte // history in the file
-	changes uint64 // of the records in the file
+	written   []byte // history in the file
+	changes   uint64 // of the records in the file
+	writtenAt time.Time
 }
 
 // Load adds the content of the file to the exchange.
@@ -82,9 +86,13 @@
 	if err != nil {
 		return fmt.Errorf("encode the history of versions: %w", err)
 	}
+	now := d.Exchange.Now()
 	if d.written != nil && bytes.Equal(history, d.written) && changes == d.changes {
 		return nil
 	}
+	if d.written != nil && !d.Exchange.severalListed() && now.Sub(d.writtenAt) < slowWriteInterval {
+		return nil
+	}
 	data, err := proto.Marshal(file)
 	if err != nil {
 		return fmt.Errorf("encode the origins of streams: %w", err)
@@ -92,10 +100,17 @@
 	if err := durable.Replace(d.Dir, fileName, data); err != nil {
 		return fmt.Errorf("write the origins of streams: %w", err)
 	}
-	d.written, d.changes = history, changes
+	d.written, d.changes, d.writtenAt = history, changes, now
 	return nil
 }
 
+// severalListed reports whether any service has targets of several versions.
+func (x *Exchange) severalListed() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.several
+}
+
 // dump returns the content of the file, and a number that changes with the records.
 func (x *Exchange) dump() (*v1.StreamOriginsFile, uint64) {
 	history := x.History()
--- a/internal/connection/origins/disk_test.go
+++ b/internal/connection/origins/disk_test.go
@@ -129,6 +129,34 @@
 	is.NoErr(err)
 }
 
+// TestOneVersionIsWrittenSeldom guards against writes that delay those of checkpoints in a fleet
+// with one version, whose streams are recorded only for a while after a start, and against
+// records of several versions that a loss of power loses because they are written late.
+func TestOneVersionIsWrittenSeldom(t *testing.T) {
+	for name, c := range map[string]struct {
+		listed      map[string]map[continuation.Version]int
+		least, most int
+	}{"one version": {onlyV1, 4, 6}, "two versions": {bothV1V2, 20, 20}} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			dir := t.TempDir()
+			k := startKeeper(t, dir, time.Unix(1000, 0))
+			k.SetListed(c.listed)
+			writes := 0
+			for range 20 { // 10 s
+				k.Record(testStream, "v1")
+				is.NoErr(k.disk.Write())
+				if os.Remove(filepath.Join(dir, fileName)) == nil {
+					writes++
+				}
+				k.now = k.now.Add(writeInterval)
+			}
+			is.True(writes >= c.least)
+			is.True(writes <= c.most)
+		})
+	}
+}
+
 // TestCorruptFileIsIgnored guards against a node that does not start because of its disk.
 func TestCorruptFileIsIgnored(t *testing.T) {
 	is := is.New(t)
--- a/internal/connection/origins/origins.go
+++ b/internal/connection/origins/origins.go
@@ -45,6 +45,7 @@
 	mu       sync.Mutex
 	history  *continuation.History
 	records  *continuation.Records
+	several  bool // a service has targets of several versions
 	started  time.Time
 	stored   *v1.VersionHistory // read from the disk and not used yet; nil: none
 	sequence uint32
@@ -88,6 +89,10 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.history.Listed(x.Now(), listed)
+	x.several = false
+	for _, versions := range listed {
+		x.several = x.several || len(versions) > 1
+	}
 	x.verify()
 }
 
--- a/scripts/check-mutants.sh
+++ b/scripts/check-mutants.sh
@@ -210,6 +210,7 @@
 mutant 14 internal/connection/origins/disk.go 's/case x\.stored != nil:/case x.stored != nil \&\& history != nil \&\& false:/' internal/connection/origins TestOriginsSurviveTheLossOfAllNodes
 mutant 14 internal/connection/origins/history.go 's/x\.stored = nil/_ = x.stored/' internal/connection/origins TestLivingNodeKnowsBetterThanTheDisk
 mutant 14 internal/connection/origins/disk.go 's/changes == d\.changes \{/changes != d.changes {/' internal/connection/origins TestOneVersionIsWrittenOnce
+mutant 14 internal/connection/origins/disk.go 's/now\.Sub\(d\.writtenAt\) < slowWriteInterval/now.Before(d.writtenAt)/' internal/connection/origins TestOneVersionIsWrittenSeldom
 mutant 14 internal/process/hosted/run.go 's/n\.startOriginsDisk\(ctx, wg\)/_ = n.startOriginsDisk/' lab/hosted TestStreamsOutliveTheLossOfAllNodes
 mutant 14 internal/request/forward/resume.go 's/ \|\| found\.Starting//' internal/request/forward TestUnknownStreamIsRefusedAtOnce
 mutant 14 internal/request/choose/eligible.go 's/case !need\.Origin\.Allows\(e\.Version\):/case !need.Origin.Allows(e.Version) \&\& need.Batch:/' internal/request/choose TestBegunAnswerGetsItsVersionOnly
