--- a/internal/connection/origins/disk.go
+++ b/internal/connection/origins/disk.go
@@ -26,8 +26,8 @@
 	// writeInterval is the time between two checks for changes to write. A loss of power of
 	// all nodes loses the records of this interval.
 	writeInterval = 500 * time.Millisecond
-	// slowWriteInterval is the same while no service has targets of several versions: a write
-	// delays those of checkpoints on the same disk.
+	// slowWriteInterval is the same while no service has targets of several versions: checkpoints
+	// are on the same disk.
 	slowWriteInterval = 2 * time.Second
 	// ageStep is the step in which ages are stated in the file. An age that grows is rounded
 	// down, so that it proves less, and stated up to maxAge: a history that does not change is
