Log what lost attempts have in common, and what an answer clears

Cause: open; the logs do not distinguish requests that crash targets by a part that they share from targets that end for another reason.

The header is parsed only once a connection was lost or a crash is known. Decisions are unchanged.

--- a/internal/process/crashes/watch.go
+++ b/internal/process/crashes/watch.go
@@ -177,8 +177,8 @@
 
 // Completed takes work that was answered completely, which clears it of all crashes.
 func (w *Watch) Completed(work *fingerprint.Work) {
-	if !w.idle.Load() {
-		w.release(work.ID())
+	if !w.idle.Load() && w.release(work.ID()) {
+		w.Recorder.Record(timeline.WorkCleared, "", work.ID().String(), "", timeline.Field{Name: "parts", Value: work.Parts()})
 	}
 }
 
--- a/internal/process/hosted/hosted.go
+++ b/internal/process/hosted/hosted.go
@@ -64,6 +64,8 @@
 	// Selectors are the headers of a request that are part of its fingerprint, because their
 	// values change the response.
 	Selectors []string
+	// PromptParts returns the names of the shared parts of a request's prompt.
+	PromptParts func(http.Header) []string
 	// CallerHandler serves the callers' API; ReadyHandler reports whether the node accepts
 	// new connections.
 	CallerHandler func(n *Node) http.Handler
@@ -152,7 +154,7 @@
 	n.forwarder = &forward.Forwarder{Targets: n.pool, Sender: adapter.Sender, Quarantine: n.crashes, Log: &requestLog{n}, Checker: n.checker, Now: n.clock.Now, Admission: n.newAdmission(), Origins: n.origins}
 	n.jobs = job.NewManager(job.Config{
 		Self: job.Holder{Node: s.NodeID, Boot: n.boot, Address: s.PeerAdvertise}, MaxValueBytes: s.StoreMaxValue,
-		KeepResults: s.KeepResults, Selectors: adapter.Selectors, TakeOverAfter: s.TakeOverAfter, SweepInterval: s.SweepInterval, EvacuatedWithin: s.EvacuatedWithin,
+		KeepResults: s.KeepResults, Selectors: adapter.Selectors, PromptParts: adapter.PromptParts, TakeOverAfter: s.TakeOverAfter, SweepInterval: s.SweepInterval, EvacuatedWithin: s.EvacuatedWithin,
 		HoldsJobs: s.CallerListen != "", ResultCacheBytes: s.ResultMemory, CheckpointInterval: s.CheckpointInterval,
 	}, job.Dependencies{Store: n.relay(), StoreLatency: n.storeLatency, StoreResumed: n.storeResumed, SharedView: n.SharedView, Pool: n.pool, Quarantine: n.crashes, Sender: adapter.Sender, Routes: n.Table, RoutesFresh: n.TableFresh, Peers: n,
 		Backlogs: n.backlogs, Ended: n.jobEnded, Clock: n.clock, Allotments: n.batch.allotments, Recorder: n.recorder, Checker: n.checker, Metrics: n.metrics})
--- a/internal/process/timeline/catalogue.go
+++ b/internal/process/timeline/catalogue.go
@@ -46,6 +46,7 @@
 	WorkReleased        Code = 416
 	VerdictNotKept      Code = 417
 	StreamOrigin        Code = 418
+	WorkCleared         Code = 419
 	OverloadBegan       Code = 420
 	OverloadEnded       Code = 421
 	WorkspaceExceeds    Code = 430
@@ -149,6 +150,7 @@
 	WorkRefused:         {"work_refused", log.WarnLevel, "work that crashes targets is refused from now on; the log line names the crashes"},
 	WorkReleased:        {"work_released", log.InfoLevel, "work is no longer refused: an operator released it, it was answered completely, or its crashes expired"},
 	VerdictNotKept:      {"verdict_not_kept", log.WarnLevel, "the verdict that work is refused could not be written to the object store or removed there; running nodes know it"},
+	WorkCleared:         {"work_cleared", log.InfoLevel, "an answer showed that work, or parts of its prompt, did not cause the crashes at which they were suspect"},
 	StreamOrigin:        {"stream_origin", log.InfoLevel, "a caller resumes a stream: the fields hold the version that began it, how this node knows it, the age of the record, and how many nodes were asked and replied"},
 	OverloadBegan:       {"overload_began", log.WarnLevel, "this node began to refuse online requests that no target would begin in time; the fields hold the requests offered and sent before, and the longest estimate of the first event"},
 	OverloadEnded:       {"overload_ended", log.InfoLevel, "this node has refused no online request for 4 s; the fields hold the requests offered, sent and refused since the overload began"},
--- a/internal/request/fingerprint/fingerprint.go
+++ b/internal/request/fingerprint/fingerprint.go
@@ -7,6 +7,7 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
+	"slices"
 	"sync"
 )
 
@@ -52,9 +53,34 @@
 	// change the work, and requests of two workspaces are never the same work.
 	Workspace string
 	Body      []byte
+	// PromptParts returns the names of the parts of the prompt that other requests may share,
+	// in their order; nil: the request names none. It is called at most once, and only when
+	// the request is compared with crashes of targets.
+	PromptParts func() []string
 
 	once sync.Once
 	id   ID
+
+	partsOnce sync.Once
+	parts     []string
+}
+
+// maxParts is how many parts of a prompt are compared; those after them are not.
+const maxParts = 32
+
+// Parts returns the names of the shared parts of the prompt, each once.
+func (w *Work) Parts() []string {
+	w.partsOnce.Do(func() {
+		if w.PromptParts == nil {
+			return
+		}
+		for _, name := range w.PromptParts() {
+			if len(w.parts) < maxParts && !slices.Contains(w.parts, name) {
+				w.parts = append(w.parts, name)
+			}
+		}
+	})
+	return w.parts
 }
 
 // ID returns the fingerprint. The first call computes it, which takes 1.2 us for a body of
--- a/internal/request/fingerprint/fingerprint_test.go
+++ b/internal/request/fingerprint/fingerprint_test.go
@@ -36,6 +36,24 @@
 	}
 }
 
+// TestPartsAreBounded: each part of a prompt is returned once, and no more than maxParts.
+func TestPartsAreBounded(t *testing.T) {
+	is := is.New(t)
+	is.Equal(len((&Work{}).Parts()), 0)
+	calls := 0
+	w := &Work{PromptParts: func() []string {
+		calls++
+		names := []string{"a", "b", "a"}
+		for i := range 1000 {
+			names = append(names, fmt.Sprint(i))
+		}
+		return names
+	}}
+	is.Equal(w.Parts()[:3], []string{"a", "b", "0"})
+	is.Equal(len(w.Parts()), maxParts)
+	is.Equal(calls, 1)
+}
+
 func TestTextStandsForOneID(t *testing.T) {
 	is := is.New(t)
 	id := (&Work{Path: "/x"}).ID()
--- a/internal/request/job/manager.go
+++ b/internal/request/job/manager.go
@@ -128,6 +128,8 @@
 	CheckpointInterval time.Duration
 	// Selectors are the headers of an item that are part of its fingerprint.
 	Selectors []string
+	// PromptParts returns the names of the shared parts of an item's prompt.
+	PromptParts func(http.Header) []string
 	// ResultCacheBytes bounds the results that are cached in memory.
 	ResultCacheBytes int
 }
@@ -250,7 +252,7 @@
 // startHeldJob starts to run a job whose head names this node as its holder. loaded contains
 // the checkpoints that were loaded from the job's keepers.
 func (m *Manager) startHeldJob(id string, head Head, revision int64, items []Item, loaded []*v1.JobCheckpoint, why string) {
-	h := &heldJob{id: id, heldSince: time.Now(), head: head, revision: revision, items: items, works: worksOf(&head, items, m.cfg.Selectors), progress: newProgress(&head),
+	h := &heldJob{id: id, heldSince: time.Now(), head: head, revision: revision, items: items, works: m.worksOf(&head, items), progress: newProgress(&head),
 		stops: map[int]stopFunc{}, commitNow: make(chan struct{}, 1), changed: make(chan struct{})}
 	h.checkpoints.setKeepers(head.Keepers)
 	m.mu.Lock()
@@ -276,12 +278,15 @@
 
 // worksOf returns the work of each item. An item is sent like an online request of the same
 // content, and so has the same fingerprint.
-func worksOf(head *Head, items []Item, selectors []string) []fingerprint.Work {
+func (m *Manager) worksOf(head *Head, items []Item) []fingerprint.Work {
 	works := make([]fingerprint.Work, len(items))
 	for i := range items {
 		w := &works[i]
 		w.Method, w.Host, w.Path, w.Body = http.MethodPost, head.Host, items[i].Path, items[i].Body
-		w.Selectors, w.Workspace = fingerprint.Select(selectors, items[i].header().Get), head.Workspace
+		w.Selectors, w.Workspace = fingerprint.Select(m.cfg.Selectors, items[i].header().Get), head.Workspace
+		if m.cfg.PromptParts != nil {
+			w.PromptParts = func() []string { return m.cfg.PromptParts(items[i].header()) }
+		}
 	}
 	return works
 }
