--- a/lab/hosted/runner.go
+++ b/lab/hosted/runner.go
@@ -29,6 +29,7 @@
 	Full                           // refused, not run
 	Stall                          // the header and one event, then nothing more
 	Crash                          // the runner's process ends soon after the run began
+	CrashAtBegin                   // the runner's process ends after it sent the header of the answer
 	Hang                           // the request runs, and nothing is sent, not even a header
 )
 
@@ -59,8 +60,20 @@
 	headers         map[string]http.Header
 	warmUp          warmUp
 	lastArrival     time.Time // of a request
+	crashingParts   []string  // parts of prompts that crash the process when an answer begins
+	partRuns        []PartRun // runs of requests with one of crashingParts, in order
+	partCrashes     []PartRun // those of them that crashed the process, with the time of the crash
 }
 
+// PartRun is the start of a run of a request with a part that crashes the runner.
+type PartRun struct {
+	RequestID, Part string
+	At              time.Time
+}
+
+// PromptHeader is the header that lists the parts of a prompt, as ID:TOKENS entries.
+const PromptHeader = "X-Marblepond-Prompt-Prefix"
+
 // RunStart is the start of one run of a request.
 type RunStart struct {
 	RequestID string
@@ -146,10 +159,11 @@
 	r.stop()
 }
 
-// Kill ends the runner's process and restarts it after a time.
-func (r *Runner) Kill(down time.Duration) {
+// Kill ends the runner's process and restarts it after a time. It reports whether the process
+// was running.
+func (r *Runner) Kill(down time.Duration) bool {
 	if !r.stop() {
-		return
+		return false
 	}
 	time.AfterFunc(down, func() {
 		r.mu.Lock()
@@ -159,6 +173,7 @@
 			r.onRestart()
 		}
 	})
+	return true
 }
 
 // isUp reports whether the runner's process runs.
@@ -197,6 +212,51 @@
 	r.behaviour = f
 }
 
+// SetCrashingParts sets the parts of prompts that crash the runner's process when it begins to
+// answer a request that has one of them, other than as its last part.
+func (r *Runner) SetCrashingParts(parts ...string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.crashingParts = parts
+}
+
+// PartRuns returns the starts of the runs of requests with parts that crash the runner.
+func (r *Runner) PartRuns() []PartRun {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]PartRun(nil), r.partRuns...)
+}
+
+// PartCrashes returns the crashes that parts of prompts caused.
+func (r *Runner) PartCrashes() []PartRun {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]PartRun(nil), r.partCrashes...)
+}
+
+func (r *Runner) recordPartCrash(h http.Header) {
+	crash := PartRun{h.Get("X-Marblepond-Request-Id"), r.crashingPart(h), time.Now()}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.partCrashes = append(r.partCrashes, crash)
+}
+
+// crashingPart returns the part of a request that crashes the runner, "" if none does.
+func (r *Runner) crashingPart(h http.Header) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.crashingParts) == 0 {
+		return ""
+	}
+	entries := strings.Split(h.Get(PromptHeader), ",")
+	for _, entry := range entries[:len(entries)-1] {
+		if part, _, _ := strings.Cut(entry, ":"); slices.Contains(r.crashingParts, part) {
+			return part
+		}
+	}
+	return ""
+}
+
 // RunCount returns how often the runner started to run a request.
 func (r *Runner) RunCount(requestID string) int {
 	r.mu.Lock()
@@ -335,6 +395,12 @@
 	r.resumePositions[id] = append(r.resumePositions[id], req.Header.Get("Last-Event-Id"))
 	r.headers[id] = req.Header.Clone()
 	r.mu.Unlock()
+	if part := r.crashingPart(req.Header); part != "" {
+		behaviour = CrashAtBegin
+		r.mu.Lock()
+		r.partRuns = append(r.partRuns, PartRun{id, part, time.Now()})
+		r.mu.Unlock()
+	}
 	r.run(w, req, id, behaviour)
 }
 
@@ -342,8 +408,13 @@
 	// crashDelay is the time from the start of a run to the crash that it causes.
 	// Some events have been sent by then.
 	crashDelay = 30 * time.Millisecond
+	// beginDelay is the time from the start of a run to the begin of its answer, where a part of
+	// the prompt crashes the runner.
+	beginDelay = 60 * time.Millisecond
 	// restartDelay is how long a runner is down after a crash.
 	restartDelay = 600 * time.Millisecond
+	// partRestartDelay is the same after a crash by a part of a prompt.
+	partRestartDelay = 3 * time.Second
 )
 
 func (r *Runner) run(w http.ResponseWriter, req *http.Request, id string, behaviour Behaviour) {
@@ -368,10 +439,32 @@
 		w.Header().Set("X-Marblepond-Server-Stamp", stamp)
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
+	if behaviour == CrashAtBegin && !sleep(req, beginDelay) {
+		r.recordCancelled(id)
+		return
+	}
 	w.WriteHeader(http.StatusOK)
+	if behaviour == CrashAtBegin {
+		_ = http.NewResponseController(w).Flush() // the process ends in any case
+		if r.Kill(partRestartDelay) {
+			r.recordPartCrash(req.Header)
+		}
+		<-req.Context().Done()
+		return
+	}
 	r.stream(w, req, id, behaviour)
 }
 
+// sleep waits, and reports whether the client still waited for the answer at the end.
+func sleep(req *http.Request, d time.Duration) bool {
+	select {
+	case <-req.Context().Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
 func (r *Runner) stream(w http.ResponseWriter, req *http.Request, id string, behaviour Behaviour) {
 	flush := http.NewResponseController(w)
 	from, _ := strconv.Atoi(req.Header.Get("Last-Event-Id")) // absent: from the start
