--- a/cmd/marblepond/operators.go
+++ b/cmd/marblepond/operators.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"maps"
@@ -234,9 +235,9 @@
 		return err
 	}
 	out := newTable()
-	fmt.Fprintln(out, "WORK\tLAST CRASH\tLET GO IN\tTARGETS")
+	fmt.Fprintln(out, "WORK\tPARTS\tLAST CRASH\tLET GO IN\tTARGETS")
 	for _, r := range resp.Refused {
-		fmt.Fprintf(out, "%s\t%v ago\t%v\t%s\n", r.Work, roundToSeconds(r.SinceMs), roundToSeconds(r.LeftMs), strings.Join(r.Targets, " "))
+		fmt.Fprintf(out, "%s\t%s\t%v ago\t%v\t%s\n", r.Work, cmp.Or(strings.Join(r.Parts, " "), "the whole request"), roundToSeconds(r.SinceMs), roundToSeconds(r.LeftMs), strings.Join(r.Targets, " "))
 	}
 	out.Flush()
 	fmt.Printf("%d refused, %d crashes counted\n", len(resp.Refused), resp.Crashes)
--- a/internal/process/crashes/exchange.go
+++ b/internal/process/crashes/exchange.go
@@ -110,12 +110,15 @@
 		for _, t := range v.Targets {
 			refused.Targets = append(refused.Targets, t.ID)
 		}
+		if v.OfParts() {
+			refused.Parts = w.namesOf(v.Suspects)
+		}
 		answer.Refused = append(answer.Refused, refused)
 	}
 	return answer, nil
 }
 
-// ReleaseWork implements OperatorService: it ends the refusal of work.
+// ReleaseWork implements OperatorService: it ends the refusal of work or of parts of prompts.
 func (w *Watch) ReleaseWork(_ context.Context, req *v1.ReleaseWorkRequest) (*v1.ReleaseWorkResponse, error) {
 	id, ok := fingerprint.Parse(req.Work)
 	if !ok {
@@ -129,8 +132,12 @@
 func pack(crashes []quarantine.Crash) []*v1.TargetCrash {
 	var out []*v1.TargetCrash
 	for _, c := range crashes {
-		out = append(out, &v1.TargetCrash{Target: c.Target.ID, Incarnation: c.Target.Incarnation, AgeMs: milliseconds(c.Age), Targets: uint32(c.Targets),
-			Accused: packIDs(c.Suspects), Cleared: packIDs(c.Cleared)})
+		packed := &v1.TargetCrash{Target: c.Target.ID, Incarnation: c.Target.Incarnation, AgeMs: milliseconds(c.Age), Targets: uint32(c.Targets), Software: c.Software,
+			Accused: packIDs(c.Suspects), Cleared: packIDs(c.Cleared)}
+		if c.Answered >= 0 {
+			packed.AnsweredMs = milliseconds(c.Answered) + 1
+		}
+		out = append(out, packed)
 	}
 	return out
 }
@@ -138,7 +145,7 @@
 func packIDs(ids []fingerprint.ID) [][]byte {
 	var out [][]byte
 	for _, id := range ids {
-		out = append(out, id[:])
+		out = append(out, id.Bytes())
 	}
 	return out
 }
@@ -147,7 +154,7 @@
 	var out []quarantine.Crash
 	for _, c := range crashes {
 		out = append(out, quarantine.Crash{Target: quarantine.Target{ID: c.Target, Incarnation: c.Incarnation}, Age: time.Duration(c.AgeMs) * time.Millisecond,
-			Targets: int(c.Targets), Suspects: unpackIDs(c.Accused), Cleared: unpackIDs(c.Cleared)})
+			Targets: int(c.Targets), Software: c.Software, Suspects: unpackIDs(c.Accused), Cleared: unpackIDs(c.Cleared), Answered: time.Duration(int64(c.AnsweredMs)-1) * time.Millisecond})
 	}
 	return out
 }
--- a/internal/process/crashes/verdicts.go
+++ b/internal/process/crashes/verdicts.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/marblepond/marblepond/internal/process/timeline"
@@ -52,26 +53,43 @@
 			w.onRefused(ctx, id, v, now)
 		}
 	}
-	for id := range before {
+	for id, v := range before {
 		if _, still := verdicts[id]; !still {
-			w.onReleased(ctx, id, before[id])
+			w.onReleased(ctx, id, v, isNarrowed(v, verdicts))
 		}
 	}
 }
 
+// isNarrowed reports whether another verdict is on some of the suspects of one that has ended:
+// others of them were cleared, and requests with these alone are refused now.
+func isNarrowed(ended quarantine.Verdict, verdicts map[fingerprint.ID]quarantine.Verdict) bool {
+	for _, v := range verdicts {
+		if v.Concerns(ended.Suspects) {
+			return true
+		}
+	}
+	return false
+}
+
 // onRefused acts on a new verdict: it records it, stops the attempts in flight and saves it.
 func (w *Watch) onRefused(ctx context.Context, id fingerprint.ID, v quarantine.Verdict, now time.Time) {
-	w.Recorder.Record(timeline.WorkRefused, "", id.String(), "targets crash under it", timeline.Field{Name: "crashes", Value: w.describe(v, now)},
+	cause := "targets crash under it"
+	if v.OfParts() {
+		cause = "targets crash when they begin to answer requests with it"
+	}
+	w.Recorder.Record(timeline.WorkRefused, "", id.String(), cause, timeline.Field{Name: "parts", Value: w.partNamesOf(v)}, timeline.Field{Name: "crashes", Value: w.describe(v, now)},
 		timeline.Field{Name: "decided_ms", Value: now.Sub(v.Since).Milliseconds()}, timeline.Field{Name: "for_s", Value: int(v.Until.Sub(now).Seconds())})
-	for _, a := range w.attemptsAt(id) {
-		a.stop()
+	for _, a := range w.attemptsConcerned(v) {
+		if !v.OfParts() || !a.answering() {
+			a.stop()
+		}
 	}
 	if w.Store == nil || !w.decidedLocally(v) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	if err := w.Store.Save(ctx, id, w.evidence(id, v, now)); err != nil {
+	if err := w.Store.Save(ctx, id, w.evidence(v, now)); err != nil {
 		w.Recorder.Record(timeline.VerdictNotKept, "", id.String(), err.Error())
 	}
 }
@@ -87,13 +105,23 @@
 	return out
 }
 
-// attemptsAt returns the attempts at work that are in flight.
-func (w *Watch) attemptsAt(id fingerprint.ID) []*attempt {
+// partNamesOf returns the names of the parts that a verdict is on.
+func (w *Watch) partNamesOf(v quarantine.Verdict) []string {
+	if !v.OfParts() {
+		return nil
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.namesOf(v.Suspects)
+}
+
+// attemptsConcerned returns the attempts in flight that a verdict refuses.
+func (w *Watch) attemptsConcerned(v quarantine.Verdict) []*attempt {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	var out []*attempt
 	for a := range w.running {
-		if a.work.ID() == id {
+		if v.Concerns(a.work.IDs()) {
 			out = append(out, a)
 		}
 	}
@@ -108,18 +136,14 @@
 	return w.detected[v.Targets[len(v.Targets)-1]]
 }
 
-// evidence returns the crashes of a verdict, with its work as the only suspect.
-func (w *Watch) evidence(id fingerprint.ID, v quarantine.Verdict, now time.Time) []quarantine.Crash {
+// evidence returns the crashes of a verdict, with its suspects as the only ones.
+func (w *Watch) evidence(v quarantine.Verdict, now time.Time) []quarantine.Crash {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	decided := map[quarantine.Target]bool{}
-	for _, t := range v.Targets {
-		decided[t] = true
-	}
 	var out []quarantine.Crash
 	for _, c := range w.table.All(now) {
-		if decided[c.Target] {
-			c.Suspects, c.Cleared = []fingerprint.ID{id}, nil
+		if slices.Contains(v.Targets, c.Target) {
+			c.Suspects, c.Cleared = v.Suspects, nil
 			out = append(out, c)
 		}
 	}
@@ -127,8 +151,10 @@
 }
 
 // onReleased acts on a verdict that has ended.
-func (w *Watch) onReleased(ctx context.Context, id fingerprint.ID, v quarantine.Verdict) {
-	w.Recorder.Record(timeline.WorkReleased, "", id.String(), "")
+func (w *Watch) onReleased(ctx context.Context, id fingerprint.ID, v quarantine.Verdict, narrowed bool) {
+	if !narrowed {
+		w.Recorder.Record(timeline.WorkReleased, "", id.String(), "")
+	}
 	if w.Store == nil || !w.decidedLocally(v) {
 		return
 	}
--- a/internal/process/crashes/watch.go
+++ b/internal/process/crashes/watch.go
@@ -1,12 +1,14 @@
 // Package crashes holds the crashes of targets that one node knows. It probes targets whose
-// connections broke, refuses the work under which targets keep crashing, and exchanges
+// connections broke, refuses the requests under which targets keep crashing, and exchanges
 // crashes with other nodes. Package quarantine makes the decisions.
 //
-// Work is what a fingerprint identifies: a request and its repetitions.
+// Work is what a fingerprint identifies: a request and its repetitions. Requests that share a
+// part of their prompts with which targets crash are refused as well.
 package crashes
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -49,8 +51,8 @@
 // VerdictStore stores the crashes that lead to each verdict. Its calls may be slow or fail;
 // a failure is logged and not retried, because other nodes know the same crashes.
 type VerdictStore interface {
-	Save(ctx context.Context, work fingerprint.ID, crashes []quarantine.Crash) error
-	Delete(ctx context.Context, work fingerprint.ID) error
+	Save(ctx context.Context, verdict fingerprint.ID, crashes []quarantine.Crash) error
+	Delete(ctx context.Context, verdict fingerprint.ID) error
 }
 
 // Watch holds the crashes that one node knows, and the verdicts on them. It is safe for
@@ -69,20 +71,22 @@
 	lastProbed    map[quarantine.Target]time.Time // when it was last probed
 	detected      map[quarantine.Target]bool      // targets whose crash this node detected
 	refused       map[fingerprint.ID]quarantine.Verdict
+	partNames     map[fingerprint.ID]string // of parts of prompts that were suspect
 	running       map[*attempt]struct{}
 	pulledDigests map[string]uint64 // by node: its digest at the last pull
 }
 
 // attempt is an attempt in flight at a target.
 type attempt struct {
-	work *fingerprint.Work
-	stop func()
+	work      *fingerprint.Work
+	answering func() bool
+	stop      func()
 }
 
 // New returns a watch; Run starts it.
 func New(o Options) *Watch {
 	w := &Watch{Options: o, probes: ring.New[choose.Target](probeQueue, ring.Refuse), pulls: ring.New[string](pullQueue, ring.Refuse), changed: make(chan struct{}, 1), table: quarantine.New(o.Config),
-		lastProbed: map[quarantine.Target]time.Time{}, detected: map[quarantine.Target]bool{}, refused: map[fingerprint.ID]quarantine.Verdict{},
+		lastProbed: map[quarantine.Target]time.Time{}, detected: map[quarantine.Target]bool{}, refused: map[fingerprint.ID]quarantine.Verdict{}, partNames: map[fingerprint.ID]string{},
 		running: map[*attempt]struct{}{}, pulledDigests: map[string]uint64{}}
 	w.idle.Store(true)
 	return w
@@ -92,45 +96,93 @@
 	return quarantine.Target{ID: t.ID, Incarnation: t.Incarnation}
 }
 
-// Refuse returns the error that refuses work under which targets crash, nil for all
-// other work.
+// softwareOf returns what answers and crashes of a target show something of.
+func softwareOf(t choose.Target) string { return t.Service + " " + string(t.Version) }
+
+// Refuse returns the error that refuses work under which targets crash, or which has parts of
+// prompts under which they do, nil for all other work.
 func (w *Watch) Refuse(work *fingerprint.Work) error {
 	if w.idle.Load() {
 		return nil
 	}
-	id := work.ID()
+	ids := work.IDs()
 	w.mu.Lock()
 	now := w.Now()
-	v, refused := w.table.Refused(now, id)
+	v, refused := w.table.Refused(now, ids...)
+	var parts []string
+	if refused && v.OfParts() {
+		w.notePartNames(work)
+		parts = w.namesOf(v.Suspects)
+	}
 	w.mu.Unlock()
 	if !refused {
 		return nil
 	}
+	left := v.Until.Sub(now).Round(time.Second)
+	if v.OfParts() {
+		w.Metrics.Counter("prompt_parts_refused").Inc(1)
+		return errkind.CrashesTargets.New("%d targets crashed when they began to answer requests with prompt part %s; requests with it are not run for %v (%s)",
+			len(v.Targets), strings.Join(parts, " and "), left, fingerprint.Join(v.Suspects))
+	}
 	w.Metrics.Counter("work_refused").Inc(1)
-	return errkind.CrashesTargets.New("%d targets crashed while they ran this request; it is not run again for %v (work %s)",
-		len(v.Targets), v.Until.Sub(now).Round(time.Second), id)
+	return errkind.CrashesTargets.New("%d targets crashed while they ran this request; it is not run again for %v (work %s)", len(v.Targets), left, work.ID())
+}
+
+// maxPartNames bounds partNames, which is cleared when it is full; operators then see
+// fingerprints until a node meets the parts again.
+const maxPartNames = 4096
+
+// notePartNames remembers the names of the parts of a prompt. The caller holds w.mu.
+func (w *Watch) notePartNames(work *fingerprint.Work) {
+	if len(w.partNames) >= maxPartNames {
+		clear(w.partNames)
+	}
+	names := work.Parts()
+	for i, id := range work.PartIDs() {
+		w.partNames[id] = names[i]
+	}
 }
 
-// Suspected reports whether work was in flight at a crash that nothing else explains and was
-// not completed since.
+// namesOf returns the names of parts of prompts, or their fingerprints. The caller holds w.mu.
+func (w *Watch) namesOf(ids []fingerprint.ID) []string {
+	var out []string
+	for _, id := range ids {
+		if name, known := w.partNames[id]; known {
+			out = append(out, name)
+		} else {
+			out = append(out, id.String())
+		}
+	}
+	return out
+}
+
+// Suspected reports whether work, or a part of its prompt, was in flight at crashes that nothing
+// else explains, and was not answered since.
 func (w *Watch) Suspected(work *fingerprint.Work) bool {
 	if w.idle.Load() {
 		return false
 	}
-	id := work.ID()
+	ids := work.IDs()
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.table.Suspected(w.Now(), id)
+	return w.table.Suspected(w.Now(), ids...)
 }
 
 // Lost takes work whose connection to a target broke, and queues a probe of the target to
-// find out whether it has ended.
-func (w *Watch) Lost(work *fingerprint.Work, t choose.Target) {
+// find out whether it has ended. began is when the answer began, zero if it had not: a part of
+// the prompt crashes a target only when the answer begins.
+func (w *Watch) Lost(work *fingerprint.Work, t choose.Target, began time.Time) {
 	if w.Leaving(t) || w.EndedBefore(t) {
 		return
 	}
-	id, serving := work.ID(), w.Serving(t.Service)
-	w.change(func(now time.Time) bool { return w.table.Lost(now, keyOf(t), id, serving) })
+	suspects, serving := []fingerprint.ID{work.ID()}, w.Serving(t.Service)
+	if began.IsZero() || w.Now().Sub(began) < quarantine.AnsweringTime {
+		suspects = work.IDs()
+	}
+	w.change(func(now time.Time) bool {
+		w.notePartNames(work)
+		return w.table.Lost(now, quarantine.Loss{Target: keyOf(t), Software: softwareOf(t), Targets: serving, Suspects: suspects})
+	})
 	if w.Probe != nil {
 		w.probes.Put(t)
 	}
@@ -175,22 +227,52 @@
 	w.detected[t] = true
 }
 
-// Completed takes work that was answered completely, which clears it of all crashes.
-func (w *Watch) Completed(work *fingerprint.Work) {
-	if !w.idle.Load() && w.release(work.ID()) {
-		w.Recorder.Record(timeline.WorkCleared, "", work.ID().String(), "", timeline.Field{Name: "parts", Value: work.Parts()})
+// Completed takes work that a target answered completely; its answer began at the time given.
+// That clears the work, and the parts of its prompt, of crashes of the same software.
+func (w *Watch) Completed(work *fingerprint.Work, t choose.Target, began time.Time) {
+	w.answered(work, t, began, true)
+}
+
+// Answering takes work whose answer has been arriving since a time and is not complete. It
+// clears the parts of the prompt.
+func (w *Watch) Answering(work *fingerprint.Work, t choose.Target, began time.Time) {
+	w.answered(work, t, began, false)
+}
+
+func (w *Watch) answered(work *fingerprint.Work, t choose.Target, began time.Time, complete bool) {
+	if w.idle.Load() {
+		return
+	}
+	ids := work.IDs()
+	if w.change(func(now time.Time) bool {
+		return w.table.Answered(now, quarantine.Answer{Software: softwareOf(t), Began: began, Complete: complete, IDs: ids})
+	}) {
+		w.Recorder.Record(timeline.WorkCleared, "", work.ID().String(), "", timeline.Field{Name: "parts", Value: work.Parts()}, timeline.Field{Name: "target", Value: t.ID},
+			timeline.Field{Name: "complete", Value: complete})
 	}
 }
 
-// release clears work of all crashes. It reports whether it was suspect at any.
+// release clears work or parts of prompts of all crashes. It reports whether any was suspect.
 func (w *Watch) release(id fingerprint.ID) bool {
-	return w.change(func(time.Time) bool { return w.table.Clear(id) })
+	return w.change(func(now time.Time) bool {
+		suspects := []fingerprint.ID{id}
+		if v, refused := w.table.Verdicts(now)[id]; refused {
+			suspects = v.Suspects
+		}
+		changed := false
+		for _, s := range suspects {
+			changed = w.table.Clear(now, s) || changed
+		}
+		return changed
+	})
 }
 
 // OnRefusal has stop called when work is refused while an attempt at it is in flight; done
-// unregisters it.
-func (w *Watch) OnRefusal(work *fingerprint.Work, stop func()) (done func()) {
-	a := &attempt{work, stop}
+// unregisters it. An attempt whose answer has been arriving for a while, as answering reports,
+// is not stopped for a part of its prompt: it is no risk, and its end shows whether the verdict
+// is right.
+func (w *Watch) OnRefusal(work *fingerprint.Work, answering func() bool, stop func()) (done func()) {
+	a := &attempt{work, answering, stop}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.running[a] = struct{}{}
--- a/internal/process/crashes/watch_test.go
+++ b/internal/process/crashes/watch_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -13,6 +15,7 @@
 	"github.com/matryer/is"
 	"github.com/uber-go/tally/v4"
 
+	v1 "github.com/marblepond/marblepond/api/marblepond/v1"
 	"github.com/marblepond/marblepond/api/marblepond/v1/marblepondv1connect"
 	"github.com/marblepond/marblepond/internal/connection/dial"
 	"github.com/marblepond/marblepond/internal/errkind"
@@ -110,12 +113,14 @@
 	return choose.Target{ID: fmt.Sprint("t", n), Incarnation: 1, Service: "s", Addr: fmt.Sprint("a", n)}
 }
 
+func never() bool { return false }
+
 // crash ends a target while work runs there, sent by a node.
 func (f *fakeFleet) crash(watch *Watch, n int, work *fingerprint.Work) {
 	f.mu.Lock()
 	f.states[fmt.Sprint("a", n)] = dial.Refuses
 	f.mu.Unlock()
-	watch.Lost(work, targetNo(n))
+	watch.Lost(work, targetNo(n), time.Time{})
 }
 
 func eventually(t *testing.T, what string, holds func() bool) {
@@ -148,8 +153,8 @@
 		watches = append(watches, fleet.start(t, fmt.Sprint("n", n)))
 	}
 	stopped := make(chan struct{}, 2)
-	defer watches[0].OnRefusal(work, func() { stopped <- struct{}{} })()
-	defer watches[0].OnRefusal(other, func() { t.Error("other work is stopped") })()
+	defer watches[0].OnRefusal(work, never, func() { stopped <- struct{}{} })()
+	defer watches[0].OnRefusal(other, never, func() { t.Error("other work is stopped") })()
 	for n, watch := range watches {
 		fleet.crash(watch, n, work)
 		eventually(t, "the crash is proved", func() bool { return watch.crashesKnown() == 1 })
@@ -178,7 +183,7 @@
 		defer fleet.mu.Unlock()
 		return len(fleet.saved[work.ID()]) == 3
 	})
-	watches[1].Completed(work) // an attempt that was in flight is answered after all
+	watches[1].Completed(work, targetNo(5), fleet.time()) // an attempt that was in flight is answered after all
 	is.NoErr(watches[1].Refuse(work))
 }
 
@@ -200,7 +205,7 @@
 				fleet.states[targetNo(n).Addr] = c.state
 				fleet.leaving[targetNo(n).ID] = c.leaving
 				fleet.mu.Unlock()
-				watch.Lost(work, targetNo(n))
+				watch.Lost(work, targetNo(n), time.Time{})
 			}
 			time.Sleep(4 * reprobeDelay)
 			fleet.advance(c.ends)
@@ -237,7 +242,7 @@
 		for _, watch := range []*Watch{here, there} {
 			later := targetNo(n)
 			later.Sent = fleet.time()
-			watch.Lost(work, later)
+			watch.Lost(work, later, time.Time{})
 		}
 	}
 	for _, watch := range []*Watch{here, there} {
@@ -250,7 +255,7 @@
 	eventually(t, "the crash is proved", func() bool { return there.crashesKnown() == 4 })
 	before := targetNo(3)
 	before.Sent = sent
-	there.Lost(work, before) // it was in flight there, and its loss is noticed late
+	there.Lost(work, before, time.Time{}) // it was in flight there, and its loss is noticed late
 	fleet.advance(time.Second)
 	is.True(there.Suspected(work))
 }
@@ -283,7 +288,7 @@
 	var unread *fingerprint.Work // reading it would panic
 	is.NoErr(watch.Refuse(unread))
 	is.True(!watch.Suspected(unread))
-	watch.Completed(unread)
+	watch.Completed(unread, targetNo(1), time.Time{})
 	is.Equal(watch.Digest(), uint64(0))
 }
 
@@ -297,7 +302,7 @@
 	eventually(t, "the crash is proved", func() bool { return b.crashesKnown() == 1 })
 	is.True(a.needsPull("b", b.Digest()))
 	is.NoErr(a.pullFrom(context.Background(), "b", b))
-	a.Completed(&fingerprint.Work{Path: "/x"}) // now a knows more than b
+	a.Completed(&fingerprint.Work{Path: "/x"}, targetNo(2), fleet.time()) // now a knows more than b
 	is.True(a.Digest() != b.Digest())
 	is.True(!a.needsPull("b", b.Digest()))
 	is.True(b.needsPull("a", a.Digest()))
@@ -329,3 +334,106 @@
 		}
 	}
 }
+
+// prompted returns work whose prompt has the given shared parts.
+func prompted(path string, parts ...string) *fingerprint.Work {
+	return &fingerprint.Work{Service: "s", Path: path, PromptParts: func() []string { return parts }}
+}
+
+// crashUnderPart ends targets under requests with a part, no two alike, each beside a harmless
+// request that is answered afterwards, and has all watches exchange what they know.
+func (f *fakeFleet) crashUnderPart(t *testing.T, crashes int, watches ...*Watch) {
+	for n := range crashes {
+		watch := watches[n%len(watches)]
+		f.crash(watch, n, prompted(fmt.Sprint("/bad", n), "common", "bad"))
+		f.crash(watch, n, prompted(fmt.Sprint("/lost", n), "common"))
+		eventually(t, "the crash is proved", func() bool { return watch.crashesKnown() > 0 && watch.knows(targetNo(n)) })
+		f.advance(100 * time.Millisecond)
+		watch.Completed(prompted(fmt.Sprint("/good", n), "common"), targetNo(50), f.time())
+		f.advance(time.Second)
+	}
+	for range 2 {
+		for _, to := range watches {
+			for name, from := range f.nodes {
+				if from != to {
+					if err := to.pullFrom(context.Background(), name, from); err != nil {
+						t.Fatal(err)
+					}
+				}
+			}
+		}
+	}
+}
+
+func (w *Watch) knows(t choose.Target) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, c := range w.table.All(w.Now()) {
+		if c.Target == keyOf(t) {
+			return true
+		}
+	}
+	return false
+}
+
+// TestPartAtThreeNodes: three nodes see one crash each under requests that share a part of their
+// prompts. All nodes then refuse every request with it, and name the part to callers and
+// operators. Attempts that have not begun to answer are stopped, others go on.
+func TestPartAtThreeNodes(t *testing.T) {
+	is := is.New(t)
+	fleet := newFakeFleet()
+	watches := []*Watch{fleet.start(t, "n0"), fleet.start(t, "n1"), fleet.start(t, "n2")}
+	stopped := make(chan struct{}, 1)
+	defer watches[0].OnRefusal(prompted("/waits", "common", "bad"), never, func() { stopped <- struct{}{} })()
+	defer watches[0].OnRefusal(prompted("/answers", "common", "bad"), func() bool { return true }, func() { t.Error("an answer that arrives is stopped") })()
+	defer watches[0].OnRefusal(prompted("/other", "common"), never, func() { t.Error("another request is stopped") })()
+	fleet.crashUnderPart(t, 3, watches...)
+	for _, watch := range watches {
+		err := watch.Refuse(prompted("/new", "common", "third", "bad"))
+		is.True(errkind.Is(err, errkind.CrashesTargets))
+		is.True(strings.Contains(errkind.Message(err), "part bad;"))
+		is.NoErr(watch.Refuse(prompted("/new", "common", "third")))
+		answer, err := watch.Quarantine(context.Background(), nil)
+		is.NoErr(err)
+		is.Equal(len(answer.Refused), 1)
+		is.Equal(answer.Refused[0].Parts, []string{"bad"})
+	}
+	<-stopped
+	released, err := watches[0].ReleaseWork(context.Background(), &v1.ReleaseWorkRequest{Work: prompted("/", "bad").PartIDs()[0].String()})
+	is.NoErr(err)
+	is.True(released.Known)
+	is.NoErr(watches[0].Refuse(prompted("/new", "common", "bad")))
+}
+
+// TestAnswerThatArrivedIsNotSuspected: the parts of a request whose answer had been arriving for a
+// while when its target ended are no suspects of the crash; its work is.
+func TestAnswerThatArrivedIsNotSuspected(t *testing.T) {
+	is := is.New(t)
+	fleet := newFakeFleet()
+	watch := fleet.start(t, "n")
+	fleet.states[targetNo(1).Addr] = dial.Refuses
+	long, young := prompted("/long", "long"), prompted("/young", "young")
+	watch.Lost(long, targetNo(1), fleet.time().Add(-quarantine.AnsweringTime))
+	watch.Lost(young, targetNo(1), fleet.time().Add(-quarantine.AnsweringTime/2))
+	eventually(t, "the crash is proved", func() bool { return watch.crashesKnown() == 1 })
+	suspects := watch.table.All(fleet.time())[0].Suspects
+	is.True(slices.Contains(suspects, long.ID()))
+	is.True(!slices.Contains(suspects, long.PartIDs()[0]))
+	is.True(slices.Contains(suspects, young.PartIDs()[0]))
+}
+
+// TestPartOfAnotherWorkspace: parts are named by callers. A workspace that crashes targets with the
+// name of a part of another one has only its own requests refused.
+func TestPartOfAnotherWorkspace(t *testing.T) {
+	is := is.New(t)
+	fleet := newFakeFleet()
+	watch := fleet.start(t, "n")
+	fleet.crashUnderPart(t, 3, watch)
+	is.True(watch.Refuse(prompted("/x", "bad")) != nil)
+	other := prompted("/x", "bad")
+	other.Workspace = "other"
+	is.NoErr(watch.Refuse(other))
+	elsewhere := prompted("/x", "bad")
+	elsewhere.Service = "another"
+	is.NoErr(watch.Refuse(elsewhere))
+}
--- a/internal/process/hosted/crashes.go
+++ b/internal/process/hosted/crashes.go
@@ -35,9 +35,9 @@
 	return n.peers.crashes.at(r.Address), true
 }
 
-// kindVerdicts is the kind of objects that store verdicts: decisions that work, which a
-// fingerprint identifies, is refused. There is one for each fingerprint. They let the refusal
-// outlive a restart of all nodes.
+// kindVerdicts is the kind of objects that store verdicts: decisions that work or parts of
+// prompts are refused. Each is named after their fingerprint. They let the refusal outlive a
+// restart of all nodes.
 const kindVerdicts = "marblepond-verdicts"
 
 // storedCrash is the JSON form of a crash in the object store. Its time is that of the
@@ -47,31 +47,39 @@
 	Incarnation uint64
 	At          int64 // Unix milliseconds
 	Targets     int
+	Software    string   `json:",omitempty"`
+	Suspects    []string `json:",omitempty"` // fingerprints; absent: the name of the object
 }
 
 // verdictStore implements crashes.VerdictStore over the object store.
 type verdictStore struct{ n *Node }
 
 // Save implements crashes.VerdictStore.
-func (s verdictStore) Save(ctx context.Context, work fingerprint.ID, evidence []quarantine.Crash) error {
+func (s verdictStore) Save(ctx context.Context, verdict fingerprint.ID, evidence []quarantine.Crash) error {
 	var stored []storedCrash
 	for _, c := range evidence {
-		stored = append(stored, storedCrash{c.Target.ID, c.Target.Incarnation, time.Now().Add(-c.Age).UnixMilli(), c.Targets})
+		crash := storedCrash{Target: c.Target.ID, Incarnation: c.Target.Incarnation, At: time.Now().Add(-c.Age).UnixMilli(), Targets: c.Targets, Software: c.Software}
+		if verdict.Kind() == fingerprint.OfSet {
+			for _, id := range c.Suspects {
+				crash.Suspects = append(crash.Suspects, id.String())
+			}
+		}
+		stored = append(stored, crash)
 	}
 	value, err := json.Marshal(stored)
 	if err != nil {
 		return err
 	}
-	_, err = s.n.adapter.Store.Create(ctx, callbudget.Status, kindVerdicts, work.String(), value)
+	_, err = s.n.adapter.Store.Create(ctx, callbudget.Status, kindVerdicts, verdict.String(), value)
 	if errors.Is(err, objects.ErrConflict) {
-		_, err = s.n.adapter.Store.Update(ctx, callbudget.Status, kindVerdicts, work.String(), anyRevision, value)
+		_, err = s.n.adapter.Store.Update(ctx, callbudget.Status, kindVerdicts, verdict.String(), anyRevision, value)
 	}
 	return err
 }
 
 // Delete implements crashes.VerdictStore.
-func (s verdictStore) Delete(ctx context.Context, work fingerprint.ID) error {
-	err := s.n.adapter.Store.Delete(ctx, callbudget.Status, kindVerdicts, work.String())
+func (s verdictStore) Delete(ctx context.Context, verdict fingerprint.ID) error {
+	err := s.n.adapter.Store.Delete(ctx, callbudget.Status, kindVerdicts, verdict.String())
 	if errors.Is(err, objects.ErrNotFound) {
 		return nil
 	}
@@ -120,7 +128,7 @@
 }
 
 func decodeVerdict(o objects.Object) ([]quarantine.Crash, error) {
-	work, ok := fingerprint.Parse(o.Name)
+	verdict, ok := fingerprint.Parse(o.Name)
 	if !ok {
 		return nil, errors.New("the object name is not a fingerprint")
 	}
@@ -130,12 +138,27 @@
 	}
 	var evidence []quarantine.Crash
 	for _, c := range stored {
-		evidence = append(evidence, quarantine.Crash{Target: quarantine.Target{ID: c.Target, Incarnation: c.Incarnation}, Targets: c.Targets,
-			Age: max(0, time.Since(time.UnixMilli(c.At))), Suspects: []fingerprint.ID{work}})
+		suspects := []fingerprint.ID{verdict}
+		if verdict.Kind() == fingerprint.OfSet {
+			suspects = nil
+			for _, text := range c.Suspects {
+				id, ok := fingerprint.Parse(text)
+				if !ok {
+					return nil, errors.New("a suspect is not a fingerprint")
+				}
+				suspects = append(suspects, id)
+			}
+		}
+		evidence = append(evidence, quarantine.Crash{Target: quarantine.Target{ID: c.Target, Incarnation: c.Incarnation}, Targets: c.Targets, Software: c.Software,
+			Age: max(0, time.Since(time.UnixMilli(c.At))), Suspects: suspects, Answered: decidedAnswered})
 	}
 	return evidence, nil
 }
 
+// decidedAnswered is the quarantine.Crash.Answered of a stored crash: it was decided on, and
+// counts at once.
+const decidedAnswered = time.Minute
+
 // allOlder reports whether all crashes have at least the given age.
 func allOlder(evidence []quarantine.Crash, age time.Duration) bool {
 	for _, c := range evidence {
--- a/internal/request/forward/admit.go
+++ b/internal/request/forward/admit.go
@@ -134,7 +134,7 @@
 				return t, true
 			}
 		}
-		if f.evacuated(req, p) {
+		if f.evacuated(req, p) || f.Quarantine.Refuse(&req.Work) != nil {
 			return choose.Target{}, false
 		}
 		if d := f.Admission.noTarget(f.Now(), p.admitted); d.Refuse {
--- a/internal/request/forward/attempt.go
+++ b/internal/request/forward/attempt.go
@@ -10,6 +10,7 @@
 
 	"github.com/marblepond/marblepond/internal/connection/target"
 	"github.com/marblepond/marblepond/internal/request/choose"
+	"github.com/marblepond/marblepond/internal/request/quarantine"
 )
 
 // errCallerDisconnected ends an attempt whose answer can't be written to the caller.
@@ -40,7 +41,9 @@
 			liveness.TargetRestarted(gapTimeout(req.Route), func() { cancel(errRestarted) })
 		}
 	})()
-	defer f.Quarantine.OnRefusal(&req.Work, func() { cancel(errQuarantined) })()
+	began := &quarantine.Begin{}
+	p.began = began
+	defer f.Quarantine.OnRefusal(&req.Work, func() bool { return began.Answering(f.Now()) }, func() { cancel(errQuarantined) })()
 	sent := f.Now()
 	answer, err := f.Sender.Send(ctx, target.Call{
 		Address: t.Addr, InstanceID: t.ID, Incarnation: t.Incarnation, RequestID: req.ID, Workspace: req.Workspace, Method: req.Method, Host: req.Host, Path: req.Path,
@@ -63,7 +66,7 @@
 	for {
 		event, err := answer.Stream.Next()
 		if errors.Is(err, io.EOF) {
-			f.Quarantine.Completed(&req.Work)
+			f.Quarantine.Completed(&req.Work, t, began.Time())
 			f.Targets.RecordSlotTime(req.Service, f.Now().Sub(sent))
 			if !firstAt.IsZero() {
 				f.Targets.RecordStreamTime(t, lastAt.Sub(firstAt))
@@ -78,6 +81,9 @@
 		watch.eventReceived()
 		f.Targets.RecordEvent(t)
 		now := f.Now()
+		if began.EventReceived(now) {
+			f.Quarantine.Answering(&req.Work, t, began.Time())
+		}
 		if firstAt.IsZero() {
 			f.Targets.RecordFirstEvent(t, now.Sub(sent))
 			f.Admission.firstEvent(now, p.admitted)
@@ -137,7 +143,7 @@
 	if p.begun {
 		return &target.Error{Failure: target.Broken, Cause: errors.New("the target answered a resumed stream with " + http.StatusText(answer.Status))}
 	}
-	f.Quarantine.Completed(&req.Work)
+	f.Quarantine.Completed(&req.Work, t, f.Now())
 	p.errorAnswer = answer.Status >= http.StatusInternalServerError
 	if !p.errorAnswer {
 		f.Admission.firstEvent(f.Now(), p.admitted)
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -20,6 +20,7 @@
 	"github.com/marblepond/marblepond/internal/request/choose"
 	"github.com/marblepond/marblepond/internal/request/continuation"
 	"github.com/marblepond/marblepond/internal/request/fingerprint"
+	"github.com/marblepond/marblepond/internal/request/quarantine"
 	"github.com/marblepond/marblepond/internal/version/route"
 )
 
@@ -101,15 +102,16 @@
 	ran            int   // attempts that may have run
 	lastEventID    int64 // ID of the last event that the caller has
 	origin         continuation.Origin
-	recorded       bool          // the version of the stream was recorded for the caller's return
-	recordChecked  time.Time     // when it was last checked whether it has to be
-	events         int64         // events forwarded
-	lastEventAt    time.Time     // when the last event was forwarded
-	firstEvent     time.Duration // from the arrival of the request to the first event
-	longestGap     time.Duration // longest time between two events
-	begun          bool          // the status and headers were sent to the caller
-	connectionLost bool          // the connection to a target broke, or the target restarted
-	errorAnswer    bool          // the answer that the caller got has status 5xx
+	recorded       bool              // the version of the stream was recorded for the caller's return
+	recordChecked  time.Time         // when it was last checked whether it has to be
+	events         int64             // events forwarded
+	lastEventAt    time.Time         // when the last event was forwarded
+	firstEvent     time.Duration     // from the arrival of the request to the first event
+	longestGap     time.Duration     // longest time between two events
+	begun          bool              // the status and headers were sent to the caller
+	connectionLost bool              // the connection to a target broke, or the target restarted
+	errorAnswer    bool              // the answer that the caller got has status 5xx
+	began          *quarantine.Begin // of the answer of the latest attempt
 	lastErr        error
 	// waitingAt is the full target that refused the request last. The request counts as in
 	// flight there while it waits, so that nodes with batch items at the target learn of it:
@@ -151,6 +153,12 @@
 			return expired(p)
 		}
 		t, ok := f.awaitTarget(ctx, req, p)
+		if err := f.Quarantine.Refuse(&req.Work); err != nil { // it may be refused since it waits
+			if ok {
+				f.Targets.End(t, choose.Neutral)
+			}
+			return err
+		}
 		if !ok {
 			return f.noTargetError(ctx, req, p)
 		}
--- a/internal/request/forward/forward_test.go
+++ b/internal/request/forward/forward_test.go
@@ -114,13 +114,14 @@
 // noQuarantine refuses no work.
 type noQuarantine struct{}
 
-func (noQuarantine) Refuse(*fingerprint.Work) error             { return nil }
-func (noQuarantine) Suspected(*fingerprint.Work) bool           { return false }
-func (noQuarantine) Lost(*fingerprint.Work, choose.Target)      {}
-func (noQuarantine) Completed(*fingerprint.Work)                {}
-func (noQuarantine) Ended(choose.Target, quarantine.Proof)      {}
-func (noQuarantine) EndedBefore(choose.Target) bool             { return false }
-func (noQuarantine) OnRefusal(*fingerprint.Work, func()) func() { return func() {} }
+func (noQuarantine) Refuse(*fingerprint.Work) error                          { return nil }
+func (noQuarantine) Suspected(*fingerprint.Work) bool                        { return false }
+func (noQuarantine) Lost(*fingerprint.Work, choose.Target, time.Time)        {}
+func (noQuarantine) Answering(*fingerprint.Work, choose.Target, time.Time)   {}
+func (noQuarantine) Completed(*fingerprint.Work, choose.Target, time.Time)   {}
+func (noQuarantine) Ended(choose.Target, quarantine.Proof)                   {}
+func (noQuarantine) EndedBefore(choose.Target) bool                          { return false }
+func (noQuarantine) OnRefusal(*fingerprint.Work, func() bool, func()) func() { return func() {} }
 
 // slowSender answers with three events, the first after a delay given by target.
 type slowSender map[string]time.Duration
--- a/internal/request/forward/judge.go
+++ b/internal/request/forward/judge.go
@@ -35,7 +35,7 @@
 		p.ran++
 	}
 	p.connectionLost = p.connectionLost || lostConnection(err)
-	f.reportFailure(req, t, err)
+	f.reportFailure(req, t, p, err)
 	switch {
 	case ctx.Err() != nil && (p.ran > 0 || p.begun):
 		return interrupted(ctx)
@@ -73,14 +73,14 @@
 
 // reportFailure reports to the table of targets and to the quarantine what a failed attempt
 // shows about its target.
-func (f *Forwarder) reportFailure(req *Request, t choose.Target, err error) {
+func (f *Forwarder) reportFailure(req *Request, t choose.Target, p *progress, err error) {
 	var failure *target.Error
 	if !errors.As(err, &failure) {
 		return
 	}
 	switch {
 	case errors.Is(err, errRestarted):
-		f.Quarantine.Lost(&req.Work, t)
+		f.Quarantine.Lost(&req.Work, t, p.began.Time())
 		f.Quarantine.Ended(t, quarantine.Restarted)
 	case failure.Failure == target.WrongInstance:
 		f.Targets.MarkLeaving(t, string(quarantine.AnotherAtAddress))
@@ -88,7 +88,7 @@
 	case failure.ConnectionRefused():
 		f.Quarantine.Ended(t, quarantine.RefusesConnections)
 	case failure.ConnectionLost:
-		f.Quarantine.Lost(&req.Work, t)
+		f.Quarantine.Lost(&req.Work, t, p.began.Time())
 	case failure.Saturated:
 		f.Targets.MarkSaturated(t)
 	}
--- a/internal/request/forward/parts.go
+++ b/internal/request/forward/parts.go
@@ -74,20 +74,24 @@
 type Quarantine interface {
 	// Refuse returns the error with which work is refused, nil if it is not.
 	Refuse(work *fingerprint.Work) error
-	// Suspected reports whether work was in flight at a crash that nothing else explains
-	// and has not been answered completely since.
+	// Suspected reports whether work, or a part of its prompt, was in flight at crashes that
+	// nothing else explains and was not answered since.
 	Suspected(work *fingerprint.Work) bool
-	// Lost records that the connection to a target broke while it ran the work.
-	Lost(work *fingerprint.Work, t choose.Target)
+	// Lost records that the connection to a target broke while it ran the work. began is when
+	// its answer began, zero if it had not.
+	Lost(work *fingerprint.Work, t choose.Target, began time.Time)
+	// Answering records that an answer has been arriving since a time.
+	Answering(work *fingerprint.Work, t choose.Target, began time.Time)
 	// Completed records that work was answered completely.
-	Completed(work *fingerprint.Work)
+	Completed(work *fingerprint.Work, t choose.Target, began time.Time)
 	// Ended records proof that an incarnation of a target has ended.
 	Ended(t choose.Target, proof quarantine.Proof)
 	// EndedBefore reports whether the end of the incarnation was known when the attempt
 	// was sent, so that the attempt reached the next incarnation.
 	EndedBefore(t choose.Target) bool
-	// OnRefusal calls stop if the work is refused while it runs, until done is called.
-	OnRefusal(work *fingerprint.Work, stop func()) (done func())
+	// OnRefusal calls stop if the work is refused while it runs, until done is called, but not for
+	// a part of its prompt while answering reports that the answer has been arriving for a while.
+	OnRefusal(work *fingerprint.Work, answering func() bool, stop func()) (done func())
 }
 
 // Log receives the events of a request.
--- a/internal/request/forward/place.go
+++ b/internal/request/forward/place.go
@@ -33,7 +33,7 @@
 		if t, ok := f.Targets.Choose(f.need(req, p)); ok {
 			return t, true
 		}
-		if f.versionGone(req, p) || f.evacuated(req, p) || !f.mayWait(req, p) || !wait.For(ctx, pause) {
+		if f.versionGone(req, p) || f.evacuated(req, p) || f.Quarantine.Refuse(&req.Work) != nil || !f.mayWait(req, p) || !wait.For(ctx, pause) {
 			return choose.Target{}, false
 		}
 		if p.begun || p.ran == 0 {
--- a/internal/request/job/manager.go
+++ b/internal/request/job/manager.go
@@ -73,18 +73,21 @@
 type Quarantine interface {
 	// Refuse returns an error if the work is quarantined, otherwise nil.
 	Refuse(work *fingerprint.Work) error
-	// Lost records that the connection to a target broke while it ran the work, and
-	// Completed that the work was answered completely.
-	Lost(work *fingerprint.Work, t choose.Target)
+	// Lost records that the connection to a target broke while it ran the work, Answering that
+	// an answer has been arriving since a time, and Completed that the work was answered
+	// completely. began is when the answer began, zero if it had not.
+	Lost(work *fingerprint.Work, t choose.Target, began time.Time)
+	Answering(work *fingerprint.Work, t choose.Target, began time.Time)
+	Completed(work *fingerprint.Work, t choose.Target, began time.Time)
 	// EndedBefore reports whether the incarnation of a target was known to have ended when
 	// an attempt was sent there. Such an attempt reached the next incarnation.
 	EndedBefore(t choose.Target) bool
-	Completed(work *fingerprint.Work)
 	// Ended records proof that an incarnation of a target has ended.
 	Ended(t choose.Target, proof quarantine.Proof)
-	// OnRefusal registers a function that is called when running work is quarantined; done
-	// unregisters it.
-	OnRefusal(work *fingerprint.Work, stop func()) (done func())
+	// OnRefusal registers a function that is called when running work is quarantined, but not
+	// for a part of its prompt while answering reports that the answer has been arriving for a
+	// while; done unregisters it.
+	OnRefusal(work *fingerprint.Work, answering func() bool, stop func()) (done func())
 }
 
 // Peers gives access to other nodes.
@@ -283,6 +286,9 @@
 	for i := range items {
 		w := &works[i]
 		w.Method, w.Host, w.Path, w.Body = http.MethodPost, head.Host, items[i].Path, items[i].Body
+		if r := m.routeOf(head); r != nil {
+			w.Service = r.PickService(0)
+		}
 		w.Selectors, w.Workspace = fingerprint.Select(m.cfg.Selectors, items[i].header().Get), head.Workspace
 		if m.cfg.PromptParts != nil {
 			w.PromptParts = func() []string { return m.cfg.PromptParts(items[i].header()) }
--- a/internal/request/job/manager_test.go
+++ b/internal/request/job/manager_test.go
@@ -113,12 +113,13 @@
 // noQuarantine quarantines no work.
 type noQuarantine struct{}
 
-func (noQuarantine) Refuse(*fingerprint.Work) error             { return nil }
-func (noQuarantine) Lost(*fingerprint.Work, choose.Target)      {}
-func (noQuarantine) Completed(*fingerprint.Work)                {}
-func (noQuarantine) Ended(choose.Target, quarantine.Proof)      {}
-func (noQuarantine) EndedBefore(choose.Target) bool             { return false }
-func (noQuarantine) OnRefusal(*fingerprint.Work, func()) func() { return func() {} }
+func (noQuarantine) Refuse(*fingerprint.Work) error                          { return nil }
+func (noQuarantine) Lost(*fingerprint.Work, choose.Target, time.Time)        {}
+func (noQuarantine) Answering(*fingerprint.Work, choose.Target, time.Time)   {}
+func (noQuarantine) Completed(*fingerprint.Work, choose.Target, time.Time)   {}
+func (noQuarantine) Ended(choose.Target, quarantine.Proof)                   {}
+func (noQuarantine) EndedBefore(choose.Target) bool                          { return false }
+func (noQuarantine) OnRefusal(*fingerprint.Work, func() bool, func()) func() { return func() {} }
 
 type noPeers struct{}
 
--- a/internal/request/job/run.go
+++ b/internal/request/job/run.go
@@ -214,14 +214,15 @@
 			liveness.TargetRestarted(replacedStallTimeout, func() { cancel(errReplaced) })
 		}
 	})()
-	defer m.Quarantine.OnRefusal(&h.works[i], func() { cancel(errQuarantined) })()
-	err := m.attempt(ctx, cancel, h, i, t, r, liveness)
+	began := &quarantine.Begin{}
+	defer m.Quarantine.OnRefusal(&h.works[i], func() bool { return began.Answering(m.Clock.Now()) }, func() { cancel(errQuarantined) })()
+	err := m.attempt(ctx, cancel, h, i, t, r, liveness, began)
 	m.mu.Lock()
 	delete(h.stops, i)
 	outcome := m.reportedOutcome(h, i, outcomeOf(ctx, err))
 	m.mu.Unlock()
 	m.Pool.EndBatch(t, outcome, errors.Is(context.Cause(ctx), errPreempted))
-	m.attemptEnded(ctx, h, i, t, r, err)
+	m.attemptEnded(ctx, h, i, t, r, began.Time(), err)
 	m.wakeScheduler()
 	h.wakeCommitter()
 }
@@ -231,7 +232,7 @@
 
 func (e statusError) Error() string { return "the target answered " + http.StatusText(int(e)) }
 
-func (m *Manager) attempt(ctx context.Context, cancel context.CancelCauseFunc, h *heldJob, i int, t choose.Target, r *route.Route, liveness *target.Liveness) error {
+func (m *Manager) attempt(ctx context.Context, cancel context.CancelCauseFunc, h *heldJob, i int, t choose.Target, r *route.Route, liveness *target.Liveness, began *quarantine.Begin) error {
 	m.mu.Lock()
 	resumeAfter := h.progress.items[i].lastEvent
 	m.mu.Unlock()
@@ -259,6 +260,9 @@
 			return err
 		}
 		liveness.EventReceived()
+		if began.EventReceived(m.Clock.Now()) {
+			m.Quarantine.Answering(&h.works[i], t, began.Time())
+		}
 		stallTimer.Reset(stallTimeout)
 		last = m.recordEvent(ctx, t, last)
 		m.mu.Lock()
@@ -321,14 +325,14 @@
 }
 
 // attemptEnded updates an item after an attempt.
-func (m *Manager) attemptEnded(ctx context.Context, h *heldJob, i int, t choose.Target, r *route.Route, err error) {
+func (m *Manager) attemptEnded(ctx context.Context, h *heldJob, i int, t choose.Target, r *route.Route, began time.Time, err error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := time.Now()
 	item := &h.items[i]
 	h.progress.attemptEnded(i, now)
 	if err == nil {
-		m.Quarantine.Completed(&h.works[i])
+		m.Quarantine.Completed(&h.works[i], t, began)
 		m.Recorder.Record(timeline.ItemDone, item.ID, t.ID, "", timeline.Field{Name: "job", Value: h.id},
 			timeline.Field{Name: "events", Value: h.progress.items[i].lastEvent}, timeline.Field{Name: "took_ms", Value: now.Sub(h.progress.items[i].sentAt).Milliseconds()})
 		h.progress.finish(i, Result{Item: item.ID, Text: string(h.progress.items[i].text)}, now)
@@ -343,15 +347,15 @@
 		fields = append(fields, timeline.Field{Name: "work", Value: h.works[i].ID().String()}, timeline.Field{Name: "parts", Value: h.works[i].Parts()})
 	}
 	m.Recorder.Record(timeline.ItemFailed, item.ID, t.ID, cause.Error(), fields...)
-	m.handleFailure(ctx, h, i, t, r, err, now)
+	m.handleFailure(ctx, h, i, t, r, began, err, now)
 }
 
 // handleFailure decides what follows an attempt that did not return the complete output.
 // The caller holds m.mu.
-func (m *Manager) handleFailure(ctx context.Context, h *heldJob, i int, t choose.Target, r *route.Route, err error, now time.Time) {
+func (m *Manager) handleFailure(ctx context.Context, h *heldJob, i int, t choose.Target, r *route.Route, began time.Time, err error, now time.Time) {
 	var status statusError
 	var failure *target.Error
-	m.reportToQuarantine(ctx, h, i, t, err)
+	m.reportToQuarantine(ctx, h, i, t, began, err)
 	switch {
 	case errors.Is(context.Cause(ctx), errPreempted):
 		h.progress.requeue(i, now, preemptionBackoff)
@@ -375,17 +379,17 @@
 }
 
 // reportToQuarantine reports what the end of an attempt shows about the target.
-func (m *Manager) reportToQuarantine(ctx context.Context, h *heldJob, i int, t choose.Target, err error) {
+func (m *Manager) reportToQuarantine(ctx context.Context, h *heldJob, i int, t choose.Target, began time.Time, err error) {
 	var status statusError
 	var failure *target.Error
 	switch {
 	case errors.As(err, &status):
-		m.Quarantine.Completed(&h.works[i]) // it failed, but the target did not crash
+		m.Quarantine.Completed(&h.works[i], t, m.Clock.Now()) // it failed, but the target did not crash
 	case errors.Is(context.Cause(ctx), errReplaced):
-		m.Quarantine.Lost(&h.works[i], t)
+		m.Quarantine.Lost(&h.works[i], t, began)
 		m.Quarantine.Ended(t, quarantine.Restarted)
 	case errors.As(err, &failure) && failure.ConnectionLost:
-		m.Quarantine.Lost(&h.works[i], t)
+		m.Quarantine.Lost(&h.works[i], t, began)
 	}
 }
 
--- a/internal/request/quarantine/exchange.go
+++ b/internal/request/quarantine/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -16,9 +17,12 @@
 type Crash struct {
 	Target   Target
 	Age      time.Duration
-	Targets  int // that served the same service
+	Targets  int    // that served the same service
+	Software string // of the target: its service and version, "" if it is not known
 	Suspects []fingerprint.ID
 	Cleared  []fingerprint.ID
+	// Answered is how long ago the first suspect was cleared; negative: none was.
+	Answered time.Duration
 }
 
 // Digest returns a hash of all known crashes: two nodes with the same digest have the same
@@ -66,16 +70,19 @@
 		return target.ID + ": no longer known"
 	}
 	c := order[i]
-	return fmt.Sprintf("%s: %d ms ago, %d suspects, %d others ended within %v", target.ID, now.Sub(c.at).Milliseconds(), len(c.suspects()), len(crashesNear(order, i)), togetherWithin)
+	return fmt.Sprintf("%s: %d ms ago, %d suspects, %d others ended within %v", target.ID, now.Sub(c.at).Milliseconds(), len(c.suspects), len(crashesNear(order, i)), togetherWithin)
 }
 
 func (c *crash) export(now time.Time) Crash {
-	out := Crash{Target: c.target, Age: now.Sub(c.at), Targets: c.targets}
-	for work, s := range c.work {
+	out := Crash{Target: c.target, Age: now.Sub(c.at), Targets: c.targets, Software: c.software, Answered: -1}
+	if !c.answeredSince.IsZero() {
+		out.Answered = now.Sub(c.answeredSince)
+	}
+	for id, s := range c.states {
 		if s == cleared {
-			out.Cleared = append(out.Cleared, work)
+			out.Cleared = append(out.Cleared, id)
 		} else {
-			out.Suspects = append(out.Suspects, work)
+			out.Suspects = append(out.Suspects, id)
 		}
 	}
 	return out
@@ -95,41 +102,52 @@
 func (t *Table) merge(now time.Time, received Crash) (changed bool) {
 	c := t.crashes[received.Target]
 	if c == nil {
-		c = &crash{target: received.Target, at: now.Add(-received.Age), learnedAt: now, work: map[fingerprint.ID]state{}}
+		c = &crash{target: received.Target, at: now.Add(-received.Age), learnedAt: now, states: map[fingerprint.ID]state{}}
 		if l := t.unproved[received.Target]; l != nil { // another node's proof also counts for the losses seen here
 			delete(t.unproved, received.Target)
-			received.Suspects = append(slices.Clone(received.Suspects), l.suspects()...)
+			received.Suspects = append(slices.Clone(received.Suspects), l.sorted()...)
 		}
 		t.add(c)
 		changed = true
 	}
 	c.targets = max(c.targets, received.Targets)
-	changed = c.raiseTo(received.Suspects, suspect) || changed
-	changed = c.raiseTo(received.Cleared, cleared) || changed
+	if c.software == "" {
+		c.software = received.Software
+	}
+	changed = c.raiseTo(now, received.Suspects, suspect) || changed
+	changed = c.raiseTo(now, received.Cleared, cleared) || changed
+	if since := now.Add(-received.Answered); received.Answered >= 0 && (c.answeredSince.IsZero() || since.Before(c.answeredSince)) {
+		c.answeredSince = since
+		t.verdictsStale = true
+	}
 	if changed {
 		t.markChanged(c)
 	}
 	return changed
 }
 
-func (l *unprovedLosses) suspects() []fingerprint.ID {
-	var out []fingerprint.ID
-	for work := range l.work {
-		out = append(out, work)
-	}
-	return out
+func (l *unprovedLosses) sorted() []fingerprint.ID {
+	return slices.SortedFunc(maps.Keys(l.suspects), compareIDs)
 }
 
-// raiseTo records work that was in flight, and raises its state if that is lower than to.
-func (c *crash) raiseTo(work []fingerprint.ID, to state) (changed bool) {
-	for _, id := range work {
-		s, known := c.work[id]
-		if (known && s >= to) || (!known && len(c.work) >= maxWorkPerCrash) {
+func compareIDs(a, b fingerprint.ID) int { return slices.Compare(a[:], b[:]) }
+
+// raiseTo records suspects, and raises their state if that is lower than to.
+func (c *crash) raiseTo(now time.Time, ids []fingerprint.ID, to state) (changed bool) {
+	for _, id := range ids {
+		s, known := c.states[id]
+		if (known && s >= to) || (!known && !mayAdd(id, len(c.states), c.parts)) {
 			continue
 		}
-		c.work[id] = to
+		if !known && id.Kind() == fingerprint.OfPart {
+			c.parts++
+		}
+		c.states[id] = to
 		changed = true
 	}
+	if changed && to == cleared && c.answeredSince.IsZero() {
+		c.answeredSince = now
+	}
 	return changed
 }
 
@@ -141,8 +159,8 @@
 	h.Write(number[:])
 	h.WriteString(c.target.ID)
 	sum := h.Sum64()
-	for work, s := range c.work { // summed, so that the order of the map does not matter
-		sum += xxhash.Sum64(append(work[:], byte(s)))
+	for id, s := range c.states { // summed, so that the order of the map does not matter
+		sum += xxhash.Sum64(append(id[:], byte(s)))
 	}
 	return sum
 }
--- a/internal/request/quarantine/storm_test.go
+++ b/internal/request/quarantine/storm_test.go
@@ -165,7 +165,7 @@
 func (s *simulation) finish(r *request, run int) {
 	if r.run == run {
 		s.running[r.target] = slices.DeleteFunc(s.running[r.target], func(o *request) bool { return o == r })
-		s.table.Clear(r.work)
+		s.table.Clear(s.now, r.work)
 	}
 }
 
--- a/internal/request/quarantine/table_test.go
+++ b/internal/request/quarantine/table_test.go
@@ -31,11 +31,16 @@
 // crashAt records a proved crash of an incarnation of a target with work in flight.
 func (t *Table) crashAt(at time.Time, target Target, works ...fingerprint.ID) {
 	for _, w := range works {
-		t.Lost(at, target, w, fleetSize)
+		t.lost(at, target, w, fleetSize)
 	}
 	t.Ended(at.Add(2*time.Millisecond), target)
 }
 
+// lost records that an attempt at work lost its connection to a target.
+func (t *Table) lost(at time.Time, target Target, w fingerprint.ID, targets int) {
+	t.Lost(at, Loss{Target: target, Targets: targets, Suspects: []fingerprint.ID{w}})
+}
+
 func refused(t *Table, now time.Time, w fingerprint.ID) bool {
 	_, is := t.Refused(now, w)
 	return is
@@ -58,7 +63,7 @@
 	}
 	third := start.Add(2 * time.Second)
 	v, _ := table.Refused(third.Add(settleTime), work(1))
-	is.Equal(v, Verdict{Targets: []Target{incarnation(0), incarnation(1), incarnation(2)}, Since: third, Until: start.Add(time.Hour)})
+	is.Equal(v, Verdict{Suspects: []fingerprint.ID{work(1)}, Targets: []Target{incarnation(0), incarnation(1), incarnation(2)}, Since: third, Until: start.Add(time.Hour)})
 	is.True(refused(table, start.Add(time.Hour-1), work(1)))
 	is.True(!refused(table, start.Add(time.Hour), work(1)))
 	table.crashAt(start.Add(time.Hour), incarnation(4), work(1))
@@ -73,14 +78,14 @@
 	table := New(testConfig)
 	for n := range 20 {
 		at := start.Add(time.Duration(n) * time.Second)
-		table.Lost(at, incarnation(n), work(1), fleetSize)
+		table.lost(at, incarnation(n), work(1), fleetSize)
 		is.True(!table.Suspected(at.Add(settleTime), work(1)))
 		is.True(!table.Ended(at.Add(proofTimeout+1), incarnation(n))) // the proof arrives too late
 	}
 	is.True(!refused(table, start.Add(time.Minute), work(1)))
 	late := start.Add(time.Minute)
 	for n := range 3 { // the target is seen alive after the loss, and ends later
-		table.Lost(late, incarnation(n), work(1), fleetSize)
+		table.lost(late, incarnation(n), work(1), fleetSize)
 		table.Alive(incarnation(n), late)
 		is.True(!table.Ended(late.Add(time.Second), incarnation(n)))
 	}
@@ -97,16 +102,16 @@
 	for n := range 6 {
 		if n == 2 {
 			is.True(table.Suspected(start.Add(2*time.Second), work(1)))
-			is.True(table.Clear(work(1)))
+			is.True(table.Clear(start.Add(2*time.Second), work(1)))
 			is.True(!table.Suspected(start.Add(2*time.Second), work(1)))
 		}
 		at := start.Add(time.Duration(n) * time.Second)
 		table.crashAt(at, incarnation(n), work(1))
 		is.Equal(refused(table, at.Add(settleTime), work(1)), n >= 4)
 	}
-	is.True(table.Clear(work(1))) // released by an operator
+	is.True(table.Clear(start.Add(2*time.Second), work(1))) // released by an operator
 	is.True(!refused(table, start.Add(time.Minute), work(1)))
-	is.True(!table.Clear(work(1)))
+	is.True(!table.Clear(start.Add(2*time.Second), work(1)))
 }
 
 // TestTargetsKilledTogether: seven of twelve targets are killed at once, three times. A
@@ -132,8 +137,8 @@
 	table := New(testConfig)
 	for n := range 4 {
 		at := start.Add(time.Duration(n) * time.Millisecond)
-		table.Lost(at, incarnation(n), work(1), 4)
-		table.Lost(at, incarnation(n), work(10+n), 4)
+		table.lost(at, incarnation(n), work(1), 4)
+		table.lost(at, incarnation(n), work(10+n), 4)
 		table.Ended(at, incarnation(n))
 	}
 	is.True(refused(table, start.Add(time.Second), work(1)))
@@ -198,7 +203,7 @@
 				_ = i
 			}
 			if rapid.IntRange(0, 4).Draw(t, "answered") == 0 {
-				tables[rapid.IntRange(0, 2).Draw(t, "by")].Clear(work(rapid.IntRange(0, 5).Draw(t, "cleared")))
+				tables[rapid.IntRange(0, 2).Draw(t, "by")].Clear(at, work(rapid.IntRange(0, 5).Draw(t, "cleared")))
 			}
 			if rapid.Bool().Draw(t, "exchange") {
 				from, to := tables[rapid.IntRange(0, 2).Draw(t, "from")], tables[rapid.IntRange(0, 2).Draw(t, "to")]
@@ -256,7 +261,7 @@
 	for n := range 4 * maxCrashes {
 		at = at.Add(200 * time.Millisecond)
 		for w := range 2 * maxWorkPerCrash {
-			table.Lost(at, incarnation(100+n), work(1000+n*1000+w), fleetSize)
+			table.lost(at, incarnation(100+n), work(1000+n*1000+w), fleetSize)
 		}
 		table.Ended(at, incarnation(100+n))
 	}
@@ -264,7 +269,7 @@
 	is.True(len(table.All(at)[maxCrashes-1].Suspects) <= maxWorkPerCrash)
 	is.True(refused(table, at, work(0)))
 	for n := range 2 * maxCrashes {
-		table.Lost(at, Target{"silent", uint64(n)}, work(n), fleetSize)
+		table.lost(at, Target{"silent", uint64(n)}, work(n), fleetSize)
 	}
 	is.True(len(table.unproved) <= maxCrashes)
 }
@@ -276,7 +281,7 @@
 	for n := range maxCrashes {
 		at = at.Add(time.Second)
 		for i := range 8 {
-			table.Lost(at, incarnation(n), work(n*8+i%7), fleetSize)
+			table.lost(at, incarnation(n), work(n*8+i%7), fleetSize)
 		}
 		table.Ended(at, incarnation(n))
 	}
--- a/internal/request/run/run.go
+++ b/internal/request/run/run.go
@@ -61,9 +61,9 @@
 	// Refuse returns the error with which work is refused, nil if it is not.
 	Refuse(work *fingerprint.Work) error
 	// Lost records that the connection to a target broke while it ran the work.
-	Lost(work *fingerprint.Work, t choose.Target)
+	Lost(work *fingerprint.Work, t choose.Target, began time.Time)
 	// Completed records that work was answered completely.
-	Completed(work *fingerprint.Work)
+	Completed(work *fingerprint.Work, t choose.Target, began time.Time)
 }
 
 // Runner runs requests.
@@ -256,11 +256,11 @@
 	}
 	switch {
 	case err == nil:
-		r.quarantine.Completed(req.Work)
+		r.quarantine.Completed(req.Work, target, r.now())
 	case errors.Is(err, engine.ErrConnectionLost):
 		if process, known := r.targets.WithProcessStart(target); known {
 			process.Sent = target.Sent
-			r.quarantine.Lost(req.Work, process)
+			r.quarantine.Lost(req.Work, process, time.Time{})
 		}
 	}
 }
--- a/scripts/check-mutants.sh
+++ b/scripts/check-mutants.sh
@@ -123,11 +123,12 @@
 mutant 1 internal/request/job/run.go 's/m\.Clock\.Since\(started\)/time.Since(started)/' internal/request/job TestSuspendedHolderAsksTheStore
 mutant 1 internal/connection/beacon/send.go 's/state\.lastReceived\.After\(x\.resumedAt\) && //' internal/connection/beacon TestSuspendedNodeReportsNothingOld
 mutant 1 internal/request/batch/lease.go 's/w\.clock\.Since\(l\.renewed\)/time.Since(l.renewed)/' internal/request/batch TestLeaseRunsOutDuringASuspension
-mutant 5 internal/request/quarantine/verdict.go 's/return eval\.killedTogether\(c, work, near\)/return eval.killedTogether(c, work, near) \&\& c == nil/' internal/request/quarantine TestTargetsKilledTogether
+mutant 5 internal/request/quarantine/evaluate.go 's/return e\.killedTogether\(c, id, near\)/return e.killedTogether(c, id, near) \&\& c == nil/' internal/request/quarantine TestTargetsKilledTogether
 mutant 5 internal/request/quarantine/verdict.go 's/minSoleSuspect = 1/minSoleSuspect = 0/' internal/request/quarantine TestBystandersAreNotRefused
-mutant 5 internal/request/quarantine/table.go 's/c\.work\[work\] = cleared/_ = cleared/' internal/request/quarantine TestWholeAnswerClears
+mutant 5 internal/request/quarantine/table.go 's/\[\]fingerprint\.ID\{id\}, cleared\)/[]fingerprint.ID{id}, suspect)/' internal/request/quarantine TestWholeAnswerClears
 mutant 5 internal/request/quarantine/table.go 's/now\.Sub\(l\.firstLoss\) > proofTimeout \|\| len/len/' internal/request/quarantine TestLossWithoutProofCountsNothing
-mutant 5 internal/request/quarantine/exchange.go 's/known && s >= to/known \&\& s >= suspect/' internal/request/quarantine TestMergeInAnyOrder
+mutant 5 internal/request/quarantine/exchange.go 's/known && s >= to/known \&\& s >= suspect/' internal/request/quarantine TestWholeAnswerClears
+mutant 5 internal/request/quarantine/exchange.go 's/changed = c\.raiseTo\(now, received\.Cleared, cleared\) \|\| changed//' internal/request/quarantine TestMergeInAnyOrder
 mutant 5 internal/request/quarantine/exchange.go 's/received\.Age < 0 \|\| received\.Age >= t\.cfg\.Retention/received.Age < 0/' internal/request/quarantine TestForgottenCrashesStayForgotten
 mutant 5 internal/process/crashes/watch.go 's/if w\.Leaving\(t\)/if w.Leaving(t) \&\& t.ID == ""/' internal/process/crashes TestWhatProvesNoCrash
 mutant 5 internal/process/crashes/probe.go 's/w\.table\.Alive\(keyOf\(t\), began\)/_ = began/' internal/process/crashes TestWhatProvesNoCrash
@@ -135,9 +136,20 @@
 mutant 5 internal/process/hosted/crashes.go 's/n\.crashes\.Merge\(evidence\)/_ = evidence/' lab/hosted TestWhatIsRefusedStaysSo
 mutant 5 internal/request/job/run.go 's/ && !m\.isQuarantined\(h, i\)//' lab/hosted TestItemThatEndsTargets
 mutant 5 internal/request/choose/choose.go 's/e\.apart\+e\.elsewhere\.Apart == 0/e.apart >= 0/' internal/request/choose TestSuspectsDontMeet
-mutant 5 internal/request/quarantine/verdict.go 's/!\(there && s == suspect\) &&/!(there \&\& s > cleared) \&\&/' internal/request/quarantine TestOneRequestAtManyTargetsAtOnce
-mutant 5 internal/request/quarantine/verdict.go 's/ && !e\.explained\(other\)//' internal/request/quarantine TestSeveralInStep
+mutant 5 internal/request/quarantine/evaluate.go 's/!\(there && s == suspect\) &&/!(there \&\& s > cleared) \&\&/' internal/request/quarantine TestOneRequestAtManyTargetsAtOnce
+mutant 5 internal/request/quarantine/evaluate.go 's/ && !e\.explained\(other\)//' internal/request/quarantine TestSeveralInStep
 mutant 6 internal/process/crashes/watch.go 's/w\.Leaving\(t\) \|\| w\.EndedBefore\(t\)/w.Leaving(t)/' internal/process/crashes TestLaterAttemptIsNotSuspected
+mutant 5 internal/request/quarantine/parts.go 's/e\.moments\(telling\) < limit-1 \{/e.moments(telling) < 0 {/' internal/request/quarantine TestNothingAnsweredRefusesNoPart
+mutant 5 internal/request/quarantine/parts.go 's/minBurst          = 5/minBurst          = 500/' internal/request/quarantine TestBurstOfBadRequests
+mutant 5 internal/request/quarantine/parts.go 's/crashes\.without\(e\.kills\)/crashes/' internal/request/quarantine TestPartAtKilledTargets
+mutant 5 internal/request/quarantine/parts.go 's/return id\.Kind\(\) == fingerprint\.OfPart && e\.isMixture/return id.Kind() > fingerprint.OfSet \&\& e.isMixture/' internal/request/quarantine TestTwoBadPartsWithOneFirstPart
+mutant 5 internal/request/quarantine/parts.go 's/partMargin = 2/partMargin = 0/' internal/request/quarantine TestKillsBlameNoPart
+mutant 5 internal/request/quarantine/table.go 's/return crashed\.Before\(a\.Began\.Add\(soundFor\)\)/return true/' internal/request/quarantine TestWhatAnswersClear
+mutant 5 internal/request/quarantine/table.go 's/case software != a\.Software && /case software != a.Software \&\& a.Began.IsZero() \&\& /' internal/request/quarantine TestWhatAnswersClear
+mutant 5 internal/request/quarantine/verdict.go 's/if !slices\.Contains\(ids, suspect\) \{/if !slices.Contains(ids, suspect) \&\& !v.OfParts() {/' internal/request/quarantine TestPartsThatAreAlwaysTogether
+mutant 5 internal/process/crashes/watch.go 's/began\.IsZero\(\) \|\| /!began.IsZero() || /' internal/process/crashes TestAnswerThatArrivedIsNotSuspected
+mutant 5 internal/process/crashes/verdicts.go 's/!v\.OfParts\(\) \|\| !a\.answering\(\)/a.stop != nil/' internal/process/crashes TestPartAtThreeNodes
+mutant 10 internal/request/fingerprint/fingerprint.go 's/\{w\.Workspace, w\.Service, name\}/{w.Service, name}/' internal/process/crashes TestPartOfAnotherWorkspace
 mutant 6 internal/connection/target/liveness.go 's/timeout-time\.Since\(l\.lastEvent\)/0*(timeout-time.Since(l.lastEvent))/' internal/connection/target TestAttemptWithoutEventsIsLost
 mutant 6 internal/request/forward/attempt.go 's/liveness\.TargetRestarted\(gapTimeout\(req\.Route\)/liveness.TargetRestarted(0*gapTimeout(req.Route)/' lab/hosted TestAnswerGoesOnAtTheNextStart
 mutant 6 internal/connection/dial/checked.go 's/c\.checkNextWrite\.Swap\(false\) && c\.closed\(\)/c.checkNextWrite.Swap(false) \&\& c.closed() \&\& c.raw == nil/' platform TestKeptConnectionsOfAnEndedProcess
