--- a/lab/hosted/crash_test.go
+++ b/lab/hosted/crash_test.go
@@ -288,8 +288,8 @@
 }
 
 // operator returns a client of a node's operator service.
-func (c *crashFleet) operator(n int) marblepondv1connect.OperatorServiceClient {
-	return peer.NewOperatorClient(http.DefaultClient, c.Nodes[n].Settings.PeerListen, "")
+func (f *Fleet) operator(n int) marblepondv1connect.OperatorServiceClient {
+	return peer.NewOperatorClient(http.DefaultClient, f.Nodes[n].Settings.PeerListen, "")
 }
 
 // refusedWork returns the fingerprints of the requests that a node refuses.
--- a/lab/hosted/prompt_test.go
+++ b/lab/hosted/prompt_test.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	v1 "github.com/marblepond/marblepond/api/marblepond/v1"
 )
 
 // These tests guard against requests that share one part of their prompts with which each
@@ -269,3 +271,160 @@
 		})
 	}
 }
+
+// refusedParts returns the names of the parts that a node refuses; of those that it has not met,
+// the fingerprints.
+func (f *promptFleet) refusedParts(t *testing.T, n int) []string {
+	t.Helper()
+	answer, err := f.operator(n).Quarantine(context.Background(), &v1.QuarantineRequest{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var parts []string
+	for _, r := range answer.Refused {
+		parts = append(parts, r.Parts...)
+	}
+	return parts
+}
+
+// refusePart sends requests with a part that crashes targets until every node refuses it.
+func (f *promptFleet) refusePart(t *testing.T, part string) {
+	t.Helper()
+	go f.sendBad(part, 8, 3*time.Second)
+	eventually(t, "all nodes refuse the part", 4*time.Second, func() bool {
+		for n := range f.Nodes {
+			if len(f.refusedParts(t, n)) == 0 {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// TestRefusedPartStaysRefused: a node that restarts learns from the others which parts are refused.
+// After all nodes have failed together they read it from the object store. An operator can let the
+// part go at any node.
+func TestRefusedPartStaysRefused(t *testing.T) {
+	is := is.New(t)
+	f := startPromptFleet(t, nil, "bad1")
+	f.refusePart(t, "bad1")
+	f.stopLoad()
+	time.Sleep(3 * time.Second) // refusePart sends no more, and the targets are back
+	refuses := func(n int) bool {
+		reply := Call(context.Background(), http.MethodPost, f.Nodes[n].CallerAddress(), StreamPath+"x", fmt.Sprint("again-", rand.Int()), prompt("f7", "bad1", "e1"), []byte(fmt.Sprint(rand.Int())))
+		return isCrashRefusal(reply) && strings.Contains(reply.Body, "bad1")
+	}
+	eventually(t, "the verdict is in the store", 2*time.Second, func() bool { return len(f.Store.Names("marblepond-verdicts")) > 0 })
+	before := f.courseOf("bad1").crashes
+	f.Nodes[0].Kill()
+	_, err := f.Restart(f.Nodes[0], "")
+	is.NoErr(err)
+	last := len(f.Nodes) - 1
+	is.NoErr(f.waitReady(f.Nodes[last]))
+	eventually(t, "the restarted node knows it", stableWindow, func() bool { return len(f.refusedParts(t, last)) > 0 })
+	is.True(refuses(last))
+	is.Equal(f.courseOf("bad1").crashes, before)
+
+	for _, n := range f.Nodes {
+		n.Kill()
+	}
+	for range f.Nodes {
+		_, err := f.Restart(f.Nodes[0], "") // Restart moves the node to the end of the list
+		is.NoErr(err)
+	}
+	eventually(t, "all know it", stableWindow, func() bool {
+		for n := range f.Nodes {
+			if f.waitReady(f.Nodes[n]) != nil || len(f.refusedParts(t, n)) == 0 {
+				return false
+			}
+		}
+		return true
+	})
+	for n := range f.Nodes {
+		is.True(refuses(n))
+	}
+	is.Equal(f.courseOf("bad1").crashes, before)
+
+	for _, r := range f.Runners {
+		r.SetCrashingParts()
+	}
+	answer, err := f.operator(2).Quarantine(context.Background(), &v1.QuarantineRequest{})
+	is.NoErr(err)
+	for _, refused := range answer.Refused {
+		_, err = f.operator(2).ReleaseWork(context.Background(), &v1.ReleaseWorkRequest{Work: refused.Work})
+		is.NoErr(err)
+	}
+	eventually(t, "no node refuses it", stableWindow, func() bool {
+		for n := range f.Nodes {
+			if refuses(n) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// TestItemsWithAPartThatCrashesTargets: two jobs have items with a part that crashes targets. The
+// items are not sent any more once the part is refused, and are given up when their time is over;
+// the others are completed.
+func TestItemsWithAPartThatCrashesTargets(t *testing.T) {
+	is := is.New(t)
+	f := startPromptFleet(t, nil, "bad1")
+	f.Store.Put("config", "main", Config(2, func(c map[string]any) { c["routes"].([]any)[3].(map[string]any)["keep_s"] = 10.0 }))
+	for _, n := range f.Nodes {
+		eventually(t, "version 2 is in force", 2*time.Second, func() bool { return n.Table().Version == 2 })
+	}
+	for _, job := range []string{"first", "second"} {
+		items := Items(job, 12)
+		for i := range items {
+			items[i].Headers = prompt(commonFirstPart, fmt.Sprint("e", i))
+			if i%3 == 0 {
+				items[i].Headers = prompt(commonFirstPart, "bad1", fmt.Sprint("e", i))
+			}
+		}
+		is.Equal(SubmitJob(f.Nodes[0].CallerAddress(), job, items).Status, http.StatusAccepted)
+	}
+	eventually(t, "all nodes refuse the part", 4*time.Second, func() bool {
+		for n := range f.Nodes {
+			if len(f.refusedParts(t, n)) == 0 {
+				return false
+			}
+		}
+		return true
+	})
+	for _, job := range []string{"first", "second"} {
+		results, err := ReadAllResults(f.callerAddresses(), job, 14*time.Second)
+		is.NoErr(err)
+		dead := 0
+		for _, r := range results {
+			if r.State == "dead_letter" {
+				dead++
+			}
+		}
+		is.Equal(dead, 4)
+	}
+	c := f.courseOf("bad1")
+	t.Logf("%d crashes, %d late runs", c.crashes, c.late)
+	is.True(c.late <= maxLateRuns)
+}
+
+// TestKillsRefuseNoPart: one, two or eight targets are killed, nine times, beside requests whose
+// prompts share parts. Nothing is refused as crashing targets.
+func TestKillsRefuseNoPart(t *testing.T) {
+	is := is.New(t)
+	f := startPromptFleet(t, nil)
+	time.Sleep(time.Second)
+	for kill := range 9 {
+		for i := range []int{1, 2, 8}[kill%3] {
+			f.Runners[(kill*5+i)%len(f.Runners)].Kill(time.Second)
+		}
+		time.Sleep(700 * time.Millisecond)
+	}
+	for range 20 {
+		time.Sleep(100 * time.Millisecond)
+		is.Equal(len(f.refusedParts(t, 0)), 0)
+	}
+	f.stopLoad()
+	t.Logf("%d of %d requests were refused as crashing targets", f.refused, len(f.tries))
+	is.Equal(f.refused, 0)
+}
