--- a/lab/hosted/runner.go
+++ b/lab/hosted/runner.go
@@ -63,6 +63,7 @@
 	crashingParts   []string  // parts of prompts that crash the process when an answer begins
 	partRuns        []PartRun // runs of requests with one of crashingParts, in order
 	partCrashes     []PartRun // those of them that crashed the process, with the time of the crash
+	closeDelimited  bool      // answers have neither a length nor chunks and end with their connection
 }
 
 // PartRun is the start of a run of a request with a part that crashes the runner.
@@ -220,6 +221,20 @@
 	r.crashingParts = parts
 }
 
+// SetCloseDelimited sets whether answers have neither a length nor chunks, so that they end with
+// their connection.
+func (r *Runner) SetCloseDelimited(on bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.closeDelimited = on
+}
+
+func (r *Runner) isCloseDelimited() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.closeDelimited
+}
+
 // PartRuns returns the starts of the runs of requests with parts that crash the runner.
 func (r *Runner) PartRuns() []PartRun {
 	r.mu.Lock()
@@ -439,6 +454,9 @@
 		w.Header().Set("X-Marblepond-Server-Stamp", stamp)
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
+	if r.isCloseDelimited() {
+		w.Header().Set("Transfer-Encoding", "identity") // net/http then ends the answer with the connection
+	}
 	if behaviour == CrashAtBegin && !sleep(req, beginDelay) {
 		r.recordCancelled(id)
 		return
