--- a/lab/hosted/framing_test.go
+++ b/lab/hosted/framing_test.go
@@ -2,9 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
+	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -71,6 +76,31 @@
 	}
 }
 
+// TestCutOffAnswerToAnHTTP10Caller: a response to HTTP/1.0 ends with its connection. If its target
+// ends in the middle and no other may go on, the connection is reset, so that the caller sees
+// that a part is missing.
+func TestCutOffAnswerToAnHTTP10Caller(t *testing.T) {
+	is := is.New(t)
+	f := startFleet(t, Options{Nodes: 1, Runners: 1, Slots: 8, Events: 40, Gap: 10 * time.Millisecond})
+	read := func(id string) (string, error) {
+		conn, err := net.Dial("tcp", f.Nodes[0].CallerAddress())
+		is.NoErr(err)
+		defer conn.Close()
+		_, err = fmt.Fprintf(conn, "POST %sx HTTP/1.0\r\nHost: %s\r\nX-Marblepond-Request-Id: %s\r\nContent-Length: 1\r\n\r\nx", StreamPath, Host, id)
+		is.NoErr(err)
+		data, err := io.ReadAll(conn)
+		return string(data), err
+	}
+	text, err := read("whole")
+	is.NoErr(err)
+	is.True(strings.Contains(text, "whole piece 40"))
+	time.AfterFunc(200*time.Millisecond, func() { f.Runners[0].Kill(time.Minute) })
+	text, err = read("cut")
+	is.True(strings.Contains(text, "cut piece 3"))
+	is.True(!strings.Contains(text, "cut piece 40"))
+	is.True(errors.Is(err, syscall.ECONNRESET))
+}
+
 // TestUnframedAnswersAreComplete: answers that end with their connection at targets that run on are
 // complete, streams, items and answers that are no stream.
 func TestUnframedAnswersAreComplete(t *testing.T) {
