Refuse chats with the message that crashes engines at the own interface

Callers saw: where chats share a message that crashes every engine, such as a system prompt, and are otherwise all different, engines ended without end and callers got 502.

Change: the messages of a chat but the last one are its shared parts, for the service and the version of the model. They are decoded only once a crash is known.

--- a/internal/connection/openai/openai.go
+++ b/internal/connection/openai/openai.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"crypto/sha256"
 	"encoding/json"
 	"fmt"
 	"strings"
@@ -72,6 +73,21 @@
 	return &r, nil
 }
 
+// SharedParts returns a name for each message of a chat but the last one: its role and a hash of
+// its text. Other requests may have the same messages. It returns none for other requests.
+func SharedParts(path string, body []byte) []string {
+	r, err := Parse(path, body)
+	if err != nil || len(r.Messages) == 0 {
+		return nil
+	}
+	var names []string
+	for _, m := range r.Messages[:len(r.Messages)-1] {
+		hash := sha256.Sum256([]byte(m.Content))
+		names = append(names, fmt.Sprintf("%s:%x", m.Role, hash[:8]))
+	}
+	return names
+}
+
 // affinityPrefixBytes is how much of a prompt its affinity key takes: system prompts and
 // templates are longer, and what differs between requests comes later.
 const affinityPrefixBytes = 256
--- a/internal/connection/openai/openai_test.go
+++ b/internal/connection/openai/openai_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -56,3 +57,20 @@
 		}
 	})
 }
+
+// TestSharedParts: messages with the same role and text have the same name in all requests, the
+// last message is not named, and other requests have none.
+func TestSharedParts(t *testing.T) {
+	is := is.New(t)
+	chat := func(messages ...string) []byte {
+		return []byte(`{"model":"m","messages":[` + strings.Join(messages, ",") + `]}`)
+	}
+	system, user := `{"role":"system","content":"a"}`, `{"role":"user","content":"a"}`
+	is.Equal(len(SharedParts(ChatPath, chat(system))), 0)
+	one, two := SharedParts(ChatPath, chat(system, user)), SharedParts(ChatPath, chat(system, user, `{"role":"user","content":"b"}`))
+	is.Equal(len(one), 1)
+	is.Equal(two[:1], one)
+	is.True(two[1] != one[0]) // the role counts
+	is.Equal(len(SharedParts(CompletionPath, []byte(`{"model":"m","prompt":"a"}`))), 0)
+	is.Equal(len(SharedParts(ChatPath, []byte("no JSON"))), 0)
+}
--- a/internal/request/run/run.go
+++ b/internal/request/run/run.go
@@ -42,9 +42,11 @@
 }
 
 // WorkOf returns what a request asks for. A new version of the model makes it different
-// work, because the new version may not crash where the old one did.
+// work, and its messages different parts, because the new version may not crash where the old
+// one did.
 func WorkOf(req *Request) *fingerprint.Work {
-	return &fingerprint.Work{Method: http.MethodPost, Host: req.Service, Path: req.Path, Workspace: req.Workspace, Selectors: []string{req.Loaded, req.Method}, Body: req.Body}
+	path, body := req.Path, req.Body
+	return &fingerprint.Work{Service: req.Service + " " + req.Loaded, PromptParts: func() []string { return openai.SharedParts(path, body) }, Method: http.MethodPost, Host: req.Service, Path: req.Path, Workspace: req.Workspace, Selectors: []string{req.Loaded, req.Method}, Body: req.Body}
 }
 
 // Remote gives access to the targets of other data centres.
--- a/lab/e2e/crash_test.go
+++ b/lab/e2e/crash_test.go
@@ -93,3 +93,37 @@
 	is.Equal(results["i5"].Error.Code, "target_failed")
 	is.Equal(crashCount(f), crashes)
 }
+
+// TestMessageThatCrashesEngines guards against requests that crash every engine by a message that
+// they share, a system prompt, and are otherwise all different. After a few crashes every node
+// refuses all of them, and chats with the other system prompt are answered.
+func TestMessageThatCrashesEngines(t *testing.T) {
+	is := is.New(t)
+	f, c := startEmbedded(t, 115)
+	ctx, cancel := context.WithTimeout(context.Background(), 40*time.Second)
+	defer cancel()
+	nodes := []string{f.CallerAddr(0, 0), f.CallerAddr(0, 1), f.CallerAddr(1, 0), f.CallerAddr(1, 1)}
+	ask := func(i int, system string) (int, string) {
+		body := fmt.Sprintf(`{"model":"akmens-llm","max_tokens":10,"messages":[{"role":"system","content":%q},{"role":"user","content":"question %d"}]}`, system, i)
+		status, _, answer, err := c.Call(ctx, http.MethodPost, nodes[i%len(nodes)], openai.ChatPath, []byte(body), map[string]string{openai.HeaderTimeoutMS: "4000"})
+		is.NoErr(err)
+		return status, string(answer)
+	}
+	harmless, crashing := "be brief", "be careful "+engine.CrashMarker
+	for i := range 40 {
+		ask(i, crashing)
+		ask(i, harmless)
+		time.Sleep(100 * time.Millisecond)
+	}
+	crashes := crashCount(f)
+	t.Logf("%d crashes", crashes)
+	is.True(crashes >= 3)
+	for i := range 12 {
+		status, answer := ask(1000+i, crashing)
+		is.Equal(status, http.StatusInternalServerError)
+		is.True(strings.Contains(answer, "crashes_targets"))
+		status, _ = ask(2000+i, harmless)
+		is.Equal(status, http.StatusOK)
+	}
+	is.Equal(crashCount(f), crashes)
+}
