Soak parts of prompts that crash targets, and most connections at one node

Requests have prompts that share parts, and no two have the same body. The end counts late requests with a part and other requests refused for one.

--- a/Makefile
+++ b/Makefile
@@ -34,6 +34,7 @@
 	go run ./lab/cmd/marblelab hostedsoak --seed 26 --for 30s
 	go run ./lab/cmd/marblelab hostedsoak --seed 37 --for 20s --shared-view
 	go run ./lab/cmd/marblelab hostedsoak --seed 103 --for 30s --versions
+	go run ./lab/cmd/marblelab hostedsoak --seed 2 --for 30s --parts
 
 capacity:
 	go run ./lab/cmd/marblelab capacity
--- a/lab/hosted/runner.go
+++ b/lab/hosted/runner.go
@@ -49,6 +49,7 @@
 	server          *http.Server // nil while the process is down
 	closed          bool
 	exits           int            // of the process
+	onExit          func()         // called after each end of the process
 	onRestart       func()         // called after each restart of the process
 	arrivals        map[string]int // requests received, run or not
 	behaviour       func(requestID string, run int) Behaviour
@@ -92,7 +93,7 @@
 // NewRunner starts a runner on a loopback address.
 func NewRunner(id, service string, slots, events int, gap time.Duration) *Runner {
 	r := &Runner{ID: id, Service: service, version: DefaultVersion, address: newHost() + ":8443", slots: slots, events: events, gap: gap,
-		onRestart: func() {}, arrivals: map[string]int{}, runs: map[string]int{}, resumePositions: map[string][]string{}, cancelled: map[string]int{}, completed: map[string]bool{}, headers: map[string]http.Header{},
+		onExit: func() {}, onRestart: func() {}, arrivals: map[string]int{}, runs: map[string]int{}, resumePositions: map[string][]string{}, cancelled: map[string]int{}, completed: map[string]bool{}, headers: map[string]http.Header{},
 		behaviour: func(string, int) Behaviour { return Serve }}
 	if err := r.start(); err != nil {
 		panic(err) // as httptest does when it cannot listen
@@ -160,12 +161,20 @@
 	r.stop()
 }
 
+// OnExit and OnRestart set what is called after each end and each restart of the process by Kill
+// or by a request.
+func (r *Runner) OnExit(f func()) { r.onExit = f }
+
+// OnRestart: see OnExit.
+func (r *Runner) OnRestart(f func()) { r.onRestart = f }
+
 // Kill ends the runner's process and restarts it after a time. It reports whether the process
 // was running.
 func (r *Runner) Kill(down time.Duration) bool {
 	if !r.stop() {
 		return false
 	}
+	r.onExit()
 	time.AfterFunc(down, func() {
 		r.mu.Lock()
 		closed := r.closed
--- a/lab/hostedsoak/faults.go
+++ b/lab/hostedsoak/faults.go
@@ -101,6 +101,10 @@
 	case Overload:
 		i.load.overloaded.Store(true)
 		return func() { i.load.overloaded.Store(false) }
+	case BadPart:
+		return i.sendBadPart()
+	case MostAtOne:
+		return i.load.preferOne()
 	case SlowRunner, CutRunner, ResetRunner, CrashRunner, DrainRunner, BadRunner, HangRunner, Release:
 		return i.faultRunner(f, i.fleet.runnerSlots[f.Which])
 	default:
--- a/lab/hostedsoak/fleet.go
+++ b/lab/hostedsoak/fleet.go
@@ -70,8 +70,9 @@
 	mu       sync.Mutex
 	runners  []*hosted.Runner // all runners of the run, also replaced ones, for the final checks
 	version  int
-	releases int // runners that were replaced in releases
-	release  int // number of the newest version of runners
+	releases int    // runners that were replaced in releases
+	release  int    // number of the newest version of runners
+	badPart  string // part of prompts that crashes runners now; empty: none
 }
 
 func dataCentreName(n int) string { return fmt.Sprintf("hall-%c", 'a'+n) }
@@ -145,9 +146,14 @@
 	s.started++
 	s.runner = hosted.NewRunner(fmt.Sprintf("i-%d-%d", index, s.started), hosted.Service, slotsPerRunner, answerEvents, eventGap)
 	s.runner.SetVersion(version)
+	f.followProcess(s, s.runner)
 	s.proxy.Retarget(s.runner.Address())
+	if err := s.proxy.Accept(); err != nil { // the runner before may have ended
+		panic(err) // as NewRunner does when it cannot listen
+	}
 	f.mu.Lock()
 	f.runners = append(f.runners, s.runner)
+	s.runner.SetCrashingParts(f.badPart)
 	f.mu.Unlock()
 	f.register(s, "ready")
 }
--- a/lab/hostedsoak/history.go
+++ b/lab/hostedsoak/history.go
@@ -40,6 +40,9 @@
 	Jobs, Items                            int
 	// Streams whose callers returned after some events, and how the last attempt ended.
 	Returned, ReturnedComplete, ReturnedRefused int
+	// Parts of prompts that crashed runners, the crashes, requests with them that reached runners
+	// too late, and other requests that were refused for a part.
+	BadParts, PartCrashes, LatePartRuns, RefusedForPart int
 }
 
 func newHistory() *history {
--- a/lab/hostedsoak/load.go
+++ b/lab/hostedsoak/load.go
@@ -25,8 +25,11 @@
 	returning bool
 	// overloaded is set while callers send overloadFactor times as many online requests.
 	overloaded atomic.Bool
+	// preferred is the number of the node that most new connections go to, less 1; 0: none.
+	preferred atomic.Int32
 
 	mu    sync.Mutex
+	parts []string        // parts of prompts that crashed runners
 	ready map[string]bool // by node, as the load balancer sees it
 	jobs  []*callerJob
 }
@@ -93,6 +96,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	first := rand.IntN(len(l.fleet.nodes))
+	if n := int(l.preferred.Load()); n > 0 && rand.Float64() < preferredShare {
+		first = n - 1
+	}
 	for i := range l.fleet.nodes {
 		if n := l.fleet.nodes[(first+i)%len(l.fleet.nodes)]; l.ready[n.name] {
 			return n
@@ -125,6 +131,9 @@
 	l.history.count(func(c *counts) { c.Online++ })
 	started := time.Now()
 	status, body, err := l.send(at, path, id, steadyKey)
+	if isPartRefusal(status, body) {
+		l.history.count(func(c *counts) { c.RefusedForPart++ })
+	}
 	switch {
 	case err != nil && status == 0:
 		l.history.count(func(c *counts) { c.Cut++ })
@@ -148,9 +157,13 @@
 }
 
 func (l *load) send(at *node, path, id, key string) (status int, body string, err error) {
+	return l.sendPrompt(at, path, id, key, harmlessPrompt(id))
+}
+
+func (l *load) sendPrompt(at *node, path, id, key, prompt string) (status int, body string, err error) {
 	ctx, cancel := context.WithTimeout(context.Background(), onlineTimeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+at.callers.Address()+path+"q", bytes.NewReader([]byte("prompt")))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+at.callers.Address()+path+"q", bytes.NewReader([]byte(id)))
 	if err != nil {
 		return 0, "", err
 	}
@@ -158,6 +171,7 @@
 	req.Header.Set("X-Marblepond-Request-Id", id)
 	req.Header.Set("Authorization", "Bearer "+key)
 	req.Header.Set("X-Marblepond-Deadline-Ms", fmt.Sprint(onlineTimeout.Milliseconds()))
+	req.Header.Set(hosted.PromptHeader, prompt)
 	resp, err := l.client.Do(req)
 	if err != nil {
 		return 0, "", err
@@ -171,7 +185,7 @@
 // it. A graceful stop, a reload of settings, a change of the configuration and an overload
 // do not.
 func (l *load) checkCut(at *node, id string, started time.Time, err error) {
-	if l.history.faultFree(started, time.Now(), StopNode, HangupNode, ConfigChange, Overload) {
+	if l.history.faultFree(started, time.Now(), StopNode, HangupNode, ConfigChange, Overload, MostAtOne) {
 		l.history.violate("request %s at %s was cut without a fault: %v", id, at.name, err)
 	}
 }
--- a/lab/hostedsoak/plan.go
+++ b/lab/hostedsoak/plan.go
@@ -41,6 +41,8 @@
 	HangRunner   Kind = "hang-runner" // accepts requests and sends nothing
 	Release      Kind = "release"     // a runner drains and is replaced by one of the next version
 	Overload     Kind = "overload"    // callers send overloadFactor times as many online requests
+	BadPart      Kind = "bad-part"    // requests share a part of their prompts that crashes runners
+	MostAtOne    Kind = "most-at-one" // most new connections go to one node
 )
 
 var kinds = []Kind{KillNode, FreezeNode, StopNode, HangupNode, ResetCallers, CutPeers, DeafPeers, CutStore, ResetStore, StoreDown, StoreSilent,
@@ -53,6 +55,9 @@
 // versionKinds are the kinds that are only in plans with runners of several versions.
 var versionKinds = slices.Repeat([]Kind{Release, ResetCallers}, 4)
 
+// partKinds are the kinds that are only in plans with parts of prompts.
+var partKinds = slices.Repeat([]Kind{BadPart, MostAtOne}, 4)
+
 // Fault is one fault of the plan.
 type Fault struct {
 	Kind   Kind
@@ -77,6 +82,8 @@
 	// minFaultLength and maxFaultLength bound the duration of a fault.
 	minFaultLength = 300 * time.Millisecond
 	maxFaultLength = 5 * time.Second
+	// minBadPartLength is longer than the time after which a bad part may reach runners no more.
+	minBadPartLength = 7 * time.Second
 )
 
 // NewPlan returns the faults of a seed, of the usual kinds and of extra ones. The same
@@ -93,8 +100,11 @@
 			switch f.Kind {
 			case SlowRunner, CutRunner, ResetRunner, CrashRunner, DrainRunner, BadRunner, HangRunner, Release:
 				f.Which = rng.IntN(runners)
-			case Overload:
+			case Overload, MostAtOne:
 				f.Which = 0 // concerns all nodes, and there is one at a time
+			case BadPart:
+				f.Which = 0
+				f.Length += minBadPartLength
 			}
 			plan = append(plan, f)
 			end = max(end, f.Start+f.Length)
--- a/lab/hostedsoak/proxy.go
+++ b/lab/hostedsoak/proxy.go
@@ -17,13 +17,14 @@
 
 // Proxy is a TCP proxy on a loopback address.
 type Proxy struct {
-	listener net.Listener
-
-	mu     sync.Mutex
-	target string
-	mode   Mode
-	conns  map[net.Conn]bool
-	closed bool
+	address string
+
+	mu       sync.Mutex
+	listener net.Listener // nil while connections are refused
+	target   string
+	mode     Mode
+	conns    map[net.Conn]bool
+	closed   bool
 }
 
 // NewProxy starts a proxy that forwards connections to a target address.
@@ -32,13 +33,40 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Proxy{listener: listener, target: target, conns: map[net.Conn]bool{}}
-	go p.accept()
+	p := &Proxy{address: listener.Addr().String(), listener: listener, target: target, conns: map[net.Conn]bool{}}
+	go p.accept(listener)
 	return p, nil
 }
 
+// Refuse ends all connections and refuses new ones, as the address of a process that has ended.
+func (p *Proxy) Refuse() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.listener != nil {
+		p.listener.Close()
+		p.listener = nil
+	}
+	p.resetAll()
+}
+
+// Accept accepts connections again.
+func (p *Proxy) Accept() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.listener != nil || p.closed {
+		return nil
+	}
+	listener, err := net.Listen("tcp", p.address)
+	if err != nil {
+		return err
+	}
+	p.listener = listener
+	go p.accept(listener)
+	return nil
+}
+
 // Address returns where the proxy listens.
-func (p *Proxy) Address() string { return p.listener.Addr().String() }
+func (p *Proxy) Address() string { return p.address }
 
 // SetMode changes the mode, also for open connections.
 func (p *Proxy) SetMode(m Mode) {
@@ -63,7 +91,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.closed = true
-	p.listener.Close()
+	if p.listener != nil {
+		p.listener.Close()
+	}
 	p.resetAll()
 }
 
@@ -81,9 +111,9 @@
 	conn.Close()
 }
 
-func (p *Proxy) accept() {
+func (p *Proxy) accept(listener net.Listener) {
 	for {
-		conn, err := p.listener.Accept()
+		conn, err := listener.Accept()
 		if err != nil {
 			return
 		}
--- a/lab/hostedsoak/soak.go
+++ b/lab/hostedsoak/soak.go
@@ -28,6 +28,8 @@
 	SharedView bool
 	// Versions starts runners of two versions and adds releases of further ones to the plan.
 	Versions bool
+	// Parts adds parts of prompts that crash runners, and most connections at one node, to the plan.
+	Parts bool
 }
 
 // Main runs a soak test and prints its result.
@@ -50,8 +52,8 @@
 	for _, v := range violations {
 		fmt.Fprintln(o.Out, "VIOLATION", v)
 	}
-	fmt.Fprintf(o.Out, "seed %d: online %d: %d complete, %d refused, %d failed, %d cut; %d streams returned: %d complete, %d refused; %d jobs with %d items; %d violations\n",
-		o.Seed, sum.Online, sum.Complete, sum.Refused, sum.Failed, sum.Cut, sum.Returned, sum.ReturnedComplete, sum.ReturnedRefused, sum.Jobs, sum.Items, len(violations))
+	fmt.Fprintf(o.Out, "seed %d: online %d: %d complete, %d refused, %d failed, %d cut; %d streams returned: %d complete, %d refused; %d jobs with %d items; %d bad parts with %d crashes, %d late runs, %d others refused for a part; %d violations\n",
+		o.Seed, sum.Online, sum.Complete, sum.Refused, sum.Failed, sum.Cut, sum.Returned, sum.ReturnedComplete, sum.ReturnedRefused, sum.Jobs, sum.Items, sum.BadParts, sum.PartCrashes, sum.LatePartRuns, sum.RefusedForPart, len(violations))
 	if len(violations) > 0 {
 		return fmt.Errorf("seed %d: %d violations; logs in %s", o.Seed, len(violations), dir)
 	}
@@ -87,6 +89,7 @@
 	l.checkIsolation()
 	stopWatching()
 	checkRunners(f, h)
+	l.checkParts()
 	for _, line := range f.loggedViolations() {
 		h.violate("%s", line)
 	}
@@ -103,6 +106,9 @@
 	if o.Versions {
 		extra = append(extra, versionKinds...)
 	}
+	if o.Parts {
+		extra = append(extra, partKinds...)
+	}
 	return NewPlan(o.Seed, o.Length, nodeCount, runnerCount, extra...)
 }
 
@@ -145,7 +151,7 @@
 
 // unrelatedToDraining are the faults that do not excuse a request to a draining runner,
 // since every node still learns that it is draining.
-var unrelatedToDraining = []Kind{DrainRunner, SlowRunner, CutRunner, ResetRunner, CrashRunner, BadRunner, ResetCallers, HangupNode, ConfigChange, StoreForgets, HangRunner, Overload, Release}
+var unrelatedToDraining = []Kind{DrainRunner, SlowRunner, CutRunner, ResetRunner, CrashRunner, BadRunner, ResetCallers, HangupNode, ConfigChange, StoreForgets, HangRunner, Overload, Release, BadPart, MostAtOne}
 
 // checkRunners checks the requests that the runners received.
 func checkRunners(f *fleet, h *history) {
