--- a/internal/process/hosted/hosted.go
+++ b/internal/process/hosted/hosted.go
@@ -27,6 +27,7 @@
 	"github.com/marblepond/marblepond/internal/request/checkpoint"
 	"github.com/marblepond/marblepond/internal/request/choose"
 	"github.com/marblepond/marblepond/internal/request/continuation"
+	"github.com/marblepond/marblepond/internal/request/fingerprint"
 	"github.com/marblepond/marblepond/internal/request/forward"
 	"github.com/marblepond/marblepond/internal/request/job"
 	"github.com/marblepond/marblepond/internal/version/discovery"
@@ -195,6 +196,9 @@
 // Forwarder returns the forwarder of online requests.
 func (n *Node) Forwarder() *forward.Forwarder { return n.forwarder }
 
+// Refuse returns the error that refuses work under which targets crash, nil for all other work.
+func (n *Node) Refuse(work *fingerprint.Work) error { return n.crashes.Refuse(work) }
+
 // Jobs returns the manager of batch jobs.
 func (n *Node) Jobs() *job.Manager { return n.jobs }
 
--- a/lab/hosted/prompt_test.go
+++ b/lab/hosted/prompt_test.go
@@ -428,3 +428,35 @@
 	t.Logf("%d of %d requests were refused as crashing targets", f.refused, len(f.tries))
 	is.Equal(f.refused, 0)
 }
+
+// TestRefusedPartCostsNoAllowance: requests that are refused for a part of their prompts do not use
+// up the allowance of their workspace, whose other requests are served.
+func TestRefusedPartCostsNoAllowance(t *testing.T) {
+	is := is.New(t)
+	f := startFleetWithConfig(t, Options{Nodes: 3, Runners: 8, Slots: 8, Events: 10, Gap: 10 * time.Millisecond}, WithWorkspaces(Workspace{Name: "w", Keys: []string{"key-w"}, PerSecond: 8, Burst: 8}))
+	for _, r := range f.Runners {
+		r.SetCrashingParts("bad1")
+	}
+	sent := 0
+	send := func(parts ...string) Reply {
+		sent++
+		header := prompt(append(parts, "e1")...)
+		header["Authorization"] = "Bearer key-w"
+		return Call(context.Background(), http.MethodPost, f.Nodes[sent%3].CallerAddress(), StreamPath+"x", fmt.Sprint("w-", sent), header, []byte(fmt.Sprint(sent)))
+	}
+	refusals := 0
+	for until := time.Now().Add(8 * time.Second); refusals < 3 && time.Now().Before(until); time.Sleep(150 * time.Millisecond) {
+		send(commonFirstPart, "500")
+		if isCrashRefusal(send(commonFirstPart, "bad1")) {
+			refusals++
+		}
+	}
+	is.Equal(refusals, 3)
+	time.Sleep(2 * time.Second) // the allowance is whole again
+	for range 60 {
+		is.True(isCrashRefusal(send(commonFirstPart, "bad1")))
+	}
+	for range 8 {
+		is.Equal(send(commonFirstPart, "500").Status, http.StatusOK)
+	}
+}
