--- a/internal/request/quarantine/parts_test.go
+++ b/internal/request/quarantine/parts_test.go
@@ -39,6 +39,8 @@
 	crashes    map[int][]time.Time // by bad part
 	late       map[int]int         // sends later than detectionTime after the fifth crash, by bad part
 
+	turned fingerprint.ID // part that crashes targets now, of the load too; zero: none
+
 	sent, refused, refusedForParts int // harmless requests
 }
 
@@ -91,6 +93,10 @@
 }
 
 func (s *partSimulation) sendPart(r *partRequest) {
+	if s.turned != (fingerprint.ID{}) && r.bad == 0 && slices.Contains(r.ids, s.turned) {
+		r.bad = badPart
+		s.sent--
+	}
 	if v, refused := s.table.Refused(s.now, r.ids...); refused {
 		if r.bad == 0 {
 			s.refused++
@@ -259,3 +265,42 @@
 		is.Equal(refused, 0)
 	}
 }
+
+// TestPartThatTurnsBad: a part that was in harmless requests begins to crash targets. Answers that
+// began before do not keep it from being found.
+func TestPartThatTurnsBad(t *testing.T) { playPartThatTurnsBad(t, 30) }
+
+// TestPopularPartThatTurnsBad: the same with the most popular parts, so that all targets are down
+// within two seconds.
+func TestPopularPartThatTurnsBad(t *testing.T) {
+	playPartThatTurnsBad(t, 10)
+	playPartThatTurnsBad(t, 0)
+}
+
+// playPartThatTurnsBad plays the part of the given rank in popularity, with several seeds.
+func playPartThatTurnsBad(t *testing.T, rank int) {
+	is := is.New(t)
+	refused, sent, late, crashes := 0, 0, 0, 0
+	for seed := range uint64(partSeeds) {
+		s := newPartSimulation(seed, 8, 60)
+		s.run(2 * time.Second)
+		s.turned = part(secondPart + rank)
+		s.schedule(500*time.Millisecond, func() { s.sendTurned(4) })
+		s.run(15 * time.Second)
+		refused, sent, crashes = refused+s.refused, sent+s.sent, crashes+len(s.crashes[badPart])
+		if s.late[badPart] > maxLateSends {
+			late++
+		}
+	}
+	t.Logf("part of rank %d: %d of %d harmless requests refused, %.1f crashes, %d of %d sent too often", rank, refused, sent, float64(crashes)/partSeeds, late, partSeeds)
+	is.True(refused*1000 <= sent)
+	is.Equal(late, 0)
+}
+
+// sendTurned sends requests with the part that has turned bad, beside those of the load.
+func (s *partSimulation) sendTurned(rate float64) {
+	ids := s.prompt()
+	ids[2] = s.turned
+	s.sendPart(&partRequest{ids: ids})
+	s.schedule(time.Duration(s.random.ExpFloat64()*float64(time.Second)/rate), func() { s.sendTurned(rate) })
+}
