--- a/internal/request/forward/attempt.go
+++ b/internal/request/forward/attempt.go
@@ -42,7 +42,7 @@
 		}
 	})()
 	began := &quarantine.Begin{}
-	p.began = began
+	p.answerBegin = began
 	defer f.Quarantine.OnRefusal(&req.Work, func() bool { return began.Answering(f.Now()) }, func() { cancel(errQuarantined) })()
 	sent := f.Now()
 	answer, err := f.Sender.Send(ctx, target.Call{
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -111,7 +111,7 @@
 	begun          bool              // the status and headers were sent to the caller
 	connectionLost bool              // the connection to a target broke, or the target restarted
 	errorAnswer    bool              // the answer that the caller got has status 5xx
-	began          *quarantine.Begin // of the answer of the latest attempt
+	answerBegin    *quarantine.Begin // of the latest attempt
 	lastErr        error
 	// waitingAt is the full target that refused the request last. The request counts as in
 	// flight there while it waits, so that nodes with batch items at the target learn of it:
--- a/internal/request/forward/judge.go
+++ b/internal/request/forward/judge.go
@@ -80,7 +80,7 @@
 	}
 	switch {
 	case errors.Is(err, errRestarted):
-		f.Quarantine.Lost(&req.Work, t, p.began.Time())
+		f.Quarantine.Lost(&req.Work, t, p.answerBegin.Time())
 		f.Quarantine.Ended(t, quarantine.Restarted)
 	case failure.Failure == target.WrongInstance:
 		f.Targets.MarkLeaving(t, string(quarantine.AnotherAtAddress))
@@ -88,7 +88,7 @@
 	case failure.ConnectionRefused():
 		f.Quarantine.Ended(t, quarantine.RefusesConnections)
 	case failure.ConnectionLost:
-		f.Quarantine.Lost(&req.Work, t, p.began.Time())
+		f.Quarantine.Lost(&req.Work, t, p.answerBegin.Time())
 	case failure.Saturated:
 		f.Targets.MarkSaturated(t)
 	}
