--- a/internal/request/quarantine/parts.go
+++ b/internal/request/quarantine/parts.go
@@ -89,7 +89,7 @@
 func (e *evaluation) answered(crashes crashSet, d time.Duration) crashSet {
 	var out crashSet
 	for _, p := range crashes.positions() {
-		if since := e.crashes[p].answeredSince; !since.IsZero() && e.now.Sub(since) >= d {
+		if e.crashes[p].answeredFor(e.now, d) {
 			out.add(p)
 		}
 	}
