Register a runner of the soak after its restart in the state that it was in

Cause: the soak. A runner that crashed under a part of prompts while it was draining was registered as ready after its restart.

Change: it is registered as draining.

--- a/lab/hostedsoak/fleet.go
+++ b/lab/hostedsoak/fleet.go
@@ -59,6 +59,7 @@
 
 	mu      sync.Mutex
 	runner  *hosted.Runner
+	state   string // that the runner is registered in
 	started int
 }
 
@@ -161,6 +162,7 @@
 // register writes the entry of a slot's runner with the address of its proxy.
 // The caller holds s.mu.
 func (f *fleet) register(s *runnerSlot, state string) {
+	s.state = state
 	entry := s.runner.Entry(s.centre, state)
 	entry["address"] = s.proxy.Address()
 	f.store.Put("servers", s.runner.ID, entry)
--- a/lab/hostedsoak/parts.go
+++ b/lab/hostedsoak/parts.go
@@ -38,14 +38,14 @@
 }
 
 // followProcess has a slot's proxy refuse connections while the process of its runner is down
-// after a crash, and registers the runner again after its restart.
+// after a crash, and registers the runner again after its restart, in the state that it was in.
 func (f *fleet) followProcess(s *runnerSlot, r *hosted.Runner) {
 	r.OnExit(s.proxy.Refuse)
 	r.OnRestart(func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		if s.proxy.Accept() == nil && s.runner == r {
-			f.register(s, "ready")
+			f.register(s, s.state)
 		}
 	})
 }
