Keep requests apart for a part only after crashes at several moments

Callers saw: not shown.

Cause: suspected. Where two targets crash together, every part that was at both counted as suspected until an answer with it came, and requests with it were placed apart, one at a target. Crashes at one moment count once for verdicts, but counted twice here.

Change: they count once here, too, and kills of many targets not at all. TestPartsAtTwoTargetsThatCrashTogether fails before.

--- a/internal/request/quarantine/cause_test.go
+++ b/internal/request/quarantine/cause_test.go
@@ -188,6 +188,23 @@
 	is.True(!c.refuses(2000, prompted(2, common, other)...))
 }
 
+// TestPartsAtTwoTargetsThatCrashTogether: two targets crash at one moment, and requests with a part
+// were at both. New requests with it are not kept apart from others: many are, and a target has
+// room for one that is.
+func TestPartsAtTwoTargetsThatCrashTogether(t *testing.T) {
+	is := is.New(t)
+	c := newCourse()
+	for i := range 2 {
+		c.crash(5*i, prompted(100+i, common, other), prompted(200+i, common))
+	}
+	c.answer(100, "s v1", true, prompted(300, common)...)
+	is.True(!c.table.Suspected(at(700), prompted(1, common, other)...))
+	c.crash(400, prompted(102, common, other))
+	c.answer(500, "s v1", true, prompted(301, common)...)
+	is.True(c.table.Suspected(at(1100), prompted(1, common, other)...))
+	is.True(!c.table.Suspected(at(1100), prompted(1, common)...))
+}
+
 // TestManyPartsAreBounded: requests with many parts at many crashes do not exceed the bounds.
 func TestManyPartsAreBounded(t *testing.T) {
 	is := is.New(t)
--- a/internal/request/quarantine/evaluate.go
+++ b/internal/request/quarantine/evaluate.go
@@ -216,12 +216,12 @@
 	return n
 }
 
-// suspected returns the suspects of crashes that nothing else explains; parts only if they have
-// two, and requests without them have been answered since.
+// suspected returns the suspects of crashes that nothing else explains; parts only if they came
+// at several moments, and requests without them have been answered since.
 func (e *evaluation) suspected() map[fingerprint.ID]bool {
 	out := map[fingerprint.ID]bool{}
 	for id, crashes := range e.unexplained {
-		if id.Kind() == fingerprint.OfWork || (!e.sound[id] && e.answered(crashes, 0).count() > 1) {
+		if id.Kind() == fingerprint.OfWork || (!e.sound[id] && e.moments(e.answered(crashes.without(e.kills), 0)) > 1) {
 			out[id] = true
 		}
 	}
