--- a/internal/request/quarantine/parts.go
+++ b/internal/request/quarantine/parts.go
@@ -42,25 +42,25 @@
 		extra = minorityMargin // they are at some of the crashes, rather by chance
 	}
 	fresh := slices.ContainsFunc(parts, func(id fingerprint.ID) bool { return !e.sound[id] })
-	if telling := e.answered(crashes, burstAnsweredTime); fresh && telling.count() >= minBurst+extra && !e.isMixture(parts, telling, 2) {
+	if counted := e.answered(crashes, burstAnsweredTime); fresh && counted.count() >= minBurst+extra && !e.isMixture(parts, counted, 2) {
 		return true
 	}
 	limit := e.cfg.Limit + extra
 	if !fresh {
 		limit *= certainFactor // requests with them were answered before
 	}
-	single := crashes.without(e.kills)
-	if e.moments(single) < limit || (crashes.count() < certainFactor*e.cfg.Limit && !e.isAhead(parts, crashes, withWorks)) {
+	separate := crashes.without(e.kills)
+	if e.moments(separate) < limit || (crashes.count() < certainFactor*e.cfg.Limit && !e.isAhead(parts, crashes, withWorks)) {
 		return false
 	}
-	telling := e.answered(single, answeredTime)
-	if e.moments(telling) < limit-1 {
-		if e.span(single) < unansweredSpan {
+	counted := e.answered(separate, answeredTime)
+	if e.moments(counted) < limit-1 {
+		if e.span(separate) < unansweredSpan {
 			return false
 		}
-		telling = crashes
+		counted = crashes
 	}
-	return len(parts) > 1 || !e.isMixture(parts, telling, maxMixture)
+	return len(parts) > 1 || !e.isMixture(parts, counted, maxMixture)
 }
 
 // isDominated reports whether another part explains the same crashes and more, and is not just
--- a/scripts/check-mutants.sh
+++ b/scripts/check-mutants.sh
@@ -139,7 +139,7 @@
 mutant 5 internal/request/quarantine/evaluate.go 's/!\(there && s == suspect\) &&/!(there \&\& s > cleared) \&\&/' internal/request/quarantine TestOneRequestAtManyTargetsAtOnce
 mutant 5 internal/request/quarantine/evaluate.go 's/ && !e\.explained\(other\)//' internal/request/quarantine TestSeveralInStep
 mutant 6 internal/process/crashes/watch.go 's/w\.Leaving\(t\) \|\| w\.EndedBefore\(t\)/w.Leaving(t)/' internal/process/crashes TestLaterAttemptIsNotSuspected
-mutant 5 internal/request/quarantine/parts.go 's/e\.moments\(telling\) < limit-1 \{/e.moments(telling) < 0 {/' internal/request/quarantine TestNothingAnsweredRefusesNoPart
+mutant 5 internal/request/quarantine/parts.go 's/e\.moments\(counted\) < limit-1 \{/e.moments(counted) < 0 {/' internal/request/quarantine TestNothingAnsweredRefusesNoPart
 mutant 5 internal/request/quarantine/parts.go 's/minBurst          = 5/minBurst          = 500/' internal/request/quarantine TestBurstOfBadRequests
 mutant 5 internal/request/quarantine/parts.go 's/crashes\.without\(e\.kills\)/crashes/' internal/request/quarantine TestPartAtKilledTargets
 mutant 5 internal/request/quarantine/parts.go 's/return id\.Kind\(\) == fingerprint\.OfPart && e\.isMixture/return id.Kind() > fingerprint.OfSet \&\& e.isMixture/' internal/request/quarantine TestTwoBadPartsWithOneFirstPart
