--- a/lab/hosted/prompt_test.go
+++ b/lab/hosted/prompt_test.go
@@ -226,6 +226,7 @@
 func TestPartThatCrashesTargets(t *testing.T) {
 	for name, crashing := range map[string][]string{"one": {"bad1"}, "two at once": {"bad1", "bad2"}} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			is := is.New(t)
 			f := startPromptFleet(t, nil, crashing...)
 			time.Sleep(2 * time.Second)
--- a/lab/hosted/skew_test.go
+++ b/lab/hosted/skew_test.go
@@ -105,6 +105,7 @@
 		"allowance":   {config: WithWorkspaces(Workspace{Name: "w", Keys: []string{"key-w"}, PerSecond: 150, Burst: 50}), header: KeyHeader("key-w")},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			is := is.New(t)
 			f := startFleet(t, Options{Nodes: 9, Runners: 15, Slots: 8, Events: 40, Gap: 15 * time.Millisecond, DataCentres: []string{"hall-a", "hall-b", "hall-c"}, Extra: c.settings})
 			if c.config != nil {
