--- a/scripts/check-mutants.sh
+++ b/scripts/check-mutants.sh
@@ -163,7 +163,7 @@
 mutant 11 internal/request/choose/eligible.go 's/t\.startWarmUp\(now, e, t\.warmUpRate\(e\.Service\)\.Time\)/_ = e/' internal/request/choose TestReturnedTargetsWarmUp
 mutant 11 internal/process/hosted/evacuation.go 's/n\.pool\.SetEvacuated\(evacuated\)/n.pool.SetEvacuated(nil)/' lab/hosted TestEvacuatedDataCentreGetsNothing
 mutant 11 internal/request/job/evacuate.go 's/items := m\.runningWhere\(m\.Pool\.Evacuated\)/items := m.runningWhere(m.Pool.Evacuated)[:0]/' lab/hosted TestItemsLeaveAnEvacuatedDataCentre
-mutant 11 internal/request/forward/place.go 's/f\.evacuated\(req, p\) \|\| !f\.mayWait/!f.mayWait/' internal/request/forward TestNoTargetLeftIsSaidAtOnce
+mutant 11 internal/request/forward/place.go 's/f\.evacuated\(req, p\) \|\| f\.Quarantine/f.Quarantine/' internal/request/forward TestNoTargetLeftIsSaidAtOnce
 mutant 11 internal/process/node/remotes.go 's/ && !r\.node\.config\.Current\(\)\.IsEvacuated\(c\.DataCentre\)//' lab/e2e TestOperatorEvacuatesADataCentre
 mutant 12 internal/request/warmup/warmup.go 's/offset := \(uint64\(p\.Index\) \+ /offset := uint64(0) * (uint64(p.Index) + /' internal/request/warmup TestTurnsKeepTheRate
 mutant 12 internal/request/choose/warm.go 's/turn != warmup\.NoTurn && turn != e\.lastTurn/turn != warmup.NoTurn/' internal/request/choose TestReturnedTargetsWarmUp
