Decode the parts of a prompt for the log only if a connection was lost

Callers saw: nothing.

Cause: the log line of any attempt that may have run named the parts.

Change: only that of an attempt whose connection broke does. No test counts it.

--- a/internal/connection/target/target.go
+++ b/internal/connection/target/target.go
@@ -108,6 +108,12 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Cause }
 
+// LostConnection reports whether a call failed because the connection to the target broke.
+func LostConnection(err error) bool {
+	var e *Error
+	return errors.As(err, &e) && e.ConnectionLost
+}
+
 // FailureOf returns the failure of a call's error. For an error of another type it is
 // Broken, because the request may have run.
 func FailureOf(err error) Failure {
--- a/internal/process/hosted/log.go
+++ b/internal/process/hosted/log.go
@@ -76,7 +76,10 @@
 	ran := target.FailureOf(err).MayHaveRun()
 	fields := []timeline.Field{field("may_have_run", ran), field("after_ms", l.n.clock.Since(req.Arrived).Milliseconds())}
 	if ran { // for correlation with other attempts at the same work or with the same parts of the prompt, and with requests lost together with it
-		fields = append(fields, field("route", req.Route.Name), field("parts", req.Work.Parts()), field("sent_ms", l.n.clock.Since(t.Sent).Milliseconds()), field("work", req.Work.ID().String()), field("events", events), field("version", string(t.Version)), field("others_there", l.n.ownInFlightAt(t)))
+		fields = append(fields, field("route", req.Route.Name), field("sent_ms", l.n.clock.Since(t.Sent).Milliseconds()), field("work", req.Work.ID().String()), field("events", events), field("version", string(t.Version)), field("others_there", l.n.ownInFlightAt(t)))
+	}
+	if target.LostConnection(err) { // only then may the target have crashed, and is the prompt decoded
+		fields = append(fields, field("parts", req.Work.Parts()))
 	}
 	if forward.Saturated(err) { // the requests and items that this node knows at the target
 		counts := l.n.pool.Counts(t.ID)
--- a/internal/request/job/run.go
+++ b/internal/request/job/run.go
@@ -344,7 +344,10 @@
 	}
 	fields := []timeline.Field{{Name: "job", Value: h.id}, {Name: "held", Value: h.progress.items[i].lastEvent}, {Name: "version", Value: string(t.Version)}}
 	if target.FailureOf(err).MayHaveRun() {
-		fields = append(fields, timeline.Field{Name: "work", Value: h.works[i].ID().String()}, timeline.Field{Name: "parts", Value: h.works[i].Parts()})
+		fields = append(fields, timeline.Field{Name: "work", Value: h.works[i].ID().String()})
+	}
+	if target.LostConnection(err) {
+		fields = append(fields, timeline.Field{Name: "parts", Value: h.works[i].Parts()})
 	}
 	m.Recorder.Record(timeline.ItemFailed, item.ID, t.ID, cause.Error(), fields...)
 	m.handleFailure(ctx, h, i, t, r, began, err, now)
