Keep no names of prompt parts once no crash is known

Callers saw: nothing. A node kept up to 4,096 names of parts for operators after the last crash had expired.

Cause: the names were only dropped when there were too many.

Change: they are dropped with the last crash.

--- a/internal/process/crashes/watch.go
+++ b/internal/process/crashes/watch.go
@@ -300,6 +300,9 @@
 func (w *Watch) updateDigest(now time.Time) {
 	w.digest.Store(w.table.Digest(now))
 	w.idle.Store(w.table.Empty())
+	if w.table.Empty() {
+		clear(w.partNames)
+	}
 }
 
 // notify signals that the crashes known have changed.
--- a/internal/process/crashes/watch_test.go
+++ b/internal/process/crashes/watch_test.go
@@ -422,6 +422,22 @@
 	is.True(slices.Contains(suspects, young.PartIDs()[0]))
 }
 
+// TestNoPartIsRememberedWithoutCrashes: once all crashes have expired, no name of a part is kept.
+func TestNoPartIsRememberedWithoutCrashes(t *testing.T) {
+	is := is.New(t)
+	fleet := newFakeFleet()
+	watch := fleet.start(t, "n")
+	fleet.crashUnderPart(t, 1, watch)
+	names := func() int {
+		watch.mu.Lock()
+		defer watch.mu.Unlock()
+		return len(watch.partNames)
+	}
+	is.True(names() > 0)
+	fleet.advance(2 * time.Hour)
+	eventually(t, "no name is kept", func() bool { return watch.idle.Load() && names() == 0 })
+}
+
 // TestPartOfAnotherWorkspace: parts are named by callers. A workspace that crashes targets with the
 // name of a part of another one has only its own requests refused.
 func TestPartOfAnotherWorkspace(t *testing.T) {
