Log how many changes each refresh brings, from whom, and whether it was cut

From the logs so far nobody can tell whether a node that uses a target that left has not been given the change (an answer that the store cut, hypothesis 1), has it and does not believe it (2), or waits for another node (3).

Change: copy_updated (710) records each answer of the store and each message of another node that brings changes: how many, of these new, the revisions before and after, whether the answer may have been cut, bytes, time, the age of the copy and the peer.

No logic is changed.

--- a/internal/connection/objects/objects.go
+++ b/internal/connection/objects/objects.go
@@ -41,6 +41,11 @@
 	Objects []Object
 	// Revision is the revision of the store up to which Objects is complete.
 	Revision int64
+	// More reports that the store cut the answer at its size limit: there may be further
+	// objects, or changes after Revision.
+	More bool
+	// Bytes is the size of the answer as received.
+	Bytes int
 }
 
 // Store is the part of an object store that jobs use, and that a node can call
--- a/internal/process/hosted/hosted.go
+++ b/internal/process/hosted/hosted.go
@@ -170,7 +170,7 @@
 	n.pool.OnVerdict(n.verdictChanged, n.probers)
 	n.pool.SetJoined(n.joined)
 	n.gossip = &follow.Gossip{Node: s.NodeID, Cache: n.cache, Listener: n, Peers: n.peerAddresses,
-		Client: n.peers.sync.at, SeedClient: n.peers.seedSync.at, Interval: s.GossipInterval, Isolated: func() bool { return len(n.beacon.ReachableNodes()) == 0 }, PullQueue: follow.NewPullQueue(), Versions: n.origins}
+		Client: n.peers.sync.at, SeedClient: n.peers.seedSync.at, Interval: s.GossipInterval, Isolated: func() bool { return len(n.beacon.ReachableNodes()) == 0 }, PullQueue: follow.NewPullQueue(), Versions: n.origins, Log: n.copyUpdated}
 	n.createServers(deps.MetricsPage)
 	return n
 }
@@ -211,6 +211,9 @@
 	return !n.Leaving() && n.Table() != nil && n.cache.CompleteRevision(n.adapter.Kinds.Targets) > 0 && n.knowsEvacuations()
 }
 
+// TargetCount returns how many targets of a service are listed.
+func (n *Node) TargetCount(service string) int { return n.pool.TargetCount(service) }
+
 // storeLatency returns how long the object store takes to answer, 0 while that is
 // unknown or the store does not serve this node.
 func (n *Node) storeLatency() time.Duration {
--- a/internal/process/hosted/run.go
+++ b/internal/process/hosted/run.go
@@ -153,6 +153,7 @@
 		r := follow.NewRefresher(kind)
 		r.Store, r.Cache, r.Listener, r.MaxAge = n.adapter.Store, n.cache, n, age
 		r.Self, r.DataCentre, r.PeersInDataCentre, r.OtherDataCentres = n.settings.NodeID, n.settings.DataCentre, n.followers(kind), n.beacon.ReachableDataCentres
+		r.Log = n.copyUpdated
 		if kind == kindNodes {
 			n.nodeRefresher.Store(r)
 		}
--- a/internal/process/timeline/catalogue.go
+++ b/internal/process/timeline/catalogue.go
@@ -100,6 +100,7 @@
 	CopyNotRefreshed    Code = 707
 	CallRelayed         Code = 708
 	SnapshotFailed      Code = 709
+	CopyUpdated         Code = 710
 	InvariantViolated   Code = 901
 	unknownEventName         = "unknown"
 )
@@ -203,6 +204,7 @@
 	CallRelayed:         {"call_relayed", log.InfoLevel, "the object store does not serve this node; another node made the call"},
 	SnapshotFailed:      {"snapshot_failed", log.WarnLevel, "a snapshot on disk, of cached store objects, of checkpoints or of the origins of streams, could not be read or written"},
 	CopyNotRefreshed:    {"copy_not_refreshed", log.InfoLevel, "the object store did not respond to a query for a kind of objects; the query is repeated"},
+	CopyUpdated:         {"copy_updated", log.InfoLevel, "changes of a kind of objects arrived from the object store or from another node; the fields say how many, up to which revision, and whether more follow"},
 	ObjectRejected:      {"object_rejected", log.WarnLevel, "an object of the store, or an address, is not valid and is ignored"},
 	InvariantViolated:   {"invariant_violated", log.ErrorLevel, "an invariant does not hold; the cause is the evidence"},
 }
--- a/internal/version/follow/gossip.go
+++ b/internal/version/follow/gossip.go
@@ -35,6 +35,7 @@
 	// PullQueue holds the addresses of peers whose marks showed a change that this node
 	// lacks.
 	PullQueue *ring.Ring[string]
+	Log       UpdateLog
 }
 
 // VersionHistory holds which software versions the targets of services have had.
@@ -113,18 +114,18 @@
 func (g *Gossip) round(ctx context.Context, address string) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
-	_ = g.exchange(ctx, g.Client(address)) // after a failure the next round takes another peer
+	_ = g.exchange(ctx, address, g.Client(address)) // after a failure the next round takes another peer
 }
 
 // exchange fetches the changes of a peer that this node lacks, and sends those that the
 // peer lacks in a second call.
-func (g *Gossip) exchange(ctx context.Context, client marblepondv1connect.SyncServiceClient) error {
+func (g *Gossip) exchange(ctx context.Context, address string, client marblepondv1connect.SyncServiceClient) error {
 	started := g.Cache.Now()
 	resp, err := client.Exchange(ctx, &v1.ExchangeRequest{Node: g.Node, Complete: g.Cache.CompleteRevisions(), WantsVersions: g.Versions != nil && g.Versions.WantsHistory()})
 	if err != nil {
 		return err
 	}
-	g.applyMissing(resp.Missing)
+	g.applyMissing(resp.Missing, address, g.Cache.Now().Sub(started))
 	for kind, mark := range UnpackMarks(resp.Marks) {
 		mark.Age += g.Cache.Now().Sub(started) // the peer stated the age at some time since started
 		g.Cache.ReceiveMark(kind, mark)
@@ -140,7 +141,7 @@
 
 // Exchange answers another node's exchange call.
 func (g *Gossip) Exchange(_ context.Context, req *v1.ExchangeRequest) (*v1.ExchangeResponse, error) {
-	g.applyMissing(req.Offered)
+	g.applyMissing(req.Offered, req.Node, 0)
 	resp := &v1.ExchangeResponse{Complete: g.Cache.CompleteRevisions(), Missing: g.missingFor(req.Complete), Marks: PackMarks(g.Cache.FreshnessMarks())}
 	if g.Versions != nil && req.WantsVersions {
 		resp.Versions = g.Versions.History()
@@ -192,9 +193,13 @@
 	return out
 }
 
-func (g *Gossip) applyMissing(missing []*v1.KindChanges) {
+// applyMissing adds changes that a peer sent, in answer to a call that took the time given.
+func (g *Gossip) applyMissing(missing []*v1.KindChanges, peer string, took time.Duration) {
 	for _, m := range missing {
-		if changed := adopt(g.Cache, m); len(changed) > 0 {
+		age, _ := g.Cache.Age(m.Kind)
+		changed := adopt(g.Cache, m)
+		g.Log.report(Update{Kind: m.Kind, Source: FromPeer, Peer: peer, Changes: len(m.Changes), New: len(changed), Since: m.Since, Revision: m.Complete, Listing: m.Whole, Took: took, Age: age})
+		if len(changed) > 0 {
 			g.Listener.Changed(m.Kind, changed, FromPeer)
 		}
 	}
--- a/internal/version/follow/greet.go
+++ b/internal/version/follow/greet.go
@@ -47,5 +47,5 @@
 func (g *Gossip) fetchFromSeed(ctx context.Context, seed string) error {
 	ctx, cancel := context.WithTimeout(ctx, seedTimeout)
 	defer cancel()
-	return g.exchange(ctx, g.SeedClient(seed))
+	return g.exchange(ctx, seed, g.SeedClient(seed))
 }
--- a/internal/version/follow/refresh.go
+++ b/internal/version/follow/refresh.go
@@ -71,6 +71,7 @@
 	DataCentre        string
 	PeersInDataCentre func() []string
 	OtherDataCentres  func() []string
+	Log               UpdateLog
 
 	triggers chan struct{}
 }
@@ -142,12 +143,16 @@
 // refresh queries the store once.
 func (r *Refresher) refresh(ctx context.Context) error {
 	queried := r.Cache.Now()
+	age, _ := r.Cache.Age(r.Kind)
 	since := r.Cache.CompleteRevision(r.Kind)
 	if since > 0 {
 		page, err := r.Store.Changes(ctx, r.Kind, since)
 		if err == nil {
 			r.Cache.MarkVerified(r.Kind, queried)
-			r.notify(r.Cache.Apply(r.Kind, page.Objects, since, page.Revision))
+			changed := r.Cache.Apply(r.Kind, page.Objects, since, page.Revision)
+			r.Log.report(Update{Kind: r.Kind, Changes: len(page.Objects), New: len(changed), Since: since, Revision: page.Revision, More: page.More,
+				Bytes: page.Bytes, Took: r.Cache.Now().Sub(queried), Age: age})
+			r.notify(changed)
 			return nil
 		}
 		if !errors.Is(err, objects.ErrHistoryExpired) {
@@ -161,7 +166,10 @@
 		return err
 	}
 	r.Cache.MarkVerified(r.Kind, queried)
-	r.notify(r.Cache.Replace(r.Kind, page.Objects, page.Revision))
+	changed := r.Cache.Replace(r.Kind, page.Objects, page.Revision)
+	r.Log.report(Update{Kind: r.Kind, Changes: len(page.Objects), New: len(changed), Since: since, Revision: page.Revision, Listing: true,
+		Bytes: page.Bytes, Took: r.Cache.Now().Sub(queried), Age: age})
+	r.notify(changed)
 	return nil
 }
 
