Reproduce requests to targets that left, behind many changes and removed

What callers saw: requests reach targets over the bound after these have left.

Change: the stand-in store cuts lists and answers to a watch at a number of entries and of bytes, and then names the revision of the last change that it gives, as the users' store does; all tests run on it. No test had more than 500 entries of a kind before.

--- /dev/null
+++ b/lab/hosted/departures_test.go
@@ -0,0 +1,134 @@
+package hosted
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+)
+
+const (
+	// drainBound is the time after which a target that left gets no more requests; the nodes
+	// have it from the default of the setting targets_within.
+	drainBound = 2 * time.Second
+	// idleService is the service of targets that are listed and that nobody uses.
+	idleService = "svc-idle"
+)
+
+// wholeLimits cuts answers as the users state it.
+var wholeLimits = AnswerLimits{List: 500, Watch: 500, Bytes: 1 << 20}
+
+// putIdle writes the entries of targets that nobody uses, in a state, with the numbers from
+// first to last-1.
+func (f *Fleet) putIdle(first, last int, state string) {
+	for i := first; i < last; i++ {
+		entry := f.Runners[0].Entry("hall-a", state)
+		entry["service"], entry["address"] = idleService, "127.0.0.1:1"
+		f.Store.Put("servers", fmt.Sprintf("idle-%05d", i), entry)
+	}
+}
+
+// departures is a load on all nodes while targets leave.
+type departures struct {
+	fleet *Fleet
+	acked map[*Runner]time.Time // when the store accepted that a target leaves
+	stop  context.CancelFunc
+	load  sync.WaitGroup
+}
+
+// startDepartures sends requests to all nodes, each every interval.
+func (f *Fleet) startDepartures(interval time.Duration) *departures {
+	ctx, cancel := context.WithCancel(context.Background())
+	d := &departures{fleet: f, acked: map[*Runner]time.Time{}, stop: cancel}
+	for _, n := range f.Nodes {
+		d.load.Go(func() {
+			for i := 0; ctx.Err() == nil; i++ {
+				d.load.Go(func() {
+					SendRequest(ctx, n.CallerAddress(), RepeatPath, fmt.Sprintf("%s-%d", n.Settings.NodeID, i), nil)
+				})
+				select {
+				case <-ctx.Done():
+				case <-time.After(interval):
+				}
+			}
+		})
+	}
+	return d
+}
+
+// leave reports runners as draining, or removes their entries.
+func (d *departures) leave(remove bool, runners ...*Runner) {
+	for _, r := range runners {
+		if remove {
+			d.fleet.Store.Delete("servers", r.ID)
+		} else {
+			d.fleet.Store.Put("servers", r.ID, r.Entry("hall-a", "draining"))
+		}
+		d.acked[r] = time.Now()
+	}
+}
+
+// check waits and fails for each request that reached a target that left later than the bound.
+func (d *departures) check(t *testing.T, bound time.Duration) {
+	t.Helper()
+	time.Sleep(bound + 3*time.Second)
+	d.stop()
+	d.load.Wait()
+	for r, acked := range d.acked {
+		before, late, last := 0, 0, time.Duration(0)
+		for _, run := range r.RunStarts() {
+			after := run.At.Sub(acked)
+			last = max(last, after)
+			switch {
+			case after <= 0:
+				before++
+			case after > bound:
+				late++
+			}
+		}
+		t.Logf("%s: %d requests before it left, the last %v after, %d too late", r.ID, before, last, late)
+		if before == 0 || late > 0 {
+			t.Errorf("%s: %d requests before it left, %d later than %v after", r.ID, before, late, bound)
+		}
+	}
+}
+
+// TestTargetsLeaveBesideManyChanges guards against requests to targets that have left, from
+// nodes that take an answer that the store cut at its size limit for all there is.
+func TestTargetsLeaveBesideManyChanges(t *testing.T) {
+	for name, c := range map[string]struct{ listed, before, leaving, after int }{
+		"after many registrations":       {0, 3000, 0, 3000},
+		"of 10,000, beside many changes": {10000, 1000, 1000, 1000},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := startFleet(t, Options{Nodes: 6, Runners: 8, Slots: 32, Events: 2, Gap: 5 * time.Millisecond})
+			f.Store.SetLimits(wholeLimits)
+			f.putIdle(0, c.listed, "ready")
+			for _, n := range f.Nodes {
+				eventually(t, "all targets are known", 30*time.Second, func() bool { return n.TargetCount(idleService) == c.listed })
+			}
+			d := f.startDepartures(20 * time.Millisecond)
+			time.Sleep(500 * time.Millisecond)
+			f.putIdle(c.listed, c.listed+c.before, "ready")
+			d.leave(false, f.Runners[0], f.Runners[1])
+			f.putIdle(0, c.leaving, "draining")
+			d.leave(true, f.Runners[2], f.Runners[3])
+			f.putIdle(c.listed+c.before, c.listed+c.before+c.after, "ready")
+			d.check(t, drainBound)
+		})
+	}
+}
+
+// TestRemovedTargetsGetNoRequestsBesideASlowStore guards against requests to targets that were
+// removed without an announcement, from nodes that take the usual age of their copies for an
+// outage of the store and so doubt the removal.
+func TestRemovedTargetsGetNoRequestsBesideASlowStore(t *testing.T) {
+	const bound = 5 * time.Second
+	f := startFleet(t, Options{Nodes: 3, Runners: 4, Slots: 32, Events: 2, Gap: 5 * time.Millisecond, Extra: "[follow]\ntargets_within = 5s\n"})
+	f.Store.SetFaults(StoreFaults{Latency: 300 * time.Millisecond})
+	d := f.startDepartures(20 * time.Millisecond)
+	time.Sleep(5 * time.Second) // several refreshes
+	d.leave(true, f.Runners[0], f.Runners[1])
+	d.check(t, bound)
+}
--- a/lab/hosted/store.go
+++ b/lab/hosted/store.go
@@ -65,11 +65,23 @@
 	calls        map[string]int
 	closed       chan struct{}
 	endpoints    []*Endpoint
+	limits       AnswerLimits
 }
 
+// AnswerLimits are the sizes at which the store cuts its answers.
+type AnswerLimits struct {
+	List  int // objects of a list
+	Watch int // changes that a watch returns
+	Bytes int // of the objects in either
+}
+
+// defaultLimits has small lists, so that tests read several pages; the others are as the
+// users state them.
+var defaultLimits = AnswerLimits{List: 5, Watch: 500, Bytes: 1 << 20}
+
 // NewStore starts a store on a loopback address.
 func NewStore() *Store {
-	s := &Store{kinds: map[string]map[string]Object{}, calls: map[string]int{}, closed: make(chan struct{})}
+	s := &Store{kinds: map[string]map[string]Object{}, calls: map[string]int{}, closed: make(chan struct{}), limits: defaultLimits}
 	s.server = httptest.NewServer(s)
 	return s
 }
@@ -95,6 +107,20 @@
 	s.faults = f
 }
 
+// SetLimits replaces the sizes at which answers are cut.
+func (s *Store) SetLimits(l AnswerLimits) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limits = l
+}
+
+// Revision returns the revision of the newest change.
+func (s *Store) Revision() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rev
+}
+
 // DropHistory drops the history of changes.
 func (s *Store) DropHistory() {
 	s.mu.Lock()
@@ -311,9 +337,6 @@
 	}
 }
 
-// pageSize is small, so that tests read several pages.
-const pageSize = 5
-
 func (s *Store) list(w http.ResponseWriter, kind, after string, stale bool, f StoreFaults) {
 	answer := struct {
 		Items    []Object `json:"items"`
@@ -324,15 +347,17 @@
 	if stale && f.StaleReadAge > 0 {
 		objects = s.asOf(kind, time.Now().Add(-f.StaleReadAge))
 	}
+	size := 0
 	for _, name := range slices.Sorted(maps.Keys(objects)) {
 		if name <= after {
 			continue
 		}
-		if len(answer.Items) == pageSize {
+		if len(answer.Items) == s.limits.List || size >= s.limits.Bytes {
 			answer.More = true
 			break
 		}
 		answer.Items = append(answer.Items, objects[name])
+		size += len(objects[name].Spec)
 	}
 	_ = json.NewEncoder(w).Encode(answer)
 }
@@ -370,10 +395,18 @@
 		Events   []change `json:"events"`
 		Revision int64    `json:"store_revision"`
 	}{Events: []change{}, Revision: s.rev}
-	for _, e := range s.history {
-		if e.kind == kind && e.rev > since {
-			answer.Events = append(answer.Events, change{e.deleted, e.object})
+	size := 0
+	first, _ := slices.BinarySearchFunc(s.history, since+1, func(e event, rev int64) int { return int(e.rev - rev) })
+	for _, e := range s.history[first:] {
+		if e.kind != kind {
+			continue
+		}
+		if len(answer.Events) == s.limits.Watch || size >= s.limits.Bytes {
+			answer.Revision = answer.Events[len(answer.Events)-1].Object.Metadata.Rev // the caller goes on from here
+			break
 		}
+		answer.Events = append(answer.Events, change{e.deleted, e.object})
+		size += len(e.object.Spec)
 	}
 	_ = json.NewEncoder(w).Encode(answer)
 }
