--- a/cmd/marblepond/operators.go
+++ b/cmd/marblepond/operators.go
@@ -165,9 +165,24 @@
 	}
 	out.Flush()
 	printVersions(resp.Targets)
+	printCopies(resp.Copies)
 	return nil
 }
 
+// printCopies prints how fresh the node's cached copies are, on which the list above rests.
+func printCopies(copies []*v1.CopyStatus) {
+	for _, c := range copies {
+		state := "never verified"
+		if c.Verified {
+			state = fmt.Sprintf("verified %v ago", time.Duration(c.AgeMs)*time.Millisecond)
+		}
+		if c.CatchingUp {
+			state += ", catching up"
+		}
+		fmt.Printf("copy of %s: revision %d, %d behind, %s\n", c.Kind, c.Revision, c.Behind, state)
+	}
+}
+
 // printVersions prints how many targets of each version a service has, for services with
 // targets of several versions.
 func printVersions(targets []*v1.TargetStatus) {
--- a/internal/connection/beacon/beacon.go
+++ b/internal/connection/beacon/beacon.go
@@ -117,6 +117,10 @@
 	// ReceiveMark takes the mark of another node, and reports whether this node's copy is
 	// older.
 	ReceiveMark(kind string, m follow.FreshnessMark) (behind bool)
+	// RefreshesUnderWay returns the progress of refreshes that take several answers, by kind,
+	// and NoteRefresh takes that of another node.
+	RefreshesUnderWay() map[string]follow.RefreshProgress
+	NoteRefresh(kind string, p follow.RefreshProgress) (isNew bool)
 }
 
 // BatchReport states the batch work of a node, a group or a data centre.
--- a/internal/connection/beacon/beacon_test.go
+++ b/internal/connection/beacon/beacon_test.go
@@ -154,8 +154,10 @@
 // noCache has no freshness marks.
 type noCache struct{}
 
-func (noCache) FreshnessMarks() map[string]follow.FreshnessMark { return nil }
-func (noCache) ReceiveMark(string, follow.FreshnessMark) bool   { return false }
+func (noCache) FreshnessMarks() map[string]follow.FreshnessMark      { return nil }
+func (noCache) ReceiveMark(string, follow.FreshnessMark) bool        { return false }
+func (noCache) RefreshesUnderWay() map[string]follow.RefreshProgress { return nil }
+func (noCache) NoteRefresh(string, follow.RefreshProgress) bool      { return false }
 
 func (f *fakeState) received(name string) map[string]choose.InFlight {
 	f.mu.Lock()
--- a/internal/connection/beacon/receive.go
+++ b/internal/connection/beacon/receive.go
@@ -70,6 +70,9 @@
 	if m.Crashes != 0 {
 		x.Crashes.ReceiveDigest(m.Node, m.Crashes)
 	}
+	for kind, progress := range follow.UnpackRefreshes(m.Refreshes) {
+		x.Cache.NoteRefresh(kind, progress)
+	}
 	behind := false
 	for kind, mark := range follow.UnpackMarks(m.Marks) {
 		behind = x.Cache.ReceiveMark(kind, mark) || behind
--- a/internal/connection/beacon/send.go
+++ b/internal/connection/beacon/send.go
@@ -95,6 +95,7 @@
 	}
 	message.Targets = x.targetCounts(scope, inFlight)
 	message.Marks = follow.PackMarks(x.Cache.FreshnessMarks())
+	message.Refreshes = follow.PackRefreshes(x.Cache.RefreshesUnderWay())
 	return message
 }
 
--- a/internal/process/hosted/changes.go
+++ b/internal/process/hosted/changes.go
@@ -79,15 +79,6 @@
 	n.recorder.Record(timeline.CopyNotRefreshed, "", kind, cause.Error(), field("revision", revision), field("age_ms", age.Milliseconds()))
 }
 
-// copyUpdated records changes that were received and, with each of them, how old the copy was.
-func (n *Node) copyUpdated(u follow.Update) {
-	n.recorder.Record(timeline.CopyUpdated, "", u.Kind, u.Source.String(), field("peer", u.Peer), field("changes", u.Changes), field("new", u.New), field("since", u.Since),
-		field("revision", u.Revision), field("listing", u.Listing), field("more", u.More), field("bytes", u.Bytes), field("took_ms", u.Took.Milliseconds()), field("age_ms", u.Age.Milliseconds()))
-	scope := n.metrics.Tagged(map[string]string{"kind": u.Kind, "source": u.Source.String()})
-	scope.Counter("copy_changes").Inc(int64(u.Changes))
-	scope.Counter("copy_updates").Inc(1)
-}
-
 // pullFrom requests the newer cached objects of a node, or of a seed if the node is not in the
 // list of nodes yet.
 func (n *Node) pullFrom(node string) {
--- a/internal/process/hosted/crashes.go
+++ b/internal/process/hosted/crashes.go
@@ -197,6 +197,7 @@
 			PacePercent: uint32(math.Round(100 * s.Pace)), FirstEventMs: uint32(s.Estimate.Milliseconds()),
 			Load: &v1.TargetLoad{Target: s.ID, Incarnation: s.Incarnation, Running: uint32(counts.Online + counts.Elsewhere.Online + batch), MaxRunning: uint32(s.Slots), Batch: uint32(batch)}})
 	}
+	resp.Copies = o.node.copyStatuses()
 	return resp, nil
 }
 
--- a/internal/process/hosted/hosted.go
+++ b/internal/process/hosted/hosted.go
@@ -39,6 +39,8 @@
 type Store interface {
 	follow.Store
 	objects.Store
+	// List returns all objects of a kind.
+	List(ctx context.Context, class callbudget.Class, kind string) (objects.Page, error)
 	SetStatus(ctx context.Context, class callbudget.Class, kind, name string, status []byte) error
 }
 
@@ -208,7 +210,7 @@
 // Ready reports whether the node can accept new connections: it knows a configuration, the
 // targets and which data centres are evacuated, and is not leaving.
 func (n *Node) Ready() bool {
-	return !n.Leaving() && n.Table() != nil && n.cache.CompleteRevision(n.adapter.Kinds.Targets) > 0 && n.knowsEvacuations()
+	return !n.Leaving() && n.Table() != nil && n.cache.Usable(n.adapter.Kinds.Targets) && n.knowsEvacuations()
 }
 
 // TargetCount returns how many targets of a service are listed.
--- a/internal/process/timeline/catalogue.go
+++ b/internal/process/timeline/catalogue.go
@@ -101,6 +101,8 @@
 	CallRelayed         Code = 708
 	SnapshotFailed      Code = 709
 	CopyUpdated         Code = 710
+	CopyBehind          Code = 711
+	CopyCaughtUp        Code = 712
 	InvariantViolated   Code = 901
 	unknownEventName         = "unknown"
 )
@@ -205,6 +207,8 @@
 	SnapshotFailed:      {"snapshot_failed", log.WarnLevel, "a snapshot on disk, of cached store objects, of checkpoints or of the origins of streams, could not be read or written"},
 	CopyNotRefreshed:    {"copy_not_refreshed", log.InfoLevel, "the object store did not respond to a query for a kind of objects; the query is repeated"},
 	CopyUpdated:         {"copy_updated", log.InfoLevel, "changes of a kind of objects arrived from the object store or from another node; the fields say how many, up to which revision, and whether more follow"},
+	CopyBehind:          {"copy_behind", log.WarnLevel, "the copy of a kind of objects is behind the object store: the newest answer was cut and the rest is on its way"},
+	CopyCaughtUp:        {"copy_caught_up", log.InfoLevel, "the copy of a kind of objects is complete again"},
 	ObjectRejected:      {"object_rejected", log.WarnLevel, "an object of the store, or an address, is not valid and is ignored"},
 	InvariantViolated:   {"invariant_violated", log.ErrorLevel, "an invariant does not hold; the cause is the evidence"},
 }
--- a/internal/version/follow/cache.go
+++ b/internal/version/follow/cache.go
@@ -8,6 +8,8 @@
 package follow
 
 import (
+	"cmp"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -45,10 +47,25 @@
 // kind is the cached copy of one kind of objects.
 type kind struct {
 	entries map[string]entry
-	// complete is the store revision up to which no change is missing.
-	complete int64
-	// latest is the highest revision of an entry.
-	latest int64
+	// complete is the store revision up to which the copy has every object that existed
+	// there, and deletions the revision up to which no cached object was deleted. They differ
+	// while changes arrive in parts from nodes that do not know all deletions.
+	complete  int64
+	deletions int64
+	// fillTo is the revision of the copies of which parts were received. A part has the newest
+	// revision of each object, so that objects which were changed after complete may be missing
+	// here, or be older than at complete, until complete reaches fillTo.
+	fillTo int64
+	// latest is the highest revision of an entry, and heardOf of an entry of any node's copy.
+	latest  int64
+	heardOf int64
+	// partial reports whether the answer received last was cut, and advanced when it arrived.
+	// arriving is set from the first answer that was cut until the listener has the last one,
+	// which ended at the revision end.
+	partial  bool
+	arriving bool
+	end      int64
+	advanced time.Time
 	// floor is the revision up to which deletions may be missing here: the revision of
 	// the newest listing, which does not say what was deleted before, or of the newest
 	// tombstone that was dropped.
@@ -60,15 +77,18 @@
 	// of the queries seen last, oldest first.
 	queryID     uint64
 	seenQueries []uint64
-	// outageEnd is when the store answered again after an outage.
+	// answered is when the newest query, by any node, was sent that the store is known to have
+	// answered, if only in part. outageEnd is when it answered again after an outage.
+	answered  time.Time
 	outageEnd time.Time
+	refresh   refreshes
 }
 
 const (
-	// outageAge is the age of a copy from which the store counts as unreachable for all
-	// nodes that are in contact. It is longer than the lowest-ranked of them waits before
-	// it queries the store, and shorter than the time without a heartbeat after which the
-	// store removes an entry.
+	// outageAge is the time without an answer from which the store counts as unreachable for all
+	// nodes that are in contact. It is longer than the lowest-ranked of them waits before it
+	// queries the store, and shorter than the time without a heartbeat after which the store
+	// removes an entry.
 	outageAge = 2 * time.Second
 	// recoveryTime is how long after an outage a deletion may only mean that the store
 	// missed heartbeats. Live targets register again within about two seconds, as the
@@ -104,6 +124,16 @@
 	return c
 }
 
+// Kinds returns the kinds, those with the fewest objects first: in messages of a bounded size
+// they are not held up by the others.
+func (c *Cache) Kinds() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.SortedFunc(maps.Keys(c.kinds), func(a, b string) int {
+		return cmp.Or(cmp.Compare(len(c.kinds[a].entries), len(c.kinds[b].entries)), cmp.Compare(a, b))
+	})
+}
+
 // Apply adds changes of a kind, among them all that were made after revision since up to
 // revision to. It returns those that were new to the cache.
 func (c *Cache) Apply(name string, changes []objects.Object, since, to int64) []objects.Object {
@@ -118,47 +148,134 @@
 
 // apply is Apply for a caller that holds c.mu.
 func (c *Cache) apply(k *kind, changes []objects.Object, since, to int64) []objects.Object {
+	changed := c.putEntries(k, changes, k.complete)
+	if hasObject(changed) { // which may have been deleted since
+		k.deletions = min(k.deletions, k.complete)
+	}
+	if since <= k.complete {
+		k.complete = max(k.complete, to)
+	}
+	if since <= k.deletions {
+		k.deletions = max(k.deletions, to)
+	}
+	return changed
+}
+
+// hasObject reports whether changes have one that is not a deletion.
+func hasObject(changes []objects.Object) bool {
+	return slices.ContainsFunc(changes, func(o objects.Object) bool { return !o.Deleted })
+}
+
+// putEntries adds changes and returns those that were new to the cache. An object of a revision
+// up to complete that is not cached was deleted since.
+func (c *Cache) putEntries(k *kind, changes []objects.Object, complete int64) []objects.Object {
 	var changed []objects.Object
 	for _, o := range changes {
-		if c.putEntry(k, o) {
+		if c.putEntry(k, o, complete) {
 			changed = append(changed, o)
 		}
 	}
-	if since <= k.complete && to > k.complete {
-		k.complete = to
+	return changed
+}
+
+// ApplyAnswer adds the store's answer to a query for the changes after revision since, which
+// was sent at the time given, and returns those that were new to the cache. The answer makes
+// the copy fresh only if it was not cut.
+func (c *Cache) ApplyAnswer(name string, page objects.Page, since int64, queried time.Time) []objects.Object {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	k := c.kinds[name]
+	if k == nil {
+		return nil
+	}
+	changed := c.apply(k, page.Objects, since, page.Revision)
+	k.received(c.now(), page.More)
+	if !page.More && !k.filling() {
+		c.verify(k, queried, rand.Uint64())
 	}
 	return changed
 }
 
+// received notes that an answer has arrived, and whether it was cut.
+func (k *kind) received(now time.Time, more bool) {
+	k.partial, k.advanced = more, now
+	k.arriving = k.arriving || (more && k.verified.IsZero())
+	if !more {
+		k.end = k.complete
+	}
+}
+
+// delivered notes that the listener was notified of an answer up to a revision.
+func (c *Cache) delivered(name string, revision int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if k := c.kinds[name]; k != nil && !k.partial && revision >= k.end {
+		k.arriving = false
+	}
+}
+
 // Replace replaces a kind by a complete listing at a revision: cached objects that are
 // not listed count as deleted at that revision. It returns the changes that were new to
 // the cache.
 func (c *Cache) Replace(name string, list []objects.Object, listRevision int64) []objects.Object {
-	listed := make(map[string]bool, len(list))
-	for _, o := range list {
-		listed[o.Name] = true
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	k := c.kinds[name]
+	if k == nil {
+		return nil
 	}
+	return c.replace(k, list, listRevision)
+}
+
+// ReplaceListed is Replace by a listing of the store that was begun at the time given; the
+// copy is then as fresh as that.
+func (c *Cache) ReplaceListed(name string, list []objects.Object, listRevision int64, begun time.Time) []objects.Object {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	k := c.kinds[name]
 	if k == nil {
 		return nil
 	}
-	changes := slices.Clone(list)
+	changed := c.replace(k, list, listRevision)
+	c.verify(k, begun, rand.Uint64())
+	return changed
+}
+
+// replace is Replace for a caller that holds c.mu.
+func (c *Cache) replace(k *kind, list []objects.Object, listRevision int64) []objects.Object {
+	listed := make(map[string]bool, len(list))
+	for _, o := range list {
+		listed[o.Name] = true
+	}
+	if k.filling() || listRevision >= k.complete { // the list alone is complete
+		k.complete, k.deletions, k.fillTo = 0, 0, 0
+	}
+	changed := c.putEntries(k, append(slices.Clone(list), k.unlisted(listed, listRevision)...), k.complete)
+	k.complete, k.deletions = max(k.complete, listRevision), max(min(k.deletions, k.complete), listRevision)
+	k.floor = max(k.floor, listRevision)
+	k.received(c.now(), false)
+	return changed
+}
+
+// unlisted returns the deletions of the cached objects that are missing from a list of all that
+// existed at a revision.
+func (k *kind) unlisted(listed map[string]bool, listRevision int64) []objects.Object {
+	var deleted []objects.Object
 	for id, e := range k.entries {
 		if !listed[id] && !e.Deleted && e.Revision <= listRevision {
-			changes = append(changes, objects.Object{Name: id, Revision: listRevision, Deleted: true})
+			deleted = append(deleted, objects.Object{Name: id, Revision: listRevision, Deleted: true})
 		}
 	}
-	changed := c.apply(k, changes, 0, listRevision)
-	k.floor = max(k.floor, listRevision)
-	return changed
+	return deleted
 }
 
-func (c *Cache) putEntry(k *kind, o objects.Object) bool {
+func (c *Cache) putEntry(k *kind, o objects.Object, complete int64) bool {
 	old, known := k.entries[o.Name]
-	if !known && o.Revision <= k.floor {
-		return false // it was deleted before the listing, and the tombstone is not known
+	if !known && o.Deleted && o.Revision <= k.floor {
+		return false // no other node has the object either
+	}
+	if (!known || old.Deleted) && !o.Deleted && o.Revision <= complete {
+		return false // it was deleted since, and the tombstone is not known
 	}
 	if known && (old.Revision > o.Revision || (old.Revision == o.Revision && (old.Deleted || !o.Deleted))) {
 		return false
@@ -186,7 +303,56 @@
 func (c *Cache) CompleteRevision(name string) int64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.kinds[name].complete
+	return c.kinds[name].completeRevision()
+}
+
+// completeRevision returns the revision up to which no change is missing, a deletion of a
+// cached object included.
+func (k *kind) completeRevision() int64 { return min(k.complete, k.deletions) }
+
+// CopyStatus says how fresh a copy is, for operators.
+type CopyStatus struct {
+	Revision   int64         // no change up to it is missing
+	Behind     int64         // revisions from there to the newest one known of
+	Age        time.Duration // since the newest store query whose answer the copy contains
+	Verified   bool          // there was such a query
+	CatchingUp bool          // the newest answer was cut
+}
+
+// Status returns how fresh the copy of a kind is.
+func (c *Cache) Status(name string) CopyStatus {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	k := c.kinds[name]
+	s := CopyStatus{Revision: k.completeRevision(), Verified: !k.verified.IsZero(), CatchingUp: k.partial}
+	s.Behind = max(0, max(k.latest, k.heardOf)-s.Revision)
+	if s.Verified {
+		s.Age = c.now().Sub(k.verified)
+	}
+	return s
+}
+
+// filling reports whether the copy lacks parts of what another node had.
+func (k *kind) filling() bool { return k.complete < k.fillTo }
+
+// anyFilling reports whether the copy of one of the kinds is filling.
+func (c *Cache) anyFilling(kinds []string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.ContainsFunc(kinds, func(name string) bool { return c.kinds[name] != nil && c.kinds[name].filling() })
+}
+
+// fillTime is the time after which a copy that is received in parts is used although no
+// further part has arrived.
+const fillTime = 2 * time.Second
+
+// Usable reports whether the copy of a kind may be used: there is one, and it is not just being
+// received in parts for the first time.
+func (c *Cache) Usable(name string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	k := c.kinds[name]
+	return k.complete > 0 && (!k.arriving || c.now().Sub(k.advanced) >= fillTime)
 }
 
 // Now returns the cache's time.
@@ -227,13 +393,23 @@
 	if !at.After(k.verified) {
 		return
 	}
-	if now := c.now(); !k.verified.IsZero() && now.Sub(k.verified) > outageAge {
-		k.outageEnd = now
-	}
+	k.storeAnswered(c.now(), at)
 	k.verified, k.queryID = at, queryID
+	k.partial = false
+	k.refresh.end()
 	c.onVerified()
 }
 
+// storeAnswered notes that the store has answered a query that was sent at the time given.
+func (k *kind) storeAnswered(now, sent time.Time) {
+	if !k.answered.IsZero() && now.Sub(k.answered) > outageAge {
+		k.outageEnd = now
+	}
+	if sent.After(k.answered) {
+		k.answered = sent
+	}
+}
+
 // DeletionsUncertain reports whether a deletion of this kind may only mean that the store
 // missed heartbeats during an outage. If only this node cannot reach the store, deletions
 // are certain: the nodes that reach it keep this node's copy fresh.
@@ -241,11 +417,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	k := c.kinds[name]
-	if k.verified.IsZero() {
+	if k.answered.IsZero() {
 		return false
 	}
 	now := c.now()
-	return now.Sub(k.verified) > outageAge || now.Sub(k.outageEnd) < recoveryTime
+	return now.Sub(k.answered) > outageAge || now.Sub(k.outageEnd) < recoveryTime
 }
 
 // Age returns the time since the copy was last known to contain all that the store held;
@@ -274,7 +450,11 @@
 	defer c.mu.Unlock()
 	marks := make(map[string]FreshnessMark, len(c.kinds))
 	for name, k := range c.kinds {
-		marks[name] = FreshnessMark{Complete: k.complete, Latest: k.latest, Floor: k.floor, Age: c.now().Sub(k.verified), QueryID: k.queryID, Known: !k.verified.IsZero()}
+		complete := k.completeRevision()
+		if k.filling() {
+			complete = 0
+		}
+		marks[name] = FreshnessMark{Complete: complete, Latest: k.latest, Floor: k.floor, Age: c.now().Sub(k.verified), QueryID: k.queryID, Known: !k.verified.IsZero()}
 	}
 	return marks
 }
@@ -289,13 +469,16 @@
 	if k == nil || !m.Known {
 		return false
 	}
-	if k.complete < m.Latest {
+	k.heardOf = max(k.heardOf, m.Latest)
+	complete := k.completeRevision()
+	if complete < m.Latest || k.filling() {
 		return true // a listing in several pages may contain a newer change and lack an older one
 	}
-	if k.complete < m.Floor {
+	if complete < m.Floor {
 		return false // a deletion that the other node does not know may be missing here
 	}
-	k.complete = max(k.complete, m.Complete)
+	k.complete, k.deletions = max(k.complete, m.Complete), max(k.deletions, m.Complete)
+	k.partial = false
 	c.verify(k, c.now().Add(-m.Age), m.QueryID)
 	return false
 }
@@ -306,7 +489,7 @@
 	defer c.mu.Unlock()
 	marks := make(map[string]int64, len(c.kinds))
 	for name, k := range c.kinds {
-		marks[name] = k.complete
+		marks[name] = k.completeRevision()
 	}
 	return marks
 }
@@ -314,12 +497,12 @@
 // ChangesSince returns the changes of a kind after a revision. If this copy may lack a
 // deletion after that revision, it returns all existing objects instead, and full is
 // true.
-func (c *Cache) ChangesSince(name string, revision int64) (changes []objects.Object, full bool) {
+func (c *Cache) ChangesSince(name string, revision int64) (changes []objects.Object, complete int64, full bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	k := c.kinds[name]
-	if k == nil || k.complete <= revision {
-		return nil, false
+	if k == nil || k.completeRevision() <= revision || k.filling() {
+		return nil, revision, false
 	}
 	full = revision < k.floor
 	for _, e := range k.entries {
@@ -327,7 +510,7 @@
 			changes = append(changes, e.Object)
 		}
 	}
-	return changes, full
+	return changes, k.completeRevision(), full
 }
 
 // Get returns an object, and whether it exists as far as this node knows.
--- a/internal/version/follow/gossip.go
+++ b/internal/version/follow/gossip.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	v1 "github.com/marblepond/marblepond/api/marblepond/v1"
@@ -36,6 +37,8 @@
 	// lacks.
 	PullQueue *ring.Ring[string]
 	Log       UpdateLog
+
+	sent byteBudget // of large parts
 }
 
 // VersionHistory holds which software versions the targets of services have had.
@@ -93,8 +96,8 @@
 // one pull fetches all of them.
 const minPullInterval = 50 * time.Millisecond
 
-// pull exchanges with the peer that was queued last, and drops the others that wait in
-// the queue.
+// pull exchanges with the peer that was queued last until it has no more changes, and drops the
+// others that wait in the queue.
 func (g *Gossip) pull(ctx context.Context, address string) {
 	for last := false; !last; {
 		select {
@@ -104,54 +107,116 @@
 			last = true
 		}
 	}
-	if address != "" {
-		g.round(ctx, address)
-		wait.For(ctx, minPullInterval)
+	if address == "" {
+		return
+	}
+	for ctx.Err() == nil && g.round(ctx, address) {
 	}
+	wait.For(ctx, minPullInterval)
 }
 
-// round makes one exchange with a peer, which may be unreachable.
-func (g *Gossip) round(ctx context.Context, address string) {
+// round makes one exchange with a peer, which may be unreachable. It reports whether the peer
+// has more changes that this node lacks.
+func (g *Gossip) round(ctx context.Context, address string) (more bool) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
-	_ = g.exchange(ctx, address, g.Client(address)) // after a failure the next round takes another peer
+	more, err := g.exchange(ctx, address, g.Client(address))
+	return more && err == nil // after a failure the next round takes another peer
 }
 
-// exchange fetches the changes of a peer that this node lacks, and sends those that the
-// peer lacks in a second call.
-func (g *Gossip) exchange(ctx context.Context, address string, client marblepondv1connect.SyncServiceClient) error {
+// exchange fetches a part of the changes of a peer that this node lacks, and sends a small part of
+// those that the peer lacks in a second call: the peer fetches larger ones itself. It reports
+// whether the peer has more.
+func (g *Gossip) exchange(ctx context.Context, address string, client marblepondv1connect.SyncServiceClient) (more bool, err error) {
 	started := g.Cache.Now()
-	resp, err := client.Exchange(ctx, &v1.ExchangeRequest{Node: g.Node, Complete: g.Cache.CompleteRevisions(), WantsVersions: g.Versions != nil && g.Versions.WantsHistory()})
+	resp, err := client.Exchange(ctx, &v1.ExchangeRequest{Node: g.Node, Complete: g.Cache.CompleteRevisions(), Copies: g.copies(), WantsVersions: g.Versions != nil && g.Versions.WantsHistory()})
 	if err != nil {
-		return err
+		return false, err
 	}
-	g.applyMissing(resp.Missing, address, g.Cache.Now().Sub(started))
+	more = g.applyMissing(resp.Missing, address, g.Cache.Now().Sub(started))
 	for kind, mark := range UnpackMarks(resp.Marks) {
 		mark.Age += g.Cache.Now().Sub(started) // the peer stated the age at some time since started
 		g.Cache.ReceiveMark(kind, mark)
 	}
+	for kind, progress := range UnpackRefreshes(resp.Refreshes) {
+		g.Cache.NoteRefresh(kind, progress)
+	}
 	if g.Versions != nil && resp.Versions != nil {
 		g.Versions.AddHistory(resp.Versions)
 	}
-	if offer := g.missingFor(resp.Complete); len(offer) > 0 {
+	if offer := g.missingFor(resp.Copies, resp.Complete, smallPart); len(offer) > 0 {
 		_, err = client.Exchange(ctx, &v1.ExchangeRequest{Node: g.Node, Complete: g.Cache.CompleteRevisions(), Offered: offer})
 	}
-	return err
+	return more, err
 }
 
 // Exchange answers another node's exchange call.
 func (g *Gossip) Exchange(_ context.Context, req *v1.ExchangeRequest) (*v1.ExchangeResponse, error) {
 	g.applyMissing(req.Offered, req.Node, 0)
-	resp := &v1.ExchangeResponse{Complete: g.Cache.CompleteRevisions(), Missing: g.missingFor(req.Complete), Marks: PackMarks(g.Cache.FreshnessMarks())}
+	resp := &v1.ExchangeResponse{Complete: g.Cache.CompleteRevisions(), Copies: g.copies(), Marks: PackMarks(g.Cache.FreshnessMarks()), Refreshes: PackRefreshes(g.Cache.RefreshesUnderWay())}
+	if len(req.Offered) == 0 {
+		resp.Missing = g.missingFor(req.Copies, req.Complete, partBytes)
+	}
 	if g.Versions != nil && req.WantsVersions {
 		resp.Versions = g.Versions.History()
 	}
 	return resp, nil
 }
 
-// missingFor returns the changes that a node lacks whose kinds are complete up to the
+// copies returns what this node's copies have, by kind.
+func (g *Gossip) copies() map[string]*v1.CopyState {
+	out := map[string]*v1.CopyState{}
+	for _, kind := range g.Cache.Kinds() {
+		state := g.Cache.State(kind)
+		out[kind] = &v1.CopyState{Complete: state.Complete, Deletions: state.Deletions, Empty: state.Empty}
+	}
+	return out
+}
+
+const (
+	// partBytes bounds the changes in one message: they pass a line of 30 Mbit/s in 35 ms, so
+	// that several parts at once arrive within exchangeTimeout.
+	partBytes = 128 << 10
+	// smallPart is the size up to which changes are sent whatever was sent before.
+	smallPart = 16 << 10
+	// sendRate and sendBurst bound what a node sends to others in larger parts, in bytes per
+	// second and bytes. Beyond that others fetch from nodes that have the changes by then. It
+	// is less than the slowest lines of VMs carry, so that the parts that are sent arrive.
+	sendRate  = 3 << 20
+	sendBurst = 2 << 20
+)
+
+// missingFor returns the next part, of at most maxBytes, of what a node lacks whose copies have
+// the states given. A node of an earlier version states only the revisions up to which its copies
+// are complete; it gets all changes at once.
+func (g *Gossip) missingFor(copies map[string]*v1.CopyState, revisions map[string]int64, maxBytes int) []*v1.KindChanges {
+	if len(copies) == 0 {
+		return g.allMissingFor(revisions)
+	}
+	var out []*v1.KindChanges
+	left := maxBytes
+	for _, kind := range g.Cache.Kinds() {
+		state, follows := copies[kind]
+		if !follows || left <= 0 {
+			continue
+		}
+		p, ok := g.Cache.Missing(kind, CopyState{Complete: state.Complete, Deletions: state.Deletions, Empty: state.Empty}, left)
+		if !ok {
+			continue
+		}
+		size := p.size()
+		if size > smallPart && !g.sent.take(g.Cache.Now(), size) {
+			continue
+		}
+		left -= size
+		out = append(out, p.pack(kind))
+	}
+	return out
+}
+
+// allMissingFor returns the changes that a node lacks whose kinds are complete up to the
 // revisions given.
-func (g *Gossip) missingFor(revisions map[string]int64) []*v1.KindChanges {
+func (g *Gossip) allMissingFor(revisions map[string]int64) []*v1.KindChanges {
 	var out []*v1.KindChanges
 	for kind, complete := range g.Cache.CompleteRevisions() {
 		peerComplete, follows := revisions[kind]
@@ -168,23 +233,29 @@
 
 // changesOf returns the changes of a kind after a revision as a message.
 func changesOf(c *Cache, kind string, since int64) *v1.KindChanges {
-	complete := c.CompleteRevision(kind)
-	changes, full := c.ChangesSince(kind, since)
+	changes, complete, full := c.ChangesSince(kind, since)
 	out := &v1.KindChanges{Kind: kind, Since: since, Complete: complete, Whole: full}
 	for _, o := range changes {
-		out.Changes = append(out.Changes, &v1.ObjectChange{Name: o.Name, Revision: o.Revision, Value: o.Value, Deleted: o.Deleted})
+		out.Changes = append(out.Changes, changeToProto(o))
 	}
 	return out
 }
 
 // adopt adds received changes to the cache and returns those that were new to it.
 func adopt(c *Cache, m *v1.KindChanges) []objects.Object {
-	if m.Whole {
+	switch {
+	case m.Existed > 0:
+		return c.Merge(m.Kind, unpackPart(m))
+	case m.Whole:
 		return c.Replace(m.Kind, objectsFromProto(m.Changes), m.Complete)
 	}
 	return c.Apply(m.Kind, objectsFromProto(m.Changes), m.Since, m.Complete)
 }
 
+func changeToProto(o objects.Object) *v1.ObjectChange {
+	return &v1.ObjectChange{Name: o.Name, Revision: o.Revision, Value: o.Value, Deleted: o.Deleted}
+}
+
 func objectsFromProto(changes []*v1.ObjectChange) []objects.Object {
 	out := make([]objects.Object, 0, len(changes))
 	for _, c := range changes {
@@ -193,14 +264,39 @@
 	return out
 }
 
-// applyMissing adds changes that a peer sent, in answer to a call that took the time given.
-func (g *Gossip) applyMissing(missing []*v1.KindChanges, peer string, took time.Duration) {
+// applyMissing adds changes that a peer sent, in answer to a call that took the time given. It
+// reports whether the peer has more and the copy has advanced.
+func (g *Gossip) applyMissing(missing []*v1.KindChanges, peer string, took time.Duration) (more bool) {
 	for _, m := range missing {
 		age, _ := g.Cache.Age(m.Kind)
+		before := g.Cache.State(m.Kind)
 		changed := adopt(g.Cache, m)
-		g.Log.report(Update{Kind: m.Kind, Source: FromPeer, Peer: peer, Changes: len(m.Changes), New: len(changed), Since: m.Since, Revision: m.Complete, Listing: m.Whole, Took: took, Age: age})
+		more = more || (m.More && g.Cache.State(m.Kind) != before)
+		g.Log.report(Update{Kind: m.Kind, Source: FromPeer, Peer: peer, Changes: len(m.Changes), New: len(changed), Since: m.Since, Revision: m.Complete, Listing: m.Whole || m.HasNames, More: m.More, Took: took, Age: age})
 		if len(changed) > 0 {
 			g.Listener.Changed(m.Kind, changed, FromPeer)
 		}
+		g.Cache.delivered(m.Kind, m.Complete)
+	}
+	return more
+}
+
+// byteBudget is a token bucket of bytes. It is safe for concurrent use.
+type byteBudget struct {
+	mu    sync.Mutex
+	spent float64 // bytes that sendRate has not made up for, at the time at
+	at    time.Time
+}
+
+// take takes bytes from the budget if it has them.
+func (b *byteBudget) take(now time.Time, bytes int) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.spent = max(0, b.spent-sendRate*now.Sub(b.at).Seconds())
+	b.at = now
+	if b.spent+float64(bytes) > sendBurst {
+		return false
 	}
+	b.spent += float64(bytes)
+	return true
 }
--- a/internal/version/follow/greet.go
+++ b/internal/version/follow/greet.go
@@ -9,11 +9,11 @@
 )
 
 const (
-	// seedWait is how long a starting node waits for seeds that answer to have a complete
-	// cache: all nodes may start at once, and the seeds query the store first.
+	// seedWait is how long a starting node waits, without progress, for seeds that answer to
+	// have a complete cache: all nodes may start at once, and the seeds query the store first.
 	seedWait = 1500 * time.Millisecond
-	// seedTimeout bounds one call to a seed, which answers with its whole cache: 50 KB for
-	// 150 targets, sent to 85 nodes at once over the seed's link in the largest deployment.
+	// seedTimeout bounds one call to a seed, which answers with a part of its cache, and at the
+	// same time to the other nodes that start.
 	seedTimeout = time.Second
 	// seedStartWait is how long a starting node retries while no seed answers: nodes that
 	// start together all answer within 0.3 s.
@@ -24,13 +24,15 @@
 
 // FetchFromSeeds fetches the cache of a starting node from seeds, so that the node does not
 // have to list the object store, which takes a call per page. It returns once the kinds
-// given are verified, or when the seeds do not answer or have no verified copies in time.
+// given are verified, or when the seeds do not answer or nothing more has arrived for some time.
+// Changes may also come from other nodes, once they are known and have them.
 func (g *Gossip) FetchFromSeeds(ctx context.Context, seeds []string, kinds ...string) {
-	started := g.Cache.Now()
+	last := g.Cache.Now()  // progress
 	limit := seedStartWait // until a seed has answered
 	for len(seeds) > 0 {
-		for _, i := range rand.Perm(len(seeds)) {
-			if g.fetchFromSeed(ctx, seeds[i]) != nil {
+		before := g.fetched()
+		for _, address := range g.sources(seeds) {
+			if g.fetchFromSeed(ctx, address) != nil {
 				continue
 			}
 			limit = seedWait
@@ -38,14 +40,52 @@
 				return
 			}
 		}
-		if g.Cache.Now().Sub(started) >= limit || !wait.For(ctx, seedRetryInterval/2+rand.N(seedRetryInterval)) {
+		now := g.Cache.Now()
+		if g.fetched() != before {
+			last = now
+		}
+		if now.Sub(last) >= limit || !wait.For(ctx, seedRetryInterval/2+rand.N(seedRetryInterval)) {
 			return
 		}
 	}
 }
 
+// sources returns the seeds in random order, and another node if others are known.
+func (g *Gossip) sources(seeds []string) []string {
+	out := make([]string, 0, len(seeds)+1)
+	for _, i := range rand.Perm(len(seeds)) {
+		out = append(out, seeds[i])
+	}
+	if g.Peers == nil {
+		return out
+	}
+	if peers := g.Peers(); len(peers) > len(seeds) {
+		out = append(out, peers[rand.IntN(len(peers))])
+	}
+	return out
+}
+
+// fetched sums up what has arrived: it changes with each part, and with each answer to a seed
+// that lists the store.
+func (g *Gossip) fetched() int64 {
+	sum := int64(0)
+	for _, complete := range g.Cache.CompleteRevisions() {
+		sum += complete
+	}
+	for _, p := range g.Cache.RefreshesUnderWay() {
+		sum += int64(p.Answers)
+	}
+	return sum
+}
+
+// fetchFromSeed fetches what a seed has, in parts.
 func (g *Gossip) fetchFromSeed(ctx context.Context, seed string) error {
-	ctx, cancel := context.WithTimeout(ctx, seedTimeout)
-	defer cancel()
-	return g.exchange(ctx, seed, g.SeedClient(seed))
+	for {
+		limited, cancel := context.WithTimeout(ctx, seedTimeout)
+		more, err := g.exchange(limited, seed, g.SeedClient(seed))
+		cancel()
+		if err != nil || !more {
+			return err
+		}
+	}
 }
--- a/internal/version/follow/marks.go
+++ b/internal/version/follow/marks.go
@@ -18,6 +18,24 @@
 	return out
 }
 
+// PackRefreshes converts the progress of refreshes to messages, and UnpackRefreshes back.
+func PackRefreshes(refreshes map[string]RefreshProgress) []*v1.KindRefresh {
+	var out []*v1.KindRefresh
+	for kind, p := range refreshes {
+		out = append(out, &v1.KindRefresh{Kind: kind, Id: p.ID, Answers: p.Answers})
+	}
+	return out
+}
+
+// UnpackRefreshes: see PackRefreshes.
+func UnpackRefreshes(refreshes []*v1.KindRefresh) map[string]RefreshProgress {
+	out := make(map[string]RefreshProgress, len(refreshes))
+	for _, r := range refreshes {
+		out[r.Kind] = RefreshProgress{ID: r.Id, Answers: r.Answers}
+	}
+	return out
+}
+
 // UnpackMarks converts received messages to marks, by kind.
 func UnpackMarks(marks []*v1.KindMark) map[string]FreshnessMark {
 	out := make(map[string]FreshnessMark, len(marks))
--- a/internal/version/follow/refresh.go
+++ b/internal/version/follow/refresh.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"math"
+	"math/bits"
 	"math/rand/v2"
 	"time"
 
@@ -14,9 +17,9 @@
 
 // Store is the part of the object store that a Refresher uses.
 type Store interface {
-	// List returns every object of a kind.
-	List(ctx context.Context, class callbudget.Class, kind string) (objects.Page, error)
-	// Changes returns the changes of a kind after a revision, without waiting for one.
+	// ListPage returns the first objects of a kind, by name, of those after a name.
+	ListPage(ctx context.Context, class callbudget.Class, kind, after string) (objects.Page, error)
+	// Changes returns the first changes of a kind after a revision, without waiting for one.
 	// It fails with objects.ErrHistoryExpired when the store no longer has them.
 	Changes(ctx context.Context, kind string, revision int64) (objects.Page, error)
 }
@@ -36,13 +39,18 @@
 	// the node above. Where MaxAge is small, the delay is rankDelayShare of MaxAge.
 	maxRankDelay   = 250 * time.Millisecond
 	rankDelayShare = 0.36
-	// maxRank bounds the rank, and with it the delay of low-ranked nodes.
-	maxRank = 4
-	// listTimeout bounds one listing. The store answers in milliseconds, and a call that
-	// hangs must not use up the time within which a change has to be in force.
-	listTimeout = time.Second
+	// singleRanks is how many places in the order have a rank of their own. Each further rank
+	// has twice as many places as the one before, so that the delay of the last one stays short
+	// and few nodes query at once while those above get no answer.
+	singleRanks = 4
+	// pageTimeout bounds one page of a listing. The store answers in milliseconds, and a call
+	// that hangs must not use up the time within which a change has to be in force.
+	pageTimeout = time.Second
+	// listingRetention is how long the pages of a listing that was interrupted are kept. A
+	// listing is complete up to its begin, and the store's history has to reach back to that.
+	listingRetention = 10 * time.Second
 	// minRetryDelay is the mean delay after a failed query. It doubles up to
-	// maxRetryDelay, and is multiplied by the node's rank plus one: refused calls are
+	// maxRetryDelay, and is multiplied by the node's retryFactor: refused calls are
 	// charged like others, and the first node that gets an answer reports it to the other
 	// nodes within a fraction of a second.
 	minRetryDelay = 100 * time.Millisecond
@@ -74,6 +82,8 @@
 	Log               UpdateLog
 
 	triggers chan struct{}
+	started  time.Time
+	listing  *listing // that was interrupted; nil: none was
 }
 
 // Trigger makes the refresher query the store at once. It never blocks.
@@ -91,6 +101,7 @@
 
 // Run refreshes until ctx ends.
 func (r *Refresher) Run(ctx context.Context) {
+	r.started = r.Cache.Now()
 	retryDelay := minRetryDelay
 	for ctx.Err() == nil {
 		if due := r.untilDue(); due > 0 && !r.waitForTrigger(ctx, due) {
@@ -98,7 +109,7 @@
 		}
 		if err := r.refresh(ctx); err != nil {
 			r.Listener.Failed(r.Kind, r.Cache.CompleteRevision(r.Kind), err)
-			wait.For(ctx, time.Duration(1+r.rank())*(retryDelay/2+rand.N(retryDelay)))
+			r.waitToRetry(ctx, retryDelay/2+rand.N(retryDelay))
 			retryDelay = min(2*retryDelay, maxRetryDelay)
 			continue
 		}
@@ -106,6 +117,13 @@
 	}
 }
 
+// waitToRetry waits for the delay given times the node's retryFactor. The factor is taken anew
+// after each delay, since a node that no longer hears of others has to query for itself.
+func (r *Refresher) waitToRetry(ctx context.Context, delay time.Duration) {
+	for waited := 0; waited < r.retryFactor() && wait.For(ctx, delay); waited++ {
+	}
+}
+
 // waitForTrigger waits for the time d, or until Trigger is called, which it reports.
 func (r *Refresher) waitForTrigger(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
@@ -121,60 +139,150 @@
 
 // untilDue returns the time until this node has to query the store.
 func (r *Refresher) untilDue() time.Duration {
+	rank := r.rank()
 	age, known := r.Cache.Age(r.Kind)
-	if !known {
-		return 0
+	left := r.MaxAge - age
+	if !known { // all nodes may have started at once
+		rank = max(0, rank-singleRanks)
+		left = r.started.Sub(r.Cache.Now())
 	}
-	return r.MaxAge + time.Duration(r.rank())*r.rankDelay() - age
+	if refreshed := r.Cache.refreshWait(r.Kind, r.MaxAge); refreshed > 0 {
+		left = max(left, refreshed)
+	}
+	return left + time.Duration(rank)*r.rankDelay()
 }
 
 func (r *Refresher) rankDelay() time.Duration {
 	return min(maxRankDelay, time.Duration(rankDelayShare*float64(r.MaxAge)))
 }
 
-// rank returns this node's place in the order of nodes that may query the store, 0 being
-// the first: the rank of its data centre plus its rank within the data centre. Nodes agree
-// on the order also where the fleet is too large for each to receive datagrams of all others.
+// rank returns this node's rank in the order of nodes that may query the store, 0 being the
+// first. Nodes agree on the order also where the fleet is too large for each to receive
+// datagrams of all others.
 func (r *Refresher) rank() int {
-	centre := rendezvous.Place(r.Kind, r.DataCentre, r.OtherDataCentres(), maxRank)
-	return min(maxRank, centre+rendezvous.Place(r.Kind, r.Self, r.PeersInDataCentre(), maxRank))
+	centre := rendezvous.Place(r.Kind, r.DataCentre, r.OtherDataCentres(), math.MaxInt)
+	return rankOf(centre + rendezvous.Place(r.Kind, r.Self, r.PeersInDataCentre(), math.MaxInt))
+}
+
+// rankOf returns the rank of a place in the order: the place of the data centre plus the place
+// within the data centre.
+func rankOf(place int) int {
+	if place < singleRanks {
+		return place
+	}
+	return singleRanks + bits.Len(uint(place/singleRanks)) - 1
 }
 
-// refresh queries the store once.
+// retryFactor multiplies the delay after a failed query, so that the fleet together makes about
+// as many queries while the store is unreachable, however many nodes it has.
+func (r *Refresher) retryFactor() int {
+	rank := r.rank()
+	return (1 + rank) << max(0, rank-singleRanks)
+}
+
+// refresh queries the store until an answer is not cut.
 func (r *Refresher) refresh(ctx context.Context) error {
-	queried := r.Cache.Now()
-	age, _ := r.Cache.Age(r.Kind)
-	since := r.Cache.CompleteRevision(r.Kind)
-	if since > 0 {
-		page, err := r.Store.Changes(ctx, r.Kind, since)
-		if err == nil {
-			r.Cache.MarkVerified(r.Kind, queried)
-			changed := r.Cache.Apply(r.Kind, page.Objects, since, page.Revision)
-			r.Log.report(Update{Kind: r.Kind, Changes: len(page.Objects), New: len(changed), Since: since, Revision: page.Revision, More: page.More,
-				Bytes: page.Bytes, Took: r.Cache.Now().Sub(queried), Age: age})
-			r.notify(changed)
-			return nil
+	progress := RefreshProgress{ID: rand.Uint64()}
+	for {
+		since := r.Cache.CompleteRevision(r.Kind)
+		if r.listing != nil && (since >= r.listing.revision || r.Cache.Now().Sub(r.listing.begun) > listingRetention) {
+			r.listing = nil // peers had the changes, or it is too old to continue
+		}
+		if since == 0 || r.listing != nil {
+			return r.list(ctx, &progress)
+		}
+		more, err := r.queryChanges(ctx, since, &progress)
+		if errors.Is(err, objects.ErrHistoryExpired) {
+			return r.list(ctx, &progress)
 		}
-		if !errors.Is(err, objects.ErrHistoryExpired) {
+		if err != nil || !more {
 			return err
 		}
 	}
-	ctx, cancel := context.WithTimeout(ctx, listTimeout)
-	defer cancel()
-	page, err := r.Store.List(ctx, callbudget.Commit, r.Kind)
+}
+
+// queryChanges makes one query for the changes after a revision. It reports whether the answer
+// was cut.
+func (r *Refresher) queryChanges(ctx context.Context, since int64, progress *RefreshProgress) (more bool, err error) {
+	queried := r.Cache.Now()
+	age, _ := r.Cache.Age(r.Kind)
+	page, err := r.Store.Changes(ctx, r.Kind, since)
 	if err != nil {
-		return err
+		return false, err
+	}
+	if page.More && page.Revision <= since {
+		return false, fmt.Errorf("%w: it was cut before the first change", objects.ErrUnavailable)
 	}
-	r.Cache.MarkVerified(r.Kind, queried)
-	changed := r.Cache.Replace(r.Kind, page.Objects, page.Revision)
-	r.Log.report(Update{Kind: r.Kind, Changes: len(page.Objects), New: len(changed), Since: since, Revision: page.Revision, Listing: true,
+	changed := r.Cache.ApplyAnswer(r.Kind, page, since, queried)
+	r.Log.report(Update{Kind: r.Kind, Changes: len(page.Objects), New: len(changed), Since: since, Revision: page.Revision, More: page.More,
 		Bytes: page.Bytes, Took: r.Cache.Now().Sub(queried), Age: age})
-	r.notify(changed)
+	if page.More {
+		r.noteAnswer(progress)
+	}
+	r.notify(changed, page.Revision)
+	return page.More, nil
+}
+
+// noteAnswer notes an answer that was cut, so that other nodes wait for the next one.
+func (r *Refresher) noteAnswer(progress *RefreshProgress) {
+	progress.Answers++
+	r.Cache.NoteRefresh(r.Kind, *progress)
+}
+
+// listing is a listing of which some pages have arrived.
+type listing struct {
+	begun    time.Time
+	revision int64 // of the store when it began
+	objects  []objects.Object
+	bytes    int
+}
+
+// list lists the kind, or goes on with a listing that was interrupted.
+func (r *Refresher) list(ctx context.Context, progress *RefreshProgress) error {
+	age, _ := r.Cache.Age(r.Kind)
+	if r.listing == nil {
+		r.listing = &listing{begun: r.Cache.Now()}
+	}
+	l := r.listing
+	for more := true; more; {
+		page, err := r.listPage(ctx, l)
+		if err != nil {
+			if len(l.objects) == 0 {
+				r.listing = nil // nothing to continue
+			}
+			return err
+		}
+		if l.revision == 0 {
+			l.revision = page.Revision // later pages may include newer changes
+		}
+		l.objects, l.bytes = append(l.objects, page.Objects...), l.bytes+page.Bytes
+		if more = page.More && len(page.Objects) > 0; more {
+			r.noteAnswer(progress)
+		}
+	}
+	r.listing = nil
+	changed := r.Cache.ReplaceListed(r.Kind, l.objects, l.revision, l.begun)
+	r.Log.report(Update{Kind: r.Kind, Changes: len(l.objects), New: len(changed), Revision: l.revision, Listing: true,
+		Bytes: l.bytes, Took: r.Cache.Now().Sub(l.begun), Age: age})
+	r.notify(changed, l.revision)
 	return nil
 }
 
-func (r *Refresher) notify(changed []objects.Object) {
+// listPage returns the next page of a listing.
+func (r *Refresher) listPage(ctx context.Context, l *listing) (objects.Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, pageTimeout)
+	defer cancel()
+	after := ""
+	if len(l.objects) > 0 {
+		after = l.objects[len(l.objects)-1].Name
+	}
+	return r.Store.ListPage(ctx, callbudget.Commit, r.Kind, after)
+}
+
+// notify notifies the listener of the changes of an answer up to a revision.
+func (r *Refresher) notify(changed []objects.Object, revision int64) {
 	if len(changed) > 0 {
 		r.Listener.Changed(r.Kind, changed, FromStore)
 	}
+	r.Cache.delivered(r.Kind, revision)
 }
--- a/internal/version/follow/refresh_test.go
+++ b/internal/version/follow/refresh_test.go
@@ -26,7 +26,7 @@
 	queries int
 }
 
-func (s *fakeStore) List(context.Context, callbudget.Class, string) (objects.Page, error) {
+func (s *fakeStore) ListPage(context.Context, callbudget.Class, string, string) (objects.Page, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.lists++
--- a/internal/version/follow/snapshot.go
+++ b/internal/version/follow/snapshot.go
@@ -75,7 +75,7 @@
 	for _, kind := range s.Kinds {
 		changed = changed || marks[kind].Latest > s.written[kind]
 	}
-	if !changed {
+	if !changed || s.Cache.anyFilling(s.Kinds) {
 		return nil
 	}
 	var stored v1.Snapshot
--- a/lab/hosted/departures_test.go
+++ b/lab/hosted/departures_test.go
@@ -132,3 +132,100 @@
 	d.leave(true, f.Runners[0], f.Runners[1])
 	d.check(t, bound)
 }
+
+// linedFleet starts a fleet in which each node has an endpoint of the store of its own.
+func linedFleet(t *testing.T, nodes int, o Options) (*Fleet, []*Endpoint) {
+	t.Helper()
+	f := startFleet(t, o)
+	f.Store.SetLimits(wholeLimits)
+	var lines []*Endpoint
+	for i := range nodes {
+		line := f.Store.NewEndpoint()
+		n, err := f.StartNode(fmt.Sprintf("edge-%d", i), line.Settings())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := f.waitReady(n); err != nil {
+			t.Fatal(err)
+		}
+		lines = append(lines, line)
+	}
+	return f, lines
+}
+
+// TestTargetsLeaveBesideFaults: the same while nodes are behind for another reason: the store
+// has lost its history, is slow, or is out of reach of most nodes, lines are slow, or nodes start.
+func TestTargetsLeaveBesideFaults(t *testing.T) {
+	const slowLine = 30e6 / 8 // bytes per second
+	for name, fault := range map[string]func(f *Fleet, lines []*Endpoint){
+		"the store drops its history": func(f *Fleet, _ []*Endpoint) { f.Store.DropHistory() },
+		"the store drops its history, and lines are slow": func(f *Fleet, lines []*Endpoint) {
+			for _, line := range lines {
+				line.SetRate(slowLine)
+			}
+			f.Store.DropHistory()
+		},
+		"the store is slow": func(f *Fleet, _ []*Endpoint) { f.Store.SetFaults(StoreFaults{Latency: 60 * time.Millisecond}) },
+		"all but one node are refused": func(f *Fleet, lines []*Endpoint) {
+			for _, line := range lines[1:] {
+				line.SetDown(true)
+			}
+		},
+		"all but one node hear nothing of the store": func(f *Fleet, lines []*Endpoint) {
+			for _, line := range lines[1:] {
+				line.SetUnresponsive(true)
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f, lines := linedFleet(t, 6, Options{Runners: 8, Slots: 32, Events: 2, Gap: 5 * time.Millisecond})
+			f.putIdle(0, 4000, "ready")
+			for _, n := range f.Nodes {
+				eventually(t, "all targets are known", 10*time.Second, func() bool { return n.TargetCount(idleService) == 4000 })
+			}
+			d := f.startDepartures(20 * time.Millisecond)
+			time.Sleep(500 * time.Millisecond)
+			fault(f, lines)
+			f.putIdle(4000, 5500, "ready")
+			d.leave(false, f.Runners[0], f.Runners[1])
+			f.putIdle(0, 500, "draining")
+			d.leave(true, f.Runners[2], f.Runners[3])
+			fault(f, lines) // once more, in the middle of the changes
+			f.putIdle(5500, 6500, "ready")
+			d.check(t, drainBound)
+		})
+	}
+}
+
+// TestTargetsLeaveWhileNodesStart: the same while half of the nodes start again, which then
+// receive the whole list in parts. No node is ready before it has the list.
+func TestTargetsLeaveWhileNodesStart(t *testing.T) {
+	f, _ := linedFleet(t, 6, Options{Runners: 8, Slots: 32, Events: 2, Gap: 5 * time.Millisecond})
+	f.putIdle(0, 10000, "ready")
+	for _, n := range f.Nodes {
+		eventually(t, "all targets are known", 10*time.Second, func() bool { return n.TargetCount(idleService) == 10000 })
+	}
+	d := f.startDepartures(20 * time.Millisecond)
+	time.Sleep(500 * time.Millisecond)
+	for _, n := range f.Nodes[:3] {
+		n.Kill()
+	}
+	f.putIdle(10000, 11000, "ready")
+	d.leave(false, f.Runners[0], f.Runners[1])
+	started := time.Now()
+	for _, n := range append([]*Node(nil), f.Nodes[:3]...) {
+		again, err := f.Restart(n, "")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := f.waitReady(again); err != nil {
+			t.Fatal(err)
+		}
+		if known := again.TargetCount(idleService); known < 10000 {
+			t.Errorf("%s is ready with %d of 10,000 targets", again.Settings.NodeID, known)
+		}
+	}
+	t.Logf("three nodes started one after another in %v", time.Since(started))
+	d.leave(true, f.Runners[2], f.Runners[3])
+	d.check(t, drainBound)
+}
--- a/lab/hosted/store.go
+++ b/lab/hosted/store.go
@@ -150,6 +150,9 @@
 type Endpoint struct {
 	server *httptest.Server
 	down   atomic.Bool
+	hung   atomic.Bool
+	rate   atomic.Int64 // bytes per second; 0: not bounded
+	line   sync.Mutex   // held while bytes pass
 }
 
 // NewEndpoint starts an endpoint, which Store.Close closes.
@@ -160,7 +163,15 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
-		s.ServeHTTP(w, r)
+		if e.hung.Load() {
+			_, _ = io.Copy(io.Discard, r.Body) // net/http detects a closed connection only after the body was read
+			select {
+			case <-r.Context().Done():
+			case <-s.closed:
+			}
+			panic(http.ErrAbortHandler)
+		}
+		s.ServeHTTP(slowWriter{w, e}, r)
 	}))
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -173,6 +184,41 @@
 	return "[store]\naddress = " + e.server.Listener.Addr().String() + "\n"
 }
 
+// slowWriter writes at the rate of an endpoint.
+type slowWriter struct {
+	http.ResponseWriter
+	e *Endpoint
+}
+
+// slowChunk is how many bytes pass a line of a bounded rate at once.
+const slowChunk = 8 << 10
+
+// Write implements io.Writer.
+func (w slowWriter) Write(b []byte) (int, error) {
+	written := 0
+	for len(b) > 0 {
+		chunk := b[:min(len(b), slowChunk)]
+		if rate := w.e.rate.Load(); rate > 0 {
+			w.e.line.Lock()
+			time.Sleep(time.Duration(float64(len(chunk)) / float64(rate) * float64(time.Second)))
+			w.e.line.Unlock()
+		}
+		n, err := w.ResponseWriter.Write(chunk)
+		written += n
+		if err != nil {
+			return written, err
+		}
+		b = b[len(chunk):]
+	}
+	return written, nil
+}
+
+// SetRate bounds how many bytes of answers the endpoint sends in a second; 0: no bound.
+func (e *Endpoint) SetRate(bytes int64) { e.rate.Store(bytes) }
+
+// SetUnresponsive sets whether the endpoint answers no call.
+func (e *Endpoint) SetUnresponsive(hung bool) { e.hung.Store(hung) }
+
 // SetDown sets whether the endpoint answers every call with 503.
 func (e *Endpoint) SetDown(down bool) { e.down.Store(down) }
 
--- a/scripts/check-mutants.sh
+++ b/scripts/check-mutants.sh
@@ -106,9 +106,9 @@
 mutant 1 internal/request/job/heads.go 's/return !fresh && m\.holderUsable\(k\)/return m.holderUsable(k)/' internal/request/job TestStaleHeadDoesNotHideResults
 mutant 1 internal/request/job/verify.go 's/head\.Epoch > h\.head\.Epoch/head.Epoch > h.head.Epoch+9/' internal/request/job TestFormerHolderStopsAfterTakeover
 mutant 7 internal/version/follow/cache.go 's/if slices\.Contains\(k\.seenQueries, queryID\)/if queryID == 0/' internal/version/follow TestMarkAgeGrowsInTransit
-mutant 9 internal/version/follow/cache.go 's/k\.complete < m\.Latest/k.latest < m.Latest/' internal/version/follow TestGapInListIsNotFresh
-mutant 7 internal/version/follow/cache.go 's/if k\.complete < m\.Floor/if m.Floor < 0/' internal/version/follow TestListHidesNoDeletion
-mutant 7 internal/version/follow/cache.go 's/if !known && o\.Revision <= k\.floor/if !known \&\& o.Revision < 0/' internal/version/follow TestListedCacheRejectsDeletedObject
+mutant 9 internal/version/follow/cache.go 's/if complete < m\.Latest/if k.latest < m.Latest/' internal/version/follow TestGapInListIsNotFresh
+mutant 7 internal/version/follow/cache.go 's/if complete < m\.Floor/if m.Floor < 0/' internal/version/follow TestListHidesNoDeletion
+mutant 7 internal/version/follow/cache.go 's/!o\.Deleted && o\.Revision <= complete/!o.Deleted \&\& o.Revision < 0/' internal/version/follow TestListedCacheRejectsDeletedObject
 mutant 1 internal/request/batch/suspect.go 's/it\.startedAsSuspect = it\.suspect/it.startedAsSuspect = it.suspect \&\& it.attempts > 9/' internal/request/batch TestOnlyTheItemThatCrashesTargetsEnds
 mutant 1 internal/request/batch/suspect.go 's/it\.suspect = true/it.suspect = !s.runningAt(it.target)/' internal/request/batch TestExcusedItemIsASuspect
 mutant 1 internal/request/checkpoint/checkpoint.go 's/saved\.Epoch < state\.epoch/saved.Epoch+9 < state.epoch/' internal/request/checkpoint TestFormerHolderIsIgnored
@@ -249,5 +249,17 @@
 mutant 14 internal/version/route/route.go 's/xxhash\.Sum64String\(id\)%draws/xxhash.Sum64String(id+time.Now().String())%draws/' internal/version/route TestAttemptsAtOneStreamGoToOneService
 mutant 14 platform/front.go 's/if first := r\.Header\.Get\(headerResumes\); first != "" \{/if first := r.Header.Get(headerResumes); first != "" \&\& r.Host == "" {/' lab/hosted TestReturningCallerKeepsItsService
 mutant 14 internal/connection/beacon/receive.go 's/case message\.Stream != nil:/case message.Stream != nil \&\& message.Node != "":/' lab/hosted TestReturnToAStartingNode
+mutant 7 internal/version/follow/refresh.go 's/return page\.More, nil/return false, nil/' internal/version/follow TestRefreshReadsAllChanges
+mutant 7 internal/version/follow/cache.go 's/if !page\.More && !k\.filling\(\)/if !k.filling()/' internal/version/follow TestFailedPageLeavesTheCopyBehind
+mutant 7 internal/version/follow/part.go 's/k\.fillTo = max\(k\.fillTo, p\.Until\)/k.fillTo = max(k.fillTo, 0*p.Until)/' internal/version/follow TestFreshCopyLacksNoChange
+mutant 7 internal/version/follow/part.go 's/p\.HasNames = !p\.HasDeletions/p.HasNames = p.HasDeletions/' internal/version/follow TestFreshCopyLacksNoChange
+mutant 7 internal/version/follow/cache.go 's/return min\(k\.complete, k\.deletions\)/return max(k.complete, 0*k.deletions)/' internal/version/follow TestFreshCopyLacksNoChange
+mutant 9 internal/version/follow/refresh.go 's/after = l\.objects\[len\(l\.objects\)-1\]\.Name/l.objects = nil/' internal/version/follow TestInterruptedListingGoesOn
+mutant 7 internal/version/follow/refresh.go 's/refreshed > 0/refreshed > time.Hour/' internal/version/follow TestOthersWaitForARefreshInPages
+mutant 7 internal/version/follow/refreshing.go 's/r\.seen\[i\]\.Answers >= p\.Answers/r.seen[i].Answers > p.Answers/' internal/version/follow TestOthersWaitForARefreshInPages
+mutant 7 internal/version/follow/refresh.go 's/bits\.Len\(uint\(place\/singleRanks\)\) - 1/min(1, bits.Len(uint(place\/singleRanks))) - 1/' internal/version/follow TestFewNodesOfALargeFleetQueryAtOnce
+mutant 7 internal/version/follow/part.go 's/if size > maxBytes && i > 0/if size > maxBytes+1<<30 \&\& i > 0/' internal/version/follow TestLargeCopyPassesInParts
+mutant 7 internal/version/follow/cache.go 's/return k\.complete > 0 && \(!k\.arriving/return k.complete > 0 \&\& (true/' internal/version/follow TestPartlyReceivedCopyIsNotUsed
+mutant 7 platform/store.go 's/return entries >= cutEntries \|\| bytes >= cutBytes/return entries > 1<<20 \&\& bytes > 1<<30/' platform TestCutAnswersAreNotWhole
 mutant 14 internal/version/follow/gossip.go 's/g\.Versions\.AddHistory\(resp\.Versions\)/_ = resp/' internal/version/follow TestStartingNodeTakesTheHistoryOfVersions
 exit $missed
