Take no copy of the usual age for an outage of the object store

Cause: a copy that is over 2 s old counted as an outage of the store, after which deletions are not believed for 2.2 s. With a bound of 5 s the first node refreshes at 1.75 s and others learn of it some tenths of a second later, so that each cycle began a new outage. The bound held while copies were refreshed at 0.7 to 1.05 s.

Change: the age of an outage follows the age at which a kind is refreshed, 1.75 times that and at least 2 s as before, and a store that answers a refresh in parts is not away. Deployments with bounds of up to 3 s keep their 2 s.

--- a/internal/process/hosted/run.go
+++ b/internal/process/hosted/run.go
@@ -150,6 +150,7 @@
 		n.syncWithSeeds(ctx)
 	})
 	for kind, age := range n.followedKinds() {
+		n.cache.SetMaxAge(kind, age)
 		r := follow.NewRefresher(kind)
 		r.Store, r.Cache, r.Listener, r.MaxAge = n.adapter.Store, n.cache, n, age
 		r.Self, r.DataCentre, r.PeersInDataCentre, r.OtherDataCentres = n.settings.NodeID, n.settings.DataCentre, n.followers(kind), n.beacon.ReachableDataCentres
--- a/internal/version/follow/cache.go
+++ b/internal/version/follow/cache.go
@@ -78,18 +78,22 @@
 	queryID     uint64
 	seenQueries []uint64
 	// answered is when the newest query, by any node, was sent that the store is known to have
-	// answered, if only in part. outageEnd is when it answered again after an outage.
+	// answered, if only in part. outageAge is the time without an answer after which the store
+	// counts as unreachable for all nodes that are in contact, and outageEnd is when it answered
+	// again after that.
 	answered  time.Time
+	outageAge time.Duration
 	outageEnd time.Time
 	refresh   refreshes
 }
 
 const (
-	// outageAge is the time without an answer from which the store counts as unreachable for all
-	// nodes that are in contact. It is longer than the lowest-ranked of them waits before it
-	// queries the store, and shorter than the time without a heartbeat after which the store
-	// removes an entry.
-	outageAge = 2 * time.Second
+	// minOutageAge and outageAgeShare give the outageAge of a kind, the latter as a multiple of
+	// the age at which its copy is refreshed. It is longer than the nodes that are first in
+	// order take to query the store and to report the answer to all others, and shorter than
+	// the time without a heartbeat after which the store removes an entry.
+	minOutageAge   = 2 * time.Second
+	outageAgeShare = 1.75
 	// recoveryTime is how long after an outage a deletion may only mean that the store
 	// missed heartbeats. Live targets register again within about two seconds, as the
 	// users state.
@@ -119,7 +123,7 @@
 func NewCache(now func() time.Time, kinds ...string) *Cache {
 	c := &Cache{kinds: map[string]*kind{}, now: now, onVerified: func() {}}
 	for _, name := range kinds {
-		c.kinds[name] = &kind{entries: map[string]entry{}}
+		c.kinds[name] = &kind{entries: map[string]entry{}, outageAge: minOutageAge}
 	}
 	return c
 }
@@ -134,6 +138,13 @@
 	})
 }
 
+// SetMaxAge sets the age at which the copy of a kind is refreshed.
+func (c *Cache) SetMaxAge(name string, maxAge time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.kinds[name].outageAge = max(minOutageAge, time.Duration(outageAgeShare*float64(maxAge)))
+}
+
 // Apply adds changes of a kind, among them all that were made after revision since up to
 // revision to. It returns those that were new to the cache.
 func (c *Cache) Apply(name string, changes []objects.Object, since, to int64) []objects.Object {
@@ -402,7 +413,7 @@
 
 // storeAnswered notes that the store has answered a query that was sent at the time given.
 func (k *kind) storeAnswered(now, sent time.Time) {
-	if !k.answered.IsZero() && now.Sub(k.answered) > outageAge {
+	if !k.answered.IsZero() && now.Sub(k.answered) > k.outageAge {
 		k.outageEnd = now
 	}
 	if sent.After(k.answered) {
@@ -421,7 +432,7 @@
 		return false
 	}
 	now := c.now()
-	return now.Sub(k.answered) > outageAge || now.Sub(k.outageEnd) < recoveryTime
+	return now.Sub(k.answered) > k.outageAge || now.Sub(k.outageEnd) < recoveryTime
 }
 
 // Age returns the time since the copy was last known to contain all that the store held;
--- a/internal/version/follow/cache_test.go
+++ b/internal/version/follow/cache_test.go
@@ -185,6 +185,28 @@
 	is.True(!cache.DeletionsUncertain(kindT))
 }
 
+// TestUsualAgeIsNoOutage guards against removed targets that stay in use: copies that are refreshed
+// at 1.75 s, for a bound of 5 s, are older than two seconds in each cycle, and a removal is not
+// believed after an outage of the store.
+func TestUsualAgeIsNoOutage(t *testing.T) {
+	is := is.New(t)
+	cache, clk := newTestCache()
+	cache.SetMaxAge(kindT, 1750*time.Millisecond)
+	cache.MarkVerified(kindT, clk.now)
+	for range 5 {
+		clk.advance(2800 * time.Millisecond)
+		is.True(!cache.DeletionsUncertain(kindT))
+		cache.MarkVerified(kindT, clk.now)
+		is.True(!cache.DeletionsUncertain(kindT))
+	}
+	clk.advance(2800 * time.Millisecond)
+	is.True(cache.NoteRefresh(kindT, RefreshProgress{ID: 1, Answers: 1})) // the store answers, in many parts
+	clk.advance(2800 * time.Millisecond)
+	is.True(!cache.DeletionsUncertain(kindT))
+	clk.advance(300 * time.Millisecond)
+	is.True(cache.DeletionsUncertain(kindT))
+}
+
 // TestQueriesAreAnnouncedOnce: a store query that this node made, or sees in a mark for
 // the first time, is announced to other nodes at once. When it is seen again it is not, or
 // nodes would announce it to each other without end.
--- a/scripts/check-mutants.sh
+++ b/scripts/check-mutants.sh
@@ -261,5 +261,6 @@
 mutant 7 internal/version/follow/part.go 's/if size > maxBytes && i > 0/if size > maxBytes+1<<30 \&\& i > 0/' internal/version/follow TestLargeCopyPassesInParts
 mutant 7 internal/version/follow/cache.go 's/return k\.complete > 0 && \(!k\.arriving/return k.complete > 0 \&\& (true/' internal/version/follow TestPartlyReceivedCopyIsNotUsed
 mutant 7 platform/store.go 's/return entries >= cutEntries \|\| bytes >= cutBytes/return entries > 1<<20 \&\& bytes > 1<<30/' platform TestCutAnswersAreNotWhole
+mutant 7 internal/version/follow/cache.go 's/k\.outageAge = max\(minOutageAge, /k.outageAge = min(minOutageAge, /; s/\.outageAge = max\(minOutageAge, /.outageAge = min(minOutageAge, /' internal/version/follow TestUsualAgeIsNoOutage
 mutant 14 internal/version/follow/gossip.go 's/g\.Versions\.AddHistory\(resp\.Versions\)/_ = resp/' internal/version/follow TestStartingNodeTakesTheHistoryOfVersions
 exit $missed
