--- a/scripts/check-mutants.sh
+++ b/scripts/check-mutants.sh
@@ -4,11 +4,11 @@
 # the users' requirement that the mechanism serves.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-copy=$(mktemp -d)
-trap 'rm -rf "$copy"' EXIT
-git ls-files -z | xargs -0 cp --parents -t "$copy"
-missed=0
+# Mutants are divided among a few processes, each with a copy of its own.
+shards=4
 mutant() { # point, file, perl substitution, package, test
+  number=$((number + 1))
+  [ $((number % shards)) -eq "$shard" ] || return 0
   cp "$copy/$2" "$copy/saved"
   perl -0pi -e "$3" "$copy/$2"
   if cmp -s "$copy/$2" "$copy/saved"; then
@@ -20,6 +20,15 @@
   fi
   mv "$copy/saved" "$copy/$2"
 }
+check() { # shard
+  shard=$1 number=0 missed=0
+  copy=$(mktemp -d)
+  trap 'rm -rf "$copy"' EXIT
+  git ls-files -z | xargs -0 cp --parents -t "$copy"
+  mutants
+  exit $missed
+}
+mutants() {
 mutant 1 internal/record/record.go 's/c\.Phase != ChunkLeased \|\| c\.Holder != h \|\| c\.Epoch != epoch/c.Epoch < 0 \&\& epoch < 0/' internal/record TestFormerHolderIsFenced
 mutant 1 internal/record/record.go 's/if committed\[item\] \{/if committed[item] \&\& item < 0 {/' internal/record TestItemsCommitOnce
 mutant 1 internal/request/hold/hold.go 's/(t\.add\(e, entryOverheadBytes\)\n\t\}\n\tif e\.result != nil) \{/$1 \&\& durable {/' internal/request/hold TestResendJoinsAndConflicts
@@ -263,4 +272,14 @@
 mutant 7 platform/store.go 's/return entries >= cutEntries \|\| bytes >= cutBytes/return entries > 1<<20 \&\& bytes > 1<<30/' platform TestCutAnswersAreNotWhole
 mutant 7 internal/version/follow/cache.go 's/k\.outageAge = max\(minOutageAge, /k.outageAge = min(minOutageAge, /; s/\.outageAge = max\(minOutageAge, /.outageAge = min(minOutageAge, /' internal/version/follow TestUsualAgeIsNoOutage
 mutant 14 internal/version/follow/gossip.go 's/g\.Versions\.AddHistory\(resp\.Versions\)/_ = resp/' internal/version/follow TestStartingNodeTakesTheHistoryOfVersions
-exit $missed
+}
+checks=()
+for shard in $(seq 0 $((shards - 1))); do
+  (check "$shard") &
+  checks+=($!)
+done
+failed=0
+for pid in "${checks[@]}"; do
+  wait "$pid" || failed=1
+done
+exit $failed
