Find the changes of a part by their revisions, and ask again less often

Cause: each exchange between nodes went through the whole copy and sorted what the other lacked before it was cut.

Change: changes are kept in the order of their revisions, so that a part costs what it holds; a node that gets nothing asks again after 0.1 to 0.8 s instead of 50 ms; only what fits into one small message is offered to others; a starting node waits 1.5 s for its seeds as before, and gets the rest with the usual exchanges, before it lists the store itself.

--- a/internal/version/follow/cache.go
+++ b/internal/version/follow/cache.go
@@ -47,6 +47,9 @@
 // kind is the cached copy of one kind of objects.
 type kind struct {
 	entries map[string]entry
+	// order has the changes of entries by revision, once changesAfter has sorted it.
+	order     []orderedChange
+	unordered bool
 	// complete is the store revision up to which the copy has every object that existed
 	// there, and deletions the revision up to which no cached object was deleted. They differ
 	// while changes arrive in parts from nodes that do not know all deletions.
@@ -297,6 +300,7 @@
 		c.pruneTombstones(k)
 	}
 	k.entries[o.Name] = e
+	k.noteChange(o)
 	k.latest = max(k.latest, o.Revision)
 	return !o.Deleted || known
 }
@@ -363,7 +367,22 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	k := c.kinds[name]
-	return k.complete > 0 && (!k.arriving || c.now().Sub(k.advanced) >= fillTime)
+	return k.complete > 0 && k.arrivesFor(c.now()) <= 0
+}
+
+// arrivesFor returns how long to wait for further parts of a copy that is received for the first
+// time.
+func (c *Cache) arrivesFor(name string) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.kinds[name].arrivesFor(c.now())
+}
+
+func (k *kind) arrivesFor(now time.Time) time.Duration {
+	if !k.arriving {
+		return 0
+	}
+	return fillTime - now.Sub(k.advanced)
 }
 
 // Now returns the cache's time.
--- a/internal/version/follow/gossip.go
+++ b/internal/version/follow/gossip.go
@@ -38,7 +38,8 @@
 	PullQueue *ring.Ring[string]
 	Log       UpdateLog
 
-	sent byteBudget // of large parts
+	sent         byteBudget    // of large parts
+	pullInterval time.Duration // until the next pull; only Run uses it
 }
 
 // VersionHistory holds which software versions the targets of services have had.
@@ -96,6 +97,10 @@
 // one pull fetches all of them.
 const minPullInterval = 50 * time.Millisecond
 
+// maxPullInterval is the longest time between two pulls of a node that gets nothing, because
+// those that have the changes send as much as they may to others.
+const maxPullInterval = 800 * time.Millisecond
+
 // pull exchanges with the peer that was queued last until it has no more changes, and drops the
 // others that wait in the queue.
 func (g *Gossip) pull(ctx context.Context, address string) {
@@ -110,9 +115,15 @@
 	if address == "" {
 		return
 	}
+	before := g.fetched()
 	for ctx.Err() == nil && g.round(ctx, address) {
 	}
-	wait.For(ctx, minPullInterval)
+	if g.fetched() != before {
+		g.pullInterval = minPullInterval
+	} else {
+		g.pullInterval = min(2*max(g.pullInterval, minPullInterval), maxPullInterval)
+	}
+	wait.For(ctx, g.pullInterval/2+rand.N(g.pullInterval))
 }
 
 // round makes one exchange with a peer, which may be unreachable. It reports whether the peer
@@ -177,7 +188,8 @@
 	// partBytes bounds the changes in one message: they pass a line of 30 Mbit/s in 35 ms, so
 	// that several parts at once arrive within exchangeTimeout.
 	partBytes = 128 << 10
-	// smallPart is the size up to which changes are sent whatever was sent before.
+	// smallPart is the size up to which changes are sent whatever was sent before, and up to which
+	// they are offered: the cost of taking changes over hardly depends on their number.
 	smallPart = 16 << 10
 	// sendRate and sendBurst bound what a node sends to others in larger parts, in bytes per
 	// second and bytes. Beyond that others fetch from nodes that have the changes by then. It
@@ -200,13 +212,17 @@
 		if !follows || left <= 0 {
 			continue
 		}
-		p, ok := g.Cache.Missing(kind, CopyState{Complete: state.Complete, Deletions: state.Deletions, Empty: state.Empty}, left)
-		if !ok {
+		limit := left
+		if limit > smallPart && !g.sent.has(g.Cache.Now(), limit) {
+			limit = smallPart
+		}
+		p, ok := g.Cache.Missing(kind, CopyState{Complete: state.Complete, Deletions: state.Deletions, Empty: state.Empty}, limit)
+		if !ok || (p.More && limit < partBytes) {
 			continue
 		}
 		size := p.size()
-		if size > smallPart && !g.sent.take(g.Cache.Now(), size) {
-			continue
+		if size > smallPart {
+			g.sent.take(size)
 		}
 		left -= size
 		out = append(out, p.pack(kind))
@@ -288,15 +304,17 @@
 	at    time.Time
 }
 
-// take takes bytes from the budget if it has them.
-func (b *byteBudget) take(now time.Time, bytes int) bool {
+// has reports whether the budget has a number of bytes, and take takes them.
+func (b *byteBudget) has(now time.Time, bytes int) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.spent = max(0, b.spent-sendRate*now.Sub(b.at).Seconds())
 	b.at = now
-	if b.spent+float64(bytes) > sendBurst {
-		return false
-	}
+	return b.spent+float64(bytes) <= sendBurst
+}
+
+func (b *byteBudget) take(bytes int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	b.spent += float64(bytes)
-	return true
 }
--- a/internal/version/follow/greet.go
+++ b/internal/version/follow/greet.go
@@ -9,8 +9,9 @@
 )
 
 const (
-	// seedWait is how long a starting node waits, without progress, for seeds that answer to
-	// have a complete cache: all nodes may start at once, and the seeds query the store first.
+	// seedWait is how long a starting node waits for seeds that answer to have a complete
+	// cache: all nodes may start at once, and the seeds query the store first. What is then
+	// still missing comes with the usual exchanges.
 	seedWait = 1500 * time.Millisecond
 	// seedTimeout bounds one call to a seed, which answers with a part of its cache, and at the
 	// same time to the other nodes that start.
@@ -24,13 +25,12 @@
 
 // FetchFromSeeds fetches the cache of a starting node from seeds, so that the node does not
 // have to list the object store, which takes a call per page. It returns once the kinds
-// given are verified, or when the seeds do not answer or nothing more has arrived for some time.
-// Changes may also come from other nodes, once they are known and have them.
+// given are verified, or when the seeds do not answer or have no verified copies in time. Changes
+// may also come from other nodes, once they are known and have them.
 func (g *Gossip) FetchFromSeeds(ctx context.Context, seeds []string, kinds ...string) {
-	last := g.Cache.Now()  // progress
+	started := g.Cache.Now()
 	limit := seedStartWait // until a seed has answered
 	for len(seeds) > 0 {
-		before := g.fetched()
 		for _, address := range g.sources(seeds) {
 			if g.fetchFromSeed(ctx, address) != nil {
 				continue
@@ -40,11 +40,7 @@
 				return
 			}
 		}
-		now := g.Cache.Now()
-		if g.fetched() != before {
-			last = now
-		}
-		if now.Sub(last) >= limit || !wait.For(ctx, seedRetryInterval/2+rand.N(seedRetryInterval)) {
+		if g.Cache.Now().Sub(started) >= limit || !wait.For(ctx, seedRetryInterval/2+rand.N(seedRetryInterval)) {
 			return
 		}
 	}
@@ -65,16 +61,12 @@
 	return out
 }
 
-// fetched sums up what has arrived: it changes with each part, and with each answer to a seed
-// that lists the store.
+// fetched sums up what has arrived: it changes with each part.
 func (g *Gossip) fetched() int64 {
 	sum := int64(0)
 	for _, complete := range g.Cache.CompleteRevisions() {
 		sum += complete
 	}
-	for _, p := range g.Cache.RefreshesUnderWay() {
-		sum += int64(p.Answers)
-	}
 	return sum
 }
 
--- a/internal/version/follow/part.go
+++ b/internal/version/follow/part.go
@@ -90,13 +90,7 @@
 	if k.filling() && !p.HasDeletions && !have.Empty {
 		return Part{}, false // this node cannot tell which objects of the other copy were deleted
 	}
-	for _, e := range k.entries {
-		if (e.Deleted && p.HasDeletions && e.Revision > have.Deletions) || (!e.Deleted && e.Revision > have.Complete) {
-			p.Changes = append(p.Changes, e.Object)
-		}
-	}
-	slices.SortFunc(p.Changes, func(a, b objects.Object) int { return cmp.Compare(a.Revision, b.Revision) })
-	p.cut(maxBytes)
+	p.take(k, have, maxBytes)
 	if p.HasNames = !p.HasDeletions && !have.Empty && !p.More; p.HasNames {
 		for id, e := range k.entries {
 			if !e.Deleted {
@@ -107,18 +101,58 @@
 	return p, true
 }
 
-// cut drops the changes beyond a size. Those of one revision stay together.
-func (p *Part) cut(maxBytes int) {
-	size := 0
-	for i, o := range p.Changes {
-		size += sizeOf(o)
-		if size > maxBytes && i > 0 && o.Revision > p.Changes[i-1].Revision && p.Changes[i-1].Revision < p.Complete {
-			p.Changes, p.Complete, p.More = p.Changes[:i], p.Changes[i-1].Revision, true
+// take adds the changes that a copy lacks, up to a size. Those of one revision stay together.
+func (p *Part) take(k *kind, have CopyState, maxBytes int) {
+	after := have.Complete
+	if p.HasDeletions {
+		after = min(after, have.Deletions)
+	}
+	size, last := 0, int64(0)
+	for _, c := range k.changesAfter(after) {
+		e := k.entries[c.name]
+		if e.Revision != c.revision || (e.Deleted && (!p.HasDeletions || e.Revision <= have.Deletions)) || (!e.Deleted && e.Revision <= have.Complete) {
+			continue
+		}
+		if size += sizeOf(e.Object); size > maxBytes && len(p.Changes) > 0 && e.Revision > last && last < p.Complete {
+			p.Complete, p.More = last, true
 			return
 		}
+		p.Changes = append(p.Changes, e.Object)
+		last = e.Revision
 	}
 }
 
+// orderedChange is a change in the order of revisions; the entry of the name may be newer.
+type orderedChange struct {
+	revision int64
+	name     string
+}
+
+// noteChange adds a change to the order.
+func (k *kind) noteChange(o objects.Object) {
+	if n := len(k.order); n > 0 && k.order[n-1].revision > o.Revision {
+		k.unordered = true
+	}
+	k.order = append(k.order, orderedChange{o.Revision, o.Name})
+}
+
+// changesAfter returns the changes after a revision in their order, also ones that are no longer
+// the newest of their name. While changes arrive in order it costs no more than what it returns.
+func (k *kind) changesAfter(revision int64) []orderedChange {
+	if k.unordered || len(k.order) > 2*len(k.entries)+minOrder {
+		k.order = slices.DeleteFunc(k.order, func(c orderedChange) bool { return k.entries[c.name].Revision != c.revision })
+		slices.SortFunc(k.order, func(a, b orderedChange) int {
+			return cmp.Or(cmp.Compare(a.revision, b.revision), cmp.Compare(a.name, b.name))
+		})
+		k.order, k.unordered = slices.Compact(k.order), false
+	}
+	first, _ := slices.BinarySearchFunc(k.order, revision+1, func(c orderedChange, r int64) int { return cmp.Compare(c.revision, r) })
+	return k.order[first:]
+}
+
+// minOrder is the length of an order that is not worth cleaning up.
+const minOrder = 64
+
 // Merge adds a part to the copy of a kind and returns the changes that were new to it.
 func (c *Cache) Merge(name string, p Part) []objects.Object {
 	c.mu.Lock()
--- a/internal/version/follow/refresh.go
+++ b/internal/version/follow/refresh.go
@@ -144,7 +144,7 @@
 	left := r.MaxAge - age
 	if !known { // all nodes may have started at once
 		rank = max(0, rank-singleRanks)
-		left = r.started.Sub(r.Cache.Now())
+		left = max(r.started.Sub(r.Cache.Now()), r.Cache.arrivesFor(r.Kind))
 	}
 	if refreshed := r.Cache.refreshWait(r.Kind, r.MaxAge); refreshed > 0 {
 		left = max(left, refreshed)
--- a/scripts/check-mutants.sh
+++ b/scripts/check-mutants.sh
@@ -267,8 +267,8 @@
 mutant 7 internal/version/follow/refresh.go 's/refreshed > 0/refreshed > time.Hour/' internal/version/follow TestOthersWaitForARefreshInPages
 mutant 7 internal/version/follow/refreshing.go 's/r\.seen\[i\]\.Answers >= p\.Answers/r.seen[i].Answers > p.Answers/' internal/version/follow TestOthersWaitForARefreshInPages
 mutant 7 internal/version/follow/refresh.go 's/bits\.Len\(uint\(place\/singleRanks\)\) - 1/min(1, bits.Len(uint(place\/singleRanks))) - 1/' internal/version/follow TestFewNodesOfALargeFleetQueryAtOnce
-mutant 7 internal/version/follow/part.go 's/if size > maxBytes && i > 0/if size > maxBytes+1<<30 \&\& i > 0/' internal/version/follow TestLargeCopyPassesInParts
-mutant 7 internal/version/follow/cache.go 's/return k\.complete > 0 && \(!k\.arriving/return k.complete > 0 \&\& (true/' internal/version/follow TestPartlyReceivedCopyIsNotUsed
+mutant 7 internal/version/follow/part.go 's/size > maxBytes && len/size > maxBytes+1<<30 \&\& len/' internal/version/follow TestLargeCopyPassesInParts
+mutant 7 internal/version/follow/cache.go 's/k\.complete > 0 && k\.arrivesFor/k.complete > 0 || k.arrivesFor/' internal/version/follow TestPartlyReceivedCopyIsNotUsed
 mutant 7 platform/store.go 's/return entries >= cutEntries \|\| bytes >= cutBytes/return entries > 1<<20 \&\& bytes > 1<<30/' platform TestCutAnswersAreNotWhole
 mutant 7 internal/version/follow/cache.go 's/k\.outageAge = max\(minOutageAge, /k.outageAge = min(minOutageAge, /; s/\.outageAge = max\(minOutageAge, /.outageAge = min(minOutageAge, /' internal/version/follow TestUsualAgeIsNoOutage
 mutant 14 internal/version/follow/gossip.go 's/g\.Versions\.AddHistory\(resp\.Versions\)/_ = resp/' internal/version/follow TestStartingNodeTakesTheHistoryOfVersions
