Send reports that do not fit into a datagram without their counts

A report on what is in flight at some 3,000 targets exceeds a datagram and was not sent at all, without a word, so that the freshness of copies, and with it the news of departures, did not pass either.

Change: such a report is sent without what is in flight and the paces, which stay as stated before, and counts in reports_oversize.

TestReportBeyondADatagramStillSaysHowFreshCopiesAre: with 5,000 targets in flight no mark arrived before.

--- a/internal/connection/beacon/beacon.go
+++ b/internal/connection/beacon/beacon.go
@@ -58,8 +58,8 @@
 	farFanout   = 3
 	// urgentQueue is how many targets may wait for an urgent report.
 	urgentQueue = 64
-	// maxDatagram is the largest datagram read, in bytes.
-	maxDatagram = 64 << 10
+	// maxDatagram is the size of the largest datagram over IPv4, in bytes.
+	maxDatagram = 65507
 	// unreachableAfter is the time without a datagram after which a node, a group or
 	// a data centre counts as unreachable: several rounds.
 	unreachableAfter = time.Second
@@ -185,6 +185,9 @@
 	// not block.
 	OnBehind      func(node string)
 	OnUnreachable func(node string)
+	// OnOversize is called with the size of a report that does not fit into a datagram; it is
+	// sent without what is in flight. It may be nil.
+	OnOversize func(bytes int)
 	// OnReachable is called with the first datagram from a node that did not count as
 	// reachable; it may be nil.
 	OnReachable func(node string)
--- a/internal/connection/beacon/beacon_test.go
+++ b/internal/connection/beacon/beacon_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"maps"
 	"net"
 	"slices"
@@ -262,3 +263,60 @@
 	}
 	t.Fatal("not within 4 s")
 }
+
+// freshCache has a freshness mark, and records those of others.
+type freshCache struct {
+	noCache
+	received chan string
+}
+
+func (freshCache) FreshnessMarks() map[string]follow.FreshnessMark {
+	return map[string]follow.FreshnessMark{"targets": {Complete: 7, Known: true}}
+}
+
+func (c freshCache) ReceiveMark(kind string, _ follow.FreshnessMark) bool {
+	select {
+	case c.received <- kind:
+	default:
+	}
+	return false
+}
+
+// TestReportBeyondADatagramStillSaysHowFreshCopiesAre guards against nodes that learn of no change
+// because the reports on what is in flight are too large to be sent. What was in flight before
+// stays in force.
+func TestReportBeyondADatagramStillSaysHowFreshCopiesAre(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	from, to := newFakeState(map[string]choose.InFlight{"t": {Online: 1}}), newFakeState(nil)
+	receiver, receiverConn := newExchange(t, "a2", "a", to, func() []Peer { return nil })
+	cache := freshCache{received: make(chan string, 1)}
+	receiver.Cache = cache
+	sender, senderConn := newExchange(t, "a1", "a", from, func() []Peer {
+		return []Peer{{Node: "a2", DataCentre: "a", Address: receiverConn.LocalAddr()}}
+	})
+	oversize := make(chan int, 1)
+	sender.Cache = freshCache{}
+	sender.OnOversize = func(bytes int) {
+		select {
+		case oversize <- bytes:
+		default:
+		}
+	}
+	go receiver.Run(ctx, receiverConn)
+	go sender.Run(ctx, senderConn)
+	eventually(t, func() bool { return to.received("a1")["t"].Online == 1 })
+	from.mu.Lock()
+	for i := range 5000 {
+		from.own[fmt.Sprintf("target-%04d", i)] = choose.InFlight{Online: 1}
+	}
+	from.mu.Unlock()
+	is.True(<-oversize > maxDatagram)
+	<-cache.received
+	for range 2 { // of a report sent since
+		is.Equal(<-cache.received, "targets")
+	}
+	is.Equal(to.received("a1")["t"].Online, 1)
+	is.Equal(len(to.received("a1")), 1)
+}
--- a/internal/connection/beacon/receive.go
+++ b/internal/connection/beacon/receive.go
@@ -56,8 +56,10 @@
 
 // apply passes the content of a datagram to the parts of the node that use it.
 func (x *Exchange) apply(m *v1.Beacon) {
-	x.applyLoads(m)
-	x.applyPaces(m)
+	if !m.CountsOmitted {
+		x.applyLoads(m)
+		x.applyPaces(m)
+	}
 	if len(m.Jobs) > 0 {
 		x.Batch.ReceiveJobs(m.Node, m.Jobs)
 	}
--- a/internal/connection/beacon/send.go
+++ b/internal/connection/beacon/send.go
@@ -14,10 +14,21 @@
 // send sends a report to nodes. The report is composed only when there are any.
 func (x *Exchange) send(conn net.PacketConn, to []Peer, report func() *v1.Beacon) {
 	if len(to) > 0 {
-		write(conn, to, report())
+		x.write(conn, to, report())
 	}
 }
 
+// write sends a report to nodes, without its counts if it does not fit into a datagram with them.
+func (x *Exchange) write(conn net.PacketConn, to []Peer, report *v1.Beacon) {
+	if size := proto.Size(report); size > maxDatagram {
+		if x.OnOversize != nil {
+			x.OnOversize(size)
+		}
+		report.Targets, report.Paces, report.Services, report.CountsOmitted = nil, nil, nil, true
+	}
+	write(conn, to, report)
+}
+
 func write(conn net.PacketConn, to []Peer, message *v1.Beacon) {
 	data, err := proto.Marshal(message)
 	if err != nil {
@@ -58,12 +69,12 @@
 	if pass == v1.Pass_PASS_TO_GROUPS {
 		m.Pass = v1.Pass_PASS_TO_NODES
 		for _, group := range holders.Groups {
-			write(conn, view.pickFromGroup(group, x.reachable), m)
+			x.write(conn, view.pickFromGroup(group, x.reachable), m)
 		}
 	}
 	m.Pass = v1.Pass_PASS_NOT
 	if to := view.peersNamed(holders.Nodes); len(to) > 0 {
-		write(conn, to, m)
+		x.write(conn, to, m)
 	}
 }
 
--- a/internal/process/hosted/hosted.go
+++ b/internal/process/hosted/hosted.go
@@ -165,6 +165,7 @@
 	n.beacon = beacon.New(beacon.Options{Node: s.NodeID, DataCentre: s.DataCentre, Boot: n.boot, Loads: n.pool, Evidence: n.pool, Paces: n.pool, Cache: n.cache, Batch: n.batch, Store: adapter.Health, Crashes: n.crashes, Suspended: n.clock.Suspended,
 		View: n.view.Load, OnBehind: n.pullFrom, OnUnreachable: func(string) { n.jobs.TriggerSweep() },
 		OnStreamMessage: n.origins.Receive,
+		OnOversize:      func(int) { n.metrics.Counter("reports_oversize").Inc(1) },
 		OnReachable:     func(node string) { n.recorder.Record(timeline.NodeHeard, "", node, "") }})
 	n.cache.OnVerified(n.beacon.NotifyChange)
 	n.pool.OnInFlightChange(n.ownLoadChanged, n.othersLoadChanged)
