--- a/internal/connection/relay/relay.go
+++ b/internal/connection/relay/relay.go
@@ -155,16 +155,46 @@
 	return err
 }
 
-// ListStale implements objects.Store.
+// ListStale implements objects.Store. Through other nodes it lists page by page, so that the
+// time of one call is enough for a list of any length.
 func (r *Relay) ListStale(ctx context.Context, kind string) (objects.Page, error) {
-	return call(ctx, r, func() (objects.Page, error) { return r.Direct.ListStale(ctx, kind) },
-		&v1.StoreCall{Operation: v1.StoreCall_LIST_STALE, Kind: kind}, func(a *v1.StoreAnswer) objects.Page {
-			page := objects.Page{Revision: a.Revision}
-			for _, o := range a.Objects {
-				page.Objects = append(page.Objects, objects.Object{Name: o.Name, Revision: o.Revision, Value: o.Value})
-			}
-			return page
-		})
+	var all objects.Page
+	after := ""
+	for {
+		direct := false
+		listAll := func() (objects.Page, error) {
+			page, err := r.Direct.ListStale(ctx, kind)
+			direct = err == nil
+			return page, err
+		}
+		page, err := call(ctx, r, listAll, &v1.StoreCall{Operation: v1.StoreCall_LIST_STALE, Kind: kind, Name: after, Paged: true}, decodePage)
+		if err != nil || direct {
+			return page, err
+		}
+		if after == "" {
+			all.Revision = page.Revision // later pages may include newer changes
+		}
+		all.Objects = append(all.Objects, page.Objects...)
+		if !page.More {
+			return all, nil
+		}
+		after = page.Objects[len(page.Objects)-1].Name
+	}
+}
+
+func decodePage(a *v1.StoreAnswer) objects.Page {
+	page := objects.Page{Revision: a.Revision, More: a.More && len(a.Objects) > 0}
+	for _, o := range a.Objects {
+		page.Objects = append(page.Objects, objects.Object{Name: o.Name, Revision: o.Revision, Value: o.Value})
+	}
+	return page
+}
+
+// PagedStore is a store that can list page by page.
+type PagedStore interface {
+	// ListStalePage is objects.Store.ListStale for the first objects, by name, of those after
+	// a name.
+	ListStalePage(ctx context.Context, kind, after string) (objects.Page, error)
 }
 
 // Service makes calls to the store for other nodes. It never relays them further.
@@ -184,7 +214,7 @@
 		return &v1.StoreAnswer{Outcome: v1.StoreAnswer_UNAVAILABLE}, nil
 	}
 	page, err := s.call(ctx, m)
-	answer := &v1.StoreAnswer{Outcome: outcomeOf(err), Revision: page.Revision}
+	answer := &v1.StoreAnswer{Outcome: outcomeOf(err), Revision: page.Revision, More: page.More}
 	for _, o := range page.Objects {
 		answer.Objects = append(answer.Objects, &v1.StoredObject{Name: o.Name, Revision: o.Revision, Value: o.Value})
 	}
@@ -204,6 +234,9 @@
 	case v1.StoreCall_DELETE:
 		err = s.Store.Delete(ctx, callbudget.Status, m.Kind, m.Name)
 	case v1.StoreCall_LIST_STALE:
+		if paged, ok := s.Store.(PagedStore); ok && m.Paged {
+			return paged.ListStalePage(ctx, m.Kind, m.Name)
+		}
 		return s.Store.ListStale(ctx, m.Kind)
 	default:
 		err = objects.ErrUnavailable
--- a/internal/connection/relay/relay_test.go
+++ b/internal/connection/relay/relay_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"testing"
 	"time"
 
@@ -161,3 +162,40 @@
 	is.True(err != nil)
 	is.Equal(peerStore.calls, 0)
 }
+
+// pagedStore lists count objects in pages, each of which takes most of the time of one call.
+type pagedStore struct {
+	fixedStore
+	count, pages int
+}
+
+func (s *pagedStore) ListStalePage(_ context.Context, _, after string) (objects.Page, error) {
+	s.pages++
+	time.Sleep(peerTimeout * 2 / 3)
+	page := objects.Page{Revision: int64(s.pages)}
+	for i := range s.count {
+		name := fmt.Sprintf("o%04d", i)
+		if name <= after {
+			continue
+		}
+		if len(page.Objects) == 500 {
+			page.More = true
+			break
+		}
+		page.Objects = append(page.Objects, objects.Object{Name: name, Revision: 1})
+	}
+	return page, nil
+}
+
+// TestLongListsAreRelayedInPages guards against nodes that the store refuses and that can list no
+// jobs through others, because a list of several pages takes longer than one call may.
+func TestLongListsAreRelayedInPages(t *testing.T) {
+	is := is.New(t)
+	store := &pagedStore{count: 1501}
+	r := newRelay(&fixedStore{err: objects.ErrUnavailable}, true, map[string]inProcessClient{"p": {service: &Service{Store: store, StoreReachable: reachable, Kinds: []string{"k"}}}})
+	page, err := r.ListStale(context.Background(), "k")
+	is.NoErr(err)
+	is.Equal(len(page.Objects), 1501)
+	is.Equal(page.Revision, int64(1)) // as of the first page
+	is.Equal(store.pages, 4)
+}
