--- a/Makefile
+++ b/Makefile
@@ -31,7 +31,7 @@
 
 soak:
 	go run ./lab/cmd/marblelab soak --seed 1 --for 40s
-	go run ./lab/cmd/marblelab hostedsoak --seed 26 --for 30s
+	go run ./lab/cmd/marblelab hostedsoak --seed 26 --for 30s --idle-targets 3000
 	go run ./lab/cmd/marblelab hostedsoak --seed 37 --for 20s --shared-view
 	go run ./lab/cmd/marblelab hostedsoak --seed 103 --for 30s --versions
 	go run ./lab/cmd/marblelab hostedsoak --seed 2 --for 30s --parts
--- a/lab/hostedsoak/fleet.go
+++ b/lab/hostedsoak/fleet.go
@@ -74,13 +74,55 @@
 	releases int    // runners that were replaced in releases
 	release  int    // number of the newest version of runners
 	badPart  string // part of prompts that crashes runners now; empty: none
+	stopped  chan struct{}
+}
+
+// putIdle writes the entry of a target that nobody uses.
+func (f *fleet) putIdle(i int, state string) {
+	f.store.Put("servers", fmt.Sprintf("idle-%05d", i), map[string]any{"service": "svc-idle", "address": "127.0.0.1:1", "zone": dataCentreName(0), "version": hosted.DefaultVersion,
+		"slots": 8.0, "state": state, "warmup_left_ms": 0.0, "seq": 1, "born": 1})
+}
+
+const (
+	// idleChangeInterval is the time between changes of the entries of idle targets, and
+	// idleChanges is how many change at once: between two refreshes more than an answer of the
+	// store has.
+	idleChangeInterval = 100 * time.Millisecond
+	idleChanges        = 100
+)
+
+// changeIdle changes the entries of idle targets until the fleet stops.
+func (f *fleet) changeIdle(count int) {
+	ticker := time.NewTicker(idleChangeInterval)
+	defer ticker.Stop()
+	for next := 0; ; {
+		select {
+		case <-f.stopped:
+			return
+		case <-ticker.C:
+		}
+		for range idleChanges {
+			state := "ready"
+			if next/count%2 == 0 {
+				state = "draining"
+			}
+			f.putIdle(next%count, state)
+			next++
+		}
+	}
 }
 
 func dataCentreName(n int) string { return fmt.Sprintf("hall-%c", 'a'+n) }
 
 func startFleet(o Options) (*fleet, error) {
-	f := &fleet{store: hosted.NewStore(), version: 1, release: 1}
+	f := &fleet{store: hosted.NewStore(), version: 1, release: 1, stopped: make(chan struct{})}
 	f.store.Put("config", "main", f.config())
+	if o.IdleTargets > 0 {
+		f.store.SetLimits(hosted.AnswerLimits{List: 500, Watch: 500, Bytes: 1 << 20})
+		for i := range o.IdleTargets {
+			f.putIdle(i, "ready")
+		}
+	}
 	for i := range runnerCount {
 		proxy, err := NewProxy(fmt.Sprintf("127.%d.3.%d:7070", o.Net, i+1), "")
 		if err != nil {
@@ -287,6 +329,7 @@
 }
 
 func (f *fleet) stop() {
+	close(f.stopped)
 	for _, n := range f.nodes {
 		if n.cmd != nil {
 			n.signal(syscall.SIGKILL)
--- a/lab/hostedsoak/soak.go
+++ b/lab/hostedsoak/soak.go
@@ -30,6 +30,9 @@
 	Versions bool
 	// Parts adds parts of prompts that crash runners, and most connections at one node, to the plan.
 	Parts bool
+	// IdleTargets is the number of further listed targets, which nobody uses; their entries
+	// change all the time.
+	IdleTargets int
 }
 
 // Main runs a soak test and prints its result.
@@ -66,6 +69,9 @@
 	if err != nil {
 		return counts{}, nil, err
 	}
+	if o.IdleTargets > 0 {
+		go f.changeIdle(o.IdleTargets)
+	}
 	h := newHistory()
 	logf := func(format string, args ...any) {
 		fmt.Fprintf(o.Out, time.Now().Format("15:04:05.000 ")+format+"\n", args...)
