--- a/lab/hosted/departures_test.go
+++ b/lab/hosted/departures_test.go
@@ -102,6 +102,7 @@
 		"of 10,000, beside many changes": {10000, 1000, 1000, 1000},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			f := startFleet(t, Options{Nodes: 6, Runners: 8, Slots: 32, Events: 2, Gap: 5 * time.Millisecond})
 			f.Store.SetLimits(wholeLimits)
 			f.putIdle(0, c.listed, "ready")
@@ -178,6 +179,7 @@
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			f, lines := linedFleet(t, 6, Options{Runners: 8, Slots: 32, Events: 2, Gap: 5 * time.Millisecond})
 			f.putIdle(0, 4000, "ready")
 			for _, n := range f.Nodes {
