--- a/internal/version/follow/cache.go
+++ b/internal/version/follow/cache.go
@@ -23,6 +23,9 @@
 // longer has been restarted or lists the kind again.
 const tombstoneRetention = 10 * time.Minute
 
+// pruneInterval is the least time between two searches for tombstones to drop.
+const pruneInterval = time.Minute
+
 // Source says where a change came from.
 type Source int
 
@@ -72,7 +75,8 @@
 	// floor is the revision up to which deletions may be missing here: the revision of
 	// the newest listing, which does not say what was deleted before, or of the newest
 	// tombstone that was dropped.
-	floor int64
+	floor  int64
+	pruned time.Time // when tombstones were dropped last
 	// verified is the start of the newest store query, by any node, whose answer this
 	// copy contains; zero if there is none.
 	verified time.Time
@@ -306,8 +310,13 @@
 }
 
 func (c *Cache) pruneTombstones(k *kind) {
+	now := c.now()
+	if now.Sub(k.pruned) < pruneInterval {
+		return // it goes through the whole copy
+	}
+	k.pruned = now
 	for id, e := range k.entries {
-		if e.Deleted && c.now().Sub(e.deletedAt) > tombstoneRetention {
+		if e.Deleted && now.Sub(e.deletedAt) > tombstoneRetention {
 			delete(k.entries, id)
 			k.floor = max(k.floor, e.Revision)
 		}
--- a/internal/version/follow/pages_test.go
+++ b/internal/version/follow/pages_test.go
@@ -251,3 +251,28 @@
 	is.True(started.Usable(kindT))
 	is.Equal(len(started.List(kindT)), 100)
 }
+
+// TestManyDeletionsCostLittle guards against departures that are learned of late because each
+// deletion goes through the whole copy.
+func TestManyDeletionsCostLittle(t *testing.T) {
+	deletions := func(listed int) time.Duration {
+		cache, clk := newTestCache()
+		var list, deleted []objects.Object
+		for i := 1; i <= listed; i++ {
+			list = append(list, objects.Object{Name: pagedName(i), Revision: int64(i)})
+		}
+		for i := 1; i <= 1000; i++ {
+			deleted = append(deleted, objects.Object{Name: pagedName(i), Revision: int64(listed + i), Deleted: true})
+		}
+		cache.Replace(kindT, list, int64(listed))
+		clk.advance(time.Second)
+		started := time.Now()
+		cache.Apply(kindT, deleted, int64(listed), int64(listed+1000))
+		return time.Since(started)
+	}
+	few, many := deletions(1000), deletions(50000)
+	t.Logf("1,000 deletions among 1,000 objects: %v, among 50,000: %v", few, many)
+	if many > 20*few+20*time.Millisecond { // 50 times as long if each goes through the copy
+		t.Errorf("1,000 deletions among 50,000 objects take %v", many)
+	}
+}
