Keep the order of changes bounded, and ask less often only where refused

What callers saw: nothing; read in the code of this change.

Cause: the order of changes grew with each change until another node asked for some, and a node whose pull failed waited up to 1.2 s before the next one, as one does whose peers have no budget left.

Change: the order is cleaned up when it is twice as long as the copy; only a peer that has changes and sends none makes a node ask less often.

TestOrderOfChangesIsBounded and TestNodesThatGetNothingAskLessOften.

--- a/internal/version/follow/gossip.go
+++ b/internal/version/follow/gossip.go
@@ -39,7 +39,7 @@
 	Log       UpdateLog
 
 	sent         byteBudget    // of large parts
-	pullInterval time.Duration // until the next pull; only Run uses it
+	pullInterval time.Duration // between pulls that bring nothing; only Run uses it
 }
 
 // VersionHistory holds which software versions the targets of services have had.
@@ -98,7 +98,7 @@
 const minPullInterval = 50 * time.Millisecond
 
 // maxPullInterval is the longest time between two pulls of a node that gets nothing, because
-// those that have the changes send as much as they may to others.
+// those that have the changes send as much as they may to others already.
 const maxPullInterval = 800 * time.Millisecond
 
 // pull exchanges with the peer that was queued last until it has no more changes, and drops the
@@ -115,36 +115,54 @@
 	if address == "" {
 		return
 	}
-	before := g.fetched()
-	for ctx.Err() == nil && g.round(ctx, address) {
+	result := partReceived
+	for result == partReceived && ctx.Err() == nil {
+		result = g.round(ctx, address)
 	}
-	if g.fetched() != before {
-		g.pullInterval = minPullInterval
-	} else {
-		g.pullInterval = min(2*max(g.pullInterval, minPullInterval), maxPullInterval)
+	if result != refused {
+		g.pullInterval = 0
+		wait.For(ctx, minPullInterval)
+		return
 	}
+	g.pullInterval = min(2*max(g.pullInterval, minPullInterval), maxPullInterval)
 	wait.For(ctx, g.pullInterval/2+rand.N(g.pullInterval))
 }
 
-// round makes one exchange with a peer, which may be unreachable. It reports whether the peer
-// has more changes that this node lacks.
-func (g *Gossip) round(ctx context.Context, address string) (more bool) {
+// exchangeResult is what an exchange with a peer has brought.
+type exchangeResult int
+
+const (
+	completed    exchangeResult = iota // the peer has nothing more, or the exchange failed
+	partReceived                       // a part; the peer has more
+	refused                            // nothing, though the peer has more
+)
+
+// round makes one exchange with a peer, which may be unreachable.
+func (g *Gossip) round(ctx context.Context, address string) exchangeResult {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
-	more, err := g.exchange(ctx, address, g.Client(address))
-	return more && err == nil // after a failure the next round takes another peer
+	result, err := g.exchange(ctx, address, g.Client(address))
+	if err != nil {
+		return completed // the next round takes another peer
+	}
+	return result
 }
 
 // exchange fetches a part of the changes of a peer that this node lacks, and sends a small part of
-// those that the peer lacks in a second call: the peer fetches larger ones itself. It reports
-// whether the peer has more.
-func (g *Gossip) exchange(ctx context.Context, address string, client marblepondv1connect.SyncServiceClient) (more bool, err error) {
+// those that the peer lacks in a second call: the peer fetches larger ones itself.
+func (g *Gossip) exchange(ctx context.Context, address string, client marblepondv1connect.SyncServiceClient) (exchangeResult, error) {
 	started := g.Cache.Now()
 	resp, err := client.Exchange(ctx, &v1.ExchangeRequest{Node: g.Node, Complete: g.Cache.CompleteRevisions(), Copies: g.copies(), WantsVersions: g.Versions != nil && g.Versions.WantsHistory()})
 	if err != nil {
-		return false, err
+		return completed, err
+	}
+	result := completed
+	switch more := g.applyMissing(resp.Missing, address, g.Cache.Now().Sub(started)); {
+	case more:
+		result = partReceived
+	case len(resp.Missing) == 0 && g.isBehind(resp.Copies):
+		result = refused
 	}
-	more = g.applyMissing(resp.Missing, address, g.Cache.Now().Sub(started))
 	for kind, mark := range UnpackMarks(resp.Marks) {
 		mark.Age += g.Cache.Now().Sub(started) // the peer stated the age at some time since started
 		g.Cache.ReceiveMark(kind, mark)
@@ -158,7 +176,17 @@
 	if offer := g.missingFor(resp.Copies, resp.Complete, smallPart); len(offer) > 0 {
 		_, err = client.Exchange(ctx, &v1.ExchangeRequest{Node: g.Node, Complete: g.Cache.CompleteRevisions(), Offered: offer})
 	}
-	return more, err
+	return result, err
+}
+
+// isBehind reports whether another node's copies have changes that this node's lack.
+func (g *Gossip) isBehind(copies map[string]*v1.CopyState) bool {
+	for kind, own := range g.copies() {
+		if other := copies[kind]; other != nil && other.Complete > own.Complete {
+			return true
+		}
+	}
+	return false
 }
 
 // Exchange answers another node's exchange call.
--- a/internal/version/follow/greet.go
+++ b/internal/version/follow/greet.go
@@ -61,22 +61,13 @@
 	return out
 }
 
-// fetched sums up what has arrived: it changes with each part.
-func (g *Gossip) fetched() int64 {
-	sum := int64(0)
-	for _, complete := range g.Cache.CompleteRevisions() {
-		sum += complete
-	}
-	return sum
-}
-
 // fetchFromSeed fetches what a seed has, in parts.
 func (g *Gossip) fetchFromSeed(ctx context.Context, seed string) error {
 	for {
 		limited, cancel := context.WithTimeout(ctx, seedTimeout)
-		more, err := g.exchange(limited, seed, g.SeedClient(seed))
+		result, err := g.exchange(limited, seed, g.SeedClient(seed))
 		cancel()
-		if err != nil || !more {
+		if err != nil || result != partReceived {
 			return err
 		}
 	}
--- a/internal/version/follow/pages_test.go
+++ b/internal/version/follow/pages_test.go
@@ -276,3 +276,46 @@
 		t.Errorf("1,000 deletions among 50,000 objects take %v", many)
 	}
 }
+
+// TestOrderOfChangesIsBounded guards against a copy that grows with each change of the same objects
+// while no other node asks for changes.
+func TestOrderOfChangesIsBounded(t *testing.T) {
+	is := is.New(t)
+	cache, _ := newTestCache()
+	for i := int64(1); i <= 5000; i++ {
+		cache.Apply(kindT, []objects.Object{{Name: pagedName(int(i % 10)), Revision: i}}, i-1, i)
+	}
+	is.True(len(cache.kinds[kindT].order) <= 2*10+minOrder)
+}
+
+// TestNodesThatGetNothingAskLessOften guards against nodes that spend their time on calls of others
+// that they cannot serve: a node whose pulls bring nothing, because the other one has sent as much
+// as it may, pulls less often, and one whose pulls fail does not.
+func TestNodesThatGetNothingAskLessOften(t *testing.T) {
+	is := is.New(t)
+	for _, fails := range []bool{false, true} {
+		seed := seedWithCache()
+		var list []objects.Object
+		for i := int64(1); i <= 1000; i++ {
+			list = append(list, objects.Object{Name: pagedName(int(i)), Revision: i, Value: make([]byte, 300)})
+		}
+		seed.Cache.Replace(kindT, list, 1000)
+		seed.sent.spent, seed.sent.at = 1<<30, time.Now()
+		peer := &fakePeer{gossip: seed}
+		if fails {
+			peer.gossip = nil
+		}
+		node := startingNode(map[string]*fakePeer{"p": peer})
+		node.PullQueue, node.Interval, node.Peers, node.Isolated = NewPullQueue(), time.Hour, func() []string { return nil }, func() bool { return false }
+		ctx, cancel := context.WithTimeout(context.Background(), 20*minPullInterval)
+		go func() {
+			for ctx.Err() == nil {
+				node.PullQueue.Put("p")
+				time.Sleep(time.Millisecond)
+			}
+		}()
+		node.Run(ctx)
+		cancel()
+		is.Equal(peer.queries.Load() >= 10, fails)
+	}
+}
--- a/internal/version/follow/part.go
+++ b/internal/version/follow/part.go
@@ -134,23 +134,31 @@
 		k.unordered = true
 	}
 	k.order = append(k.order, orderedChange{o.Revision, o.Name})
+	if len(k.order) > 2*len(k.entries)+minOrder {
+		k.sortOrder()
+	}
+}
+
+// sortOrder sorts the order and drops the changes that are no longer the newest of their name.
+func (k *kind) sortOrder() {
+	k.order = slices.DeleteFunc(k.order, func(c orderedChange) bool { return k.entries[c.name].Revision != c.revision })
+	slices.SortFunc(k.order, func(a, b orderedChange) int {
+		return cmp.Or(cmp.Compare(a.revision, b.revision), cmp.Compare(a.name, b.name))
+	})
+	k.order, k.unordered = slices.Compact(k.order), false
 }
 
 // changesAfter returns the changes after a revision in their order, also ones that are no longer
 // the newest of their name. While changes arrive in order it costs no more than what it returns.
 func (k *kind) changesAfter(revision int64) []orderedChange {
-	if k.unordered || len(k.order) > 2*len(k.entries)+minOrder {
-		k.order = slices.DeleteFunc(k.order, func(c orderedChange) bool { return k.entries[c.name].Revision != c.revision })
-		slices.SortFunc(k.order, func(a, b orderedChange) int {
-			return cmp.Or(cmp.Compare(a.revision, b.revision), cmp.Compare(a.name, b.name))
-		})
-		k.order, k.unordered = slices.Compact(k.order), false
+	if k.unordered {
+		k.sortOrder()
 	}
 	first, _ := slices.BinarySearchFunc(k.order, revision+1, func(c orderedChange, r int64) int { return cmp.Compare(c.revision, r) })
 	return k.order[first:]
 }
 
-// minOrder is the length of an order that is not worth cleaning up.
+// minOrder is the length up to which an order is not worth sorting.
 const minOrder = 64
 
 // Merge adds a part to the copy of a kind and returns the changes that were new to it.
