--- a/scripts/check-mutants.sh
+++ b/scripts/check-mutants.sh
@@ -114,9 +114,9 @@
 mutant 7 platform/wire.go 's/\*w\.State != stateDraining\)/*w.State == "")/' platform TestEntriesOfAnotherWriterNameNoTarget
 mutant 1 internal/request/job/heads.go 's/return !fresh && m\.holderUsable\(k\)/return m.holderUsable(k)/' internal/request/job TestStaleHeadDoesNotHideResults
 mutant 1 internal/request/job/verify.go 's/head\.Epoch > h\.head\.Epoch/head.Epoch > h.head.Epoch+9/' internal/request/job TestFormerHolderStopsAfterTakeover
-mutant 7 internal/version/follow/cache.go 's/if slices\.Contains\(k\.seenQueries, queryID\)/if queryID == 0/' internal/version/follow TestMarkAgeGrowsInTransit
-mutant 9 internal/version/follow/cache.go 's/if complete < m\.Latest/if k.latest < m.Latest/' internal/version/follow TestGapInListIsNotFresh
-mutant 7 internal/version/follow/cache.go 's/if complete < m\.Floor/if m.Floor < 0/' internal/version/follow TestListHidesNoDeletion
+mutant 7 internal/version/follow/freshness.go 's/if slices\.Contains\(k\.seenQueries, queryID\)/if queryID == 0/' internal/version/follow TestMarkAgeGrowsInTransit
+mutant 9 internal/version/follow/freshness.go 's/if complete < m\.Latest/if k.latest < m.Latest/' internal/version/follow TestGapInListIsNotFresh
+mutant 7 internal/version/follow/freshness.go 's/if complete < m\.Floor/if m.Floor < 0/' internal/version/follow TestListHidesNoDeletion
 mutant 7 internal/version/follow/cache.go 's/!o\.Deleted && o\.Revision <= complete/!o.Deleted \&\& o.Revision < 0/' internal/version/follow TestListedCacheRejectsDeletedObject
 mutant 1 internal/request/batch/suspect.go 's/it\.startedAsSuspect = it\.suspect/it.startedAsSuspect = it.suspect \&\& it.attempts > 9/' internal/request/batch TestOnlyTheItemThatCrashesTargetsEnds
 mutant 1 internal/request/batch/suspect.go 's/it\.suspect = true/it.suspect = !s.runningAt(it.target)/' internal/request/batch TestExcusedItemIsASuspect
