Tell an outage of the store by its queries, not by when they are heard of

Cause: a node that hears of refreshes late took its own delay for an outage of the store and did not believe the removal, although the same message told it that the store had been queried meanwhile.

Change: an outage is a long time between two queries; a mark whose answer the copy still lacks tells of its query too; changes of a peer are passed on after its marks.

TestLateNodeBelievesDeletions fails before.

--- a/internal/version/follow/freshness.go
+++ b/internal/version/follow/freshness.go
@@ -58,9 +58,11 @@
 	c.onVerified()
 }
 
-// storeAnswered notes that the store has answered a query that was sent at the time given.
+// storeAnswered notes that the store has answered a query that was sent at the time given. The
+// time between two queries tells of an outage, and not that between the news of them: a node that
+// is short of processor time hears of them late.
 func (k *kind) storeAnswered(now, sent time.Time) {
-	if !k.answered.IsZero() && now.Sub(k.answered) > k.outageAge {
+	if !k.answered.IsZero() && sent.Sub(k.answered) > k.outageAge {
 		k.outageEnd = now
 	}
 	if sent.After(k.answered) {
@@ -128,6 +130,9 @@
 		return false
 	}
 	k.heardOf = max(k.heardOf, m.Latest)
+	if !slices.Contains(k.seenQueries, m.QueryID) { // also where this copy still lacks its answer
+		k.storeAnswered(c.now(), c.now().Add(-m.Age))
+	}
 	complete := k.completeRevision()
 	if complete < m.Latest || k.filling() {
 		return true // a listing in several pages may contain a newer change and lack an older one
--- a/internal/version/follow/gossip.go
+++ b/internal/version/follow/gossip.go
@@ -157,7 +157,8 @@
 		return completed, err
 	}
 	result := completed
-	switch more := g.applyMissing(resp.Missing, address, g.Cache.Now().Sub(started)); {
+	more, notify := g.applyMissing(resp.Missing, address, g.Cache.Now().Sub(started))
+	switch {
 	case more:
 		result = partReceived
 	case len(resp.Missing) == 0 && g.isBehind(resp.Copies):
@@ -167,6 +168,7 @@
 		mark.Age += g.Cache.Now().Sub(started) // the peer stated the age at some time since started
 		g.Cache.ReceiveMark(kind, mark)
 	}
+	notify() // once the copy is known to be fresh: the listener asks whether deletions are certain
 	for kind, progress := range UnpackRefreshes(resp.Refreshes) {
 		g.Cache.NoteRefresh(kind, progress)
 	}
@@ -191,7 +193,8 @@
 
 // Exchange answers another node's exchange call.
 func (g *Gossip) Exchange(_ context.Context, req *v1.ExchangeRequest) (*v1.ExchangeResponse, error) {
-	g.applyMissing(req.Offered, req.Node, 0)
+	_, notify := g.applyMissing(req.Offered, req.Node, 0)
+	notify()
 	resp := &v1.ExchangeResponse{Complete: g.Cache.CompleteRevisions(), Copies: g.copies(), Marks: PackMarks(g.Cache.FreshnessMarks()), Refreshes: PackRefreshes(g.Cache.RefreshesUnderWay())}
 	if len(req.Offered) == 0 {
 		resp.Missing = g.missingFor(req.Copies, req.Complete, partBytes)
@@ -309,20 +312,24 @@
 }
 
 // applyMissing adds changes that a peer sent, in answer to a call that took the time given. It
-// reports whether the peer has more and the copy has advanced.
-func (g *Gossip) applyMissing(missing []*v1.KindChanges, peer string, took time.Duration) (more bool) {
-	for _, m := range missing {
+// reports whether the peer has more and the copy has advanced; notify notifies the listener.
+func (g *Gossip) applyMissing(missing []*v1.KindChanges, peer string, took time.Duration) (more bool, notify func()) {
+	changed := make([][]objects.Object, len(missing))
+	for i, m := range missing {
 		age, _ := g.Cache.Age(m.Kind)
 		before := g.Cache.State(m.Kind)
-		changed := adopt(g.Cache, m)
+		changed[i] = adopt(g.Cache, m)
 		more = more || (m.More && g.Cache.State(m.Kind) != before)
-		g.Log.report(Update{Kind: m.Kind, Source: FromPeer, Peer: peer, Changes: len(m.Changes), New: len(changed), Since: m.Since, Revision: m.Complete, Listing: m.Whole || m.HasNames, More: m.More, Took: took, Age: age})
-		if len(changed) > 0 {
-			g.Listener.Changed(m.Kind, changed, FromPeer)
+		g.Log.report(Update{Kind: m.Kind, Source: FromPeer, Peer: peer, Changes: len(m.Changes), New: len(changed[i]), Since: m.Since, Revision: m.Complete, Listing: m.Whole || m.HasNames, More: m.More, Took: took, Age: age})
+	}
+	return more, func() {
+		for i, m := range missing {
+			if len(changed[i]) > 0 {
+				g.Listener.Changed(m.Kind, changed[i], FromPeer)
+			}
+			g.Cache.delivered(m.Kind, m.Complete)
 		}
-		g.Cache.delivered(m.Kind, m.Complete)
 	}
-	return more
 }
 
 // byteBudget is a token bucket of bytes. It is safe for concurrent use.
--- a/internal/version/follow/greet_test.go
+++ b/internal/version/follow/greet_test.go
@@ -167,3 +167,33 @@
 	is.NoErr(node.fetchFromSeed(context.Background(), "knows"))
 	is.Equal(len(versions.added), 1)
 }
+
+// uncertainListener records whether deletions were uncertain when the listener was notified.
+type uncertainListener struct {
+	fakeListener
+	cache     *Cache
+	uncertain bool
+}
+
+func (l *uncertainListener) Changed(string, []objects.Object, Source) {
+	l.uncertain = l.uncertain || l.cache.DeletionsUncertain(kindT)
+}
+
+// TestLateNodeBelievesDeletions guards against removed targets that stay in use at a node that
+// hears of the refreshes of others late, for instance because it is short of processor time: the
+// store has had no outage.
+func TestLateNodeBelievesDeletions(t *testing.T) {
+	is := is.New(t)
+	peer, node := startingNode(nil), startingNode(nil)
+	node.Cache.Apply(kindT, []objects.Object{{Name: "a", Revision: 3}}, 0, 5)
+	node.Cache.MarkVerified(kindT, time.Now().Add(-2*minOutageAge+100*time.Millisecond)) // its refresh is not heard of yet
+	listener := &uncertainListener{cache: node.Cache}
+	node.Listener = listener
+	peer.Cache.Apply(kindT, []objects.Object{{Name: "a", Revision: 6, Deleted: true}}, 0, 6)
+	peer.Cache.MarkVerified(kindT, time.Now().Add(-minOutageAge+50*time.Millisecond))
+	_, err := node.exchange(context.Background(), "p", &fakePeer{gossip: peer})
+	is.NoErr(err)
+	_, exists := node.Cache.Get(kindT, "a")
+	is.True(!exists)
+	is.True(!listener.uncertain)
+}
--- a/scripts/check-mutants.sh
+++ b/scripts/check-mutants.sh
@@ -271,6 +271,7 @@
 mutant 7 internal/version/follow/cache.go 's/k\.complete > 0 && k\.arrivesFor/k.complete > 0 || k.arrivesFor/' internal/version/follow TestPartlyReceivedCopyIsNotUsed
 mutant 7 platform/store.go 's/return entries >= cutEntries \|\| bytes >= cutBytes/return entries > 1<<20 \&\& bytes > 1<<30/' platform TestCutAnswersAreNotWhole
 mutant 7 internal/version/follow/cache.go 's/k\.outageAge = max\(minOutageAge, /k.outageAge = min(minOutageAge, /; s/\.outageAge = max\(minOutageAge, /.outageAge = min(minOutageAge, /' internal/version/follow TestUsualAgeIsNoOutage
+mutant 7 internal/version/follow/freshness.go 's/sent\.Sub\(k\.answered\) > k\.outageAge/now.Sub(k.answered) > k.outageAge/' internal/version/follow TestLateNodeBelievesDeletions
 mutant 14 internal/version/follow/gossip.go 's/g\.Versions\.AddHistory\(resp\.Versions\)/_ = resp/' internal/version/follow TestStartingNodeTakesTheHistoryOfVersions
 }
 checks=()
