--- a/internal/version/follow/pages_test.go
+++ b/internal/version/follow/pages_test.go
@@ -319,3 +319,44 @@
 		is.Equal(peer.queries.Load() >= 10, fails)
 	}
 }
+
+// TestPartIsNoState guards against a copy that calls itself fresh with a part of what another node
+// has: the part has the newest revision of each object, so that "b", which had an older revision
+// before, is missing.
+func TestPartIsNoState(t *testing.T) {
+	is := is.New(t)
+	full, clk := newTestCache()
+	full.Replace(kindT, []objects.Object{{Name: "a", Revision: 2}, {Name: "b", Revision: 5}}, 5)
+	node := NewCache(clk.read, kindT)
+	p, ok := full.Missing(kindT, node.State(kindT), 1)
+	is.True(ok && p.More)
+	node.Merge(kindT, p)
+	older := FreshnessMark{Complete: 2, Latest: 2, QueryID: 1, Known: true} // of a node that has "b" at revision 1
+	node.ReceiveMark(kindT, older)
+	is.True(!node.EverVerified(kindT))
+	p, ok = full.Missing(kindT, node.State(kindT), 1)
+	is.True(ok && !p.More)
+	node.Merge(kindT, p)
+	node.ReceiveMark(kindT, FreshnessMark{Complete: 5, Latest: 5, QueryID: 2, Known: true})
+	is.True(node.EverVerified(kindT))
+}
+
+// TestPartsTellDeletions guards against deleted objects that stay in a copy which receives parts
+// of a node that has just listed the kind and does not know what was deleted before: the last part
+// names what exists, and until then the copy is as old as it was.
+func TestPartsTellDeletions(t *testing.T) {
+	is := is.New(t)
+	listed, clk := newTestCache()
+	listed.Replace(kindT, []objects.Object{{Name: "a", Revision: 3}, {Name: "c", Revision: 11}, {Name: "d", Revision: 12}}, 12) // "b" was deleted
+	node := NewCache(clk.read, kindT)
+	node.Apply(kindT, []objects.Object{{Name: "a", Revision: 3}, {Name: "b", Revision: 5}}, 0, 6)
+	p, _ := listed.Missing(kindT, node.State(kindT), 1)
+	is.True(p.More)
+	node.Merge(kindT, p)
+	is.Equal(node.CompleteRevision(kindT), int64(6))
+	p, _ = listed.Missing(kindT, node.State(kindT), 1000)
+	node.Merge(kindT, p)
+	_, exists := node.Get(kindT, "b")
+	is.True(!exists)
+	is.Equal(node.CompleteRevision(kindT), int64(12))
+}
--- a/scripts/check-mutants.sh
+++ b/scripts/check-mutants.sh
@@ -260,9 +260,9 @@
 mutant 14 internal/connection/beacon/receive.go 's/case message\.Stream != nil:/case message.Stream != nil \&\& message.Node != "":/' lab/hosted TestReturnToAStartingNode
 mutant 7 internal/version/follow/refresh.go 's/return page\.More, nil/return false, nil/' internal/version/follow TestRefreshReadsAllChanges
 mutant 7 internal/version/follow/cache.go 's/if !page\.More && !k\.filling\(\)/if !k.filling()/' internal/version/follow TestFailedPageLeavesTheCopyBehind
-mutant 7 internal/version/follow/part.go 's/k\.fillTo = max\(k\.fillTo, p\.Until\)/k.fillTo = max(k.fillTo, 0*p.Until)/' internal/version/follow TestFreshCopyLacksNoChange
-mutant 7 internal/version/follow/part.go 's/p\.HasNames = !p\.HasDeletions/p.HasNames = p.HasDeletions/' internal/version/follow TestFreshCopyLacksNoChange
-mutant 7 internal/version/follow/cache.go 's/return min\(k\.complete, k\.deletions\)/return max(k.complete, 0*k.deletions)/' internal/version/follow TestFreshCopyLacksNoChange
+mutant 7 internal/version/follow/part.go 's/k\.fillTo = max\(k\.fillTo, p\.Until\)/k.fillTo = max(k.fillTo, 0*p.Until)/' internal/version/follow TestPartIsNoState
+mutant 7 internal/version/follow/part.go 's/p\.HasNames = !p\.HasDeletions/p.HasNames = p.HasDeletions/' internal/version/follow TestPartsTellDeletions
+mutant 7 internal/version/follow/cache.go 's/return min\(k\.complete, k\.deletions\)/return max(k.complete, 0*k.deletions)/' internal/version/follow TestPartsTellDeletions
 mutant 9 internal/version/follow/refresh.go 's/after = l\.objects\[len\(l\.objects\)-1\]\.Name/l.objects = nil/' internal/version/follow TestInterruptedListingGoesOn
 mutant 7 internal/version/follow/refresh.go 's/refreshed > 0/refreshed > time.Hour/' internal/version/follow TestOthersWaitForARefreshInPages
 mutant 7 internal/version/follow/refreshing.go 's/r\.seen\[i\]\.Answers >= p\.Answers/r.seen[i].Answers > p.Answers/' internal/version/follow TestOthersWaitForARefreshInPages
