review: case 1, runners that were unlisted for a moment are never used again

A target that leaves the store's list while a node has requests there keeps the mark "leaving" when it is listed again with the same incarnation. Runners that are cut off from the store for 5 s each, one after the other, leave nodes without any target for good: accepted batch jobs never run and online requests get 503.

Adds the case; the other two move to 2 and 3.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -7,4 +7,4 @@
   echo "build the deploy file and review/build.sh first" >&2
   exit 2
 fi
-exec "$standin" extra-late "$program" "$PWD"
+exec "$standin" runner-cut "$program" "$PWD"
--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -7,4 +7,4 @@
   echo "build the deploy file and review/build.sh first" >&2
   exit 2
 fi
-exec "$standin" route-removed "$program" "$PWD"
+exec "$standin" store-down "$program" "$PWD"
--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -64,11 +64,14 @@
 const batchPath = "/sheet/"
 
 // submit sends a batch job, again at the next node until one answers 202.
-func (f *fleet) submit(job string, items []item) {
+func (f *fleet) submit(job string, items []item) { f.submitAt(0, job, items) }
+
+// submitAt is submit, with the node to begin with.
+func (f *fleet) submitAt(first int, job string, items []item) {
 	body, err := json.Marshal(map[string]any{"items": items})
 	check(err)
 	for i := range 20 {
-		n := f.edges()[i%len(zones)]
+		n := f.edges()[(first+i)%len(zones)]
 		r := call(http.MethodPost, n.address, batchPath+job, job, map[string]string{headerDeadline: "4000", "Content-Type": "application/json"}, body, 5*time.Second)
 		f.log.line("batch job %s of %d items sent to %s: %d %v", job, len(items), n.id, r.status, r.err)
 		if r.status == http.StatusAccepted {
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -13,6 +13,7 @@
 	"extra-late":    extraLate,
 	"route-removed": routeRemoved,
 	"store-down":    storeDown,
+	"runner-cut":    runnerCut,
 }
 
 // play is one run of a case.
--- a/review/standin/names.go
+++ b/review/standin/names.go
@@ -14,6 +14,8 @@
 	headerModel    = prefix + "Model"
 	headerTokens   = prefix + "Token-Count"
 	headerPrompt   = prefix + "Prompt-Prefix"
+	headerWeights  = prefix + "Weight-Versions"
+	headerPin      = prefix + "Expect-Version"
 	headerResume   = "Last-Event-Id"
 
 	v1          = "/v1"
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -98,6 +98,17 @@
 	s.set(kind, name, func(o *object) { o.Spec = data })
 }
 
+// remove deletes an object as the platform does.
+func (s *store) remove(kind, name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o := s.kinds[kind][name]
+	s.rev++
+	delete(s.kinds[kind], name)
+	o.Metadata.Rev = s.rev
+	s.record(change{kind, s.rev, true, o})
+}
+
 // refusedTooLarge returns how many writes of each kind were refused as too large.
 func (s *store) refusedTooLarge() map[string]int {
 	s.mu.Lock()
