--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -89,7 +89,7 @@
 // batch jobs, with the values of the sheet of Kurzeme's stone orders.
 func config(version int) map[string]any {
 	stream := map[string]any{"name": "counter", "host": host, fieldPrefix: "/ask/", "kind": "streaming", "service": serviceName, "attempts": 1, "resumable": false,
-		"timeout_ms": 5000, fieldAim: 300, fieldGap: 200, "priority": 0, "session_affinity": true}
+		"timeout_ms": 5000, fieldAim: 300, fieldGap: 200, "priority": 0, fieldSticky: true}
 	batch := map[string]any{"name": "sheets", "host": host, fieldPrefix: batchPath, "kind": "batch", "service": serviceName, "attempts": 3, "resumable": true,
 		"timeout_ms": 15000, fieldAim: 400, fieldGap: 200, "priority": 2, fieldRunAim: 18000, "keep_s": 60, "cap": 1400000}
 	return map[string]any{"version": version, "routes": []any{stream, batch}, "services": []any{map[string]any{"name": serviceName}},
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -37,7 +37,7 @@
 	if finalizers == nil {
 		finalizers = []string{}
 	}
-	return json.Marshal(map[string]any{"name": m.Name, "rev": m.Rev, fieldCreated: m.Created, "finalizers": finalizers, "deleting": false})
+	return json.Marshal(map[string]any{"name": m.Name, "rev": m.Rev, fieldCreated: m.Created, fieldFinalizers: finalizers, "deleting": false})
 }
 
 type object struct {
