review: disruptions end inside the limits, items state the tokens that they put out

The cuts of case 1 lasted 5.001 to 5.002 s for 5 s, the outage of case 3 up to 4.501 s for 4.5 s, and copies of case 2 could come after its 5 s. They end 0.1 to 0.2 s earlier now. The items of case 3 stated 268 tokens of output for 400 events.

--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -18,7 +18,7 @@
 		limit     = 5 * time.Second
 		eachOf    = 34 // 0.0294 of the answers
 		faulty    = 3  // of 5 runners
-		faultyFor = 5 * time.Second
+		faultyFor = 4800 * time.Millisecond
 	)
 	var runners []*runner
 	for range 5 {
@@ -81,13 +81,13 @@
 	return ""
 }
 
-// sheets returns items of a batch job.
-func sheets(job string, n int) []item {
+// sheets returns items of a batch job, each with a prompt of 350 tokens and at most output tokens.
+func sheets(job string, n int, output int) []item {
 	var items []item
 	for i := range n {
 		id := fmt.Sprintf("%s%04x", job[:12], i)
-		items = append(items, item{ID: id, Path: batchPath + "3/91c4", Headers: map[string]string{headerModel: "m", headerTokens: "350,268", headerPrompt: fmt.Sprintf("9c2e41:100,%08x:250", i+1)},
-			Body: []byte("draft the dispatch sheet"), Tokens: 618})
+		items = append(items, item{ID: id, Path: batchPath + "3/91c4", Headers: map[string]string{headerModel: "m", headerTokens: fmt.Sprintf("350,%d", output), headerPrompt: fmt.Sprintf("9c2e41:100,%08x:250", i+1)},
+			Body: []byte("draft the dispatch sheet"), Tokens: 350 + output})
 	}
 	return items
 }
@@ -105,7 +105,7 @@
 	}
 	f := p.start(config(3), runners)
 	time.Sleep(3 * time.Second) // stable_window_ms
-	f.submit(job, sheets(job, items))
+	f.submit(job, sheets(job, items, 268))
 	before, total := f.readAll(job, 30*time.Second)
 	if len(before) != items || total != items {
 		panic(errCannotRun{fmt.Sprintf("%d of %d results before the change", len(before), total)})
@@ -145,8 +145,9 @@
 	const (
 		job    = "5f0ac3d19e7b2468"
 		items  = 60
+		output = 16000 // tokens: an event of some 90 bytes holds up to 40
 		downAt = 2 * time.Second
-		down   = 4500 * time.Millisecond
+		down   = 4400 * time.Millisecond
 		finish = 18 * time.Second // finish_s
 	)
 	var runners []*runner
@@ -155,7 +156,7 @@
 	}
 	f := p.start(config(3), runners)
 	time.Sleep(3 * time.Second) // stable_window_ms
-	f.submit(job, sheets(job, items))
+	f.submit(job, sheets(job, items, output))
 	if p.trouble {
 		time.Sleep(downAt)
 		f.store.setBusy(true)
@@ -172,7 +173,7 @@
 		}
 	}
 	finished, inside := 0, 0
-	for _, it := range sheets(job, items) {
+	for _, it := range sheets(job, items, output) {
 		for _, r := range runners {
 			r.mu.Lock()
 			if r.finished[it.ID] > 0 {
--- a/review/standin/cut.go
+++ b/review/standin/cut.go
@@ -34,7 +34,7 @@
 func runnerCut(p *play) string {
 	const (
 		count   = 5 // one of them is a share of 0.2
-		cut     = 5 * time.Second
+		cut     = 4800 * time.Millisecond
 		gap     = time.Second
 		clients = 56
 		finish  = 18 * time.Second // finish_s
@@ -84,7 +84,7 @@
 	time.Sleep(4 * time.Second) // more than stable_window_ms: all is calm, and all runners are listed
 	jobs := []string{"3e8d51b07f2c9a64", "41d0c7a95be26f83", "58b2fe6310d97ca4"}
 	for i, job := range jobs {
-		f.submitAt(i, job, sheets(job, items))
+		f.submitAt(i, job, sheets(job, items, 268))
 	}
 	time.Sleep(finish)
 	open := 0
--- a/review/standin/runner.go
+++ b/review/standin/runner.go
@@ -74,6 +74,13 @@
 	r.repeatEach = n
 }
 
+// faulty reports whether the runner is faulty now.
+func (r *runner) faulty() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.repeatEach > 0
+}
+
 // serve reads requests from a channel and answers them one after another.
 func (r *runner) serve(conn net.Conn) {
 	defer conn.Close()
@@ -87,12 +94,11 @@
 		if _, err := io.Copy(io.Discard, req.Body); err != nil {
 			return
 		}
-		if late != nil {
+		if late != nil && r.faulty() {
 			if _, err := conn.Write(late); err != nil {
 				return
 			}
 			r.log.line("runner %s: the answer before comes once more, now that %s was sent on the channel", r.id, req.Header.Get(headerID))
-			late = nil
 		}
 		answer, ok := r.handle(conn, req)
 		if !ok {
