Use a target again that was missing from the list for a moment

Callers saw batch jobs that were accepted and never run, and 503 "no target has free capacity" to each online request at a node, for as long as it ran, after entries of targets had been missing from the store for about a second each while the targets served.

Cause: a target that is missing from the list while work is in flight there stays in the table, and was marked as leaving. That mark is for targets that announced their end and is final for an incarnation, so the entry kept it when the target was listed again.

Evidence: `marblepond targets` on the code before, 10 s after the last entry was back: the copy of the list 0 revisions behind and 0.5 s old, nothing in flight, all five targets "leaving" at two of three nodes; the log has "listed", "gone", "listed" for them and no "draining".

Change: `leaving` is derived from what was announced for the incarnation, `unlisted` from each list. Operators see which it is, and the gauges targets_leaving_now and targets_unlisted_now count both.

Tests, on the code before: TestRelistedTargetGetsWork failed in all four cases (the relisted target is not chosen), TestListedTargetsGetWorkAfterAnyCourse failed after 2 draws ("t1 gets work: false, announced its end: false"), TestOperatorsAreToldWhyATargetGetsNoWork failed. TestLeavingOutlastsTheList guards the other side. Three mutants.

--- a/internal/process/hosted/copies.go
+++ b/internal/process/hosted/copies.go
@@ -11,14 +11,18 @@
 	"github.com/marblepond/marblepond/internal/version/follow"
 )
 
-// copiesInterval is the time between records of how fresh the cached copies are.
+// copiesInterval is the time between records of how fresh the cached copies are, and of how many
+// targets are out of service.
 const copiesInterval = time.Second
 
-// recordCopies records how fresh the cached copies are, and when one begins or ends to be behind
-// the object store.
+// recordCopies records how fresh the cached copies are, when one begins or ends to be behind the
+// object store, and how many targets the list of targets has put out of service.
 func (n *Node) recordCopies(ctx context.Context) {
 	behind := map[string]bool{}
 	every(ctx, copiesInterval, func() {
+		leaving, unlisted := n.pool.OutOfServiceCounts()
+		n.metrics.Gauge("targets_leaving_now").Update(float64(leaving))
+		n.metrics.Gauge("targets_unlisted_now").Update(float64(unlisted))
 		for kind := range n.followedKinds() {
 			s := n.cache.Status(kind)
 			scope := n.metrics.Tagged(map[string]string{"kind": kind})
--- a/internal/request/choose/choose.go
+++ b/internal/request/choose/choose.go
@@ -103,8 +103,9 @@
 	waitingSince      time.Time     // since when requests wait for a slot there; zero: none waits
 	elsewhere         InFlight      // in flight from other nodes, by their newest reports
 	onlineAtReport    int           // own online requests in flight at load.At
-	leaving           bool
-	failures          int // in a row
+	leaving           bool          // announced, or found out by a request: final for the incarnation
+	unlisted          bool          // missing from the newest list; in the table while work is in flight there
+	failures          int           // in a row
 	ejectedUntil      time.Time
 	ejections         int       // in a row, without a success between
 	probing           bool      // a probe request is in flight that decides on its readmission
@@ -201,7 +202,8 @@
 }
 
 // SetTargets replaces the list of targets. Targets that stay keep their counters; a
-// target marked as leaving stays marked for that incarnation.
+// target marked as leaving stays marked for that incarnation. A target that is missing
+// from the list gets no new work until it is listed again.
 func (t *Table) SetTargets(targets []Target) {
 	listed := map[string]bool{}
 	for _, target := range targets {
@@ -215,13 +217,14 @@
 			t.entries[target.ID] = old
 		}
 		old.Target = target
-		old.leaving = old.leaving || t.leavingIncarnations[target.ID] >= target.Incarnation
+		old.unlisted = false
+		old.leaving = t.leavingIncarnations[target.ID] >= target.Incarnation
 	}
 	for id, e := range t.entries {
 		if !listed[id] && e.online+e.batch == 0 {
 			delete(t.entries, id)
 		} else if !listed[id] {
-			e.leaving = true
+			e.unlisted = true
 		}
 	}
 	t.reindex()
@@ -272,11 +275,28 @@
 	return e != nil && e.Incarnation == target.Incarnation
 }
 
+// OutOfServiceCounts returns how many targets are leaving, and how many are not listed and have
+// work in flight.
+func (t *Table) OutOfServiceCounts() (leaving, unlisted int) {
+	for _, e := range t.entries {
+		switch {
+		case e.leaving:
+			leaving++
+		case e.unlisted:
+			unlisted++
+		}
+	}
+	return leaving, unlisted
+}
+
+// isServing reports whether the target is listed and was not marked as leaving.
+func (e *entry) isServing() bool { return !e.leaving && !e.unlisted }
+
 // Leaving reports whether a target was marked as leaving, or was dropped from the list
 // while work is in flight there.
 func (t *Table) Leaving(target Target) bool {
 	e := t.entries[target.ID]
-	return t.leavingIncarnations[target.ID] >= target.Incarnation || (e != nil && e.Incarnation == target.Incarnation && e.leaving)
+	return t.leavingIncarnations[target.ID] >= target.Incarnation || (e != nil && e.Incarnation == target.Incarnation && !e.isServing())
 }
 
 // TargetCount returns how many targets of a service are listed.
--- a/internal/request/choose/eligible.go
+++ b/internal/request/choose/eligible.go
@@ -13,6 +13,7 @@
 // one that lasts longest.
 const (
 	Leaving   Reason = "leaving"
+	Unlisted  Reason = "not listed"
 	Evacuated Reason = "its data centre is evacuated"
 	Unhealthy Reason = "unhealthy"
 	Failing   Reason = "failed several times in a row"
@@ -30,6 +31,8 @@
 	switch {
 	case e.leaving:
 		return Leaving
+	case e.unlisted:
+		return Unlisted
 	case t.evacuated[e.DataCentre]:
 		return Evacuated
 	case e.hasLoad && !e.load.Healthy:
@@ -83,13 +86,13 @@
 // Evacuated reports whether a target's data centre is evacuated.
 func (t *Table) Evacuated(target Target) bool { return t.evacuated[target.DataCentre] }
 
-// AllEvacuated reports whether a service has targets that are not leaving and all of
+// AllEvacuated reports whether a service has listed targets that are not leaving and all of
 // these are in evacuated data centres.
 func (t *Table) AllEvacuated(service string) bool {
 	evacuated := false
 	for _, id := range t.byService[service] {
 		e := t.entries[id]
-		if e.leaving {
+		if !e.isServing() {
 			continue
 		}
 		if !t.evacuated[e.DataCentre] {
--- a/internal/request/choose/evidence.go
+++ b/internal/request/choose/evidence.go
@@ -14,7 +14,7 @@
 	list := make([]outlier.Target, 0, len(t.order))
 	for _, id := range t.order {
 		e := t.entries[id]
-		list = append(list, outlier.Target{ID: id, Incarnation: e.Incarnation, Service: e.Service, Leaving: e.leaving})
+		list = append(list, outlier.Target{ID: id, Incarnation: e.Incarnation, Service: e.Service, Leaving: !e.isServing()})
 	}
 	t.judge.SetTargets(list)
 }
--- a/internal/request/choose/reserve.go
+++ b/internal/request/choose/reserve.go
@@ -46,7 +46,7 @@
 	for service, ids := range t.byService {
 		targets, online := 0, 0
 		for _, id := range ids {
-			if e := t.entries[id]; !e.leaving && !t.evacuated[e.DataCentre] {
+			if e := t.entries[id]; e.isServing() && !t.evacuated[e.DataCentre] {
 				targets++
 				online += e.estimatedOnline()
 			}
--- a/internal/request/choose/status.go
+++ b/internal/request/choose/status.go
@@ -10,9 +10,9 @@
 type Status struct {
 	Target
 	Load    Load
-	Known   bool // a load report has arrived
-	Online  int  // own online requests in flight
-	Leaving bool
+	Known   bool   // a load report has arrived
+	Online  int    // own online requests in flight
+	Leaving bool   // or not listed any more; Reason tells them apart
 	Reason  Reason // why it gets no requests; empty: it gets them
 	// Outlier is the state of the outlier detection; zero while the shared view is off.
 	Outlier outlier.Status
@@ -25,7 +25,7 @@
 
 // status returns the status of a target.
 func (t *Table) status(now time.Time, e *entry) Status {
-	s := Status{Target: e.Target, Load: e.load, Known: e.hasLoad, Online: e.online, Leaving: e.leaving, Reason: t.reason(now, e, Need{})}
+	s := Status{Target: e.Target, Load: e.load, Known: e.hasLoad, Online: e.online, Leaving: !e.isServing(), Reason: t.reason(now, e, Need{})}
 	if t.sharedView {
 		s.Outlier = t.judge.Status(now, e.ID)
 		s.Estimate = t.estimateFirstEvent(now, e)
--- a/internal/request/choose/versions.go
+++ b/internal/request/choose/versions.go
@@ -88,7 +88,7 @@
 }
 
 // mayContinueAt reports whether a target may get work, now or later.
-func (t *Table) mayContinueAt(e *entry) bool { return !e.leaving && !t.evacuated[e.DataCentre] }
+func (t *Table) mayContinueAt(e *entry) bool { return e.isServing() && !t.evacuated[e.DataCentre] }
 
 // Supply returns whether a target is left at which an answer that has begun may continue. A
 // version is gone once targets of other versions alone are left: while there is no target at
@@ -97,10 +97,10 @@
 	others := false
 	for _, id := range t.byService[service] {
 		e := t.entries[id]
-		if !e.leaving && o.Allows(e.Version) {
+		if e.isServing() && o.Allows(e.Version) {
 			return continuation.Busy
 		}
-		others = others || !e.leaving
+		others = others || e.isServing()
 	}
 	if others {
 		return continuation.Gone
--- a/internal/version/discovery/discovery.go
+++ b/internal/version/discovery/discovery.go
@@ -195,6 +195,14 @@
 	return p.table.Leaving(t)
 }
 
+// OutOfServiceCounts returns how many targets are leaving, and how many are not listed and have
+// work in flight.
+func (p *Pool) OutOfServiceCounts() (leaving, unlisted int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.table.OutOfServiceCounts()
+}
+
 // SetEvacuated replaces the data centres whose targets get no work.
 func (p *Pool) SetEvacuated(dataCentres []string) {
 	p.mu.Lock()
--- a/scripts/check-mutants.sh
+++ b/scripts/check-mutants.sh
@@ -258,6 +258,9 @@
 mutant 14 internal/version/route/route.go 's/xxhash\.Sum64String\(id\)%draws/xxhash.Sum64String(id+time.Now().String())%draws/' internal/version/route TestAttemptsAtOneStreamGoToOneService
 mutant 14 platform/front.go 's/if first := r\.Header\.Get\(headerResumes\); first != "" \{/if first := r.Header.Get(headerResumes); first != "" \&\& r.Host == "" {/' lab/hosted TestReturningCallerKeepsItsService
 mutant 14 internal/connection/beacon/receive.go 's/case message\.Stream != nil:/case message.Stream != nil \&\& message.Node != "":/' lab/hosted TestReturnToAStartingNode
+mutant 7 internal/request/choose/choose.go 's/old\.unlisted = false/old.unlisted = old.unlisted \&\& true/' internal/version/discovery TestRelistedTargetGetsWork
+mutant 7 internal/request/choose/choose.go 's/e\.unlisted = true/e.leaving = true/' internal/version/discovery TestOperatorsAreToldWhyATargetGetsNoWork
+mutant 7 internal/request/choose/choose.go 's/old\.leaving = t\.leavingIncarnations/old.leaving = old.leaving \&\& t.leavingIncarnations/' internal/version/discovery TestLeavingOutlastsTheList
 mutant 7 internal/version/follow/refresh.go 's/return page\.More, nil/return false, nil/' internal/version/follow TestRefreshReadsAllChanges
 mutant 7 internal/version/follow/cache.go 's/if !page\.More && !k\.filling\(\)/if !k.filling()/' internal/version/follow TestFailedPageLeavesTheCopyBehind
 mutant 7 internal/version/follow/part.go 's/k\.fillTo = max\(k\.fillTo, p\.Until\)/k.fillTo = max(k.fillTo, 0*p.Until)/' internal/version/follow TestPartIsNoState
