Soak runners whose entries are missing, and check each node's targets at the end

The soak removed an entry only together with its runner, and looked at jobs alone at the end of a run, which any node with a target completes: a node that used no target any more was not seen.

unlist-runner (--runner-faults, so that the plans of seeds without it stay as they are) removes the entry of a runner that goes on serving, and puts the same one back. Each run ends with a look at every node by the operators' interface: within 20 s, longer than the longest ejection, it has to know every listed runner and to send it work.

--- a/lab/hostedsoak/faults.go
+++ b/lab/hostedsoak/faults.go
@@ -57,7 +57,7 @@
 	switch f.Kind {
 	case KillNode, FreezeNode, StopNode:
 		return fmt.Sprint("process ", f.Which)
-	case SlowRunner, CutRunner, ResetRunner, CrashRunner, DrainRunner, BadRunner, HangRunner, Release:
+	case SlowRunner, CutRunner, ResetRunner, CrashRunner, DrainRunner, BadRunner, HangRunner, Release, UnlistRunner:
 		return fmt.Sprint("place ", f.Which)
 	}
 	return fmt.Sprint(f.Kind, f.Which)
@@ -105,6 +105,8 @@
 		return i.sendBadPart()
 	case MostAtOne:
 		return i.load.preferOne()
+	case UnlistRunner:
+		return i.fleet.unlistRunner(i.fleet.runnerSlots[f.Which])
 	case SlowRunner, CutRunner, ResetRunner, CrashRunner, DrainRunner, BadRunner, HangRunner, Release:
 		return i.faultRunner(f, i.fleet.runnerSlots[f.Which])
 	default:
--- a/lab/hostedsoak/plan.go
+++ b/lab/hostedsoak/plan.go
@@ -38,11 +38,12 @@
 	DrainRunner  Kind = "drain-runner" // is announced as draining, then replaced
 	BadRunner    Kind = "bad-runner"   // breaks off, fails, refuses, loses answers or sends those of other requests
 	ConfigChange Kind = "config-change"
-	HangRunner   Kind = "hang-runner" // accepts requests and sends nothing
-	Release      Kind = "release"     // a runner drains and is replaced by one of the next version
-	Overload     Kind = "overload"    // callers send overloadFactor times as many online requests
-	BadPart      Kind = "bad-part"    // requests share a part of their prompts that crashes runners
-	MostAtOne    Kind = "most-at-one" // most new connections go to one node
+	HangRunner   Kind = "hang-runner"   // accepts requests and sends nothing
+	Release      Kind = "release"       // a runner drains and is replaced by one of the next version
+	Overload     Kind = "overload"      // callers send overloadFactor times as many online requests
+	BadPart      Kind = "bad-part"      // requests share a part of their prompts that crashes runners
+	MostAtOne    Kind = "most-at-one"   // most new connections go to one node
+	UnlistRunner Kind = "unlist-runner" // its entry is missing from the store for a time
 )
 
 var kinds = []Kind{KillNode, FreezeNode, StopNode, HangupNode, ResetCallers, CutPeers, DeafPeers, CutStore, ResetStore, StoreDown, StoreSilent,
@@ -58,6 +59,9 @@
 // partKinds are the kinds that are only in plans with parts of prompts.
 var partKinds = slices.Repeat([]Kind{BadPart, MostAtOne}, 4)
 
+// runnerKinds are the kinds that are only in plans with further faults of runners.
+var runnerKinds = slices.Repeat([]Kind{UnlistRunner}, 8)
+
 // Fault is one fault of the plan.
 type Fault struct {
 	Kind   Kind
@@ -98,7 +102,7 @@
 			f := Fault{Kind: kinds[rng.IntN(len(kinds))], Start: at + time.Duration(rng.Int64N(int64(groupSpread))), Which: rng.IntN(nodes)}
 			f.Length = minFaultLength + time.Duration(rng.Int64N(int64(maxFaultLength-minFaultLength)))
 			switch f.Kind {
-			case SlowRunner, CutRunner, ResetRunner, CrashRunner, DrainRunner, BadRunner, HangRunner, Release:
+			case SlowRunner, CutRunner, ResetRunner, CrashRunner, DrainRunner, BadRunner, HangRunner, Release, UnlistRunner:
 				f.Which = rng.IntN(runners)
 			case Overload, MostAtOne:
 				f.Which = 0 // concerns all nodes, and there is one at a time
--- a/lab/hostedsoak/soak.go
+++ b/lab/hostedsoak/soak.go
@@ -30,6 +30,8 @@
 	Versions bool
 	// Parts adds parts of prompts that crash runners, and most connections at one node, to the plan.
 	Parts bool
+	// RunnerFaults adds runners whose entries are missing for a time to the plan.
+	RunnerFaults bool
 	// IdleTargets is the number of further listed targets, which nobody uses; their entries
 	// change all the time.
 	IdleTargets int
@@ -92,6 +94,7 @@
 	<-ctx.Done()
 	<-loaded
 	l.finish()
+	l.checkTargets()
 	l.checkIsolation()
 	stopWatching()
 	checkRunners(f, h)
@@ -115,6 +118,9 @@
 	if o.Parts {
 		extra = append(extra, partKinds...)
 	}
+	if o.RunnerFaults {
+		extra = append(extra, runnerKinds...)
+	}
 	return NewPlan(o.Seed, o.Length, nodeCount, runnerCount, extra...)
 }
 
@@ -157,7 +163,7 @@
 
 // unrelatedToDraining are the faults that do not excuse a request to a draining runner,
 // since every node still learns that it is draining.
-var unrelatedToDraining = []Kind{DrainRunner, SlowRunner, CutRunner, ResetRunner, CrashRunner, BadRunner, ResetCallers, HangupNode, ConfigChange, StoreForgets, HangRunner, Overload, Release, BadPart, MostAtOne}
+var unrelatedToDraining = []Kind{DrainRunner, SlowRunner, CutRunner, ResetRunner, CrashRunner, BadRunner, ResetCallers, HangupNode, ConfigChange, StoreForgets, HangRunner, Overload, Release, BadPart, MostAtOne, UnlistRunner}
 
 // checkRunners checks the requests that the runners received.
 func checkRunners(f *fleet, h *history) {
