Let no verdict keep back items under which targets crashed

Cause: the quarantine suspects all that was in flight at a crash, and an item is carried by ourselves from a target that is killed to the next. After three it was refused for an hour, by every node and for later jobs, though items are never what crashes targets. Second cause: an item was not tried where it had been answered 500 as long as any other target was listed, also one that is leaving, evacuated or ejected.

Change: an item has a fingerprint of its own, on which there is no verdict; it is no rival of suspected online work and explains no crash. After three lost targets it waits 0.5 to 8 s between attempts and runs beside no other such item of its node. Items with a refused part of a prompt are tried one at a time. Exclusions have to leave a target that serves.

--- a/internal/process/crashes/watch.go
+++ b/internal/process/crashes/watch.go
@@ -128,6 +128,22 @@
 	return errkind.CrashesTargets.New("%d targets crashed while they ran this request; it is not run again for %v (work %s)", len(v.Targets), left, work.ID())
 }
 
+// RefusedParts returns the verdict on parts of the prompt of an item, as fingerprint.Join of them;
+// refused is false if there is none. There is no verdict on items themselves.
+func (w *Watch) RefusedParts(item *fingerprint.Work) (parts fingerprint.ID, refused bool) {
+	if w.idle.Load() {
+		return fingerprint.ID{}, false
+	}
+	ids := item.IDs()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	v, refused := w.table.Refused(w.Now(), ids...)
+	if !refused {
+		return fingerprint.ID{}, false
+	}
+	return fingerprint.Join(v.Suspects), true
+}
+
 // maxPartNames bounds partNames, which is cleared when it is full; operators then see
 // fingerprints until a node meets the parts again.
 const maxPartNames = 4096
@@ -243,7 +259,7 @@
 	if w.idle.Load() {
 		return
 	}
-	ids := work.IDs()
+	ids := work.AnsweredIDs()
 	if w.change(func(now time.Time) bool {
 		return w.table.Answered(now, quarantine.Answer{Software: softwareOf(t), Began: began, Complete: complete, IDs: ids})
 	}) {
--- a/internal/process/timeline/catalogue.go
+++ b/internal/process/timeline/catalogue.go
@@ -87,10 +87,10 @@
 	CheckpointRestored  Code = 622
 	CheckpointLost      Code = 623
 	KeeperLost          Code = 624
-	ItemRefused         Code = 625
 	ItemMoved           Code = 626
 	JobWaits            Code = 627
 	ItemBegunAnew       Code = 628
+	ItemDelayed         Code = 629
 	PlatformDown        Code = 701
 	PlatformUp          Code = 702
 	PlatformAmbiguous   Code = 703
@@ -194,9 +194,9 @@
 	JobDoubted:          {"job_doubted", log.InfoLevel, "another node may have taken over a job that this node holds; the object store is queried"},
 	CheckpointRestored:  {"checkpoint_restored", log.InfoLevel, "items of a job that was taken over continue from the former holder's checkpoint"},
 	CheckpointLost:      {"checkpoint_lost", log.InfoLevel, "the checkpoint of a job's items is lost; they run from their start"},
-	ItemRefused:         {"item_refused", log.WarnLevel, "an item is not sent, because it crashes targets; it waits until it expires or is released"},
 	JobWaits:            {"job_waits", log.InfoLevel, "a submission waits for the object store, which did not accept the job; the cause is its error"},
 	ItemBegunAnew:       {"item_begun_anew", log.InfoLevel, "an item dropped its text, because no target of the version that began it is left or can take it; the next attempt starts with the first event"},
+	ItemDelayed:         {"item_delayed", log.WarnLevel, "an item has lost its target several times; it is sent again after a delay, and to a target where no other such item of this node runs"},
 	ItemMoved:           {"item_moved", log.InfoLevel, "an item was stopped because the data centre of its target is evacuated; it continues at another target"},
 	KeeperLost:          {"keeper_lost", log.WarnLevel, "the node that stores checkpoints does not respond; another one is chosen"},
 	PlatformDown:        {"platform_down", log.WarnLevel, "several calls to the platform failed in a row"},
--- a/internal/request/choose/choose.go
+++ b/internal/request/choose/choose.go
@@ -93,6 +93,7 @@
 	hasLoad           bool          // a load report has arrived
 	online            int           // own online requests in flight
 	apart             int           // those of them that were chosen with Need.Apart
+	itemsApart        int           // own batch items that were chosen with Need.Apart
 	saturatedUntil    time.Time     // until then it counts as full, because it refused an online request
 	itemsRefusedUntil time.Time     // until then it counts as full for batch items, because it refused one
 	firstEvent        time.Duration // moving average of the time to the first event
@@ -326,8 +327,8 @@
 	Limit func(Target) int
 	// Apart marks a request that was in flight at a crash of a target. It is placed
 	// where no other online request with this mark runs (anti-affinity), and nowhere
-	// if there is no such target. Batch items do not set it: they run for long, and
-	// online requests would have to wait for them.
+	// if there is no such target. A batch item with this mark is placed where no other one of
+	// this node runs: items run for long, and online requests would have to wait for them.
 	Apart bool
 	// ScatterKey, if not 0, selects the target by a hash of the requested work
 	// instead of by load, among those with free slots. Otherwise nodes that know the
@@ -358,7 +359,7 @@
 
 // Choose returns the target for a request; ok is false when no target can take it.
 func (t *Table) Choose(now time.Time, need Need) (Target, bool) {
-	need = t.allowedExclusions(need)
+	need = t.allowedExclusions(now, need)
 	if probed := t.probeFor(now, need); probed != nil {
 		return t.begin(now, probed, need), true
 	}
@@ -366,7 +367,10 @@
 	if need.Proven {
 		usable = filterOrAll(usable, func(e *entry) bool { return t.judge.Succeeds(e.ID) })
 	}
-	if need.Apart {
+	switch {
+	case need.Apart && need.Batch:
+		usable = filter(usable, func(e *entry) bool { return e.itemsApart == 0 })
+	case need.Apart:
 		usable = filter(usable, func(e *entry) bool { return e.apart+e.elsewhere.Apart == 0 })
 	}
 	if len(usable) == 0 {
--- a/internal/request/choose/eject.go
+++ b/internal/request/choose/eject.go
@@ -168,10 +168,19 @@
 }
 
 // allowedExclusions returns the need of a batch item without its exclusions if these leave
-// no target of the service: an item that failed everywhere may be tried anywhere.
-func (t *Table) allowedExclusions(need Need) Need {
-	if need.Batch && len(need.Exclude) >= len(t.byService[need.Service]) {
-		need.Exclude = nil
+// no target of the service that may take it: an item that failed everywhere may be tried anywhere.
+func (t *Table) allowedExclusions(now time.Time, need Need) Need {
+	if !need.Batch || len(need.Exclude) == 0 {
+		return need
 	}
+	for _, id := range t.byService[need.Service] {
+		if need.Exclude[id] {
+			continue
+		}
+		if reason := t.reason(now, t.entries[id], need); reason == "" || reason == WarmingUp {
+			return need
+		}
+	}
+	need.Exclude = nil
 	return need
 }
--- a/internal/request/choose/room.go
+++ b/internal/request/choose/room.go
@@ -169,6 +169,21 @@
 	}
 }
 
+// BeginItemApart counts a batch item that was chosen with Need.Apart, in addition to BeginBatch;
+// EndItemApart ends it.
+func (t *Table) BeginItemApart(id string) {
+	if e := t.entries[id]; e != nil {
+		e.itemsApart++
+	}
+}
+
+// EndItemApart ends an item that BeginItemApart counted.
+func (t *Table) EndItemApart(id string) {
+	if e := t.entries[id]; e != nil {
+		e.itemsApart = max(0, e.itemsApart-1)
+	}
+}
+
 // Begin counts an online request sent to a target; End ends it.
 func (t *Table) Begin(id string) {
 	if e := t.entries[id]; e != nil {
--- a/internal/request/fingerprint/fingerprint.go
+++ b/internal/request/fingerprint/fingerprint.go
@@ -1,6 +1,6 @@
 // Package fingerprint identifies the work that a request asks for, and the parts of its prompt
 // that it shares with other requests. A request that is sent again has another ID, may reach
-// another node, and may be an item of a job the next time; its fingerprints stay the same.
+// another node; its fingerprints stay the same.
 package fingerprint
 
 import (
@@ -25,10 +25,11 @@
 	OfWork Kind = iota // a request and its repetitions
 	OfPart             // a part of prompts
 	OfSet              // several fingerprints together
+	OfItem             // an item of a batch job, which has another fingerprint than the same work online
 )
 
 // prefixes of the kinds in texts.
-var prefixes = map[Kind]string{OfWork: "", OfPart: "part-", OfSet: "set-"}
+var prefixes = map[Kind]string{OfWork: "", OfPart: "part-", OfSet: "set-", OfItem: "item-"}
 
 // ID is a fingerprint: a digest and its kind. The zero kind is OfWork.
 type ID [digestSize + 1]byte
@@ -63,8 +64,8 @@
 	switch {
 	case len(b) == digestSize:
 		return newID(OfWork, b), true
-	case len(b) == digestSize+1 && Kind(b[digestSize]) == OfPart:
-		return newID(OfPart, b), true
+	case len(b) == digestSize+1 && (Kind(b[digestSize]) == OfPart || Kind(b[digestSize]) == OfItem):
+		return newID(Kind(b[digestSize]), b), true
 	}
 	return ID{}, false
 }
@@ -72,7 +73,7 @@
 // Parse returns the ID with the text given, and whether it is a valid one.
 func Parse(text string) (ID, bool) {
 	kind := OfWork
-	for _, k := range []Kind{OfPart, OfSet} {
+	for _, k := range []Kind{OfPart, OfSet, OfItem} {
 		if rest, found := strings.CutPrefix(text, prefixes[k]); found {
 			kind, text = k, rest
 		}
@@ -110,6 +111,8 @@
 	// change the work, and requests of two workspaces are never the same work.
 	Workspace string
 	Body      []byte
+	// Item is set for an item of a batch job.
+	Item bool
 	// PromptParts returns the names of the parts of the prompt that other requests may share,
 	// in their order; nil: the request names none. It is called at most once, and only when
 	// the request is compared with crashes of targets.
@@ -167,6 +170,16 @@
 	return w.ids
 }
 
+// AnsweredIDs returns the fingerprints that an answer shows something of: those of IDs, and for an
+// item that of the same work online.
+func (w *Work) AnsweredIDs() []ID {
+	if !w.Item {
+		return w.IDs()
+	}
+	id := w.ID()
+	return append([]ID{newID(OfWork, id[:])}, w.IDs()...)
+}
+
 // ID returns the fingerprint. The first call computes it, which takes 1.2 us for a body of
 // 1 KB and 0.8 ms for one of 1 MB (BenchmarkWork); work that is never compared costs nothing.
 func (w *Work) ID() ID {
@@ -186,6 +199,9 @@
 		hashField(h, []byte(w.Workspace))
 	}
 	hashField(h, w.Body)
+	if w.Item {
+		return newID(OfItem, h.Sum(nil))
+	}
 	return newID(OfWork, h.Sum(nil))
 }
 
--- a/internal/request/job/demand.go
+++ b/internal/request/job/demand.go
@@ -13,7 +13,7 @@
 	n := 0
 	for _, h := range m.held {
 		if !h.ended {
-			n += h.progress.demand()
+			n += h.progress.unfinished()
 		}
 	}
 	return n
--- a/internal/request/job/manager.go
+++ b/internal/request/job/manager.go
@@ -68,11 +68,12 @@
 	Reserve(ctx context.Context, key backlog.Key, job, limit int64, granted func()) error
 }
 
-// Quarantine knows which work crashes targets. Work is what a fingerprint identifies:
-// requests with the same content.
+// Quarantine is told what the ends of attempts show about crashes of targets. There is no verdict
+// on items themselves, because they are not the cause of crashes.
 type Quarantine interface {
-	// Refuse returns an error if the work is quarantined, otherwise nil.
-	Refuse(work *fingerprint.Work) error
+	// RefusedParts returns the verdict on parts of an item's prompt; refused is false if there
+	// is none.
+	RefusedParts(item *fingerprint.Work) (parts fingerprint.ID, refused bool)
 	// Lost records that the connection to a target broke while it ran the work, Answering that
 	// an answer has been arriving since a time, and Completed that the work was answered
 	// completely. began is when the answer began, zero if it had not.
@@ -84,10 +85,6 @@
 	EndedBefore(t choose.Target) bool
 	// Ended records proof that an incarnation of a target has ended.
 	Ended(t choose.Target, proof quarantine.Proof)
-	// OnRefusal registers a function that is called when running work is quarantined, but not
-	// for a part of its prompt while answering reports that the answer has been arriving for a
-	// while; done unregisters it.
-	OnRefusal(work *fingerprint.Work, answering func() bool, stop func()) (done func())
 }
 
 // Peers gives access to other nodes.
@@ -198,6 +195,7 @@
 	toForget         map[string][]string  // by keeper: jobs whose checkpoint is no longer needed
 	keeperStates     map[string]keeperState
 	timeLimits       timeLimits // of submissions
+	trials           trials     // of items with refused parts of prompts
 	committers       sync.WaitGroup
 }
 
@@ -234,7 +232,7 @@
 func NewManager(cfg Config, deps Dependencies) *Manager {
 	return &Manager{cfg: cfg, Dependencies: deps, results: newResultCache(cfg.ResultCacheBytes), scheduleNow: make(chan struct{}, 1), sweepNow: make(chan struct{}, 1), stopped: make(chan struct{}),
 		fair: schedule.NewFairQueue(), held: map[string]*heldJob{}, reserved: map[backlog.Key]int64{}, unreachableSince: map[string]time.Time{}, orphanedSince: map[string]time.Time{}, heads: map[string]knownHead{},
-		endedAt: map[string]time.Time{}, toForget: map[string][]string{}, keeperStates: map[string]keeperState{}, timeLimits: timeLimits{}}
+		endedAt: map[string]time.Time{}, toForget: map[string][]string{}, keeperStates: map[string]keeperState{}, timeLimits: timeLimits{}, trials: trials{}}
 }
 
 // sharedView reports whether the shared view is on.
@@ -282,13 +280,12 @@
 	m.wakeScheduler()
 }
 
-// worksOf returns the work of each item. An item is sent like an online request of the same
-// content, and so has the same fingerprint.
+// worksOf returns the work of each item.
 func (m *Manager) worksOf(head *Head, items []Item) []fingerprint.Work {
 	works := make([]fingerprint.Work, len(items))
 	for i := range items {
 		w := &works[i]
-		w.Method, w.Host, w.Path, w.Body = http.MethodPost, head.Host, items[i].Path, items[i].Body
+		w.Item, w.Method, w.Host, w.Path, w.Body = true, http.MethodPost, head.Host, items[i].Path, items[i].Body
 		if r := m.routeOf(head); r != nil {
 			w.Service = r.PickService(0)
 		}
--- a/internal/request/job/progress.go
+++ b/internal/request/job/progress.go
@@ -5,6 +5,7 @@
 
 	"github.com/marblepond/marblepond/internal/request/choose"
 	"github.com/marblepond/marblepond/internal/request/continuation"
+	"github.com/marblepond/marblepond/internal/request/fingerprint"
 )
 
 // phase is the state of an item at the holder of its job.
@@ -28,13 +29,14 @@
 	phase             phase
 	failures          int             // attempts that the target answered with a failure
 	consecutiveBreaks int             // attempts in a row that broke off without a new event
+	losses            int             // attempts that ended with their target or their connection to it
 	notBefore         time.Time       // earliest time of the next attempt
 	held                              // what its attempts have brought; kept until the result is listed
 	blockedSince      time.Time       // since when no target of the version that began the text can take it
 	givenUp           bool            // finished without its complete output
-	quarantined       bool            // not sent, because its work crashes targets
 	reported          bool            // a failure of it was counted as a target's
 	failedAt          map[string]bool // targets that answered it with a failure; it is not tried there again
+	trial             fingerprint.ID  // refused parts that its attempt tries; zero: none
 	target            choose.Target   // where it runs
 	sentAt            time.Time       // when the attempt started
 }
@@ -75,6 +77,14 @@
 	// one in a row, up to maxBreakBackoff.
 	breakBackoff    = 50 * time.Millisecond
 	maxBreakBackoff = 2 * time.Second
+	// manyLosses is how often an item has lost its target when it is sent more carefully. An item
+	// crashes no target, but one that did would end a target with each attempt, and the other
+	// requests there.
+	manyLosses = 3
+	// lossBackoff is the delay after the manyLosses-th loss. It doubles with each further one, up to
+	// maxLossBackoff.
+	lossBackoff    = 500 * time.Millisecond
+	maxLossBackoff = 8 * time.Second
 	// failureBackoff is the delay after a failed attempt, so that a transient fault of a
 	// target does not use up all attempts at once.
 	failureBackoff = 250 * time.Millisecond
@@ -105,6 +115,20 @@
 	p.requeue(i, now, pause)
 }
 
+// attemptLost records that an attempt lost its target, and returns the delay until the next one,
+// which resumes after lastEvent.
+func (p *progress) attemptLost(i int, now time.Time) (pause time.Duration) {
+	s := &p.items[i]
+	s.losses++
+	pause = min(breakBackoff<<min(s.consecutiveBreaks, 10), maxBreakBackoff)
+	s.consecutiveBreaks++
+	if s.losses >= manyLosses {
+		pause = min(lossBackoff<<min(s.losses-manyLosses, 10), maxLossBackoff)
+	}
+	p.requeue(i, now, pause)
+	return pause
+}
+
 // attemptFailed records a failed attempt. It returns whether attempts are left.
 func (p *progress) attemptFailed(i int, now time.Time, attempts int) (left bool) {
 	s := &p.items[i]
@@ -205,18 +229,6 @@
 	return n
 }
 
-// demand returns the number of items that wait for a target or run, without those that are
-// quarantined.
-func (p *progress) demand() int {
-	n := p.unfinished()
-	for i := range p.items {
-		if p.items[i].quarantined && p.items[i].phase == waiting {
-			n--
-		}
-	}
-	return n
-}
-
 // markListed records that the first n pending results are listed.
 func (p *progress) markListed(n int) {
 	for _, r := range p.pending[:n] {
--- a/internal/request/job/run.go
+++ b/internal/request/job/run.go
@@ -19,13 +19,12 @@
 
 // Causes with which the attempt at an item is cancelled.
 var (
-	errEnded       = errors.New("the job was ended by its caller")
-	errReleased    = errors.New("the job is handed over")
-	errPreempted   = errors.New("online requests need the room")
-	errMoved       = errors.New("the data centre of the target is evacuated")
-	errStalled     = errors.New("the target was silent for too long")
-	errReplaced    = errors.New("the target has started again")
-	errQuarantined = errors.New("targets crash under the item")
+	errEnded     = errors.New("the job was ended by its caller")
+	errReleased  = errors.New("the job is handed over")
+	errPreempted = errors.New("online requests need the room")
+	errMoved     = errors.New("the data centre of the target is evacuated")
+	errStalled   = errors.New("the target was silent for too long")
+	errReplaced  = errors.New("the target has started again")
 )
 
 const (
@@ -132,7 +131,7 @@
 		}
 		due := dueTime(&h.head, m.routeOf(&h.head))
 		for i := range h.progress.items {
-			if h.progress.mayBeSent(i, now) && !m.isQuarantined(h, i) {
+			if h.progress.mayBeSent(i, now) && m.mayTry(h, i, now) {
 				items = append(items, schedule.Item{Workspace: h.head.Workspace, Job: h.id, Index: i, Tokens: h.items[i].Tokens, Due: due})
 			}
 		}
@@ -141,25 +140,11 @@
 	return items
 }
 
-// isQuarantined reports whether an item's work is quarantined because it crashes targets.
-// Such an item waits: it is given up only when its time is over, and may be released from
-// quarantine before. The caller holds m.mu.
-func (m *Manager) isQuarantined(h *heldJob, i int) bool {
-	err := m.Quarantine.Refuse(&h.works[i])
-	if quarantined := err != nil; quarantined != h.progress.items[i].quarantined {
-		h.progress.items[i].quarantined = quarantined
-		if quarantined {
-			m.Recorder.Record(timeline.ItemRefused, h.items[i].ID, "", err.Error(), timeline.Field{Name: "job", Value: h.id})
-		}
-	}
-	return err != nil
-}
-
 // sendItem sends one item if a target has a free slot. The caller holds m.mu.
 func (m *Manager) sendItem(ctx context.Context, h *heldJob, item schedule.Item, now time.Time, r *route.Route, allotment func(choose.Target) int, full map[string]bool) {
 	i := item.Index
 	service := m.serviceOf(h, i, r)
-	if full[service] {
+	if full[service] || !m.mayTry(h, i, now) {
 		return
 	}
 	need := m.needOf(h, i, service, allotment)
@@ -171,12 +156,14 @@
 		}
 	}
 	if !ok {
-		// Other items may have a free slot at excluded targets, or at those of another version.
-		full[service] = len(need.Exclude) == 0 && (!need.Origin.Begun() || !m.Pool.SeveralVersions(service))
+		// Other items may have a free slot at excluded targets, beside items that run apart, or at
+		// targets of another version.
+		full[service] = len(need.Exclude) == 0 && !need.Apart && (!need.Origin.Begun() || !m.Pool.SeveralVersions(service))
 		return
 	}
 	t.Sent = m.Clock.Now()
 	m.fair.MarkSent(item)
+	m.beginTrial(h, i)
 	h.progress.markSent(i, t, now)
 	attempt, cancel := context.WithCancelCause(ctx)
 	h.stops[i] = func(cause error) bool {
@@ -191,9 +178,10 @@
 
 // needOf returns the requirements on the target of an item. With the shared view on, an item
 // that failed is not tried again where it failed: a target that fails at once looks empty and
-// would get all attempts. The caller holds m.mu.
+// would get all attempts. An item that often lost its target runs apart from others like it. The
+// caller holds m.mu.
 func (m *Manager) needOf(h *heldJob, i int, service string, allotment func(choose.Target) int) choose.Need {
-	need := choose.Need{Service: service, Limit: allotment, Origin: h.progress.items[i].origin}
+	need := choose.Need{Service: service, Limit: allotment, Origin: h.progress.items[i].origin, Apart: h.progress.items[i].losses >= manyLosses}
 	if item := &h.progress.items[i]; item.failures > 0 && m.Pool.SharedView() {
 		need.Exclude, need.Proven, need.NoProbe = item.failedAt, true, true
 	}
@@ -215,7 +203,6 @@
 		}
 	})()
 	began := &quarantine.Begin{}
-	defer m.Quarantine.OnRefusal(&h.works[i], func() bool { return began.Answering(m.Clock.Now()) }, func() { cancel(errQuarantined) })()
 	err := m.attempt(ctx, cancel, h, i, t, r, liveness, began)
 	m.mu.Lock()
 	delete(h.stops, i)
@@ -331,6 +318,7 @@
 	now := time.Now()
 	item := &h.items[i]
 	h.progress.attemptEnded(i, now)
+	m.endTrial(h, i, now, errors.Is(context.Cause(ctx), errReplaced) || target.LostConnection(err))
 	if err == nil {
 		m.Quarantine.Completed(&h.works[i], t, began)
 		m.Recorder.Record(timeline.ItemDone, item.ID, t.ID, "", timeline.Field{Name: "job", Value: h.id},
@@ -364,7 +352,7 @@
 		h.progress.requeue(i, now, preemptionBackoff)
 	case errors.Is(context.Cause(ctx), errEnded), errors.Is(context.Cause(ctx), errReleased):
 		h.progress.requeue(i, now, 0)
-	case errors.Is(context.Cause(ctx), errQuarantined), errors.Is(context.Cause(ctx), errMoved):
+	case errors.Is(context.Cause(ctx), errMoved):
 		h.progress.requeue(i, now, 0)
 	case errors.As(err, &status) && status == http.StatusUnprocessableEntity:
 		m.giveUpItem(h, i, "the target answered that the item can never succeed")
@@ -376,11 +364,24 @@
 	case errors.As(err, &failure) && !failure.Failure.MayHaveRun():
 		m.handleRefusal(t, failure)
 		h.progress.requeue(i, now, refusalBackoff)
+	case errors.Is(context.Cause(ctx), errReplaced), target.LostConnection(err):
+		m.lostTarget(h, i, t, now)
 	default:
 		h.progress.attemptBroke(i, now)
 	}
 }
 
+// lostTarget requeues an item whose target ended, or whose connection to it broke. The caller
+// holds m.mu.
+func (m *Manager) lostTarget(h *heldJob, i int, t choose.Target, now time.Time) {
+	pause := h.progress.attemptLost(i, now)
+	if losses := h.progress.items[i].losses; losses >= manyLosses {
+		m.Recorder.Record(timeline.ItemDelayed, h.items[i].ID, t.ID, "", timeline.Field{Name: "job", Value: h.id}, timeline.Field{Name: "losses", Value: losses},
+			timeline.Field{Name: "delay_ms", Value: pause.Milliseconds()})
+		m.Metrics.Counter("items_delayed").Inc(1)
+	}
+}
+
 // reportToQuarantine reports what the end of an attempt shows about the target.
 func (m *Manager) reportToQuarantine(ctx context.Context, h *heldJob, i int, t choose.Target, began time.Time, err error) {
 	var status statusError
--- a/internal/request/quarantine/doc.go
+++ b/internal/request/quarantine/doc.go
@@ -35,6 +35,10 @@
 //   - if other work was in flight at several of the same crashes, or a part of prompts at as
 //     many, either may be the cause, and more crashes are needed.
 //
+// An item of a batch job is never the cause: it was in flight by chance, and is sent again. It is
+// recorded so that a crash at which only items were in flight counts among targets that ended
+// together.
+//
 // Parts differ in one way: harmless ones may be in flight at every target, at each crash. So
 // crashes at one moment count as one, other requests have to have been answered since, and each
 // other suspect has to have missed some of the crashes (the intersection of what failed, less
--- a/internal/request/quarantine/evaluate.go
+++ b/internal/request/quarantine/evaluate.go
@@ -118,7 +118,7 @@
 // requests may arrive in step. Parts of prompts are not excluded here: many requests with one
 // part may be in flight at a moment, whether it is the cause or not, see partIsCause.
 func (e *evaluation) killedTogether(c *crash, id fingerprint.ID, near []*crash) bool {
-	if id.Kind() != fingerprint.OfWork {
+	if id.Kind() == fingerprint.OfPart {
 		return false
 	}
 	ended := 1
@@ -163,11 +163,11 @@
 
 // groups returns the suspects of a crash that have at least as many unexplained ones as the
 // limit, those of the same crashes together, work before parts; the groups with most crashes
-// first.
+// first. Items of batch jobs are not among them.
 func (e *evaluation) groups(c *crash) [][]fingerprint.ID {
 	byCrashes := map[crashSet][]fingerprint.ID{}
 	for _, id := range c.suspects {
-		if crashes := e.unexplained[id]; crashes.count() >= e.cfg.Limit {
+		if crashes := e.unexplained[id]; id.Kind() != fingerprint.OfItem && crashes.count() >= e.cfg.Limit {
 			byCrashes[crashes] = append(byCrashes[crashes], id)
 		}
 	}
@@ -196,16 +196,20 @@
 	return crashes >= limit && e.soleSuspectCrashes(work) >= minSoleSuspect
 }
 
-// soleSuspectCrashes returns the number of crashes of the work at which no other work has more
-// than one unexplained crash, and no part of a prompt as many as the work, and others.
+// soleSuspectCrashes returns the number of crashes of the work at which no other work, apart from
+// items, has more than one unexplained crash, and no part of a prompt as many as the work, and
+// others.
 func (e *evaluation) soleSuspectCrashes(work fingerprint.ID) int {
 	crashes := e.unexplained[work]
 	rival := func(id fingerprint.ID) bool {
 		others := e.unexplained[id]
-		if id.Kind() == fingerprint.OfWork {
-			return id != work && others.count() > 1
+		switch id.Kind() {
+		case fingerprint.OfItem:
+			return false
+		case fingerprint.OfPart:
+			return others.count() >= crashes.count() && others != crashes
 		}
-		return others.count() >= crashes.count() && others != crashes
+		return id != work && others.count() > 1
 	}
 	n := 0
 	for _, position := range crashes.positions() {
@@ -221,7 +225,9 @@
 func (e *evaluation) suspected() map[fingerprint.ID]bool {
 	out := map[fingerprint.ID]bool{}
 	for id, crashes := range e.unexplained {
-		if id.Kind() == fingerprint.OfWork || (!e.sound[id] && e.moments(e.answered(crashes.without(e.kills), 0)) > 1) {
+		switch {
+		case id.Kind() == fingerprint.OfItem:
+		case id.Kind() == fingerprint.OfWork, !e.sound[id] && e.moments(e.answered(crashes.without(e.kills), 0)) > 1:
 			out[id] = true
 		}
 	}
--- a/internal/request/quarantine/parts.go
+++ b/internal/request/quarantine/parts.go
@@ -121,7 +121,7 @@
 // isAhead reports whether every other suspect has missed partMargin of the crashes.
 func (e *evaluation) isAhead(parts []fingerprint.ID, crashes crashSet, withWorks bool) bool {
 	for other, theirs := range e.unexplained {
-		if slices.Contains(parts, other) || (withWorks && other.Kind() == fingerprint.OfWork && theirs == crashes) {
+		if slices.Contains(parts, other) || (withWorks && other.Kind() != fingerprint.OfPart && theirs == crashes) {
 			continue
 		}
 		if crashes.without(theirs).count() < partMargin && !e.isCommon(other) {
--- a/internal/version/discovery/discovery.go
+++ b/internal/version/discovery/discovery.go
@@ -332,18 +332,31 @@
 	if ok {
 		p.table.BeginBatch(target.ID)
 	}
+	if ok && target.Apart {
+		p.table.BeginItemApart(target.ID)
+	}
 	return target, ok
 }
 
 // End records the outcome of an online request and frees its slot.
 func (p *Pool) End(t choose.Target, outcome choose.Outcome) {
-	p.end(t, outcome, func() (ejected, readmitted bool) { return p.table.End(p.now(), t.ID, outcome) })
+	p.end(t, outcome, func() (ejected, readmitted bool) {
+		if t.Apart {
+			p.table.EndApart(t.ID)
+		}
+		return p.table.End(p.now(), t.ID, outcome)
+	})
 }
 
 // EndBatch records the outcome of a batch item and frees its slot; yielded says whether
 // the item was stopped to free the slot for an online request.
 func (p *Pool) EndBatch(t choose.Target, outcome choose.Outcome, yielded bool) {
-	p.end(t, outcome, func() (ejected, readmitted bool) { return p.table.EndBatch(p.now(), t.ID, outcome, yielded) })
+	p.end(t, outcome, func() (ejected, readmitted bool) {
+		if t.Apart {
+			p.table.EndItemApart(t.ID)
+		}
+		return p.table.EndBatch(p.now(), t.ID, outcome, yielded)
+	})
 }
 
 // end calls count to end an attempt in the table, unless the target has restarted: the
@@ -354,9 +367,6 @@
 		p.mu.Unlock()
 		return
 	}
-	if t.Apart {
-		p.table.EndApart(t.ID)
-	}
 	ejected, readmitted := count()
 	p.table.RecordEnd(p.now(), t, outcome)
 	changes := p.table.Judge(p.now())
