Bound what targets, the store and items may send

The output of an item has 4 MB at most, and that of all items the memory for results; what is over is dropped and begun anew. An answer that breaks a bound is broken, no lost connection: it is sent again where the route allows that.

--- a/Makefile
+++ b/Makefile
@@ -35,6 +35,7 @@
 	go run ./lab/cmd/marblelab hostedsoak --seed 37 --for 20s --shared-view
 	go run ./lab/cmd/marblelab hostedsoak --seed 103 --for 30s --versions
 	go run ./lab/cmd/marblelab hostedsoak --seed 2 --for 30s --parts
+	go run ./lab/cmd/marblelab hostedsoak --seed 514 --for 30s --runner-faults
 
 capacity:
 	go run ./lab/cmd/marblelab capacity
--- a/internal/connection/platform/client.go
+++ b/internal/connection/platform/client.go
@@ -137,8 +137,8 @@
 	defer resp.Body.Close()
 	switch resp.StatusCode {
 	case http.StatusOK:
-		value, err := io.ReadAll(resp.Body)
-		if err != nil {
+		value, err := io.ReadAll(io.LimitReader(resp.Body, MaxValueBytes+1))
+		if err != nil || len(value) > MaxValueBytes {
 			return Object{}, ErrUnavailable
 		}
 		return Object{Name: name, Version: parseETag(resp), Value: value}, nil
--- a/internal/process/hosted/peers.go
+++ b/internal/process/hosted/peers.go
@@ -55,6 +55,9 @@
 // idleConnsPerPeer is how many idle connections to each node are kept open.
 const idleConnsPerPeer = 2
 
+// maxPeerHeadBytes bounds the head of another node's answer.
+const maxPeerHeadBytes = 64 << 10
+
 // seedDialTimeout is how long a starting node tries to connect to one seed before it tries
 // the next. VMs that lost power together start within 0.3 s of each other. A seed that is not
 // up yet drops the first packet of a connection, which is retransmitted only after a second.
@@ -66,8 +69,8 @@
 func newPeers(s *settings.Settings) *peers {
 	dialer := dial.KeepAliveDialer(s.DialTimeout)
 	h := &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: idleConnsPerPeer,
-		IdleConnTimeout: time.Minute, DisableCompression: true}}
-	seedHTTP := &http.Client{Transport: &http.Transport{DialContext: dial.KeepAliveDialer(min(seedDialTimeout, s.DialTimeout)).DialContext, DisableCompression: true, IdleConnTimeout: time.Second}}
+		IdleConnTimeout: time.Minute, DisableCompression: true, MaxResponseHeaderBytes: maxPeerHeadBytes}}
+	seedHTTP := &http.Client{Transport: &http.Transport{DialContext: dial.KeepAliveDialer(min(seedDialTimeout, s.DialTimeout)).DialContext, DisableCompression: true, IdleConnTimeout: time.Second, MaxResponseHeaderBytes: maxPeerHeadBytes}}
 	options := peer.ClientOptions(s.PeerKey)
 	return &peers{
 		sync:        newClients(h, options, marblepondv1connect.NewSyncServiceClient),
--- a/internal/request/job/progress.go
+++ b/internal/request/job/progress.go
@@ -29,7 +29,7 @@
 	phase             phase
 	failures          int             // attempts that the target answered with a failure
 	consecutiveBreaks int             // attempts in a row that broke off without a new event
-	losses            int             // attempts that ended with their target or their connection to it
+	losses            int             // attempts that ended with their target, their connection to it, or without an end
 	notBefore         time.Time       // earliest time of the next attempt
 	held                              // what its attempts have brought; kept until the result is listed
 	blockedSince      time.Time       // since when no target of the version that began the text can take it
--- a/internal/request/job/run.go
+++ b/internal/request/job/run.go
@@ -19,12 +19,13 @@
 
 // Causes with which the attempt at an item is cancelled.
 var (
-	errEnded     = errors.New("the job was ended by its caller")
-	errReleased  = errors.New("the job is handed over")
-	errPreempted = errors.New("online requests need the room")
-	errMoved     = errors.New("the data centre of the target is evacuated")
-	errStalled   = errors.New("the target was silent for too long")
-	errReplaced  = errors.New("the target has started again")
+	errEnded       = errors.New("the job was ended by its caller")
+	errReleased    = errors.New("the job is handed over")
+	errPreempted   = errors.New("online requests need the room")
+	errMoved       = errors.New("the data centre of the target is evacuated")
+	errStalled     = errors.New("the target was silent for too long")
+	errReplaced    = errors.New("the target has started again")
+	errTextTooLong = errors.New("the output has no end in sight")
 )
 
 const (
@@ -254,7 +255,11 @@
 		last = m.recordEvent(ctx, t, last)
 		m.mu.Lock()
 		h.progress.addEvent(i, event.ID, event.Data)
+		tooLong := m.textTooLong(h, i, len(event.Data))
 		m.mu.Unlock()
+		if tooLong {
+			return &target.Error{Failure: target.Broken, Cause: errTextTooLong}
+		}
 	}
 }
 
@@ -364,6 +369,9 @@
 	case errors.As(err, &failure) && !failure.Failure.MayHaveRun():
 		m.handleRefusal(t, failure)
 		h.progress.requeue(i, now, refusalBackoff)
+	case errors.Is(err, errTextTooLong):
+		m.beginAnew(h, i, errTextTooLong.Error())
+		m.lostTarget(h, i, t, now)
 	case errors.Is(context.Cause(ctx), errReplaced), target.LostConnection(err):
 		m.lostTarget(h, i, t, now)
 	default:
@@ -371,8 +379,39 @@
 	}
 }
 
-// lostTarget requeues an item whose target ended, or whose connection to it broke. The caller
-// holds m.mu.
+const (
+	// maxTextBytes bounds the output of an item; sound outputs have some hundred kilobytes.
+	maxTextBytes = 4 << 20
+	// freeTextBytes of an item's output are accepted however much output other items have.
+	freeTextBytes = 256 << 10
+	// maxHeldTextBytes bounds the output of all held items beyond that.
+	maxHeldTextBytes = 64 << 20
+)
+
+// textTooLong reports whether the output of an item that was extended by some bytes is over its
+// bound, or over the bound of all. The caller holds m.mu.
+func (m *Manager) textTooLong(h *heldJob, i, added int) bool {
+	size := len(h.progress.items[i].text)
+	switch {
+	case size > maxTextBytes:
+		return true
+	case size/freeTextBytes == (size-added)/freeTextBytes: // the sum is seldom needed
+		return false
+	}
+	sum := 0
+	for _, held := range m.held {
+		for k := range held.progress.items {
+			sum += len(held.progress.items[k].text)
+		}
+	}
+	return sum > m.maxHeldText()
+}
+
+// maxHeldText is the bound of the output of all held items: it shares the memory for results.
+func (m *Manager) maxHeldText() int { return min(maxHeldTextBytes, m.cfg.ResultCacheBytes) }
+
+// lostTarget requeues an item whose target ended, whose connection to it broke, or which sent no
+// end. The caller holds m.mu.
 func (m *Manager) lostTarget(h *heldJob, i int, t choose.Target, now time.Time) {
 	pause := h.progress.attemptLost(i, now)
 	if losses := h.progress.items[i].losses; losses >= manyLosses {
--- a/internal/request/job/segment_test.go
+++ b/internal/request/job/segment_test.go
@@ -260,6 +260,33 @@
 	is.Equal(len(limitToPage(all[:1])), 1)
 }
 
+// TestOutputWithoutEndIsDropped guards against a target that sends events to an item without end,
+// and so takes the memory of its node: at one item, and at many together.
+func TestOutputWithoutEndIsDropped(t *testing.T) {
+	is := is.New(t)
+	m, h := jobWithResults(t, newMemoryStore(), 1<<20, make([]string, 100)...)
+	h.progress = newProgress(&h.head)
+	m.cfg.ResultCacheBytes = 8 << 20
+	piece := bytes.Repeat([]byte("a"), 16<<10)
+	extend := func(item int) (size int) {
+		for n := int64(1); ; n++ {
+			h.progress.addEvent(item, n, piece)
+			size = len(h.progress.items[item].text)
+			if m.textTooLong(h, item, len(piece)) || size > 1<<24 {
+				return size
+			}
+		}
+	}
+	is.True(extend(0) <= maxTextBytes+len(piece)+256) // one alone
+	total := 0
+	for i := 1; i < 100; i++ {
+		total += extend(i)
+	}
+	is.True(total <= 99*(freeTextBytes+2*len(piece))+m.maxHeldText())
+	m.beginAnew(h, 1, errTextTooLong.Error())
+	is.Equal(len(h.progress.items[1].text), 0)
+}
+
 // FuzzStoredResults guards against results that encode to more than an object may have, or that
 // come back changed.
 func FuzzStoredResults(f *testing.F) {
--- a/lab/cmd/marblelab/main.go
+++ b/lab/cmd/marblelab/main.go
@@ -73,7 +73,7 @@
 			&cli.BoolFlag{Name: "shared-view", Usage: "turn the shared view on, and add hanging runners and overloads to the faults"},
 			&cli.BoolFlag{Name: "versions", Usage: "start runners of two versions, add releases to the faults, and have callers return when streams break off"},
 			&cli.BoolFlag{Name: "parts", Usage: "add requests that share a part of their prompts that crashes runners, and most connections at one node, to the faults"},
-			&cli.BoolFlag{Name: "runner-faults", Usage: "add runners whose entries are missing for a time to the faults"},
+			&cli.BoolFlag{Name: "runner-faults", Usage: "add runners whose entries are missing for a time, and runners that send bytes without end, to the faults; the store accepts small values only"},
 			&cli.IntFlag{Name: "idle-targets", Usage: "list `N` further targets that nobody uses, whose entries change all the time"}},
 		Action: func(_ context.Context, c *cli.Command) error {
 			seed := c.Uint64("seed")
--- a/lab/hosted/runner.go
+++ b/lab/hosted/runner.go
@@ -31,6 +31,18 @@
 	Crash                          // the runner's process ends soon after the run began
 	CrashAtBegin                   // the runner's process ends after it sent the header of the answer
 	Hang                           // the request runs, and nothing is sent, not even a header
+	// The following run the request and send bytes without end, see endless.go.
+
+	EndlessHead     // a head of more and more fields
+	EndlessInterim  // interim answers
+	EndlessLine     // an event of one line
+	EndlessFields   // an event of more and more lines
+	EndlessBlanks   // blank lines instead of events
+	EndlessComments // comments instead of events
+	EndlessEvents   // one event after the other
+	EndlessBody     // an answer that is not streamed
+	EndlessFailure  // an answer with status 500
+	EndlessTrailer  // a whole answer with a trailer of more and more fields
 )
 
 // Runner is a stand-in for a runner of the platform.
@@ -443,6 +455,11 @@
 
 func (r *Runner) run(w http.ResponseWriter, req *http.Request, id string, behaviour Behaviour) {
 	stamp := fmt.Sprintf("stamp.%s.%08x", r.ID, rand.Uint32())
+	if behaviour >= EndlessHead {
+		sendWithoutEnd(w, id, stamp, behaviour)
+		r.recordCancelled(id)
+		return
+	}
 	switch behaviour {
 	case Hang:
 		<-req.Context().Done()
--- a/lab/hostedsoak/faults.go
+++ b/lab/hostedsoak/faults.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -57,7 +59,7 @@
 	switch f.Kind {
 	case KillNode, FreezeNode, StopNode:
 		return fmt.Sprint("process ", f.Which)
-	case SlowRunner, CutRunner, ResetRunner, CrashRunner, DrainRunner, BadRunner, HangRunner, Release, UnlistRunner:
+	case SlowRunner, CutRunner, ResetRunner, CrashRunner, DrainRunner, BadRunner, HangRunner, Release, UnlistRunner, EndlessRunner:
 		return fmt.Sprint("place ", f.Which)
 	}
 	return fmt.Sprint(f.Kind, f.Which)
@@ -107,7 +109,7 @@
 		return i.load.preferOne()
 	case UnlistRunner:
 		return i.fleet.unlistRunner(i.fleet.runnerSlots[f.Which])
-	case SlowRunner, CutRunner, ResetRunner, CrashRunner, DrainRunner, BadRunner, HangRunner, Release:
+	case SlowRunner, CutRunner, ResetRunner, CrashRunner, DrainRunner, BadRunner, HangRunner, Release, EndlessRunner:
 		return i.faultRunner(f, i.fleet.runnerSlots[f.Which])
 	default:
 		return i.faultStore(f.Kind)
@@ -170,6 +172,9 @@
 		return applyMode(s.proxy, Mode{Reset: true})
 	case HangRunner:
 		return s.applyBehaviour(func(string, int) hosted.Behaviour { return hosted.Hang })
+	case EndlessRunner:
+		forms := slices.Collect(maps.Values(hosted.EndlessForms))
+		return s.applyBehaviour(func(string, int) hosted.Behaviour { return forms[rand.IntN(len(forms))] })
 	case BadRunner:
 		return s.applyBehaviour(func(string, int) hosted.Behaviour {
 			if rand.IntN(badOneIn) > 0 {
--- a/lab/hostedsoak/plan.go
+++ b/lab/hostedsoak/plan.go
@@ -16,34 +16,35 @@
 // The kinds of faults. Faults of nodes are signals; proxies inject faults of
 // connections, and the stand-ins those of the store and of runners.
 const (
-	KillNode     Kind = "kill-node"
-	FreezeNode   Kind = "freeze-node" // SIGSTOP, then SIGCONT
-	StopNode     Kind = "stop-node"   // SIGTERM, then a restart
-	HangupNode   Kind = "hangup-node" // SIGHUP: the node reloads its settings
-	ResetCallers Kind = "reset-callers"
-	CutPeers     Kind = "cut-peers"     // no calls of peers reach the node
-	DeafPeers    Kind = "deaf-peers"    // they reach the node, but its responses do not come back
-	CutStore     Kind = "cut-store"     // one node's connections to the store block
-	ResetStore   Kind = "reset-store"   // one node's connections to the store are reset
-	StoreDown    Kind = "store-down"    // refuses all calls
-	StoreSilent  Kind = "store-silent"  // does not respond
-	StoreSlow    Kind = "store-slow"    // responds late
-	StoreLost    Kind = "store-lost"    // does not answer some writes
-	StoreLate    Kind = "store-late"    // the same, and applies them later
-	StoreForgets Kind = "store-forgets" // drops its history of changes
-	SlowRunner   Kind = "slow-runner"
-	CutRunner    Kind = "cut-runner"   // its connections block
-	ResetRunner  Kind = "reset-runner" // its connections are reset, also new ones
-	CrashRunner  Kind = "crash-runner" // is replaced by another runner
-	DrainRunner  Kind = "drain-runner" // is announced as draining, then replaced
-	BadRunner    Kind = "bad-runner"   // breaks off, fails, refuses, loses answers or sends those of other requests
-	ConfigChange Kind = "config-change"
-	HangRunner   Kind = "hang-runner"   // accepts requests and sends nothing
-	Release      Kind = "release"       // a runner drains and is replaced by one of the next version
-	Overload     Kind = "overload"      // callers send overloadFactor times as many online requests
-	BadPart      Kind = "bad-part"      // requests share a part of their prompts that crashes runners
-	MostAtOne    Kind = "most-at-one"   // most new connections go to one node
-	UnlistRunner Kind = "unlist-runner" // its entry is missing from the store for a time
+	KillNode      Kind = "kill-node"
+	FreezeNode    Kind = "freeze-node" // SIGSTOP, then SIGCONT
+	StopNode      Kind = "stop-node"   // SIGTERM, then a restart
+	HangupNode    Kind = "hangup-node" // SIGHUP: the node reloads its settings
+	ResetCallers  Kind = "reset-callers"
+	CutPeers      Kind = "cut-peers"     // no calls of peers reach the node
+	DeafPeers     Kind = "deaf-peers"    // they reach the node, but its responses do not come back
+	CutStore      Kind = "cut-store"     // one node's connections to the store block
+	ResetStore    Kind = "reset-store"   // one node's connections to the store are reset
+	StoreDown     Kind = "store-down"    // refuses all calls
+	StoreSilent   Kind = "store-silent"  // does not respond
+	StoreSlow     Kind = "store-slow"    // responds late
+	StoreLost     Kind = "store-lost"    // does not answer some writes
+	StoreLate     Kind = "store-late"    // the same, and applies them later
+	StoreForgets  Kind = "store-forgets" // drops its history of changes
+	SlowRunner    Kind = "slow-runner"
+	CutRunner     Kind = "cut-runner"   // its connections block
+	ResetRunner   Kind = "reset-runner" // its connections are reset, also new ones
+	CrashRunner   Kind = "crash-runner" // is replaced by another runner
+	DrainRunner   Kind = "drain-runner" // is announced as draining, then replaced
+	BadRunner     Kind = "bad-runner"   // breaks off, fails, refuses, loses answers or sends those of other requests
+	ConfigChange  Kind = "config-change"
+	HangRunner    Kind = "hang-runner"    // accepts requests and sends nothing
+	Release       Kind = "release"        // a runner drains and is replaced by one of the next version
+	Overload      Kind = "overload"       // callers send overloadFactor times as many online requests
+	BadPart       Kind = "bad-part"       // requests share a part of their prompts that crashes runners
+	MostAtOne     Kind = "most-at-one"    // most new connections go to one node
+	UnlistRunner  Kind = "unlist-runner"  // its entry is missing from the store for a time
+	EndlessRunner Kind = "endless-runner" // it sends bytes without end, in a form that is drawn for each request
 )
 
 var kinds = []Kind{KillNode, FreezeNode, StopNode, HangupNode, ResetCallers, CutPeers, DeafPeers, CutStore, ResetStore, StoreDown, StoreSilent,
@@ -60,7 +61,7 @@
 var partKinds = slices.Repeat([]Kind{BadPart, MostAtOne}, 4)
 
 // runnerKinds are the kinds that are only in plans with further faults of runners.
-var runnerKinds = slices.Repeat([]Kind{UnlistRunner}, 8)
+var runnerKinds = slices.Repeat([]Kind{UnlistRunner, EndlessRunner}, 6)
 
 // Fault is one fault of the plan.
 type Fault struct {
@@ -102,7 +103,7 @@
 			f := Fault{Kind: kinds[rng.IntN(len(kinds))], Start: at + time.Duration(rng.Int64N(int64(groupSpread))), Which: rng.IntN(nodes)}
 			f.Length = minFaultLength + time.Duration(rng.Int64N(int64(maxFaultLength-minFaultLength)))
 			switch f.Kind {
-			case SlowRunner, CutRunner, ResetRunner, CrashRunner, DrainRunner, BadRunner, HangRunner, Release, UnlistRunner:
+			case SlowRunner, CutRunner, ResetRunner, CrashRunner, DrainRunner, BadRunner, HangRunner, Release, UnlistRunner, EndlessRunner:
 				f.Which = rng.IntN(runners)
 			case Overload, MostAtOne:
 				f.Which = 0 // concerns all nodes, and there is one at a time
--- a/lab/hostedsoak/soak.go
+++ b/lab/hostedsoak/soak.go
@@ -30,7 +30,8 @@
 	Versions bool
 	// Parts adds parts of prompts that crash runners, and most connections at one node, to the plan.
 	Parts bool
-	// RunnerFaults adds runners whose entries are missing for a time to the plan. The store then
+	// RunnerFaults adds runners whose entries are missing for a time, and runners that send bytes
+	// without end, to the plan. The store then
 	// accepts values of up to smallMaxValue only.
 	RunnerFaults bool
 	// IdleTargets is the number of further listed targets, which nobody uses; their entries
@@ -164,7 +165,7 @@
 
 // unrelatedToDraining are the faults that do not excuse a request to a draining runner,
 // since every node still learns that it is draining.
-var unrelatedToDraining = []Kind{DrainRunner, SlowRunner, CutRunner, ResetRunner, CrashRunner, BadRunner, ResetCallers, HangupNode, ConfigChange, StoreForgets, HangRunner, Overload, Release, BadPart, MostAtOne, UnlistRunner}
+var unrelatedToDraining = []Kind{DrainRunner, SlowRunner, CutRunner, ResetRunner, CrashRunner, BadRunner, ResetCallers, HangupNode, ConfigChange, StoreForgets, HangRunner, Overload, Release, BadPart, MostAtOne, UnlistRunner, EndlessRunner}
 
 // checkRunners checks the requests that the runners received.
 func checkRunners(f *fleet, h *history) {
--- a/scripts/check-mutants.sh
+++ b/scripts/check-mutants.sh
@@ -282,6 +282,14 @@
 mutant 1 platform/store.go 's/status >= http\.StatusBadRequest && status/status < 0 \&\& status/' platform TestAnswersToWritesAreTold
 mutant 1 platform/store.go 's/encoder\.SetEscapeHTML\(false\)/encoder.SetEscapeHTML(true)/' platform TestValuesDoNotGrowOnTheirWay
 mutant 1 internal/connection/relay/relay.go 's/, v1\.StoreAnswer_REJECTED: objects\.ErrRejected//' internal/connection/relay TestRejectedWriteIsTold
+mutant 4 platform/answer.go 's/case size > maxEventBytes:/case size > 1<<40:/' platform TestEventWithoutEndIsBroken
+mutant 4 platform/answer.go 's/if len\(value\) > 0 \|\| !hasFields \{/if len(value) > 0 || start == 0 {/' platform TestBlankLinesAreNoEvents
+mutant 4 platform/answer.go 's/case len\(data\) > limit:/case len(data) > 1<<30:/' platform TestBodyWithoutEndIsBroken
+mutant 4 platform/answer.go 's/if !h\.budget\.take\(need\) \{/if !h.budget.take(need) \&\& need < 0 {/' platform TestMemoryOfAnswersIsShared
+mutant 4 platform/answer.go 's/h\.budget\.left\.Add\(h\.taken\)/h.budget.left.Add(0)/' platform TestMemoryOfAnswersIsShared
+mutant 4 platform/agent.go 's/DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes\}\n\}/DisableCompression: true}\n}/' lab/hosted TestBytesWithoutEndAreBounded
+mutant 4 internal/request/job/run.go 's/return sum > m\.maxHeldText\(\)/return sum < 0/' internal/request/job TestOutputWithoutEndIsDropped
+mutant 4 internal/request/job/run.go 's/case size > maxTextBytes:/case size < 0:/' internal/request/job TestOutputWithoutEndIsDropped
 mutant 7 internal/version/follow/refresh.go 's/return page\.More, nil/return false, nil/' internal/version/follow TestRefreshReadsAllChanges
 mutant 7 internal/version/follow/cache.go 's/if !page\.More && !k\.filling\(\)/if !k.filling()/' internal/version/follow TestFailedPageLeavesTheCopyBehind
 mutant 7 internal/version/follow/part.go 's/k\.fillTo = max\(k\.fillTo, p\.Until\)/k.fillTo = max(k.fillTo, 0*p.Until)/' internal/version/follow TestPartIsNoState
