Divide a result with a large body into few objects, and name its objects apart

Found on reading the change: the room beside the body of an item was counted for each piece of its result, so that a body near the size of an object left one character for a piece; and the second object of a result of job a could have the name of a segment of a job named a.1, whose content would then have been taken for it.

The body counts for the first piece only, and pieces are named with a tilde, which no segment has before its last number.

Names that meet have no test of their own.

--- a/internal/request/job/segment.go
+++ b/internal/request/job/segment.go
@@ -57,12 +57,12 @@
 }
 
 // partOfResult returns the name of object n of a result that is stored in several; the first has
-// the name of the segment.
+// the name of the segment. No segment has such a name: they end with a dot and a number.
 func partOfResult(segment string, n int) string {
 	if n == 0 {
 		return segment
 	}
-	return fmt.Sprintf("%s.%d", segment, n)
+	return fmt.Sprintf("%s~%d", segment, n)
 }
 
 // pack returns how many of the encoded entries fit into a list of up to limit bytes, and the
@@ -84,10 +84,17 @@
 func divide(r storedResult, limit int) [][]byte {
 	text := r.result().Text
 	const probe = `"x"`
-	fields := len(encode(storedPart{Parts: len(text) + 1, storedResult: storedResult{Item: r.Item, Dead: r.Dead, Text: "x", Body: r.Body}})) - len(probe)
+	fields := func(body []byte) int {
+		return len(encode(storedPart{Parts: len(text) + 1, storedResult: storedResult{Item: r.Item, Dead: r.Dead, Text: "x", Body: body}})) - len(probe)
+	}
+	first, further := fields(r.Body), fields(nil)
 	var pieces []string
 	for len(text) > 0 || len(pieces) == 0 {
-		n := pieceLength(text, limit-fields)
+		others := further
+		if len(pieces) == 0 {
+			others = first
+		}
+		n := pieceLength(text, limit-others)
 		pieces, text = append(pieces, text[:n]), text[n:]
 	}
 	out := make([][]byte, len(pieces))
--- a/internal/request/job/segment_test.go
+++ b/internal/request/job/segment_test.go
@@ -139,6 +139,20 @@
 	is.Equal(len(store.objects), 0) // no piece is left
 }
 
+// TestResultWithALargeBodyTakesFewObjects guards against a piece of a result for each of its
+// characters, because the body of its item leaves no room beside the first.
+func TestResultWithALargeBodyTakesFewObjects(t *testing.T) {
+	is := is.New(t)
+	const limit = 8 << 10
+	r := newStoredResult(Result{Item: "i0", Text: strings.Repeat("a", 10*limit)})
+	r.Body = bytes.Repeat([]byte("b"), limit)
+	parts := divide(r, limit)
+	is.True(len(parts) <= 12)
+	for _, part := range parts[1:] {
+		is.True(len(part) <= limit)
+	}
+}
+
 // TestRejectedResultsAreDividedFurther guards against writes that are repeated without end, where
 // the object store counts more bytes than were measured.
 func TestRejectedResultsAreDividedFurther(t *testing.T) {
