--- a/internal/connection/dial/checked.go
+++ b/internal/connection/dial/checked.go
@@ -98,6 +98,13 @@
 	return state != nil && state.reused
 }
 
+// Discard closes the connection, so that no other request is sent on it.
+func (u *ConnUse) Discard() {
+	if state := u.current.Load(); state != nil && state.conn != nil {
+		state.conn.Close()
+	}
+}
+
 // NothingSent reports whether no byte of the request was written to the connection. It may
 // be called only after the transport has returned an error for the request.
 func (u *ConnUse) NothingSent() bool {
