--- a/scripts/check-mutants.sh
+++ b/scripts/check-mutants.sh
@@ -290,6 +290,10 @@
 mutant 4 platform/agent.go 's/DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes\}\n\}/DisableCompression: true}\n}/' lab/hosted TestBytesWithoutEndAreBounded
 mutant 4 internal/request/job/run.go 's/return sum > m\.maxHeldText\(\)/return sum < 0/' internal/request/job TestOutputWithoutEndIsDropped
 mutant 4 internal/request/job/run.go 's/case size > maxTextBytes:/case size < 0:/' internal/request/job TestOutputWithoutEndIsDropped
+mutant 6 platform/runner.go 's/case answered != "" && answered != call\.RequestID:/case answered != "" \&\& answered != call.RequestID \&\& resp.StatusCode < 300:/' platform TestAnswerToAnotherRequestProvesNothing
+mutant 6 platform/runner.go 's/used\.Discard\(\)/_ = used/' platform TestAnswerToAnotherRequestProvesNothing
+mutant 7 platform/runner.go 's/case resp\.StatusCode == http\.StatusMisdirectedRequest && call/case resp.StatusCode == 1 \&\& call/' platform TestAnswerToAnotherRequestProvesNothing
+mutant 1 platform/front.go 's/return table\.HasBatch\(host\) \|\| table\.Match\(host, path\) == nil/return table.HasBatch(host)/' lab/hosted TestResultsOutlastTheirRoute
 mutant 7 internal/version/follow/refresh.go 's/return page\.More, nil/return false, nil/' internal/version/follow TestRefreshReadsAllChanges
 mutant 7 internal/version/follow/cache.go 's/if !page\.More && !k\.filling\(\)/if !k.filling()/' internal/version/follow TestFailedPageLeavesTheCopyBehind
 mutant 7 internal/version/follow/part.go 's/k\.fillTo = max\(k\.fillTo, p\.Until\)/k.fillTo = max(k.fillTo, 0*p.Until)/' internal/version/follow TestPartIsNoState
