--- a/lab/hostedsoak/faults.go
+++ b/lab/hostedsoak/faults.go
@@ -174,6 +174,8 @@
 		return s.applyBehaviour(func(string, int) hosted.Behaviour { return hosted.Hang })
 	case EndlessRunner:
 		forms := slices.Collect(maps.Values(hosted.EndlessForms))
+		// Events with the IDs and the proof that are expected are an answer: an item goes on after them.
+		forms = slices.DeleteFunc(forms, func(b hosted.Behaviour) bool { return b == hosted.EndlessEvents })
 		return s.applyBehaviour(func(string, int) hosted.Behaviour { return forms[rand.IntN(len(forms))] })
 	case BadRunner:
 		return s.applyBehaviour(func(string, int) hosted.Behaviour {
