Break the bodies that are stored with results where they moved to

make mutants on: "nothing to break any more in internal/request/job/commit.go", since the code that the pattern breaks is in segment.go now. The pattern follows it, and its test notices it; all other patterns apply.

--- a/scripts/check-mutants.sh
+++ b/scripts/check-mutants.sh
@@ -192,7 +192,7 @@
 mutant 1 internal/request/job/latecommit.go 's/!isSaved\(r\.index\)/!isSaved(r.index) \&\& r.index < 0/' internal/request/job TestResultsThatKeepersLackAreCommitted
 mutant 1 internal/request/job/latecommit.go 's/passed\(takeOverAfter \+ takeOverDuration\)/passed(0 * takeOverAfter)/' internal/request/job TestLateCommitsAreInTime
 mutant 1 internal/request/job/latecommit.go 's/keepersOfResult = 2/keepersOfResult = 0/' internal/request/job TestDeadResultIsCommitted
-mutant 1 internal/request/job/commit.go 's/results\[i\]\.Body = h\.items\[p\.index\]\.Body/_ = h.items/' internal/request/job TestBodiesOfACompleteJob
+mutant 1 internal/request/job/segment.go 's/stored\.Body = h\.items\[p\.index\]\.Body/_ = h.items/' internal/request/job TestBodiesOfACompleteJob
 mutant 1 internal/request/job/checkpoint.go 's/if item\.Whole \{/if item.Whole \&\& i < 0 {/' internal/request/job TestHolderKilledBeforeItsLateCommit
 mutant 1 internal/request/job/waitstore.go 's/if !ambiguous && !time/if !time/' internal/request/job TestRefusalIsTrue
 mutant 1 internal/request/job/waitstore.go 's/if returning \|\| s/if s/' internal/request/job TestJobIsRefusedWhileTheStoreIsAway
