--- a/lab/hosted/endless_test.go
+++ b/lab/hosted/endless_test.go
@@ -56,8 +56,17 @@
 	return most - min(most, before)
 }
 
-// readToEnd sends a call and reads its answer as far as it goes.
+// readToEnd sends a call, again where it could not connect, and reads its answer as far as it goes.
 func readToEnd(ctx context.Context, client *platform.RunnerClient, r *Runner, id string) error {
+	for {
+		err := readOnce(ctx, client, r, id)
+		if ctx.Err() != nil || target.FailureOf(err) != target.NotSent {
+			return err
+		}
+	}
+}
+
+func readOnce(ctx context.Context, client *platform.RunnerClient, r *Runner, id string) error {
 	answer, err := client.Send(ctx, target.Call{Address: r.Address(), InstanceID: r.ID, RequestID: id, Method: http.MethodPost, Path: "/", Body: []byte("x")})
 	if err != nil || answer.Stream == nil {
 		return err
