--- a/internal/request/job/run.go
+++ b/internal/request/job/run.go
@@ -25,7 +25,7 @@
 	errMoved       = errors.New("the data centre of the target is evacuated")
 	errStalled     = errors.New("the target was silent for too long")
 	errReplaced    = errors.New("the target has started again")
-	errTextTooLong = errors.New("the output has no end in sight")
+	errTextTooLong = errors.New("the output is larger than its limit")
 )
 
 const (
