Take a request for unsent only if it will not be written any more

Callers could see a request run twice: one that failed with no byte written is sent again, and that rested on a count of bytes that was raised after the write had returned. The transport can return an error while the write is in progress (the reader fails first), and, after an answer that cannot be parsed, before it has tried to write at all, which it then still does.

A request now passes through one of two states by compare-and-swap: the first write marks it as written before any byte goes out, or the caller claims it as unsent, after which its connection accepts no byte of it. A write that returns an error without a byte takes the mark back.

The check before the first write on a reused connection counted a connection with unread bytes as open. These bytes belong to no request that is in progress, and their connection carries no further request.

Whether the users' cases contain this form is not known: their record shows no attempt that was not sent.

--- a/internal/connection/dial/checked.go
+++ b/internal/connection/dial/checked.go
@@ -11,18 +11,20 @@
 	"golang.org/x/sys/unix"
 )
 
-// ErrClosed is returned by the first write of a request to a reused connection that the
-// peer has closed. Nothing was written.
-var ErrClosed = errors.New("the peer has closed the reused connection")
+// ErrUnusable is returned by the first write of a request to a reused connection that the peer
+// has closed, or on which bytes have arrived that belong to no request. Nothing was written.
+var ErrUnusable = errors.New("the reused connection is closed, or bytes have arrived on it before the request")
 
-// Conn is a pooled connection that counts the bytes written. A request that was written to
-// a connection whose peer process has ended may have run, as far as the sender can tell, and
-// must not be repeated; one of which no byte was written may be.
+// errAbandoned is returned by the first write of a request that was claimed as not sent.
+var errAbandoned = errors.New("the request was abandoned before it was written")
+
+// Conn is a pooled connection that knows whether the request in progress has been written. A
+// request that was written to a connection whose peer process has ended may have run, as far as
+// the sender can tell, and must not be repeated; one of which no byte was written may be.
 type Conn struct {
 	net.Conn
-	raw            syscall.RawConn // nil: the socket is not accessible
-	checkNextWrite atomic.Bool     // the next write starts a request on a reused connection
-	written        atomic.Int64    // bytes, over all requests
+	raw     syscall.RawConn          // nil: the socket is not accessible
+	current atomic.Pointer[useState] // the request in progress; nil: not traced
 }
 
 // DetectClosed wraps a dial function so that its connections are of type *Conn.
@@ -40,31 +42,42 @@
 	}
 }
 
-// Write implements net.Conn. It returns ErrClosed in place of starting a request on a
-// connection that the peer has closed.
+// Write implements net.Conn. It returns ErrUnusable in place of starting a request on a reused
+// connection that cannot carry it.
 func (c *Conn) Write(b []byte) (int, error) {
-	if c.checkNextWrite.Swap(false) && c.closed() {
-		return 0, ErrClosed
+	use := c.current.Load()
+	if use == nil || use.phase.Load() == written {
+		return c.Conn.Write(b)
+	}
+	if use.reused && c.unusable() {
+		return 0, ErrUnusable
+	}
+	// From here on the request counts as written: the transport may report an error while the
+	// write is in progress.
+	if !use.phase.CompareAndSwap(unwritten, written) {
+		return 0, errAbandoned
 	}
 	n, err := c.Conn.Write(b)
-	c.written.Add(int64(n))
+	if n == 0 && err != nil {
+		use.phase.Store(unwritten)
+	}
 	return n, err
 }
 
-// closed reports whether the peer has closed the connection. It peeks at the socket, because
-// the goroutine that reads from the connection may not have seen the end of file yet.
-func (c *Conn) closed() bool {
+// unusable reports whether the peer has closed the connection, or has sent bytes that no request
+// awaits. It peeks at the socket, because the goroutine that reads from the connection may not have
+// seen either yet.
+func (c *Conn) unusable() bool {
 	if c.raw == nil {
 		return false
 	}
-	closed := false
+	quiet := false
 	err := c.raw.Control(func(fd uintptr) {
 		var next [1]byte
-		n, _, err := unix.Recvfrom(int(fd), next[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		open := errors.Is(err, unix.EAGAIN) || errors.Is(err, unix.EINTR) || n > 0
-		closed = !open
+		_, _, err := unix.Recvfrom(int(fd), next[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		quiet = errors.Is(err, unix.EAGAIN) || errors.Is(err, unix.EINTR)
 	})
-	return closed || err != nil
+	return !quiet || err != nil
 }
 
 // ConnUse records the use of a connection by one request. It is safe for concurrent use.
@@ -72,19 +85,27 @@
 	current atomic.Pointer[useState] // nil: no connection yet
 }
 
+// useState is the use of one connection by one request.
 type useState struct {
-	conn          *Conn // nil: not a *Conn
-	reused        bool
-	writtenBefore int64 // Conn.written when the request got the connection
+	conn   *Conn // nil: not a *Conn
+	reused bool
+	phase  atomic.Int32
 }
 
+// The phases of a request on a connection.
+const (
+	unwritten int32 = iota // no byte was written
+	written                // bytes were written, or a write is in progress
+	abandoned              // no byte was written, and none will be
+)
+
 // GotConn records the connection that the transport chose; it serves as
 // httptrace.ClientTrace.GotConn.
 func (u *ConnUse) GotConn(info httptrace.GotConnInfo) {
 	state := &useState{reused: info.Reused}
 	if conn, ok := info.Conn.(*Conn); ok {
-		state.conn, state.writtenBefore = conn, conn.written.Load()
-		conn.checkNextWrite.Store(info.Reused)
+		state.conn = conn
+		conn.current.Store(state)
 	}
 	u.current.Store(state)
 }
@@ -105,9 +126,9 @@
 	}
 }
 
-// NothingSent reports whether no byte of the request was written to the connection. It may
-// be called only after the transport has returned an error for the request.
-func (u *ConnUse) NothingSent() bool {
+// ClaimUnsent reports whether no byte of the request was written to its connection. If so, none
+// will be: the transport may return an error before it has tried to write.
+func (u *ConnUse) ClaimUnsent() bool {
 	state := u.current.Load()
-	return state == nil || (state.conn != nil && state.conn.written.Load() == state.writtenBefore)
+	return state == nil || (state.conn != nil && state.phase.CompareAndSwap(unwritten, abandoned))
 }
--- a/internal/connection/engine/engine.go
+++ b/internal/connection/engine/engine.go
@@ -142,7 +142,7 @@
 	req.Header.Set(openai.HeaderRequestID, call.RequestID)
 	req.Header.Set(openai.HeaderAttempt, strconv.Itoa(call.Attempt))
 	resp, err := c.http.Do(req)
-	return resp, !used.NothingSent(), err
+	return resp, err == nil || !used.ClaimUnsent(), err
 }
 
 func attemptError(ctx context.Context, err error, sent bool) error {
@@ -289,7 +289,7 @@
 	req.Header.Set(openai.HeaderRequestID, call.RequestID)
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return PlainAnswer{}, attemptError(ctx, err, !used.NothingSent())
+		return PlainAnswer{}, attemptError(ctx, err, !used.ClaimUnsent())
 	}
 	defer resp.Body.Close()
 	busy := resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests
