Believe a refusal only if it cannot be a copy of an earlier one

Callers saw requests that may run once run twice, and requests that were refused as not run had run. A faulty target sends an answer once more where the next one is due. Two forms were still believed as "not run": refusals that name no request, and copies of this request's refusal from an earlier send to the same target.

What proves that an answer is a call's: its ID, and that no earlier answer of the target can have the ID.

- an answer without an ID proves nothing, whatever its status;
- a request that may run once is sent to each target once.
When every target has refused it, it is refused at once, with the place in the queue of retries that other refusals get (admission reason refused_by_all);

The count of answers that are not believed is a metric, answers_unattributed.

--- a/internal/connection/target/target.go
+++ b/internal/connection/target/target.go
@@ -28,6 +28,9 @@
 	Body        []byte
 	// ResumeAfter is the ID of the last event received before; 0: start anew.
 	ResumeAfter int64
+	// Repeatable marks a request that may run more than once. Any other one is refused for certain
+	// only by a target that was not sent it before: a refusal may be a copy of an earlier one.
+	Repeatable bool
 	// Deadline ends the attempt; the remaining time is sent to the target.
 	Deadline time.Time
 }
@@ -70,7 +73,8 @@
 const (
 	// NotSent: no byte of the request was sent.
 	NotSent Failure = iota
-	// NotRun: the target reported that it did not run the request.
+	// NotRun: the target reported that it did not run the request. The report names the request
+	// and cannot be a copy of an earlier one, see Call.Repeatable.
 	NotRun
 	// WrongInstance: another target has the address; the request did not run.
 	WrongInstance
@@ -93,6 +97,8 @@
 	// ConnectionLost: the connection failed after the request was sent. The target's
 	// process may have ended.
 	ConnectionLost bool
+	// Unattributed: an answer arrived that is not proved to be that of this call.
+	Unattributed bool
 	// Saturated: the target refused for lack of free slots, not because of the request.
 	Saturated bool
 }
@@ -114,6 +120,13 @@
 	return errors.As(err, &e) && e.ConnectionLost
 }
 
+// Unattributed reports whether a call failed because an answer arrived that is not proved to be
+// its own.
+func Unattributed(err error) bool {
+	var e *Error
+	return errors.As(err, &e) && e.Unattributed
+}
+
 // FailureOf returns the failure of a call's error. For an error of another type it is
 // Broken, because the request may have run.
 func FailureOf(err error) Failure {
--- a/internal/process/hosted/log.go
+++ b/internal/process/hosted/log.go
@@ -88,6 +88,9 @@
 	}
 	l.n.recorder.Record(timeline.RequestBroken, req.ID, t.ID, err.Error(), fields...)
 	l.n.metrics.Counter("attempts_failed").Inc(1)
+	if target.Unattributed(err) {
+		l.n.metrics.Counter("answers_unattributed").Inc(1)
+	}
 }
 
 func (l *requestLog) Answered(req *forward.Request, t choose.Target, answer forward.AnswerSummary) {
--- a/internal/request/admission/admission.go
+++ b/internal/request/admission/admission.go
@@ -52,9 +52,10 @@
 
 // The reasons.
 const (
-	Late      Reason = "late"       // it is not expected to be in time at any target
-	QueueTime Reason = "queue_time" // it was queued for as long as a request may be
-	QueueFull Reason = "queue_full" // the queue of the node is full
+	Late         Reason = "late"           // it is not expected to be in time at any target
+	RefusedByAll Reason = "refused_by_all" // every target has refused it
+	QueueTime    Reason = "queue_time"     // it was queued for as long as a request may be
+	QueueFull    Reason = "queue_full"     // the queue of the node is full
 )
 
 // Decision is what to do with a request that is not sent now. It is queued for the time being
@@ -318,6 +319,11 @@
 	return c.ahead(r) > s.endingWithin(r.queueTime()) && !s.hasFreeSlots(now, r.Objective, 1)
 }
 
+// NoneLeft refuses a request that all targets have refused.
+func (c *Controller) NoneLeft(now time.Time, r *Request) Decision {
+	return c.refuse(now, r, RefusedByAll)
+}
+
 func (c *Controller) refuse(now time.Time, r *Request, reason Reason) Decision {
 	delete(c.queued, r)
 	c.overload.refuse(now)
--- a/internal/request/choose/choose.go
+++ b/internal/request/choose/choose.go
@@ -303,6 +303,12 @@
 // TargetCount returns how many targets of a service are listed.
 func (t *Table) TargetCount(service string) int { return len(t.byService[service]) }
 
+// HasOther reports whether a service has a listed target that is not leaving and not among those
+// given.
+func (t *Table) HasOther(service string, than map[string]bool) bool {
+	return slices.ContainsFunc(t.byService[service], func(id string) bool { return !than[id] && t.entries[id].isServing() })
+}
+
 // RecordLoad records a load report of the given incarnation. Reports of other
 // incarnations and older reports are ignored.
 func (t *Table) RecordLoad(id string, incarnation uint64, load Load) {
--- a/internal/request/forward/admit.go
+++ b/internal/request/forward/admit.go
@@ -88,13 +88,28 @@
 	defer a.mu.Unlock()
 	d := a.controller.NoTarget(now, r)
 	if d.Refuse {
-		a.log.NotAdmitted(r.Priority, d.Reason)
-		a.log.Queued(now.Sub(r.Arrived))
+		a.logRefusal(now, r, d.Reason)
 	}
 	a.logChange(now)
 	return d
 }
 
+// noneLeft refuses a request that all targets have refused.
+func (a *Admission) noneLeft(now time.Time, r *admission.Request) admission.Decision {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	d := a.controller.NoneLeft(now, r)
+	a.logRefusal(now, r, d.Reason)
+	a.logChange(now)
+	return d
+}
+
+// logRefusal logs the refusal of a request. The caller holds a.mu.
+func (a *Admission) logRefusal(now time.Time, r *admission.Request, reason admission.Reason) {
+	a.log.NotAdmitted(r.Priority, reason)
+	a.log.Queued(now.Sub(r.Arrived))
+}
+
 func (a *Admission) logChange(now time.Time) {
 	if change, counted := a.controller.OverloadChange(now); change != admission.None {
 		a.log.OverloadChanged(change, counted)
@@ -137,6 +152,11 @@
 		if f.evacuated(req, p) || f.Quarantine.Refuse(&req.Work) != nil {
 			return choose.Target{}, false
 		}
+		if f.refusedByAll(req, p) {
+			d := f.Admission.noneLeft(f.Now(), p.admitted)
+			p.refusal = &d
+			return choose.Target{}, false
+		}
 		if d := f.Admission.noTarget(f.Now(), p.admitted); d.Refuse {
 			p.refusal = &d
 			return choose.Target{}, false
@@ -144,7 +164,7 @@
 		if !wait.For(ctx, capacityPollInterval) {
 			return choose.Target{}, false
 		}
-		clear(p.exclude) // targets that refused the request may have free capacity by now
+		p.clearExcluded()
 	}
 }
 
--- a/internal/request/forward/attempt.go
+++ b/internal/request/forward/attempt.go
@@ -47,7 +47,7 @@
 	sent := f.Now()
 	answer, err := f.Sender.Send(ctx, target.Call{
 		Address: t.Addr, InstanceID: t.ID, Incarnation: t.Incarnation, RequestID: req.ID, Workspace: req.Workspace, Method: req.Method, Host: req.Host, Path: req.Path,
-		Header: req.Header, Body: req.Body, ResumeAfter: p.lastEventID, Deadline: req.Deadline,
+		Header: req.Header, Body: req.Body, ResumeAfter: p.lastEventID, Repeatable: req.Route.Repeatable(), Deadline: req.Deadline,
 	})
 	if err != nil {
 		return f.cancelCause(ctx, err)
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net/http"
 	"time"
 
@@ -98,7 +99,10 @@
 
 // progress is the state of a request across its attempts.
 type progress struct {
-	exclude        map[string]bool
+	exclude map[string]bool
+	// refusedBy holds the targets that refused a request that may run once. It is not sent there
+	// again: a second refusal might be a copy of the first.
+	refusedBy      map[string]bool
 	ran            int   // attempts that may have run
 	lastEventID    int64 // ID of the last event that the caller has
 	origin         continuation.Origin
@@ -121,6 +125,12 @@
 	refusal   *admission.Decision // with which Admission refused it
 }
 
+// clearExcluded allows targets again that failed or refused the request and may take it by now.
+func (p *progress) clearExcluded() {
+	clear(p.exclude)
+	maps.Copy(p.exclude, p.refusedBy)
+}
+
 // Do runs a request to its end. The error is nil if the caller got the complete
 // answer, and of a kind of errkind otherwise; begun reports whether part of the answer
 // was sent.
@@ -129,7 +139,7 @@
 	// clock.
 	ctx, cancel := context.WithTimeout(ctx, req.Deadline.Sub(f.Now()))
 	defer cancel()
-	p := &progress{exclude: map[string]bool{}, lastEventID: req.ResumeAfter}
+	p := &progress{exclude: map[string]bool{}, refusedBy: map[string]bool{}, lastEventID: req.ResumeAfter}
 	defer func() { f.Admission.ended(p.admitted) }()
 	if err = f.findOrigin(ctx, req, p); err == nil {
 		if !f.bound(req, p) {
--- a/internal/request/forward/forward_test.go
+++ b/internal/request/forward/forward_test.go
@@ -74,6 +74,10 @@
 
 func (f *fakeTargets) SeveralVersions(string) bool { return false }
 
+func (f *fakeTargets) HasOther(_ string, than map[string]bool) bool {
+	return !f.evacuated && (!than["a"] || !than["b"])
+}
+
 func (f *fakeTargets) MayHaveItems(string) bool { return f.hasItems }
 func (f *fakeTargets) AllEvacuated(string) bool { return f.evacuated }
 
--- a/internal/request/forward/judge.go
+++ b/internal/request/forward/judge.go
@@ -34,6 +34,9 @@
 	if end.MayHaveRun() {
 		p.ran++
 	}
+	if !req.Route.Repeatable() && end != target.NotSent {
+		p.refusedBy[t.ID] = true
+	}
 	p.connectionLost = p.connectionLost || lostConnection(err)
 	f.reportFailure(req, t, p, err)
 	switch {
--- a/internal/request/forward/parts.go
+++ b/internal/request/forward/parts.go
@@ -38,6 +38,9 @@
 	BetterElsewhere(w choose.Wait, need choose.Need) bool
 	// RecordEvent records that an event of a target was received.
 	RecordEvent(t choose.Target)
+	// HasOther reports whether a service has a listed target that is not leaving and not among
+	// those given.
+	HasOther(service string, than map[string]bool) bool
 	// SeveralVersions reports whether targets of several versions of a service are listed.
 	SeveralVersions(service string) bool
 	// Supply returns whether a target is left at which an answer that has begun may continue.
--- a/internal/request/forward/place.go
+++ b/internal/request/forward/place.go
@@ -33,11 +33,11 @@
 		if t, ok := f.Targets.Choose(f.need(req, p)); ok {
 			return t, true
 		}
-		if f.versionGone(req, p) || f.evacuated(req, p) || f.Quarantine.Refuse(&req.Work) != nil || !f.mayWait(req, p) || !wait.For(ctx, pause) {
+		if f.versionGone(req, p) || f.evacuated(req, p) || f.refusedByAll(req, p) || f.Quarantine.Refuse(&req.Work) != nil || !f.mayWait(req, p) || !wait.For(ctx, pause) {
 			return choose.Target{}, false
 		}
 		if p.begun || p.ran == 0 {
-			clear(p.exclude) // targets that refused the request may have free capacity by now
+			p.clearExcluded()
 		}
 	}
 }
@@ -75,6 +75,12 @@
 	return !p.begun && f.Targets.AllEvacuated(req.Service)
 }
 
+// refusedByAll reports whether every target that a request may be sent to has refused it, and it
+// may run once.
+func (f *Forwarder) refusedByAll(req *Request, p *progress) bool {
+	return len(p.refusedBy) > 0 && !f.Targets.HasOther(req.Service, p.refusedBy)
+}
+
 // stopWaiting stops counting a request as in flight at the full target that refused it.
 func (f *Forwarder) stopWaiting(p *progress) {
 	if p.waitingAt != nil {
--- a/internal/request/job/run.go
+++ b/internal/request/job/run.go
@@ -229,7 +229,7 @@
 	defer stallTimer.Stop()
 	answer, err := m.Sender.Send(ctx, target.Call{
 		Address: t.Addr, InstanceID: t.ID, Incarnation: t.Incarnation, RequestID: item.ID, Workspace: h.head.Workspace, Method: http.MethodPost, Host: h.head.Host, Path: item.Path,
-		Header: item.header(), Body: item.Body, ResumeAfter: resumeAfter, Deadline: time.UnixMilli(h.head.Submitted).Add(r.AbandonAfter),
+		Header: item.header(), Body: item.Body, ResumeAfter: resumeAfter, Repeatable: true, Deadline: time.UnixMilli(h.head.Submitted).Add(r.AbandonAfter),
 	})
 	if err != nil {
 		return err
@@ -343,6 +343,9 @@
 		fields = append(fields, timeline.Field{Name: "parts", Value: h.works[i].Parts()})
 	}
 	m.Recorder.Record(timeline.ItemFailed, item.ID, t.ID, cause.Error(), fields...)
+	if target.Unattributed(err) {
+		m.Metrics.Counter("answers_unattributed").Inc(1)
+	}
 	m.handleFailure(ctx, h, i, t, r, began, err, now)
 }
 
--- a/internal/version/discovery/discovery.go
+++ b/internal/version/discovery/discovery.go
@@ -276,6 +276,14 @@
 	return p.table.TargetCount(service)
 }
 
+// HasOther reports whether a service has a listed target that is not leaving and not among those
+// given.
+func (p *Pool) HasOther(service string, than map[string]bool) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.table.HasOther(service, than)
+}
+
 // Choose returns a target for an online request and counts it there.
 func (p *Pool) Choose(need choose.Need) (choose.Target, bool) {
 	p.mu.Lock()
