Let items begin anew once the last target of their version has left

An item whose text an old version began asked whether targets of several versions are listed before it began anew. Once only the new version is listed the answer is no, so that it neither went on nor began anew. The same question decided whether it keeps others waiting: it counted as an item that any target may take, and marked its service as full for every item after it.

It now asks whether a target of its version is left. A reason to wait has the scope of the targets that it is about: a service, a version of it, or this item alone.

--- a/internal/request/job/continue.go
+++ b/internal/request/job/continue.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/marblepond/marblepond/internal/process/timeline"
+	"github.com/marblepond/marblepond/internal/request/choose"
 	"github.com/marblepond/marblepond/internal/request/continuation"
 	"github.com/marblepond/marblepond/internal/version/route"
 )
@@ -26,12 +27,18 @@
 // version, if a target has a free slot for that. The caller holds m.mu.
 func (m *Manager) shouldBeginAnew(h *heldJob, i int, service string, now time.Time) bool {
 	item := &h.progress.items[i]
-	if !item.origin.Begun() || !m.Pool.SeveralVersions(service) {
+	if !item.origin.Begun() {
 		return false
 	}
 	return continuation.ShouldBeginAnew(item.origin, m.Pool.Supply(service, item.origin), h.progress.blockedFor(i, now), item.ran)
 }
 
+// mayUseAll reports whether all targets of the service that an item needs are of the version that
+// began it, if one has.
+func (m *Manager) mayUseAll(need choose.Need) bool {
+	return !need.Origin.Begun() || (!m.Pool.SeveralVersions(need.Service) && m.Pool.Supply(need.Service, need.Origin) == continuation.Busy)
+}
+
 // beginAnew drops the text of an item. The caller holds m.mu.
 func (m *Manager) beginAnew(h *heldJob, i int, cause string) {
 	item := &h.progress.items[i]
--- a/internal/request/job/run.go
+++ b/internal/request/job/run.go
@@ -113,7 +113,7 @@
 	allotment := m.Allotments()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	full := map[string]bool{} // services without a free slot
+	full := fullScopes{}
 	for _, item := range m.waitingItems(now) {
 		h := m.held[item.Job]
 		if r := m.routeOf(&h.head); r != nil && !m.draining {
@@ -142,24 +142,28 @@
 }
 
 // sendItem sends one item if a target has a free slot. The caller holds m.mu.
-func (m *Manager) sendItem(ctx context.Context, h *heldJob, item schedule.Item, now time.Time, r *route.Route, allotment func(choose.Target) int, full map[string]bool) {
+func (m *Manager) sendItem(ctx context.Context, h *heldJob, item schedule.Item, now time.Time, r *route.Route, allotment func(choose.Target) int, full fullScopes) {
 	i := item.Index
 	service := m.serviceOf(h, i, r)
-	if full[service] || !m.mayTry(h, i, now) {
+	if full.all(service) || !m.mayTry(h, i, now) {
 		return
 	}
 	need := m.needOf(h, i, service, allotment)
-	t, ok := m.Pool.ChooseBatch(need)
+	t, ok := choose.Target{}, false
+	if !full.cover(need) {
+		if t, ok = m.Pool.ChooseBatch(need); !ok {
+			full.add(need, m.mayUseAll(need))
+		}
+	}
 	if !ok && m.shouldBeginAnew(h, i, service, now) {
 		need.Origin = continuation.Origin{}
 		if t, ok = m.Pool.ChooseBatch(need); ok {
 			m.beginAnew(h, i, "no target of the version that began it can take it")
+		} else {
+			full.add(need, true)
 		}
 	}
 	if !ok {
-		// Other items may have a free slot at excluded targets, beside items that run apart, or at
-		// targets of another version.
-		full[service] = len(need.Exclude) == 0 && !need.Apart && (!need.Origin.Begun() || !m.Pool.SeveralVersions(service))
 		return
 	}
 	t.Sent = m.Clock.Now()
