Derive no origin from what a node cannot know after a restart or a rollback

Streams could be continued at another version than the one that began them, if a node had restarted around the begin of a release or a version had come back. Three causes, all of facts about a version that outlast it, or are taken as older than they are:

- a version that was listed when a node first read the list counted as in use, though it might have been listed a moment ago, unknown to nodes with older copies;
- the age of an earlier listing was taken over for a version that had been removed and was back;
- the end of an earlier listing was not taken over for a version that was back when the node started.

A node that has just started now uses the version that it finds alone, or what other nodes have known for long enough; until it hears of that, the version of most targets, which other nodes are most likely to know.

TestStreamsBeginAtTheUsualVersionWhileNoneIsKnownToBeInUse is new. Not covered: a release that replaces all targets in less time than a change of the list may take to reach all nodes.

--- a/internal/request/choose/versions.go
+++ b/internal/request/choose/versions.go
@@ -1,6 +1,7 @@
 package choose
 
 import (
+	"maps"
 	"time"
 
 	"github.com/marblepond/marblepond/internal/request/continuation"
@@ -58,7 +59,9 @@
 type versionCounts map[continuation.Version]int
 
 // versionsForNewStreams returns the versions at which resumable streams are begun: those in
-// use, or all if no target of a version in use is left.
+// use, or those with the most targets if none with a target left is known to be in use. A node that
+// has just started does not know since when a version is listed; other nodes are most likely to know
+// that of most targets.
 func (t *Table) versionsForNewStreams(service string) versionCounts {
 	all, inUse := versionCounts{}, versionCounts{}
 	for _, id := range t.byService[service] {
@@ -71,10 +74,15 @@
 			inUse[v] = n
 		}
 	}
-	if len(inUse) == 0 {
-		return all
+	if len(inUse) > 0 {
+		return inUse
 	}
-	return inUse
+	most := 0
+	for _, n := range all {
+		most = max(most, n)
+	}
+	maps.DeleteFunc(all, func(_ continuation.Version, n int) bool { return n < most })
+	return all
 }
 
 func (c versionCounts) allowed(entries []*entry) []*entry {
--- a/internal/request/choose/versions_test.go
+++ b/internal/request/choose/versions_test.go
@@ -177,6 +177,24 @@
 	is.Equal(got.Version, continuation.Version("v2"))
 }
 
+// Guards against streams that a node begins right after its start at a version that was just listed
+// and that other nodes do not know yet.
+func TestStreamsBeginAtTheUsualVersionWhileNoneIsKnownToBeInUse(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	table := versionedTable("v1", "v1", "v1", "v2", "v2")
+	table.cfg.VersionInUse = func(string, continuation.Version) bool { return false }
+	for range 6 {
+		for _, id := range []string{"t0", "t1", "t2"} {
+			table.Begin(id) // targets of v2 have nothing in flight
+		}
+		got, ok := table.Choose(now, Need{Service: "s", Resumable: true, Overflow: 4})
+		is.True(ok)
+		is.Equal(got.Version, continuation.Version("v1"))
+		table.End(now, got.ID, Neutral)
+	}
+}
+
 // TestStreamsAvoidTheLastTargetOfAVersion guards against streams that cannot continue anywhere
 // once their target is lost, and against a last target that is left idle while others are full.
 func TestStreamsAvoidTheLastTargetOfAVersion(t *testing.T) {
--- a/internal/request/continuation/history.go
+++ b/internal/request/continuation/history.go
@@ -33,12 +33,15 @@
 	verified, completeSince time.Time
 	// staleAt is when the list was last known only up to more than FreshFor ago; zero: never.
 	staleAt time.Time
+	// beganNow: the fleet started for the first time together with this node.
+	beganNow bool
 }
 
 // sighting says when a version was listed.
 type sighting struct {
-	first  time.Time // of this time that it is listed; zero: before this node knew the list
+	first  time.Time // of this time that it is listed, as far as this node knows
 	stated bool      // other nodes may know it for longer
+	sole   bool      // it was the only version when this node first read the list, and is in use
 	listed bool
 	ceased time.Time // when it was last no longer listed; zero: never
 }
@@ -55,7 +58,9 @@
 
 // BeginsNow records that no stream can have begun before now, because the fleet starts for
 // the first time.
-func (h *History) BeginsNow(now time.Time) { h.completeSince = now.Add(-retention) }
+func (h *History) BeginsNow(now time.Time) {
+	h.beganNow, h.completeSince = true, now.Add(-retention)
+}
 
 // Listed replaces what is listed: the versions of the targets of each service.
 func (h *History) Listed(now time.Time, listed map[string]map[Version]int) {
@@ -66,8 +71,9 @@
 		}
 		for v := range versions {
 			s, known := h.services[service][v]
-			if (!known || !s.listed) && !firstListing {
-				s.first, s.stated = now, h.staleLately(now) // a version that returns is new to nodes with older copies
+			if !known || !s.listed {
+				// A version that returns is new to nodes with older copies.
+				s.first, s.stated, s.sole = now, firstListing || h.staleLately(now), firstListing && (len(versions) == 1 || h.beganNow)
 			}
 			s.listed = true
 			h.services[service][v] = s
@@ -124,7 +130,7 @@
 // fresh copy know it by now.
 func (h *History) InUse(now time.Time, service string, v Version) bool {
 	s, known := h.services[service][v]
-	return known && now.Sub(s.first) >= h.timing.UseAfter
+	return known && (s.sole || now.Sub(s.first) >= h.timing.UseAfter)
 }
 
 // versions returns the versions that may have begun a stream within a window, or that may begin
@@ -186,10 +192,7 @@
 	r.CompleteFor = now.Sub(h.completeSince)
 	for service, versions := range h.services {
 		for v, s := range versions {
-			sighting := Sighting{Service: service, Version: v, FirstAgo: -1, CeasedAgo: -1}
-			if !s.first.IsZero() {
-				sighting.FirstAgo = now.Sub(s.first)
-			}
+			sighting := Sighting{Service: service, Version: v, FirstAgo: now.Sub(s.first), CeasedAgo: -1}
 			if !s.listed {
 				sighting.CeasedAgo = now.Sub(s.ceased)
 			}
@@ -210,17 +213,18 @@
 			h.services[stated.Service] = map[Version]sighting{}
 		}
 		s, known := h.services[stated.Service][stated.Version]
-		if first := now.Add(-stated.FirstAgo); stated.FirstAgo >= 0 && (!known || s.first.IsZero() || first.Before(s.first)) {
-			s.first, s.stated = first, true
+		// The first listing of a version that was removed says nothing about one that is back.
+		ofNow := stated.CeasedAgo < 0 || !s.listed
+		if first := now.Add(-stated.FirstAgo); ofNow && stated.FirstAgo >= 0 && (!known || first.Before(s.first)) {
+			s.first = first
 		}
-		if !s.listed {
-			ceased := now // listed at the other node: the next listing here decides
-			if stated.CeasedAgo >= 0 {
-				ceased = now.Add(-stated.CeasedAgo)
-			}
-			if ceased.After(s.ceased) {
-				s.ceased = ceased
-			}
+		s.stated = s.stated || stated.CeasedAgo < 0 // it may have been used at the other node before it was removed and came back
+		ceased := now                               // listed at the other node: the next listing here decides
+		if stated.CeasedAgo >= 0 {
+			ceased = now.Add(-stated.CeasedAgo)
+		}
+		if (stated.CeasedAgo >= 0 || !s.listed) && ceased.After(s.ceased) {
+			s.ceased = ceased
 		}
 		h.services[stated.Service][stated.Version] = s
 	}
--- a/internal/request/continuation/history_test.go
+++ b/internal/request/continuation/history_test.go
@@ -217,6 +217,83 @@
 	}
 }
 
+// restart replaces the node's history by an empty one, which learns from the nodes met.
+func (n *laggingNode) restart(now time.Time, changes []listChange) {
+	n.h, n.applied = NewHistory(n.h.timing), 0
+	for n.applied+1 < len(changes) && !changes[n.applied+1].at.After(now.Add(-n.lag)) {
+		n.applied++ // it reads the list once, as it is then
+	}
+	n.refresh(now, changes)
+}
+
+// meet adds the history of another node.
+func (n *laggingNode) meet(now time.Time, other *laggingNode) {
+	if report, ok := other.h.Report(now); ok {
+		n.h.Merge(now, report)
+	}
+}
+
+// Guards against a stream that a node begins at a version right after its start, because the version
+// was there when it first read the list, while another node, whose copy is older, derives that the
+// old version alone has begun all streams. Nodes restart at random, one or all of them but one that
+// keeps a history, and exchange histories. Two versions are listed side by side for UseAfter at least.
+func TestRestartedNodesBeginNoStreamsAtVersionsOthersDoNotKnow(t *testing.T) {
+	timing := TimingOf(testWithin)
+	derived, begins := 0, 0
+	for seed := range uint64(300) {
+		random := rand.New(rand.NewPCG(seed, seed))
+		nodes := make([]*laggingNode, 4)
+		for i, lag := range []time.Duration{0, timing.FreshFor - 200*time.Millisecond, 400 * time.Millisecond, 0} {
+			nodes[i] = &laggingNode{h: NewHistory(timing), lag: lag}
+		}
+		now := testStart
+		changes := []listChange{{now, onlyV1}}
+		begun := map[Version]time.Time{} // when a stream last began at a version
+		for range 500 {
+			now = now.Add(100 * time.Millisecond)
+			if newest := changes[len(changes)-1]; now.Sub(newest.at) >= timing.UseAfter && random.IntN(80) == 0 {
+				next := bothV1V2
+				if len(newest.listed["s"]) == 2 {
+					next = []map[string]map[Version]int{onlyV1, onlyV2}[random.IntN(2)]
+				}
+				changes = append(changes, listChange{now, next})
+			}
+			all := random.IntN(150) == 0
+			for i, n := range nodes {
+				switch {
+				case i < 3 && (all || random.IntN(100) == 0):
+					n.restart(now, changes)
+				case random.IntN(2) == 0:
+					n.refresh(now, changes)
+				}
+				if random.IntN(3) == 0 {
+					n.meet(now, nodes[random.IntN(len(nodes))])
+				}
+				for _, v := range []Version{"v1", "v2"} {
+					if n.begins(now, changes, v) {
+						begun[v] = now
+						begins++
+					}
+				}
+			}
+			for i, n := range nodes {
+				sole, ok := n.h.Sole(now, "s", testWindow)
+				if ok {
+					derived++
+				}
+				for v, at := range begun {
+					if ok && v != sole && now.Sub(at) <= testWindow {
+						t.Fatalf("seed %d: at %v node %d derives %s alone, %v after a stream began at %s", seed, now.Sub(testStart), i, sole, now.Sub(at), v)
+					}
+				}
+			}
+		}
+	}
+	if derived < 10000 || begins < 10000 {
+		t.Fatalf("derived %d times, streams begun %d times only", derived, begins)
+	}
+}
+
 // TestRecordsAreBounded guards against records that grow without a bound or outlive their
 // time, and against old ones that are kept in place of new ones.
 func TestRecordsAreBounded(t *testing.T) {
