--- a/internal/request/forward/judge.go
+++ b/internal/request/forward/judge.go
@@ -33,6 +33,8 @@
 	end := target.FailureOf(err)
 	if end.MayHaveRun() {
 		p.ran++
+	} else {
+		p.handed--
 	}
 	if !req.Route.Repeatable() && end != target.NotSent {
 		p.refusedBy[t.ID] = true
