Let a refused request that may run once keep no other waiting

A request that may run once is not sent again to a target that has refused it. It also counted as in flight at the target that had refused it, so that batch items yielded there for nothing.

Such a request now delays no other request of the queue, as one that has to run apart, counts nowhere as waiting, and does not wait for items to yield.

--- a/internal/request/admission/admission.go
+++ b/internal/request/admission/admission.go
@@ -30,6 +30,9 @@
 	// Apart marks a request that may not run beside some others. It can wait for its own
 	// targets while others find one, so it delays no other request of the queue.
 	Apart bool
+	// Restricted marks a request that may not be sent to some of the targets any more. Like one
+	// that is Apart it delays no other request of the queue, which may use them.
+	Restricted bool
 	// AwaitsItems: a target refused it while batch items run there, which yield their slots.
 	AwaitsItems bool
 
@@ -214,7 +217,7 @@
 func (c *Controller) ahead(r *Request) int {
 	ahead := 0
 	for other := range c.queued {
-		if other != r && other.Service == r.Service && !other.Apart && c.before(other, r) {
+		if other != r && other.Service == r.Service && !other.Apart && !other.Restricted && c.before(other, r) {
 			ahead++
 		}
 	}
--- a/internal/request/forward/admit.go
+++ b/internal/request/forward/admit.go
@@ -60,12 +60,12 @@
 }
 
 // terms returns the limits on the target of a request; ok is false if it is not sent now.
-// apart and awaitsItems are admission.Request.Apart and AwaitsItems, which may change while it
+// apart, restricted and awaitsItems are the fields of admission.Request that may change while it
 // is queued.
-func (a *Admission) terms(now time.Time, r *admission.Request, apart, awaitsItems bool) (terms admission.Terms, ok bool) {
+func (a *Admission) terms(now time.Time, r *admission.Request, apart, restricted, awaitsItems bool) (terms admission.Terms, ok bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	r.Apart, r.AwaitsItems = apart, awaitsItems
+	r.Apart, r.Restricted, r.AwaitsItems = apart, restricted, awaitsItems
 	if a.controller.Stale(now, r.Service) {
 		a.controller.Observe(now, r.Service, admission.Occupancy(a.targets.Occupancy(r.Service)))
 	}
@@ -141,8 +141,9 @@
 func (f *Forwarder) admit(ctx context.Context, req *Request, p *progress) (choose.Target, bool) {
 	for {
 		need := f.need(req, p)
-		awaitsItems := Saturated(p.lastErr) && f.Targets.MayHaveItems(req.Service)
-		if terms, ok := f.Admission.terms(f.Now(), p.admitted, need.Apart, awaitsItems); ok {
+		restricted := len(p.refusedBy) > 0
+		awaitsItems := !restricted && Saturated(p.lastErr) && f.Targets.MayHaveItems(req.Service)
+		if terms, ok := f.Admission.terms(f.Now(), p.admitted, need.Apart, restricted, awaitsItems); ok {
 			need.Within, need.FreeSlot = terms.Within, terms.FreeSlot
 			if t, ok := f.Targets.Choose(need); ok {
 				f.Admission.sent(f.Now(), p.admitted, t)
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -187,7 +187,7 @@
 		}
 		f.Log.Failed(req, t, p.events-before, err)
 		final := f.finalError(ctx, req, t, p, err)
-		if final == nil && Saturated(err) {
+		if final == nil && Saturated(err) && !p.refusedBy[t.ID] {
 			p.waitingAt = &t
 			continue
 		}
--- a/internal/request/forward/refused_test.go
+++ b/internal/request/forward/refused_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -11,6 +13,7 @@
 	"github.com/marblepond/marblepond/internal/connection/target"
 	"github.com/marblepond/marblepond/internal/errkind"
 	"github.com/marblepond/marblepond/internal/request/admission"
+	"github.com/marblepond/marblepond/internal/request/choose"
 	"github.com/marblepond/marblepond/internal/version/route"
 )
 
@@ -55,3 +58,75 @@
 		is.True(call.Repeatable)
 	}
 }
+
+// ejectedTargets chooses target "a" only: "b" is listed and ejected.
+type ejectedTargets struct{ fakeTargets }
+
+func (f *ejectedTargets) Choose(need choose.Need) (choose.Target, bool) {
+	return choose.Target{ID: "a", Addr: "a"}, !need.Exclude["a"]
+}
+
+func (f *ejectedTargets) End(choose.Target, choose.Outcome) {}
+
+// firstRefuses refuses the request "first" once, and answers all others.
+type firstRefuses struct {
+	mu     sync.Mutex
+	sentAt map[string][]time.Time
+}
+
+func (s *firstRefuses) Send(_ context.Context, call target.Call) (*target.Answer, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sentAt[call.RequestID] = append(s.sentAt[call.RequestID], time.Now())
+	if call.RequestID == "first" && len(s.sentAt["first"]) == 1 {
+		return nil, &target.Error{Failure: target.NotRun, Saturated: true, Cause: fmt.Errorf("status 503")}
+	}
+	return &target.Answer{Status: http.StatusOK}, nil
+}
+
+// Guards against a refused request that may not return to its target and keeps the requests behind
+// it from that target while it is queued for others.
+func TestRefusedRequestKeepsNoOtherWaiting(t *testing.T) {
+	is := is.New(t)
+	sender := &firstRefuses{sentAt: map[string][]time.Time{}}
+	f := forwarderWith(&ejectedTargets{}, sender, &fakeOccupancies{on: true, slots: 16}, &fakeAdmissionLog{})
+	const objective = time.Second
+	var wait sync.WaitGroup
+	began := time.Now()
+	for i, id := range []string{"first", "second"} {
+		r := newRequest()
+		r.ID, r.Priority = id, i
+		r.Route = &route.Route{Kind: route.NonIdempotent, Attempts: 2, Objective: objective}
+		wait.Go(func() { _, _ = f.Do(context.Background(), r, &fakeCaller{}) })
+		time.Sleep(objective / 50)
+	}
+	wait.Wait()
+	is.Equal(len(sender.sentAt["second"]), 1)
+	is.True(sender.sentAt["second"][0].Sub(began) < objective/10)
+}
+
+// fullTargets has a target that refuses requests, and one that is full.
+type fullTargets struct{ fakeTargets }
+
+func (f *fullTargets) Choose(need choose.Need) (choose.Target, bool) {
+	need.Exclude = map[string]bool{"a": need.Exclude["a"], "b": true}
+	return f.fakeTargets.Choose(need)
+}
+
+// Guards against batch items that yield at a target to a request that is not sent there again.
+func TestRefusedRequestWaitsAtNoTargetThatRefusedIt(t *testing.T) {
+	is := is.New(t)
+	targets := &fullTargets{}
+	f := forwarderWith(targets, &refusingSender{}, &fakeOccupancies{on: true, slots: 16}, &fakeAdmissionLog{})
+	req := newRequest()
+	req.Route = &route.Route{Kind: route.NonIdempotent, Attempts: 2, Objective: time.Second}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_, _ = f.Do(context.Background(), req, &fakeCaller{})
+	}()
+	time.Sleep(50 * time.Millisecond)
+	is.Equal(targets.countAt("a"), 0)
+	<-done
+	is.Equal(targets.chosen, []string{"a"})
+}
