Refuse no request as not run that has an attempt without a proved end

The assertion at the end of a request only recorded a violation; its caller got the status all the same. The request now ends as unknown outcome.

--- a/internal/request/forward/attempt.go
+++ b/internal/request/forward/attempt.go
@@ -45,7 +45,7 @@
 	p.answerBegin = began
 	defer f.Quarantine.OnRefusal(&req.Work, func() bool { return began.Answering(f.Now()) }, func() { cancel(errQuarantined) })()
 	sent := f.Now()
-	p.handed++
+	p.unresolved++
 	answer, err := f.Sender.Send(ctx, target.Call{
 		Address: t.Addr, InstanceID: t.ID, Incarnation: t.Incarnation, RequestID: req.ID, Workspace: req.Workspace, Method: req.Method, Host: req.Host, Path: req.Path,
 		Header: req.Header, Body: req.Body, ResumeAfter: p.lastEventID, Repeatable: req.Route.Repeatable(), Deadline: req.Deadline,
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -103,7 +103,7 @@
 	// refusedBy holds the targets that refused a request that may run once. It is not sent there
 	// again: a second refusal might be a copy of the first.
 	refusedBy      map[string]bool
-	handed         int   // attempts that were begun and did not end with proof that the request was not run
+	unresolved     int   // attempts that were begun and did not end with proof that the request was not run
 	ran            int   // attempts that may have run
 	lastEventID    int64 // ID of the last event that the caller has
 	origin         continuation.Origin
@@ -150,8 +150,12 @@
 	}
 	if err != nil {
 		// The status of the caller's answer follows from the kind of the error alone.
-		f.Checker.Assert(errkind.Of(err).NotRun != errkind.NotRunTrue || (p.ran == 0 && p.handed == 0), invariant.NotRunIsTrue, req.ID, "",
-			"refused as not run after %d attempts that may have run, %d of them without an end: %v", p.ran, p.handed-p.ran, err)
+		notRun := p.ran == 0 && p.unresolved == 0
+		f.Checker.Assert(errkind.Of(err).NotRun != errkind.NotRunTrue || notRun, invariant.NotRunIsTrue, req.ID, "",
+			"refused as not run after %d attempts that may have run, and %d begun without proof that the request was not run: %v", p.ran, p.unresolved, err)
+		if errkind.Of(err).NotRun == errkind.NotRunTrue && !notRun {
+			err = errkind.UnknownOutcome.New("the request may have run: %v", errkind.Message(err))
+		}
 		f.Log.Refused(req, err)
 	}
 	return p.begun, err
--- a/internal/request/forward/judge.go
+++ b/internal/request/forward/judge.go
@@ -34,7 +34,7 @@
 	if end.MayHaveRun() {
 		p.ran++
 	} else {
-		p.handed--
+		p.unresolved--
 	}
 	if !req.Route.Repeatable() && end != target.NotSent {
 		p.refusedBy[t.ID] = true
