--- a/internal/connection/target/target.go
+++ b/internal/connection/target/target.go
@@ -44,6 +44,7 @@
 
 // Answer is the response of a target. The reader must close Stream.
 type Answer struct {
+	// Status is none that promises callers that the request was not run (errkind.PromisesNotRun).
 	Status int
 	Header http.Header
 	// Stream is nil for a complete answer.
--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -5,6 +5,7 @@
 
 import (
 	"errors"
+	"net/http"
 	"time"
 
 	"connectrpc.com/connect"
@@ -31,6 +32,16 @@
 	RetryAfter  time.Duration // 0: a retry does not help
 }
 
+// PromisesNotRun reports whether callers take an HTTP status as proof that their request was not
+// run and never will be.
+func PromisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 var namespace = errorx.NewNamespace("marblepond")
 
 // The kinds. No error of another type may reach a caller.
--- a/internal/errkind/errkind_test.go
+++ b/internal/errkind/errkind_test.go
@@ -24,6 +24,7 @@
 		names[row.Name] = true
 		is.True(row.HTTPStatus >= 400)
 		is.True(row.NotRun == NotRunTrue || row.NotRun == NotRunUnknown)
+		is.True(row.NotRun == NotRunTrue || !PromisesNotRun(row.HTTPStatus)) // no false promise
 		if row.HTTPStatus == 429 || row.HTTPStatus == 503 {
 			is.Equal(row.RetryAfter > 0, !noRetry[row.Name]) // says when to retry, only where that can help
 		}
--- a/internal/request/forward/attempt.go
+++ b/internal/request/forward/attempt.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/marblepond/marblepond/internal/connection/target"
+	"github.com/marblepond/marblepond/internal/errkind"
+	"github.com/marblepond/marblepond/internal/process/invariant"
 	"github.com/marblepond/marblepond/internal/request/choose"
 	"github.com/marblepond/marblepond/internal/request/quarantine"
 )
@@ -144,6 +146,7 @@
 	if p.begun {
 		return &target.Error{Failure: target.Broken, Cause: errors.New("the target answered a resumed stream with " + http.StatusText(answer.Status))}
 	}
+	f.Checker.Assert(!errkind.PromisesNotRun(answer.Status), invariant.NotRunIsTrue, req.ID, t.ID, "an answer with status %d is passed on", answer.Status)
 	f.Quarantine.Completed(&req.Work, t, f.Now())
 	p.errorAnswer = answer.Status >= http.StatusInternalServerError
 	if !p.errorAnswer {
--- a/internal/request/forward/refused_test.go
+++ b/internal/request/forward/refused_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"testing"
 	"time"
 
@@ -55,3 +56,17 @@
 		is.True(call.Repeatable)
 	}
 }
+
+// Guards against an answer of a target that is passed on though its status promises callers that the
+// request was not run: the client of targets has to report it as a failure.
+func TestPromisingStatusIsNoAnswer(t *testing.T) {
+	is := is.New(t)
+	for _, status := range []int{http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusBadRequest} {
+		f := forwarderWith(&fakeTargets{}, answerSender(status), &fakeOccupancies{slots: 16}, &fakeAdmissionLog{})
+		req := newRequest()
+		req.Route = &route.Route{Kind: route.Stream, Attempts: 1, Objective: time.Second}
+		_, err := f.Do(context.Background(), req, &fakeCaller{})
+		is.NoErr(err)
+		is.Equal(f.Checker.Violations() > 0, status != http.StatusBadRequest)
+	}
+}
