Follow no redirects of the store, the platform or a service

net/http follows a redirect by default: after 301, 302 and 303 with a GET at another path, after 307 and 308 with the same call. A write to the store whose answer was a redirect counted as done once that GET was answered with 200, so that a job could be accepted that nobody has; a call to a plain service that may run once was made a second time, elsewhere.

The clients take a redirect for the answer: of a write to the store the outcome is unknown, and a plain service's is passed on to its caller. The client of targets on the hosted path uses the transport alone, which follows none.

Found by reading; no store or service that redirects was seen.

--- a/internal/connection/engine/engine.go
+++ b/internal/connection/engine/engine.go
@@ -41,7 +41,7 @@
 }
 
 func New(client *http.Client, stall time.Duration) *Client {
-	return &Client{http: client, StallTimeout: stall}
+	return &Client{http: dial.WithoutRedirects(client), StallTimeout: stall}
 }
 
 // Call is one attempt at a completion request.
--- a/internal/connection/platform/client.go
+++ b/internal/connection/platform/client.go
@@ -23,6 +23,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/marblepond/marblepond/internal/connection/callbudget"
+	"github.com/marblepond/marblepond/internal/connection/dial"
 )
 
 // MaxValueBytes is the size of the largest value that the object API accepts.
@@ -101,7 +102,7 @@
 		o.OnChange = func(bool) {}
 	}
 	return &Client{
-		base: o.URL, caller: o.Caller, http: o.HTTP, timeout: o.Timeout,
+		base: o.URL, caller: o.Caller, http: dial.WithoutRedirects(o.HTTP), timeout: o.Timeout,
 		writes: callbudget.New(o.WriteRate), reads: callbudget.New(o.ReadRate),
 		metrics: o.Metrics, onChange: o.OnChange,
 	}
