Take no answer to a resumed stream for one about its request

At our own interface a request that may run once could run twice. When the connection to an engine breaks after the answer has begun, the node asks the engine for the rest of the stream. The error of that second call was taken for the attempt's: an engine that answered it with 503, or that was gone by then and refused the connection, counted as one that had not run the request, and the request was sent to another engine, or refused as not run.

Such an error now says that the connection was lost, as a 404 did before. A request that may run once ends as unknown outcome, any other goes on at another engine from the tokens held, and a batch item counts as lost with its engine.

TestRefusedResumeIsNoProofThatNothingRan failed before in two of its three cases (503, connection refused). Found by reading; not seen in a run.

--- a/internal/request/run/run.go
+++ b/internal/request/run/run.go
@@ -298,8 +298,8 @@
 		call.TokensReceived = a.Held()
 		r.recorder.Record(timeline.RequestResumed, req.ID, target.ID, "connection lost")
 		err = r.engines.Resume(ctx, call, a.add)
-		if errors.Is(err, engine.ErrRejected) {
-			err = engine.ErrConnectionLost // the engine no longer has the stream; the request itself is valid
+		if errors.Is(err, engine.ErrRejected) || errors.Is(err, engine.ErrBusy) || errors.Is(err, engine.ErrNotSent) {
+			err = engine.ErrConnectionLost // these are about the call that resumes the stream; the request has begun to run
 		}
 	}
 	if a.complete() {
