Run a forwarded request once if it may run once

At our own interface a request that may run once ran twice when its data centre had no target for it: the node of the other data centre that took it over ran it as one that may be repeated, and sent it to the next engine after a broken connection. The flag was cleared there so that the request is not claimed twice.

Only the claim depends on whether a request was forwarded, and it did already. The node that forwards the request passes the flag on, and the other one keeps it.

TestForwardedRequestRunsOnce (lab/e2e: one data centre evacuated, engines of the other that break each answer) failed before: two starts in place of one.

--- a/internal/request/run/run.go
+++ b/internal/request/run/run.go
@@ -329,6 +329,9 @@
 	if target.Remote {
 		loaded = "" // the other data centre resolves the caller's name itself
 		header.Set(openai.HeaderTimeoutMS, strconv.FormatInt(max(1, time.Until(req.Deadline).Milliseconds()), 10))
+		if req.NonIdempotent {
+			header.Set(openai.HeaderNonIdempotent, "true") // the node that forwards it has the claim
+		}
 	} else {
 		loaded = r.targets.LoadedName(target.ID, loaded)
 	}
--- a/internal/request/serve/complete.go
+++ b/internal/request/serve/complete.go
@@ -115,7 +115,7 @@
 	e.request.Loaded, e.request.Prefix, e.request.Deadline = loaded, parsed.Prefix(), deadline
 	e.request.Work = run.WorkOf(&e.request)
 	if c.forwarded {
-		e.request.ID, e.request.Hops, e.request.NonIdempotent = r.Header.Get(openai.HeaderRequestID), 1, false
+		e.request.ID, e.request.Hops = r.Header.Get(openai.HeaderRequestID), 1
 		e.answer = run.ContinueAnswer(e.request.ID, parsed.Continuation.Tokens, parsed.Continuation.Text)
 	}
 	return e, service, nil
--- a/lab/e2e/evacuation_test.go
+++ b/lab/e2e/evacuation_test.go
@@ -17,6 +17,7 @@
 	"github.com/marblepond/marblepond/internal/connection/peer"
 	"github.com/marblepond/marblepond/lab/client"
 	"github.com/marblepond/marblepond/lab/deployment"
+	"github.com/marblepond/marblepond/lab/engine"
 )
 
 // startsInDataCentre returns how many different requests the engines of a data centre have
@@ -116,3 +117,47 @@
 	}
 	is.True(startsInDataCentre(f, 0) > before)
 }
+
+// Guards against a request that may run once and runs twice in the data centre to which it was
+// forwarded: the engine there has begun it when the connection breaks.
+func TestForwardedRequestRunsOnce(t *testing.T) {
+	is := is.New(t)
+	f, c := startEmbedded(t, 119)
+	op := peer.NewOperatorClient(http.DefaultClient, f.PeerAddr(0, 0), deployment.OperatorKey)
+	is.NoErr(evacuate(op, "saldus-hall", false))
+	is.True(eventually(5*time.Second, func() bool {
+		everywhere, evacuated := inForce(op)
+		return everywhere && len(evacuated) == 1
+	}))
+	for _, e := range f.Engines[1] {
+		e.SetFaults(engine.Faults{CutShare: 1})
+	}
+	starts := func() int {
+		n := 0
+		for _, row := range f.Engines {
+			for _, e := range row {
+				for _, count := range e.StartCounts() {
+					n += count
+				}
+			}
+		}
+		return n
+	}
+	send := func() (int, http.Header, string) {
+		status, header, body, err := c.Call(context.Background(), http.MethodPost, f.CallerAddr(0, 0), openai.ChatPath, []byte(`{"model":"akmens-llm","messages":[{"role":"user","content":"once"}]}`),
+			map[string]string{openai.HeaderNonIdempotent: "true", openai.HeaderTimeoutMS: "4000"})
+		is.NoErr(err)
+		return status, header, string(body)
+	}
+	before := starts()
+	status, header, body := send()
+	is.Equal(starts()-before, 1)
+	is.Equal(status, http.StatusInternalServerError)
+	is.Equal(header.Get(openai.HeaderNotRun), "unknown")
+	is.True(strings.Contains(body, "unknown_outcome"))
+	for _, e := range f.Engines[1] {
+		e.SetFaults(engine.Faults{})
+	}
+	status, _, _ = send()
+	is.Equal(status, http.StatusOK)
+}
