Believe an engine's refusal only if it names the attempt

At our own interface an answer with 429 or 503 counted as "did not run the request", whoever it was for: a late or repeated refusal on a kept connection, read where the answer to the next attempt is due, let a request or an item that may run once be sent again while its engine ran it. The forwarding of requests to other data centres takes the same way.

A refusal proves that an attempt was not run if it names the request and the attempt (X-Request-Id, Marblepond-Attempt); attempts are numbered, so a copy of an earlier refusal is told apart. Any other is still no fault of the engine, and a request that may be repeated goes on as before; one that may run once ends as unknown outcome. Nodes name both in their answers to other data centres, and so does the stand-in engine.

Failed before: TestOnlyProvedRefusalsAreRetried (a refusal without proof was retried). Found by reading; not seen in a run.

--- a/internal/connection/engine/engine.go
+++ b/internal/connection/engine/engine.go
@@ -30,6 +30,9 @@
 	ErrFailed         = errors.New("target failed")
 	ErrStalled        = errors.New("target sent nothing for too long")
 	ErrFenced         = errors.New("target rejected a stale fencing token")
+	// ErrNotRun is an ErrBusy that is proved to be the answer to this attempt: it names the request
+	// and the attempt, so that it is no late answer to another call.
+	ErrNotRun = fmt.Errorf("%w and did not run the request", ErrBusy)
 )
 
 // Client sends requests and orders to targets.
@@ -81,7 +84,7 @@
 		return attemptError(ctx, err, sent)
 	}
 	defer resp.Body.Close()
-	if err := statusError(resp); err != nil {
+	if err := statusError(resp, call); err != nil {
 		return err
 	}
 	next := call.TokensReceived
@@ -159,11 +162,14 @@
 	return fmt.Errorf("%w: %v", ErrConnectionLost, err)
 }
 
-func statusError(resp *http.Response) error {
+func statusError(resp *http.Response, call Call) error {
+	busy := resp.StatusCode == http.StatusTooManyRequests || resp.StatusCode == http.StatusServiceUnavailable
 	switch {
 	case resp.StatusCode < http.StatusMultipleChoices:
 		return nil
-	case resp.StatusCode == http.StatusTooManyRequests || resp.StatusCode == http.StatusServiceUnavailable:
+	case busy && resp.Header.Get(openai.HeaderRequestID) == call.RequestID && resp.Header.Get(openai.HeaderAttempt) == strconv.Itoa(call.Attempt):
+		return ErrNotRun
+	case busy:
 		return ErrBusy
 	case resp.StatusCode < http.StatusInternalServerError:
 		detail, _ := io.ReadAll(io.LimitReader(resp.Body, 1024))
--- a/internal/request/batch/item.go
+++ b/internal/request/batch/item.go
@@ -131,7 +131,7 @@
 // afterFailure requeues a failed item or ends it with an error. If its lease has
 // ended, it leaves an idempotent item to the chunk's next holder.
 func (w *Worker) afterFailure(it *item, err, cause error) {
-	notSent := errors.Is(err, engine.ErrNotSent) || (errors.Is(err, engine.ErrBusy) && it.service.Kind == fleet.KindModel)
+	notSent := errors.Is(err, engine.ErrNotSent) || errors.Is(err, engine.ErrNotRun)
 	switch {
 	case errkind.Is(err, errkind.CrashesTargets):
 		w.recorder.Record(timeline.ItemIsolated, it.id(), it.target, errkind.Message(err))
--- a/internal/request/run/run.go
+++ b/internal/request/run/run.go
@@ -196,7 +196,7 @@
 	p.lastErr = err
 	p.exclude[target.ID] = true
 	p.connectionLosses = lossesAfter(p.connectionLosses, err, a.Held())
-	notSent := errors.Is(err, engine.ErrNotSent) || (errors.Is(err, engine.ErrBusy) && req.Loaded != "")
+	notSent := errors.Is(err, engine.ErrNotSent) || errors.Is(err, engine.ErrNotRun)
 	p.sent = p.sent || !notSent
 	switch {
 	case errors.Is(err, engine.ErrRejected):
--- a/internal/request/run/run_test.go
+++ b/internal/request/run/run_test.go
@@ -79,3 +79,22 @@
 		})
 	}
 }
+
+// Guards against a request that may run once and is sent again after a refusal that is not proved to
+// be the answer to its attempt.
+func TestOnlyProvedRefusalsAreRetried(t *testing.T) {
+	for _, c := range []struct {
+		err   error
+		final bool
+	}{{engine.ErrNotSent, false}, {engine.ErrNotRun, false}, {engine.ErrBusy, true}, {engine.ErrConnectionLost, true}, {engine.ErrFailed, true}} {
+		t.Run(c.err.Error(), func(t *testing.T) {
+			is := is.New(t)
+			recorder := timeline.NewRecorder("n", 10, &log.Logger{Handler: discard.New()}, tally.NoopScope)
+			r := New(nil, nil, nil, nil, recorder, invariant.New(recorder, false), 1, time.Second, time.Now)
+			p := &progress{exclude: map[string]bool{}}
+			err := r.finalError(context.Background(), Request{ID: "r", Loaded: "m", NonIdempotent: true}, choose.Target{ID: "t"}, NewAnswer("r"), p, c.err)
+			is.Equal(errkind.Is(err, errkind.UnknownOutcome), c.final)
+			is.Equal(p.sent, c.final)
+		})
+	}
+}
--- a/internal/request/serve/serve.go
+++ b/internal/request/serve/serve.go
@@ -126,6 +126,10 @@
 		if s.leaving.Load() {
 			w.Header().Set("Connection", "close") // the next call connects to another node
 		}
+		if r.Header.Get(openai.HeaderForwarded) != "" { // the node that forwards it believes a refusal only of its own attempt
+			w.Header().Set(openai.HeaderRequestID, r.Header.Get(openai.HeaderRequestID))
+			w.Header().Set(openai.HeaderAttempt, r.Header.Get(openai.HeaderAttempt))
+		}
 		c, err := s.authenticate(r)
 		if err == nil {
 			err = h(w, r, c)
--- a/lab/engine/http.go
+++ b/lab/engine/http.go
@@ -48,6 +48,9 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	id, attempt := r.Header.Get(openai.HeaderRequestID), r.Header.Get(openai.HeaderAttempt)
+	w.Header().Set(openai.HeaderRequestID, id)
+	w.Header().Set(openai.HeaderAttempt, attempt)
 	if chance(e.currentFaults().FailShare) {
 		http.Error(w, "internal error", http.StatusInternalServerError)
 		return
@@ -60,8 +63,7 @@
 		e.Crash()
 		panic(http.ErrAbortHandler)
 	}
-	id := r.Header.Get(openai.HeaderRequestID)
-	s := e.submit(id+"."+r.Header.Get(openai.HeaderAttempt), id, r.URL.Path, &req, req.Continuation)
+	s := e.submit(id+"."+attempt, id, r.URL.Path, &req, req.Continuation)
 	e.send(w, r, s, s.firstToken)
 }
 
