Keep what arrives on idle connections out of the log

net/http writes up to 4 KB of what arrives on an idle connection to the standard logger: with a target that sends answers twice, parts of answers of callers went to a node's standard error, each time, without a bound.

The output of the standard logger, which only libraries use, now removes what that message quotes, writes it once a second at most with the number of those skipped, and bounds all others; the trace of a panic still fits.

TestUnsolicitedAnswersAreNotLogged failed before the output was set (the answer's text was logged). New with the change: TestStandardLogIsBounded.

--- a/cmd/marblepond/main.go
+++ b/cmd/marblepond/main.go
@@ -4,9 +4,11 @@
 import (
 	"context"
 	"fmt"
+	stdlog "log"
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/urfave/cli/v3"
 
@@ -58,6 +60,7 @@
 func runNode(ctx context.Context, path string, s *settings.Settings) error {
 	log := logwriter.New(os.Stdout)
 	defer log.Close()
+	stdlog.SetOutput(logwriter.NewStandard(os.Stderr, time.Now))
 	sighups := make(chan os.Signal, 1)
 	signal.Notify(sighups, syscall.SIGHUP)
 	if s.Front == settings.FrontHosted {
