--- a/internal/request/run/run.go
+++ b/internal/request/run/run.go
@@ -196,7 +196,7 @@
 	p.lastErr = err
 	p.exclude[target.ID] = true
 	p.connectionLosses = lossesAfter(p.connectionLosses, err, a.Held())
-	notSent := errors.Is(err, engine.ErrNotSent) || (errors.Is(err, engine.ErrBusy) && req.Loaded != "")
+	notSent := errors.Is(err, engine.ErrNotSent) || errors.Is(err, engine.ErrNotRun)
 	p.sent = p.sent || !notSent
 	switch {
 	case errors.Is(err, engine.ErrRejected):
@@ -298,8 +298,8 @@
 		call.TokensReceived = a.Held()
 		r.recorder.Record(timeline.RequestResumed, req.ID, target.ID, "connection lost")
 		err = r.engines.Resume(ctx, call, a.add)
-		if errors.Is(err, engine.ErrRejected) {
-			err = engine.ErrConnectionLost // the engine no longer has the stream; the request itself is valid
+		if errors.Is(err, engine.ErrRejected) || errors.Is(err, engine.ErrBusy) || errors.Is(err, engine.ErrNotSent) {
+			err = engine.ErrConnectionLost // these are about the call that resumes the stream; the request has begun to run
 		}
 	}
 	if a.complete() {
@@ -329,6 +329,9 @@
 	if target.Remote {
 		loaded = "" // the other data centre resolves the caller's name itself
 		header.Set(openai.HeaderTimeoutMS, strconv.FormatInt(max(1, time.Until(req.Deadline).Milliseconds()), 10))
+		if req.NonIdempotent {
+			header.Set(openai.HeaderNonIdempotent, "true") // the node that forwards it has the claim
+		}
 	} else {
 		loaded = r.targets.LoadedName(target.ID, loaded)
 	}
