Give two more reasons of an item to wait their own scope

An item that had failed at an earlier holder of its job may not be the trial of a target that returns, and its failed targets are not known to the new holder; it marked its service as full for all items behind it, which may be the trial.

An item that begins anew dropped its text also if the target that it was sent to was one of the version that wrote it, which had got a free slot in between.

TestFailedItemKeepsNoOtherFromATrial and TestItemKeepsItsTextAtATargetOfItsVersion failed before. Found by review.

--- a/internal/request/job/run.go
+++ b/internal/request/job/run.go
@@ -145,22 +145,28 @@
 func (m *Manager) sendItem(ctx context.Context, h *heldJob, item schedule.Item, now time.Time, r *route.Route, allotment func(choose.Target) int, full fullScopes) {
 	i := item.Index
 	service := m.serviceOf(h, i, r)
-	if full.all(service) || !m.mayTry(h, i, now) {
+	if full.isFull(service) || !m.mayTry(h, i, now) {
 		return
 	}
 	need := m.needOf(h, i, service, allotment)
 	t, ok := choose.Target{}, false
-	if !full.cover(need) {
+	if !full.covers(need) {
 		if t, ok = m.Pool.ChooseBatch(need); !ok {
-			full.add(need, m.mayUseAll(need))
+			full.add(need)
+		}
+		if !ok && m.mayUseAll(need) {
+			need.Origin = continuation.Origin{}
+			full.add(need)
+			return
 		}
 	}
 	if !ok && m.shouldBeginAnew(h, i, service, now) {
+		began := need.Origin
 		need.Origin = continuation.Origin{}
-		if t, ok = m.Pool.ChooseBatch(need); ok {
+		if t, ok = m.Pool.ChooseBatch(need); !ok {
+			full.add(need)
+		} else if !began.Allows(t.Version) { // a slot may have become free at a target of its version
 			m.beginAnew(h, i, "no target of the version that began it can take it")
-		} else {
-			full.add(need, true)
 		}
 	}
 	if !ok {
--- a/internal/request/job/scope.go
+++ b/internal/request/job/scope.go
@@ -15,23 +15,18 @@
 // keeps one item waiting keeps others waiting only if they may use no other targets.
 type fullScopes map[scope]bool
 
-// add records that no target took an item with a need; all says that any target of the service could
-// have, but for what only this item needs: other targets than those excluded, or one where none runs
-// apart.
-func (f fullScopes) add(need choose.Need, all bool) {
-	if len(need.Exclude) > 0 || need.Apart {
-		return
-	}
-	f[scope{need.Service, need.Origin}] = true
-	if all {
-		f[scope{service: need.Service}] = true
+// add records that no target took an item with a need. Nothing follows for others from what only
+// this item needs: a target outside a list, one where none runs apart, or one that is not on trial.
+func (f fullScopes) add(need choose.Need) {
+	if len(need.Exclude) == 0 && !need.Apart && !need.NoProbe {
+		f[scope{need.Service, need.Origin}] = true
 	}
 }
 
-// cover reports whether no target can take an item with a need.
-func (f fullScopes) cover(need choose.Need) bool {
-	return f.all(need.Service) || f[scope{need.Service, need.Origin}]
+// covers reports whether no target can take an item with a need.
+func (f fullScopes) covers(need choose.Need) bool {
+	return f.isFull(need.Service) || f[scope{need.Service, need.Origin}]
 }
 
-// all reports whether no target of a service can take any item.
-func (f fullScopes) all(service string) bool { return f[scope{service: service}] }
+// isFull reports whether no target of a service can take any item.
+func (f fullScopes) isFull(service string) bool { return f[scope{service: service}] }
--- a/internal/request/job/versionleft_test.go
+++ b/internal/request/job/versionleft_test.go
@@ -100,3 +100,64 @@
 		})
 	}
 }
+
+// trialPool has targets on trial only, which take items that have not failed.
+type trialPool struct{ noPool }
+
+func (trialPool) SharedView() bool { return true }
+func (trialPool) ChooseBatch(need choose.Need) (choose.Target, bool) {
+	return choose.Target{ID: "t", Service: need.Service, Version: "v1"}, !need.NoProbe
+}
+
+// Guards against an item that failed at an earlier holder of its job, may not be sent to a target on
+// trial, and keeps all other items from being the trial.
+func TestFailedItemKeepsNoOtherFromATrial(t *testing.T) {
+	is := is.New(t)
+	m := newTestManager("n1", newMemoryStore())
+	m.Pool, m.Sender = trialPool{}, cancelledSender{}
+	is.NoErr(m.Submit(context.Background(), submission("j")))
+	h := m.held["j"]
+	h.progress.items[0].failures = 1 // as restored from the head, which names no targets
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	m.sendWaiting(ctx)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	is.Equal(h.progress.items[1].phase, running)
+}
+
+// freedPool has a target of one version, which gets a free slot after the first choice.
+type freedPool struct {
+	noPool
+	choices *int
+}
+
+func (p freedPool) SeveralVersions(string) bool { return true }
+func (p freedPool) ChooseBatch(need choose.Need) (choose.Target, bool) {
+	*p.choices++
+	return choose.Target{ID: "t", Service: need.Service, Version: "v1"}, *p.choices > 1
+}
+
+// Guards against an item whose text is dropped though it is sent to a target of the version that
+// wrote it.
+func TestItemKeepsItsTextAtATargetOfItsVersion(t *testing.T) {
+	is := is.New(t)
+	m := newTestManager("n1", newMemoryStore())
+	choices := 0
+	m.Pool, m.Sender = freedPool{choices: &choices}, cancelledSender{}
+	is.NoErr(m.Submit(context.Background(), submission("j")))
+	h := m.held["j"]
+	runAt(h.progress, 0, "v1", "a", "b")
+	h.progress.finish(1, Result{}, time.Now())
+	h.progress.items[0].service = ""
+	h.progress.items[0].ran = time.Millisecond
+	h.progress.items[0].blockedSince = time.Now().Add(-time.Second)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	m.sendWaiting(ctx)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	is.Equal(h.progress.items[0].phase, running)
+	is.Equal(h.progress.items[0].origin, continuation.BegunAt("v1"))
+	is.Equal(h.progress.items[0].lastEvent, int64(2))
+}
