Take no version for gone while the list of targets may lack live ones

A node that was started again during an outage of the store did not know of the outage: once the store answered, it took targets whose entries had expired for gone, though live ones register again within two seconds. Callers' streams of their version got 503 at once, and items dropped their text.

The time without an answer counts from a node's start, and while the list may lack live targets, none of a version is no proof that the version is gone.

An outage that ends within two seconds of the start is not noticed.

--- a/internal/version/discovery/versions.go
+++ b/internal/version/discovery/versions.go
@@ -19,11 +19,16 @@
 	return out
 }
 
-// Supply returns whether a target is left at which an answer that has begun may continue.
+// Supply returns whether a target is left at which an answer that has begun may continue. While the
+// list may lack live targets, none of a version are no proof that it is gone.
 func (p *Pool) Supply(service string, o continuation.Origin) continuation.Supply {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.table.Supply(service, o)
+	supply := p.table.Supply(service, o)
+	if supply == continuation.Gone && p.listUncertain() {
+		return continuation.Busy
+	}
+	return supply
 }
 
 // SeveralVersions reports whether targets of several versions of a service are listed.
--- a/internal/version/follow/cache.go
+++ b/internal/version/follow/cache.go
@@ -90,6 +90,7 @@
 	// again after that.
 	answered  time.Time
 	outageAge time.Duration
+	started   time.Time // when this node started
 	outageEnd time.Time
 	refresh   refreshes
 }
@@ -120,7 +121,7 @@
 func NewCache(now func() time.Time, kinds ...string) *Cache {
 	c := &Cache{kinds: map[string]*kind{}, now: now, onVerified: func() {}}
 	for _, name := range kinds {
-		c.kinds[name] = &kind{entries: map[string]entry{}, outageAge: minOutageAge}
+		c.kinds[name] = &kind{entries: map[string]entry{}, outageAge: minOutageAge, started: now()}
 	}
 	return c
 }
--- a/internal/version/follow/cache_test.go
+++ b/internal/version/follow/cache_test.go
@@ -225,3 +225,19 @@
 	cache.ReceiveMark(kindT, FreshnessMark{Age: time.Minute, QueryID: 8, Known: true}) // older than the newest query
 	is.Equal(calls, 2)
 }
+
+// Guards against a node that starts in an outage of the store, and that takes targets whose entries
+// expired in it for gone as soon as the store answers.
+func TestDeletionsAreUncertainAfterAStartInAnOutage(t *testing.T) {
+	is := is.New(t)
+	cache, clk := newTestCache()
+	clk.advance(4 * time.Second) // no node can query the store
+	cache.Replace(kindT, []objects.Object{{Name: "a", Revision: 3}}, 5)
+	cache.MarkVerified(kindT, clk.now)
+	is.True(cache.DeletionsUncertain(kindT)) // live targets may still be missing
+	for range 2 {
+		clk.advance(recoveryTime / 2)
+		cache.MarkVerified(kindT, clk.now)
+	}
+	is.True(!cache.DeletionsUncertain(kindT))
+}
--- a/internal/version/follow/freshness.go
+++ b/internal/version/follow/freshness.go
@@ -60,9 +60,14 @@
 
 // storeAnswered notes that the store has answered a query that was sent at the time given. The
 // time between two queries tells of an outage, and not that between the news of them: a node that
-// is short of processor time hears of them late.
+// is short of processor time hears of them late. For a node that has just started the time counts
+// from its start.
 func (k *kind) storeAnswered(now, sent time.Time) {
-	if !k.answered.IsZero() && sent.Sub(k.answered) > k.outageAge {
+	before := k.answered
+	if before.IsZero() {
+		before = k.started
+	}
+	if sent.Sub(before) > k.outageAge {
 		k.outageEnd = now
 	}
 	if sent.After(k.answered) {
