Take no version for the one in use by a part of the list

A node that starts may read the list of targets in parts. If the first part had targets of a new version alone, that version counted as in use and the old one, listed a moment later, did not, so that all new resumable streams began at a few targets for two seconds. What the first reading shows is now judged anew with each part until the list is whole.

Found by review.

--- a/internal/connection/origins/origins_test.go
+++ b/internal/connection/origins/origins_test.go
@@ -179,3 +179,19 @@
 	is.True(started.Derivable("s", testWindow))
 	is.Equal(started.Find(context.Background(), testStream, time.Second).Source, FromHistory)
 }
+
+// Guards against a node that begins streams only at a new version after its start, because the list
+// of targets arrives in parts, and the first part has targets of that version alone.
+func TestFirstPartOfTheListDoesNotShowTheVersionInUse(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	verified := time.Time{} // the list is not complete
+	fleet := &continuation.Fleet{Self: "n", DataCentre: "dc", Nodes: map[string][]string{}}
+	x := New(Options{Node: "n", Now: func() time.Time { return now }, Timing: continuation.TimingOf(2 * time.Second), Network: sender{&network{}, "n"},
+		Fleet: func() *continuation.Fleet { return fleet }, ListVerified: func() time.Time { return verified }, Metrics: tally.NoopScope})
+	x.SetListed(map[string]map[continuation.Version]int{"s": {"v2": 1}})
+	is.True(x.InUse("s", "v2"))
+	verified = now
+	x.SetListed(map[string]map[continuation.Version]int{"s": {"v1": 6, "v2": 1}})
+	is.True(!x.InUse("s", "v2"))
+}
--- a/internal/request/continuation/history.go
+++ b/internal/request/continuation/history.go
@@ -39,9 +39,9 @@
 
 // sighting says when a version was listed.
 type sighting struct {
-	first  time.Time // of this time that it is listed, as far as this node knows
+	first  time.Time // when it was first listed, since it was last missing, as far as this node knows
 	stated bool      // other nodes may know it for longer
-	sole   bool      // it was the only version when this node first read the list, and is in use
+	inUse  bool      // in use whatever first says: the only version when this node read the list first, or the fleet began then
 	listed bool
 	ceased time.Time // when it was last no longer listed; zero: never
 }
@@ -73,7 +73,10 @@
 			s, known := h.services[service][v]
 			if !known || !s.listed {
 				// A version that returns is new to nodes with older copies.
-				s.first, s.stated, s.sole = now, firstListing || h.staleLately(now), firstListing && (len(versions) == 1 || h.beganNow)
+				s.first, s.stated, s.inUse = now, firstListing || h.staleLately(now), false
+			}
+			if firstListing { // the list may arrive in parts
+				s.inUse = len(versions) == 1 || h.beganNow
 			}
 			s.listed = true
 			h.services[service][v] = s
@@ -130,7 +133,7 @@
 // fresh copy know it by now.
 func (h *History) InUse(now time.Time, service string, v Version) bool {
 	s, known := h.services[service][v]
-	return known && (s.sole || now.Sub(s.first) >= h.timing.UseAfter)
+	return known && (s.inUse || now.Sub(s.first) >= h.timing.UseAfter)
 }
 
 // versions returns the versions that may have begun a stream within a window, or that may begin
