Let no transport repeat a call that may run once

At our own interface a call to a plain service that may run once and has no body was sent again by net/http after its connection had broken, if its method is GET, HEAD, OPTIONS or TRACE or it has the header X-Idempotency-Key: the service ran it twice. Such a call now has a body that cannot be rewound, as calls of the hosted path have.

TestPlainCallThatMayRunOnceIsNotRepeatedByTheTransport failed before in two of its three cases. Found by review.

--- a/internal/connection/engine/engine.go
+++ b/internal/connection/engine/engine.go
@@ -289,8 +289,10 @@
 	req.GetBody = nil
 	req.Header = call.Header.Clone()
 	if call.NonIdempotent {
-		// net/http repeats a call with this header on a broken connection.
+		// On a broken connection net/http repeats a call with this header, or with some methods, if
+		// its body can be rewound or is empty.
 		req.Header.Del(openai.HeaderIdempotencyKey)
+		req.Body = io.NopCloser(struct{ io.Reader }{bytes.NewReader(call.Body)})
 	}
 	req.Header.Set(openai.HeaderRequestID, call.RequestID)
 	resp, err := c.http.Do(req)
