Report no request as not run that an earlier attempt may have run

At our own interface a request that an engine rejects is answered 400 with not_run true, also if an earlier attempt at another engine had lost its connection. Its caller now gets 502 and an unknown outcome.

TestRejectionAfterAnAttemptThatMayHaveRun failed before. Found by review.

--- a/internal/request/run/run.go
+++ b/internal/request/run/run.go
@@ -197,8 +197,11 @@
 	p.exclude[target.ID] = true
 	p.connectionLosses = lossesAfter(p.connectionLosses, err, a.Held())
 	notSent := errors.Is(err, engine.ErrNotSent) || errors.Is(err, engine.ErrNotRun)
+	sentBefore := p.sent
 	p.sent = p.sent || !notSent
 	switch {
+	case errors.Is(err, engine.ErrRejected) && sentBefore:
+		return errkind.TargetFailed.New("an engine rejected the request after another attempt may have run: %v", err)
 	case errors.Is(err, engine.ErrRejected):
 		return errkind.Malformed.New("the engine rejected the request: %v", err)
 	case req.NonIdempotent && !notSent:
--- a/internal/request/run/run_test.go
+++ b/internal/request/run/run_test.go
@@ -98,3 +98,12 @@
 		})
 	}
 }
+
+// Guards against a request that is reported as not run because a later engine rejects it, though an
+// earlier attempt may have run.
+func TestRejectionAfterAnAttemptThatMayHaveRun(t *testing.T) {
+	is := is.New(t)
+	p := &progress{exclude: map[string]bool{}, sent: true} // the first attempt lost its connection
+	err := (&Runner{}).finalError(context.Background(), Request{}, choose.Target{ID: "b"}, NewAnswer("r"), p, engine.ErrRejected)
+	is.True(errkind.Of(err).NotRun != errkind.NotRunTrue)
+}
