Answer 500 when it is not known whether a job was ended

A call that ends a job was answered 503, a promise that it has no effect and never will, also if the write of the end was sent and had no answer. The end may take effect seconds later: items that the caller still counts on are not run any more.

The call now ends as unknown outcome then, as a submission does, and as not done only if no write can have taken effect.

TestRefusedEndIsNotDone failed before: 503 with the end in the store. Found by reading; not seen in a run.

--- a/internal/request/job/peer.go
+++ b/internal/request/job/peer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	v1 "github.com/marblepond/marblepond/api/marblepond/v1"
@@ -55,7 +56,8 @@
 const endTimeout = 2 * time.Second
 
 // EndJob ends a job for its caller. When it returns nil, the end is in the object store.
-// Errors: errkind.NotFound, errkind.PlatformUnavailable.
+// Errors: errkind.NotFound, errkind.PlatformUnavailable (it is not, and will not be),
+// errkind.UnknownOutcome.
 func (m *Manager) EndJob(ctx context.Context, id string) error {
 	ctx, cancel := context.WithTimeout(ctx, endTimeout)
 	defer cancel()
@@ -69,7 +71,11 @@
 		holder = head.Holder
 	}
 	if !m.Ended(id) {
-		if _, _, err := m.create(ctx, KindEnds, id, encode(struct{ Ended int64 }{time.Now().UnixMilli()})); err != nil {
+		_, _, err := m.create(ctx, KindEnds, id, encode(struct{ Ended int64 }{time.Now().UnixMilli()}))
+		switch {
+		case errors.Is(err, errOutcomeUnknown):
+			return errkind.UnknownOutcome.New("whether the job was ended is not known; send the call again")
+		case err != nil:
 			return errkind.PlatformUnavailable.New("the end of the job could not be written to the object store: %v", err)
 		}
 	}
--- a/internal/request/job/waitstore_test.go
+++ b/internal/request/job/waitstore_test.go
@@ -154,3 +154,29 @@
 		}
 	})
 }
+
+// Guards against an end of a job that is refused as not done, and takes effect: its caller would take
+// the job for open, and its items are not run any more.
+func TestRefusedEndIsNotDone(t *testing.T) {
+	t.Parallel()
+	for _, lost := range []bool{false, true} {
+		t.Run(fmt.Sprint("lost=", lost), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			store := newCallCounter()
+			nodes, _ := newSharedManagers(store, 1)
+			m := nodes[0]
+			is.NoErr(m.Submit(context.Background(), waitingSubmission("job", 5*time.Second)))
+			if lost {
+				store.loseCreates.Store(1)
+				m.Store = awayAfterCreate{store}
+			} else {
+				store.away.Store(true)
+			}
+			answer := errkind.Of(m.EndJob(context.Background(), "job"))
+			is.Equal(store.memoryStore.count(KindEnds) > 0, lost)
+			is.Equal(errkind.PromisesNotRun(answer.HTTPStatus), !lost)
+			is.Equal(answer.NotRun == errkind.NotRunTrue, !lost)
+		})
+	}
+}
