Answer 500 when it is not known whether a batch was cancelled

The same fault as for the end of a job, at our own interface: a cancellation whose write had no answer was refused with Marblepond-Not-Run: true, and may take effect. It is now an unknown outcome, also if the batch can't be read again afterwards.

TestRefusedCancellationIsNotDone failed before.

--- a/internal/request/batch/store.go
+++ b/internal/request/batch/store.go
@@ -280,8 +280,12 @@
 // Cancel requests the cancellation of a job. The job becomes "cancelled" later,
 // when no chunk is under lease any more.
 func (s *Store) Cancel(ctx context.Context, id string) (record.Job, error) {
+	ambiguous := false
 	for range maxAttempts {
 		o, err := s.platform.Get(ctx, platform.Commit, record.JobName(id))
+		if err != nil && ambiguous {
+			break
+		}
 		if err != nil {
 			return record.Job{}, callerError(err, "batch", id)
 		}
@@ -294,8 +298,12 @@
 			s.recorder.Record(timeline.JobCancelling, "", id, "requested")
 			return job, nil
 		}
+		ambiguous = ambiguous || errors.Is(err, platform.ErrAmbiguous)
 		wait.For(ctx, retryDelay)
 	}
+	if ambiguous {
+		return record.Job{}, errkind.UnknownOutcome.New("whether the batch was cancelled is not known; send the call again")
+	}
 	return record.Job{}, errkind.PlatformUnavailable.New("the cancellation was not confirmed; try again")
 }
 
