--- a/internal/request/job/submit_test.go
+++ b/internal/request/job/submit_test.go
@@ -11,6 +11,8 @@
 
 	"github.com/marblepond/marblepond/internal/connection/callbudget"
 	"github.com/marblepond/marblepond/internal/connection/objects"
+	"github.com/marblepond/marblepond/internal/errkind"
+	"github.com/marblepond/marblepond/internal/request/backlog"
 )
 
 // count returns how many objects of a kind the store has.
@@ -131,3 +133,41 @@
 	is.Equal(len(head.Inline), 0)
 	is.True(head.Complete())
 }
+
+// refusingBacklogs refuses every job.
+type refusingBacklogs struct{ err error }
+
+func (b refusingBacklogs) Reserve(context.Context, backlog.Key, int64, int64, func()) error {
+	return b.err
+}
+
+// Guards against a job that is refused because its tokens do not fit, or may not fit, and of which
+// something is stored, so that a part of it would run.
+func TestJobThatIsNotReservedIsNotStored(t *testing.T) {
+	for name, c := range map[string]struct {
+		refusal error
+		away    bool
+		kind    string
+	}{
+		"does not fit":             {errkind.RateLimited.New("full"), false, "rate_limited"},
+		"not known":                {errkind.PlatformUnavailable.New("not known"), false, "platform_unavailable"},
+		"does not fit, store away": {errkind.RateLimited.New("full"), true, "platform_unavailable"}, // it may have been accepted before
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			store := newCallCounter()
+			nodes, _ := newSharedManagers(store, 1)
+			m := nodes[0]
+			m.Backlogs = refusingBacklogs{c.refusal}
+			store.away.Store(c.away)
+			s := waitingSubmission("job", 5*time.Second)
+			s.Route.TokenCap = 100
+			answer := errkind.Of(m.Submit(context.Background(), s))
+			is.Equal(answer.Name, c.kind)
+			is.True(errkind.PromisesNotRun(answer.HTTPStatus))
+			is.Equal(store.memoryStore.count(KindHeads)+store.memoryStore.count(KindItems), 0)
+			is.Equal(len(m.held), 0)
+			is.Equal(len(m.reserved), 0)
+		})
+	}
+}
--- a/lab/hosted/jobs_test.go
+++ b/lab/hosted/jobs_test.go
@@ -136,6 +136,7 @@
 	is.Equal(SubmitJob(f.Nodes[1].CallerAddress(), "c1", Items("c1", 20)).Status, http.StatusAccepted)
 	is.Equal(SubmitJob(f.Nodes[1].CallerAddress(), "c3", Items("c3", 4)).Status, http.StatusAccepted)
 	is.Equal(len(f.Store.Names("marblepond-jobs")), 2)
+	is.Equal(f.runCount("c2-0"), 0) // nothing of the refused job runs
 }
 
 // TestOnlineGoesFirst: online requests that find a full runner are served at once, and the
--- a/lab/hosted/store_test.go
+++ b/lab/hosted/store_test.go
@@ -50,6 +50,9 @@
 			_, status := ReadResults(f.Nodes[1].CallerAddress(), "s-unknown", 0)
 			is.Equal(status, http.StatusServiceUnavailable) // the job may exist, so not 404
 			time.Sleep(2500 * time.Millisecond)
+			unknown := SendRequest(context.Background(), f.Nodes[0].CallerAddress(), "/unknown/", "s-route", nil)
+			is.Equal(unknown.Status, http.StatusServiceUnavailable) // a newer configuration may have the route
+			is.Equal(f.runCount("s-route"), 0)
 			f.Store.SetFaults(StoreFaults{})
 			results, err := ReadAllResults(f.callers(), "s1", 15*time.Second)
 			is.NoErr(err)
--- a/lab/hosted/workspaces_test.go
+++ b/lab/hosted/workspaces_test.go
@@ -301,13 +301,15 @@
 		}
 	}
 	is.True(ran >= 5*perSecond) // it can use its allowance, except while a node is killed
-	reply := Reply{}
+	reply, late := Reply{}, ""
 	for i := range 200 {
-		if reply = SendRequestWithKey(f.Nodes[0].CallerAddress(), StreamPath, fmt.Sprint("late-", i), "h"); reply.Status == http.StatusTooManyRequests {
+		late = fmt.Sprint("late-", i)
+		if reply = SendRequestWithKey(f.Nodes[0].CallerAddress(), StreamPath, late, "h"); reply.Status == http.StatusTooManyRequests {
 			break
 		}
 	}
 	is.Equal(reply.Status, http.StatusTooManyRequests)
+	is.Equal(f.runCount(late), 0)
 	wait, err := strconv.ParseFloat(reply.Header.Get("Retry-After"), 64)
 	is.NoErr(err)
 	is.True(wait > 0 && wait < 2)
