Send a refused request again where batch items make room for it

Online requests that may run once were refused within some 40 ms at targets that were full of batch items, though items yield a moment later: since such a request was not sent again to a target that had refused it.

While batch items may run at targets of its service, as this node knows or hears within the time of a report (50 ms), the request waits as before and is sent again, over a connection that has not carried it. A refusal there is believed by its connection.

TestRefusedRequestWaitsForTheRoomOfItems failed before.

--- a/internal/connection/target/target.go
+++ b/internal/connection/target/target.go
@@ -31,6 +31,10 @@
 	// Repeatable marks a request that may run more than once. Any other one is refused for certain
 	// only by a target that was not sent it before: a refusal may be a copy of an earlier one.
 	Repeatable bool
+	// AwaitsRoom marks a request that may run once and is sent again to a target that has refused it,
+	// because batch items make room for it there. A refusal is believed since it arrives on a
+	// connection that has not carried the request before.
+	AwaitsRoom bool
 	// Deadline ends the attempt; the remaining time is sent to the target.
 	Deadline time.Time
 }
--- a/internal/request/forward/admit.go
+++ b/internal/request/forward/admit.go
@@ -141,8 +141,8 @@
 func (f *Forwarder) admit(ctx context.Context, req *Request, p *progress) (choose.Target, bool) {
 	for {
 		need := f.need(req, p)
-		restricted := len(p.refusedBy) > 0
-		awaitsItems := !restricted && Saturated(p.lastErr) && f.Targets.MayHaveItems(req.Service)
+		restricted := len(p.refusedForGood()) > 0
+		awaitsItems := Saturated(p.lastErr) && f.Targets.MayHaveItems(req.Service)
 		if terms, ok := f.Admission.terms(f.Now(), p.admitted, need.Apart, restricted, awaitsItems); ok {
 			need.Within, need.FreeSlot = terms.Within, terms.FreeSlot
 			if t, ok := f.Targets.Choose(need); ok {
--- a/internal/request/forward/attempt.go
+++ b/internal/request/forward/attempt.go
@@ -50,7 +50,7 @@
 	p.unresolved++
 	answer, err := f.Sender.Send(ctx, target.Call{
 		Address: t.Addr, InstanceID: t.ID, Incarnation: t.Incarnation, RequestID: req.ID, Workspace: req.Workspace, Method: req.Method, Host: req.Host, Path: req.Path,
-		Header: req.Header, Body: req.Body, ResumeAfter: p.lastEventID, Repeatable: req.Route.Repeatable(), Deadline: req.Deadline,
+		Header: req.Header, Body: req.Body, ResumeAfter: p.lastEventID, Repeatable: req.Route.Repeatable(), AwaitsRoom: p.refusedBy[t.ID], Deadline: req.Deadline,
 	})
 	if err != nil {
 		return f.cancelCause(ctx, err)
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -10,7 +10,6 @@
 import (
 	"context"
 	"errors"
-	"maps"
 	"net/http"
 	"time"
 
@@ -100,9 +99,12 @@
 // progress is the state of a request across its attempts.
 type progress struct {
 	exclude map[string]bool
-	// refusedBy holds the targets that refused a request that may run once. It is not sent there
-	// again: a second refusal might be a copy of the first.
-	refusedBy      map[string]bool
+	// refusedBy holds the targets that refused a request that may run once. It is sent there again
+	// only where batch items make room for it: a second refusal might be a copy of the first.
+	refusedBy map[string]bool
+	refusedAt time.Time // when the newest of them did
+	// roomExpected: batch items that make room for the request ran where it was refused.
+	roomExpected   bool
 	unresolved     int   // attempts that were begun and did not end with proof that the request was not run
 	ran            int   // attempts that may have run
 	lastEventID    int64 // ID of the last event that the caller has
@@ -126,12 +128,6 @@
 	refusal   *admission.Decision // with which Admission refused it
 }
 
-// clearExcluded allows targets again that failed or refused the request and may take it by now.
-func (p *progress) clearExcluded() {
-	clear(p.exclude)
-	maps.Copy(p.exclude, p.refusedBy)
-}
-
 // Do runs a request to its end. The error is nil if the caller got the complete
 // answer, and of a kind of errkind otherwise; begun reports whether part of the answer
 // was sent.
@@ -191,7 +187,7 @@
 		}
 		f.Log.Failed(req, t, p.events-before, err)
 		final := f.finalError(ctx, req, t, p, err)
-		if final == nil && Saturated(err) && !p.refusedBy[t.ID] {
+		if final == nil && Saturated(err) && !p.refusedForGood()[t.ID] {
 			p.waitingAt = &t
 			continue
 		}
--- a/internal/request/forward/judge.go
+++ b/internal/request/forward/judge.go
@@ -38,6 +38,7 @@
 	}
 	if !req.Route.Repeatable() && end != target.NotSent {
 		p.refusedBy[t.ID] = true
+		p.refusedAt = f.Now()
 	}
 	p.connectionLost = p.connectionLost || lostConnection(err)
 	f.reportFailure(req, t, p, err)
--- a/internal/request/forward/place.go
+++ b/internal/request/forward/place.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"time"
 
 	"github.com/marblepond/marblepond/internal/connection/target"
@@ -75,10 +76,33 @@
 	return !p.begun && f.Targets.AllEvacuated(req.Service)
 }
 
-// refusedByAll reports whether every target that a request may be sent to has refused it, and it
-// may run once.
+// refusedForGood returns the targets to which a request that may run once is not sent again.
+func (p *progress) refusedForGood() map[string]bool {
+	if p.roomExpected {
+		return nil
+	}
+	return p.refusedBy
+}
+
+// itemsReportedWithin is the time in which a node learns of batch items that other nodes have at a
+// target.
+const itemsReportedWithin = 50 * time.Millisecond
+
+// refusedByAll reports whether a request is not sent to any target any more. Other nodes may have
+// batch items at the targets that make room for it.
 func (f *Forwarder) refusedByAll(req *Request, p *progress) bool {
-	return len(p.refusedBy) > 0 && !f.Targets.HasOther(req.Service, p.refusedBy)
+	if len(p.refusedBy) == 0 {
+		return false
+	}
+	p.roomExpected = p.roomExpected || f.Targets.MayHaveItems(req.Service)
+	refused := p.refusedForGood()
+	return len(refused) > 0 && !f.Targets.HasOther(req.Service, refused) && f.Now().Sub(p.refusedAt) >= itemsReportedWithin
+}
+
+// clearExcluded allows targets again that failed or refused the request and may take it by now.
+func (p *progress) clearExcluded() {
+	clear(p.exclude)
+	maps.Copy(p.exclude, p.refusedForGood())
 }
 
 // stopWaiting stops counting a request as in flight at the full target that refused it.
--- a/internal/request/forward/refused_test.go
+++ b/internal/request/forward/refused_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -144,3 +145,34 @@
 		is.Equal(f.Checker.Violations() > 0, status != http.StatusBadRequest)
 	}
 }
+
+// refusesOnce refuses the first call at each target and answers all others.
+type refusesOnce struct{ refusingSender }
+
+func (s *refusesOnce) Send(ctx context.Context, call target.Call) (*target.Answer, error) {
+	again := slices.ContainsFunc(s.calls, func(c target.Call) bool { return c.Address == call.Address })
+	_, err := s.refusingSender.Send(ctx, call)
+	if again {
+		return &target.Answer{Status: http.StatusOK}, nil
+	}
+	return nil, err
+}
+
+// Guards against a request that may run once and is refused while batch items make room for it.
+func TestRefusedRequestWaitsForTheRoomOfItems(t *testing.T) {
+	for _, sharedView := range []bool{false, true} {
+		t.Run(fmt.Sprint("sharedView=", sharedView), func(t *testing.T) {
+			is := is.New(t)
+			sender := &refusesOnce{}
+			f := forwarderWith(&fakeTargets{hasItems: true}, sender, &fakeOccupancies{on: sharedView, slots: 16}, &fakeAdmissionLog{})
+			req := newRequest()
+			req.Route = &route.Route{Kind: route.Stream, Attempts: 2, Objective: 300 * time.Millisecond}
+			_, err := f.Do(context.Background(), req, &fakeCaller{})
+			is.NoErr(err)
+			last := len(sender.calls) - 1
+			for i, call := range sender.calls {
+				is.Equal(call.AwaitsRoom, i == last) // the first send to a target proves by itself
+			}
+		})
+	}
+}
