Ask other nodes for their histories after a start from an old file

After a loss of all nodes a keeper uses the history of versions in its file. If that covers a minute, it asked no other node for its history any more. If the file was old, because the keeper was off or could not write while others began streams at a version that has come and gone, it derived the other version for these streams, and told other nodes so: a caller that returns gets a stream of two versions.

A node that has used its file now takes the histories of others for the first minute after its start. What another file knows of a version that was removed is then taken over, and nothing is derived.

Failed before: TestOldFileIsCorrectedByOtherNodes (v1 derived for a stream that began at v2).

--- a/internal/connection/origins/disk.go
+++ b/internal/connection/origins/disk.go
@@ -161,6 +161,6 @@
 func (x *Exchange) useStored() {
 	if now := x.Now(); x.stored != nil && now.Sub(x.started) >= diskDelay {
 		x.history.Merge(now, reportFromProto(x.stored))
-		x.stored = nil
+		x.stored, x.usedStored = nil, true
 	}
 }
--- a/internal/connection/origins/history.go
+++ b/internal/connection/origins/history.go
@@ -13,11 +13,12 @@
 const wantHistoryFor = time.Minute
 
 // WantsHistory reports whether the history of this node is too short to tell how streams
-// began.
+// began, or rests on a file, which may be older than those of other nodes.
 func (x *Exchange) WantsHistory() bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	return x.history.CompleteFor(x.Now()) < wantHistoryFor
+	now := x.Now()
+	return x.history.CompleteFor(now) < wantHistoryFor || (x.usedStored && now.Sub(x.started) < wantHistoryFor)
 }
 
 // History returns the history of this node for another one, nil if it is not up to date.
--- a/internal/connection/origins/origins.go
+++ b/internal/connection/origins/origins.go
@@ -42,14 +42,16 @@
 type Exchange struct {
 	Options
 
-	mu       sync.Mutex
-	history  *continuation.History
-	records  *continuation.Records
-	several  bool // a service has targets of several versions
-	started  time.Time
-	stored   *v1.VersionHistory // read from the disk and not used yet; nil: none
-	sequence uint32
-	pending  map[uint32]chan *v1.StreamReply
+	mu      sync.Mutex
+	history *continuation.History
+	records *continuation.Records
+	several bool // a service has targets of several versions
+	started time.Time
+	stored  *v1.VersionHistory // read from the disk and not used yet; nil: none
+	// usedStored: the history rests on what was read from the disk.
+	usedStored bool
+	sequence   uint32
+	pending    map[uint32]chan *v1.StreamReply
 }
 
 // New returns an exchange.
