Let a record of a stream count more than what others say of the time before

After a loss of all nodes a caller that returns could get a stream of two versions: a node with an old file (it was off, or could not write, while others began streams at a version that is gone again) derived the other version at once, and so did each node that had taken its history over; a node without a history took the first answer, though another node had the record.

A node that has not itself seen the list for the time in which the stream can have begun asks the others first. A record ends the search; a version that is known alone counts once the others have replied or the wait is over, and not if two nodes name different ones. It costs a caller that returns to such a node one round trip, 100 ms at most if a node is silent.

Failed before: TestRecordCountsMoreThanAnOldFile (v1 instead of v2 in each of three cases), TestHistoriesThatContradictEachOtherProveNothing.

--- a/internal/connection/origins/origins.go
+++ b/internal/connection/origins/origins.go
@@ -50,6 +50,7 @@
 	stored  *v1.VersionHistory // read from the disk and not used yet; nil: none
 	// usedStored: the history rests on what was read from the disk.
 	usedStored bool
+	firstStart bool // the fleet started for the first time together with this node
 	sequence   uint32
 	pending    map[uint32]chan *v1.StreamReply
 }
@@ -83,6 +84,7 @@
 func (x *Exchange) BeginsNow() {
 	x.mu.Lock()
 	defer x.mu.Unlock()
+	x.firstStart = true
 	x.history.BeginsNow(x.Now())
 }
 
@@ -187,12 +189,22 @@
 const maxReplies = 16
 
 // Find returns at which version a stream began. It asks other nodes only if this node does
-// not know, and waits for them at most for the time given.
+// not know, or only knows what others have told it of the time before its start, and waits for them
+// at most for the time given.
 func (x *Exchange) Find(ctx context.Context, s Stream, wait time.Duration) Found {
-	if found, ok := x.findHere(s); ok {
+	found, ok := x.findHere(s)
+	if ok && (found.Source != FromHistory || !x.startedWithin(s.Window)) {
 		return found
 	}
-	return x.ask(ctx, s, wait)
+	return x.ask(ctx, s, wait, found)
+}
+
+// startedWithin reports whether this node started so lately that it has not seen itself at which
+// versions streams of a window began.
+func (x *Exchange) startedWithin(window time.Duration) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return !x.firstStart && x.Now().Sub(x.started) < window+x.Timing.FreshFor
 }
 
 // findHere searches what this node knows.
@@ -212,9 +224,10 @@
 	return Found{}, false
 }
 
-// ask asks the nodes that may have the record. The first that knows the version ends the
-// search. If the caller names no stream, one that knows a sole version can still tell.
-func (x *Exchange) ask(ctx context.Context, s Stream, wait time.Duration) Found {
+// ask asks the nodes that may have the record, which ends the search. Without one a sole version that
+// this node or others know counts, unless they contradict each other: a history may rest on an old
+// file. here is what this node has found.
+func (x *Exchange) ask(ctx context.Context, s Stream, wait time.Duration, here Found) Found {
 	replies := make(chan *v1.StreamReply, maxReplies)
 	x.mu.Lock()
 	x.sequence++
@@ -237,6 +250,10 @@
 	}
 	found := Found{Origin: continuation.BegunAnywhere(), Source: FromNobody, Asked: len(silent), Starting: x.Now().Sub(x.started) < startingFor}
 	m := &v1.StreamMessage{Kind: &v1.StreamMessage_Query{Query: &v1.StreamQuery{Key: uint64(key), Sequence: sequence, Service: s.Service, WindowMs: uint32(s.Window.Milliseconds())}}}
+	if _, known := here.Origin.Version(); known {
+		found.Origin, found.Source = here.Origin, here.Source
+	}
+	contradiction := false
 	x.sendAll(silent, m)
 	for len(silent) > 0 {
 		select {
@@ -246,21 +263,32 @@
 			}
 			delete(silent, r.Node)
 			found.Replied++
-			if !r.Known {
-				continue
-			}
-			found.Origin, found.Source, found.Age = continuation.BegunAt(continuation.Version(r.Version)), FromPeer, time.Duration(r.AgeMs)*time.Millisecond
-			if r.Sole {
-				found.Source = FromPeerHistory
+			origin := continuation.BegunAt(continuation.Version(r.Version))
+			_, known := found.Origin.Version()
+			switch {
+			case r.Known && !r.Sole:
+				found.Origin, found.Source, found.Age = origin, FromPeer, time.Duration(r.AgeMs)*time.Millisecond
+				return found
+			case r.Known && !known:
+				found.Origin, found.Source = origin, FromPeerHistory
+			case r.Known && found.Origin != origin:
+				contradiction = true
 			}
-			return found
 		case <-resend.C:
 			x.sendAll(silent, m)
 		case <-ctx.Done():
-			return found
+			return found.unless(contradiction)
 		}
 	}
-	return found
+	return found.unless(contradiction)
+}
+
+// unless returns what was found, or that nobody knows the version if nodes contradict each other.
+func (f Found) unless(contradiction bool) Found {
+	if contradiction {
+		f.Origin, f.Source = continuation.BegunAnywhere(), FromNobody
+	}
+	return f
 }
 
 func (x *Exchange) sendAll(nodes map[string]bool, m *v1.StreamMessage) {
--- a/internal/connection/origins/stale_test.go
+++ b/internal/connection/origins/stale_test.go
@@ -1,10 +1,13 @@
 package origins
 
 import (
+	"context"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/marblepond/marblepond/internal/request/continuation"
 )
 
 // What nodes derive after a loss of all nodes if the file of one of them is old: that node was off,
@@ -38,3 +41,52 @@
 	stale.watch(t, onlyV1, wantHistoryFor)
 	is.True(!stale.WantsHistory())
 }
+
+// Guards against streams that continue at another version, because a node that has an old file, or
+// has learned its content, asks no node that may have a record of the stream, and because its answer
+// ends the search of another node.
+func TestRecordCountsMoreThanAnOldFile(t *testing.T) {
+	for _, name := range []string{"the node with the old file", "a node that learned its content", "a node without a history"} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			stale, fresh := staleKeepers(t)
+			stale.watch(t, onlyV1, 2*diskDelay)
+			fresh.watch(t, onlyV1, 2*diskDelay)
+			asking := startKeeper(t, t.TempDir(), time.Unix(2004, 0))
+			asking.watch(t, onlyV1, time.Second)
+			switch name {
+			case "the node with the old file":
+				asking = stale
+			case "a node that learned its content":
+				asking.AddHistory(stale.History())
+			}
+			net := &network{nodes: map[string]*Exchange{"asking": asking.Exchange, "stale": stale.Exchange, "fresh": fresh.Exchange}, down: map[string]bool{}}
+			for name, k := range map[string]*keeper{"asking": asking, "stale": stale, "fresh": fresh} {
+				k.Node, k.Network = name, sender{net, name}
+			}
+			if asking == stale {
+				delete(net.nodes, "stale")
+			}
+			fleet := &continuation.Fleet{Self: "asking", DataCentre: "dc", Nodes: map[string][]string{"dc": {"stale", "fresh"}}, Reachable: func(string) bool { return true }}
+			asking.Fleet = func() *continuation.Fleet { return fleet }
+			asking.Node, asking.Network = "asking", sender{net, "asking"}
+			for range 20 { // nodes are asked in random order
+				found := asking.Find(context.Background(), testStream, 100*time.Millisecond)
+				is.Equal(versionOf(found), "v2")
+			}
+			net.down["fresh"] = true
+			is.Equal(versionOf(asking.Find(context.Background(), testStream, 100*time.Millisecond)), "v1") // nobody else is left
+		})
+	}
+}
+
+// Guards against a version that is derived although another node derives another one.
+func TestHistoriesThatContradictEachOtherProveNothing(t *testing.T) {
+	is := is.New(t)
+	net := newNetwork(onlyV1, time.Minute)
+	other := newNetwork(onlyV2, time.Minute).nodes["n2"]
+	other.Network, net.nodes["n2"] = sender{net, "n2"}, other
+	net.nodes["n0"] = newNetwork(onlyV1, 0).nodes["n0"]
+	net.nodes["n0"].Network = sender{net, "n0"}
+	is.Equal(versionOf(net.nodes["n0"].Find(context.Background(), testStream, time.Second)), "unknown")
+}
