Remove the file of origins if its history is old and cannot be replaced

A keeper whose writes fail kept the file as it was. After a loss of all nodes it derived from it that one version alone had begun all streams, though a second one had come and gone meanwhile, so that a caller that returns could get a stream of two versions.

If a write fails whose history differs from that in the file, the file is removed; the next write that succeeds brings it back. A loss of all nodes in between then refuses streams instead of guessing.

Failed before: TestFileThatCannotBeReplacedIsNotUsed (v1 derived). Not covered: a disk that fails to remove the file as well, or that hangs.

--- a/internal/connection/origins/disk.go
+++ b/internal/connection/origins/disk.go
@@ -98,12 +98,25 @@
 		return fmt.Errorf("encode the origins of streams: %w", err)
 	}
 	if err := durable.Replace(d.Dir, fileName, data); err != nil {
-		return fmt.Errorf("write the origins of streams: %w", err)
+		return errors.Join(fmt.Errorf("write the origins of streams: %w", err), d.removeOld(history))
 	}
 	d.written, d.changes, d.writtenAt = history, changes, now
 	return nil
 }
 
+// removeOld removes a file whose history is no longer true: after a loss of all nodes a version
+// would be derived from it that did not begin all streams. Another write follows.
+func (d *Disk) removeOld(history []byte) error {
+	if bytes.Equal(history, d.written) {
+		return nil // only records are missing in it
+	}
+	if err := os.Remove(filepath.Join(d.Dir, fileName)); err != nil && !errors.Is(err, fs.ErrNotExist) {
+		return fmt.Errorf("remove the old origins of streams: %w", err)
+	}
+	d.written = nil
+	return nil
+}
+
 // severalListed reports whether any service has targets of several versions.
 func (x *Exchange) severalListed() bool {
 	x.mu.Lock()
--- a/internal/connection/origins/stale_test.go
+++ b/internal/connection/origins/stale_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"os"
+	"path/filepath"
 	"testing"
 	"time"
 
@@ -90,3 +92,32 @@
 	net.nodes["n0"].Network = sender{net, "n0"}
 	is.Equal(versionOf(net.nodes["n0"].Find(context.Background(), testStream, time.Second)), "unknown")
 }
+
+// Guards against a file that stays as it was because writes fail, and from which a version is derived
+// after a loss of all nodes that did not begin all streams.
+func TestFileThatCannotBeReplacedIsNotUsed(t *testing.T) {
+	is := is.New(t)
+	dir := t.TempDir()
+	k := startKeeper(t, dir, time.Unix(1000, 0))
+	k.watch(t, onlyV1, time.Minute)
+	blocked := filepath.Join(dir, fileName+".new", "x") // the file for the next write is a directory
+	is.NoErr(os.MkdirAll(blocked, 0o700))
+	k.SetListed(bothV1V2)
+	is.True(k.disk.Write() != nil)
+	k.now = k.now.Add(5 * time.Second)
+	k.SetListed(onlyV1)
+	is.True(k.disk.Write() != nil)
+
+	after := startKeeper(t, dir, time.Unix(2000, 0))
+	after.SetListed(onlyV1)
+	for range 8 {
+		after.Tick()
+		after.now = after.now.Add(writeInterval)
+	}
+	is.Equal(after.find(testStream), "unknown")
+
+	is.NoErr(os.RemoveAll(filepath.Dir(blocked)))
+	is.NoErr(k.disk.Write()) // once writes succeed, the file is there again
+	_, err := os.Stat(filepath.Join(dir, fileName))
+	is.NoErr(err)
+}
