Log which streams are not complete once targets were killed

TestBrokenStreamContinuesAtItsVersion failed twice in 13 runs beside other runs and said only how many streams are complete. The check is as strict as before.

--- a/lab/hosted/versions_test.go
+++ b/lab/hosted/versions_test.go
@@ -66,6 +66,11 @@
 		f.Runners[i].Kill(500 * time.Millisecond)
 	}
 	wg.Wait()
+	for _, c := range callers {
+		if !c.Complete {
+			t.Logf("%s, begun at %v: status %d after %d events: %s", c.Name, c.Versions(), c.Status, len(c.Events), c.Refusal)
+		}
+	}
 	is.Equal(checkCallers(t, callers), streams)
 }
 
