Take no job over before the ends of jobs have been read

Callers saw: nothing yet. The end of a job, answered with 200, rests on the store. A node that has just started knows no end until its copy of them is complete.

Evidence: TestEndedJobStaysEndedAfterTheLossOfAllNodes failed before (2 jobs held instead of none). The tests of internal/request/job and the tests of lab/hosted in which holders or all nodes are lost pass.

--- a/internal/process/hosted/changes.go
+++ b/internal/process/hosted/changes.go
@@ -164,6 +164,9 @@
 	return ok
 }
 
+// endsKnown reports whether the cache has had all ends of jobs since this node started.
+func (n *Node) endsKnown() bool { return n.cache.EverVerified(job.KindEnds) }
+
 // StoreChangeRecorder returns a function that records that the object store stopped or
 // resumed serving this node.
 func StoreChangeRecorder(r *timeline.Recorder) func(up bool, after time.Duration) {
--- a/internal/request/job/manager.go
+++ b/internal/request/job/manager.go
@@ -158,6 +158,9 @@
 	// Ended reports whether this node's cached copy of the object store contains the end of
 	// a job.
 	Ended func(job string) bool
+	// EndsKnown reports whether that copy has ever been complete since this node started. nil: it
+	// always is.
+	EndsKnown func() bool
 	// Clock also counts the time for which the VM was suspended.
 	Clock *clock.Clock
 	// Allotments returns a function that returns how many items this node may have at a
@@ -351,6 +354,10 @@
 	return notified || m.Ended(id)
 }
 
+// endsKnown reports whether this node has read which jobs were ended. A node that has just started
+// has not, and would send the items of jobs that were ended before it takes them over.
+func (m *Manager) endsKnown() bool { return m.EndsKnown == nil || m.EndsKnown() }
+
 // routeOf returns the route of a job in the current routing table, or nil if it has none.
 func (m *Manager) routeOf(head *Head) *route.Route {
 	table := m.Routes()
--- a/internal/request/job/sweep.go
+++ b/internal/request/job/sweep.go
@@ -33,7 +33,7 @@
 	removalMargin = 30 * time.Second
 	// firstSweepDelay is the time from the start of a node to its first sweep: short,
 	// because all nodes may have stopped at once, but usually long enough for the first
-	// configuration to be known.
+	// configuration and the ends of jobs to be known.
 	firstSweepDelay = 300 * time.Millisecond
 )
 
@@ -77,6 +77,9 @@
 // sweepOnce removes expired jobs and takes over lost ones. It returns the time until the next
 // sweep, and whether jobs of an earlier incarnation of this node may remain.
 func (m *Manager) sweepOnce(ctx context.Context) (pause time.Duration, ownRemain bool) {
+	if !m.endsKnown() {
+		return firstSweepDelay, true
+	}
 	heads, err := m.listHeads(ctx)
 	if err != nil {
 		return suspectSweepInterval, true // the object store is unavailable; retry soon
@@ -180,11 +183,11 @@
 }
 
 // isExcluded reports whether this node must not take a job over: it holds the job, the job
-// was ended, or the node is leaving.
+// was ended or may have been, or the node is leaving.
 func (m *Manager) isExcluded(id string) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.held[id] != nil || m.draining || m.endKnown(id)
+	return m.held[id] != nil || m.draining || !m.endsKnown() || m.endKnown(id)
 }
 
 // pruneOld forgets jobs and holders of which nothing was received for KeepResults: by then
