Count stored jobs of lost holders against the limit on waiting tokens

The limit on waiting tokens rested on memory alone: on what holders report to the owner of a backlog, and on what that owner remembers. After a loss of all nodes no node reports a job until it is taken over, and an owner that had run for 0.45 s without reports took that for an empty backlog. With a limit of 3,000 tokens that was reached, 5,700 waited 3 s after all three nodes were killed and started again. The same for one holder that starts again before its jobs are taken over: its first report replaced that of its former incarnation. And each new owner admitted a twentieth of the limit without knowing that it was reached.

Change: the head of a job has the tokens of its items that are not listed. An owner that may lack the reports of lost holders, because it is new or a holder has started again, lists the heads (not a list that may be old, which lacks the jobs accepted last) and adds the jobs of holders that have not reported since. Until it has that list it decides on no job. Once no stored job is without a reporting holder, reports alone count again, and nothing is listed. Jobs may count twice for a moment: then the owner says that it does not know yet, in place of refusing the job for good.

Checks that change: TestNewOwnerLearnsFirst and TestSmallJobsNeedNotWaitForANewOwner stated that a new owner accepts jobs without knowing what is stored, which is the fault. They now also state that it accepts none before the list.

Cost: one list of the heads for each owner that is new or sees a holder start again, and one a second while jobs lie unheld and others are submitted. Heads of earlier nodes have no such count and are not counted, as before.

--- a/internal/process/hosted/backlogs.go
+++ b/internal/process/hosted/backlogs.go
@@ -2,14 +2,19 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
+	"golang.org/x/sync/singleflight"
+
 	v1 "github.com/marblepond/marblepond/api/marblepond/v1"
+	"github.com/marblepond/marblepond/internal/connection/callbudget"
 	"github.com/marblepond/marblepond/internal/connection/lending"
 	"github.com/marblepond/marblepond/internal/errkind"
 	"github.com/marblepond/marblepond/internal/process/wait"
 	"github.com/marblepond/marblepond/internal/request/backlog"
+	"github.com/marblepond/marblepond/internal/request/job"
 )
 
 // backlogs limits the waiting tokens of batch items over all nodes: it reports this node's
@@ -27,6 +32,7 @@
 	// the owner never receives a report that includes a job before it has decided on it, nor
 	// one with fewer tokens than it has accepted.
 	reserveLocks map[backlog.Key]chan struct{}
+	storedLists  singleflight.Group
 }
 
 func newBacklogs(n *Node) *backlogs {
@@ -44,6 +50,10 @@
 	reserveDuration = time.Second
 	// reserveRetryInterval is the time between calls to an owner that cannot decide yet.
 	reserveRetryInterval = 120 * time.Millisecond
+	// storedListWait is how long a decision waits for the list of the stored jobs, which usually
+	// takes some milliseconds, and storedListTimeout bounds the list.
+	storedListWait    = 100 * time.Millisecond
+	storedListTimeout = time.Second
 )
 
 // Reserve reserves a job's tokens at the owner of a backlog. If the job fits, it calls
@@ -97,7 +107,7 @@
 	req := b.request(key, job, limit)
 	owners := lendingFleet{b.node}.Owners(ownerName(key), func(node string) bool { return failed[node] })
 	if len(owners) == 0 || owners[0].Node == b.node.settings.NodeID {
-		return b.node.settings.NodeID, b.decide(req), nil
+		return b.node.settings.NodeID, b.decide(ctx, req), nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
 	defer cancel()
@@ -119,10 +129,34 @@
 		Word: &v1.BacklogWord{Route: key.Route, Workspace: key.Workspace, Tokens: b.node.jobs.WaitingTokens()[key] + job}}
 }
 
-// decide decides on a reservation as the owner. While some data centres are unreachable,
-// which may have owners of their own meanwhile, the limit is reduced to the share of the nodes
-// that are in reachable data centres.
-func (b *backlogs) decide(req *v1.ReserveRequest) *v1.ReserveResponse {
+// decide decides on a reservation as the owner. If the stored jobs have to be listed first, it
+// waits for that for a moment.
+func (b *backlogs) decide(ctx context.Context, req *v1.ReserveRequest) *v1.ReserveResponse {
+	resp, wantsStored := b.decideOnce(req)
+	if !wantsStored {
+		return resp
+	}
+	listed := b.storedLists.DoChan("", func() (any, error) { return nil, b.listStored() })
+	if resp.Verdict != v1.ReserveResponse_UNSURE {
+		return resp
+	}
+	timer := time.NewTimer(storedListWait)
+	defer timer.Stop()
+	select {
+	case r := <-listed:
+		if r.Err == nil {
+			resp, _ = b.decideOnce(req)
+		}
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return resp
+}
+
+// decideOnce decides on a reservation from what this node knows, and reports whether the stored jobs
+// have to be listed. While some data centres are unreachable, which may have owners of their own
+// meanwhile, the limit is reduced to the share of the nodes that are in reachable data centres.
+func (b *backlogs) decideOnce(req *v1.ReserveRequest) (resp *v1.ReserveResponse, wantsStored bool) {
 	key, report := decodeReport(req.Word, req.Node, req.Boot, req.Sequence)
 	fleet := lendingFleet{b.node}
 	limit := int64(float64(req.Limit) * fleet.reachableShare())
@@ -130,9 +164,30 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	decision, waiting := b.tracker.Reserve(b.node.clock.Now(), key, report, req.Job, limit, preferred)
-	return &v1.ReserveResponse{Verdict: protoVerdicts[decision], Waiting: waiting}
+	return &v1.ReserveResponse{Verdict: protoVerdicts[decision], Waiting: waiting}, b.tracker.WantsStored()
 }
 
+// listStored lists the stored jobs. A list that may be old would lack those that were accepted last.
+func (b *backlogs) listStored() error {
+	ctx, cancel := context.WithTimeout(context.Background(), storedListTimeout)
+	defer cancel()
+	began := b.node.clock.Now()
+	page, err := b.node.adapter.Store.List(ctx, callbudget.Commit, job.KindHeads)
+	if err != nil {
+		return err
+	}
+	stored, ok := b.node.jobs.WaitingStored(page.Objects)
+	if !ok {
+		return errNoRoutes
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.tracker.SetStored(began, stored)
+	return nil
+}
+
+var errNoRoutes = errors.New("the routes of the stored jobs are not known")
+
 var protoVerdicts = map[backlog.Decision]v1.ReserveResponse_Verdict{
 	backlog.Unsure: v1.ReserveResponse_UNSURE, backlog.Fits: v1.ReserveResponse_FITS, backlog.Full: v1.ReserveResponse_FULL,
 }
@@ -207,8 +262,8 @@
 type backlogService struct{ *backlogs }
 
 // Reserve implements marblepondv1connect.BacklogServiceHandler.
-func (s backlogService) Reserve(_ context.Context, req *v1.ReserveRequest) (*v1.ReserveResponse, error) {
-	return s.decide(req), nil
+func (s backlogService) Reserve(ctx context.Context, req *v1.ReserveRequest) (*v1.ReserveResponse, error) {
+	return s.decide(ctx, req), nil
 }
 
 // Tell implements marblepondv1connect.BacklogServiceHandler.
--- a/internal/request/backlog/backlog.go
+++ b/internal/request/backlog/backlog.go
@@ -5,6 +5,9 @@
 // it report their waiting tokens to the owner, and only to it. A job is accepted once the
 // owner has counted its tokens, so that of two simultaneous submissions the second one is
 // checked against a sum that includes the first.
+//
+// No node reports a job whose holder was lost until another one takes it over. An owner that may
+// lack the reports of lost holders counts the jobs that the object store lists for them.
 package backlog
 
 import (
@@ -21,6 +24,12 @@
 	// reportExpiry is how long the last report of an unresponsive node counts. After that
 	// time its jobs were taken over, and their new holders report them.
 	reportExpiry = 30 * time.Second
+	// takenUpWithin is the time after which a node that is stored as the holder of a job counts
+	// the job in its reports.
+	takenUpWithin = 150 * time.Millisecond
+	// relistInterval is the time between lists of the stored jobs while some have no holder that
+	// reports them.
+	relistInterval = time.Second
 )
 
 // Key names a backlog.
@@ -37,12 +46,21 @@
 	Tokens   int64
 }
 
+// Incarnation is one process of a node. The zero value stands for none.
+type Incarnation struct {
+	Node string
+	Boot int64
+}
+
+// Stored is the number of tokens that wait in the jobs that the object store lists, by their holder.
+type Stored map[Key]map[Incarnation]int64
+
 // Decision is the owner's decision on a job.
 type Decision int
 
 // The decisions.
 const (
-	Unsure Decision = iota // not every holder has reported to the owner yet
+	Unsure Decision = iota // not every holder has reported to the owner yet, or jobs of lost holders may be stored
 	Fits                   // the job is within the limit
 	Full                   // the job would exceed the limit
 )
@@ -52,12 +70,18 @@
 	started   time.Time
 	overshoot float64 // share of a limit that may be accepted before all holders reported
 	backlogs  map[Key]*backlog
+
+	stored      Stored
+	storedAt    time.Time // when the list of the stored jobs began; zero: never
+	wantsStored bool
 }
 
 type backlog struct {
 	since         time.Time // since when reports of it arrive at this node
 	reports       map[string]receivedReport
 	acceptedEarly int64 // tokens accepted before all holders reported
+	// doubtedSince is since when jobs may be stored that no node reports; zero: there are none.
+	doubtedSince time.Time
 }
 
 type receivedReport struct {
@@ -68,7 +92,7 @@
 // New creates the tracker of a node that starts now. overshoot is the share of a limit that
 // a new owner may accept before all holders have reported, by which the limit may be
 // exceeded: a job that waited for these reports would miss its latency objective and be
-// refused.
+// refused. What the store lists counts by then.
 func New(now time.Time, overshoot float64) *Tracker {
 	return &Tracker{started: now, overshoot: overshoot, backlogs: map[Key]*backlog{}}
 }
@@ -77,12 +101,16 @@
 func (t *Tracker) Record(now time.Time, key Key, r Report) {
 	b := t.backlogs[key]
 	if b == nil {
-		b = &backlog{since: now, reports: map[string]receivedReport{}}
+		b = &backlog{since: now, reports: map[string]receivedReport{}, doubtedSince: now}
 		t.backlogs[key] = b
 	}
-	if old, known := b.reports[r.Node]; known && (r.Boot < old.Boot || (r.Boot == old.Boot && r.Sequence < old.Sequence)) {
+	old, known := b.reports[r.Node]
+	if known && (r.Boot < old.Boot || (r.Boot == old.Boot && r.Sequence < old.Sequence)) {
 		return
 	}
+	if known && r.Boot > old.Boot && old.Tokens > 0 {
+		b.doubtedSince = now // the jobs of the former incarnation are not taken over yet
+	}
 	b.reports[r.Node] = receivedReport{r, now}
 }
 
@@ -101,11 +129,23 @@
 	}()
 	if !known && preferred && now.Sub(t.started) >= learnTime {
 		b.since = t.started // no node holds jobs of it, or it would have reported them
+		if now.Sub(t.started) >= reportExpiry {
+			b.doubtedSince = time.Time{} // the jobs of lost holders have been taken over
+		}
 	}
 	waiting = b.sum(now)
+	if waiting > limit {
+		return Full, waiting
+	}
+	unheld, sure := t.unheld(now, key, b)
+	waiting += unheld
 	switch {
-	case waiting > limit:
+	case !sure:
+		return Unsure, waiting
+	case waiting > limit && t.listSettled(now):
 		return Full, waiting
+	case waiting > limit:
+		return Unsure, waiting
 	case now.Sub(b.since) >= learnTime:
 		return Fits, waiting
 	case float64(b.acceptedEarly+jobTokens) > t.overshoot*float64(limit):
@@ -115,6 +155,46 @@
 	return Fits, waiting
 }
 
+// unheld returns the tokens of the stored jobs of a backlog that no node has reported; sure is false
+// if the stored jobs have to be listed first.
+func (t *Tracker) unheld(now time.Time, key Key, b *backlog) (tokens int64, sure bool) {
+	if b.doubtedSince.IsZero() {
+		return 0, true
+	}
+	if t.storedAt.Before(b.doubtedSince) {
+		t.wantsStored = true
+		return 0, false
+	}
+	for holder, n := range t.stored[key] {
+		r := b.reports[holder.Node]
+		if r.Boot != holder.Boot || r.at.Sub(t.storedAt) < takenUpWithin {
+			tokens += n
+		}
+	}
+	if tokens == 0 && now.Sub(b.since) >= learnTime {
+		b.doubtedSince = time.Time{}
+	}
+	t.wantsStored = t.wantsStored || (tokens > 0 && now.Sub(t.storedAt) >= relistInterval)
+	return tokens, true
+}
+
+// listSettled reports whether the list of the stored jobs is recent, but old enough for the reports of
+// living holders to have arrived since, so that no job counts twice.
+func (t *Tracker) listSettled(now time.Time) bool {
+	age := now.Sub(t.storedAt)
+	return age >= learnTime && age < relistInterval
+}
+
+// WantsStored reports whether the stored jobs have to be listed for a decision.
+func (t *Tracker) WantsStored() bool { return t.wantsStored }
+
+// SetStored records the stored jobs as a list that began at a time shows them.
+func (t *Tracker) SetStored(began time.Time, stored Stored) {
+	if began.After(t.storedAt) {
+		t.stored, t.storedAt, t.wantsStored = stored, began, false
+	}
+}
+
 // sum returns the waiting tokens of all nodes.
 func (b *backlog) sum(now time.Time) int64 {
 	total := int64(0)
--- a/internal/request/backlog/backlog_test.go
+++ b/internal/request/backlog/backlog_test.go
@@ -71,8 +71,9 @@
 }
 
 // TestNewOwnerLearnsFirst: a new owner does not decide that a job fits until every holder
-// had time to report; it may decide earlier that the job does not fit. The preferred owner,
-// which would have received reports, decides at once, unless it has just started.
+// had time to report and the stored jobs are listed; it may decide earlier that the job does not
+// fit. The preferred owner, which would have received reports, decides at once, unless it has just
+// started.
 func TestNewOwnerLearnsFirst(t *testing.T) {
 	is := is.New(t)
 	for _, c := range []struct {
@@ -86,15 +87,22 @@
 		v, _ = c.tracker.Reserve(start, key, report("n1", 2, limit+1), 1, limit, c.preferred)
 		is.Equal(v, Full)
 		v, _ = c.tracker.Reserve(start.Add(learnTime), key, report("n1", 3, 100), 100, limit, c.preferred)
+		is.Equal(v, c.firstDecision) // the stored jobs are not listed
+		is.Equal(c.tracker.WantsStored(), c.firstDecision == Unsure)
+		c.tracker.SetStored(start, Stored{})
+		v, _ = c.tracker.Reserve(start.Add(learnTime), key, report("n1", 4, 100), 100, limit, c.preferred)
 		is.Equal(v, Fits)
 	}
 }
 
-// TestSmallJobsNeedNotWaitForANewOwner: before all holders have reported, a new owner accepts
-// jobs up to a twentieth of the limit in total.
+// TestSmallJobsNeedNotWaitForANewOwner: before all holders have reported, a new owner that has
+// listed the stored jobs accepts jobs up to a twentieth of the limit in total.
 func TestSmallJobsNeedNotWaitForANewOwner(t *testing.T) {
 	is := is.New(t)
 	tracker := New(start, overshoot)
+	v, _ := tracker.Reserve(start, key, report("n0", 0, 10), 10, limit, true)
+	is.Equal(v, Unsure) // the stored jobs are not listed
+	tracker.SetStored(start, Stored{key: {{Node: "lost", Boot: 1}: limit / 2}})
 	in := int64(0)
 	for i := range 20 {
 		if v, _ := tracker.Reserve(start, key, report(fmt.Sprint("n", i), 1, 10), 10, limit, true); v == Fits {
--- a/internal/request/job/commit.go
+++ b/internal/request/job/commit.go
@@ -175,6 +175,7 @@
 	}
 	head.Segments = append(head.Segments, segments...)
 	batch = batch[:head.Listed()-h.head.Listed()] // what was written is listed even if the rest was not
+	head.Waiting = unlistedTokens(&head, h.items)
 	m.moveInlineItems(ctx, h.id, &head, m.sharedView())
 	next, err := m.updateHead(ctx, h.id, &head, revision)
 	switch {
--- a/internal/request/job/demand.go
+++ b/internal/request/job/demand.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/marblepond/marblepond/internal/connection/objects"
 	"github.com/marblepond/marblepond/internal/request/backlog"
 )
 
@@ -86,6 +87,47 @@
 	return out
 }
 
+// WaitingStored returns the tokens that wait in stored jobs, by their holder, from the objects of
+// KindHeads. ok is false while this node does not know the routes of the jobs.
+func (m *Manager) WaitingStored(heads []objects.Object) (out backlog.Stored, ok bool) {
+	if m.Routes() == nil {
+		return nil, false
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out = backlog.Stored{}
+	for _, o := range heads {
+		head, err := decode[Head](o.Value)
+		if err != nil || head.Waiting == 0 || m.expired(&head) || m.endKnown(o.Name) {
+			continue
+		}
+		r := m.routeOf(&head)
+		if r == nil {
+			continue
+		}
+		key := backlog.Key{Route: r.Name, Workspace: head.Workspace}
+		if out[key] == nil {
+			out[key] = map[backlog.Incarnation]int64{}
+		}
+		out[key][backlog.Incarnation{Node: head.Holder.Node, Boot: head.Holder.Boot}] += head.Waiting
+	}
+	return out, true
+}
+
+// unlistedTokens returns the tokens of the items that a head does not list.
+func unlistedTokens(head *Head, items []Item) int64 {
+	total := int64(0)
+	for i := range items {
+		total += items[i].Tokens
+	}
+	for _, s := range head.Segments {
+		for _, i := range s.Items {
+			total -= items[i].Tokens
+		}
+	}
+	return total
+}
+
 func (h *heldJob) waitingTokens() int64 {
 	total := int64(0)
 	for i := range h.items {
--- a/internal/request/job/record.go
+++ b/internal/request/job/record.go
@@ -57,6 +57,9 @@
 	Submitted int64  // Unix milliseconds when a node received the submission
 	Total     int    // number of items
 	Parts     int    // number of KindItems objects
+	// Waiting is the number of tokens of the items without a listed result. While no node holds the
+	// job, the limit on waiting tokens counts them.
+	Waiting int64 `json:",omitempty"`
 	// Inline holds the items of a small job, which is accepted with a single write. The
 	// first commit moves them to KindItems objects.
 	Inline   []Item `json:",omitempty"`
--- a/internal/request/job/submit.go
+++ b/internal/request/job/submit.go
@@ -112,7 +112,7 @@
 }
 
 func newHead(s *Submission, parts int, inline []Item) *Head {
-	return &Head{Workspace: s.Workspace, Host: s.Host, Path: s.Path, Submitted: s.Arrived.UnixMilli(), Total: len(s.Items), Parts: parts, Inline: inline, Epoch: 1}
+	return &Head{Workspace: s.Workspace, Host: s.Host, Path: s.Path, Submitted: s.Arrived.UnixMilli(), Total: len(s.Items), Parts: parts, Waiting: s.Tokens(), Inline: inline, Epoch: 1}
 }
 
 // isAccepted reports whether this node knows that a job was accepted.
