Use no configuration from a disk while the store may soon tell the newest

Callers saw: nothing yet. A configuration in force rests on the store and on the memory of nodes. After a loss of power of all nodes those that start get the copy from the disk of a keeper first, and used it at once. It may be two seconds older than what was in force, or far older if that keeper was away.

Change: until the copy of the configuration has been complete once since the start, and its newest object is decoded, a node has no table: it is not ready, and refuses calls as not run. After 2 s it uses what it has, as a start in an outage of the store needs.

Price: a start of all nodes in an outage of the store serves 2 s later.

--- a/internal/process/hosted/changes.go
+++ b/internal/process/hosted/changes.go
@@ -96,6 +96,7 @@
 	if o.Name != n.adapter.ConfigName || o.Deleted {
 		return
 	}
+	defer n.noteConfig(o.Revision)
 	table, err := n.adapter.DecodeConfig(o.Value)
 	if err != nil {
 		n.recorder.Record(timeline.ObjectRejected, "", o.Name, err.Error())
@@ -108,9 +109,6 @@
 			return
 		}
 		if n.table.CompareAndSwap(old, table) {
-			if old == nil {
-				close(n.configured)
-			}
 			break
 		}
 	}
@@ -125,6 +123,16 @@
 	n.metrics.Gauge("config_version").Update(float64(table.Version))
 }
 
+// noteConfig notes that the configuration of a revision was decoded. Several may be at once.
+func (n *Node) noteConfig(revision int64) {
+	for {
+		old := n.configRevision.Load()
+		if old >= revision || n.configRevision.CompareAndSwap(old, revision) {
+			return
+		}
+	}
+}
+
 // targetsChanged updates the pool with all changed targets in one call, because the pool
 // rebuilds its table with each call.
 func (n *Node) targetsChanged(changes []objects.Object) {
--- a/internal/process/hosted/hosted.go
+++ b/internal/process/hosted/hosted.go
@@ -24,6 +24,7 @@
 	"github.com/marblepond/marblepond/internal/process/invariant"
 	"github.com/marblepond/marblepond/internal/process/settings"
 	"github.com/marblepond/marblepond/internal/process/timeline"
+	"github.com/marblepond/marblepond/internal/process/wait"
 	"github.com/marblepond/marblepond/internal/request/checkpoint"
 	"github.com/marblepond/marblepond/internal/request/choose"
 	"github.com/marblepond/marblepond/internal/request/continuation"
@@ -112,16 +113,18 @@
 	lenders     atomic.Pointer[lending.Lenders]    // nodes, as package lending needs them
 	originFleet atomic.Pointer[continuation.Fleet] // nodes, as package origins needs them
 	table       atomic.Pointer[route.Table]
-	configured  chan struct{} // closed when the first routing table is known
-	loadChanged chan struct{} // signals that the requests or items in flight have changed
-	leaving     atomic.Bool
-	halted      chan struct{}
-	sharedView  atomic.Bool // see SharedView
-	mostCallers int         // most registered nodes that serve callers; guarded by listMu
-	callers     *callerServer
-	peerHTTP    *http.Server
-	readyHTTP   *http.Server
-	metricsHTTP *http.Server
+	tableInUse  atomic.Bool // see tableUsable
+	// configRevision is the revision of the newest configuration that was decoded.
+	configRevision atomic.Int64
+	loadChanged    chan struct{} // signals that the requests or items in flight have changed
+	leaving        atomic.Bool
+	halted         chan struct{}
+	sharedView     atomic.Bool // see SharedView
+	mostCallers    int         // most registered nodes that serve callers; guarded by listMu
+	callers        *callerServer
+	peerHTTP       *http.Server
+	readyHTTP      *http.Server
+	metricsHTTP    *http.Server
 }
 
 // Dependencies are the components that every node process has.
@@ -140,7 +143,7 @@
 func New(deps Dependencies, adapter Adapter) *Node {
 	s := deps.Settings
 	n := &Node{settings: s, adapter: adapter, boot: time.Now().UnixMicro(), started: time.Now(), recorder: deps.Recorder, metrics: deps.Metrics, clock: deps.Clock,
-		configured: make(chan struct{}), loadChanged: make(chan struct{}, 1), halted: make(chan struct{})}
+		loadChanged: make(chan struct{}, 1), halted: make(chan struct{})}
 	n.batch = newBatchWork(n)
 	n.view.Store(beacon.NewView(s.NodeID, s.DataCentre, nil))
 	n.seeds.Store(&s.Seeds)
@@ -179,7 +182,43 @@
 }
 
 // Table returns the routing table in force, nil before the first is known.
-func (n *Node) Table() *route.Table { return n.table.Load() }
+func (n *Node) Table() *route.Table {
+	if !n.tableUsable() {
+		return nil
+	}
+	return n.table.Load()
+}
+
+// unverifiedTableDelay is how long after its start a node uses no routing table that comes from a disk
+// alone: after a loss of power of all nodes it may be older than the one that was in force, and the
+// object store usually answers within this time.
+const unverifiedTableDelay = 2 * time.Second
+
+// tableUsable reports whether the node has had the newest configuration since it started, or has
+// to use what it has because the object store does not answer.
+func (n *Node) tableUsable() bool {
+	if n.tableInUse.Load() {
+		return true
+	}
+	if n.isTableVerified() || time.Since(n.started) >= unverifiedTableDelay {
+		n.tableInUse.Store(true)
+		return true
+	}
+	return false
+}
+
+// isTableVerified reports whether the routing table is from a copy of the configuration that has been
+// complete since the node started.
+func (n *Node) isTableVerified() bool {
+	if !n.cache.EverVerified(n.adapter.Kinds.Config) {
+		return false
+	}
+	o, exists := n.cache.Get(n.adapter.Kinds.Config, n.adapter.ConfigName)
+	return exists && o.Revision <= n.configRevision.Load() // otherwise it is being decoded
+}
+
+// tablePollInterval is the time between checks for the first routing table.
+const tablePollInterval = 5 * time.Millisecond
 
 // AwaitTable returns the routing table in force. Until the first is known it waits, for
 // maxWait at most, and then returns nil.
@@ -189,9 +228,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, maxWait)
 	defer cancel()
-	select {
-	case <-n.configured:
-	case <-ctx.Done():
+	for n.Table() == nil && wait.For(ctx, tablePollInterval) {
 	}
 	return n.Table()
 }
--- a/lab/hosted/power_test.go
+++ b/lab/hosted/power_test.go
@@ -1,8 +1,10 @@
 package hosted
 
 import (
+	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -21,6 +23,7 @@
 		wg.Go(n.Kill)
 	}
 	wg.Wait()
+	slices.Reverse(killed) // the keepers, which are started last, are seeds then
 	for _, n := range killed {
 		if _, err := f.Restart(n, extra); err != nil {
 			t.Fatal(err)
@@ -74,3 +77,32 @@
 	t.Logf("%d tokens of %d jobs wait; the limit is %d", sum, len(accepted), limit)
 	is.True(sum <= limit+tolerance)
 }
+
+// TestOlderConfigurationOnADiskIsNotShown guards against a configuration that was in force and is replaced by
+// an older one: all nodes lose power right after a change, and the disk of a keeper has the
+// configuration before it. While the store answers, no call is served by that one.
+func TestOlderConfigurationOnADiskIsNotShown(t *testing.T) {
+	is := is.New(t)
+	const edges = 3
+	disk := t.TempDir()
+	f := startFleet(t, Options{Nodes: edges, Runners: 2, Slots: 8, Events: 3, Gap: time.Millisecond})
+	_, err := f.StartKeeper("keep", disk, "")
+	is.NoErr(err)
+	time.Sleep(nodesKnownWithin + 3*time.Second) // until the copies are on the disk
+	f.Store.Put("config", "main", Config(2, func(c map[string]any) {}))
+	for _, n := range f.Nodes {
+		eventually(t, "version 2 is in force", 2*time.Second, func() bool { return n.Table().Version == 2 })
+	}
+	f.Store.SetFaults(StoreFaults{Latency: 300 * time.Millisecond})
+	f.restartAll(t, "")
+	older := 0
+	for end := time.Now().Add(2 * time.Second); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
+		for _, n := range f.Nodes[len(f.Nodes)-edges:] {
+			if table := n.AwaitTable(context.Background(), 0); table != nil && table.Version < 2 {
+				older++
+			}
+		}
+	}
+	t.Logf("%d times", older)
+	is.Equal(older, 0)
+}
