Save verdicts until the store has them, and never wait for that with the next

Callers saw: nothing yet. Work under which targets crash is refused by a verdict that all nodes derive from the crashes they remember; for a loss of all nodes it is saved in the store. It was saved with one call: if the store was away at that moment the verdict rested on memory alone for as long as it lasted, since "other nodes know the same crashes", and after a loss of all nodes the work ended targets again. A deletion that failed let a released verdict come back with the next start. And the call was made where verdicts are applied: with a silent store each new verdict held up the next for up to 5 s, in which attempts in flight were not stopped.

Change: a goroutine of its own writes each change of a verdict until the store has it, the newest one if several follow; pauses double up to 5 s.

The fake store of these tests now also fails deletions while it is down.

--- a/internal/process/crashes/verdicts.go
+++ b/internal/process/crashes/verdicts.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/marblepond/marblepond/internal/process/timeline"
@@ -10,13 +9,9 @@
 	"github.com/marblepond/marblepond/internal/request/quarantine"
 )
 
-const (
-	// verdictInterval is the time between evaluations of the verdicts, which also change
-	// with time alone.
-	verdictInterval = 200 * time.Millisecond
-	// storeTimeout bounds a call of the verdict store.
-	storeTimeout = 5 * time.Second
-)
+// verdictInterval is the time between evaluations of the verdicts, which also change
+// with time alone.
+const verdictInterval = 200 * time.Millisecond
 
 // watchVerdicts evaluates the verdicts each verdictInterval while any crash or loss is known.
 func (w *Watch) watchVerdicts(ctx context.Context) {
@@ -30,7 +25,7 @@
 			case <-w.changed:
 			}
 		}
-		w.applyVerdicts(ctx)
+		w.applyVerdicts()
 		select {
 		case <-ctx.Done():
 			return
@@ -40,7 +35,7 @@
 }
 
 // applyVerdicts acts on new verdicts and on those that have ended since the last evaluation.
-func (w *Watch) applyVerdicts(ctx context.Context) {
+func (w *Watch) applyVerdicts() {
 	w.mu.Lock()
 	now := w.Now()
 	verdicts := w.table.Verdicts(now)
@@ -50,12 +45,12 @@
 	w.mu.Unlock()
 	for id, v := range verdicts {
 		if _, known := before[id]; !known {
-			w.onRefused(ctx, id, v, now)
+			w.onRefused(id, v, now)
 		}
 	}
 	for id, v := range before {
 		if _, still := verdicts[id]; !still {
-			w.onReleased(ctx, id, v, isNarrowed(v, verdicts))
+			w.onReleased(id, v, isNarrowed(v, verdicts))
 		}
 	}
 }
@@ -71,8 +66,8 @@
 	return false
 }
 
-// onRefused acts on a new verdict: it records it, stops the attempts in flight and saves it.
-func (w *Watch) onRefused(ctx context.Context, id fingerprint.ID, v quarantine.Verdict, now time.Time) {
+// onRefused acts on a new verdict: it records it, stops the attempts in flight and has it saved.
+func (w *Watch) onRefused(id fingerprint.ID, v quarantine.Verdict, now time.Time) {
 	cause := "targets crash under it"
 	if v.OfParts() {
 		cause = "targets crash when they begin to answer requests with it"
@@ -84,14 +79,7 @@
 			a.stop()
 		}
 	}
-	if w.Store == nil || !w.decidedLocally(v) {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
-	if err := w.Store.Save(ctx, id, w.evidence(v, now)); err != nil {
-		w.Recorder.Record(timeline.VerdictNotKept, "", id.String(), err.Error())
-	}
+	w.keep(id, v, false)
 }
 
 // describe returns, for the log, the crashes of a verdict as this node knows them.
@@ -128,39 +116,10 @@
 	return out
 }
 
-// decidedLocally reports whether this node detected the last crash of a verdict. Only
-// such nodes save the verdict, so that not all nodes write the same.
-func (w *Watch) decidedLocally(v quarantine.Verdict) bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.detected[v.Targets[len(v.Targets)-1]]
-}
-
-// evidence returns the crashes of a verdict, with its suspects as the only ones.
-func (w *Watch) evidence(v quarantine.Verdict, now time.Time) []quarantine.Crash {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	var out []quarantine.Crash
-	for _, c := range w.table.All(now) {
-		if slices.Contains(v.Targets, c.Target) {
-			c.Suspects, c.Cleared = v.Suspects, nil
-			out = append(out, c)
-		}
-	}
-	return out
-}
-
 // onReleased acts on a verdict that has ended.
-func (w *Watch) onReleased(ctx context.Context, id fingerprint.ID, v quarantine.Verdict, narrowed bool) {
+func (w *Watch) onReleased(id fingerprint.ID, v quarantine.Verdict, narrowed bool) {
 	if !narrowed {
 		w.Recorder.Record(timeline.WorkReleased, "", id.String(), "")
 	}
-	if w.Store == nil || !w.decidedLocally(v) {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
-	if err := w.Store.Delete(ctx, id); err != nil {
-		w.Recorder.Record(timeline.VerdictNotKept, "", id.String(), err.Error())
-	}
+	w.keep(id, v, true)
 }
--- a/internal/process/crashes/watch.go
+++ b/internal/process/crashes/watch.go
@@ -48,8 +48,8 @@
 	Store VerdictStore
 }
 
-// VerdictStore stores the crashes that lead to each verdict. Its calls may be slow or fail;
-// a failure is logged and not retried, because other nodes know the same crashes.
+// VerdictStore stores the crashes that lead to each verdict. Its calls may be slow or fail, and are
+// repeated then.
 type VerdictStore interface {
 	Save(ctx context.Context, verdict fingerprint.ID, crashes []quarantine.Crash) error
 	Delete(ctx context.Context, verdict fingerprint.ID) error
@@ -65,12 +65,14 @@
 	probes  *ring.Ring[choose.Target]
 	pulls   *ring.Ring[string] // nodes that may know more crashes
 	changed chan struct{}      // the crashes known have changed
+	keepNow chan struct{}      // there is an unstored change
 
 	mu            sync.Mutex
 	table         *quarantine.Table
 	lastProbed    map[quarantine.Target]time.Time // when it was last probed
 	detected      map[quarantine.Target]bool      // targets whose crash this node detected
 	refused       map[fingerprint.ID]quarantine.Verdict
+	unstored      map[fingerprint.ID]*unstored
 	partNames     map[fingerprint.ID]string // of parts of prompts that were suspect
 	running       map[*attempt]struct{}
 	pulledDigests map[string]uint64 // by node: its digest at the last pull
@@ -85,7 +87,7 @@
 
 // New returns a watch; Run starts it.
 func New(o Options) *Watch {
-	w := &Watch{Options: o, probes: ring.New[choose.Target](probeQueue, ring.Refuse), pulls: ring.New[string](pullQueue, ring.Refuse), changed: make(chan struct{}, 1), table: quarantine.New(o.Config),
+	w := &Watch{Options: o, probes: ring.New[choose.Target](probeQueue, ring.Refuse), pulls: ring.New[string](pullQueue, ring.Refuse), changed: make(chan struct{}, 1), keepNow: make(chan struct{}, 1), unstored: map[fingerprint.ID]*unstored{}, table: quarantine.New(o.Config),
 		lastProbed: map[quarantine.Target]time.Time{}, detected: map[quarantine.Target]bool{}, refused: map[fingerprint.ID]quarantine.Verdict{}, partNames: map[fingerprint.ID]string{},
 		running: map[*attempt]struct{}{}, pulledDigests: map[string]uint64{}}
 	w.idle.Store(true)
@@ -335,6 +337,7 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { w.probe(ctx, &wg) })
 	wg.Go(func() { w.watchVerdicts(ctx) })
+	wg.Go(func() { w.keepVerdicts(ctx) })
 	wg.Go(func() { w.pull(ctx) })
 	wg.Wait()
 }
--- a/internal/process/crashes/watch_test.go
+++ b/internal/process/crashes/watch_test.go
@@ -36,6 +36,7 @@
 	nodes     map[string]*Watch
 	saved     map[fingerprint.ID][]quarantine.Crash
 	storeDown bool
+	silence   chan struct{} // the verdict store answers once it is closed; nil: at once
 }
 
 func newFakeFleet() *fakeFleet {
@@ -61,7 +62,14 @@
 	return f.states[address]
 }
 
-func (f *fakeFleet) Save(_ context.Context, work fingerprint.ID, crashes []quarantine.Crash) error {
+func (f *fakeFleet) Save(ctx context.Context, work fingerprint.ID, crashes []quarantine.Crash) error {
+	if f.silence != nil {
+		select {
+		case <-f.silence:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.storeDown {
@@ -74,6 +82,9 @@
 func (f *fakeFleet) Delete(_ context.Context, work fingerprint.ID) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.storeDown {
+		return errors.New("the verdict store is unavailable")
+	}
 	delete(f.saved, work)
 	return nil
 }
