Test that what callers were told of jobs outlasts a loss of all nodes and a disk

Real nodes, with the shared view and without, a fifth of the writes unanswered, one of two keepers' disks emptied while all nodes are down.

--- a/lab/hosted/power_test.go
+++ b/lab/hosted/power_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -87,6 +88,105 @@
 	is.True(sum <= limit+tolerance)
 }
 
+// TestAcknowledgedJobsOutlastTheLossOfAllNodes guards against what a caller was told of jobs and that is
+// forgotten, or told otherwise: all nodes lose power in mid-work, and one of two keepers its disk,
+// while the store loses answers to writes. Each accepted job completes, each result that was read
+// keeps its position and content, each body can be read until its job is ended, and the items of
+// jobs that were ended do not run again.
+func TestAcknowledgedJobsOutlastTheLossOfAllNodes(t *testing.T) {
+	for name, extra := range map[string]string{"without the shared view": shortJobTimeouts, "with the shared view": shortJobTimeouts + "[targets]\nshared_view_nodes = 3\n"} {
+		t.Run(name, func(t *testing.T) { checkAcknowledgedJobs(t, extra) })
+	}
+}
+
+func checkAcknowledgedJobs(t *testing.T, extra string) {
+	const edges, jobs, items = 3, 12, 6
+	is := is.New(t)
+	disks := []string{t.TempDir(), t.TempDir()}
+	f := startFleet(t, Options{Nodes: edges, Runners: 2, Slots: 8, Events: 200, Gap: 10 * time.Millisecond, Extra: extra})
+	for i, disk := range disks {
+		_, err := f.StartKeeper(fmt.Sprint("keep-", i), disk, extra)
+		is.NoErr(err)
+	}
+	time.Sleep(nodesKnownWithin)
+	f.Store.SetFaults(StoreFaults{LostResponseShare: 0.2})
+	jobName := func(j int) string { return fmt.Sprint("kept-", j) }
+	accepted, ended := map[string]bool{}, map[string]bool{}
+	for j := range jobs {
+		for try := 0; try < 10 && !accepted[jobName(j)]; try++ {
+			accepted[jobName(j)] = SubmitJob(f.Nodes[(j+try)%edges].CallerAddress(), jobName(j), Items(jobName(j), items)).Status == http.StatusAccepted
+		}
+		is.True(accepted[jobName(j)])
+	}
+	seen := map[string][]Result{}
+	for end := time.Now().Add(4 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		for j := range jobs {
+			page, status := ReadResults(f.Nodes[j%edges].CallerAddress(), jobName(j), len(seen[jobName(j)]))
+			if status == http.StatusOK {
+				seen[jobName(j)] = append(seen[jobName(j)], page.Results...)
+			}
+		}
+	}
+	for j := range 3 {
+		id := jobName(jobs - 1 - j) // the last ones, which have waited longest
+		ended[id] = EndJob(f.Nodes[j%edges].CallerAddress(), id).Status == http.StatusOK
+	}
+	f.restartAll(t, extra, func() {
+		files, err := filepath.Glob(filepath.Join(disks[0], "*"))
+		is.NoErr(err)
+		for _, file := range files {
+			is.NoErr(os.Remove(file))
+		}
+	})
+	restarted := time.Now()
+	f.Store.SetFaults(StoreFaults{})
+	for _, n := range f.Nodes {
+		is.NoErr(f.waitReady(n))
+	}
+	callers := []string{}
+	for _, n := range f.Nodes {
+		if n.Settings.CallerListen != "" {
+			callers = append(callers, n.CallerAddress())
+		}
+	}
+	read, open := 0, 0
+	for j := range jobs {
+		id := jobName(j)
+		read += len(seen[id])
+		if ended[id] {
+			page, status := ReadResults(callers[j%edges], id, 0)
+			is.Equal(status, http.StatusOK)
+			is.True(len(page.Results) >= len(seen[id]))
+			is.Equal(append([]Result{}, page.Results[:len(seen[id])]...), append([]Result{}, seen[id]...))
+			continue
+		}
+		if len(seen[id]) < items {
+			open++
+		}
+		last := Items(id, items)[items-1]
+		if len(seen[id]) == 0 { // its body can be read, since it is not listed
+			reply := Call(context.Background(), http.MethodGet, callers[j%edges], "/v1/items/"+id+"?id="+last.ID, "", nil, nil)
+			is.Equal(reply.Status, http.StatusOK)
+			is.Equal(reply.Body, string(last.Body))
+		}
+		results, err := ReadAllResults(callers, id, 30*time.Second)
+		is.NoErr(err)
+		f.checkResults(t, id, items, results)
+		is.Equal(append([]Result{}, results[:len(seen[id])]...), append([]Result{}, seen[id]...))
+	}
+	for _, r := range f.Runners {
+		for _, start := range r.RunStarts() {
+			for id := range ended {
+				if ended[id] && start.At.After(restarted) && strings.HasPrefix(start.RequestID, id+"-") {
+					t.Errorf("item %s of an ended job runs", start.RequestID)
+				}
+			}
+		}
+	}
+	t.Logf("%d results had been read, %d jobs were open, %d ended", read, open, len(ended))
+	is.True(read > 0 && open > 0)
+}
+
 // TestOlderConfigurationOnADiskIsNotShown guards against a configuration that was in force and is replaced by
 // an older one: all nodes lose power right after a change, and the disk of a keeper has the
 // configuration before it. While the store answers, no call is served by that one.
