--- a/internal/request/job/commit.go
+++ b/internal/request/job/commit.go
@@ -175,6 +175,7 @@
 	}
 	head.Segments = append(head.Segments, segments...)
 	batch = batch[:head.Listed()-h.head.Listed()] // what was written is listed even if the rest was not
+	head.Waiting = unlistedTokens(&head, h.items)
 	m.moveInlineItems(ctx, h.id, &head, m.sharedView())
 	next, err := m.updateHead(ctx, h.id, &head, revision)
 	switch {
@@ -255,6 +256,7 @@
 	m.Checker.Assert(head.Listed() == from+len(batch), invariant.CommitFenced, h.id, "", "%d results listed, %d expected", head.Listed(), from+len(batch))
 	h.head, h.revision = *head, revision
 	h.progress.markListed(len(batch))
+	h.progress.markFailuresStored(head.Failed, time.Now())
 	h.rejections = 0
 	m.cacheResults(h.id, from, results)
 	m.results.setTotal(h.id, head.Total)
