Play false answers of targets against real nodes

Why the tests of real nodes missed requests that ran twice: the stand-in of runners sent an answer with another ID in place of its own, but never one beside it, no copy, and no refusal without an ID.

The stand-in now sends false answers between its own: copies of whole answers of any status (at once, while idle, before the body of the next request is read, once it is read, of another connection), refusals without an ID (503, 421, 400) or with another, and half an answer.

--- a/lab/hosted/runner.go
+++ b/lab/hosted/runner.go
@@ -40,6 +40,12 @@
 	partRuns        []PartRun // runs of requests with one of crashingParts, in order
 	partCrashes     []PartRun // those of them that crashed the process, with the time of the crash
 	closeDelimited  bool      // answers have neither a length nor chunks and end with their connection
+
+	nextFalseAnswer atomic.Pointer[func() FalseAnswer] // nil: none are sent
+	falseAnswers    atomic.Int32                       // sent
+	newestConn      *recordingConn                     // of the newest answer
+	newestAnswer    []byte
+	otherAnswer     []byte // the newest one on another connection than newestConn
 }
 
 // NewRunner starts a runner on a loopback address.
@@ -102,9 +108,14 @@
 // ServeHTTP implements http.Handler.
 func (r *Runner) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	id := req.Header.Get("X-Marblepond-Request-Id")
+	r.sendFalseAnswer(req, false)
 	if _, err := io.Copy(io.Discard, req.Body); err != nil {
 		return
 	}
+	if !r.sendFalseAnswer(req, true) {
+		w = lostAnswer{w.Header()}
+		defer panic(http.ErrAbortHandler)
+	}
 	w.Header().Set("X-Marblepond-Request-Id", id)
 	if expected := req.Header.Get("X-Marblepond-Expect-Instance"); expected != "" && expected != r.ID {
 		w.Header().Set("X-Marblepond-Instance-Id", r.ID)
--- a/lab/hosted/runner_process.go
+++ b/lab/hosted/runner_process.go
@@ -12,11 +12,11 @@
 	if err != nil {
 		return err
 	}
-	server := &http.Server{Handler: r}
+	server := &http.Server{Handler: r, ConnContext: withConn, ConnState: endAnswer}
 	r.mu.Lock()
 	r.server, r.startedAt = server, time.Now()
 	r.mu.Unlock()
-	go func() { _ = server.Serve(listener) }() // returns when the server is closed
+	go func() { _ = server.Serve(recordingListener{listener, r}) }() // returns when the server is closed
 	return nil
 }
 
