Soak false answers, and releases in which all nodes are killed

Why the soak missed requests that ran twice: no runner sent anything beside its own answer. Why it missed items that were never sent again: a release replaced three runners of six, so the old version never left, and nodes were killed one at a time.

Checked per request: whatever was answered as not run (also 408 and 421) has not run, whatever was answered or listed has, and an item that was given up ran as often as it may fail.

--- a/lab/hosted/runner.go
+++ b/lab/hosted/runner.go
@@ -15,8 +15,9 @@
 
 	address         string
 	slots           int
-	events          int           // of each answer
-	gap             time.Duration // between events
+	events          int                      // of each answer
+	gap             time.Duration            // between events
+	gaps            map[string]time.Duration // the same for requests whose paths have a prefix
 	busy            atomic.Int32
 	mu              sync.Mutex
 	version         string // of its software; stands in the data of its events
@@ -28,11 +29,13 @@
 	onRestart       func()         // called after each restart of the process
 	arrivals        map[string]int // requests received, run or not
 	behaviour       func(requestID string, run int) Behaviour
-	runs            map[string]int      // requests that started to run
-	runStarts       []RunStart          // the same, in order
-	resumePositions map[string][]string // Last-Event-Id of each run
-	cancelled       map[string]int      // runs that the client cancelled
-	completed       map[string]bool     // requests that were answered completely
+	runs            map[string]int       // requests that started to run
+	active          map[string]int       // runs in progress
+	runEnds         map[string]time.Time // latest end of a run
+	runStarts       []RunStart           // the same, in order
+	resumePositions map[string][]string  // Last-Event-Id of each run
+	cancelled       map[string]int       // runs that the client cancelled
+	completed       map[string]bool      // requests that were answered completely
 	headers         map[string]http.Header
 	warmUp          warmUp
 	lastArrival     time.Time // of a request
@@ -51,7 +54,7 @@
 // NewRunner starts a runner on a loopback address.
 func NewRunner(id, service string, slots, events int, gap time.Duration) *Runner {
 	r := &Runner{ID: id, Service: service, version: DefaultVersion, address: newHost() + ":8443", slots: slots, events: events, gap: gap,
-		onExit: func() {}, onRestart: func() {}, arrivals: map[string]int{}, runs: map[string]int{}, resumePositions: map[string][]string{}, cancelled: map[string]int{}, completed: map[string]bool{}, headers: map[string]http.Header{},
+		onExit: func() {}, onRestart: func() {}, arrivals: map[string]int{}, gaps: map[string]time.Duration{}, active: map[string]int{}, runEnds: map[string]time.Time{}, runs: map[string]int{}, resumePositions: map[string][]string{}, cancelled: map[string]int{}, completed: map[string]bool{}, headers: map[string]http.Header{},
 		behaviour: func(string, int) Behaviour { return Serve }}
 	if err := r.start(); err != nil {
 		panic(err) // as httptest does when it cannot listen
@@ -139,10 +142,12 @@
 	defer r.busy.Add(-1)
 	r.mu.Lock()
 	r.runs[id]++
+	r.active[id]++
 	r.runStarts = append(r.runStarts, RunStart{id, req.URL.Path, time.Now()})
 	r.resumePositions[id] = append(r.resumePositions[id], req.Header.Get("Last-Event-Id"))
 	r.headers[id] = req.Header.Clone()
 	r.mu.Unlock()
+	defer r.recordRunEnd(id)
 	if part := r.crashingPart(req.Header); part != "" {
 		behaviour = CrashAtBegin
 		r.mu.Lock()
--- a/lab/hosted/runner_answer.go
+++ b/lab/hosted/runner_answer.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 )
 
@@ -81,6 +82,24 @@
 	r.stream(w, req, id, behaviour)
 }
 
+// SetGap sets the time between the events of answers to requests whose paths have a prefix.
+func (r *Runner) SetGap(prefix string, gap time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.gaps[prefix] = gap
+}
+
+func (r *Runner) gapOf(path string) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for prefix, gap := range r.gaps {
+		if strings.HasPrefix(path, prefix) {
+			return gap
+		}
+	}
+	return r.gap
+}
+
 // sleep waits, and reports whether the client still waited for the answer at the end.
 func sleep(req *http.Request, d time.Duration) bool {
 	select {
@@ -94,13 +113,13 @@
 func (r *Runner) stream(w http.ResponseWriter, req *http.Request, id string, behaviour Behaviour) {
 	flush := http.NewResponseController(w)
 	from, _ := strconv.Atoi(req.Header.Get("Last-Event-Id")) // absent: from the start
-	version := r.Version()
+	version, gap := r.Version(), r.gapOf(req.URL.Path)
 	for n := from + 1; n <= r.events; n++ {
 		select {
 		case <-req.Context().Done():
 			r.recordCancelled(id)
 			return
-		case <-time.After(r.gap):
+		case <-time.After(gap):
 		}
 		if behaviour == BreakOff && n == from+1+r.events/2 {
 			fmt.Fprintf(w, "id: %d\ndata: half", n)
--- a/lab/hosted/runner_records.go
+++ b/lab/hosted/runner_records.go
@@ -61,6 +61,20 @@
 	r.cancelled[requestID]++
 }
 
+func (r *Runner) recordRunEnd(requestID string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.active[requestID]--
+	r.runEnds[requestID] = time.Now()
+}
+
+// LastRun returns whether a run of a request is in progress, and the latest end of one.
+func (r *Runner) LastRun(requestID string) (active bool, ended time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.active[requestID] > 0, r.runEnds[requestID]
+}
+
 // Header returns the header of the latest run of a request.
 func (r *Runner) Header(requestID string) http.Header {
 	r.mu.Lock()
--- a/lab/hostedsoak/fleet.go
+++ b/lab/hostedsoak/fleet.go
@@ -73,9 +73,10 @@
 	mu       sync.Mutex
 	runners  []*hosted.Runner // all runners of the run, also replaced ones, for the final checks
 	version  int
-	releases int    // runners that were replaced in releases
-	release  int    // number of the newest version of runners
-	badPart  string // part of prompts that crashes runners now; empty: none
+	releases int           // runners that were replaced in releases
+	release  int           // number of the newest version of runners
+	badPart  string        // part of prompts that crashes runners now; empty: none
+	itemGap  time.Duration // between events of items; 0: as of others
 	stopped  chan struct{}
 }
 
@@ -118,6 +119,9 @@
 
 func startFleet(o Options) (*fleet, error) {
 	f := &fleet{store: hosted.NewStore(), version: 1, release: 1, stopped: make(chan struct{})}
+	if o.AllKilled {
+		f.itemGap = longItemGap
+	}
 	f.store.Put("config", "main", f.config())
 	if o.RunnerFaults {
 		f.store.SetMaxValue(smallMaxValue)
@@ -192,8 +196,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.started++
-	s.runner = hosted.NewRunner(fmt.Sprintf("i-%d-%d", index, s.started), hosted.Service, slotsPerRunner, answerEvents, eventGap)
+	s.runner = hosted.NewRunner(fmt.Sprintf("i-%d-%d", index, s.started), hosted.Service, f.slots(), answerEvents, eventGap)
 	s.runner.SetVersion(version)
+	if f.itemGap > 0 {
+		s.runner.SetGap(hosted.BatchPath, f.itemGap)
+	}
 	f.followProcess(s, s.runner)
 	s.proxy.Retarget(s.runner.Address())
 	if err := s.proxy.Accept(); err != nil { // the runner before may have ended
--- a/lab/hostedsoak/history.go
+++ b/lab/hostedsoak/history.go
@@ -19,6 +19,8 @@
 	violations []string
 	counts     counts
 	refused    map[string]string // refusals by ID of the requests and items refused as not run
+	completed  map[string]bool   // requests that were answered, and items that are listed as completed
+	givenUp    map[string]bool   // items that are listed as given up
 	endedJobs  map[string]time.Time
 }
 
@@ -43,10 +45,11 @@
 	// Parts of prompts that crashed runners, the crashes, requests with them that reached runners
 	// too late, and other requests that were refused for a part.
 	BadParts, PartCrashes, LatePartRuns, RefusedForPart int
+	FalseAnswers, ItemChecks                            int
 }
 
 func newHistory() *history {
-	return &history{draining: map[*hosted.Runner]time.Time{}, refused: map[string]string{}, endedJobs: map[string]time.Time{}, version: 1, writtenAt: time.Now()}
+	return &history{draining: map[*hosted.Runner]time.Time{}, refused: map[string]string{}, completed: map[string]bool{}, givenUp: map[string]bool{}, endedJobs: map[string]time.Time{}, version: 1, writtenAt: time.Now()}
 }
 
 func (h *history) violate(format string, args ...any) {
@@ -132,6 +135,37 @@
 	h.refused[id] = how
 }
 
+func (h *history) recordCompleted(id string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.completed[id] = true
+}
+
+func (h *history) recordGivenUp(item string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.givenUp[item] = true
+}
+
+// itemAttempts is how often an item has to fail before it is given up; no item of a run can never
+// succeed.
+const itemAttempts = 3
+
+// checkAnswered checks that what was answered ran, and that items that were given up ran as often
+// as they may fail. The caller holds h.mu.
+func checkAnswered(h *history, runs map[string]int, violate func(format string, args ...any)) {
+	for id := range h.completed {
+		if runs[id] == 0 {
+			violate("%s was answered completely and never ran", id)
+		}
+	}
+	for id := range h.givenUp {
+		if _, ended := h.endedJobs[jobOf(id)]; !ended && runs[id] < itemAttempts {
+			violate("item %s was given up after %d runs", id, runs[id])
+		}
+	}
+}
+
 func (h *history) recordJobEnd(job string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/lab/hostedsoak/load.go
+++ b/lab/hostedsoak/load.go
@@ -58,7 +58,7 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { l.pollReadiness(ctx) })
 	wg.Go(func() { l.runEvery(ctx, onlineInterval, l.sendOnlineTick) })
-	wg.Go(func() { l.runEvery(ctx, jobInterval, l.runJob) })
+	wg.Go(func() { l.runEvery(ctx, l.jobInterval(), l.runJob) })
 	wg.Go(func() { l.runEvery(ctx, tightInterval, l.sendTight) })
 	wg.Go(func() { l.runEvery(ctx, rotatingKeyInterval, l.sendRotatingKey) })
 	wg.Wait()
@@ -143,10 +143,11 @@
 		l.checkCut(at, id, started, err)
 	case status == http.StatusOK:
 		l.history.count(func(c *counts) { c.Complete++ })
+		l.history.recordCompleted(id)
 		if !hosted.IsWholeText(hosted.StreamText(body), id, answerEvents) {
 			l.history.violate("request %s at %s: the answer is not complete: %q", id, at.name, body)
 		}
-	case status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests:
+	case saysNotRun(status):
 		l.history.count(func(c *counts) { c.Refused++ })
 		l.history.recordRefusal(id, fmt.Sprintf("status %d from %s", status, at.name))
 	case status == http.StatusNotFound:
@@ -156,6 +157,11 @@
 	}
 }
 
+// saysNotRun reports whether a status promises that the request has not run and never will.
+func saysNotRun(status int) bool {
+	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests || status == http.StatusRequestTimeout || status == http.StatusMisdirectedRequest
+}
+
 func (l *load) send(at *node, path, id, key string) (status int, body string, err error) {
 	return l.sendPrompt(at, path, id, key, harmlessPrompt(id))
 }
@@ -195,6 +201,8 @@
 	id      string
 	results []hosted.Result // by position, as first read
 	ended   bool
+	// acceptedAt is when the job was accepted.
+	acceptedAt time.Time
 }
 
 const (
@@ -212,6 +220,7 @@
 	if !l.submitJob(j.id) {
 		return
 	}
+	j.acceptedAt = time.Now()
 	l.history.count(func(c *counts) { c.Jobs++; c.Items += jobItems })
 	if n%endOneIn == endOneIn-1 {
 		time.Sleep(endDelay)
@@ -298,6 +307,11 @@
 			}
 		default:
 			l.checkResult(j, r)
+			if r.State == "completed" {
+				l.history.recordCompleted(r.ID)
+			} else {
+				l.history.recordGivenUp(r.ID)
+			}
 			j.results = append(j.results, r)
 		}
 	}
