Soak releases that take the last target of a version away while its items run

Now items last 3 s, runners leave within a second of their notice, and nodes are killed before and while they leave.

A short run with both kinds of faults is part of make soak.

--- a/Makefile
+++ b/Makefile
@@ -36,6 +36,7 @@
 	go run ./lab/cmd/marblelab hostedsoak --seed 103 --for 30s --versions
 	go run ./lab/cmd/marblelab hostedsoak --seed 2 --for 30s --parts
 	go run ./lab/cmd/marblelab hostedsoak --seed 514 --for 30s --runner-faults
+	go run ./lab/cmd/marblelab hostedsoak --seed 803 --for 26s --false-answers --all-killed
 
 capacity:
 	go run ./lab/cmd/marblelab capacity
--- a/lab/hostedsoak/releases.go
+++ b/lab/hostedsoak/releases.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -14,14 +15,21 @@
 
 const (
 	// longItemGap is the time between events of items in runs with releases of all runners: items
-	// then last 1.5 s, and have text when their node is killed.
-	longItemGap     = 50 * time.Millisecond
+	// then last 3 s, and have text when their node is killed.
+	longItemGap     = 100 * time.Millisecond
 	longJobInterval = 2 * jobInterval
 	// manySlots are enough for all that is sent, so that nothing is refused as full and no item has to
 	// wait for long.
 	manySlots = 2 * slotsPerRunner
 	// releaseAllLength is about the time that releaseAll takes.
-	releaseAllLength = 12 * time.Second
+	releaseAllLength = 18 * time.Second
+	// untilItemsRun is the time after which the jobs of killed nodes have found other holders, and
+	// betweenHalves the time for which both versions serve.
+	untilItemsRun = 3 * time.Second
+	betweenHalves = 2 * time.Second
+	// minDrainTime and maxDrainTime bound the time for which replaced runners still serve: less than
+	// an item lasts, so that items break off at a version whose targets leave.
+	minDrainTime, maxDrainTime = 200 * time.Millisecond, time.Second
 	// killedShare is the share of nodes that are killed first; the others keep the checkpoints of
 	// items until all are killed.
 	killedShare = 0.6
@@ -51,36 +59,43 @@
 }
 
 // releaseAll replaces the runners by ones of the next version, first half of them and then the
-// others. Nodes are killed around each half, while others reload or stop; undo waits for the end.
+// others. Before each half, nodes are killed while others reload or stop, and some are killed while
+// the runners leave; undo waits for the end.
 func (i *injector) releaseAll() (undo func()) {
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
 		version := i.fleet.newRelease()
 		for half := range 2 {
-			replaced := make(chan struct{})
-			go func() {
-				defer close(replaced)
-				i.replaceHalf(half, version)
-			}()
-			time.Sleep(drainTime - time.Duration(rand.Int64N(int64(time.Second))))
 			i.killNodes(killedShare)
 			i.changeConfig()
 			i.signalAll(syscall.SIGHUP)
-			<-replaced
-			time.Sleep(time.Duration(rand.Int64N(int64(time.Second))))
 			if rand.IntN(2) == 0 {
 				i.signalAll(syscall.SIGTERM) // open connections are used until the process is killed
-				time.Sleep(time.Duration(rand.Int64N(int64(time.Second))))
 			}
+			time.Sleep(rand.N(time.Second))
 			i.killNodes(1)
+			time.Sleep(untilItemsRun + rand.N(time.Second))
+			drain := minDrainTime + rand.N(maxDrainTime-minDrainTime)
+			replaced := make(chan struct{})
+			go func() {
+				defer close(replaced)
+				i.replaceHalf(half, version, drain)
+			}()
+			time.Sleep(rand.N(2 * drain))
+			if rand.IntN(2) == 0 {
+				i.killNodes(killedShare)
+			}
+			<-replaced
+			time.Sleep(betweenHalves)
 		}
 	}()
 	return func() { <-done }
 }
 
-// replaceHalf drains the runners of every second slot and replaces them by ones of a version.
-func (i *injector) replaceHalf(half int, version string) {
+// replaceHalf drains the runners of every second slot for a time and replaces them by ones of a
+// version.
+func (i *injector) replaceHalf(half int, version string, drain time.Duration) {
 	var wait sync.WaitGroup
 	for n, s := range i.fleet.runnerSlots {
 		if n%2 != half {
@@ -92,7 +107,7 @@
 			i.fleet.register(s, "draining")
 			i.history.recordDraining(old)
 			s.mu.Unlock()
-			time.Sleep(drainTime)
+			time.Sleep(drain)
 			i.fleet.store.Delete("servers", old.ID)
 			i.fleet.startRunner(s, n, version)
 		})
@@ -141,11 +156,12 @@
 			continue
 		}
 		l.history.count(func(c *counts) { c.ItemChecks++ })
-		for _, item := range l.idleItems(now) {
-			if !reported[item] {
-				reported[item] = true
-				l.history.violate("item %s is open and has not run for %v, without a fault for %v and with free slots", item, idleFor, settleTime+idleCheckAfter)
-			}
+		idle := slices.DeleteFunc(l.idleItems(now), func(item string) bool { return reported[item] })
+		for _, item := range idle {
+			reported[item] = true
+		}
+		if len(idle) > 0 {
+			l.history.violate("%d open items have not run for %v, without a fault for %v and with free slots, among them %s", len(idle), idleFor, settleTime+idleCheckAfter, idle[0])
 		}
 	}
 }
