--- a/scripts/check-mutants.sh
+++ b/scripts/check-mutants.sh
@@ -172,7 +172,7 @@
 mutant 10 internal/request/fingerprint/fingerprint.go 's/\{w\.Workspace, w\.Service, name\}/{w.Service, name}/' internal/process/crashes TestPartOfAnotherWorkspace
 mutant 6 internal/connection/target/liveness.go 's/timeout-time\.Since\(l\.lastEvent\)/0*(timeout-time.Since(l.lastEvent))/' internal/connection/target TestAttemptWithoutEventsIsLost
 mutant 6 internal/request/forward/attempt.go 's/liveness\.TargetRestarted\(gapTimeout\(req\.Route\)/liveness.TargetRestarted(0*gapTimeout(req.Route)/' lab/hosted TestAnswerGoesOnAtTheNextStart
-mutant 6 internal/connection/dial/checked.go 's/c\.checkNextWrite\.Swap\(false\) && c\.closed\(\)/c.checkNextWrite.Swap(false) \&\& c.closed() \&\& c.raw == nil/' platform TestKeptConnectionsOfAnEndedProcess
+mutant 6 internal/connection/dial/checked.go 's/if use\.reused && c\.unusable\(\)/if use.reused \&\& c.unusable() \&\& c.raw == nil/' platform TestKeptConnectionsOfAnEndedProcess
 mutant 3 internal/request/job/run.go 's/\tdelete\(h\.stops, i\)\n(\toutcome := )/$1/' internal/request/job TestEndedItemsAreNotCountedAsYielding
 mutant 3 internal/request/choose/room.go 's/e\.itemsRefusedUntil = now/e.saturatedUntil = now/' internal/request/choose TestRefusedItemStopsNoOther
 mutant 3 internal/request/forward/place.go 's/f\.Targets\.MayHaveItems\(req\.Service\)/f.Targets == nil/' internal/request/forward TestRoomOfItemsIsWaitedFor
@@ -183,7 +183,7 @@
 mutant 11 internal/request/choose/eligible.go 's/t\.startWarmUp\(now, e, t\.warmUpRate\(e\.Service\)\.Time\)/_ = e/' internal/request/choose TestReturnedTargetsWarmUp
 mutant 11 internal/process/hosted/evacuation.go 's/n\.pool\.SetEvacuated\(evacuated\)/n.pool.SetEvacuated(nil)/' lab/hosted TestEvacuatedDataCentreGetsNothing
 mutant 11 internal/request/job/evacuate.go 's/items := m\.runningWhere\(m\.Pool\.Evacuated\)/items := m.runningWhere(m.Pool.Evacuated)[:0]/' lab/hosted TestItemsLeaveAnEvacuatedDataCentre
-mutant 11 internal/request/forward/place.go 's/f\.evacuated\(req, p\) \|\| f\.Quarantine/f.Quarantine/' internal/request/forward TestNoTargetLeftIsSaidAtOnce
+mutant 11 internal/request/forward/place.go 's/f\.evacuated\(req, p\) \|\| f\.refusedByAll/f.refusedByAll/' internal/request/forward TestNoTargetLeftIsSaidAtOnce
 mutant 11 internal/process/node/remotes.go 's/ && !r\.node\.config\.Current\(\)\.IsEvacuated\(c\.DataCentre\)//' lab/e2e TestOperatorEvacuatesADataCentre
 mutant 12 internal/request/warmup/warmup.go 's/offset := \(uint64\(p\.Index\) \+ /offset := uint64(0) * (uint64(p.Index) + /' internal/request/warmup TestTurnsKeepTheRate
 mutant 12 internal/request/choose/warm.go 's/turn != warmup\.NoTurn && turn != e\.lastTurn/turn != warmup.NoTurn/' internal/request/choose TestReturnedTargetsWarmUp
@@ -221,18 +221,18 @@
 mutant 14 internal/request/continuation/origin.go 's/o\.known && o\.version == v/o.known/' internal/request/continuation TestAnswerNeverChangesItsVersion
 mutant 14 internal/request/continuation/origin.go 's/if !o\.known \|\| s == Gone/if s == Gone/' internal/request/continuation TestUnknownVersionIsNotGuessed
 mutant 14 internal/request/continuation/unseen.go 's/waited >= ran/waited >= 0/' internal/request/continuation TestBeginAnewAfterAsLongAsItRan
-mutant 14 internal/request/continuation/history.go 's/>= h\.timing\.UseAfter$/>= 0/m' internal/request/continuation TestNodesNeverDeriveAVersionThatOthersDoNotUse
+mutant 14 internal/request/continuation/history.go 's/>= h\.timing\.UseAfter\)/>= 0)/' internal/request/continuation TestNodesNeverDeriveAVersionThatOthersDoNotUse
 mutant 14 internal/request/continuation/history.go 's/>= h\.timing\.UseAfter-h\.timing\.FreshFor/>= 4*h.timing.UseAfter/' internal/request/continuation TestNodesNeverDeriveAVersionThatOthersDoNotUse
 mutant 14 internal/request/continuation/history.go 's/<= window\+h\.timing\.FreshFor$/<= window\/2/m' internal/request/continuation TestReplacedVersionCountsForAWindow
 mutant 14 internal/request/continuation/history.go 's/case at\.Sub\(h\.verified\) > h\.timing\.FreshFor:/case at.Sub(h.verified) > retention:/' internal/request/continuation TestJustStartedNodeDoesNotGuess
 mutant 14 internal/request/continuation/history.go 's/h\.staleLately\(now\) \|\| now/now/' internal/request/continuation TestJustStartedNodeDoesNotGuess
 mutant 14 internal/request/continuation/history.go 's/usedElsewhere := s\.stated \|\|/usedElsewhere :=/' internal/request/continuation TestStatedSightingCountsAsInUse
-mutant 14 internal/request/continuation/history.go 's/\(!known \|\| !s\.listed\) && !firstListing/!known \&\& !firstListing/' internal/request/continuation TestNodesNeverDeriveAVersionThatOthersDoNotUse
+mutant 14 internal/request/continuation/history.go 's/if !known \|\| !s\.listed \{/if !known {/' internal/request/continuation TestNodesNeverDeriveAVersionThatOthersDoNotUse
 mutant 14 internal/request/continuation/holders.go 's/farCentres    = 2/farCentres    = 1/' internal/request/continuation TestReturningCallerFindsAHolder
 mutant 14 internal/request/continuation/records.go 's/\|\| !now\.Before\(found\.expires\)//' internal/request/continuation TestRecordsAreBounded
 mutant 14 internal/connection/origins/origins.go 's/range x\.Fleet\(\)\.Holders\(key\)/range x.Fleet().Holders(key)[:0]/' internal/connection/origins TestRecordOutlivesItsNode
 mutant 14 internal/connection/origins/origins.go 's/s\.Workspace, s\.Service, s\.ID/s.Service, s.ID/' internal/connection/origins TestRecordOutlivesItsNode
-mutant 14 internal/connection/origins/origins.go 's/return x\.ask\(ctx, s, wait\)/if s.ID == "" {\n\t\treturn Found{Origin: continuation.BegunAnywhere()}\n\t}\n\treturn x.ask(ctx, s, wait)/' internal/connection/origins TestStartingNodeLearnsTheHistory
+mutant 14 internal/connection/origins/origins.go 's/return x\.ask\(ctx, s, wait, found\)/if s.ID == "" {\n\t\treturn Found{Origin: continuation.BegunAnywhere()}\n\t}\n\treturn x.ask(ctx, s, wait, found)/' internal/connection/origins TestStartingNodeLearnsTheHistory
 mutant 14 internal/connection/origins/origins.go 's/case <-resend\.C:\n\t\t\tx\.sendAll\(silent, m\)/case <-resend.C:/' internal/connection/origins TestLostQueryIsRepeated
 mutant 14 internal/connection/origins/origins.go 's/return sole && !/return (sole || x.Node != "") \&\& !/' internal/connection/origins TestStartingNodeLearnsTheHistory
 mutant 14 internal/request/continuation/holders.go 's/lost\), 1\)/lost), 0)/' internal/request/continuation TestRecordReachesADisk
@@ -306,11 +306,15 @@
 mutant 7 internal/version/follow/cache.go 's/k\.complete > 0 && k\.arrivesFor/k.complete > 0 || k.arrivesFor/' internal/version/follow TestPartlyReceivedCopyIsNotUsed
 mutant 7 platform/store.go 's/return entries >= cutEntries \|\| bytes >= cutBytes/return entries > 1<<20 \&\& bytes > 1<<30/' platform TestCutAnswersAreNotWhole
 mutant 7 internal/version/follow/cache.go 's/k\.outageAge = max\(minOutageAge, /k.outageAge = min(minOutageAge, /; s/\.outageAge = max\(minOutageAge, /.outageAge = min(minOutageAge, /' internal/version/follow TestUsualAgeIsNoOutage
-mutant 7 internal/version/follow/freshness.go 's/sent\.Sub\(k\.answered\) > k\.outageAge/now.Sub(k.answered) > k.outageAge/' internal/version/follow TestLateNodeBelievesDeletions
+mutant 7 internal/version/follow/freshness.go 's/sent\.Sub\(before\) > k\.outageAge/now.Sub(before) > k.outageAge/' internal/version/follow TestLateNodeBelievesDeletions
 mutant 14 internal/version/follow/gossip.go 's/g\.Versions\.AddHistory\(resp\.Versions\)/_ = resp/' internal/version/follow TestStartingNodeTakesTheHistoryOfVersions
-mutant 6 platform/runner.go 's/case answered == "":/case answered == "" \&\& !refusal:/; s/case answered != call\.RequestID:/case answered != "" \&\& answered != call.RequestID:/' platform TestAnswerToAnotherRequestProvesNothing
-mutant 6 platform/runner.go 's/case answered != call\.RequestID:/case answered != call.RequestID \&\& !refusal:/' platform TestAnswerToAnotherRequestProvesNothing
-mutant 6 platform/runner.go 's/case refusal && before > 0 && !call\.Repeatable:/case refusal \&\& before > 99 \&\& !call.Repeatable:/' platform TestNotRunIsProved
+mutant 6 platform/runner.go 's/(answered := resp\.Header\.Values\(headerRequestID\)\n)/$1\tif len(answered) == 0 \&\& isRefusal(resp) {\n\t\tanswered = []string{call.RequestID}\n\t}\n/' platform TestAnswerToAnotherRequestProvesNothing
+mutant 6 platform/runner.go 's/case answered\[0\] != call\.RequestID:/case answered[0] != call.RequestID \&\& !isRefusal(resp):/' platform TestAnswerToAnotherRequestProvesNothing
+mutant 6 platform/runner.go 's/case isRefusal\(resp\) && earlierSends > 0 &&/case isRefusal(resp) \&\& earlierSends > 99 \&\&/' platform TestNotRunIsProved
+mutant 6 platform/runner.go 's/case len\(answered\) > 1:/case len(answered) > 9:/' platform TestContradictoryAnswerProvesNothing
+mutant 6 internal/request/admission/admission.go 's/ && !other\.Restricted//' internal/request/forward TestRefusedRequestKeepsNoOtherWaiting
+mutant 3 internal/request/forward/attempt.go 's/AwaitsRoom: p\.refusedBy\[t\.ID\], //' internal/request/forward TestRefusedRequestWaitsForTheRoomOfItems
+mutant 14 internal/version/discovery/versions.go 's/supply == continuation\.Gone && p\.listUncertain\(\)/supply == continuation.Gone \&\& false/' internal/version/discovery TestVersionMissingFromAnUncertainListIsNotGone
 mutant 6 internal/connection/target/sends.go 's/before = max\(s\.current\[key\], s\.earlier\[key\]\)/before = s.current[key]/' internal/connection/target TestSendsAreRemembered
 mutant 6 internal/connection/target/sends.go 's/s\.current\[key\]--/s.current[key] += 0/' internal/connection/target TestUndoneSendIsForgotten
 mutant 6 internal/connection/dial/checked.go 's/state\.phase\.CompareAndSwap\(unwritten, abandoned\)/state.phase.Load() == unwritten/' internal/connection/dial TestUnsentRequestIsNotWrittenLater
@@ -319,17 +323,18 @@
 mutant 14 platform/answer.go 's/if e\.ID != r\.last\+1 \{/if e.ID < 0 {/' platform TestEventsFollowThoseReceived
 mutant 14 platform/runner.go 's/events\.last = call\.ResumeAfter/events.last = 0 * call.ResumeAfter/' lab/hosted TestItemsThatFail
 mutant 6 internal/request/forward/judge.go 's/p\.refusedBy\[t\.ID\] = true/p.exclude[t.ID] = true/' internal/request/forward TestRefusedRequestIsNotSentToItsTargetAgain
-mutant 6 internal/request/forward/place.go 's/return len\(p\.refusedBy\) > 0 && !f/return len(p.refusedBy) > 99 \&\& !f/' internal/request/forward TestRefusedRequestIsNotSentToItsTargetAgain
+mutant 6 internal/request/forward/place.go 's/return len\(refused\) > 0 && !f/return len(refused) > 99 \&\& !f/' internal/request/forward TestRefusedRequestIsNotSentToItsTargetAgain
 mutant 14 internal/request/job/continue.go 's/if !item\.origin\.Begun\(\) \{/if !item.origin.Begun() || !m.Pool.SeveralVersions(service) {/' internal/request/job TestItemBeginsAnewOnceItsVersionHasLeft
-mutant 14 internal/request/job/scope.go 's/return f\.all\(need\.Service\) \|\| f\[scope\{need\.Service, need\.Origin\}\]/return len(f) > 0/' internal/request/job TestWaitingItemKeepsNoOtherWaiting
+mutant 14 internal/request/job/scope.go 's/return f\.isFull\(need\.Service\) \|\| f\[scope\{need\.Service, need\.Origin\}\]/return len(f) > 0/' internal/request/job TestWaitingItemKeepsNoOtherWaiting
 mutant 14 internal/request/continuation/history.go 's/ofNow := stated\.CeasedAgo < 0 \|\| !s\.listed/ofNow := stated.CeasedAgo < 1<<62/' internal/request/continuation TestRestartedNodesBeginNoStreamsAtVersionsOthersDoNotKnow
-mutant 14 internal/request/continuation/history.go 's/firstListing && \(len\(versions\) == 1 \|\| h\.beganNow\)/firstListing/' internal/request/continuation TestRestartedNodesBeginNoStreamsAtVersionsOthersDoNotKnow
+mutant 14 internal/request/continuation/history.go 's/s\.inUse = len\(versions\) == 1 \|\| h\.beganNow/s.inUse = true/' internal/request/continuation TestRestartedNodesBeginNoStreamsAtVersionsOthersDoNotKnow
 mutant 14 internal/request/continuation/history.go 's/s\.stated = s\.stated \|\| stated\.CeasedAgo < 0/s.stated = s.stated || h == nil/' internal/request/continuation TestRestartedNodesBeginNoStreamsAtVersionsOthersDoNotKnow
 mutant 14 internal/request/continuation/history.go 's/\(stated\.CeasedAgo >= 0 \|\| !s\.listed\) && ceased/!s.listed \&\& ceased/' internal/request/continuation TestRestartedNodesBeginNoStreamsAtVersionsOthersDoNotKnow
 mutant 14 internal/request/forward/admit.go 's/if f\.versionGone\(req, p\) \|\| f\.evacuated/if f.evacuated/' internal/request/forward TestStreamOfAVersionThatLeftIsRefusedAtOnce
 mutant 14 internal/request/choose/versions.go 's/return n < most/return n < 0/' internal/request/choose TestStreamsBeginAtTheUsualVersionWhileNoneIsKnownToBeInUse
-mutant 14 internal/request/job/scope.go 's/if len\(need\.Exclude\) > 0 \|\| need\.Apart \{/if need.Apart {/' internal/request/job TestOwnReasonsToWaitCoverNoOtherItem
-mutant 14 internal/request/job/scope.go 's/if len\(need\.Exclude\) > 0 \|\| need\.Apart \{/if len(need.Exclude) > 0 {/' internal/request/job TestOwnReasonsToWaitCoverNoOtherItem
+mutant 14 internal/request/job/scope.go 's/len\(need\.Exclude\) == 0 \&\& !need\.Apart/!need.Apart/' internal/request/job TestOwnReasonsToWaitCoverNoOtherItem
+mutant 14 internal/request/job/scope.go 's/ \&\& !need\.Apart//' internal/request/job TestOwnReasonsToWaitCoverNoOtherItem
+mutant 14 internal/request/job/scope.go 's/ \&\& !need\.NoProbe//' internal/request/job TestFailedItemKeepsNoOtherFromATrial
 }
 checks=()
 for shard in $(seq 0 $((shards - 1))); do
