Take no copy for fresh that an older list has replaced since the query

Callers: while nodes of the version before run beside new ones, a node could go on using a target that had been removed, or a configuration that had been replaced, and tell others that its copy of the list is fresh.

Cause: a node that starts has a part of another node's copy and asks the store for the changes after it. Before the answer arrives, a node of the version before sends its whole list, which is older; it replaces the part, as it alone is complete. The answer then adds the changes after the part, those between the list and the part are missing, and the copy was marked as fresh as the query.

Change: an answer makes a copy fresh only if the copy then has all changes up to the revision of the answer. The next query begins where the copy is complete and brings what was missing.

TestAnswerDoesNotFreshenACopyThatWasReplaced failed before.

--- a/internal/version/follow/cache.go
+++ b/internal/version/follow/cache.go
@@ -189,7 +189,8 @@
 
 // ApplyAnswer adds the store's answer to a query for the changes after revision since, which
 // was sent at the time given, and returns those that were new to the cache. The answer makes
-// the copy fresh only if it was not cut.
+// the copy fresh only if it was not cut and the copy still has all changes up to since: an
+// older list of another node may have replaced it meanwhile.
 func (c *Cache) ApplyAnswer(name string, page objects.Page, since int64, queried time.Time) []objects.Object {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -199,7 +200,7 @@
 	}
 	changed := c.apply(k, page.Objects, since, page.Revision)
 	k.received(c.now(), page.More)
-	if !page.More && !k.filling() {
+	if !page.More && !k.filling() && k.completeRevision() >= page.Revision {
 		c.verify(k, queried, rand.Uint64())
 	}
 	return changed
--- a/internal/version/follow/cache_test.go
+++ b/internal/version/follow/cache_test.go
@@ -241,3 +241,19 @@
 	}
 	is.True(!cache.DeletionsUncertain(kindT))
 }
+
+// Guards against a copy that counts as fresh while it has a deleted object: a node has a part of
+// another node's copy and queries the store for the changes after it; before the answer arrives, an
+// older list of a third node replaces the part.
+func TestAnswerDoesNotFreshenACopyThatWasReplaced(t *testing.T) {
+	is := is.New(t)
+	cache, clk := newTestCache()
+	cache.Merge(kindT, Part{Changes: []objects.Object{{Name: "new", Revision: 3}}, Complete: 3, Until: 4, Existed: 4, HasDeletions: true, More: true})
+	since := cache.CompleteRevision(kindT)
+	is.Equal(since, int64(3))
+	cache.Replace(kindT, []objects.Object{{Name: "deleted at 2", Revision: 1}}, 1)
+	cache.ApplyAnswer(kindT, objects.Page{Objects: []objects.Object{{Name: "newest", Revision: 4}}, Revision: 4}, since, clk.now)
+	_, fresh := cache.Age(kindT)
+	is.True(!fresh)
+	is.Equal(cache.CompleteRevision(kindT), int64(1)) // from where the next query brings the deletion
+}
