Report a write to the store whose time was over as not made

Callers saw a 503 whose text said that a write may have taken effect, for jobs of which nothing was sent to the object store; by the code a 500 is possible too.

Cause: a write that began after its caller's time counted as sent.

--- a/internal/connection/relay/relay.go
+++ b/internal/connection/relay/relay.go
@@ -80,6 +80,9 @@
 	peers := r.Peers()
 	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
 	for _, address := range peers[:min(maxPeers, len(peers))] {
+		if ctx.Err() != nil { // a call to the peer would not be made
+			break
+		}
 		answer, callErr := r.callPeer(ctx, address, request)
 		if callErr != nil && request.Operation != v1.StoreCall_GET && request.Operation != v1.StoreCall_LIST_STALE {
 			return zero, objects.ErrUnknownOutcome // the peer may have made the call
--- a/internal/connection/relay/relay_test.go
+++ b/internal/connection/relay/relay_test.go
@@ -214,3 +214,16 @@
 	is.Equal(page.Revision, int64(1)) // as of the first page
 	is.Equal(store.pages, 4)
 }
+
+// Guards against a write that counts as one that may have taken effect though it was never sent: its
+// caller's time was over before.
+func TestWriteAfterItsTimeHasNoEffect(t *testing.T) {
+	is := is.New(t)
+	direct, peerStore := &fixedStore{err: objects.ErrUnavailable}, &fixedStore{}
+	r := newRelay(direct, true, map[string]inProcessClient{"p": {service: &Service{Store: peerStore, StoreReachable: reachable, Kinds: []string{"k"}}}})
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_, err := r.Create(ctx, callbudget.Commit, "k", "o", nil)
+	is.True(errors.Is(err, objects.ErrUnavailable))
+	is.Equal(peerStore.calls, 0)
+}
--- a/scripts/check-mutants.sh
+++ b/scripts/check-mutants.sh
@@ -335,6 +335,8 @@
 mutant 14 internal/request/job/scope.go 's/len\(need\.Exclude\) == 0 \&\& !need\.Apart/!need.Apart/' internal/request/job TestOwnReasonsToWaitCoverNoOtherItem
 mutant 14 internal/request/job/scope.go 's/ \&\& !need\.Apart//' internal/request/job TestOwnReasonsToWaitCoverNoOtherItem
 mutant 14 internal/request/job/scope.go 's/ \&\& !need\.NoProbe//' internal/request/job TestFailedItemKeepsNoOtherFromATrial
+mutant 1 internal/connection/relay/relay.go 's/if ctx\.Err\(\) != nil \{/if ctx == nil {/' internal/connection/relay TestWriteAfterItsTimeHasNoEffect
+mutant 1 platform/store.go 's/if ctx\.Err\(\) != nil \{ \/\/ nothing/if ctx == nil { \/\/ nothing/' platform TestWriteAfterItsTimeHasNoEffect
 }
 checks=()
 for shard in $(seq 0 $((shards - 1))); do
