Test that no connection carries a request twice

Nothing noticed when requests that were sent to a target more than once all used one pool of connections, or when the connections of the last pool were kept: the test of the lab sends few requests that often. An answer to an earlier send could then be taken for that of a later one.

--- a/scripts/check-mutants.sh
+++ b/scripts/check-mutants.sh
@@ -338,6 +338,9 @@
 mutant 1 internal/connection/relay/relay.go 's/if ctx\.Err\(\) != nil \{/if ctx == nil {/' internal/connection/relay TestWriteAfterItsTimeHasNoEffect
 mutant 1 platform/store.go 's/if ctx\.Err\(\) != nil \{ \/\/ nothing/if ctx == nil { \/\/ nothing/' platform TestWriteAfterItsTimeHasNoEffect
 mutant 1 internal/request/job/submit.go 's/reserved := time\.Now\(\)/reserved := s.Arrived/' internal/request/job TestJobIsWrittenAfterALateReservation
+mutant 6 platform/runner.go 's/if earlierSends == 0 \{/if earlierSends >= 0 {/' platform TestNoConnectionCarriesARequestTwice
+mutant 6 platform/runner.go 's/min\(earlierSends, maxPools\)/min(earlierSends, 1)/' platform TestNoConnectionCarriesARequestTwice
+mutant 6 platform/runner.go 's/Close: earlierSends >= maxPools/Close: earlierSends > 1<<20/' platform TestNoConnectionCarriesARequestTwice
 }
 checks=()
 for shard in $(seq 0 $((shards - 1))); do
