Test when an item that finds no target shows that its service is full

Of the conditions of mayUseAll two could be taken out without a test that failed. The other spares searches for a free slot: TestFullVersionThatIsTheOnlyOneIsSearchedOnce counts them.

--- a/internal/request/job/versionleft_test.go
+++ b/internal/request/job/versionleft_test.go
@@ -26,7 +26,7 @@
 
 // sentItems tries once to send the waiting items of a job of three, after begin, and returns which
 // run where.
-func sentItems(t *testing.T, pool *discovery.Pool, begin func(p *progress)) map[int]string {
+func sentItems(t *testing.T, pool Pool, begin func(p *progress)) map[int]string {
 	t.Helper()
 	is := is.New(t)
 	m := newTestManager("n1", newMemoryStore())
@@ -101,6 +101,27 @@
 	}
 }
 
+// searchedPool counts the searches for a free slot.
+type searchedPool struct {
+	*discovery.Pool
+	searches int
+}
+
+func (p *searchedPool) ChooseBatch(need choose.Need) (choose.Target, bool) {
+	p.searches++
+	return p.Pool.ChooseBatch(need)
+}
+
+// Guards against a service that is searched again for each kind of item though it is full: all its
+// targets are of the version that began the item that found none.
+func TestFullVersionThatIsTheOnlyOneIsSearchedOnce(t *testing.T) {
+	is := is.New(t)
+	pool := &searchedPool{Pool: listedPool("v1")}
+	sent := sentItems(t, pool, func(p *progress) { runAt(p, 0, "v1", "a"); runAt(p, 1, "v1", "a") })
+	is.Equal(sent, map[int]string{0: "v1"})
+	is.Equal(pool.searches, 2) // one that finds the slot, and one that finds none
+}
+
 // trialPool has targets on trial only, which take items that have not failed.
 type trialPool struct{ noPool }
 
--- a/scripts/check-mutants.sh
+++ b/scripts/check-mutants.sh
@@ -341,6 +341,9 @@
 mutant 6 platform/runner.go 's/if earlierSends == 0 \{/if earlierSends >= 0 {/' platform TestNoConnectionCarriesARequestTwice
 mutant 6 platform/runner.go 's/min\(earlierSends, maxPools\)/min(earlierSends, 1)/' platform TestNoConnectionCarriesARequestTwice
 mutant 6 platform/runner.go 's/Close: earlierSends >= maxPools/Close: earlierSends > 1<<20/' platform TestNoConnectionCarriesARequestTwice
+mutant 14 internal/request/job/continue.go 's/return !m\.Pool\.SeveralVersions\(need\.Service\) && m\.Pool/return m.Pool/' internal/request/job TestWaitingItemKeepsNoOtherWaiting
+mutant 14 internal/request/job/continue.go 's/return !m\.Pool\.SeveralVersions\(need\.Service\) && m\.Pool\.Supply\(need\.Service, need\.Origin\) == continuation\.Busy/return !m.Pool.SeveralVersions(need.Service)/' internal/request/job TestWaitingItemKeepsNoOtherWaiting
+mutant 14 internal/request/job/continue.go 's/return !m\.Pool\.SeveralVersions\(need\.Service\) && m\.Pool\.Supply/return m == nil \&\& m.Pool.Supply/' internal/request/job TestFullVersionThatIsTheOnlyOneIsSearchedOnce
 }
 checks=()
 for shard in $(seq 0 $((shards - 1))); do
