Test that the first list may show a version that others use

A version that a node sees in its first list counts as one that others may use for longer. No test noticed without it: the history of another node was always taken over after the first list. If it comes before, and the list a few seconds later, the node took the version that the other one had named for the only one.

The condition was stated twice: before its first list a node has no copy, which counts as stale. TestFirstListMayShowAVersionThatOthersUse fails without it.

--- a/internal/request/continuation/history.go
+++ b/internal/request/continuation/history.go
@@ -73,7 +73,7 @@
 			s, known := h.services[service][v]
 			if !known || !s.listed {
 				// A version that returns is new to nodes with older copies.
-				s.first, s.stated, s.inUse = now, firstListing || h.staleLately(now), false
+				s.first, s.stated, s.inUse = now, h.staleLately(now), false
 			}
 			if firstListing { // the list may arrive in parts
 				s.inUse = len(versions) == 1 || h.beganNow
@@ -97,7 +97,7 @@
 // meanwhile has been taken over.
 const afterStale = time.Second
 
-// staleLately reports whether the copy was stale a moment ago.
+// staleLately reports whether the copy was stale a moment ago, or there was none.
 func (h *History) staleLately(now time.Time) bool {
 	return now.Sub(h.verified) > h.timing.FreshFor || now.Sub(h.staleAt) < afterStale
 }
--- a/internal/request/continuation/history_test.go
+++ b/internal/request/continuation/history_test.go
@@ -140,6 +140,23 @@
 	is.True(!ok) // not up to date
 }
 
+// Guards against a stream that is continued at the wrong version by a node that has just started: it
+// was told by another node that one version is in use, and another one came into use before it read
+// the list itself.
+func TestFirstListMayShowAVersionThatOthersUse(t *testing.T) {
+	is := is.New(t)
+	old, now := watched(onlyV1, time.Minute)
+	report, ok := old.Report(now)
+	is.True(ok)
+	started := NewHistory(TimingOf(testWithin))
+	started.Merge(now, report)
+	now = now.Add(testWithin + time.Second)
+	started.Listed(now, bothV1V2)
+	started.Verified(now, now)
+	_, ok = started.Sole(now, "s", testWindow)
+	is.True(!ok)
+}
+
 // laggingNode is a node whose copy of the list is older than the list by a lag.
 type laggingNode struct {
 	h        *History
--- a/scripts/check-mutants.sh
+++ b/scripts/check-mutants.sh
@@ -344,6 +344,7 @@
 mutant 14 internal/request/job/continue.go 's/return !m\.Pool\.SeveralVersions\(need\.Service\) && m\.Pool/return m.Pool/' internal/request/job TestWaitingItemKeepsNoOtherWaiting
 mutant 14 internal/request/job/continue.go 's/return !m\.Pool\.SeveralVersions\(need\.Service\) && m\.Pool\.Supply\(need\.Service, need\.Origin\) == continuation\.Busy/return !m.Pool.SeveralVersions(need.Service)/' internal/request/job TestWaitingItemKeepsNoOtherWaiting
 mutant 14 internal/request/job/continue.go 's/return !m\.Pool\.SeveralVersions\(need\.Service\) && m\.Pool\.Supply/return m == nil \&\& m.Pool.Supply/' internal/request/job TestFullVersionThatIsTheOnlyOneIsSearchedOnce
+mutant 14 internal/request/continuation/history.go 's/now, h\.staleLately\(now\), false/now, false, false/' internal/request/continuation TestFirstListMayShowAVersionThatOthersUse
 }
 checks=()
 for shard in $(seq 0 $((shards - 1))); do
