--- a/internal/request/backlog/stored_test.go
+++ b/internal/request/backlog/stored_test.go
@@ -167,3 +167,48 @@
 		}
 	})
 }
+
+// Guards against jobs that are accepted beyond the limit right after a loss, before the stored jobs are
+// listed: in small steps, at the next report of the holder, or after all nodes were lost once more.
+func TestLimitHoldsUntilStoredJobsAreListed(t *testing.T) {
+	type submission struct {
+		after  time.Duration // the one before
+		tokens int64
+	}
+	for name, c := range map[string]struct {
+		stored  int64 // tokens of the holder's jobs
+		allLost int   // times that all nodes are lost; 0: the holder alone is
+		submits []submission
+	}{
+		"one holder is lost":              {14, 0, []submission{{0, 107}, {0, 288}, {0, 292}, {0, 300}}},
+		"all nodes are lost":              {687, 1, []submission{{0, 1}, {150 * time.Millisecond, 14}, {300 * time.Millisecond, 300}}},
+		"all nodes are lost twice":        {963, 2, []submission{{0, 2}, {0, 21}, {0, 26}}},
+		"all nodes are lost for a moment": {1000, 1, []submission{{learnTime, 1}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			now, tracker, boot, sequence, held := start, longRunning(), int64(1), uint64(0), int64(0)
+			submit := func(tokens int64) {
+				sequence++
+				r := Report{Node: "n1", Boot: boot, Sequence: sequence, Tokens: held + tokens}
+				if decision, _ := tracker.Reserve(now, key, r, tokens, limit, true); decision == Fits {
+					held += tokens
+				}
+			}
+			submit(c.stored)
+			is.Equal(held, c.stored)
+			boot++
+			for range c.allLost {
+				boot++
+				tracker = New(now, overshoot)
+			}
+			held = 0
+			for _, s := range c.submits {
+				now = now.Add(s.after)
+				submit(s.tokens)
+			}
+			is.True(tracker.WantsStored())
+			is.Equal(held, int64(0))
+		})
+	}
+}
--- a/scripts/check-mutants.sh
+++ b/scripts/check-mutants.sh
@@ -345,6 +345,8 @@
 mutant 14 internal/request/job/continue.go 's/return !m\.Pool\.SeveralVersions\(need\.Service\) && m\.Pool\.Supply\(need\.Service, need\.Origin\) == continuation\.Busy/return !m.Pool.SeveralVersions(need.Service)/' internal/request/job TestWaitingItemKeepsNoOtherWaiting
 mutant 14 internal/request/job/continue.go 's/return !m\.Pool\.SeveralVersions\(need\.Service\) && m\.Pool\.Supply/return m == nil \&\& m.Pool.Supply/' internal/request/job TestFullVersionThatIsTheOnlyOneIsSearchedOnce
 mutant 14 internal/request/continuation/history.go 's/now, h\.staleLately\(now\), false/now, false, false/' internal/request/continuation TestFirstListMayShowAVersionThatOthersUse
+mutant 10 internal/request/backlog/backlog.go 's/case !sure:/case !sure \&\& b == nil:/' internal/request/backlog TestLimitHoldsUntilStoredJobsAreListed
+mutant 10 internal/request/backlog/backlog.go 's/b\.doubtedSince = now \/\/ the jobs/_ = now \/\/ the jobs/' internal/request/backlog TestLimitHoldsUntilStoredJobsAreListed
 }
 checks=()
 for shard in $(seq 0 $((shards - 1))); do
