--- a/scripts/check-mutants.sh
+++ b/scripts/check-mutants.sh
@@ -347,6 +347,7 @@
 mutant 14 internal/request/continuation/history.go 's/now, h\.staleLately\(now\), false/now, false, false/' internal/request/continuation TestFirstListMayShowAVersionThatOthersUse
 mutant 10 internal/request/backlog/backlog.go 's/case !sure:/case !sure \&\& b == nil:/' internal/request/backlog TestLimitHoldsUntilStoredJobsAreListed
 mutant 10 internal/request/backlog/backlog.go 's/b\.doubtedSince = now \/\/ the jobs/_ = now \/\/ the jobs/' internal/request/backlog TestLimitHoldsUntilStoredJobsAreListed
+mutant 6 platform/runner.go 's/Sum64String\(call\.InstanceID\)/Sum64String(call.Address)/' platform TestRefusalOfANewProcessAtTheAddressIsBelieved
 }
 checks=()
 for shard in $(seq 0 $((shards - 1))); do
