--- a/scripts/check-mutants.sh
+++ b/scripts/check-mutants.sh
@@ -348,6 +348,9 @@
 mutant 10 internal/request/backlog/backlog.go 's/case !sure:/case !sure \&\& b == nil:/' internal/request/backlog TestLimitHoldsUntilStoredJobsAreListed
 mutant 10 internal/request/backlog/backlog.go 's/b\.doubtedSince = now \/\/ the jobs/_ = now \/\/ the jobs/' internal/request/backlog TestLimitHoldsUntilStoredJobsAreListed
 mutant 6 platform/runner.go 's/Sum64String\(call\.InstanceID\)/Sum64String(call.Address)/' platform TestRefusalOfANewProcessAtTheAddressIsBelieved
+mutant 6 internal/connection/target/target.go 's/return f == Broken \|\| f == Cancelled/return f == Broken/' platform TestRefusedRequestsNeverRun
+mutant 5 platform/runner.go 's/case errkind\.PromisesNotRun\(resp\.StatusCode\): \/\/ the runner/case errkind.PromisesNotRun(resp.StatusCode) \&\& resp.StatusCode == 408: \/\/ the runner/' platform TestStatusWithoutProofIsNoAnswer
+mutant 6 internal/request/forward/judge.go 's/case !req\.Route\.Repeatable\(\):/case !req.Route.Repeatable() \&\& p.begun:/' platform TestRefusedRequestsNeverRun
 }
 checks=()
 for shard in $(seq 0 $((shards - 1))); do
