Send a request elsewhere whose attempt was cancelled before it was sent

Callers could get 500 (may have run) for a request that may run once and of which nothing was sent, and the request could take the blame for a crash.

Cause: an attempt that the forwarder cancels, because its target has restarted, is silent, or the request is refused for a moment, was reported as broken, whatever the call had come back with. While the connection is being made it comes back as not sent.

Change: such an attempt stays one that was not sent, and a refusal that is proved stays a refusal. The next target is tried.

--- a/internal/request/forward/attempt.go
+++ b/internal/request/forward/attempt.go
@@ -160,11 +160,18 @@
 }
 
 // cancelCause replaces the error of an attempt that the forwarder cancelled with the
-// reason for the cancellation.
+// reason for the cancellation. A request that certainly has not run stays one.
 func (f *Forwarder) cancelCause(ctx context.Context, err error) error {
+	failure := target.Broken
+	switch end := target.FailureOf(err); {
+	case end == target.NotSent:
+		failure = end
+	case !end.MayHaveRun():
+		return err
+	}
 	for _, cause := range []error{errStalled, errRestarted, errQuarantined} {
 		if errors.Is(context.Cause(ctx), cause) {
-			return &target.Error{Failure: target.Broken, Cause: cause}
+			return &target.Error{Failure: failure, Cause: cause}
 		}
 	}
 	return err
--- a/internal/request/forward/judge.go
+++ b/internal/request/forward/judge.go
@@ -49,10 +49,10 @@
 		return errkind.DeadlineUnmeetable.New("no target took the request before its deadline")
 	case errors.Is(err, errCallerDisconnected):
 		return errkind.Cancelled.New("the caller disconnected")
-	case errors.Is(err, errQuarantined):
-		return f.quarantineError(req)
 	case !end.MayHaveRun():
 		return nil
+	case errors.Is(err, errQuarantined):
+		return f.quarantineError(req)
 	case !req.Route.Repeatable():
 		return errkind.UnknownOutcome.New("the target failed after the request was sent: %v", err)
 	case p.ran >= max(1, req.Route.Attempts):
@@ -74,7 +74,7 @@
 // connection to it broke.
 func lostConnection(err error) bool {
 	var failure *target.Error
-	return errors.Is(err, errRestarted) || (errors.As(err, &failure) && failure.ConnectionLost)
+	return errors.As(err, &failure) && (failure.ConnectionLost || (errors.Is(err, errRestarted) && failure.Failure.MayHaveRun()))
 }
 
 // reportFailure reports to the table of targets and to the quarantine what a failed attempt
@@ -86,7 +86,9 @@
 	}
 	switch {
 	case errors.Is(err, errRestarted):
-		f.Quarantine.Lost(&req.Work, t, p.answerBegin.Time())
+		if failure.Failure.MayHaveRun() {
+			f.Quarantine.Lost(&req.Work, t, p.answerBegin.Time())
+		}
 		f.Quarantine.Ended(t, quarantine.Restarted)
 	case failure.Failure == target.WrongInstance:
 		f.Targets.MarkLeaving(t, string(quarantine.AnotherAtAddress))
--- a/scripts/check-mutants.sh
+++ b/scripts/check-mutants.sh
@@ -351,6 +351,8 @@
 mutant 6 internal/connection/target/target.go 's/return f == Broken \|\| f == Cancelled/return f == Broken/' platform TestRefusedRequestsNeverRun
 mutant 5 platform/runner.go 's/case errkind\.PromisesNotRun\(resp\.StatusCode\): \/\/ the runner/case errkind.PromisesNotRun(resp.StatusCode) \&\& resp.StatusCode == 408: \/\/ the runner/' platform TestStatusWithoutProofIsNoAnswer
 mutant 6 internal/request/forward/judge.go 's/case !req\.Route\.Repeatable\(\):/case !req.Route.Repeatable() \&\& p.begun:/' platform TestRefusedRequestsNeverRun
+mutant 6 internal/request/forward/attempt.go 's/\t\tfailure = end\n/\t\t_ = end\n/' internal/request/forward TestCancelledAttemptThatWasNotSentIsSentElsewhere
+mutant 6 internal/request/forward/judge.go 's/if failure\.Failure\.MayHaveRun\(\) \{/if failure != nil {/' internal/request/forward TestCancelledAttemptThatWasNotSentIsSentElsewhere
 }
 checks=()
 for shard in $(seq 0 $((shards - 1))); do
