Play restarts and stopped attempts in the courses of one request

The play of one request had no restart of a target while an attempt runs, no attempt that is stopped because its request is refused, and accepted a status that says "may have run" for a request that was not sent.

Its draws are locked now: the forwarder asks for a better target from a timer, which the race detector reported before as well.

--- a/internal/request/forward/course_test.go
+++ b/internal/request/forward/course_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -20,6 +21,18 @@
 	"github.com/marblepond/marblepond/internal/version/route"
 )
 
+// lockedSource is a source for several goroutines: the forwarder asks from timers, too.
+type lockedSource struct {
+	mu  sync.Mutex
+	src rand.Source
+}
+
+func (s *lockedSource) Uint64() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.src.Uint64()
+}
+
 // course draws how targets, calls and the caller of one request behave. It counts the calls that a
 // target may have run.
 type course struct {
@@ -72,6 +85,23 @@
 	return nil
 }
 
+// later calls f after a while in a share of the cases.
+func (c *course) later(share float64, f func()) (stop func()) {
+	if !c.is(share) {
+		return func() {}
+	}
+	timer := time.AfterFunc(time.Duration(c.random.Int64N(int64(200*time.Millisecond))), f)
+	return func() { timer.Stop() }
+}
+
+// OnRestart implements Targets.
+func (c *course) OnRestart(_ choose.Target, ended func()) func() { return c.later(0.1, ended) }
+
+// OnRefusal implements Quarantine.
+func (c *course) OnRefusal(_ *fingerprint.Work, _ func() bool, stop func()) func() {
+	return c.later(0.05, stop)
+}
+
 // Send implements target.Sender.
 func (c *course) Send(ctx context.Context, call target.Call) (*target.Answer, error) {
 	time.Sleep(time.Duration(c.random.Int64N(int64(100 * time.Millisecond))))
@@ -146,14 +176,14 @@
 }
 
 // Guards against requests that may run once and run twice, and against requests that are refused as
-// not run and have run: after any course of refusals, failures, waits, jumps of the clock and
-// disconnections.
+// not run and have run: after any course of refusals, failures, waits, jumps of the clock, restarts of
+// targets, attempts that are stopped and disconnections.
 func TestRefusedRequestsHaveNotRun(t *testing.T) {
 	is := is.New(t)
 	kinds := map[string]int{}
 	for seed := range uint64(4000) {
 		synctest.Test(t, func(t *testing.T) {
-			c := &course{fakeTargets: &fakeTargets{}, random: rand.New(rand.NewPCG(seed, 61))}
+			c := &course{fakeTargets: &fakeTargets{}, random: rand.New(&lockedSource{src: rand.NewPCG(seed, 61)})}
 			f := forwarderWith(c, c, &fakeOccupancies{on: c.is(0.5), slots: 16, others: c.random.IntN(24)}, &fakeAdmissionLog{})
 			f.Quarantine, f.Now = c, c.now
 			req := newRequest()
@@ -173,6 +203,9 @@
 				answer = errkind.Of(err)
 			}
 			kinds[answer.Name]++
+			if errkind.Is(err, errkind.UnknownOutcome) && c.ran == 0 {
+				t.Errorf("seed %d: the request may have run by its status, and was not sent: %v", seed, err)
+			}
 			if errkind.PromisesNotRun(answer.HTTPStatus) && c.ran > 0 {
 				t.Errorf("seed %d: status %d after %d runs: %v", seed, answer.HTTPStatus, c.ran, err)
 			}
