--- a/scripts/check-mutants.sh
+++ b/scripts/check-mutants.sh
@@ -335,6 +335,24 @@
 mutant 14 internal/request/job/scope.go 's/len\(need\.Exclude\) == 0 \&\& !need\.Apart/!need.Apart/' internal/request/job TestOwnReasonsToWaitCoverNoOtherItem
 mutant 14 internal/request/job/scope.go 's/ \&\& !need\.Apart//' internal/request/job TestOwnReasonsToWaitCoverNoOtherItem
 mutant 14 internal/request/job/scope.go 's/ \&\& !need\.NoProbe//' internal/request/job TestFailedItemKeepsNoOtherFromATrial
+mutant 1 internal/connection/relay/relay.go 's/if ctx\.Err\(\) != nil \{/if ctx == nil {/' internal/connection/relay TestWriteAfterItsTimeHasNoEffect
+mutant 1 platform/store.go 's/if ctx\.Err\(\) != nil \{ \/\/ nothing/if ctx == nil { \/\/ nothing/' platform TestWriteAfterItsTimeHasNoEffect
+mutant 1 internal/request/job/submit.go 's/reserved := time\.Now\(\)/reserved := s.Arrived/' internal/request/job TestJobIsWrittenAfterALateReservation
+mutant 6 platform/runner.go 's/if earlierSends == 0 \{/if earlierSends >= 0 {/' platform TestNoConnectionCarriesARequestTwice
+mutant 6 platform/runner.go 's/min\(earlierSends, maxPools\)/min(earlierSends, 1)/' platform TestNoConnectionCarriesARequestTwice
+mutant 6 platform/runner.go 's/Close: earlierSends >= maxPools/Close: earlierSends > 1<<20/' platform TestNoConnectionCarriesARequestTwice
+mutant 14 internal/request/job/continue.go 's/return !m\.Pool\.SeveralVersions\(need\.Service\) && m\.Pool/return m.Pool/' internal/request/job TestWaitingItemKeepsNoOtherWaiting
+mutant 14 internal/request/job/continue.go 's/return !m\.Pool\.SeveralVersions\(need\.Service\) && m\.Pool\.Supply\(need\.Service, need\.Origin\) == continuation\.Busy/return !m.Pool.SeveralVersions(need.Service)/' internal/request/job TestWaitingItemKeepsNoOtherWaiting
+mutant 14 internal/request/job/continue.go 's/return !m\.Pool\.SeveralVersions\(need\.Service\) && m\.Pool\.Supply/return m == nil \&\& m.Pool.Supply/' internal/request/job TestFullVersionThatIsTheOnlyOneIsSearchedOnce
+mutant 14 internal/request/continuation/history.go 's/now, h\.staleLately\(now\), false/now, false, false/' internal/request/continuation TestFirstListMayShowAVersionThatOthersUse
+mutant 10 internal/request/backlog/backlog.go 's/case !sure:/case !sure \&\& b == nil:/' internal/request/backlog TestLimitHoldsUntilStoredJobsAreListed
+mutant 10 internal/request/backlog/backlog.go 's/b\.doubtedSince = now \/\/ the jobs/_ = now \/\/ the jobs/' internal/request/backlog TestLimitHoldsUntilStoredJobsAreListed
+mutant 6 platform/runner.go 's/Sum64String\(call\.InstanceID\)/Sum64String(call.Address)/' platform TestRefusalOfANewProcessAtTheAddressIsBelieved
+mutant 6 internal/connection/target/target.go 's/return f == Broken \|\| f == Cancelled/return f == Broken/' platform TestRefusedRequestsNeverRun
+mutant 5 platform/runner.go 's/case errkind\.PromisesNotRun\(resp\.StatusCode\): \/\/ the runner/case errkind.PromisesNotRun(resp.StatusCode) \&\& resp.StatusCode == 408: \/\/ the runner/' platform TestStatusWithoutProofIsNoAnswer
+mutant 6 internal/request/forward/judge.go 's/case !req\.Route\.Repeatable\(\):/case !req.Route.Repeatable() \&\& p.begun:/' platform TestRefusedRequestsNeverRun
+mutant 6 internal/request/forward/attempt.go 's/\t\tfailure = end\n/\t\t_ = end\n/' internal/request/forward TestCancelledAttemptThatWasNotSentIsSentElsewhere
+mutant 6 internal/request/forward/judge.go 's/if failure\.Failure\.MayHaveRun\(\) \{/if failure != nil {/' internal/request/forward TestCancelledAttemptThatWasNotSentIsSentElsewhere
 }
 checks=()
 for shard in $(seq 0 $((shards - 1))); do
