Check a stored history of versions against the changes of the target list

What callers saw: streams that continued at another version. A keeper was away while targets of a second version served and left; then all nodes lost power and the other keeper its disk. The first keeper's file knew one version alone, and callers that returned were continued there.

Cause: a keeper used the history in its file unless it met a node that had gone on meanwhile. After a loss of all nodes there is none, whatever happened while the keeper was away.

The file now states the revision up to which the history has all changes. Before a keeper uses the history, it reads the changes since that revision, in pages, and the versions of all of them count as listed until now. If the store no longer has them, or the file states no revision (an earlier release wrote it), the history is dropped and only records of streams count. If the store does not answer, the keeper asks again each second and uses nothing meanwhile. The keeper asks only after it has seen the list itself, so that no change falls between.

The file states a revision one second after the copy of the list had it, since the history takes changes over a little after the copy, and it is written at least every 5 s while the store's revision moves (before: every 5 s until it covered 5 minutes, then no more). The query is made at a start only, by a keeper that has a file and met no node that went on for 2 s.

Ruled out: nodes that write to the store which versions were in use (a writer more, and a node that cannot write is not noticed), and histories that count only if most keepers state theirs (refuses with each lost disk of two).

The keepers of the unit tests now have a store with a list. Those of stale_test.go have one each, so that they still show what corrects an old file that nothing else contradicts.

--- a/internal/connection/origins/history.go
+++ b/internal/connection/origins/history.go
@@ -25,6 +25,11 @@
 func (x *Exchange) History() *v1.VersionHistory {
 	x.mu.Lock()
 	defer x.mu.Unlock()
+	return x.historyToProto()
+}
+
+// historyToProto is History for a caller that holds x.mu.
+func (x *Exchange) historyToProto() *v1.VersionHistory {
 	x.verify()
 	report, ok := x.history.Report(x.Now())
 	if !ok {
--- a/internal/connection/origins/origins.go
+++ b/internal/connection/origins/origins.go
@@ -35,6 +35,9 @@
 	Fleet func() *continuation.Fleet
 	// ListVerified returns up to which time the list of targets is known; zero: not at all.
 	ListVerified func() time.Time
+	// ListRevision returns the revision of the store up to which the list of targets is complete;
+	// nil where no file is kept.
+	ListRevision func() int64
 	Metrics      tally.Scope
 }
 
@@ -47,7 +50,11 @@
 	records *continuation.Records
 	several bool // a service has targets of several versions
 	started time.Time
-	stored  *v1.VersionHistory // read from the disk and not used yet; nil: none
+	stored  *storedHistory // read from the disk and not used yet; nil: none
+	// revision is the one up to which the history has all changes of the list; 0: not known.
+	// seenRevision is to replace it revisionDelay after seenAt.
+	revision, seenRevision int64
+	seenAt                 time.Time
 	// usedStored: the history rests on what was read from the disk.
 	usedStored bool
 	firstStart bool // the fleet started for the first time together with this node
@@ -113,7 +120,7 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.verify()
-	x.useStored()
+	x.noteRevision()
 	if x.records.Len() > 0 {
 		x.records.RemoveExpired(x.Now())
 		x.Metrics.Gauge("stream_records").Update(float64(x.records.Len()))
--- a/internal/connection/origins/stale_test.go
+++ b/internal/connection/origins/stale_test.go
@@ -16,17 +16,19 @@
 // or could not write, while others began streams at a version that is no longer listed.
 
 // staleKeepers returns two keepers that have just started after a loss of all nodes: the file of the
-// first does not know of v2, at which others began streams. v1 alone is listed.
+// first does not know of v2, at which others began streams. v1 alone is listed. Each has a store of
+// its own, so that the changes of the list do not tell the first one of v2.
 func staleKeepers(t *testing.T) (stale, fresh *keeper) {
 	t.Helper()
 	dirs := []string{t.TempDir(), t.TempDir()}
-	stale, fresh = startKeeper(t, dirs[0], time.Unix(1000, 0)), startKeeper(t, dirs[1], time.Unix(1000, 0))
+	stores := []*listStore{newListStore(), newListStore()}
+	stale, fresh = startKeeper(t, dirs[0], time.Unix(1000, 0), stores[0]), startKeeper(t, dirs[1], time.Unix(1000, 0), stores[1])
 	stale.watch(t, onlyV1, 3*time.Minute)
 	fresh.watch(t, onlyV1, 3*time.Minute)
 	fresh.watch(t, bothV1V2, 5*time.Second) // the other one is off
 	fresh.Record(testStream, "v2")
 	fresh.watch(t, onlyV1, time.Second)
-	return startKeeper(t, dirs[0], time.Unix(2000, 0)), startKeeper(t, dirs[1], time.Unix(2000, 0))
+	return startKeeper(t, dirs[0], time.Unix(2000, 0), stores[0]), startKeeper(t, dirs[1], time.Unix(2000, 0), stores[1])
 }
 
 // Guards against streams that continue at another version, because a node whose file is old asks no
@@ -54,7 +56,7 @@
 			stale, fresh := staleKeepers(t)
 			stale.watch(t, onlyV1, 2*diskDelay)
 			fresh.watch(t, onlyV1, 2*diskDelay)
-			asking := startKeeper(t, t.TempDir(), time.Unix(2004, 0))
+			asking := startKeeper(t, t.TempDir(), time.Unix(2004, 0), newListStore())
 			asking.watch(t, onlyV1, time.Second)
 			switch name {
 			case "the node with the old file":
@@ -97,8 +99,8 @@
 // after a loss of all nodes that did not begin all streams.
 func TestFileThatCannotBeReplacedIsNotUsed(t *testing.T) {
 	is := is.New(t)
-	dir := t.TempDir()
-	k := startKeeper(t, dir, time.Unix(1000, 0))
+	dir, store := t.TempDir(), newListStore()
+	k := startKeeper(t, dir, time.Unix(1000, 0), store)
 	k.watch(t, onlyV1, time.Minute)
 	blocked := filepath.Join(dir, fileName+".new", "x") // the file for the next write is a directory
 	is.NoErr(os.MkdirAll(blocked, 0o700))
@@ -108,10 +110,10 @@
 	k.SetListed(onlyV1)
 	is.True(k.disk.Write() != nil)
 
-	after := startKeeper(t, dir, time.Unix(2000, 0))
+	after := startKeeper(t, dir, time.Unix(2000, 0), store)
 	after.SetListed(onlyV1)
 	for range 8 {
-		after.Tick()
+		after.tick()
 		after.now = after.now.Add(writeInterval)
 	}
 	is.Equal(after.find(testStream), "unknown")
--- a/internal/process/hosted/following.go
+++ b/internal/process/hosted/following.go
@@ -86,11 +86,19 @@
 // up to date.
 func (n *Node) startOriginsDisk(ctx context.Context, wg *sync.WaitGroup) {
 	failed := func(err error) { n.recorder.Record(timeline.SnapshotFailed, "", n.settings.DataDir, err.Error()) }
-	d := &origins.Disk{Dir: n.settings.DataDir, Exchange: n.origins, OnError: failed}
+	restored := func(revision int64, err error) {
+		cause := ""
+		if err != nil {
+			cause = err.Error()
+		}
+		n.recorder.Record(timeline.HistoryRestored, "", n.settings.DataDir, cause, field("revision", revision))
+	}
+	d := &origins.Disk{Dir: n.settings.DataDir, Exchange: n.origins, Changes: n.versionsListedSince, OnError: failed, OnRestored: restored}
 	if err := d.Load(); err != nil {
 		failed(err)
 	}
 	wg.Go(func() { d.Run(ctx) })
+	wg.Go(func() { d.RestoreHistory(ctx) })
 }
 
 // followers returns the function that lists the other reachable nodes of this data centre that
--- a/internal/process/hosted/origins.go
+++ b/internal/process/hosted/origins.go
@@ -1,10 +1,13 @@
 package hosted
 
 import (
+	"context"
+	"fmt"
 	"time"
 
 	v1 "github.com/marblepond/marblepond/api/marblepond/v1"
 	"github.com/marblepond/marblepond/internal/connection/beacon"
+	"github.com/marblepond/marblepond/internal/connection/objects"
 	"github.com/marblepond/marblepond/internal/connection/origins"
 	"github.com/marblepond/marblepond/internal/request/continuation"
 )
@@ -12,7 +15,7 @@
 // newOrigins returns the records of the versions at which streams began.
 func (n *Node) newOrigins() *origins.Exchange {
 	x := origins.New(origins.Options{Node: n.settings.NodeID, Now: n.clock.Now, Timing: continuation.TimingOf(n.settings.TargetsWithin), Network: streamNetwork{n},
-		Fleet: n.originFleet.Load, ListVerified: n.targetsVerified, Metrics: n.metrics})
+		Fleet: n.originFleet.Load, ListVerified: n.targetsVerified, ListRevision: n.targetsRevision, Metrics: n.metrics})
 	n.originFleet.Store(n.originFleetOf(n.view.Load()))
 	if n.settings.FirstStart {
 		x.BeginsNow()
@@ -53,6 +56,36 @@
 	return n.clock.Now().Add(-age)
 }
 
+// targetsRevision returns the revision of the store up to which the list of targets is known.
+func (n *Node) targetsRevision() int64 { return n.cache.CompleteRevision(n.adapter.Kinds.Targets) }
+
+// versionsListedSince returns how many changes of targets of each version every service has had
+// after a revision of the store. Entries that are not valid are left out, since no node uses them.
+func (n *Node) versionsListedSince(ctx context.Context, revision int64) (map[string]map[continuation.Version]int, error) {
+	out := map[string]map[continuation.Version]int{}
+	for more := true; more; {
+		page, err := n.adapter.Store.Changes(ctx, n.adapter.Kinds.Targets, revision)
+		if err != nil {
+			return nil, err
+		}
+		if page.More && page.Revision <= revision {
+			return nil, fmt.Errorf("%w: it was cut before the first change", objects.ErrUnavailable)
+		}
+		for _, o := range page.Objects {
+			record, err := n.adapter.DecodeTarget(o.Name, o.Value)
+			if err != nil {
+				continue
+			}
+			if out[record.Service] == nil {
+				out[record.Service] = map[continuation.Version]int{}
+			}
+			out[record.Service][record.Version]++
+		}
+		more, revision = page.More, page.Revision
+	}
+	return out, nil
+}
+
 // versionInUse reports whether resumable streams are begun at a version of a service.
 func (n *Node) versionInUse(service string, v continuation.Version) bool {
 	return n.origins.InUse(service, v)
--- a/internal/process/timeline/catalogue.go
+++ b/internal/process/timeline/catalogue.go
@@ -104,6 +104,7 @@
 	CopyBehind          Code = 711
 	CopyCaughtUp        Code = 712
 	WriteRejected       Code = 713
+	HistoryRestored     Code = 714
 	InvariantViolated   Code = 901
 	unknownEventName         = "unknown"
 )
@@ -211,6 +212,7 @@
 	CopyBehind:          {"copy_behind", log.WarnLevel, "the copy of a kind of objects is behind the object store: the newest answer was cut and the rest is on its way"},
 	CopyCaughtUp:        {"copy_caught_up", log.InfoLevel, "the copy of a kind of objects is complete again"},
 	WriteRejected:       {"write_rejected", log.WarnLevel, "the object store does not accept the content of a write, of the size given; results are divided into smaller objects, and a job is refused"},
+	HistoryRestored:     {"history_restored", log.InfoLevel, "the history of versions on the disk is used, with what the object store says was listed since the revision in the fields; the cause says why it is not used"},
 	ObjectRejected:      {"object_rejected", log.WarnLevel, "an object of the store, or an address, is not valid and is ignored"},
 	InvariantViolated:   {"invariant_violated", log.ErrorLevel, "an invariant does not hold; the cause is the evidence"},
 }
--- a/internal/request/continuation/history.go
+++ b/internal/request/continuation/history.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 )
 
@@ -205,6 +206,18 @@
 	return r, true
 }
 
+// Extend adds versions that were listed at some time after a report was made. The time is not
+// known, so that each may have begun streams until now.
+func (r Report) Extend(listed map[string]map[Version]int) Report {
+	r.Sightings = slices.Clone(r.Sightings)
+	for service, versions := range listed {
+		for v := range versions {
+			r.Sightings = append(r.Sightings, Sighting{Service: service, Version: v})
+		}
+	}
+	return r
+}
+
 // Merge adds the report of another node, so that a node that has just started knows what was
 // listed before.
 func (h *History) Merge(now time.Time, r Report) {
--- a/internal/request/continuation/history_test.go
+++ b/internal/request/continuation/history_test.go
@@ -429,3 +429,88 @@
 	is.True(!ok)
 	is.True(!h.InUse(now, "s", "v2"))
 }
+
+// TestOldReportProvesNoVersionAlone guards against a version that is derived after a loss of all nodes from the
+// report of a node that was away while others were listed: with the versions of the changes
+// since, a sole version is one that no other was listed beside within the window.
+func TestOldReportProvesNoVersionAlone(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		lists := rapid.SliceOfN(rapid.SampledFrom([]map[string]map[Version]int{onlyV1, onlyV2, bothV1V2, {}}), 1, 8)
+		before, away := lists.Draw(t, "seen"), lists.Draw(t, "while away")
+		known := rapid.IntRange(0, len(before)-1).Draw(t, "first change after the revision") // the revision may be older than the report
+		length := rapid.Custom(func(t *rapid.T) time.Duration {
+			return time.Duration(rapid.IntRange(1, 20).Draw(t, "seconds")) * time.Second
+		})
+		listedAt := map[Version]time.Time{} // when a version was last listed
+		h, now := NewHistory(TimingOf(testWithin)), testStart
+		h.BeginsNow(now)
+		changed := map[string]map[Version]int{"s": {}}
+		list := func(listed map[string]map[Version]int, seen func(end time.Time)) {
+			end := now.Add(length.Draw(t, "time"))
+			seen(end)
+			now = end
+			for v := range listed["s"] {
+				listedAt[v] = now
+			}
+		}
+		note := func(listed map[string]map[Version]int) {
+			for v := range listed["s"] {
+				changed["s"][v]++
+			}
+		}
+		for i, listed := range before {
+			if i >= known {
+				note(listed)
+			}
+			list(listed, func(end time.Time) {
+				h.Listed(now, listed)
+				watch(h, now, end.Sub(now))
+			})
+		}
+		report, ok := h.Report(now)
+		if !ok {
+			t.Fatal("no report")
+		}
+		for _, listed := range away {
+			note(listed)
+			list(listed, func(time.Time) {})
+		}
+		last := away[len(away)-1]
+		restarted := NewHistory(TimingOf(testWithin))
+		restarted.Listed(now, last)
+		restarted.Verified(now, now)
+		restarted.Merge(now, report.Extend(changed))
+		for end := now.Add(2 * testWindow); now.Before(end); now = now.Add(time.Second) {
+			for v := range last["s"] {
+				listedAt[v] = now
+			}
+			restarted.Verified(now, now)
+			sole, ok := restarted.Sole(now, "s", testWindow)
+			for v, at := range listedAt {
+				if ok && v != sole && now.Sub(at) <= testWindow {
+					t.Fatalf("%s counts as the one version, and %s was listed %v ago", sole, v, now.Sub(at))
+				}
+			}
+		}
+		if _, ok := restarted.Sole(now, "s", testWindow); ok != (len(last["s"]) == 1) {
+			t.Fatalf("after the window a sole version is known: %v, and %d are listed", ok, len(last["s"]))
+		}
+	})
+}
+
+// TestReportWithoutChangesIsKept guards against refusals after a loss of all nodes where nothing was listed
+// since that the report does not have.
+func TestReportWithoutChangesIsKept(t *testing.T) {
+	is := is.New(t)
+	h, now := watched(onlyV1, time.Minute)
+	report, ok := h.Report(now)
+	is.True(ok)
+	restarted := NewHistory(TimingOf(testWithin))
+	restarted.Listed(now, onlyV1)
+	restarted.Verified(now, now)
+	restarted.Merge(now, report.Extend(onlyV1))
+	v, ok := restarted.Sole(now, "s", testWindow)
+	is.True(ok)
+	is.Equal(v, Version("v1"))
+	is.Equal(len(report.Sightings), 1) // as it was
+}
--- a/scripts/check-mutants.sh
+++ b/scripts/check-mutants.sh
@@ -237,12 +237,22 @@
 mutant 14 internal/connection/origins/origins.go 's/return sole && !/return (sole || x.Node != "") \&\& !/' internal/connection/origins TestStartingNodeLearnsTheHistory
 mutant 14 internal/request/continuation/holders.go 's/lost\), 1\)/lost), 0)/' internal/request/continuation TestRecordReachesADisk
 mutant 14 internal/request/continuation/holders.go 's/keeperCandidates = 2/keeperCandidates = 0/' internal/request/continuation TestRecordReachesADisk
-mutant 14 internal/connection/origins/disk.go 's/x\.history\.Merge\(now, reportFromProto/_ = (reportFromProto/' internal/connection/origins TestOriginsSurviveTheLossOfAllNodes
-mutant 14 internal/connection/origins/disk.go 's/now\.Sub\(x\.started\) >= diskDelay/!now.Before(x.started)/' internal/connection/origins TestOriginsSurviveTheLossOfAllNodes
+mutant 14 internal/connection/origins/disk.go 's/x\.history\.Merge\(x\.Now\(\), (reportFromProto.*)\)\n/_ = $1\n/' internal/connection/origins TestOriginsSurviveTheLossOfAllNodes
+mutant 14 internal/connection/origins/disk.go 's/x\.Now\(\)\.Sub\(x\.started\) >= diskDelay/!x.Now().Before(x.started)/' internal/connection/origins TestOriginsSurviveTheLossOfAllNodes
 mutant 14 internal/connection/origins/disk.go 's/case x\.stored != nil:/case x.stored != nil \&\& history != nil \&\& false:/' internal/connection/origins TestOriginsSurviveTheLossOfAllNodes
 mutant 14 internal/connection/origins/history.go 's/x\.stored = nil/_ = x.stored/' internal/connection/origins TestLivingNodeKnowsBetterThanTheDisk
-mutant 14 internal/connection/origins/disk.go 's/changes == d\.changes \{/changes != d.changes {/' internal/connection/origins TestOneVersionIsWrittenOnce
-mutant 14 internal/connection/origins/disk.go 's/now\.Sub\(d\.writtenAt\) < slowWriteInterval/now.Before(d.writtenAt)/' internal/connection/origins TestOneVersionIsWrittenSeldom
+mutant 14 internal/connection/origins/disk.go 's/changes == d\.changes, /changes != d.changes, /' internal/connection/origins TestOneVersionIsWrittenOnce
+mutant 14 internal/connection/origins/disk.go 's/age >= slowWriteInterval/age >= 0/' internal/connection/origins TestOneVersionIsWrittenSeldom
+mutant 14 internal/request/continuation/history.go 's/Sighting\{Service: service, Version: v\}/Sighting{Service: service, Version: v, CeasedAgo: retention}/' internal/request/continuation TestOldReportProvesNoVersionAlone
+mutant 14 internal/connection/origins/disk.go 's/\.Extend\(listedSince\)//' internal/connection/origins TestVersionsListedWhileAKeeperWasAwayCount
+mutant 14 internal/connection/origins/disk.go 's/stored\.revision == 0/stored.revision < 0/' internal/connection/origins TestHistoryWithoutEvidenceProvesNothing
+mutant 14 internal/connection/origins/disk.go 's/(ErrHistoryExpired\):\n\t\td\.Exchange\.)dropStored\(\)/$1useStored(nil)/' internal/connection/origins TestHistoryWithoutEvidenceProvesNothing
+mutant 14 internal/connection/origins/disk.go 's/ && !x\.ListVerified\(\)\.IsZero\(\)$//m' internal/connection/origins TestHistoryOfAFileWaitsForTheList
+mutant 14 internal/connection/origins/disk.go 's/revisionDelay = time\.Second/revisionDelay = 0/' internal/connection/origins TestFileStatesNoRevisionBeforeItsChanges
+mutant 14 internal/connection/origins/disk.go 's/age >= revisionInterval/age >= time.Hour/' internal/connection/origins TestFileFollowsTheRevisionOfTheList
+mutant 14 internal/connection/origins/disk.go 's/age >= revisionInterval/age >= 0/' internal/connection/origins TestFileFollowsTheRevisionOfTheList
+mutant 14 internal/connection/origins/disk.go 's/d\.revision == 0 && revision != 0/d.revision < 0/' internal/connection/origins TestFirstRevisionIsWrittenAtOnce
+mutant 14 internal/process/hosted/origins.go 's/more, revision = page\.More,/more, revision = false,/' internal/process/hosted TestVersionsListedSinceHasAllPages
 mutant 14 internal/process/hosted/run.go 's/n\.startOriginsDisk\(ctx, wg\)/_ = n.startOriginsDisk/' lab/hosted TestStreamsOutliveTheLossOfAllNodes
 mutant 14 internal/request/forward/resume.go 's/ \|\| found\.Starting//' internal/request/forward TestUnknownStreamIsRefusedAtOnce
 mutant 14 internal/request/choose/eligible.go 's/case !need\.Origin\.Allows\(e\.Version\):/case !need.Origin.Allows(e.Version) \&\& need.Batch:/' internal/request/choose TestBegunAnswerGetsItsVersionOnly
