Delete stored verdicts whose node is gone

What callers saw: work that had been answered was refused again after a start of all nodes, until the crashes were too old. Found by reading the code.

Cause: a verdict was saved and deleted by the node that detected its last crash. If that node was restarted, or all nodes were, no node deleted it when it ended, and the next start of all nodes read it again.

Every node knows when a verdict ends. The first in order of the reachable nodes now deletes it as well, 5 s later, when the node that saved it has done so if it runs. A verdict that was narrowed is replaced by those that took its place. One that expires is left alone: it refuses nothing when it is read, and the next start deletes it. A verdict that begins again meanwhile stays. Cost: one call for each verdict that ends before its time.

Evidence: TestVerdictOfALostNodeIsDeleted and TestNarrowerVerdictOfALostNodeIsSaved fail without the deletion (the mutants of keep.go: the stored verdict is there after 3 s); TestExpiredVerdictOfALostNodeCostsNoCall fails if expired verdicts are deleted too. All tests of internal/process/crashes pass with the race detector. The order of nodes (hosted) has no test of its own. Five mutants.

--- a/internal/process/crashes/keep.go
+++ b/internal/process/crashes/keep.go
@@ -18,6 +18,9 @@
 	// maxStoreRetryInterval: a call that fails is paid for.
 	storeRetryInterval    = 500 * time.Millisecond
 	maxStoreRetryInterval = 5 * time.Second
+	// deleteEndedAfter is how long after its end a verdict counts as deleted by the node that saved it.
+	// That node learns of the end within a second, and deletes at once.
+	deleteEndedAfter = 5 * time.Second
 )
 
 // unstored is a change of a verdict that the verdict store lacks.
@@ -26,21 +29,72 @@
 	ended   bool
 }
 
+// ending is the end of a verdict that another node has saved.
+type ending struct {
+	verdict quarantine.Verdict
+	at      time.Time
+}
+
 // keep has the verdict store follow a verdict that began or ended, if this node detected its last
 // crash. It does not wait for the store.
 func (w *Watch) keep(id fingerprint.ID, v quarantine.Verdict, ended bool) {
-	if w.Store == nil || !w.decidedLocally(v) {
+	if w.Store == nil {
 		return
 	}
+	decidedLocally := w.decidedLocally(v)
 	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.ended, id)
+	now := w.Now()
+	switch {
+	case decidedLocally:
+		w.follow(id, v, ended)
+	case ended && now.Before(v.Until): // crashes that are too old refuse nothing when they are read again
+		w.ended[id] = ending{v, now}
+	}
+}
+
+// follow has the verdict store follow a verdict. The caller holds w.mu.
+func (w *Watch) follow(id fingerprint.ID, v quarantine.Verdict, ended bool) {
 	w.unstored[id] = &unstored{v, ended}
-	w.mu.Unlock()
 	select {
 	case w.keepNow <- struct{}{}:
 	default:
 	}
 }
 
+// deleteEnded has stored verdicts deleted that ended some time ago, if this node is responsible for
+// that, and saves those that took their place. The node that saved one may have been restarted.
+func (w *Watch) deleteEnded() {
+	for id, v := range w.takeEnded() {
+		if w.DeletesEnded == nil || !w.DeletesEnded(id) {
+			continue
+		}
+		w.mu.Lock()
+		w.follow(id, v, true)
+		for narrower, current := range w.refused {
+			if current.Concerns(v.Suspects) {
+				w.follow(narrower, current, false)
+			}
+		}
+		w.mu.Unlock()
+	}
+}
+
+// takeEnded removes and returns the verdicts that ended deleteEndedAfter ago.
+func (w *Watch) takeEnded() map[fingerprint.ID]quarantine.Verdict {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	out := map[fingerprint.ID]quarantine.Verdict{}
+	for id, e := range w.ended {
+		if w.Now().Sub(e.at) >= deleteEndedAfter {
+			out[id] = e.verdict
+			delete(w.ended, id)
+		}
+	}
+	return out
+}
+
 // keepVerdicts writes changes of verdicts to the verdict store, until it has them or ctx ends: all
 // nodes may be lost together, and with them the crashes.
 func (w *Watch) keepVerdicts(ctx context.Context) {
--- a/internal/process/crashes/keep_test.go
+++ b/internal/process/crashes/keep_test.go
@@ -1,6 +1,9 @@
 package crashes
 
 import (
+	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -74,3 +77,93 @@
 		t.Error("an attempt in flight goes on")
 	}
 }
+
+// TestVerdictOfALostNodeIsDeleted guards against work that is refused again after all nodes were restarted
+// although it was answered before: the node that saved the verdict was lost before the verdict
+// ended.
+func TestVerdictOfALostNodeIsDeleted(t *testing.T) {
+	is := is.New(t)
+	fleet := newFakeFleet()
+	work := &fingerprint.Work{Path: "/bad"}
+	fleet.refuse(t, fleet.start(t, "lost"), 0, work)
+	eventually(t, "the verdict is saved", func() bool { return fleet.isSaved(work) })
+	fleet.deleter = "n1"
+	watches := []*Watch{fleet.start(t, "n0"), fleet.start(t, "n1")}
+	for _, watch := range watches {
+		fleet.mu.Lock()
+		stored := fleet.saved[work.ID()]
+		fleet.mu.Unlock()
+		watch.Merge(stored) // as at the start
+		eventually(t, "the node refuses the work", func() bool { return watch.Refuse(work) != nil })
+	}
+	time.Sleep(2 * verdictInterval)
+	for _, watch := range watches {
+		watch.Completed(work, targetNo(9), fleet.time())
+		is.NoErr(watch.Refuse(work))
+	}
+	time.Sleep(2 * verdictInterval)
+	is.True(fleet.isSaved(work)) // until the node that saved it would have deleted it
+	fleet.advance(deleteEndedAfter)
+	eventually(t, "the verdict is deleted", func() bool { return !fleet.isSaved(work) })
+	time.Sleep(2 * verdictInterval)
+	is.Equal(fleet.deletes, 1)
+}
+
+// TestExpiredVerdictOfALostNodeCostsNoCall guards against calls to the store for verdicts that refuse nothing
+// when they are read again.
+func TestExpiredVerdictOfALostNodeCostsNoCall(t *testing.T) {
+	is := is.New(t)
+	fleet := newFakeFleet()
+	work := &fingerprint.Work{Path: "/bad"}
+	fleet.refuse(t, fleet.start(t, "lost"), 0, work)
+	eventually(t, "the verdict is saved", func() bool { return fleet.isSaved(work) })
+	fleet.deleter = "n0"
+	watch := fleet.start(t, "n0")
+	watch.Merge(fleet.saved[work.ID()])
+	eventually(t, "the node refuses the work", func() bool { return watch.Refuse(work) != nil })
+	time.Sleep(2 * verdictInterval)
+	fleet.storeDown = true // for the node that saved it
+	fleet.advance(2 * time.Hour)
+	eventually(t, "the verdict has ended", func() bool { return watch.Refuse(work) == nil })
+	time.Sleep(2 * verdictInterval)
+	watch.mu.Lock()
+	defer watch.mu.Unlock()
+	is.Equal(len(watch.ended), 0)
+}
+
+// TestNarrowerVerdictOfALostNodeIsSaved guards against a part under which targets crash and that is sent on
+// after all nodes were restarted: the verdict on it took the place of one whose node was lost.
+func TestNarrowerVerdictOfALostNodeIsSaved(t *testing.T) {
+	is := is.New(t)
+	fleet := newFakeFleet()
+	lost := fleet.start(t, "lost")
+	for n := range 3 { // the two parts always come together
+		fleet.crash(lost, n, prompted(fmt.Sprint("/bad", n), "common", "bad"))
+		eventually(t, "the crash is proved", func() bool { return lost.knows(targetNo(n)) })
+		fleet.advance(time.Second)
+		lost.Completed(prompted(fmt.Sprint("/good", n), "other"), targetNo(50), fleet.time())
+		fleet.advance(time.Second)
+	}
+	eventually(t, "the verdict is saved", func() bool { return len(fleet.savedIDs()) == 1 })
+	both := fleet.savedIDs()[0]
+	fleet.deleter = "n0"
+	watch := fleet.start(t, "n0")
+	watch.Merge(fleet.saved[both])
+	eventually(t, "the node refuses both", func() bool { return watch.Refuse(prompted("/new", "common", "bad")) != nil })
+	time.Sleep(2 * verdictInterval)
+	watch.Completed(prompted("/answered", "common"), targetNo(51), fleet.time())
+	is.NoErr(watch.Refuse(prompted("/new", "common")))
+	is.True(watch.Refuse(prompted("/new", "bad")) != nil)
+	time.Sleep(2 * verdictInterval)
+	fleet.advance(deleteEndedAfter)
+	eventually(t, "the narrower verdict is saved in place of the other", func() bool {
+		ids := fleet.savedIDs()
+		return len(ids) == 1 && ids[0] != both
+	})
+}
+
+func (f *fakeFleet) savedIDs() []fingerprint.ID {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Collect(maps.Keys(f.saved))
+}
--- a/internal/process/crashes/verdicts.go
+++ b/internal/process/crashes/verdicts.go
@@ -26,6 +26,7 @@
 			}
 		}
 		w.applyVerdicts()
+		w.deleteEnded()
 		select {
 		case <-ctx.Done():
 			return
--- a/internal/process/crashes/watch.go
+++ b/internal/process/crashes/watch.go
@@ -46,6 +46,9 @@
 	OnChange func()
 	// Store stores verdicts, so that they outlast a restart of all nodes; nil: they do not.
 	Store VerdictStore
+	// DeletesEnded reports whether this node is the one of all reachable nodes that deletes a stored
+	// verdict which has ended, in case the node that saved it is gone; nil: it is not.
+	DeletesEnded func(verdict fingerprint.ID) bool
 }
 
 // VerdictStore stores the crashes that lead to each verdict. Its calls may be slow or fail, and are
@@ -73,6 +76,7 @@
 	detected      map[quarantine.Target]bool      // targets whose crash this node detected
 	refused       map[fingerprint.ID]quarantine.Verdict
 	unstored      map[fingerprint.ID]*unstored
+	ended         map[fingerprint.ID]ending // verdicts that other nodes saved
 	partNames     map[fingerprint.ID]string // of parts of prompts that were suspect
 	running       map[*attempt]struct{}
 	pulledDigests map[string]uint64 // by node: its digest at the last pull
@@ -87,7 +91,7 @@
 
 // New returns a watch; Run starts it.
 func New(o Options) *Watch {
-	w := &Watch{Options: o, probes: ring.New[choose.Target](probeQueue, ring.Refuse), pulls: ring.New[string](pullQueue, ring.Refuse), changed: make(chan struct{}, 1), keepNow: make(chan struct{}, 1), unstored: map[fingerprint.ID]*unstored{}, table: quarantine.New(o.Config),
+	w := &Watch{Options: o, probes: ring.New[choose.Target](probeQueue, ring.Refuse), pulls: ring.New[string](pullQueue, ring.Refuse), changed: make(chan struct{}, 1), keepNow: make(chan struct{}, 1), unstored: map[fingerprint.ID]*unstored{}, ended: map[fingerprint.ID]ending{}, table: quarantine.New(o.Config),
 		lastProbed: map[quarantine.Target]time.Time{}, detected: map[quarantine.Target]bool{}, refused: map[fingerprint.ID]quarantine.Verdict{}, partNames: map[fingerprint.ID]string{},
 		running: map[*attempt]struct{}{}, pulledDigests: map[string]uint64{}}
 	w.idle.Store(true)
--- a/internal/process/crashes/watch_test.go
+++ b/internal/process/crashes/watch_test.go
@@ -36,6 +36,8 @@
 	nodes     map[string]*Watch
 	saved     map[fingerprint.ID][]quarantine.Crash
 	storeDown bool
+	deletes   int           // calls of Delete
+	deleter   string        // the node that deletes verdicts of others
 	silence   chan struct{} // the verdict store answers once it is closed; nil: at once
 }
 
@@ -85,6 +87,7 @@
 	if f.storeDown {
 		return errors.New("the verdict store is unavailable")
 	}
+	f.deletes++
 	delete(f.saved, work)
 	return nil
 }
@@ -94,7 +97,12 @@
 	recorder := timeline.NewRecorder(node, 100, &log.Logger{Handler: discard.New()}, tally.NoopScope)
 	watch := New(Options{
 		Config: quarantine.Config{Limit: 3, Retention: time.Hour}, Probe: f.probe, Store: f, Recorder: recorder, Metrics: tally.NoopScope, OnChange: func() {},
-		Now:     f.time,
+		Now: f.time,
+		DeletesEnded: func(fingerprint.ID) bool {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			return f.deleter == node
+		},
 		Serving: func(string) int { return 12 },
 		Leaving: func(t choose.Target) bool {
 			f.mu.Lock()
--- a/internal/process/hosted/crashes.go
+++ b/internal/process/hosted/crashes.go
@@ -14,6 +14,7 @@
 	"github.com/marblepond/marblepond/internal/connection/objects"
 	"github.com/marblepond/marblepond/internal/errkind"
 	"github.com/marblepond/marblepond/internal/process/crashes"
+	"github.com/marblepond/marblepond/internal/process/rendezvous"
 	"github.com/marblepond/marblepond/internal/process/timeline"
 	"github.com/marblepond/marblepond/internal/process/wait"
 	"github.com/marblepond/marblepond/internal/request/fingerprint"
@@ -23,7 +24,7 @@
 func (n *Node) newCrashWatch() *crashes.Watch {
 	s := n.settings
 	return crashes.New(crashes.Options{Config: quarantine.Config{Limit: s.CrashLimit, Retention: s.CrashMemory}, Now: n.clock.Now, Probe: dial.Probe, Serving: n.pool.TargetCount, Leaving: n.pool.Leaving,
-		Client: n.quarantineClient, OnChange: func() { n.beacon.NotifyChange() }, Store: verdictStore{n}, Recorder: n.recorder, Metrics: n.metrics})
+		Client: n.quarantineClient, OnChange: func() { n.beacon.NotifyChange() }, Store: verdictStore{n}, DeletesEnded: n.deletesEnded, Recorder: n.recorder, Metrics: n.metrics})
 }
 
 // quarantineClient returns a client of the quarantine service of another node.
@@ -35,6 +36,12 @@
 	return n.peers.crashes.at(r.Address), true
 }
 
+// deletesEnded reports whether this node is the first of all reachable nodes for a verdict.
+func (n *Node) deletesEnded(verdict fingerprint.ID) bool {
+	name := verdict.String()
+	return rendezvous.Place(name, n.settings.DataCentre, n.beacon.ReachableDataCentres(), 1) == 0 && rendezvous.Place(name, n.settings.NodeID, n.beacon.ReachableInDataCentre(), 1) == 0
+}
+
 // kindVerdicts is the kind of objects that store verdicts: decisions that work or parts of
 // prompts are refused. Each is named after their fingerprint. They let the refusal outlive a
 // restart of all nodes.
--- a/scripts/check-mutants.sh
+++ b/scripts/check-mutants.sh
@@ -143,6 +143,11 @@
 mutant 5 internal/process/crashes/probe.go 's/w\.table\.Alive\(keyOf\(t\), began\)/_ = began/' internal/process/crashes TestWhatProvesNoCrash
 mutant 5 internal/process/crashes/exchange.go 's/w\.pulls\.Put\(node\)/_ = node/' internal/process/crashes TestCrashesAtThreeNodes
 mutant 5 internal/process/hosted/crashes.go 's/n\.crashes\.Merge\(evidence\)/_ = evidence/' lab/hosted TestWhatIsRefusedStaysSo
+mutant 5 internal/process/crashes/keep.go 's/w\.ended\[id\] = ending\{v, now\}/_ = ending{v, now}/' internal/process/crashes TestVerdictOfALostNodeIsDeleted
+mutant 5 internal/process/crashes/keep.go 's/>= deleteEndedAfter/>= 0/' internal/process/crashes TestVerdictOfALostNodeIsDeleted
+mutant 5 internal/process/crashes/keep.go 's/ \|\| !w\.DeletesEnded\(id\)//' internal/process/crashes TestVerdictOfALostNodeIsDeleted
+mutant 5 internal/process/crashes/keep.go 's/ended && now\.Before\(v\.Until\)/ended/' internal/process/crashes TestExpiredVerdictOfALostNodeCostsNoCall
+mutant 5 internal/process/crashes/keep.go 's/w\.follow\(narrower, current, false\)/_ = narrower/' internal/process/crashes TestNarrowerVerdictOfALostNodeIsSaved
 mutant 5 internal/request/job/run.go 's/losses >= manyLosses\}/losses < 0}/' internal/request/job TestItemThatLosesItsTargetsIsSentLater
 mutant 5 internal/request/job/progress.go 's/if s\.losses >= manyLosses \{/if s.losses >= 1000 {/' internal/request/job TestItemThatLosesItsTargetsIsSentLater
 mutant 5 internal/request/job/progress.go 's/if s\.losses >= manyLosses \{/if s.losses >= 1000 {/' lab/hosted TestItemThatAlwaysCrashesTargets
