Count the jobs that a leaving node hands over

What callers saw: jobs accepted beyond the limit on waiting tokens while a node left. Found by reading the code.

Cause: a leaving node stopped to count a job before its head was stored without a holder, and no other node counted it until it had taken it up. The owner of the backlog listed the stored jobs after a start, not after a leave.

A leaving node now counts a job until the head without a holder is stored (or until its end, if the store does not answer), and its reports say that it is leaving. When such a report has fewer tokens than the one before, the owner lists the heads before it decides, as it does after a start; heads without a holder count as held by nobody. The report of a submission has new tokens as well, so these are left out of the comparison.

In it a submission and a restart now take a millisecond, so that no two events have the same time: the real clock counts nanoseconds, and at equal times the order of a list and a job is undefined.

--- a/internal/process/hosted/backlogs.go
+++ b/internal/process/hosted/backlogs.go
@@ -126,7 +126,7 @@
 	b.sequence++
 	b.reported[key] = true
 	return &v1.ReserveRequest{Node: b.node.settings.NodeID, Boot: b.node.boot, Sequence: b.sequence, Job: job, Limit: limit,
-		Word: &v1.BacklogWord{Route: key.Route, Workspace: key.Workspace, Tokens: b.node.jobs.WaitingTokens()[key] + job}}
+		Word: &v1.BacklogWord{Route: key.Route, Workspace: key.Workspace, Tokens: b.node.jobs.WaitingTokens()[key] + job, HandingOver: b.node.Leaving()}}
 }
 
 // decide decides on a reservation as the owner. If the stored jobs have to be listed first, it
@@ -193,7 +193,7 @@
 }
 
 func decodeReport(w *v1.BacklogWord, node string, boot int64, sequence uint64) (backlog.Key, backlog.Report) {
-	return backlog.Key{Route: w.GetRoute(), Workspace: w.GetWorkspace()}, backlog.Report{Node: node, Boot: boot, Sequence: sequence, Tokens: w.GetTokens()}
+	return backlog.Key{Route: w.GetRoute(), Workspace: w.GetWorkspace()}, backlog.Report{Node: node, Boot: boot, Sequence: sequence, Tokens: w.GetTokens(), HandingOver: w.GetHandingOver()}
 }
 
 // Run reports this node's waiting tokens to the owners until ctx ends.
@@ -224,6 +224,7 @@
 	now := b.node.clock.Now()
 	b.tracker.DropExpired(now)
 	waiting := b.node.jobs.WaitingTokens()
+	leaving := b.node.Leaving() // after the count: a node hands nothing over before it leaves
 	for key := range b.reported {
 		waiting[key] += 0
 	}
@@ -246,14 +247,14 @@
 		}
 		owners := fleet.Owners(ownerName(key), func(string) bool { return false })
 		if len(owners) == 0 || owners[0].Node == self {
-			b.tracker.Record(now, key, backlog.Report{Node: self, Boot: b.node.boot, Sequence: b.sequence, Tokens: tokens})
+			b.tracker.Record(now, key, backlog.Report{Node: self, Boot: b.node.boot, Sequence: b.sequence, Tokens: tokens, HandingOver: leaving})
 			continue
 		}
 		address := b.addressOf(owners[0])
 		if requests[address] == nil {
 			requests[address] = &v1.TellRequest{Node: self, Boot: b.node.boot, Sequence: b.sequence}
 		}
-		requests[address].Words = append(requests[address].Words, &v1.BacklogWord{Route: key.Route, Workspace: key.Workspace, Tokens: tokens})
+		requests[address].Words = append(requests[address].Words, &v1.BacklogWord{Route: key.Route, Workspace: key.Workspace, Tokens: tokens, HandingOver: leaving})
 	}
 	return requests
 }
--- a/internal/request/backlog/backlog.go
+++ b/internal/request/backlog/backlog.go
@@ -6,8 +6,8 @@
 // owner has counted its tokens, so that of two simultaneous submissions the second one is
 // checked against a sum that includes the first.
 //
-// No node reports a job whose holder was lost until another one takes it over. An owner that may
-// lack the reports of lost holders counts the jobs that the object store lists for them.
+// No node reports a job whose holder was lost, or which a leaving node has handed over, until another
+// one takes it over. An owner that may lack such reports counts the jobs that the object store lists.
 package backlog
 
 import (
@@ -44,6 +44,8 @@
 	Boot     int64  // start time of the node's process
 	Sequence uint64 // increases within a boot; older reports are ignored
 	Tokens   int64
+	// HandingOver: the node is leaving. It no longer counts a job that is stored without a holder.
+	HandingOver bool
 }
 
 // Incarnation is one process of a node. The zero value stands for none.
@@ -98,7 +100,10 @@
 }
 
 // Record records a node's report.
-func (t *Tracker) Record(now time.Time, key Key, r Report) {
+func (t *Tracker) Record(now time.Time, key Key, r Report) { t.record(now, key, r, 0) }
+
+// record records a node's report; added of its tokens are not of jobs that it held before.
+func (t *Tracker) record(now time.Time, key Key, r Report, added int64) {
 	b := t.backlogs[key]
 	if b == nil {
 		b = &backlog{since: now, reports: map[string]receivedReport{}, doubtedSince: now}
@@ -111,6 +116,9 @@
 	if known && r.Boot > old.Boot && old.Tokens > 0 {
 		b.doubtedSince = now // the jobs of the former incarnation are not taken over yet
 	}
+	if known && r.Boot == old.Boot && r.HandingOver && r.Tokens-added < old.Tokens {
+		b.doubtedSince = now // nor are those that were handed over
+	}
 	b.reports[r.Node] = receivedReport{r, now}
 }
 
@@ -120,11 +128,12 @@
 // that holders have reported to no other node. waiting is the sum over all nodes.
 func (t *Tracker) Reserve(now time.Time, key Key, r Report, jobTokens, limit int64, preferred bool) (decision Decision, waiting int64) {
 	known := t.backlogs[key] != nil
-	t.Record(now, key, r)
+	t.record(now, key, r, jobTokens)
 	b := t.backlogs[key]
 	defer func() {
 		if decision != Fits {
-			t.Record(now, key, Report{Node: r.Node, Boot: r.Boot, Sequence: r.Sequence, Tokens: r.Tokens - jobTokens})
+			r.Tokens -= jobTokens
+			t.record(now, key, r, -jobTokens)
 		}
 	}()
 	if !known && preferred && now.Sub(t.started) >= learnTime {
--- a/internal/request/backlog/stored_test.go
+++ b/internal/request/backlog/stored_test.go
@@ -55,7 +55,75 @@
 	is.True(tracker.WantsStored())
 }
 
-// simulation is a fleet whose nodes are lost at random; the stored jobs are not.
+// TestJobsOfALeavingHolderCount guards against jobs that are accepted beyond the limit while a node leaves:
+// it no longer reports the jobs that it hands over, and no other node does until it takes them
+// up.
+func TestJobsOfALeavingHolderCount(t *testing.T) {
+	is := is.New(t)
+	now, sequence := start, uint64(10)
+	at := func(d time.Duration) { now = now.Add(d) }
+	tracker := longRunning()
+	leaving := func(tokens int64) {
+		sequence++
+		tracker.Record(now, key, Report{Node: "n1", Boot: 1, Sequence: sequence, Tokens: tokens, HandingOver: true})
+	}
+	reserve := func(tokens int64) Decision {
+		sequence++
+		v, _ := tracker.Reserve(now, key, report("n2", sequence, tokens), tokens, limit, true)
+		return v
+	}
+	tracker.Record(now, key, report("n1", 1, 800))
+	_ = reserve(10)
+	tracker.SetStored(now, Stored{key: {{Node: "n1", Boot: 1}: 800}})
+	at(learnTime)
+	tracker.Record(now, key, report("n1", 2, 800))
+	is.Equal(reserve(300), Full)
+	leaving(800)
+	is.Equal(reserve(200), Fits) // it still has all its jobs
+	is.True(!tracker.WantsStored())
+	leaving(0)
+	is.Equal(reserve(300), Unsure)
+	is.True(tracker.WantsStored())
+	tracker.SetStored(now, Stored{key: {{}: 800}})
+	at(learnTime)
+	leaving(0)
+	is.Equal(reserve(300), Full)
+	is.Equal(reserve(200), Fits)
+
+	sequence++
+	tracker.Record(now, key, report("n2", sequence, 0))
+	tracker.Record(now, key, report("n3", 1, 800)) // it has taken the job up
+	at(relistInterval)
+	_ = reserve(10)
+	is.True(tracker.WantsStored())
+	tracker.SetStored(now, Stored{key: {{Node: "n3", Boot: 1}: 800}})
+	at(learnTime)
+	tracker.Record(now, key, report("n3", 2, 800))
+	is.Equal(reserve(200), Fits)
+	at(2 * relistInterval)
+	_ = reserve(200)
+	is.True(!tracker.WantsStored()) // no more lists
+}
+
+// TestSubmissionAtALeavingNodeHidesNoJob guards against jobs that are accepted beyond the limit because the
+// report that lacks a job which a leaving node has handed over has a new one as well.
+func TestSubmissionAtALeavingNodeHidesNoJob(t *testing.T) {
+	is := is.New(t)
+	now := start
+	tracker := longRunning()
+	tracker.Record(now, key, report("n1", 1, 800))
+	_, _ = tracker.Reserve(now, key, report("n2", 1, 10), 10, limit, true)
+	tracker.SetStored(now, Stored{key: {{Node: "n1", Boot: 1}: 800}})
+	now = now.Add(learnTime)
+	tracker.Record(now, key, report("n1", 2, 800))
+	decision, _ := tracker.Reserve(now, key, report("n2", 2, 100), 100, limit, true)
+	is.Equal(decision, Fits)
+	decision, _ = tracker.Reserve(now, key, Report{Node: "n1", Boot: 1, Sequence: 3, Tokens: 850, HandingOver: true}, 850, limit, true)
+	is.Equal(decision, Unsure)
+	is.True(tracker.WantsStored())
+}
+
+// simulation is a fleet whose nodes are lost and leave at random; the stored jobs are not.
 type simulation struct {
 	t       *rapid.T
 	now     time.Time
@@ -64,6 +132,7 @@
 	sent    map[string]time.Time // of the last report
 	heldAt  map[int]time.Time    // since when its holder counts a job
 	jobs    map[int]simulatedJob
+	leaving map[string]bool
 	next    int
 	count   uint64
 }
@@ -89,7 +158,7 @@
 func (s *simulation) report(node string, more int64) Report {
 	s.count++
 	s.sent[node] = s.now
-	return Report{Node: node, Boot: s.boots[node], Sequence: s.count, Tokens: s.held(node) + more}
+	return Report{Node: node, Boot: s.boots[node], Sequence: s.count, Tokens: s.held(node) + more, HandingOver: s.leaving[node]}
 }
 
 func (s *simulation) waiting() int64 {
@@ -101,23 +170,40 @@
 }
 
 func (s *simulation) submit() {
+	s.now = s.now.Add(time.Millisecond) // no two events have the same time
 	node, tokens := rapid.SampledFrom(simulatedNodes).Draw(s.t, "at"), rapid.Int64Range(1, 300).Draw(s.t, "tokens")
 	decision, _ := s.tracker.Reserve(s.now, key, s.report(node, tokens), tokens, limit, true)
 	if decision != Fits {
 		return
 	}
 	s.next++
-	s.jobs[s.next], s.heldAt[s.next] = simulatedJob{Incarnation{node, s.boots[node]}, tokens}, s.now
+	s.jobs[s.next], s.heldAt[s.next] = simulatedJob{holder: Incarnation{node, s.boots[node]}, tokens: tokens}, s.now
 	if sum := s.waiting(); sum > limit {
 		s.t.Fatalf("%d tokens wait", sum)
 	}
 }
 
-// takeOver moves the jobs of lost holders to a node.
+// handOver has the holder of a job leave and store the job without a holder.
+func (s *simulation) handOver(id int) {
+	j, ok := s.jobs[id]
+	if ok && s.boots[j.holder.Node] == j.holder.Boot && j.holder != (Incarnation{}) {
+		s.leaving[j.holder.Node], j.holder = true, Incarnation{}
+		s.jobs[id] = j
+	}
+}
+
+// restart starts a node, which was lost or has left.
+func (s *simulation) restart(node string) {
+	s.now = s.now.Add(time.Millisecond)
+	s.boots[node]++
+	s.leaving[node] = false
+}
+
+// takeOver moves the jobs of lost holders, and those that were handed over, to a node.
 func (s *simulation) takeOver() {
 	node := rapid.SampledFrom(simulatedNodes).Draw(s.t, "by")
 	for id := range s.next + 1 {
-		if j, ok := s.jobs[id]; ok && s.boots[j.holder.Node] != j.holder.Boot {
+		if j, ok := s.jobs[id]; ok && !s.leaving[node] && (s.boots[j.holder.Node] != j.holder.Boot || j.holder == (Incarnation{})) {
 			j.holder = Incarnation{node, s.boots[node]}
 			s.jobs[id], s.heldAt[id] = j, s.now.Add(takenUpWithin/2)
 		}
@@ -132,11 +218,11 @@
 	s.tracker.SetStored(s.now, stored)
 }
 
-// TestLimitHoldsWhenNodesAreLost: whichever nodes are lost, all at once or one after another, the stored
-// jobs stay within the limit.
+// TestLimitHoldsWhenNodesAreLost: whichever nodes are lost or leave, all at once or one after another, the
+// stored jobs stay within the limit.
 func TestLimitHoldsWhenNodesAreLost(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		s := &simulation{t: t, now: start, tracker: longRunning(), boots: map[string]int64{"n1": 1, "n2": 1, "n3": 1}, sent: map[string]time.Time{}, heldAt: map[int]time.Time{}, jobs: map[int]simulatedJob{}}
+		s := &simulation{t: t, now: start, tracker: longRunning(), boots: map[string]int64{"n1": 1, "n2": 1, "n3": 1}, sent: map[string]time.Time{}, heldAt: map[int]time.Time{}, leaving: map[string]bool{}, jobs: map[int]simulatedJob{}}
 		for range rapid.IntRange(1, 80).Draw(t, "steps") {
 			for range rapid.IntRange(0, 12).Draw(t, "pause") {
 				s.now = s.now.Add(50 * time.Millisecond)
@@ -149,16 +235,18 @@
 					s.list()
 				}
 			}
-			switch rapid.IntRange(0, 9).Draw(t, "event") {
+			switch rapid.IntRange(0, 11).Draw(t, "event") {
 			case 0:
 				for _, node := range simulatedNodes { // all nodes are lost, the owner too
-					s.boots[node]++
+					s.restart(node)
 				}
 				s.tracker = New(s.now, overshoot)
 			case 1:
-				s.boots[rapid.SampledFrom(simulatedNodes).Draw(t, "lost")]++
+				s.restart(rapid.SampledFrom(simulatedNodes).Draw(t, "lost"))
 			case 2, 3:
 				s.takeOver()
+			case 5, 6:
+				s.handOver(rapid.IntRange(0, s.next).Draw(t, "handed over"))
 			case 4:
 				delete(s.jobs, rapid.IntRange(0, s.next).Draw(t, "done"))
 			default:
--- a/internal/request/job/handover.go
+++ b/internal/request/job/handover.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"sync"
 	"time"
 
 	v1 "github.com/marblepond/marblepond/api/marblepond/v1"
 	"github.com/marblepond/marblepond/internal/process/timeline"
+	"github.com/marblepond/marblepond/internal/request/backlog"
 )
 
 const (
@@ -111,12 +113,29 @@
 	}
 	head, revision := h.head, h.revision
 	head.Failed, head.Keepers = h.progress.failureCounts(), h.checkpoints.keepers
+	counted := m.countReleased(h)
 	m.release(h, "this node is leaving")
 	m.mu.Unlock()
 	if head.Complete() {
+		counted()
 		return false
 	}
 	head.Holder = Holder{}
 	_, err := m.updateHead(ctx, h.id, &head, revision)
+	if err == nil || errors.Is(err, errFenced) {
+		counted() // the store shows that this node does not hold it
+	}
 	return err == nil
 }
+
+// countReleased counts the waiting tokens of a job that is about to be released until done is called.
+// The caller holds m.mu.
+func (m *Manager) countReleased(h *heldJob) (done func()) {
+	r := m.routeOf(&h.head)
+	if r == nil || h.ended {
+		return func() {}
+	}
+	key, tokens := backlog.Key{Route: r.Name, Workspace: h.head.Workspace}, h.waitingTokens()
+	m.reserved[key] += tokens
+	return func() { m.addReserved(key, -tokens) }
+}
--- a/internal/request/job/manager.go
+++ b/internal/request/job/manager.go
@@ -188,7 +188,7 @@
 	mu               sync.Mutex
 	fair             *schedule.FairQueue // orders items among workspaces
 	held             map[string]*heldJob
-	reserved         map[backlog.Key]int64 // tokens of submissions in progress
+	reserved         map[backlog.Key]int64 // tokens of submissions in progress, and of jobs that are being handed over
 	draining         bool
 	evacuatingSince  time.Time            // since when items run at evacuated targets; zero: none does
 	unreachableSince map[string]time.Time // by Holder.String: since when the holder is unresponsive
--- a/internal/request/job/waitingstored_test.go
+++ b/internal/request/job/waitingstored_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/marblepond/marblepond/internal/connection/callbudget"
 	"github.com/marblepond/marblepond/internal/connection/objects"
 	"github.com/marblepond/marblepond/internal/request/backlog"
 	"github.com/marblepond/marblepond/internal/version/route"
@@ -45,3 +46,48 @@
 	_, ok := next.WaitingStored([]objects.Object{})
 	is.True(!ok)
 }
+
+// updateObserver is a store that calls a function before each update, and fails those that it rejects.
+type updateObserver struct {
+	*memoryStore
+	before func() error
+}
+
+func (s *updateObserver) Update(ctx context.Context, class callbudget.Class, kind, name string, revision int64, value []byte) (objects.Object, error) {
+	if err := s.before(); err != nil {
+		return objects.Object{}, err
+	}
+	return s.memoryStore.Update(ctx, class, kind, name, revision, value)
+}
+
+// TestJobCountsUntilItIsHandedOver guards against a limit on waiting tokens that forgets a job of a leaving node:
+// it is reported no longer, and its head still names the node.
+func TestJobCountsUntilItIsHandedOver(t *testing.T) {
+	for name, c := range map[string]struct {
+		failure error
+		left    int64
+	}{"written": {nil, 0}, "taken over by another node": {objects.ErrConflict, 0}, "the store does not answer": {objects.ErrUnavailable, 130}} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+			defer cancel()
+			store := &updateObserver{memoryStore: newMemoryStore()}
+			m := newTestManager("n", store)
+			s := submission("a")
+			s.Items[0].Tokens, s.Items[1].Tokens = 100, 30
+			store.before = func() error { return nil }
+			is.NoErr(m.Submit(ctx, s))
+			key := backlog.Key{Route: "r"}
+			is.Equal(m.WaitingTokens()[key], int64(130))
+			updates := 0
+			store.before = func() error {
+				updates++
+				is.Equal(m.WaitingTokens()[key], int64(130))
+				return c.failure
+			}
+			is.Equal(m.relinquish(ctx, m.held["a"]), c.failure == nil)
+			is.True(updates > 0)
+			is.Equal(m.WaitingTokens()[key], c.left)
+		})
+	}
+}
--- a/lab/hosted/power_test.go
+++ b/lab/hosted/power_test.go
@@ -88,6 +88,54 @@
 	is.True(sum <= limit+tolerance)
 }
 
+// TestTokenCapWhileANodeLeaves guards against jobs that are accepted beyond the limit on waiting tokens while a
+// node hands its jobs over: until another node takes a job up no node reports its tokens.
+func TestTokenCapWhileANodeLeaves(t *testing.T) {
+	const limit, tolerance = 3000, 300
+	is := is.New(t)
+	f := startFleet(t, Options{Nodes: 3, Runners: 1, Slots: 2, Events: 3000, Gap: 10 * time.Millisecond, Extra: shortJobTimeouts})
+	f.Store.Put("config", "main", Config(2, func(c map[string]any) { c["routes"].([]any)[3].(map[string]any)["cap"] = float64(limit) }))
+	for _, n := range f.Nodes {
+		eventually(t, "version 2 is in force", 2*time.Second, func() bool { return n.Table().Version == 2 })
+	}
+	time.Sleep(time.Second) // time for the owner of the backlog to decide
+	accepted := map[string]int64{}
+	for i := range 10 {
+		id := fmt.Sprint("before-", i)
+		if SubmitJob(f.Nodes[0].CallerAddress(), id, Items(id, 3)).Status == http.StatusAccepted {
+			accepted[id] = 300
+		}
+	}
+	is.True(len(accepted) >= 9)
+	f.Store.SetFaults(StoreFaults{Latency: 200 * time.Millisecond})
+	left := make(chan error, 1)
+	go func() { left <- f.Nodes[0].Terminate() }()
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for n, node := range f.Nodes[1:] {
+		wg.Go(func() {
+			for i, end := 0, time.Now().Add(8*time.Second); time.Now().Before(end); i++ {
+				id := fmt.Sprint("after-", n, "-", i)
+				reply := SubmitJob(node.CallerAddress(), id, Items(id, 3))
+				mu.Lock()
+				if reply.Status == http.StatusAccepted {
+					accepted[id] = 300
+				}
+				mu.Unlock()
+				time.Sleep(20 * time.Millisecond)
+			}
+		})
+	}
+	wg.Wait()
+	is.NoErr(<-left)
+	sum := int64(0)
+	for _, tokens := range accepted {
+		sum += tokens
+	}
+	t.Logf("%d tokens of %d jobs wait; the limit is %d", sum, len(accepted), limit)
+	is.True(sum <= limit+tolerance)
+}
+
 // TestAcknowledgedJobsOutlastTheLossOfAllNodes guards against what a caller was told of jobs and that is
 // forgotten, or told otherwise: all nodes lose power in mid-work, and one of two keepers its disk,
 // while the store loses answers to writes. Each accepted job completes, each result that was read
