Store the failed attempts of items near their limit sooner

What targets saw: an item that fails at each run reached them more often than three times its attempts when its holders were lost soon after each other.

Cause: failed attempts, and results of items that were given up, waited 2 s to be stored with others. A holder that was lost a second after it gave an item up left a head without the count, and the next one began again.

The counts of items that have one attempt left, or none, are now stored 0.3 s after the first of them, in one write for all that come in that time. All other failed attempts wait for 2 s as before. Not bounded: a loss within 0.3 to 0.5 s and a write after each failure. A write before each attempt would bound that, and would give up items that did not fail.

Evidence: TestItemOfLostHoldersIsGivenUp (four holders, each lost a second after the last failure): 12 runs after 500 and 4 after 422 on, 3 and 1 now, with the shared view and without; at most one write of the head for each holder. TestFailuresOutliveTheirHolder and TestItemGivenUpIsNotSentAgain pass. Calls to the store on a deployment were not measured.

--- a/internal/request/job/failures_test.go
+++ b/internal/request/job/failures_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
@@ -55,6 +56,52 @@
 	}
 }
 
+// TestItemOfLostHoldersIsGivenUp guards against an item that fails at each run and reaches targets three times
+// as often as its route allows, and more: each holder is lost a second after it gave the item up,
+// before its result or the count of its failures is stored.
+func TestItemOfLostHoldersIsGivenUp(t *testing.T) {
+	for name, shared := range map[string]bool{"": false, "shared view": true} {
+		for status, want := range map[int]int{http.StatusInternalServerError: 3, http.StatusUnprocessableEntity: 1} {
+			t.Run(fmt.Sprint(name, status), func(t *testing.T) {
+				t.Parallel()
+				is := is.New(t)
+				ctx := context.Background()
+				store := newCallCounter()
+				nodes, lost := newSharedManagers(store, 5)
+				lost.Store(true) // the keepers have lost their disks
+				for _, m := range nodes {
+					m.SharedView = func() bool { return shared }
+				}
+				is.NoErr(nodes[0].Submit(ctx, submission("job")))
+				runs := 0
+				for n := range 4 {
+					h := nodes[n].held["job"]
+					attempts := attemptsOf(nodes[n].routeOf(&h.head))
+					is.Equal(attempts, 3)
+					for mayRun(nodes[n], h, 0, attempts) {
+						failItem(nodes[n], h, 0, status)
+						runs++
+					}
+					store.takeCalls()
+					time.Sleep(time.Second)
+					is.True(store.takeCalls()["update "+KindHeads] <= 1) // one write for what came together
+					close(nodes[n].stopped)                              // it loses power
+					nodes[n+1].adopt(ctx, "job", nodes[n].cfg.Self)
+				}
+				t.Logf("%d runs", runs)
+				is.Equal(runs, want)
+			})
+		}
+	}
+}
+
+// mayRun reports whether an item waits and has attempts left.
+func mayRun(m *Manager, h *heldJob, i, attempts int) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return h.progress.items[i].phase == waiting && !h.progress.isExhausted(i, attempts)
+}
+
 // TestItemGivenUpIsNotSentAgain guards against an item that was given up and is sent again because its
 // result could not be written: the head that its holder leaves behind has the count only.
 func TestItemGivenUpIsNotSentAgain(t *testing.T) {
--- a/internal/request/job/progress.go
+++ b/internal/request/job/progress.go
@@ -23,13 +23,15 @@
 type progress struct {
 	items   []itemState
 	pending []pendingResult // finished but not committed, in order of completion
-	// failedSince is since when the stored head lacks a failed attempt; zero: it has all.
-	failedSince time.Time
+	// storeFailuresAt is when failed attempts that the stored head lacks are to be stored; zero: it
+	// has all.
+	storeFailuresAt time.Time
 }
 
 type itemState struct {
 	phase             phase
 	failures          int             // attempts that the target answered with a failure
+	nearLimit         bool            // it has one attempt left, or none
 	consecutiveBreaks int             // attempts in a row that broke off without a new event
 	losses            int             // attempts that ended with their target, their connection to it, or without an end
 	notBefore         time.Time       // earliest time of the next attempt
@@ -135,35 +137,47 @@
 func (p *progress) attemptFailed(i int, now time.Time, attempts int) (left bool) {
 	s := &p.items[i]
 	s.failures++
-	if p.failedSince.IsZero() {
-		p.failedSince = now
-	}
+	s.nearLimit = s.failures >= attempts-1
+	p.storeFailures(s, now)
 	p.requeue(i, now, failureBackoff)
 	return s.failures < attempts
 }
 
 // exhaust records that no further attempt at an item can succeed.
-func (p *progress) exhaust(i, attempts int) {
-	p.items[i].failures = max(p.items[i].failures, attempts)
+func (p *progress) exhaust(i int, now time.Time, attempts int) {
+	s := &p.items[i]
+	s.failures, s.nearLimit = max(s.failures, attempts), true
+	p.storeFailures(s, now)
+}
+
+// storeFailures has the failed attempts of an item stored: soon if it has one attempt left or none,
+// since each loss of the holder before that repeats them.
+func (p *progress) storeFailures(s *itemState, now time.Time) {
+	at := now.Add(commitDelay)
+	if s.nearLimit {
+		at = now.Add(urgentCommitDelay)
+	}
+	if p.storeFailuresAt.IsZero() || at.Before(p.storeFailuresAt) {
+		p.storeFailuresAt = at
+	}
 }
 
 // isExhausted reports whether an item has no attempts left: its former holder gave it up and
 // could not list that.
 func (p *progress) isExhausted(i, attempts int) bool { return p.items[i].failures >= attempts }
 
-// failuresDue reports whether a failed attempt has waited for commitDelay to be stored. The counts
-// of items that fail at each run would otherwise be lost with each holder, and the items sent for
+// failuresDue reports whether failed attempts are to be stored now. The counts of items that fail at each run would otherwise be lost with each holder, and the items sent for
 // ever, while nothing else of the job is committed.
 func (p *progress) failuresDue(now time.Time) bool {
-	return !p.failedSince.IsZero() && now.Sub(p.failedSince) >= commitDelay
+	return !p.storeFailuresAt.IsZero() && !now.Before(p.storeFailuresAt)
 }
 
 // markFailuresStored records that the stored head has the given counts.
 func (p *progress) markFailuresStored(stored map[int]int, now time.Time) {
-	p.failedSince = time.Time{}
+	p.storeFailuresAt = time.Time{}
 	for i, n := range p.failureCounts() {
 		if n > stored[i] {
-			p.failedSince = now
+			p.storeFailures(&p.items[i], now)
 		}
 	}
 }
--- a/internal/request/job/run.go
+++ b/internal/request/job/run.go
@@ -377,7 +377,7 @@
 	case errors.Is(context.Cause(ctx), errMoved):
 		h.progress.requeue(i, now, 0)
 	case errors.As(err, &status) && status == http.StatusUnprocessableEntity:
-		h.progress.exhaust(i, attemptsOf(r))
+		h.progress.exhaust(i, now, attemptsOf(r))
 		m.giveUpItem(h, i, "the target answered that the item can never succeed")
 	case errors.As(err, &status) && status == http.StatusInternalServerError:
 		h.progress.excludeTarget(i, t.ID)
--- a/scripts/check-mutants.sh
+++ b/scripts/check-mutants.sh
@@ -90,6 +90,8 @@
 mutant 10 internal/request/backlog/backlog.go 's/r\.HandingOver && r\.Tokens-added < old\.Tokens/false/' internal/request/backlog TestJobsOfALeavingHolderCount
 mutant 10 internal/request/backlog/backlog.go 's/r\.Tokens-added < old\.Tokens/r.Tokens < old.Tokens/' internal/request/backlog TestSubmissionAtALeavingNodeHidesNoJob
 mutant 10 internal/process/hosted/backlogs.go 's/leaving := b\.node\.Leaving\(\)/leaving := false/' lab/hosted TestTokenCapWhileANodeLeaves
+mutant 10 internal/request/job/progress.go 's/if s\.nearLimit \{/if s.nearLimit \&\& s.failures < 0 {/' internal/request/job TestItemOfLostHoldersIsGivenUp
+mutant 10 internal/request/job/progress.go 's/s\.failures, s\.nearLimit = max\(s\.failures, attempts\), true/s.failures = max(s.failures, attempts)/' internal/request/job TestItemOfLostHoldersIsGivenUp
 mutant 10 internal/request/job/handover.go 's/counted := m\.countReleased\(h\)/counted := func() {}/' internal/request/job TestJobCountsUntilItIsHandedOver
 mutant 10 internal/request/job/handover.go 's/ \|\| errors\.Is\(err, errFenced\)/ || errors.Is(err, nil)/' internal/request/job TestJobCountsUntilItIsHandedOver
 mutant 10 internal/request/schedule/fair.go 's/return max\(f\.virtualTime, f\.finishTags\[name\]\)/return f.finishTags[name]/' internal/request/schedule TestFairWithinAWorkspaceIsByDue
