Play losses of power under the replacement of files

Files on disks were replaced by a synced new file, a rename and a sync of the directory; that was read, not tested.

Without the sync of the file, without that of the directory and without the temporary file the test fails (three mutants).

--- a/scripts/check-mutants.sh
+++ b/scripts/check-mutants.sh
@@ -92,6 +92,9 @@
 mutant 10 internal/process/hosted/backlogs.go 's/leaving := b\.node\.Leaving\(\)/leaving := false/' lab/hosted TestTokenCapWhileANodeLeaves
 mutant 10 internal/request/job/progress.go 's/if s\.nearLimit \{/if s.nearLimit \&\& s.failures < 0 {/' internal/request/job TestItemOfLostHoldersIsGivenUp
 mutant 10 internal/request/job/progress.go 's/s\.failures, s\.nearLimit = max\(s\.failures, attempts\), true/s.failures = max(s.failures, attempts)/' internal/request/job TestItemOfLostHoldersIsGivenUp
+mutant 10 internal/process/durable/durable.go 's/temp\.Sync\(\), //' internal/process/durable TestReplaceSurvivesALossOfPower
+mutant 10 internal/process/durable/durable.go 's/return fs\.syncDir\(dir\)/return nil/' internal/process/durable TestReplaceSurvivesALossOfPower
+mutant 10 internal/process/durable/durable.go 's/tempPath := filepath\.Join\(dir, name\+tempSuffix\)/tempPath := filepath.Join(dir, name)/' internal/process/durable TestReplaceSurvivesALossOfPower
 mutant 10 internal/request/job/handover.go 's/counted := m\.countReleased\(h\)/counted := func() {}/' internal/request/job TestJobCountsUntilItIsHandedOver
 mutant 10 internal/request/job/handover.go 's/ \|\| errors\.Is\(err, errFenced\)/ || errors.Is(err, nil)/' internal/request/job TestJobCountsUntilItIsHandedOver
 mutant 10 internal/request/schedule/fair.go 's/return max\(f\.virtualTime, f\.finishTags\[name\]\)/return f.finishTags[name]/' internal/request/schedule TestFairWithinAWorkspaceIsByDue
