--- a/scripts/check-mutants.sh
+++ b/scripts/check-mutants.sh
@@ -87,6 +87,16 @@
 mutant 10 internal/connection/lending/lending.go 's/return x\.SharedView != nil && x\.SharedView\(\)/return x.SharedView != nil/' internal/connection/lending TestPlacesOnTheWire
 mutant 10 internal/request/backlog/backlog.go 's/if waiting > limit \{/if waiting > 2*limit {/' internal/request/backlog TestSecondJobOverTheLimitIsRefused
 mutant 10 internal/request/backlog/backlog.go 's/case now\.Sub\(b\.since\) >= learnTime:/case !now.Before(b.since):/' internal/request/backlog TestSmallJobsNeedNotWaitForANewOwner
+mutant 10 internal/request/backlog/backlog.go 's/r\.HandingOver && r\.Tokens-added < old\.Tokens/false/' internal/request/backlog TestJobsOfALeavingHolderCount
+mutant 10 internal/request/backlog/backlog.go 's/r\.Tokens-added < old\.Tokens/r.Tokens < old.Tokens/' internal/request/backlog TestSubmissionAtALeavingNodeHidesNoJob
+mutant 10 internal/process/hosted/backlogs.go 's/leaving := b\.node\.Leaving\(\)/leaving := false/' lab/hosted TestTokenCapWhileANodeLeaves
+mutant 10 internal/request/job/progress.go 's/if s\.nearLimit \{/if s.nearLimit \&\& s.failures < 0 {/' internal/request/job TestItemOfLostHoldersIsGivenUp
+mutant 10 internal/request/job/progress.go 's/s\.failures, s\.nearLimit = max\(s\.failures, attempts\), true/s.failures = max(s.failures, attempts)/' internal/request/job TestItemOfLostHoldersIsGivenUp
+mutant 10 internal/process/durable/durable.go 's/temp\.Sync\(\), //' internal/process/durable TestReplaceSurvivesALossOfPower
+mutant 10 internal/process/durable/durable.go 's/return fs\.syncDir\(dir\)/return nil/' internal/process/durable TestReplaceSurvivesALossOfPower
+mutant 10 internal/process/durable/durable.go 's/tempPath := filepath\.Join\(dir, name\+tempSuffix\)/tempPath := filepath.Join(dir, name)/' internal/process/durable TestReplaceSurvivesALossOfPower
+mutant 10 internal/request/job/handover.go 's/counted := m\.countReleased\(h\)/counted := func() {}/' internal/request/job TestJobCountsUntilItIsHandedOver
+mutant 10 internal/request/job/handover.go 's/ \|\| errors\.Is\(err, errFenced\)/ || errors.Is(err, nil)/' internal/request/job TestJobCountsUntilItIsHandedOver
 mutant 10 internal/request/schedule/fair.go 's/return max\(f\.virtualTime, f\.finishTags\[name\]\)/return f.finishTags[name]/' internal/request/schedule TestFairWithinAWorkspaceIsByDue
 mutant 3 internal/request/forward/watchdog.go 's/if w\.better\(w\.waited\(\)\)/if w.better(w.waited()) || w.gapTimeout > 0/' internal/request/forward TestQueuedRequestKeepsItsPlace
 mutant 3 internal/request/choose/better.go 's/now\.Sub\(e\.lastEventAt\) <= aliveWithin/now.Sub(e.lastEventAt) <= time.Hour/' internal/request/choose TestBetterElsewhere
@@ -143,6 +153,11 @@
 mutant 5 internal/process/crashes/probe.go 's/w\.table\.Alive\(keyOf\(t\), began\)/_ = began/' internal/process/crashes TestWhatProvesNoCrash
 mutant 5 internal/process/crashes/exchange.go 's/w\.pulls\.Put\(node\)/_ = node/' internal/process/crashes TestCrashesAtThreeNodes
 mutant 5 internal/process/hosted/crashes.go 's/n\.crashes\.Merge\(evidence\)/_ = evidence/' lab/hosted TestWhatIsRefusedStaysSo
+mutant 5 internal/process/crashes/keep.go 's/w\.ended\[id\] = ending\{v, now\}/_ = ending{v, now}/' internal/process/crashes TestVerdictOfALostNodeIsDeleted
+mutant 5 internal/process/crashes/keep.go 's/>= deleteEndedAfter/>= 0/' internal/process/crashes TestVerdictOfALostNodeIsDeleted
+mutant 5 internal/process/crashes/keep.go 's/ \|\| !w\.DeletesEnded\(id\)//' internal/process/crashes TestVerdictOfALostNodeIsDeleted
+mutant 5 internal/process/crashes/keep.go 's/ended && now\.Before\(v\.Until\)/ended/' internal/process/crashes TestExpiredVerdictOfALostNodeCostsNoCall
+mutant 5 internal/process/crashes/keep.go 's/w\.follow\(narrower, current, false\)/_ = narrower/' internal/process/crashes TestNarrowerVerdictOfALostNodeIsSaved
 mutant 5 internal/request/job/run.go 's/losses >= manyLosses\}/losses < 0}/' internal/request/job TestItemThatLosesItsTargetsIsSentLater
 mutant 5 internal/request/job/progress.go 's/if s\.losses >= manyLosses \{/if s.losses >= 1000 {/' internal/request/job TestItemThatLosesItsTargetsIsSentLater
 mutant 5 internal/request/job/progress.go 's/if s\.losses >= manyLosses \{/if s.losses >= 1000 {/' lab/hosted TestItemThatAlwaysCrashesTargets
@@ -237,12 +252,22 @@
 mutant 14 internal/connection/origins/origins.go 's/return sole && !/return (sole || x.Node != "") \&\& !/' internal/connection/origins TestStartingNodeLearnsTheHistory
 mutant 14 internal/request/continuation/holders.go 's/lost\), 1\)/lost), 0)/' internal/request/continuation TestRecordReachesADisk
 mutant 14 internal/request/continuation/holders.go 's/keeperCandidates = 2/keeperCandidates = 0/' internal/request/continuation TestRecordReachesADisk
-mutant 14 internal/connection/origins/disk.go 's/x\.history\.Merge\(now, reportFromProto/_ = (reportFromProto/' internal/connection/origins TestOriginsSurviveTheLossOfAllNodes
-mutant 14 internal/connection/origins/disk.go 's/now\.Sub\(x\.started\) >= diskDelay/!now.Before(x.started)/' internal/connection/origins TestOriginsSurviveTheLossOfAllNodes
+mutant 14 internal/connection/origins/disk.go 's/x\.history\.Merge\(x\.Now\(\), (reportFromProto.*)\)\n/_ = $1\n/' internal/connection/origins TestOriginsSurviveTheLossOfAllNodes
+mutant 14 internal/connection/origins/disk.go 's/x\.Now\(\)\.Sub\(x\.started\) >= diskDelay/!x.Now().Before(x.started)/' internal/connection/origins TestOriginsSurviveTheLossOfAllNodes
 mutant 14 internal/connection/origins/disk.go 's/case x\.stored != nil:/case x.stored != nil \&\& history != nil \&\& false:/' internal/connection/origins TestOriginsSurviveTheLossOfAllNodes
 mutant 14 internal/connection/origins/history.go 's/x\.stored = nil/_ = x.stored/' internal/connection/origins TestLivingNodeKnowsBetterThanTheDisk
-mutant 14 internal/connection/origins/disk.go 's/changes == d\.changes \{/changes != d.changes {/' internal/connection/origins TestOneVersionIsWrittenOnce
-mutant 14 internal/connection/origins/disk.go 's/now\.Sub\(d\.writtenAt\) < slowWriteInterval/now.Before(d.writtenAt)/' internal/connection/origins TestOneVersionIsWrittenSeldom
+mutant 14 internal/connection/origins/disk.go 's/changes == d\.changes, /changes != d.changes, /' internal/connection/origins TestOneVersionIsWrittenOnce
+mutant 14 internal/connection/origins/disk.go 's/age >= slowWriteInterval/age >= 0/' internal/connection/origins TestOneVersionIsWrittenSeldom
+mutant 14 internal/request/continuation/history.go 's/Sighting\{Service: service, Version: v\}/Sighting{Service: service, Version: v, CeasedAgo: retention}/' internal/request/continuation TestOldReportProvesNoVersionAlone
+mutant 14 internal/connection/origins/disk.go 's/\.Extend\(listedSince\)//' internal/connection/origins TestVersionsListedWhileAKeeperWasAwayCount
+mutant 14 internal/connection/origins/disk.go 's/stored\.revision == 0/stored.revision < 0/' internal/connection/origins TestHistoryWithoutEvidenceProvesNothing
+mutant 14 internal/connection/origins/disk.go 's/(ErrHistoryExpired\):\n\t\td\.Exchange\.)dropStored\(\)/$1useStored(nil)/' internal/connection/origins TestHistoryWithoutEvidenceProvesNothing
+mutant 14 internal/connection/origins/disk.go 's/ && !x\.ListVerified\(\)\.IsZero\(\)$//m' internal/connection/origins TestHistoryOfAFileWaitsForTheList
+mutant 14 internal/connection/origins/disk.go 's/revisionDelay = time\.Second/revisionDelay = 0/' internal/connection/origins TestFileStatesNoRevisionBeforeItsChanges
+mutant 14 internal/connection/origins/disk.go 's/age >= revisionInterval/age >= time.Hour/' internal/connection/origins TestFileFollowsTheRevisionOfTheList
+mutant 14 internal/connection/origins/disk.go 's/age >= revisionInterval/age >= 0/' internal/connection/origins TestFileFollowsTheRevisionOfTheList
+mutant 14 internal/connection/origins/disk.go 's/d\.revision == 0 && revision != 0/d.revision < 0/' internal/connection/origins TestFirstRevisionIsWrittenAtOnce
+mutant 14 internal/process/hosted/origins.go 's/more, revision = page\.More,/more, revision = false,/' internal/process/hosted TestVersionsListedSinceHasAllPages
 mutant 14 internal/process/hosted/run.go 's/n\.startOriginsDisk\(ctx, wg\)/_ = n.startOriginsDisk/' lab/hosted TestStreamsOutliveTheLossOfAllNodes
 mutant 14 internal/request/forward/resume.go 's/ \|\| found\.Starting//' internal/request/forward TestUnknownStreamIsRefusedAtOnce
 mutant 14 internal/request/choose/eligible.go 's/case !need\.Origin\.Allows\(e\.Version\):/case !need.Origin.Allows(e.Version) \&\& need.Batch:/' internal/request/choose TestBegunAnswerGetsItsVersionOnly
