End make test with the failed tests and their messages

scripts/run-tests.sh runs go test, passes its output on unchanged and, if it fails, repeats the failed tests with the messages under them, panics and build errors, and ends with one line for each failed package. It needs bash and awk, and exits with the code of go test.

Without failures the output is that of go test.

--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 known_red = $(shell sed -n 's/^\(Test[A-Za-z0-9_]*\):.*/\1/p' KNOWN-RED.txt | paste -sd '|' -)
 
 test:
-	go test -timeout 20m $(if $(known_red),-skip '^($(known_red))$$') ./... ./lab/...
+	scripts/run-tests.sh -timeout 20m $(if $(known_red),-skip '^($(known_red))$$') ./... ./lab/...
 
 build:
 	go build -o bin/marblepond ./cmd/marblepond
