Probe a target on trial that other nodes use

With the shared view on, a healthy target stayed on trial at one node, or at all nodes of a data centre, for as long as others used it: callers of these nodes got the other targets only, and a service of few targets lost a part of its slots there.

Cause: after the first second of a trial a probe waited while any other node stated that the target is alive, since that may be another node's probe. Nodes that the verdict does not apply to (scope node or data_centre) and nodes that readmitted the target state that all the time. Their successes do not count or are not stated any more, and the rule of several alive nodes counts the nodes of the scope only, so that the trial had no end.

Only nodes of the scope are asked now, and events that they receive without a pause for servedProof, longer than an item runs, are no longer taken for a probe.

TestNodeWhosePathFailedReturns, TestDataCentreWhosePathFailedReturns and TestTargetThatOthersUseIsProbed failed before (no probe was sent); TestProbeOfAnotherNodeIsAwaited holds before and after. The mutants of the four parts are noticed.

--- a/internal/request/outlier/eject.go
+++ b/internal/request/outlier/eject.go
@@ -36,8 +36,9 @@
 	// readmitted it: a probe is sent by one. A node whose trial begins later than that would
 	// wait for successes that are no longer reported.
 	aliveNodesOfService = 2
-	// servedProof is how long several nodes have to receive events of a target on trial: longer
-	// than a batch item runs, 4 to 9 s, since attempts from before the ejection send events too.
+	// servedProof is how long other nodes have to receive events of a target on trial until these
+	// show that they use it: longer than a batch item runs, 4 to 9 s, since attempts from before
+	// the ejection and probes send events too.
 	servedProof = 10 * time.Second
 	// maxProbers is how many nodes take turns to send probes to a target.
 	maxProbers = 32
@@ -78,6 +79,9 @@
 	// probeFirstEvent is when the first event of that probe arrived; zero: none has.
 	probeFirstEvent time.Time
 	probers         []string // nodes in the order in which they send probes
+	// silentAt is when the other nodes of the scope last received no event of the target, as of
+	// its trial.
+	silentAt time.Time
 	// servedSince is the time from which on several nodes have received events of the target
 	// without a pause, as of its trial.
 	servedSince time.Time
@@ -253,6 +257,9 @@
 	if e.Alive < aliveNodesOfService {
 		t.servedSince = now
 	}
+	if j.aliveElsewhere(t) == 0 {
+		t.silentAt = now
+	}
 	switch {
 	case e.Failed > 0:
 		return append(changes, j.eject(now, t, finding{ProbeFailed, t.scope, e}))
@@ -266,7 +273,7 @@
 func (j *Judge) startTrial(now time.Time, t *target) Change {
 	t.state, t.cause, t.trialAt, t.lastBefore = OnTrial, EjectionOver, now, j.lastAttempt
 	t.window, t.waiting = window{}, nil
-	t.servedSince = now
+	t.servedSince, t.silentAt = now, now
 	j.setFloors(t)
 	t.probers = j.probersOf(t)
 	return t.change(Evidence{}, 0)
@@ -337,6 +344,24 @@
 	return rendezvous.Rank(t.ID, names, maxProbers)
 }
 
+// aliveElsewhere returns how many other nodes of the scope of a target's verdict receive events of
+// it, by their newest reports.
+func (j *Judge) aliveElsewhere(t *target) int {
+	switch t.scope {
+	case OwnNode:
+		return 0
+	case OwnDataCentre:
+		alive := 0
+		for r, report := range j.reports {
+			if r.Level != DataCentre {
+				alive += report[t.ID].Alive
+			}
+		}
+		return alive
+	}
+	return t.reported.Alive
+}
+
 // Work is the kind of a probe.
 type Work int
 
@@ -358,7 +383,7 @@
 	switch {
 	case t.probers[turn%len(t.probers)] != j.cfg.Node:
 		return false
-	case turn > 0 && t.reported.Alive > 0: // the probe of another node is being answered
+	case turn > 0 && j.aliveElsewhere(t) > 0 && now.Sub(t.silentAt) < servedProof: // another node's probe may be being answered
 		return false
 	case work == Repeatable:
 		return within >= repeatableAfter
--- a/scripts/check-mutants.sh
+++ b/scripts/check-mutants.sh
@@ -99,6 +99,10 @@
 mutant 3 internal/request/outlier/eject.go 's/> commonCauseShare\*float64\(serving\)/> 9*commonCauseShare*float64(serving)/' internal/request/outlier TestCommonCauseEjectsNothing
 mutant 3 internal/request/outlier/eject.go 's/t\.state != OnTrial \|\| t\.probe != 0/t.state != OnTrial/' internal/request/outlier TestProbeReadmits
 mutant 3 internal/request/outlier/eject.go 's/t\.probers\[turn%len\(t\.probers\)\] != j\.cfg\.Node/turn < 0/' internal/request/outlier TestProbersTakeTurns
+mutant 3 internal/request/outlier/eject.go 's/ && now\.Sub\(t\.silentAt\) < servedProof//' internal/request/outlier TestTargetThatOthersUseIsProbed
+mutant 3 internal/request/outlier/eject.go 's/now\.Sub\(t\.silentAt\) < servedProof/false/' internal/request/outlier TestProbeOfAnotherNodeIsAwaited
+mutant 3 internal/request/outlier/eject.go 's/(case OwnNode:\n\t\treturn) 0/$1 t.reported.Alive/' internal/request/outlier TestNodeWhosePathFailedReturns
+mutant 3 internal/request/outlier/eject.go 's/r\.Level != DataCentre/r.Name != ""/' internal/request/outlier TestDataCentreWhosePathFailedReturns
 mutant 3 internal/request/outlier/report.go 's/\|\| \(!t\.readmitted\.IsZero\(\) && now\.Sub\(t\.readmitted\) < windowLength\)//' internal/request/outlier TestProbeReadmits
 mutant 3 internal/request/outlier/judge.go 's/if number < t\.waiting\[i\]\.number/if number != t.waiting[i].number/' internal/request/outlier TestOvertakenAttemptIsUnanswered
 mutant 3 internal/request/forward/attempt.go 's/p\.errorAnswer = answer\.Status >= http\.StatusInternalServerError/p.errorAnswer = answer.Status < 0/' internal/request/forward TestErrorAnswerCountsAgainstItsTarget
