Count the probes of all turns of a trial

With the shared view on, a node that alone had a target on trial after its third ejection never used it again while its requests were few: three probes have to succeed within the window of 3 s, and with N nodes the node's turn comes every N s. The other nodes had readmitted the target and stated no successes.

A node now counts its own probes that succeeded since the trial began. A failed one ends the trial as before. TestProofsOfSeveralTurnsAddUp failed before: still on trial after three successful probes.

--- a/internal/request/outlier/eject.go
+++ b/internal/request/outlier/eject.go
@@ -79,6 +79,7 @@
 	// probeFirstEvent is when the first event of that probe arrived; zero: none has.
 	probeFirstEvent time.Time
 	probers         []string // nodes in the order in which they send probes
+	passed          int      // probes of this node that succeeded in the trial
 	// silentAt is when the other nodes of the scope last received no event of the target, as of
 	// its trial.
 	silentAt time.Time
@@ -263,7 +264,7 @@
 	switch {
 	case e.Failed > 0:
 		return append(changes, j.eject(now, t, finding{ProbeFailed, t.scope, e}))
-	case e.Succeeded >= min(t.ejections, maxProofs), now.Sub(t.servedSince) >= servedProof:
+	case max(e.Succeeded, t.passed) >= min(t.ejections, maxProofs), now.Sub(t.servedSince) >= servedProof:
 		return append(changes, t.admit(now, ProbePassed, e))
 	}
 	return changes
@@ -273,7 +274,7 @@
 func (j *Judge) startTrial(now time.Time, t *target) Change {
 	t.state, t.cause, t.trialAt, t.lastBefore = OnTrial, EjectionOver, now, j.lastAttempt
 	t.window, t.waiting = window{}, nil
-	t.servedSince, t.silentAt = now, now
+	t.servedSince, t.silentAt, t.passed = now, now, 0
 	j.setFloors(t)
 	t.probers = j.probersOf(t)
 	return t.change(Evidence{}, 0)
--- a/internal/request/outlier/judge.go
+++ b/internal/request/outlier/judge.go
@@ -250,6 +250,7 @@
 	}
 	if now.Sub(t.probeFirstEvent) >= probeProof {
 		t.window.add(j.bucket(now), Succeeded)
+		t.passed++
 		t.probe = 0
 	}
 }
@@ -288,6 +289,9 @@
 	if (o == Failed || o == Succeeded) && number > t.lastBefore {
 		j.activate(t)
 		t.window.add(j.bucket(now), o)
+		if wasProbe && o == Succeeded {
+			t.passed++
+		}
 	}
 }
 
--- a/internal/request/outlier/stuck_test.go
+++ b/internal/request/outlier/stuck_test.go
@@ -94,3 +94,38 @@
 	is.Equal(f.probe(servedProof-2*probeTurn, Item, map[Reporter]Evidence{{Node, "n1"}: {Alive: 1}}), 0)
 	is.Equal(f.state("t0"), OnTrial)
 }
+
+// TestProofsOfSeveralTurnsAddUp guards against a target that a node has on trial for good after
+// several ejections: as the only one with a verdict it sends one probe in each of its turns, and
+// the successes of earlier ones had left the window of evidence.
+func TestProofsOfSeveralTurnsAddUp(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(10)
+	f.SetPeers([]Peer{{"n0", "a"}, {"n1", "a"}, {"n2", "a"}, {"n3", "a"}, {"n4", "a"}, {"n5", "a"}})
+	f.eject(t)
+	f.report(Node, "n1", Evidence{})
+	f.report(Node, "n2", Evidence{})
+	for range maxProofs {
+		for f.state("t0") != OnTrial {
+			f.after(stepInterval)
+		}
+		f.attempts("t0", 1, Failed)
+		f.succeedElsewhere()
+		f.after(stepInterval)
+	}
+	for f.state("t0") != OnTrial {
+		f.after(stepInterval)
+	}
+	probes := 0
+	for turn := 0; turn < maxProofs*6; turn++ {
+		f.now = f.now.Add(probeTurn)
+		f.after(0)
+		if f.state("t0") == OnTrial && f.MayProbe(f.now, "t0", Item) {
+			f.attempts("t0", 1, Succeeded)
+			probes++
+		}
+	}
+	f.after(stepInterval)
+	is.Equal(probes, maxProofs)
+	is.Equal(f.state("t0"), Admitted)
+}
