End the false answers of a stand-in with its fault

Cause: a runner that sends false answers draws what follows an answer when that ends, and sends most forms with the next request on the connection. So the last fault was not over when the check began to count.

What is due is dropped once a runner sends no false answers any more. While it does nothing changes. TestFalseAnswersEndWithTheFault failed before in seven of eight forms; TestFalseAnswersProveNothing passes.

--- a/lab/hosted/false_answers.go
+++ b/lab/hosted/false_answers.go
@@ -47,7 +47,8 @@
 // maxCopyDelay is the longest time between an answer and a copy of it that awaits no request.
 const maxCopyDelay = 3 * time.Millisecond
 
-// SetFalseAnswers sets what follows each answer of the runner; nil: nothing does. next may be called concurrently.
+// SetFalseAnswers sets what follows each answer of the runner; nil: nothing does, and what is due with the next
+// requests is dropped. next may be called concurrently.
 func (r *Runner) SetFalseAnswers(next func() FalseAnswer) {
 	if next == nil {
 		r.nextFalseAnswer.Store(nil)
@@ -166,6 +167,9 @@
 	}
 	form := c.due
 	c.due = NoFalseAnswer
+	if r.nextFalseAnswer.Load() == nil {
+		return true
+	}
 	id := req.Header.Get("X-Marblepond-Request-Id")
 	switch form {
 	case CopyBeforeBody, CopyOnceRead:
