Run the soak with the ejection time of hosted nodes

The soak allows 20 s from the last fault until every node uses every target again, since the longest ejection takes 16 s. That is so with the 500 ms that hosted nodes are deployed with (platform/settings.ini.tmpl); the soak's nodes had the default of 5 s, with which the third ejection in a row takes 20 s and the sixth 160 s.

The bound stays.

--- a/lab/hostedsoak/fleet.go
+++ b/lab/hostedsoak/fleet.go
@@ -26,7 +26,7 @@
 	nodeCount            = dataCentreCount * nodesPerDataCentre
 	runnerCount          = dataCentreCount * runnersPerDataCentre
 	sharedViewNodes      = min(3, nodeCount) // that turn the shared view on, if the run uses it
-	nodeTemplate         = "[node]\nid = %s\nfront = hosted\ndata_centre = %s\ncaller_listen = %s:7070\nready_listen = %s:7071\npeer_listen = %s:7072\npeer_advertise = %s\nbeacon_listen = %s:7073\nlending_listen = %s:7075\nmetrics_listen = %s:7074\nseeds = %s\n[store]\naddress = %s\n[jobs]\ntake_over_after = 3s\nsweep_interval = 2s\nkeep_results = 10m\n[limits]\ndrain_timeout = 8s\n[log]\nstop_on_violation = true\n"
+	nodeTemplate         = "[node]\nid = %s\nfront = hosted\ndata_centre = %s\ncaller_listen = %s:7070\nready_listen = %s:7071\npeer_listen = %s:7072\npeer_advertise = %s\nbeacon_listen = %s:7073\nlending_listen = %s:7075\nmetrics_listen = %s:7074\nseeds = %s\n[store]\naddress = %s\n[jobs]\ntake_over_after = 3s\nsweep_interval = 2s\nkeep_results = 10m\n[limits]\ndrain_timeout = 8s\n[targets]\neject_time = 500ms\n[log]\nstop_on_violation = true\n"
 	stopTimeout          = 10 * time.Second
 	readyTimeout         = 10 * time.Second
 	drainTime            = 2 * time.Second // a runner serves for this time after it has announced that it is draining
