Give each fleet of a test or soak a loopback network of its own

Two runs on one machine took each other's addresses: tests of lab/e2e and the soaks had fixed networks 127.x.

All of lab/e2e passes (129 s at load 35 to 45).

--- a/lab/cmd/marblelab/main.go
+++ b/lab/cmd/marblelab/main.go
@@ -56,7 +56,7 @@
 			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "seed `N` of the plan of faults"},
 			&cli.DurationFlag{Name: "for", Value: time.Minute, Usage: "`TIME` under load and faults"},
 			&cli.StringFlag{Name: "dir", Usage: "`FOLDER` for logs and ledgers"},
-			&cli.IntFlag{Name: "net", Value: 40, Usage: "second byte of the addresses, 127.`N`.x.y"}},
+			&cli.IntFlag{Name: "net", Usage: "second byte of the addresses, 127.`N`.x.y; without it one that is free"}},
 		Action: func(_ context.Context, c *cli.Command) error {
 			return soak.Main(soak.Options{Seed: c.Uint64("seed"), Length: c.Duration("for"), Dir: c.String("dir"), Net: c.Int("net"), Out: os.Stdout})
 		}}
@@ -69,7 +69,7 @@
 			&cli.DurationFlag{Name: "for", Value: 30 * time.Second, Usage: "`TIME` under load and faults"},
 			&cli.StringFlag{Name: "dir", Usage: "`FOLDER` for settings and logs"},
 			&cli.StringFlag{Name: "bin", Usage: "`FOLDER` of the binaries; without it they are built"},
-			&cli.IntFlag{Name: "net", Value: 90, Usage: "second byte of the addresses, 127.`N`.x.y"},
+			&cli.IntFlag{Name: "net", Usage: "second byte of the addresses, 127.`N`.x.y; without it one that is free"},
 			&cli.BoolFlag{Name: "shared-view", Usage: "turn the shared view on, and add hanging runners and overloads to the faults"},
 			&cli.BoolFlag{Name: "versions", Usage: "start runners of two versions, add releases to the faults, and have callers return when streams break off"},
 			&cli.BoolFlag{Name: "parts", Usage: "add requests that share a part of their prompts that crashes runners, and most connections at one node, to the faults"},
@@ -106,14 +106,13 @@
 
 func overheadCommand() *cli.Command {
 	return &cli.Command{Name: "overhead", Usage: "measure the cost of a node compared with direct calls of an engine",
-		Flags: []cli.Flag{&cli.IntFlag{Name: "net", Value: 70, Usage: "second byte of the addresses, 127.`N`.x.y"}},
-		Action: func(_ context.Context, c *cli.Command) error {
+		Action: func(context.Context, *cli.Command) error {
 			dir, err := os.MkdirTemp("", "overhead")
 			if err != nil {
 				return err
 			}
 			defer os.RemoveAll(dir)
-			return load.MeasureOverhead(dir, c.Int("net"), os.Stdout)
+			return load.MeasureOverhead(dir, os.Stdout)
 		}}
 }
 
--- a/lab/demo/demo.go
+++ b/lab/demo/demo.go
@@ -42,7 +42,7 @@
 // layout returns three nodes and four engines in two data centres.
 func layout() deployment.Layout {
 	return deployment.Layout{
-		Net: 20, DataCentres: []string{"hall-a", "hall-b"}, Nodes: []int{2, 1}, Engines: 2, EngineName: model,
+		DataCentres: []string{"hall-a", "hall-b"}, Nodes: []int{2, 1}, Engines: 2, EngineName: model,
 		Model: engine.DefaultModel(), Loaded: []string{model + "@1"},
 		ExtraSettings: "[log]\nlevel = error\n",
 		Intent:        fmt.Sprintf("[service %q]\n[workspace \"demo\"]\nkey_sha256 = %s\n", model, workspace.HashKey(callerKey)),
--- a/lab/deployment/deployment.go
+++ b/lab/deployment/deployment.go
@@ -20,6 +20,7 @@
 
 	v1 "github.com/marblepond/marblepond/api/marblepond/v1"
 	"github.com/marblepond/marblepond/lab/engine"
+	"github.com/marblepond/marblepond/lab/loopback"
 	"github.com/marblepond/marblepond/lab/platform"
 	"github.com/marblepond/marblepond/lab/service"
 )
@@ -32,7 +33,7 @@
 
 // Layout describes a deployment.
 type Layout struct {
-	Net           int // second byte of the addresses 127.Net.x.y; unique for each deployment
+	Net           int // second byte of the addresses 127.Net.x.y; 0: one that is free
 	DataCentres   []string
 	Nodes         []int  // number of nodes by data centre
 	Engines       int    // per data centre
@@ -131,6 +132,7 @@
 	Services [][]*service.Service
 	Nodes    [][]*node.Node
 
+	release   func() // of the network
 	servers   []*http.Server
 	stopFuncs map[string]func() // by node ID: drains a node and waits until it has ended
 	done      chan struct{}
@@ -142,7 +144,12 @@
 // Start runs the deployment, applies its first intent and waits until every node can use as
 // many targets as a data centre has.
 func Start(l Layout) (*Embedded, error) {
-	e := &Embedded{Layout: l, Platform: platform.New(), stopFuncs: map[string]func(){}, done: make(chan struct{})}
+	x, release, err := loopback.Reserve(l.Net)
+	if err != nil {
+		return nil, err
+	}
+	l.Net = x
+	e := &Embedded{Layout: l, release: release, Platform: platform.New(), stopFuncs: map[string]func(){}, done: make(chan struct{})}
 	if err := e.serve(l.PlatformAddr(), e.Platform); err != nil {
 		return nil, err
 	}
@@ -240,6 +247,7 @@
 	for _, s := range e.servers {
 		s.Close()
 	}
+	e.release()
 	return errors.Join(e.errs...)
 }
 
--- a/lab/e2e/allowance_test.go
+++ b/lab/e2e/allowance_test.go
@@ -25,7 +25,7 @@
 	is := is.New(t)
 	const requestsPerSecond, seconds = 20, 4
 	f, err := deployment.Start(deployment.Layout{
-		Net: 117, DataCentres: []string{"saldus-hall", "kuldiga-hall"}, Nodes: []int{2, 2}, Engines: 2,
+		DataCentres: []string{"saldus-hall", "kuldiga-hall"}, Nodes: []int{2, 2}, Engines: 2,
 		EngineName: "akmens-llm", Model: engine.DefaultModel(), Loaded: []string{"akmens-llm@1"}, ExtraSettings: shortTimes,
 		Intent: fmt.Sprintf("[service \"akmens-llm\"]\nversion = 1\n[workspace \"w\"]\nrequests_per_second = %d\nkey_sha256 = %s\n", requestsPerSecond, workspace.HashKey("w-key")),
 	})
--- a/lab/e2e/big_test.go
+++ b/lab/e2e/big_test.go
@@ -29,7 +29,7 @@
 	model := engine.DefaultModel()
 	model.Instant, model.MaxRunning = true, 64
 	f, err := deployment.Start(deployment.Layout{
-		Net: 120, DataCentres: []string{"hall-a", "hall-b", "hall-c"}, Nodes: []int{2, 2, 2}, Engines: 2, EngineName: "m", Model: model, Loaded: []string{"m@1"},
+		DataCentres: []string{"hall-a", "hall-b", "hall-c"}, Nodes: []int{2, 2, 2}, Engines: 2, EngineName: "m", Model: model, Loaded: []string{"m@1"},
 		ExtraSettings: "[log]\nlevel = error\n[platform]\nwrite_rate = 100\nread_rate = 300\n",
 		Intent:        "[service \"m\"]\n[workspace \"w\"]\nkey_sha256 = " + workspace.HashKey("k").String() + "\n",
 	})
--- a/lab/e2e/callers_test.go
+++ b/lab/e2e/callers_test.go
@@ -37,7 +37,7 @@
 // stored when the caller disconnects, and that a slow reader gets the complete answer.
 func TestDisconnectedAndSlowCallers(t *testing.T) {
 	is := is.New(t)
-	f, c := startEmbedded(t, 112)
+	f, c := startEmbedded(t)
 	ctx, disconnect := context.WithCancel(context.Background())
 	resp, _, err := openStream(ctx, f.CallerAddr(0, 0), "vanishing", 40)
 	is.NoErr(err)
@@ -68,7 +68,7 @@
 // anything runs.
 func TestOverTheLimits(t *testing.T) {
 	is := is.New(t)
-	f, c := startEmbedded(t, 113)
+	f, c := startEmbedded(t)
 	before := startCount(f)
 	for _, tc := range []struct {
 		body   string
--- a/lab/e2e/crash_test.go
+++ b/lab/e2e/crash_test.go
@@ -55,7 +55,7 @@
 // reports show the crashes.
 func TestRequestThatCrashesEngines(t *testing.T) {
 	is := is.New(t)
-	f, c := startEmbedded(t, 114)
+	f, c := startEmbedded(t)
 	ctx, cancel := context.WithTimeout(context.Background(), 40*time.Second)
 	defer cancel()
 	nodes := []string{f.CallerAddr(0, 0), f.CallerAddr(0, 1), f.CallerAddr(1, 0), f.CallerAddr(1, 1)}
@@ -99,7 +99,7 @@
 // refuses all of them, and chats with the other system prompt are answered.
 func TestMessageThatCrashesEngines(t *testing.T) {
 	is := is.New(t)
-	f, c := startEmbedded(t, 115)
+	f, c := startEmbedded(t)
 	ctx, cancel := context.WithTimeout(context.Background(), 40*time.Second)
 	defer cancel()
 	nodes := []string{f.CallerAddr(0, 0), f.CallerAddr(0, 1), f.CallerAddr(1, 0), f.CallerAddr(1, 1)}
--- a/lab/e2e/e2e_test.go
+++ b/lab/e2e/e2e_test.go
@@ -45,10 +45,10 @@
 	os.Exit(code)
 }
 
-func startProcesses(t *testing.T, net int, extra string) *procs.Fleet {
+func startProcesses(t *testing.T, extra string) *procs.Fleet {
 	t.Helper()
 	f, err := procs.Start(deployment.Layout{
-		Net: net, DataCentres: []string{"saldus-hall", "kuldiga-hall"}, Nodes: []int{2, 2}, Engines: 2, Services: 1,
+		DataCentres: []string{"saldus-hall", "kuldiga-hall"}, Nodes: []int{2, 2}, Engines: 2, Services: 1,
 		EngineName: "akmens-llm", PlainName: "orders", Model: engine.DefaultModel(), Loaded: []string{"akmens-llm@1"},
 		ExtraSettings: extra, Intent: intent + workspace.HashKey("clerk-key").String() + "\n",
 	}, t.TempDir(), binaries)
@@ -67,7 +67,7 @@
 // This was seen twice under load, and in three of three runs without the first contact.
 func TestFirstSteps(t *testing.T) {
 	is := is.New(t)
-	f := startProcesses(t, 31, "[log]\nstop_on_violation = true\n")
+	f := startProcesses(t, "[log]\nstop_on_violation = true\n")
 	changed := filepath.Join(t.TempDir(), "fleet.ini")
 	is.NoErr(os.WriteFile(changed, []byte(strings.Replace(f.Layout.Intent, "version = 1", "version = 2", 1)), 0o600))
 	cmd := exec.Command("../../scripts/first-steps.sh")
--- a/lab/e2e/evacuation_test.go
+++ b/lab/e2e/evacuation_test.go
@@ -64,7 +64,7 @@
 // are, and that the targets are used again after the end.
 func TestOperatorEvacuatesADataCentre(t *testing.T) {
 	is := is.New(t)
-	f, c := startEmbedded(t, 118)
+	f, c := startEmbedded(t)
 	ctx := context.Background()
 	op := peer.NewOperatorClient(http.DefaultClient, f.PeerAddr(0, 0), deployment.OperatorKey)
 	complete := func(dc, n int) client.Outcome {
@@ -122,7 +122,7 @@
 // forwarded: the engine there has begun it when the connection breaks.
 func TestForwardedRequestRunsOnce(t *testing.T) {
 	is := is.New(t)
-	f, c := startEmbedded(t, 119)
+	f, c := startEmbedded(t)
 	op := peer.NewOperatorClient(http.DefaultClient, f.PeerAddr(0, 0), deployment.OperatorKey)
 	is.NoErr(evacuate(op, "saldus-hall", false))
 	is.True(eventually(5*time.Second, func() bool {
--- a/lab/e2e/holds_test.go
+++ b/lab/e2e/holds_test.go
@@ -42,10 +42,10 @@
 
 // startEmbedded starts two data centres of two nodes each in this process. The cleanup fails
 // the test on an invariant violation.
-func startEmbedded(t *testing.T, net int) (*deployment.Embedded, *client.Caller) {
+func startEmbedded(t *testing.T) (*deployment.Embedded, *client.Caller) {
 	t.Helper()
 	f, err := deployment.Start(deployment.Layout{
-		Net: net, DataCentres: []string{"saldus-hall", "kuldiga-hall"}, Nodes: []int{2, 2}, Engines: 2, Services: 1,
+		DataCentres: []string{"saldus-hall", "kuldiga-hall"}, Nodes: []int{2, 2}, Engines: 2, Services: 1,
 		EngineName: "akmens-llm", PlainName: "orders", Model: engine.DefaultModel(), Loaded: []string{"akmens-llm@1"},
 		ExtraSettings: shortTimes, Intent: intent + workspace.HashKey("clerk-key").String() + "\n",
 	})
@@ -94,7 +94,7 @@
 // call whose connection breaks after it ran is not repeated.
 func TestLostTargetAfterTheCall(t *testing.T) {
 	is := is.New(t)
-	f, c := startEmbedded(t, 101)
+	f, c := startEmbedded(t)
 	f.Services[0][0].AbortAfterCall.Store(true)
 	status, notRun := callOrders(c, f.CallerAddr(0, 0), "granite-1")
 	is.Equal(status, 500)
@@ -110,7 +110,7 @@
 // with one key runs once, and every sender gets its answer.
 func TestResendsToAllNodesAtOnce(t *testing.T) {
 	is := is.New(t)
-	f, c := startEmbedded(t, 102)
+	f, c := startEmbedded(t)
 	for n := range 10 {
 		operation := fmt.Sprint("slab-", n)
 		var wg sync.WaitGroup
@@ -130,7 +130,7 @@
 // key runs once the platform is back.
 func TestNoClaimNoCall(t *testing.T) {
 	is := is.New(t)
-	f, c := startEmbedded(t, 103)
+	f, c := startEmbedded(t)
 	f.Platform.SetFaults(platform.Faults{Down: true})
 	status, notRun := callOrders(c, f.CallerAddr(0, 0), "gravel")
 	is.Equal(status, 503)
@@ -148,7 +148,7 @@
 // claims are lost after the writes took effect.
 func TestLostClaimAnswers(t *testing.T) {
 	is := is.New(t)
-	f, c := startEmbedded(t, 104)
+	f, c := startEmbedded(t)
 	f.Platform.SetFaults(platform.Faults{LostShare: 0.5})
 	answered := 0
 	for n := range 30 {
@@ -184,7 +184,7 @@
 // and an engine crashes in mid-stream.
 func TestBadStreams(t *testing.T) {
 	is := is.New(t)
-	f, c := startEmbedded(t, 105)
+	f, c := startEmbedded(t)
 	for _, row := range f.Engines {
 		for _, e := range row {
 			e.SetFaults(engine.Faults{CutShare: 0.02, RepeatShare: 0.3, ReorderShare: 0.3})
@@ -210,7 +210,7 @@
 // the nodes are drained and restarted one after the other.
 func TestRollingDrain(t *testing.T) {
 	is := is.New(t)
-	f, c := startEmbedded(t, 106)
+	f, c := startEmbedded(t)
 	ctx, stopLoad := context.WithCancel(context.Background())
 	var mu sync.Mutex
 	unhealthy := map[string]bool{}
@@ -272,7 +272,7 @@
 // stale VM list shows the target as not leaving.
 func TestLeavingTarget(t *testing.T) {
 	is := is.New(t)
-	f, c := startEmbedded(t, 107)
+	f, c := startEmbedded(t)
 	vms := f.VMs()
 	for i := range vms {
 		vms[i].Leaving = vms[i].ID == "saldus-hall-e0"
@@ -292,7 +292,7 @@
 // another data centre.
 func TestEmptyCentre(t *testing.T) {
 	is := is.New(t)
-	f, c := startEmbedded(t, 111)
+	f, c := startEmbedded(t)
 	vms := f.VMs()
 	for i := range vms {
 		vms[i].Leaving = vms[i].DataCentre == "saldus-hall" && vms[i].Service == "akmens-llm"
@@ -308,7 +308,7 @@
 // after the tokens that another one has received. Callers cannot send a continuation.
 func TestForwardedContinuation(t *testing.T) {
 	is := is.New(t)
-	f, c := startEmbedded(t, 114)
+	f, c := startEmbedded(t)
 	complete := engine.Answer("user: x\n", 12)
 	received := engine.Answer("user: x\n", 5)
 	body := fmt.Sprintf(`{"model":"akmens-llm","stream":true,"max_tokens":12,"messages":[{"role":"user","content":"x"}],"continuation":{"tokens":5,"text":%q}}`, received)
@@ -333,7 +333,7 @@
 // and the newest version comes into force at every node.
 func TestOperatorsRace(t *testing.T) {
 	is := is.New(t)
-	f, _ := startEmbedded(t, 108)
+	f, _ := startEmbedded(t)
 	f.Platform.SetFaults(platform.Faults{LostShare: 0.3})
 	for round := range 8 {
 		versions := make([]uint64, 2)
@@ -361,7 +361,7 @@
 // cancelled) for a job that is cancelled right before an outage of the platform.
 func TestCancelAcrossAnOutage(t *testing.T) {
 	is := is.New(t)
-	f, c := startEmbedded(t, 109)
+	f, c := startEmbedded(t)
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	defer cancel()
 	var items strings.Builder
@@ -405,7 +405,7 @@
 // while the other items of its job are completed.
 func TestItemsThatCanNeverBeDone(t *testing.T) {
 	is := is.New(t)
-	f, c := startEmbedded(t, 110)
+	f, c := startEmbedded(t)
 	ctx, cancel := context.WithTimeout(context.Background(), 40*time.Second)
 	defer cancel()
 	var items strings.Builder
--- a/lab/hosted/fleet.go
+++ b/lab/hosted/fleet.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"net/http"
-	"os"
 	"slices"
 	"strings"
 	"sync"
@@ -16,6 +15,7 @@
 	"github.com/marblepond/marblepond/internal/process/hosted"
 	"github.com/marblepond/marblepond/internal/process/node"
 	"github.com/marblepond/marblepond/internal/process/settings"
+	"github.com/marblepond/marblepond/lab/loopback"
 	"github.com/marblepond/marblepond/platform"
 )
 
@@ -142,37 +142,15 @@
 	return fmt.Sprintf("127.%d.%d.%d", processNet(), n/250, 1+n%250)
 }
 
-const (
-	// firstNet and netCount are the range of x in the networks 127.x of processes with fleets.
-	firstNet, netCount = 64, 128
-	// lockPort is the port that a process listens on to reserve its network.
-	lockPort = 1099
-)
-
 // processNet reserves a network 127.x for this process and returns x.
 var processNet = sync.OnceValue(func() int {
-	for i := range netCount {
-		x := firstNet + (os.Getpid()+i)%netCount
-		lock, err := net.Listen("tcp", fmt.Sprintf("127.%d.255.254:%d", x, lockPort))
-		if err == nil {
-			go keepListening(lock)
-			return x
-		}
+	x, _, err := loopback.Reserve(0)
+	if err != nil {
+		panic(err)
 	}
-	panic("every network of the loopback range is taken")
+	return x
 })
 
-// keepListening keeps a listener open until the process ends, and closes all connections to it.
-func keepListening(l net.Listener) {
-	for {
-		conn, err := l.Accept()
-		if err != nil {
-			return
-		}
-		conn.Close()
-	}
-}
-
 // StartNode starts a node; extra is added to its settings.
 func (f *Fleet) StartNode(id, extra string) (*Node, error) {
 	return f.startNode(id, newHost(), "", extra)
--- a/lab/hostedsoak/soak.go
+++ b/lab/hostedsoak/soak.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/marblepond/marblepond/lab/hosted"
+	"github.com/marblepond/marblepond/lab/loopback"
 	"github.com/marblepond/marblepond/lab/procs"
 )
 
@@ -22,7 +23,7 @@
 	Length time.Duration
 	Dir    string // of settings and logs; kept if there are violations
 	Bin    string // directory of the binaries; empty: built
-	Net    int    // second byte of the loopback addresses
+	Net    int    // second byte of the loopback addresses; 0: one that is free
 	Out    io.Writer
 	// SharedView turns the shared view on at the nodes and adds its kinds of faults to the plan.
 	SharedView bool
@@ -73,6 +74,12 @@
 }
 
 func run(o Options) (counts, []string, error) {
+	x, release, err := loopback.Reserve(o.Net)
+	if err != nil {
+		return counts{}, nil, err
+	}
+	defer release()
+	o.Net = x
 	f, err := startFleet(o)
 	defer f.stop()
 	if err != nil {
--- a/lab/load/experiment.go
+++ b/lab/load/experiment.go
@@ -31,7 +31,7 @@
 	Length   time.Duration
 	Profile  Profile
 	Seed     uint64
-	Net      int    // second byte of the addresses, 127.Net.x.y
+	Net      int    // second byte of the addresses, 127.Net.x.y; 0: one that is free
 	Settings string // INI text added to the nodes' settings
 }
 
@@ -81,7 +81,7 @@
 		WarmUp:   s.Key("warm").MustDuration(3 * time.Second),
 		Length:   s.Key("length").MustDuration(15 * time.Second),
 		Seed:     s.Key("seed").MustUint64(1),
-		Net:      s.Key("net").MustInt(60),
+		Net:      s.Key("net").MustInt(0),
 		Profile: Profile{Share: s.Key("online_share").MustFloat64(0.5), BurstShare: s.Key("burst_share").MustFloat64(0),
 			BurstAt: s.Key("burst_at").MustDuration(0), BurstRise: s.Key("burst_rise").MustDuration(time.Second)},
 	}
--- a/lab/load/overhead.go
+++ b/lab/load/overhead.go
@@ -31,18 +31,18 @@
 // MeasureOverhead measures the latency and processor time that a node adds to calling an
 // engine directly, in one run with nodes and engines as separate processes. It also measures
 // the processor time and memory of an idle node.
-func MeasureOverhead(dir string, net int, out io.Writer) error {
+func MeasureOverhead(dir string, out io.Writer) error {
 	if err := procs.Build(dir); err != nil {
 		return err
 	}
-	for i, owned := range []int{3, 6, 12} {
-		if err := measureIdle(dir, net+1+i, owned, out); err != nil {
+	for _, owned := range []int{3, 6, 12} {
+		if err := measureIdle(dir, owned, out); err != nil {
 			return err
 		}
 	}
 	model := engine.DefaultModel()
 	model.Instant, model.MaxRunning = true, 4096
-	f, err := procs.Start(deployment.Layout{Net: net, DataCentres: []string{"a", "b"}, Nodes: []int{2, 1}, Engines: 2, EngineName: overheadModel,
+	f, err := procs.Start(deployment.Layout{DataCentres: []string{"a", "b"}, Nodes: []int{2, 1}, Engines: 2, EngineName: overheadModel,
 		Model: model, Loaded: []string{overheadModel + "@1"}, ExtraSettings: nodeSettings,
 		Intent: fmt.Sprintf("[service %q]\n[workspace \"w\"]\nkey_sha256 = %s\n", overheadModel, workspace.HashKey(callerKey))}, dir, dir)
 	if err != nil {
@@ -70,8 +70,8 @@
 }
 
 // measureIdle measures a node that owns the given number of targets and gets no requests.
-func measureIdle(dir string, net, owned int, out io.Writer) error {
-	f, err := procs.Start(deployment.Layout{Net: net, DataCentres: []string{"a"}, Nodes: []int{1}, Engines: owned, EngineName: overheadModel,
+func measureIdle(dir string, owned int, out io.Writer) error {
+	f, err := procs.Start(deployment.Layout{DataCentres: []string{"a"}, Nodes: []int{1}, Engines: owned, EngineName: overheadModel,
 		Model: engine.DefaultModel(), Loaded: []string{overheadModel + "@1"}, ExtraSettings: nodeSettings,
 		Intent: fmt.Sprintf("[service %q]\n", overheadModel)}, dir, dir)
 	if err != nil {
--- a/lab/procs/procs.go
+++ b/lab/procs/procs.go
@@ -18,6 +18,7 @@
 
 	client "github.com/marblepond/marblepond/internal/connection/platform"
 	"github.com/marblepond/marblepond/lab/deployment"
+	"github.com/marblepond/marblepond/lab/loopback"
 	"github.com/marblepond/marblepond/lab/platform"
 )
 
@@ -28,6 +29,7 @@
 	Bin   string // folder of the binaries
 	Links *Links
 
+	release func() // of the network
 	mu      sync.Mutex
 	procs   map[string]*Proc
 	closers []interface{ Close() error }
@@ -60,7 +62,12 @@
 
 // Start starts every process of the layout and applies its intent.
 func Start(l deployment.Layout, dir, bin string) (*Fleet, error) {
-	f := &Fleet{Layout: l, Dir: dir, Bin: bin, Links: NewLinks(), procs: map[string]*Proc{}}
+	x, release, err := loopback.Reserve(l.Net)
+	if err != nil {
+		return nil, err
+	}
+	l.Net = x
+	f := &Fleet{Layout: l, release: release, Dir: dir, Bin: bin, Links: NewLinks(), procs: map[string]*Proc{}}
 	if err := f.startAll(); err != nil {
 		f.Stop()
 		return nil, err
@@ -316,4 +323,5 @@
 	for _, c := range f.closers {
 		c.Close()
 	}
+	f.release()
 }
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -22,7 +22,7 @@
 	Length time.Duration
 	Dir    string // for logs and ledgers; kept if there are violations
 	Bin    string // folder of the binaries; empty: Run builds them into Dir
-	Net    int    // second byte of the loopback addresses
+	Net    int    // second byte of the loopback addresses; 0: one that is free
 	Out    io.Writer
 }
 
@@ -72,11 +72,11 @@
 stop_on_violation = true
 `
 
-func layout(net int) deployment.Layout {
+func layout(o Options) deployment.Layout {
 	model := engine.DefaultModel()
-	model.ChecksFence = net%2 == 0 // engines of some deployments ignore fencing tokens
+	model.ChecksFence = o.Seed%2 == 1 // engines of some deployments ignore fencing tokens
 	return deployment.Layout{
-		Net: net, DataCentres: []string{"hall-a", "hall-b", "hall-c"}, Nodes: []int{2, 2, 2}, Engines: 2, Services: 1,
+		Net: o.Net, DataCentres: []string{"hall-a", "hall-b", "hall-c"}, Nodes: []int{2, 2, 2}, Engines: 2, Services: 1,
 		EngineName: modelName, PlainName: plainName, Model: model, Loaded: []string{modelName + "@1"}, ExtraSettings: nodeSettings,
 		Intent: fmt.Sprintf("[service %q]\nversion = 1\n[service %q]\nkind = plain\nnon_idempotent = true\n[workspace \"keystel\"]\nkey_sha256 = %s\n",
 			modelName, plainName, workspace.HashKey(callerKey)),
@@ -96,7 +96,7 @@
 			return report, err
 		}
 	}
-	l := layout(o.Net)
+	l := layout(o)
 	f, err := procs.Start(l, o.Dir, o.Bin)
 	if err != nil {
 		return report, err
