Tell other nodes of a version before a stream begins at one that they may not know

What callers saw: a stream with events of two versions. It began at a version that was just listed, its caller returned at another node, whose list was older, and that node derived the version before as the only one, without asking anybody.

Cause: a node begins streams at a version once it has known it for as long as the list takes to reach all nodes, but it makes two exceptions: when no target of another version is left, and when the version is the only one, or that of most targets, in the first list that it reads after its start. A release that replaces all targets faster than that, or a start with a list newer than those of others, begins streams that others derive otherwise. A record at a holder does not help, since a node that derives a version asks no holder.

Change: new streams are still not refused. Nodes that were told, and the node itself, derive nothing for as long as a caller may be away, and the records of the stream are found. Where each node knows the version by its list nothing is sent. Sequence numbers begin with the time, so that a late reply to a former process counts for nothing.

--- a/internal/connection/origins/origins.go
+++ b/internal/connection/origins/origins.go
@@ -33,6 +33,8 @@
 	Network Network
 	// Fleet returns the nodes that may keep records.
 	Fleet func() *continuation.Fleet
+	// FleetKnown reports whether the list of nodes that Fleet rests on is known.
+	FleetKnown func() bool
 	// ListVerified returns up to which time the list of targets is known; zero: not at all.
 	ListVerified func() time.Time
 	Metrics      tally.Scope
@@ -53,11 +55,14 @@
 	firstStart bool // the fleet started for the first time together with this node
 	sequence   uint32
 	pending    map[uint32]chan *v1.StreamReply
+	announced  map[use]*announcement
 }
 
 // New returns an exchange.
 func New(o Options) *Exchange {
-	return &Exchange{Options: o, started: o.Now(), history: continuation.NewHistory(o.Timing), records: continuation.NewRecords(), pending: map[uint32]chan *v1.StreamReply{}}
+	// The sequence begins with the time: a late reply to the process before is not taken for one to this.
+	return &Exchange{Options: o, started: o.Now(), sequence: uint32(o.Now().UnixMicro()), history: continuation.NewHistory(o.Timing), records: continuation.NewRecords(),
+		pending: map[uint32]chan *v1.StreamReply{}, announced: map[use]*announcement{}}
 }
 
 // Stream identifies a stream at the node that serves it and at the one that its caller
@@ -114,6 +119,7 @@
 	defer x.mu.Unlock()
 	x.verify()
 	x.useStored()
+	x.forgetAnnounced()
 	if x.records.Len() > 0 {
 		x.records.RemoveExpired(x.Now())
 		x.Metrics.Gauge("stream_records").Update(float64(x.records.Len()))
@@ -307,6 +313,8 @@
 		x.mu.Unlock()
 	case m.GetQuery() != nil:
 		respond(&v1.StreamMessage{Kind: &v1.StreamMessage_Reply{Reply: x.replyTo(m.GetQuery())}})
+	case m.GetUse() != nil:
+		respond(&v1.StreamMessage{Kind: &v1.StreamMessage_Reply{Reply: x.receiveUse(m.GetUse())}})
 	case m.GetReply() != nil:
 		x.receiveReply(m.GetReply())
 	}
@@ -315,6 +323,9 @@
 func (x *Exchange) receiveReply(r *v1.StreamReply) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
+	if x.receiveAnnounceReply(r) {
+		return
+	}
 	if waiting := x.pending[r.Sequence]; waiting != nil {
 		select {
 		case waiting <- r:
--- a/internal/connection/origins/origins_test.go
+++ b/internal/connection/origins/origins_test.go
@@ -69,7 +69,7 @@
 			return now
 		}
 		x := New(Options{Node: name, Now: clock, Timing: continuation.TimingOf(2 * time.Second), Network: sender{net, name},
-			Fleet: func() *continuation.Fleet { return fleet }, ListVerified: clock, Metrics: tally.NoopScope})
+			Fleet: func() *continuation.Fleet { return fleet }, FleetKnown: func() bool { return true }, ListVerified: clock, Metrics: tally.NoopScope})
 		x.SetListed(listed)
 		for ; now.Before(start.Add(seen)); now = now.Add(time.Second) {
 			x.Tick()
@@ -180,6 +180,78 @@
 	is.Equal(started.Find(context.Background(), testStream, time.Second).Source, FromHistory)
 }
 
+// Guards against messages where each node knows the version at which streams begin: in a fleet with
+// one version, at a node that has learned the history after its start, and in a release.
+func TestVersionsThatAllNodesKnowAreNotAnnounced(t *testing.T) {
+	is := is.New(t)
+	for _, listed := range []map[string]map[continuation.Version]int{onlyV1, bothV1V2} {
+		net := newNetwork(listed, time.Minute)
+		net.nodes["n0"].AnnounceUse("s", "v1")
+		net.nodes["n0"].AwaitAnnounced(context.Background(), "s", "v1")
+		started := newNetwork(listed, 0).nodes["n0"]
+		started.Network = sender{net, "n0"}
+		net.nodes["n0"] = started
+		started.AddHistory(net.nodes["n1"].History())
+		started.AwaitAnnounced(context.Background(), "s", "v1")
+		is.Equal(net.sent, 0)
+	}
+}
+
+// Guards against a stream that continues at another version: another node, whose list is older, has
+// to know of the version once AwaitAnnounced has returned, although messages are lost. A node that is
+// down holds up the first stream for a moment only.
+func TestNodesKnowAnAnnouncedVersion(t *testing.T) {
+	is := is.New(t)
+	net := newNetwork(onlyV1, time.Minute)
+	n0 := net.nodes["n0"]
+	n0.SetListed(map[string]map[continuation.Version]int{"s": {"v2": 2}}) // v1 was replaced at once
+	is.Equal(versionOf(net.nodes["n1"].Find(context.Background(), testStream, time.Millisecond)), "v1")
+	net.drop = 2
+	n0.AnnounceUse("s", "v2")
+	n0.AwaitAnnounced(context.Background(), "s", "v2")
+	for _, node := range []string{"n1", "n2"} {
+		is.Equal(versionOf(net.nodes[node].Find(context.Background(), testStream, time.Millisecond)), "unknown")
+		is.Equal(versionOf(net.nodes[node].Find(context.Background(), Stream{Service: "other"}, time.Millisecond)), "unknown")
+	}
+
+	net = newNetwork(onlyV1, time.Minute)
+	n0 = net.nodes["n0"]
+	n0.SetListed(map[string]map[continuation.Version]int{"s": {"v2": 2}})
+	net.down["n1"] = true
+	began := time.Now()
+	n0.AwaitAnnounced(context.Background(), "s", "v2")
+	waited := time.Since(began)
+	is.True(waited >= announceWait)
+	is.True(waited < 10*announceWait)
+	began = time.Now()
+	n0.AwaitAnnounced(context.Background(), "s", "v2")
+	is.True(time.Since(began) < announceWait)
+}
+
+// Guards against a stream that begins before others are told, at a node that has just started: the
+// only version that it lists may be new, and it may not know the other nodes yet.
+func TestStartedNodeAnnouncesTheOnlyVersion(t *testing.T) {
+	is := is.New(t)
+	net := newNetwork(onlyV1, time.Minute)
+	started := newNetwork(map[string]map[continuation.Version]int{"s": {"v2": 2}}, 0).nodes["n0"]
+	known, fleet := false, started.Fleet()
+	started.Network, started.FleetKnown = sender{net, "n0"}, func() bool { return known }
+	started.Fleet = func() *continuation.Fleet {
+		if known {
+			return fleet
+		}
+		return &continuation.Fleet{Self: "n0", DataCentre: "dc"}
+	}
+	net.nodes["n0"] = started
+	ctx, cancel := context.WithTimeout(context.Background(), 2*resendInterval)
+	defer cancel()
+	started.AwaitAnnounced(ctx, "s", "v2")
+	is.True(ctx.Err() != nil) // it has waited
+	known = true
+	started.AwaitAnnounced(context.Background(), "s", "v2")
+	is.Equal(versionOf(net.nodes["n1"].Find(context.Background(), testStream, time.Millisecond)), "unknown")
+}
+
 // Guards against a node that begins streams only at a new version after its start, because the list
 // of targets arrives in parts, and the first part has targets of that version alone.
 func TestFirstPartOfTheListDoesNotShowTheVersionInUse(t *testing.T) {
--- a/internal/process/hosted/origins.go
+++ b/internal/process/hosted/origins.go
@@ -12,7 +12,7 @@
 // newOrigins returns the records of the versions at which streams began.
 func (n *Node) newOrigins() *origins.Exchange {
 	x := origins.New(origins.Options{Node: n.settings.NodeID, Now: n.clock.Now, Timing: continuation.TimingOf(n.settings.TargetsWithin), Network: streamNetwork{n},
-		Fleet: n.originFleet.Load, ListVerified: n.targetsVerified, Metrics: n.metrics})
+		Fleet: n.originFleet.Load, FleetKnown: n.nodesKnown, ListVerified: n.targetsVerified, Metrics: n.metrics})
 	n.originFleet.Store(n.originFleetOf(n.view.Load()))
 	if n.settings.FirstStart {
 		x.BeginsNow()
@@ -44,6 +44,12 @@
 	return out
 }
 
+// nodesKnown reports whether the list of nodes is known.
+func (n *Node) nodesKnown() bool {
+	_, known := n.cache.Age(kindNodes)
+	return known
+}
+
 // targetsVerified returns up to which time the list of targets is known.
 func (n *Node) targetsVerified() time.Time {
 	age, known := n.cache.Age(n.adapter.Kinds.Targets)
--- a/internal/request/continuation/history.go
+++ b/internal/request/continuation/history.go
@@ -136,6 +136,28 @@
 	return known && (s.inUse || now.Sub(s.first) >= h.timing.UseAfter)
 }
 
+// Settled reports whether every node with a fresh copy of the list knows by that copy that streams
+// begin at a version. At a version that is not settled, a node begins streams only once it has told
+// the others: in a release that is faster than the list, or after a start, no version is settled.
+func (h *History) Settled(now time.Time, service string, v Version) bool {
+	s, known := h.services[service][v]
+	return known && (now.Sub(s.first) >= h.timing.UseAfter || (s.inUse && h.beganNow))
+}
+
+// Used records that another node begins streams at a version, which the list may not have here yet
+// or has no more.
+func (h *History) Used(now time.Time, service string, v Version) {
+	if h.services[service] == nil {
+		h.services[service] = map[Version]sighting{}
+	}
+	s, known := h.services[service][v]
+	if !known {
+		s.first = now
+	}
+	s.ceased = now // of the use that is known; the next listing here decides
+	h.services[service][v] = s
+}
+
 // versions returns the versions that may have begun a stream within a window, or that may begin
 // one soon if soon is set.
 func (h *History) versions(now time.Time, service string, window time.Duration, soon bool) []Version {
--- a/internal/request/continuation/history_test.go
+++ b/internal/request/continuation/history_test.go
@@ -140,6 +140,44 @@
 	is.True(!ok) // not up to date
 }
 
+// Guards against a version that a node derives although another node has told it that it begins streams
+// at one which is not listed here yet, or is no longer: until a caller may not return any more.
+func TestAnnouncedVersionCountsForAWindow(t *testing.T) {
+	is := is.New(t)
+	h, now := watched(onlyV1, time.Minute)
+	h.Used(now, "s", "v2")
+	_, ok := h.Sole(now, "s", testWindow)
+	is.True(!ok)
+	is.True(h.Several(now, "s", testWindow)) // streams are recorded
+	is.True(h.InUse(now, "s", "v1"))
+	is.True(!h.InUse(now, "s", "v2"))
+	is.True(!h.Settled(now, "s", "v2"))
+	now = watch(h, now, testWindow)
+	_, ok = h.Sole(now, "s", testWindow)
+	is.True(!ok)
+	v, ok := h.Sole(watch(h, now, testWithin), "s", testWindow)
+	is.True(ok)
+	is.Equal(v, Version("v1"))
+}
+
+// Guards against a version that a node takes for known to all others because it is the only one that
+// is listed, after the start of the node or once the others are removed.
+func TestOnlyVersionIsNotKnownToAllNodesAtOnce(t *testing.T) {
+	is := is.New(t)
+	h, now := watched(onlyV1, 0)
+	is.True(h.InUse(now, "s", "v1"))
+	is.True(!h.Settled(now, "s", "v1"))
+	now = watch(h, now, testWithin)
+	is.True(h.Settled(now, "s", "v1"))
+	h.Listed(now, onlyV2)
+	is.True(!h.Settled(now, "s", "v2"))
+	is.True(h.Settled(watch(h, now, testWithin), "s", "v2"))
+	first := NewHistory(TimingOf(testWithin))
+	first.BeginsNow(testStart)
+	first.Listed(testStart, onlyV1)
+	is.True(first.Settled(testStart, "s", "v1")) // all nodes start with this list
+}
+
 // laggingNode is a node whose copy of the list is older than the list by a lag.
 type laggingNode struct {
 	h        *History
--- a/internal/request/forward/attempt.go
+++ b/internal/request/forward/attempt.go
@@ -46,6 +46,9 @@
 	began := &quarantine.Begin{}
 	p.answerBegin = began
 	defer f.Quarantine.OnRefusal(&req.Work, func() bool { return began.Answering(f.Now()) }, func() { cancel(errQuarantined) })()
+	if need.Resumable {
+		f.Origins.AnnounceUse(req.Service, t.Version)
+	}
 	sent := f.Now()
 	p.unresolved++
 	answer, err := f.Sender.Send(ctx, target.Call{
@@ -59,6 +62,9 @@
 		return f.respond(req, t, answer, caller, p)
 	}
 	defer answer.Stream.Close()
+	if need.Resumable {
+		f.Origins.AwaitAnnounced(ctx, req.Service, t.Version)
+	}
 	if !p.begun {
 		p.begun = true
 		if err := caller.Begin(answer); err != nil {
--- a/internal/request/forward/forward_test.go
+++ b/internal/request/forward/forward_test.go
@@ -170,10 +170,19 @@
 	known     map[string]continuation.Version // by ID
 	recorded  map[string]continuation.Version
 	found     origins.Found // for what is not known
+	onAwait   func(v continuation.Version)
 }
 
 func (o *fakeOrigins) Derivable(string, time.Duration) bool { return o.derivable }
 
+func (o *fakeOrigins) AnnounceUse(string, continuation.Version) {}
+
+func (o *fakeOrigins) AwaitAnnounced(_ context.Context, _ string, v continuation.Version) {
+	if o.onAwait != nil {
+		o.onAwait(v)
+	}
+}
+
 func (o *fakeOrigins) Record(s origins.Stream, v continuation.Version) {
 	if o.recorded == nil {
 		o.recorded = map[string]continuation.Version{}
--- a/internal/request/forward/parts.go
+++ b/internal/request/forward/parts.go
@@ -67,6 +67,10 @@
 	Derivable(service string, window time.Duration) bool
 	// Record keeps the version of a stream. It must not block.
 	Record(s origins.Stream, v continuation.Version)
+	// AnnounceUse tells other nodes that a stream is about to begin at a version that they may not
+	// know, and AwaitAnnounced returns once they know it. AnnounceUse must not block.
+	AnnounceUse(service string, v continuation.Version)
+	AwaitAnnounced(ctx context.Context, service string, v continuation.Version)
 	// Find returns at which version a stream began; it waits for other nodes at most for the
 	// time given.
 	Find(ctx context.Context, s origins.Stream, wait time.Duration) origins.Found
--- a/internal/request/forward/versions_test.go
+++ b/internal/request/forward/versions_test.go
@@ -219,6 +219,43 @@
 	is.Equal(len(f.Origins.(*fakeOrigins).recorded), 0) // no caller resumes it
 }
 
+// announcedCaller fails the test if it gets a part of an answer before its version was announced.
+type announcedCaller struct {
+	fakeCaller
+	t         *testing.T
+	announced *[]continuation.Version
+}
+
+func (c *announcedCaller) Begin(a *target.Answer) error {
+	if len(*c.announced) == 0 {
+		c.t.Error("the caller has a part of an answer whose version was not announced")
+	}
+	return c.fakeCaller.Begin(a)
+}
+
+// Guards against a stream whose caller has an event while other nodes still take another version for
+// the only one, and against announcements for answers that no caller resumes.
+func TestStreamIsAnnouncedBeforeItsFirstEvent(t *testing.T) {
+	is := is.New(t)
+	targets := &versionedTargets{list: []choose.Target{{ID: "a", Addr: "a", Version: "v1"}, {ID: "b", Addr: "b", Version: "v2"}}}
+	f := newForwarder(targets, slowSender{})
+	var announced []continuation.Version
+	f.Origins = &fakeOrigins{known: map[string]continuation.Version{"first": "v2"}, onAwait: func(v continuation.Version) { announced = append(announced, v) }}
+	_, err := f.Do(context.Background(), resumableRequest("r"), &announcedCaller{t: t, announced: &announced})
+	is.NoErr(err)
+	is.Equal(announced, []continuation.Version{"v1"})
+
+	again := resumableRequest("again") // its first node has announced the version
+	again.ResumeAfter, again.Resumes = 1, "first"
+	_, err = f.Do(context.Background(), again, &fakeCaller{})
+	is.NoErr(err)
+	once := resumableRequest("once")
+	once.Route.Resumable = false
+	_, err = f.Do(context.Background(), once, &fakeCaller{})
+	is.NoErr(err)
+	is.Equal(len(announced), 1)
+}
+
 // TestUnknownStreamIsRefusedAtOnce guards against a guess, and against a refusal that names a
 // time to come back when that does not help: it may if a node did not reply.
 func TestUnknownStreamIsRefusedAtOnce(t *testing.T) {
--- a/scripts/check-mutants.sh
+++ b/scripts/check-mutants.sh
@@ -332,6 +332,15 @@
 mutant 14 internal/request/continuation/history.go 's/\(stated\.CeasedAgo >= 0 \|\| !s\.listed\) && ceased/!s.listed \&\& ceased/' internal/request/continuation TestRestartedNodesBeginNoStreamsAtVersionsOthersDoNotKnow
 mutant 14 internal/request/forward/admit.go 's/if f\.versionGone\(req, p\) \|\| f\.evacuated/if f.evacuated/' internal/request/forward TestStreamOfAVersionThatLeftIsRefusedAtOnce
 mutant 14 internal/request/choose/versions.go 's/return n < most/return n < 0/' internal/request/choose TestStreamsBeginAtTheUsualVersionWhileNoneIsKnownToBeInUse
+mutant 14 internal/request/continuation/history.go 's/\|\| \(s\.inUse && h\.beganNow\)/|| s.inUse/' internal/request/continuation TestOnlyVersionIsNotKnownToAllNodesAtOnce
+mutant 14 internal/request/continuation/history.go 's/s\.ceased = now \/\/ of the use/_ = s.ceased \/\/ of the use/' internal/request/continuation TestAnnouncedVersionCountsForAWindow
+mutant 14 internal/connection/origins/announce.go 's/x\.history\.Used\(x\.Now/_ = x.history.InUse(x.Now/' internal/connection/origins TestNodesKnowAnAnnouncedVersion
+mutant 14 internal/connection/origins/announce.go 's/x\.history\.Used\(now/_ = x.history.InUse(now/' internal/connection/origins TestNodesKnowAnAnnouncedVersion
+mutant 14 internal/connection/origins/announce.go 's/awaited = awaited \|\| now.Sub\(first\) < announceWait/_ = first/' internal/connection/origins TestNodesKnowAnAnnouncedVersion
+mutant 14 internal/connection/origins/announce.go 's/!x\.FleetKnown\(\), now/false, now/' internal/connection/origins TestStartedNodeAnnouncesTheOnlyVersion
+mutant 14 internal/connection/origins/announce.go 's/if x\.history\.Settled\(now/if x.history.InUse(now/' internal/connection/origins TestStartedNodeAnnouncesTheOnlyVersion
+mutant 14 internal/connection/origins/announce.go 's/if x\.history\.Settled\(now, u\.service, u\.version\)/if x.history != nil/' internal/connection/origins TestNoStreamHasTwoVersionsThroughReleasesAndLosses
+mutant 14 internal/request/forward/attempt.go 's/\t\tf\.Origins\.AwaitAnnounced.*\n//' internal/request/forward TestStreamIsAnnouncedBeforeItsFirstEvent
 mutant 14 internal/request/job/scope.go 's/len\(need\.Exclude\) == 0 \&\& !need\.Apart/!need.Apart/' internal/request/job TestOwnReasonsToWaitCoverNoOtherItem
 mutant 14 internal/request/job/scope.go 's/ \&\& !need\.Apart//' internal/request/job TestOwnReasonsToWaitCoverNoOtherItem
 mutant 14 internal/request/job/scope.go 's/ \&\& !need\.NoProbe//' internal/request/job TestFailedItemKeepsNoOtherFromATrial
