Let a stream that lost two targets end by the attempts of its route, and go on once its caller returns

What was seen: TestBrokenStreamContinuesAtItsVersion failed beside other work: 1 or 2 of 40 streams of v1 ended after 12 or 13 events with status 200.

Cause, from the log of the nodes, which the test now prints for each incomplete stream: two targets of v1 are killed one after the other. A stream that the first of them loses continues within a millisecond at the second, loses that as well, and ends: "the limit of 2 attempts is reached", which is the limit of its route. With 20 ms between the kills the test failed with the same sign (2 of 40, after 14 events). The product does what the route says; the test took three kills in a row for one moment.

The test is as strict as before for each stream that lost fewer targets than its route allows attempts, which the log has to show, and stricter for the others: their callers return, and all 40 have to be complete, with events of one version. It also runs with 20 ms between the kills.

TestTargetReturnsWithAnotherVersion and TestStreamsOutliveTheLossOfAllNodes print the logs as well.

--- a/lab/hosted/allowance_log_test.go
+++ b/lab/hosted/allowance_log_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -25,6 +26,18 @@
 	return b.text.Write(p)
 }
 
+// linesOf returns the lines that name a request.
+func (b *lockedBuffer) linesOf(request string) (lines []string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for line := range strings.Lines(b.text.String()) {
+		if strings.Contains(line, `"`+request+`"`) {
+			lines = append(lines, strings.TrimSpace(line))
+		}
+	}
+	return lines
+}
+
 // find waits for the log line of an event of a request and returns its fields.
 func (b *lockedBuffer) find(t *testing.T, event int, request string) map[string]any {
 	t.Helper()
--- a/lab/hosted/fleet.go
+++ b/lab/hosted/fleet.go
@@ -29,6 +29,9 @@
 	BatchPath  = "/sheet/" // jobs
 )
 
+// resumeAttempts is how many attempts the route of ResumePath allows a request.
+const resumeAttempts = 2
+
 // Config returns a configuration with one service and a route of each kind.
 func Config(version int, change ...func(map[string]any)) map[string]any {
 	route := func(name, prefix, kind string, attempts int, resumable bool) map[string]any {
@@ -39,7 +42,7 @@
 	batch["slo_ms"], batch["run_aim_ms"], batch["keep_s"], batch["cap"] = 400, 18000, 60.0, 100000
 	config := map[string]any{
 		"version": version,
-		"routes": []any{route("stream", StreamPath, "streaming", 3, false), route("resume", ResumePath, "streaming", 2, true),
+		"routes": []any{route("stream", StreamPath, "streaming", 3, false), route("resume", ResumePath, "streaming", resumeAttempts, true),
 			route("repeat", RepeatPath, "idempotent", 3, false), batch},
 		"services": []any{map[string]any{"name": Service}},
 		"limits":   map[string]any{"max_header_bytes": 4096, "max_body_bytes": 65536, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
--- a/lab/hosted/versions_loss_test.go
+++ b/lab/hosted/versions_loss_test.go
@@ -19,7 +19,7 @@
 // version the streams began, so that none continues, and each is refused at once.
 func TestStreamsAfterTheLossOfAllNodes(t *testing.T) {
 	is := is.New(t)
-	f := twoVersions(t, 8, 16)
+	f := twoVersions(t, 8, 16, nil)
 	const streams = 16
 	callers := make([]*ReturningCaller, streams)
 	var wg, begun sync.WaitGroup
@@ -71,8 +71,9 @@
 			is := is.New(t)
 			const streams, edges = 16, 4
 			disks := []string{t.TempDir(), t.TempDir()}
+			log := &lockedBuffer{}
 			f := startFleet(t, Options{Nodes: edges, Runners: 8, Slots: 8, Events: 100, Gap: 20 * time.Millisecond,
-				DataCentres: []string{"hall-a", "hall-b"}, Versions: versions, Extra: "[node]\nfirst_start = true\n"})
+				DataCentres: []string{"hall-a", "hall-b"}, Versions: versions, Extra: "[node]\nfirst_start = true\n", Log: log})
 			for i, disk := range disks {
 				_, err := f.StartKeeper(fmt.Sprint("keep-", i), disk, "[node]\nfirst_start = true\n")
 				is.NoErr(err)
@@ -106,12 +107,8 @@
 				}
 			}
 			wg.Wait()
-			checkCallers(t, callers)
-			for _, c := range callers {
-				if !c.Complete {
-					t.Errorf("%s: status %d after %d events: %s", c.Name, c.Status, len(c.Events), c.Refusal)
-				}
-			}
+			logIncomplete(t, log, callers)
+			is.Equal(checkCallers(t, callers), streams)
 		})
 	}
 }
--- a/lab/hosted/versions_test.go
+++ b/lab/hosted/versions_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -19,10 +20,10 @@
 // versions in what each caller received, over all of its attempts.
 
 // twoVersions is a fleet with as many targets of v1 as of v2, in two data centres.
-func twoVersions(t *testing.T, runners, slots int) *Fleet {
+func twoVersions(t *testing.T, runners, slots int, log io.Writer) *Fleet {
 	t.Helper()
 	f := startFleet(t, Options{Nodes: 4, Runners: runners, Slots: slots, Events: 30, Gap: 10 * time.Millisecond,
-		DataCentres: []string{"hall-a", "hall-b"}, Versions: []string{"v1", "v1", "v2", "v2"}})
+		DataCentres: []string{"hall-a", "hall-b"}, Versions: []string{"v1", "v1", "v2", "v2"}, Log: log})
 	time.Sleep(nodesKnownWithin)
 	return f
 }
@@ -47,31 +48,73 @@
 	return complete
 }
 
+// logIncomplete logs each caller whose answer is not complete, with what the nodes logged of its
+// attempts.
+func logIncomplete(t *testing.T, log *lockedBuffer, callers []*ReturningCaller) {
+	t.Helper()
+	for _, c := range callers {
+		if c.Complete {
+			continue
+		}
+		t.Logf("%s, begun at %v: status %d after %d events: %s", c.Name, c.Versions(), c.Status, len(c.Events), c.Refusal)
+		for attempt := range c.Attempts {
+			for _, line := range log.linesOf(fmt.Sprint(c.Name, "-", attempt)) {
+				t.Log(line)
+			}
+		}
+	}
+}
+
 // TestBrokenStreamContinuesAtItsVersion guards against a stream that is resumed within one
 // answer at a target of another software version: targets are killed in mid-stream while those
 // of both versions have free slots. Each stream has to go on, since a target of its version
-// has room.
+// has room: within one answer, unless it lost as many targets as its route allows attempts, and
+// otherwise once its caller has returned.
 func TestBrokenStreamContinuesAtItsVersion(t *testing.T) {
-	is := is.New(t)
-	f := twoVersions(t, 8, 16)
-	const streams = 40
-	callers := make([]*ReturningCaller, streams)
-	var wg sync.WaitGroup
-	for i := range callers {
-		callers[i] = &ReturningCaller{Name: fmt.Sprint("broken-", i), Path: ResumePath + "x"}
-		wg.Go(func() { callers[i].Run(context.Background(), []string{f.Nodes[i%len(f.Nodes)].CallerAddress()}) })
-	}
-	time.Sleep(150 * time.Millisecond)
-	for _, i := range []int{0, 2, 5} { // two of v1 and one of v2
-		f.Runners[i].Kill(500 * time.Millisecond)
-	}
-	wg.Wait()
-	for _, c := range callers {
-		if !c.Complete {
-			t.Logf("%s, begun at %v: status %d after %d events: %s", c.Name, c.Versions(), c.Status, len(c.Events), c.Refusal)
-		}
+	for name, between := range map[string]time.Duration{
+		"at once": 0,
+		"one after the other, so that streams lose a second target": 20 * time.Millisecond,
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			log := &lockedBuffer{}
+			f := twoVersions(t, 8, 16, log)
+			const streams = 40
+			callers := make([]*ReturningCaller, streams)
+			var wg sync.WaitGroup
+			for i := range callers {
+				callers[i] = &ReturningCaller{Name: fmt.Sprint("broken-", i), Path: ResumePath + "x"}
+				wg.Go(func() {
+					callers[i].Run(context.Background(), []string{f.Nodes[i%len(f.Nodes)].CallerAddress(), f.Nodes[(i+1)%len(f.Nodes)].CallerAddress()})
+				})
+			}
+			time.Sleep(150 * time.Millisecond)
+			for _, i := range []int{0, 2, 5} { // two of v1 and one of v2
+				f.Runners[i].Kill(500 * time.Millisecond)
+				time.Sleep(between)
+			}
+			wg.Wait()
+			logIncomplete(t, log, callers)
+			is.Equal(checkCallers(t, callers), streams)
+			returned := 0
+			for _, c := range callers {
+				if c.Attempts == 1 {
+					continue
+				}
+				returned++
+				lost := 0
+				for _, line := range log.linesOf(c.Name + "-0") {
+					if strings.Contains(line, `"request_broken"`) {
+						lost++
+					}
+				}
+				if lost < resumeAttempts {
+					t.Errorf("the first answer to %s ended after it had lost %d targets", c.Name, lost)
+				}
+			}
+			t.Logf("%d callers returned", returned)
+		})
 	}
-	is.Equal(checkCallers(t, callers), streams)
 }
 
 // TestReturningCallerContinuesAtItsVersion guards against a stream that is resumed at a target
@@ -96,7 +139,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
 			is := is.New(t)
-			f := twoVersions(t, 8, 16)
+			f := twoVersions(t, 8, 16, nil)
 			const streams = 16
 			callers := make([]*ReturningCaller, streams)
 			var wg sync.WaitGroup
@@ -227,7 +270,7 @@
 // returns to a node that has just joined the fleet and has no record: the node asks others.
 func TestReturnToAStartingNode(t *testing.T) {
 	is := is.New(t)
-	f := twoVersions(t, 8, 16)
+	f := twoVersions(t, 8, 16, nil)
 	const streams = 12
 	callers := make([]*ReturningCaller, streams)
 	for i := range callers {
@@ -293,7 +336,8 @@
 // that has its old ID and another version since its restart.
 func TestTargetReturnsWithAnotherVersion(t *testing.T) {
 	is := is.New(t)
-	f := startFleet(t, Options{Nodes: 2, Runners: 3, Slots: 16, Events: 60, Gap: 10 * time.Millisecond, Versions: []string{"v1", "v1", "v2"}})
+	log := &lockedBuffer{}
+	f := startFleet(t, Options{Nodes: 2, Runners: 3, Slots: 16, Events: 60, Gap: 10 * time.Millisecond, Versions: []string{"v1", "v1", "v2"}, Log: log})
 	time.Sleep(nodesKnownWithin)
 	const streams = 24
 	callers := make([]*ReturningCaller, streams)
@@ -308,6 +352,7 @@
 	f.Runners[0].SetVersion("v2")
 	f.Runners[0].Kill(50 * time.Millisecond)
 	wg.Wait()
+	logIncomplete(t, log, callers)
 	is.Equal(checkCallers(t, callers), streams)
 }
 
