Let no item wait long for a version whose targets get no work

What callers saw, in a test: an item whose text a version began was not sent for as long as attempts had run for that text, while all targets of the version were evacuated or ejected and a target of another version was idle: 60 s for a text of 60 s.

Cause: ShouldBeginAnew knows two supplies, a version that is gone and one that is busy. Waiting as long as attempts ran is right where targets are full, since a slot becomes free when an answer ends. Nothing says when an evacuation or an ejection does, and the wait had no bound of its own.

Change: a version of which targets are left, none of which gets work (evacuated, unhealthy, ejected after failures or as an outlier), is Unusable. Streams wait as before: their callers have a part of the text.

--- a/internal/request/choose/versions.go
+++ b/internal/request/choose/versions.go
@@ -101,20 +101,37 @@
 // Supply returns whether a target is left at which an answer that has begun may continue. A
 // version is gone once targets of other versions alone are left: while there is no target at
 // all, those that crashed may return.
-func (t *Table) Supply(service string, o continuation.Origin) continuation.Supply {
-	others := false
+func (t *Table) Supply(now time.Time, service string, o continuation.Origin) continuation.Supply {
+	left, others := false, false
 	for _, id := range t.byService[service] {
 		e := t.entries[id]
-		if e.isServing() && o.Allows(e.Version) {
+		switch {
+		case !e.isServing():
+		case !o.Allows(e.Version):
+			others = true
+		case t.getsWork(now, e):
 			return continuation.Busy
+		default:
+			left = true
 		}
-		others = others || e.isServing()
 	}
-	if others {
+	switch {
+	case left:
+		return continuation.Unusable
+	case others:
 		return continuation.Gone
 	}
 	return continuation.Busy
 }
 
+// getsWork reports whether a target gets work now or within moments, once it has a free slot.
+func (t *Table) getsWork(now time.Time, e *entry) bool {
+	switch t.reason(now, e, Need{Service: e.Service}) {
+	case Evacuated, Unhealthy, Failing, Outlier:
+		return false
+	}
+	return true
+}
+
 // SeveralVersions reports whether targets of several versions of a service are listed.
 func (t *Table) SeveralVersions(service string) bool { return t.severalVersions[service] }
--- a/internal/request/choose/versions_test.go
+++ b/internal/request/choose/versions_test.go
@@ -45,7 +45,7 @@
 			if ok && got.Version != "v2" {
 				t.Fatalf("continued at %s with version %s", got.ID, got.Version)
 			}
-			if ok && table.Supply("s", continuation.BegunAt("v2")) == continuation.Gone {
+			if ok && table.Supply(now, "s", continuation.BegunAt("v2")) == continuation.Gone {
 				t.Fatal("a version is gone that a target was chosen for")
 			}
 		}
@@ -139,13 +139,30 @@
 // of their version may return, and against answers that wait for a version that was replaced.
 func TestVersionIsGoneOnlyBesideOthers(t *testing.T) {
 	is := is.New(t)
-	v1 := continuation.BegunAt("v1")
+	v1, now := continuation.BegunAt("v1"), time.Unix(1000, 0)
 	table := versionedTable("v1", "v2")
-	is.Equal(table.Supply("s", v1), continuation.Busy)
+	is.Equal(table.Supply(now, "s", v1), continuation.Busy)
 	table.MarkLeaving("t0", 1)
-	is.Equal(table.Supply("s", v1), continuation.Gone)
+	is.Equal(table.Supply(now, "s", v1), continuation.Gone)
 	table.MarkLeaving("t1", 1)
-	is.Equal(table.Supply("s", v1), continuation.Busy) // no target at all
+	is.Equal(table.Supply(now, "s", v1), continuation.Busy) // no target at all
+}
+
+// Guards against an answer that waits for targets that get no work as for targets that are full.
+func TestVersionWithoutATargetThatGetsWorkIsUnusable(t *testing.T) {
+	is := is.New(t)
+	v1, now := continuation.BegunAt("v1"), time.Unix(1000, 0)
+	table := versionedTable("v1", "v1", "v2")
+	table.cfg.EjectAfter, table.cfg.EjectTime = 1, time.Second
+	table.Begin("t0")
+	table.End(now, "t0", Failure)
+	is.Equal(table.Supply(now, "s", v1), continuation.Busy)
+	table.Begin("t1")
+	table.End(now, "t1", Failure)
+	is.Equal(table.Supply(now, "s", v1), continuation.Unusable)
+	is.Equal(table.Supply(now.Add(time.Second), "s", v1), continuation.Busy)
+	table.SetEvacuated(now, []string{table.entries["t0"].DataCentre})
+	is.Equal(table.Supply(now.Add(time.Second), "s", v1), continuation.Unusable)
 }
 
 // TestStreamsBeginAtVersionsInUse guards against resumable streams that begin at a version that
--- a/internal/request/continuation/origin.go
+++ b/internal/request/continuation/origin.go
@@ -37,8 +37,9 @@
 
 // The supplies.
 const (
-	Gone Supply = iota // no target of the version is left
-	Busy               // targets of the version are left, and none can take the answer now
+	Gone     Supply = iota // no target of the version is left
+	Unusable               // targets of the version are left, and none of them gets any work now
+	Busy                   // targets of the version are left, and none can take the answer now
 )
 
 // Step is what to do with a begun answer that no target can take now.
--- a/internal/request/continuation/unseen_test.go
+++ b/internal/request/continuation/unseen_test.go
@@ -15,6 +15,10 @@
 	v1 := BegunAt("v1")
 	is.True(!ShouldBeginAnew(v1, Busy, 900*time.Millisecond, time.Second))
 	is.True(ShouldBeginAnew(v1, Busy, time.Second, time.Second))
+	is.True(!ShouldBeginAnew(v1, Unusable, maxUnusableWait-time.Millisecond, time.Minute))
+	is.True(ShouldBeginAnew(v1, Unusable, maxUnusableWait, time.Minute))
+	is.True(ShouldBeginAnew(v1, Unusable, time.Second, time.Second))
+	is.True(!ShouldBeginAnew(v1, Busy, maxUnusableWait, time.Minute))
 	is.True(ShouldBeginAnew(v1, Gone, 0, time.Minute))
 	is.True(ShouldBeginAnew(BegunAnywhere(), Busy, 0, time.Minute))
 	is.True(!ShouldBeginAnew(Origin{}, Busy, time.Hour, 0)) // it holds nothing
--- a/internal/request/job/continue.go
+++ b/internal/request/job/continue.go
@@ -36,7 +36,7 @@
 // mayUseAll reports whether all targets of the service that an item needs are of the version that
 // began it, if one has.
 func (m *Manager) mayUseAll(need choose.Need) bool {
-	return !need.Origin.Begun() || (!m.Pool.SeveralVersions(need.Service) && m.Pool.Supply(need.Service, need.Origin) == continuation.Busy)
+	return !need.Origin.Begun() || (!m.Pool.SeveralVersions(need.Service) && m.Pool.Supply(need.Service, need.Origin) != continuation.Gone)
 }
 
 // beginAnew drops the text of an item. The caller holds m.mu.
--- a/internal/version/discovery/versions.go
+++ b/internal/version/discovery/versions.go
@@ -24,7 +24,7 @@
 func (p *Pool) Supply(service string, o continuation.Origin) continuation.Supply {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	supply := p.table.Supply(service, o)
+	supply := p.table.Supply(p.now(), service, o)
 	if supply == continuation.Gone && p.listUncertain() {
 		return continuation.Busy
 	}
--- a/scripts/check-mutants.sh
+++ b/scripts/check-mutants.sh
@@ -220,6 +220,8 @@
 mutant 13 platform/front.go 's/if ws != nil && ws\.Priority != nil \{/if ws != nil \&\& ws.Priority != nil \&\& found == nil {/' platform TestPriority
 mutant 14 internal/request/continuation/origin.go 's/o\.known && o\.version == v/o.known/' internal/request/continuation TestAnswerNeverChangesItsVersion
 mutant 14 internal/request/continuation/origin.go 's/if !o\.known \|\| s == Gone/if s == Gone/' internal/request/continuation TestUnknownVersionIsNotGuessed
+mutant 14 internal/request/continuation/unseen.go 's/s == Unusable && waited/s == Gone \&\& waited/' internal/request/job TestItemWaitsForAMomentForAVersionThatGetsNoWork
+mutant 14 internal/request/choose/versions.go 's/case Evacuated, Unhealthy, Failing, Outlier:/case Unhealthy:/' internal/request/choose TestVersionWithoutATargetThatGetsWorkIsUnusable
 mutant 14 internal/request/continuation/unseen.go 's/waited >= ran/waited >= 0/' internal/request/continuation TestBeginAnewAfterAsLongAsItRan
 mutant 14 internal/request/continuation/history.go 's/>= h\.timing\.UseAfter\)/>= 0)/' internal/request/continuation TestNodesNeverDeriveAVersionThatOthersDoNotUse
 mutant 14 internal/request/continuation/history.go 's/>= h\.timing\.UseAfter-h\.timing\.FreshFor/>= 4*h.timing.UseAfter/' internal/request/continuation TestNodesNeverDeriveAVersionThatOthersDoNotUse
@@ -249,7 +251,7 @@
 mutant 14 internal/request/choose/choose.go 's/case !kept\.allow\(/case need.Batch \&\& !kept.allow(/' internal/request/choose TestNewRequestsLeaveRoomForBegunAnswers
 mutant 14 internal/request/choose/versions.go 's/if len\(usable\) < 2 \{/if len(usable) < 1 {/' internal/request/choose TestNewRequestsLeaveRoomForBegunAnswers
 mutant 14 internal/request/choose/versions.go 's/return 2 \* need\.Overflow/return need.Overflow/' internal/request/choose TestBegunAnswerMayQueueDeeper
-mutant 14 internal/request/choose/versions.go 's/if others \{/if !others {/' internal/request/choose TestVersionIsGoneOnlyBesideOthers
+mutant 14 internal/request/choose/versions.go 's/case others:/case !others:/' internal/request/choose TestVersionIsGoneOnlyBesideOthers
 mutant 14 internal/request/choose/versions.go 's/\|\| t\.cfg\.VersionInUse\(service, v\)/|| v != ""/' internal/request/choose TestStreamsBeginAtVersionsInUse
 mutant 14 internal/request/choose/versions.go 's/c\[e\.Version\] > 1/c[e.Version] > 0/' internal/request/choose TestStreamsAvoidTheLastTargetOfAVersion
 mutant 14 internal/request/forward/attempt.go 's/p\.origin = p\.origin\.After\(t\.Version\)/_ = t/' internal/request/forward TestBrokenStreamSkipsOtherVersions
