--- a/scripts/check-mutants.sh
+++ b/scripts/check-mutants.sh
@@ -240,6 +240,8 @@
 mutant 13 platform/front.go 's/if ws != nil && ws\.Priority != nil \{/if ws != nil \&\& ws.Priority != nil \&\& found == nil {/' platform TestPriority
 mutant 14 internal/request/continuation/origin.go 's/o\.known && o\.version == v/o.known/' internal/request/continuation TestAnswerNeverChangesItsVersion
 mutant 14 internal/request/continuation/origin.go 's/if !o\.known \|\| s == Gone/if s == Gone/' internal/request/continuation TestUnknownVersionIsNotGuessed
+mutant 14 internal/request/continuation/unseen.go 's/s == Unusable && waited/s == Gone \&\& waited/' internal/request/job TestItemWaitsForAMomentForAVersionThatGetsNoWork
+mutant 14 internal/request/choose/versions.go 's/case Evacuated, Unhealthy, Failing, Outlier:/case Unhealthy:/' internal/request/choose TestVersionWithoutATargetThatGetsWorkIsUnusable
 mutant 14 internal/request/continuation/unseen.go 's/waited >= ran/waited >= 0/' internal/request/continuation TestBeginAnewAfterAsLongAsItRan
 mutant 14 internal/request/continuation/history.go 's/>= h\.timing\.UseAfter\)/>= 0)/' internal/request/continuation TestNodesNeverDeriveAVersionThatOthersDoNotUse
 mutant 14 internal/request/continuation/history.go 's/>= h\.timing\.UseAfter-h\.timing\.FreshFor/>= 4*h.timing.UseAfter/' internal/request/continuation TestNodesNeverDeriveAVersionThatOthersDoNotUse
@@ -279,7 +281,7 @@
 mutant 14 internal/request/choose/choose.go 's/case !kept\.allow\(/case need.Batch \&\& !kept.allow(/' internal/request/choose TestNewRequestsLeaveRoomForBegunAnswers
 mutant 14 internal/request/choose/versions.go 's/if len\(usable\) < 2 \{/if len(usable) < 1 {/' internal/request/choose TestNewRequestsLeaveRoomForBegunAnswers
 mutant 14 internal/request/choose/versions.go 's/return 2 \* need\.Overflow/return need.Overflow/' internal/request/choose TestBegunAnswerMayQueueDeeper
-mutant 14 internal/request/choose/versions.go 's/if others \{/if !others {/' internal/request/choose TestVersionIsGoneOnlyBesideOthers
+mutant 14 internal/request/choose/versions.go 's/case others:/case !others:/' internal/request/choose TestVersionIsGoneOnlyBesideOthers
 mutant 14 internal/request/choose/versions.go 's/\|\| t\.cfg\.VersionInUse\(service, v\)/|| v != ""/' internal/request/choose TestStreamsBeginAtVersionsInUse
 mutant 14 internal/request/choose/versions.go 's/c\[e\.Version\] > 1/c[e.Version] > 0/' internal/request/choose TestStreamsAvoidTheLastTargetOfAVersion
 mutant 14 internal/request/forward/attempt.go 's/p\.origin = p\.origin\.After\(t\.Version\)/_ = t/' internal/request/forward TestBrokenStreamSkipsOtherVersions
@@ -362,6 +364,15 @@
 mutant 14 internal/request/continuation/history.go 's/\(stated\.CeasedAgo >= 0 \|\| !s\.listed\) && ceased/!s.listed \&\& ceased/' internal/request/continuation TestRestartedNodesBeginNoStreamsAtVersionsOthersDoNotKnow
 mutant 14 internal/request/forward/admit.go 's/if f\.versionGone\(req, p\) \|\| f\.evacuated/if f.evacuated/' internal/request/forward TestStreamOfAVersionThatLeftIsRefusedAtOnce
 mutant 14 internal/request/choose/versions.go 's/return n < most/return n < 0/' internal/request/choose TestStreamsBeginAtTheUsualVersionWhileNoneIsKnownToBeInUse
+mutant 14 internal/request/continuation/history.go 's/\|\| \(s\.inUse && h\.beganNow\)/|| s.inUse/' internal/request/continuation TestOnlyVersionIsNotKnownToAllNodesAtOnce
+mutant 14 internal/request/continuation/history.go 's/s\.ceased = now \/\/ of the use/_ = s.ceased \/\/ of the use/' internal/request/continuation TestAnnouncedVersionCountsForAWindow
+mutant 14 internal/connection/origins/announce.go 's/x\.history\.Used\(x\.Now/_ = x.history.InUse(x.Now/' internal/connection/origins TestNodesKnowAnAnnouncedVersion
+mutant 14 internal/connection/origins/announce.go 's/x\.history\.Used\(now/_ = x.history.InUse(now/' internal/connection/origins TestNodesKnowAnAnnouncedVersion
+mutant 14 internal/connection/origins/announce.go 's/awaited = awaited \|\| now.Sub\(first\) < announceWait/_ = first/' internal/connection/origins TestNodesKnowAnAnnouncedVersion
+mutant 14 internal/connection/origins/announce.go 's/!x\.FleetKnown\(\), now/false, now/' internal/connection/origins TestStartedNodeAnnouncesTheOnlyVersion
+mutant 14 internal/connection/origins/announce.go 's/if x\.history\.Settled\(now/if x.history.InUse(now/' internal/connection/origins TestStartedNodeAnnouncesTheOnlyVersion
+mutant 14 internal/connection/origins/announce.go 's/if x\.history\.Settled\(now, u\.service, u\.version\)/if x.history != nil/' internal/connection/origins TestNoStreamHasTwoVersionsThroughReleasesAndLosses
+mutant 14 internal/request/forward/attempt.go 's/\t\tf\.Origins\.AwaitAnnounced.*\n//' internal/request/forward TestStreamIsAnnouncedBeforeItsFirstEvent
 mutant 14 internal/request/job/scope.go 's/len\(need\.Exclude\) == 0 \&\& !need\.Apart/!need.Apart/' internal/request/job TestOwnReasonsToWaitCoverNoOtherItem
 mutant 14 internal/request/job/scope.go 's/ \&\& !need\.Apart//' internal/request/job TestOwnReasonsToWaitCoverNoOtherItem
 mutant 14 internal/request/job/scope.go 's/ \&\& !need\.NoProbe//' internal/request/job TestFailedItemKeepsNoOtherFromATrial
