Ask the next owner of a backlog while the store does not serve the first

Callers saw: jobs refused with 503 for as long as the object store turned one node away, at nodes that it served. On a deployment this costs the batch class alone.

Cause: lets the owner of a backlog that may lack the reports of lost holders list the stored jobs before it decides. It lists with its own client only, so an owner that the store turns away decides on no job of any node until the store serves it again. Each owner is in that state for the first use of each backlog in its first 30 s, after a change of owner, and after a holder has started again.

Change: such an owner answers that it cannot decide, and the node asks the next one, as it does for an owner that does not respond. The next one lists the stored jobs itself and so counts those of nodes that report to the first owner. Two such owners are asked one after the other; during an outage of the store none can decide, and the reservation is repeated as before. What the next owner has accepted is part of the next report of each holder, which the first owner receives within 0.3 s.

TestTokenCapAfterTheLossOfAllNodes, TestTokenCap and TestStoreAway pass.

Open: at a next owner the jobs of nodes that have not asked it lately count twice until they do, so that a backlog that is more than half full may refuse jobs that fit. A job that is larger than a twentieth of the limit still waits 0.45 s at any new owner, as before.

--- a/internal/process/hosted/backlogs.go
+++ b/internal/process/hosted/backlogs.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"connectrpc.com/connect"
 	"golang.org/x/sync/singleflight"
 
 	v1 "github.com/marblepond/marblepond/api/marblepond/v1"
@@ -54,6 +55,9 @@
 	// takes some milliseconds, and storedListTimeout bounds the list.
 	storedListWait    = 100 * time.Millisecond
 	storedListTimeout = time.Second
+	// maxUndecidedOwners is how many owners that cannot list the stored jobs are asked one after the
+	// other: during an outage of the object store none can, and each may take storedListWait.
+	maxUndecidedOwners = 2
 )
 
 // Reserve reserves a job's tokens at the owner of a backlog. If the job fits, it calls
@@ -69,10 +73,17 @@
 	case <-ctx.Done():
 		return errUnknownBacklog(key)
 	}
-	failed := map[string]bool{} // owners that did not respond
+	failed := map[string]bool{} // owners that did not respond, or cannot list the stored jobs
+	undecided := 0              // of them, those that cannot list the stored jobs
 	for ctx.Err() == nil {
 		owner, answer, err := b.reserveOnce(ctx, key, job, limit, failed)
+		if errors.Is(err, errNotListed) {
+			undecided++
+		}
 		switch {
+		case undecided >= maxUndecidedOwners:
+			clear(failed)
+			undecided = 0
 		case err != nil:
 			failed[owner] = true
 			continue
@@ -106,12 +117,21 @@
 func (b *backlogs) reserveOnce(ctx context.Context, key backlog.Key, job, limit int64, failed map[string]bool) (owner string, answer *v1.ReserveResponse, err error) {
 	req := b.request(key, job, limit)
 	owners := lendingFleet{b.node}.Owners(ownerName(key), func(node string) bool { return failed[node] })
-	if len(owners) == 0 || owners[0].Node == b.node.settings.NodeID {
-		return b.node.settings.NodeID, b.decide(ctx, req), nil
+	self := b.node.settings.NodeID
+	switch {
+	case len(owners) == 0:
+		answer, _ = b.decide(ctx, req) // UNSURE if it cannot list the stored jobs
+		return self, answer, nil
+	case owners[0].Node == self:
+		answer, err = b.decide(ctx, req)
+		return self, answer, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
 	defer cancel()
 	answer, err = b.node.peers.backlogs.at(b.addressOf(owners[0])).Reserve(ctx, req)
+	if connect.IsWireError(err) { // the owner has answered
+		err = errNotListed
+	}
 	return owners[0].Node, answer, err
 }
 
@@ -130,15 +150,16 @@
 }
 
 // decide decides on a reservation as the owner. If the stored jobs have to be listed first, it
-// waits for that for a moment.
-func (b *backlogs) decide(ctx context.Context, req *v1.ReserveRequest) *v1.ReserveResponse {
+// waits for that for a moment. If they cannot be listed, it returns errNotListed beside UNSURE: the
+// object store may serve the next owner.
+func (b *backlogs) decide(ctx context.Context, req *v1.ReserveRequest) (*v1.ReserveResponse, error) {
 	resp, wantsStored := b.decideOnce(req)
 	if !wantsStored {
-		return resp
+		return resp, nil
 	}
 	listed := b.storedLists.DoChan("", func() (any, error) { return nil, b.listStored() })
 	if resp.Verdict != v1.ReserveResponse_UNSURE {
-		return resp
+		return resp, nil
 	}
 	timer := time.NewTimer(storedListWait)
 	defer timer.Stop()
@@ -146,11 +167,12 @@
 	case r := <-listed:
 		if r.Err == nil {
 			resp, _ = b.decideOnce(req)
+			return resp, nil
 		}
 	case <-timer.C:
 	case <-ctx.Done():
 	}
-	return resp
+	return resp, errNotListed
 }
 
 // decideOnce decides on a reservation from what this node knows, and reports whether the stored jobs
@@ -186,7 +208,10 @@
 	return nil
 }
 
-var errNoRoutes = errors.New("the routes of the stored jobs are not known")
+var (
+	errNoRoutes  = errors.New("the routes of the stored jobs are not known")
+	errNotListed = errkind.PlatformUnavailable.New("the stored jobs cannot be listed")
+)
 
 var protoVerdicts = map[backlog.Decision]v1.ReserveResponse_Verdict{
 	backlog.Unsure: v1.ReserveResponse_UNSURE, backlog.Fits: v1.ReserveResponse_FITS, backlog.Full: v1.ReserveResponse_FULL,
@@ -263,7 +288,11 @@
 
 // Reserve implements marblepondv1connect.BacklogServiceHandler.
 func (s backlogService) Reserve(ctx context.Context, req *v1.ReserveRequest) (*v1.ReserveResponse, error) {
-	return s.decide(ctx, req), nil
+	resp, err := s.decide(ctx, req)
+	if err != nil {
+		return nil, errkind.ConnectError(err)
+	}
+	return resp, nil
 }
 
 // Tell implements marblepondv1connect.BacklogServiceHandler.
