--- a/scripts/check-mutants.sh
+++ b/scripts/check-mutants.sh
@@ -97,6 +97,7 @@
 mutant 10 internal/process/durable/durable.go 's/tempPath := filepath\.Join\(dir, name\+tempSuffix\)/tempPath := filepath.Join(dir, name)/' internal/process/durable TestReplaceSurvivesALossOfPower
 mutant 10 internal/request/job/handover.go 's/counted := m\.countReleased\(h\)/counted := func() {}/' internal/request/job TestJobCountsUntilItIsHandedOver
 mutant 10 internal/request/job/handover.go 's/ \|\| errors\.Is\(err, errFenced\)/ || errors.Is(err, nil)/' internal/request/job TestJobCountsUntilItIsHandedOver
+mutant 10 internal/process/hosted/backlogs.go 's/return resp, errNotListed/return resp, nil/' lab/hosted TestJobsFitThoughTheStoreRefusesAnOwner
 mutant 10 internal/request/schedule/fair.go 's/return max\(f\.virtualTime, f\.finishTags\[name\]\)/return f.finishTags[name]/' internal/request/schedule TestFairWithinAWorkspaceIsByDue
 mutant 3 internal/request/forward/watchdog.go 's/if w\.better\(w\.waited\(\)\)/if w.better(w.waited()) || w.gapTimeout > 0/' internal/request/forward TestQueuedRequestKeepsItsPlace
 mutant 3 internal/request/choose/better.go 's/now\.Sub\(e\.lastEventAt\) <= aliveWithin/now.Sub(e.lastEventAt) <= time.Hour/' internal/request/choose TestBetterElsewhere
