Let a stand-in runner not end a cancelled stream as complete

Cause, in the stand-in: its handler returned normally when its caller had gone, so that net/http ended the chunks of the stream. The answer counted as whole, and a copy of it on another connection was a complete answer with no events to the next send of the item. A runner that is cancelled completes nothing. The handler aborts now; the checks of the test are unchanged.

--- a/lab/hosted/runner_answer.go
+++ b/lab/hosted/runner_answer.go
@@ -118,7 +118,7 @@
 		select {
 		case <-req.Context().Done():
 			r.recordCancelled(id)
-			return
+			panic(http.ErrAbortHandler) // a normal return would end the stream as complete
 		case <-time.After(gap):
 		}
 		if behaviour == BreakOff && n == from+1+r.events/2 {
