--- a/scripts/check-mutants.sh
+++ b/scripts/check-mutants.sh
@@ -345,6 +345,8 @@
 mutant 6 platform/runner.go 's/case answered\[0\] != call\.RequestID:/case answered[0] != call.RequestID \&\& !isRefusal(resp):/' platform TestAnswerToAnotherRequestProvesNothing
 mutant 6 platform/runner.go 's/case isRefusal\(resp\) && earlierSends > 0 &&/case isRefusal(resp) \&\& earlierSends > 99 \&\&/' platform TestRefusalOfARepeatedSendIsNotBelieved
 mutant 6 platform/runner.go 's/\+" "\+stamp\)%2 == 1/+" "+stamp)%2 > 2/' platform TestCopiedFailureIsNoFurtherRun
+mutant 6 platform/runner.go 's/\(!call\.AwaitsRoom \|\| doubted\)/(!call.AwaitsRoom || doubted \&\& earlierSends < 0)/' platform TestSecondRefusalOfADoubtedTargetIsNotBelieved
+mutant 6 platform/doubts.go 's/known && now/known \&\& now.IsZero() \&\& now/' platform TestSecondRefusalOfADoubtedTargetIsNotBelieved
 mutant 6 platform/runner.go 's/case len\(answered\) > 1:/case len(answered) > 9:/' platform TestContradictoryAnswerProvesNothing
 mutant 6 internal/request/admission/admission.go 's/ && !other\.Restricted//' internal/request/forward TestRefusedRequestKeepsNoOtherWaiting
 mutant 3 internal/request/forward/attempt.go 's/AwaitsRoom: p\.refusedBy\[t\.ID\], //' internal/request/forward TestRefusedRequestWaitsForTheRoomOfItems
