Close the socket of the reports before their exchange ends

What was seen: a node that was started again at once ended with "listen udp: bind: address already in use" (TestDiskOfAnAbsentKeeperProvesNothing, one of four runs, load 27 on eight processors; its keeper was started again in the same process).

Cause: the socket was closed by a goroutine that nobody waited for, so that the node could have ended before it.

Run now closes the socket itself before it returns; the goroutine that reads ends with that. TestSocketIsClosedWhenRunReturns failed before in three of three runs (2,000 starts each) and passes in three. The socket of the allowances is read by Run itself; the same test passed there three times on the code before, and it is unchanged.

--- a/internal/connection/beacon/beacon.go
+++ b/internal/connection/beacon/beacon.go
@@ -241,13 +241,10 @@
 	}
 }
 
-// Run sends and receives datagrams over conn until ctx ends.
+// Run sends and receives datagrams over conn until ctx ends. It closes conn before it returns.
 func (x *Exchange) Run(ctx context.Context, conn net.PacketConn) {
 	x.conn.Store(&conn)
-	go func() {
-		<-ctx.Done()
-		conn.Close()
-	}()
+	defer conn.Close()
 	go x.receive(conn)
 	far := time.NewTicker(x.farInterval)
 	defer far.Stop()
--- a/internal/connection/beacon/beacon_test.go
+++ b/internal/connection/beacon/beacon_test.go
@@ -223,6 +223,28 @@
 		View: func() *View { return NewView(node, centre, others()) }, OnBehind: func(string) {}, OnUnreachable: state.noteUnreachable}), conn
 }
 
+// TestSocketIsClosedWhenRunReturns guards against a node that cannot listen on its address when it starts again
+// at once: the socket of the one that ended was closed a moment after it.
+func TestSocketIsClosedWhenRunReturns(t *testing.T) {
+	is := is.New(t)
+	x, conn := newExchange(t, "a1", "a", newFakeState(nil), func() []Peer { return nil })
+	address := conn.LocalAddr().String()
+	for range 2000 {
+		ctx, stop := context.WithCancel(context.Background())
+		stopped := make(chan struct{})
+		go func() {
+			defer close(stopped)
+			x.Run(ctx, conn)
+		}()
+		stop()
+		<-stopped
+		var err error
+		conn, err = net.ListenPacket("udp", address)
+		is.NoErr(err)
+	}
+	is.NoErr(conn.Close())
+}
+
 // TestHoldersAreNotifiedAtOnce: an urgent report reaches the nodes that have batch items
 // without waiting for a round, in the own data centre and elsewhere, and no other node.
 func TestHoldersAreNotifiedAtOnce(t *testing.T) {
--- a/scripts/check-mutants.sh
+++ b/scripts/check-mutants.sh
@@ -92,6 +92,7 @@
 mutant 10 internal/process/hosted/backlogs.go 's/leaving := b\.node\.Leaving\(\)/leaving := false/' lab/hosted TestTokenCapWhileANodeLeaves
 mutant 10 internal/request/job/progress.go 's/if s\.nearLimit \{/if s.nearLimit \&\& s.failures < 0 {/' internal/request/job TestItemOfLostHoldersIsGivenUp
 mutant 10 internal/request/job/progress.go 's/s\.failures, s\.nearLimit = max\(s\.failures, attempts\), true/s.failures = max(s.failures, attempts)/' internal/request/job TestItemOfLostHoldersIsGivenUp
+mutant 8 internal/connection/beacon/beacon.go 's/\tdefer conn\.Close\(\)/\tgo func() {\n\t\t<-ctx.Done()\n\t\tconn.Close()\n\t}()/' internal/connection/beacon TestSocketIsClosedWhenRunReturns
 mutant 10 internal/process/durable/durable.go 's/temp\.Sync\(\), //' internal/process/durable TestReplaceSurvivesALossOfPower
 mutant 10 internal/process/durable/durable.go 's/return fs\.syncDir\(dir\)/return nil/' internal/process/durable TestReplaceSurvivesALossOfPower
 mutant 10 internal/process/durable/durable.go 's/tempPath := filepath\.Join\(dir, name\+tempSuffix\)/tempPath := filepath.Join(dir, name)/' internal/process/durable TestReplaceSurvivesALossOfPower
