Sync the directory after the old history of versions is removed

A keeper removes its file of stream origins when it cannot replace it, so that an old history is not used after a loss of power. The directory was not synced, so that the file could be there again after one. No caller was seen to be affected.

durable.Remove removes and syncs. TestRemovedFileStaysRemoved fails without the sync: the file may be there with its old content.

--- a/internal/connection/origins/disk.go
+++ b/internal/connection/origins/disk.go
@@ -149,7 +149,7 @@
 	if bytes.Equal(history, d.written) {
 		return nil // only records are missing in it
 	}
-	if err := os.Remove(filepath.Join(d.Dir, fileName)); err != nil && !errors.Is(err, fs.ErrNotExist) {
+	if err := durable.Remove(d.Dir, fileName); err != nil {
 		return fmt.Errorf("remove the old origins of streams: %w", err)
 	}
 	d.written = nil
--- a/internal/process/durable/durable.go
+++ b/internal/process/durable/durable.go
@@ -4,6 +4,7 @@
 import (
 	"errors"
 	"io"
+	"io/fs"
 	"os"
 	"path/filepath"
 )
@@ -20,12 +21,18 @@
 	return replace(disk{}, dir, name, data)
 }
 
-// fileSystem is the part of a file system that replace uses.
+// Remove removes the file name in dir, if it exists. Once it has returned nil the file does not come
+// back after a loss of power.
+func Remove(dir, name string) error { return remove(disk{}, dir, name) }
+
+// fileSystem is the part of a file system that this package uses.
 type fileSystem interface {
 	// create opens a file for writing, empty.
 	create(path string) (file, error)
 	rename(from, to string) error
-	// syncDir makes what was created and renamed in a directory durable.
+	// remove fails with fs.ErrNotExist if there is no such file.
+	remove(path string) error
+	// syncDir makes what was created, renamed and removed in a directory durable.
 	syncDir(dir string) error
 }
 
@@ -35,9 +42,9 @@
 	Sync() error
 }
 
-func replace(fs fileSystem, dir, name string, data []byte) error {
+func replace(system fileSystem, dir, name string, data []byte) error {
 	tempPath := filepath.Join(dir, name+tempSuffix)
-	temp, err := fs.create(tempPath)
+	temp, err := system.create(tempPath)
 	if err != nil {
 		return err
 	}
@@ -45,10 +52,17 @@
 	if err = errors.Join(err, temp.Sync(), temp.Close()); err != nil {
 		return err
 	}
-	if err := fs.rename(tempPath, filepath.Join(dir, name)); err != nil {
+	if err := system.rename(tempPath, filepath.Join(dir, name)); err != nil {
+		return err
+	}
+	return system.syncDir(dir)
+}
+
+func remove(system fileSystem, dir, name string) error {
+	if err := system.remove(filepath.Join(dir, name)); err != nil && !errors.Is(err, fs.ErrNotExist) {
 		return err
 	}
-	return fs.syncDir(dir)
+	return system.syncDir(dir) // an earlier removal may have failed here
 }
 
 // disk is the operating system's file system.
@@ -60,6 +74,8 @@
 
 func (disk) rename(from, to string) error { return os.Rename(from, to) }
 
+func (disk) remove(path string) error { return os.Remove(path) }
+
 func (disk) syncDir(dir string) error {
 	directory, err := os.Open(dir)
 	if err != nil {
--- a/internal/process/durable/durable_test.go
+++ b/internal/process/durable/durable_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"io/fs"
 	"maps"
 	"os"
 	"path/filepath"
@@ -72,6 +73,17 @@
 	return nil
 }
 
+func (m *memory) remove(path string) error {
+	if err := m.call(); err != nil {
+		return err
+	}
+	if m.entries[path] == nil {
+		return fs.ErrNotExist
+	}
+	m.change(func(entries map[string]*inode) { delete(entries, path) })
+	return nil
+}
+
 func (m *memory) syncDir(string) error {
 	if err := m.call(); err != nil {
 		return err
@@ -182,6 +194,25 @@
 	}
 }
 
+// TestRemovedFileStaysRemoved guards against a file that was removed because it is no longer true, and is there
+// again after a loss of power.
+func TestRemovedFileStaysRemoved(t *testing.T) {
+	is := is.New(t)
+	for step := range 3 {
+		m := newMemory()
+		is.NoErr(replace(m, "d", "f", []byte("old")))
+		m.calls, m.failAt = 0, step
+		err := remove(m, "d", "f")
+		is.Equal(err == nil, step == 2)
+		m.failAt = -1
+		if err != nil {
+			is.NoErr(remove(m, "d", "f")) // also where the file is gone and that is not durable yet
+		}
+		is.Equal(m.afterLoss("d/f"), []string{"none"})
+		is.NoErr(remove(m, "d", "f"))
+	}
+}
+
 // TestModelLosesWhatIsNotSynced guards against a model that keeps too much, and finds no missing sync.
 func TestModelLosesWhatIsNotSynced(t *testing.T) {
 	is := is.New(t)
@@ -217,4 +248,8 @@
 		is.Equal(string(data), want)
 	}
 	is.True(Replace(filepath.Join(dir, "missing"), "f", nil) != nil)
+	is.NoErr(Remove(dir, "f"))
+	is.NoErr(Remove(dir, "f"))
+	_, err := os.Stat(filepath.Join(dir, "f"))
+	is.True(os.IsNotExist(err))
 }
--- a/scripts/check-mutants.sh
+++ b/scripts/check-mutants.sh
@@ -94,7 +94,8 @@
 mutant 10 internal/request/job/progress.go 's/s\.failures, s\.nearLimit = max\(s\.failures, attempts\), true/s.failures = max(s.failures, attempts)/' internal/request/job TestItemOfLostHoldersIsGivenUp
 mutant 8 internal/connection/beacon/beacon.go 's/\tdefer conn\.Close\(\)/\tgo func() {\n\t\t<-ctx.Done()\n\t\tconn.Close()\n\t}()/' internal/connection/beacon TestSocketIsClosedWhenRunReturns
 mutant 10 internal/process/durable/durable.go 's/temp\.Sync\(\), //' internal/process/durable TestReplaceSurvivesALossOfPower
-mutant 10 internal/process/durable/durable.go 's/return fs\.syncDir\(dir\)/return nil/' internal/process/durable TestReplaceSurvivesALossOfPower
+mutant 10 internal/process/durable/durable.go 's/return system\.syncDir\(dir\)\n/return nil\n/' internal/process/durable TestReplaceSurvivesALossOfPower
+mutant 10 internal/process/durable/durable.go 's/return system\.syncDir\(dir\) \/\/.*/return nil/' internal/process/durable TestRemovedFileStaysRemoved
 mutant 10 internal/process/durable/durable.go 's/tempPath := filepath\.Join\(dir, name\+tempSuffix\)/tempPath := filepath.Join(dir, name)/' internal/process/durable TestReplaceSurvivesALossOfPower
 mutant 10 internal/request/job/handover.go 's/counted := m\.countReleased\(h\)/counted := func() {}/' internal/request/job TestJobCountsUntilItIsHandedOver
 mutant 10 internal/request/job/handover.go 's/ \|\| errors\.Is\(err, errFenced\)/ || errors.Is(err, nil)/' internal/request/job TestJobCountsUntilItIsHandedOver
