Ask owners of a backlog that the store serves, also where it refuses several

Cause: the two nodes own the same backlog, one after the other, and two owners were asked at most. Each waited 0.1 s for a list that could not arrive.

Change: up to four owners are asked, and one that knows that the store does not serve it answers at once, so that four are asked in time for the caller.

TestLimitHoldsThoughTheStoreRefusesAnOwner passes.

--- a/internal/process/hosted/backlogs.go
+++ b/internal/process/hosted/backlogs.go
@@ -56,8 +56,8 @@
 	storedListWait    = 100 * time.Millisecond
 	storedListTimeout = time.Second
 	// maxUndecidedOwners is how many owners that cannot list the stored jobs are asked one after the
-	// other: during an outage of the object store none can, and each may take storedListWait.
-	maxUndecidedOwners = 2
+	// other: during an outage of the object store none can.
+	maxUndecidedOwners = 4
 )
 
 // Reserve reserves a job's tokens at the owner of a backlog. If the job fits, it calls
@@ -161,6 +161,9 @@
 	if resp.Verdict != v1.ReserveResponse_UNSURE {
 		return resp, nil
 	}
+	if !b.node.adapter.Health.Up() {
+		return resp, errNotListed // without a wait: the next owner may decide in time for the caller
+	}
 	timer := time.NewTimer(storedListWait)
 	defer timer.Stop()
 	select {
--- a/lab/hosted/backlog_test.go
+++ b/lab/hosted/backlog_test.go
@@ -10,11 +10,11 @@
 	"github.com/matryer/is"
 )
 
-// startBacklogFleet starts three nodes, each with an endpoint of the store of its own, and gives the
-// batch route as many workspaces as there are to be backlogs, so that each node owns some.
-func startBacklogFleet(t *testing.T, backlogs, limit int, o Options) (*Fleet, []*Endpoint) {
+// startBacklogFleet starts nodes, each with an endpoint of the store of its own, and gives the batch
+// route as many workspaces as there are to be backlogs, so that each node owns some.
+func startBacklogFleet(t *testing.T, nodes, backlogs, limit int, o Options) (*Fleet, []*Endpoint) {
 	t.Helper()
-	f, lines := linedFleet(t, 3, shortJobTimeouts, o)
+	f, lines := linedFleet(t, nodes, shortJobTimeouts, o)
 	var workspaces []any
 	for i := range backlogs {
 		workspaces = append(workspaces, Workspace{Name: fmt.Sprint("w", i), Keys: []string{backlogKey(i)}})
@@ -28,22 +28,24 @@
 
 // TestJobsFitThoughTheStoreRefusesAnOwner guards against jobs that are refused although their node
 // reaches the object store: the owner of the backlog, which has just started and has to list the
-// stored jobs before it decides, is refused by the store or hears nothing of it.
+// stored jobs before it decides, is refused by the store or hears nothing of it, and so is the next.
 func TestJobsFitThoughTheStoreRefusesAnOwner(t *testing.T) {
-	const backlogs = 12
+	const nodes, refused, backlogs = 6, 3, 24
 	for name, fault := range map[string]func(*Endpoint){
 		"refused":      func(e *Endpoint) { e.SetDown(true) },
 		"unresponsive": func(e *Endpoint) { e.SetUnresponsive(true) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			f, lines := startBacklogFleet(t, backlogs, 100000, Options{Runners: 2, Slots: 8, Events: 4, Gap: 5 * time.Millisecond})
-			fault(lines[0])
+			f, lines := startBacklogFleet(t, nodes, backlogs, 100000, Options{Runners: 2, Slots: 8, Events: 4, Gap: 5 * time.Millisecond})
+			for _, line := range lines[:refused] {
+				fault(line)
+			}
 			accepted, slowest := 0, time.Duration(0)
 			for i := range backlogs {
 				id := fmt.Sprint("owned-", i)
 				began := time.Now()
-				if SubmitJobWithKey(f.Nodes[1+i%2].CallerAddress(), id, backlogKey(i), Items(id, 2)).Status == http.StatusAccepted {
+				if SubmitJobWithKey(f.Nodes[refused+i%(nodes-refused)].CallerAddress(), id, backlogKey(i), Items(id, 2)).Status == http.StatusAccepted {
 					accepted, slowest = accepted+1, max(slowest, time.Since(began))
 				}
 			}
@@ -58,7 +60,7 @@
 func TestLimitHoldsThoughTheStoreRefusesAnOwner(t *testing.T) {
 	const backlogs, limit, tolerance, job = 6, 6000, 600, 300
 	is := is.New(t)
-	f, lines := startBacklogFleet(t, backlogs, limit, Options{Runners: 1, Slots: 2, Events: 3000, Gap: 10 * time.Millisecond})
+	f, lines := startBacklogFleet(t, 3, backlogs, limit, Options{Runners: 1, Slots: 2, Events: 3000, Gap: 10 * time.Millisecond})
 	var mu sync.Mutex
 	accepted := map[int]int{} // tokens by backlog
 	submit := func(round, node, backlog, jobs int) {
