Refuse a job at once while no owner of its backlog can list and the store is away

Callers saw: while the object store was away and the owner of a backlog was new, jobs were refused after a second instead of some milliseconds.

Change: if the owners asked cannot list the stored jobs, and the store does not serve this node either, the job cannot be stored, and the reservation ends.

--- a/internal/process/hosted/backlogs.go
+++ b/internal/process/hosted/backlogs.go
@@ -81,6 +81,8 @@
 			undecided++
 		}
 		switch {
+		case undecided >= maxUndecidedOwners && !b.node.adapter.Health.Up():
+			return errUnknownBacklog(key) // the job could not be stored either
 		case undecided >= maxUndecidedOwners:
 			clear(failed)
 			undecided = 0
@@ -118,11 +120,7 @@
 	req := b.request(key, job, limit)
 	owners := lendingFleet{b.node}.Owners(ownerName(key), func(node string) bool { return failed[node] })
 	self := b.node.settings.NodeID
-	switch {
-	case len(owners) == 0:
-		answer, _ = b.decide(ctx, req) // UNSURE if it cannot list the stored jobs
-		return self, answer, nil
-	case owners[0].Node == self:
+	if len(owners) == 0 || owners[0].Node == self {
 		answer, err = b.decide(ctx, req)
 		return self, answer, err
 	}
--- a/lab/hosted/backlog_test.go
+++ b/lab/hosted/backlog_test.go
@@ -100,3 +100,24 @@
 		is.True(accepted[i] <= limit+tolerance)
 	}
 }
+
+// TestJobsAreRefusedAtOnceWhileTheStoreIsAway guards against callers that wait a second for the refusal
+// of a job that cannot be stored, because no owner of its backlog can list the stored jobs.
+func TestJobsAreRefusedAtOnceWhileTheStoreIsAway(t *testing.T) {
+	const backlogs = 6
+	is := is.New(t)
+	f, lines := startBacklogFleet(t, 3, backlogs, 100000, Options{Runners: 1, Slots: 8, Events: 4, Gap: 5 * time.Millisecond})
+	for _, line := range lines {
+		line.SetDown(true)
+	}
+	time.Sleep(time.Second) // until the nodes know
+	slowest := time.Duration(0)
+	for i := range backlogs {
+		id := fmt.Sprint("away-", i)
+		began := time.Now()
+		is.Equal(SubmitJobWithKey(f.Nodes[i%3].CallerAddress(), id, backlogKey(i), Items(id, 2)).Status, http.StatusServiceUnavailable)
+		slowest = max(slowest, time.Since(began))
+	}
+	t.Logf("the slowest refusal took %v", slowest.Round(time.Millisecond))
+	is.True(slowest < 800*time.Millisecond) // a reservation is repeated for one second
+}
