--- a/scripts/check-mutants.sh
+++ b/scripts/check-mutants.sh
@@ -89,7 +89,7 @@
 mutant 10 internal/request/backlog/backlog.go 's/case now\.Sub\(b\.since\) >= learnTime:/case !now.Before(b.since):/' internal/request/backlog TestSmallJobsNeedNotWaitForANewOwner
 mutant 10 internal/process/hosted/backlogs.go 's/return resp, errNotListed/return resp, nil/g' lab/hosted TestJobsFitThoughTheStoreRefusesAnOwner
 mutant 10 internal/process/hosted/backlogs.go 's/maxUndecidedOwners = 4/maxUndecidedOwners = 2/' lab/hosted TestJobsFitThoughTheStoreRefusesAnOwner
-mutant 10 internal/process/hosted/backlogs.go 's/return errUnknownBacklog\(key\) // the job could not be stored either/clear(failed)/' lab/hosted TestJobsAreRefusedAtOnceWhileTheStoreIsAway
+mutant 10 internal/process/hosted/backlogs.go 's/return errUnknownBacklog\(key\) \/\/ the job could not be stored either/clear(failed)/' lab/hosted TestJobsAreRefusedAtOnceWhileTheStoreIsAway
 mutant 10 internal/request/schedule/fair.go 's/return max\(f\.virtualTime, f\.finishTags\[name\]\)/return f.finishTags[name]/' internal/request/schedule TestFairWithinAWorkspaceIsByDue
 mutant 3 internal/request/forward/watchdog.go 's/if w\.better\(w\.waited\(\)\)/if w.better(w.waited()) || w.gapTimeout > 0/' internal/request/forward TestQueuedRequestKeepsItsPlace
 mutant 3 internal/request/choose/better.go 's/now\.Sub\(e\.lastEventAt\) <= aliveWithin/now.Sub(e.lastEventAt) <= time.Hour/' internal/request/choose TestBetterElsewhere
