--- a/internal/process/hosted/backlogs.go
+++ b/internal/process/hosted/backlogs.go
@@ -56,8 +56,8 @@
 	storedListWait    = 100 * time.Millisecond
 	storedListTimeout = time.Second
 	// maxUndecidedOwners is how many owners that cannot list the stored jobs are asked one after the
-	// other: during an outage of the object store none can, and each may take storedListWait.
-	maxUndecidedOwners = 2
+	// other: during an outage of the object store none can.
+	maxUndecidedOwners = 4
 )
 
 // Reserve reserves a job's tokens at the owner of a backlog. If the job fits, it calls
@@ -81,6 +81,8 @@
 			undecided++
 		}
 		switch {
+		case undecided >= maxUndecidedOwners && !b.node.adapter.Health.Up():
+			return errUnknownBacklog(key) // the job could not be stored either
 		case undecided >= maxUndecidedOwners:
 			clear(failed)
 			undecided = 0
@@ -118,11 +120,7 @@
 	req := b.request(key, job, limit)
 	owners := lendingFleet{b.node}.Owners(ownerName(key), func(node string) bool { return failed[node] })
 	self := b.node.settings.NodeID
-	switch {
-	case len(owners) == 0:
-		answer, _ = b.decide(ctx, req) // UNSURE if it cannot list the stored jobs
-		return self, answer, nil
-	case owners[0].Node == self:
+	if len(owners) == 0 || owners[0].Node == self {
 		answer, err = b.decide(ctx, req)
 		return self, answer, err
 	}
@@ -161,6 +159,9 @@
 	if resp.Verdict != v1.ReserveResponse_UNSURE {
 		return resp, nil
 	}
+	if !b.node.adapter.Health.Up() {
+		return resp, errNotListed // without a wait: the next owner may decide in time for the caller
+	}
 	timer := time.NewTimer(storedListWait)
 	defer timer.Stop()
 	select {
