Doubt a backlog whose reports have expired

While a node that is not the preferred owner of a backlog decides on it, jobs could be accepted beyond the limit on waiting tokens: holders report to the preferred owner, and the tokens of a living holder were forgotten 30 s after its last reservation at the other node.

Cause: a report that expires was taken for that of a lost holder whose jobs others have taken over and report. Since the store may refuse the preferred owner for longer than that, the next one decides with reports of reservations alone, and no longer asked for the list of the stored jobs once all of them had been reported.

An expired report of waiting tokens now makes the owner list the stored jobs before it decides, as the loss of a holder does.

TestExpiredReportsOfLivingHoldersCount failed before (a job of 500 tokens fits beside 701, with a limit of 1000).

--- a/internal/request/backlog/backlog.go
+++ b/internal/request/backlog/backlog.go
@@ -130,6 +130,7 @@
 	known := t.backlogs[key] != nil
 	t.record(now, key, r, jobTokens)
 	b := t.backlogs[key]
+	b.dropExpired(now)
 	defer func() {
 		if decision != Fits {
 			r.Tokens -= jobTokens
@@ -142,7 +143,7 @@
 			b.doubtedSince = time.Time{} // the jobs of lost holders have been taken over
 		}
 	}
-	waiting = b.sum(now)
+	waiting = b.sum()
 	if waiting > limit {
 		return Full, waiting
 	}
@@ -205,20 +206,30 @@
 }
 
 // sum returns the waiting tokens of all nodes.
-func (b *backlog) sum(now time.Time) int64 {
+func (b *backlog) sum() int64 {
 	total := int64(0)
 	for _, r := range b.reports {
-		if now.Sub(r.at) < reportExpiry {
-			total += r.Tokens
-		}
+		total += r.Tokens
 	}
 	return total
 }
 
+// dropExpired drops reports that no longer count. A holder may have lived on and reported to
+// another owner, so that its jobs are stored and nobody reports them here.
+func (b *backlog) dropExpired(now time.Time) {
+	maps.DeleteFunc(b.reports, func(_ string, r receivedReport) bool {
+		expired := now.Sub(r.at) >= reportExpiry
+		if expired && r.Tokens > 0 {
+			b.doubtedSince = now
+		}
+		return expired
+	})
+}
+
 // DropExpired drops reports that no longer count, and backlogs without any.
 func (t *Tracker) DropExpired(now time.Time) {
 	for key, b := range t.backlogs {
-		maps.DeleteFunc(b.reports, func(_ string, r receivedReport) bool { return now.Sub(r.at) >= reportExpiry })
+		b.dropExpired(now)
 		if len(b.reports) == 0 {
 			delete(t.backlogs, key)
 		}
