Count a job at the first owner while another one decides on it

Two jobs could be accepted beyond the limit on waiting tokens: the owner of a backlog could not list the stored jobs in time, so that a node asked the next owner, which accepted; up to 300 ms later, before the report of that node, the first owner had its list and accepted another node's job.

Cause: a job on which an owner does not decide was subtracted from the sum at once. Since such a job is sent on to the next owner, both may accept up to the limit, with a list that takes a little longer than the wait for it too.

The preferred owner, to which nodes report, now counts such a job until the next report of its node.

TestJobOfAnotherOwnerCountsAtOnce failed before (the second job of 900 tokens fits, with a limit of 1000). TestUndecidedJobHandsNothingOver states that a leaving node's undecided job is not taken for one that was handed over.

--- a/internal/request/backlog/backlog.go
+++ b/internal/request/backlog/backlog.go
@@ -88,7 +88,8 @@
 
 type receivedReport struct {
 	Report
-	at time.Time
+	at        time.Time
+	undecided int64 // tokens of a job that another owner may accept
 }
 
 // New creates the tracker of a node that starts now. overshoot is the share of a limit that
@@ -116,14 +117,16 @@
 	if known && r.Boot > old.Boot && old.Tokens > 0 {
 		b.doubtedSince = now // the jobs of the former incarnation are not taken over yet
 	}
-	if known && r.Boot == old.Boot && r.HandingOver && r.Tokens-added < old.Tokens {
+	if known && r.Boot == old.Boot && r.HandingOver && r.Tokens-added < old.Tokens-old.undecided {
 		b.doubtedSince = now // nor are those that were handed over
 	}
-	b.reports[r.Node] = receivedReport{r, now}
+	b.reports[r.Node] = receivedReport{Report: r, at: now}
 }
 
 // Reserve decides whether a job of jobTokens tokens is accepted. The node's report already
-// includes these tokens; if the job is not accepted, they are subtracted from it again.
+// includes these tokens; if the job is not accepted, they are subtracted from it again. If the stored
+// jobs have to be listed first, the node may ask another owner, so that they count until its next
+// report.
 // preferred says that this node is the preferred owner, the first in rendezvous order, so
 // that holders have reported to no other node. waiting is the sum over all nodes.
 func (t *Tracker) Reserve(now time.Time, key Key, r Report, jobTokens, limit int64, preferred bool) (decision Decision, waiting int64) {
@@ -131,8 +134,12 @@
 	t.record(now, key, r, jobTokens)
 	b := t.backlogs[key]
 	b.dropExpired(now)
+	sure := true
 	defer func() {
-		if decision != Fits {
+		switch {
+		case !sure && preferred: // the node reports here
+			b.markUndecided(r, jobTokens)
+		case decision != Fits:
 			r.Tokens -= jobTokens
 			t.record(now, key, r, -jobTokens)
 		}
@@ -147,7 +154,8 @@
 	if waiting > limit {
 		return Full, waiting
 	}
-	unheld, sure := t.unheld(now, key, b)
+	var unheld int64
+	unheld, sure = t.unheld(now, key, b)
 	waiting += unheld
 	switch {
 	case !sure:
@@ -165,6 +173,14 @@
 	return Fits, waiting
 }
 
+// markUndecided records that a node's report includes a job on which this owner has not decided.
+func (b *backlog) markUndecided(r Report, jobTokens int64) {
+	if newest := b.reports[r.Node]; newest.Report == r {
+		newest.undecided = jobTokens
+		b.reports[r.Node] = newest
+	}
+}
+
 // unheld returns the tokens of the stored jobs of a backlog that no node has reported; sure is false
 // if the stored jobs have to be listed first.
 func (t *Tracker) unheld(now time.Time, key Key, b *backlog) (tokens int64, sure bool) {
--- a/internal/request/backlog/otherowner_test.go
+++ b/internal/request/backlog/otherowner_test.go
@@ -59,3 +59,48 @@
 	is.Equal(decision, Fits)
 	is.Equal(waiting, int64(900))
 }
+
+// TestJobOfAnotherOwnerCountsAtOnce guards against two owners that both accept up to the limit: one
+// cannot list the stored jobs in time, so that a node asks the next one, which accepts; then the first one
+// decides on another node's job by a list that began before the first job was stored.
+func TestJobOfAnotherOwnerCountsAtOnce(t *testing.T) {
+	is := is.New(t)
+	now, first, next := start, New(start.Add(-learnTime), overshoot), longRunning()
+	first.Record(now, key, report("n3", 1, 10))
+	next.Record(now, key, report("n3", 1, 10))
+	now = now.Add(learnTime)
+	first.Record(now, key, report("n3", 2, 10))
+	began := now
+	decision, _ := first.Reserve(now, key, report("n1", 1, 900), 900, limit, true)
+	is.Equal(decision, Unsure)
+	now = now.Add(100 * time.Millisecond)
+	next.SetStored(now, Stored{})
+	decision, _ = next.Reserve(now, key, report("n1", 2, 900), 900, limit, false)
+	is.Equal(decision, Fits)
+	first.SetStored(began.Add(time.Millisecond), Stored{})
+	now = now.Add(50 * time.Millisecond)
+	decision, _ = first.Reserve(now, key, report("n2", 1, 900), 900, limit, true)
+	is.Equal(decision, Full)
+
+	// A report replaces what was not decided.
+	first.Record(now, key, report("n1", 3, 0))
+	decision, _ = first.Reserve(now, key, report("n2", 2, 900), 900, limit, true)
+	is.Equal(decision, Fits)
+}
+
+// TestUndecidedJobHandsNothingOver guards against a leaving node whose jobs are never decided on: that the
+// undecided one is asked for again, or was refused elsewhere, does not mean that it has handed jobs over.
+func TestUndecidedJobHandsNothingOver(t *testing.T) {
+	is := is.New(t)
+	now, tracker := start, New(start.Add(-learnTime), overshoot)
+	leaving := func(sequence uint64, tokens int64) Report {
+		return Report{Node: "n1", Boot: 1, Sequence: sequence, Tokens: tokens, HandingOver: true}
+	}
+	decision, _ := tracker.Reserve(now, key, leaving(1, 40), 40, limit, true)
+	is.Equal(decision, Unsure)
+	now = now.Add(10 * time.Millisecond)
+	tracker.SetStored(now, Stored{})
+	now = now.Add(10 * time.Millisecond)
+	decision, _ = tracker.Reserve(now, key, leaving(1, 40), 40, limit, true)
+	is.Equal(decision, Fits)
+}
--- a/scripts/check-mutants.sh
+++ b/scripts/check-mutants.sh
@@ -87,9 +87,11 @@
 mutant 10 internal/connection/lending/lending.go 's/return x\.SharedView != nil && x\.SharedView\(\)/return x.SharedView != nil/' internal/connection/lending TestPlacesOnTheWire
 mutant 10 internal/request/backlog/backlog.go 's/if waiting > limit \{/if waiting > 2*limit {/' internal/request/backlog TestSecondJobOverTheLimitIsRefused
 mutant 10 internal/request/backlog/backlog.go 's/case now\.Sub\(b\.since\) >= learnTime:/case !now.Before(b.since):/' internal/request/backlog TestSmallJobsNeedNotWaitForANewOwner
-mutant 10 internal/request/backlog/backlog.go 's/r\.HandingOver && r\.Tokens-added < old\.Tokens/false/' internal/request/backlog TestJobsOfALeavingHolderCount
+mutant 10 internal/request/backlog/backlog.go 's/r\.HandingOver && r\.Tokens-added < old\.Tokens-old\.undecided/false/' internal/request/backlog TestJobsOfALeavingHolderCount
 mutant 10 internal/request/backlog/backlog.go 's/r\.Tokens-added < old\.Tokens/r.Tokens < old.Tokens/' internal/request/backlog TestSubmissionAtALeavingNodeHidesNoJob
 mutant 10 internal/request/backlog/backlog.go 's/if expired && r\.Tokens > 0 \{/if false {/' internal/request/backlog TestExpiredReportsOfLivingHoldersCount
+mutant 10 internal/request/backlog/backlog.go 's/case !sure && preferred:/case false:/' internal/request/backlog TestJobOfAnotherOwnerCountsAtOnce
+mutant 10 internal/request/backlog/backlog.go 's/old\.Tokens-old\.undecided/old.Tokens/' internal/request/backlog TestUndecidedJobHandsNothingOver
 mutant 10 internal/process/hosted/backlogs.go 's/leaving := b\.node\.Leaving\(\)/leaving := false/' lab/hosted TestTokenCapWhileANodeLeaves
 mutant 10 internal/request/job/progress.go 's/if s\.nearLimit \{/if s.nearLimit \&\& s.failures < 0 {/' internal/request/job TestItemOfLostHoldersIsGivenUp
 mutant 10 internal/request/job/progress.go 's/s\.failures, s\.nearLimit = max\(s\.failures, attempts\), true/s.failures = max(s.failures, attempts)/' internal/request/job TestItemOfLostHoldersIsGivenUp
