Take no wait for other nodes for a stall of the target

A stream was given up at a responsive target and sent to another one, with the first attempt spent, while its node told others of the version and one of them did not reply: for 150 ms if a node is down, for up to the time in which the list of targets has to be in force while the list of nodes is not known after a start. From half of the objective on, the stream looked like one whose target sends nothing.

Cause: the first event is not read until the version is announced, and the watchdog counted that time as the target's.

The watchdog gives no attempt up in this time, and leaves the target what it had left of its own afterwards.

TestAnnouncementIsNoStall failed before (targets a and b instead of a); TestStallAfterAnnouncementIsNoticed holds before and after.

--- a/internal/request/forward/attempt.go
+++ b/internal/request/forward/attempt.go
@@ -63,7 +63,7 @@
 	}
 	defer answer.Stream.Close()
 	if need.Resumable {
-		f.Origins.AwaitAnnounced(ctx, req.Service, t.Version)
+		watch.hold(func() { f.Origins.AwaitAnnounced(ctx, req.Service, t.Version) })
 	}
 	if !p.begun {
 		p.begun = true
--- a/internal/request/forward/versions_test.go
+++ b/internal/request/forward/versions_test.go
@@ -362,3 +362,29 @@
 	}
 	is.True(quickest < capacityPollInterval)
 }
+
+// TestAnnouncementIsNoStall guards against a stream that is given up at a responsive target while its
+// first event is held back until other nodes know the version: one of them may be down.
+func TestAnnouncementIsNoStall(t *testing.T) {
+	is := is.New(t)
+	targets := &versionedTargets{list: []choose.Target{{ID: "a", Addr: "a", Version: "v1"}, {ID: "b", Addr: "b", Version: "v1"}}}
+	f := newForwarder(targets, slowSender{})
+	req := resumableRequest("r")
+	f.Origins = &fakeOrigins{onAwait: func(continuation.Version) { time.Sleep(req.Route.Objective) }}
+	_, err := f.Do(context.Background(), req, &fakeCaller{})
+	is.NoErr(err)
+	is.Equal(targets.chosen, []string{"a"})
+}
+
+// TestStallAfterAnnouncementIsNoticed: a target that sends nothing is given up once its version is announced.
+func TestStallAfterAnnouncementIsNoticed(t *testing.T) {
+	is := is.New(t)
+	targets := &versionedTargets{list: []choose.Target{{ID: "a", Addr: "a", Version: "v1"}, {ID: "b", Addr: "b", Version: "v1"}}}
+	f := newForwarder(targets, slowSender{"a": 4 * time.Second})
+	req := resumableRequest("r")
+	f.Origins = &fakeOrigins{onAwait: func(continuation.Version) { time.Sleep(req.Route.Objective) }}
+	_, err := f.Do(context.Background(), req, &fakeCaller{})
+	is.NoErr(err)
+	is.Equal(targets.chosen, []string{"a", "b"})
+	is.True(time.Since(req.Arrived) < 2*time.Second)
+}
--- a/internal/request/forward/watchdog.go
+++ b/internal/request/forward/watchdog.go
@@ -29,12 +29,14 @@
 type watchdog struct {
 	mu         sync.Mutex
 	timer      *time.Timer // nil if the attempt is not watched
+	first      time.Duration
 	gapTimeout time.Duration
 	// better reports whether another target would answer sooner than the one that has been
 	// waited for so long; begun says that an event was received.
 	better  func(waited time.Duration, begun bool) bool
 	since   time.Time // of the newest event or, before the first, the start of the attempt
 	begun   bool
+	held    bool // this node holds the events back
 	stopped bool
 }
 
@@ -43,7 +45,7 @@
 		return &watchdog{}
 	}
 	first := max(minStallTimeout, time.Duration(firstEventShare*float64(r.Objective)))
-	w := &watchdog{gapTimeout: gapTimeout(r), better: better, since: time.Now()}
+	w := &watchdog{first: first, gapTimeout: gapTimeout(r), better: better, since: time.Now()}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.timer = time.AfterFunc(first, func() { w.expired(cancel) })
@@ -59,13 +61,29 @@
 // expired cancels the attempt if another target is better, and otherwise checks again
 // after recheckInterval.
 func (w *watchdog) expired(cancel context.CancelCauseFunc) {
-	if w.better(w.waited()) {
+	waited, begun, held := w.waited()
+	if !held && w.better(waited, begun) {
 		cancel(errStalled)
 		return
 	}
 	w.reset(recheckInterval)
 }
 
+// hold runs f, in which no event is read, before the first event; its time does not count as the
+// target's.
+func (w *watchdog) hold(f func()) {
+	w.mu.Lock()
+	w.held = true
+	w.mu.Unlock()
+	began := time.Now()
+	f()
+	w.mu.Lock()
+	w.held, w.since = false, w.since.Add(time.Since(began))
+	left := w.first - time.Since(w.since)
+	w.mu.Unlock()
+	w.reset(max(0, left))
+}
+
 // eventReceived restarts the timer for the gap to the next event.
 func (w *watchdog) eventReceived() {
 	w.mu.Lock()
@@ -74,11 +92,12 @@
 	w.reset(w.gapTimeout)
 }
 
-// waited returns for how long no event was received, and whether any was.
-func (w *watchdog) waited() (waited time.Duration, begun bool) {
+// waited returns for how long no event was received, whether any was, and whether this node holds
+// the events back.
+func (w *watchdog) waited() (waited time.Duration, begun, held bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return time.Since(w.since), w.begun
+	return time.Since(w.since), w.begun, w.held
 }
 
 func (w *watchdog) reset(d time.Duration) {
--- a/scripts/check-mutants.sh
+++ b/scripts/check-mutants.sh
@@ -102,7 +102,7 @@
 mutant 10 internal/request/job/handover.go 's/ \|\| errors\.Is\(err, errFenced\)/ || errors.Is(err, nil)/' internal/request/job TestJobCountsUntilItIsHandedOver
 mutant 10 internal/process/hosted/backlogs.go 's/return resp, errNotListed/return resp, nil/' lab/hosted TestJobsFitThoughTheStoreRefusesAnOwner
 mutant 10 internal/request/schedule/fair.go 's/return max\(f\.virtualTime, f\.finishTags\[name\]\)/return f.finishTags[name]/' internal/request/schedule TestFairWithinAWorkspaceIsByDue
-mutant 3 internal/request/forward/watchdog.go 's/if w\.better\(w\.waited\(\)\)/if w.better(w.waited()) || w.gapTimeout > 0/' internal/request/forward TestQueuedRequestKeepsItsPlace
+mutant 3 internal/request/forward/watchdog.go 's/w\.better\(waited, begun\)/(w.better(waited, begun) || w.gapTimeout > 0)/' internal/request/forward TestQueuedRequestKeepsItsPlace
 mutant 3 internal/request/choose/better.go 's/now\.Sub\(e\.lastEventAt\) <= aliveWithin/now.Sub(e.lastEventAt) <= time.Hour/' internal/request/choose TestBetterElsewhere
 mutant 3 internal/request/choose/better.go 's/\(t\.sharedView && t\.aliveAt\(now, e\)\)/false/' internal/request/choose TestAliveByReportsKeepsTheAttempt
 mutant 3 internal/request/outlier/verdict.go 's/if only, ok := s\.onlyReporter\(\); ok \{/if only, ok := s.onlyReporter(); ok \&\& s.reporters < 0 {/' internal/request/outlier TestOneReporterEjectsOnlyForItself
@@ -376,7 +376,9 @@
 mutant 14 internal/connection/origins/announce.go 's/!x\.FleetKnown\(\), now/false, now/' internal/connection/origins TestStartedNodeAnnouncesTheOnlyVersion
 mutant 14 internal/connection/origins/announce.go 's/if x\.history\.Settled\(now/if x.history.InUse(now/' internal/connection/origins TestStartedNodeAnnouncesTheOnlyVersion
 mutant 14 internal/connection/origins/announce.go 's/if x\.history\.Settled\(now, u\.service, u\.version\)/if x.history != nil/' internal/connection/origins TestNoStreamHasTwoVersionsThroughReleasesAndLosses
-mutant 14 internal/request/forward/attempt.go 's/\t\tf\.Origins\.AwaitAnnounced.*\n//' internal/request/forward TestStreamIsAnnouncedBeforeItsFirstEvent
+mutant 14 internal/request/forward/attempt.go 's/\t\twatch\.hold\(.*\n//' internal/request/forward TestStreamIsAnnouncedBeforeItsFirstEvent
+mutant 6 internal/request/forward/watchdog.go 's/w\.held = true/w.held = false/' internal/request/forward TestAnnouncementIsNoStall
+mutant 6 internal/request/forward/watchdog.go 's/w\.held, w\.since = false/_, w.since = false/' internal/request/forward TestStallAfterAnnouncementIsNoticed
 mutant 14 internal/request/job/scope.go 's/len\(need\.Exclude\) == 0 \&\& !need\.Apart/!need.Apart/' internal/request/job TestOwnReasonsToWaitCoverNoOtherItem
 mutant 14 internal/request/job/scope.go 's/ \&\& !need\.Apart//' internal/request/job TestOwnReasonsToWaitCoverNoOtherItem
 mutant 14 internal/request/job/scope.go 's/ \&\& !need\.NoProbe//' internal/request/job TestFailedItemKeepsNoOtherFromATrial
