Wake streams once all nodes know a version, not at each reply

After a start of a large fleet, or in a release that is faster than the list of targets, streams began late: each reply of a node made each waiting stream go through all nodes, under the lock that the choice of targets needs too. With 985 nodes and 50 streams the list of nodes was gone through 49,350 times, in 2.3 s.

Streams are now woken by the last reply that is awaited, and pass without a scan once all nodes of the list have replied. A node that is down holds them up as before.

TestRepliesOfALargeFleetWakeFewStreams failed before (49,350 times; 150 after).

--- a/internal/connection/origins/announce.go
+++ b/internal/connection/origins/announce.go
@@ -25,7 +25,9 @@
 	sentAt   time.Time
 	first    map[string]time.Time // when each node was told first
 	replied  map[string]bool
-	changed  chan struct{} // closed at the next reply
+	awaited  int                 // nodes whose replies are awaited
+	reached  *continuation.Fleet // whose nodes have all replied
+	complete chan struct{}       // closed once the awaited nodes have replied
 }
 
 // AnnounceUse tells the other nodes that this one is about to begin a stream at a version, unless all
@@ -37,13 +39,13 @@
 // may get an event of a stream that this node begins there.
 func (x *Exchange) AwaitAnnounced(ctx context.Context, service string, v continuation.Version) {
 	for {
-		changed := x.announce(use{service, v})
-		if changed == nil {
+		complete := x.announce(use{service, v})
+		if complete == nil {
 			return
 		}
 		resend := time.NewTimer(resendInterval)
 		select {
-		case <-changed:
+		case <-complete:
 		case <-resend.C:
 		case <-ctx.Done():
 			resend.Stop()
@@ -54,7 +56,7 @@
 }
 
 // announce tells the nodes that have not replied. It returns nil if none is waited for, and otherwise a
-// channel that is closed at the next reply.
+// channel that is closed once those that are have replied, not at each reply: a fleet has many.
 func (x *Exchange) announce(u use) <-chan struct{} {
 	x.mu.Lock()
 	now := x.Now()
@@ -65,40 +67,51 @@
 	a := x.announced[u]
 	if a == nil {
 		x.sequence++
-		a = &announcement{sequence: x.sequence, first: map[string]time.Time{}, replied: map[string]bool{}, changed: make(chan struct{})}
+		a = &announcement{sequence: x.sequence, first: map[string]time.Time{}, replied: map[string]bool{}, complete: make(chan struct{})}
 		x.announced[u] = a
 		x.history.Used(now, u.service, u.version) // this node derives no other one either
 		x.Metrics.Counter("version_uses_announced").Inc(1)
 	}
-	// A node that has just started and does not know the others yet waits for that.
-	awaited, resend := !x.FleetKnown(), now.Sub(a.sentAt) >= resendInterval
-	receivers := map[string]bool{}
-	for _, nodes := range x.Fleet().Nodes {
+	known, fleet := x.FleetKnown(), x.Fleet() // in this order: the list of nodes may become known meanwhile
+	if known && a.reached == fleet {
+		x.mu.Unlock()
+		return nil
+	}
+	receivers, resend, reached := map[string]bool{}, now.Sub(a.sentAt) >= resendInterval, true
+	a.awaited = 0
+	for _, nodes := range fleet.Nodes {
 		for _, node := range nodes {
-			first, told := a.first[node]
-			switch {
-			case a.replied[node]:
+			if a.replied[node] {
 				continue
-			case !told:
+			}
+			reached = false
+			first, told := a.first[node]
+			if !told {
 				a.first[node], first = now, now
-				receivers[node] = true
-			case resend:
+			}
+			if !told || resend {
 				receivers[node] = true
 			}
-			awaited = awaited || now.Sub(first) < announceWait
+			if now.Sub(first) < announceWait {
+				a.awaited++
+			}
 		}
 	}
 	if len(receivers) > 0 && resend {
 		a.sentAt = now
 	}
+	if reached {
+		a.reached = fleet
+	}
+	// A node that has just started and does not know the others yet waits for that.
+	await, complete := a.awaited > 0 || !known, a.complete
 	m := &v1.StreamMessage{Kind: &v1.StreamMessage_Use{Use: &v1.VersionUse{Sequence: a.sequence, Service: u.service, Version: string(u.version)}}}
-	changed := a.changed
 	x.mu.Unlock()
 	x.sendAll(receivers, m)
-	if !awaited {
+	if !await {
 		return nil
 	}
-	return changed
+	return complete
 }
 
 // receiveUse notes that another node begins streams at a version.
@@ -113,12 +126,18 @@
 // sequence is that of one. The caller holds x.mu.
 func (x *Exchange) receiveAnnounceReply(r *v1.StreamReply) bool {
 	for _, a := range x.announced {
-		if a.sequence == r.Sequence {
+		if a.sequence != r.Sequence {
+			continue
+		}
+		if _, told := a.first[r.Node]; told && !a.replied[r.Node] {
 			a.replied[r.Node] = true
-			close(a.changed)
-			a.changed = make(chan struct{})
-			return true
+			a.awaited--
+			if a.awaited == 0 {
+				close(a.complete)
+				a.complete = make(chan struct{})
+			}
 		}
+		return true
 	}
 	return false
 }
--- a/scripts/check-mutants.sh
+++ b/scripts/check-mutants.sh
@@ -372,8 +372,10 @@
 mutant 14 internal/request/continuation/history.go 's/s\.ceased = now \/\/ of the use/_ = s.ceased \/\/ of the use/' internal/request/continuation TestAnnouncedVersionCountsForAWindow
 mutant 14 internal/connection/origins/announce.go 's/x\.history\.Used\(x\.Now/_ = x.history.InUse(x.Now/' internal/connection/origins TestNodesKnowAnAnnouncedVersion
 mutant 14 internal/connection/origins/announce.go 's/x\.history\.Used\(now/_ = x.history.InUse(now/' internal/connection/origins TestNodesKnowAnAnnouncedVersion
-mutant 14 internal/connection/origins/announce.go 's/awaited = awaited \|\| now.Sub\(first\) < announceWait/_ = first/' internal/connection/origins TestNodesKnowAnAnnouncedVersion
-mutant 14 internal/connection/origins/announce.go 's/!x\.FleetKnown\(\), now/false, now/' internal/connection/origins TestStartedNodeAnnouncesTheOnlyVersion
+mutant 14 internal/connection/origins/announce.go 's/if now\.Sub\(first\) < announceWait/if now.Sub(first) < 0/' internal/connection/origins TestNodesKnowAnAnnouncedVersion
+mutant 14 internal/connection/origins/announce.go 's/if a\.awaited == 0 \{/if a.awaited >= 0 {/' internal/connection/origins TestRepliesOfALargeFleetWakeFewStreams
+mutant 14 internal/connection/origins/announce.go 's/a\.reached == fleet/a.reached != fleet/' internal/connection/origins TestNodesKnowAnAnnouncedVersion
+mutant 14 internal/connection/origins/announce.go 's/known, fleet := x\.FleetKnown\(\)/known, fleet := true/' internal/connection/origins TestStartedNodeAnnouncesTheOnlyVersion
 mutant 14 internal/connection/origins/announce.go 's/if x\.history\.Settled\(now/if x.history.InUse(now/' internal/connection/origins TestStartedNodeAnnouncesTheOnlyVersion
 mutant 14 internal/connection/origins/announce.go 's/if x\.history\.Settled\(now, u\.service, u\.version\)/if x.history != nil/' internal/connection/origins TestNoStreamHasTwoVersionsThroughReleasesAndLosses
 mutant 14 internal/request/forward/attempt.go 's/\t\twatch\.hold\(.*\n//' internal/request/forward TestStreamIsAnnouncedBeforeItsFirstEvent
