--- a/scripts/check-mutants.sh
+++ b/scripts/check-mutants.sh
@@ -87,8 +87,11 @@
 mutant 10 internal/connection/lending/lending.go 's/return x\.SharedView != nil && x\.SharedView\(\)/return x.SharedView != nil/' internal/connection/lending TestPlacesOnTheWire
 mutant 10 internal/request/backlog/backlog.go 's/if waiting > limit \{/if waiting > 2*limit {/' internal/request/backlog TestSecondJobOverTheLimitIsRefused
 mutant 10 internal/request/backlog/backlog.go 's/case now\.Sub\(b\.since\) >= learnTime:/case !now.Before(b.since):/' internal/request/backlog TestSmallJobsNeedNotWaitForANewOwner
-mutant 10 internal/request/backlog/backlog.go 's/r\.HandingOver && r\.Tokens-added < old\.Tokens/false/' internal/request/backlog TestJobsOfALeavingHolderCount
+mutant 10 internal/request/backlog/backlog.go 's/r\.HandingOver && r\.Tokens-added < old\.Tokens-old\.undecided/false/' internal/request/backlog TestJobsOfALeavingHolderCount
 mutant 10 internal/request/backlog/backlog.go 's/r\.Tokens-added < old\.Tokens/r.Tokens < old.Tokens/' internal/request/backlog TestSubmissionAtALeavingNodeHidesNoJob
+mutant 10 internal/request/backlog/backlog.go 's/if expired && r\.Tokens > 0 \{/if false {/' internal/request/backlog TestExpiredReportsOfLivingHoldersCount
+mutant 10 internal/request/backlog/backlog.go 's/case !sure && preferred:/case false:/' internal/request/backlog TestJobOfAnotherOwnerCountsAtOnce
+mutant 10 internal/request/backlog/backlog.go 's/old\.Tokens-old\.undecided/old.Tokens/' internal/request/backlog TestUndecidedJobHandsNothingOver
 mutant 10 internal/process/hosted/backlogs.go 's/leaving := b\.node\.Leaving\(\)/leaving := false/' lab/hosted TestTokenCapWhileANodeLeaves
 mutant 10 internal/request/job/progress.go 's/if s\.nearLimit \{/if s.nearLimit \&\& s.failures < 0 {/' internal/request/job TestItemOfLostHoldersIsGivenUp
 mutant 10 internal/request/job/progress.go 's/s\.failures, s\.nearLimit = max\(s\.failures, attempts\), true/s.failures = max(s.failures, attempts)/' internal/request/job TestItemOfLostHoldersIsGivenUp
@@ -103,7 +106,7 @@
 mutant 10 internal/process/hosted/backlogs.go 's/maxUndecidedOwners = 4/maxUndecidedOwners = 2/' lab/hosted TestJobsFitThoughTheStoreRefusesAnOwner
 mutant 10 internal/process/hosted/backlogs.go 's/return errUnknownBacklog\(key\) \/\/ the job could not be stored either/clear(failed)/' lab/hosted TestJobsAreRefusedAtOnceWhileTheStoreIsAway
 mutant 10 internal/request/schedule/fair.go 's/return max\(f\.virtualTime, f\.finishTags\[name\]\)/return f.finishTags[name]/' internal/request/schedule TestFairWithinAWorkspaceIsByDue
-mutant 3 internal/request/forward/watchdog.go 's/if w\.better\(w\.waited\(\)\)/if w.better(w.waited()) || w.gapTimeout > 0/' internal/request/forward TestQueuedRequestKeepsItsPlace
+mutant 3 internal/request/forward/watchdog.go 's/w\.better\(waited, begun\)/(w.better(waited, begun) || w.gapTimeout > 0)/' internal/request/forward TestQueuedRequestKeepsItsPlace
 mutant 3 internal/request/choose/better.go 's/now\.Sub\(e\.lastEventAt\) <= aliveWithin/now.Sub(e.lastEventAt) <= time.Hour/' internal/request/choose TestBetterElsewhere
 mutant 3 internal/request/choose/better.go 's/\(t\.sharedView && t\.aliveAt\(now, e\)\)/false/' internal/request/choose TestAliveByReportsKeepsTheAttempt
 mutant 3 internal/request/outlier/verdict.go 's/if only, ok := s\.onlyReporter\(\); ok \{/if only, ok := s.onlyReporter(); ok \&\& s.reporters < 0 {/' internal/request/outlier TestOneReporterEjectsOnlyForItself
@@ -376,11 +379,15 @@
 mutant 14 internal/request/continuation/history.go 's/s\.ceased = now \/\/ of the use/_ = s.ceased \/\/ of the use/' internal/request/continuation TestAnnouncedVersionCountsForAWindow
 mutant 14 internal/connection/origins/announce.go 's/x\.history\.Used\(x\.Now/_ = x.history.InUse(x.Now/' internal/connection/origins TestNodesKnowAnAnnouncedVersion
 mutant 14 internal/connection/origins/announce.go 's/x\.history\.Used\(now/_ = x.history.InUse(now/' internal/connection/origins TestNodesKnowAnAnnouncedVersion
-mutant 14 internal/connection/origins/announce.go 's/awaited = awaited \|\| now.Sub\(first\) < announceWait/_ = first/' internal/connection/origins TestNodesKnowAnAnnouncedVersion
-mutant 14 internal/connection/origins/announce.go 's/!x\.FleetKnown\(\), now/false, now/' internal/connection/origins TestStartedNodeAnnouncesTheOnlyVersion
+mutant 14 internal/connection/origins/announce.go 's/if now\.Sub\(first\) < announceWait/if now.Sub(first) < 0/' internal/connection/origins TestNodesKnowAnAnnouncedVersion
+mutant 14 internal/connection/origins/announce.go 's/if a\.awaited == 0 \{/if a.awaited >= 0 {/' internal/connection/origins TestRepliesOfALargeFleetWakeFewStreams
+mutant 14 internal/connection/origins/announce.go 's/a\.reached == fleet/a.reached != fleet/' internal/connection/origins TestNodesKnowAnAnnouncedVersion
+mutant 14 internal/connection/origins/announce.go 's/known, fleet := x\.FleetKnown\(\)/known, fleet := true/' internal/connection/origins TestStartedNodeAnnouncesTheOnlyVersion
 mutant 14 internal/connection/origins/announce.go 's/if x\.history\.Settled\(now/if x.history.InUse(now/' internal/connection/origins TestStartedNodeAnnouncesTheOnlyVersion
 mutant 14 internal/connection/origins/announce.go 's/if x\.history\.Settled\(now, u\.service, u\.version\)/if x.history != nil/' internal/connection/origins TestNoStreamHasTwoVersionsThroughReleasesAndLosses
-mutant 14 internal/request/forward/attempt.go 's/\t\tf\.Origins\.AwaitAnnounced.*\n//' internal/request/forward TestStreamIsAnnouncedBeforeItsFirstEvent
+mutant 14 internal/request/forward/attempt.go 's/\t\twatch\.hold\(.*\n//' internal/request/forward TestStreamIsAnnouncedBeforeItsFirstEvent
+mutant 6 internal/request/forward/watchdog.go 's/w\.held = true/w.held = false/' internal/request/forward TestAnnouncementIsNoStall
+mutant 6 internal/request/forward/watchdog.go 's/w\.held, w\.since = false/_, w.since = false/' internal/request/forward TestStallAfterAnnouncementIsNoticed
 mutant 14 internal/request/job/scope.go 's/len\(need\.Exclude\) == 0 \&\& !need\.Apart/!need.Apart/' internal/request/job TestOwnReasonsToWaitCoverNoOtherItem
 mutant 14 internal/request/job/scope.go 's/ \&\& !need\.Apart//' internal/request/job TestOwnReasonsToWaitCoverNoOtherItem
 mutant 14 internal/request/job/scope.go 's/ \&\& !need\.NoProbe//' internal/request/job TestFailedItemKeepsNoOtherFromATrial
