Let jobs wait for the store with the shared view on, as before

Jobs are refused at once only without the shared view (TestJobsAreRefusedAtOnceWhileTheStoreIsAway passes).

--- a/internal/process/hosted/backlogs.go
+++ b/internal/process/hosted/backlogs.go
@@ -81,7 +81,8 @@
 			undecided++
 		}
 		switch {
-		case undecided >= maxUndecidedOwners && !b.node.adapter.Health.Up():
+		case undecided >= maxUndecidedOwners && !b.node.SharedView() && !b.node.adapter.Health.Up():
+			// With the shared view on, submissions wait for the store.
 			return errUnknownBacklog(key) // the job could not be stored either
 		case undecided >= maxUndecidedOwners:
 			clear(failed)
