Don't lengthen ejections after a common cause

While the number of failing targets is close to half of a service that goes on until each ejection has its longest time.

An ejection that a common cause ends early no longer counts.

--- a/internal/request/outlier/eject.go
+++ b/internal/request/outlier/eject.go
@@ -294,9 +294,12 @@
 	return t.change(e, 0)
 }
 
-// admitAll ends the verdicts of a service.
+// admitAll ends the verdicts of a service. Ejections that it ends early do not make later ones longer.
 func (j *Judge) admitAll(now time.Time, s *service, cause Cause, changes []Change) []Change {
 	for _, t := range s.active {
+		if t.state == Ejected {
+			t.ejections--
+		}
 		if t.state != Admitted {
 			changes = append(changes, t.admit(now, cause, Evidence{}))
 		}
--- a/internal/request/outlier/judge_test.go
+++ b/internal/request/outlier/judge_test.go
@@ -264,6 +264,31 @@
 	is.True(!f.HasVerdicts())
 }
 
+// TestCommonCauseLengthensNoEjection guards against targets that stay out for the longest time after
+// a fault that concerned many: ejections that the common cause ended at once counted for later ones.
+func TestCommonCauseLengthensNoEjection(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(10)
+	fail := func(n int) []Change {
+		for _, r := range []string{"n1", "n2"} {
+			report := map[string]Evidence{}
+			for i := range n {
+				report[fmt.Sprint("t", i)] = Evidence{Failed: 5}
+			}
+			f.SetReport(Reporter{Node, r}, report)
+		}
+		return f.after(stepInterval)
+	}
+	for range 3 {
+		changes := fail(1)
+		is.Equal(len(changes), 1)
+		is.Equal(changes[0].State, Ejected)
+		is.Equal(changes[0].For, ejectTime)
+		fail(6)
+		is.Equal(f.state("t0"), Admitted)
+	}
+}
+
 // TestLimitIsNeverExceeded guards against ejecting so many targets that the others are
 // overloaded: whatever is reported and whatever targets leave, no more than 30 % of a service
 // are ejected or on trial.
--- a/scripts/check-mutants.sh
+++ b/scripts/check-mutants.sh
@@ -104,6 +104,7 @@
 mutant 3 internal/request/outlier/eject.go 's/(case OwnNode:\n\t\treturn) 0/$1 t.reported.Alive/' internal/request/outlier TestNodeWhosePathFailedReturns
 mutant 3 internal/request/outlier/eject.go 's/r\.Level != DataCentre/r.Name != ""/' internal/request/outlier TestDataCentreWhosePathFailedReturns
 mutant 3 internal/request/outlier/eject.go 's/max\(e\.Succeeded, t\.passed\)/e.Succeeded/' internal/request/outlier TestProofsOfSeveralTurnsAddUp
+mutant 3 internal/request/outlier/eject.go 's/t\.ejections--/t.ejections -= 0/' internal/request/outlier TestCommonCauseLengthensNoEjection
 mutant 3 internal/request/outlier/report.go 's/\|\| \(!t\.readmitted\.IsZero\(\) && now\.Sub\(t\.readmitted\) < windowLength\)//' internal/request/outlier TestProbeReadmits
 mutant 3 internal/request/outlier/judge.go 's/if number < t\.waiting\[i\]\.number/if number != t.waiting[i].number/' internal/request/outlier TestOvertakenAttemptIsUnanswered
 mutant 3 internal/request/forward/attempt.go 's/p\.errorAnswer = answer\.Status >= http\.StatusInternalServerError/p.errorAnswer = answer.Status < 0/' internal/request/forward TestErrorAnswerCountsAgainstItsTarget
