Keep the reports that arrive before a node's first round

A node that starts dropped what others had reported to it, at its own first round up to 0.1 s after its start, and took the targets for free until the next reports. If those were too large for a datagram, which omits what is in flight, it went on without.

Cause: the first round compared the number of groups with 0, found that the division had changed, and dropped all reports as those of another division. They are accepted only if the sender has the division of this node, so that nothing of another one can be there. The division is now set before the first datagram is received.

The new TestFirstRoundKeepsWhatWasReceived puts the rounds into that order; it fails without the change.

--- a/internal/connection/beacon/beacon.go
+++ b/internal/connection/beacon/beacon.go
@@ -248,6 +248,7 @@
 		<-ctx.Done()
 		conn.Close()
 	}()
+	x.regroup(x.View()) // before anything is received, which it would drop
 	go x.receive(conn)
 	far := time.NewTicker(x.farInterval)
 	defer far.Stop()
--- a/internal/connection/beacon/beacon_test.go
+++ b/internal/connection/beacon/beacon_test.go
@@ -39,6 +39,13 @@
 	f.unreachable = append(f.unreachable, node)
 }
 
+// reportedUnreachable returns the nodes that became unreachable, in order of name.
+func (f *fakeState) reportedUnreachable() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Sorted(slices.Values(f.unreachable))
+}
+
 func newFakeState(own map[string]choose.InFlight) *fakeState {
 	return &fakeState{own: own, jobs: map[string]string{}, nodes: map[string]map[string]choose.InFlight{}, groups: map[string]map[string]choose.InFlight{}, centres: map[string]map[string]choose.InFlight{}, claims: map[string]BatchReport{},
 		health: objects.NewHealth(time.Now, func(bool, time.Duration) {})}
@@ -219,8 +226,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	return newExchangeOf(node, centre, state, others), conn
+}
+
+func newExchangeOf(node, centre string, state *fakeState, others func() []Peer) *Exchange {
 	return New(Options{Node: node, DataCentre: centre, Boot: time.Now().UnixMicro(), Loads: state, Cache: noCache{}, Crashes: noCrashes{}, Suspended: func() time.Duration { return 0 }, Batch: fakeBatch{state}, Store: state.health,
-		View: func() *View { return NewView(node, centre, others()) }, OnBehind: func(string) {}, OnUnreachable: state.noteUnreachable}), conn
+		View: func() *View { return NewView(node, centre, others()) }, OnBehind: func(string) {}, OnUnreachable: state.noteUnreachable})
 }
 
 // TestHoldersAreNotifiedAtOnce: an urgent report reaches the nodes that have batch items
@@ -286,37 +297,62 @@
 // because the reports on what is in flight are too large to be sent. What was in flight before
 // stays in force.
 func TestReportBeyondADatagramStillSaysHowFreshCopiesAre(t *testing.T) {
-	is := is.New(t)
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	from, to := newFakeState(map[string]choose.InFlight{"t": {Online: 1}}), newFakeState(nil)
-	receiver, receiverConn := newExchange(t, "a2", "a", to, func() []Peer { return nil })
-	cache := freshCache{received: make(chan string, 1)}
-	receiver.Cache = cache
-	sender, senderConn := newExchange(t, "a1", "a", from, func() []Peer {
-		return []Peer{{Node: "a2", DataCentre: "a", Address: receiverConn.LocalAddr()}}
-	})
-	oversize := make(chan int, 1)
-	sender.Cache = freshCache{}
-	sender.OnOversize = func(bytes int) {
-		select {
-		case oversize <- bytes:
-		default:
+	inVirtualTime(t, func(t *testing.T, n *memoryNetwork) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		from, to := newFakeState(map[string]choose.InFlight{"t": {Online: 1}}), newFakeState(nil)
+		receiverConn, senderConn := n.listen("a2"), n.listen("a1")
+		receiver := newExchangeOf("a2", "a", to, func() []Peer { return nil })
+		cache := freshCache{received: make(chan string, 1)}
+		receiver.Cache = cache
+		sender := newExchangeOf("a1", "a", from, func() []Peer {
+			return []Peer{{Node: "a2", DataCentre: "a", Address: receiverConn.LocalAddr()}}
+		})
+		oversize := make(chan int, 1)
+		sender.Cache = freshCache{}
+		sender.OnOversize = func(bytes int) {
+			select {
+			case oversize <- bytes:
+			default:
+			}
 		}
-	}
-	go receiver.Run(ctx, receiverConn)
-	go sender.Run(ctx, senderConn)
-	eventually(t, func() bool { return to.received("a1")["t"].Online == 1 })
-	from.mu.Lock()
-	for i := range 5000 {
-		from.own[fmt.Sprintf("target-%04d", i)] = choose.InFlight{Online: 1}
-	}
-	from.mu.Unlock()
-	is.True(<-oversize > maxDatagram)
-	<-cache.received
-	for range 2 { // of a report sent since
-		is.Equal(<-cache.received, "targets")
-	}
-	is.Equal(to.received("a1")["t"].Online, 1)
-	is.Equal(len(to.received("a1")), 1)
+		go receiver.Run(ctx, receiverConn)
+		go sender.Run(ctx, senderConn)
+		eventually(t, func() bool { return to.received("a1")["t"].Online == 1 })
+		from.mu.Lock()
+		for i := range 5000 {
+			from.own[fmt.Sprintf("target-%04d", i)] = choose.InFlight{Online: 1}
+		}
+		from.mu.Unlock()
+		is.True(<-oversize > maxDatagram)
+		<-cache.received
+		for range 2 { // of a report sent since
+			is.Equal(<-cache.received, "targets")
+		}
+		is.Equal(to.received("a1")["t"].Online, 1)
+		is.Equal(len(to.received("a1")), 1)
+	})
+}
+
+// TestFirstRoundKeepsWhatWasReceived guards against a new node that drops the reports which
+// arrived before its own first round, and takes the targets for free until the next ones.
+func TestFirstRoundKeepsWhatWasReceived(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T, n *memoryNetwork) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		to := newFakeState(nil)
+		senderConn, receiverConn := n.listen("a1"), n.listen("a2")
+		sender := newExchangeOf("a1", "a", newFakeState(map[string]choose.InFlight{"t": {Online: 1}}), func() []Peer {
+			return []Peer{{Node: "a2", DataCentre: "a", Address: receiverConn.LocalAddr()}}
+		})
+		go sender.Run(ctx, senderConn)
+		time.Sleep(nearInterval / 2)
+		go newExchangeOf("a2", "a", to, func() []Peer { return nil }).Run(ctx, receiverConn)
+		time.Sleep(nearInterval * 3 / 4) // after the sender's first round, before the receiver's
+		is.Equal(to.received("a1")["t"].Online, 1)
+		time.Sleep(nearInterval / 2) // after the receiver's, before the sender's second
+		is.Equal(to.received("a1")["t"].Online, 1)
+	})
 }
--- a/scripts/check-mutants.sh
+++ b/scripts/check-mutants.sh
@@ -54,6 +54,7 @@
 mutant 3 internal/request/choose/yield.go 's/now\.Sub\(e\.waitingSince\) >= yieldEscalateAfter/now.Sub(e.waitingSince) > time.Hour/' internal/request/choose TestYieldEscalatesWhenReportsDiffer
 mutant 3 internal/request/choose/reserve.go 's/preemptTime := remotePreemptTime/preemptTime := localPreemptTime/' internal/request/choose TestReserveFollowsTheArrivals
 mutant 3 internal/connection/beacon/beacon.go 's/x\.sendToHolders\(conn, target\)/_ = target/' internal/connection/beacon TestHoldersAreNotifiedAtOnce
+mutant 3 internal/connection/beacon/beacon.go 's/x\.regroup\(x\.View\(\)\) .*//' internal/connection/beacon TestFirstRoundKeepsWhatWasReceived
 mutant 3 internal/connection/beacon/send.go 's/if pass == v1\.Pass_PASS_NOT/if pass != v1.Pass_PASS_NOT/' internal/connection/beacon TestHoldersAreNotifiedAtOnce
 mutant 3 internal/connection/beacon/view.go 's/rendezvous\.First\(p\.Node, candidates\) == v\.self/rendezvous.First(p.Node, candidates) == p.Node/' internal/connection/beacon TestEveryNodeReceivesEveryGroup
 mutant 1 internal/connection/beacon/silence.go 's/reported\.Sub\(state\.lastReceived\) > unreachableAfter/reported.Sub(state.lastReceived) > time.Hour/' internal/connection/beacon TestOtherGroupsNodesBecomeUnreachable
