Leave the time in which a process did not run out of the silence of others

A node whose process got no processor for a second reported living nodes as unreachable: it dropped what they had in flight, looked for their jobs, and left them out of its reports on its group, so that nodes of other groups took them for unreachable too.

Cause: the silence of a node is the time since its last datagram was read. While a process does not run, datagrams wait in the socket; when it runs again, the check of silence may come before they are read. Options.Suspended covers only suspensions of the VM.

Change: the check runs each 0.1 s, so a longer time than twice that between two checks is a pause of this process, and is left out of every silence (pause.go, without a clock of its own). A node that is lost during a pause, or between many, is noticed once the process has run for a second. A representative keeps in its reports the members that it could not hear, with the true time since their last datagram; receivers then wait for twice the time, as they do when a representative is lost, and add no node by such an entry. Jobs are not reported of members that were not heard for a second. A loss in another group is noticed as early as before (TestLossReachesOtherGroupsInTime, which the former code passes too).

The tests of groups now have a network in memory and a clock of their own: all nodes run in one process there, and a sender that does not run for a second is rightly unreachable to others. Their checks are the same.

--- a/internal/connection/beacon/beacon.go
+++ b/internal/connection/beacon/beacon.go
@@ -211,6 +211,7 @@
 	groupCount       int                  // number of groups when the reports were received
 	suspendedTotal   time.Duration        // suspensions of the VM that were noticed
 	resumedAt        time.Time            // when the last of them was noticed
+	pauses           pauses               // noted by Run
 	nodes            map[string]nodeState // without those that removeUnreachable found unreachable
 	unreachableSince map[string]time.Time // unreachable nodes, and when each was last received
 	groupsReceived   map[string]time.Time // other groups: when a report on the group was last received
@@ -255,6 +256,8 @@
 	next := time.NewTimer(x.nearInterval)
 	defer next.Stop()
 	changed := x.changed // nil until MinRoundInterval has passed since the last round
+	x.startTicks()
+	defer x.stopTicks()
 	round := func() {
 		receivers := x.sendRound(conn)
 		changed = nil
@@ -276,6 +279,7 @@
 		case target := <-x.urgent:
 			x.sendToHolders(conn, target)
 		case <-far.C:
+			x.tick()
 			x.removeUnreachable()
 			x.send(conn, x.View().farReceivers(farFanout), x.withPaces(x.dataCentreReport))
 		}
--- a/internal/connection/beacon/groups_test.go
+++ b/internal/connection/beacon/groups_test.go
@@ -14,11 +14,12 @@
 	"github.com/marblepond/marblepond/internal/request/choose"
 )
 
-// localCentre is a data centre of exchanges that are connected over loopback.
+// localCentre is a data centre of exchanges that are connected in memory.
 type localCentre struct {
 	mu     sync.Mutex
 	peers  []Peer
 	states []*fakeState
+	conns  []*memoryConn
 	all    []*Exchange
 	stops  []context.CancelFunc
 }
@@ -31,18 +32,19 @@
 
 // startLocalCentre starts n nodes that know each other. Each has one online request in
 // flight at "t" and one batch item at a target of its own.
-func startLocalCentre(t *testing.T, n int) *localCentre {
+func startLocalCentre(t *testing.T, network *memoryNetwork, n int) *localCentre {
 	c := &localCentre{}
 	for i := range n {
 		node := fmt.Sprint("n", i)
 		state := newFakeState(map[string]choose.InFlight{"t": {Online: 1}, node: {Batch: 1}})
-		x, conn := newExchange(t, node, "a", state, func() []Peer { return c.others(node) })
+		conn := network.listen(node)
+		x := newExchangeOf(node, "a", state, func() []Peer { return c.others(node) })
 		ctx, stop := context.WithCancel(context.Background())
 		t.Cleanup(stop)
 		c.mu.Lock()
 		c.peers = append(c.peers, Peer{Node: node, DataCentre: "a", Address: conn.LocalAddr(), Callers: true})
 		c.mu.Unlock()
-		c.states, c.all, c.stops = append(c.states, state), append(c.all, x), append(c.stops, stop)
+		c.states, c.conns, c.all, c.stops = append(c.states, state), append(c.conns, conn), append(c.all, x), append(c.stops, stop)
 		defer func() { go x.Run(ctx, conn) }()
 	}
 	return c
@@ -61,45 +63,47 @@
 // have in flight and that all are reachable; when one is lost, that one and no other
 // becomes unreachable at each; each learns the new holder of a job.
 func TestGroupsShareWhatIsInFlight(t *testing.T) {
-	is := is.New(t)
-	const nodes = 20
-	c := startLocalCentre(t, nodes)
-	all := make([]int, nodes)
-	for i := range all {
-		all[i] = i
-	}
-	is.Equal(c.all[0].View().groups, 4)
-	eventually(t, func() bool { return slices.Equal(c.onlineSeenBy(all), slices.Repeat([]int{nodes}, nodes)) })
-	for _, x := range c.all {
-		is.Equal(len(x.ReachableInDataCentre()), nodes-1)
-	}
+	inVirtualTime(t, func(t *testing.T, n *memoryNetwork) {
+		is := is.New(t)
+		const nodes = 20
+		c := startLocalCentre(t, n, nodes)
+		all := make([]int, nodes)
+		for i := range all {
+			all[i] = i
+		}
+		is.Equal(c.all[0].View().groups, 4)
+		eventually(t, func() bool { return slices.Equal(c.onlineSeenBy(all), slices.Repeat([]int{nodes}, nodes)) })
+		for _, x := range c.all {
+			is.Equal(len(x.ReachableInDataCentre()), nodes-1)
+		}
 
-	c.states[3].mu.Lock()
-	c.states[3].announced = []string{"job"}
-	c.states[3].mu.Unlock()
-	eventually(t, func() bool {
-		for i, state := range c.states {
-			state.mu.Lock()
-			holder := state.jobs["job"]
-			state.mu.Unlock()
-			if i != 3 && holder != "n3" {
-				return false
+		c.states[3].mu.Lock()
+		c.states[3].announced = []string{"job"}
+		c.states[3].mu.Unlock()
+		eventually(t, func() bool {
+			for i, state := range c.states {
+				state.mu.Lock()
+				holder := state.jobs["job"]
+				state.mu.Unlock()
+				if i != 3 && holder != "n3" {
+					return false
+				}
 			}
+			return true
+		})
+
+		lost := 7
+		c.stops[lost]()
+		left := slices.DeleteFunc(slices.Clone(all), func(i int) bool { return i == lost })
+		eventually(t, func() bool { return slices.Equal(c.onlineSeenBy(left), slices.Repeat([]int{nodes - 1}, nodes-1)) })
+		eventually(t, func() bool { return c.allNotified(left) })
+		for _, i := range left {
+			c.states[i].mu.Lock()
+			is.Equal(c.states[i].unreachable, []string{fmt.Sprint("n", lost)})
+			c.states[i].mu.Unlock()
+			is.Equal(len(c.all[i].ReachableInDataCentre()), nodes-2)
 		}
-		return true
 	})
-
-	lost := 7
-	c.stops[lost]()
-	left := slices.DeleteFunc(slices.Clone(all), func(i int) bool { return i == lost })
-	eventually(t, func() bool { return slices.Equal(c.onlineSeenBy(left), slices.Repeat([]int{nodes - 1}, nodes-1)) })
-	eventually(t, func() bool { return c.allNotified(left) })
-	for _, i := range left {
-		c.states[i].mu.Lock()
-		is.Equal(c.states[i].unreachable, []string{fmt.Sprint("n", lost)})
-		c.states[i].mu.Unlock()
-		is.Equal(len(c.all[i].ReachableInDataCentre()), nodes-2)
-	}
 }
 
 // allNotified reports whether OnUnreachable was called at each node left.
@@ -118,37 +122,39 @@
 // TestLostGroupIsNoticed: all nodes of one group are lost at once, its representatives
 // included. The other nodes notice the loss of each.
 func TestLostGroupIsNoticed(t *testing.T) {
-	is := is.New(t)
-	const nodes = 20
-	c := startLocalCentre(t, nodes)
-	eventually(t, func() bool { return c.onlineSeenBy([]int{0})[0] == nodes })
-	group := (c.all[0].View().group + 1) % c.all[0].View().groups
-	lost := map[string]bool{}
-	var left []int
-	for i, x := range c.all {
-		if x.View().group == group {
-			lost[x.Node] = true
-			c.stops[i]()
-			continue
+	inVirtualTime(t, func(t *testing.T, n *memoryNetwork) {
+		is := is.New(t)
+		const nodes = 20
+		c := startLocalCentre(t, n, nodes)
+		eventually(t, func() bool { return c.onlineSeenBy([]int{0})[0] == nodes })
+		group := (c.all[0].View().group + 1) % c.all[0].View().groups
+		lost := map[string]bool{}
+		var left []int
+		for i, x := range c.all {
+			if x.View().group == group {
+				lost[x.Node] = true
+				c.stops[i]()
+				continue
+			}
+			left = append(left, i)
 		}
-		left = append(left, i)
-	}
-	is.True(len(lost) > 0)
-	eventually(t, func() bool { return slices.Equal(c.onlineSeenBy(left), slices.Repeat([]int{len(left)}, len(left))) })
-	eventually(t, func() bool {
-		for _, i := range left {
-			c.states[i].mu.Lock()
-			unreachable := maps.Collect(func(yield func(string, bool) bool) {
-				for _, name := range c.states[i].unreachable {
-					yield(name, true)
+		is.True(len(lost) > 0)
+		eventually(t, func() bool { return slices.Equal(c.onlineSeenBy(left), slices.Repeat([]int{len(left)}, len(left))) })
+		eventually(t, func() bool {
+			for _, i := range left {
+				c.states[i].mu.Lock()
+				unreachable := maps.Collect(func(yield func(string, bool) bool) {
+					for _, name := range c.states[i].unreachable {
+						yield(name, true)
+					}
+				})
+				c.states[i].mu.Unlock()
+				if !maps.Equal(unreachable, lost) {
+					return false
 				}
-			})
-			c.states[i].mu.Unlock()
-			if !maps.Equal(unreachable, lost) {
-				return false
 			}
-		}
-		return true
+			return true
+		})
 	})
 }
 
@@ -156,23 +162,25 @@
 // of its representative. A node that newer reports no longer include is unreachable, and
 // one on whose group no report arrives any more only after twice the time.
 func TestOtherGroupsNodesBecomeUnreachable(t *testing.T) {
-	is := is.New(t)
-	x := startLocalCentre(t, 20).all[0]
-	group := (x.View().group + 1) % x.View().groups
-	now := time.Now()
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	old := nodeState{lastReceived: now.Add(-unreachableAfter - 200*time.Millisecond), near: true, group: group}
-	x.groupsReceived[groupName(group)] = now
-	is.True(x.isUnreachable(old))
-	x.groupsReceived[groupName(group)] = old.lastReceived // the representative is lost too
-	is.True(!x.isUnreachable(old))
-	old.lastReceived = now.Add(-2*unreachableAfter - time.Millisecond)
-	x.groupsReceived[groupName(group)] = old.lastReceived
-	is.True(x.isUnreachable(old))
-	old.group = x.View().group // received directly
-	old.lastReceived = now.Add(-unreachableAfter - 200*time.Millisecond)
-	is.True(x.isUnreachable(old))
+	inVirtualTime(t, func(t *testing.T, n *memoryNetwork) {
+		is := is.New(t)
+		x := startLocalCentre(t, n, 20).all[0]
+		group := (x.View().group + 1) % x.View().groups
+		now := time.Now()
+		x.mu.Lock()
+		defer x.mu.Unlock()
+		old := nodeState{lastReceived: now.Add(-unreachableAfter - 200*time.Millisecond), near: true, group: group}
+		x.groupsReceived[groupName(group)] = now
+		is.True(x.isUnreachable(old))
+		x.groupsReceived[groupName(group)] = old.lastReceived // the representative is lost too
+		is.True(!x.isUnreachable(old))
+		old.lastReceived = now.Add(-2*unreachableAfter - time.Millisecond)
+		x.groupsReceived[groupName(group)] = old.lastReceived
+		is.True(x.isUnreachable(old))
+		old.group = x.View().group // received directly
+		old.lastReceived = now.Add(-unreachableAfter - 200*time.Millisecond)
+		is.True(x.isUnreachable(old))
+	})
 }
 
 // TestOtherDivisionCountsNothingTwice: while two nodes disagree on the number of groups,
--- a/internal/connection/beacon/receive.go
+++ b/internal/connection/beacon/receive.go
@@ -139,13 +139,22 @@
 }
 
 // noteMember notes when the sender of a datagram last received one of another node. Older
-// reports than what this node knows are ignored.
+// reports than what this node knows are ignored. A sender that was paused includes nodes that
+// it has not received for longer than unreachableAfter; this adds none that is not known here.
 func (x *Exchange) noteMember(member *v1.Member) {
-	at := time.Now().Add(-time.Duration(member.SilentMs) * time.Millisecond)
+	now := time.Now()
+	at := now.Add(-time.Duration(member.SilentMs) * time.Millisecond)
 	group := x.View().groupOf(member.Node)
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	state := x.nodes[member.Node]
+	state, known := x.nodes[member.Node]
+	if now.Sub(at) >= unreachableAfter {
+		if !known {
+			return
+		}
+		state.listedAt = now
+		x.nodes[member.Node] = state
+	}
 	if !at.After(state.lastReceived) || !at.After(x.unreachableSince[member.Node]) {
 		return
 	}
--- a/internal/connection/beacon/send.go
+++ b/internal/connection/beacon/send.go
@@ -127,8 +127,13 @@
 	x.noteSuspension()
 	var out []*v1.Member
 	for node, state := range x.nodes {
-		if sinceLast := time.Since(state.lastReceived); state.near && sinceLast < unreachableAfter && state.lastReceived.After(x.resumedAt) && wanted(state) {
-			out = append(out, &v1.Member{Node: node, SilentMs: uint32(sinceLast.Milliseconds()), Jobs: state.jobs})
+		if state.near && x.silence(state.lastReceived) < unreachableAfter && state.lastReceived.After(x.resumedAt) && wanted(state) {
+			sinceLast := time.Since(state.lastReceived)
+			m := &v1.Member{Node: node, SilentMs: uint32(sinceLast.Milliseconds())}
+			if sinceLast < unreachableAfter {
+				m.Jobs = state.jobs // after a pause they may have another holder
+			}
+			out = append(out, m)
 		}
 	}
 	return out
--- a/internal/connection/beacon/silence.go
+++ b/internal/connection/beacon/silence.go
@@ -12,16 +12,43 @@
 	boot         int64     // of its newest datagram received here; 0: only other nodes reported it
 	sequence     uint64    // of the same datagram
 	lastReceived time.Time // of its newest datagram, received here or by a node that reported it
+	listedAt     time.Time // when a report of a paused node last included it
 	near         bool      // in this node's data centre
 	group        int       // in its data centre
 	jobs         []string  // that it recently became the holder of
 }
 
-// reachable reports whether a datagram from a node was received within unreachableAfter.
+// reachable reports whether a datagram from a node was received within unreachableAfter, not
+// counting pauses of this process.
 func (x *Exchange) reachable(node string) bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	return time.Since(x.nodes[node].lastReceived) < unreachableAfter
+	return x.silence(x.nodes[node].lastReceived) < unreachableAfter
+}
+
+// silence returns for how long this process has run since t, the time at which something was
+// last received. The caller holds x.mu.
+func (x *Exchange) silence(t time.Time) time.Duration { return x.pauses.ranSince(t, time.Now()) }
+
+// startTicks has the time between two ticks judged from now on, and stopTicks no longer.
+func (x *Exchange) startTicks() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.pauses.allowed = 2 * x.farInterval
+	x.pauses.tick(time.Now())
+}
+
+func (x *Exchange) stopTicks() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.pauses.stop()
+}
+
+// tick notes that the process runs; due each farInterval.
+func (x *Exchange) tick() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.pauses.tick(time.Now())
 }
 
 // ReachableNodes returns the reachable nodes of all data centres, without this one.
@@ -73,7 +100,7 @@
 	defer x.mu.Unlock()
 	var out []string
 	for name, at := range times {
-		if time.Since(at) < unreachableAfter {
+		if x.silence(at) < unreachableAfter {
 			out = append(out, name)
 		}
 	}
@@ -84,14 +111,15 @@
 // known here through reports of that group's representative. When the representative is
 // lost, no reports on its group arrive until another node takes over; the nodes of the
 // group then count as unreachable only when a later report no longer includes them, or
-// after twice the time. The caller holds x.mu.
+// after twice the time; the same holds when the representative was paused. The caller holds x.mu.
 func (x *Exchange) isUnreachable(state nodeState) bool {
-	sinceLast := time.Since(state.lastReceived)
+	sinceLast := x.silence(state.lastReceived)
 	if !state.near || state.group == x.View().group || sinceLast <= unreachableAfter {
 		return sinceLast > unreachableAfter
 	}
 	reported := x.groupsReceived[groupName(state.group)]
-	return reported.Sub(state.lastReceived) > unreachableAfter || sinceLast > 2*unreachableAfter
+	listed := min(sinceLast, x.silence(state.listedAt))
+	return listed-x.silence(reported) > unreachableAfter || sinceLast > 2*unreachableAfter
 }
 
 // UnreachableSince returns when the last datagram from an unreachable node was received;
@@ -152,7 +180,7 @@
 	defer x.mu.Unlock()
 	var out []string
 	for name, at := range times {
-		if time.Since(at) > unreachableAfter {
+		if x.silence(at) > unreachableAfter {
 			delete(times, name)
 			out = append(out, name)
 		}
--- a/scripts/check-mutants.sh
+++ b/scripts/check-mutants.sh
@@ -57,7 +57,12 @@
 mutant 3 internal/connection/beacon/beacon.go 's/x\.regroup\(x\.View\(\)\) .*//' internal/connection/beacon TestFirstRoundKeepsWhatWasReceived
 mutant 3 internal/connection/beacon/send.go 's/if pass == v1\.Pass_PASS_NOT/if pass != v1.Pass_PASS_NOT/' internal/connection/beacon TestHoldersAreNotifiedAtOnce
 mutant 3 internal/connection/beacon/view.go 's/rendezvous\.First\(p\.Node, candidates\) == v\.self/rendezvous.First(p.Node, candidates) == p.Node/' internal/connection/beacon TestEveryNodeReceivesEveryGroup
-mutant 1 internal/connection/beacon/silence.go 's/reported\.Sub\(state\.lastReceived\) > unreachableAfter/reported.Sub(state.lastReceived) > time.Hour/' internal/connection/beacon TestOtherGroupsNodesBecomeUnreachable
+mutant 1 internal/connection/beacon/silence.go 's/listed-x\.silence\(reported\) > unreachableAfter/listed-x.silence(reported) > time.Hour/' internal/connection/beacon TestOtherGroupsNodesBecomeUnreachable
+mutant 1 internal/connection/beacon/silence.go 's/return x\.pauses\.ranSince\(t, time\.Now\(\)\)/return time.Since(t)/' internal/connection/beacon TestPausedNodeJudgesNobody
+mutant 1 internal/connection/beacon/send.go 's/x\.silence\(state\.lastReceived\) < unreachableAfter/time.Since(state.lastReceived) < unreachableAfter/' internal/connection/beacon TestPausedRepresentativeHidesNobody
+mutant 1 internal/connection/beacon/receive.go 's/state\.listedAt = now/_ = now/' internal/connection/beacon TestPausedRepresentativeHidesNobody
+mutant 1 internal/connection/beacon/receive.go 's/if now\.Sub\(at\) >= unreachableAfter \{/{/' internal/connection/beacon TestLossReachesOtherGroupsInTime
+mutant 1 internal/connection/beacon/pause.go 's/ran -= p\.length\(t\)/_ = p/' internal/connection/beacon TestPausesAreLeftOut
 mutant 3 internal/request/forward/forward.go 's/final == nil && Saturated\(err\)/final == nil \&\& Saturated(err) \&\& p.begun/' internal/request/forward TestRefusedRequestCountsWhileItWaits
 mutant 6 internal/request/choose/prefer.go 's/if key == 0 \{/if key < 1<<63 {/' internal/request/choose TestScatterSeparatesRequests
 mutant 6 internal/request/run/run.go 's/waitAfterLosses = 2/waitAfterLosses = 60/' internal/request/run TestLostLinksAwaitLoadReports
