Delete no stored verdict that has begun again

After a loss of all nodes, work under which targets crash was sent on, although it had been refused before: the store lacked the verdict. The store refused the node that was to delete it when it ended; meanwhile the verdict began again at another node, which saved it, and the first one deleted it later.

Cause: a deletion that waits for the store was replaced only by a change that the same node writes.

A verdict that begins again now ends a waiting deletion at each node that learns of it. Not covered: a deletion that reaches the store before its node learns of the new verdict.

TestVerdictThatBeginsAgainStaysSaved failed before (the verdict is not stored).

--- a/internal/process/crashes/keep.go
+++ b/internal/process/crashes/keep.go
@@ -49,6 +49,10 @@
 	switch {
 	case decidedLocally:
 		w.follow(id, v, ended)
+	case !ended:
+		if change := w.unstored[id]; change != nil && change.ended {
+			delete(w.unstored, id) // the node that saves it again may have done so already
+		}
 	case ended && now.Before(v.Until): // crashes that are too old refuse nothing when they are read again
 		w.ended[id] = ending{v, now}
 	}
@@ -131,8 +135,11 @@
 // store writes the newest change of a verdict.
 func (w *Watch) store(ctx context.Context, id fingerprint.ID) {
 	w.mu.Lock()
-	change := w.unstored[id]
+	change, pending := w.unstored[id]
 	w.mu.Unlock()
+	if !pending {
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	var err error
--- a/internal/process/crashes/keep_test.go
+++ b/internal/process/crashes/keep_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"github.com/marblepond/marblepond/internal/request/fingerprint"
+	"github.com/marblepond/marblepond/internal/request/quarantine"
 )
 
 // refuse makes a node refuse work: three targets crash under it.
@@ -162,6 +163,46 @@
 	})
 }
 
+// TestVerdictThatBeginsAgainStaysSaved guards against a verdict that all nodes forget together: one node could
+// not delete it in the store when it ended, and does so after another one has saved it again.
+func TestVerdictThatBeginsAgainStaysSaved(t *testing.T) {
+	fleet := newFakeFleet()
+	n0, n1 := fleet.start(t, "n0"), fleet.start(t, "n1")
+	work := &fingerprint.Work{Path: "/bad"}
+	fleet.refuse(t, n0, 0, work)
+	eventually(t, "the verdict is saved", func() bool { return fleet.isSaved(work) })
+	fleet.mu.Lock()
+	first := fleet.saved[work.ID()]
+	fleet.refusesDeletes = true // of this node
+	fleet.mu.Unlock()
+	n0.Completed(work, targetNo(9), fleet.time())
+	eventually(t, "the deletion is due", func() bool {
+		n0.mu.Lock()
+		defer n0.mu.Unlock()
+		return n0.unstored[work.ID()] != nil
+	})
+	fleet.advance(time.Second)
+	fleet.refuse(t, n1, 10, work)
+	eventually(t, "the verdict is saved again", func() bool {
+		fleet.mu.Lock()
+		defer fleet.mu.Unlock()
+		return slices.IndexFunc(fleet.saved[work.ID()], func(c quarantine.Crash) bool { return c.Target == first[0].Target }) < 0
+	})
+	fleet.mu.Lock()
+	again := fleet.saved[work.ID()]
+	fleet.mu.Unlock()
+	n0.Merge(again)
+	eventually(t, "the node refuses the work again", func() bool { return n0.Refuse(work) != nil })
+	time.Sleep(2 * verdictInterval)
+	fleet.mu.Lock()
+	fleet.refusesDeletes = false
+	fleet.mu.Unlock()
+	time.Sleep(maxStoreRetryInterval / 2)
+	if !fleet.isSaved(work) {
+		t.Error("the verdict is not stored")
+	}
+}
+
 func (f *fakeFleet) savedIDs() []fingerprint.ID {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/process/crashes/watch_test.go
+++ b/internal/process/crashes/watch_test.go
@@ -28,17 +28,18 @@
 // fakeFleet has the states of addresses, the nodes that a watch can call, and the verdict
 // store.
 type fakeFleet struct {
-	mu        sync.Mutex
-	now       time.Time
-	states    map[string]dial.State
-	probes    int
-	leaving   map[string]bool
-	nodes     map[string]*Watch
-	saved     map[fingerprint.ID][]quarantine.Crash
-	storeDown bool
-	deletes   int           // calls of Delete
-	deleter   string        // the node that deletes verdicts of others
-	silence   chan struct{} // the verdict store answers once it is closed; nil: at once
+	mu             sync.Mutex
+	now            time.Time
+	states         map[string]dial.State
+	probes         int
+	leaving        map[string]bool
+	nodes          map[string]*Watch
+	saved          map[fingerprint.ID][]quarantine.Crash
+	storeDown      bool
+	refusesDeletes bool
+	deletes        int           // calls of Delete
+	deleter        string        // the node that deletes verdicts of others
+	silence        chan struct{} // the verdict store answers once it is closed; nil: at once
 }
 
 func newFakeFleet() *fakeFleet {
@@ -84,7 +85,7 @@
 func (f *fakeFleet) Delete(_ context.Context, work fingerprint.ID) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.storeDown {
+	if f.storeDown || f.refusesDeletes {
 		return errors.New("the verdict store is unavailable")
 	}
 	f.deletes++
--- a/scripts/check-mutants.sh
+++ b/scripts/check-mutants.sh
@@ -167,6 +167,7 @@
 mutant 5 internal/process/crashes/keep.go 's/ \|\| !w\.DeletesEnded\(id\)//' internal/process/crashes TestVerdictOfALostNodeIsDeleted
 mutant 5 internal/process/crashes/keep.go 's/ended && now\.Before\(v\.Until\)/ended/' internal/process/crashes TestExpiredVerdictOfALostNodeCostsNoCall
 mutant 5 internal/process/crashes/keep.go 's/w\.follow\(narrower, current, false\)/_ = narrower/' internal/process/crashes TestNarrowerVerdictOfALostNodeIsSaved
+mutant 5 internal/process/crashes/keep.go 's/change != nil && change\.ended/change != nil \&\& !change.ended/' internal/process/crashes TestVerdictThatBeginsAgainStaysSaved
 mutant 5 internal/request/job/run.go 's/losses >= manyLosses\}/losses < 0}/' internal/request/job TestItemThatLosesItsTargetsIsSentLater
 mutant 5 internal/request/job/progress.go 's/if s\.losses >= manyLosses \{/if s.losses >= 1000 {/' internal/request/job TestItemThatLosesItsTargetsIsSentLater
 mutant 5 internal/request/job/progress.go 's/if s\.losses >= manyLosses \{/if s.losses >= 1000 {/' lab/hosted TestItemThatAlwaysCrashesTargets
