Adapt a mutant to the condition that it breaks

The condition names the supply that is gone since items do not wait for a version whose targets get no work. TestWaitingItemKeepsNoOtherWaiting notices the adapted mutant.

--- a/scripts/check-mutants.sh
+++ b/scripts/check-mutants.sh
@@ -406,7 +406,7 @@
 mutant 6 platform/runner.go 's/min\(earlierSends, maxPools\)/min(earlierSends, 1)/' platform TestNoConnectionCarriesARequestTwice
 mutant 6 platform/runner.go 's/Close: earlierSends >= maxPools/Close: earlierSends > 1<<20/' platform TestNoConnectionCarriesARequestTwice
 mutant 14 internal/request/job/continue.go 's/return !m\.Pool\.SeveralVersions\(need\.Service\) && m\.Pool/return m.Pool/' internal/request/job TestWaitingItemKeepsNoOtherWaiting
-mutant 14 internal/request/job/continue.go 's/return !m\.Pool\.SeveralVersions\(need\.Service\) && m\.Pool\.Supply\(need\.Service, need\.Origin\) == continuation\.Busy/return !m.Pool.SeveralVersions(need.Service)/' internal/request/job TestWaitingItemKeepsNoOtherWaiting
+mutant 14 internal/request/job/continue.go 's/return !m\.Pool\.SeveralVersions\(need\.Service\) && m\.Pool\.Supply\(need\.Service, need\.Origin\) != continuation\.Gone/return !m.Pool.SeveralVersions(need.Service)/' internal/request/job TestWaitingItemKeepsNoOtherWaiting
 mutant 14 internal/request/job/continue.go 's/return !m\.Pool\.SeveralVersions\(need\.Service\) && m\.Pool\.Supply/return m == nil \&\& m.Pool.Supply/' internal/request/job TestFullVersionThatIsTheOnlyOneIsSearchedOnce
 mutant 14 internal/request/continuation/history.go 's/now, h\.staleLately\(now\), false/now, false, false/' internal/request/continuation TestFirstListMayShowAVersionThatOthersUse
 mutant 10 internal/request/backlog/backlog.go 's/case !sure:/case !sure \&\& b == nil:/' internal/request/backlog TestLimitHoldsUntilStoredJobsAreListed
