Bound the memory of all callers' bodies together, and the time of each

Callers saw a node end when many sent bodies of legal size at once, most of them stopping before their last byte: each body was read by io.ReadAll under a bound of its own, without a bound on all and without a time limit, into a buffer that grows by copies.

One budget now counts the buffers of all bodies, also those of requests that wait or run: a quarter of the node's memory, [limits] caller_memory. A body must arrive within its request's own deadline, else 408: nobody waits for the answer after that.

--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -54,6 +54,7 @@
 	KeyConflict         = namespace.NewType("key_conflict")
 	TooLarge            = namespace.NewType("too_large")
 	HeaderTooLarge      = namespace.NewType("header_too_large")
+	RequestTimeout      = namespace.NewType("request_timeout")
 	RateLimited         = namespace.NewType("rate_limited")
 	Overloaded          = namespace.NewType("overloaded")
 	DeadlineUnmeetable  = namespace.NewType("deadline_unmeetable")
@@ -72,14 +73,16 @@
 )
 
 var responses = map[*errorx.Type]Response{
-	Malformed:          {"malformed", 400, connect.CodeInvalidArgument, NotRunTrue, 0},
-	Unauthenticated:    {"unauthenticated", 401, connect.CodeUnauthenticated, NotRunTrue, 0},
-	NotFound:           {"not_found", 404, connect.CodeNotFound, NotRunTrue, 0},
-	UnknownModel:       {"unknown_model", 404, connect.CodeNotFound, NotRunTrue, 0},
-	MethodNotAllowed:   {"method_not_allowed", 405, connect.CodeUnimplemented, NotRunTrue, 0},
-	KeyConflict:        {"key_conflict", 409, connect.CodeAlreadyExists, NotRunTrue, 0},
-	TooLarge:           {"too_large", 413, connect.CodeInvalidArgument, NotRunTrue, 0},
-	HeaderTooLarge:     {"header_too_large", 431, connect.CodeInvalidArgument, NotRunTrue, 0},
+	Malformed:        {"malformed", 400, connect.CodeInvalidArgument, NotRunTrue, 0},
+	Unauthenticated:  {"unauthenticated", 401, connect.CodeUnauthenticated, NotRunTrue, 0},
+	NotFound:         {"not_found", 404, connect.CodeNotFound, NotRunTrue, 0},
+	UnknownModel:     {"unknown_model", 404, connect.CodeNotFound, NotRunTrue, 0},
+	MethodNotAllowed: {"method_not_allowed", 405, connect.CodeUnimplemented, NotRunTrue, 0},
+	KeyConflict:      {"key_conflict", 409, connect.CodeAlreadyExists, NotRunTrue, 0},
+	TooLarge:         {"too_large", 413, connect.CodeInvalidArgument, NotRunTrue, 0},
+	HeaderTooLarge:   {"header_too_large", 431, connect.CodeInvalidArgument, NotRunTrue, 0},
+	// It was not read whole in time, and whoever sent it waits no longer.
+	RequestTimeout:     {"request_timeout", 408, connect.CodeDeadlineExceeded, NotRunTrue, 0},
 	RateLimited:        {"rate_limited", 429, connect.CodeResourceExhausted, NotRunTrue, time.Second},
 	Overloaded:         {"overloaded", 503, connect.CodeUnavailable, NotRunTrue, 2 * time.Second},
 	DeadlineUnmeetable: {"deadline_unmeetable", 503, connect.CodeUnavailable, NotRunTrue, 2 * time.Second},
--- a/internal/process/hosted/callers.go
+++ b/internal/process/hosted/callers.go
@@ -7,6 +7,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/marblepond/marblepond/internal/process/settings"
 )
 
 const (
@@ -20,6 +22,25 @@
 	reapInterval = time.Second
 )
 
+const (
+	// callerMemoryPart is the part of a node's memory that callers may occupy, unless the settings
+	// state it.
+	callerMemoryPart = 4
+	// defaultCallerMemory in bytes applies to a node without a limit on its memory.
+	defaultCallerMemory = 256 << 20
+)
+
+// callerMemory returns the memory in bytes that callers may occupy.
+func callerMemory(s *settings.Settings) int64 {
+	switch {
+	case s.CallerMemory > 0:
+		return int64(s.CallerMemory)
+	case s.Memory > 0:
+		return int64(s.Memory) << 20 / callerMemoryPart
+	}
+	return defaultCallerMemory
+}
+
 // callerServer serves callers and closes connections that are idle for longer
 // than the configuration in force allows.
 type callerServer struct {
--- a/internal/process/hosted/hosted.go
+++ b/internal/process/hosted/hosted.go
@@ -15,6 +15,7 @@
 
 	"github.com/marblepond/marblepond/internal/connection/beacon"
 	"github.com/marblepond/marblepond/internal/connection/callbudget"
+	"github.com/marblepond/marblepond/internal/connection/intake"
 	"github.com/marblepond/marblepond/internal/connection/lending"
 	"github.com/marblepond/marblepond/internal/connection/objects"
 	"github.com/marblepond/marblepond/internal/connection/origins"
@@ -121,6 +122,7 @@
 	sharedView     atomic.Bool // see SharedView
 	mostCallers    int         // most registered nodes that serve callers; guarded by listMu
 	callers        *callerServer
+	callerMemory   *intake.Budget
 	peerHTTP       *http.Server
 	readyHTTP      *http.Server
 	metricsHTTP    *http.Server
@@ -143,6 +145,7 @@
 	s := deps.Settings
 	n := &Node{settings: s, adapter: adapter, boot: time.Now().UnixMicro(), started: time.Now(), recorder: deps.Recorder, metrics: deps.Metrics, clock: deps.Clock,
 		loadChanged: make(chan struct{}, 1), halted: make(chan struct{})}
+	n.callerMemory = intake.NewBudget(callerMemory(s), time.Now)
 	n.batch = newBatchWork(n)
 	n.view.Store(beacon.NewView(s.NodeID, s.DataCentre, nil))
 	n.seeds.Store(&s.Seeds)
@@ -237,6 +240,9 @@
 // Refuse returns the error that refuses work under which targets crash, nil for all other work.
 func (n *Node) Refuse(work *fingerprint.Work) error { return n.crashes.Refuse(work) }
 
+// CallerMemory returns the budget of what callers send.
+func (n *Node) CallerMemory() *intake.Budget { return n.callerMemory }
+
 // Jobs returns the manager of batch jobs.
 func (n *Node) Jobs() *job.Manager { return n.jobs }
 
--- a/internal/process/settings/keys.go
+++ b/internal/process/settings/keys.go
@@ -55,6 +55,7 @@
 	{"limits", "drain_timeout", "120s", "duration", "How long a leaving node waits for requests in progress.", duration(func(s *Settings) *time.Duration { return &s.DrainTimeout }, time.Second, time.Hour)},
 
 	{"limits", "memory", "0", "MiB", "Memory the process may use; the garbage collector keeps below nine tenths of it. 0: no limit.", count(func(s *Settings) *int { return &s.Memory }, 0, 1<<20)},
+	{"limits", "caller_memory", "0", "bytes", "Memory for what callers of a hosted node send and have not read; what does not fit takes the place of stalled transfers or is refused with 503. 0: a quarter of memory, or 256 MiB without a limit.", count(func(s *Settings) *int { return &s.CallerMemory }, 0, 1<<34)},
 	{"limits", "dial_timeout", "250ms", "duration", "Upper limit of the time to connect to a target or node; for a target the limit is eight times its usual connect time.", duration(func(s *Settings) *time.Duration { return &s.DialTimeout }, 10*time.Millisecond, time.Minute)},
 
 	{"jobs", "keep_results", "120s", "duration", "How long after its submission a job stays readable at a hosted node.", duration(func(s *Settings) *time.Duration { return &s.KeepResults }, time.Second, 30*day)},
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -92,6 +92,7 @@
 	FlushInterval time.Duration
 
 	Memory             int
+	CallerMemory       int // bytes; 0: a part of Memory
 	DialTimeout        time.Duration
 	KeepResults        time.Duration
 	TakeOverAfter      time.Duration
