Refuse a header over its limit before it is parsed, and one that does not end

Callers saw a node end when many sent headers over the limit or without end. net/http parsed up to 1 MiB of each whatever the configuration said, and the configured limit was checked afterwards; parsed fields take many times their bytes. The configured header timeout was decoded and used nowhere.

The caller's connection now measures a header as it is read: over the configured limit plus 1 KiB (for what the limit leaves out) it is refused with 431. Bytes and fields of larger headers count against the budget of callers' memory, so that many headers inside the limit are bounded, too; what does not fit is refused with 503. One that takes longer than the configured header timeout gets 408. Limits that change apply to open connections. The idle timeout is checked in the same place as before. A refusal is sent at once and the connection is read on for up to 0.5 s, since a close with unread bytes resets it and the answer is lost; this holds for the answers that net/http gives by itself, too.

The unit test checks that a header just at the limit is served and one byte more is not, and that its end is found where net/http finds it.

--- a/internal/connection/intake/budget.go
+++ b/internal/connection/intake/budget.go
@@ -193,6 +193,13 @@
 	return !c.isRevoked
 }
 
+// Held returns the bytes of the claim.
+func (c *Claim) Held() int64 {
+	c.budget.mu.Lock()
+	defer c.budget.mu.Unlock()
+	return c.held
+}
+
 // Revoked reports whether the claim was revoked.
 func (c *Claim) Revoked() bool {
 	c.budget.mu.Lock()
--- /dev/null
+++ b/internal/connection/intake/conn.go
@@ -0,0 +1,272 @@
+package intake
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/marblepond/marblepond/internal/errkind"
+)
+
+const (
+	// A parsed header takes headerFactor times its bytes and bytesPerField for each field.
+	headerFactor  = 2
+	bytesPerField = 128
+	// freeHeaderMemory is the memory of a header that counts as part of its connection.
+	freeHeaderMemory = 16 << 10
+	// headerStep is the least amount that is taken from the budget for a header.
+	headerStep = 4 << 10
+	// refusalTimeout bounds the write of a refusal.
+	refusalTimeout = time.Second
+	// lingerBytes bounds what is read of a refused request.
+	lingerBytes = 256 << 10
+)
+
+// phase is what a caller's connection does.
+type phase int
+
+const (
+	isIdle phase = iota // also a new connection
+	readsHeader
+	servesRequest
+)
+
+// Conn is a connection of a caller. It checks headers as they are read, and refuses one over a limit
+// before net/http has parsed it.
+type Conn struct {
+	net.Conn
+	gate *Gate
+
+	headerMu sync.Mutex // held while mu is taken, never the other way round
+	header   header
+	claim    *Claim // nil: the header is small
+
+	mu      sync.Mutex
+	phase   phase
+	since   time.Time // when the phase began
+	refusal error     // with which the header is refused; nil: it is not
+	replied bool      // net/http has answered what is no request
+}
+
+// header measures a header as it is read.
+type header struct {
+	bytes    int
+	fields   int
+	lineUsed bool // the line that is being read is not blank
+	begun    bool // a line that is not blank has begun
+	complete bool
+}
+
+// add notes the next bytes. Those after the end of the header are not counted.
+func (h *header) add(p []byte) {
+	for len(p) > 0 && !h.complete {
+		end := bytes.IndexByte(p, '\n')
+		line := p
+		if end >= 0 {
+			line = p[:end+1]
+		}
+		p = p[len(line):]
+		h.bytes += len(line)
+		if len(bytes.TrimRight(line, "\r\n")) > 0 {
+			h.begun, h.lineUsed = true, true
+		}
+		if end < 0 {
+			return
+		}
+		if !h.lineUsed && h.begun {
+			h.complete = true
+		}
+		if h.lineUsed {
+			h.fields++
+		}
+		h.lineUsed = false
+	}
+}
+
+// memory estimates the bytes that the header takes once it is parsed.
+func (h *header) memory() int64 { return int64(headerFactor*h.bytes + bytesPerField*h.fields) }
+
+// Read implements net.Conn.
+func (c *Conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if refusal := c.note(p[:n]); refusal != nil {
+		c.answer(refusal)
+		return 0, io.EOF // net/http closes the connection without an answer of its own
+	}
+	return n, err
+}
+
+// note checks bytes of a header. It returns the error with which to refuse it.
+func (c *Conn) note(p []byte) error {
+	c.headerMu.Lock()
+	defer c.headerMu.Unlock()
+	c.mu.Lock()
+	phase, refusal := c.phase, c.refusal
+	c.mu.Unlock()
+	if refusal != nil || phase == servesRequest || len(p) == 0 {
+		return refusal
+	}
+	c.header.add(p)
+	if phase == isIdle && c.header.begun {
+		c.enter(readsHeader)
+	}
+	if limit := c.gate.limits.Load().HeaderBytes; c.header.bytes > limit+headerSlack {
+		return errkind.HeaderTooLarge.New("the header is over %d bytes", limit)
+	}
+	return c.takeMemory()
+}
+
+// takeMemory takes what the header needs of the budget. The caller holds c.headerMu.
+func (c *Conn) takeMemory() error {
+	needed := c.header.memory()
+	if needed <= freeHeaderMemory {
+		return nil
+	}
+	if c.claim == nil {
+		c.claim = c.gate.budget.Begin(func() { c.refuse(errNoRoom()) })
+	}
+	c.claim.Moved(0)
+	if more := needed - c.claim.Held(); more > 0 && !c.claim.Grow(max(more, headerStep)) {
+		return errNoRoom()
+	}
+	return nil
+}
+
+func (c *Conn) enter(p phase) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.phase, c.since = p, time.Now()
+}
+
+func (c *Conn) state() (phase, time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.phase, c.since
+}
+
+// refuse makes the reading goroutine refuse the header, unless it is complete.
+func (c *Conn) refuse(err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase != servesRequest && c.refusal == nil {
+		c.refusal = err
+		c.Conn.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *Conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.refusal != nil {
+		return nil // the goroutine that reads has to wake up
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+// answer refuses a header in place of net/http and waits until the caller can have read that.
+func (c *Conn) answer(err error) {
+	refusal := errkind.Of(err)
+	text := errkind.Message(err) + "\n"
+	retry := ""
+	if refusal.RetryAfter > 0 {
+		retry = "Retry-After: " + strconv.FormatFloat(refusal.RetryAfter.Seconds(), 'f', 3, 64) + "\r\n"
+	}
+	c.Conn.SetWriteDeadline(time.Now().Add(refusalTimeout))
+	_, writeErr := fmt.Fprintf(c.Conn, "HTTP/1.1 %d %s\r\nContent-Type: text/plain; charset=utf-8\r\nConnection: close\r\n%sContent-Length: %d\r\n\r\n%s",
+		refusal.HTTPStatus, http.StatusText(refusal.HTTPStatus), retry, len(text), text)
+	if writeErr == nil {
+		c.linger()
+	}
+}
+
+// linger reads on for a while: a close with unread bytes resets the connection, and the caller may
+// not get the answer.
+func (c *Conn) linger() {
+	if c.CloseWrite() != nil {
+		return
+	}
+	c.Conn.SetReadDeadline(time.Now().Add(lingerTime))
+	io.CopyN(io.Discard, c.Conn, lingerBytes)
+}
+
+// Write implements net.Conn.
+func (c *Conn) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	c.replied = c.phase == readsHeader
+	c.mu.Unlock()
+	return c.Conn.Write(p)
+}
+
+// Close implements net.Conn.
+func (c *Conn) Close() error {
+	c.mu.Lock()
+	replied := c.replied
+	c.replied = false
+	c.mu.Unlock()
+	if replied {
+		c.linger()
+	}
+	return c.Conn.Close()
+}
+
+// CloseWrite ends the direction to the caller.
+func (c *Conn) CloseWrite() error {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		return tcp.CloseWrite()
+	}
+	return nil
+}
+
+// SetLinger sets what Close does with bytes that are not sent, see net.TCPConn.
+func (c *Conn) SetLinger(seconds int) error {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		return tcp.SetLinger(seconds)
+	}
+	return nil
+}
+
+// beginRequest notes that the header is complete. It returns the error with which to refuse the
+// request if the header has been refused meanwhile.
+func (c *Conn) beginRequest() error {
+	c.headerMu.Lock()
+	defer c.headerMu.Unlock()
+	c.mu.Lock()
+	refusal := c.refusal
+	c.phase = servesRequest
+	c.mu.Unlock()
+	if c.claim != nil {
+		c.claim.Complete()
+	}
+	return refusal
+}
+
+// endRequest notes that the connection waits for the next request.
+func (c *Conn) endRequest() {
+	c.dropHeader()
+	c.enter(isIdle)
+}
+
+// dropHeader forgets the last header and returns its memory.
+func (c *Conn) dropHeader() {
+	c.headerMu.Lock()
+	defer c.headerMu.Unlock()
+	c.header = header{}
+	if c.claim != nil {
+		c.claim.Release()
+		c.claim = nil
+	}
+}
+
+// leave notes that the connection is closed.
+func (c *Conn) leave() {
+	c.dropHeader()
+	c.gate.mu.Lock()
+	defer c.gate.mu.Unlock()
+	delete(c.gate.conns, c)
+}
--- /dev/null
+++ b/internal/connection/intake/conn_test.go
@@ -0,0 +1,220 @@
+package intake
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// serveGate starts a server behind a gate. It answers with the length of the body.
+func serveGate(t *testing.T, b *Budget, l Limits) (*Gate, string) {
+	t.Helper()
+	gate := NewGate(b)
+	gate.SetLimits(l)
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		request := b.NewRequest(w)
+		defer request.End()
+		body, err := request.ReadBody(r, mebi, time.Minute)
+		if err != nil {
+			request.IgnoreBody(r)
+			w.WriteHeader(http.StatusInternalServerError)
+		}
+		fmt.Fprint(w, len(body))
+	})}
+	gate.Guard(server)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go server.Serve(gate.Listen(listener))
+	t.Cleanup(func() { server.Close() })
+	return gate, listener.Addr().String()
+}
+
+// get returns a request whose header takes a number of bytes.
+func get(bytes int) string {
+	const text = "GET / HTTP/1.1\r\nHost: h\r\nX-Fill: %s\r\n\r\n"
+	return fmt.Sprintf(text, strings.Repeat("x", bytes-len(text)+len("%s")))
+}
+
+// Guards against a limit that refuses a header of just its size, or takes a larger one.
+func TestHeaderLimit(t *testing.T) {
+	is := is.New(t)
+	b, _ := newBudget(16 * mebi)
+	const limit = 6000
+	gate, address := serveGate(t, b, Limits{HeaderBytes: limit})
+	is.Equal(readStatus(t, sendRaw(t, address, get(limit+headerSlack))), http.StatusOK)
+	is.Equal(readStatus(t, sendRaw(t, address, get(limit+headerSlack+1))), http.StatusRequestHeaderFieldsTooLarge)
+	open := sendRaw(t, address, get(limit + headerSlack)[:100])
+	gate.SetLimits(Limits{HeaderBytes: 50}) // also for open connections
+	_, err := io.WriteString(open, get(limit + headerSlack)[100:])
+	is.NoErr(err)
+	is.Equal(readStatus(t, open), http.StatusRequestHeaderFieldsTooLarge)
+	waitReleased(t, b)
+}
+
+// Guards against a refusal that is lost because its connection is closed with unread bytes.
+func TestRefusalOfALongHeaderArrives(t *testing.T) {
+	is := is.New(t)
+	b, _ := newBudget(16 * mebi)
+	_, address := serveGate(t, b, Limits{HeaderBytes: 8 << 10})
+	for _, text := range []string{get(100 << 10), strings.Repeat("\x00", 100<<10), strings.Repeat("a:\n", 30<<10)} {
+		conn, err := net.Dial("tcp", address)
+		is.NoErr(err)
+		defer conn.Close()
+		io.WriteString(conn, text) // the server may have closed its side
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		is.NoErr(err)
+		is.True(resp.StatusCode == http.StatusRequestHeaderFieldsTooLarge || resp.StatusCode == http.StatusBadRequest)
+		is.True(resp.Close)
+	}
+}
+
+// Guards against headers that are small on the wire, and together take more memory than there is.
+func TestHeadersShareTheBudget(t *testing.T) {
+	is := is.New(t)
+	b, _ := newBudget(mebi)
+	_, address := serveGate(t, b, Limits{HeaderBytes: 16 << 10})
+	head := "GET / HTTP/1.1\r\nHost: h\r\n" + strings.Repeat("a:\r\n", 1500)
+	statuses := map[int]int{}
+	var conns []net.Conn
+	for range 6 {
+		conn := sendRaw(t, address, head)
+		time.Sleep(20 * time.Millisecond) // one after the other
+		conns = append(conns, conn)
+	}
+	for _, conn := range conns {
+		io.WriteString(conn, "\r\n") // a refused one is closed
+		statuses[readStatus(t, conn)]++
+	}
+	is.Equal(statuses[http.StatusOK]+statuses[http.StatusServiceUnavailable], len(conns))
+	is.True(statuses[http.StatusOK] > 0 && statuses[http.StatusServiceUnavailable] > 0)
+	is.Equal(readStatus(t, sendRaw(t, address, head+"\r\n")), http.StatusOK) // alone it fits
+	waitReleased(t, b)
+}
+
+// Guards against a header that never ends and keeps its connection, and against a timeout that closes
+// idle connections or ones whose request runs.
+func TestHeaderTimeout(t *testing.T) {
+	is := is.New(t)
+	b, _ := newBudget(16 * mebi)
+	limits := Limits{HeaderTimeout: 3 * time.Second, IdleTimeout: 10 * time.Second}
+	gate, address := serveGate(t, b, limits)
+	unused := sendRaw(t, address, "")
+	begun := sendRaw(t, address, "GET / HTTP/1.1\r\n")
+	kept := sendRaw(t, address, get(100))
+	is.Equal(readStatus(t, kept), http.StatusOK)
+	waitPhases(t, gate, map[phase]int{isIdle: 2, readsHeader: 1})
+	gate.sweep(time.Now().Add(limits.HeaderTimeout + time.Second))
+	is.Equal(readStatus(t, begun), http.StatusRequestTimeout)
+	for _, conn := range []net.Conn{unused, kept} {
+		_, err := io.WriteString(conn, get(100))
+		is.NoErr(err)
+	}
+	is.Equal(readStatus(t, kept), http.StatusOK)
+	is.Equal(readStatus(t, unused), http.StatusOK)
+	waitPhases(t, gate, map[phase]int{isIdle: 2})
+	gate.sweep(time.Now().Add(limits.IdleTimeout + idleSlack + time.Second))
+	_, err := kept.Read(make([]byte, 1))
+	is.True(err == io.EOF)
+}
+
+// waitPhases waits until a number of connections are in each phase.
+func waitPhases(t *testing.T, g *Gate, want map[phase]int) {
+	t.Helper()
+	var got map[phase]int
+	for until := time.Now().Add(5 * time.Second); time.Now().Before(until); time.Sleep(time.Millisecond) {
+		got = map[phase]int{}
+		g.mu.Lock()
+		for c := range g.conns {
+			phase, _ := c.state()
+			got[phase]++
+		}
+		g.mu.Unlock()
+		if fmt.Sprint(got) == fmt.Sprint(want) {
+			return
+		}
+	}
+	t.Fatalf("connections by phase: %v, want %v", got, want)
+}
+
+// Guards against bytes of a body, or of the next request, that count as a header.
+func TestOnlyHeadersAreLimited(t *testing.T) {
+	is := is.New(t)
+	b, _ := newBudget(16 * mebi)
+	_, address := serveGate(t, b, Limits{HeaderBytes: 100})
+	body := strings.Repeat("\n", 50_000)
+	conn := sendRaw(t, address, withLength(len(body), body))
+	reader := bufio.NewReader(conn)
+	for range 3 {
+		_, err := io.WriteString(conn, chunked(body)+withLength(5000, body[:5000])+get(60)+get(60)) // pipelined
+		is.NoErr(err)
+	}
+	for i := range 13 {
+		resp, err := http.ReadResponse(reader, nil)
+		is.NoErr(err)
+		length, err := io.ReadAll(resp.Body)
+		is.NoErr(err)
+		is.Equal(resp.StatusCode, http.StatusOK)
+		want := []int{50_000, 5000, 0, 0}[(i+3)%4]
+		if i == 0 {
+			want = 50_000
+		}
+		is.Equal(string(length), fmt.Sprint(want))
+	}
+}
+
+// Guards against a header that is measured differently when it arrives in other pieces, or whose end
+// is not where net/http finds it.
+func TestHeaderEndsWhereTheRequestBegins(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		end := rapid.SampledFrom([]string{"\r\n", "\n"})
+		var text strings.Builder
+		text.WriteString("GET / HTTP/1.1" + end.Draw(t, "end"))
+		fields := rapid.IntRange(0, 20).Draw(t, "fields")
+		for i := range fields {
+			fmt.Fprintf(&text, "a%d:%s%s", i, rapid.StringMatching(`[ a-z\t]{0,20}`).Draw(t, "value"), end.Draw(t, "end"))
+		}
+		text.WriteString(end.Draw(t, "end"))
+		size := text.Len()
+		rest := rapid.StringMatching(`[\r\na-z]{0,50}`).Draw(t, "rest")
+		reader := bufio.NewReader(strings.NewReader(text.String() + rest))
+		if _, err := http.ReadRequest(reader); err != nil {
+			t.Fatal(err)
+		}
+		if left, _ := io.ReadAll(reader); len(left) != len(rest) {
+			t.Fatalf("net/http leaves %d bytes, want %d", len(left), len(rest))
+		}
+		var h header
+		for all := []byte(text.String() + rest); len(all) > 0; {
+			n := rapid.IntRange(1, len(all)).Draw(t, "piece")
+			h.add(all[:n])
+			all = all[n:]
+		}
+		if !h.complete || h.bytes != size || h.fields != fields+1 {
+			t.Fatalf("complete %v, %d bytes of %d, %d lines of %d", h.complete, h.bytes, size, h.fields, fields+1)
+		}
+	})
+}
+
+// Guards against a gate that keeps closed connections.
+func TestClosedConnectionsAreForgotten(t *testing.T) {
+	b, _ := newBudget(mebi)
+	gate, address := serveGate(t, b, Limits{})
+	for _, text := range []string{"", "GET", get(100), withLength(10, "1"), "no request\r\n\r\n"} {
+		sendRaw(t, address, text).Close()
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go gate.Run(ctx)
+	waitPhases(t, gate, map[phase]int{})
+}
--- a/internal/process/hosted/run.go
+++ b/internal/process/hosted/run.go
@@ -42,6 +42,9 @@
 	defer stop()
 	var tasks sync.WaitGroup
 	n.startTasks(taskCtx, listeners, &tasks)
+	if listeners.callers != nil {
+		listeners.callers = n.callers.gate.Listen(listeners.callers)
+	}
 	n.serve(listeners)
 	select {
 	case <-ctx.Done():
@@ -108,7 +111,7 @@
 	n.metricsHTTP = &http.Server{Handler: page, ReadHeaderTimeout: headerTimeout}
 	n.peerHTTP = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
 	n.readyHTTP = &http.Server{Handler: n.adapter.ReadyHandler(n), ReadHeaderTimeout: headerTimeout}
-	n.callers = newCallerServer(n.closeWhenLeaving(n.adapter.CallerHandler(n)))
+	n.callers = newCallerServer(n.closeWhenLeaving(n.adapter.CallerHandler(n)), n.callerMemory)
 }
 
 // closeWhenLeaving makes callers close their connections after the response while the node
@@ -170,7 +173,7 @@
 	wg.Go(func() { n.recordReady(ctx) })
 	wg.Go(func() { n.recordPaces(ctx) })
 	wg.Go(func() { n.recordCopies(ctx) })
-	wg.Go(func() { n.callers.reapIdle(ctx) })
+	wg.Go(func() { n.callers.gate.Run(ctx) })
 	wg.Go(func() { n.jobs.Run(ctx) })
 	wg.Go(func() { n.crashes.Run(ctx) })
 	wg.Go(func() { n.loadVerdicts(ctx) })
