Accept no more jobs than a node has memory for

Callers saw a node end when many sent jobs of legal size: each accepted job keeps its items in memory until it ends, without a bound on all jobs together. The limit on waiting tokens does not bound their bytes.

A node counts the items of the jobs that it holds and is about to accept, up to an eighth of its memory ([jobs] memory); beyond that a submission is refused with 503 and returns to another node after 0.1 to 0.5 s. Jobs of lost nodes are taken over all the same.

--- a/internal/process/hosted/callers.go
+++ b/internal/process/hosted/callers.go
@@ -30,6 +30,17 @@
 	return defaultCallerMemory
 }
 
+// jobMemoryPart is the part of a node's memory for the items of jobs, unless the settings state it.
+const jobMemoryPart = 8
+
+// jobMemory returns the memory in bytes for the items of jobs that the node accepts, 0 for no bound.
+func jobMemory(s *settings.Settings) int64 {
+	if s.JobMemory > 0 {
+		return int64(s.JobMemory)
+	}
+	return int64(s.Memory) << 20 / jobMemoryPart
+}
+
 // callerServer serves callers within the bounds of a gate.
 type callerServer struct {
 	http *http.Server
--- a/internal/process/settings/keys.go
+++ b/internal/process/settings/keys.go
@@ -59,6 +59,7 @@
 	{"limits", "dial_timeout", "250ms", "duration", "Upper limit of the time to connect to a target or node; for a target the limit is eight times its usual connect time.", duration(func(s *Settings) *time.Duration { return &s.DialTimeout }, 10*time.Millisecond, time.Minute)},
 
 	{"jobs", "keep_results", "120s", "duration", "How long after its submission a job stays readable at a hosted node.", duration(func(s *Settings) *time.Duration { return &s.KeepResults }, time.Second, 30*day)},
+	{"jobs", "memory", "0", "bytes", "Memory for the items of jobs that a hosted node holds; it accepts no more beyond that, and takes over those of lost nodes all the same. 0: an eighth of [limits] memory, or no bound without a limit.", count(func(s *Settings) *int { return &s.JobMemory }, 0, 1<<34)},
 	{"jobs", "take_over_after", "6s", "duration", "How long the holder of a job must be unreachable before another node takes the job over.", duration(func(s *Settings) *time.Duration { return &s.TakeOverAfter }, 100*time.Millisecond, time.Hour)},
 	{"jobs", "sweep_interval", "5s", "duration", "Time between scans for jobs without a holder.", duration(func(s *Settings) *time.Duration { return &s.SweepInterval }, 100*time.Millisecond, time.Hour)},
 	{"jobs", "checkpoint_interval", "1s", "duration", "Time between checkpoints of running items, saved at two other nodes; 0: none.", duration(func(s *Settings) *time.Duration { return &s.CheckpointInterval }, 0, time.Hour)},
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -95,6 +95,7 @@
 	CallerMemory       int // bytes; 0: a part of Memory
 	DialTimeout        time.Duration
 	KeepResults        time.Duration
+	JobMemory          int // bytes; 0: a part of Memory
 	TakeOverAfter      time.Duration
 	SweepInterval      time.Duration
 	DataDir            string
--- a/internal/request/job/manager.go
+++ b/internal/request/job/manager.go
@@ -132,6 +132,9 @@
 	PromptParts func(http.Header) []string
 	// ResultCacheBytes bounds the results that are cached in memory.
 	ResultCacheBytes int
+	// MaxHeldBytes bounds the items of the held jobs up to which this node accepts more; 0: no bound.
+	// Jobs of other nodes are taken over all the same.
+	MaxHeldBytes int64
 }
 
 // Dependencies are the components that a Manager uses.
@@ -191,6 +194,7 @@
 	mu               sync.Mutex
 	fair             *schedule.FairQueue // orders items among workspaces
 	held             map[string]*heldJob
+	heldBytes        int64                 // of the items of held, and of jobs that are being accepted
 	reserved         map[backlog.Key]int64 // tokens of submissions in progress, and of jobs that are being handed over
 	draining         bool
 	evacuatingSince  time.Time            // since when items run at evacuated targets; zero: none does
@@ -207,6 +211,7 @@
 // heldJob is a job that this node holds.
 type heldJob struct {
 	id       string
+	bytes    int64 // of its items
 	head     Head
 	revision int64
 	items    []Item
@@ -261,7 +266,7 @@
 // startHeldJob starts to run a job whose head names this node as its holder. loaded contains
 // the checkpoints that were loaded from the job's keepers.
 func (m *Manager) startHeldJob(id string, head Head, revision int64, items []Item, loaded []*v1.JobCheckpoint, why string) {
-	h := &heldJob{id: id, heldSince: time.Now(), head: head, revision: revision, items: items, works: m.worksOf(&head, items), progress: newProgress(&head),
+	h := &heldJob{id: id, bytes: heldBytes(items), heldSince: time.Now(), head: head, revision: revision, items: items, works: m.worksOf(&head, items), progress: newProgress(&head),
 		stops: map[int]stopFunc{}, commitNow: make(chan struct{}, 1), changed: make(chan struct{})}
 	h.checkpoints.setKeepers(head.Keepers)
 	m.mu.Lock()
@@ -272,6 +277,7 @@
 	h.ended = m.endKnown(id)
 	m.restore(h, loaded)
 	m.held[id] = h
+	m.heldBytes += h.bytes
 	delete(m.heads, id)
 	delete(m.orphanedSince, id)
 	m.committers.Add(1)
@@ -326,6 +332,7 @@
 		stop(errReleased)
 	}
 	delete(m.held, h.id)
+	m.heldBytes -= h.bytes
 	close(h.changed)
 	h.changed = make(chan struct{})
 	h.wakeCommitter()
--- /dev/null
+++ b/internal/request/job/memory.go
@@ -0,0 +1,45 @@
+package job
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/marblepond/marblepond/internal/errkind"
+	"github.com/marblepond/marblepond/internal/request/patience"
+)
+
+const (
+	// heldItemBytes is the memory of a held item besides its body, path and headers.
+	heldItemBytes = 1 << 10
+	// A job that this node has no memory for is sent again to another node, after a time that spreads
+	// the returns of many.
+	fullRetryAfterLeast = 100 * time.Millisecond
+	fullRetryAfterMost  = 500 * time.Millisecond
+)
+
+// heldBytes estimates the memory in bytes of the items of a held job.
+func heldBytes(items []Item) int64 {
+	bytes := int64(0)
+	for i := range items {
+		bytes += heldItemBytes + int64(len(items[i].Body)+len(items[i].Path)+headerSize(items[i].Header))
+	}
+	return bytes
+}
+
+// reserveMemory counts the items of a job that is being accepted among those that are held. It fails
+// with Overloaded if the node holds too many already; a job that alone is over the bound is accepted
+// by a node that holds none.
+func (m *Manager) reserveMemory(items []Item) (release func(), err error) {
+	bytes := heldBytes(items)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.cfg.MaxHeldBytes > 0 && m.heldBytes > 0 && m.heldBytes+bytes > m.cfg.MaxHeldBytes {
+		return nil, errkind.WithRetryAfter(errkind.Overloaded.New("the node holds as many jobs as its memory allows"), patience.Spread(fullRetryAfterLeast, fullRetryAfterMost, rand.Float64()))
+	}
+	m.heldBytes += bytes
+	return func() {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		m.heldBytes -= bytes
+	}, nil
+}
--- a/internal/request/job/submit.go
+++ b/internal/request/job/submit.go
@@ -43,6 +43,11 @@
 	if m.isAccepted(s.ID) {
 		return nil
 	}
+	freeMemory, err := m.reserveMemory(s.Items)
+	if err != nil {
+		return err
+	}
+	defer freeMemory() // the held job counts by itself
 	inline := m.fitsInline(s)
 	left, attempt := time.Until(s.Deadline), m.submissionTime(inline)
 	if !patience.Fits(left, attempt) {
