Bound callers' connections, and close unused ones for new ones

Callers saw requests unanswered while others held connections that do nothing: connections of callers could take all descriptors of a node, so that none was left for targets, other nodes, the object store and new callers.

For one more, a connection that has done nothing for a second is closed: one that never brought a request, else one whose request does not arrive, else the one that has been idle longest. Connections with a request that has arrived stay. If there is none, the new one is closed before anything of it is read, so that its caller may return.

--- a/internal/connection/intake/body.go
+++ b/internal/connection/intake/body.go
@@ -33,11 +33,13 @@
 	conn  *http.ResponseController
 	claim *Claim
 	done  bool // the body has been read
+	// progress is told whether the body is being read, and that bytes of it came.
+	progress func(reading bool)
 }
 
 // NewRequest returns the bounds of a request that is answered on w. End has to be called.
 func (b *Budget) NewRequest(w http.ResponseWriter) *Request {
-	r := &Request{w: w, conn: http.NewResponseController(w)}
+	r := &Request{w: w, conn: http.NewResponseController(w), progress: func(bool) {}}
 	r.claim = b.Begin(func() { _ = r.conn.SetReadDeadline(time.Unix(1, 0)) }) // fails only on a closed connection
 	return r
 }
@@ -67,7 +69,12 @@
 	if req.ContentLength == 0 {
 		return nil, nil
 	}
+	if c := connOf(req); c != nil {
+		r.progress = c.bodyProgress
+	}
+	r.progress(true)
 	body, err := r.read(req.Body, req.ContentLength, limit, left)
+	r.progress(false)
 	if err != nil {
 		r.claim.Release()
 		r.IgnoreBody(req)
@@ -122,7 +129,8 @@
 		case err != nil:
 			return nil, errkind.Malformed.New("the body cannot be read: %v", err)
 		}
-		if n > 0 && cap(data) > freeBodyBytes {
+		if n > 0 {
+			r.progress(true)
 			r.claim.Moved(n)
 		}
 		if len(data) == cap(data) {
--- a/internal/connection/intake/conn.go
+++ b/internal/connection/intake/conn.go
@@ -49,6 +49,9 @@
 	mu      sync.Mutex
 	phase   phase
 	since   time.Time // when the phase began
+	served  bool      // it has brought a request
+	reading bool      // the body of its request is being read
+	arrived time.Time // when the last bytes of that body came
 	refusal error     // with which the header is refused; nil: it is not
 	replied bool      // net/http has answered what is no request
 }
@@ -91,6 +94,38 @@
 // memory estimates the bytes that the header takes once it is parsed.
 func (h *header) memory() int64 { return int64(headerFactor*h.bytes + bytesPerField*h.fields) }
 
+// Ranks of connections in the order in which they give way to new ones.
+const (
+	neverUsed = iota
+	incomplete
+	keptIdle
+	inUse
+)
+
+// rank returns the connection's rank and since when it has made no progress.
+func (c *Conn) rank() (int, time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.phase == servesRequest && c.reading:
+		return incomplete, c.arrived
+	case c.phase == servesRequest:
+		return inUse, c.since
+	case c.phase == readsHeader:
+		return incomplete, c.since
+	case c.served:
+		return keptIdle, c.since
+	}
+	return neverUsed, c.since
+}
+
+// bodyProgress notes whether the body of the request is being read, and that bytes of it came.
+func (c *Conn) bodyProgress(reading bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading, c.arrived = reading, time.Now()
+}
+
 // Read implements net.Conn.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
@@ -238,7 +273,7 @@
 	defer c.headerMu.Unlock()
 	c.mu.Lock()
 	refusal := c.refusal
-	c.phase = servesRequest
+	c.phase, c.since, c.served = servesRequest, time.Now(), true
 	c.mu.Unlock()
 	if c.claim != nil {
 		c.claim.Complete()
--- a/internal/connection/intake/conn_test.go
+++ b/internal/connection/intake/conn_test.go
@@ -15,10 +15,13 @@
 	"pgregory.net/rapid"
 )
 
+// maxConns is the bound on connections of a gate under test.
+const maxConns = 50
+
 // serveGate starts a server behind a gate. It answers with the length of the body.
 func serveGate(t *testing.T, b *Budget, l Limits) (*Gate, string) {
 	t.Helper()
-	gate := NewGate(b)
+	gate := NewGate(b, maxConns)
 	gate.SetLimits(l)
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		request := b.NewRequest(w)
@@ -218,3 +221,77 @@
 	go gate.Run(ctx)
 	waitPhases(t, gate, map[phase]int{})
 }
+
+// addConn adds a connection whose other end is the test.
+func addConn(t *testing.T, g *Gate, now time.Time) *Conn {
+	t.Helper()
+	near, far := net.Pipe()
+	t.Cleanup(func() { far.Close() })
+	return g.add(near, now)
+}
+
+// Guards against connections without use that keep all descriptors, and against a gate that closes
+// one with a request on it, or one that is kept for the next request before one that never had any.
+func TestUnusedConnectionsGiveWay(t *testing.T) {
+	is := is.New(t)
+	b, _ := newBudget(mebi)
+	gate := NewGate(b, 5)
+	begin := time.Now()
+	at := func(s time.Duration) time.Time { return begin.Add(s * time.Second) }
+	running, sending, kept, silent, header := addConn(t, gate, begin), addConn(t, gate, begin), addConn(t, gate, begin), addConn(t, gate, begin), addConn(t, gate, begin)
+	is.True(addConn(t, gate, begin) == nil) // all are new
+	is.NoErr(running.beginRequest())
+	is.NoErr(sending.beginRequest())
+	sending.bodyProgress(true)
+	is.NoErr(kept.beginRequest())
+	kept.endRequest()
+	is.NoErr(header.note([]byte("GET")))
+
+	closed := func(s time.Duration) *Conn {
+		before := map[*Conn]bool{}
+		for c := range gate.conns {
+			before[c] = true
+		}
+		added := addConn(t, gate, at(s))
+		if added == nil {
+			return nil
+		}
+		is.NoErr(added.beginRequest()) // it is in use
+		for c := range gate.conns {
+			delete(before, c)
+		}
+		is.Equal(len(before), 1)
+		for c := range before {
+			return c
+		}
+		return nil
+	}
+	is.Equal(closed(2), silent)
+	sending.bodyProgress(true) // later than the header
+	is.Equal(closed(3), header)
+	is.Equal(closed(3), sending)
+	is.Equal(closed(3), kept)
+	is.True(closed(60) == nil) // requests run on all
+	running.endRequest()
+	is.Equal(closed(60), running)
+}
+
+// Guards against a bound on connections that a server meets before it is full, or goes beyond.
+func TestConnectionLimit(t *testing.T) {
+	is := is.New(t)
+	b, _ := newBudget(mebi)
+	gate, address := serveGate(t, b, Limits{})
+	var conns []net.Conn
+	for range maxConns {
+		conns = append(conns, sendRaw(t, address, ""))
+	}
+	waitPhases(t, gate, map[phase]int{isIdle: maxConns})
+	over := sendRaw(t, address, "")
+	_, err := over.Read(make([]byte, 1))
+	is.True(err != nil) // closed without an answer
+	for _, conn := range conns {
+		_, err := io.WriteString(conn, get(100))
+		is.NoErr(err)
+		is.Equal(readStatus(t, conn), http.StatusOK)
+	}
+}
--- a/internal/connection/intake/gate.go
+++ b/internal/connection/intake/gate.go
@@ -21,6 +21,8 @@
 	// idleSlack is added to the configured idle timeout before a connection is closed, so
 	// that a caller that respects the timeout never sends on a closed connection.
 	idleSlack = time.Second
+	// unusedTime is how long a connection may do nothing before it gives way to a new one.
+	unusedTime = time.Second
 	// sweepInterval is the time between scans for connections that are over a timeout.
 	sweepInterval = time.Second
 )
@@ -36,16 +38,17 @@
 // Gate bounds callers' connections: size and time of each header before it is parsed, the memory that
 // headers take together, and the time for which connections are idle. It is safe for concurrent use.
 type Gate struct {
-	budget *Budget
-	limits atomic.Pointer[Limits]
+	budget   *Budget
+	maxConns int
+	limits   atomic.Pointer[Limits]
 
 	mu    sync.Mutex
-	conns map[*Conn]struct{}
+	conns map[*Conn]struct{} // open; those that were closed to make room are left out
 }
 
-// NewGate returns a gate whose headers take memory of a budget.
-func NewGate(budget *Budget) *Gate {
-	g := &Gate{budget: budget, conns: map[*Conn]struct{}{}}
+// NewGate returns a gate for up to maxConns connections, whose headers take memory of a budget.
+func NewGate(budget *Budget, maxConns int) *Gate {
+	g := &Gate{budget: budget, maxConns: maxConns, conns: map[*Conn]struct{}{}}
 	g.SetLimits(Limits{})
 	return g
 }
@@ -66,7 +69,7 @@
 func (g *Gate) Guard(s *http.Server) {
 	next := s.Handler
 	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if c, ok := r.Context().Value(connKey{}).(*Conn); ok {
+		if c := connOf(r); c != nil {
 			if refusal := c.beginRequest(); refusal != nil {
 				w.Header().Set("Connection", "close")
 				w.WriteHeader(errkind.Of(refusal).HTTPStatus)
@@ -91,6 +94,12 @@
 // connKey is the key of a request's connection in its context.
 type connKey struct{}
 
+// connOf returns the connection of a request, nil if the gate does not guard its server.
+func connOf(r *http.Request) *Conn {
+	c, _ := r.Context().Value(connKey{}).(*Conn)
+	return c
+}
+
 // Listen returns a listener whose connections the gate bounds.
 func (g *Gate) Listen(l net.Listener) net.Listener { return gateListener{l, g} }
 
@@ -99,23 +108,59 @@
 	gate *Gate
 }
 
-// Accept implements net.Listener.
+// Accept implements net.Listener. A connection for which there is no room is closed: nothing of it
+// was read, so that its caller may send again elsewhere.
 func (l gateListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if c := l.gate.add(conn, time.Now()); c != nil {
+			return c, nil
+		}
+		conn.Close()
 	}
-	return l.gate.add(conn), nil
 }
 
-func (g *Gate) add(conn net.Conn) *Conn {
-	c := &Conn{Conn: conn, gate: g, since: time.Now()}
+// add returns a connection of the gate, nil if there is no room for it. The one that is most likely
+// of no use to its caller is closed if there are too many.
+func (g *Gate) add(conn net.Conn, now time.Time) *Conn {
+	c := &Conn{Conn: conn, gate: g, since: now}
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if len(g.conns) >= g.maxConns {
+		unused := g.chooseUnused(now)
+		if unused == nil {
+			return nil
+		}
+		delete(g.conns, unused)
+		unused.Conn.Close()
+	}
 	g.conns[c] = struct{}{}
 	return c
 }
 
+// chooseUnused returns the connection to close for a new one, nil if each is in use: of those that
+// have done nothing for unusedTime the one that never brought a request, else the one whose request
+// does not arrive, else the one that is kept idle; of these the longest without progress. The caller
+// holds g.mu.
+func (g *Gate) chooseUnused(now time.Time) *Conn {
+	var chosen *Conn
+	var rank int
+	var since time.Time
+	for c := range g.conns {
+		r, s := c.rank()
+		if r == inUse || now.Sub(s) < unusedTime {
+			continue
+		}
+		if chosen == nil || r < rank || r == rank && s.Before(since) {
+			chosen, rank, since = c, r, s
+		}
+	}
+	return chosen
+}
+
 // Run closes connections that are over a timeout, until ctx ends.
 func (g *Gate) Run(ctx context.Context) {
 	ticker := time.NewTicker(sweepInterval)
--- a/internal/process/hosted/callers.go
+++ b/internal/process/hosted/callers.go
@@ -1,8 +1,11 @@
 package hosted
 
 import (
+	"math"
 	"net/http"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/marblepond/marblepond/internal/connection/intake"
 	"github.com/marblepond/marblepond/internal/process/settings"
 	"github.com/marblepond/marblepond/internal/version/route"
@@ -41,14 +44,50 @@
 	return int64(s.Memory) << 20 / jobMemoryPart
 }
 
+const (
+	// connectionBytes is the memory of a connection whose request is small.
+	connectionBytes = 16 << 10
+	// connectionMemoryPart is the part of a node's memory for callers' connections.
+	connectionMemoryPart = 8
+	// descriptorPart is the part of a node's descriptors for callers' connections. The others are for
+	// targets, other nodes, the object store and files.
+	descriptorPart = 2
+)
+
+// callerConnections returns how many connections of callers the node accepts, with the number of
+// descriptors that the process may open.
+func callerConnections(s *settings.Settings, descriptors uint64) int {
+	if s.CallerConnections > 0 {
+		return s.CallerConnections
+	}
+	most := int(min(descriptors/descriptorPart, math.MaxInt32))
+	if s.Memory > 0 {
+		most = min(most, s.Memory<<20/connectionMemoryPart/connectionBytes)
+	}
+	return max(1, most)
+}
+
+// openDescriptors returns how many descriptors the process may open.
+func openDescriptors(s *settings.Settings) uint64 {
+	limit := uint64(math.MaxUint64)
+	if s.Descriptors > 0 {
+		limit = uint64(s.Descriptors)
+	}
+	var process unix.Rlimit
+	if unix.Getrlimit(unix.RLIMIT_NOFILE, &process) == nil {
+		limit = min(limit, process.Cur)
+	}
+	return limit
+}
+
 // callerServer serves callers within the bounds of a gate.
 type callerServer struct {
 	http *http.Server
 	gate *intake.Gate
 }
 
-func newCallerServer(handler http.Handler, memory *intake.Budget) *callerServer {
-	c := &callerServer{http: &http.Server{Handler: handler, MaxHeaderBytes: maxHeader}, gate: intake.NewGate(memory)}
+func newCallerServer(handler http.Handler, memory *intake.Budget, maxConns int) *callerServer {
+	c := &callerServer{http: &http.Server{Handler: handler, MaxHeaderBytes: maxHeader}, gate: intake.NewGate(memory, maxConns)}
 	c.gate.Guard(c.http)
 	return c
 }
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -93,6 +93,8 @@
 
 	Memory             int
 	CallerMemory       int // bytes; 0: a part of Memory
+	CallerConnections  int // 0: by Descriptors and Memory
+	Descriptors        int // 0: the limit of the process
 	DialTimeout        time.Duration
 	KeepResults        time.Duration
 	JobMemory          int // bytes; 0: a part of Memory
