Bound answers that callers do not read, in memory and time

Callers saw a node run out of memory when many asked for a page of results and did not read it: each reader's page is built and encoded anew, and a write to a caller had no time limit.

A page counts against the budget of callers' memory before it is encoded; an answer that a target has already given counts, too, and is sent in any case. A caller that reads slowly gets its whole answer.

--- a/internal/connection/intake/body.go
+++ b/internal/connection/intake/body.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"sync/atomic"
 	"time"
 
 	"github.com/marblepond/marblepond/internal/errkind"
@@ -33,6 +34,8 @@
 	conn  *http.ResponseController
 	claim *Claim
 	done  bool // the body has been read
+	// answering: the claim counts an answer that is being written.
+	answering atomic.Bool
 	// progress is told whether the body is being read, and that bytes of it came.
 	progress func(reading bool)
 }
@@ -40,7 +43,7 @@
 // NewRequest returns the bounds of a request that is answered on w. End has to be called.
 func (b *Budget) NewRequest(w http.ResponseWriter) *Request {
 	r := &Request{w: w, conn: http.NewResponseController(w), progress: func(bool) {}}
-	r.claim = b.Begin(func() { _ = r.conn.SetReadDeadline(time.Unix(1, 0)) }) // fails only on a closed connection
+	r.claim = b.Begin(r.revoke)
 	return r
 }
 
@@ -50,6 +53,9 @@
 // Hold adds memory in bytes to what the request occupies until its end. It fails with TooLarge if no
 // request may occupy that much, and with Overloaded if there is no room now.
 func (r *Request) Hold(bytes int64) error {
+	if bytes <= 0 {
+		return nil
+	}
 	if bytes > r.claim.budget.Limit() {
 		return errkind.TooLarge.New("the request takes more memory than any request may have")
 	}
--- a/internal/connection/intake/budget.go
+++ b/internal/connection/intake/budget.go
@@ -20,7 +20,7 @@
 	slowBytesPerSecond = 16 << 10
 )
 
-// Budget is the memory in bytes that callers may occupy together. A claim that does not fit takes the
+// Budget is the memory in bytes that callers may occupy together, apart from answers that are there already. A claim that does not fit takes the
 // memory of transfers that have stalled or are slow; while there is room, no transfer is disturbed.
 // It is safe for concurrent use.
 type Budget struct {
@@ -118,6 +118,27 @@
 	return true, victims
 }
 
+// force adds bytes that are held already, whether there is room or not.
+func (c *Claim) force(bytes int64) {
+	c.budget.mu.Lock()
+	defer c.budget.mu.Unlock()
+	if !c.isRevoked {
+		c.held += bytes
+		c.budget.used += bytes
+	}
+}
+
+// expose begins a new transfer of what the claim holds. It may be revoked again.
+func (c *Claim) expose() {
+	now := c.budget.now()
+	c.budget.mu.Lock()
+	defer c.budget.mu.Unlock()
+	c.begun, c.progressed, c.moved = now, now, 0
+	if c.held > 0 {
+		c.budget.transfers[c] = struct{}{}
+	}
+}
+
 // chooseVictim returns the transfer that gives way to a claim that needs more bytes, nil if none has
 // to: the one that has stalled for longest, else the slowest; for a small claim also the largest of
 // over twice its size.
--- a/internal/connection/intake/conn.go
+++ b/internal/connection/intake/conn.go
@@ -54,6 +54,8 @@
 	arrived time.Time // when the last bytes of that body came
 	refusal error     // with which the header is refused; nil: it is not
 	replied bool      // net/http has answered what is no request
+	writeBy time.Time // the write deadline
+	revoked bool      // the write deadline is in the past: the answer is given up
 }
 
 // header measures a header as it is read.
@@ -230,12 +232,35 @@
 	io.CopyN(io.Discard, c.Conn, lingerBytes)
 }
 
-// Write implements net.Conn.
+// Write implements net.Conn. It fails if the caller reads nothing for the write timeout.
 func (c *Conn) Write(p []byte) (int, error) {
+	if err := c.extendWriteDeadline(time.Now()); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(p)
+}
+
+func (c *Conn) extendWriteDeadline(now time.Time) error {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.replied = c.phase == readsHeader
-	c.mu.Unlock()
-	return c.Conn.Write(p)
+	timeout := c.gate.writeTimeout
+	if c.revoked || c.writeBy.Sub(now) > timeout-timeout/deadlineSlackPart {
+		return nil
+	}
+	c.writeBy = now.Add(timeout)
+	return c.Conn.SetWriteDeadline(c.writeBy)
+}
+
+// SetWriteDeadline implements net.Conn. No deadline means that of Write.
+func (c *Conn) SetWriteDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if t.IsZero() {
+		return nil
+	}
+	c.revoked = true // the deadline stays
+	return c.Conn.SetWriteDeadline(t)
 }
 
 // Close implements net.Conn.
--- a/internal/connection/intake/conn_test.go
+++ b/internal/connection/intake/conn_test.go
@@ -21,7 +21,7 @@
 // serveGate starts a server behind a gate. It answers with the length of the body.
 func serveGate(t *testing.T, b *Budget, l Limits) (*Gate, string) {
 	t.Helper()
-	gate := NewGate(b, maxConns)
+	gate := NewGate(b, maxConns, time.Minute)
 	gate.SetLimits(l)
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		request := b.NewRequest(w)
@@ -235,7 +235,7 @@
 func TestUnusedConnectionsGiveWay(t *testing.T) {
 	is := is.New(t)
 	b, _ := newBudget(mebi)
-	gate := NewGate(b, 5)
+	gate := NewGate(b, 5, time.Minute)
 	begin := time.Now()
 	at := func(s time.Duration) time.Time { return begin.Add(s * time.Second) }
 	running, sending, kept, silent, header := addConn(t, gate, begin), addConn(t, gate, begin), addConn(t, gate, begin), addConn(t, gate, begin), addConn(t, gate, begin)
--- a/internal/connection/intake/gate.go
+++ b/internal/connection/intake/gate.go
@@ -36,19 +36,21 @@
 }
 
 // Gate bounds callers' connections: size and time of each header before it is parsed, the memory that
-// headers take together, and the time for which connections are idle. It is safe for concurrent use.
+// headers take together, the time for which connections are idle, and that of writes that nobody reads. It is safe for concurrent use.
 type Gate struct {
-	budget   *Budget
-	maxConns int
-	limits   atomic.Pointer[Limits]
+	budget       *Budget
+	maxConns     int
+	writeTimeout time.Duration
+	limits       atomic.Pointer[Limits]
 
 	mu    sync.Mutex
 	conns map[*Conn]struct{} // open; those that were closed to make room are left out
 }
 
-// NewGate returns a gate for up to maxConns connections, whose headers take memory of a budget.
-func NewGate(budget *Budget, maxConns int) *Gate {
-	g := &Gate{budget: budget, maxConns: maxConns, conns: map[*Conn]struct{}{}}
+// NewGate returns a gate for up to maxConns connections, whose headers take memory of a budget. A
+// write to a caller that reads nothing fails after writeTimeout.
+func NewGate(budget *Budget, maxConns int, writeTimeout time.Duration) *Gate {
+	g := &Gate{budget: budget, maxConns: maxConns, writeTimeout: writeTimeout, conns: map[*Conn]struct{}{}}
 	g.SetLimits(Limits{})
 	return g
 }
--- a/internal/process/hosted/callers.go
+++ b/internal/process/hosted/callers.go
@@ -86,8 +86,9 @@
 	gate *intake.Gate
 }
 
-func newCallerServer(handler http.Handler, memory *intake.Budget, maxConns int) *callerServer {
-	c := &callerServer{http: &http.Server{Handler: handler, MaxHeaderBytes: maxHeader}, gate: intake.NewGate(memory, maxConns)}
+func newCallerServer(handler http.Handler, memory *intake.Budget, s *settings.Settings) *callerServer {
+	c := &callerServer{http: &http.Server{Handler: handler, MaxHeaderBytes: maxHeader},
+		gate: intake.NewGate(memory, callerConnections(s, openDescriptors(s)), s.WriteTimeout)}
 	c.gate.Guard(c.http)
 	return c
 }
--- a/internal/process/hosted/run.go
+++ b/internal/process/hosted/run.go
@@ -111,7 +111,7 @@
 	n.metricsHTTP = &http.Server{Handler: page, ReadHeaderTimeout: headerTimeout}
 	n.peerHTTP = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
 	n.readyHTTP = &http.Server{Handler: n.adapter.ReadyHandler(n), ReadHeaderTimeout: headerTimeout}
-	n.callers = newCallerServer(n.closeWhenLeaving(n.adapter.CallerHandler(n)), n.callerMemory, callerConnections(n.settings, openDescriptors(n.settings)))
+	n.callers = newCallerServer(n.closeWhenLeaving(n.adapter.CallerHandler(n)), n.callerMemory, n.settings)
 }
 
 // closeWhenLeaving makes callers close their connections after the response while the node
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -95,6 +95,7 @@
 	CallerMemory       int // bytes; 0: a part of Memory
 	CallerConnections  int // 0: by Descriptors and Memory
 	Descriptors        int // 0: the limit of the process
+	WriteTimeout       time.Duration
 	DialTimeout        time.Duration
 	KeepResults        time.Duration
 	JobMemory          int // bytes; 0: a part of Memory
