Leave room for the program itself below the limit of a node's memory

The soft limit of the Go runtime was nine tenths of the memory that a node may use. The runtime does not count the resident pages of the program, 14 to 18 MiB by the kernel's RssFile: on a VM of 134 MiB the collector let heap and program grow to 139 MiB. Seen while a crowd of clients was at a node with 96 MiB: 85 to 95 MiB in two forms, with the callers' memory bounded to a quarter.

The limit is 24 MiB below the allowed memory now, at least half of it. The unit test failed before (86 MiB of 96 instead of 72).

--- a/internal/process/hosted/callers_test.go
+++ b/internal/process/hosted/callers_test.go
@@ -28,3 +28,11 @@
 	is.Equal(callerConnections(stated, 4100), 7)
 	is.Equal(openDescriptors(stated), uint64(8))
 }
+
+// Guards against a heap that the collector lets grow until it and the program are over the limit.
+func TestMemoryLimitLeavesRoomForTheProgram(t *testing.T) {
+	is := is.New(t)
+	for _, c := range []struct{ allowed, limit int }{{96, 72}, {134, 110}, {1048, 1024}, {30, 15}} {
+		is.Equal(memoryLimit(c.allowed), int64(c.limit)<<20)
+	}
+}
--- a/internal/process/hosted/run.go
+++ b/internal/process/hosted/run.go
@@ -22,16 +22,26 @@
 // Halt ends Run at once, without handing jobs over, to simulate a crash in tests.
 func (n *Node) Halt() { close(n.halted) }
 
-// memoryLimitShare is the share of the allowed memory that is the soft memory limit of the
-// Go runtime. The rest is for memory that the runtime does not count, such as the program
-// and kernel buffers.
-const memoryLimitShare = 0.9
+const (
+	// uncountedMemory in bytes is left for what the Go runtime does not count: some 18 MiB of the
+	// program itself that are resident, and kernel buffers.
+	uncountedMemory = 24 << 20
+	// minMemoryLimitPart is the least part of the allowed memory for what the runtime counts.
+	minMemoryLimitPart = 2
+)
+
+// memoryLimit returns the soft memory limit in bytes of the Go runtime for a process that may use so
+// many MiB.
+func memoryLimit(mebibytes int) int64 {
+	allowed := int64(mebibytes) << 20
+	return max(allowed/minMemoryLimitPart, allowed-uncountedMemory)
+}
 
 // Run serves until ctx ends, then drains. It returns an error only if it cannot listen on
 // an address.
 func (n *Node) Run(ctx context.Context) error {
 	if n.settings.Memory > 0 {
-		debug.SetMemoryLimit(int64(float64(n.settings.Memory<<20) * memoryLimitShare))
+		debug.SetMemoryLimit(memoryLimit(n.settings.Memory))
 	}
 	listeners, err := n.listen()
 	if err != nil {
--- a/internal/process/settings/keys.go
+++ b/internal/process/settings/keys.go
@@ -54,7 +54,7 @@
 	{"limits", "request_timeout", "60s", "duration", "Timeout of an online request whose caller sets no deadline.", duration(func(s *Settings) *time.Duration { return &s.RequestTimeout }, 100*time.Millisecond, time.Hour)},
 	{"limits", "drain_timeout", "120s", "duration", "How long a leaving node waits for requests in progress.", duration(func(s *Settings) *time.Duration { return &s.DrainTimeout }, time.Second, time.Hour)},
 
-	{"limits", "memory", "0", "MiB", "Memory the process may use; the garbage collector keeps below nine tenths of it. 0: no limit.", count(func(s *Settings) *int { return &s.Memory }, 0, 1<<20)},
+	{"limits", "memory", "0", "MiB", "Memory the process may use; the garbage collector keeps the heap 24 MiB below it, for the program itself and kernel buffers. 0: no limit.", count(func(s *Settings) *int { return &s.Memory }, 0, 1<<20)},
 	{"limits", "caller_memory", "0", "bytes", "Memory for what callers of a hosted node send and have not read; what does not fit takes the place of stalled transfers or is refused with 503. 0: a quarter of memory, or 256 MiB without a limit.", count(func(s *Settings) *int { return &s.CallerMemory }, 0, 1<<34)},
 	{"limits", "descriptors", "0", "descriptors", "Descriptors that a hosted node may open. 0: the limit of the process.", count(func(s *Settings) *int { return &s.Descriptors }, 0, 1<<24)},
 	{"limits", "caller_connections", "0", "connections", "Most connections of callers of a hosted node; for a new one beyond that one without use is closed, or else the new one. 0: half of the descriptors, or as many as an eighth of memory holds at 16 KiB each.", count(func(s *Settings) *int { return &s.CallerConnections }, 0, 1<<24)},
