Show operators when callers meet the bounds on what they may occupy

Metrics by cause and of what is occupied now, and one event (422) for many refusals, at most once in 10 s.

--- a/internal/connection/intake/body.go
+++ b/internal/connection/intake/body.go
@@ -82,6 +82,7 @@
 	body, err := r.read(req.Body, req.ContentLength, limit, left)
 	r.progress(false)
 	if err != nil {
+		r.claim.budget.counters.body(err)
 		r.claim.Release()
 		r.IgnoreBody(req)
 		return nil, err
--- a/internal/connection/intake/body_test.go
+++ b/internal/connection/intake/body_test.go
@@ -112,6 +112,7 @@
 		is.True(errkind.Is((<-results).err, errkind.RequestTimeout))
 	}
 	waitReleased(t, b)
+	is.Equal(b.counters.bodyLate.Load(), int64(3))
 }
 
 // Guards against a stated length that takes memory before the bytes have come.
--- a/internal/connection/intake/budget.go
+++ b/internal/connection/intake/budget.go
@@ -24,7 +24,8 @@
 // memory of transfers that have stalled or are slow; while there is room, no transfer is disturbed.
 // It is safe for concurrent use.
 type Budget struct {
-	now func() time.Time
+	now      func() time.Time
+	counters counters
 
 	mu        sync.Mutex
 	limit     int64
--- a/internal/connection/intake/conn.go
+++ b/internal/connection/intake/conn.go
@@ -132,6 +132,7 @@
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if refusal := c.note(p[:n]); refusal != nil {
+		c.gate.budget.counters.header(refusal)
 		c.answer(refusal)
 		return 0, io.EOF // net/http closes the connection without an answer of its own
 	}
--- a/internal/connection/intake/conn_test.go
+++ b/internal/connection/intake/conn_test.go
@@ -62,6 +62,7 @@
 	_, err := io.WriteString(open, get(limit + headerSlack)[100:])
 	is.NoErr(err)
 	is.Equal(readStatus(t, open), http.StatusRequestHeaderFieldsTooLarge)
+	is.Equal(gate.Stats().HeaderTooLarge, int64(2))
 	waitReleased(t, b)
 }
 
@@ -119,6 +120,7 @@
 	waitPhases(t, gate, map[phase]int{isIdle: 2, readsHeader: 1})
 	gate.sweep(time.Now().Add(limits.HeaderTimeout + time.Second))
 	is.Equal(readStatus(t, begun), http.StatusRequestTimeout)
+	is.Equal(gate.Stats().HeaderLate, int64(1))
 	for _, conn := range []net.Conn{unused, kept} {
 		_, err := io.WriteString(conn, get(100))
 		is.NoErr(err)
@@ -272,6 +274,7 @@
 	is.Equal(closed(3), sending)
 	is.Equal(closed(3), kept)
 	is.True(closed(60) == nil) // requests run on all
+	is.Equal(gate.Stats().ConnectionsClosed, int64(4))
 	running.endRequest()
 	is.Equal(closed(60), running)
 }
@@ -289,6 +292,7 @@
 	over := sendRaw(t, address, "")
 	_, err := over.Read(make([]byte, 1))
 	is.True(err != nil) // closed without an answer
+	is.Equal(gate.Stats().ConnectionsRefused, int64(1))
 	for _, conn := range conns {
 		_, err := io.WriteString(conn, get(100))
 		is.NoErr(err)
--- a/internal/connection/intake/gate.go
+++ b/internal/connection/intake/gate.go
@@ -45,6 +45,8 @@
 
 	mu    sync.Mutex
 	conns map[*Conn]struct{} // open; those that were closed to make room are left out
+	// closed and refused count connections that were closed for lack of room, old and new ones.
+	closed, refused int64
 }
 
 // NewGate returns a gate for up to maxConns connections, whose headers take memory of a budget. A
@@ -134,8 +136,10 @@
 	if len(g.conns) >= g.maxConns {
 		unused := g.chooseUnused(now)
 		if unused == nil {
+			g.refused++
 			return nil
 		}
+		g.closed++
 		delete(g.conns, unused)
 		unused.Conn.Close()
 	}
--- a/internal/process/hosted/callers.go
+++ b/internal/process/hosted/callers.go
@@ -1,13 +1,17 @@
 package hosted
 
 import (
+	"context"
 	"math"
 	"net/http"
+	"slices"
+	"time"
 
 	"golang.org/x/sys/unix"
 
 	"github.com/marblepond/marblepond/internal/connection/intake"
 	"github.com/marblepond/marblepond/internal/process/settings"
+	"github.com/marblepond/marblepond/internal/process/timeline"
 	"github.com/marblepond/marblepond/internal/version/route"
 )
 
@@ -97,3 +101,53 @@
 func (c *callerServer) setLimits(l route.Limits) {
 	c.gate.SetLimits(intake.Limits{HeaderBytes: l.HeaderBytes, HeaderTimeout: l.HeaderTimeout, IdleTimeout: l.IdleTimeout})
 }
+
+const (
+	// callerStatsInterval is the time between updates of the metrics of callers' bounds.
+	callerStatsInterval = time.Second
+	// callerLogInterval is the least time between two log lines on bounds that were met.
+	callerLogInterval = 10 * time.Second
+)
+
+// recordCallerStats updates the metrics of what callers occupy, and logs that their bounds were met,
+// once for many refusals.
+func (n *Node) recordCallerStats(ctx context.Context) {
+	var metered, logged intake.Stats
+	var loggedAt time.Time
+	every(ctx, callerStatsInterval, func() {
+		now := n.callers.gate.Stats()
+		n.metrics.Gauge("caller_bytes").Update(float64(now.Bytes))
+		n.metrics.Gauge("caller_connections").Update(float64(now.Connections))
+		for _, c := range causesSince(metered, now) {
+			n.metrics.Tagged(map[string]string{"cause": c.name}).Counter("caller_bounds_met").Inc(c.count)
+		}
+		metered = now
+		since := causesSince(logged, now)
+		if len(since) == 0 || time.Since(loggedAt) < callerLogInterval {
+			return
+		}
+		fields := []timeline.Field{field("bytes", now.Bytes), field("connections", now.Connections)}
+		for _, c := range since {
+			fields = append(fields, field(c.name, c.count))
+		}
+		n.recorder.Record(timeline.CallersBounded, "", n.settings.NodeID, "callers met the bounds on what they may occupy", fields...)
+		logged, loggedAt = now, time.Now()
+	})
+}
+
+// cause is the name of a bound in metrics and logs, and how often it was met.
+type cause struct {
+	name  string
+	count int64
+}
+
+// causesSince returns the bounds that were met between two states of the gate.
+func causesSince(before, now intake.Stats) []cause {
+	all := []cause{
+		{"header_too_large", now.HeaderTooLarge - before.HeaderTooLarge}, {"header_late", now.HeaderLate - before.HeaderLate},
+		{"body_too_large", now.BodyTooLarge - before.BodyTooLarge}, {"body_late", now.BodyLate - before.BodyLate},
+		{"no_memory", now.NoMemory - before.NoMemory}, {"gave_way", now.GaveWay - before.GaveWay},
+		{"connections_closed", now.ConnectionsClosed - before.ConnectionsClosed}, {"connections_refused", now.ConnectionsRefused - before.ConnectionsRefused},
+	}
+	return slices.DeleteFunc(all, func(c cause) bool { return c.count == 0 })
+}
--- a/internal/process/hosted/run.go
+++ b/internal/process/hosted/run.go
@@ -183,7 +183,10 @@
 	wg.Go(func() { n.recordReady(ctx) })
 	wg.Go(func() { n.recordPaces(ctx) })
 	wg.Go(func() { n.recordCopies(ctx) })
-	wg.Go(func() { n.callers.gate.Run(ctx) })
+	if l.callers != nil {
+		wg.Go(func() { n.callers.gate.Run(ctx) })
+		wg.Go(func() { n.recordCallerStats(ctx) })
+	}
 	wg.Go(func() { n.jobs.Run(ctx) })
 	wg.Go(func() { n.crashes.Run(ctx) })
 	wg.Go(func() { n.loadVerdicts(ctx) })
--- a/internal/process/timeline/catalogue.go
+++ b/internal/process/timeline/catalogue.go
@@ -49,6 +49,7 @@
 	WorkCleared         Code = 419
 	OverloadBegan       Code = 420
 	OverloadEnded       Code = 421
+	CallersBounded      Code = 422
 	WorkspaceExceeds    Code = 430
 	TargetEjected       Code = 501
 	TargetReadmitted    Code = 502
@@ -158,6 +159,7 @@
 	WorkCleared:         {"work_cleared", log.InfoLevel, "an answer showed that work, or parts of its prompt, did not cause the crashes at which they were suspect"},
 	StreamOrigin:        {"stream_origin", log.InfoLevel, "a caller resumes a stream: the fields hold the version that began it, how this node knows it, the age of the record, and how many nodes were asked and replied"},
 	OverloadBegan:       {"overload_began", log.WarnLevel, "this node began to refuse online requests that no target would begin in time; the fields hold the requests offered and sent before, and the longest estimate of the first event"},
+	CallersBounded:      {"callers_bounded", log.WarnLevel, "callers met the bounds on memory, time or connections; the fields hold the bytes and connections that they occupy, and how often each bound was met since the last such event, at most one in 10 s"},
 	OverloadEnded:       {"overload_ended", log.InfoLevel, "this node has refused no online request for 4 s; the fields hold the requests offered, sent and refused since the overload began"},
 	TargetCrashed:       {"target_crashed", log.WarnLevel, "a target ended while it ran work of this node; the cause is the proof"},
 	TargetChanged:       {"target_changed", log.InfoLevel, "this node's state of a target changed; the cause says what"},
