Break the bounds on callers once each

21 mutants of the budget, headers, connections, answers, jobs and the memory limit. TestStalledTransferGivesWay did not notice its broken mechanism: the stalled transfer was the slowest, too. It is the faster one now, and the test fails without the mechanism; all 21 are noticed.

--- a/internal/connection/intake/budget_test.go
+++ b/internal/connection/intake/budget_test.go
@@ -50,7 +50,7 @@
 	first, firstRevoked := begin(b)
 	second, secondRevoked := begin(b)
 	is.True(first.Grow(mebi) && second.Grow(2*mebi))
-	second.Moved(2 * mebi)
+	first.Moved(3 * mebi) // the faster one, until it stalls
 	clock.pass(stallTime)
 	second.Moved(mebi)
 	third, _ := begin(b)
--- a/scripts/check-mutants.sh
+++ b/scripts/check-mutants.sh
@@ -430,6 +430,27 @@
 mutant 6 internal/request/forward/judge.go 's/case !req\.Route\.Repeatable\(\):/case !req.Route.Repeatable() \&\& p.begun:/' platform TestRefusedRequestsNeverRun
 mutant 6 internal/request/forward/attempt.go 's/\t\tfailure = end\n/\t\t_ = end\n/' internal/request/forward TestCancelledAttemptThatWasNotSentIsSentElsewhere
 mutant 6 internal/request/forward/judge.go 's/if failure\.Failure\.MayHaveRun\(\) \{/if failure != nil {/' internal/request/forward TestCancelledAttemptThatWasNotSentIsSentElsewhere
+mutant 67 internal/connection/intake/budget.go 's/allowed = b\.Limit\(\)/allowed = b.limit/' internal/connection/intake TestLargeClaimsLeaveRoomForSmallOnes
+mutant 67 internal/connection/intake/budget.go 's/case stalled != nil:/case stalled != nil \&\& stalled.held < 0:/' internal/connection/intake TestStalledTransferGivesWay
+mutant 67 internal/connection/intake/budget.go 's/c\.rate\(now\) < slowBytesPerSecond/c.rate(now) < 0/' internal/connection/intake TestSlowTransferGivesWay
+mutant 67 internal/connection/intake/budget.go 's/largest != nil \&\& size <= smallClaimBytes/largest != nil \&\& size < 0/' internal/connection/intake TestSmallClaimGoesBeforeLargeTransfers
+mutant 67 internal/connection/intake/budget.go 's/delete\(c\.budget\.transfers, c\)\n\treturn !c\.isRevoked/return !c.isRevoked/' internal/connection/intake TestNothingElseIsRevoked
+mutant 67 internal/connection/intake/budget.go 's/b\.used -= c\.held\n/b.used -= 0 * c.held\n/' internal/connection/intake TestBudgetIsTheSumOfItsClaims
+mutant 67 internal/connection/intake/body.go 's/os\.ErrDeadlineExceeded\) \&\& r\.claim\.Revoked\(\)/os.ErrDeadlineExceeded) \&\& size < 0/' internal/connection/intake TestRevokedBodyIsRefused
+mutant 67 internal/connection/intake/body.go 's/capacity := int64\(freeBodyBytes\)/capacity := max(freeBodyBytes, length)/; s/capacity = min\(capacity, length\)/_ = r.claim.Grow(length)/' internal/connection/intake TestStatedLengthTakesNoMemory
+mutant 67 internal/connection/intake/conn.go 's/> limit\+headerSlack/> limit+headerSlack+1/' internal/connection/intake TestHeaderLimit
+mutant 67 internal/connection/intake/conn.go 's/needed <= freeHeaderMemory/needed >= 0/' internal/connection/intake TestHeadersShareTheBudget
+mutant 67 internal/connection/intake/conn.go 's/len\(p\) > 0 \&\& !h\.complete/len(p) > 0/' internal/connection/intake TestHeaderEndsWhereTheRequestBegins
+mutant 67 internal/connection/intake/conn.go 's/phase == servesRequest \|\| len\(p\) == 0/len(p) == 0/' internal/connection/intake TestOnlyHeadersAreLimited
+mutant 67 internal/connection/intake/conn.go 's/case c\.served:/case !c.served:/' internal/connection/intake TestUnusedConnectionsGiveWay
+mutant 67 internal/connection/intake/conn.go 's/c\.writeBy\.Sub\(now\) > timeout-timeout\/deadlineSlackPart/!c.writeBy.IsZero() \&\& timeout > 0/' internal/connection/intake TestSlowReaderGetsItsAnswer
+mutant 67 internal/connection/intake/gate.go 's/phase == readsHeader \&\&/phase != servesRequest \&\&/' internal/connection/intake TestHeaderTimeout
+mutant 67 internal/connection/intake/gate.go 's/len\(g\.conns\) >= g\.maxConns/len(g.conns) > g.maxConns/' internal/connection/intake TestUnusedConnectionsGiveWay
+mutant 67 internal/request/job/memory.go 's/m\.heldBytes\+bytes > m\.cfg\.MaxHeldBytes/m.heldBytes+bytes < 0/' internal/request/job TestHeldJobsAreBounded
+mutant 67 internal/request/job/manager.go 's/m\.heldBytes -= h\.bytes/_ = h.bytes/' internal/request/job TestHeldJobsAreBounded
+mutant 67 platform/submission.go 's/bytesPerElement\*int64\(elements\)/0*int64(elements)/' platform TestSubmissionMemoryIsEnough
+mutant 67 platform/submission.go 's/if !quoted \{/if quoted || !quoted {/' platform TestElementsInStringsAreNotCounted
+mutant 67 internal/process/hosted/run.go 's/allowed-uncountedMemory/allowed-allowed\/10/' internal/process/hosted TestMemoryLimitLeavesRoomForTheProgram
 }
 checks=()
 for shard in $(seq 0 $((shards - 1))); do
