--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 
 test:
 	scripts/run-tests.sh -timeout 20m $(if $(known_red),-skip '^($(known_red))$$') ./... ./lab/...
-	scripts/run-tests.sh -timeout 20m -tags crowd $(if $(known_red),-skip '^($(known_red))$$') ./lab/crowd
+	scripts/run-tests.sh -timeout 20m -tags crowd $(if $(known_red),-skip '^($(known_red))$$') ./lab/hosted/crowd
 
 build:
 	go build -o bin/marblepond ./cmd/marblepond
