Revoke the memory of transfers only

A claim could be revoked from its first byte until its body was complete. A request whose body is small, or that has none, counted its first byte later: a job while it was submitted, a page of results while it was encoded. If that took a second and memory was short, its claim was revoked as a stalled transfer: the connection's read deadline passed, and the submission was cancelled with its outcome unknown.

A claim is a transfer between the start of a body, header or answer and its end now, and may be revoked only then. TestNothingElseIsRevoked checks claims that work, and failed before.

--- a/internal/connection/intake/answer.go
+++ b/internal/connection/intake/answer.go
@@ -19,14 +19,14 @@
 	if !r.claim.Grow(int64(bytes)) {
 		r.claim.force(int64(bytes))
 	}
-	r.ExposeAnswer()
+	r.StartAnswer()
 }
 
-// ExposeAnswer notes that what the request holds is an answer that is written from now on. If the
+// StartAnswer notes that what the request holds is an answer that is written from now on. If the
 // caller does not read it, it gives way to others.
-func (r *Request) ExposeAnswer() {
+func (r *Request) StartAnswer() {
 	r.answering.Store(true)
-	r.claim.expose()
+	r.claim.StartTransfer()
 }
 
 // WriteAnswer writes a whole body of an answer whose memory HoldAnswer has counted.
--- a/internal/connection/intake/body.go
+++ b/internal/connection/intake/body.go
@@ -43,7 +43,7 @@
 // NewRequest returns the bounds of a request that is answered on w. End has to be called.
 func (b *Budget) NewRequest(w http.ResponseWriter) *Request {
 	r := &Request{w: w, conn: http.NewResponseController(w), progress: func(bool) {}}
-	r.claim = b.Begin(r.revoke)
+	r.claim = b.NewClaim(r.revoke)
 	return r
 }
 
@@ -79,6 +79,7 @@
 		r.progress = c.bodyProgress
 	}
 	r.progress(true)
+	r.claim.StartTransfer()
 	body, err := r.read(req.Body, req.ContentLength, limit, left)
 	r.progress(false)
 	if err != nil {
--- a/internal/connection/intake/budget.go
+++ b/internal/connection/intake/budget.go
@@ -65,18 +65,31 @@
 	revoke func()
 
 	// Guarded by budget.mu.
-	held       int64
-	begun      time.Time // when the transfer began
-	progressed time.Time // when its last bytes came
-	moved      int64     // bytes of the transfer
-	isRevoked  bool
+	held         int64
+	transferring bool
+	begun        time.Time // when the transfer began
+	progressed   time.Time // when its last bytes came
+	moved        int64     // bytes of the transfer
+	isRevoked    bool
 }
 
-// Begin returns a claim of no bytes for a transfer that begins now. revoke is called once if it is
-// revoked, and must not block.
-func (b *Budget) Begin(revoke func()) *Claim {
-	now := b.now()
-	return &Claim{budget: b, revoke: revoke, begun: now, progressed: now}
+// NewClaim returns a claim of no bytes. revoke is called once if it is revoked, and must not block.
+func (b *Budget) NewClaim(revoke func()) *Claim { return &Claim{budget: b, revoke: revoke} }
+
+// StartTransfer notes that bytes come or go from now on. The claim may be revoked until Complete.
+func (c *Claim) StartTransfer() {
+	now := c.budget.now()
+	c.budget.mu.Lock()
+	defer c.budget.mu.Unlock()
+	c.transferring, c.begun, c.progressed, c.moved = true, now, now, 0
+	c.budget.list(c)
+}
+
+// list adds a claim to those that may be revoked, if it is one. The caller holds b.mu.
+func (b *Budget) list(c *Claim) {
+	if c.transferring && c.held > 0 {
+		b.transfers[c] = struct{}{}
+	}
 }
 
 // Grow adds bytes to the claim and reports whether there is room for them. Other transfers may be
@@ -111,11 +124,9 @@
 		b.revoked++
 		victims = append(victims, v)
 	}
-	if c.held == 0 && bytes > 0 {
-		b.transfers[c] = struct{}{}
-	}
 	c.held += bytes
 	b.used += bytes
+	b.list(c)
 	return true, victims
 }
 
@@ -126,17 +137,7 @@
 	if !c.isRevoked {
 		c.held += bytes
 		c.budget.used += bytes
-	}
-}
-
-// expose begins a new transfer of what the claim holds. It may be revoked again.
-func (c *Claim) expose() {
-	now := c.budget.now()
-	c.budget.mu.Lock()
-	defer c.budget.mu.Unlock()
-	c.begun, c.progressed, c.moved = now, now, 0
-	if c.held > 0 {
-		c.budget.transfers[c] = struct{}{}
+		c.budget.list(c)
 	}
 }
 
@@ -211,6 +212,7 @@
 func (c *Claim) Complete() bool {
 	c.budget.mu.Lock()
 	defer c.budget.mu.Unlock()
+	c.transferring = false
 	delete(c.budget.transfers, c)
 	return !c.isRevoked
 }
--- a/internal/connection/intake/budget_test.go
+++ b/internal/connection/intake/budget_test.go
@@ -21,10 +21,12 @@
 
 func (c *testClock) pass(d time.Duration) { c.passed.Add(int64(d)) }
 
-// begin returns a claim and whether it was revoked.
+// begin returns a claim for a transfer and whether it was revoked.
 func begin(b *Budget) (*Claim, *bool) {
 	revoked := false
-	return b.Begin(func() { revoked = true }), &revoked
+	c := b.NewClaim(func() { revoked = true })
+	c.StartTransfer()
+	return c, &revoked
 }
 
 // Guards against large requests that keep all small ones out.
@@ -106,6 +108,16 @@
 	is.True(!*slowRevoked)
 	is.True(!other.Grow(2 * mebi))
 	is.True(!*wholeRevoked)
+	is.True(whole.Grow(smallClaimBytes)) // what it takes to run
+	working := b.NewClaim(func() { t.Error("a request without a body was revoked") })
+	is.True(working.Grow(smallClaimBytes))
+	clock.pass(time.Hour)
+	late, _ := begin(b)
+	for late.Grow(smallClaimBytes / 4) {
+		late.Complete()
+		late, _ = begin(b)
+	}
+	is.True(!*wholeRevoked)
 }
 
 // Guards against bytes that are granted beyond the limit, or that are not returned.
--- a/internal/connection/intake/conn.go
+++ b/internal/connection/intake/conn.go
@@ -156,19 +156,20 @@
 	if limit := c.gate.limits.Load().HeaderBytes; c.header.bytes > limit+headerSlack {
 		return errkind.HeaderTooLarge.New("the header is over %d bytes", limit)
 	}
-	return c.takeMemory()
+	return c.takeMemory(len(p))
 }
 
-// takeMemory takes what the header needs of the budget. The caller holds c.headerMu.
-func (c *Conn) takeMemory() error {
+// takeMemory takes what the header needs of the budget after n more bytes. The caller holds c.headerMu.
+func (c *Conn) takeMemory(n int) error {
 	needed := c.header.memory()
 	if needed <= freeHeaderMemory {
 		return nil
 	}
 	if c.claim == nil {
-		c.claim = c.gate.budget.Begin(func() { c.refuse(errNoRoom()) })
+		c.claim = c.gate.budget.NewClaim(func() { c.refuse(errNoRoom()) })
+		c.claim.StartTransfer()
 	}
-	c.claim.Moved(0)
+	c.claim.Moved(n)
 	if more := needed - c.claim.Held(); more > 0 && !c.claim.Grow(max(more, headerStep)) {
 		return errNoRoom()
 	}
