--- a/internal/connection/intake/stats.go
+++ b/internal/connection/intake/stats.go
@@ -15,6 +15,7 @@
 	HeaderLate         int64 // headers that did not arrive in time
 	BodyTooLarge       int64 // bodies over the configured size
 	BodyLate           int64 // bodies that did not arrive in time
+	BodyBroken         int64 // bodies that broke off or are malformed
 	NoMemory           int64 // headers, bodies and jobs for which there was no memory
 	GaveWay            int64 // transfers that gave way to others
 	ConnectionsClosed  int64 // connections without use that gave way to new ones
@@ -23,7 +24,7 @@
 
 // counters count refusals by cause.
 type counters struct {
-	headerTooLarge, headerLate, bodyTooLarge, bodyLate atomic.Int64
+	headerTooLarge, headerLate, bodyTooLarge, bodyLate, bodyBroken atomic.Int64
 }
 
 func (c *counters) header(err error) {
@@ -41,6 +42,8 @@
 		c.bodyTooLarge.Add(1)
 	case errkind.Is(err, errkind.RequestTimeout):
 		c.bodyLate.Add(1)
+	case errkind.Is(err, errkind.Malformed):
+		c.bodyBroken.Add(1)
 	}
 }
 
@@ -50,6 +53,6 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return Stats{Bytes: used.Bytes, Connections: len(g.conns), HeaderTooLarge: counts.headerTooLarge.Load(), HeaderLate: counts.headerLate.Load(),
-		BodyTooLarge: counts.bodyTooLarge.Load(), BodyLate: counts.bodyLate.Load(), NoMemory: used.Refused, GaveWay: used.Revoked,
+		BodyTooLarge: counts.bodyTooLarge.Load(), BodyLate: counts.bodyLate.Load(), BodyBroken: counts.bodyBroken.Load(), NoMemory: used.Refused, GaveWay: used.Revoked,
 		ConnectionsClosed: g.closed, ConnectionsRefused: g.refused}
 }
--- a/internal/process/hosted/callers.go
+++ b/internal/process/hosted/callers.go
@@ -145,7 +145,7 @@
 func causesSince(before, now intake.Stats) []cause {
 	all := []cause{
 		{"header_too_large", now.HeaderTooLarge - before.HeaderTooLarge}, {"header_late", now.HeaderLate - before.HeaderLate},
-		{"body_too_large", now.BodyTooLarge - before.BodyTooLarge}, {"body_late", now.BodyLate - before.BodyLate},
+		{"body_too_large", now.BodyTooLarge - before.BodyTooLarge}, {"body_late", now.BodyLate - before.BodyLate}, {"body_broken", now.BodyBroken - before.BodyBroken},
 		{"no_memory", now.NoMemory - before.NoMemory}, {"gave_way", now.GaveWay - before.GaveWay},
 		{"connections_closed", now.ConnectionsClosed - before.ConnectionsClosed}, {"connections_refused", now.ConnectionsRefused - before.ConnectionsRefused},
 	}
--- a/internal/process/hosted/callers_test.go
+++ b/internal/process/hosted/callers_test.go
@@ -42,7 +42,7 @@
 func TestCausesOfRefusals(t *testing.T) {
 	is := is.New(t)
 	before := intake.Stats{HeaderTooLarge: 1, GaveWay: 5}
-	now := intake.Stats{Bytes: 7, Connections: 8, HeaderTooLarge: 2, HeaderLate: 2, BodyTooLarge: 3, BodyLate: 4, NoMemory: 5, GaveWay: 5, ConnectionsClosed: 6, ConnectionsRefused: 7}
-	is.Equal(causesSince(before, now), []cause{{"header_too_large", 1}, {"header_late", 2}, {"body_too_large", 3}, {"body_late", 4}, {"no_memory", 5}, {"connections_closed", 6}, {"connections_refused", 7}})
+	now := intake.Stats{Bytes: 7, Connections: 8, HeaderTooLarge: 2, HeaderLate: 2, BodyTooLarge: 3, BodyLate: 4, BodyBroken: 9, NoMemory: 5, GaveWay: 5, ConnectionsClosed: 6, ConnectionsRefused: 7}
+	is.Equal(causesSince(before, now), []cause{{"header_too_large", 1}, {"header_late", 2}, {"body_too_large", 3}, {"body_late", 4}, {"body_broken", 9}, {"no_memory", 5}, {"connections_closed", 6}, {"connections_refused", 7}})
 	is.Equal(len(causesSince(now, now)), 0)
 }
