--- a/scripts/check-mutants.sh
+++ b/scripts/check-mutants.sh
@@ -436,6 +436,7 @@
 mutant 67 internal/connection/intake/budget.go 's/largest != nil \&\& size <= smallClaimBytes/largest != nil \&\& size < 0/' internal/connection/intake TestSmallClaimGoesBeforeLargeTransfers
 mutant 67 internal/connection/intake/budget.go 's/delete\(c\.budget\.transfers, c\)\n\treturn !c\.isRevoked/return !c.isRevoked/' internal/connection/intake TestNothingElseIsRevoked
 mutant 67 internal/connection/intake/budget.go 's/b\.used -= c\.held\n/b.used -= 0 * c.held\n/' internal/connection/intake TestBudgetIsTheSumOfItsClaims
+mutant 67 internal/connection/intake/budget.go 's/if c\.transferring \&\& c\.held > 0 \{/if c.held > 0 {/' internal/connection/intake TestNothingElseIsRevoked
 mutant 67 internal/connection/intake/body.go 's/os\.ErrDeadlineExceeded\) \&\& r\.claim\.Revoked\(\)/os.ErrDeadlineExceeded) \&\& size < 0/' internal/connection/intake TestRevokedBodyIsRefused
 mutant 67 internal/connection/intake/body.go 's/capacity := int64\(freeBodyBytes\)/capacity := max(freeBodyBytes, length)/; s/capacity = min\(capacity, length\)/_ = r.claim.Grow(length)/' internal/connection/intake TestStatedLengthTakesNoMemory
 mutant 67 internal/connection/intake/conn.go 's/> limit\+headerSlack/> limit+headerSlack+1/' internal/connection/intake TestHeaderLimit
