Keep the kernel's receive buffers of callers' connections small

Bytes that have arrived and are not read count as the memory of a node on the users' VMs, and no bound of the node sees them: the kernel grows the buffer of each connection to some MiB. A caller that sends on while its request runs fills it.

The listener sets 32 KiB for its connections. Where the call fails the kernel's choice stays.

--- a/internal/connection/intake/answer_test.go
+++ b/internal/connection/intake/answer_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"io"
-	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -27,11 +26,11 @@
 		errs <- request.WriteAnswer(body)
 	})}
 	gate.Guard(server)
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := gate.Listen("127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	go server.Serve(gate.Listen(listener))
+	go server.Serve(listener)
 	t.Cleanup(func() { server.Close() })
 	return listener.Addr().String(), errs
 }
--- a/internal/connection/intake/conn_test.go
+++ b/internal/connection/intake/conn_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"golang.org/x/sys/unix"
 	"pgregory.net/rapid"
 )
 
@@ -34,11 +35,11 @@
 		fmt.Fprint(w, len(body))
 	})}
 	gate.Guard(server)
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := gate.Listen("127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	go server.Serve(gate.Listen(listener))
+	go server.Serve(listener)
 	t.Cleanup(func() { server.Close() })
 	return gate, listener.Addr().String()
 }
@@ -299,3 +300,23 @@
 		is.Equal(readStatus(t, conn), http.StatusOK)
 	}
 }
+
+// Guards against bytes that no bound of this package sees, because the kernel holds them: the buffer
+// of a connection grows to some MiB unless its size is set.
+func TestReceiveBuffersAreSmall(t *testing.T) {
+	is := is.New(t)
+	b, _ := newBudget(mebi)
+	listener, err := NewGate(b, 1, time.Minute).Listen("127.0.0.1:0")
+	is.NoErr(err)
+	defer listener.Close()
+	sendRaw(t, listener.Addr().String(), "")
+	conn, err := listener.Accept()
+	is.NoErr(err)
+	defer conn.Close()
+	raw, err := conn.(*Conn).Conn.(*net.TCPConn).SyscallConn()
+	is.NoErr(err)
+	var size int
+	is.NoErr(raw.Control(func(fd uintptr) { size, err = unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF) }))
+	is.NoErr(err)
+	is.True(size > 0 && size <= 2*receiveBuffer) // the kernel doubles it for its own use
+}
--- a/internal/connection/intake/gate.go
+++ b/internal/connection/intake/gate.go
@@ -6,8 +6,11 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/marblepond/marblepond/internal/errkind"
 )
 
@@ -104,8 +107,23 @@
 	return c
 }
 
-// Listen returns a listener whose connections the gate bounds.
-func (g *Gate) Listen(l net.Listener) net.Listener { return gateListener{l, g} }
+// receiveBuffer in bytes is what the kernel holds of a connection until it is read. It is smaller than
+// the kernel's own choice, which grows to some MiB for each connection.
+const receiveBuffer = 32 << 10
+
+// Listen listens on a TCP address for connections that the gate bounds.
+func (g *Gate) Listen(address string) (net.Listener, error) {
+	config := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
+		return c.Control(func(fd uintptr) {
+			_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBuffer) // if it fails, the kernel's choice stays
+		})
+	}}
+	l, err := config.Listen(context.Background(), "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return gateListener{l, g}, nil
+}
 
 type gateListener struct {
 	net.Listener
--- a/internal/process/hosted/run.go
+++ b/internal/process/hosted/run.go
@@ -52,9 +52,6 @@
 	defer stop()
 	var tasks sync.WaitGroup
 	n.startTasks(taskCtx, listeners, &tasks)
-	if listeners.callers != nil {
-		listeners.callers = n.callers.gate.Listen(listeners.callers)
-	}
 	n.serve(listeners)
 	select {
 	case <-ctx.Done():
@@ -79,10 +76,15 @@
 func (n *Node) listen() (listeners, error) {
 	var l listeners
 	var errs []error
+	if address := n.settings.CallerListen; address != "" {
+		listener, err := n.callers.gate.Listen(address)
+		l.callers = listener
+		errs = append(errs, err)
+	}
 	for _, tcp := range []struct {
 		address string
 		into    *net.Listener
-	}{{n.settings.CallerListen, &l.callers}, {n.settings.ReadyListen, &l.ready}, {n.settings.PeerListen, &l.peers}, {n.settings.MetricsListen, &l.metrics}} {
+	}{{n.settings.ReadyListen, &l.ready}, {n.settings.PeerListen, &l.peers}, {n.settings.MetricsListen, &l.metrics}} {
 		if tcp.address == "" {
 			continue
 		}
