Call a part of the callers' budget a reservation

A claim is something else in internal/request/claim. The bounds of a request are called so in platform/, too.

--- a/internal/connection/intake/answer.go
+++ b/internal/connection/intake/answer.go
@@ -16,8 +16,8 @@
 	if bytes <= answerPiece {
 		return
 	}
-	if !r.claim.Grow(int64(bytes)) {
-		r.claim.force(int64(bytes))
+	if !r.reservation.Grow(int64(bytes)) {
+		r.reservation.force(int64(bytes))
 	}
 	r.StartAnswer()
 }
@@ -26,7 +26,7 @@
 // caller does not read it, it gives way to others.
 func (r *Request) StartAnswer() {
 	r.answering.Store(true)
-	r.claim.StartTransfer()
+	r.reservation.StartTransfer()
 }
 
 // WriteAnswer writes a whole body of an answer whose memory HoldAnswer has counted.
@@ -38,7 +38,7 @@
 		}
 		body = body[n:]
 		if r.answering.Load() {
-			r.claim.Moved(n)
+			r.reservation.Moved(n)
 		}
 	}
 	return nil
--- a/internal/connection/intake/body.go
+++ b/internal/connection/intake/body.go
@@ -30,11 +30,11 @@
 
 // Request bounds one request of a caller. It belongs to the goroutine of the request's handler.
 type Request struct {
-	w     http.ResponseWriter
-	conn  *http.ResponseController
-	claim *Claim
-	done  bool // the body has been read
-	// answering: the claim counts an answer that is being written.
+	w           http.ResponseWriter
+	conn        *http.ResponseController
+	reservation *Reservation
+	done        bool // the body has been read
+	// answering: the reservation counts an answer that is being written.
 	answering atomic.Bool
 	// progress is told whether the body is being read, and that bytes of it came.
 	progress func(reading bool)
@@ -43,12 +43,12 @@
 // NewRequest returns the bounds of a request that is answered on w. End has to be called.
 func (b *Budget) NewRequest(w http.ResponseWriter) *Request {
 	r := &Request{w: w, conn: http.NewResponseController(w), progress: func(bool) {}}
-	r.claim = b.NewClaim(r.revoke)
+	r.reservation = b.NewReservation(r.revoke)
 	return r
 }
 
 // End returns the memory of the request.
-func (r *Request) End() { r.claim.Release() }
+func (r *Request) End() { r.reservation.Release() }
 
 // Hold adds memory in bytes to what the request occupies until its end. It fails with TooLarge if no
 // request may occupy that much, and with Overloaded if there is no room now.
@@ -56,10 +56,10 @@
 	if bytes <= 0 {
 		return nil
 	}
-	if bytes > r.claim.budget.Limit() {
+	if bytes > r.reservation.budget.Limit() {
 		return errkind.TooLarge.New("the request takes more memory than any request may have")
 	}
-	if !r.claim.Grow(bytes) {
+	if !r.reservation.Grow(bytes) {
 		return errNoRoom()
 	}
 	return nil
@@ -79,12 +79,12 @@
 		r.progress = c.bodyProgress
 	}
 	r.progress(true)
-	r.claim.StartTransfer()
+	r.reservation.StartTransfer()
 	body, err := r.read(req.Body, req.ContentLength, limit, left)
 	r.progress(false)
 	if err != nil {
-		r.claim.budget.counters.body(err)
-		r.claim.Release()
+		r.reservation.budget.counters.body(err)
+		r.reservation.Release()
 		r.IgnoreBody(req)
 		return nil, err
 	}
@@ -116,7 +116,7 @@
 	}
 	data := make([]byte, 0, capacity)
 	for {
-		if r.claim.Revoked() {
+		if r.reservation.Revoked() {
 			return nil, errNoRoom()
 		}
 		n, err := body.Read(data[len(data):cap(data)])
@@ -126,11 +126,11 @@
 		case limit > 0 && size > limit:
 			return nil, errTooLarge(limit)
 		case errors.Is(err, io.EOF) || size == length:
-			if !r.claim.Complete() {
+			if !r.reservation.Complete() {
 				return nil, errNoRoom()
 			}
 			return data, nil
-		case errors.Is(err, os.ErrDeadlineExceeded) && r.claim.Revoked():
+		case errors.Is(err, os.ErrDeadlineExceeded) && r.reservation.Revoked():
 			return nil, errNoRoom()
 		case errors.Is(err, os.ErrDeadlineExceeded):
 			return nil, errkind.RequestTimeout.New("the body did not arrive in time")
@@ -139,7 +139,7 @@
 		}
 		if n > 0 {
 			r.progress(true)
-			r.claim.Moved(n)
+			r.reservation.Moved(n)
 		}
 		if len(data) == cap(data) {
 			if data, err = r.enlarge(data, length, limit); err != nil {
@@ -162,16 +162,16 @@
 	if 2*capacity > most {
 		capacity = most
 	}
-	if capacity > r.claim.budget.Limit() {
+	if capacity > r.reservation.budget.Limit() {
 		return nil, errkind.TooLarge.New("the body is larger than the memory for callers")
 	}
-	if !r.claim.Grow(capacity) {
+	if !r.reservation.Grow(capacity) {
 		return nil, errNoRoom()
 	}
 	larger := make([]byte, len(data), capacity)
 	copy(larger, data)
 	if cap(data) > freeBodyBytes {
-		r.claim.Shrink(int64(cap(data)))
+		r.reservation.Shrink(int64(cap(data)))
 	}
 	return larger, nil
 }
--- a/internal/connection/intake/budget_test.go
+++ b/internal/connection/intake/budget_test.go
@@ -21,16 +21,16 @@
 
 func (c *testClock) pass(d time.Duration) { c.passed.Add(int64(d)) }
 
-// begin returns a claim for a transfer and whether it was revoked.
-func begin(b *Budget) (*Claim, *bool) {
+// begin returns a reservation for a transfer and whether it was revoked.
+func begin(b *Budget) (*Reservation, *bool) {
 	revoked := false
-	c := b.NewClaim(func() { revoked = true })
+	c := b.NewReservation(func() { revoked = true })
 	c.StartTransfer()
 	return c, &revoked
 }
 
 // Guards against large requests that keep all small ones out.
-func TestLargeClaimsLeaveRoomForSmallOnes(t *testing.T) {
+func TestLargeReservationsLeaveRoomForSmallOnes(t *testing.T) {
 	is := is.New(t)
 	b, _ := newBudget(16 * mebi)
 	for range 12 {
@@ -41,7 +41,7 @@
 	large, _ := begin(b)
 	is.True(!large.Grow(mebi)) // the rest is reserved
 	small, _ := begin(b)
-	is.True(small.Grow(smallClaimBytes))
+	is.True(small.Grow(smallReservationBytes))
 	is.True(!small.Grow(1)) // it is large now
 }
 
@@ -80,17 +80,17 @@
 }
 
 // Guards against a small request that is refused because large ones come in quickly.
-func TestSmallClaimGoesBeforeLargeTransfers(t *testing.T) {
+func TestSmallReservationGoesBeforeLargeTransfers(t *testing.T) {
 	is := is.New(t)
 	b, _ := newBudget(mebi)
 	for range 16 {
 		c, _ := begin(b)
-		is.True(c.Grow(smallClaimBytes))
+		is.True(c.Grow(smallReservationBytes))
 	}
 	small, _ := begin(b)
-	is.True(small.Grow(smallClaimBytes / 4))
+	is.True(small.Grow(smallReservationBytes / 4))
 	large, _ := begin(b)
-	is.True(!large.Grow(smallClaimBytes)) // transfers of its own size stay
+	is.True(!large.Grow(smallReservationBytes)) // transfers of its own size stay
 }
 
 // Guards against a budget that revokes a request which has arrived whole, or a transfer while there
@@ -101,19 +101,19 @@
 	whole, wholeRevoked := begin(b)
 	slow, slowRevoked := begin(b)
 	is.True(whole.Grow(2*mebi) && whole.Complete())
-	is.True(slow.Grow(smallClaimBytes))
+	is.True(slow.Grow(smallReservationBytes))
 	clock.pass(time.Hour)
 	other, _ := begin(b)
-	is.True(other.Grow(smallClaimBytes)) // there is room
+	is.True(other.Grow(smallReservationBytes)) // there is room
 	is.True(!*slowRevoked)
 	is.True(!other.Grow(2 * mebi))
 	is.True(!*wholeRevoked)
-	is.True(whole.Grow(smallClaimBytes)) // what it takes to run
-	working := b.NewClaim(func() { t.Error("a request without a body was revoked") })
-	is.True(working.Grow(smallClaimBytes))
+	is.True(whole.Grow(smallReservationBytes)) // what it takes to run
+	working := b.NewReservation(func() { t.Error("a request without a body was revoked") })
+	is.True(working.Grow(smallReservationBytes))
 	clock.pass(time.Hour)
 	late, _ := begin(b)
-	for late.Grow(smallClaimBytes / 4) {
+	for late.Grow(smallReservationBytes / 4) {
 		late.Complete()
 		late, _ = begin(b)
 	}
@@ -121,32 +121,32 @@
 }
 
 // Guards against bytes that are granted beyond the limit, or that are not returned.
-func TestBudgetIsTheSumOfItsClaims(t *testing.T) {
+func TestBudgetIsTheSumOfItsReservations(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		b, clock := newBudget(rapid.Int64Range(1, 8*mebi).Draw(t, "limit"))
-		var claims []*Claim
+		var reservations []*Reservation
 		t.Repeat(map[string]func(*rapid.T){
 			"": func(t *rapid.T) {
 				var sum int64
-				for _, c := range claims {
+				for _, c := range reservations {
 					if c.held < 0 || c.isRevoked && c.held > 0 {
-						t.Fatalf("a claim holds %d bytes, revoked: %v", c.held, c.isRevoked)
+						t.Fatalf("a reservation holds %d bytes, revoked: %v", c.held, c.isRevoked)
 					}
 					sum += c.held
 				}
 				if sum != b.used || sum > b.limit {
-					t.Fatalf("%d bytes of %d used, claims hold %d", b.used, b.limit, sum)
+					t.Fatalf("%d bytes of %d used, reservations hold %d", b.used, b.limit, sum)
 				}
 			},
 			"begin": func(*rapid.T) {
 				c, _ := begin(b)
-				claims = append(claims, c)
+				reservations = append(reservations, c)
 			},
 			"change": func(t *rapid.T) {
-				if len(claims) == 0 {
-					t.Skip("no claim")
+				if len(reservations) == 0 {
+					t.Skip("no reservation")
 				}
-				c := rapid.SampledFrom(claims).Draw(t, "claim")
+				c := rapid.SampledFrom(reservations).Draw(t, "reservation")
 				bytes := rapid.Int64Range(0, 2*mebi).Draw(t, "bytes")
 				switch rapid.SampledFrom([]string{"grow", "shrink", "moved", "complete", "release", "pass"}).Draw(t, "what") {
 				case "grow":
@@ -164,7 +164,7 @@
 				}
 			},
 		})
-		for _, c := range claims {
+		for _, c := range reservations {
 			c.Release()
 		}
 		if b.used != 0 || len(b.transfers) != 0 {
--- a/internal/connection/intake/conn.go
+++ b/internal/connection/intake/conn.go
@@ -42,9 +42,9 @@
 	net.Conn
 	gate *Gate
 
-	headerMu sync.Mutex // held while mu is taken, never the other way round
-	header   header
-	claim    *Claim // nil: the header is small
+	headerMu    sync.Mutex // held while mu is taken, never the other way round
+	header      header
+	reservation *Reservation // nil: the header is small
 
 	mu      sync.Mutex
 	phase   phase
@@ -165,12 +165,12 @@
 	if needed <= freeHeaderMemory {
 		return nil
 	}
-	if c.claim == nil {
-		c.claim = c.gate.budget.NewClaim(func() { c.refuse(errNoRoom()) })
-		c.claim.StartTransfer()
+	if c.reservation == nil {
+		c.reservation = c.gate.budget.NewReservation(func() { c.refuse(errNoRoom()) })
+		c.reservation.StartTransfer()
 	}
-	c.claim.Moved(n)
-	if more := needed - c.claim.Held(); more > 0 && !c.claim.Grow(max(more, headerStep)) {
+	c.reservation.Moved(n)
+	if more := needed - c.reservation.Held(); more > 0 && !c.reservation.Grow(max(more, headerStep)) {
 		return errNoRoom()
 	}
 	return nil
@@ -302,8 +302,8 @@
 	refusal := c.refusal
 	c.phase, c.since, c.served = servesRequest, time.Now(), true
 	c.mu.Unlock()
-	if c.claim != nil {
-		c.claim.Complete()
+	if c.reservation != nil {
+		c.reservation.Complete()
 	}
 	return refusal
 }
@@ -319,9 +319,9 @@
 	c.headerMu.Lock()
 	defer c.headerMu.Unlock()
 	c.header = header{}
-	if c.claim != nil {
-		c.claim.Release()
-		c.claim = nil
+	if c.reservation != nil {
+		c.reservation.Release()
+		c.reservation = nil
 	}
 }
 
--- a/internal/connection/intake/conn_test.go
+++ b/internal/connection/intake/conn_test.go
@@ -157,8 +157,13 @@
 func TestOnlyHeadersAreLimited(t *testing.T) {
 	is := is.New(t)
 	b, _ := newBudget(16 * mebi)
-	_, address := serveGate(t, b, Limits{HeaderBytes: 100})
+	gate, address := serveGate(t, b, Limits{HeaderBytes: 100})
 	body := strings.Repeat("\n", 50_000)
+	// net/http had the end of the header already, with the end of the request before.
+	running := addConn(t, gate, time.Now())
+	is.NoErr(running.note([]byte("Host: h")))
+	is.NoErr(running.beginRequest())
+	is.NoErr(running.note([]byte(strings.Repeat("x", 50_000))))
 	conn := sendRaw(t, address, withLength(len(body), body))
 	reader := bufio.NewReader(conn)
 	for range 3 {
--- a/scripts/check-mutants.sh
+++ b/scripts/check-mutants.sh
@@ -430,15 +430,15 @@
 mutant 6 internal/request/forward/judge.go 's/case !req\.Route\.Repeatable\(\):/case !req.Route.Repeatable() \&\& p.begun:/' platform TestRefusedRequestsNeverRun
 mutant 6 internal/request/forward/attempt.go 's/\t\tfailure = end\n/\t\t_ = end\n/' internal/request/forward TestCancelledAttemptThatWasNotSentIsSentElsewhere
 mutant 6 internal/request/forward/judge.go 's/if failure\.Failure\.MayHaveRun\(\) \{/if failure != nil {/' internal/request/forward TestCancelledAttemptThatWasNotSentIsSentElsewhere
-mutant 67 internal/connection/intake/budget.go 's/allowed = b\.Limit\(\)/allowed = b.limit/' internal/connection/intake TestLargeClaimsLeaveRoomForSmallOnes
+mutant 67 internal/connection/intake/budget.go 's/allowed = b\.Limit\(\)/allowed = b.limit/' internal/connection/intake TestLargeReservationsLeaveRoomForSmallOnes
 mutant 67 internal/connection/intake/budget.go 's/case stalled != nil:/case stalled != nil \&\& stalled.held < 0:/' internal/connection/intake TestStalledTransferGivesWay
-mutant 67 internal/connection/intake/budget.go 's/c\.rate\(now\) < slowBytesPerSecond/c.rate(now) < 0/' internal/connection/intake TestSlowTransferGivesWay
-mutant 67 internal/connection/intake/budget.go 's/largest != nil \&\& size <= smallClaimBytes/largest != nil \&\& size < 0/' internal/connection/intake TestSmallClaimGoesBeforeLargeTransfers
-mutant 67 internal/connection/intake/budget.go 's/delete\(c\.budget\.transfers, c\)\n\treturn !c\.isRevoked/return !c.isRevoked/' internal/connection/intake TestNothingElseIsRevoked
-mutant 67 internal/connection/intake/budget.go 's/b\.used -= c\.held\n/b.used -= 0 * c.held\n/' internal/connection/intake TestBudgetIsTheSumOfItsClaims
-mutant 67 internal/connection/intake/budget.go 's/if c\.transferring \&\& c\.held > 0 \{/if c.held > 0 {/' internal/connection/intake TestNothingElseIsRevoked
-mutant 67 internal/connection/intake/body.go 's/os\.ErrDeadlineExceeded\) \&\& r\.claim\.Revoked\(\)/os.ErrDeadlineExceeded) \&\& size < 0/' internal/connection/intake TestRevokedBodyIsRefused
-mutant 67 internal/connection/intake/body.go 's/capacity := int64\(freeBodyBytes\)/capacity := max(freeBodyBytes, length)/; s/capacity = min\(capacity, length\)/_ = r.claim.Grow(length)/' internal/connection/intake TestStatedLengthTakesNoMemory
+mutant 67 internal/connection/intake/budget.go 's/r\.rate\(now\) < slowBytesPerSecond/r.rate(now) < 0/' internal/connection/intake TestSlowTransferGivesWay
+mutant 67 internal/connection/intake/budget.go 's/largest != nil \&\& size <= smallReservationBytes/largest != nil \&\& size < 0/' internal/connection/intake TestSmallReservationGoesBeforeLargeTransfers
+mutant 67 internal/connection/intake/budget.go 's/delete\(r\.budget\.transfers, r\)\n\treturn !r\.isRevoked/return !r.isRevoked/' internal/connection/intake TestNothingElseIsRevoked
+mutant 67 internal/connection/intake/budget.go 's/b\.used -= r\.held\n/b.used -= 0 * r.held\n/' internal/connection/intake TestBudgetIsTheSumOfItsReservations
+mutant 67 internal/connection/intake/budget.go 's/if r\.transferring \&\& r\.held > 0 \{/if r.held > 0 {/' internal/connection/intake TestNothingElseIsRevoked
+mutant 67 internal/connection/intake/body.go 's/os\.ErrDeadlineExceeded\) \&\& r\.reservation\.Revoked\(\)/os.ErrDeadlineExceeded) \&\& size < 0/' internal/connection/intake TestRevokedBodyIsRefused
+mutant 67 internal/connection/intake/body.go 's/capacity := int64\(freeBodyBytes\)/capacity := max(freeBodyBytes, length)/; s/capacity = min\(capacity, length\)/_ = r.reservation.Grow(length)/' internal/connection/intake TestStatedLengthTakesNoMemory
 mutant 67 internal/connection/intake/conn.go 's/> limit\+headerSlack/> limit+headerSlack+1/' internal/connection/intake TestHeaderLimit
 mutant 67 internal/connection/intake/conn.go 's/needed <= freeHeaderMemory/needed >= 0/' internal/connection/intake TestHeadersShareTheBudget
 mutant 67 internal/connection/intake/conn.go 's/len\(p\) > 0 \&\& !h\.complete/len(p) > 0/' internal/connection/intake TestHeaderEndsWhereTheRequestBegins
