Read a request on for a while after its refusal, also where the caller closes

Callers saw a reset connection in place of a refusal that was sent before their body had been read, if the request said that its connection closes: net/http reads nothing more of such a body and closes at once, and a close with unread bytes resets the connection.

--- a/internal/connection/intake/body.go
+++ b/internal/connection/intake/body.go
@@ -102,6 +102,9 @@
 	if req.ContentLength < 0 || req.ContentLength > freeBodyBytes {
 		r.w.Header().Set("Connection", "close") // the answer does not wait for the body then
 	}
+	if c := connOf(req); c != nil {
+		c.lingerOnClose()
+	}
 	_ = r.conn.SetReadDeadline(time.Now().Add(lingerTime)) // fails only on a closed connection
 }
 
--- a/internal/connection/intake/conn.go
+++ b/internal/connection/intake/conn.go
@@ -53,7 +53,7 @@
 	reading bool      // the body of its request is being read
 	arrived time.Time // when the last bytes of that body came
 	refusal error     // with which the header is refused; nil: it is not
-	replied bool      // net/http has answered what is no request
+	lingers bool      // an answer was sent before all of the request was read
 	writeBy time.Time // the write deadline
 	revoked bool      // the write deadline is in the past: the answer is given up
 }
@@ -245,7 +245,7 @@
 func (c *Conn) extendWriteDeadline(now time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.replied = c.phase == readsHeader
+	c.lingers = c.lingers || c.phase == readsHeader // net/http answers what is no request
 	timeout := c.gate.writeTimeout
 	if c.revoked || c.writeBy.Sub(now) > timeout-timeout/deadlineSlackPart {
 		return nil
@@ -265,13 +265,20 @@
 	return c.Conn.SetWriteDeadline(t)
 }
 
+// lingerOnClose makes Close wait until the caller can have read the answer.
+func (c *Conn) lingerOnClose() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lingers = true
+}
+
 // Close implements net.Conn.
 func (c *Conn) Close() error {
 	c.mu.Lock()
-	replied := c.replied
-	c.replied = false
+	lingers := c.lingers
+	c.lingers = false
 	c.mu.Unlock()
-	if replied {
+	if lingers {
 		c.linger()
 	}
 	return c.Conn.Close()
@@ -311,7 +318,9 @@
 // endRequest notes that the connection waits for the next request.
 func (c *Conn) endRequest() {
 	c.dropHeader()
-	c.enter(isIdle)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.phase, c.since, c.lingers = isIdle, time.Now(), false
 }
 
 // dropHeader forgets the last header and returns its memory.
--- a/internal/connection/intake/conn_test.go
+++ b/internal/connection/intake/conn_test.go
@@ -325,3 +325,20 @@
 	is.NoErr(err)
 	is.True(size > 0 && size <= 2*receiveBuffer) // the kernel doubles it for its own use
 }
+
+// Guards against a refusal that is lost because the connection is closed before the body has come:
+// net/http reads no more of a request that says that its connection closes.
+func TestRefusalBeforeTheBodyArrives(t *testing.T) {
+	is := is.New(t)
+	b, _ := newBudget(16 * mebi)
+	_, address := serveGate(t, b, Limits{})
+	for range 20 {
+		conn := sendRaw(t, address, fmt.Sprintf("POST / HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: %d\r\n\r\n", mebi+1))
+		for range 20 { // the rest comes while the request is refused
+			_, err := conn.Write(make([]byte, 4<<10))
+			is.NoErr(err)
+			time.Sleep(time.Millisecond)
+		}
+		is.Equal(readStatus(t, conn), http.StatusInternalServerError)
+	}
+}
--- a/scripts/check-mutants.sh
+++ b/scripts/check-mutants.sh
@@ -445,6 +445,7 @@
 mutant 67 internal/connection/intake/conn.go 's/phase == servesRequest \|\| len\(p\) == 0/len(p) == 0/' internal/connection/intake TestOnlyHeadersAreLimited
 mutant 67 internal/connection/intake/conn.go 's/case c\.served:/case !c.served:/' internal/connection/intake TestUnusedConnectionsGiveWay
 mutant 67 internal/connection/intake/conn.go 's/c\.writeBy\.Sub\(now\) > timeout-timeout\/deadlineSlackPart/!c.writeBy.IsZero() \&\& timeout > 0/' internal/connection/intake TestSlowReaderGetsItsAnswer
+mutant 67 internal/connection/intake/body.go 's/\t\tc\.lingerOnClose\(\)\n/\t\t_ = c\n/' internal/connection/intake TestRefusalBeforeTheBodyArrives
 mutant 67 internal/connection/intake/gate.go 's/phase == readsHeader \&\&/phase != servesRequest \&\&/' internal/connection/intake TestHeaderTimeout
 mutant 67 internal/connection/intake/gate.go 's/len\(g\.conns\) >= g\.maxConns/len(g.conns) > g.maxConns/' internal/connection/intake TestUnusedConnectionsGiveWay
 mutant 67 internal/request/job/memory.go 's/m\.heldBytes\+bytes > m\.cfg\.MaxHeldBytes/m.heldBytes+bytes < 0/' internal/request/job TestHeldJobsAreBounded
