--- a/internal/connection/intake/answer_test.go
+++ b/internal/connection/intake/answer_test.go
@@ -16,23 +16,15 @@
 // which each write ended.
 func serveAnswers(t *testing.T, b *Budget, writeTimeout time.Duration) (address string, errs chan error) {
 	t.Helper()
-	gate := NewGate(b, maxConns, writeTimeout)
 	errs = make(chan error, maxConns)
 	body := make([]byte, unreadBytes)
-	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	address = serve(t, NewGate(b, maxConns, writeTimeout), func(w http.ResponseWriter, r *http.Request) {
 		request := b.NewRequest(w)
 		defer request.End()
 		request.HoldAnswer(len(body))
 		errs <- request.WriteAnswer(body)
-	})}
-	gate.Guard(server)
-	listener, err := gate.Listen("127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	go server.Serve(listener)
-	t.Cleanup(func() { server.Close() })
-	return listener.Addr().String(), errs
+	})
+	return address, errs
 }
 
 // Guards against an answer that nobody reads and that is held without end.
--- a/internal/connection/intake/conn_test.go
+++ b/internal/connection/intake/conn_test.go
@@ -24,7 +24,7 @@
 	t.Helper()
 	gate := NewGate(b, maxConns, time.Minute)
 	gate.SetLimits(l)
-	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	return gate, serve(t, gate, func(w http.ResponseWriter, r *http.Request) {
 		request := b.NewRequest(w)
 		defer request.End()
 		body, err := request.ReadBody(r, mebi, time.Minute)
@@ -33,7 +33,13 @@
 			w.WriteHeader(http.StatusInternalServerError)
 		}
 		fmt.Fprint(w, len(body))
-	})}
+	})
+}
+
+// serve starts a server behind a gate and returns its address.
+func serve(t *testing.T, gate *Gate, handler http.HandlerFunc) string {
+	t.Helper()
+	server := &http.Server{Handler: handler}
 	gate.Guard(server)
 	listener, err := gate.Listen("127.0.0.1:0")
 	if err != nil {
@@ -41,7 +47,7 @@
 	}
 	go server.Serve(listener)
 	t.Cleanup(func() { server.Close() })
-	return gate, listener.Addr().String()
+	return listener.Addr().String()
 }
 
 // get returns a request whose header takes a number of bytes.
--- a/internal/connection/intake/gate.go
+++ b/internal/connection/intake/gate.go
@@ -38,8 +38,9 @@
 	IdleTimeout   time.Duration
 }
 
-// Gate bounds callers' connections: size and time of each header before it is parsed, the memory that
-// headers take together, the time for which connections are idle, and that of writes that nobody reads. It is safe for concurrent use.
+// Gate bounds callers' connections: their number, the size and time of each header before it is parsed,
+// the memory that headers take together, the time for which connections are idle, and that of writes
+// that nobody reads. It is safe for concurrent use.
 type Gate struct {
 	budget       *Budget
 	maxConns     int
