--- a/internal/connection/intake/gate.go
+++ b/internal/connection/intake/gate.go
@@ -15,8 +15,9 @@
 )
 
 const (
-	// defaultHeaderBytes and defaultHeaderTimeout apply until the first configuration is known.
-	defaultHeaderBytes   = 64 << 10
+	// defaultHeaderBytes and defaultHeaderTimeout apply until the first configuration is known, and
+	// where it sets no limit.
+	defaultHeaderBytes   = 1 << 20
 	defaultHeaderTimeout = 5 * time.Second
 	// headerSlack is how many bytes more than the configured limit a header may take on the wire: the
 	// limit leaves out the method, the protocol version and optional white space.
