Refuse no job inside the limits for the headers of its items

What callers saw: 413 for a job of 200 items with some 430 header fields each, in a body of the legal size. Nobody sends again after a 413.

Cause: the bound on decoded jobs counts 256 bytes an element, because headers were decoded into maps.

Change: items are decoded one by one, up to 200, and their headers are kept as text in jobs that wait or run, and in the store as before. A header is parsed when its item runs; large ones count against as much memory as the held items, and others wait. A job is refused (413) only if one item's header takes more than that, 65,000 fields on the smallest VM.

Why this works: nothing that is decoded takes more than its text, but for up to 400 objects; the running headers have a bound of their own. The estimate of memory is four times the text and 512 bytes an object.

Tests: TestElementsInStringsAreNotCounted checked the estimate's count of elements, which is gone; TestObjectsInStringsAreNotCounted checks that of objects on the same forms. TestSubmissionMemoryIsEnough also requires that lists of too many items are refused.

--- a/internal/process/hosted/hosted.go
+++ b/internal/process/hosted/hosted.go
@@ -70,7 +70,7 @@
 	// values change the response.
 	Selectors []string
 	// PromptParts returns the names of the shared parts of a request's prompt.
-	PromptParts func(http.Header) []string
+	PromptParts func(values func(name string) []string) []string
 	// CallerHandler serves the callers' API; ReadyHandler reports whether the node accepts
 	// new connections.
 	CallerHandler func(n *Node) http.Handler
@@ -162,7 +162,7 @@
 	n.jobs = job.NewManager(job.Config{
 		Self: job.Holder{Node: s.NodeID, Boot: n.boot, Address: s.PeerAdvertise}, MaxValueBytes: s.StoreMaxValue,
 		KeepResults: s.KeepResults, Selectors: adapter.Selectors, PromptParts: adapter.PromptParts, TakeOverAfter: s.TakeOverAfter, SweepInterval: s.SweepInterval, EvacuatedWithin: s.EvacuatedWithin,
-		HoldsJobs: s.CallerListen != "", ResultCacheBytes: s.ResultMemory, MaxHeldBytes: jobMemory(s), CheckpointInterval: s.CheckpointInterval,
+		HoldsJobs: s.CallerListen != "", ResultCacheBytes: s.ResultMemory, MaxHeldBytes: jobMemory(s), MaxParsedHeaderBytes: jobMemory(s), CheckpointInterval: s.CheckpointInterval,
 	}, job.Dependencies{Store: n.relay(), StoreLatency: n.storeLatency, StoreResumed: n.storeResumed, SharedView: n.SharedView, Pool: n.pool, Quarantine: n.crashes, Sender: adapter.Sender, Routes: n.Table, RoutesFresh: n.TableFresh, Peers: n,
 		Backlogs: n.backlogs, Ended: n.jobEnded, EndsKnown: n.endsKnown, Clock: n.clock, Allotments: n.batch.allotments, Recorder: n.recorder, Checker: n.checker, Metrics: n.metrics})
 	n.checkpoints = checkpoint.NewStore(checkpoint.Limits{MaxBytes: s.CheckpointMemory, Retention: s.KeepResults}, n.clock.Now)
--- a/internal/request/job/manager.go
+++ b/internal/request/job/manager.go
@@ -129,12 +129,15 @@
 	// Selectors are the headers of an item that are part of its fingerprint.
 	Selectors []string
 	// PromptParts returns the names of the shared parts of an item's prompt.
-	PromptParts func(http.Header) []string
+	PromptParts func(values func(name string) []string) []string
 	// ResultCacheBytes bounds the results that are cached in memory.
 	ResultCacheBytes int
 	// MaxHeldBytes bounds the items of the held jobs up to which this node accepts more; 0: no bound.
 	// Jobs of other nodes are taken over all the same.
 	MaxHeldBytes int64
+	// MaxParsedHeaderBytes bounds the parsed headers of running items; 0: no bound. Small ones do not
+	// count, and a job is refused if one header alone is over the bound.
+	MaxParsedHeaderBytes int64
 }
 
 // Dependencies are the components that a Manager uses.
@@ -195,6 +198,7 @@
 	fair             *schedule.FairQueue // orders items among workspaces
 	held             map[string]*heldJob
 	heldBytes        int64                 // of the items of held, and of jobs that are being accepted
+	parsedHeaders    int64                 // bytes of the large headers of running items
 	reserved         map[backlog.Key]int64 // tokens of submissions in progress, and of jobs that are being handed over
 	draining         bool
 	evacuatingSince  time.Time            // since when items run at evacuated targets; zero: none does
@@ -215,6 +219,7 @@
 	head     Head
 	revision int64
 	items    []Item
+	headers  []int64            // memory of each item's header while it runs; 0: it is small
 	works    []fingerprint.Work // of each item
 	progress *progress
 	commitMu sync.Mutex // held during a commit, so that only one at a time updates the head
@@ -266,7 +271,7 @@
 // startHeldJob starts to run a job whose head names this node as its holder. loaded contains
 // the checkpoints that were loaded from the job's keepers.
 func (m *Manager) startHeldJob(id string, head Head, revision int64, items []Item, loaded []*v1.JobCheckpoint, why string) {
-	h := &heldJob{id: id, bytes: heldBytes(items), heldSince: time.Now(), head: head, revision: revision, items: items, works: m.worksOf(&head, items), progress: newProgress(&head),
+	h := &heldJob{id: id, bytes: heldBytes(items), heldSince: time.Now(), head: head, revision: revision, items: items, headers: largeHeaders(items), works: m.worksOf(&head, items), progress: newProgress(&head),
 		stops: map[int]stopFunc{}, commitNow: make(chan struct{}, 1), changed: make(chan struct{})}
 	h.checkpoints.setKeepers(head.Keepers)
 	m.mu.Lock()
@@ -300,9 +305,9 @@
 		if r := m.routeOf(head); r != nil {
 			w.Service = r.PickService(0)
 		}
-		w.Selectors, w.Workspace = fingerprint.Select(m.cfg.Selectors, items[i].header().Get), head.Workspace
+		w.Selectors, w.Workspace = fingerprint.Select(m.cfg.Selectors, items[i].Header.Get), head.Workspace
 		if m.cfg.PromptParts != nil {
-			w.PromptParts = func() []string { return m.cfg.PromptParts(items[i].header()) }
+			w.PromptParts = func() []string { return m.cfg.PromptParts(items[i].Header.Values) }
 		}
 	}
 	return works
--- a/internal/request/job/memory.go
+++ b/internal/request/job/memory.go
@@ -15,13 +15,15 @@
 	// the returns of many.
 	fullRetryAfterLeast = 100 * time.Millisecond
 	fullRetryAfterMost  = 500 * time.Millisecond
+	// smallHeaderBytes is the memory up to which the parsed header of a running item does not count.
+	smallHeaderBytes = 16 << 10
 )
 
 // heldBytes estimates the memory in bytes of the items of a held job.
 func heldBytes(items []Item) int64 {
 	bytes := int64(0)
 	for i := range items {
-		bytes += heldItemBytes + int64(len(items[i].Body)+len(items[i].Path)+headerSize(items[i].Header))
+		bytes += heldItemBytes + int64(len(items[i].Body)+len(items[i].Path)+len(items[i].Header))
 	}
 	return bytes
 }
@@ -43,3 +45,31 @@
 		m.heldBytes -= bytes
 	}, nil
 }
+
+// largeHeaders returns the memory in bytes that each item's header takes while the item runs, 0 for
+// small ones.
+func largeHeaders(items []Item) []int64 {
+	sizes := make([]int64, len(items))
+	for i := range items {
+		if bytes := items[i].Header.parsedBytes(); bytes > smallHeaderBytes {
+			sizes[i] = bytes
+		}
+	}
+	return sizes
+}
+
+// checkHeaders returns TooLarge if a header takes more memory than any may while its item runs.
+func (m *Manager) checkHeaders(items []Item) error {
+	for i, bytes := range largeHeaders(items) {
+		if m.cfg.MaxParsedHeaderBytes > 0 && bytes > m.cfg.MaxParsedHeaderBytes {
+			return errkind.TooLarge.New("the header of item %q has more fields than fit into memory", items[i].ID)
+		}
+	}
+	return nil
+}
+
+// fitsParsed reports whether an item whose header takes so many bytes may run now. One that was taken
+// over runs alone if it is over the bound by itself. The caller holds m.mu.
+func (m *Manager) fitsParsed(bytes int64) bool {
+	return bytes == 0 || m.cfg.MaxParsedHeaderBytes <= 0 || m.parsedHeaders == 0 || m.parsedHeaders+bytes <= m.cfg.MaxParsedHeaderBytes
+}
--- a/internal/request/job/record.go
+++ b/internal/request/job/record.go
@@ -14,7 +14,6 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
-	"net/http"
 	"strings"
 	"time"
 
@@ -95,20 +94,11 @@
 type Item struct {
 	ID     string
 	Path   string
-	Header map[string]string
+	Header Header
 	Body   []byte
 	Tokens int64 // prompt tokens plus maximum output tokens
 }
 
-// header returns the HTTP header to send with the item.
-func (i *Item) header() http.Header {
-	header := make(http.Header, len(i.Header))
-	for k, v := range i.Header {
-		header.Set(k, v)
-	}
-	return header
-}
-
 // Result is the outcome of one item.
 type Result struct {
 	Item string
@@ -236,15 +226,7 @@
 
 // itemSize estimates the encoded size of an item. Base64 takes four characters for each
 // three bytes of the body.
-func itemSize(i Item) int { return len(i.Body)*4/3 + len(i.Path) + headerSize(i.Header) }
-
-func headerSize(h map[string]string) int {
-	n := 0
-	for k, v := range h {
-		n += len(k) + len(v) + encodingOverhead/64
-	}
-	return n
-}
+func itemSize(i Item) int { return len(i.Body)*4/3 + len(i.Path) + i.Header.size() }
 
 // encodedSize returns the size of a result in an answer to a caller.
 func (r Result) encodedSize() int {
--- a/internal/request/job/run.go
+++ b/internal/request/job/run.go
@@ -149,7 +149,7 @@
 		return
 	}
 	service := m.serviceOf(h, i, r)
-	if full.isFull(service) || !m.mayTry(h, i, now) {
+	if full.isFull(service) || !m.mayTry(h, i, now) || !m.fitsParsed(h.headers[i]) {
 		return
 	}
 	need := m.needOf(h, i, service, allotment)
@@ -177,6 +177,7 @@
 		return
 	}
 	t.Sent = m.Clock.Now()
+	m.parsedHeaders += h.headers[i]
 	m.fair.MarkSent(item)
 	m.beginTrial(h, i)
 	h.progress.markSent(i, t, now)
@@ -221,6 +222,7 @@
 	err := m.attempt(ctx, cancel, h, i, t, r, liveness, began)
 	m.mu.Lock()
 	delete(h.stops, i)
+	m.parsedHeaders -= h.headers[i]
 	outcome := m.reportedOutcome(h, i, outcomeOf(ctx, err))
 	m.mu.Unlock()
 	m.Pool.EndBatch(t, outcome, errors.Is(context.Cause(ctx), errPreempted))
@@ -243,7 +245,7 @@
 	defer stallTimer.Stop()
 	answer, err := m.Sender.Send(ctx, target.Call{
 		Address: t.Addr, InstanceID: t.ID, Incarnation: t.Incarnation, RequestID: item.ID, Workspace: h.head.Workspace, Method: http.MethodPost, Host: h.head.Host, Path: item.Path,
-		Header: item.header(), Body: item.Body, ResumeAfter: resumeAfter, Repeatable: true, Deadline: time.UnixMilli(h.head.Submitted).Add(r.AbandonAfter),
+		Header: item.Header.parsed(), Body: item.Body, ResumeAfter: resumeAfter, Repeatable: true, Deadline: time.UnixMilli(h.head.Submitted).Add(r.AbandonAfter),
 	})
 	if err != nil {
 		return err
--- a/internal/request/job/segment_test.go
+++ b/internal/request/job/segment_test.go
@@ -248,7 +248,7 @@
 	s := submission("job")
 	s.Items = nil
 	for i := range 40 {
-		s.Items = append(s.Items, Item{ID: fmt.Sprint("i", i), Path: "/j/a", Header: map[string]string{"X": strings.Repeat("\x01\"", 150)}})
+		s.Items = append(s.Items, Item{ID: fmt.Sprint("i", i), Path: "/j/a", Header: Header(encode(map[string]string{"X": strings.Repeat("\x01\"", 150)}))})
 	}
 	is.NoErr(m.Submit(context.Background(), s))
 	head, _, err := m.getHead(context.Background(), callbudget.Commit, "job")
--- a/internal/request/job/submit.go
+++ b/internal/request/job/submit.go
@@ -43,6 +43,9 @@
 	if m.isAccepted(s.ID) {
 		return nil
 	}
+	if err := m.checkHeaders(s.Items); err != nil {
+		return err
+	}
 	freeMemory, err := m.reserveMemory(s.Items)
 	if err != nil {
 		return err
--- a/lab/hosted/crowd/calm_test.go
+++ b/lab/hosted/crowd/calm_test.go
@@ -38,6 +38,20 @@
 	return resp.StatusCode
 }
 
+// itemsOfHeaders returns the items of a job whose text is close to the limit and consists of small
+// headers.
+func itemsOfHeaders(id string) []hosted.Item {
+	fields := map[string]string{}
+	for k := range 400 {
+		fields[fmt.Sprintf("x-%03x", k)] = ""
+	}
+	items := hosted.Items(id, 200)
+	for i := range items {
+		items[i].Body, items[i].Headers = []byte("x"), fields
+	}
+	return items
+}
+
 // Guards against bounds that a single request inside the limits meets while nothing else is sent, and
 // against limits that let one byte more pass.
 func TestLargestRequestsInCalm(t *testing.T) {
@@ -81,6 +95,16 @@
 			}
 		})
 	}
+	t.Run("a job of the limit in headers", func(t *testing.T) {
+		fields := itemsOfHeaders("fields")
+		if reply := hosted.SubmitJob(n.address, "fields", fields); reply.Status != http.StatusAccepted {
+			t.Fatal(reply.Status, reply.Err)
+		}
+		results, err := hosted.ReadAllResults([]string{n.address}, "fields", resultsTimeout)
+		if err != nil || len(results) != len(fields) {
+			t.Errorf("%d results of %d items: %v", len(results), len(fields), err)
+		}
+	})
 	t.Run("a slow body", func(t *testing.T) {
 		conn := n.dial()
 		if err := send(conn, []byte(head(hosted.RepeatPath+"run", "slow")+length(20)+"\r\n\r\n")); err != nil {
--- a/lab/hosted/crowd/crowd_test.go
+++ b/lab/hosted/crowd/crowd_test.go
@@ -243,6 +243,20 @@
 	n.check()
 }
 
+// Guards against accepted jobs whose headers take many times their bytes while their items wait or run.
+func TestJobsOfHeaders(t *testing.T) {
+	n := startNode(t)
+	n.play(crowd/4, func(w io.Writer, i int) error {
+		body, err := json.Marshal(map[string]any{"items": itemsOfHeaders(requestID(i))})
+		if err != nil || len(body) > maxBodyBytes {
+			t.Errorf("a job of %d bytes: %v", len(body), err)
+			return err
+		}
+		return send(w, fmt.Appendf(nil, "%sContent-Length: %d\r\n\r\n", head(hosted.BatchPath+"submit", requestID(i)), len(body)), body)
+	})
+	n.check()
+}
+
 // Guards against connections that take all descriptors, so that none is left for targets, the
 // store and other callers.
 func TestMoreConnectionsThanDescriptors(t *testing.T) {
--- a/scripts/check-mutants.sh
+++ b/scripts/check-mutants.sh
@@ -450,8 +450,13 @@
 mutant 67 internal/connection/intake/gate.go 's/len\(g\.conns\) >= g\.maxConns/len(g.conns) > g.maxConns/' internal/connection/intake TestUnusedConnectionsGiveWay
 mutant 67 internal/request/job/memory.go 's/m\.heldBytes\+bytes > m\.cfg\.MaxHeldBytes/m.heldBytes+bytes < 0/' internal/request/job TestHeldJobsAreBounded
 mutant 67 internal/request/job/manager.go 's/m\.heldBytes -= h\.bytes/_ = h.bytes/' internal/request/job TestHeldJobsAreBounded
-mutant 67 platform/submission.go 's/bytesPerElement\*int64\(elements\)/0*int64(elements)/' platform TestSubmissionMemoryIsEnough
-mutant 67 platform/submission.go 's/if !quoted \{/if quoted || !quoted {/' platform TestElementsInStringsAreNotCounted
+mutant 67 platform/submission.go 's/submissionFactor\*int64\(len\(text\)\) \+/0*int64(len(text)) +/' platform TestSubmissionMemoryIsEnough
+mutant 67 platform/submission.go 's/if !quoted \{/if quoted || !quoted {/' platform TestObjectsInStringsAreNotCounted
+mutant 67 platform/submission.go 's/len\(\*l\) == job\.MaxItems/len(*l) < 0/' platform TestItemsAreCountedAsTheyAreDecoded
+mutant 67 platform/submission.go 's/objects < maxObjects;/objects >= 0;/' platform TestObjectsInStringsAreNotCounted
+mutant 67 internal/request/job/header.go 's/parsedFieldBytes\*fields/0*fields/' internal/request/job TestParsedHeaderEstimate
+mutant 67 internal/request/job/header.go 's/if drop\(name\) \{/if drop(name) \&\& name == "" {/' internal/request/job TestHeaderKeepsItsFields
+mutant 67 internal/request/job/memory.go 's/m\.parsedHeaders\+bytes <= m\.cfg\.MaxParsedHeaderBytes/m.parsedHeaders+bytes > 0/' internal/request/job TestParsedHeadersAreBounded
 mutant 67 internal/process/hosted/run.go 's/allowed-uncountedMemory/allowed-allowed\/10/' internal/process/hosted TestMemoryLimitLeavesRoomForTheProgram
 }
 checks=()
