Bound the output of jobs by the memory of the node

What callers saw: a node of 96 MiB took 229 MiB after 16 small jobs of 8 items whose output takes 800 KiB each, and would have ended.

Cause: listed results were cached up to 64 MiB and output that waits to be stored was held up to 64 MiB, on a node of any size, and each result is held twice until it is listed. Checkpoints of other nodes took 16 MiB.

Change: each of the three takes at most a sixteenth of [limits] memory. While half of the bound on output is used, no further item is sent and finished results are committed at once; if only interrupted items have output, they go on.

Why this works: output comes in no faster than it is stored, and running items have the other half of the bound, beyond which an attempt was given up before, too.

--- a/internal/process/hosted/callers.go
+++ b/internal/process/hosted/callers.go
@@ -48,6 +48,23 @@
 	return int64(s.Memory) << 20 / jobMemoryPart
 }
 
+// outputMemoryPart is the part of a node's memory that the results of jobs take at most, and as much
+// again checkpoints and output that is not stored yet.
+const outputMemoryPart = 16
+
+// resultMemory returns the memory in bytes for cached results, and for output that is not stored yet.
+func resultMemory(s *settings.Settings) int { return outputMemory(s, s.ResultMemory) }
+
+// checkpointMemory returns the memory in bytes for checkpoints of other nodes.
+func checkpointMemory(s *settings.Settings) int { return outputMemory(s, s.CheckpointMemory) }
+
+func outputMemory(s *settings.Settings, set int) int {
+	if s.Memory > 0 {
+		return min(set, s.Memory<<20/outputMemoryPart)
+	}
+	return set
+}
+
 const (
 	// connectionBytes is the memory of a connection whose request is small.
 	connectionBytes = 16 << 10
--- a/internal/process/hosted/callers_test.go
+++ b/internal/process/hosted/callers_test.go
@@ -17,10 +17,15 @@
 	is.Equal(callerMemory(small), int64(134<<20/4))
 	is.Equal(jobMemory(small), int64(134<<20/8))
 	is.Equal(callerConnections(small, 4100), 1072) // by memory
+	small.ResultMemory, small.CheckpointMemory = 64<<20, 1<<20
+	is.Equal(resultMemory(small), 134<<20/16)
+	is.Equal(checkpointMemory(small), 1<<20)
 	is.Equal(callerConnections(&settings.Settings{Memory: 1048}, 4200), 2100)
 	unlimited := &settings.Settings{}
 	is.Equal(callerMemory(unlimited), int64(defaultCallerMemory))
 	is.Equal(jobMemory(unlimited), int64(0))
+	unlimited.ResultMemory = 64 << 20
+	is.Equal(resultMemory(unlimited), 64<<20)
 	is.Equal(callerConnections(unlimited, math.MaxUint64), math.MaxInt32)
 	is.Equal(callerConnections(unlimited, 1), 1)
 	stated := &settings.Settings{Memory: 134, CallerMemory: 5, JobMemory: 6, CallerConnections: 7, Descriptors: 8}
--- a/internal/process/settings/keys.go
+++ b/internal/process/settings/keys.go
@@ -66,7 +66,7 @@
 	{"jobs", "take_over_after", "6s", "duration", "How long the holder of a job must be unreachable before another node takes the job over.", duration(func(s *Settings) *time.Duration { return &s.TakeOverAfter }, 100*time.Millisecond, time.Hour)},
 	{"jobs", "sweep_interval", "5s", "duration", "Time between scans for jobs without a holder.", duration(func(s *Settings) *time.Duration { return &s.SweepInterval }, 100*time.Millisecond, time.Hour)},
 	{"jobs", "checkpoint_interval", "1s", "duration", "Time between checkpoints of running items, saved at two other nodes; 0: none.", duration(func(s *Settings) *time.Duration { return &s.CheckpointInterval }, 0, time.Hour)},
-	{"jobs", "checkpoint_memory", "16777216", "bytes", "Memory for checkpoints that other nodes save here; the oldest are dropped first.", count(func(s *Settings) *int { return &s.CheckpointMemory }, 0, 1<<34)},
+	{"jobs", "checkpoint_memory", "16777216", "bytes", "Memory for checkpoints that other nodes save here, on a hosted node at most a sixteenth of [limits] memory; the oldest are dropped first.", count(func(s *Settings) *int { return &s.CheckpointMemory }, 0, 1<<34)},
 
 	{"membership", "heartbeat", "500ms", "duration", "Time between heartbeats to each node of the data centre.", duration(func(s *Settings) *time.Duration { return &s.Heartbeat }, 20*time.Millisecond, time.Minute)},
 	{"membership", "suspect_after", "1500ms", "duration", "Time without a message of a node after which it is suspect and is assigned no new tasks.", duration(func(s *Settings) *time.Duration { return &s.SuspectAfter }, 40*time.Millisecond, time.Minute)},
@@ -93,7 +93,7 @@
 	{"allowance", "tolerance", "0.1", "share", "Share of a rate limit by which it may be exceeded in a window. Part of it is used while nodes can't know what others served.", share(func(s *Settings) *float64 { return &s.AllowanceTolerance })},
 	{"allowance", "slack", "10", "requests", "Requests by which it may be exceeded beyond that share.", count(func(s *Settings) *int { return &s.AllowanceSlack }, 0, 1000000)},
 
-	{"results", "memory", "67108864", "bytes", "Memory for the requests and results that this node holds.", count(func(s *Settings) *int { return &s.ResultMemory }, mebi, 1<<34)},
+	{"results", "memory", "67108864", "bytes", "Memory for the requests and results that this node holds. On a hosted node at most a sixteenth of [limits] memory, and as much again for output of items that is not stored yet; no further item is sent while half of that is used.", count(func(s *Settings) *int { return &s.ResultMemory }, mebi, 1<<34)},
 	{"results", "flush_interval", "1s", "duration", "Time between writes of completed results to the platform.", duration(func(s *Settings) *time.Duration { return &s.FlushInterval }, 20*time.Millisecond, time.Minute)},
 
 	{"log", "level", "info", "level", "Lowest level logged.", choice(func(s *Settings) *string { return &s.LogLevel }, "debug", "info", "warn", "error")},
--- a/internal/request/job/commit.go
+++ b/internal/request/job/commit.go
@@ -72,6 +72,9 @@
 // commitDue reports whether to commit the pending results of a job now. The caller holds
 // m.mu.
 func (m *Manager) commitDue(h *heldJob, now time.Time) bool {
+	if m.outputFull && len(h.progress.pending) > 0 {
+		return true
+	}
 	if !m.sharedView() {
 		return h.progress.commitDue(now, m.commitDelayOf(h))
 	}
@@ -94,6 +97,9 @@
 	if reason := m.lateCommitReason(h, now); reason != notDue {
 		return reason
 	}
+	if m.outputFull {
+		return commitOutputFull
+	}
 	return commitRequested
 }
 
--- a/internal/request/job/latecommit.go
+++ b/internal/request/job/latecommit.go
@@ -30,15 +30,16 @@
 
 // The reasons of commits with the shared view on.
 const (
-	notDue          commitReason = ""
-	commitComplete  commitReason = "complete"         // every item has a result
-	commitFailures  commitReason = "failed attempts"  // the head lacks failed attempts
-	commitUnsaved   commitReason = "not at keepers"   // fewer than two keepers have a result
-	commitTakeover  commitReason = "takeover in time" // a node that takes the job over later would commit too late
-	commitWaited    commitReason = "waited long"      // the oldest result has waited for maxResultWait
-	commitDueTime   commitReason = "due"              // the job is due
-	commitOverdue   commitReason = "overdue"          // the job is late
-	commitRequested commitReason = "requested"        // the node leaves, or the keepers have changed
+	notDue           commitReason = ""
+	commitComplete   commitReason = "complete"         // every item has a result
+	commitFailures   commitReason = "failed attempts"  // the head lacks failed attempts
+	commitUnsaved    commitReason = "not at keepers"   // fewer than two keepers have a result
+	commitTakeover   commitReason = "takeover in time" // a node that takes the job over later would commit too late
+	commitWaited     commitReason = "waited long"      // the oldest result has waited for maxResultWait
+	commitDueTime    commitReason = "due"              // the job is due
+	commitOverdue    commitReason = "overdue"          // the job is late
+	commitOutputFull commitReason = "output full"      // too much output waits to be stored
+	commitRequested  commitReason = "requested"        // the node leaves, or the keepers have changed
 )
 
 // lateCommitDue returns why to commit the pending results and failed attempts of a job that is due at a time, or
--- a/internal/request/job/manager.go
+++ b/internal/request/job/manager.go
@@ -130,7 +130,8 @@
 	Selectors []string
 	// PromptParts returns the names of the shared parts of an item's prompt.
 	PromptParts func(values func(name string) []string) []string
-	// ResultCacheBytes bounds the results that are cached in memory.
+	// ResultCacheBytes bounds the results that are cached in memory, and as much again the output of
+	// items that is not stored yet.
 	ResultCacheBytes int
 	// MaxHeldBytes bounds the items of the held jobs up to which this node accepts more; 0: no bound.
 	// Jobs of other nodes are taken over all the same.
@@ -199,6 +200,7 @@
 	held             map[string]*heldJob
 	heldBytes        int64                 // of the items of held, and of jobs that are being accepted
 	parsedHeaders    int64                 // bytes of the large headers of running items
+	outputFull       bool                  // see updateOutputFull
 	reserved         map[backlog.Key]int64 // tokens of submissions in progress, and of jobs that are being handed over
 	draining         bool
 	evacuatingSince  time.Time            // since when items run at evacuated targets; zero: none does
--- a/internal/request/job/memory_test.go
+++ b/internal/request/job/memory_test.go
@@ -3,10 +3,12 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
 	"github.com/marblepond/marblepond/internal/errkind"
+	"github.com/marblepond/marblepond/internal/request/choose"
 )
 
 // Guards against accepted jobs that take memory without a bound, a bound that refuses a job for which
@@ -41,3 +43,51 @@
 	_, err = m.reserveMemory(items(int(10 * one))) // the only one
 	is.NoErr(err)
 }
+
+// Guards against output that waits to be stored without a bound: no further item is sent, and results
+// are committed at once. And against items that wait for ever because only they have output.
+func TestOutputIsBounded(t *testing.T) {
+	for _, shared := range []bool{false, true} {
+		is := is.New(t)
+		m := newTestManager("a", newMemoryStore())
+		m.SharedView = func() bool { return shared }
+		m.cfg.ResultCacheBytes = 1000
+		s := submission("job")
+		head := newHead(s, 0, s.Items)
+		head.Total = 2
+		m.startHeldJob("job", *head, 1, s.Items, nil, "accepted")
+		h, now := m.held["job"], time.Now()
+		h.commitMu.Lock() // nothing is committed meanwhile
+		update := func() (sends, commits bool) {
+			m.updateOutputFull()
+			m.mu.Lock()
+			defer m.mu.Unlock()
+			return !m.outputFull, m.commitDue(h, now)
+		}
+		set := func(change func(p *progress)) {
+			m.mu.Lock()
+			defer m.mu.Unlock()
+			change(h.progress)
+		}
+		set(func(p *progress) {
+			p.markSent(0, choose.Target{}, now)
+			p.addEvent(0, 1, make([]byte, 500))
+		})
+		sends, _ := update()
+		is.True(sends) // exactly half of the bound
+		set(func(p *progress) { p.addEvent(0, 2, []byte("x")) })
+		sends, commits := update()
+		is.True(!sends && !commits) // no result is there
+		is.True(!m.anyWaiting(now))
+		set(func(p *progress) { p.attemptBroke(0, now) })
+		sends, _ = update()
+		is.True(sends) // only the interrupted item has output
+		set(func(p *progress) { p.finish(0, Result{Item: "i0", Text: string(p.items[0].text)}, now) })
+		sends, commits = update()
+		is.True(!sends && commits)
+		set(func(p *progress) { p.markListed(1) })
+		sends, commits = update()
+		is.True(sends && !commits)
+		h.commitMu.Unlock()
+	}
+}
--- a/internal/request/job/run.go
+++ b/internal/request/job/run.go
@@ -53,6 +53,7 @@
 	for m.waitForWork(ctx) {
 		started := m.Clock.Now()
 		m.moveEvacuated(started)
+		m.updateOutputFull()
 		m.PreemptItems() // even if nothing has changed: how long online requests have waited for a slot matters too
 		m.sendWaiting(ctx)
 		timer.Reset(m.nextScheduleIn())
@@ -101,7 +102,7 @@
 func (m *Manager) anyWaiting(now time.Time) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return !m.draining && len(m.waitingItems(now)) > 0
+	return !m.draining && !m.outputFull && len(m.waitingItems(now)) > 0
 }
 
 // sendWaiting sends as many items as there are free slots for.
@@ -421,13 +422,37 @@
 	case size/freeTextBytes == (size-added)/freeTextBytes: // the sum is seldom needed
 		return false
 	}
+	return m.heldText() > m.maxHeldText()
+}
+
+// heldText returns the bytes of output that are not listed yet. The caller holds m.mu.
+func (m *Manager) heldText() int {
 	sum := 0
 	for _, held := range m.held {
 		for k := range held.progress.items {
 			sum += len(held.progress.items[k].text)
 		}
 	}
-	return sum > m.maxHeldText()
+	return sum
+}
+
+// updateOutputFull notes whether so much output waits to be stored that no further item is sent, and
+// that results are committed without delay. Running items may fill the other half of the bound. If
+// only interrupted items have output, they have to go on for it to be stored.
+func (m *Manager) updateOutputFull() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.outputFull = m.heldText() > m.maxHeldText()/2 && m.outputAdvances()
+}
+
+// outputAdvances reports whether an item runs or a result waits to be committed. The caller holds m.mu.
+func (m *Manager) outputAdvances() bool {
+	for _, h := range m.held {
+		if len(h.progress.pending) > 0 || !h.progress.noneRunning() {
+			return true
+		}
+	}
+	return false
 }
 
 // maxHeldText is the bound of the output of all held items: it shares the memory for results.
--- a/lab/hosted/crowd/crowd_test.go
+++ b/lab/hosted/crowd/crowd_test.go
@@ -192,6 +192,29 @@
 	n.check()
 }
 
+// Guards against small jobs whose results are large, and that are kept in memory without a bound that
+// fits the node: while they wait to be stored, and once they have been read.
+func TestLargeResultsOfManyJobs(t *testing.T) {
+	const jobs, items = 16, 8
+	n := startNodeWithAnswers(t, answerEvents)
+	for i := range jobs {
+		id := fmt.Sprint("large-", i)
+		job := hosted.Items(id, items)
+		for k := range job {
+			job[k].ID = longID(i*items + k)
+		}
+		if reply := hosted.SubmitJob(n.address, id, job); reply.Status != http.StatusAccepted {
+			t.Fatal(reply.Status, reply.Err)
+		}
+	}
+	for i := range jobs {
+		if _, err := hosted.ReadAllResults([]string{n.address}, fmt.Sprint("large-", i), resultsTimeout); err != nil {
+			t.Fatal(err)
+		}
+	}
+	n.check()
+}
+
 // Guards against jobs that take many times the bytes of their text once decoded.
 func TestJobsThatGrowWhenDecoded(t *testing.T) {
 	object := func(open, member, end string) []byte {
--- a/scripts/check-mutants.sh
+++ b/scripts/check-mutants.sh
@@ -450,6 +450,10 @@
 mutant 67 internal/connection/intake/gate.go 's/len\(g\.conns\) >= g\.maxConns/len(g.conns) > g.maxConns/' internal/connection/intake TestUnusedConnectionsGiveWay
 mutant 67 internal/request/job/memory.go 's/m\.heldBytes\+bytes > m\.cfg\.MaxHeldBytes/m.heldBytes+bytes < 0/' internal/request/job TestHeldJobsAreBounded
 mutant 67 internal/request/job/manager.go 's/m\.heldBytes -= h\.bytes/_ = h.bytes/' internal/request/job TestHeldJobsAreBounded
+mutant 67 internal/request/job/run.go 's/m\.maxHeldText\(\)\/2 \&\& m\.outputAdvances\(\)/m.maxHeldText()\/2/' internal/request/job TestOutputIsBounded
+mutant 67 internal/request/job/run.go 's/!m\.draining \&\& !m\.outputFull/!m.draining/' internal/request/job TestOutputIsBounded
+mutant 67 internal/request/job/commit.go 's/if m\.outputFull \&\& len\(h\.progress\.pending\) > 0/if m.outputFull \&\& len(h.progress.pending) > 100/' internal/request/job TestOutputIsBounded
+mutant 67 internal/process/hosted/callers.go 's/min\(set, s\.Memory<<20\/outputMemoryPart\)/set/' internal/process/hosted TestBoundsOfCallers
 mutant 67 platform/submission.go 's/submissionFactor\*int64\(len\(text\)\) \+/0*int64(len(text)) +/' platform TestSubmissionMemoryIsEnough
 mutant 67 platform/submission.go 's/if !quoted \{/if quoted || !quoted {/' platform TestObjectsInStringsAreNotCounted
 mutant 67 platform/submission.go 's/len\(\*l\) == job\.MaxItems/len(*l) < 0/' platform TestItemsAreCountedAsTheyAreDecoded
