Take over no jobs of lost nodes beyond the memory for jobs

What callers would have seen: nodes that end one after the other, since each takes over the jobs of those before it whatever memory they take. Found by reading; no run showed it at a process.

Change: a node takes no further job over while the items that it holds are over [jobs] memory. The jobs are in the object store and wait for a node with room, or until others are done.

Evidence: TestLostJobsAreTakenOverWithinMemory failed before; its mutant is noticed. Tests of internal/request/job pass.

--- a/internal/request/job/manager.go
+++ b/internal/request/job/manager.go
@@ -133,8 +133,8 @@
 	// ResultCacheBytes bounds the results that are cached in memory, and as much again the output of
 	// items that is not stored yet.
 	ResultCacheBytes int
-	// MaxHeldBytes bounds the items of the held jobs up to which this node accepts more; 0: no bound.
-	// Jobs of other nodes are taken over all the same.
+	// MaxHeldBytes bounds the items of the held jobs up to which this node accepts more, and takes over
+	// those of lost nodes; 0: no bound.
 	MaxHeldBytes int64
 	// MaxParsedHeaderBytes bounds the parsed headers of running items; 0: no bound. Small ones do not
 	// count, and a job is refused if one header alone is over the bound.
--- a/internal/request/job/memory.go
+++ b/internal/request/job/memory.go
@@ -46,6 +46,14 @@
 	}, nil
 }
 
+// hasMemory reports whether the items of held jobs take less than their bound, so that a lost job may
+// be taken over. Jobs for which no node has memory stay in the object store until others are done.
+func (m *Manager) hasMemory() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.cfg.MaxHeldBytes <= 0 || m.heldBytes < m.cfg.MaxHeldBytes
+}
+
 // largeHeaders returns the memory in bytes that each item's header takes while the item runs, 0 for
 // small ones.
 func largeHeaders(items []Item) []int64 {
--- a/internal/request/job/memory_test.go
+++ b/internal/request/job/memory_test.go
@@ -1,6 +1,7 @@
 package job
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
@@ -91,3 +92,40 @@
 		h.commitMu.Unlock()
 	}
 }
+
+// Guards against a node that takes over all jobs of lost nodes whatever memory they take, and against
+// jobs that are left when there is room again.
+func TestLostJobsAreTakenOverWithinMemory(t *testing.T) {
+	is := is.New(t)
+	store := newMemoryStore()
+	lost := newTestManager("lost", store)
+	const jobs = 4
+	for i := range jobs {
+		s := submission(fmt.Sprint("job-", i))
+		s.Items = []Item{{ID: "a", Path: "/j/a", Body: make([]byte, 10_000)}}
+		is.NoErr(lost.Submit(context.Background(), s))
+	}
+	next := newTestManager("next", store)
+	next.cfg.MaxHeldBytes = 15_000
+	next.cfg.TakeOverAfter = 0
+	sweep := func(want int) {
+		t.Helper()
+		next.mu.Lock()
+		clear(next.orphanedSince)
+		next.mu.Unlock()
+		_, _ = next.sweepOnce(context.Background())
+		time.Sleep(2 * time.Millisecond)
+		_, _ = next.sweepOnce(context.Background())
+		next.mu.Lock()
+		defer next.mu.Unlock()
+		is.Equal(len(next.held), want)
+	}
+	sweep(2) // the second one is over the bound
+	sweep(2)
+	next.mu.Lock()
+	next.heldBytes -= 10_000 // other jobs have ended
+	next.mu.Unlock()
+	sweep(3)
+	next.cfg.MaxHeldBytes = 0
+	sweep(jobs)
+}
--- a/internal/request/job/sweep.go
+++ b/internal/request/job/sweep.go
@@ -108,7 +108,7 @@
 			orphaned[id] = true
 		}
 		for _, id := range lost {
-			if m.shouldAdopt(id, holder) {
+			if m.shouldAdopt(id, holder) && m.hasMemory() {
 				m.adoptListed(ctx, id, heads[id])
 			} else {
 				pause = suspectSweepInterval
--- a/scripts/check-mutants.sh
+++ b/scripts/check-mutants.sh
@@ -450,6 +450,7 @@
 mutant 67 internal/connection/intake/gate.go 's/len\(g\.conns\) >= g\.maxConns/len(g.conns) > g.maxConns/' internal/connection/intake TestUnusedConnectionsGiveWay
 mutant 67 internal/request/job/memory.go 's/m\.heldBytes\+bytes > m\.cfg\.MaxHeldBytes/m.heldBytes+bytes < 0/' internal/request/job TestHeldJobsAreBounded
 mutant 67 internal/request/job/manager.go 's/m\.heldBytes -= h\.bytes/_ = h.bytes/' internal/request/job TestHeldJobsAreBounded
+mutant 67 internal/request/job/memory.go 's/m\.heldBytes < m\.cfg\.MaxHeldBytes/m.heldBytes >= 0/' internal/request/job TestLostJobsAreTakenOverWithinMemory
 mutant 67 internal/request/job/run.go 's/m\.maxHeldText\(\)\/2 \&\& m\.outputAdvances\(\)/m.maxHeldText()\/2/' internal/request/job TestOutputIsBounded
 mutant 67 internal/request/job/run.go 's/!m\.draining \&\& !m\.outputFull/!m.draining/' internal/request/job TestOutputIsBounded
 mutant 67 internal/request/job/commit.go 's/if m\.outputFull \&\& len\(h\.progress\.pending\) > 0/if m.outputFull \&\& len(h.progress.pending) > 100/' internal/request/job TestOutputIsBounded
