Bound reads of stored results and items for callers

What callers saw: 400 readers of results that are not cached brought a node of 96 MiB to 138 MiB and 693 of 700 descriptors, so that none was left for targets and other callers.

The cache kept all results of one job, whatever their size.

Change: such reads share a sixteenth of the node's memory by the size of what they read, which heads now state for each segment; without it the largest value counts. The cache drops results of the job itself if it is over its limit.

Why this works: memory and connections of reads are bounded together, and small results, as usual ones are, are read as many at once as before.

--- a/internal/process/hosted/callers.go
+++ b/internal/process/hosted/callers.go
@@ -48,8 +48,8 @@
 	return int64(s.Memory) << 20 / jobMemoryPart
 }
 
-// outputMemoryPart is the part of a node's memory that the results of jobs take at most, and as much
-// again checkpoints and output that is not stored yet.
+// outputMemoryPart is the part of a node's memory that cached results of jobs take at most, and as much
+// again each checkpoints, output that is not stored yet, and what is read from the object store.
 const outputMemoryPart = 16
 
 // resultMemory returns the memory in bytes for cached results, and for output that is not stored yet.
@@ -58,6 +58,9 @@
 // checkpointMemory returns the memory in bytes for checkpoints of other nodes.
 func checkpointMemory(s *settings.Settings) int { return outputMemory(s, s.CheckpointMemory) }
 
+// readMemory returns the memory in bytes for reads of stored results and items, 0 for the default.
+func readMemory(s *settings.Settings) int64 { return int64(s.Memory) << 20 / outputMemoryPart }
+
 func outputMemory(s *settings.Settings, set int) int {
 	if s.Memory > 0 {
 		return min(set, s.Memory<<20/outputMemoryPart)
--- a/internal/request/job/manager.go
+++ b/internal/request/job/manager.go
@@ -136,6 +136,9 @@
 	// MaxHeldBytes bounds the items of the held jobs up to which this node accepts more, and takes over
 	// those of lost nodes; 0: no bound.
 	MaxHeldBytes int64
+	// MaxReadBytes bounds the memory for reads of stored results and items that callers cause; 0: a
+	// default.
+	MaxReadBytes int64
 	// MaxParsedHeaderBytes bounds the parsed headers of running items; 0: no bound. Small ones do not
 	// count, and a job is refused if one header alone is over the bound.
 	MaxParsedHeaderBytes int64
@@ -185,6 +188,7 @@
 	cfg Config
 	Dependencies
 	results     *resultCache
+	reads       *bulkReads
 	headReads   singleflight.Group // shared reads of heads, by job
 	headsListed atomic.Bool        // this process has listed all heads
 	// lastWriteTook is how long the last write of a submission took that the object store answered,
@@ -247,7 +251,7 @@
 
 // NewManager returns a manager; Run starts it.
 func NewManager(cfg Config, deps Dependencies) *Manager {
-	return &Manager{cfg: cfg, Dependencies: deps, results: newResultCache(cfg.ResultCacheBytes), scheduleNow: make(chan struct{}, 1), sweepNow: make(chan struct{}, 1), stopped: make(chan struct{}),
+	return &Manager{cfg: cfg, Dependencies: deps, results: newResultCache(cfg.ResultCacheBytes), reads: newBulkReads(cfg.MaxReadBytes), scheduleNow: make(chan struct{}, 1), sweepNow: make(chan struct{}, 1), stopped: make(chan struct{}),
 		fair: schedule.NewFairQueue(), held: map[string]*heldJob{}, reserved: map[backlog.Key]int64{}, unreachableSince: map[string]time.Time{}, orphanedSince: map[string]time.Time{}, heads: map[string]knownHead{},
 		endedAt: map[string]time.Time{}, toForget: map[string][]string{}, keeperStates: map[string]keeperState{}, trials: trials{}}
 }
--- a/internal/request/job/read.go
+++ b/internal/request/job/read.go
@@ -140,12 +140,22 @@
 	if after >= head.Listed() || m.results.has(id, after) {
 		return m.page(ctx, id, head, after)
 	}
-	if page, err := m.queryHolder(ctx, id, head, after, 0); err == nil && len(page.Results) > 0 {
+	if page, err := m.queryListed(ctx, id, head, after); err == nil && len(page.Results) > 0 {
 		return page, nil
 	}
 	return m.page(ctx, id, head, after)
 }
 
+// queryListed requests results that are listed from the holder of a job.
+func (m *Manager) queryListed(ctx context.Context, id string, head *Head, after int) (Page, error) {
+	end, err := m.reads.begin(ctx, min(pageBytes, m.segmentSize(head, after)))
+	if err != nil {
+		return Page{}, err
+	}
+	defer end()
+	return m.queryHolder(ctx, id, head, after, 0)
+}
+
 // queryHolder requests results from the holder of a job.
 func (m *Manager) queryHolder(ctx context.Context, id string, head *Head, after int, waitFor time.Duration) (Page, error) {
 	if head.Holder == (Holder{}) || head.Holder.Node == m.cfg.Self.Node {
@@ -219,6 +229,11 @@
 	first := 0
 	for _, s := range head.Segments {
 		if after < first+len(s.Items) {
+			end, err := m.reads.begin(ctx, m.segmentSize(head, after))
+			if err != nil {
+				return Page{}, err
+			}
+			defer end()
 			stored, err := m.readSegment(ctx, s)
 			if err != nil {
 				return Page{}, err
@@ -265,6 +280,11 @@
 	if h != nil {
 		return findBody(h.items, id, item)
 	}
+	end, err := m.reads.begin(ctx, m.itemsSize(&known.head))
+	if err != nil {
+		return nil, err
+	}
+	defer end()
 	if isKnown && m.holderUsable(&known) {
 		body, found, err := m.queryBody(ctx, &known.head, id, item)
 		if err == nil && found {
@@ -276,7 +296,6 @@
 	}
 	head := known.head
 	if !known.fromStore {
-		var err error
 		if head, err = m.locate(ctx, id, false); err != nil {
 			return nil, err
 		}
@@ -286,7 +305,6 @@
 	}
 	if head.Parts == 0 {
 		// The items are in the stored head; remembered heads do not contain them.
-		var err error
 		head, _, err = m.getHead(ctx, callbudget.Commit, id)
 		switch {
 		case errors.Is(err, objects.ErrNotFound):
--- a/internal/request/job/record.go
+++ b/internal/request/job/record.go
@@ -76,6 +76,8 @@
 	Items  []int  // item indexes, in order of result position
 	// Parts is the number of objects of a single result that is too large for one; 0: there is one.
 	Parts int `json:",omitempty"`
+	// Bytes is the size of its objects; 0: it was written by a version that does not state it.
+	Bytes int `json:",omitempty"`
 }
 
 // Listed returns the number of results that have a position.
--- a/internal/request/job/results.go
+++ b/internal/request/job/results.go
@@ -49,9 +49,27 @@
 	for c.bytes > c.limit && c.order.Len() > 1 {
 		c.drop(c.order.Back().Value.(*cachedJob))
 	}
+	if c.bytes > c.limit {
+		c.keepOnly(j, first, first+len(results))
+	}
 	return conflict
 }
 
+// keepOnly removes the results of a job outside of a range of positions, and all of them if these alone
+// are over the limit. The caller holds c.mu.
+func (c *resultCache) keepOnly(j *cachedJob, from, to int) {
+	for position, r := range j.results {
+		if position < from || position >= to {
+			delete(j.results, position)
+			j.bytes -= len(r.Text)
+			c.bytes -= len(r.Text)
+		}
+	}
+	if c.bytes > c.limit {
+		c.drop(j)
+	}
+}
+
 // get returns the cache entry of a job, which it creates if needed and marks as most
 // recently used. The caller holds c.mu.
 func (c *resultCache) get(id string) *cachedJob {
--- a/internal/request/job/segment.go
+++ b/internal/request/job/segment.go
@@ -203,6 +203,7 @@
 		segment.Items = append(segment.Items, p.index)
 	}
 	for n, value := range parts {
+		segment.Bytes += len(value)
 		if _, _, err := m.create(ctx, KindResults, partOfResult(segment.Object, n), value); err != nil {
 			return Segment{}, err
 		}
--- a/lab/hosted/crowd/crowd_test.go
+++ b/lab/hosted/crowd/crowd_test.go
@@ -192,26 +192,49 @@
 	n.check()
 }
 
-// Guards against small jobs whose results are large, and that are kept in memory without a bound that
-// fits the node: while they wait to be stored, and once they have been read.
-func TestLargeResultsOfManyJobs(t *testing.T) {
-	const jobs, items = 16, 8
-	n := startNodeWithAnswers(t, answerEvents)
-	for i := range jobs {
-		id := fmt.Sprint("large-", i)
-		job := hosted.Items(id, items)
+// Jobs whose results are large.
+const (
+	largeJobs     = 16
+	largeJobItems = 8
+)
+
+func largeJobID(i int) string { return fmt.Sprint("large-", i) }
+
+// finishLargeJobs submits small jobs whose results are large, and reads all of these.
+func (n *node) finishLargeJobs() {
+	n.t.Helper()
+	for i := range largeJobs {
+		job := hosted.Items(largeJobID(i), largeJobItems)
 		for k := range job {
-			job[k].ID = longID(i*items + k)
+			job[k].ID = longID(i*largeJobItems + k)
 		}
-		if reply := hosted.SubmitJob(n.address, id, job); reply.Status != http.StatusAccepted {
-			t.Fatal(reply.Status, reply.Err)
+		if reply := hosted.SubmitJob(n.address, largeJobID(i), job); reply.Status != http.StatusAccepted {
+			n.t.Fatal(reply.Status, reply.Err)
 		}
 	}
-	for i := range jobs {
-		if _, err := hosted.ReadAllResults([]string{n.address}, fmt.Sprint("large-", i), resultsTimeout); err != nil {
-			t.Fatal(err)
+	for i := range largeJobs {
+		if _, err := hosted.ReadAllResults([]string{n.address}, largeJobID(i), resultsTimeout); err != nil {
+			n.t.Fatal(err)
 		}
 	}
+}
+
+// Guards against small jobs whose results are large, and that are kept in memory without a bound that
+// fits the node: while they wait to be stored, and once they have been read.
+func TestLargeResultsOfManyJobs(t *testing.T) {
+	n := startNodeWithAnswers(t, answerEvents)
+	n.finishLargeJobs()
+	n.check()
+}
+
+// Guards against pages of results that many readers have read from the store at once, before the
+// memory of any of them counts.
+func TestUnreadResultsOfManyJobs(t *testing.T) {
+	n := startNodeWithAnswers(t, answerEvents)
+	n.finishLargeJobs()
+	n.play(crowd, func(w io.Writer, i int) error {
+		return send(w, fmt.Appendf(nil, "GET /v1/lots/%s?after=%d HTTP/1.1\r\nHost: %s\r\n\r\n", largeJobID(i%largeJobs), i/largeJobs%largeJobItems, hosted.Host))
+	})
 	n.check()
 }
 
--- a/scripts/check-mutants.sh
+++ b/scripts/check-mutants.sh
@@ -451,6 +451,10 @@
 mutant 67 internal/request/job/memory.go 's/m\.heldBytes\+bytes > m\.cfg\.MaxHeldBytes/m.heldBytes+bytes < 0/' internal/request/job TestHeldJobsAreBounded
 mutant 67 internal/request/job/manager.go 's/m\.heldBytes -= h\.bytes/_ = h.bytes/' internal/request/job TestHeldJobsAreBounded
 mutant 67 internal/request/job/memory.go 's/m\.heldBytes < m\.cfg\.MaxHeldBytes/m.heldBytes >= 0/' internal/request/job TestLostJobsAreTakenOverWithinMemory
+mutant 67 internal/request/job/reads.go 's/b\.waiting\.Add\(1\) > maxBulkWaits/b.waiting.Add(1) < 0/' internal/request/job TestBulkReadsAreBounded
+mutant 67 internal/request/job/reads.go 's/max\(bulkReadFactor\*int64\(bytes\), minBulkRead\)/1/' internal/request/job TestStoredResultsAreReadAFewAtATime
+mutant 67 internal/request/job/segment.go 's/segment\.Bytes \+= len\(value\)/segment.Bytes += 1/' internal/request/job TestSizeOfSegments
+mutant 67 internal/request/job/results.go 's/\tif c\.bytes > c\.limit \{\n\t\tc\.keepOnly/\tif c.bytes < 0 {\n\t\tc.keepOnly/' internal/request/job TestResultsOfOneJobStayWithinTheCache
 mutant 67 internal/request/job/run.go 's/m\.maxHeldText\(\)\/2 \&\& m\.outputAdvances\(\)/m.maxHeldText()\/2/' internal/request/job TestOutputIsBounded
 mutant 67 internal/request/job/run.go 's/!m\.draining \&\& !m\.outputFull/!m.draining/' internal/request/job TestOutputIsBounded
 mutant 67 internal/request/job/commit.go 's/if m\.outputFull \&\& len\(h\.progress\.pending\) > 0/if m.outputFull \&\& len(h.progress.pending) > 100/' internal/request/job TestOutputIsBounded
