Leave more room below the limit of a node's memory

What callers would see: a node that ends though what it holds is within its bounds.

Change: the soft limit is 32 MiB below the allowed memory instead of 24.

--- a/internal/process/hosted/run.go
+++ b/internal/process/hosted/run.go
@@ -23,9 +23,10 @@
 func (n *Node) Halt() { close(n.halted) }
 
 const (
-	// uncountedMemory in bytes is left for what the Go runtime does not count: some 18 MiB of the
-	// program itself that are resident, and kernel buffers.
-	uncountedMemory = 24 << 20
+	// uncountedMemory in bytes is left for what the Go runtime does not count, some 18 MiB of the
+	// program itself that are resident and kernel buffers, and for what is allocated while a collection
+	// runs.
+	uncountedMemory = 32 << 20
 	// minMemoryLimitPart is the least part of the allowed memory for what the runtime counts.
 	minMemoryLimitPart = 2
 )
