Bound the waits for results at other nodes

Cause: each reader's wait is a call to the holder on a connection of its own, and its answer is read whatever its size before anything counts it.

Change: such waits take up to a sixteenth of the descriptors, and read up to 64 KiB; a larger answer is requested again within the memory for reads. If all waits are taken, the holder is asked for what it has now, without a wait. Reads have as many connections.

Why this works: what one reader occupies is a small answer or counts, and both are bounded over all readers.

TestWaitsAtAHolderAreBounded and TestLargeAnswerOfAHolderIsCounted, a mutant each.

--- a/internal/process/hosted/callers.go
+++ b/internal/process/hosted/callers.go
@@ -61,6 +61,16 @@
 // readMemory returns the memory in bytes for reads of stored results and items, 0 for the default.
 func readMemory(s *settings.Settings) int64 { return int64(s.Memory) << 20 / outputMemoryPart }
 
+// readDescriptorPart is the part of a node's descriptors for reads of stored results and items, and as
+// much again for waits for results at other nodes.
+const readDescriptorPart = 16
+
+// readConnections returns how many connections such reads may take, with the number of descriptors that
+// the process may open.
+func readConnections(descriptors uint64) int {
+	return int(max(1, min(descriptors/readDescriptorPart, math.MaxInt32)))
+}
+
 func outputMemory(s *settings.Settings, set int) int {
 	if s.Memory > 0 {
 		return min(set, s.Memory<<20/outputMemoryPart)
--- a/internal/process/hosted/hosted.go
+++ b/internal/process/hosted/hosted.go
@@ -162,7 +162,7 @@
 	n.jobs = job.NewManager(job.Config{
 		Self: job.Holder{Node: s.NodeID, Boot: n.boot, Address: s.PeerAdvertise}, MaxValueBytes: s.StoreMaxValue,
 		KeepResults: s.KeepResults, Selectors: adapter.Selectors, PromptParts: adapter.PromptParts, TakeOverAfter: s.TakeOverAfter, SweepInterval: s.SweepInterval, EvacuatedWithin: s.EvacuatedWithin,
-		HoldsJobs: s.CallerListen != "", ResultCacheBytes: resultMemory(s), MaxHeldBytes: jobMemory(s), MaxParsedHeaderBytes: jobMemory(s), MaxReadBytes: readMemory(s), CheckpointInterval: s.CheckpointInterval,
+		HoldsJobs: s.CallerListen != "", ResultCacheBytes: resultMemory(s), MaxHeldBytes: jobMemory(s), MaxParsedHeaderBytes: jobMemory(s), MaxReadBytes: readMemory(s), MaxReads: readConnections(openDescriptors(s)), CheckpointInterval: s.CheckpointInterval,
 	}, job.Dependencies{Store: n.relay(), StoreLatency: n.storeLatency, StoreResumed: n.storeResumed, SharedView: n.SharedView, Pool: n.pool, Quarantine: n.crashes, Sender: adapter.Sender, Routes: n.Table, RoutesFresh: n.TableFresh, Peers: n,
 		Backlogs: n.backlogs, Ended: n.jobEnded, EndsKnown: n.endsKnown, Clock: n.clock, Allotments: n.batch.allotments, Recorder: n.recorder, Checker: n.checker, Metrics: n.metrics})
 	n.checkpoints = checkpoint.NewStore(checkpoint.Limits{MaxBytes: checkpointMemory(s), Retention: s.KeepResults}, n.clock.Now)
--- a/internal/process/hosted/peers.go
+++ b/internal/process/hosted/peers.go
@@ -14,6 +14,7 @@
 	"github.com/marblepond/marblepond/internal/connection/relay"
 	"github.com/marblepond/marblepond/internal/process/settings"
 	"github.com/marblepond/marblepond/internal/process/timeline"
+	"github.com/marblepond/marblepond/internal/request/job"
 )
 
 // peers has the clients of the services of other nodes, by address.
@@ -21,6 +22,7 @@
 	sync        clients[marblepondv1connect.SyncServiceClient]
 	seedSync    clients[marblepondv1connect.SyncServiceClient] // for seeds, when this node starts
 	jobs        clients[marblepondv1connect.JobServiceClient]
+	polls       clients[marblepondv1connect.JobServiceClient] // see job.Peers
 	relay       clients[marblepondv1connect.RelayServiceClient]
 	checkpoints clients[marblepondv1connect.CheckpointServiceClient]
 	crashes     clients[marblepondv1connect.QuarantineServiceClient]
@@ -76,6 +78,7 @@
 		sync:        newClients(h, options, marblepondv1connect.NewSyncServiceClient),
 		seedSync:    newClients(seedHTTP, options, marblepondv1connect.NewSyncServiceClient),
 		jobs:        newClients(h, options, marblepondv1connect.NewJobServiceClient),
+		polls:       newClients(h, append(slices.Clone(options), connect.WithReadMaxBytes(job.MaxPollBytes)), marblepondv1connect.NewJobServiceClient),
 		relay:       newClients(h, options, marblepondv1connect.NewRelayServiceClient),
 		checkpoints: newClients(h, options, marblepondv1connect.NewCheckpointServiceClient),
 
@@ -111,6 +114,11 @@
 	return n.peers.jobs.at(address)
 }
 
+// Poll implements job.Peers.
+func (n *Node) Poll(address string) marblepondv1connect.JobServiceClient {
+	return n.peers.polls.at(address)
+}
+
 // peerAddresses returns the addresses of the other nodes: those registered,
 // and the seeds until the first registration is known.
 func (n *Node) peerAddresses() []string {
--- a/internal/request/job/heads_test.go
+++ b/internal/request/job/heads_test.go
@@ -38,6 +38,8 @@
 	managers map[string]*Manager
 }
 
+func (p localPeers) Poll(address string) marblepondv1connect.JobServiceClient { return p.Job(address) }
+
 func (p localPeers) Job(address string) marblepondv1connect.JobServiceClient {
 	return p.managers[address].PeerService()
 }
--- a/internal/request/job/manager.go
+++ b/internal/request/job/manager.go
@@ -91,6 +91,8 @@
 type Peers interface {
 	// Job returns a client of the job service at an address.
 	Job(address string) marblepondv1connect.JobServiceClient
+	// Poll returns one that fails with CodeResourceExhausted where an answer is over MaxPollBytes.
+	Poll(address string) marblepondv1connect.JobServiceClient
 	// Holders returns the addresses of the other nodes that may hold jobs.
 	Holders() []string
 	// Locator returns the address of the node that reads the head of a job for all nodes of
@@ -139,6 +141,9 @@
 	// MaxReadBytes bounds the memory for reads of stored results and items that callers cause; 0: a
 	// default.
 	MaxReadBytes int64
+	// MaxReads bounds the connections for such reads, and as many on which holders are asked to wait for
+	// results; 0: a default.
+	MaxReads int
 	// MaxParsedHeaderBytes bounds the parsed headers of running items; 0: no bound. Small ones do not
 	// count, and a job is refused if one header alone is over the bound.
 	MaxParsedHeaderBytes int64
@@ -251,7 +256,7 @@
 
 // NewManager returns a manager; Run starts it.
 func NewManager(cfg Config, deps Dependencies) *Manager {
-	return &Manager{cfg: cfg, Dependencies: deps, results: newResultCache(cfg.ResultCacheBytes), reads: newBulkReads(cfg.MaxReadBytes), scheduleNow: make(chan struct{}, 1), sweepNow: make(chan struct{}, 1), stopped: make(chan struct{}),
+	return &Manager{cfg: cfg, Dependencies: deps, results: newResultCache(cfg.ResultCacheBytes), reads: newBulkReads(cfg.MaxReadBytes, cfg.MaxReads), scheduleNow: make(chan struct{}, 1), sweepNow: make(chan struct{}, 1), stopped: make(chan struct{}),
 		fair: schedule.NewFairQueue(), held: map[string]*heldJob{}, reserved: map[backlog.Key]int64{}, unreachableSince: map[string]time.Time{}, orphanedSince: map[string]time.Time{}, heads: map[string]knownHead{},
 		endedAt: map[string]time.Time{}, toForget: map[string][]string{}, keeperStates: map[string]keeperState{}, trials: trials{}}
 }
--- a/internal/request/job/manager_test.go
+++ b/internal/request/job/manager_test.go
@@ -127,6 +127,9 @@
 func (noPeers) Job(string) marblepondv1connect.JobServiceClient {
 	return marblepondv1connect.UnimplementedJobServiceHandler{}
 }
+func (noPeers) Poll(string) marblepondv1connect.JobServiceClient {
+	return marblepondv1connect.UnimplementedJobServiceHandler{}
+}
 func (noPeers) Holders() []string                                    { return nil }
 func (noPeers) Locator(string) string                                { return "" }
 func (noPeers) IsSweeper() bool                                      { return true }
--- a/internal/request/job/read.go
+++ b/internal/request/job/read.go
@@ -8,6 +8,7 @@
 	"connectrpc.com/connect"
 
 	v1 "github.com/marblepond/marblepond/api/marblepond/v1"
+	"github.com/marblepond/marblepond/api/marblepond/v1/marblepondv1connect"
 	"github.com/marblepond/marblepond/internal/connection/callbudget"
 	"github.com/marblepond/marblepond/internal/connection/objects"
 	"github.com/marblepond/marblepond/internal/errkind"
@@ -103,8 +104,9 @@
 		return Page{Total: total, Results: limitToPage(results)}, nil
 	}
 	if ok && m.holderUsable(&known) {
-		if page, err := m.queryHolder(ctx, id, &known.head, after, waitFor); err == nil {
-			return page, nil
+		page, err := m.pollHolder(ctx, id, &known.head, after, waitFor)
+		if err == nil || errkind.Is(err, errkind.Overloaded) {
+			return page, err
 		}
 		m.markHolderFailed(id)
 	}
@@ -122,8 +124,9 @@
 		if head.Listed() > after || head.Complete() {
 			return m.remotePage(ctx, id, &head, after)
 		}
-		if page, err := m.queryHolder(ctx, id, &head, after, waitFor); err == nil {
-			return page, nil
+		page, err := m.pollHolder(ctx, id, &head, after, waitFor)
+		if err == nil || errkind.Is(err, errkind.Overloaded) {
+			return page, err
 		}
 		m.markHolderFailed(id)
 	}
@@ -153,18 +156,31 @@
 		return Page{}, err
 	}
 	defer end()
-	return m.queryHolder(ctx, id, head, after, 0)
+	return m.queryHolder(ctx, m.Peers.Job, id, head, after, 0)
+}
+
+// pollHolder asks the holder of a job to wait for results. Large ones are requested again, within the
+// memory for reads; if many callers wait already, the holder is asked for what it has now.
+func (m *Manager) pollHolder(ctx context.Context, id string, head *Head, after int, waitFor time.Duration) (Page, error) {
+	if m.reads.polls.TryAcquire(1) {
+		page, err := m.queryHolder(ctx, m.Peers.Poll, id, head, after, waitFor)
+		m.reads.polls.Release(1)
+		if connect.CodeOf(err) != connect.CodeResourceExhausted {
+			return page, err
+		}
+	}
+	return m.queryListed(ctx, id, head, after)
 }
 
 // queryHolder requests results from the holder of a job.
-func (m *Manager) queryHolder(ctx context.Context, id string, head *Head, after int, waitFor time.Duration) (Page, error) {
+func (m *Manager) queryHolder(ctx context.Context, client func(address string) marblepondv1connect.JobServiceClient, id string, head *Head, after int, waitFor time.Duration) (Page, error) {
 	if head.Holder == (Holder{}) || head.Holder.Node == m.cfg.Self.Node {
 		return Page{}, errNotHolder
 	}
 	waitFor = max(0, waitFor)
 	ctx, cancel := context.WithTimeout(ctx, waitFor+holderResponseTimeout)
 	defer cancel()
-	resp, err := m.Peers.Job(head.Holder.Address).Results(ctx, &v1.ResultsRequest{Job: id, After: uint32(after), WaitMs: uint32(waitFor.Milliseconds())})
+	resp, err := client(head.Holder.Address).Results(ctx, &v1.ResultsRequest{Job: id, After: uint32(after), WaitMs: uint32(waitFor.Milliseconds())})
 	if err != nil {
 		return Page{}, err
 	}
--- a/internal/request/job/reads.go
+++ b/internal/request/job/reads.go
@@ -18,34 +18,43 @@
 	bulkReadFactor = 4
 	// minBulkRead is the least that a read counts, with its connection.
 	minBulkRead = 64 << 10
-	// defaultBulkMemory applies to a node without a limit on its memory.
+	// defaultBulkMemory and defaultReads apply to a node without limits.
 	defaultBulkMemory = 256 << 20
+	defaultReads      = 1024
+	// MaxPollBytes is the largest answer of a holder that is read while nothing counts its memory.
+	MaxPollBytes = 64 << 10
 	// maxBulkWaits is how many reads may wait for others, and bulkReadWait for how long.
 	maxBulkWaits = 256
 	bulkReadWait = time.Second
 )
 
-// bulkReads bounds the memory for reads of stored results and items that callers cause. It is safe for
-// concurrent use.
+// bulkReads bounds the memory and the connections for reads of stored results and items that callers
+// cause, and the connections on which a holder is asked to wait for results. It is safe for concurrent
+// use.
 type bulkReads struct {
 	limit   int64
+	least   int64 // that a read counts
 	memory  *semaphore.Weighted
+	polls   *semaphore.Weighted
 	waiting atomic.Int64
 }
 
-// newBulkReads returns a bound in bytes, 0 for the default.
-func newBulkReads(limit int64) *bulkReads {
+// newBulkReads returns a bound in bytes and in connections, 0 for the defaults.
+func newBulkReads(limit int64, connections int) *bulkReads {
 	if limit <= 0 {
 		limit = defaultBulkMemory
 	}
-	return &bulkReads{limit: limit, memory: semaphore.NewWeighted(limit)}
+	if connections <= 0 {
+		connections = defaultReads
+	}
+	return &bulkReads{limit: limit, least: max(minBulkRead, limit/int64(connections)), memory: semaphore.NewWeighted(limit), polls: semaphore.NewWeighted(int64(connections))}
 }
 
 // begin waits until an object of a number of bytes may be read; end has to be called after that. An
 // object that alone is over the bound is read alone. It fails with Overloaded if too many wait, or for
 // too long.
 func (b *bulkReads) begin(ctx context.Context, bytes int) (end func(), err error) {
-	weight := min(max(bulkReadFactor*int64(bytes), minBulkRead), b.limit)
+	weight := min(max(bulkReadFactor*int64(bytes), b.least), b.limit)
 	release := func() { b.memory.Release(weight) }
 	if b.memory.TryAcquire(weight) {
 		return release, nil
--- a/internal/request/job/reads_test.go
+++ b/internal/request/job/reads_test.go
@@ -10,8 +10,11 @@
 	"testing/synctest"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/matryer/is"
 
+	v1 "github.com/marblepond/marblepond/api/marblepond/v1"
+	"github.com/marblepond/marblepond/api/marblepond/v1/marblepondv1connect"
 	"github.com/marblepond/marblepond/internal/connection/callbudget"
 	"github.com/marblepond/marblepond/internal/connection/objects"
 	"github.com/marblepond/marblepond/internal/errkind"
@@ -23,7 +26,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		const object = 1 << 20
-		b := newBulkReads(3 * bulkReadFactor * object)
+		b := newBulkReads(3*bulkReadFactor*object, 0)
 		var running, most, refused atomic.Int64
 		var readers sync.WaitGroup
 		read := func(takes time.Duration) {
@@ -62,7 +65,13 @@
 		is.True(!b.memory.TryAcquire(1))
 		end()
 		is.True(b.memory.TryAcquire(b.limit))
-		is.Equal(newBulkReads(0).limit, int64(defaultBulkMemory))
+		is.Equal(newBulkReads(0, 0).limit, int64(defaultBulkMemory))
+		few := newBulkReads(1<<30, 2)
+		for range 2 {
+			_, err = few.begin(context.Background(), 1)
+			is.NoErr(err)
+		}
+		is.True(!few.memory.TryAcquire(1)) // two connections
 	})
 }
 
@@ -87,7 +96,7 @@
 	store := &slowResults{memoryStore: newMemoryStore()}
 	m, h := jobWithResults(t, store.memoryStore, 1<<20, strings.Repeat("a", 1000), "b")
 	is.True(m.commit(h))
-	m.Store, m.reads = store, newBulkReads(2*minBulkRead)
+	m.Store, m.reads = store, newBulkReads(2*minBulkRead, 0)
 	m.results = newResultCache(1) // nothing is cached
 	var readers sync.WaitGroup
 	for range 10 {
@@ -132,3 +141,79 @@
 	c.put("job", 0, []Result{{Item: "0", Text: "b"}})
 	is.True(c.has("job", 0))
 }
+
+// scriptedHolder is the client of a holder. Poll fails for answers over a size.
+type scriptedHolder struct {
+	marblepondv1connect.UnimplementedJobServiceHandler
+	noPeers
+	polls, queries atomic.Int64
+	text           string
+	release        chan struct{} // ends the waits
+}
+
+func (p *scriptedHolder) Job(string) marblepondv1connect.JobServiceClient  { return p }
+func (p *scriptedHolder) Poll(string) marblepondv1connect.JobServiceClient { return pollOf{p} }
+
+func (p *scriptedHolder) Results(context.Context, *v1.ResultsRequest) (*v1.ResultsResponse, error) {
+	p.queries.Add(1)
+	resp := &v1.ResultsResponse{Known: true, Total: 1}
+	if p.text != "" {
+		resp.Results = []*v1.JobResult{{Item: "a", Text: []byte(p.text)}}
+	}
+	return resp, nil
+}
+
+type pollOf struct{ *scriptedHolder }
+
+func (p pollOf) Results(ctx context.Context, _ *v1.ResultsRequest) (*v1.ResultsResponse, error) {
+	p.polls.Add(1)
+	select {
+	case <-p.release:
+	case <-ctx.Done():
+	}
+	if len(p.text) > MaxPollBytes {
+		return nil, connect.NewError(connect.CodeResourceExhausted, nil)
+	}
+	return &v1.ResultsResponse{Known: true, Total: 1}, nil
+}
+
+// Guards against callers that wait for results at a node without them and take all its connections to
+// the holder: beyond a number of them, an answer comes at once.
+func TestWaitsAtAHolderAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const most = 3
+		m, holder := newTestManager("a", newMemoryStore()), &scriptedHolder{release: make(chan struct{})}
+		m.Peers, m.reads = holder, newBulkReads(0, most)
+		m.rememberHead("job", Head{Total: 1, Holder: Holder{Node: "b", Boot: 1, Address: "b"}}, 1, time.Time{})
+		var readers sync.WaitGroup
+		for range 10 {
+			readers.Go(func() {
+				page, err := m.Read(context.Background(), "job", 0, 100*time.Millisecond)
+				is.NoErr(err)
+				is.Equal(len(page.Results), 0)
+			})
+		}
+		synctest.Wait()
+		is.Equal(holder.polls.Load(), int64(most))
+		close(holder.release)
+		readers.Wait()
+		is.True(m.reads.polls.TryAcquire(most)) // all are returned
+	})
+}
+
+// Guards against large answers of a holder that are read while their memory does not count, and against
+// results that are not found because of their size.
+func TestLargeAnswerOfAHolderIsCounted(t *testing.T) {
+	is := is.New(t)
+	m, holder := newTestManager("a", newMemoryStore()), &scriptedHolder{release: make(chan struct{}), text: strings.Repeat("a", MaxPollBytes+1)}
+	close(holder.release)
+	m.Peers = holder
+	m.rememberHead("job", Head{Total: 1, Holder: Holder{Node: "b", Boot: 1, Address: "b"}}, 1, time.Time{})
+	page, err := m.Read(context.Background(), "job", 0, time.Second)
+	is.NoErr(err)
+	is.Equal(len(page.Results), 1)
+	is.Equal(page.Results[0].Text, holder.text)
+	is.Equal(holder.polls.Load(), int64(1))
+	is.Equal(holder.queries.Load(), int64(1))
+}
--- a/internal/request/job/releases_test.go
+++ b/internal/request/job/releases_test.go
@@ -130,6 +130,10 @@
 	n    *releaseNode
 }
 
+func (p releasePeers) Poll(address string) marblepondv1connect.JobServiceClient {
+	return p.Job(address)
+}
+
 func (p releasePeers) Job(address string) marblepondv1connect.JobServiceClient {
 	p.f.mu.Lock()
 	defer p.f.mu.Unlock()
--- a/lab/hosted/crowd/crowd_test.go
+++ b/lab/hosted/crowd/crowd_test.go
@@ -202,6 +202,16 @@
 
 // finishLargeJobs submits small jobs whose results are large, and reads all of these.
 func (n *node) finishLargeJobs() {
+	n.t.Helper()
+	n.submitLargeJobs()
+	for i := range largeJobs {
+		if _, err := hosted.ReadAllResults([]string{n.address}, largeJobID(i), resultsTimeout); err != nil {
+			n.t.Fatal(err)
+		}
+	}
+}
+
+func (n *node) submitLargeJobs() {
 	n.t.Helper()
 	for i := range largeJobs {
 		job := hosted.Items(largeJobID(i), largeJobItems)
@@ -212,11 +222,17 @@
 			n.t.Fatal(reply.Status, reply.Err)
 		}
 	}
-	for i := range largeJobs {
-		if _, err := hosted.ReadAllResults([]string{n.address}, largeJobID(i), resultsTimeout); err != nil {
-			n.t.Fatal(err)
+}
+
+// readLargeJobs sends the reads of a client, one after the other, from a position that differs by client.
+func readLargeJobs(w io.Writer, client, times int) error {
+	for k := range times {
+		after := (client/largeJobs + k) % largeJobItems
+		if err := send(w, fmt.Appendf(nil, "GET /v1/lots/%s?after=%d HTTP/1.1\r\nHost: %s\r\nX-Marblepond-Wait-Ms: 1000\r\n\r\n", largeJobID(client%largeJobs), after, hosted.Host)); err != nil {
+			return err
 		}
 	}
+	return nil
 }
 
 // Guards against small jobs whose results are large, and that are kept in memory without a bound that
@@ -233,11 +249,22 @@
 	n := startNodeWithAnswers(t, answerEvents)
 	n.finishLargeJobs()
 	n.play(crowd, func(w io.Writer, i int) error {
-		return send(w, fmt.Appendf(nil, "GET /v1/lots/%s?after=%d HTTP/1.1\r\nHost: %s\r\n\r\n", largeJobID(i%largeJobs), i/largeJobs%largeJobItems, hosted.Host))
+		return readLargeJobs(w, i, 1)
 	})
 	n.check()
 }
 
+// Guards against results that a node requests from the holder of their job for many readers at once,
+// while they become ready and later.
+func TestUnreadResultsAtAnotherNode(t *testing.T) {
+	nodes := startNodes(t, 2, answerEvents)
+	holder, other := nodes[0], nodes[1]
+	holder.submitLargeJobs()
+	other.play(crowd, func(w io.Writer, i int) error { return readLargeJobs(w, i, 4) })
+	other.check()
+	holder.check()
+}
+
 // Guards against jobs that take many times the bytes of their text once decoded.
 func TestJobsThatGrowWhenDecoded(t *testing.T) {
 	object := func(open, member, end string) []byte {
--- a/lab/hosted/crowd/node_test.go
+++ b/lab/hosted/crowd/node_test.go
@@ -73,7 +73,7 @@
 }
 
 const settingsTemplate = `[node]
-id = edge-0
+id = edge-%[4]d
 front = hosted
 data_centre = hall-a
 caller_listen = %[1]s:7070
@@ -96,6 +96,12 @@
 
 // startNodeWithAnswers does so with answers of a number of events.
 func startNodeWithAnswers(t *testing.T, events int) *node {
+	t.Helper()
+	return startNodes(t, 1, events)[0]
+}
+
+// startNodes starts several nodes of one fleet.
+func startNodes(t *testing.T, count, events int) []*node {
 	t.Helper()
 	store := hosted.NewStore()
 	t.Cleanup(store.Close)
@@ -117,10 +123,19 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(release)
-	host := fmt.Sprintf("127.%d.9.1", net)
+	nodes := make([]*node, count)
+	for i := range nodes {
+		nodes[i] = startProcess(t, i, fmt.Sprintf("127.%d.9.%d", net, i+1), store.Address())
+	}
+	return nodes
+}
+
+// startProcess starts one node and waits until it is ready.
+func startProcess(t *testing.T, number int, host, store string) *node {
+	t.Helper()
 	dir := t.TempDir()
 	path := filepath.Join(dir, "node.ini")
-	if err := os.WriteFile(path, fmt.Appendf(nil, settingsTemplate, host, store.Address(), memoryMiB), 0o600); err != nil {
+	if err := os.WriteFile(path, fmt.Appendf(nil, settingsTemplate, host, store, memoryMiB, number), 0o600); err != nil {
 		t.Fatal(err)
 	}
 	n := &node{t: t, address: host + ":7070", exited: make(chan struct{}), stopped: make(chan struct{}), descriptors: make(chan int, 1)}
--- a/scripts/check-mutants.sh
+++ b/scripts/check-mutants.sh
@@ -453,6 +453,8 @@
 mutant 67 internal/request/job/memory.go 's/m\.heldBytes < m\.cfg\.MaxHeldBytes/m.heldBytes >= 0/' internal/request/job TestLostJobsAreTakenOverWithinMemory
 mutant 67 internal/request/job/reads.go 's/b\.waiting\.Add\(1\) > maxBulkWaits/b.waiting.Add(1) < 0/' internal/request/job TestBulkReadsAreBounded
 mutant 67 internal/request/job/reads.go 's/max\(bulkReadFactor\*int64\(bytes\), minBulkRead\)/1/' internal/request/job TestStoredResultsAreReadAFewAtATime
+mutant 67 internal/request/job/read.go 's/m\.reads\.polls\.TryAcquire\(1\)/m.reads.polls.TryAcquire(0)/; s/m\.reads\.polls\.Release\(1\)/m.reads.polls.Release(0)/' internal/request/job TestWaitsAtAHolderAreBounded
+mutant 67 internal/request/job/read.go 's/connect\.CodeOf\(err\) != connect\.CodeResourceExhausted/connect.CodeOf(err) != 0/' internal/request/job TestLargeAnswerOfAHolderIsCounted
 mutant 67 internal/request/job/segment.go 's/segment\.Bytes \+= len\(value\)/segment.Bytes += 1/' internal/request/job TestSizeOfSegments
 mutant 67 internal/request/job/results.go 's/\tif c\.bytes > c\.limit \{\n\t\tc\.keepOnly/\tif c.bytes < 0 {\n\t\tc.keepOnly/' internal/request/job TestResultsOfOneJobStayWithinTheCache
 mutant 67 internal/request/job/run.go 's/m\.maxHeldText\(\)\/2 \&\& m\.outputAdvances\(\)/m.maxHeldText()\/2/' internal/request/job TestOutputIsBounded
