Move the bounds on callers out of the hosted node

The node with the project's own interface needs the same server, limits and metrics. They are in internal/process/callers now; what bounds jobs stays in the hosted node.

--- a/internal/process/hosted/changes.go
+++ b/internal/process/hosted/changes.go
@@ -117,7 +117,7 @@
 		n.metrics.Counter("objects_rejected").Inc(1)
 	}
 	n.checker.Assert(n.table.Load().Version >= table.Version, invariant.ConfigVersionMonotonic, "", o.Name, "version %d is in force after %d", n.table.Load().Version, table.Version)
-	n.callers.setLimits(table.Limits)
+	n.setCallerLimits(table.Limits)
 	n.recorder.Record(timeline.ConfigAdopted, "", fmt.Sprintf("version %d", table.Version), "from "+from.String(),
 		timeline.Field{Name: "revision", Value: o.Revision})
 	n.metrics.Gauge("config_version").Update(float64(table.Version))
--- a/internal/process/hosted/drain.go
+++ b/internal/process/hosted/drain.go
@@ -33,7 +33,7 @@
 	}()
 	if n.settings.CallerListen != "" {
 		wait.For(ctx, min(notReadyDuration, n.settings.DrainTimeout/2))
-		if err := n.callers.http.Shutdown(ctx); err != nil {
+		if err := n.callers.HTTP.Shutdown(ctx); err != nil {
 			n.recorder.Record(timeline.NodeDraining, "", n.settings.NodeID, "requests still in progress: "+err.Error())
 		}
 	}
--- a/internal/process/hosted/hosted.go
+++ b/internal/process/hosted/hosted.go
@@ -20,6 +20,7 @@
 	"github.com/marblepond/marblepond/internal/connection/objects"
 	"github.com/marblepond/marblepond/internal/connection/origins"
 	"github.com/marblepond/marblepond/internal/connection/target"
+	"github.com/marblepond/marblepond/internal/process/callers"
 	"github.com/marblepond/marblepond/internal/process/clock"
 	"github.com/marblepond/marblepond/internal/process/crashes"
 	"github.com/marblepond/marblepond/internal/process/invariant"
@@ -121,7 +122,7 @@
 	halted         chan struct{}
 	sharedView     atomic.Bool // see SharedView
 	mostCallers    int         // most registered nodes that serve callers; guarded by listMu
-	callers        *callerServer
+	callers        *callers.Server
 	callerMemory   *intake.Budget
 	peerHTTP       *http.Server
 	readyHTTP      *http.Server
@@ -145,7 +146,7 @@
 	s := deps.Settings
 	n := &Node{settings: s, adapter: adapter, boot: time.Now().UnixMicro(), started: time.Now(), recorder: deps.Recorder, metrics: deps.Metrics, clock: deps.Clock,
 		loadChanged: make(chan struct{}, 1), halted: make(chan struct{})}
-	n.callerMemory = intake.NewBudget(callerMemory(s), time.Now)
+	n.callerMemory = intake.NewBudget(callers.Memory(s), time.Now)
 	n.batch = newBatchWork(n)
 	n.view.Store(beacon.NewView(s.NodeID, s.DataCentre, nil))
 	n.seeds.Store(&s.Seeds)
@@ -162,7 +163,7 @@
 	n.jobs = job.NewManager(job.Config{
 		Self: job.Holder{Node: s.NodeID, Boot: n.boot, Address: s.PeerAdvertise}, MaxValueBytes: s.StoreMaxValue,
 		KeepResults: s.KeepResults, Selectors: adapter.Selectors, PromptParts: adapter.PromptParts, TakeOverAfter: s.TakeOverAfter, SweepInterval: s.SweepInterval, EvacuatedWithin: s.EvacuatedWithin,
-		HoldsJobs: s.CallerListen != "", ResultCacheBytes: resultMemory(s), MaxHeldBytes: jobMemory(s), MaxParsedHeaderBytes: jobMemory(s), MaxReadBytes: readMemory(s), MaxReads: readConnections(openDescriptors(s)), CheckpointInterval: s.CheckpointInterval,
+		HoldsJobs: s.CallerListen != "", ResultCacheBytes: resultMemory(s), MaxHeldBytes: jobMemory(s), MaxParsedHeaderBytes: jobMemory(s), MaxReadBytes: readMemory(s), MaxReads: readConnections(callers.Descriptors(s)), CheckpointInterval: s.CheckpointInterval,
 	}, job.Dependencies{Store: n.relay(), StoreLatency: n.storeLatency, StoreResumed: n.storeResumed, SharedView: n.SharedView, Pool: n.pool, Quarantine: n.crashes, Sender: adapter.Sender, Routes: n.Table, RoutesFresh: n.TableFresh, Peers: n,
 		Backlogs: n.backlogs, Ended: n.jobEnded, EndsKnown: n.endsKnown, Clock: n.clock, Allotments: n.batch.allotments, Recorder: n.recorder, Checker: n.checker, Metrics: n.metrics})
 	n.checkpoints = checkpoint.NewStore(checkpoint.Limits{MaxBytes: checkpointMemory(s), Retention: s.KeepResults}, n.clock.Now)
--- a/internal/process/hosted/run.go
+++ b/internal/process/hosted/run.go
@@ -13,6 +13,7 @@
 	"github.com/marblepond/marblepond/api/marblepond/v1/marblepondv1connect"
 	"github.com/marblepond/marblepond/internal/connection/peer"
 	"github.com/marblepond/marblepond/internal/connection/relay"
+	"github.com/marblepond/marblepond/internal/process/callers"
 	"github.com/marblepond/marblepond/internal/process/timeline"
 	"github.com/marblepond/marblepond/internal/request/checkpoint"
 	"github.com/marblepond/marblepond/internal/request/job"
@@ -22,27 +23,11 @@
 // Halt ends Run at once, without handing jobs over, to simulate a crash in tests.
 func (n *Node) Halt() { close(n.halted) }
 
-const (
-	// uncountedMemory in bytes is left for what the Go runtime does not count, some 18 MiB of the
-	// program itself that are resident and kernel buffers, and for what is allocated while a collection
-	// runs.
-	uncountedMemory = 32 << 20
-	// minMemoryLimitPart is the least part of the allowed memory for what the runtime counts.
-	minMemoryLimitPart = 2
-)
-
-// memoryLimit returns the soft memory limit in bytes of the Go runtime for a process that may use so
-// many MiB.
-func memoryLimit(mebibytes int) int64 {
-	allowed := int64(mebibytes) << 20
-	return max(allowed/minMemoryLimitPart, allowed-uncountedMemory)
-}
-
 // Run serves until ctx ends, then drains. It returns an error only if it cannot listen on
 // an address.
 func (n *Node) Run(ctx context.Context) error {
 	if n.settings.Memory > 0 {
-		debug.SetMemoryLimit(memoryLimit(n.settings.Memory))
+		debug.SetMemoryLimit(callers.HeapLimit(n.settings.Memory))
 	}
 	listeners, err := n.listen()
 	if err != nil {
@@ -58,7 +43,7 @@
 	case <-ctx.Done():
 		n.drain(taskCtx)
 	case <-n.halted:
-		n.callers.http.Close()
+		n.callers.HTTP.Close()
 	}
 	stop()
 	tasks.Wait()
@@ -78,7 +63,7 @@
 	var l listeners
 	var errs []error
 	if address := n.settings.CallerListen; address != "" {
-		listener, err := n.callers.gate.Listen(address)
+		listener, err := n.callers.Gate.Listen(address)
 		l.callers = listener
 		errs = append(errs, err)
 	}
@@ -124,7 +109,7 @@
 	n.metricsHTTP = &http.Server{Handler: page, ReadHeaderTimeout: headerTimeout}
 	n.peerHTTP = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
 	n.readyHTTP = &http.Server{Handler: n.adapter.ReadyHandler(n), ReadHeaderTimeout: headerTimeout}
-	n.callers = newCallerServer(n.closeWhenLeaving(n.adapter.CallerHandler(n)), n.callerMemory, n.settings)
+	n.callers = n.newCallerServer(n.closeWhenLeaving(n.adapter.CallerHandler(n)))
 }
 
 // closeWhenLeaving makes callers close their connections after the response while the node
@@ -142,7 +127,7 @@
 	for _, s := range []struct {
 		server   *http.Server
 		listener net.Listener
-	}{{n.peerHTTP, l.peers}, {n.callers.http, l.callers}, {n.readyHTTP, l.ready}, {n.metricsHTTP, l.metrics}} {
+	}{{n.peerHTTP, l.peers}, {n.callers.HTTP, l.callers}, {n.readyHTTP, l.ready}, {n.metricsHTTP, l.metrics}} {
 		if s.listener == nil {
 			continue
 		}
@@ -187,8 +172,8 @@
 	wg.Go(func() { n.recordPaces(ctx) })
 	wg.Go(func() { n.recordCopies(ctx) })
 	if l.callers != nil {
-		wg.Go(func() { n.callers.gate.Run(ctx) })
-		wg.Go(func() { n.recordCallerStats(ctx) })
+		wg.Go(func() { n.callers.Gate.Run(ctx) })
+		wg.Go(func() { n.callers.RecordStats(ctx, n.metrics, n.recorder, n.settings.NodeID) })
 	}
 	wg.Go(func() { n.jobs.Run(ctx) })
 	wg.Go(func() { n.crashes.Run(ctx) })
