Bound what callers of the project's own interface occupy

What callers saw: with front = openai a node of 96 MiB took 481 MiB from 400 bodies that stop before their end, 1,302 from whole ones, and 2,387 from 2,000 unfinished bodies on 20 HTTP/2 connections, and callers' connections took all of its 700 descriptors. [limits] memory was not used by such a node at all.

Cause: bodies had a bound each and none together and no time limit, uploaded files kept up to nine chunks each, and neither connections nor streams were bounded.

Change: the node has the gate and the budget of a hosted node. Bodies and what is decoded of them count, and have the time that their request states; an uploaded file counts its chunks and gives way when it stalls; results count a chunk a reader; a stream of HTTP/2 counts like a connection. The gate recognises HTTP/2 by the whole preface, so that no header passes unmeasured behind a part of it. [limits] memory is the heap's limit, too.

Why this works: nothing that a caller sends is kept without a bound over all callers, and connections leave half of the descriptors.

--- a/internal/connection/intake/body.go
+++ b/internal/connection/intake/body.go
@@ -75,7 +75,7 @@
 	if req.ContentLength == 0 {
 		return nil, nil
 	}
-	if c := connOf(req); c != nil {
+	if c := connOf(req); c != nil && !c.multiplexed.Load() {
 		r.progress = c.bodyProgress
 	}
 	r.progress(true)
@@ -99,15 +99,57 @@
 	if req.ContentLength == 0 || r.done {
 		return
 	}
+	c := connOf(req)
+	if c != nil && c.multiplexed.Load() {
+		return // the stream ends with the answer
+	}
 	if req.ContentLength < 0 || req.ContentLength > freeBodyBytes {
 		r.w.Header().Set("Connection", "close") // the answer does not wait for the body then
 	}
-	if c := connOf(req); c != nil {
+	if c != nil {
 		c.lingerOnClose()
 	}
 	_ = r.conn.SetReadDeadline(time.Now().Add(lingerTime)) // fails only on a closed connection
 }
 
+// StreamBody returns the body of a request whose handler keeps up to a number of bytes of it, which
+// count until its end. A stream that stalls gives way to others. Reads fail then, with Overloaded.
+func (r *Request) StreamBody(req *http.Request, bytes int64) (io.Reader, error) {
+	if err := r.Hold(bytes); err != nil {
+		return nil, err
+	}
+	if c := connOf(req); c != nil && !c.multiplexed.Load() {
+		r.progress = c.bodyProgress
+	}
+	r.progress(true)
+	r.reservation.StartTransfer()
+	return &bodyStream{r, req.Body}, nil
+}
+
+// bodyStream is a body that is read piece by piece.
+type bodyStream struct {
+	request *Request
+	body    io.Reader
+}
+
+// Read implements io.Reader.
+func (s *bodyStream) Read(p []byte) (int, error) {
+	r := s.request
+	n, err := s.body.Read(p)
+	switch {
+	case r.reservation.Revoked():
+		return n, errNoRoom()
+	case errors.Is(err, io.EOF):
+		r.done = true
+		r.progress(false)
+		r.reservation.Complete()
+	case n > 0:
+		r.progress(true)
+		r.reservation.Moved(n)
+	}
+	return n, err
+}
+
 func (r *Request) read(body io.Reader, length, limit int64, left time.Duration) ([]byte, error) {
 	if limit > 0 && length > limit {
 		return nil, errTooLarge(limit)
--- a/internal/connection/intake/conn.go
+++ b/internal/connection/intake/conn.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/marblepond/marblepond/internal/errkind"
@@ -25,6 +26,8 @@
 	refusalTimeout = time.Second
 	// lingerBytes bounds what is read of a refused request.
 	lingerBytes = 256 << 10
+	// http2Preface is how an HTTP/2 connection without TLS begins (RFC 9113, section 3.4).
+	http2Preface = "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"
 )
 
 // phase is what a caller's connection does.
@@ -42,7 +45,11 @@
 	net.Conn
 	gate *Gate
 
+	// multiplexed: the connection speaks HTTP/2, whose server bounds headers by itself.
+	multiplexed atomic.Bool
+
 	headerMu    sync.Mutex // held while mu is taken, never the other way round
+	prefaceSeen int        // bytes of the HTTP/2 preface; negative: the connection began otherwise
 	header      header
 	reservation *Reservation // nil: the header is small
 
@@ -146,9 +153,15 @@
 	c.mu.Lock()
 	phase, refusal := c.phase, c.refusal
 	c.mu.Unlock()
-	if refusal != nil || phase == servesRequest || len(p) == 0 {
+	if refusal != nil || phase == servesRequest || len(p) == 0 || c.multiplexed.Load() {
 		return refusal
 	}
+	if c.endsPreface(p) {
+		c.header = header{}
+		c.multiplexed.Store(true)
+		c.enter(servesRequest)
+		return nil
+	}
 	c.header.add(p)
 	if phase == isIdle && c.header.begun {
 		c.enter(readsHeader)
@@ -176,6 +189,22 @@
 	return nil
 }
 
+// endsPreface reports whether bytes complete the HTTP/2 preface at the start of a connection. The caller
+// holds c.headerMu.
+func (c *Conn) endsPreface(p []byte) bool {
+	if !c.gate.http2 || c.prefaceSeen < 0 {
+		return false
+	}
+	rest := http2Preface[c.prefaceSeen:]
+	n := min(len(rest), len(p))
+	if string(p[:n]) != rest[:n] {
+		c.prefaceSeen = -1
+		return false
+	}
+	c.prefaceSeen += n
+	return c.prefaceSeen == len(http2Preface)
+}
+
 func (c *Conn) enter(p phase) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -214,7 +243,7 @@
 	text := errkind.Message(err) + "\n"
 	retry := ""
 	if refusal.RetryAfter > 0 {
-		retry = "Retry-After: " + strconv.FormatFloat(refusal.RetryAfter.Seconds(), 'f', 3, 64) + "\r\n"
+		retry = "Retry-After: " + retryAfter(err) + "\r\n"
 	}
 	c.Conn.SetWriteDeadline(time.Now().Add(refusalTimeout))
 	_, writeErr := fmt.Fprintf(c.Conn, "HTTP/1.1 %d %s\r\nContent-Type: text/plain; charset=utf-8\r\nConnection: close\r\n%sContent-Length: %d\r\n\r\n%s",
@@ -224,6 +253,11 @@
 	}
 }
 
+// retryAfter returns the value of the header of that name.
+func retryAfter(err error) string {
+	return strconv.FormatFloat(errkind.Of(err).RetryAfter.Seconds(), 'f', 3, 64)
+}
+
 // linger reads on for a while: a close with unread bytes resets the connection, and the caller may
 // not get the answer.
 func (c *Conn) linger() {
--- a/internal/connection/intake/gate.go
+++ b/internal/connection/intake/gate.go
@@ -46,6 +46,7 @@
 	budget       *Budget
 	maxConns     int
 	writeTimeout time.Duration
+	http2        bool // the server speaks HTTP/2, too
 	limits       atomic.Pointer[Limits]
 
 	mu    sync.Mutex
@@ -76,9 +77,15 @@
 // Guard makes a server accept connections through the gate. The server has to serve what Listen
 // returns.
 func (g *Gate) Guard(s *http.Server) {
+	g.http2 = s.Protocols != nil && s.Protocols.UnencryptedHTTP2()
 	next := s.Handler
 	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if c := connOf(r); c != nil {
+		c := connOf(r)
+		if c != nil && c.multiplexed.Load() {
+			serveStream(next, g.budget, w, r)
+			return
+		}
+		if c != nil {
 			if refusal := c.beginRequest(); refusal != nil {
 				w.Header().Set("Connection", "close")
 				w.WriteHeader(errkind.Of(refusal).HTTPStatus)
@@ -92,6 +99,10 @@
 	}
 	s.ConnState = func(c net.Conn, state http.ConnState) {
 		switch state {
+		case http.StateActive:
+			if c := c.(*Conn); c.multiplexed.Load() {
+				c.enter(servesRequest)
+			}
 		case http.StateIdle:
 			c.(*Conn).endRequest()
 		case http.StateClosed, http.StateHijacked:
@@ -100,6 +111,30 @@
 	}
 }
 
+// streamBytes is the memory of a stream of a multiplexed connection, with a small request.
+const streamBytes = 16 << 10
+
+// serveStream serves a request of a multiplexed connection. Unlike a connection, each stream and its
+// header count against the budget.
+func serveStream(next http.Handler, budget *Budget, w http.ResponseWriter, r *http.Request) {
+	h := header{}
+	for name, values := range r.Header {
+		for _, value := range values {
+			h.bytes += len(name) + len(value)
+			h.fields++
+		}
+	}
+	reservation := budget.NewReservation(func() {})
+	defer reservation.Release()
+	if !reservation.Grow(streamBytes + h.memory()) {
+		err := errNoRoom()
+		w.Header().Set("Retry-After", retryAfter(err))
+		w.WriteHeader(errkind.Of(err).HTTPStatus)
+		return
+	}
+	next.ServeHTTP(w, r)
+}
+
 // connKey is the key of a request's connection in its context.
 type connKey struct{}
 
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -19,10 +20,12 @@
 	"github.com/marblepond/marblepond/api/marblepond/v1/marblepondv1connect"
 	"github.com/marblepond/marblepond/internal/connection/dial"
 	"github.com/marblepond/marblepond/internal/connection/engine"
+	"github.com/marblepond/marblepond/internal/connection/intake"
 	"github.com/marblepond/marblepond/internal/connection/lending"
 	"github.com/marblepond/marblepond/internal/connection/peer"
 	"github.com/marblepond/marblepond/internal/connection/platform"
 	"github.com/marblepond/marblepond/internal/errkind"
+	"github.com/marblepond/marblepond/internal/process/callers"
 	"github.com/marblepond/marblepond/internal/process/clock"
 	"github.com/marblepond/marblepond/internal/process/crashes"
 	"github.com/marblepond/marblepond/internal/process/hosted"
@@ -71,8 +74,10 @@
 	runner         *run.Runner
 	server         *serve.Server
 
-	callerHTTP *http.Server
-	peerHTTP   *http.Server
+	callers *callers.Server
+	// callerMemory bounds what requests of callers occupy.
+	callerMemory *intake.Budget
+	peerHTTP     *http.Server
 }
 
 // stallTimeout is the longest time without data on a target's stream.
@@ -152,6 +157,7 @@
 // newComponents creates the components and connects them.
 func (n *Node) newComponents() {
 	s := n.settings
+	n.callerMemory = intake.NewBudget(callers.Memory(s), time.Now)
 	engines := n.newEngineClient()
 	n.membership = membership.New(n.self, member.Timing{Heartbeat: s.Heartbeat, SuspectAfter: s.SuspectAfter, DeadAfter: s.DeadAfter}, s.Seeds, n.pool, n.recorder)
 	n.config = config.New(n.platform, n.pool, n.membership, n.recorder, n.checker, s.WatchTimeout)
@@ -171,7 +177,7 @@
 	n.lending = n.newLending()
 	n.server = serve.New(serve.Limits{MaxBody: s.MaxBody, MaxInFlight: s.MaxInFlight, RequestTimeout: s.RequestTimeout},
 		serve.Dependencies{Config: n.config.Current, Ready: n.ready, Members: n.membership.View, Targets: n.targets, Runner: n.runner,
-			Allowances: n.lending, Replicas: n.replicator, Claims: n.claims, Store: n.store, Recorder: n.recorder, Checker: n.checker, Metrics: n.metrics.scope, PeerKey: s.PeerKey})
+			Allowances: n.lending, Replicas: n.replicator, Claims: n.claims, Store: n.store, Recorder: n.recorder, Checker: n.checker, Metrics: n.metrics.scope, PeerKey: s.PeerKey, CallerMemory: n.callerMemory})
 	n.server.Handle("GET /metrics", n.metrics)
 	n.targets.SetBatch(n.worker.InFlight, n.worker.HandleLoadReport, n.worker.SetOwnedTargets)
 	n.membership.AddPayload(n.config)
@@ -197,10 +203,14 @@
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
 	n.peerHTTP = &http.Server{Addr: n.settings.PeerListen, Handler: peerMux, Protocols: protocols, ReadHeaderTimeout: headerTimeout}
-	n.callerHTTP = &http.Server{Addr: n.settings.CallerListen, Handler: n.server, Protocols: protocols,
-		ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: n.settings.MaxHeader}
+	n.callers = callers.NewServer(&http.Server{Handler: n.server, Protocols: protocols, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: n.settings.MaxHeader,
+		HTTP2: &http.HTTP2Config{MaxReceiveBufferPerConnection: streamBuffer, MaxReceiveBufferPerStream: streamBuffer}}, n.callerMemory, n.settings)
+	n.callers.Gate.SetLimits(intake.Limits{HeaderBytes: n.settings.MaxHeader, HeaderTimeout: headerTimeout})
 }
 
+// streamBuffer in bytes is what is received of the bodies on an HTTP/2 connection before they are read.
+const streamBuffer = 64 << 10
+
 // headerTimeout bounds how long a client may take to send its request header.
 const headerTimeout = 5 * time.Second
 
@@ -214,11 +224,14 @@
 // Run serves until ctx ends, then drains. It returns an error if a listener can't be
 // opened or work is unfinished at the drain timeout.
 func (n *Node) Run(ctx context.Context) error {
+	if n.settings.Memory > 0 {
+		debug.SetMemoryLimit(callers.HeapLimit(n.settings.Memory))
+	}
 	peerListener, err := net.Listen("tcp", n.settings.PeerListen)
 	if err != nil {
 		return err
 	}
-	callerListener, err := net.Listen("tcp", n.settings.CallerListen)
+	callerListener, err := n.callers.Gate.Listen(n.settings.CallerListen)
 	if err != nil {
 		return errors.Join(err, peerListener.Close())
 	}
@@ -231,9 +244,11 @@
 	defer stop()
 	var tasks sync.WaitGroup
 	n.startTasks(tasksCtx, &tasks)
+	tasks.Go(func() { n.callers.Gate.Run(tasksCtx) })
+	tasks.Go(func() { n.callers.RecordStats(tasksCtx, n.metrics.scope, n.recorder, n.self.ID) })
 	tasks.Go(func() { n.lending.Run(tasksCtx, lendingConn) })
 	go n.peerHTTP.Serve(peerListener)
-	go n.callerHTTP.Serve(callerListener)
+	go n.callers.HTTP.Serve(callerListener)
 	<-ctx.Done()
 	err = n.drain(tasksCtx)
 	stop()
@@ -287,7 +302,7 @@
 	wg.Go(func() { n.worker.Drain(ctx) })
 	time.Sleep(deregistrationDelay)
 	n.server.Close()
-	err := n.callerHTTP.Shutdown(ctx)
+	err := n.callers.HTTP.Shutdown(ctx)
 	err = errors.Join(err, n.server.Drain(ctx))
 	wg.Wait()
 	n.checker.Assert(err == nil, invariant.DrainCompletesWork, "", n.self.ID, "drain: %v", err)
--- a/internal/request/batch/line.go
+++ b/internal/request/batch/line.go
@@ -122,7 +122,10 @@
 			return err
 		}
 	}
-	if err := scanner.Err(); err != nil {
+	switch err := scanner.Err(); {
+	case errkind.Is(err, errkind.Overloaded):
+		return err
+	case err != nil:
 		return errkind.Malformed.New("line %d: %v (a line may have %d bytes)", number+1, err, maxLineBytes)
 	}
 	if s.items == 0 {
--- a/internal/request/batch/store.go
+++ b/internal/request/batch/store.go
@@ -58,10 +58,7 @@
 // PutFile stores a JSONL file. size is its length in bytes, 0 if unknown.
 func (s *Store) PutFile(ctx context.Context, config *fleet.Config, w *workspace.Workspace, name string, body io.Reader, size int64) (record.File, error) {
 	file := record.File{ID: "file-" + rand.Text(), Workspace: w.Name, Name: name, Created: time.Now().Unix(), Token: rand.Text()}
-	limit := maxChunkBytes
-	if size > 0 {
-		limit = max(minChunkBytes, min(maxChunkBytes, int(size)/minChunks))
-	}
+	limit := chunkLimit(size)
 	writer := newChunkWriter(ctx, s, file.ID)
 	split := &splitter{config: config, workspace: w, maxItems: s.chunkItems, maxBytes: limit, emit: writer.write,
 		seen: map[uint64]bool{}, builders: map[string]*chunkBuilder{}}
@@ -77,6 +74,22 @@
 	return file, s.create(ctx, record.FileName(file.ID), record.Encode(file))
 }
 
+// chunkLimit returns the largest size of the chunks of a file of a size, 0 or less if it is unknown.
+func chunkLimit(size int64) int {
+	if size <= 0 {
+		return maxChunkBytes
+	}
+	return int(max(minChunkBytes, min(maxChunkBytes, size/minChunks)))
+}
+
+// ChunkMemory is the memory in bytes of a chunk that is read: as it comes, decoded, and on its way to
+// the caller.
+const ChunkMemory = 3 * maxChunkBytes
+
+// FileMemory returns the memory in bytes that PutFile takes for a file of a size: the chunks that are
+// written, as they are and encoded, and those of the services that are being filled.
+func FileMemory(size int64) int64 { return 2*parallelWrites*int64(chunkLimit(size)) + maxLineBytes }
+
 // chunkWriter writes the chunks of one file, parallelWrites at a time.
 type chunkWriter struct {
 	ctx   context.Context
--- a/internal/request/serve/batches.go
+++ b/internal/request/serve/batches.go
@@ -29,7 +29,11 @@
 // putFile stores a JSONL file, sent as multipart form field "file" or as the
 // body itself.
 func (s *Server) putFile(w http.ResponseWriter, r *http.Request, c *session) error {
-	name, content, size, err := uploadedFile(r)
+	content, err := c.bounds.StreamBody(r, batch.FileMemory(r.ContentLength))
+	if err != nil {
+		return err
+	}
+	name, content, size, err := uploadedFile(r, content)
 	if err != nil {
 		return err
 	}
@@ -45,15 +49,18 @@
 	return fileBody{f.ID, "file", f.Bytes, f.Created, f.Name, "batch", f.Items}
 }
 
-// uploadedFile returns the file in the request. size is 0 if it is unknown.
-func uploadedFile(r *http.Request) (name string, content io.Reader, size int64, err error) {
+// uploadedFile returns the file in the body of a request. size is 0 if it is unknown.
+func uploadedFile(r *http.Request, body io.Reader) (name string, content io.Reader, size int64, err error) {
 	media, params, _ := mime.ParseMediaType(r.Header.Get("Content-Type"))
 	if !strings.HasPrefix(media, "multipart/") {
-		return "", r.Body, max(0, r.ContentLength), nil
+		return "", body, max(0, r.ContentLength), nil
 	}
-	parts := multipart.NewReader(r.Body, params["boundary"])
+	parts := multipart.NewReader(body, params["boundary"])
 	for {
 		part, err := parts.NextPart()
+		if errkind.Is(err, errkind.Overloaded) {
+			return "", nil, 0, err
+		}
 		if err != nil {
 			return "", nil, 0, errkind.Malformed.New(`the form has no field "file": %v`, err)
 		}
@@ -82,6 +89,9 @@
 	if err != nil {
 		return err
 	}
+	if err := c.bounds.Hold(batch.ChunkMemory); err != nil {
+		return err
+	}
 	w.Header().Set("Content-Type", "application/jsonl")
 	for n := range job.Chunks() {
 		if err := s.Store.WriteChunkResults(r.Context(), job, n, w); err != nil {
@@ -109,7 +119,7 @@
 const defaultWindow = 24 * time.Hour
 
 func (s *Server) submitBatch(w http.ResponseWriter, r *http.Request, c *session) error {
-	body, err := s.body(r)
+	body, err := s.body(r, c)
 	if err != nil {
 		return err
 	}
@@ -179,6 +189,7 @@
 }
 
 func (s *Server) cancelBatch(w http.ResponseWriter, r *http.Request, c *session) error {
+	c.bounds.IgnoreBody(r)
 	if _, err := s.Store.WorkspaceJob(r.Context(), c.workspace.Name, r.PathValue("id")); err != nil {
 		return err
 	}
--- a/internal/request/serve/complete.go
+++ b/internal/request/serve/complete.go
@@ -37,12 +37,19 @@
 	cancel   context.CancelFunc
 }
 
+// decodedFactor is how many times its bytes the body of a completion takes beside the body itself:
+// decoded, and encoded for the engine.
+const decodedFactor = 2
+
 // complete serves a completion, as a stream or in one body.
 func (s *Server) complete(w http.ResponseWriter, r *http.Request, c *session) error {
-	body, err := s.body(r)
+	body, err := s.body(r, c)
 	if err != nil {
 		return err
 	}
+	if err := c.bounds.Hold(decodedFactor * int64(len(body))); err != nil {
+		return err
+	}
 	return s.retryJoin(func() error {
 		e, service, err := s.prepare(r, c, body)
 		if err != nil {
--- a/internal/request/serve/plain.go
+++ b/internal/request/serve/plain.go
@@ -25,7 +25,7 @@
 	if service == nil || service.Kind != fleet.KindPlain || !c.workspace.MayUse(name) {
 		return errkind.NotFound.New("no service %q", name)
 	}
-	body, err := s.body(r)
+	body, err := s.body(r, c)
 	if err != nil {
 		return err
 	}
--- a/internal/request/serve/serve.go
+++ b/internal/request/serve/serve.go
@@ -20,6 +20,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"github.com/marblepond/marblepond/internal/connection/intake"
 	"github.com/marblepond/marblepond/internal/connection/openai"
 	"github.com/marblepond/marblepond/internal/errkind"
 	"github.com/marblepond/marblepond/internal/process/invariant"
@@ -58,6 +59,8 @@
 	Checker    *invariant.Checker
 	Metrics    tally.Scope
 	PeerKey    string
+	// CallerMemory bounds what the requests of all callers occupy.
+	CallerMemory *intake.Budget
 }
 
 // Allowances enforces the rate limit of each workspace over all nodes together.
@@ -114,6 +117,7 @@
 	config    *fleet.Config // the version that the request uses until it ends
 	workspace *workspace.Workspace
 	forwarded bool // sent by a node of another data centre
+	bounds    *intake.Request
 }
 
 type handler func(w http.ResponseWriter, r *http.Request, c *session) error
@@ -130,11 +134,18 @@
 			w.Header().Set(openai.HeaderRequestID, r.Header.Get(openai.HeaderRequestID))
 			w.Header().Set(openai.HeaderAttempt, r.Header.Get(openai.HeaderAttempt))
 		}
+		bounds := s.CallerMemory.NewRequest(w)
+		defer bounds.End()
+		if r.Method == http.MethodGet {
+			bounds.IgnoreBody(r)
+		}
 		c, err := s.authenticate(r)
 		if err == nil {
+			c.bounds = bounds
 			err = h(w, r, c)
 		}
 		if err != nil {
+			bounds.IgnoreBody(r)
 			s.writeError(w, r, err)
 		}
 	})
@@ -163,16 +174,13 @@
 	return c, nil
 }
 
-// body reads the request body within the limit.
-func (s *Server) body(r *http.Request) ([]byte, error) {
-	data, err := io.ReadAll(io.LimitReader(r.Body, int64(s.limits.MaxBody)+1))
-	if err != nil {
-		return nil, errkind.Malformed.New("the body could not be read: %v", err)
-	}
-	if len(data) > s.limits.MaxBody {
-		return nil, errkind.TooLarge.New("the body is over %d bytes", s.limits.MaxBody)
+// body reads the request body within the limits of its size, time and memory.
+func (s *Server) body(r *http.Request, c *session) ([]byte, error) {
+	left := s.limits.RequestTimeout
+	if ms, err := strconv.Atoi(r.Header.Get(openai.HeaderTimeoutMS)); err == nil && ms > 0 {
+		left = time.Duration(ms) * time.Millisecond
 	}
-	return data, nil
+	return c.bounds.ReadBody(r, int64(s.limits.MaxBody), left)
 }
 
 // deadline returns the time by which the caller needs the response.
@@ -257,6 +265,7 @@
 // noRoute handles requests that no route matches: a known path with another method,
 // or an unknown path.
 func (s *Server) noRoute(w http.ResponseWriter, r *http.Request) {
+	s.CallerMemory.NewRequest(w).IgnoreBody(r)
 	for _, method := range []string{http.MethodGet, http.MethodPost} {
 		probe := r.Clone(r.Context())
 		probe.Method = method
--- a/lab/hosted/crowd/node_test.go
+++ b/lab/hosted/crowd/node_test.go
@@ -66,7 +66,8 @@
 type node struct {
 	t           *testing.T
 	address     string // for callers
-	cmd         *exec.Cmd
+	pid         int
+	ordinary    func(ctx context.Context, attempt int) bool // sends one ordinary request
 	exited      chan struct{}
 	stopped     chan struct{}
 	descriptors chan int // the most that were open at once
@@ -138,24 +139,26 @@
 	if err := os.WriteFile(path, fmt.Appendf(nil, settingsTemplate, host, store, memoryMiB, number), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	n := &node{t: t, address: host + ":7070", exited: make(chan struct{}), stopped: make(chan struct{}), descriptors: make(chan int, 1)}
+	n := newNode(t, host+":7070")
+	n.ordinary = n.ordinaryHosted
 	log, err := os.Create(filepath.Join(dir, "node.log"))
 	if err != nil {
 		t.Fatal(err)
 	}
-	n.cmd = exec.Command("sh", "-c", fmt.Sprintf(`ulimit -n %d && exec "$0" "$@"`, maxDescriptors), program, "agent", "--settings", path)
-	n.cmd.Stdout, n.cmd.Stderr = log, log
-	n.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if err := n.cmd.Start(); err != nil {
+	cmd := exec.Command("sh", "-c", fmt.Sprintf(`ulimit -n %d && exec "$0" "$@"`, maxDescriptors), program, "agent", "--settings", path)
+	cmd.Stdout, cmd.Stderr = log, log
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
+	n.pid = cmd.Process.Pid
 	go func() {
-		n.cmd.Wait()
+		cmd.Wait()
 		log.Close()
 		close(n.exited)
 	}()
 	t.Cleanup(func() {
-		n.cmd.Process.Kill()
+		cmd.Process.Kill()
 		<-n.exited
 	})
 	n.waitReady(host + ":7071")
@@ -163,6 +166,10 @@
 	return n
 }
 
+func newNode(t *testing.T, address string) *node {
+	return &node{t: t, address: address, exited: make(chan struct{}), stopped: make(chan struct{}), descriptors: make(chan int, 1)}
+}
+
 func (n *node) waitReady(address string) {
 	n.t.Helper()
 	client := http.Client{Timeout: time.Second}
@@ -189,7 +196,7 @@
 // peakMiB returns the largest resident memory of the process so far.
 func (n *node) peakMiB() float64 {
 	n.t.Helper()
-	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", n.cmd.Process.Pid))
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", n.pid))
 	if err != nil || !n.alive() {
 		n.t.Fatal("the process has ended: ", err)
 	}
@@ -228,7 +235,7 @@
 			return
 		case <-time.After(sampleInterval):
 		}
-		if open, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", n.cmd.Process.Pid)); err == nil {
+		if open, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", n.pid)); err == nil {
 			most = max(most, len(open))
 		}
 	}
@@ -241,9 +248,9 @@
 	defer cancel()
 	for attempt := 0; ctx.Err() == nil && n.alive(); attempt++ {
 		one, done := context.WithTimeout(ctx, ordinaryTimeout/4)
-		reply := hosted.Call(one, http.MethodPost, n.address, hosted.RepeatPath+"run", fmt.Sprint("ordinary-", attempt), map[string]string{"X-Marblepond-Deadline-Ms": "5000"}, make([]byte, 1500))
+		answered := n.ordinary(one, attempt)
 		done()
-		if reply.Err == nil && reply.Status == http.StatusOK {
+		if answered {
 			return true
 		}
 		time.Sleep(100 * time.Millisecond)
@@ -251,6 +258,12 @@
 	return false
 }
 
+// ordinaryHosted sends one request of the users' platform.
+func (n *node) ordinaryHosted(ctx context.Context, attempt int) bool {
+	reply := hosted.Call(ctx, http.MethodPost, n.address, hosted.RepeatPath+"run", fmt.Sprint("ordinary-", attempt), map[string]string{"X-Marblepond-Deadline-Ms": "5000"}, make([]byte, 1500))
+	return reply.Err == nil && reply.Status == http.StatusOK
+}
+
 // check requires what must hold after any crowd, while its connections are still open: the
 // process lives within its memory and descriptors, and an ordinary request is answered.
 func (n *node) check() {
--- a/scripts/check-mutants.sh
+++ b/scripts/check-mutants.sh
@@ -41,7 +41,7 @@
 mutant 6 internal/request/run/run.go 's/case req\.NonIdempotent && !notSent:/case req.NonIdempotent \&\& !notSent \&\& a == nil:/' lab/e2e TestLostTargetAfterTheCall
 mutant 6 lab/platform/server.go 's/return func\(version int64\) bool \{ return version == 0 \}/return func(version int64) bool { return version >= 0 }/' lab/e2e TestResendsToAllNodesAtOnce
 mutant 7 internal/request/choose/eligible.go 's/case e\.leaving:/case e.leaving \&\& e.failures < 0:/' internal/request/choose TestLeavingIsForGood
-mutant 8 internal/process/node/node.go 's/n\.callerHTTP\.Shutdown\(ctx\)/n.callerHTTP.Close()/' lab/e2e TestRollingDrain
+mutant 8 internal/process/node/node.go 's/n\.callers\.HTTP\.Shutdown\(ctx\)/n.callers.HTTP.Close()/' lab/e2e TestRollingDrain
 mutant 9 lab/platform/server.go 's/version == want && version != 0/version >= 0 \&\& want >= 0/' lab/e2e TestOperatorsRace
 mutant 6 internal/request/forward/judge.go 's/case !req\.Route\.Repeatable\(\):/case !req.Route.Repeatable() \&\& p.begun:/' lab/hosted TestAtMostOnce
 mutant 5 internal/request/forward/place.go 's/case p\.ran > 0:/case p.ran > 5:/' lab/hosted TestRepeatable
@@ -448,6 +448,11 @@
 mutant 67 internal/connection/intake/body.go 's/\t\tc\.lingerOnClose\(\)\n/\t\t_ = c\n/' internal/connection/intake TestRefusalBeforeTheBodyArrives
 mutant 67 internal/connection/intake/gate.go 's/phase == readsHeader \&\&/phase != servesRequest \&\&/' internal/connection/intake TestHeaderTimeout
 mutant 67 internal/connection/intake/gate.go 's/len\(g\.conns\) >= g\.maxConns/len(g.conns) > g.maxConns/' internal/connection/intake TestUnusedConnectionsGiveWay
+mutant 67 internal/connection/intake/conn.go 's/string\(p\[:n\]\) != rest\[:n\]/n < 0/' internal/connection/intake TestPrefaceIsNoWayAroundTheHeaderLimit
+mutant 67 internal/connection/intake/conn.go 's/!c\.gate\.http2 \|\| c\.prefaceSeen < 0/c.prefaceSeen < 0/' internal/connection/intake TestPrefaceIsNoWayAroundTheHeaderLimit
+mutant 67 internal/connection/intake/gate.go 's/!reservation\.Grow\(streamBytes \+ h\.memory\(\)\)/!reservation.Grow(1)/' internal/connection/intake TestStreamsCountAgainstTheBudget
+mutant 67 internal/connection/intake/gate.go 's/c\.multiplexed\.Load\(\) \{\n\t\t\t\tc\.enter\(servesRequest\)/c.multiplexed.Load() {/' internal/connection/intake TestConnectionWithStreamsStays
+mutant 67 internal/connection/intake/body.go 's/case n > 0:\n\t\tr\.progress\(true\)/case n < 0:\n\t\tr.progress(true)/; s/case r\.reservation\.Revoked\(\):/case n < 0:/' internal/connection/intake TestStreamedBodyGivesWay
 mutant 67 internal/request/job/memory.go 's/m\.heldBytes\+bytes > m\.cfg\.MaxHeldBytes/m.heldBytes+bytes < 0/' internal/request/job TestHeldJobsAreBounded
 mutant 67 internal/request/job/manager.go 's/m\.heldBytes -= h\.bytes/_ = h.bytes/' internal/request/job TestHeldJobsAreBounded
 mutant 67 internal/request/job/memory.go 's/m\.heldBytes < m\.cfg\.MaxHeldBytes/m.heldBytes >= 0/' internal/request/job TestLostJobsAreTakenOverWithinMemory
