Let bodies at the own interface take as long as their service allows

TestUnfinishedBodyHoldsNoPage, TestBodyHasTheTimeOfTheLongestService and TestConnectionWithStreamsStays; without each mend its test fails (mutants).

--- a/internal/connection/intake/conn.go
+++ b/internal/connection/intake/conn.go
@@ -349,6 +349,13 @@
 	return refusal
 }
 
+// markServed notes that the connection has brought a request.
+func (c *Conn) markServed() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.served = true
+}
+
 // endRequest notes that the connection waits for the next request.
 func (c *Conn) endRequest() {
 	c.dropHeader()
--- a/internal/connection/intake/gate.go
+++ b/internal/connection/intake/gate.go
@@ -82,6 +82,7 @@
 	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c := connOf(r)
 		if c != nil && c.multiplexed.Load() {
+			c.markServed()
 			serveStream(next, g.budget, w, r)
 			return
 		}
--- a/internal/connection/intake/stream_test.go
+++ b/internal/connection/intake/stream_test.go
@@ -135,6 +135,8 @@
 			time.Sleep(time.Millisecond)
 		}
 		is.True(unused() != nil)
+		rank, _ := unused().rank()
+		is.Equal(rank, keptIdle) // like one of HTTP/1.1
 	}
 }
 
--- a/internal/request/serve/serve.go
+++ b/internal/request/serve/serve.go
@@ -98,7 +98,7 @@
 	s.route("GET /v1/batches", s.listBatches)
 	s.route("GET /v1/batches/{id}", s.showBatch)
 	s.route("POST /v1/batches/{id}/cancel", s.cancelBatch)
-	s.route("/services/{name}/{path...}", s.servePlain)
+	s.route(plainPrefix+"{name}/{path...}", s.servePlain)
 	s.mux.HandleFunc("GET /healthz", s.healthz)
 	s.mux.HandleFunc("GET /readyz", s.readyz)
 	s.mux.HandleFunc("/", s.noRoute)
@@ -106,7 +106,15 @@
 }
 
 // ServeHTTP implements http.Handler.
-func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.Method == http.MethodGet && !strings.HasPrefix(r.URL.Path, plainPrefix) { // no handler reads its body
+		s.CallerMemory.NewRequest(w).IgnoreBody(r)
+	}
+	s.mux.ServeHTTP(w, r)
+}
+
+// plainPrefix is how the paths of calls to plain services begin.
+const plainPrefix = "/services/"
 
 // Handle adds a handler for the node's own pages, such as metrics, without
 // authentication.
@@ -136,9 +144,6 @@
 		}
 		bounds := s.CallerMemory.NewRequest(w)
 		defer bounds.End()
-		if r.Method == http.MethodGet {
-			bounds.IgnoreBody(r)
-		}
 		c, err := s.authenticate(r)
 		if err == nil {
 			c.bounds = bounds
@@ -174,9 +179,13 @@
 	return c, nil
 }
 
-// body reads the request body within the limits of its size, time and memory.
+// body reads the request body within the limits of its size, time and memory. The service is not known
+// yet, so that a body may take as long as any service gives its requests.
 func (s *Server) body(r *http.Request, c *session) ([]byte, error) {
 	left := s.limits.RequestTimeout
+	for _, service := range c.config.Services {
+		left = max(left, service.Deadline)
+	}
 	if ms, err := strconv.Atoi(r.Header.Get(openai.HeaderTimeoutMS)); err == nil && ms > 0 {
 		left = time.Duration(ms) * time.Millisecond
 	}
--- a/scripts/check-mutants.sh
+++ b/scripts/check-mutants.sh
@@ -453,6 +453,9 @@
 mutant 67 internal/connection/intake/gate.go 's/!reservation\.Grow\(streamBytes \+ h\.memory\(\)\)/!reservation.Grow(1)/' internal/connection/intake TestStreamsCountAgainstTheBudget
 mutant 67 internal/connection/intake/gate.go 's/c\.multiplexed\.Load\(\) \{\n\t\t\t\tc\.enter\(servesRequest\)/c.multiplexed.Load() {/' internal/connection/intake TestConnectionWithStreamsStays
 mutant 67 internal/connection/intake/body.go 's/case n > 0:\n\t\tr\.progress\(true\)/case n < 0:\n\t\tr.progress(true)/; s/case r\.reservation\.Revoked\(\):/case n < 0:/' internal/connection/intake TestStreamedBodyGivesWay
+mutant 67 internal/request/serve/serve.go 's/left = max\(left, service\.Deadline\)/_ = service/' internal/request/serve TestBodyHasTheTimeOfTheLongestService
+mutant 67 internal/request/serve/serve.go 's/\t\ts\.CallerMemory\.NewRequest\(w\)\.IgnoreBody\(r\)\n\t\}\n\ts\.mux/\t\t_ = r\n\t}\n\ts.mux/' internal/request/serve TestUnfinishedBodyHoldsNoPage
+mutant 67 internal/connection/intake/gate.go 's/c\.markServed\(\)/_ = c/' internal/connection/intake TestConnectionWithStreamsStays
 mutant 67 internal/request/job/memory.go 's/m\.heldBytes\+bytes > m\.cfg\.MaxHeldBytes/m.heldBytes+bytes < 0/' internal/request/job TestHeldJobsAreBounded
 mutant 67 internal/request/job/manager.go 's/m\.heldBytes -= h\.bytes/_ = h.bytes/' internal/request/job TestHeldJobsAreBounded
 mutant 67 internal/request/job/memory.go 's/m\.heldBytes < m\.cfg\.MaxHeldBytes/m.heldBytes >= 0/' internal/request/job TestLostJobsAreTakenOverWithinMemory
