Reject answers whose status is outside of 200 to 599

What callers saw: an answer with status 000, 099, 101, 600 or 999, passed on as the target's. With 000 to 099 a plain service's caller saw a closed connection, since WriteHeader panics below 100.

Cause: net/http returns any three digits as a status. At the project's own interface each status below 300 counted as a success: for calls, streams, resumed streams and orders to engines, which were taken for carried out. The client of runners rejected those below 200, and believed those above 599.

Held before: 000, 099 and 101 at runners.

Change: dial.CheckAnswers is a transport that returns an error in place of an answer with an invalid head and closes its connection, also where net/http has returned it to the pool. The clients check before they read any field, so that a refusal in such an answer proves nothing. At a runner it counts as an answer that is not proved to be the request's, not as a lost connection.

--- /dev/null
+++ b/internal/connection/dial/answers.go
@@ -0,0 +1,68 @@
+package dial
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+)
+
+// ErrInvalidAnswer is the error of a request whose answer is no valid HTTP. Nothing in it is to be
+// believed.
+var ErrInvalidAnswer = errors.New("the answer is invalid")
+
+// CheckAnswers returns a transport that returns ErrInvalidAnswer in place of an answer with an
+// invalid head, and closes its connection.
+func CheckAnswers(next http.RoundTripper) http.RoundTripper {
+	if next == nil {
+		next = http.DefaultTransport
+	}
+	return checkedTransport{next}
+}
+
+// WithCheckedAnswers returns a copy of a client that checks answers as CheckAnswers does.
+func WithCheckedAnswers(c *http.Client) *http.Client {
+	checked := *c
+	checked.Transport = CheckAnswers(c.Transport)
+	return &checked
+}
+
+type checkedTransport struct{ next http.RoundTripper }
+
+// RoundTrip implements http.RoundTripper.
+func (t checkedTransport) RoundTrip(req *http.Request) (*http.Response, error) {
+	use, traced := req.Context().Value(connUseKey{}).(*ConnUse)
+	if !traced {
+		use = &ConnUse{}
+		req = req.WithContext(use.Trace(req.Context()))
+	}
+	resp, err := t.next.RoundTrip(req)
+	if err != nil {
+		return nil, err
+	}
+	if err := checkHead(resp); err != nil {
+		resp.Body.Close()
+		use.Discard() // an answer without a body has returned it to the pool
+		return nil, err
+	}
+	return resp, nil
+}
+
+// CloseIdleConnections serves http.Client.CloseIdleConnections.
+func (t checkedTransport) CloseIdleConnections() {
+	(&http.Client{Transport: t.next}).CloseIdleConnections()
+}
+
+// The status codes of final answers (RFC 9110, section 15). No request asks for the protocol switch
+// of an interim one.
+const (
+	minFinalStatus = 200
+	maxFinalStatus = 599
+)
+
+// checkHead checks what net/http accepts in the head of an answer though it is invalid.
+func checkHead(resp *http.Response) error {
+	if resp.StatusCode < minFinalStatus || resp.StatusCode > maxFinalStatus {
+		return fmt.Errorf("%w: status %03d", ErrInvalidAnswer, resp.StatusCode)
+	}
+	return nil
+}
--- a/internal/connection/dial/checked.go
+++ b/internal/connection/dial/checked.go
@@ -87,7 +87,8 @@
 
 // useState is the use of one connection by one request.
 type useState struct {
-	conn   *Conn // nil: not a *Conn
+	pooled net.Conn // of the transport's pool
+	conn   *Conn    // the same; nil: not a *Conn
 	reused bool
 	phase  atomic.Int32
 }
@@ -99,10 +100,19 @@
 	abandoned              // no byte was written, and none will be
 )
 
+// connUseKey is the key of a request's *ConnUse in its context.
+type connUseKey struct{}
+
+// Trace returns a context whose request records the use of its connection in u.
+func (u *ConnUse) Trace(ctx context.Context) context.Context {
+	ctx = context.WithValue(ctx, connUseKey{}, u)
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: u.GotConn})
+}
+
 // GotConn records the connection that the transport chose; it serves as
 // httptrace.ClientTrace.GotConn.
 func (u *ConnUse) GotConn(info httptrace.GotConnInfo) {
-	state := &useState{reused: info.Reused}
+	state := &useState{pooled: info.Conn, reused: info.Reused}
 	if conn, ok := info.Conn.(*Conn); ok {
 		state.conn = conn
 		conn.current.Store(state)
@@ -121,8 +131,8 @@
 
 // Discard closes the connection, so that no other request is sent on it.
 func (u *ConnUse) Discard() {
-	if state := u.current.Load(); state != nil && state.conn != nil {
-		state.conn.Close()
+	if state := u.current.Load(); state != nil && state.pooled != nil {
+		state.pooled.Close()
 	}
 }
 
--- /dev/null
+++ b/internal/connection/engine/broken_answers_test.go
@@ -0,0 +1,80 @@
+package engine
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/marblepond/marblepond/internal/connection/answertest"
+	"github.com/marblepond/marblepond/internal/connection/dial"
+	"github.com/marblepond/marblepond/internal/connection/openai"
+	"github.com/marblepond/marblepond/internal/request/assemble"
+)
+
+func newTestClient(t *testing.T) *Client {
+	t.Helper()
+	transport := &http.Transport{DialContext: dial.DetectClosed((&net.Dialer{}).DialContext), DisableCompression: true}
+	t.Cleanup(transport.CloseIdleConnections)
+	return New(&http.Client{Transport: transport}, 5*time.Second)
+}
+
+// calls are all calls of a client that read an answer.
+var calls = map[string]func(c *Client, address string) error{
+	"plain": func(c *Client, address string) error {
+		_, err := c.Plain(context.Background(), PlainCall{Addr: address, Method: http.MethodPost, Path: "/", RequestID: "r", Header: http.Header{}, Body: []byte("{}")})
+		return err
+	},
+	"plain, once": func(c *Client, address string) error {
+		_, err := c.Plain(context.Background(), PlainCall{Addr: address, Method: http.MethodPost, Path: "/", RequestID: "r", Header: http.Header{}, Body: []byte("{}"), NonIdempotent: true})
+		return err
+	},
+	"stream": func(c *Client, address string) error {
+		return c.Stream(context.Background(), Call{Addr: address, Path: "/", RequestID: "r", Attempt: 1, Body: []byte("{}")}, func(assemble.Piece) {})
+	},
+	"resume": func(c *Client, address string) error {
+		return c.Resume(context.Background(), Call{Addr: address, RequestID: "r", Attempt: 1, TokensReceived: 1}, func(assemble.Piece) {})
+	},
+	"load": func(c *Client, address string) error {
+		_, err := c.Load(context.Background(), address)
+		return err
+	},
+	"order": func(c *Client, address string) error {
+		return c.Order(context.Background(), address, Order{Fence: 1, Op: OpLoad, Name: "m@1"})
+	},
+}
+
+// bodies are whole bodies that the calls accept.
+var bodies = map[string]string{"stream": openai.DataPrefix + openai.DoneMark + "\n\n", "resume": openai.DataPrefix + openai.DoneMark + "\n\n", "load": "{}"}
+
+// checkInvalid makes each call to a target whose answers have an invalid head, and checks that none
+// is believed, as an answer or as a refusal, and that its connection is not used again.
+func checkInvalid(t *testing.T, statusLine, fields string) {
+	t.Helper()
+	for name, call := range calls {
+		is := is.NewRelaxed(t)
+		head := fmt.Sprintf("%s\r\n%s: r\r\n%s: 1\r\n%s", statusLine, openai.HeaderRequestID, openai.HeaderAttempt, fields)
+		target := answertest.Start(t, answertest.Script{Answer: answertest.Text(fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(bodies[name]), bodies[name]))})
+		client := newTestClient(t)
+		for range 2 {
+			err := call(client, target.Address())
+			if !errors.Is(err, dial.ErrInvalidAnswer) && !errors.Is(err, ErrFailed) {
+				t.Errorf("%s: %s, %q: %v", name, statusLine, fields, err)
+			}
+		}
+		is.Equal(target.Conns(), 2)
+	}
+}
+
+// TestInvalidStatusIsNoAnswer guards against answers with a status outside of 200 to 599 that reach
+// callers of the project's own interface, or count as orders that were carried out.
+func TestInvalidStatusIsNoAnswer(t *testing.T) {
+	for _, status := range []string{"000", "099", "101", "600", "999"} {
+		checkInvalid(t, "HTTP/1.1 "+status+" Text", "")
+	}
+}
--- a/internal/connection/engine/engine.go
+++ b/internal/connection/engine/engine.go
@@ -11,7 +11,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"net/http/httptrace"
 	"net/url"
 	"strconv"
 	"time"
@@ -44,7 +43,7 @@
 }
 
 func New(client *http.Client, stall time.Duration) *Client {
-	return &Client{http: dial.WithoutRedirects(client), StallTimeout: stall}
+	return &Client{http: dial.WithCheckedAnswers(dial.WithoutRedirects(client)), StallTimeout: stall}
 }
 
 // Call is one attempt at a completion request.
@@ -126,12 +125,11 @@
 
 func (c *Client) send(ctx context.Context, method, addr, path string, call Call) (*http.Response, bool, error) {
 	var used dial.ConnUse
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: used.GotConn})
 	var body io.Reader
 	if method == http.MethodPost {
 		body = bytes.NewReader(call.Body)
 	}
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+addr+path, body)
+	req, err := http.NewRequestWithContext(used.Trace(ctx), method, "http://"+addr+path, body)
 	if err != nil {
 		return nil, false, err
 	}
@@ -156,6 +154,8 @@
 		return ctx.Err()
 	case err == nil:
 		return nil
+	case errors.Is(err, dial.ErrInvalidAnswer):
+		return fmt.Errorf("%w: %v", ErrFailed, err)
 	case !sent:
 		return fmt.Errorf("%w: %v", ErrNotSent, err)
 	}
@@ -281,8 +281,7 @@
 // Plain sends a call to a plain service and reads the complete response.
 func (c *Client) Plain(ctx context.Context, call PlainCall) (PlainAnswer, error) {
 	var used dial.ConnUse
-	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: used.GotConn})
-	req, err := http.NewRequestWithContext(traced, call.Method, "http://"+call.Addr+call.Path, bytes.NewReader(call.Body))
+	req, err := http.NewRequestWithContext(used.Trace(ctx), call.Method, "http://"+call.Addr+call.Path, bytes.NewReader(call.Body))
 	if err != nil {
 		return PlainAnswer{}, fmt.Errorf("%w: %v", ErrNotSent, err)
 	}
--- a/internal/connection/peer/peer.go
+++ b/internal/connection/peer/peer.go
@@ -11,6 +11,7 @@
 	"connectrpc.com/connect"
 
 	"github.com/marblepond/marblepond/api/marblepond/v1/marblepondv1connect"
+	"github.com/marblepond/marblepond/internal/connection/dial"
 	"github.com/marblepond/marblepond/internal/errkind"
 )
 
@@ -56,7 +57,7 @@
 
 // NewOperatorClient returns a client for an operator's calls to a node.
 func NewOperatorClient(client *http.Client, addr, key string) marblepondv1connect.OperatorServiceClient {
-	return marblepondv1connect.NewOperatorServiceClient(client, "http://"+addr,
+	return marblepondv1connect.NewOperatorServiceClient(dial.WithCheckedAnswers(client), "http://"+addr,
 		connect.WithInterceptors(sendKey(key)), connect.WithReadMaxBytes(maxMessageBytes))
 }
 
--- a/internal/connection/platform/client.go
+++ b/internal/connection/platform/client.go
@@ -102,7 +102,7 @@
 		o.OnChange = func(bool) {}
 	}
 	return &Client{
-		base: o.URL, caller: o.Caller, http: dial.WithoutRedirects(o.HTTP), timeout: o.Timeout,
+		base: o.URL, caller: o.Caller, http: dial.WithCheckedAnswers(dial.WithoutRedirects(o.HTTP)), timeout: o.Timeout,
 		writes: callbudget.New(o.WriteRate), reads: callbudget.New(o.ReadRate),
 		metrics: o.Metrics, onChange: o.OnChange,
 	}
--- a/internal/process/hosted/peers.go
+++ b/internal/process/hosted/peers.go
@@ -70,9 +70,9 @@
 // until the failure is detected.
 func newPeers(s *settings.Settings) *peers {
 	dialer := dial.KeepAliveDialer(s.DialTimeout)
-	h := &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: idleConnsPerPeer,
-		IdleConnTimeout: time.Minute, DisableCompression: true, MaxResponseHeaderBytes: maxPeerHeadBytes}}
-	seedHTTP := &http.Client{Transport: &http.Transport{DialContext: dial.KeepAliveDialer(min(seedDialTimeout, s.DialTimeout)).DialContext, DisableCompression: true, IdleConnTimeout: time.Second, MaxResponseHeaderBytes: maxPeerHeadBytes}}
+	h := &http.Client{Transport: dial.CheckAnswers(&http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: idleConnsPerPeer,
+		IdleConnTimeout: time.Minute, DisableCompression: true, MaxResponseHeaderBytes: maxPeerHeadBytes})}
+	seedHTTP := &http.Client{Transport: dial.CheckAnswers(&http.Transport{DialContext: dial.KeepAliveDialer(min(seedDialTimeout, s.DialTimeout)).DialContext, DisableCompression: true, IdleConnTimeout: time.Second, MaxResponseHeaderBytes: maxPeerHeadBytes})}
 	options := peer.ClientOptions(s.PeerKey)
 	return &peers{
 		sync:        newClients(h, options, marblepondv1connect.NewSyncServiceClient),
--- a/scripts/check-mutants.sh
+++ b/scripts/check-mutants.sh
@@ -477,6 +477,10 @@
 mutant 67 internal/request/job/header.go 's/if drop\(name\) \{/if drop(name) \&\& name == "" {/' internal/request/job TestHeaderKeepsItsFields
 mutant 67 internal/request/job/memory.go 's/m\.parsedHeaders\+bytes <= m\.cfg\.MaxParsedHeaderBytes/m.parsedHeaders+bytes > 0/' internal/request/job TestParsedHeadersAreBounded
 mutant 67 internal/process/callers/callers.go 's/allowed-uncountedMemory/allowed-allowed\/10/' internal/process/callers TestMemoryLimitLeavesRoomForTheProgram
+mutant 4 internal/connection/dial/answers.go 's/resp\.StatusCode < minFinalStatus \|\|/resp.StatusCode < 0 ||/' internal/connection/engine TestInvalidStatusIsNoAnswer
+mutant 4 internal/connection/dial/answers.go 's/\|\| resp\.StatusCode > maxFinalStatus/|| resp.StatusCode > 9999/' platform TestInvalidStatusIsNoAnswer
+mutant 4 internal/connection/dial/answers.go 's/use\.Discard\(\).*/_ = use/' platform TestInvalidStatusIsNoAnswer
+mutant 6 platform/runner.go 's/case errors\.Is\(err, dial\.ErrInvalidAnswer\):/case err == nil:/' platform TestInvalidStatusIsNoAnswer
 }
 checks=()
 for shard in $(seq 0 $((shards - 1))); do
