Reject answers with a field name that is no token

What callers saw: an answer with "X Foo: a" or "X-Foo : a" in its head passed for sound, and one with "Content-Length : 2" or "Transfer-Encoding : chunked" had a body that was not the target's: more than it, the sizes of its chunks, or the head and body of another answer.

Cause: net/http rejects field names with most bytes that are not allowed, but takes those with blanks and keeps them as they stand (go.dev/issue/34540). No code looks such a field up, so that a length or a coding that it states is not applied, and the body is read to the end of the connection.

Change: dial.CheckAnswers rejects an answer unless each field name is a token.

--- a/internal/connection/dial/answers.go
+++ b/internal/connection/dial/answers.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"strings"
 )
 
 // ErrInvalidAnswer is the error of a request whose answer is no valid HTTP. Nothing in it is to be
@@ -64,5 +65,24 @@
 	if resp.StatusCode < minFinalStatus || resp.StatusCode > maxFinalStatus {
 		return fmt.Errorf("%w: status %03d", ErrInvalidAnswer, resp.StatusCode)
 	}
+	for name := range resp.Header {
+		if !isToken(name) { // the field may be meant to frame the body, and was not applied
+			return fmt.Errorf("%w: field name %q", ErrInvalidAnswer, name)
+		}
+	}
 	return nil
 }
+
+// isToken reports whether a text is a token (RFC 9110, section 5.6.2), as a field name has to be.
+func isToken(s string) bool {
+	for i := range len(s) {
+		if c := s[i]; !isAlphanumeric(c) && strings.IndexByte("!#$%&'*+-.^_`|~", c) < 0 {
+			return false
+		}
+	}
+	return s != ""
+}
+
+func isAlphanumeric(c byte) bool {
+	return 'a' <= c && c <= 'z' || 'A' <= c && c <= 'Z' || '0' <= c && c <= '9'
+}
--- /dev/null
+++ b/internal/connection/dial/answers_test.go
@@ -0,0 +1,37 @@
+package dial
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// TestFieldNamesAreTokens guards against field names with a byte that is not allowed in a token, and
+// against sound ones that are rejected.
+func TestFieldNamesAreTokens(t *testing.T) {
+	is := is.New(t)
+	const others = "!#$%&'*+-.^_`|~"
+	for c := range 256 {
+		isTokenByte := 'a' <= c && c <= 'z' || 'A' <= c && c <= 'Z' || '0' <= c && c <= '9'
+		for i := range len(others) {
+			isTokenByte = isTokenByte || int(others[i]) == c
+		}
+		is.Equal(isToken("x"+string([]byte{byte(c)})+"y"), isTokenByte)
+	}
+	is.True(!isToken(""))
+}
+
+// BenchmarkCheckHead measures the check of an answer's head, which each request pays for.
+func BenchmarkCheckHead(b *testing.B) {
+	resp := &http.Response{StatusCode: http.StatusOK, ProtoMajor: 1, ProtoMinor: 1, Header: http.Header{
+		"Content-Type": {"text/event-stream"}, "Date": {"Mon, 07 Dec 2026 01:00:00 GMT"}, "Keep-Alive": {"timeout=5"}, "Request-Id": {"9c41d07be2a35f68"},
+		"Server-Stamp": {"3e1b.07.5a2.600.0.c9f2a4d1"}, "Weight-Versions": {"1"}, "Cache-Control": {"no-store"}, "Instance-Id": {"i-7f3a91c2"},
+	}, Request: &http.Request{Header: http.Header{}}}
+	b.ReportAllocs()
+	for b.Loop() {
+		if err := checkHead(resp); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/scripts/check-mutants.sh
+++ b/scripts/check-mutants.sh
@@ -480,6 +480,8 @@
 mutant 4 internal/connection/dial/answers.go 's/resp\.StatusCode < minFinalStatus \|\|/resp.StatusCode < 0 ||/' internal/connection/engine TestInvalidStatusIsNoAnswer
 mutant 4 internal/connection/dial/answers.go 's/\|\| resp\.StatusCode > maxFinalStatus/|| resp.StatusCode > 9999/' platform TestInvalidStatusIsNoAnswer
 mutant 4 internal/connection/dial/answers.go 's/use\.Discard\(\).*/_ = use/' platform TestInvalidStatusIsNoAnswer
+mutant 4 internal/connection/dial/answers.go 's/if !isToken\(name\) \{/if name == "" {/' internal/connection/engine TestInvalidFieldNameIsNoAnswer
+mutant 4 internal/connection/dial/answers.go 's/if !isToken\(name\) \{/if strings.ContainsAny(name, "\\t\\x00") {/' platform TestInvalidFieldNameIsNoAnswer
 mutant 6 platform/runner.go 's/case errors\.Is\(err, dial\.ErrInvalidAnswer\):/case err == nil:/' platform TestInvalidStatusIsNoAnswer
 }
 checks=()
