Take no part of an answer for whole whose connection was reset

What callers saw: a part of an answer without a length, as a complete one. The target answered a long request at once, sent a part of the body and reset the connection while the request was still being written.

Cause: the end of the connection is the end of such an answer, and the system reports a reset once, to the first call that asks. While the request is still being written that call is often the write. The read then sees the end of the stream, and net/http drops the error of the write, since the head of the answer has arrived. The target still accepts connections, so that the probe at the end finds nothing.

Change: a connection follows its request to the last byte. The end of a connection on which an answer has begun is reported only once the request is written, and as an error if a write has failed or the rest takes over a second. So whichever call takes the reset, the answer is broken, and the end cannot overtake the error of the write (TestEndOfAnAnswerAwaitsTheUpload). An answer that is whole before the request is written is still whole: with a length, in chunks, and without either if its target closes the connection in order and reads the rest (TestAnswerBeforeTheEndOfTheUploadIsWhole).

--- a/internal/connection/dial/answers.go
+++ b/internal/connection/dial/answers.go
@@ -33,7 +33,7 @@
 func (t checkedTransport) RoundTrip(req *http.Request) (*http.Response, error) {
 	use, traced := req.Context().Value(connUseKey{}).(*ConnUse)
 	if !traced {
-		use = &ConnUse{}
+		use = &ConnUse{BodyBytes: bodyBytes(req)}
 		req = req.WithContext(use.Trace(req.Context()))
 	}
 	resp, err := t.next.RoundTrip(req)
@@ -48,6 +48,14 @@
 	return resp, nil
 }
 
+// bodyBytes returns the length of a request's body, -1 if it is not known.
+func bodyBytes(req *http.Request) int64 {
+	if req.ContentLength == 0 && req.Body != nil && req.Body != http.NoBody {
+		return -1
+	}
+	return req.ContentLength
+}
+
 // CloseIdleConnections serves http.Client.CloseIdleConnections.
 func (t checkedTransport) CloseIdleConnections() {
 	(&http.Client{Transport: t.next}).CloseIdleConnections()
--- a/internal/connection/dial/checked.go
+++ b/internal/connection/dial/checked.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"io"
 	"net"
 	"net/http/httptrace"
 	"sync/atomic"
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -18,6 +21,14 @@
 // errAbandoned is returned by the first write of a request that was claimed as not sent.
 var errAbandoned = errors.New("the request was abandoned before it was written")
 
+// errUploadCut is returned by the read that finds the end of a connection whose request was not
+// written to its end.
+var errUploadCut = fmt.Errorf("the connection ended before the request was written: %w", io.ErrUnexpectedEOF)
+
+// uploadTimeout is how long the rest of a request may take to be written after the end of its
+// answer.
+const uploadTimeout = time.Second
+
 // Conn is a pooled connection that knows whether the request in progress has been written. A
 // request that was written to a connection whose peer process has ended may have run, as far as
 // the sender can tell, and must not be repeated; one of which no byte was written may be.
@@ -46,9 +57,14 @@
 // connection that cannot carry it.
 func (c *Conn) Write(b []byte) (int, error) {
 	use := c.current.Load()
-	if use == nil || use.phase.Load() == written {
+	if use == nil {
 		return c.Conn.Write(b)
 	}
+	if use.phase.Load() == written {
+		n, err := c.Conn.Write(b)
+		use.upload.wrote(b[:n], err)
+		return n, err
+	}
 	if use.reused && c.unusable() {
 		return 0, ErrUnusable
 	}
@@ -61,9 +77,37 @@
 	if n == 0 && err != nil {
 		use.phase.Store(unwritten)
 	}
+	use.upload.wrote(b[:n], err)
 	return n, err
 }
 
+// Read implements net.Conn. The end of a connection on which an answer has begun is returned only
+// once the request is written, as errUploadCut if it is not. The peer may have reset the
+// connection: the system returns the error of a reset once, and where a write has taken it, a read
+// sees the end of the stream.
+func (c *Conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	use := c.current.Load()
+	if use == nil {
+		return n, err
+	}
+	if n > 0 {
+		use.answered.Store(true)
+	}
+	if errors.Is(err, io.EOF) && use.answered.Load() && !use.upload.endsWhole(uploadTimeout) {
+		return n, errUploadCut
+	}
+	return n, err
+}
+
+// Close implements net.Conn.
+func (c *Conn) Close() error {
+	if use := c.current.Load(); use != nil {
+		use.upload.end(false)
+	}
+	return c.Conn.Close()
+}
+
 // unusable reports whether the peer has closed the connection, or has sent bytes that no request
 // awaits. It peeks at the socket, because the goroutine that reads from the connection may not have
 // seen either yet.
@@ -82,6 +126,9 @@
 
 // ConnUse records the use of a connection by one request. It is safe for concurrent use.
 type ConnUse struct {
+	// BodyBytes is the length of the request's body; negative: not known.
+	BodyBytes int64
+
 	current atomic.Pointer[useState] // nil: no connection yet
 }
 
@@ -91,6 +138,9 @@
 	conn   *Conn    // the same; nil: not a *Conn
 	reused bool
 	phase  atomic.Int32
+
+	upload   upload
+	answered atomic.Bool // bytes of an answer have arrived
 }
 
 // The phases of a request on a connection.
@@ -112,7 +162,7 @@
 // GotConn records the connection that the transport chose; it serves as
 // httptrace.ClientTrace.GotConn.
 func (u *ConnUse) GotConn(info httptrace.GotConnInfo) {
-	state := &useState{pooled: info.Conn, reused: info.Reused}
+	state := &useState{pooled: info.Conn, reused: info.Reused, upload: upload{bodyLeft: u.BodyBytes, ended: make(chan struct{})}}
 	if conn, ok := info.Conn.(*Conn); ok {
 		state.conn = conn
 		conn.current.Store(state)
--- a/internal/connection/engine/broken_answers_test.go
+++ b/internal/connection/engine/broken_answers_test.go
@@ -88,3 +88,38 @@
 		}
 	}
 }
+
+// uploadBytes do not fit into the buffers of a connection that its peer does not read.
+const uploadBytes = 8 << 20
+
+// TestPartResetDuringTheUploadIsNoAnswer guards against a part of a plain service's answer that is
+// taken for whole: its connection is reset while the call is still being written, and the failed
+// write takes the error of the reset.
+func TestPartResetDuringTheUploadIsNoAnswer(t *testing.T) {
+	const runs = 20
+	target := answertest.Start(t, answertest.Script{Answer: answertest.Text("HTTP/1.1 200 OK\r\n\r\na part"), Early: true, End: answertest.Reset})
+	believed := 0
+	for range runs {
+		_, err := newTestClient(t).Plain(context.Background(), PlainCall{Addr: target.Address(), Method: http.MethodPost, Path: "/", RequestID: "r", Header: http.Header{}, Body: make([]byte, uploadBytes)})
+		if err == nil {
+			believed++
+		} else if !errors.Is(err, ErrConnectionLost) {
+			t.Error(err)
+		}
+	}
+	if believed > 0 {
+		t.Errorf("%d of %d parts are taken for whole answers", believed, runs)
+	}
+}
+
+// TestAnswerBeforeTheEndOfTheUploadIsWhole guards against whole answers that are rejected because
+// their service sends them before it has read the call.
+func TestAnswerBeforeTheEndOfTheUploadIsWhole(t *testing.T) {
+	for _, rest := range []string{"Content-Length: 2\r\n\r\nok", "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", "\r\nok"} {
+		is := is.New(t)
+		target := answertest.Start(t, answertest.Script{Answer: answertest.Text("HTTP/1.1 200 OK\r\n" + rest), Early: true, End: answertest.Close})
+		answer, err := newTestClient(t).Plain(context.Background(), PlainCall{Addr: target.Address(), Method: http.MethodPost, Path: "/", RequestID: "r", Header: http.Header{}, Body: make([]byte, uploadBytes)})
+		is.NoErr(err)
+		is.Equal(string(answer.Body), "ok")
+	}
+}
--- a/internal/connection/engine/engine.go
+++ b/internal/connection/engine/engine.go
@@ -127,7 +127,7 @@
 	var used dial.ConnUse
 	var body io.Reader
 	if method == http.MethodPost {
-		body = bytes.NewReader(call.Body)
+		used.BodyBytes, body = int64(len(call.Body)), bytes.NewReader(call.Body)
 	}
 	req, err := http.NewRequestWithContext(used.Trace(ctx), method, "http://"+addr+path, body)
 	if err != nil {
@@ -280,7 +280,7 @@
 
 // Plain sends a call to a plain service and reads the complete response.
 func (c *Client) Plain(ctx context.Context, call PlainCall) (PlainAnswer, error) {
-	var used dial.ConnUse
+	used := dial.ConnUse{BodyBytes: int64(len(call.Body))}
 	req, err := http.NewRequestWithContext(used.Trace(ctx), call.Method, "http://"+call.Addr+call.Path, bytes.NewReader(call.Body))
 	if err != nil {
 		return PlainAnswer{}, fmt.Errorf("%w: %v", ErrNotSent, err)
--- a/scripts/check-mutants.sh
+++ b/scripts/check-mutants.sh
@@ -482,6 +482,13 @@
 mutant 4 internal/connection/dial/answers.go 's/use\.Discard\(\).*/_ = use/' platform TestInvalidStatusIsNoAnswer
 mutant 4 internal/connection/dial/answers.go 's/if !isToken\(name\) \{/if name == "" {/' internal/connection/engine TestInvalidFieldNameIsNoAnswer
 mutant 4 internal/connection/dial/answers.go 's/if !isToken\(name\) \{/if strings.ContainsAny(name, "\\t\\x00") {/' platform TestInvalidFieldNameIsNoAnswer
+mutant 4 internal/connection/dial/checked.go 's/&& !use\.upload\.endsWhole\(uploadTimeout\)/\&\& use.upload.bodyLeft < -1/' platform TestPartResetDuringTheUploadIsNoAnswer
+mutant 4 internal/connection/dial/checked.go 's/&& use\.answered\.Load\(\)//' internal/connection/dial TestConnectionWithoutAnAnswerEndsAtOnce
+mutant 4 internal/connection/dial/checked.go 's/use\.upload\.end\(false\)/_ = use/' internal/connection/dial TestClosedConnectionAwaitsNoUpload
+mutant 4 internal/connection/dial/upload.go 's/case err != nil:/case err != nil \&\& u.inBody:/' internal/connection/dial TestEndOfAnAnswerAwaitsTheUpload
+mutant 4 internal/connection/dial/upload.go 's/u\.inBody && u\.bodyLeft <= 0/u.inBody/' internal/connection/dial TestUploadEndsWithItsLastByte
+mutant 4 internal/connection/dial/upload.go 's/case c == .\\n. && u\.lineLength == 0:/case c == 10 \&\& u.lineLength < 8:/' internal/connection/dial TestUploadEndsWithItsLastByte
+mutant 4 platform/runner.go 's/BodyBytes: int64\(len\(call\.Body\)\)/BodyBytes: -1/' platform TestPartResetDuringTheUploadIsNoAnswer
 mutant 6 platform/runner.go 's/case errors\.Is\(err, dial\.ErrInvalidAnswer\):/case err == nil:/' platform TestInvalidStatusIsNoAnswer
 }
 checks=()
