Reject answers of other HTTP versions, and HTTP/1.0 answers in chunks

What callers saw: an HTTP/1.0 answer in chunks with the sizes of the chunks in its body, also in streams; an answer of HTTP/9.9 as if its syntax were known.

Cause: HTTP/1.0 has no transfer coding. net/http drops the field there and reads the coded body to the end of the connection; nothing of the field is left in the answer that it returns. RFC 9112, section 6.1, has a client treat such framing as faulty. Of versions net/http checks only that they are two digits.

Change: dial.CheckAnswers rejects answers of another major version. The connections to targets look for the field in the head of an HTTP/1.0 answer as it arrives, and return an error before its end, so that net/http cannot return the answer. Of other answers they read the status line. Sound HTTP/1.0 answers, with a length or ended by their connection, are whole (TestOldAnswerIsWhole).

--- a/internal/connection/dial/answers.go
+++ b/internal/connection/dial/answers.go
@@ -70,6 +70,9 @@
 
 // checkHead checks what net/http accepts in the head of an answer though it is invalid.
 func checkHead(resp *http.Response) error {
+	if resp.ProtoMajor != 1 {
+		return fmt.Errorf("%w: version %q", ErrInvalidAnswer, resp.Proto)
+	}
 	if resp.StatusCode < minFinalStatus || resp.StatusCode > maxFinalStatus {
 		return fmt.Errorf("%w: status %03d", ErrInvalidAnswer, resp.StatusCode)
 	}
--- a/internal/connection/dial/answers_test.go
+++ b/internal/connection/dial/answers_test.go
@@ -24,7 +24,7 @@
 
 // BenchmarkCheckHead measures the check of an answer's head, which each request pays for.
 func BenchmarkCheckHead(b *testing.B) {
-	resp := &http.Response{StatusCode: http.StatusOK, ProtoMajor: 1, ProtoMinor: 1, Header: http.Header{
+	resp := &http.Response{StatusCode: http.StatusOK, ProtoMajor: 1, Header: http.Header{
 		"Content-Type": {"text/event-stream"}, "Date": {"Mon, 07 Dec 2026 01:00:00 GMT"}, "Keep-Alive": {"timeout=5"}, "Request-Id": {"9c41d07be2a35f68"},
 		"Server-Stamp": {"3e1b.07.5a2.600.0.c9f2a4d1"}, "Weight-Versions": {"1"}, "Cache-Control": {"no-store"}, "Instance-Id": {"i-7f3a91c2"},
 	}, Request: &http.Request{Header: http.Header{}}}
--- a/internal/connection/dial/checked.go
+++ b/internal/connection/dial/checked.go
@@ -84,7 +84,8 @@
 // Read implements net.Conn. The end of a connection on which an answer has begun is returned only
 // once the request is written, as errUploadCut if it is not. The peer may have reset the
 // connection: the system returns the error of a reset once, and where a write has taken it, a read
-// sees the end of the stream.
+// sees the end of the stream. Nothing of a head that states a transfer coding in HTTP/1.0 is
+// returned from where it does.
 func (c *Conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	use := c.current.Load()
@@ -93,6 +94,9 @@
 	}
 	if n > 0 {
 		use.answered.Store(true)
+		if err := use.coding.read(b[:n]); err != nil {
+			return 0, err
+		}
 	}
 	if errors.Is(err, io.EOF) && use.answered.Load() && !use.upload.endsWhole(uploadTimeout) {
 		return n, errUploadCut
@@ -141,6 +145,7 @@
 
 	upload   upload
 	answered atomic.Bool // bytes of an answer have arrived
+	coding   codingCheck // used by the goroutine that reads
 }
 
 // The phases of a request on a connection.
--- a/internal/connection/engine/broken_answers_test.go
+++ b/internal/connection/engine/broken_answers_test.go
@@ -89,6 +89,13 @@
 	}
 }
 
+// TestInvalidFramingIsNoAnswer guards against answers of a version with another syntax, and against
+// HTTP/1.0 answers whose chunk sizes are taken for a part of the body.
+func TestInvalidFramingIsNoAnswer(t *testing.T) {
+	checkInvalid(t, "HTTP/9.9 200 OK", "")
+	checkInvalid(t, "HTTP/1.0 200 OK", "Transfer-Encoding: chunked\r\n")
+}
+
 // uploadBytes do not fit into the buffers of a connection that its peer does not read.
 const uploadBytes = 8 << 20
 
--- a/scripts/check-mutants.sh
+++ b/scripts/check-mutants.sh
@@ -489,6 +489,10 @@
 mutant 4 internal/connection/dial/upload.go 's/u\.inBody && u\.bodyLeft <= 0/u.inBody/' internal/connection/dial TestUploadEndsWithItsLastByte
 mutant 4 internal/connection/dial/upload.go 's/case c == .\\n. && u\.lineLength == 0:/case c == 10 \&\& u.lineLength < 8:/' internal/connection/dial TestUploadEndsWithItsLastByte
 mutant 4 platform/runner.go 's/BodyBytes: int64\(len\(call\.Body\)\)/BodyBytes: -1/' platform TestPartResetDuringTheUploadIsNoAnswer
+mutant 4 internal/connection/dial/answers.go 's/resp\.ProtoMajor != 1/resp.ProtoMajor < 0/' internal/connection/engine TestInvalidFramingIsNoAnswer
+mutant 4 internal/connection/dial/checked.go 's/if err := use\.coding\.read\(b\[:n\]\); err != nil \{/if err := use.coding.read(b[:0]); err != nil {/' platform TestInvalidFramingIsNoAnswer
+mutant 4 internal/connection/dial/coding.go 's/c\.inHead, c\.checked = false, c\.old/c.inHead, c.checked = false, true/' internal/connection/dial TestCodingIsFoundWhereverReadsDivideTheHead
+mutant 4 internal/connection/dial/coding.go 's/case c\.old && isField &&/case isField \&\&/' internal/connection/dial TestCodingIsFoundWhereverReadsDivideTheHead
 mutant 6 platform/runner.go 's/case errors\.Is\(err, dial\.ErrInvalidAnswer\):/case err == nil:/' platform TestInvalidStatusIsNoAnswer
 }
 checks=()
