Reject parts and encodings of a body that were not asked for

What callers saw: a part of a body with status 206, and a body with a Content-Encoding, to requests that asked for neither. At the project's own interface the answer has no field that tells: the caller of a plain service took encoded bytes for the body.

Cause: each status below 300 counts as a success, and no code read Content-Encoding. Nothing encodes on the way, since compression is switched off, so that an encoding which no Accept-Encoding lists is not the body that was asked for; a 206 without a Range is not a whole one.

Change: dial.CheckAnswers rejects a 206 to a request without Range, and content codings that the request's Accept-Encoding does not list. Where the caller asks for them, they are passed on as before.

--- a/internal/connection/dial/answers.go
+++ b/internal/connection/dial/answers.go
@@ -40,7 +40,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := checkHead(resp); err != nil {
+	if err := checkHead(req, resp); err != nil {
 		resp.Body.Close()
 		use.Discard() // an answer without a body has returned it to the pool
 		return nil, err
@@ -68,8 +68,9 @@
 	maxFinalStatus = 599
 )
 
-// checkHead checks what net/http accepts in the head of an answer though it is invalid.
-func checkHead(resp *http.Response) error {
+// checkHead checks what net/http accepts in the head of an answer though it is invalid, or is no
+// answer to the request.
+func checkHead(req *http.Request, resp *http.Response) error {
 	if resp.ProtoMajor != 1 {
 		return fmt.Errorf("%w: version %q", ErrInvalidAnswer, resp.Proto)
 	}
@@ -81,9 +82,39 @@
 			return fmt.Errorf("%w: field name %q", ErrInvalidAnswer, name)
 		}
 	}
+	if resp.StatusCode == http.StatusPartialContent && req.Header.Get("Range") == "" {
+		return fmt.Errorf("%w: a part of a body that was not asked for", ErrInvalidAnswer)
+	}
+	return checkCoding(req, resp)
+}
+
+// checkCoding returns an error if the body has a content coding that the request does not list.
+func checkCoding(req *http.Request, resp *http.Response) error {
+	codings := resp.Header.Values("Content-Encoding")
+	if len(codings) == 0 {
+		return nil
+	}
+	accepted := map[string]bool{"": true, "identity": true}
+	for _, coding := range listed(req.Header.Values("Accept-Encoding")) {
+		accepted[coding] = true
+	}
+	for _, coding := range listed(codings) {
+		if !accepted[coding] && !accepted["*"] {
+			return fmt.Errorf("%w: content coding %q that was not asked for", ErrInvalidAnswer, coding)
+		}
+	}
 	return nil
 }
 
+// listed returns the elements of a field that is a list, without their parameters and in lower case.
+func listed(values []string) (elements []string) {
+	for _, element := range strings.Split(strings.Join(values, ","), ",") {
+		name, _, _ := strings.Cut(element, ";")
+		elements = append(elements, strings.ToLower(strings.TrimSpace(name)))
+	}
+	return elements
+}
+
 // isToken reports whether a text is a token (RFC 9110, section 5.6.2), as a field name has to be.
 func isToken(s string) bool {
 	for i := range len(s) {
--- a/internal/connection/engine/broken_answers_test.go
+++ b/internal/connection/engine/broken_answers_test.go
@@ -96,6 +96,13 @@
 	checkInvalid(t, "HTTP/1.0 200 OK", "Transfer-Encoding: chunked\r\n")
 }
 
+// TestAnswerOfAnotherFormIsNoAnswer guards against a part of a body, or an encoded one, that reaches
+// callers as if it were whole and plain: their answers have no field that tells.
+func TestAnswerOfAnotherFormIsNoAnswer(t *testing.T) {
+	checkInvalid(t, "HTTP/1.1 206 Partial Content", "Content-Range: bytes 0-1/9\r\n")
+	checkInvalid(t, "HTTP/1.1 200 OK", "Content-Encoding: gzip\r\n")
+}
+
 // uploadBytes do not fit into the buffers of a connection that its peer does not read.
 const uploadBytes = 8 << 20
 
--- a/scripts/check-mutants.sh
+++ b/scripts/check-mutants.sh
@@ -493,6 +493,9 @@
 mutant 4 internal/connection/dial/checked.go 's/if err := use\.coding\.read\(b\[:n\]\); err != nil \{/if err := use.coding.read(b[:0]); err != nil {/' platform TestInvalidFramingIsNoAnswer
 mutant 4 internal/connection/dial/coding.go 's/c\.inHead, c\.checked = false, c\.old/c.inHead, c.checked = false, true/' internal/connection/dial TestCodingIsFoundWhereverReadsDivideTheHead
 mutant 4 internal/connection/dial/coding.go 's/case c\.old && isField &&/case isField \&\&/' internal/connection/dial TestCodingIsFoundWhereverReadsDivideTheHead
+mutant 4 internal/connection/dial/answers.go 's/http\.StatusPartialContent && req\.Header\.Get\("Range"\) == ""/http.StatusPartialContent \&\& req == nil/' internal/connection/engine TestAnswerOfAnotherFormIsNoAnswer
+mutant 4 internal/connection/dial/answers.go 's/!accepted\[coding\] &&/!accepted[coding] \&\& coding == "" \&\&/' platform TestAnswerOfAnotherFormIsNoAnswer
+mutant 4 internal/connection/dial/answers.go 's/accepted\[coding\] = true/accepted[coding] = false/' internal/connection/dial TestCodingsThatWereAskedForAreAccepted
 mutant 6 platform/runner.go 's/case errors\.Is\(err, dial\.ErrInvalidAnswer\):/case err == nil:/' platform TestInvalidStatusIsNoAnswer
 }
 checks=()
