Probe a plain service at the end of an answer without a length

What callers saw: at the project's own interface a part of an answer without a length, as a complete one, when the service's process ended in the middle.

Cause: the end of the process looks like the end of such an answer. The client of runners probes whether the process still accepts connections then; the client of plain services did not.

Evidence: TestPartOfAnEndedServiceIsNoAnswer fails on the code before; an answer that ends with its connection at a service that runs on is whole, before and after.

Streams of engines end with an event of their own, and need none.

--- a/internal/connection/engine/broken_answers_test.go
+++ b/internal/connection/engine/broken_answers_test.go
@@ -137,3 +137,15 @@
 		is.Equal(string(answer.Body), "ok")
 	}
 }
+
+// TestPartOfAnEndedServiceIsNoAnswer guards against a part of an answer without a length that is taken
+// for whole, because the service's process has ended in the middle of it.
+func TestPartOfAnEndedServiceIsNoAnswer(t *testing.T) {
+	for end, whole := range map[answertest.End]bool{answertest.Close: true, answertest.Exit: false} {
+		is := is.New(t)
+		target := answertest.Start(t, answertest.Script{Answer: answertest.Text("HTTP/1.1 200 OK\r\n\r\na part"), End: end})
+		_, err := newTestClient(t).Plain(context.Background(), PlainCall{Addr: target.Address(), Method: http.MethodPost, Path: "/", RequestID: "r", Header: http.Header{}, Body: []byte("{}")})
+		is.Equal(err == nil, whole)
+		is.Equal(errors.Is(err, ErrConnectionLost), !whole)
+	}
+}
--- a/internal/connection/engine/engine.go
+++ b/internal/connection/engine/engine.go
@@ -298,6 +298,7 @@
 	if err != nil {
 		return PlainAnswer{}, attemptError(ctx, err, !used.ClaimUnsent())
 	}
+	dial.CheckEnd(ctx, resp, call.Addr)
 	defer resp.Body.Close()
 	busy := resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests
 	if busy && !call.NonIdempotent {
--- a/scripts/check-mutants.sh
+++ b/scripts/check-mutants.sh
@@ -496,6 +496,8 @@
 mutant 4 internal/connection/dial/answers.go 's/http\.StatusPartialContent && req\.Header\.Get\("Range"\) == ""/http.StatusPartialContent \&\& req == nil/' internal/connection/engine TestAnswerOfAnotherFormIsNoAnswer
 mutant 4 internal/connection/dial/answers.go 's/!accepted\[coding\] &&/!accepted[coding] \&\& coding == "" \&\&/' platform TestAnswerOfAnotherFormIsNoAnswer
 mutant 4 internal/connection/dial/answers.go 's/accepted\[coding\] = true/accepted[coding] = false/' internal/connection/dial TestCodingsThatWereAskedForAreAccepted
+mutant 4 internal/connection/dial/unframed.go 's/errors\.Is\(err, io\.EOF\) && !b\.stillRuns\(\)/errors.Is(err, io.EOF) \&\& b.ctx == nil/' internal/connection/engine TestPartOfAnEndedServiceIsNoAnswer
+mutant 4 internal/connection/dial/unframed.go 's/resp\.ContentLength < 0 && len\(resp\.TransferEncoding\) == 0/len(resp.TransferEncoding) > 9/' lab/hosted TestAnswerThatEndsWithItsTarget
 mutant 6 platform/runner.go 's/case errors\.Is\(err, dial\.ErrInvalidAnswer\):/case err == nil:/' platform TestInvalidStatusIsNoAnswer
 }
 checks=()
