Answer a stored result with an invalid status with an error

What callers saw: a closed connection, each time they asked for the result of a call to a plain service that had answered with a status below 100.

Cause: such answers were stored as they came, and stay readable after the clients check the status. WriteHeader panics below 100.

Evidence: TestStoredAnswerWithAnInvalidStatusIsAnError panics on the code before.

--- a/internal/connection/dial/answers.go
+++ b/internal/connection/dial/answers.go
@@ -61,20 +61,23 @@
 	(&http.Client{Transport: t.next}).CloseIdleConnections()
 }
 
-// The status codes of final answers (RFC 9110, section 15). No request asks for the protocol switch
-// of an interim one.
+// The status codes of final answers (RFC 9110, section 15).
 const (
 	minFinalStatus = 200
 	maxFinalStatus = 599
 )
 
+// IsFinalStatus reports whether a status is that of a final answer. No request asks for the protocol
+// switch of an interim one.
+func IsFinalStatus(status int) bool { return status >= minFinalStatus && status <= maxFinalStatus }
+
 // checkHead checks what net/http accepts in the head of an answer though it is invalid, or is no
 // answer to the request.
 func checkHead(req *http.Request, resp *http.Response) error {
 	if resp.ProtoMajor != 1 {
 		return fmt.Errorf("%w: version %q", ErrInvalidAnswer, resp.Proto)
 	}
-	if resp.StatusCode < minFinalStatus || resp.StatusCode > maxFinalStatus {
+	if !IsFinalStatus(resp.StatusCode) {
 		return fmt.Errorf("%w: status %03d", ErrInvalidAnswer, resp.StatusCode)
 	}
 	for name := range resp.Header {
--- a/internal/request/serve/join.go
+++ b/internal/request/serve/join.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/marblepond/marblepond/internal/connection/dial"
 	"github.com/marblepond/marblepond/internal/connection/openai"
 	"github.com/marblepond/marblepond/internal/errkind"
 	"github.com/marblepond/marblepond/internal/process/timeline"
@@ -79,6 +80,9 @@
 	if result.ErrorKind != "" {
 		return errkind.ByName(result.ErrorKind).New("the request ended with this error")
 	}
+	if !dial.IsFinalStatus(result.Status) {
+		return errkind.TargetFailed.New("the stored answer has status %d", result.Status)
+	}
 	if !stream {
 		w.Header().Set("Content-Type", result.ContentType)
 		w.WriteHeader(result.Status)
--- a/internal/request/serve/plain_test.go
+++ b/internal/request/serve/plain_test.go
@@ -9,6 +9,8 @@
 
 	"github.com/marblepond/marblepond/internal/connection/engine"
 	"github.com/marblepond/marblepond/internal/connection/openai"
+	"github.com/marblepond/marblepond/internal/errkind"
+	"github.com/marblepond/marblepond/internal/request/hold"
 )
 
 // Guards against a promise that a plain service's call was not run, which only the node can make.
@@ -21,3 +23,15 @@
 		is.Equal(w.Header().Get(openai.HeaderNotRun), "")
 	}
 }
+
+// TestStoredAnswerWithAnInvalidStatusIsAnError guards against a panic, and a closed connection, each
+// time a caller asks for an answer that a node stored before it checked the status.
+func TestStoredAnswerWithAnInvalidStatusIsAnError(t *testing.T) {
+	for _, status := range []int{0, 99, 101, 600} {
+		is := is.New(t)
+		w := httptest.NewRecorder()
+		err := writeResult(w, false, hold.Result{RequestID: "r", Status: status, Body: []byte("ok")})
+		is.True(errkind.Is(err, errkind.TargetFailed))
+		is.Equal(w.Body.Len(), 0)
+	}
+}
--- a/scripts/check-mutants.sh
+++ b/scripts/check-mutants.sh
@@ -477,8 +477,8 @@
 mutant 67 internal/request/job/header.go 's/if drop\(name\) \{/if drop(name) \&\& name == "" {/' internal/request/job TestHeaderKeepsItsFields
 mutant 67 internal/request/job/memory.go 's/m\.parsedHeaders\+bytes <= m\.cfg\.MaxParsedHeaderBytes/m.parsedHeaders+bytes > 0/' internal/request/job TestParsedHeadersAreBounded
 mutant 67 internal/process/callers/callers.go 's/allowed-uncountedMemory/allowed-allowed\/10/' internal/process/callers TestMemoryLimitLeavesRoomForTheProgram
-mutant 4 internal/connection/dial/answers.go 's/resp\.StatusCode < minFinalStatus \|\|/resp.StatusCode < 0 ||/' internal/connection/engine TestInvalidStatusIsNoAnswer
-mutant 4 internal/connection/dial/answers.go 's/\|\| resp\.StatusCode > maxFinalStatus/|| resp.StatusCode > 9999/' platform TestInvalidStatusIsNoAnswer
+mutant 4 internal/connection/dial/answers.go 's/status >= minFinalStatus &&/status >= 0 \&\&/' internal/connection/engine TestInvalidStatusIsNoAnswer
+mutant 4 internal/connection/dial/answers.go 's/&& status <= maxFinalStatus/\&\& status <= 9*maxFinalStatus/' platform TestInvalidStatusIsNoAnswer
 mutant 4 internal/connection/dial/answers.go 's/use\.Discard\(\).*/_ = use/' platform TestInvalidStatusIsNoAnswer
 mutant 4 internal/connection/dial/answers.go 's/if !isToken\(name\) \{/if name == "" {/' internal/connection/engine TestInvalidFieldNameIsNoAnswer
 mutant 4 internal/connection/dial/answers.go 's/if !isToken\(name\) \{/if strings.ContainsAny(name, "\\t\\x00") {/' platform TestInvalidFieldNameIsNoAnswer
@@ -498,6 +498,7 @@
 mutant 4 internal/connection/dial/answers.go 's/accepted\[coding\] = true/accepted[coding] = false/' internal/connection/dial TestCodingsThatWereAskedForAreAccepted
 mutant 4 internal/connection/dial/unframed.go 's/errors\.Is\(err, io\.EOF\) && !b\.stillRuns\(\)/errors.Is(err, io.EOF) \&\& b.ctx == nil/' internal/connection/engine TestPartOfAnEndedServiceIsNoAnswer
 mutant 4 internal/connection/dial/unframed.go 's/resp\.ContentLength < 0 && len\(resp\.TransferEncoding\) == 0/len(resp.TransferEncoding) > 9/' lab/hosted TestAnswerThatEndsWithItsTarget
+mutant 4 internal/request/serve/join.go 's/if !dial\.IsFinalStatus\(result\.Status\) \{/if result.Status < 0 \&\& !dial.IsFinalStatus(result.Status) {/' internal/request/serve TestStoredAnswerWithAnInvalidStatusIsAnError
 mutant 6 platform/runner.go 's/case errors\.Is\(err, dial\.ErrInvalidAnswer\):/case err == nil:/' platform TestInvalidStatusIsNoAnswer
 }
 checks=()
