Count no write as done that was reset during its upload

What callers saw: nothing yet. A write to the object store counted as done though the store cannot have read it: it answered at once, and reset the connection while the write was still being sent.

Cause: at the store of hosted nodes, the same as for targets: without a length the reset looked like the end of the answer, and an empty body is accepted. The client of the own platform dropped the error of reading the answer, whichever way it was framed.

Change: the connections to both follow their requests as those to targets do, and an answer that breaks off leaves the outcome of a write open. A write to a reused connection that the store has closed is not sent there any more, but on the next one.

TestInvalidAnswersOfTheStoreProveNothing and its sibling show that heads which dial.CheckAnswers rejects prove nothing at the stores either.

--- a/internal/connection/platform/client.go
+++ b/internal/connection/platform/client.go
@@ -179,7 +179,9 @@
 		return 0, ErrAmbiguous
 	}
 	defer resp.Body.Close()
-	io.Copy(io.Discard, resp.Body)
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		return 0, ErrAmbiguous
+	}
 	switch resp.StatusCode {
 	case http.StatusOK, http.StatusCreated, http.StatusNoContent:
 		return parseETag(resp), nil
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -128,7 +128,7 @@
 	n.pool = peer.NewPool(n.peerHTTPClient, s.PeerKey)
 	n.platform = platform.New(platform.Options{
 		URL: s.PlatformURL, Caller: s.NodeID, Timeout: s.PlatformTimeout, WriteRate: s.PlatformWriteRate, ReadRate: s.PlatformReadRate,
-		Metrics: n.metrics.scope, HTTP: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: platformIdleConns}},
+		Metrics: n.metrics.scope, HTTP: &http.Client{Transport: &http.Transport{DialContext: dial.DetectClosed(dialer.DialContext), MaxIdleConnsPerHost: platformIdleConns}},
 		OnChange: n.recordPlatformState,
 	})
 }
--- a/scripts/check-mutants.sh
+++ b/scripts/check-mutants.sh
@@ -499,6 +499,10 @@
 mutant 4 internal/connection/dial/unframed.go 's/errors\.Is\(err, io\.EOF\) && !b\.stillRuns\(\)/errors.Is(err, io.EOF) \&\& b.ctx == nil/' internal/connection/engine TestPartOfAnEndedServiceIsNoAnswer
 mutant 4 internal/connection/dial/unframed.go 's/resp\.ContentLength < 0 && len\(resp\.TransferEncoding\) == 0/len(resp.TransferEncoding) > 9/' lab/hosted TestAnswerThatEndsWithItsTarget
 mutant 4 internal/request/serve/join.go 's/if !dial\.IsFinalStatus\(result\.Status\) \{/if result.Status < 0 \&\& !dial.IsFinalStatus(result.Status) {/' internal/request/serve TestStoredAnswerWithAnInvalidStatusIsAnError
+mutant 1 platform/agent.go 's/dial\.DetectClosed\(dial\.KeepAliveDialer\(dialTimeout\)\.DialContext\)/dial.KeepAliveDialer(dialTimeout).DialContext/' platform TestWriteResetDuringItsUploadIsNotDone
+mutant 1 platform/store.go 's/dial\.WithCheckedAnswers\((dial\.WithoutRedirects\(o\.HTTP\))\)/$1/' platform TestInvalidAnswersOfTheStoreProveNothing
+mutant 1 internal/connection/platform/client.go 's/io\.Copy\(io\.Discard, resp\.Body\); err != nil/io.Copy(io.Discard, resp.Body); err == io.ErrNoProgress/' internal/connection/platform TestWriteResetDuringItsUploadIsNotDone
+mutant 1 internal/connection/platform/client.go 's/dial\.WithCheckedAnswers\((dial\.WithoutRedirects\(o\.HTTP\))\)/$1/' internal/connection/platform TestInvalidAnswersOfThePlatformProveNothing
 mutant 6 platform/runner.go 's/case errors\.Is\(err, dial\.ErrInvalidAnswer\):/case err == nil:/' platform TestInvalidStatusIsNoAnswer
 }
 checks=()
