Show that invalid answers of nodes are errors

Calls between nodes and those of operators use dial.CheckAnswers since it exists. TestInvalidAnswersOfNodesAreErrors fails on the code before it for HTTP/9.9 and for a blank in a field name, where an empty message was taken for the answer; statuses 000 and 600 were errors there already.

--- a/internal/process/hosted/peers_test.go
+++ b/internal/process/hosted/peers_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net"
+	"net/http"
 	"syscall"
 	"testing"
 	"time"
@@ -11,8 +12,10 @@
 	"github.com/matryer/is"
 
 	v1 "github.com/marblepond/marblepond/api/marblepond/v1"
+	"github.com/marblepond/marblepond/internal/connection/answertest"
 	"github.com/marblepond/marblepond/internal/connection/beacon"
 	"github.com/marblepond/marblepond/internal/connection/objects"
+	"github.com/marblepond/marblepond/internal/connection/peer"
 	"github.com/marblepond/marblepond/internal/process/settings"
 	"github.com/marblepond/marblepond/internal/version/follow"
 )
@@ -62,6 +65,33 @@
 	is.True(time.Since(started) < 150*time.Millisecond)
 }
 
+// TestInvalidAnswersOfNodesAreErrors guards against an answer with an invalid head that is taken for
+// that of another node, in calls between nodes and in those of operators.
+func TestInvalidAnswersOfNodesAreErrors(t *testing.T) {
+	p := newPeers(&settings.Settings{DialTimeout: time.Second})
+	for head, valid := range map[string]bool{
+		"HTTP/1.1 200 OK\r\n":                                true,
+		"HTTP/1.1 200 OK\r\nX Foo: a\r\n":                    false,
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n": false,
+		"HTTP/1.1 000 OK\r\n":                                false,
+		"HTTP/1.1 600 OK\r\n":                                false,
+		"HTTP/9.9 200 OK\r\n":                                false,
+	} {
+		t.Run(head, func(t *testing.T) {
+			is := is.NewRelaxed(t)
+			stand := answertest.Start(t, answertest.Script{Answer: answertest.Text(head + "Content-Type: application/proto\r\nContent-Length: 0\r\n\r\n")})
+			ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+			defer cancel()
+			_, err := p.sync.at(stand.Address()).Exchange(ctx, &v1.ExchangeRequest{})
+			is.Equal(err == nil, valid)
+			_, err = p.seedSync.at(stand.Address()).Exchange(ctx, &v1.ExchangeRequest{})
+			is.Equal(err == nil, valid)
+			_, err = peer.NewOperatorClient(&http.Client{Transport: &http.Transport{}}, stand.Address(), "key").Targets(ctx, &v1.TargetsRequest{})
+			is.Equal(err == nil, valid)
+		})
+	}
+}
+
 // TestNodeJoinsOnceItIsKnown: a node counts as joined once it is registered and another node
 // is reachable, after a time in any case, and at once if there is no other node. Without that,
 // a node that was ready before it knew the others refused online requests after 60 ms while
--- a/scripts/check-mutants.sh
+++ b/scripts/check-mutants.sh
@@ -503,6 +503,8 @@
 mutant 1 platform/store.go 's/dial\.WithCheckedAnswers\((dial\.WithoutRedirects\(o\.HTTP\))\)/$1/' platform TestInvalidAnswersOfTheStoreProveNothing
 mutant 1 internal/connection/platform/client.go 's/io\.Copy\(io\.Discard, resp\.Body\); err != nil/io.Copy(io.Discard, resp.Body); err == io.ErrNoProgress/' internal/connection/platform TestWriteResetDuringItsUploadIsNotDone
 mutant 1 internal/connection/platform/client.go 's/dial\.WithCheckedAnswers\((dial\.WithoutRedirects\(o\.HTTP\))\)/$1/' internal/connection/platform TestInvalidAnswersOfThePlatformProveNothing
+mutant 9 internal/process/hosted/peers.go 's/http\.Client\{Transport: dial\.CheckAnswers\((.*?maxPeerHeadBytes\})\)\}/http.Client{Transport: $1}/s' internal/process/hosted TestInvalidAnswersOfNodesAreErrors
+mutant 9 internal/connection/peer/peer.go 's/dial\.WithCheckedAnswers\(client\), "http/func() *http.Client { _ = dial.CheckAnswers; return client }(), "http/' internal/process/hosted TestInvalidAnswersOfNodesAreErrors
 mutant 6 platform/runner.go 's/case errors\.Is\(err, dial\.ErrInvalidAnswer\):/case err == nil:/' platform TestInvalidStatusIsNoAnswer
 }
 checks=()
