--- a/lab/hosted/runner.go
+++ b/lab/hosted/runner.go
@@ -44,6 +44,8 @@
 	partCrashes     []PartRun // those of them that crashed the process, with the time of the crash
 	closeDelimited  bool      // answers have neither a length nor chunks and end with their connection
 
+	nextBrokenAnswer atomic.Pointer[func(*http.Request) *BrokenAnswer] // nil: none are sent
+
 	nextFalseAnswer atomic.Pointer[func() FalseAnswer] // nil: none are sent
 	falseAnswers    atomic.Int32                       // sent
 	newestConn      *recordingConn                     // of the newest answer
@@ -111,6 +113,13 @@
 // ServeHTTP implements http.Handler.
 func (r *Runner) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	id := req.Header.Get("X-Marblepond-Request-Id")
+	broken := r.brokenAnswer(req)
+	if broken != nil && broken.Early {
+		r.recordRun(id, req)
+		defer r.recordRunEnd(id)
+		r.sendBroken(w, id, broken)
+		return
+	}
 	r.sendFalseAnswer(req, false)
 	if _, err := io.Copy(io.Discard, req.Body); err != nil {
 		return
@@ -140,14 +149,12 @@
 		return
 	}
 	defer r.busy.Add(-1)
-	r.mu.Lock()
-	r.runs[id]++
-	r.active[id]++
-	r.runStarts = append(r.runStarts, RunStart{id, req.URL.Path, time.Now()})
-	r.resumePositions[id] = append(r.resumePositions[id], req.Header.Get("Last-Event-Id"))
-	r.headers[id] = req.Header.Clone()
-	r.mu.Unlock()
+	r.recordRun(id, req)
 	defer r.recordRunEnd(id)
+	if broken != nil {
+		r.sendBroken(w, id, broken)
+		return
+	}
 	if part := r.crashingPart(req.Header); part != "" {
 		behaviour = CrashAtBegin
 		r.mu.Lock()
@@ -156,3 +163,14 @@
 	}
 	r.run(w, req, id, behaviour)
 }
+
+// recordRun records the start of a run.
+func (r *Runner) recordRun(id string, req *http.Request) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.runs[id]++
+	r.active[id]++
+	r.runStarts = append(r.runStarts, RunStart{id, req.URL.Path, time.Now()})
+	r.resumePositions[id] = append(r.resumePositions[id], req.Header.Get("Last-Event-Id"))
+	r.headers[id] = req.Header.Clone()
+}
