--- a/internal/connection/dial/checked.go
+++ b/internal/connection/dial/checked.go
@@ -84,8 +84,8 @@
 // Read implements net.Conn. The end of a connection on which an answer has begun is returned only
 // once the request is written, as errUploadCut if it is not. The peer may have reset the
 // connection: the system returns the error of a reset once, and where a write has taken it, a read
-// sees the end of the stream. Nothing of a head that states a transfer coding in HTTP/1.0 is
-// returned from where it does.
+// sees the end of the stream. A head that states a transfer coding in HTTP/1.0 is not returned to
+// its end.
 func (c *Conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	use := c.current.Load()
--- a/internal/connection/dial/coding.go
+++ b/internal/connection/dial/coding.go
@@ -11,10 +11,9 @@
 var errOldCoding = fmt.Errorf("%w: a transfer coding in HTTP/1.0", ErrInvalidAnswer)
 
 const (
-	oldVersion    = "HTTP/1.0 "
-	interimPrefix = "HTTP/1.1 1"
+	oldVersion    = "HTTP/1.0"
 	codingField   = "Transfer-Encoding"
-	keptLineBytes = 32 // more than any of the above
+	keptLineBytes = 32 // more than the above and a status
 )
 
 // codingCheck looks for a transfer coding in the head of an HTTP/1.0 answer as it arrives.
@@ -23,6 +22,7 @@
 	length  int                 // of line
 	inHead  bool                // the status line has arrived
 	old     bool                // the head is that of an HTTP/1.0 answer
+	interim bool                // the head is that of an interim answer, which precedes another one
 	checked bool                // the rest needs no check
 }
 
@@ -53,11 +53,13 @@
 	name, _, isField := bytes.Cut(line, []byte(":"))
 	switch {
 	case !c.inHead:
-		c.inHead, c.old = true, bytes.HasPrefix(line, []byte(oldVersion))
-		c.checked = !c.old && !bytes.HasPrefix(line, []byte(interimPrefix))
-	case len(line) == 0: // an interim answer precedes another one
-		c.inHead, c.checked = false, c.old
-	case c.old && isField && bytes.EqualFold(bytes.TrimSpace(name), []byte(codingField)):
+		version, status, _ := bytes.Cut(line, []byte(" "))
+		c.inHead = true
+		c.old, c.interim = string(version) == oldVersion, bytes.HasPrefix(bytes.TrimLeft(status, " "), []byte("1"))
+		c.checked = !c.old && !c.interim
+	case len(line) == 0:
+		c.inHead, c.checked = false, !c.interim
+	case c.old && isField && bytes.EqualFold(bytes.TrimRight(name, " \t"), []byte(codingField)):
 		return errOldCoding
 	}
 	return nil
--- a/internal/connection/engine/engine.go
+++ b/internal/connection/engine/engine.go
@@ -271,7 +271,7 @@
 
 // PlainAnswer is the response of a plain service.
 type PlainAnswer struct {
-	Status int
+	Status int // from 200 to 599
 	Header http.Header
 	Body   []byte
 }
--- a/internal/connection/target/target.go
+++ b/internal/connection/target/target.go
@@ -48,7 +48,8 @@
 
 // Answer is the response of a target. The reader must close Stream.
 type Answer struct {
-	// Status is none that promises callers that the request was not run (errkind.PromisesNotRun).
+	// Status is from 200 to 599, and none that promises callers that the request was not run
+	// (errkind.PromisesNotRun).
 	Status int
 	Header http.Header
 	// Stream is nil for a complete answer.
