--- a/internal/connection/engine/broken_answers_test.go
+++ b/internal/connection/engine/broken_answers_test.go
@@ -52,9 +52,22 @@
 // bodies are whole bodies that the calls accept.
 var bodies = map[string]string{"stream": openai.DataPrefix + openai.DoneMark + "\n\n", "resume": openai.DataPrefix + openai.DoneMark + "\n\n", "load": "{}"}
 
-// checkInvalid makes each call to a target whose answers have an invalid head, and checks that none
-// is believed, as an answer or as a refusal, and that its connection is not used again.
+// checkInvalid makes each call to a target whose answers have an invalid head, and checks that each
+// fails for that, and not as a lost connection, and that its connection is not used again.
 func checkInvalid(t *testing.T, statusLine, fields string) {
+	t.Helper()
+	checkFailure(t, statusLine, fields, func(err error) bool { return errors.Is(err, dial.ErrInvalidAnswer) || errors.Is(err, ErrFailed) })
+}
+
+// checkRejected checks heads that net/http rejects: no answer is believed, as such or as a refusal.
+func checkRejected(t *testing.T, statusLine, fields string) {
+	t.Helper()
+	checkFailure(t, statusLine, fields, func(err error) bool {
+		return err != nil && !errors.Is(err, ErrBusy) && !errors.Is(err, ErrRejected) && !errors.Is(err, ErrNotSent)
+	})
+}
+
+func checkFailure(t *testing.T, statusLine, fields string, expected func(error) bool) {
 	t.Helper()
 	for name, call := range calls {
 		is := is.NewRelaxed(t)
@@ -66,7 +79,7 @@
 			if i > 0 && errors.Is(err, ErrNotSent) {
 				continue // the pool still had the connection that was closed after the first answer
 			}
-			if err == nil || errors.Is(err, ErrBusy) || errors.Is(err, ErrRejected) || errors.Is(err, ErrNotSent) {
+			if !expected(err) {
 				t.Errorf("%s: %s, %q: %v", name, statusLine, fields, err)
 			}
 		}
@@ -87,9 +100,12 @@
 // state.
 func TestInvalidFieldNameIsNoAnswer(t *testing.T) {
 	for _, status := range []string{"200 OK", "404 Not Found", "503 Full"} {
-		for _, field := range []string{"X Foo: a", "X-Foo : a", "Content-Length : 1", "Transfer-Encoding : chunked", "X\tFoo: a", "X\x01Foo: a", "X\x7fFoo: a", ": a"} {
+		for _, field := range []string{"X Foo: a", "X-Foo : a", "Content-Length : 1", "Transfer-Encoding : chunked"} {
 			checkInvalid(t, "HTTP/1.1 "+status, field+"\r\n")
 		}
+		for _, field := range []string{"X\tFoo: a", "X\x01Foo: a", "X\x7fFoo: a", ": a"} {
+			checkRejected(t, "HTTP/1.1 "+status, field+"\r\n")
+		}
 	}
 }
 
--- a/scripts/check-mutants.sh
+++ b/scripts/check-mutants.sh
@@ -506,6 +506,7 @@
 mutant 1 internal/connection/platform/client.go 's/dial\.WithCheckedAnswers\((dial\.WithoutRedirects\(o\.HTTP\))\)/$1/' internal/connection/platform TestInvalidAnswersOfThePlatformProveNothing
 mutant 9 internal/process/hosted/peers.go 's/http\.Client\{Transport: dial\.CheckAnswers\((.*?maxPeerHeadBytes\})\)\}/http.Client{Transport: $1}/s' internal/process/hosted TestInvalidAnswersOfNodesAreErrors
 mutant 9 internal/connection/peer/peer.go 's/dial\.WithCheckedAnswers\(client\), "http/func() *http.Client { _ = dial.CheckAnswers; return client }(), "http/' internal/process/hosted TestInvalidAnswersOfNodesAreErrors
+mutant 4 internal/connection/engine/engine.go 's/case errors\.Is\(err, dial\.ErrInvalidAnswer\):/case err == dial.ErrInvalidAnswer:/' internal/connection/engine TestInvalidStatusIsNoAnswer
 mutant 6 platform/runner.go 's/case errors\.Is\(err, dial\.ErrInvalidAnswer\):/case err == nil:/' platform TestInvalidStatusIsNoAnswer
 }
 checks=()
