--- a/review/standin-2/client.go
+++ b/review/standin-2/client.go
@@ -40,7 +40,7 @@
 	l := &lot{id: id}
 	for n := range count {
 		l.items = append(l.items, item{ID: fmt.Sprintf("%s%04x", id, n), Path: fmt.Sprintf("/drafts/%d", n), Headers: map[string]string{
-			"X-Marblepond-Model": "m", "X-Marblepond-Token-Count": fmt.Sprintf("%d,%d", tokens/2, tokens-tokens/2)},
+			headerModel: "m", headerTokens: fmt.Sprintf("%d,%d", tokens/2, tokens-tokens/2)},
 			Body: base64.StdEncoding.EncodeToString([]byte("draft " + strconv.Itoa(n))), Tokens: tokens})
 	}
 	return l
@@ -83,8 +83,8 @@
 		panic(err)
 	}
 	f.rec.add("sent", "lot", l.id, "node", n.name, "tokens", l.tokens())
-	status, _, header := f.call(http.MethodPost, n.front(), "/drafts/"+l.id, map[string]string{"X-Marblepond-Request-Id": l.id, "Content-Type": "application/json",
-		"X-Marblepond-Deadline-Ms": strconv.FormatInt(left.Milliseconds(), 10)}, body, left)
+	status, _, header := f.call(http.MethodPost, n.front(), "/drafts/"+l.id, map[string]string{headerID: l.id, "Content-Type": "application/json",
+		headerDeadline: strconv.FormatInt(left.Milliseconds(), 10)}, body, left)
 	seconds, _ := strconv.ParseFloat(header.Get("Retry-After"), 64)
 	f.rec.add("answered", "lot", l.id, "node", n.name, "status", status, "retry_after", seconds)
 	return status, time.Duration(seconds * float64(time.Second))
@@ -121,9 +121,9 @@
 func (f *fleet) read(n *node, id string, after int, wait time.Duration) (status int, p page) {
 	header := map[string]string{}
 	if wait > 0 {
-		header["X-Marblepond-Wait-Ms"] = strconv.FormatInt(wait.Milliseconds(), 10)
+		header[headerWait] = strconv.FormatInt(wait.Milliseconds(), 10)
 	}
-	status, text, _ := f.call(http.MethodGet, n.front(), fmt.Sprintf("/v1/lots/%s?after=%d", id, after), header, nil, wait+1500*time.Millisecond)
+	status, text, _ := f.call(http.MethodGet, n.front(), fmt.Sprintf("%s%s?after=%d", pathLots, id, after), header, nil, wait+1500*time.Millisecond)
 	if status == 200 && json.Unmarshal(text, &p) != nil {
 		return -1, page{}
 	}
--- a/review/standin-2/fleet.go
+++ b/review/standin-2/fleet.go
@@ -222,7 +222,7 @@
 	until := time.Now().Add(limit)
 	client := http.Client{Timeout: time.Second}
 	for time.Now().Before(until) {
-		resp, err := client.Get("http://" + n.ip + ":8167/v1/ready")
+		resp, err := client.Get("http://" + n.ip + ":8167" + pathReady)
 		if err == nil {
 			resp.Body.Close()
 			if resp.StatusCode == 200 {
--- a/review/standin-2/open.go
+++ b/review/standin-2/open.go
@@ -21,7 +21,7 @@
 	entries := []*node{f.node("edge-a-1"), f.node("edge-a-2"), f.node("edge-b-1"), f.node("edge-b-2"), f.node("edge-c-1"), f.node("edge-c-2")}
 	l := newLot("aa01", 3, 500)
 	if trouble {
-		l.items[2].Tokens, l.items[2].Headers["X-Marblepond-Token-Count"] = kvTokens+8000, fmt.Sprintf("%d,1000", kvTokens+7000)
+		l.items[2].Tokens, l.items[2].Headers[headerTokens] = kvTokens+8000, fmt.Sprintf("%d,1000", kvTokens+7000)
 	}
 	sent := time.Now()
 	if status := f.submit(entries, 0, l); status != 202 {
--- a/review/standin-2/quota.go
+++ b/review/standin-2/quota.go
@@ -21,9 +21,9 @@
 func config(version, tokenCap, keepS int) map[string]any {
 	return map[string]any{"version": version,
 		"routes": []any{
-			map[string]any{"name": "digest", "host": host, "path_prefix": "/drafts/", "service": service, "kind": "batch", "attempts": 3, "priority": 2, "timeout_ms": 15000,
-				"slo_ms": 400, "run_aim_ms": 18000, "keep_s": keepS, "cap": tokenCap, "resumable": true, "gap_aim_ms": 200},
-			map[string]any{"name": "check", "host": host, "path_prefix": "/check/", "service": service, "kind": "streaming", "attempts": 1, "priority": 0, "timeout_ms": 5000, "slo_ms": 300, "gap_aim_ms": 200},
+			map[string]any{"name": "digest", "host": host, fieldPrefix: "/drafts/", "service": service, "kind": "batch", "attempts": 3, "priority": 2, "timeout_ms": 15000,
+				fieldAim: 400, fieldRunAim: 18000, "keep_s": keepS, "cap": tokenCap, "resumable": true, fieldGap: 200},
+			map[string]any{"name": "check", "host": host, fieldPrefix: "/check/", "service": service, "kind": "streaming", "attempts": 1, "priority": 0, "timeout_ms": 5000, fieldAim: 300, fieldGap: 200},
 		},
 		"services": []any{map[string]any{"name": service, "health_path": "/healthz"}},
 		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 5000, "idle_timeout_ms": 10000},
--- a/review/standin-2/runner.go
+++ b/review/standin-2/runner.go
@@ -33,7 +33,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.seq++
-	return map[string]any{"service": r.service, "address": r.address, "zone": r.zone, "version": "v1", "slots": r.slots, "state": "ready", "warmup_left_ms": 0, "seq": r.seq}
+	return map[string]any{"service": r.service, "address": r.address, "zone": r.zone, "version": "v1", "slots": r.slots, "state": "ready", fieldWarmUp: 0, "seq": r.seq}
 }
 
 func (r *runner) listen() (io.Closer, error) {
@@ -47,7 +47,7 @@
 }
 
 func (r *runner) notRun(w http.ResponseWriter, status int) {
-	w.Header().Set("X-Marblepond-Not-Run", "1")
+	w.Header().Set(headerNotRun, "1")
 	w.WriteHeader(status)
 }
 
@@ -79,16 +79,16 @@
 
 // ServeHTTP implements http.Handler.
 func (r *runner) ServeHTTP(w http.ResponseWriter, req *http.Request) {
-	id := req.Header.Get("X-Marblepond-Request-Id")
-	w.Header().Set("X-Marblepond-Request-Id", id)
+	id := req.Header.Get(headerID)
+	w.Header().Set(headerID, id)
 	if req.URL.Path == "/healthz" {
-		w.Header().Set("X-Marblepond-Instance-Id", r.id)
+		w.Header().Set(headerInstance, r.id)
 		return
 	}
 	if _, err := io.ReadAll(req.Body); err != nil {
 		return
 	}
-	switch expected := req.Header.Get("X-Marblepond-Expect-Instance"); {
+	switch expected := req.Header.Get(headerExpect); {
 	case id == "":
 		r.notRun(w, 400)
 		return
@@ -97,7 +97,7 @@
 		return
 	}
 	limit := 60 * time.Second
-	if ms, err := strconv.Atoi(req.Header.Get("X-Marblepond-Deadline-Ms")); err == nil {
+	if ms, err := strconv.Atoi(req.Header.Get(headerDeadline)); err == nil {
 		limit = time.Duration(ms) * time.Millisecond
 	}
 	until := time.Now().Add(limit)
@@ -113,7 +113,7 @@
 	after, _ := strconv.Atoi(req.Header.Get("Last-Event-Id"))
 	r.rec.noteRun(id)
 	r.rec.add("run", "runner", r.id, "request", id, "after", after)
-	w.Header().Set("X-Marblepond-Server-Stamp", fmt.Sprintf("%s.%s.%d", r.id, id, time.Now().UnixNano()))
+	w.Header().Set(headerStamp, fmt.Sprintf("%s.%s.%d", r.id, id, time.Now().UnixNano()))
 	w.Header().Set("Content-Type", "text/event-stream")
 	flush := http.NewResponseController(w)
 	for n := after + 1; n <= r.events; n++ {
@@ -141,7 +141,7 @@
 const kvTokens = 72000
 
 func tooLarge(req *http.Request) bool {
-	prompt, output, _ := strings.Cut(req.Header.Get("X-Marblepond-Token-Count"), ",")
+	prompt, output, _ := strings.Cut(req.Header.Get(headerTokens), ",")
 	p, _ := strconv.Atoi(prompt)
 	o, _ := strconv.Atoi(output)
 	return p+o > kvTokens
--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -17,9 +17,33 @@
 type meta struct {
 	Name       string   `json:"name"`
 	Rev        int64    `json:"rev"`
-	CreateRev  int64    `json:"create_rev"`
-	Finalizers []string `json:"finalizers"`
-	Deleting   bool     `json:"deleting"`
+	CreateRev  int64    `json:"-"`
+	Finalizers []string `json:"-"`
+}
+
+// MarshalJSON implements json.Marshaler.
+func (m meta) MarshalJSON() ([]byte, error) {
+	finalizers := m.Finalizers
+	if finalizers == nil {
+		finalizers = []string{}
+	}
+	return json.Marshal(map[string]any{"name": m.Name, "rev": m.Rev, fieldCreated: m.CreateRev, fieldFinalizers: finalizers, "deleting": false})
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (m *meta) UnmarshalJSON(text []byte) error {
+	var sent map[string]json.RawMessage
+	if err := json.Unmarshal(text, &sent); err != nil {
+		return err
+	}
+	for field, into := range map[string]any{"name": &m.Name, "rev": &m.Rev, fieldFinalizers: &m.Finalizers} {
+		if value, ok := sent[field]; ok {
+			if err := json.Unmarshal(value, into); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
 }
 
 type object struct {
@@ -116,7 +140,7 @@
 // ServeHTTP implements http.Handler.
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	time.Sleep(storeTime)
-	path, ok := strings.CutPrefix(r.URL.EscapedPath(), "/v1/objects/")
+	path, ok := strings.CutPrefix(r.URL.EscapedPath(), pathObjects)
 	if !ok {
 		answer(w, 404, struct{}{})
 		return
@@ -171,7 +195,7 @@
 		}
 		items = append(items, o)
 	}
-	out := map[string]any{"items": items, "has_more": more, "store_revision": s.rev}
+	out := map[string]any{"items": items, fieldMore: more, fieldRevision: s.rev}
 	s.mu.Unlock()
 	answer(w, 200, out)
 }
@@ -197,7 +221,7 @@
 		}
 		s.mu.Unlock()
 		if len(events) > 0 || !time.Now().Before(until) {
-			answer(w, 200, map[string]any{"events": events, "store_revision": revision})
+			answer(w, 200, map[string]any{"events": events, fieldRevision: revision})
 			return
 		}
 		time.Sleep(10 * time.Millisecond)
