--- a/review/standin-2/fleet.go
+++ b/review/standin-2/fleet.go
@@ -98,6 +98,7 @@
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	f := &fleet{bin: bin, dir: dir, net: second, store: newStore(), rec: rec, ctx: ctx, stop: stop}
+	running.Store(f)
 	f.store.put("config", "main", o.config)
 	server, err := f.store.listen(f.storeAddress())
 	if err != nil {
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -21,6 +22,9 @@
 
 var cases = map[string]func(bin string, rec *record, trouble bool) (int, error){}
 
+// running is the fleet that the case has started.
+var running atomic.Pointer[fleet]
+
 func main() {
 	name := flag.String("case", "", "name of the case")
 	bin := flag.String("bin", "target/marblepond", "the program of the deploy file")
@@ -58,6 +62,9 @@
 	case <-signals:
 	case <-time.After(mostTime):
 	}
-	rec.add("not run", "cause", "stopped") // the processes end with this one
+	rec.add("not run", "cause", "stopped")
+	if f := running.Load(); f != nil {
+		f.close()
+	}
 	os.Exit(notRun)
 }
