review/4: keep to the doses of its site, one freeze, jobs as on the sheet

Change: one of 12 machines, as many as the sheet has, once, for 3.2 s; jobs of 10 items of 1,000 tokens. The check is as before.

--- a/review/standin-2/quota.go
+++ b/review/standin-2/quota.go
@@ -11,9 +11,7 @@
 
 const (
 	quotaCap  = 60000
-	frozenFor = 4 * time.Second
-	// rounds is how often it happens at most: a job has to arrive in the moments after the wake.
-	rounds = 2
+	frozenFor = 3200 * time.Millisecond
 	// A burst of 3 s, as the site has it, begins in the freeze and ends a second after it.
 	burstFor   = 3 * time.Second
 	burstAfter = frozenFor + time.Second - burstFor
@@ -56,9 +54,9 @@
 	return sum
 }
 
-// submit sends a job of 40 items that ask for 500 tokens each.
+// submit sends a job of 10 items, as on the sheet, that ask for 1,000 tokens each.
 func (q *quotaState) submit(entries []*node, first int) {
-	l := newLot(fmt.Sprintf("a%04x", first), 40, 500)
+	l := newLot(fmt.Sprintf("a%04x", first), 10, 1000)
 	if q.f.submit(entries, first, l) != 202 {
 		return
 	}
@@ -73,7 +71,7 @@
 // playQuota: the owner of a backlog stands still for some seconds. Another node stands in for it and
 // lets jobs in up to the cap. When the owner wakes it decides by what it knew before.
 func playQuota(bin string, rec *record, trouble bool) (int, error) {
-	f, err := startFleet(bin, rec, options{edgesPerZone: 2, runnersPerZone: 1, slots: 4, queue: 4, events: 20, gap: 100 * time.Millisecond, statusS: statusS, config: config(1, quotaCap, 60)})
+	f, err := startFleet(bin, rec, options{edgesPerZone: 3, runnersPerZone: 1, slots: 4, queue: 4, events: 20, gap: 100 * time.Millisecond, statusS: statusS, config: config(1, quotaCap, 60)})
 	if f != nil {
 		defer f.close()
 	}
@@ -82,7 +80,7 @@
 	}
 	time.Sleep(startsAfter)
 	owner := f.node("edge-b-1") // the node that rendezvous hashing gives for route "digest"
-	entries := []*node{f.node("edge-a-1"), f.node("edge-a-2"), f.node("edge-b-2"), f.node("edge-c-1"), f.node("edge-c-2")}
+	entries := []*node{f.node("edge-a-1"), f.node("edge-a-2"), f.node("edge-b-2"), f.node("edge-c-1"), f.node("edge-c-2"), f.node("edge-a-3"), f.node("edge-b-3"), f.node("edge-c-3")}
 	q := &quotaState{f: f}
 	var clients sync.WaitGroup
 	next := 0
@@ -94,27 +92,25 @@
 		}
 	}
 	allowed := int(quotaCap * (1 + quotaOver))
-	for round := 0; round < rounds && q.most <= allowed; round++ {
-		arrive(8*time.Second, 8*time.Second)
+	arrive(8*time.Second, 8*time.Second)
+	if trouble {
+		f.signal(owner, syscall.SIGSTOP)
+	}
+	frozen := time.Now()
+	wake := make(chan struct{})
+	go func() {
+		defer close(wake)
+		time.Sleep(frozenFor - time.Since(frozen))
 		if trouble {
-			f.signal(owner, syscall.SIGSTOP)
-		}
-		frozen := time.Now()
-		wake := make(chan struct{})
-		go func() {
-			defer close(wake)
-			time.Sleep(frozenFor - time.Since(frozen))
-			if trouble {
-				f.signal(owner, syscall.SIGCONT)
-			}
-		}()
-		time.Sleep(burstAfter)
-		arrive(arrivalPause, burstFor)
-		<-wake
-		clients.Wait()
-		for until := time.Now().Add(20 * time.Second); q.waiting() > 0 && time.Now().Before(until); {
-			time.Sleep(100 * time.Millisecond)
+			f.signal(owner, syscall.SIGCONT)
 		}
+	}()
+	time.Sleep(burstAfter)
+	arrive(arrivalPause, burstFor)
+	<-wake
+	clients.Wait()
+	for until := time.Now().Add(20 * time.Second); q.waiting() > 0 && time.Now().Before(until); {
+		time.Sleep(100 * time.Millisecond)
 	}
 	rec.add("most waiting", "tokens", q.most, "allowed", allowed)
 	if q.most > allowed {
